Add the build, the core types, the blackboard and session routing

Cause: every module needs the same value types and the same control loop. Change: Maven workspace with formatter and linter; blackboard, controllers and control loop; confirmed positions; a router that honours session positions and a baseline that sends every statement to the primary. Conclusion: decisions run under a test clock without any input or output.

--- /dev/null
+++ b/bench/src/main/java/org/persimmonwalk/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Demo, acceptance tests and benchmarks. */
+package org.persimmonwalk.bench;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Which statements a workspace may run now, and in which order they run. */
+package org.persimmonwalk.admission;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/blackboard/package-info.java
@@ -0,0 +1,2 @@
+/** The blackboard of an entry host, its controllers and the control loop. */
+package org.persimmonwalk.blackboard;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that controllers ask executors to carry out. */
+package org.persimmonwalk.command;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.persimmonwalk.id;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/internal/check/package-info.java
@@ -0,0 +1,2 @@
+/** Argument checks shared by value types. */
+package org.persimmonwalk.internal.check;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/internal/control/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Which configuration is in force. */
+package org.persimmonwalk.internal.control.configuration;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/DatabaseGroup.java
@@ -0,0 +1,40 @@
+package org.persimmonwalk.model;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+
+/**
+ * A group of backend servers that replicate one database.
+ *
+ * @param id the group
+ * @param servers all servers, whichever is the primary
+ * @param defaultMaximumAge the oldest data that a read without a stated age accepts
+ */
+public record DatabaseGroup(
+    DatabaseGroupId id, List<BackendServer> servers, Duration defaultMaximumAge) {
+
+  /** Checks that the group has servers. */
+  public DatabaseGroup {
+    Objects.requireNonNull(id, "id");
+    Objects.requireNonNull(defaultMaximumAge, "defaultMaximumAge");
+    servers = List.copyOf(servers);
+    if (servers.isEmpty()) {
+      throw new IllegalArgumentException("database group " + id + " needs a backend server");
+    }
+  }
+
+  /** Returns the group with the given servers. */
+  public static DatabaseGroup of(
+      DatabaseGroupId id, List<BackendServer> servers, Duration defaultMaximumAge) {
+    return new DatabaseGroup(id, servers, defaultMaximumAge);
+  }
+
+  /** Returns the server with the given identifier, if it is in the group. */
+  public Optional<BackendServer> server(BackendServerId server) {
+    return servers.stream().filter(candidate -> candidate.id().equals(server)).findFirst();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/GroupView.java
@@ -0,0 +1,64 @@
+package org.persimmonwalk.model;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+
+/**
+ * What an entry host knows of a database group.
+ *
+ * @param id the group
+ * @param term the highest term in which a server was seen as primary
+ * @param primary the primary of that term
+ * @param servers all configured servers
+ * @param confirmed confirmed positions of the current term, oldest first
+ * @param defaultMaximumAge the oldest data that a read without a stated age accepts
+ */
+public record GroupView(
+    DatabaseGroupId id,
+    Term term,
+    Optional<BackendServerId> primary,
+    List<ServerView> servers,
+    List<ConfirmedPosition> confirmed,
+    Duration defaultMaximumAge) {
+
+  /** Copies the lists. */
+  public GroupView {
+    Objects.requireNonNull(id, "id");
+    Objects.requireNonNull(term, "term");
+    Objects.requireNonNull(primary, "primary");
+    servers = List.copyOf(servers);
+    confirmed = List.copyOf(confirmed);
+    Objects.requireNonNull(defaultMaximumAge, "defaultMaximumAge");
+  }
+
+  /** Returns the view of the given server, if it is in the group. */
+  public Optional<ServerView> server(BackendServerId server) {
+    return servers.stream().filter(view -> view.server().id().equals(server)).findFirst();
+  }
+
+  /** Returns the view of the primary, if one is known. */
+  public Optional<ServerView> primaryView() {
+    return primary.flatMap(this::server);
+  }
+
+  /** Returns the newest confirmed position, if there is one. */
+  public Optional<ConfirmedPosition> newestConfirmed() {
+    return confirmed.isEmpty()
+        ? Optional.empty()
+        : Optional.of(confirmed.get(confirmed.size() - 1));
+  }
+
+  /**
+   * Returns whether a replica that follows the given term has received the position. Such a write
+   * survives every promotion, because a promotion fences all replicas and takes the most advanced.
+   */
+  public boolean isReceivedByReplica(GroupPosition written) {
+    return servers.stream()
+        .filter(view -> view.has(ServerRole.REPLICA, written.term()))
+        .anyMatch(view -> view.sample().get().received().covers(written.position()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/MonotonicTime.java
@@ -0,0 +1,42 @@
+package org.persimmonwalk.model;
+
+import java.time.Duration;
+
+/** An instant on the monotonic clock of one process; never compared between processes. */
+public record MonotonicTime(long nanoseconds) implements Comparable<MonotonicTime> {
+
+  /** Returns the instant at the given reading of the clock. */
+  public static MonotonicTime of(long nanoseconds) {
+    return new MonotonicTime(nanoseconds);
+  }
+
+  /** Returns the instant that follows this one by the given time. */
+  public MonotonicTime plus(Duration duration) {
+    return new MonotonicTime(nanoseconds + duration.toNanos());
+  }
+
+  /** Returns the instant that precedes this one by the given time. */
+  public MonotonicTime minus(Duration duration) {
+    return new MonotonicTime(nanoseconds - duration.toNanos());
+  }
+
+  /** Returns the time from the earlier instant to this one; negative if it is later. */
+  public Duration since(MonotonicTime earlier) {
+    return Duration.ofNanos(nanoseconds - earlier.nanoseconds);
+  }
+
+  /** Returns whether this instant is before the other one. */
+  public boolean isBefore(MonotonicTime other) {
+    return nanoseconds - other.nanoseconds < 0;
+  }
+
+  /** Returns whether this instant is after the other one. */
+  public boolean isAfter(MonotonicTime other) {
+    return other.isBefore(this);
+  }
+
+  @Override
+  public int compareTo(MonotonicTime other) {
+    return Long.compare(nanoseconds - other.nanoseconds, 0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/ServerView.java
@@ -0,0 +1,52 @@
+package org.persimmonwalk.model;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What an entry host knows of a backend server.
+ *
+ * @param server the server as configured
+ * @param sample the newest sample, if there is one
+ * @param sampledAt when the probe of the newest sample started
+ * @param failingSince when the first of the probes that failed since the newest sample started
+ */
+public record ServerView(
+    BackendServer server,
+    Optional<ServerSample> sample,
+    MonotonicTime sampledAt,
+    Optional<MonotonicTime> failingSince) {
+
+  /** Checks that all parts are present. */
+  public ServerView {
+    Objects.requireNonNull(server, "server");
+    Objects.requireNonNull(sample, "sample");
+    Objects.requireNonNull(sampledAt, "sampledAt");
+    Objects.requireNonNull(failingSince, "failingSince");
+  }
+
+  /** Returns the view of a server of which nothing is known. */
+  public static ServerView unknown(BackendServer server, MonotonicTime now) {
+    return new ServerView(server, Optional.empty(), now, Optional.empty());
+  }
+
+  /** Returns the view after a probe that succeeded. */
+  public ServerView withSample(ServerSample newSample, MonotonicTime startedAt) {
+    return new ServerView(server, Optional.of(newSample), startedAt, Optional.empty());
+  }
+
+  /** Returns the view after a probe that failed. */
+  public ServerView withFailure(MonotonicTime startedAt) {
+    return new ServerView(server, sample, sampledAt, Optional.of(failingSince.orElse(startedAt)));
+  }
+
+  /** Returns the view with the server as configured now. */
+  public ServerView withServer(BackendServer configured) {
+    return new ServerView(configured, sample, sampledAt, failingSince);
+  }
+
+  /** Returns whether the newest sample shows the given role in the given term. */
+  public boolean has(ServerRole role, Term term) {
+    return sample.isPresent() && sample.get().role() == role && sample.get().term().equals(term);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable values that controllers and decisions exchange. */
+package org.persimmonwalk.model;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/observation/ConfigurationLoaded.java
@@ -0,0 +1,22 @@
+package org.persimmonwalk.observation;
+
+import java.util.Objects;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.MonotonicTime;
+
+/**
+ * A configuration arrived from the platform, a peer or the settings.
+ *
+ * @param configuration the configuration
+ * @param currentAt when the configuration was known to be the newest
+ */
+public record ConfigurationLoaded(Configuration configuration, MonotonicTime currentAt)
+    implements Observation {
+
+  /** Checks that both parts are present. */
+  public ConfigurationLoaded {
+    Objects.requireNonNull(configuration, "configuration");
+    Objects.requireNonNull(currentAt, "currentAt");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/observation/SampleRequested.java
@@ -0,0 +1,19 @@
+package org.persimmonwalk.observation;
+
+import java.util.Objects;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.id.DatabaseGroupId;
+
+/** A request or an acknowledgement waits for newer samples of a group. */
+public record SampleRequested(DatabaseGroupId group) implements Observation {
+
+  /** Checks that the group is present. */
+  public SampleRequested {
+    Objects.requireNonNull(group, "group");
+  }
+
+  @Override
+  public boolean droppable() {
+    return true;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/port/CommandExecutor.java
@@ -0,0 +1,10 @@
+package org.persimmonwalk.port;
+
+import org.persimmonwalk.blackboard.Command;
+
+/** Carries out commands without blocking and posts their results as observations. */
+public interface CommandExecutor {
+
+  /** Starts a command; each command leads to at most one result. */
+  void execute(Command command);
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/port/RandomSource.java
@@ -0,0 +1,22 @@
+package org.persimmonwalk.port;
+
+import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** A source of random numbers. */
+public interface RandomSource {
+
+  /** Returns a number from 0 to the bound, which is excluded. */
+  int nextInt(int bound);
+
+  /** Returns a source that any thread may use. */
+  static RandomSource system() {
+    return bound -> ThreadLocalRandom.current().nextInt(bound);
+  }
+
+  /** Returns a source that gives the same numbers for the same seed; for one thread. */
+  static RandomSource seeded(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    return random::nextInt;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/port/package-info.java
@@ -0,0 +1,2 @@
+/** Interfaces to the world outside the control thread. */
+package org.persimmonwalk.port;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/result/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered result codes and the exception that carries them. */
+package org.persimmonwalk.result;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Which statements may run again after a failure. */
+package org.persimmonwalk.retry;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/routing/RoutingDecision.java
@@ -0,0 +1,49 @@
+package org.persimmonwalk.routing;
+
+import java.util.Objects;
+import org.persimmonwalk.model.BackendServer;
+import org.persimmonwalk.model.Term;
+import org.persimmonwalk.result.ResultCode;
+
+/** Where a statement goes, or why it goes nowhere yet. */
+public sealed interface RoutingDecision {
+
+  /**
+   * The statement runs on the server.
+   *
+   * @param server where the statement runs
+   * @param term the term that the server must be in
+   * @param floor the session's floor, resolved if it was unknown
+   * @param reason why this server was taken
+   */
+  record Execute(BackendServer server, Term term, SessionFloor floor, RoutingReason reason)
+      implements RoutingDecision {
+    /** Checks that all parts are present. */
+    public Execute {
+      Objects.requireNonNull(server, "server");
+      Objects.requireNonNull(term, "term");
+      Objects.requireNonNull(floor, "floor");
+      Objects.requireNonNull(reason, "reason");
+    }
+  }
+
+  /**
+   * The statement waits for a newer sample of its group; route it again with the next snapshot.
+   *
+   * @param codeAtDeadline the refusal if the statement's deadline passes first
+   */
+  record Await(ResultCode codeAtDeadline) implements RoutingDecision {
+    /** Checks that the code is present. */
+    public Await {
+      Objects.requireNonNull(codeAtDeadline, "codeAtDeadline");
+    }
+  }
+
+  /** The statement is refused; it has not run. */
+  record Refuse(ResultCode code) implements RoutingDecision {
+    /** Checks that the code is present. */
+    public Refuse {
+      Objects.requireNonNull(code, "code");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Routing decisions for statements. */
+package org.persimmonwalk.routing;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of routing decisions. */
+package org.persimmonwalk.routing;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Fakes that the tests of several packages share. */
+package org.persimmonwalk.testing;
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/package-info.java
@@ -0,0 +1,2 @@
+/** The entry host process. */
+package org.persimmonwalk.entryhost;
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.persimmonwalk.operator;
--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entry hosts. */
+package org.persimmonwalk.peer;
