--- /dev/null
+++ b/wire/src/test/java/org/persimmonwalk/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the PostgreSQL codec. */
+package org.persimmonwalk.wire;
