--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/admission/KeyVerifier.java
@@ -0,0 +1,16 @@
+package org.persimmonwalk.admission;
+
+import java.util.Optional;
+import org.persimmonwalk.blackboard.Snapshot;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.result.ResultCode;
+
+/** Decides whether a caller's key opens a workspace now. */
+public interface KeyVerifier {
+
+  /** Returns why the key does not open the workspace, or nothing if it does. */
+  Optional<ResultCode> verify(
+      Snapshot snapshot, WorkspaceId workspace, Optional<KeyHash> key, MonotonicTime now);
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/request/StatementRequest.java
@@ -0,0 +1,53 @@
+package org.persimmonwalk.request;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.IdempotencyKey;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.routing.SessionFloor;
+import org.persimmonwalk.routing.StatementKind;
+
+/**
+ * A statement or a group of statements that a caller sent as one unit.
+ *
+ * @param workspace the caller's workspace
+ * @param key the hash of the key that the caller showed, if it showed one
+ * @param group the database group that the statement is for
+ * @param kind whether the statement only reads
+ * @param floor what the session must see
+ * @param maximumAge the oldest data that the caller accepts, if it has stated an age
+ * @param idempotencyKey the key under which the caller may repeat the statement, if it gave one
+ * @param deadline when the statement must have started
+ */
+public record StatementRequest(
+    WorkspaceId workspace,
+    Optional<KeyHash> key,
+    DatabaseGroupId group,
+    StatementKind kind,
+    SessionFloor floor,
+    Optional<Duration> maximumAge,
+    Optional<IdempotencyKey> idempotencyKey,
+    MonotonicTime deadline) {
+
+  /** Checks that all parts are present. */
+  public StatementRequest {
+    Objects.requireNonNull(workspace, "workspace");
+    Objects.requireNonNull(key, "key");
+    Objects.requireNonNull(group, "group");
+    Objects.requireNonNull(kind, "kind");
+    Objects.requireNonNull(floor, "floor");
+    Objects.requireNonNull(maximumAge, "maximumAge");
+    Objects.requireNonNull(idempotencyKey, "idempotencyKey");
+    Objects.requireNonNull(deadline, "deadline");
+  }
+
+  /** Returns the same request as a statement that needs the primary. */
+  public StatementRequest asWrite() {
+    return new StatementRequest(
+        workspace, key, group, StatementKind.WRITE, floor, maximumAge, idempotencyKey, deadline);
+  }
+}
