Add the entry host: settings, caller side, backend pools, control thread

Cause: the whole path needs a process that speaks PostgreSQL on both sides. Change: checked YAML settings; caller sessions that run batches one after the other; pools with one owner per connection at a time; samples on connections of their own; acknowledgements held until a replica has received the write. Conclusion: front end, pools and executors hold no routing decision.

--- a/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
@@ -42,7 +42,9 @@
           group.id(),
           GroupAssessment.of(group, known.get(group.id()), servers).assess(context.now()));
     }
-    blackboard.put(Entries.GROUPS, Map.copyOf(next));
+    if (!next.equals(known)) {
+      blackboard.put(Entries.GROUPS, Map.copyOf(next));
+    }
   }
 
   private static void put(Map<BackendServerId, ServerView> servers, ServerView view) {
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficListener.java
@@ -0,0 +1,32 @@
+package org.persimmonwalk.entryhost;
+
+import java.time.Duration;
+import org.persimmonwalk.request.StatementRequest;
+import org.persimmonwalk.result.ResultCode;
+import org.persimmonwalk.result.StatementState;
+import org.persimmonwalk.routing.RoutingDecision;
+
+/**
+ * Is told of the decisions on statements, on traffic threads; must return quickly.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * EntryHost host = EntryHost.start(settings, new RoutingPrinter(System.out));
+ * }</pre>
+ */
+public interface TrafficListener {
+
+  /** A statement goes to a backend server. */
+  default void routed(StatementRequest request, RoutingDecision.Execute decision) {}
+
+  /** A statement was refused; it has not run. */
+  default void refused(StatementRequest request, ResultCode code) {}
+
+  /**
+   * A statement that was sent to a backend server has ended.
+   *
+   * @param elapsed the time since the statement arrived
+   */
+  default void finished(StatementRequest request, StatementState state, Duration elapsed) {}
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/CommandDispatcher.java
@@ -0,0 +1,37 @@
+package org.persimmonwalk.internal.execution;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.persimmonwalk.blackboard.Command;
+import org.persimmonwalk.port.CommandExecutor;
+import org.tinylog.Logger;
+
+/** Gives each command to the handler of its type. */
+public final class CommandDispatcher implements CommandExecutor {
+  private final Map<Class<?>, CommandHandler<Command>> handlers = new ConcurrentHashMap<>();
+
+  private CommandDispatcher() {}
+
+  /** Returns a dispatcher without handlers. */
+  public static CommandDispatcher create() {
+    return new CommandDispatcher();
+  }
+
+  /** Sets the handler of a type of command. */
+  public <C extends Command> void register(Class<C> type, CommandHandler<C> handler) {
+    handlers.put(type, command -> handler.handle(type.cast(command)));
+  }
+
+  @Override
+  public void execute(Command command) {
+    CommandHandler<Command> handler = handlers.get(command.getClass());
+    if (handler == null) {
+      throw new IllegalStateException("no handler for " + command.getClass().getSimpleName());
+    }
+    try {
+      handler.handle(command);
+    } catch (RuntimeException e) {
+      Logger.error(e, "command {} could not be started", command);
+    }
+  }
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/package-info.java
@@ -0,0 +1,2 @@
+/** Carries out the commands of the controllers. */
+package org.persimmonwalk.internal.execution;
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
@@ -0,0 +1,54 @@
+package org.persimmonwalk.internal.settings;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.Optional;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.model.SocketEndpoint;
+
+/** The settings of an entry host. */
+public record Settings(
+    Host host, Caller caller, Backend backend, Peer peer, Platform platform, Admin admin) {
+
+  /** Who this entry host is. */
+  public record Host(EntryHostId id, AvailabilityZone zone) {}
+
+  /**
+   * How callers connect.
+   *
+   * @param listen where the host listens for callers
+   * @param maximumConnections callers that may be connected at once
+   * @param maximumMessageBytes the largest message of a caller, in bytes
+   * @param messageTimeout how long the rest of a message may take to arrive
+   * @param statementDeadline how long a statement may wait before it starts
+   * @param confirmationTimeout how long a write may wait for a replica's confirmation
+   */
+  public record Caller(
+      SocketEndpoint listen,
+      int maximumConnections,
+      int maximumMessageBytes,
+      Duration messageTimeout,
+      Duration statementDeadline,
+      Duration confirmationTimeout) {}
+
+  /**
+   * How the host logs in to backend servers.
+   *
+   * @param user the user name
+   * @param password the password
+   * @param connectTimeout how long a connection may take to open
+   * @param answerTimeout how long a backend server may stay silent while it owes an answer
+   */
+  public record Backend(
+      String user, String password, Duration connectTimeout, Duration answerTimeout) {}
+
+  /** Where the host listens for other entry hosts. */
+  public record Peer(SocketEndpoint listen) {}
+
+  /** Where the platform's service is; without it the host has no configuration. */
+  public record Platform(Optional<URI> endpoint, Duration timeout) {}
+
+  /** Where the administration interface listens. */
+  public record Admin(SocketEndpoint listen, Optional<String> token) {}
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsReader.java
@@ -0,0 +1,152 @@
+package org.persimmonwalk.internal.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.result.PersimmonwalkException;
+import org.persimmonwalk.result.ResultCode;
+
+/**
+ * Reads the settings file and checks it as a whole.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * Settings settings = SettingsReader.create().read(Path.of("entryhost.yaml"));
+ * }</pre>
+ */
+public final class SettingsReader {
+  private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
+  private static final int MAXIMUM_MESSAGE_BYTES = 1 << 30;
+
+  private SettingsReader() {}
+
+  /** Returns the reader. */
+  public static SettingsReader create() {
+    return new SettingsReader();
+  }
+
+  /**
+   * Reads a file.
+   *
+   * @throws PersimmonwalkException with every fault of the file in its message
+   */
+  public Settings read(Path file) {
+    try {
+      return parse(Files.readString(file));
+    } catch (IOException e) {
+      throw PersimmonwalkException.of(
+          ResultCode.SETTING_UNREADABLE, "cannot read " + file + ": " + e.getMessage(), e);
+    }
+  }
+
+  /**
+   * Reads the text of a settings file.
+   *
+   * @throws PersimmonwalkException with every fault of the text in its message
+   */
+  public Settings parse(String text) {
+    JsonNode tree;
+    try {
+      tree = YAML.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw PersimmonwalkException.of(
+          ResultCode.SETTING_UNREADABLE, "the settings are not valid YAML: " + e.getMessage(), e);
+    }
+    List<SettingFault> faults = new ArrayList<>();
+    SettingsNode root = SettingsNode.root(tree, faults);
+    Settings settings =
+        new Settings(
+            host(root), caller(root), backend(root), peer(root), platform(root), admin(root));
+    root.rejectUnknown();
+    if (!faults.isEmpty()) {
+      throw failure(faults);
+    }
+    return settings;
+  }
+
+  private static PersimmonwalkException failure(List<SettingFault> faults) {
+    String list = faults.stream().map(SettingFault::toString).collect(Collectors.joining("\n  "));
+    return PersimmonwalkException.of(
+        faults.get(0).code(), "the settings have " + faults.size() + " fault(s):\n  " + list);
+  }
+
+  private static Settings.Host host(SettingsNode root) {
+    SettingsNode node = root.section("host");
+    EntryHostId id = node.value("id", Optional.empty(), EntryHostId::of);
+    AvailabilityZone zone = node.value("zone", Optional.empty(), AvailabilityZone::of);
+    node.rejectUnknown();
+    return new Settings.Host(id, zone);
+  }
+
+  private static Settings.Caller caller(SettingsNode root) {
+    SettingsNode node = root.section("caller");
+    Settings.Caller caller =
+        new Settings.Caller(
+            node.value("listen", Optional.empty(), SocketEndpoint::parse),
+            node.integer("maximumConnections", 10_000, 1, 1_000_000),
+            node.integer("maximumMessageBytes", 16 << 20, 1_024, MAXIMUM_MESSAGE_BYTES),
+            node.duration("messageTimeout", Duration.ofSeconds(30)),
+            node.duration("statementDeadline", Duration.ofSeconds(10)),
+            node.duration("confirmationTimeout", Duration.ofSeconds(10)));
+    node.rejectUnknown();
+    return caller;
+  }
+
+  private static Settings.Backend backend(SettingsNode root) {
+    SettingsNode node = root.section("backend");
+    Settings.Backend backend =
+        new Settings.Backend(
+            node.value("user", Optional.empty(), text -> text),
+            node.value("password", Optional.empty(), text -> text),
+            node.duration("connectTimeout", Duration.ofSeconds(2)),
+            node.duration("answerTimeout", Duration.ofSeconds(60)));
+    node.rejectUnknown();
+    return backend;
+  }
+
+  private static Settings.Peer peer(SettingsNode root) {
+    SettingsNode node = root.section("peer");
+    SocketEndpoint listen = node.value("listen", Optional.empty(), SocketEndpoint::parse);
+    node.rejectUnknown();
+    return new Settings.Peer(listen);
+  }
+
+  private static Settings.Platform platform(SettingsNode root) {
+    SettingsNode node = root.section("platform");
+    Optional<URI> endpoint =
+        node.value("endpoint", Optional.of(Optional.empty()), text -> Optional.of(uri(text)));
+    Duration timeout = node.duration("timeout", Duration.ofSeconds(1));
+    node.rejectUnknown();
+    return new Settings.Platform(endpoint, timeout);
+  }
+
+  private static Settings.Admin admin(SettingsNode root) {
+    SettingsNode node = root.section("admin");
+    SocketEndpoint listen = node.value("listen", Optional.empty(), SocketEndpoint::parse);
+    Optional<String> token = node.optionalText("token");
+    node.rejectUnknown();
+    return new Settings.Admin(listen, token);
+  }
+
+  private static URI uri(String text) {
+    URI uri = URI.create(text);
+    if (!"http".equals(uri.getScheme()) && !"https".equals(uri.getScheme())) {
+      throw new IllegalArgumentException("allowed are http and https addresses");
+    }
+    return uri;
+  }
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/MonitorConnections.java
@@ -0,0 +1,128 @@
+package org.persimmonwalk.internal.traffic.backend;
+
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.model.BackendServer;
+import org.persimmonwalk.model.GroupPosition;
+import org.persimmonwalk.result.PersimmonwalkException;
+import org.persimmonwalk.result.ResultCode;
+import org.persimmonwalk.wire.Frame;
+import org.persimmonwalk.wire.MessageType;
+import org.persimmonwalk.wire.Messages;
+import org.persimmonwalk.wire.TransactionStatus;
+
+/**
+ * One connection to each backend server for samples and administration. It is apart from the pools,
+ * so that open transactions do not delay the detection of failures.
+ */
+public final class MonitorConnections {
+  private final Map<BackendServerId, CompletionStage<BackendConnection>> connections =
+      new ConcurrentHashMap<>();
+  private final BackendConnector connector;
+  private final Duration timeout;
+
+  private MonitorConnections(BackendConnector connector, Duration timeout) {
+    this.connector = connector;
+    this.timeout = timeout;
+  }
+
+  /**
+   * Returns a set without connections.
+   *
+   * @param timeout how long a server may take to answer
+   */
+  public static MonitorConnections of(BackendConnector connector, Duration timeout) {
+    return new MonitorConnections(connector, timeout);
+  }
+
+  /**
+   * Runs a statement that returns one row of text.
+   *
+   * @return the values of the row, or a failure; a connection that failed is closed
+   */
+  public CompletionStage<List<String>> query(
+      DatabaseGroupId group, BackendServer server, String statement) {
+    CompletionStage<BackendConnection> connection =
+        connections.computeIfAbsent(
+            server.id(), id -> connector.connect(group, server, this::forget));
+    return connection
+        .whenComplete((opened, failure) -> forgetOnFailure(server, connection, failure))
+        .thenCompose(opened -> run(opened, statement));
+  }
+
+  /** Closes all connections. */
+  public void close() {
+    connections.values().forEach(stage -> stage.thenAccept(BackendConnection::close));
+  }
+
+  private CompletionStage<List<String>> run(BackendConnection connection, String statement) {
+    RowCollector collector = new RowCollector();
+    Messages messages = Messages.of(UnpooledByteBufAllocator.DEFAULT);
+    connection.exchange(
+        Optional.empty(), new ArrayList<>(List.of(messages.query(statement))), false, collector);
+    return collector
+        .result
+        .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+        .whenComplete((row, failure) -> closeOnFailure(connection, failure));
+  }
+
+  private static void closeOnFailure(BackendConnection connection, Throwable failure) {
+    if (failure != null) {
+      connection.close();
+    }
+  }
+
+  private void forgetOnFailure(
+      BackendServer server, CompletionStage<BackendConnection> connection, Throwable failure) {
+    if (failure != null) {
+      connections.remove(server.id(), connection);
+    }
+  }
+
+  private void forget(BackendConnection connection) {
+    connections.remove(connection.server().id());
+  }
+
+  /** Collects the last row of an answer. */
+  private static final class RowCollector implements ExchangeListener {
+    private final CompletableFuture<List<String>> result = new CompletableFuture<>();
+    private List<String> row = List.of();
+
+    @Override
+    public void onFrame(Frame frame) {
+      if (frame.is(MessageType.DATA_ROW)) {
+        row = SampleRow.values(frame);
+      }
+      frame.release();
+    }
+
+    @Override
+    public void onReadComplete() {
+      // The row is kept until the answer is complete.
+    }
+
+    @Override
+    public void onFinished(TransactionStatus status, Optional<GroupPosition> position) {
+      if (row.isEmpty()) {
+        onLost("the answer has no row");
+      } else {
+        result.complete(row);
+      }
+    }
+
+    @Override
+    public void onLost(String reason) {
+      result.completeExceptionally(PersimmonwalkException.of(ResultCode.NO_CONNECTION, reason));
+    }
+  }
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to backend servers. */
+package org.persimmonwalk.internal.traffic.backend;
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
@@ -0,0 +1,199 @@
+package org.persimmonwalk.internal.traffic.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.TooLongFrameException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.internal.traffic.backend.BackendKey;
+import org.persimmonwalk.model.Workspace;
+import org.persimmonwalk.result.PersimmonwalkException;
+import org.persimmonwalk.result.ResultCode;
+import org.persimmonwalk.routing.StatementKind;
+import org.persimmonwalk.wire.Frame;
+import org.persimmonwalk.wire.FrameDecoder;
+import org.persimmonwalk.wire.MessageType;
+import org.persimmonwalk.wire.Messages;
+import org.persimmonwalk.wire.PayloadReader;
+import org.persimmonwalk.wire.ProtocolException;
+import org.persimmonwalk.wire.StartupRequest;
+import org.persimmonwalk.wire.TransactionStatus;
+import org.tinylog.Logger;
+
+/** Brings a caller's connection through start-up and login, then hands its messages on. */
+final class CallerHandler extends SimpleChannelInboundHandler<Frame> {
+  private static final char TLS_REFUSED = 'N';
+
+  private static final Map<String, String> REPORTED_PARAMETERS = reportedParameters();
+
+  private final TrafficContext context;
+  private final CallerRegistry registry;
+  private final FrameDecoder decoder;
+  private Optional<StartupParameters> startup = Optional.empty();
+  private Optional<CallerSession> session = Optional.empty();
+  private Optional<BackendKey> cancelKey = Optional.empty();
+  private boolean failed;
+
+  private CallerHandler(TrafficContext context, CallerRegistry registry, FrameDecoder decoder) {
+    super(false);
+    this.context = context;
+    this.registry = registry;
+    this.decoder = decoder;
+  }
+
+  static CallerHandler of(TrafficContext context, CallerRegistry registry, FrameDecoder decoder) {
+    return new CallerHandler(context, registry, decoder);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext channelContext, Frame frame) {
+    if (session.isPresent()) {
+      session.get().accept(frame);
+      return;
+    }
+    try {
+      if (failed) {
+        return;
+      }
+      if (frame.is(MessageType.STARTUP)) {
+        handleStartup(channelContext, StartupRequest.parse(frame));
+      } else if (frame.is(MessageType.PASSWORD) && startup.isPresent()) {
+        KeyHash key = KeyHash.ofKey(PayloadReader.of(frame).readString());
+        logIn(channelContext, Optional.of(key));
+      } else {
+        fail(channelContext, ResultCode.MALFORMED_MESSAGE, "a password message is expected");
+      }
+    } catch (ProtocolException e) {
+      fail(channelContext, ResultCode.MALFORMED_MESSAGE, e.getMessage());
+    } catch (PersimmonwalkException e) {
+      fail(channelContext, e.code(), e.getMessage());
+    } finally {
+      frame.release();
+    }
+  }
+
+  private void handleStartup(ChannelHandlerContext channelContext, StartupRequest request) {
+    if (request instanceof StartupRequest.Start start) {
+      decoder.endStartup();
+      startup = Optional.of(StartupParameters.of(start.parameters()));
+      askForKey(channelContext);
+    } else if (request instanceof StartupRequest.Cancel cancel) {
+      registry.cancel(BackendKey.of(cancel.processId(), cancel.secret()));
+      channelContext.close();
+    } else {
+      ByteBuf answer = channelContext.alloc().buffer(1).writeByte(TLS_REFUSED);
+      channelContext.channel().writeAndFlush(answer);
+    }
+  }
+
+  private void askForKey(ChannelHandlerContext channelContext) {
+    boolean open =
+        context
+            .control()
+            .snapshot()
+            .get(Entries.CONFIGURATION)
+            .workspace(startup.get().workspace())
+            .filter(Workspace::open)
+            .isPresent();
+    if (open) {
+      logIn(channelContext, Optional.empty());
+    } else {
+      channelContext.writeAndFlush(Messages.of(channelContext.alloc()).authenticationCleartext());
+    }
+  }
+
+  private void logIn(ChannelHandlerContext channelContext, Optional<KeyHash> key) {
+    CallerState state =
+        CallerState.of(
+            startup.get().workspace(),
+            key,
+            startup.get().group(),
+            startup.get().hostParameters(context.clock().now()));
+    Optional<ResultCode> refusal = verify(state);
+    if (refusal.isPresent()) {
+      fail(channelContext, refusal.get(), "");
+      return;
+    }
+    CallerSession opened = CallerSession.of(context, channelContext.channel(), state);
+    cancelKey = registry.add(opened);
+    if (cancelKey.isEmpty()) {
+      fail(channelContext, ResultCode.TOO_MANY_CONNECTIONS, "");
+      return;
+    }
+    session = Optional.of(opened);
+    welcome(channelContext, cancelKey.get());
+  }
+
+  private Optional<ResultCode> verify(CallerState state) {
+    var snapshot = context.control().snapshot();
+    if (snapshot.get(Entries.CONFIGURATION).revision().equals(Revision.NONE)) {
+      return Optional.of(ResultCode.NOT_READY);
+    }
+    return context
+        .planner()
+        .verify(
+            snapshot,
+            state.request(StatementKind.READ, context.clock().now()),
+            context.clock().now());
+  }
+
+  private static void welcome(ChannelHandlerContext channelContext, BackendKey key) {
+    Messages messages = Messages.of(channelContext.alloc());
+    channelContext.write(messages.authenticationOk());
+    REPORTED_PARAMETERS.forEach(
+        (name, value) -> channelContext.write(messages.parameterStatus(name, value)));
+    channelContext.write(messages.backendKeyData(key.processId(), key.secret()));
+    channelContext.writeAndFlush(messages.readyForQuery(TransactionStatus.IDLE));
+  }
+
+  private void fail(ChannelHandlerContext channelContext, ResultCode code, String detail) {
+    failed = true;
+    CallerWriter.of(channelContext.channel()).fatal(code, detail);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext channelContext) {
+    session.ifPresent(CallerSession::close);
+    cancelKey.ifPresent(registry::remove);
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext channelContext) {
+    boolean writable = channelContext.channel().isWritable();
+    session.ifPresent(open -> open.setWritable(writable));
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext channelContext, Throwable cause) {
+    if (cause instanceof TooLongFrameException) {
+      fail(channelContext, ResultCode.MESSAGE_TOO_LARGE, cause.getMessage());
+    } else if (cause instanceof CorruptedFrameException) {
+      fail(channelContext, ResultCode.MALFORMED_MESSAGE, cause.getMessage());
+    } else if (cause instanceof DecoderException || cause instanceof RuntimeException) {
+      Logger.error(cause, "a caller's message could not be handled; its connection is closed");
+      fail(channelContext, ResultCode.INTERNAL_ERROR, "");
+    } else {
+      Logger.debug("a caller's connection broke: {}", cause.getMessage());
+      channelContext.close();
+    }
+  }
+
+  private static Map<String, String> reportedParameters() {
+    Map<String, String> parameters = new LinkedHashMap<>();
+    parameters.put("server_version", "15.0");
+    parameters.put("server_encoding", "UTF8");
+    parameters.put("client_encoding", "UTF8");
+    parameters.put("DateStyle", "ISO, MDY");
+    parameters.put("TimeZone", "UTC");
+    parameters.put("integer_datetimes", "on");
+    parameters.put("standard_conforming_strings", "on");
+    return Map.copyOf(parameters);
+  }
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerListener.java
@@ -0,0 +1,60 @@
+package org.persimmonwalk.internal.traffic.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import org.persimmonwalk.wire.FrameDecoder;
+import org.persimmonwalk.wire.FrameEncoder;
+
+/** Listens for callers. */
+public final class CallerListener {
+  private final Channel channel;
+
+  private CallerListener(Channel channel) {
+    this.channel = channel;
+  }
+
+  /** Opens the port of the settings; port 0 takes a free one. */
+  public static CallerListener open(
+      EventLoopGroup eventLoops, TrafficContext context, CallerRegistry registry) {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(eventLoops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer(context, registry));
+    var listen = context.settings().listen();
+    return new CallerListener(
+        bootstrap.bind(listen.address(), listen.port()).syncUninterruptibly().channel());
+  }
+
+  private static ChannelInitializer<Channel> initializer(
+      TrafficContext context, CallerRegistry registry) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        FrameDecoder decoder = FrameDecoder.forServer(context.settings().maximumMessageBytes());
+        channel
+            .pipeline()
+            .addLast(decoder)
+            .addLast(FrameEncoder.create())
+            .addLast(CallerHandler.of(context, registry, decoder));
+      }
+    };
+  }
+
+  /** Returns the port that callers connect to. */
+  public int port() {
+    return ((InetSocketAddress) channel.localAddress()).getPort();
+  }
+
+  /** Stops listening; open connections stay. */
+  public void close() {
+    channel.close().syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
@@ -0,0 +1,138 @@
+package org.persimmonwalk.internal.traffic.caller;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.persimmonwalk.id.IdempotencyKey;
+import org.persimmonwalk.id.SessionId;
+import org.persimmonwalk.model.GroupPosition;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.result.PersimmonwalkException;
+import org.persimmonwalk.result.ResultCode;
+import org.persimmonwalk.routing.SessionFloor;
+
+/** The parameters with the prefix {@code persimmonwalk.} that one caller has set. */
+final class HostParameters {
+  static final String PREFIX = "persimmonwalk.";
+  static final String POSITION = PREFIX + "position";
+
+  private static final Pattern SET =
+      Pattern.compile(
+          "(?i)\\A\\s*SET\\s+(?:SESSION\\s+)?persimmonwalk\\.(\\w+)"
+              + "\\s*(?:=|TO)\\s*(.*?)\\s*;?\\s*\\z",
+          Pattern.DOTALL);
+  private static final Pattern AGE = Pattern.compile("(\\d{1,9})\\s*(ms|s|min)");
+
+  private Optional<SessionId> session = Optional.empty();
+  private Optional<Duration> maximumAge = Optional.empty();
+  private Optional<IdempotencyKey> idempotencyKey = Optional.empty();
+  private SessionFloor floor = SessionFloor.none();
+
+  private HostParameters() {}
+
+  static HostParameters create() {
+    return new HostParameters();
+  }
+
+  Optional<SessionId> session() {
+    return session;
+  }
+
+  Optional<Duration> maximumAge() {
+    return maximumAge;
+  }
+
+  /** Returns the idempotency key and forgets it; it holds for one statement. */
+  Optional<IdempotencyKey> takeIdempotencyKey() {
+    Optional<IdempotencyKey> taken = idempotencyKey;
+    idempotencyKey = Optional.empty();
+    return taken;
+  }
+
+  SessionFloor floor() {
+    return floor;
+  }
+
+  /** Raises the floor to a position that the session has reached. */
+  void raiseFloor(GroupPosition position) {
+    floor =
+        floor instanceof SessionFloor.Known known
+            ? SessionFloor.known(known.position().max(position))
+            : SessionFloor.known(position);
+  }
+
+  /** Takes over a floor that the router has resolved from an unknown one. */
+  void resolveFloor(SessionFloor resolved) {
+    if (floor instanceof SessionFloor.Unknown) {
+      floor = resolved;
+    }
+  }
+
+  /**
+   * Carries out a SET statement.
+   *
+   * @throws PersimmonwalkException with {@code INVALID_PARAMETER} if the name or value is invalid
+   */
+  void apply(String statement, MonotonicTime now) {
+    Matcher matcher = SET.matcher(statement);
+    if (!matcher.matches()) {
+      throw invalid("the statement is not of the form SET persimmonwalk.name = 'value'", null);
+    }
+    set(matcher.group(1).toLowerCase(Locale.ROOT), unquote(matcher.group(2)), now);
+  }
+
+  /**
+   * Sets a parameter; the name is without prefix. The value {@code default} or an empty one resets
+   * it.
+   *
+   * @throws PersimmonwalkException with {@code INVALID_PARAMETER} if the name or value is invalid
+   */
+  void set(String name, String value, MonotonicTime now) {
+    boolean reset = value.isEmpty() || value.equalsIgnoreCase("default");
+    try {
+      switch (name) {
+        case "session" -> declareSession(reset, value, now);
+        case "position" -> declarePosition(reset, value, now);
+        case "max_age" -> maximumAge = reset ? Optional.empty() : Optional.of(parseAge(value));
+        case "idempotency_key" ->
+            idempotencyKey = reset ? Optional.empty() : Optional.of(IdempotencyKey.of(value));
+        default -> throw new IllegalArgumentException("the parameter does not exist");
+      }
+    } catch (IllegalArgumentException e) {
+      throw invalid(PREFIX + name + " = '" + value + "': " + e.getMessage(), e);
+    }
+  }
+
+  private void declareSession(boolean reset, String value, MonotonicTime now) {
+    session = reset ? Optional.empty() : Optional.of(SessionId.of(value));
+    floor = reset ? SessionFloor.none() : SessionFloor.unknown(now);
+  }
+
+  private void declarePosition(boolean reset, String value, MonotonicTime now) {
+    floor = reset ? SessionFloor.unknown(now) : SessionFloor.known(GroupPosition.parse(value));
+  }
+
+  private static Duration parseAge(String value) {
+    Matcher matcher = AGE.matcher(value);
+    if (!matcher.matches()) {
+      throw new IllegalArgumentException("allowed are a number and ms, s or min, such as 500ms");
+    }
+    long number = Long.parseLong(matcher.group(1));
+    return switch (matcher.group(2)) {
+      case "ms" -> Duration.ofMillis(number);
+      case "s" -> Duration.ofSeconds(number);
+      default -> Duration.ofMinutes(number);
+    };
+  }
+
+  private static String unquote(String value) {
+    boolean quoted = value.length() >= 2 && value.startsWith("'") && value.endsWith("'");
+    return quoted ? value.substring(1, value.length() - 1).replace("''", "'") : value;
+  }
+
+  private static PersimmonwalkException invalid(String detail, Throwable cause) {
+    return PersimmonwalkException.of(ResultCode.INVALID_PARAMETER, detail, cause);
+  }
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClassifier.java
@@ -0,0 +1,75 @@
+package org.persimmonwalk.internal.traffic.caller;
+
+import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/**
+ * Classifies statements by their leading keyword. What it does not know is a write, so a mistake
+ * costs a replica read but never a stale or lost one.
+ */
+final class StatementClassifier {
+  private static final Set<String> READS = Set.of("SELECT", "SHOW", "VALUES", "TABLE");
+  private static final Set<String> ENDS = Set.of("COMMIT", "END", "ROLLBACK", "ABORT");
+  private static final Set<String> UNSUPPORTED =
+      Set.of("COPY", "LISTEN", "UNLISTEN", "PREPARE", "EXECUTE", "DECLARE");
+  private static final Pattern LEADING_SPACE = Pattern.compile("\\A(\\s|--[^\\n]*\\n?)+");
+  private static final Pattern LOCKING =
+      Pattern.compile("\\bFOR\\s+(UPDATE|SHARE|NO\\s+KEY|KEY\\s+SHARE)\\b");
+  private static final Pattern READ_ONLY = Pattern.compile("\\bREAD\\s+ONLY\\b");
+  private static final Pattern HOST_PARAMETER =
+      Pattern.compile("\\ASET\\s+(SESSION\\s+)?PERSIMMONWALK\\.");
+  private static final Pattern TRANSACTION_SCOPE =
+      Pattern.compile("\\ASET\\s+(LOCAL|TRANSACTION)\\b");
+  private static final Pattern TEMPORARY =
+      Pattern.compile("\\ACREATE\\s+(LOCAL\\s+|GLOBAL\\s+)?TEMP(ORARY)?\\b");
+
+  private StatementClassifier() {}
+
+  static StatementClass classify(String statement) {
+    String text = normalize(statement);
+    String keyword = keyword(text);
+    if (isBatch(text)) {
+      return StatementClass.WRITE;
+    }
+    if (READS.contains(keyword)) {
+      return LOCKING.matcher(text).find() ? StatementClass.WRITE : StatementClass.READ;
+    }
+    if (keyword.equals("BEGIN") || keyword.equals("START")) {
+      return READ_ONLY.matcher(text).find() ? StatementClass.BEGIN_READ_ONLY : StatementClass.BEGIN;
+    }
+    if (keyword.equals("SET")) {
+      return classifySet(text);
+    }
+    if (ENDS.contains(keyword)) {
+      return text.contains(" TO ") ? StatementClass.WRITE : StatementClass.END;
+    }
+    boolean unsupported = UNSUPPORTED.contains(keyword) || TEMPORARY.matcher(text).find();
+    return unsupported ? StatementClass.UNSUPPORTED : StatementClass.WRITE;
+  }
+
+  private static StatementClass classifySet(String text) {
+    if (HOST_PARAMETER.matcher(text).find()) {
+      return StatementClass.SET_HOST_PARAMETER;
+    }
+    return TRANSACTION_SCOPE.matcher(text).find() ? StatementClass.READ : StatementClass.SET;
+  }
+
+  /** Returns whether the text may hold several statements; a quoted semicolon counts too. */
+  private static boolean isBatch(String text) {
+    int semicolon = text.indexOf(';');
+    return semicolon >= 0 && !text.substring(semicolon + 1).isBlank();
+  }
+
+  private static String normalize(String statement) {
+    return LEADING_SPACE.matcher(statement).replaceFirst("").toUpperCase(Locale.ROOT);
+  }
+
+  private static String keyword(String text) {
+    int end = 0;
+    while (end < text.length() && Character.isLetter(text.charAt(end))) {
+      end++;
+    }
+    return text.substring(0, end);
+  }
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
@@ -0,0 +1,37 @@
+package org.persimmonwalk.internal.traffic.caller;
+
+import io.opentelemetry.api.trace.Tracer;
+import org.persimmonwalk.blackboard.ControlLoop;
+import org.persimmonwalk.entryhost.TrafficListener;
+import org.persimmonwalk.internal.settings.Settings;
+import org.persimmonwalk.internal.traffic.backend.BackendConnector;
+import org.persimmonwalk.internal.traffic.backend.ServerPools;
+import org.persimmonwalk.port.MonotonicClock;
+import org.persimmonwalk.request.RequestPlanner;
+import org.persimmonwalk.retry.RetryPolicy;
+
+/** What every caller connection of a host shares. */
+public record TrafficContext(
+    Settings.Caller settings,
+    ControlLoop control,
+    RequestPlanner planner,
+    RetryPolicy retries,
+    Backends backends,
+    Acknowledger acknowledger,
+    SnapshotWaiters waiters,
+    Instruments instruments) {
+
+  /** The way to the backend servers. */
+  public record Backends(ServerPools pools, BackendConnector connector) {}
+
+  /** What observes the traffic. */
+  public record Instruments(MonotonicClock clock, TrafficListener listener, Tracer tracer) {}
+
+  MonotonicClock clock() {
+    return instruments.clock();
+  }
+
+  TrafficListener listener() {
+    return instruments.listener();
+  }
+}
--- /dev/null
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the settings file. */
+package org.persimmonwalk.internal.settings;
--- /dev/null
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/traffic/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the handling of callers. */
+package org.persimmonwalk.internal.traffic.caller;
--- a/wire/src/main/java/org/persimmonwalk/wire/FrameWriter.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/FrameWriter.java
@@ -64,6 +64,13 @@
     return this;
   }
 
+  /** Appends the bytes of a payload that follow the first ones, which are skipped. */
+  public FrameWriter bytes(ByteBuf source, int skipped) {
+    int start = source.readerIndex() + skipped;
+    payload.writeBytes(source, start, source.readableBytes() - skipped);
+    return this;
+  }
+
   /** Returns the frame, which takes over the payload. */
   public Frame toFrame() {
     return Frame.of(type, payload);
--- a/wire/src/main/java/org/persimmonwalk/wire/Messages.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/Messages.java
@@ -84,6 +84,11 @@
     return empty(MessageType.TERMINATE);
   }
 
+  /** Returns the description of a statement without parameters. */
+  public Frame noParameters() {
+    return writer(MessageType.PARAMETER_DESCRIPTION).shortValue(0).toFrame();
+  }
+
   /** Returns a message without fields. */
   public Frame empty(byte type) {
     return writer(type).toFrame();
