Add the stand-in database group

Tests, the demo and the benchmarks need replicated backend servers with switches for lag, isolation and lost answers, without third-party servers. StandInGroup starts in-process servers that speak PostgreSQL v3 on loopback. The engine (tables, transactions, log, replication, terms) takes an injected clock and knows neither Netty nor messages; the front end in the package protocol encodes them.

Each statement outside an explicit transaction commits when it is executed, also within a pipeline; PostgreSQL waits for the sync.

--- /dev/null
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/LogReceiver.java
@@ -0,0 +1,59 @@
+package org.persimmonwalk.internal.standin.engine;
+
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.ServerRole;
+
+/**
+ * Ships the log of the primary to the servers that follow it.
+ *
+ * <p>A server that was told to follow a higher term stays fenced until its first contact with the
+ * primary of that term. Before it, its diverged tail would count as received in the new term.
+ */
+final class LogReceiver implements StateController {
+
+  private LogReceiver() {}
+
+  static LogReceiver create() {
+    return new LogReceiver();
+  }
+
+  @Override
+  public void run(GroupState state, MonotonicTime now) {
+    for (ServerState server : state.servers()) {
+      if (server.followed != null) {
+        receive(server, state.server(server.followed), now);
+      }
+    }
+  }
+
+  private static void receive(ServerState server, ServerState primary, MonotonicTime now) {
+    boolean connected =
+        server.reachable()
+            && primary.reachable()
+            && primary.isPrimary()
+            && primary.logTerm.equals(server.followedTerm);
+    if (!connected) {
+      server.connected = false;
+      return;
+    }
+    if (!server.connected) {
+      server.connected = true;
+      server.connectedSince = now;
+    }
+    server.lastContact = now;
+    if (server.role == ServerRole.FENCED) {
+      server.truncate(server.commonRecords(primary));
+      server.logTerm = server.followedTerm;
+      server.role = ServerRole.REPLICA;
+    }
+    while (server.log.size() < primary.log.size()) {
+      LogRecord record = primary.log.get(server.log.size()).record();
+      MonotonicTime arrival = record.committedAt().plus(server.receiveDelay);
+      if (arrival.isAfter(now)) {
+        return;
+      }
+      boolean late = arrival.isBefore(server.connectedSince);
+      server.store(record, late ? server.connectedSince : arrival);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Statement.java
@@ -0,0 +1,98 @@
+package org.persimmonwalk.internal.standin.engine;
+
+import java.util.List;
+
+/** A statement that the stand-in understands. */
+public sealed interface Statement {
+
+  /** Returns whether the statement reads or writes a table, and so needs an execution slot. */
+  default boolean usesSlot() {
+    return false;
+  }
+
+  /** An assignment or a comparison of a column with a value. */
+  record Term(String column, Operand operand) {}
+
+  /** Creates a table; the first column is the primary key. */
+  record CreateTable(String table, List<String> columns) implements Statement {
+    @Override
+    public boolean usesSlot() {
+      return true;
+    }
+  }
+
+  /** Inserts one row. */
+  record Insert(String table, List<Term> values) implements Statement {
+    @Override
+    public boolean usesSlot() {
+      return true;
+    }
+  }
+
+  /** Changes the rows that meet all conditions. */
+  record Update(String table, List<Term> assignments, List<Term> conditions) implements Statement {
+    @Override
+    public boolean usesSlot() {
+      return true;
+    }
+  }
+
+  /** Removes the rows that meet all conditions. */
+  record Delete(String table, List<Term> conditions) implements Statement {
+    @Override
+    public boolean usesSlot() {
+      return true;
+    }
+  }
+
+  /**
+   * Reads a table.
+   *
+   * @param columns the columns, empty for all
+   * @param count whether only the number of rows is asked for
+   * @param locking whether the statement ends with {@code FOR UPDATE} or similar
+   */
+  record Select(
+      String table, List<String> columns, boolean count, List<Term> conditions, boolean locking)
+      implements Statement {
+    @Override
+    public boolean usesSlot() {
+      return true;
+    }
+  }
+
+  /** Returns one row of given values. */
+  record SelectConstant(List<Operand> values) implements Statement {
+    @Override
+    public boolean usesSlot() {
+      return true;
+    }
+  }
+
+  /** Calls a function of the group, for example {@code persimmonwalk_sample()}. */
+  record Call(String function, List<Operand> arguments) implements Statement {}
+
+  /** Starts a transaction; the access mode is null if the session's default applies. */
+  record Begin(Boolean readOnly) implements Statement {}
+
+  /** Commits the transaction. */
+  record Commit() implements Statement {}
+
+  /** Rolls the transaction back. */
+  record Rollback() implements Statement {}
+
+  /** Sets a parameter of the session; a null value restores the default. */
+  record SetParameter(String name, String value) implements Statement {}
+
+  /** Shows a parameter of the session. */
+  record Show(String name) implements Statement {}
+
+  /** Resets the session. */
+  record DiscardAll() implements Statement {}
+
+  /** Removes a prepared statement, or all if the name is null. */
+  record Deallocate(String name) implements Statement {}
+
+  /** A statement without text. */
+  record Empty() implements Statement {}
+}
--- /dev/null
+++ b/standin/src/main/java/org/persimmonwalk/standin/ServerCounters.java
@@ -0,0 +1,44 @@
+package org.persimmonwalk.standin;
+
+import java.util.Map;
+import java.util.Set;
+import org.persimmonwalk.internal.standin.protocol.CounterBook;
+
+/**
+ * What callers did to a stand-in server since it started.
+ *
+ * @param connections the connections that are open
+ * @param highestConnections the most connections that were open at once
+ * @param statements the statements submitted, including those that failed
+ * @param highestConcurrentStatements the most slots that were occupied at once
+ * @param statementsByUser the statements by user of the start-up message
+ * @param passwords the distinct passwords received
+ * @param startupParameters the distinct parameters of start-up messages
+ */
+public record ServerCounters(
+    int connections,
+    int highestConnections,
+    long statements,
+    int highestConcurrentStatements,
+    Map<String, Long> statementsByUser,
+    Set<String> passwords,
+    Set<Map<String, String>> startupParameters) {
+
+  /** Copies the collections. */
+  public ServerCounters {
+    statementsByUser = Map.copyOf(statementsByUser);
+    passwords = Set.copyOf(passwords);
+    startupParameters = Set.copyOf(startupParameters);
+  }
+
+  static ServerCounters of(CounterBook.Reading reading) {
+    return new ServerCounters(
+        reading.connections(),
+        reading.highestConnections(),
+        reading.statements(),
+        reading.highestConcurrentStatements(),
+        reading.statementsByUser(),
+        reading.passwords(),
+        reading.startupParameters());
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/persimmonwalk/internal/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the engine without a network. */
+package org.persimmonwalk.internal.standin.engine;
--- /dev/null
+++ b/standin/src/test/java/org/persimmonwalk/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stand-ins through their protocols. */
+package org.persimmonwalk.standin;
