--- /dev/null
+++ b/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
@@ -0,0 +1,152 @@
+package org.persimmonwalk.bench;
+
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.SQLException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Properties;
+import java.util.Set;
+import org.persimmonwalk.entryhost.EntryHost;
+import org.persimmonwalk.entryhost.TrafficListener;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.internal.settings.SettingsReader;
+import org.persimmonwalk.model.BackendServer;
+import org.persimmonwalk.model.CallerKey;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.DatabaseGroup;
+import org.persimmonwalk.model.Workspace;
+import org.persimmonwalk.standin.StandInGroup;
+import org.persimmonwalk.standin.StandInGroupSettings;
+
+/**
+ * Entry hosts before one stand-in database group, all in this process.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * try (LocalDeployment deployment = LocalDeployment.start(2, new TrafficListener() {})) {
+ *   Connection connection = deployment.connect(0, Map.of());
+ * }
+ * }</pre>
+ */
+public final class LocalDeployment implements AutoCloseable {
+  /** The workspace that callers use. */
+  public static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
+
+  /** The database group that callers use. */
+  public static final DatabaseGroupId GROUP = DatabaseGroupId.of("tanks");
+
+  /** The key of the workspace. */
+  public static final String KEY = "demo-key-of-workspace-oil";
+
+  private static final List<String> SERVERS = List.of("server-a", "server-b", "server-c");
+  private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
+  private static final Duration MAXIMUM_AGE = Duration.ofSeconds(30);
+  private static final double RATE = 1_000_000;
+
+  private final StandInGroup group;
+  private final List<EntryHost> hosts = new ArrayList<>();
+
+  private LocalDeployment(StandInGroup group) {
+    this.group = group;
+  }
+
+  /** Starts a group with a primary and two replicas, and the given number of entry hosts. */
+  public static LocalDeployment start(int hostCount, TrafficListener listener) {
+    StandInGroup group =
+        StandInGroup.start(StandInGroupSettings.of(SERVERS.toArray(String[]::new)));
+    LocalDeployment deployment = new LocalDeployment(group);
+    for (int i = 0; i < hostCount; i++) {
+      deployment.hosts.add(deployment.startHost(i, listener));
+    }
+    return deployment;
+  }
+
+  /** Returns the stand-in group. */
+  public StandInGroup group() {
+    return group;
+  }
+
+  /** Returns an entry host; the first has number 0 and is in the zone of the primary. */
+  public EntryHost host(int number) {
+    return hosts.get(number);
+  }
+
+  /**
+   * Opens a caller connection through an entry host.
+   *
+   * @param parameters parameters without the prefix {@code persimmonwalk.}, such as {@code session}
+   */
+  public Connection connect(int hostNumber, Map<String, String> parameters) throws SQLException {
+    Properties properties = new Properties();
+    properties.put("user", WORKSPACE.value());
+    properties.put("password", KEY);
+    StringBuilder options = new StringBuilder();
+    parameters.forEach(
+        (name, value) ->
+            options.append("-c persimmonwalk.").append(name).append('=').append(value).append(' '));
+    properties.put("options", options.toString().strip());
+    return DriverManager.getConnection(url(hosts.get(hostNumber).callerPort()), properties);
+  }
+
+  /** Opens a connection to a backend server, past the entry hosts. */
+  public Connection connectDirectly(String server) throws SQLException {
+    int port = group.endpoint(BackendServerId.of(server)).port();
+    return DriverManager.getConnection(url(port), "direct", "direct");
+  }
+
+  @Override
+  public void close() {
+    hosts.forEach(EntryHost::close);
+    group.close();
+  }
+
+  private static String url(int port) {
+    return "jdbc:postgresql://127.0.0.1:" + port + "/" + GROUP;
+  }
+
+  private EntryHost startHost(int number, TrafficListener listener) {
+    String zone = ZONES.get(number % ZONES.size());
+    String settings =
+        """
+        host: {id: %s, zone: %s}
+        caller: {listen: "127.0.0.1:0"}
+        backend: {user: persimmonwalk, password: backend-password}
+        peer: {listen: "127.0.0.1:0"}
+        admin: {listen: "127.0.0.1:0"}
+        """
+            .formatted(EntryHostId.of("host-" + (number + 1)), zone);
+    EntryHost host = EntryHost.start(SettingsReader.create().parse(settings), listener);
+    host.load(configuration());
+    return host;
+  }
+
+  private Configuration configuration() {
+    List<BackendServer> servers = new ArrayList<>();
+    for (int i = 0; i < SERVERS.size(); i++) {
+      BackendServerId id = BackendServerId.of(SERVERS.get(i));
+      AvailabilityZone zone = AvailabilityZone.of(ZONES.get(i));
+      servers.add(BackendServer.of(id, zone, group.endpoint(id), 3, 100));
+    }
+    Map<KeyHash, CallerKey> keys = new LinkedHashMap<>();
+    CallerKey key = CallerKey.of(KeyHash.ofKey(KEY), WORKSPACE);
+    keys.put(key.hash(), key);
+    return new Configuration(
+        Revision.of(1),
+        ReleaseNoteId.of("demo"),
+        Map.of(WORKSPACE, Workspace.of(WORKSPACE, RATE, RATE, Set.of(GROUP))),
+        keys,
+        Map.of(GROUP, DatabaseGroup.of(GROUP, servers, MAXIMUM_AGE)));
+  }
+}
