--- a/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
@@ -10,8 +10,10 @@
 import java.util.Map;
 import java.util.Properties;
 import java.util.Set;
+import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.entryhost.EntryHost;
 import org.persimmonwalk.entryhost.TrafficListener;
+import org.persimmonwalk.entryhost.TrafficPolicies;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -24,8 +26,14 @@
 import org.persimmonwalk.model.BackendServer;
 import org.persimmonwalk.model.CallerKey;
 import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.ConfirmedPosition;
 import org.persimmonwalk.model.DatabaseGroup;
+import org.persimmonwalk.model.GroupView;
+import org.persimmonwalk.model.LogPosition;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.ServerView;
 import org.persimmonwalk.model.Workspace;
+import org.persimmonwalk.port.MonotonicClock;
 import org.persimmonwalk.standin.StandInGroup;
 import org.persimmonwalk.standin.StandInGroupSettings;
 
@@ -53,6 +61,8 @@
   private static final List<String> SERVERS = List.of("server-a", "server-b", "server-c");
   private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
   private static final Duration MAXIMUM_AGE = Duration.ofSeconds(30);
+  private static final Duration LONGEST_WAIT = Duration.ofSeconds(30);
+  private static final long POLL_MILLISECONDS = 5;
   private static final double RATE = 1_000_000;
 
   private final StandInGroup group;
@@ -64,11 +74,17 @@
 
   /** Starts a group with a primary and two replicas, and the given number of entry hosts. */
   public static LocalDeployment start(int hostCount, TrafficListener listener) {
+    return start(hostCount, TrafficPolicies.standard(), listener);
+  }
+
+  /** Starts a group and entry hosts with the given policies. */
+  public static LocalDeployment start(
+      int hostCount, TrafficPolicies policies, TrafficListener listener) {
     StandInGroup group =
         StandInGroup.start(StandInGroupSettings.of(SERVERS.toArray(String[]::new)));
     LocalDeployment deployment = new LocalDeployment(group);
     for (int i = 0; i < hostCount; i++) {
-      deployment.hosts.add(deployment.startHost(i, listener));
+      deployment.hosts.add(deployment.startHost(i, policies, listener));
     }
     return deployment;
   }
@@ -106,6 +122,38 @@
     return DriverManager.getConnection(url(port), "direct", "direct");
   }
 
+  /**
+   * Waits until every host has seen every replica at the position of the primary.
+   *
+   * @throws IllegalStateException if this does not happen within 30 s
+   */
+  public void awaitReplicas() throws InterruptedException {
+    for (EntryHost host : hosts) {
+      MonotonicTime start = MonotonicClock.system().now();
+      while (!isCaughtUp(host, start)) {
+        if (MonotonicClock.system().now().since(start).compareTo(LONGEST_WAIT) > 0) {
+          throw new IllegalStateException("the replicas did not catch up within " + LONGEST_WAIT);
+        }
+        Thread.sleep(POLL_MILLISECONDS);
+      }
+    }
+  }
+
+  private static boolean isCaughtUp(EntryHost host, MonotonicTime start) {
+    GroupView view = host.snapshot().get(Entries.GROUPS).get(GROUP);
+    if (view == null || view.newestConfirmed().isEmpty()) {
+      return false;
+    }
+    ConfirmedPosition newest = view.newestConfirmed().get();
+    return newest.startedAt().isAfter(start)
+        && view.servers().stream()
+            .allMatch(server -> hasReplayed(server, newest.position().position()));
+  }
+
+  private static boolean hasReplayed(ServerView server, LogPosition position) {
+    return server.sample().filter(sample -> sample.replayed().covers(position)).isPresent();
+  }
+
   @Override
   public void close() {
     hosts.forEach(EntryHost::close);
@@ -116,18 +164,18 @@
     return "jdbc:postgresql://127.0.0.1:" + port + "/" + GROUP;
   }
 
-  private EntryHost startHost(int number, TrafficListener listener) {
+  private EntryHost startHost(int number, TrafficPolicies policies, TrafficListener listener) {
     String zone = ZONES.get(number % ZONES.size());
     String settings =
         """
         host: {id: %s, zone: %s}
-        caller: {listen: "127.0.0.1:0"}
+        caller: {listen: "127.0.0.1:0", confirmationTimeout: 2s}
         backend: {user: persimmonwalk, password: backend-password}
         peer: {listen: "127.0.0.1:0"}
         admin: {listen: "127.0.0.1:0"}
         """
             .formatted(EntryHostId.of("host-" + (number + 1)), zone);
-    EntryHost host = EntryHost.start(SettingsReader.create().parse(settings), listener);
+    EntryHost host = EntryHost.start(SettingsReader.create().parse(settings), policies, listener);
     host.load(configuration());
     return host;
   }
--- /dev/null
+++ b/bench/src/test/java/org/persimmonwalk/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Acceptance, golden and differential tests of whole sessions. */
+package org.persimmonwalk.bench;
--- /dev/null
+++ b/bench/src/test/java/org/persimmonwalk/bench/steps/package-info.java
@@ -0,0 +1,2 @@
+/** Steps of the acceptance features. */
+package org.persimmonwalk.bench.steps;
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -7,11 +7,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.persimmonwalk.admission.AdmitAll;
-import org.persimmonwalk.admission.ConfiguredKeys;
 import org.persimmonwalk.blackboard.ControlLoop;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.blackboard.Snapshot;
 import org.persimmonwalk.command.SampleServer;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -36,8 +35,6 @@
 import org.persimmonwalk.port.MonotonicClock;
 import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.request.RequestPlanner;
-import org.persimmonwalk.retry.NeverRetry;
-import org.persimmonwalk.routing.SessionRouter;
 
 /**
  * An entry host: accepts callers, decides where their statements run, and passes on the answers.
@@ -45,7 +42,7 @@
  * <p>Example:
  *
  * <pre>{@code
- * try (EntryHost host = EntryHost.start(settings, new TrafficListener() {})) {
+ * try (EntryHost host = EntryHost.start(settings, policies, new TrafficListener() {})) {
  *   host.load(configuration);
  *   connect(host.callerPort());
  * }
@@ -68,7 +65,7 @@
   private final MonitorConnections monitors;
   private final CallerListener callers;
 
-  private EntryHost(Settings settings, TrafficListener listener) {
+  private EntryHost(Settings settings, TrafficPolicies policies, TrafficListener listener) {
     control = ControlLoop.of(controllers(), dispatcher, clock, RandomSource.system());
     BackendConnector connector = BackendConnector.of(eventLoops, settings.backend());
     pools =
@@ -83,8 +80,8 @@
         new TrafficContext(
             settings.caller(),
             control,
-            planner(settings),
-            NeverRetry.create(),
+            planner(settings, policies),
+            policies.retries(),
             new TrafficContext.Backends(pools, connector),
             SnapshotAcknowledger.of(control, waiters, clock),
             waiters,
@@ -96,9 +93,15 @@
             eventLoops, context, CallerRegistry.of(settings.caller().maximumConnections()));
   }
 
-  /** Starts a host with the given settings. */
-  public static EntryHost start(Settings settings, TrafficListener listener) {
-    return new EntryHost(settings, listener);
+  /** Starts a host with the given settings and policies. */
+  public static EntryHost start(
+      Settings settings, TrafficPolicies policies, TrafficListener listener) {
+    return new EntryHost(settings, policies, listener);
+  }
+
+  /** Returns the newest snapshot of the control state. */
+  public Snapshot snapshot() {
+    return control.snapshot();
   }
 
   /** Puts a configuration in force if it is newer than the one in force. */
@@ -120,12 +123,12 @@
     eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
-  private RequestPlanner planner(Settings settings) {
+  private RequestPlanner planner(Settings settings, TrafficPolicies policies) {
     return RequestPlanner.of(
         settings.host().zone(),
-        ConfiguredKeys.create(),
-        AdmitAll.create(),
-        SessionRouter.of(pools));
+        policies.keys(),
+        policies.admission(),
+        policies.router().create(pools));
   }
 
   private static List<Controller> controllers() {
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficListener.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficListener.java
@@ -12,7 +12,7 @@
  * <p>Example:
  *
  * <pre>{@code
- * EntryHost host = EntryHost.start(settings, new RoutingPrinter(System.out));
+ * EntryHost host = EntryHost.start(settings, policies, RoutingPrinter.of(System.out));
  * }</pre>
  */
 public interface TrafficListener {
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficPolicies.java
@@ -0,0 +1,54 @@
+package org.persimmonwalk.entryhost;
+
+import java.util.Objects;
+import org.persimmonwalk.admission.AdmissionPolicy;
+import org.persimmonwalk.admission.AdmitAll;
+import org.persimmonwalk.admission.ConfiguredKeys;
+import org.persimmonwalk.admission.KeyVerifier;
+import org.persimmonwalk.retry.NeverRetry;
+import org.persimmonwalk.retry.RetryPolicy;
+import org.persimmonwalk.routing.PrimaryOnlyRouter;
+import org.persimmonwalk.routing.RequestRouter;
+import org.persimmonwalk.routing.ServerLoad;
+import org.persimmonwalk.routing.SessionRouter;
+
+/**
+ * The decisions that an entry host takes on traffic.
+ *
+ * @param keys decides whether a key opens a workspace
+ * @param admission decides whether a workspace may run one more statement
+ * @param router makes the router, which decides where a statement runs
+ * @param retries decides whether a statement runs again
+ */
+public record TrafficPolicies(
+    KeyVerifier keys, AdmissionPolicy admission, RouterFactory router, RetryPolicy retries) {
+
+  /** Checks that all parts are present. */
+  public TrafficPolicies {
+    Objects.requireNonNull(keys, "keys");
+    Objects.requireNonNull(admission, "admission");
+    Objects.requireNonNull(router, "router");
+    Objects.requireNonNull(retries, "retries");
+  }
+
+  /** Makes a router that knows how busy the host keeps each backend server. */
+  public interface RouterFactory {
+    /** Returns the router. */
+    RequestRouter create(ServerLoad load);
+  }
+
+  /** Returns the policies of an entry host in service. */
+  public static TrafficPolicies standard() {
+    return new TrafficPolicies(
+        ConfiguredKeys.create(), AdmitAll.create(), SessionRouter::of, NeverRetry.create());
+  }
+
+  /** Returns the policies of the baseline that sends every statement to the primary. */
+  public static TrafficPolicies primaryOnly() {
+    return new TrafficPolicies(
+        ConfiguredKeys.create(),
+        AdmitAll.create(),
+        load -> PrimaryOnlyRouter.create(),
+        NeverRetry.create());
+  }
+}
