--- a/core/src/main/java/org/persimmonwalk/request/RequestPlanner.java
+++ b/core/src/main/java/org/persimmonwalk/request/RequestPlanner.java
@@ -78,7 +78,12 @@
   public RoutingDecision route(Snapshot snapshot, StatementRequest request, MonotonicTime now) {
     RoutingRequest routing =
         new RoutingRequest(
-            request.group(), request.kind(), request.floor(), request.maximumAge(), zone);
+            request.group(),
+            request.kind(),
+            request.floor(),
+            request.maximumAge(),
+            zone,
+            request.arrivedAt());
     RoutingDecision decision = router.route(snapshot, routing, now);
     if (decision instanceof RoutingDecision.Await await && !now.isBefore(request.deadline())) {
       return new RoutingDecision.Refuse(await.codeAtDeadline());
--- a/core/src/main/java/org/persimmonwalk/request/StatementRequest.java
+++ b/core/src/main/java/org/persimmonwalk/request/StatementRequest.java
@@ -21,6 +21,7 @@
  * @param floor what the session must see
  * @param maximumAge the oldest data that the caller accepts, if it has stated an age
  * @param idempotencyKey the key under which the caller may repeat the statement, if it gave one
+ * @param arrivedAt when the statement arrived
  * @param deadline when the statement must have started
  */
 public record StatementRequest(
@@ -31,6 +32,7 @@
     SessionFloor floor,
     Optional<Duration> maximumAge,
     Optional<IdempotencyKey> idempotencyKey,
+    MonotonicTime arrivedAt,
     MonotonicTime deadline) {
 
   /** Checks that all parts are present. */
@@ -42,12 +44,21 @@
     Objects.requireNonNull(floor, "floor");
     Objects.requireNonNull(maximumAge, "maximumAge");
     Objects.requireNonNull(idempotencyKey, "idempotencyKey");
+    Objects.requireNonNull(arrivedAt, "arrivedAt");
     Objects.requireNonNull(deadline, "deadline");
   }
 
   /** Returns the same request as a statement that needs the primary. */
   public StatementRequest asWrite() {
     return new StatementRequest(
-        workspace, key, group, StatementKind.WRITE, floor, maximumAge, idempotencyKey, deadline);
+        workspace,
+        key,
+        group,
+        StatementKind.WRITE,
+        floor,
+        maximumAge,
+        idempotencyKey,
+        arrivedAt,
+        deadline);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/routing/RoutingRequest.java
+++ b/core/src/main/java/org/persimmonwalk/routing/RoutingRequest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.model.MonotonicTime;
 
 /**
  * What the router needs to know of a statement.
@@ -14,13 +15,15 @@
  * @param floor what the session must see
  * @param maximumAge the oldest data that the caller accepts, if it has stated an age
  * @param zone the availability zone of this entry host
+ * @param arrivedAt when the statement arrived; the age of data counts from here
  */
 public record RoutingRequest(
     DatabaseGroupId group,
     StatementKind kind,
     SessionFloor floor,
     Optional<Duration> maximumAge,
-    AvailabilityZone zone) {
+    AvailabilityZone zone,
+    MonotonicTime arrivedAt) {
 
   /** Checks that all parts are present. */
   public RoutingRequest {
@@ -29,5 +32,6 @@
     Objects.requireNonNull(floor, "floor");
     Objects.requireNonNull(maximumAge, "maximumAge");
     Objects.requireNonNull(zone, "zone");
+    Objects.requireNonNull(arrivedAt, "arrivedAt");
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -57,7 +57,8 @@
     this.startedAt = context.clock().now();
     StatementKind kind = batch.onlyReads() ? StatementKind.READ : StatementKind.WRITE;
     StatementKind effective = state.transaction().map(Transaction::kind).orElse(kind);
-    this.request = state.request(effective, startedAt.plus(context.settings().statementDeadline()));
+    this.request =
+        state.request(effective, startedAt, startedAt.plus(context.settings().statementDeadline()));
   }
 
   /**
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerState.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerState.java
@@ -106,7 +106,7 @@
   }
 
   /** Returns a request for a batch. */
-  StatementRequest request(StatementKind kind, MonotonicTime deadline) {
+  StatementRequest request(StatementKind kind, MonotonicTime arrivedAt, MonotonicTime deadline) {
     return new StatementRequest(
         workspace,
         key,
@@ -115,6 +115,7 @@
         parameters.floor(),
         parameters.maximumAge(),
         parameters.takeIdempotencyKey(),
+        arrivedAt,
         deadline);
   }
 }
