--- a/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
@@ -169,7 +169,7 @@
     String settings =
         """
         host: {id: %s, zone: %s}
-        caller: {listen: "127.0.0.1:0", confirmationTimeout: 2s}
+        caller: {listen: "127.0.0.1:0", confirmationTimeout: 2s, messageTimeout: 1s}
         backend: {user: persimmonwalk, password: backend-password}
         peer: {listen: "127.0.0.1:0"}
         admin: {listen: "127.0.0.1:0"}
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -82,7 +82,7 @@
             control,
             planner(settings, policies),
             policies.retries(),
-            new TrafficContext.Backends(pools, connector),
+            new TrafficContext.Backends(pools, connector, settings.backend().answerTimeout()),
             SnapshotAcknowledger.of(control, waiters, clock),
             waiters,
             new TrafficContext.Instruments(
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -38,6 +38,7 @@
   private final MonotonicTime startedAt;
   private StatementRequest request;
   private Optional<BackendConnection> running = Optional.empty();
+  private Optional<ScheduledFuture<?>> answerTimer = Optional.empty();
   private int attempts;
   private boolean abandoned;
   private boolean finished;
@@ -167,6 +168,7 @@
             ? Optional.empty()
             : Optional.of(state.connectionSettings(request.kind()));
     exchange.start(batch, settings, asksPosition());
+    answerTimer = Optional.of(schedule(connection::close, context.backends().answerTimeout()));
   }
 
   private boolean holdsCompletion() {
@@ -182,7 +184,7 @@
 
   /** Called by the exchange when the answer is complete. */
   void answered(BatchExchange exchange, TransactionStatus status) {
-    running = Optional.empty();
+    endAttempt();
     if (mustRunAsWrite(exchange.relay())) {
       exchange.relay().discard();
       exchange.releaseConnection();
@@ -201,6 +203,11 @@
     }
   }
 
+  private void endAttempt() {
+    running = Optional.empty();
+    answerTimer.ifPresent(timer -> timer.cancel(false));
+  }
+
   private boolean mustRunAsWrite(AnswerRelay relay) {
     return request.kind() == StatementKind.READ
         && state.transaction().isEmpty()
@@ -242,7 +249,7 @@
 
   /** Called by the exchange when the backend connection was lost before the answer was complete. */
   void lost(BatchExchange exchange) {
-    running = Optional.empty();
+    endAttempt();
     exchange.relay().discard();
     StatementState outcome = outcomeOfLoss();
     boolean retry =
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.Revision;
@@ -155,6 +156,35 @@
     CallerWriter.of(channelContext.channel()).fatal(code, detail);
   }
 
+  @Override
+  public void channelActive(ChannelHandlerContext channelContext) {
+    scheduleProgressCheck(channelContext, -1);
+  }
+
+  /**
+   * Closes a connection that has neither logged in nor completed a message since the last check, so
+   * that a caller that stops in the middle of a message does not hold memory.
+   */
+  private void scheduleProgressCheck(ChannelHandlerContext channelContext, long lastMessages) {
+    long delay = context.settings().messageTimeout().toNanos();
+    channelContext
+        .executor()
+        .schedule(
+            () -> {
+              if (!channelContext.channel().isActive()) {
+                return;
+              }
+              boolean waits = session.isEmpty() || decoder.hasPartialMessage();
+              if (waits && decoder.messages() == lastMessages) {
+                fail(channelContext, ResultCode.IDLE_TIMEOUT, "");
+              } else {
+                scheduleProgressCheck(channelContext, waits ? decoder.messages() : -1);
+              }
+            },
+            delay,
+            TimeUnit.NANOSECONDS);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext channelContext) {
     session.ifPresent(CallerSession::close);
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.traffic.caller;
 
 import io.opentelemetry.api.trace.Tracer;
+import java.time.Duration;
 import org.persimmonwalk.blackboard.ControlLoop;
 import org.persimmonwalk.entryhost.TrafficListener;
 import org.persimmonwalk.internal.settings.Settings;
@@ -21,8 +22,12 @@
     SnapshotWaiters waiters,
     Instruments instruments) {
 
-  /** The way to the backend servers. */
-  public record Backends(ServerPools pools, BackendConnector connector) {}
+  /**
+   * The way to the backend servers.
+   *
+   * @param answerTimeout how long a server may take for one answer
+   */
+  public record Backends(ServerPools pools, BackendConnector connector, Duration answerTimeout) {}
 
   /** What observes the traffic. */
   public record Instruments(MonotonicClock clock, TrafficListener listener, Tracer tracer) {}
--- a/wire/src/main/java/org/persimmonwalk/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/FrameDecoder.java
@@ -19,6 +19,7 @@
 
   private final int maximumFrameBytes;
   private boolean startup;
+  private long messages;
 
   private FrameDecoder(int maximumFrameBytes, boolean startup) {
     this.maximumFrameBytes = maximumFrameBytes;
@@ -48,6 +49,16 @@
     startup = false;
   }
 
+  /** Returns whether a part of a message has arrived and the rest has not. */
+  public boolean hasPartialMessage() {
+    return actualReadableBytes() > 0;
+  }
+
+  /** Returns the number of messages decoded so far. */
+  public long messages() {
+    return messages;
+  }
+
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) {
     int typeBytes = startup ? 0 : 1;
@@ -62,6 +73,7 @@
     }
     byte type = startup ? MessageType.STARTUP : input.getByte(start);
     input.skipBytes(typeBytes + LENGTH_BYTES);
+    messages++;
     output.add(Frame.of(type, input.readRetainedSlice(payloadBytes)));
   }
 
