Add the stand-in platform

StandInPlatform serves versioned rows, objects and a lagging host list over HTTP and JSON on loopback, with switches for outages (also of one zone), slowness and answers lost after a write took effect. The state knows no JSON; awaitRequests lets a test wait for a request that gets no answer.

--- /dev/null
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
@@ -0,0 +1,170 @@
+package org.persimmonwalk.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.internal.standin.platform.PlatformCounterBook;
+import org.persimmonwalk.internal.standin.platform.PlatformHandler;
+import org.persimmonwalk.internal.standin.platform.PlatformRequest;
+import org.persimmonwalk.internal.standin.platform.PlatformState;
+import org.persimmonwalk.internal.standin.platform.PlatformSwitches;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.SocketEndpoint;
+
+/**
+ * The platform's table service, object store and host list over HTTP and JSON on loopback.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * try (StandInPlatform platform = StandInPlatform.start(StandInPlatformSettings.create())) {
+ *   platform.setOutage(PlatformOutage.REFUSED);
+ * }
+ * }</pre>
+ */
+public final class StandInPlatform implements AutoCloseable {
+  private static final String LOOPBACK = "127.0.0.1";
+
+  private final PlatformSwitches switches = PlatformSwitches.create();
+  private final PlatformCounterBook counters = PlatformCounterBook.create();
+  private final ScheduledExecutorService stateThread;
+  private final EventLoopGroup loops;
+  private final PlatformState state;
+  private final Channel listener;
+
+  private StandInPlatform(StandInPlatformSettings settings) {
+    this.state = PlatformState.create(settings.clock());
+    this.stateThread =
+        Executors.newSingleThreadScheduledExecutor(
+            action -> {
+              Thread thread = new Thread(action, "standin-platform");
+              thread.setDaemon(true);
+              return thread;
+            });
+    this.loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try {
+      this.listener = listen(settings);
+    } catch (RuntimeException failure) {
+      close();
+      throw failure;
+    }
+  }
+
+  /**
+   * Starts a platform without rows, objects and hosts.
+   *
+   * @throws RuntimeException if the port is in use
+   */
+  public static StandInPlatform start(StandInPlatformSettings settings) {
+    return new StandInPlatform(settings);
+  }
+
+  private Channel listen(StandInPlatformSettings settings) {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpServerCodec(),
+                            new HttpObjectAggregator(settings.maximumRequestBytes()),
+                            PlatformHandler.of(state, switches, counters, stateThread));
+                  }
+                });
+    return bootstrap.bind(LOOPBACK, settings.port()).syncUninterruptibly().channel();
+  }
+
+  /** Returns the address at which the platform listens. */
+  public SocketEndpoint endpoint() {
+    return SocketEndpoint.of(LOOPBACK, ((InetSocketAddress) listener.localAddress()).getPort());
+  }
+
+  /** Returns the counters. */
+  public PlatformCounters counters() {
+    return PlatformCounters.of(counters.read());
+  }
+
+  /**
+   * Waits until the given number of requests has arrived since the start. Later changes of the
+   * switches do not concern these requests.
+   */
+  public void awaitRequests(long count) throws InterruptedException {
+    counters.awaitRequests(count);
+  }
+
+  /** Starts or ends an outage for all callers. */
+  public void setOutage(PlatformOutage outage) {
+    switches.setTreatment(treatment(outage));
+  }
+
+  /** Starts or ends an outage for the callers that state the given zone. */
+  public void setOutage(AvailabilityZone zone, PlatformOutage outage) {
+    switches.setTreatment(zone.value(), treatment(outage));
+  }
+
+  /** Sets the time that each request waits before it is carried out. */
+  public void setSlowness(Duration time) {
+    switches.setSlowness(time);
+  }
+
+  /** Ends connections without an answer after the next writes took effect. */
+  public void loseNextAnswers(int count) {
+    switches.loseAnswers(count);
+  }
+
+  /** Sets by how much the list of hosts is behind. */
+  public void setHostListLag(Duration lag) {
+    onStateThread(() -> state.setHostLag(lag));
+  }
+
+  /** Adds or replaces a host of the list. */
+  public void putHost(HostEntry host) {
+    onStateThread(() -> state.apply(new PlatformRequest.PutHost(host)));
+  }
+
+  /** Removes a host from the list. */
+  public void removeHost(EntryHostId host) {
+    onStateThread(() -> state.apply(new PlatformRequest.RemoveHost(host)));
+  }
+
+  @Override
+  public void close() {
+    stateThread.shutdownNow();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  private void onStateThread(Runnable action) {
+    CompletableFuture.runAsync(action, stateThread).join();
+  }
+
+  private static PlatformSwitches.Treatment treatment(PlatformOutage outage) {
+    return switch (outage) {
+      case NONE -> PlatformSwitches.Treatment.SERVE;
+      case REFUSED -> PlatformSwitches.Treatment.REFUSE;
+      case SILENT -> PlatformSwitches.Treatment.IGNORE;
+    };
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/persimmonwalk/standin/StandInPlatformTest.java
@@ -0,0 +1,162 @@
+package org.persimmonwalk.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.testing.FakeClock;
+
+class StandInPlatformTest {
+  private final FakeClock clock = new FakeClock();
+  private final StandInPlatform platform =
+      StandInPlatform.start(
+          StandInPlatformSettings.create().withClock(clock).withMaximumRequestBytes(200));
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  @AfterEach
+  void closePlatform() {
+    platform.close();
+  }
+
+  /** Guards against writes that ignore the expected version. */
+  @Test
+  void shouldCompareAndSetRows() throws Exception {
+    assertThat(get("/tables/share/tanks").statusCode()).isEqualTo(404);
+    assertThat(putRow(0, 10).body()).isEqualTo("{\"version\":1}");
+    HttpResponse<String> conflict = putRow(0, 20);
+    assertThat(conflict.statusCode()).isEqualTo(409);
+    assertThat(conflict.body()).isEqualTo("{\"version\":1}");
+    assertThat(putRow(1, 30).statusCode()).isEqualTo(200);
+    assertThat(get("/tables/share/tanks").body())
+        .isEqualTo("{\"version\":2,\"content\":{\"rate\":30}}");
+    assertThat(platform.counters().conflicts()).isOne();
+  }
+
+  /** Guards against malformed and oversized requests that are carried out. */
+  @Test
+  void shouldRefuseMalformedRequests() throws Exception {
+    assertThat(put("/tables/share/tanks", "{\"content\":{}}").statusCode()).isEqualTo(400);
+    assertThat(put("/tables/share/tanks", "{").statusCode()).isEqualTo(400);
+    assertThat(put("/objects/note", "x".repeat(201)).statusCode()).isEqualTo(413);
+    assertThat(get("/nowhere").statusCode()).isEqualTo(404);
+    assertThat(platform.counters().writes()).isZero();
+  }
+
+  /** Guards against objects that come back changed. */
+  @Test
+  void shouldStoreObjects() throws Exception {
+    assertThat(get("/objects/configuration-1").statusCode()).isEqualTo(404);
+    assertThat(put("/objects/configuration-1", "Säiliö").statusCode()).isEqualTo(200);
+    assertThat(get("/objects/configuration-1").body()).isEqualTo("Säiliö");
+  }
+
+  /** Guards against a lost answer whose write has no effect. */
+  @Test
+  void shouldLoseAnswersAfterTheEffect() throws Exception {
+    platform.loseNextAnswers(1);
+    assertThatThrownBy(() -> putRow(0, 10)).isInstanceOf(IOException.class);
+    assertThat(get("/tables/share/tanks").statusCode()).isEqualTo(200);
+    assertThat(platform.counters().lostAnswers()).isOne();
+  }
+
+  /** Guards against an outage of one zone that other zones notice. */
+  @Test
+  void shouldRefuseOnlyTheChosenZone() throws Exception {
+    platform.setOutage(AvailabilityZone.of("north"), PlatformOutage.REFUSED);
+    assertThat(getFrom("north").statusCode()).isEqualTo(503);
+    assertThat(getFrom("south").statusCode()).isEqualTo(200);
+    platform.setOutage(PlatformOutage.REFUSED);
+    assertThat(getFrom("south").statusCode()).isEqualTo(503);
+    platform.setOutage(PlatformOutage.NONE);
+    platform.setOutage(AvailabilityZone.of("north"), PlatformOutage.NONE);
+    assertThat(getFrom("north").statusCode()).isEqualTo(200);
+    assertThat(platform.counters().requestsByZone())
+        .containsEntry("north", 2L)
+        .containsEntry("south", 2L);
+  }
+
+  /** Guards against a silent or slow platform that carries out what it should hold back. */
+  @Test
+  void shouldHoldRequestsBack() throws Exception {
+    platform.setOutage(PlatformOutage.SILENT);
+    CompletableFuture<HttpResponse<String>> ignored = client.sendAsync(row(0, 10), asText());
+    platform.awaitRequests(1);
+    platform.setOutage(PlatformOutage.NONE);
+    platform.setSlowness(Duration.ofDays(1));
+    CompletableFuture<HttpResponse<String>> slow = client.sendAsync(row(0, 20), asText());
+    platform.awaitRequests(2);
+    platform.setSlowness(Duration.ZERO);
+    assertThat(get("/tables/share/tanks").statusCode()).isEqualTo(404);
+    assertThat(ignored).isNotDone();
+    assertThat(slow).isNotDone();
+  }
+
+  /** Guards against a host list that does not lag, or lags for ever. */
+  @Test
+  void shouldShowHostsWithALag() throws Exception {
+    HostEntry host =
+        HostEntry.of(
+            EntryHostId.of("host-1"),
+            AvailabilityZone.of("north"),
+            SocketEndpoint.of("127.0.0.1", 7400));
+    platform.putHost(host);
+    platform.setHostListLag(Duration.ofSeconds(30));
+    clock.advance(Duration.ofSeconds(29));
+    assertThat(get("/hosts").body()).isEqualTo("[]");
+    clock.advance(Duration.ofSeconds(1));
+    String live =
+        "[{\"id\":\"host-1\",\"zone\":\"north\",\"peerEndpoint\":\"127.0.0.1:7400\","
+            + "\"state\":\"live\"}]";
+    assertThat(get("/hosts").body()).isEqualTo(live);
+    String leaving =
+        "{\"zone\":\"north\",\"peerEndpoint\":\"127.0.0.1:7400\",\"state\":\"leaving\"}";
+    assertThat(put("/hosts/host-1", leaving).statusCode()).isEqualTo(200);
+    assertThat(get("/hosts").body()).isEqualTo(live);
+    clock.advance(Duration.ofSeconds(30));
+    assertThat(get("/hosts").body()).isEqualTo(live.replace("live", "leaving"));
+  }
+
+  private HttpResponse<String> putRow(int expectedVersion, int rate) throws Exception {
+    return client.send(row(expectedVersion, rate), asText());
+  }
+
+  private HttpRequest row(int expectedVersion, int rate) {
+    String body =
+        "{\"expectedVersion\":" + expectedVersion + ",\"content\":{\"rate\":" + rate + "}}";
+    return request("/tables/share/tanks").PUT(HttpRequest.BodyPublishers.ofString(body)).build();
+  }
+
+  private HttpResponse<String> put(String path, String body) throws Exception {
+    HttpRequest.BodyPublisher publisher = HttpRequest.BodyPublishers.ofString(body);
+    return client.send(request(path).PUT(publisher).build(), asText());
+  }
+
+  private HttpResponse<String> get(String path) throws Exception {
+    return client.send(request(path).build(), asText());
+  }
+
+  private HttpResponse<String> getFrom(String zone) throws Exception {
+    return client.send(request("/hosts").header("X-Availability-Zone", zone).build(), asText());
+  }
+
+  private HttpRequest.Builder request(String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + platform.endpoint() + path));
+  }
+
+  private static HttpResponse.BodyHandler<String> asText() {
+    return HttpResponse.BodyHandlers.ofString();
+  }
+}
