Add the typed rows, peer messages, commands and observations of the fleet

Cause: configuration spreading, membership and drain need typed messages that do not depend on an encoding. Change: rows and objects of the platform, messages between entry hosts, their commands and observations, and the ports TableService, ObjectStore and PeerMessenger. An answer repeats the clock reading of the question, so that a delayed answer cannot overstate its freshness. Conclusion: the controllers can be written against these types.

--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/ConfigurationRequest.java
@@ -0,0 +1,19 @@
+package org.persimmonwalk.model;
+
+import java.util.Objects;
+import org.persimmonwalk.id.Revision;
+
+/**
+ * Asks a peer for its configuration.
+ *
+ * @param known the revision that the sender has
+ * @param sentAt the sender's clock; only the sender may interpret it
+ */
+public record ConfigurationRequest(Revision known, MonotonicTime sentAt) implements PeerMessage {
+
+  /** Checks that both parts are present. */
+  public ConfigurationRequest {
+    Objects.requireNonNull(known, "known");
+    Objects.requireNonNull(sentAt, "sentAt");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/ConfigurationRow.java
@@ -0,0 +1,32 @@
+package org.persimmonwalk.model;
+
+import java.util.Objects;
+import org.persimmonwalk.id.ObjectName;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+
+/**
+ * The row that names the configuration in force.
+ *
+ * @param revision the revision in force
+ * @param note the release note that led to it
+ * @param object the object that holds the configuration
+ */
+public record ConfigurationRow(Revision revision, ReleaseNoteId note, ObjectName object)
+    implements RowValue {
+
+  /** Where the row is. */
+  public static final TableRow ROW = TableRow.of("configuration", "current");
+
+  /** Checks that all parts are present. */
+  public ConfigurationRow {
+    Objects.requireNonNull(revision, "revision");
+    Objects.requireNonNull(note, "note");
+    Objects.requireNonNull(object, "object");
+  }
+
+  /** Returns the row with the given content. */
+  public static ConfigurationRow of(Revision revision, ReleaseNoteId note, ObjectName object) {
+    return new ConfigurationRow(revision, note, object);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/PeerMessage.java
@@ -0,0 +1,4 @@
+package org.persimmonwalk.model;
+
+/** A message between entry hosts; implementations are immutable. */
+public interface PeerMessage {}
