Add release notes, membership, keys, drain and configuration spreading

Cause: operators change the configuration of all hosts by release notes, and a withdrawn key must stop working everywhere within seconds. A configuration only ever moves to a higher revision. The freshness that a peer states counts from the instant at which it was asked. Conclusion: the decisions run without input or output.

--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -1,9 +1,19 @@
 package org.persimmonwalk.blackboard;
 
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.CallerKey;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.GroupView;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.HostPhase;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.PeerRevisions;
 
 /** The entries of the blackboard; each is written by one controller. */
 public final class Entries {
@@ -16,5 +26,42 @@
   public static final EntryKey<Map<DatabaseGroupId, GroupView>> GROUPS =
       EntryKey.of("groups", Map.of());
 
+  /** When the configuration in force was last known to be the newest one. */
+  public static final EntryKey<Optional<MonotonicTime>> FRESHNESS =
+      EntryKey.of("freshness", Optional.empty());
+
+  /** The revisions that peers have named. */
+  public static final EntryKey<PeerRevisions> PEER_REVISIONS =
+      EntryKey.of("peerRevisions", PeerRevisions.NONE);
+
+  /** The keys that open workspaces. */
+  public static final EntryKey<Map<KeyHash, CallerKey>> VALID_KEYS =
+      EntryKey.of("validKeys", Map.of());
+
+  /** Keys that were valid since the start of this host and no longer are. */
+  public static final EntryKey<Map<KeyHash, WorkspaceId>> WITHDRAWN_KEYS =
+      EntryKey.of("withdrawnKeys", Map.of());
+
+  /** The zones and endpoints of all known entry hosts, live or not. */
+  public static final EntryKey<Map<EntryHostId, HostEntry>> HOSTS = EntryKey.of("hosts", Map.of());
+
+  /** The entry hosts that are live; this host is among them unless it stops. */
+  public static final EntryKey<Set<EntryHostId>> LIVE_HOSTS = EntryKey.of("liveHosts", Set.of());
+
+  /** Statements per second of each workspace at this host. */
+  public static final EntryKey<Map<WorkspaceId, Double>> OWN_DEMAND =
+      EntryKey.of("ownDemand", Map.of());
+
+  /** Statements per second of each workspace at live peers, from their last heartbeats. */
+  public static final EntryKey<Map<EntryHostId, Map<WorkspaceId, Double>>> PEER_DEMAND =
+      EntryKey.of("peerDemand", Map.of());
+
+  /** What this host does for callers. */
+  public static final EntryKey<HostPhase> HOST_PHASE = EntryKey.of("hostPhase", HostPhase.STARTING);
+
+  /** When a stopping host ends the sessions that are left. */
+  public static final EntryKey<Optional<MonotonicTime>> DRAIN_DEADLINE =
+      EntryKey.of("drainDeadline", Optional.empty());
+
   private Entries() {}
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
@@ -1,14 +1,49 @@
 package org.persimmonwalk.internal.control.configuration;
 
+import java.time.Duration;
+import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.blackboard.RoundContext;
+import org.persimmonwalk.command.LoadConfiguration;
+import org.persimmonwalk.command.ReadTableRow;
+import org.persimmonwalk.command.SendPeerMessage;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.internal.control.Jitter;
 import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.ConfigurationReply;
+import org.persimmonwalk.model.ConfigurationRequest;
+import org.persimmonwalk.model.ConfigurationRow;
+import org.persimmonwalk.model.Heartbeat;
+import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.observation.ConfigurationLoaded;
+import org.persimmonwalk.observation.PeerMessageReceived;
+import org.persimmonwalk.observation.TableRowRead;
+import org.persimmonwalk.observation.TableRowReadFailed;
 
-/** Puts the newest configuration in force; an older one never replaces a newer one. */
+/**
+ * Puts the newest configuration in force and keeps the time at which it was last known to be the
+ * newest. An older configuration never replaces a newer one.
+ *
+ * <p>The configuration row is read about once a second. A higher revision is loaded from the store
+ * if the row names it, and from the peer if a peer names it; the two ways are independent of each
+ * other, so that a peer that does not answer does not delay the store.
+ */
 public final class ConfigurationController implements Controller {
+  private static final Duration READ_INTERVAL = Duration.ofSeconds(1);
+
+  /** A read without any answer for this long is taken as lost. */
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(5);
+
+  /** A load without result is repeated after this time; short against the 5 s for all hosts. */
+  private static final Duration FETCH_TIMEOUT = Duration.ofMillis(800);
+
+  private Optional<MonotonicTime> nextReadAt = Optional.empty();
+  private Optional<MonotonicTime> readStartedAt = Optional.empty();
+  private Optional<MonotonicTime> loadStartedAt = Optional.empty();
+  private Optional<MonotonicTime> requestStartedAt = Optional.empty();
 
   private ConfigurationController() {}
 
@@ -21,14 +56,118 @@
   public void run(Blackboard blackboard, RoundContext context) {
     blackboard
         .observations(ConfigurationLoaded.class)
-        .map(ConfigurationLoaded::configuration)
-        .forEach(loaded -> putIfNewer(blackboard, loaded));
+        .forEach(
+            loaded ->
+                accept(
+                    blackboard, loaded.configuration(), Optional.of(loaded.currentAt()), context));
+    blackboard
+        .observations(PeerMessageReceived.class)
+        .forEach(received -> receive(blackboard, received, context));
+    blackboard
+        .observations(TableRowRead.class)
+        .filter(read -> read.row().equals(ConfigurationRow.ROW))
+        .forEach(read -> applyRead(blackboard, read, context));
+    blackboard
+        .observations(TableRowReadFailed.class)
+        .filter(failed -> failed.row().equals(ConfigurationRow.ROW))
+        .forEach(failed -> readStartedAt = Optional.empty());
+    readWhenDue(blackboard, context);
+  }
+
+  private void receive(Blackboard blackboard, PeerMessageReceived received, RoundContext context) {
+    if (received.message() instanceof Heartbeat heartbeat) {
+      applyHeartbeat(blackboard, received.from(), heartbeat, context);
+    } else if (received.message() instanceof ConfigurationRequest request) {
+      answer(blackboard, received.from(), request, context);
+    } else if (received.message() instanceof ConfigurationReply reply) {
+      Optional<MonotonicTime> currentAt = reply.freshnessAge().map(reply.answers()::minus);
+      accept(blackboard, reply.configuration(), currentAt, context);
+    }
+  }
+
+  private void applyHeartbeat(
+      Blackboard blackboard, EntryHostId from, Heartbeat heartbeat, RoundContext context) {
+    blackboard.put(
+        Entries.PEER_REVISIONS,
+        blackboard.get(Entries.PEER_REVISIONS).with(from, heartbeat.revision()));
+    Revision own = blackboard.get(Entries.CONFIGURATION).revision();
+    if (heartbeat.revision().isNewerThan(own)) {
+      if (hasPassed(requestStartedAt, FETCH_TIMEOUT, context)) {
+        requestStartedAt = Optional.of(context.now());
+        blackboard.submit(new SendPeerMessage(from, new ConfigurationRequest(own, context.now())));
+      }
+    } else if (heartbeat.revision().equals(own) && heartbeat.answers().isPresent()) {
+      MonotonicTime askedAt = heartbeat.answers().get();
+      heartbeat.freshnessAge().ifPresent(age -> refresh(blackboard, askedAt.minus(age), context));
+    }
+  }
+
+  private static void answer(
+      Blackboard blackboard, EntryHostId from, ConfigurationRequest request, RoundContext context) {
+    Configuration own = blackboard.get(Entries.CONFIGURATION);
+    if (own.revision().isNewerThan(request.known())) {
+      Optional<Duration> age = blackboard.get(Entries.FRESHNESS).map(context.now()::since);
+      blackboard.submit(
+          new SendPeerMessage(from, new ConfigurationReply(own, age, request.sentAt())));
+    }
   }
 
-  private static void putIfNewer(Blackboard blackboard, Configuration loaded) {
-    Configuration current = blackboard.get(Entries.CONFIGURATION);
-    if (loaded.revision().isNewerThan(current.revision())) {
+  private void applyRead(Blackboard blackboard, TableRowRead read, RoundContext context) {
+    readStartedAt = Optional.empty();
+    if (read.value().isEmpty() || !(read.value().get() instanceof ConfigurationRow row)) {
+      return;
+    }
+    Revision own = blackboard.get(Entries.CONFIGURATION).revision();
+    if (row.revision().equals(own)) {
+      refresh(blackboard, read.startedAt(), context);
+    } else if (row.revision().isNewerThan(own)
+        && hasPassed(loadStartedAt, FETCH_TIMEOUT, context)) {
+      loadStartedAt = Optional.of(context.now());
+      blackboard.submit(new LoadConfiguration(row.revision()));
+    }
+  }
+
+  private void accept(
+      Blackboard blackboard,
+      Configuration loaded,
+      Optional<MonotonicTime> currentAt,
+      RoundContext context) {
+    Revision own = blackboard.get(Entries.CONFIGURATION).revision();
+    if (own.isNewerThan(loaded.revision())) {
+      return;
+    }
+    if (loaded.revision().isNewerThan(own)) {
       blackboard.put(Entries.CONFIGURATION, loaded);
+      loadStartedAt = Optional.empty();
+      requestStartedAt = Optional.empty();
+    }
+    currentAt.ifPresent(time -> refresh(blackboard, time, context));
+  }
+
+  /**
+   * Moves the freshness forward. It stays when a newer revision arrives: if the former revision was
+   * the newest at that time, the newer one was accepted later.
+   */
+  private static void refresh(
+      Blackboard blackboard, MonotonicTime currentAt, RoundContext context) {
+    Optional<MonotonicTime> known = blackboard.get(Entries.FRESHNESS);
+    boolean newer = known.isEmpty() || currentAt.isAfter(known.get());
+    if (newer && !currentAt.isAfter(context.now())) {
+      blackboard.put(Entries.FRESHNESS, Optional.of(currentAt));
     }
   }
+
+  private void readWhenDue(Blackboard blackboard, RoundContext context) {
+    boolean due = nextReadAt.isEmpty() || !context.now().isBefore(nextReadAt.get());
+    if (due && hasPassed(readStartedAt, READ_TIMEOUT, context)) {
+      readStartedAt = Optional.of(context.now());
+      nextReadAt = Optional.of(Jitter.after(context, READ_INTERVAL));
+      blackboard.submit(new ReadTableRow(ConfigurationRow.ROW));
+    }
+  }
+
+  private static boolean hasPassed(
+      Optional<MonotonicTime> startedAt, Duration timeout, RoundContext context) {
+    return startedAt.isEmpty() || context.now().since(startedAt.get()).compareTo(timeout) >= 0;
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/internal/control/drain/DrainController.java
@@ -0,0 +1,84 @@
+package org.persimmonwalk.internal.control.drain;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.persimmonwalk.blackboard.Blackboard;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.blackboard.RoundContext;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.model.HostPhase;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.PeerRevisions;
+import org.persimmonwalk.observation.SessionsOpen;
+import org.persimmonwalk.observation.StopRequested;
+
+/**
+ * Decides when the host starts serving callers and when a planned stop is complete. It runs after
+ * the controller of the configuration.
+ */
+public final class DrainController implements Controller {
+  /** Bounds the wait for peers, which may all be down, after the first configuration. */
+  private static final Duration PEER_WAIT = Duration.ofSeconds(2);
+
+  private static final Duration STOP_DEADLINE = Duration.ofSeconds(20);
+
+  private Optional<MonotonicTime> configuredAt = Optional.empty();
+
+  private DrainController() {}
+
+  /** Returns the controller. */
+  public static DrainController create() {
+    return new DrainController();
+  }
+
+  @Override
+  public void run(Blackboard blackboard, RoundContext context) {
+    HostPhase phase = blackboard.get(Entries.HOST_PHASE);
+    HostPhase next =
+        switch (phase) {
+          case STARTING -> isReady(blackboard, context) ? HostPhase.SERVING : phase;
+          case DRAINING -> isDrained(blackboard, context) ? HostPhase.STOPPED : phase;
+          case SERVING, STOPPED -> phase;
+        };
+    boolean mayStop = next == HostPhase.STARTING || next == HostPhase.SERVING;
+    if (mayStop && blackboard.observations(StopRequested.class).findAny().isPresent()) {
+      next = HostPhase.DRAINING;
+      blackboard.put(Entries.DRAIN_DEADLINE, Optional.of(context.now().plus(STOP_DEADLINE)));
+    }
+    if (next != phase) {
+      blackboard.put(Entries.HOST_PHASE, next);
+    }
+  }
+
+  private boolean isReady(Blackboard blackboard, RoundContext context) {
+    Revision own = blackboard.get(Entries.CONFIGURATION).revision();
+    if (own.equals(Revision.NONE)) {
+      return false;
+    }
+    if (configuredAt.isEmpty()) {
+      configuredAt = Optional.of(context.now());
+    }
+    PeerRevisions peers = blackboard.get(Entries.PEER_REVISIONS);
+    boolean current = peers.isSufficient() && !peers.highest().isNewerThan(own);
+    return current || context.now().since(configuredAt.get()).compareTo(PEER_WAIT) >= 0;
+  }
+
+  /**
+   * Counts sessions only in rounds after the one that began draining: a count from before may miss
+   * a session that was opened since.
+   */
+  private static boolean isDrained(Blackboard blackboard, RoundContext context) {
+    boolean empty =
+        blackboard
+            .observations(SessionsOpen.class)
+            .reduce((first, second) -> second)
+            .filter(sessions -> sessions.count() == 0)
+            .isPresent();
+    return empty
+        || blackboard
+            .get(Entries.DRAIN_DEADLINE)
+            .filter(deadline -> !context.now().isBefore(deadline))
+            .isPresent();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/internal/control/key/package-info.java
@@ -0,0 +1,2 @@
+/** Which caller keys are valid. */
+package org.persimmonwalk.internal.control.key;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
@@ -0,0 +1,147 @@
+package org.persimmonwalk.internal.control.membership;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.persimmonwalk.blackboard.Blackboard;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.blackboard.RoundContext;
+import org.persimmonwalk.command.ListHosts;
+import org.persimmonwalk.command.SendPeerMessage;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.internal.control.Jitter;
+import org.persimmonwalk.model.Heartbeat;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.HostNews;
+import org.persimmonwalk.model.HostPhase;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.observation.HostsListed;
+import org.persimmonwalk.observation.PeerMessageReceived;
+
+/**
+ * Keeps the set of live entry hosts from the platform's host list and from heartbeats, and
+ * exchanges heartbeats with a few peers.
+ */
+public final class MembershipController implements Controller {
+  private static final Duration LIST_INTERVAL = Duration.ofSeconds(5);
+  private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(1);
+
+  private final HostTable table = HostTable.create();
+  private final PeerDemand demand = PeerDemand.create();
+  private final HostEntry self;
+  private Optional<MonotonicTime> nextListAt = Optional.empty();
+  private Optional<MonotonicTime> nextHeartbeatAt = Optional.empty();
+  private boolean announcedLeaving;
+
+  private MembershipController(HostEntry self) {
+    this.self = Objects.requireNonNull(self, "self");
+  }
+
+  /** Returns the controller of the given host. */
+  public static MembershipController of(HostEntry self) {
+    return new MembershipController(self);
+  }
+
+  @Override
+  public void run(Blackboard blackboard, RoundContext context) {
+    MonotonicTime now = context.now();
+    blackboard.observations(HostsListed.class).forEach(listed -> table.apply(listed, self.id()));
+    List<PeerMessageReceived> heartbeats =
+        blackboard.observations(PeerMessageReceived.class).filter(this::isHeartbeatOfPeer).toList();
+    heartbeats.forEach(received -> apply((Heartbeat) received.message(), now));
+    table.removeObsolete(now);
+    List<KnownHost> live = table.live(now);
+    publish(blackboard, live, now);
+    answer(blackboard, heartbeats, context);
+    sendWhenDue(blackboard, live, context);
+    if (isDue(nextListAt, now)) {
+      nextListAt = Optional.of(Jitter.after(context, LIST_INTERVAL));
+      blackboard.submit(new ListHosts());
+    }
+  }
+
+  private boolean isHeartbeatOfPeer(PeerMessageReceived received) {
+    return received.message() instanceof Heartbeat heartbeat
+        && heartbeat.sender().id().equals(received.from())
+        && !received.from().equals(self.id());
+  }
+
+  private void apply(Heartbeat heartbeat, MonotonicTime now) {
+    table.apply(heartbeat.sender(), now);
+    demand.apply(heartbeat, now);
+    for (HostNews news : heartbeat.heard()) {
+      if (!news.host().id().equals(self.id())) {
+        table.apply(news.host(), now.minus(news.age()));
+      }
+    }
+  }
+
+  private void publish(Blackboard blackboard, List<KnownHost> live, MonotonicTime now) {
+    HostEntry own = ownEntry(blackboard);
+    Map<EntryHostId, HostEntry> entries = new HashMap<>(table.entries());
+    entries.put(own.id(), own);
+    Set<EntryHostId> liveIds = new HashSet<>();
+    live.forEach(known -> liveIds.add(known.entry().id()));
+    demand.retain(liveIds, now);
+    if (!own.leaving()) {
+      liveIds.add(own.id());
+    }
+    blackboard.put(Entries.HOSTS, Map.copyOf(entries));
+    blackboard.put(Entries.LIVE_HOSTS, Set.copyOf(liveIds));
+    blackboard.put(Entries.PEER_DEMAND, demand.byHost());
+  }
+
+  /** Answers first heartbeats; an answer is not answered. */
+  private void answer(
+      Blackboard blackboard, List<PeerMessageReceived> heartbeats, RoundContext context) {
+    for (PeerMessageReceived received : heartbeats) {
+      Heartbeat heartbeat = (Heartbeat) received.message();
+      if (heartbeat.answers().isEmpty()) {
+        blackboard.submit(
+            new SendPeerMessage(
+                received.from(), heartbeat(blackboard, Optional.of(heartbeat.sentAt()), context)));
+      }
+    }
+  }
+
+  private void sendWhenDue(Blackboard blackboard, List<KnownHost> live, RoundContext context) {
+    boolean leaving = ownEntry(blackboard).leaving();
+    if (!isDue(nextHeartbeatAt, context.now()) && leaving == announcedLeaving) {
+      return;
+    }
+    announcedLeaving = leaving;
+    nextHeartbeatAt = Optional.of(Jitter.after(context, HEARTBEAT_INTERVAL));
+    for (HostEntry peer : PeerChoice.targets(live, self.zone(), context.random())) {
+      blackboard.submit(
+          new SendPeerMessage(peer.id(), heartbeat(blackboard, Optional.empty(), context)));
+    }
+  }
+
+  private Heartbeat heartbeat(
+      Blackboard blackboard, Optional<MonotonicTime> answers, RoundContext context) {
+    MonotonicTime now = context.now();
+    return new Heartbeat(
+        ownEntry(blackboard),
+        blackboard.get(Entries.CONFIGURATION).revision(),
+        blackboard.get(Entries.FRESHNESS).map(now::since),
+        now,
+        answers,
+        PeerChoice.news(table.news(now), now, context.random()),
+        PeerDemand.digest(blackboard.get(Entries.OWN_DEMAND)));
+  }
+
+  private HostEntry ownEntry(Blackboard blackboard) {
+    HostPhase phase = blackboard.get(Entries.HOST_PHASE);
+    return self.withLeaving(phase == HostPhase.DRAINING || phase == HostPhase.STOPPED);
+  }
+
+  private static boolean isDue(Optional<MonotonicTime> at, MonotonicTime now) {
+    return at.isEmpty() || !now.isBefore(at.get());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which entry hosts are live, and the heartbeats between them. */
+package org.persimmonwalk.internal.control.membership;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/internal/control/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers that the controllers share. */
+package org.persimmonwalk.internal.control;
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/release/ConfigurationDifference.java
@@ -0,0 +1,36 @@
+package org.persimmonwalk.release;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.DatabaseGroup;
+
+/** Finds the items in which two configurations differ. */
+final class ConfigurationDifference {
+
+  private ConfigurationDifference() {}
+
+  /** Returns the items that one configuration has and the other lacks or has with other content. */
+  static Set<ItemName> between(Configuration first, Configuration second) {
+    Map<ItemName, Object> firstItems = items(first);
+    Map<ItemName, Object> secondItems = items(second);
+    Set<ItemName> names = new TreeSet<>(firstItems.keySet());
+    names.addAll(secondItems.keySet());
+    names.removeIf(
+        name -> firstItems.containsKey(name) && firstItems.get(name).equals(secondItems.get(name)));
+    return names;
+  }
+
+  private static Map<ItemName, Object> items(Configuration configuration) {
+    Map<ItemName, Object> items = new HashMap<>();
+    configuration.workspaces().forEach((id, workspace) -> items.put(ItemName.of(id), workspace));
+    configuration.keys().forEach((hash, key) -> items.put(ItemName.of(hash), key));
+    for (DatabaseGroup group : configuration.groups().values()) {
+      items.put(ItemName.of(group.id()), group);
+      group.servers().forEach(server -> items.put(ItemName.of(server.id()), server));
+    }
+    return items;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/release/ReleaseNote.java
@@ -0,0 +1,89 @@
+package org.persimmonwalk.release;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+
+/**
+ * A change of the configuration that is accepted or refused as a whole.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * ReleaseNote.of(ReleaseNoteId.of("withdraw-key-7"), Revision.of(41))
+ *     .withWithdrawn(List.of(ItemName.of(hash)));
+ * }</pre>
+ *
+ * @param id chosen by the operator's client, different for each release note
+ * @param base the revision that the operator saw
+ * @param added items that the configuration does not have
+ * @param changed items that the configuration has, with their new content
+ * @param withdrawn items that the configuration no longer has
+ * @param leaving servers that get no new work
+ */
+public record ReleaseNote(
+    ReleaseNoteId id,
+    Revision base,
+    List<ReleaseItem> added,
+    List<ReleaseItem> changed,
+    List<ItemName> withdrawn,
+    List<BackendServerId> leaving) {
+
+  /** Copies the lists. */
+  public ReleaseNote {
+    Objects.requireNonNull(id, "id");
+    Objects.requireNonNull(base, "base");
+    added = List.copyOf(added);
+    changed = List.copyOf(changed);
+    withdrawn = List.copyOf(withdrawn);
+    leaving = List.copyOf(leaving);
+  }
+
+  /** Returns a release note without items. */
+  public static ReleaseNote of(ReleaseNoteId id, Revision base) {
+    return new ReleaseNote(id, base, List.of(), List.of(), List.of(), List.of());
+  }
+
+  /** Returns the release note with the given added items. */
+  public ReleaseNote withAdded(List<ReleaseItem> items) {
+    return new ReleaseNote(id, base, items, changed, withdrawn, leaving);
+  }
+
+  /** Returns the release note with the given changed items. */
+  public ReleaseNote withChanged(List<ReleaseItem> items) {
+    return new ReleaseNote(id, base, added, items, withdrawn, leaving);
+  }
+
+  /** Returns the release note with the given withdrawn items. */
+  public ReleaseNote withWithdrawn(List<ItemName> items) {
+    return new ReleaseNote(id, base, added, changed, items, leaving);
+  }
+
+  /** Returns the release note with the given leaving servers. */
+  public ReleaseNote withLeaving(List<BackendServerId> servers) {
+    return new ReleaseNote(id, base, added, changed, withdrawn, servers);
+  }
+
+  /**
+   * Returns the items that the release note touches. A group that is added or changed touches its
+   * servers.
+   */
+  public Set<ItemName> touched() {
+    Set<ItemName> names = new TreeSet<>(withdrawn);
+    leaving.forEach(server -> names.add(ItemName.of(server)));
+    added.forEach(item -> addNames(names, item));
+    changed.forEach(item -> addNames(names, item));
+    return names;
+  }
+
+  private static void addNames(Set<ItemName> names, ReleaseItem item) {
+    names.add(item.name());
+    if (item instanceof ReleaseItem.GroupItem groupItem) {
+      groupItem.group().servers().forEach(server -> names.add(ItemName.of(server.id())));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/release/package-info.java
@@ -0,0 +1,2 @@
+/** Release notes: the changes that operators submit, their merge and their publication. */
+package org.persimmonwalk.release;
