--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -42,17 +42,16 @@
   public static final EntryKey<Map<KeyHash, WorkspaceId>> WITHDRAWN_KEYS =
       EntryKey.of("withdrawnKeys", Map.of());
 
-  /** The zones and endpoints of all known entry hosts, live or not. */
+  /** The zones and endpoints of the other entry hosts that are known, live or not. */
   public static final EntryKey<Map<EntryHostId, HostEntry>> HOSTS = EntryKey.of("hosts", Map.of());
 
   /** The entry hosts that are live; this host is among them unless it stops. */
   public static final EntryKey<Set<EntryHostId>> LIVE_HOSTS = EntryKey.of("liveHosts", Set.of());
 
-  /** Statements per second of each workspace at this host. */
-  public static final EntryKey<Map<WorkspaceId, Double>> OWN_DEMAND =
-      EntryKey.of("ownDemand", Map.of());
+  /** The demand at this host, in statements per second. */
+  public static final EntryKey<Map<WorkspaceId, Double>> DEMAND = EntryKey.of("demand", Map.of());
 
-  /** Statements per second of each workspace at live peers, from their last heartbeats. */
+  /** The demand at other live hosts, in statements per second, from their last heartbeats. */
   public static final EntryKey<Map<EntryHostId, Map<WorkspaceId, Double>>> PEER_DEMAND =
       EntryKey.of("peerDemand", Map.of());
 
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/HostTable.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/HostTable.java
@@ -22,6 +22,9 @@
 
   private Optional<MonotonicTime> listedAt = Optional.empty();
 
+  /** Kept until an entry changes, since most rounds change none. */
+  private Optional<Map<EntryHostId, HostEntry>> entries = Optional.empty();
+
   private HostTable() {}
 
   static HostTable create() {
@@ -38,7 +41,7 @@
     for (HostEntry entry : listed.hosts()) {
       if (!entry.id().equals(self) && named.add(entry.id())) {
         KnownHost known = hosts.get(entry.id());
-        hosts.put(entry.id(), known == null ? KnownHost.listed(entry) : known.withListing(entry));
+        put(known == null ? KnownHost.listed(entry) : known.withListing(entry));
       }
     }
     hosts.replaceAll((id, known) -> named.contains(id) ? known : known.withoutListing());
@@ -48,14 +51,16 @@
   void apply(HostEntry stated, MonotonicTime statedAt) {
     KnownHost known = hosts.get(stated.id());
     if (known != null) {
-      hosts.put(stated.id(), known.withStatement(stated, statedAt));
+      put(known.withStatement(stated, statedAt));
     } else if (unlisted() < UNLISTED_LIMIT) {
-      hosts.put(stated.id(), KnownHost.heard(stated, statedAt));
+      put(KnownHost.heard(stated, statedAt));
     }
   }
 
   void removeObsolete(MonotonicTime now) {
-    hosts.values().removeIf(known -> known.isObsolete(now));
+    if (hosts.values().removeIf(known -> known.isObsolete(now))) {
+      entries = Optional.empty();
+    }
   }
 
   List<KnownHost> live(MonotonicTime now) {
@@ -67,9 +72,19 @@
   }
 
   Map<EntryHostId, HostEntry> entries() {
-    Map<EntryHostId, HostEntry> entries = new HashMap<>();
-    hosts.forEach((id, known) -> entries.put(id, known.entry()));
-    return entries;
+    if (entries.isEmpty()) {
+      Map<EntryHostId, HostEntry> copy = new HashMap<>();
+      hosts.forEach((id, known) -> copy.put(id, known.entry()));
+      entries = Optional.of(Map.copyOf(copy));
+    }
+    return entries.get();
+  }
+
+  private void put(KnownHost host) {
+    KnownHost before = hosts.put(host.entry().id(), host);
+    if (before == null || !before.entry().equals(host.entry())) {
+      entries = Optional.empty();
+    }
   }
 
   private long unlisted() {
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
@@ -1,10 +1,8 @@
 package org.persimmonwalk.internal.control.membership;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -84,15 +82,13 @@
 
   private void publish(Blackboard blackboard, List<KnownHost> live, MonotonicTime now) {
     HostEntry own = ownEntry(blackboard);
-    Map<EntryHostId, HostEntry> entries = new HashMap<>(table.entries());
-    entries.put(own.id(), own);
     Set<EntryHostId> liveIds = new HashSet<>();
     live.forEach(known -> liveIds.add(known.entry().id()));
     demand.retain(liveIds, now);
     if (!own.leaving()) {
       liveIds.add(own.id());
     }
-    blackboard.put(Entries.HOSTS, Map.copyOf(entries));
+    blackboard.put(Entries.HOSTS, table.entries());
     blackboard.put(Entries.LIVE_HOSTS, Set.copyOf(liveIds));
     blackboard.put(Entries.PEER_DEMAND, demand.byHost());
   }
@@ -133,7 +129,7 @@
         now,
         answers,
         PeerChoice.news(table.news(now), now, context.random()),
-        PeerDemand.digest(blackboard.get(Entries.OWN_DEMAND)));
+        PeerDemand.digest(blackboard.get(Entries.DEMAND)));
   }
 
   private HostEntry ownEntry(Blackboard blackboard) {
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of admission decisions. */
+package org.persimmonwalk.admission;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/benchmark/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements that are run by hand. */
+package org.persimmonwalk.benchmark;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the configuration in force. */
+package org.persimmonwalk.internal.control.configuration;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of starting and stopping. */
+package org.persimmonwalk.internal.control.drain;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/release/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of release notes. */
+package org.persimmonwalk.release;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/testing/SpreadHost.java
@@ -0,0 +1,119 @@
+package org.persimmonwalk.testing;
+
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import org.persimmonwalk.blackboard.Command;
+import org.persimmonwalk.blackboard.ControlLoop;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.blackboard.Snapshot;
+import org.persimmonwalk.command.ListHosts;
+import org.persimmonwalk.command.LoadConfiguration;
+import org.persimmonwalk.command.ReadTableRow;
+import org.persimmonwalk.command.SendPeerMessage;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.internal.control.configuration.ConfigurationController;
+import org.persimmonwalk.internal.control.drain.DrainController;
+import org.persimmonwalk.internal.control.key.KeyController;
+import org.persimmonwalk.internal.control.membership.MembershipController;
+import org.persimmonwalk.model.ConfigurationRow;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.VersionedRow;
+import org.persimmonwalk.observation.ConfigurationLoaded;
+import org.persimmonwalk.observation.HostsListed;
+import org.persimmonwalk.observation.TableRowRead;
+import org.persimmonwalk.observation.TableRowReadFailed;
+import org.persimmonwalk.port.CommandExecutor;
+import org.persimmonwalk.port.RandomSource;
+
+/** One host of a {@link SpreadFleet}, with a switch for its way to the store. */
+public final class SpreadHost implements CommandExecutor {
+  private final SpreadFleet fleet;
+  private final HostEntry entry;
+  private final ControlLoop loop;
+  private boolean storeReachable = true;
+
+  private SpreadHost(SpreadFleet fleet, HostEntry entry, List<Controller> controllers, long seed) {
+    this.fleet = fleet;
+    this.entry = entry;
+    this.loop = ControlLoop.of(controllers, this, fleet.clock(), RandomSource.seeded(seed));
+  }
+
+  static SpreadHost of(
+      SpreadFleet fleet, HostEntry entry, List<Controller> controllers, long seed) {
+    return new SpreadHost(fleet, entry, controllers, seed);
+  }
+
+  /** Returns the controllers of this concern, in the order of the entry host. */
+  public static List<Controller> controllers(HostEntry entry) {
+    return List.of(
+        ConfigurationController.create(),
+        KeyController.create(),
+        MembershipController.of(entry),
+        DrainController.create());
+  }
+
+  /** Cuts the host off from the store or connects it again; the host list stays readable. */
+  public void setStoreReachable(boolean reachable) {
+    storeReachable = reachable;
+  }
+
+  /** Returns the host's own entry. */
+  public HostEntry entry() {
+    return entry;
+  }
+
+  /** Returns the revision in force at the host. */
+  public Revision revision() {
+    return snapshot().get(Entries.CONFIGURATION).revision();
+  }
+
+  /** Returns the newest snapshot. */
+  public Snapshot snapshot() {
+    return loop.snapshot();
+  }
+
+  /** Queues an observation for the next round. */
+  public void post(Observation observation) {
+    loop.post(observation);
+  }
+
+  void runRound() {
+    loop.runRound();
+  }
+
+  @Override
+  public void execute(Command command) {
+    MonotonicTime startedAt = fleet.clock().now();
+    if (command instanceof SendPeerMessage send) {
+      fleet.send(entry.id(), send.to(), send.message());
+    } else if (command instanceof ListHosts) {
+      List<HostEntry> hosts = fleet.hostList();
+      fleet.later(() -> post(new HostsListed(hosts, startedAt)));
+    } else if (command instanceof ReadTableRow && storeReachable) {
+      VersionedRow read = now(fleet.store().read(ConfigurationRow.ROW));
+      TableRowRead result =
+          new TableRowRead(ConfigurationRow.ROW, read.version(), read.value(), startedAt);
+      fleet.later(() -> post(result));
+    } else if (command instanceof ReadTableRow) {
+      fleet.later(() -> post(new TableRowReadFailed(ConfigurationRow.ROW, startedAt)));
+    } else if (command instanceof LoadConfiguration && storeReachable) {
+      load(startedAt);
+    }
+  }
+
+  private void load(MonotonicTime startedAt) {
+    ConfigurationRow row =
+        (ConfigurationRow) now(fleet.store().read(ConfigurationRow.ROW)).value().orElseThrow();
+    ConfigurationLoaded loaded =
+        new ConfigurationLoaded(
+            now(fleet.store().get(row.object())).orElseThrow().configuration(), startedAt);
+    fleet.later(() -> post(loaded));
+  }
+
+  private static <T> T now(CompletionStage<T> stage) {
+    return stage.toCompletableFuture().join();
+  }
+}
