--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/membership/MembershipControllerTest.java
@@ -0,0 +1,192 @@
+package org.persimmonwalk.internal.control.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.blackboard.ControlLoop;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.command.SendPeerMessage;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.Heartbeat;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.HostNews;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.observation.HostsListed;
+import org.persimmonwalk.observation.PeerMessageReceived;
+import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.testing.FakeClock;
+import org.persimmonwalk.testing.RecordingCommandExecutor;
+import org.persimmonwalk.testing.SpreadFleet;
+
+class MembershipControllerTest {
+  private static final HostEntry SELF = SpreadFleet.entry("self", "zone-0");
+  private static final HostEntry PEER = SpreadFleet.entry("peer", "zone-0");
+  private static final HostEntry THIRD = SpreadFleet.entry("third", "zone-1");
+
+  private final FakeClock clock = new FakeClock();
+  private final RecordingCommandExecutor executor = new RecordingCommandExecutor();
+  private final ControlLoop loop =
+      ControlLoop.of(
+          List.of(MembershipController.of(SELF)), executor, clock, RandomSource.seeded(1));
+
+  /** Guards against share taken from a host that lives, because the host list lags. */
+  @Test
+  void shouldTrustHeartbeatOverListThatSaysLeaving() {
+    list(PEER.withLeaving(true), THIRD.withLeaving(true));
+    assertThat(live()).doesNotContain(PEER.id(), THIRD.id());
+
+    receive(PEER, HostNews.of(THIRD, Duration.ofSeconds(2)));
+    assertThat(live()).contains(PEER.id(), THIRD.id());
+
+    clock.advance(Duration.ofMillis(3100));
+    loop.runRound();
+    assertThat(live()).contains(PEER.id()).doesNotContain(THIRD.id());
+  }
+
+  /** Guards against share given to a host that stops, because the host list lags. */
+  @Test
+  void shouldTrustLeavingHostOverListThatSaysLive() {
+    list(PEER, THIRD);
+    assertThat(live()).contains(PEER.id(), THIRD.id());
+
+    receive(PEER.withLeaving(true), HostNews.of(THIRD.withLeaving(true), Duration.ofSeconds(1)));
+    clock.advance(Duration.ofSeconds(10));
+    list(PEER, THIRD);
+
+    assertThat(live()).containsExactly(SELF.id());
+  }
+
+  /** Guards against old news, passed on in a circle, that keeps a dead host alive. */
+  @Test
+  void shouldNotTakeOldNewsForNewNews() {
+    receive(PEER, HostNews.of(THIRD, Duration.ofSeconds(1)));
+    clock.advance(Duration.ofSeconds(3));
+    receive(PEER, HostNews.of(THIRD, Duration.ofSeconds(4)));
+    clock.advance(Duration.ofMillis(1500));
+    receive(PEER, HostNews.of(THIRD, Duration.ofMillis(5500)));
+
+    assertThat(live()).doesNotContain(THIRD.id());
+  }
+
+  /** Guards against an unlisted host that stays known for ever. */
+  @Test
+  void shouldForgetUnlistedHost() {
+    receive(PEER);
+    assertThat(loop.snapshot().get(Entries.HOSTS)).containsKey(PEER.id());
+
+    clock.advance(Duration.ofSeconds(61));
+    loop.runRound();
+    assertThat(loop.snapshot().get(Entries.HOSTS)).isEmpty();
+  }
+
+  /** Guards against heartbeats whose number or size grows with the number of hosts. */
+  @Test
+  void shouldSendFourBoundedHeartbeatsASecond() {
+    list(
+        IntStream.range(0, 430)
+            .mapToObj(index -> SpreadFleet.entry("host-" + index, "zone-" + index % 7))
+            .toArray(HostEntry[]::new));
+    IntStream.range(0, 430)
+        .mapToObj(index -> SpreadFleet.entry("host-" + index, "zone-" + index % 7))
+        .forEach(this::receive);
+    executor.take(SendPeerMessage.class);
+
+    int seconds = 100;
+    int sent = 0;
+    int inZone = 0;
+    for (int step = 0; step < seconds * 10; step++) {
+      clock.advance(Duration.ofMillis(100));
+      loop.runRound();
+      for (SendPeerMessage message : executor.take(SendPeerMessage.class)) {
+        sent++;
+        HostEntry target = loop.snapshot().get(Entries.HOSTS).get(message.to());
+        inZone += target.zone().equals(SELF.zone()) ? 1 : 0;
+        assertThat(((Heartbeat) message.message()).heard())
+            .hasSizeLessThanOrEqualTo(Heartbeat.HEARD_LIMIT);
+      }
+    }
+
+    assertThat(sent).isBetween(seconds * 4 - 40, seconds * 4 + 40);
+    assertThat(inZone * 4).isEqualTo(sent * 3);
+  }
+
+  /** Guards against answers to answers, and against answers that lack the time of the question. */
+  @Test
+  void shouldAnswerFirstHeartbeatsOnly() {
+    loop.runRound();
+    executor.take(SendPeerMessage.class);
+    receive(PEER);
+    assertThat(executor.take(SendPeerMessage.class))
+        .filteredOn(sent -> ((Heartbeat) sent.message()).answers().isPresent())
+        .singleElement()
+        .satisfies(
+            sent -> {
+              assertThat(sent.to()).isEqualTo(PEER.id());
+              assertThat(((Heartbeat) sent.message()).answers()).contains(MonotonicTime.of(77));
+            });
+
+    loop.post(
+        new PeerMessageReceived(
+            PEER.id(), heartbeat(PEER, Map.of(), Optional.of(clock.now()), List.of())));
+    loop.runRound();
+    assertThat(executor.take(SendPeerMessage.class)).isEmpty();
+  }
+
+  /** Guards against demand of hosts that are gone. */
+  @Test
+  void shouldKeepDemandOfLivePeers() {
+    Map<WorkspaceId, Double> demand = Map.of(WorkspaceId.of("oil"), 12.5);
+    loop.post(
+        new PeerMessageReceived(PEER.id(), heartbeat(PEER, demand, Optional.empty(), List.of())));
+    loop.runRound();
+    assertThat(loop.snapshot().get(Entries.PEER_DEMAND)).isEqualTo(Map.of(PEER.id(), demand));
+
+    clock.advance(Duration.ofSeconds(6));
+    loop.runRound();
+    assertThat(loop.snapshot().get(Entries.PEER_DEMAND)).isEmpty();
+  }
+
+  /** Guards against one host that speaks in the name of another. */
+  @Test
+  void shouldIgnoreHeartbeatUnderForeignName() {
+    loop.post(
+        new PeerMessageReceived(
+            THIRD.id(), heartbeat(PEER, new HashMap<>(), Optional.empty(), List.of())));
+    loop.runRound();
+
+    assertThat(live()).containsExactly(SELF.id());
+  }
+
+  private void list(HostEntry... hosts) {
+    loop.post(new HostsListed(List.of(hosts), clock.now()));
+    loop.runRound();
+  }
+
+  private void receive(HostEntry sender, HostNews... news) {
+    loop.post(
+        new PeerMessageReceived(
+            sender.id(), heartbeat(sender, Map.of(), Optional.empty(), List.of(news))));
+    loop.runRound();
+  }
+
+  private static Heartbeat heartbeat(
+      HostEntry sender,
+      Map<WorkspaceId, Double> demand,
+      Optional<MonotonicTime> answers,
+      List<HostNews> news) {
+    return new Heartbeat(
+        sender, Revision.of(1), Optional.empty(), MonotonicTime.of(77), answers, news, demand);
+  }
+
+  private Iterable<EntryHostId> live() {
+    return loop.snapshot().get(Entries.LIVE_HOSTS);
+  }
+}
