--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/PeerMessage.java
@@ -0,0 +1,4 @@
+package org.persimmonwalk.model;
+
+/** A typed message between entry hosts. */
+public interface PeerMessage {}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/observation/TokenOrderDone.java
@@ -0,0 +1,15 @@
+package org.persimmonwalk.observation;
+
+import java.util.Objects;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.id.WorkspaceId;
+
+/** The admission policy has carried out a token order and withdrawn the given tokens. */
+public record TokenOrderDone(WorkspaceId workspace, long number, double withdrawn)
+    implements Observation {
+
+  /** Checks that all parts are present. */
+  public TokenOrderDone {
+    Objects.requireNonNull(workspace, "workspace");
+  }
+}
