Lease workspace shares and connection allowances from table rows

One allocation serves both: grants by compare-and-set with read-back, transfers that the receiver asks for, and lease ends counted by each host on its own clock.

--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
@@ -0,0 +1,178 @@
+package org.persimmonwalk.internal.control.share;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.OptionalDouble;
+import org.persimmonwalk.blackboard.Blackboard;
+import org.persimmonwalk.blackboard.RoundContext;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.internal.control.lease.FairSplit;
+import org.persimmonwalk.internal.control.lease.Fleet;
+import org.persimmonwalk.internal.control.lease.LeaseSettings;
+import org.persimmonwalk.internal.control.lease.LeasedUse;
+import org.persimmonwalk.internal.control.lease.RowAllocation;
+import org.persimmonwalk.internal.control.lease.RowInbox;
+import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.ShareLease;
+import org.persimmonwalk.model.ShareRequest;
+import org.persimmonwalk.model.TableRow;
+import org.persimmonwalk.model.TokenOrder;
+import org.persimmonwalk.model.Workspace;
+import org.persimmonwalk.observation.DemandMeasured;
+import org.persimmonwalk.observation.TokenOrderDone;
+
+/** This host's part of one workspace; the units are millionths of its rate and burst. */
+final class WorkspaceShare implements LeasedUse {
+  /** Arrivals vary, so a host needs more than its mean demand to refuse almost nothing. */
+  private static final double HEADROOM = 1.25;
+
+  /** The part of an equal share that counts as demand of a host without any. */
+  private static final double IDLE_DEMAND = 0.1;
+
+  /** Statements that a host without demand can still run at once when a caller comes. */
+  private static final double IDLE_BURST = 2;
+
+  /** Transfers of less than this part of an equal share are not worth a message. */
+  private static final int SMALLEST_TRANSFER = 20;
+
+  private static final Duration MEASUREMENT_AGE = Duration.ofSeconds(1);
+
+  private final TableRow row;
+  private final RowAllocation allocation;
+  private final TokenMoves moves;
+  private Workspace workspace;
+  private Fleet fleet;
+  private Map<EntryHostId, Map<WorkspaceId, Double>> peerDemands = Map.of();
+  private double demand;
+  private double tokens;
+  private MonotonicTime measuredAt;
+
+  private WorkspaceShare(WorkspaceId id, LeaseSettings settings, MonotonicTime now) {
+    this.row = TableRow.of(ShareController.TABLE, id.value());
+    this.allocation = RowAllocation.of(row, settings, now);
+    this.moves = TokenMoves.create();
+    this.measuredAt = now;
+  }
+
+  static WorkspaceShare of(WorkspaceId id, LeaseSettings settings, MonotonicTime now) {
+    return new WorkspaceShare(id, settings, now);
+  }
+
+  void configure(Workspace configured) {
+    workspace = configured;
+  }
+
+  void measured(DemandMeasured measured) {
+    demand = measured.demand();
+    tokens = measured.tokens();
+    measuredAt = measured.measuredAt();
+  }
+
+  void orderDone(TokenOrderDone done) {
+    moves.done(done.number(), done.withdrawn());
+  }
+
+  double measuredDemand() {
+    return demand;
+  }
+
+  /** Runs the allocation and returns the lease to publish. */
+  ShareLease run(
+      Blackboard blackboard,
+      RoundContext context,
+      Fleet newFleet,
+      RowInbox inbox,
+      Map<EntryHostId, Map<WorkspaceId, Double>> newPeerDemands) {
+    fleet = newFleet;
+    peerDemands = newPeerDemands;
+    allocation.run(blackboard, context, fleet, this, inbox.of(row));
+    MonotonicTime now = context.now();
+    double part = (double) allocation.available(now) / total();
+    TokenOrder order = moves.order();
+    double reserved = allocation.reservedTokens(now) + moves.waitingDeposit();
+    double burst = Math.max(0, part * workspace.burst() - reserved);
+    return ShareLease.of(part * workspace.rate(), burst, allocation.end(now), order);
+  }
+
+  @Override
+  public long total() {
+    return GrantTable.SHARE_TOTAL;
+  }
+
+  @Override
+  public double demand() {
+    return demand + IDLE_DEMAND * workspace.rate() / hosts();
+  }
+
+  @Override
+  public boolean isShort(long held, MonotonicTime now) {
+    if (demand <= 0) {
+      return false;
+    }
+    double burst = tokensIn(held);
+    boolean measured = now.since(measuredAt).compareTo(MEASUREMENT_AGE) < 0;
+    return rate(held) < HEADROOM * demand
+        || burst < Math.min(IDLE_BURST, workspace.burst())
+        || (measured && tokens < Math.max(1, burst / 4));
+  }
+
+  @Override
+  public double tokensToAsk(long held) {
+    return Math.max(0, tokensIn(held) - tokens);
+  }
+
+  @Override
+  public long unitsToGive(long held, ShareRequest request) {
+    double equalPart = (double) total() / hosts();
+    double oneStatement = total() / workspace.burst();
+    double kept = Math.min(equalPart / 2, IDLE_BURST * oneStatement);
+    if (demand > 0) {
+      kept = Math.max(kept, oneStatement);
+    }
+    long fair = FairSplit.unitsToGive(held, demand(), request.held(), request.demand());
+    long units = Math.min(fair, held - (long) Math.ceil(kept));
+    return units < equalPart / SMALLEST_TRANSFER ? 0 : units;
+  }
+
+  @Override
+  public void release(long units, double requestedTokens) {
+    moves.withdraw(requestedTokens + tokensIn(units));
+  }
+
+  @Override
+  public OptionalDouble released(long held) {
+    return moves.takeWithdrawn();
+  }
+
+  @Override
+  public double tokensIn(long units) {
+    return units * workspace.burst() / total();
+  }
+
+  @Override
+  public void deposit(double added) {
+    moves.deposit(added);
+    tokens += added;
+  }
+
+  /** A lowered lease is in force before the commands of the round are carried out. */
+  @Override
+  public long inUse() {
+    return 0;
+  }
+
+  @Override
+  public double peerDemand(EntryHostId peer) {
+    return peerDemands.getOrDefault(peer, Map.of()).getOrDefault(workspace.id(), 0.0);
+  }
+
+  private double rate(long units) {
+    return units * workspace.rate() / total();
+  }
+
+  private int hosts() {
+    return Math.max(1, fleet.live().size());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the admission policies. */
+package org.persimmonwalk.admission;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/benchmark/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements that no test depends on. */
+package org.persimmonwalk.benchmark;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of connection allowances. */
+package org.persimmonwalk.internal.control.allowance;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/share/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of workspace shares. */
+package org.persimmonwalk.internal.control.share;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeTableStore.java
@@ -0,0 +1,112 @@
+package org.persimmonwalk.testing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.command.CompareAndSetTableRow;
+import org.persimmonwalk.command.ReadTableRow;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.RowValue;
+import org.persimmonwalk.model.RowVersion;
+import org.persimmonwalk.model.TableRow;
+import org.persimmonwalk.model.WriteOutcome;
+import org.persimmonwalk.observation.TableRowRead;
+import org.persimmonwalk.observation.TableRowReadFailed;
+import org.persimmonwalk.observation.TableRowWritten;
+import org.persimmonwalk.port.RandomSource;
+
+/** A table service that can be down, and that loses or delays some answers and writes. */
+public final class FakeTableStore {
+  private static final Duration ONE_WAY = Duration.ofMillis(3);
+
+  private final SimulatedTime time;
+  private final RandomSource random;
+  private final Map<TableRow, RowVersion> versions = new HashMap<>();
+  private final Map<TableRow, RowValue> values = new HashMap<>();
+  private boolean down;
+  private int percentLost;
+  private long reads;
+  private long writes;
+
+  /** Creates a store without rows. */
+  public FakeTableStore(SimulatedTime time, RandomSource random) {
+    this.time = time;
+    this.random = random;
+  }
+
+  /** Stops or starts the service. */
+  public void setDown(boolean newDown) {
+    down = newDown;
+  }
+
+  /** Loses the answers to this percentage of writes, half of which take effect seconds later. */
+  public void setPercentLost(int percent) {
+    percentLost = percent;
+  }
+
+  /** Returns the value of a row. */
+  public Optional<RowValue> value(TableRow row) {
+    return Optional.ofNullable(values.get(row));
+  }
+
+  /** Returns how many reads and writes came. */
+  public long requests() {
+    return reads + writes;
+  }
+
+  /** Reads a row for a host. */
+  public void read(ReadTableRow command, MonotonicTime startedAt, Consumer<Observation> answer) {
+    reads++;
+    time.after(
+        ONE_WAY,
+        () -> {
+          TableRow row = command.row();
+          Observation result =
+              down
+                  ? new TableRowReadFailed(row, startedAt)
+                  : new TableRowRead(row, version(row), value(row), startedAt);
+          time.after(ONE_WAY, () -> answer.accept(result));
+        });
+  }
+
+  /** Writes a row for a host. */
+  public void write(
+      CompareAndSetTableRow command, MonotonicTime startedAt, Consumer<Observation> answer) {
+    writes++;
+    boolean lost = random.nextInt(100) < percentLost;
+    boolean late = lost && random.nextInt(2) == 0;
+    time.after(
+        late ? Duration.ofSeconds(random.nextInt(8)) : ONE_WAY,
+        () -> {
+          WriteOutcome outcome = down ? WriteOutcome.UNAVAILABLE : apply(command);
+          if (!late) {
+            WriteOutcome told = lost ? WriteOutcome.UNKNOWN : outcome;
+            TableRow row = command.row();
+            Observation result = new TableRowWritten(row, told, version(row), startedAt);
+            time.after(ONE_WAY, () -> answer.accept(result));
+          }
+        });
+    if (late) {
+      Observation result =
+          new TableRowWritten(command.row(), WriteOutcome.UNKNOWN, RowVersion.ABSENT, startedAt);
+      time.after(ONE_WAY.multipliedBy(2), () -> answer.accept(result));
+    }
+  }
+
+  private WriteOutcome apply(CompareAndSetTableRow command) {
+    RowVersion current = version(command.row());
+    if (!current.equals(command.expected())) {
+      return WriteOutcome.CONFLICT;
+    }
+    versions.put(command.row(), RowVersion.of(current.number() + 1));
+    values.put(command.row(), command.value());
+    return WriteOutcome.WRITTEN;
+  }
+
+  private RowVersion version(TableRow row) {
+    return versions.getOrDefault(row, RowVersion.ABSENT);
+  }
+}
