--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
@@ -0,0 +1,135 @@
+package org.persimmonwalk.internal.control.allowance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.internal.control.lease.LeaseSettings;
+import org.persimmonwalk.model.BackendServer;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.DatabaseGroup;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.testing.FakeFleet;
+import org.persimmonwalk.testing.FakeHost;
+
+/** A backend server never gets more connections than it accepts. */
+class AllowanceControllerTest {
+  private static final BackendServerId SERVER = BackendServerId.of("a");
+  private static final int CONNECTIONS = 20;
+  private static final Duration STEP = Duration.ofMillis(50);
+  private static final LeaseSettings SETTINGS =
+      new LeaseSettings(Duration.ofSeconds(60), Duration.ofSeconds(2));
+
+  private FakeFleet fleet;
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void shouldNeverExceedConnectionsOfServer(long seed) {
+    fleet = new FakeFleet(6, SETTINGS, configuration(1, CONNECTIONS), seed);
+    fleet.store().setPercentLost(30);
+    fleet.network().setPercentDisturbed(5);
+    for (int second = 0; second < 300; second++) {
+      disturb();
+      run(Duration.ofSeconds(1), CONNECTIONS);
+    }
+    fleet.store().setDown(false);
+    fleet.store().setPercentLost(0);
+    fleet.network().setPercentDisturbed(0);
+    fleet.network().setSplit(false);
+    fleet.hosts().forEach(host -> host.wantConnections(SERVER, CONNECTIONS));
+    run(Duration.ofSeconds(240), CONNECTIONS);
+    assertThat(open()).isGreaterThan(CONNECTIONS / 2);
+  }
+
+  @Test
+  void shouldMoveConnectionsToHostThatWantsThem() {
+    fleet = new FakeFleet(4, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet.hosts().forEach(host -> host.wantConnections(SERVER, 2));
+    run(Duration.ofSeconds(5), CONNECTIONS);
+    fleet.hosts().get(0).wantConnections(SERVER, 12);
+    run(Duration.ofSeconds(10), CONNECTIONS);
+    assertThat(fleet.hosts().get(0).connections(SERVER)).isGreaterThanOrEqualTo(10);
+  }
+
+  /** The allowance must fall while the lease still runs, so that there is time to close. */
+  @Test
+  void shouldLowerAllowanceBeforeLeaseEnds() {
+    fleet = new FakeFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet.hosts().forEach(host -> host.wantConnections(SERVER, 10));
+    run(Duration.ofSeconds(5), CONNECTIONS);
+    assertThat(open()).isEqualTo(CONNECTIONS);
+    fleet.store().setDown(true);
+    run(Duration.ofSeconds(49), CONNECTIONS);
+    assertThat(open()).isZero();
+  }
+
+  /** A server that accepts fewer connections than before must not get the old number for long. */
+  @Test
+  void shouldFollowLoweredConnectionsOfServer() {
+    fleet = new FakeFleet(4, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet.hosts().forEach(host -> host.wantConnections(SERVER, 10));
+    run(Duration.ofSeconds(5), CONNECTIONS);
+    fleet.hosts().forEach(host -> host.configure(configuration(2, 8)));
+    fleet.time().advance(Duration.ofSeconds(1));
+    run(Duration.ofSeconds(60), 8);
+    assertThat(open()).isGreaterThanOrEqualTo(6);
+  }
+
+  private void disturb() {
+    int choice = fleet.random().nextInt(40);
+    FakeHost host = fleet.hosts().get(fleet.random().nextInt(fleet.hosts().size()));
+    if (choice == 0 && fleet.hosts().size() > 3) {
+      fleet.kill(host);
+    } else if (choice == 1 && fleet.hosts().size() < 9) {
+      fleet.join();
+    } else if (choice == 2) {
+      fleet.pause(host, Duration.ofMillis(fleet.random().nextInt(1500)));
+    } else if (choice == 3) {
+      fleet.store().setDown(fleet.random().nextInt(2) == 0);
+    } else if (choice == 4) {
+      fleet.network().setSplit(fleet.random().nextInt(2) == 0);
+    } else if (choice == 5 && fleet.hosts().size() > 3) {
+      fleet.stop(host);
+    } else {
+      host.wantConnections(SERVER, fleet.random().nextInt(CONNECTIONS));
+    }
+  }
+
+  private void run(Duration span, int limit) {
+    for (long step = 0; step < span.dividedBy(STEP); step++) {
+      fleet.time().advance(STEP);
+      assertThat(open()).isLessThanOrEqualTo(limit);
+    }
+  }
+
+  private int open() {
+    return fleet.hosts().stream().mapToInt(host -> host.connections(SERVER)).sum();
+  }
+
+  private static Configuration configuration(long revision, int connections) {
+    BackendServer server =
+        BackendServer.of(
+            SERVER,
+            AvailabilityZone.of("zone-a"),
+            SocketEndpoint.of("127.0.0.1", 5432),
+            2,
+            connections);
+    DatabaseGroup group =
+        DatabaseGroup.of(DatabaseGroupId.of("g"), List.of(server), Duration.ofSeconds(30));
+    return new Configuration(
+        Revision.of(revision),
+        ReleaseNoteId.of("note-" + revision),
+        Map.of(),
+        Map.of(),
+        Map.of(group.id(), group));
+  }
+}
