--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.KeyHash;
@@ -14,6 +15,7 @@
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.PeerRevisions;
+import org.persimmonwalk.model.ShareLease;
 
 /** The entries of the blackboard; each is written by one controller. */
 public final class Entries {
@@ -62,5 +64,13 @@
   public static final EntryKey<Optional<MonotonicTime>> DRAIN_DEADLINE =
       EntryKey.of("drainDeadline", Optional.empty());
 
+  /** This host's part of the rate and burst of each workspace. */
+  public static final EntryKey<Map<WorkspaceId, ShareLease>> SHARES =
+      EntryKey.of("shares", Map.of());
+
+  /** The connections that this host may have open to each backend server. */
+  public static final EntryKey<Map<BackendServerId, Integer>> CONNECTION_ALLOWANCES =
+      EntryKey.of("connection allowances", Map.of());
+
   private Entries() {}
 }
