--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
@@ -17,12 +17,13 @@
 import org.persimmonwalk.model.BackendServer;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.DatabaseGroup;
+import org.persimmonwalk.model.GrantTable;
 import org.persimmonwalk.observation.ConnectionsCounted;
 
 /** Leases connections to backend servers and moves them to hosts that want more. */
 public final class AllowanceController implements Controller {
   /** The table with one row per backend server. */
-  public static final String TABLE = "connection-allowances";
+  public static final String TABLE = GrantTable.SERVER_TABLE;
 
   private final EntryHostId self;
   private final LeaseSettings settings;
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.internal.control.lease.Fleet;
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
 import org.persimmonwalk.internal.control.lease.RowInbox;
+import org.persimmonwalk.model.GrantTable;
 import org.persimmonwalk.model.ShareLease;
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.observation.DemandMeasured;
@@ -20,7 +21,7 @@
 /** Leases parts of the workspaces' rates and bursts and moves them to hosts with demand. */
 public final class ShareController implements Controller {
   /** The table with one row per workspace. */
-  public static final String TABLE = "workspace-shares";
+  public static final String TABLE = GrantTable.WORKSPACE_TABLE;
 
   private final EntryHostId self;
   private final LeaseSettings settings;
--- a/core/src/main/java/org/persimmonwalk/model/GrantTable.java
+++ b/core/src/main/java/org/persimmonwalk/model/GrantTable.java
@@ -16,6 +16,12 @@
  */
 public record GrantTable(long total, Map<EntryHostId, Grant> grants) implements RowValue {
 
+  /** The table with a row for each workspace. */
+  public static final String WORKSPACE_TABLE = "workspace-shares";
+
+  /** The table with a row for each backend server. */
+  public static final String SERVER_TABLE = "connection-allowances";
+
   /** The parts into which a workspace's rate and burst are divided. */
   public static final long SHARE_TOTAL = 1_000_000;
 
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/result/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the result codes. */
+package org.persimmonwalk.result;
