Keep connections inside the allowance and leave replaced primaries

Cause: pools took a fixed part of a server's connections, and an isolated primary held statements until the answer timeout.

--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -71,7 +71,7 @@
     pools =
         ServerPools.of(
             connector, server -> Math.max(1, server.connections() / HOSTS_PER_SERVER - 1));
-    monitors = MonitorConnections.of(connector, SAMPLE_TIMEOUT);
+    monitors = MonitorConnections.of(connector, SAMPLE_TIMEOUT, server -> true);
     dispatcher.register(
         SampleServer.class, SampleServerHandler.of(monitors, this::groupOf, clock, control::post));
     SnapshotWaiters waiters = SnapshotWaiters.create();
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/MonitorConnections.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/MonitorConnections.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.model.BackendServer;
@@ -30,19 +31,24 @@
       new ConcurrentHashMap<>();
   private final BackendConnector connector;
   private final Duration timeout;
+  private final Predicate<BackendServerId> allowed;
 
-  private MonitorConnections(BackendConnector connector, Duration timeout) {
+  private MonitorConnections(
+      BackendConnector connector, Duration timeout, Predicate<BackendServerId> allowed) {
     this.connector = connector;
     this.timeout = timeout;
+    this.allowed = allowed;
   }
 
   /**
    * Returns a set without connections.
    *
    * @param timeout how long a server may take to answer
+   * @param allowed tells whether this host may have a connection to a server now
    */
-  public static MonitorConnections of(BackendConnector connector, Duration timeout) {
-    return new MonitorConnections(connector, timeout);
+  public static MonitorConnections of(
+      BackendConnector connector, Duration timeout, Predicate<BackendServerId> allowed) {
+    return new MonitorConnections(connector, timeout, allowed);
   }
 
   /**
@@ -52,6 +58,12 @@
    */
   public CompletionStage<List<String>> query(
       DatabaseGroupId group, BackendServer server, String statement) {
+    if (!allowed.test(server.id())) {
+      closeUnallowed(server.id());
+      return CompletableFuture.failedStage(
+          PersimmonwalkException.of(
+              ResultCode.NO_CONNECTION, "no connection to " + server.id() + " is allowed now"));
+    }
     CompletionStage<BackendConnection> connection =
         connections.computeIfAbsent(
             server.id(), id -> connector.connect(group, server, this::forget));
@@ -60,6 +72,18 @@
         .thenCompose(opened -> run(opened, statement));
   }
 
+  /** Returns whether a connection to the server is open or being opened. */
+  public boolean isConnected(BackendServerId server) {
+    return connections.containsKey(server);
+  }
+
+  private void closeUnallowed(BackendServerId server) {
+    CompletionStage<BackendConnection> connection = connections.remove(server);
+    if (connection != null) {
+      connection.thenAccept(BackendConnection::close);
+    }
+  }
+
   /** Closes all connections. */
   public void close() {
     connections.values().forEach(stage -> stage.thenAccept(BackendConnection::close));
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ReplacedPrimaries.java
@@ -0,0 +1,44 @@
+package org.persimmonwalk.internal.traffic.backend;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.blackboard.Snapshot;
+import org.persimmonwalk.blackboard.SnapshotListener;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.model.GroupView;
+
+/**
+ * Closes the connections to a primary that has been replaced. An isolated server may never answer,
+ * and none of its answers may be passed on.
+ */
+public final class ReplacedPrimaries implements SnapshotListener {
+  private final ServerPools pools;
+  private final Map<DatabaseGroupId, BackendServerId> primaries = new HashMap<>();
+
+  private ReplacedPrimaries(ServerPools pools) {
+    this.pools = pools;
+  }
+
+  /** Returns a listener that closes connections of the pools. */
+  public static ReplacedPrimaries of(ServerPools pools) {
+    return new ReplacedPrimaries(pools);
+  }
+
+  @Override
+  public void published(Snapshot snapshot) {
+    snapshot.get(Entries.GROUPS).values().forEach(this::compare);
+  }
+
+  private void compare(GroupView group) {
+    group.primary().ifPresent(primary -> replace(group.id(), primary));
+  }
+
+  private void replace(DatabaseGroupId group, BackendServerId primary) {
+    BackendServerId before = primaries.put(group, primary);
+    if (before != null && !before.equals(primary)) {
+      pools.find(before).ifPresent(ServerPool::closeConnections);
+    }
+  }
+}
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPool.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPool.java
@@ -27,6 +27,7 @@
   private final Set<BackendConnection> open = new HashSet<>();
   private final Deque<ConnectionWaiter> waiters = new ArrayDeque<>();
   private int opening;
+  private int peak;
   private boolean closed;
 
   private ServerPool(
@@ -62,6 +63,7 @@
         actions.add(() -> waiter.refused(code));
       } else {
         waiters.add(waiter);
+        peak = Math.max(peak, outstanding());
         dispatch(actions);
       }
     }
@@ -97,6 +99,40 @@
     return open.size() - idle.size() + waiters.size();
   }
 
+  /** Returns the connections that are open or being opened. */
+  public synchronized int openConnections() {
+    return open.size() + opening;
+  }
+
+  /** Returns the most statements that held or awaited a connection since the last call. */
+  public synchronized int takePeak() {
+    int taken = Math.max(peak, outstanding());
+    peak = outstanding();
+    return taken;
+  }
+
+  /** Closes idle connections beyond the allowance; those in use close when they are released. */
+  public void shrink() {
+    List<Runnable> actions = new ArrayList<>();
+    synchronized (this) {
+      int excess = openConnections() - allowance.getAsInt();
+      while (excess > 0 && !idle.isEmpty()) {
+        actions.add(idle.removeLast()::close);
+        excess--;
+      }
+    }
+    actions.forEach(Runnable::run);
+  }
+
+  /** Closes all connections, also those in use; the outcome of their statements is classified. */
+  public void closeConnections() {
+    List<BackendConnection> closing;
+    synchronized (this) {
+      closing = List.copyOf(open);
+    }
+    closing.forEach(BackendConnection::close);
+  }
+
   /** Closes the idle connections and refuses those that wait; others close when released. */
   public void close() {
     List<Runnable> actions = new ArrayList<>();
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPools.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPools.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.traffic.backend;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -36,6 +37,11 @@
     return pool == null ? 0 : pool.outstanding();
   }
 
+  /** Returns the pool of a server if a statement has used it. */
+  public Optional<ServerPool> find(BackendServerId server) {
+    return Optional.ofNullable(pools.get(server));
+  }
+
   /** Closes all pools. */
   public void close() {
     pools.values().forEach(ServerPool::close);
