Add the benchmark of configuration spreading

Cause: a configuration must reach every host within 5 s, also hosts without the store, at a bounded cost per host. Change: SpreadBenchmark runs 20 and 430 hosts on a fake clock, half of them cut off from the store, next to a baseline that only polls the store. The size of messages is computed without the encoder.

--- a/core/src/test/java/org/persimmonwalk/admission/KeyPolicyTest.java
+++ b/core/src/test/java/org/persimmonwalk/admission/KeyPolicyTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.blackboard.ControlLoop;
+import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.ReleaseNoteId;
 import org.persimmonwalk.id.Revision;
@@ -63,6 +64,7 @@
 
     load(3, Set.of());
     assertThat(check(FIRST, KEY)).isEmpty();
+    assertThat(loop.snapshot().get(Entries.WITHDRAWN_KEYS)).isEmpty();
   }
 
   /** Guards against keys accepted for ever by a host that no longer hears of changes. */
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
@@ -0,0 +1,202 @@
+package org.persimmonwalk.benchmark;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.Heartbeat;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.testing.Configurations;
+import org.persimmonwalk.testing.EncodedSize;
+import org.persimmonwalk.testing.SpreadFleet;
+import org.persimmonwalk.testing.SpreadHost;
+
+/**
+ * Measures how long a new revision takes to all hosts, half of them without the store, and what
+ * that costs. It runs on a fake clock, so the same seeds give the same times.
+ *
+ * <p>Run it with {@code mvn -q -B -ntp -pl core test-compile} and {@code java -cp
+ * core/target/classes:core/target/test-classes org.persimmonwalk.benchmark.SpreadBenchmark}.
+ */
+public final class SpreadBenchmark {
+  /** A message or an answer takes one step, well above the 1.5 ms between zones. */
+  private static final Duration STEP = Duration.ofMillis(50);
+
+  private static final Duration WARM_UP = Duration.ofSeconds(15);
+  private static final Duration STEADY = Duration.ofSeconds(10);
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+
+  /** A deployment, its configuration, and which half of the hosts is cut off. */
+  private record Scenario(
+      String name, int hosts, int zones, Configuration first, boolean wholeZones, boolean peers) {}
+
+  /** Figures of one change; times in milliseconds, negative if hosts were left without it. */
+  private record Figures(
+      double all,
+      long missing,
+      double messages,
+      double bytes,
+      double changeBytes,
+      double reads,
+      double peakReads,
+      double processorMicros) {}
+
+  private SpreadBenchmark() {}
+
+  /** Runs all scenarios; the argument is the number of changes measured in each (10). */
+  public static void main(String[] arguments) {
+    int changes = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 10;
+    Configuration small = Configurations.of(1, 3, 8);
+    Configuration large = Configurations.of(1, 570, 2000);
+    System.out.println(
+        "| scenario | hosts | time to all, median (ms) | time to all, worst (ms)"
+            + " | hosts without it after 30 s | messages/host/s | bytes/host/s"
+            + " | bytes/host in the change | store reads/s | store reads/s, peak"
+            + " | processor us/host/s |");
+    System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
+    for (boolean peers : new boolean[] {false, true}) {
+      String prefix = peers ? "store and peers" : "store every 5 s";
+      for (boolean wholeZones : new boolean[] {false, true}) {
+        String name = prefix + (wholeZones ? ", whole zones cut off" : ", every 2nd host cut off");
+        report(new Scenario(name, 20, 3, small, wholeZones, peers), changes);
+        report(new Scenario(name, 430, 7, large, wholeZones, peers), changes);
+      }
+    }
+  }
+
+  private static void report(Scenario scenario, int changes) {
+    List<Figures> all = new ArrayList<>();
+    for (int seed = 1; seed <= changes; seed++) {
+      all.add(measure(scenario, seed));
+    }
+    List<Double> times = new ArrayList<>(all.stream().map(Figures::all).toList());
+    Collections.sort(times);
+    boolean complete = all.stream().allMatch(figures -> figures.missing() == 0);
+    System.out.printf(
+        Locale.ROOT,
+        "| %s | %d | %s | %s | %d | %.1f | %.0f | %.0f | %.0f | %.0f | %.0f |%n",
+        scenario.name(),
+        scenario.hosts(),
+        complete ? Math.round(times.get(times.size() / 2)) : "never",
+        complete ? Math.round(times.get(times.size() - 1)) : "never",
+        all.stream().mapToLong(Figures::missing).max().orElse(0),
+        all.stream().mapToDouble(Figures::messages).average().orElse(0),
+        all.stream().mapToDouble(Figures::bytes).average().orElse(0),
+        all.stream().mapToDouble(Figures::changeBytes).average().orElse(0),
+        all.stream().mapToDouble(Figures::reads).average().orElse(0),
+        all.stream().mapToDouble(Figures::peakReads).max().orElse(0),
+        all.stream().mapToDouble(Figures::processorMicros).average().orElse(0));
+  }
+
+  private static Figures measure(Scenario scenario, int seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    SpreadFleet fleet = SpreadFleet.of(STEP, EncodedSize.create());
+    fleet.store().install(scenario.first());
+    for (int index = 0; index < scenario.hosts(); index++) {
+      HostEntry entry = entry(index, scenario.zones());
+      List<Controller> controllers =
+          scenario.peers() ? withDemand(entry) : List.of(new StorePolling());
+      fleet.add(entry, controllers, random.nextLong());
+    }
+    fleet.run(WARM_UP);
+    cutOff(fleet, scenario);
+    fleet.run(Duration.ofMillis(2000 + 50 * random.nextInt(20)));
+
+    long messages = fleet.messages();
+    long bytes = fleet.bytes();
+    long reads = fleet.store().reads();
+    long processor = processorNanos();
+    fleet.run(STEADY);
+    double hostSeconds = scenario.hosts() * (double) STEADY.toSeconds();
+    double processorMicros = (processorNanos() - processor) / 1000.0 / hostSeconds;
+    double bytesPerSecond = (fleet.bytes() - bytes) / hostSeconds;
+    double messagesPerSecond = (fleet.messages() - messages) / hostSeconds;
+    double readsPerSecond = (fleet.store().reads() - reads) / (double) STEADY.toSeconds();
+
+    Change change = Change.run(fleet, scenario);
+    return new Figures(
+        change.time,
+        change.missing,
+        messagesPerSecond,
+        bytesPerSecond,
+        change.bytes / (double) scenario.hosts() - bytesPerSecond * change.time / 1000,
+        readsPerSecond,
+        change.peakReads,
+        processorMicros);
+  }
+
+  /** Fills heartbeats with as many demands as they may list. */
+  private static List<Controller> withDemand(HostEntry entry) {
+    Map<WorkspaceId, Double> demand = new HashMap<>();
+    for (int index = 0; index < Heartbeat.DEMAND_LIMIT; index++) {
+      demand.put(WorkspaceId.of("workspace-" + index), 12.5 + index);
+    }
+    List<Controller> controllers = new ArrayList<>(SpreadHost.controllers(entry));
+    controllers.add((blackboard, context) -> blackboard.put(Entries.DEMAND, demand));
+    return controllers;
+  }
+
+  private static long processorNanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+  }
+
+  private static void cutOff(SpreadFleet fleet, Scenario scenario) {
+    List<SpreadHost> hosts = new ArrayList<>(fleet.hosts());
+    if (scenario.wholeZones()) {
+      hosts.sort((first, second) -> first.entry().zone().compareTo(second.entry().zone()));
+    }
+    for (int index = 0; index < hosts.size(); index++) {
+      boolean cut = scenario.wholeZones() ? index < hosts.size() / 2 : index % 2 == 0;
+      hosts.get(index).setStoreReachable(!cut);
+      hosts.get(index).setHostListReachable(!cut);
+    }
+  }
+
+  private static HostEntry entry(int index, int zones) {
+    return HostEntry.of(
+        EntryHostId.of(String.format("entry-%04d-5f3a9c21", index)),
+        AvailabilityZone.of("region-1-zone-" + index % zones),
+        SocketEndpoint.of("10.20." + index / 200 + "." + (100 + index % 100), 7432));
+  }
+
+  /** The spreading of one new revision. */
+  private static final class Change {
+    private double time;
+    private long missing;
+    private long bytes;
+    private long peakReads;
+
+    static Change run(SpreadFleet fleet, Scenario scenario) {
+      Change change = new Change();
+      Revision revision = Revision.of(2);
+      fleet.store().install(Configurations.withRevision(scenario.first(), revision.number()));
+      long bytesBefore = fleet.bytes();
+      List<Long> reads = new ArrayList<>(List.of(fleet.store().reads()));
+      int stepsPerSecond = (int) (1000 / STEP.toMillis());
+      do {
+        fleet.step();
+        change.time += STEP.toMillis();
+        reads.add(fleet.store().reads());
+        long secondAgo = reads.get(Math.max(0, reads.size() - 1 - stepsPerSecond));
+        change.peakReads = Math.max(change.peakReads, fleet.store().reads() - secondAgo);
+        change.missing =
+            fleet.hosts().stream().filter(host -> !host.revision().equals(revision)).count();
+      } while (change.missing > 0 && change.time < LIMIT.toMillis());
+      change.bytes = fleet.bytes() - bytesBefore;
+      return change;
+    }
+  }
+}
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationSpreadTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationSpreadTest.java
@@ -28,7 +28,7 @@
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("workspace-0");
   private static final Optional<KeyHash> KEY = Optional.of(KeyHash.ofKey("key-0"));
 
-  private final SpreadFleet fleet = SpreadFleet.of(STEP, message -> 0);
+  private final SpreadFleet fleet = SpreadFleet.of(STEP, (from, to, message) -> 0);
   private final KeyPolicy policy = KeyPolicy.create();
 
   @BeforeEach
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/testing/EncodedSize.java
@@ -0,0 +1,150 @@
+package org.persimmonwalk.testing;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.function.ToLongFunction;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.model.BackendServer;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.ConfigurationReply;
+import org.persimmonwalk.model.ConfigurationRequest;
+import org.persimmonwalk.model.DatabaseGroup;
+import org.persimmonwalk.model.Heartbeat;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.HostNews;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.PeerMessage;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.model.Workspace;
+
+/**
+ * Computes the size of frames of the peer protocol without the encoder, which the module core
+ * cannot see. A test of the module peer compares both.
+ */
+public final class EncodedSize implements MessageSize {
+  private static final int LENGTH_PREFIX = 4;
+  private static final int FIXED64 = 9;
+  private static final int HASH = 34;
+
+  private EncodedSize() {}
+
+  /** Returns the size. */
+  public static EncodedSize create() {
+    return new EncodedSize();
+  }
+
+  @Override
+  public long of(EntryHostId from, EntryHostId to, PeerMessage message) {
+    return LENGTH_PREFIX + text(from.value()) + text(to.value()) + nested(body(message));
+  }
+
+  private static long body(PeerMessage message) {
+    if (message instanceof Heartbeat heartbeat) {
+      return heartbeat(heartbeat);
+    }
+    if (message instanceof ConfigurationRequest request) {
+      return number(request.known().number()) + time(request.sentAt());
+    }
+    if (message instanceof ConfigurationReply reply) {
+      return nested(configuration(reply.configuration()))
+          + reply.freshnessAge().map(age -> 1 + varint(age.toMillis())).orElse(0L)
+          + time(reply.answers());
+    }
+    throw new IllegalArgumentException("no size is known for " + message);
+  }
+
+  private static long heartbeat(Heartbeat heartbeat) {
+    return nested(host(heartbeat.sender()))
+        + number(heartbeat.revision().number())
+        + heartbeat.freshnessAge().map(age -> 1 + varint(age.toMillis())).orElse(0L)
+        + time(heartbeat.sentAt())
+        + (heartbeat.answers().isPresent() ? FIXED64 : 0)
+        + repeated(heartbeat.heard(), EncodedSize::news)
+        + repeated(
+            heartbeat.demand().entrySet(),
+            entry -> text(entry.getKey().value()) + decimal(entry.getValue()));
+  }
+
+  private static long news(HostNews news) {
+    return nested(host(news.host())) + number(news.age().toMillis());
+  }
+
+  private static long host(HostEntry host) {
+    return text(host.id().value())
+        + text(host.zone().value())
+        + endpoint(host.endpoint())
+        + flag(host.leaving());
+  }
+
+  private static long configuration(Configuration configuration) {
+    return number(configuration.revision().number())
+        + text(configuration.note().value())
+        + repeated(configuration.workspaces().values(), EncodedSize::workspace)
+        + repeated(configuration.keys().values(), key -> HASH + text(key.workspace().value()))
+        + repeated(configuration.groups().values(), EncodedSize::group);
+  }
+
+  private static long workspace(Workspace workspace) {
+    return text(workspace.id().value())
+        + decimal(workspace.rate())
+        + decimal(workspace.burst())
+        + workspace.groups().stream().mapToLong(group -> text(group.value())).sum()
+        + flag(workspace.open());
+  }
+
+  private static long group(DatabaseGroup group) {
+    return text(group.id().value())
+        + repeated(group.servers(), EncodedSize::server)
+        + number(group.defaultMaximumAge().toMillis());
+  }
+
+  private static long server(BackendServer server) {
+    return text(server.id().value())
+        + text(server.zone().value())
+        + endpoint(server.endpoint())
+        + number(server.slots())
+        + number(server.connections())
+        + flag(server.leaving());
+  }
+
+  private static long endpoint(SocketEndpoint endpoint) {
+    return text(endpoint.address()) + number(endpoint.port());
+  }
+
+  private static <T> long repeated(Collection<T> items, ToLongFunction<T> size) {
+    return items.stream().mapToLong(item -> nested(size.applyAsLong(item))).sum();
+  }
+
+  private static long nested(long length) {
+    return 1 + varint(length) + length;
+  }
+
+  private static long text(String text) {
+    int length = text.getBytes(StandardCharsets.UTF_8).length;
+    return length == 0 ? 0 : nested(length);
+  }
+
+  private static long number(long value) {
+    return value == 0 ? 0 : 1 + varint(value);
+  }
+
+  private static long decimal(double value) {
+    return value == 0 ? 0 : FIXED64;
+  }
+
+  private static long time(MonotonicTime time) {
+    return time.nanoseconds() == 0 ? 0 : FIXED64;
+  }
+
+  private static long flag(boolean value) {
+    return value ? 2 : 0;
+  }
+
+  private static long varint(long value) {
+    long length = 1;
+    for (long rest = value >>> 7; rest != 0; rest >>>= 7) {
+      length++;
+    }
+    return length;
+  }
+}
--- a/core/src/test/java/org/persimmonwalk/testing/SpreadFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/SpreadFleet.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.ToLongFunction;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
@@ -20,13 +19,13 @@
   private final FakeConfigurationStore store = new FakeConfigurationStore();
   private final Map<EntryHostId, SpreadHost> hosts = new LinkedHashMap<>();
   private final Duration step;
-  private final ToLongFunction<PeerMessage> size;
+  private final MessageSize size;
   private List<HostEntry> hostList = List.of();
   private List<Runnable> deliveries = new ArrayList<>();
   private long messages;
   private long bytes;
 
-  private SpreadFleet(Duration step, ToLongFunction<PeerMessage> size) {
+  private SpreadFleet(Duration step, MessageSize size) {
     this.step = step;
     this.size = size;
   }
@@ -37,7 +36,7 @@
    * @param step the time between two rounds; messages and answers take one step
    * @param size the bytes that a message has on the network
    */
-  public static SpreadFleet of(Duration step, ToLongFunction<PeerMessage> size) {
+  public static SpreadFleet of(Duration step, MessageSize size) {
     return new SpreadFleet(step, size);
   }
 
@@ -107,7 +106,7 @@
 
   void send(EntryHostId from, EntryHostId to, PeerMessage message) {
     messages++;
-    bytes += size.applyAsLong(message);
+    bytes += size.of(from, to, message);
     SpreadHost target = hosts.get(to);
     if (target != null) {
       later(() -> target.post(new PeerMessageReceived(from, message)));
--- a/core/src/test/java/org/persimmonwalk/testing/SpreadHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/SpreadHost.java
@@ -34,6 +34,7 @@
   private final HostEntry entry;
   private final ControlLoop loop;
   private boolean storeReachable = true;
+  private boolean hostListReachable = true;
 
   private SpreadHost(SpreadFleet fleet, HostEntry entry, List<Controller> controllers, long seed) {
     this.fleet = fleet;
@@ -55,7 +56,12 @@
         DrainController.create());
   }
 
-  /** Cuts the host off from the store or connects it again; the host list stays readable. */
+  /** Cuts the host off from the host list or connects it again. */
+  public void setHostListReachable(boolean reachable) {
+    hostListReachable = reachable;
+  }
+
+  /** Cuts the host off from the table service and the object store or connects it again. */
   public void setStoreReachable(boolean reachable) {
     storeReachable = reachable;
   }
@@ -89,7 +95,7 @@
     MonotonicTime startedAt = fleet.clock().now();
     if (command instanceof SendPeerMessage send) {
       fleet.send(entry.id(), send.to(), send.message());
-    } else if (command instanceof ListHosts) {
+    } else if (command instanceof ListHosts && hostListReachable) {
       List<HostEntry> hosts = fleet.hostList();
       fleet.later(() -> post(new HostsListed(hosts, startedAt)));
     } else if (command instanceof ReadTableRow && storeReachable) {
