Add the connections between entry hosts

Cause: the typed messages between hosts need an encoding and a transport. Change: PeerCodec, PeerServer and PeerClient over Netty with length-prefixed protocol buffers of at most 1 MiB. A full buffer drops the oldest heartbeat. A malformed frame closes its connection only. Conclusion: hosts can exchange all messages of the design but forwarding.

--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/InboundInitializer.java
@@ -0,0 +1,68 @@
+package org.persimmonwalk.internal.peer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.peer.PeerMessageListener;
+import org.persimmonwalk.peer.PeerSettings;
+
+/** Sets up the connections that peers open, as many as the settings allow. */
+public final class InboundInitializer extends ChannelInitializer<Channel> {
+  private static final int LENGTH_BYTES = 4;
+
+  private final AtomicInteger open = new AtomicInteger();
+  private final EntryHostId self;
+  private final PeerSettings settings;
+  private final ChannelGroup accepted;
+  private final PeerMessageListener listener;
+  private final FaultReporter reporter;
+
+  private InboundInitializer(
+      EntryHostId self,
+      PeerSettings settings,
+      ChannelGroup accepted,
+      PeerMessageListener listener,
+      FaultReporter reporter) {
+    this.self = self;
+    this.settings = settings;
+    this.accepted = accepted;
+    this.listener = listener;
+    this.reporter = reporter;
+  }
+
+  /** Returns the initializer of all connections to one server. */
+  public static InboundInitializer of(
+      EntryHostId self,
+      PeerSettings settings,
+      ChannelGroup accepted,
+      PeerMessageListener listener,
+      FaultReporter reporter) {
+    return new InboundInitializer(self, settings, accepted, listener, reporter);
+  }
+
+  @Override
+  protected void initChannel(Channel channel) {
+    channel.closeFuture().addListener(closed -> open.decrementAndGet());
+    if (open.incrementAndGet() > settings.inboundConnections()) {
+      reporter.report(
+          channel.remoteAddress(),
+          "more than " + settings.inboundConnections() + " connections are open");
+      channel.close();
+      return;
+    }
+    accepted.add(channel);
+    channel
+        .pipeline()
+        .addLast(
+            new IdleStateHandler(settings.idleTimeout().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
+        .addLast(
+            new LengthFieldBasedFrameDecoder(
+                PeerSettings.FRAME_LIMIT + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+        .addLast(InboundHandler.of(self, listener, reporter));
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between entry hosts. */
+package org.persimmonwalk.internal.peer;
--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerClient.java
@@ -0,0 +1,135 @@
+package org.persimmonwalk.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.internal.peer.PeerConnection;
+import org.persimmonwalk.model.PeerMessage;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.port.PeerMessenger;
+import org.persimmonwalk.port.RandomSource;
+
+/**
+ * Sends messages to peers, over one connection to each.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * PeerClient client = PeerClient.of(self, directory, group, PeerSettings.defaults(), random);
+ * client.send(peer, message);
+ * }</pre>
+ */
+public final class PeerClient implements PeerMessenger, AutoCloseable {
+  /** Bytes that one connection takes before further messages wait in the bounded buffer. */
+  private static final WriteBufferWaterMark WATER_MARK =
+      new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+
+  private final Map<EntryHostId, PeerConnection> connections = new HashMap<>();
+  private final EntryHostId self;
+  private final PeerDirectory directory;
+  private final Bootstrap template;
+  private final PeerSettings settings;
+  private final RandomSource random;
+  private boolean closed;
+
+  private PeerClient(
+      EntryHostId self,
+      PeerDirectory directory,
+      EventLoopGroup group,
+      PeerSettings settings,
+      RandomSource random) {
+    this.self = Objects.requireNonNull(self, "self");
+    this.directory = Objects.requireNonNull(directory, "directory");
+    this.settings = Objects.requireNonNull(settings, "settings");
+    this.random = Objects.requireNonNull(random, "random");
+    this.template =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                Math.toIntExact(settings.connectTimeout().toMillis()));
+  }
+
+  /**
+   * Returns a client without connections.
+   *
+   * @param self the host that sends
+   * @param directory tells where peers are
+   * @param group runs the connections; the caller closes it
+   * @param settings limits
+   * @param random spreads connection attempts; used on several threads
+   */
+  public static PeerClient of(
+      EntryHostId self,
+      PeerDirectory directory,
+      EventLoopGroup group,
+      PeerSettings settings,
+      RandomSource random) {
+    return new PeerClient(self, directory, group, settings, random);
+  }
+
+  @Override
+  public CompletionStage<SendOutcome> send(EntryHostId to, PeerMessage message) {
+    return connection(to)
+        .map(connection -> connection.send(message))
+        .orElseGet(() -> CompletableFuture.completedStage(SendOutcome.DROPPED));
+  }
+
+  /** Closes all connections; messages that wait are dropped. */
+  @Override
+  public synchronized void close() {
+    closed = true;
+    connections.values().forEach(PeerConnection::close);
+    connections.clear();
+  }
+
+  private synchronized Optional<PeerConnection> connection(EntryHostId to) {
+    Optional<InetSocketAddress> address = directory.endpointOf(to).flatMap(PeerClient::address);
+    PeerConnection known = connections.get(to);
+    if (known != null && address.filter(known.address()::equals).isEmpty()) {
+      connections.remove(to).close();
+      known = null;
+    }
+    if (known == null && address.isPresent() && !closed) {
+      removeUnknown();
+      known = PeerConnection.of(self, to, address.get(), template, settings, random);
+      connections.put(to, known);
+    }
+    return Optional.ofNullable(known);
+  }
+
+  /** Closes the connections to hosts that the directory no longer names. */
+  private void removeUnknown() {
+    connections
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean unknown = directory.endpointOf(entry.getKey()).isEmpty();
+              if (unknown) {
+                entry.getValue().close();
+              }
+              return unknown;
+            });
+  }
+
+  /** Accepts IP numbers only, so that no name is looked up on behalf of a peer. */
+  private static Optional<InetSocketAddress> address(SocketEndpoint endpoint) {
+    InetAddress number = NetUtil.createInetAddressFromIpAddressString(endpoint.address());
+    return Optional.ofNullable(number).map(found -> new InetSocketAddress(found, endpoint.port()));
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerCodec.java
@@ -0,0 +1,224 @@
+package org.persimmonwalk.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.id.TransferId;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.ConfigurationReply;
+import org.persimmonwalk.model.ConfigurationRequest;
+import org.persimmonwalk.model.Heartbeat;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.HostNews;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.PeerMessage;
+import org.persimmonwalk.model.ShareTransfer;
+import org.persimmonwalk.model.ShareTransferAccepted;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.peer.generated.ConfigurationReplyMessage;
+import org.persimmonwalk.peer.generated.ConfigurationRequestMessage;
+import org.persimmonwalk.peer.generated.DemandMessage;
+import org.persimmonwalk.peer.generated.Envelope;
+import org.persimmonwalk.peer.generated.HeartbeatMessage;
+import org.persimmonwalk.peer.generated.HostMessage;
+import org.persimmonwalk.peer.generated.HostNewsMessage;
+import org.persimmonwalk.peer.generated.ShareTransferAcceptedMessage;
+import org.persimmonwalk.peer.generated.ShareTransferMessage;
+import org.persimmonwalk.result.PersimmonwalkException;
+import org.persimmonwalk.result.ResultCode;
+
+/** Translates typed messages between entry hosts to protocol buffers and back. */
+public final class PeerCodec {
+
+  private PeerCodec() {}
+
+  /**
+   * Returns the encoded envelope of a message, without the length prefix.
+   *
+   * @throws IllegalArgumentException if the protocol has no form for the message
+   */
+  public static byte[] encode(PeerEnvelope envelope) {
+    Envelope.Builder builder =
+        Envelope.newBuilder().setFrom(envelope.from().value()).setTo(envelope.to().value());
+    PeerMessage message = envelope.message();
+    if (message instanceof Heartbeat heartbeat) {
+      builder.setHeartbeat(encode(heartbeat));
+    } else if (message instanceof ConfigurationRequest request) {
+      builder.setConfigurationRequest(
+          ConfigurationRequestMessage.newBuilder()
+              .setKnown(request.known().number())
+              .setSentAt(request.sentAt().nanoseconds()));
+    } else if (message instanceof ConfigurationReply reply) {
+      builder.setConfigurationReply(encode(reply));
+    } else if (message instanceof ShareTransfer transfer) {
+      builder.setShareTransfer(encode(transfer));
+    } else if (message instanceof ShareTransferAccepted accepted) {
+      builder.setShareTransferAccepted(
+          ShareTransferAcceptedMessage.newBuilder().setId(accepted.id().value()));
+    } else {
+      throw new IllegalArgumentException("the peer protocol has no form for " + message.getClass());
+    }
+    return builder.build().toByteArray();
+  }
+
+  /**
+   * Reads an encoded envelope.
+   *
+   * @throws PersimmonwalkException with {@link ResultCode#MALFORMED_MESSAGE} if the bytes are not a
+   *     valid envelope
+   */
+  public static PeerEnvelope decode(ByteBuffer bytes) {
+    try {
+      Envelope envelope = Envelope.parseFrom(bytes);
+      return PeerEnvelope.of(
+          EntryHostId.of(envelope.getFrom()),
+          EntryHostId.of(envelope.getTo()),
+          decodeMessage(envelope));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      throw PersimmonwalkException.of(
+          ResultCode.MALFORMED_MESSAGE,
+          "invalid message of the peer protocol: " + e.getMessage(),
+          e);
+    }
+  }
+
+  private static PeerMessage decodeMessage(Envelope envelope) {
+    return switch (envelope.getMessageCase()) {
+      case HEARTBEAT -> decode(envelope.getHeartbeat());
+      case CONFIGURATION_REQUEST ->
+          new ConfigurationRequest(
+              Revision.of(envelope.getConfigurationRequest().getKnown()),
+              MonotonicTime.of(envelope.getConfigurationRequest().getSentAt()));
+      case CONFIGURATION_REPLY -> decode(envelope.getConfigurationReply());
+      case SHARE_TRANSFER -> decode(envelope.getShareTransfer());
+      case SHARE_TRANSFER_ACCEPTED ->
+          new ShareTransferAccepted(TransferId.of(envelope.getShareTransferAccepted().getId()));
+      case MESSAGE_NOT_SET -> throw new IllegalArgumentException("the envelope has no message");
+    };
+  }
+
+  private static HeartbeatMessage encode(Heartbeat heartbeat) {
+    HeartbeatMessage.Builder builder =
+        HeartbeatMessage.newBuilder()
+            .setSender(encode(heartbeat.sender()))
+            .setRevision(heartbeat.revision().number())
+            .setSentAt(heartbeat.sentAt().nanoseconds());
+    heartbeat
+        .freshnessAge()
+        .ifPresent(age -> builder.setFreshnessAgeMilliseconds(millisecondsRoundedUp(age)));
+    heartbeat.answers().ifPresent(time -> builder.setAnswers(time.nanoseconds()));
+    for (HostNews news : heartbeat.heard()) {
+      builder.addHeard(
+          HostNewsMessage.newBuilder()
+              .setHost(encode(news.host()))
+              .setAgeMilliseconds(Math.toIntExact(millisecondsRoundedUp(news.age()))));
+    }
+    heartbeat
+        .demand()
+        .forEach(
+            (workspace, rate) ->
+                builder.addDemand(
+                    DemandMessage.newBuilder().setWorkspace(workspace.value()).setRate(rate)));
+    return builder.build();
+  }
+
+  private static Heartbeat decode(HeartbeatMessage message) {
+    List<HostNews> heard =
+        message.getHeardList().stream()
+            .map(
+                news ->
+                    HostNews.of(
+                        decode(news.getHost()),
+                        Duration.ofMillis(Integer.toUnsignedLong(news.getAgeMilliseconds()))))
+            .toList();
+    Map<WorkspaceId, Double> demand = new HashMap<>();
+    message
+        .getDemandList()
+        .forEach(entry -> demand.put(WorkspaceId.of(entry.getWorkspace()), entry.getRate()));
+    return new Heartbeat(
+        decode(message.getSender()),
+        Revision.of(message.getRevision()),
+        message.hasFreshnessAgeMilliseconds()
+            ? Optional.of(Duration.ofMillis(message.getFreshnessAgeMilliseconds()))
+            : Optional.empty(),
+        MonotonicTime.of(message.getSentAt()),
+        message.hasAnswers()
+            ? Optional.of(MonotonicTime.of(message.getAnswers()))
+            : Optional.empty(),
+        heard,
+        demand);
+  }
+
+  private static HostMessage encode(HostEntry host) {
+    return HostMessage.newBuilder()
+        .setId(host.id().value())
+        .setZone(host.zone().value())
+        .setAddress(host.endpoint().address())
+        .setPort(host.endpoint().port())
+        .setLeaving(host.leaving())
+        .build();
+  }
+
+  private static HostEntry decode(HostMessage message) {
+    return new HostEntry(
+        EntryHostId.of(message.getId()),
+        AvailabilityZone.of(message.getZone()),
+        SocketEndpoint.of(message.getAddress(), message.getPort()),
+        message.getLeaving());
+  }
+
+  private static ConfigurationReplyMessage encode(ConfigurationReply reply) {
+    ConfigurationReplyMessage.Builder builder =
+        ConfigurationReplyMessage.newBuilder()
+            .setConfiguration(ConfigurationCodec.encode(reply.configuration()))
+            .setAnswers(reply.answers().nanoseconds());
+    reply
+        .freshnessAge()
+        .ifPresent(age -> builder.setFreshnessAgeMilliseconds(millisecondsRoundedUp(age)));
+    return builder.build();
+  }
+
+  private static ConfigurationReply decode(ConfigurationReplyMessage message) {
+    return new ConfigurationReply(
+        ConfigurationCodec.decode(message.getConfiguration()),
+        message.hasFreshnessAgeMilliseconds()
+            ? Optional.of(Duration.ofMillis(message.getFreshnessAgeMilliseconds()))
+            : Optional.empty(),
+        MonotonicTime.of(message.getAnswers()));
+  }
+
+  private static ShareTransferMessage encode(ShareTransfer transfer) {
+    return ShareTransferMessage.newBuilder()
+        .setId(transfer.id().value())
+        .setWorkspace(transfer.workspace().value())
+        .setRate(transfer.rate())
+        .setBurst(transfer.burst())
+        .setTokens(transfer.tokens())
+        .setLeaseRemainingMilliseconds(transfer.leaseRemaining().toMillis())
+        .build();
+  }
+
+  private static ShareTransfer decode(ShareTransferMessage message) {
+    return new ShareTransfer(
+        TransferId.of(message.getId()),
+        WorkspaceId.of(message.getWorkspace()),
+        message.getRate(),
+        message.getBurst(),
+        message.getTokens(),
+        Duration.ofMillis(message.getLeaseRemainingMilliseconds()));
+  }
+
+  /**
+   * Rounds an age up, so that it is never understated; the time left of a lease is rounded down.
+   */
+  private static long millisecondsRoundedUp(Duration age) {
+    return age.plusNanos(999_999).toMillis();
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerDirectory.java
@@ -0,0 +1,12 @@
+package org.persimmonwalk.peer;
+
+import java.util.Optional;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.model.SocketEndpoint;
+
+/** Tells where entry hosts accept messages; safe for use by several threads. */
+public interface PeerDirectory {
+
+  /** Returns the endpoint of a host, empty if the host is not known. */
+  Optional<SocketEndpoint> endpointOf(EntryHostId host);
+}
--- /dev/null
+++ b/peer/src/test/java/org/persimmonwalk/internal/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the connections between entry hosts. */
+package org.persimmonwalk.internal.peer;
--- /dev/null
+++ b/peer/src/test/java/org/persimmonwalk/peer/PeerMessages.java
@@ -0,0 +1,98 @@
+package org.persimmonwalk.peer;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.id.TransferId;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.ConfigurationReply;
+import org.persimmonwalk.model.ConfigurationRequest;
+import org.persimmonwalk.model.Heartbeat;
+import org.persimmonwalk.model.HostEntry;
+import org.persimmonwalk.model.HostNews;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.PeerMessage;
+import org.persimmonwalk.model.ShareTransfer;
+import org.persimmonwalk.model.ShareTransferAccepted;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.testing.Configurations;
+
+/** Messages for tests. */
+public final class PeerMessages {
+
+  private PeerMessages() {}
+
+  /** Returns one message of each kind. */
+  public static List<PeerMessage> all() {
+    return List.of(
+        smallHeartbeat(0),
+        fullHeartbeat(),
+        request(5),
+        new ConfigurationReply(
+            Configurations.of(3, 4, 9), Optional.of(Duration.ofMillis(1500)), time(-7)),
+        new ConfigurationReply(Configurations.of(3, 1, 1), Optional.empty(), time(1)),
+        new ShareTransfer(
+            TransferId.of("transfer"),
+            WorkspaceId.of("oil"),
+            12.5,
+            3,
+            0.25,
+            Duration.ofMillis(3_599_999)),
+        new ShareTransferAccepted(TransferId.of("transfer")));
+  }
+
+  /** Returns a request that a number tells apart. */
+  public static ConfigurationRequest request(long number) {
+    return new ConfigurationRequest(Revision.of(number), time(12));
+  }
+
+  /** Returns a heartbeat without lists that a number tells apart. */
+  public static Heartbeat smallHeartbeat(long number) {
+    return new Heartbeat(
+        host(0, false),
+        Revision.of(number),
+        Optional.empty(),
+        time(0),
+        Optional.empty(),
+        List.of(),
+        Map.of());
+  }
+
+  /** Returns a heartbeat that lists as much as it may, with long names. */
+  public static Heartbeat fullHeartbeat() {
+    List<HostNews> heard =
+        IntStream.range(0, Heartbeat.HEARD_LIMIT)
+            .mapToObj(index -> HostNews.of(host(index, true), Duration.ofMillis(index * 999)))
+            .toList();
+    Map<WorkspaceId, Double> demand = new HashMap<>();
+    for (int index = 0; index < Heartbeat.DEMAND_LIMIT; index++) {
+      demand.put(WorkspaceId.of("workspace-of-some-length-" + index), 1000.0 * index);
+    }
+    return new Heartbeat(
+        host(7, true),
+        Revision.of(83_950),
+        Optional.of(Duration.ZERO),
+        time(Long.MAX_VALUE),
+        Optional.of(time(Long.MIN_VALUE)),
+        heard,
+        demand);
+  }
+
+  private static HostEntry host(int index, boolean leaving) {
+    return new HostEntry(
+        EntryHostId.of(String.format("entry-%04d-5f3a9c21", index)),
+        AvailabilityZone.of("region-1-zone-" + index),
+        SocketEndpoint.of("10.20.30." + index, 7432),
+        leaving);
+  }
+
+  private static MonotonicTime time(long nanoseconds) {
+    return MonotonicTime.of(nanoseconds);
+  }
+}
--- /dev/null
+++ b/peer/src/test/java/org/persimmonwalk/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the messages between entry hosts. */
+package org.persimmonwalk.peer;
