Run entry hosts on the platform's service with leased shares and peers

Cause: hosts were given their configuration by hand and limited nothing. Change: the control plane of a host reads its configuration, host list and leases from the platform, exchanges messages with peers, keeps connections inside its leased allowance, and drains on request; callers are refused until it serves.

--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of an entry host together. */
+package org.persimmonwalk.internal.assembly;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
@@ -1,6 +1,5 @@
 package org.persimmonwalk.internal.settings;
 
-import java.net.URI;
 import java.time.Duration;
 import java.util.Optional;
 import org.persimmonwalk.id.AvailabilityZone;
@@ -46,8 +45,13 @@
   /** Where the host listens for other entry hosts. */
   public record Peer(SocketEndpoint listen) {}
 
-  /** Where the platform's service is; without it the host has no configuration. */
-  public record Platform(Optional<URI> endpoint, Duration timeout) {}
+  /**
+   * Where the platform's service is.
+   *
+   * @param endpoint the endpoint of the service, which speaks HTTP
+   * @param timeout how long the service may take to answer
+   */
+  public record Platform(SocketEndpoint endpoint, Duration timeout) {}
 
   /** Where the administration interface listens. */
   public record Admin(SocketEndpoint listen, Optional<String> token) {}
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.id.KeyHash;
-import org.persimmonwalk.id.Revision;
 import org.persimmonwalk.internal.traffic.backend.BackendKey;
+import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.result.PersimmonwalkException;
@@ -135,8 +135,9 @@
 
   private Optional<ResultCode> verify(CallerState state) {
     var snapshot = context.control().snapshot();
-    if (snapshot.get(Entries.CONFIGURATION).revision().equals(Revision.NONE)) {
-      return Optional.of(ResultCode.NOT_READY);
+    HostPhase phase = snapshot.get(Entries.HOST_PHASE);
+    if (phase != HostPhase.SERVING) {
+      return Optional.of(phase == HostPhase.STARTING ? ResultCode.NOT_READY : ResultCode.STOPPING);
     }
     MonotonicTime now = context.clock().now();
     return context.planner().verify(snapshot, state.request(StatementKind.READ, now, now), now);
