--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ServerFrontEnd.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ServerFrontEnd.java
@@ -103,10 +103,13 @@
     int secret = ThreadLocalRandom.current().nextInt();
     BackendConnection connection =
         BackendConnection.of(this, nextProcessId.getAndIncrement(), secret);
-    connections.add(connection);
     channel
         .pipeline()
         .addLast(FrameDecoder.forServer(MAXIMUM_FRAME_BYTES), FrameEncoder.create(), connection);
+    connections.add(connection);
+    if (killed) {
+      connection.cut();
+    }
   }
 
   /** Returns the address at which the server listens, or listened last. */
--- a/standin/src/test/java/org/persimmonwalk/internal/standin/engine/StatementQueueTest.java
+++ b/standin/src/test/java/org/persimmonwalk/internal/standin/engine/StatementQueueTest.java
@@ -51,12 +51,14 @@
   void shouldCancelBeforeTheEffect() {
     queue.setServiceTime(Duration.ofMillis(5));
     submit(first, "INSERT INTO filing (code) VALUES ('1')");
+    submit(second, "INSERT INTO filing (code) VALUES ('2')");
     queue.cancel(first);
+    queue.cancel(second);
     timers.runAll();
-    assertThat(outcomes).containsExactly("57014");
+    assertThat(outcomes).containsExactly("57014", "57014");
     queue.setServiceTime(Duration.ZERO);
-    submit(first, "INSERT INTO filing (code) VALUES ('1')");
-    assertThat(outcomes).containsExactly("57014", "INSERT 0 1");
+    submit(third, "INSERT INTO filing (code) VALUES ('1')");
+    assertThat(outcomes).containsExactly("57014", "57014", "INSERT 0 1");
   }
 
   /** Guards against statements that take effect in a paused server. */
--- a/standin/src/test/java/org/persimmonwalk/standin/StandInSwitchesTest.java
+++ b/standin/src/test/java/org/persimmonwalk/standin/StandInSwitchesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.net.SocketTimeoutException;
 import java.sql.Connection;
 import java.sql.DriverManager;
 import java.sql.ResultSet;
@@ -38,27 +39,38 @@
 
   /** Guards against an isolated caller that is served, and against others that are not. */
   @Test
-  void shouldHoldBackOnlyIsolatedCallers() throws SQLException {
-    try (Connection isolated = connect(A, "host-1");
+  void shouldServeNoIsolatedCaller() throws SQLException {
+    try (Connection byUser = connect(A, "host-1");
+        Connection byApplication = connect(A, "host-2", "monitor");
         Connection other = connect(A, "host-2")) {
-      group.isolateFromCallers(A, Set.of("host-1"));
-      CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> body(isolated));
+      group.isolateFromCallers(A, Set.of("host-1", "monitor"));
+      assertNoAnswer(byUser);
+      assertNoAnswer(byApplication);
       assertThat(body(other)).isEqualTo("checked");
-      assertThat(answer).isNotDone();
-      group.isolateFromCallers(A, Set.of());
-      assertThat(answer.join()).isEqualTo("checked");
     }
   }
 
-  /** Guards against a paused server that never answers again. */
+  /** Guards against a paused server that goes on answering. */
+  @Test
+  void shouldAnswerNothingDuringAPause() throws SQLException {
+    try (Connection connection = connect(A, "host-1")) {
+      group.setPaused(A, true);
+      assertNoAnswer(connection);
+    }
+  }
+
+  /** Guards against held messages that stay unanswered after an isolation or a pause. */
   @Test
-  void shouldAnswerAfterAPause() throws SQLException {
+  void shouldAnswerHeldMessages() throws SQLException {
     try (Connection connection = connect(A, "host-1")) {
+      group.isolateFromCallers(A, Set.of("host-1"));
+      CompletableFuture<String> isolated = CompletableFuture.supplyAsync(() -> body(connection));
+      group.isolateFromCallers(A, Set.of());
+      assertThat(isolated.join()).isEqualTo("checked");
       group.setPaused(A, true);
-      CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> body(connection));
-      assertThat(answer).isNotDone();
+      CompletableFuture<String> paused = CompletableFuture.supplyAsync(() -> body(connection));
       group.setPaused(A, false);
-      assertThat(answer.join()).isEqualTo("checked");
+      assertThat(paused.join()).isEqualTo("checked");
     }
   }
 
@@ -105,8 +117,21 @@
     }
   }
 
+  /** The server never answers, so the wait ends the same way however long it is. */
+  private static void assertNoAnswer(Connection connection) throws SQLException {
+    connection.setNetworkTimeout(Runnable::run, 300);
+    assertThatThrownBy(() -> body(connection)).hasRootCauseInstanceOf(SocketTimeoutException.class);
+  }
+
   private Connection connect(BackendServerId server, String user) throws SQLException {
+    return connect(server, user, "booking-screen");
+  }
+
+  private Connection connect(BackendServerId server, String user, String application)
+      throws SQLException {
     Properties properties = new Properties();
+    properties.setProperty("ApplicationName", application);
+    properties.setProperty("assumeMinServerVersion", "9.0");
     properties.setProperty("user", user);
     properties.setProperty("password", "host-password");
     return DriverManager.getConnection(
