--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of retries and of outcomes after a lost connection. */
+package org.persimmonwalk.retry;
