--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/benchmark/FleetModel.java
@@ -0,0 +1,254 @@
+package org.persimmonwalk.benchmark;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.IntFunction;
+import org.persimmonwalk.admission.QueuedRequest;
+import org.persimmonwalk.admission.SchedulerStep;
+import org.persimmonwalk.admission.ServerScheduler;
+import org.persimmonwalk.admission.Urgency;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.result.StatementState;
+import org.persimmonwalk.retry.FailedAttempt;
+import org.persimmonwalk.retry.RetryBackoff;
+import org.persimmonwalk.retry.RetryPolicy;
+import org.persimmonwalk.routing.StatementKind;
+
+/**
+ * Entry hosts in front of one backend server, driven by events on a fake clock. The server runs as
+ * many statements at once as it has slots and keeps the rest in the order of their arrival.
+ */
+final class FleetModel {
+  static final int HOSTS = 20;
+  static final int WORKSPACES = 8;
+
+  /** Parts of the load: two large workspaces and six small ones. */
+  static final double[] PARTS = {.3, .25, .075, .075, .075, .075, .075, .075};
+
+  private static final double MEAN_SERVICE_MILLISECONDS = 10;
+  private static final long CALLER_ROUND_TRIP = 6_000_000;
+  private static final Duration DEADLINE = Duration.ofSeconds(1);
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final List<ServerScheduler<Statement>> hosts = new ArrayList<>();
+  private final List<RetryPolicy> policies = new ArrayList<>();
+  private final MonotonicTime[] wakeUps = new MonotonicTime[HOSTS];
+  private final List<Statement> serverQueue = new ArrayList<>();
+  private final RetryBackoff backoff;
+  private final int slots;
+  private final Statistics statistics;
+  private MonotonicTime now = MonotonicTime.of(0);
+  private MonotonicTime downFrom = MonotonicTime.of(Long.MAX_VALUE / 2);
+  private MonotonicTime downUntil = downFrom;
+  private long sequence;
+  private int busy;
+
+  FleetModel(
+      int slots,
+      IntFunction<ServerScheduler<Statement>> schedulers,
+      IntFunction<RetryPolicy> retryPolicies,
+      long seed,
+      Statistics statistics) {
+    this.slots = slots;
+    this.statistics = statistics;
+    this.backoff = RetryBackoff.of(RandomSource.seeded(seed));
+    for (int host = 0; host < HOSTS; host++) {
+      hosts.add(schedulers.apply(host));
+      policies.add(retryPolicies.apply(host));
+    }
+  }
+
+  /** Lets each workspace send its part of the given load, times its factor. */
+  void load(double utilization, double[] factors, long seed) {
+    for (int workspace = 0; workspace < WORKSPACES; workspace++) {
+      double perSecond = utilization * slots * 1000 / MEAN_SERVICE_MILLISECONDS * PARTS[workspace];
+      if (factors[workspace] > 0) {
+        SplittableRandom random = new SplittableRandom(seed * 31 + workspace);
+        arriveNext(workspace, perSecond * factors[workspace], random);
+      }
+    }
+  }
+
+  /** Makes the server refuse connections during the given time. */
+  void outage(Duration from, Duration until) {
+    downFrom = MonotonicTime.of(from.toNanos());
+    downUntil = MonotonicTime.of(until.toNanos());
+  }
+
+  void run(Duration until) {
+    MonotonicTime end = MonotonicTime.of(until.toNanos());
+    while (!events.isEmpty() && events.peek().time().isBefore(end)) {
+      Event event = events.poll();
+      now = event.time();
+      event.action().run();
+    }
+  }
+
+  private void arriveNext(int workspace, double perSecond, SplittableRandom random) {
+    after(
+        (long) (exponential(random) * 1e9 / perSecond),
+        () -> {
+          arrive(workspace, random);
+          arriveNext(workspace, perSecond, random);
+        });
+  }
+
+  private void arrive(int workspace, SplittableRandom random) {
+    double pick = random.nextDouble();
+    Urgency urgency = pick < .6 ? Urgency.URGENT : pick < .9 ? Urgency.NORMAL : Urgency.BULK;
+    double mean = urgency == Urgency.URGENT ? 5 : urgency == Urgency.NORMAL ? 10 : 40;
+    Statement statement =
+        new Statement(
+            workspace,
+            random.nextInt(HOSTS),
+            urgency,
+            (long) (exponential(random) * mean * 1e6),
+            now);
+    statistics.arrived(statement, now);
+    submit(statement);
+  }
+
+  private void submit(Statement statement) {
+    if (!now.isBefore(statement.deadline())) {
+      return;
+    }
+    statement.request =
+        new QueuedRequest<>(
+            statement,
+            WorkspaceId.of("workspace-" + statement.workspace),
+            StatementKind.READ,
+            statement.urgency,
+            statement.deadline());
+    apply(statement.host, hosts.get(statement.host).submit(statement.request, now));
+  }
+
+  private void apply(int host, SchedulerStep<Statement> step) {
+    step.started().forEach(request -> start(request.payload()));
+    step.wakeAt()
+        .filter(time -> wakeUps[host] == null || time.isBefore(wakeUps[host]))
+        .ifPresent(time -> wake(host, time));
+  }
+
+  private void wake(int host, MonotonicTime time) {
+    wakeUps[host] = time;
+    after(
+        Math.max(0, time.since(now).toNanos()),
+        () -> {
+          if (time.equals(wakeUps[host])) {
+            wakeUps[host] = null;
+            apply(host, hosts.get(host).advance(now));
+          }
+        });
+  }
+
+  private void start(Statement statement) {
+    statement.startedAt = now;
+    statement.attempts++;
+    statistics.started(statement, now);
+    if (statement.attempts == 1) {
+      policies.get(statement.host).recordFirstAttempt(now);
+    }
+    after(oneWay(statement.host), () -> reachServer(statement));
+  }
+
+  private void reachServer(Statement statement) {
+    if (!now.isBefore(downFrom) && now.isBefore(downUntil)) {
+      after(oneWay(statement.host), () -> fail(statement));
+    } else if (busy < slots) {
+      busy++;
+      execute(statement);
+    } else {
+      serverQueue.add(statement);
+    }
+  }
+
+  private void execute(Statement statement) {
+    after(
+        statement.serviceNanoseconds,
+        () -> {
+          after(oneWay(statement.host), () -> answer(statement));
+          if (serverQueue.isEmpty()) {
+            busy--;
+          } else {
+            execute(serverQueue.remove(0));
+          }
+        });
+  }
+
+  private void answer(Statement statement) {
+    Duration latency = now.since(statement.arrivedAt).plusNanos(CALLER_ROUND_TRIP);
+    statistics.answered(statement, latency, now.isBefore(statement.deadline()));
+    complete(statement, true);
+  }
+
+  private void fail(Statement statement) {
+    complete(statement, false);
+    FailedAttempt attempt =
+        new FailedAttempt(StatementKind.READ, StatementState.NOT_RUN, false, statement.attempts);
+    if (policies.get(statement.host).mayRetry(attempt, now)) {
+      after(backoff.delay(statement.attempts).toNanos(), () -> submit(statement));
+    }
+  }
+
+  private void complete(Statement statement, boolean succeeded) {
+    Duration duration = now.since(statement.startedAt);
+    ServerScheduler<Statement> scheduler = hosts.get(statement.host);
+    apply(statement.host, scheduler.complete(statement.request, duration, succeeded, now));
+  }
+
+  /** A third of the hosts is in the zone of the server. */
+  private static long oneWay(int host) {
+    return host % 3 == 0 ? 100_000 : 1_500_000;
+  }
+
+  private void after(long nanoseconds, Runnable action) {
+    events.add(new Event(now.plus(Duration.ofNanos(nanoseconds)), sequence++, action));
+  }
+
+  private static double exponential(SplittableRandom random) {
+    return -Math.log(1 - random.nextDouble());
+  }
+
+  /** One statement of a caller. */
+  static final class Statement {
+    final int workspace;
+    final int host;
+    final Urgency urgency;
+    final long serviceNanoseconds;
+    final MonotonicTime arrivedAt;
+    int attempts;
+    private MonotonicTime startedAt;
+    private QueuedRequest<Statement> request;
+
+    private Statement(
+        int workspace,
+        int host,
+        Urgency urgency,
+        long serviceNanoseconds,
+        MonotonicTime arrivedAt) {
+      this.workspace = workspace;
+      this.host = host;
+      this.urgency = urgency;
+      this.serviceNanoseconds = serviceNanoseconds;
+      this.arrivedAt = arrivedAt;
+    }
+
+    private MonotonicTime deadline() {
+      return arrivedAt.plus(DEADLINE);
+    }
+  }
+
+  private record Event(MonotonicTime time, long sequence, Runnable action)
+      implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int order = time.compareTo(other.time);
+      return order != 0 ? order : Long.compare(sequence, other.sequence);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/benchmark/Statistics.java
@@ -0,0 +1,89 @@
+package org.persimmonwalk.benchmark;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import org.persimmonwalk.benchmark.FleetModel.Statement;
+import org.persimmonwalk.model.MonotonicTime;
+
+/** Counts the statements that arrive in one interval, and their outcomes. */
+final class Statistics {
+  private final Duration interval;
+  private final MonotonicTime from;
+  private final MonotonicTime until;
+  private final int[] arrived = new int[FleetModel.WORKSPACES];
+  private final int[] answered = new int[FleetModel.WORKSPACES];
+  private final List<List<Long>> latencies = new ArrayList<>();
+  private long usefulWork;
+  private int firstAttempts;
+  private int extraAttempts;
+
+  private Statistics(Duration from, Duration until) {
+    this.interval = until.minus(from);
+    this.from = MonotonicTime.of(from.toNanos());
+    this.until = MonotonicTime.of(until.toNanos());
+    for (int workspace = 0; workspace < FleetModel.WORKSPACES; workspace++) {
+      latencies.add(new ArrayList<>());
+    }
+  }
+
+  static Statistics between(Duration from, Duration until) {
+    return new Statistics(from, until);
+  }
+
+  void arrived(Statement statement, MonotonicTime now) {
+    if (isInside(now)) {
+      arrived[statement.workspace]++;
+    }
+  }
+
+  void started(Statement statement, MonotonicTime now) {
+    if (isInside(now) && statement.attempts == 1) {
+      firstAttempts++;
+    } else if (isInside(now)) {
+      extraAttempts++;
+    }
+  }
+
+  void answered(Statement statement, Duration latency, boolean inTime) {
+    if (isInside(statement.arrivedAt) && inTime) {
+      answered[statement.workspace]++;
+      usefulWork += statement.serviceNanoseconds;
+      latencies.get(statement.workspace).add(latency.toNanos());
+    }
+  }
+
+  double successShare(int workspace) {
+    return (double) answered[workspace] / arrived[workspace];
+  }
+
+  /** Returns the 99th percentile of the latency of answered statements in milliseconds. */
+  double percentile99(int workspace) {
+    List<Long> sorted = new ArrayList<>(latencies.get(workspace));
+    Collections.sort(sorted);
+    return sorted.isEmpty() ? Double.NaN : sorted.get((int) (sorted.size() * 0.99)) / 1e6;
+  }
+
+  double goodput() {
+    return Arrays.stream(answered).sum() / (interval.toNanos() / 1e9);
+  }
+
+  /** Returns the part of the server's capacity that went into answers in time. */
+  double usefulShare(int slots) {
+    return usefulWork / ((double) interval.toNanos() * slots);
+  }
+
+  int firstAttempts() {
+    return firstAttempts;
+  }
+
+  int extraAttempts() {
+    return extraAttempts;
+  }
+
+  private boolean isInside(MonotonicTime time) {
+    return !time.isBefore(from) && time.isBefore(until);
+  }
+}
