--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ExchangeListener.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ExchangeListener.java
@@ -1,9 +1,6 @@
 package org.persimmonwalk.internal.traffic.backend;
 
-import java.util.Optional;
-import org.persimmonwalk.model.GroupPosition;
 import org.persimmonwalk.wire.Frame;
-import org.persimmonwalk.wire.TransactionStatus;
 
 /**
  * Is told of the answer to one exchange. All calls come on the event loop of the backend
@@ -17,13 +14,8 @@
   /** All frames that have arrived together were given; now is the time to pass them on. */
   void onReadComplete();
 
-  /**
-   * The answer is complete.
-   *
-   * @param status the transaction status after the answer
-   * @param position the primary's position after the answer, if it was asked for and given
-   */
-  void onFinished(TransactionStatus status, Optional<GroupPosition> position);
+  /** The answer is complete. */
+  void onFinished(ExchangeResult result);
 
   /** The connection was lost before the answer was complete. */
   void onLost(String reason);
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExchange.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExchange.java
@@ -1,17 +1,14 @@
 package org.persimmonwalk.internal.traffic.caller;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
+import java.util.function.Consumer;
 import org.persimmonwalk.internal.traffic.backend.BackendConnection;
 import org.persimmonwalk.internal.traffic.backend.ExchangeListener;
+import org.persimmonwalk.internal.traffic.backend.ExchangePlan;
+import org.persimmonwalk.internal.traffic.backend.ExchangeResult;
 import org.persimmonwalk.internal.traffic.backend.ServerPool;
-import org.persimmonwalk.internal.traffic.backend.SessionSettings;
-import org.persimmonwalk.model.GroupPosition;
 import org.persimmonwalk.routing.StatementKind;
 import org.persimmonwalk.wire.Frame;
-import org.persimmonwalk.wire.TransactionStatus;
 
 /** Carries the answer to one attempt from the backend's event loop to the caller's. */
 final class BatchExchange implements ExchangeListener {
@@ -20,7 +17,7 @@
   private final ServerPool pool;
   private final AnswerRelay relay;
   private final EventLoop callerLoop;
-  private Optional<GroupPosition> position = Optional.empty();
+  private Consumer<Boolean> ended = succeeded -> {};
 
   private BatchExchange(
       BatchExecution execution,
@@ -44,19 +41,20 @@
     return new BatchExchange(execution, connection, pool, relay, callerLoop);
   }
 
-  void start(StatementBatch batch, Optional<SessionSettings> settings, boolean asksPosition) {
-    List<Frame> frames = new ArrayList<>(batch.retainedFrames());
-    connection.exchange(settings, frames, asksPosition, this);
+  /**
+   * Sends the request.
+   *
+   * @param whenEnded is told, before the execution, whether the server answered
+   */
+  void start(ExchangePlan plan, Consumer<Boolean> whenEnded) {
+    ended = whenEnded;
+    connection.exchange(plan, this);
   }
 
   AnswerRelay relay() {
     return relay;
   }
 
-  Optional<GroupPosition> position() {
-    return position;
-  }
-
   void releaseConnection() {
     pool.release(connection, true);
   }
@@ -76,11 +74,11 @@
   }
 
   @Override
-  public void onFinished(TransactionStatus status, Optional<GroupPosition> written) {
+  public void onFinished(ExchangeResult result) {
     onCallerLoop(
         () -> {
-          position = written;
-          execution.answered(this, status);
+          ended.accept(true);
+          execution.answered(this, result);
         });
   }
 
@@ -88,8 +86,9 @@
   public void onLost(String reason) {
     onCallerLoop(
         () -> {
+          ended.accept(false);
           pool.release(connection, false);
-          execution.lost(this);
+          execution.lost(relay);
         });
   }
 
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchReplies.java
@@ -0,0 +1,59 @@
+package org.persimmonwalk.internal.traffic.caller;
+
+import java.util.Optional;
+import org.persimmonwalk.internal.traffic.caller.CallerState.Transaction;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.request.StatementRequest;
+import org.persimmonwalk.result.ResultCode;
+import org.persimmonwalk.result.StatementState;
+import org.persimmonwalk.wire.TransactionStatus;
+
+/** Ends a batch with the answer that its caller gets. */
+final class BatchReplies {
+  private final TrafficContext context;
+  private final CallerState state;
+  private final CallerWriter writer;
+  private final MonotonicTime startedAt;
+
+  private BatchReplies(
+      TrafficContext context, CallerState state, CallerWriter writer, MonotonicTime startedAt) {
+    this.context = context;
+    this.state = state;
+    this.writer = writer;
+    this.startedAt = startedAt;
+  }
+
+  static BatchReplies of(
+      TrafficContext context, CallerState state, CallerWriter writer, MonotonicTime startedAt) {
+    return new BatchReplies(context, state, writer, startedAt);
+  }
+
+  /** Passes on what the relay has held back. */
+  void complete(StatementRequest request, AnswerRelay relay) {
+    relay.release();
+    context
+        .listener()
+        .finished(request, StatementState.RAN, context.clock().now().since(startedAt));
+    writer.ready(state.status());
+  }
+
+  /** Ends a batch that was sent with an error of this host. */
+  void fail(StatementRequest request, ResultCode code, StatementState outcome, String detail) {
+    context.listener().finished(request, outcome, context.clock().now().since(startedAt));
+    writer.error(code, detail);
+    writer.ready(state.status());
+  }
+
+  /** Refuses a batch that was not sent; an open transaction is rolled back. */
+  void refuse(StatementRequest request, ResultCode code) {
+    context.listener().refused(request, code);
+    state.transaction().ifPresent(this::rollBack);
+    writer.error(code, "");
+    writer.ready(state.status());
+  }
+
+  private void rollBack(Transaction transaction) {
+    transaction.pool().release(transaction.connection(), false);
+    state.setStatus(TransactionStatus.FAILED, Optional.empty());
+  }
+}
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.persimmonwalk.admission.Urgency;
 import org.persimmonwalk.id.IdempotencyKey;
 import org.persimmonwalk.id.SessionId;
 import org.persimmonwalk.model.GroupPosition;
@@ -28,6 +29,8 @@
   private Optional<SessionId> session = Optional.empty();
   private Optional<Duration> maximumAge = Optional.empty();
   private Optional<IdempotencyKey> idempotencyKey = Optional.empty();
+  private Urgency urgency = Urgency.NORMAL;
+  private Optional<Duration> deadline = Optional.empty();
   private SessionFloor floor = SessionFloor.none();
 
   private HostParameters() {}
@@ -44,6 +47,15 @@
     return maximumAge;
   }
 
+  Urgency urgency() {
+    return urgency;
+  }
+
+  /** Returns how long a statement may wait before it starts, if the caller has stated it. */
+  Optional<Duration> deadline() {
+    return deadline;
+  }
+
   /** Returns the idempotency key and forgets it; it holds for one statement. */
   Optional<IdempotencyKey> takeIdempotencyKey() {
     Optional<IdempotencyKey> taken = idempotencyKey;
@@ -96,6 +108,8 @@
         case "session" -> declareSession(reset, value, now);
         case "position" -> declarePosition(reset, value, now);
         case "max_age" -> maximumAge = reset ? Optional.empty() : Optional.of(parseAge(value));
+        case "urgency" -> urgency = reset ? Urgency.NORMAL : parseUrgency(value);
+        case "deadline" -> deadline = reset ? Optional.empty() : Optional.of(parseAge(value));
         case "idempotency_key" ->
             idempotencyKey = reset ? Optional.empty() : Optional.of(IdempotencyKey.of(value));
         default -> throw new IllegalArgumentException("the parameter does not exist");
@@ -114,6 +128,14 @@
     floor = reset ? SessionFloor.unknown(now) : SessionFloor.known(GroupPosition.parse(value));
   }
 
+  private static Urgency parseUrgency(String value) {
+    try {
+      return Urgency.valueOf(value.toUpperCase(Locale.ROOT));
+    } catch (IllegalArgumentException e) {
+      throw new IllegalArgumentException("allowed are urgent, normal and bulk", e);
+    }
+  }
+
   private static Duration parseAge(String value) {
     Matcher matcher = AGE.matcher(value);
     if (!matcher.matches()) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClass.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClass.java
@@ -6,6 +6,8 @@
   READ,
   /** May write. */
   WRITE,
+  /** May hold several statements, among them one that ends a transaction. */
+  MULTIPLE,
   /** Opens a transaction that may write. */
   BEGIN,
   /** Opens a read-only transaction. */
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClassifier.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClassifier.java
@@ -29,8 +29,8 @@
   static StatementClass classify(String statement) {
     String text = normalize(statement);
     String keyword = keyword(text);
-    if (isBatch(text)) {
-      return StatementClass.WRITE;
+    if (holdsSeveral(text)) {
+      return StatementClass.MULTIPLE;
     }
     if (READS.contains(keyword)) {
       return LOCKING.matcher(text).find() ? StatementClass.WRITE : StatementClass.READ;
@@ -56,7 +56,7 @@
   }
 
   /** Returns whether the text may hold several statements; a quoted semicolon counts too. */
-  private static boolean isBatch(String text) {
+  private static boolean holdsSeveral(String text) {
     int semicolon = text.indexOf(';');
     return semicolon >= 0 && !text.substring(semicolon + 1).isBlank();
   }
