--- a/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
@@ -238,7 +238,11 @@
     MonotonicTime start = MonotonicClock.system().now();
     while (!isReady(host.snapshot())) {
       if (MonotonicClock.system().now().since(start).compareTo(LONGEST_WAIT) > 0) {
-        throw new IllegalStateException("an entry host did not serve within " + LONGEST_WAIT);
+        throw new IllegalStateException(
+            "an entry host did not serve within "
+                + LONGEST_WAIT
+                + ": "
+                + describe(host.snapshot()));
       }
       try {
         Thread.sleep(POLL_MILLISECONDS);
@@ -249,6 +253,21 @@
     }
   }
 
+  private static String describe(Snapshot snapshot) {
+    return "phase "
+        + snapshot.get(Entries.HOST_PHASE)
+        + ", revision "
+        + snapshot.get(Entries.CONFIGURATION).revision()
+        + ", live hosts "
+        + snapshot.get(Entries.LIVE_HOSTS)
+        + ", shares "
+        + snapshot.get(Entries.SHARES)
+        + ", allowances "
+        + snapshot.get(Entries.CONNECTION_ALLOWANCES)
+        + ", groups "
+        + snapshot.get(Entries.GROUPS).values();
+  }
+
   private static boolean isReady(Snapshot snapshot) {
     GroupView view = snapshot.get(Entries.GROUPS).get(GROUP);
     boolean allowed =
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -5,10 +5,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.persimmonwalk.admission.QueuedRequest;
 import org.persimmonwalk.blackboard.Snapshot;
 import org.persimmonwalk.internal.traffic.backend.BackendConnection;
-import org.persimmonwalk.internal.traffic.backend.ConnectionWaiter;
 import org.persimmonwalk.internal.traffic.backend.ExchangeResult;
 import org.persimmonwalk.internal.traffic.backend.ServerPool;
 import org.persimmonwalk.internal.traffic.backend.ServerQueue;
@@ -30,7 +28,7 @@
  * Runs one batch: admission, routing, the wait for a connection, the exchange and the
  * acknowledgement. Used on the event loop of the caller only.
  */
-final class BatchExecution {
+final class BatchExecution implements ConnectionTicket.Owner {
   private static final Duration ADMISSION_INTERVAL = Duration.ofMillis(10);
   private static final String READ_ONLY_VIOLATION = "25006";
   private static final String UNIQUE_VIOLATION = "23505";
@@ -43,8 +41,9 @@
   private final BatchReplies replies;
   private StatementRequest request;
   private Optional<BackendConnection> running = Optional.empty();
-  private Optional<PoolWaiter> waiting = Optional.empty();
+  private Optional<ConnectionTicket> waiting = Optional.empty();
   private Optional<ScheduledFuture<?>> answerTimer = Optional.empty();
+  private Optional<RoutingDecision.Execute> routed = Optional.empty();
   private int attempts;
   private boolean abandoned;
   private boolean finished;
@@ -112,7 +111,7 @@
     abandoned = true;
     running.ifPresent(BackendConnection::close);
     if (running.isEmpty()) {
-      waiting.ifPresent(PoolWaiter::withdraw);
+      waiting.ifPresent(ConnectionTicket::withdraw);
       finish();
     }
   }
@@ -162,9 +161,33 @@
   private void acquire(RoutingDecision.Execute decision) {
     state.parameters().resolveFloor(decision.floor());
     ServerQueue queue = context.backends().pools().queue(request.group(), decision.server());
-    PoolWaiter waiter = new PoolWaiter(queue, decision);
-    waiting = Optional.of(waiter);
-    waiter.submit();
+    ConnectionTicket ticket =
+        ConnectionTicket.of(queue, request, state.parameters().urgency(), caller.eventLoop(), this);
+    routed = Optional.of(decision);
+    waiting = Optional.of(ticket);
+    ticket.submit(context.clock());
+  }
+
+  @Override
+  public void granted(ConnectionTicket ticket, BackendConnection connection) {
+    waiting = Optional.empty();
+    if (finished) {
+      ticket.giveBack(connection);
+      return;
+    }
+    routed.ifPresent(decision -> context.listener().routed(request, decision));
+    execute(connection, ticket.pool(), Optional.of(ticket));
+  }
+
+  /** A server without a connection may have failed; the next snapshot may name another one. */
+  @Override
+  public void refused(ResultCode code) {
+    waiting = Optional.empty();
+    if (code == ResultCode.NO_CONNECTION && now().isBefore(request.deadline())) {
+      routeWithNextSnapshot();
+    } else {
+      refuse(code);
+    }
   }
 
   private void runInTransaction(Transaction transaction) {
@@ -172,7 +195,7 @@
   }
 
   private void execute(
-      BackendConnection connection, ServerPool pool, Optional<PoolWaiter> grantedTo) {
+      BackendConnection connection, ServerPool pool, Optional<ConnectionTicket> ticket) {
     attempts++;
     running = Optional.of(connection);
     AnswerRelay relay = AnswerRelay.of(caller, batch, traits().holdsCompletion());
@@ -182,7 +205,7 @@
             : Optional.of(state.connectionSettings(request.kind()));
     answerTimer = Optional.of(schedule(connection::close, context.backends().answerTimeout()));
     BatchExchange.of(this, connection, pool, relay, caller.eventLoop())
-        .start(traits().plan(settings), succeeded -> grantedTo.ifPresent(w -> w.end(succeeded)));
+        .start(traits().plan(settings), succeeded -> ticket.ifPresent(held -> held.end(succeeded)));
   }
 
   private BatchTraits traits() {
@@ -339,85 +362,4 @@
   private ScheduledFuture<?> schedule(Runnable action, Duration delay) {
     return caller.eventLoop().schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
   }
-
-  /** Waits for a connection and moves its grant to the event loop of the caller. */
-  private final class PoolWaiter implements ConnectionWaiter {
-    private final ServerQueue queue;
-    private final RoutingDecision.Execute decision;
-    private final QueuedRequest<ConnectionWaiter> ticket;
-    private Optional<ScheduledFuture<?>> timer = Optional.empty();
-    private MonotonicTime grantedAt = now();
-
-    PoolWaiter(ServerQueue queue, RoutingDecision.Execute decision) {
-      this.queue = queue;
-      this.decision = decision;
-      this.ticket =
-          new QueuedRequest<>(
-              this,
-              request.workspace(),
-              request.kind(),
-              state.parameters().urgency(),
-              request.deadline());
-    }
-
-    void submit() {
-      timer = Optional.of(schedule(this::giveUp, request.deadline().since(now())));
-      queue.submit(ticket);
-    }
-
-    void withdraw() {
-      stopTimer();
-      queue.withdraw(ticket);
-    }
-
-    void end(boolean succeeded) {
-      queue.complete(ticket, now().since(grantedAt), succeeded);
-    }
-
-    @Override
-    public void granted(BackendConnection connection) {
-      caller.eventLoop().execute(() -> run(connection));
-    }
-
-    @Override
-    public void refused(ResultCode code) {
-      caller.eventLoop().execute(() -> handleRefusal(code));
-    }
-
-    private void run(BackendConnection connection) {
-      stopTimer();
-      if (finished) {
-        queue.pool().release(connection, true);
-        end(false);
-        return;
-      }
-      grantedAt = now();
-      context.listener().routed(request, decision);
-      execute(connection, queue.pool(), Optional.of(this));
-    }
-
-    /** A server without a connection may have failed; the next snapshot may name another one. */
-    private void handleRefusal(ResultCode code) {
-      stopTimer();
-      if (code == ResultCode.NO_CONNECTION) {
-        end(false);
-      }
-      if (code == ResultCode.NO_CONNECTION && now().isBefore(request.deadline())) {
-        routeWithNextSnapshot();
-      } else {
-        refuse(code);
-      }
-    }
-
-    private void giveUp() {
-      if (queue.withdraw(ticket)) {
-        refuse(ResultCode.DEADLINE_UNREACHABLE);
-      }
-    }
-
-    private void stopTimer() {
-      waiting = Optional.empty();
-      timer.ifPresent(scheduled -> scheduled.cancel(false));
-    }
-  }
 }
