Refuse share messages with numbers that the control thread cannot use

Cause: the remaining time of a share transfer from a peer was not bounded, so a malformed message made the addition of nanoseconds fail on the control thread. Change: the codec checks durations, units and amounts of share messages.

--- a/peer/src/main/java/org/persimmonwalk/peer/PeerCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerCodec.java
@@ -208,9 +208,9 @@
     return new ShareRequest(
         TransferId.of(message.getId()),
         decode(message.getRow()),
-        message.getHeld(),
-        message.getDemand(),
-        message.getTokens());
+        ReceivedNumbers.units(message.getHeld()),
+        ReceivedNumbers.amount(message.getDemand()),
+        ReceivedNumbers.amount(message.getTokens()));
   }
 
   private static ShareTransferMessage encode(ShareTransfer transfer) {
@@ -227,9 +227,9 @@
     return new ShareTransfer(
         TransferId.of(message.getId()),
         decode(message.getRow()),
-        message.getAmount(),
-        message.getTokens(),
-        Duration.ofMillis(message.getRemainingMilliseconds()));
+        ReceivedNumbers.units(message.getAmount()),
+        ReceivedNumbers.amount(message.getTokens()),
+        ReceivedNumbers.duration(message.getRemainingMilliseconds()));
   }
 
   private static TableRowMessage encode(TableRow row) {
--- a/peer/src/test/java/org/persimmonwalk/peer/PeerCodecTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/PeerCodecTest.java
@@ -21,6 +21,7 @@
 import org.persimmonwalk.peer.generated.HeartbeatMessage;
 import org.persimmonwalk.peer.generated.HostMessage;
 import org.persimmonwalk.peer.generated.HostNewsMessage;
+import org.persimmonwalk.peer.generated.ShareRequestMessage;
 import org.persimmonwalk.peer.generated.ShareTransferMessage;
 import org.persimmonwalk.peer.generated.TableRowMessage;
 import org.persimmonwalk.result.PersimmonwalkException;
@@ -125,6 +126,35 @@
     assertMalformed("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
   }
 
+  /** Guards against amounts and times of shares that make the control thread fail. */
+  @Test
+  void shouldRefuseMalformedShares() {
+    TableRowMessage row = TableRowMessage.newBuilder().setTable("shares").setRow("oil").build();
+    ShareTransferMessage transfer =
+        ShareTransferMessage.newBuilder().setId("transfer").setRow(row).build();
+    ShareRequestMessage request =
+        ShareRequestMessage.newBuilder().setId("transfer").setRow(row).build();
+    List<Envelope> malformed =
+        List.of(
+            envelope().setShareTransfer(transfer.toBuilder().setRemainingMilliseconds(-1)).build(),
+            envelope()
+                .setShareTransfer(
+                    transfer.toBuilder().setRemainingMilliseconds(Long.MAX_VALUE / 1000))
+                .build(),
+            envelope()
+                .setShareTransfer(transfer.toBuilder().setTokens(Double.POSITIVE_INFINITY))
+                .build(),
+            envelope().setShareRequest(request.toBuilder().setHeld(-1)).build(),
+            envelope().setShareRequest(request.toBuilder().setDemand(Double.NaN)).build(),
+            envelope().setShareRequest(request.toBuilder().setTokens(-1)).build());
+
+    assertThat(decode(envelope().setShareTransfer(transfer).build().toByteArray())).isNotNull();
+    assertThat(decode(envelope().setShareRequest(request).build().toByteArray())).isNotNull();
+    for (Envelope envelope : malformed) {
+      assertMalformed(envelope.toByteArray());
+    }
+  }
+
   private static void assertMalformed(byte[] bytes) {
     assertThatThrownBy(() -> decode(bytes))
         .isInstanceOfSatisfying(
