--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminRequest.java
@@ -0,0 +1,25 @@
+package org.persimmonwalk.internal.admin;
+
+import java.net.InetAddress;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A request to the administration interface.
+ *
+ * @param method the HTTP method, for example {@code GET}
+ * @param path the path without the query
+ * @param remote where the request comes from
+ * @param authorization the header {@code Authorization}, if there is one
+ */
+public record AdminRequest(
+    String method, String path, InetAddress remote, Optional<String> authorization) {
+
+  /** Checks that all parts are present. */
+  public AdminRequest {
+    Objects.requireNonNull(method, "method");
+    Objects.requireNonNull(path, "path");
+    Objects.requireNonNull(remote, "remote");
+    Objects.requireNonNull(authorization, "authorization");
+  }
+}
--- /dev/null
+++ b/entryhost/src/test/java/org/persimmonwalk/entryhost/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the entry host. */
+package org.persimmonwalk.entryhost;
--- /dev/null
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the administration interface. */
+package org.persimmonwalk.internal.admin;
