Let the administration server be closed twice

The shutdown hook and an owner may both close it; the second close failed with a rejected task. OperatorCommandLineTest closes a server twice.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminServer.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminServer.java
@@ -85,6 +85,9 @@
 
   @Override
   public void close() {
+    if (loop.isShuttingDown()) {
+      return;
+    }
     listener.close().syncUninterruptibly();
     loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
