Add the operators' command line

Operators had no way to submit release notes or to see the fleet. The command line applies, checks and compares release notes, lists revisions, shows the state of hosts, groups, servers and workspaces, drains hosts, and mints and withdraws keys.

--- a/core/src/main/java/org/persimmonwalk/result/ResultCode.java
+++ b/core/src/main/java/org/persimmonwalk/result/ResultCode.java
@@ -189,6 +189,18 @@
       "check the name"),
   COMMAND_LINE_INVALID(
       6007, "22023", StatementState.NOT_APPLICABLE, "the command line is invalid", "see the help"),
+  HOST_UNAVAILABLE(
+      6008,
+      "58030",
+      StatementState.NOT_APPLICABLE,
+      "an entry host does not answer operators",
+      "check the hosts named"),
+  REVISION_NOT_EVERYWHERE(
+      6009,
+      "55000",
+      StatementState.NOT_APPLICABLE,
+      "the revision is accepted but not in force at all hosts yet",
+      "check the hosts named"),
   SETTING_UNREADABLE(
       7001,
       "F0000",
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/DiffCommand.java
@@ -0,0 +1,16 @@
+package org.persimmonwalk.internal.operator.command;
+
+import java.nio.file.Path;
+import org.kohsuke.args4j.Argument;
+import org.persimmonwalk.internal.operator.note.ReleaseNoteReader;
+
+/** Prints what a release note would change in the configuration in force. */
+final class DiffCommand implements Subcommand {
+  @Argument(metaVar = "NOTE.yaml", required = true, usage = "the release note")
+  private Path file;
+
+  @Override
+  public void run(OperatorSession session) {
+    NoteReview.of(session, ReleaseNoteReader.create().read(file)).printChanges(session);
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/DrainCommand.java
@@ -0,0 +1,46 @@
+package org.persimmonwalk.internal.operator.command;
+
+import java.util.List;
+import java.util.Map;
+import org.kohsuke.args4j.Argument;
+import org.persimmonwalk.internal.operator.fleet.FleetView;
+import org.persimmonwalk.internal.operator.fleet.HostAnswer;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.result.PersimmonwalkException;
+import org.persimmonwalk.result.ResultCode;
+
+/** Asks one host to stop as planned. */
+final class DrainCommand implements Subcommand {
+  @Argument(metaVar = "HOST", required = true, usage = "the id of the entry host")
+  private String host;
+
+  @Override
+  public void run(OperatorSession session) {
+    FleetView view = session.askHosts();
+    List<SocketEndpoint> endpoints =
+        view.answers().entrySet().stream()
+            .filter(entry -> isNamed(entry.getValue()))
+            .map(Map.Entry::getKey)
+            .toList();
+    if (endpoints.size() > 1) {
+      throw PersimmonwalkException.of(
+          ResultCode.COMMAND_LINE_INVALID,
+          "the endpoints " + endpoints + " all belong to host " + host + "; name one of them");
+    }
+    if (endpoints.isEmpty()) {
+      session.requireAnswers(view);
+      throw PersimmonwalkException.of(
+          ResultCode.NOT_FOUND, "no endpoint of --hosts belongs to host " + host);
+    }
+    Stages.await(session.hosts().drain(endpoints.get(0)));
+    session
+        .output()
+        .result(
+            Results.of("host", host, "endpoint", endpoints.get(0).toString(), "drain", "asked"));
+  }
+
+  private boolean isNamed(HostAnswer answer) {
+    return answer instanceof HostAnswer.Reported reported
+        && reported.report().host().value().equals(host);
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/KeyWithdrawCommand.java
@@ -0,0 +1,67 @@
+package org.persimmonwalk.internal.operator.command;
+
+import java.util.List;
+import java.util.regex.Pattern;
+import org.kohsuke.args4j.Argument;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.release.ItemName;
+import org.persimmonwalk.release.ReleaseNote;
+import org.persimmonwalk.result.PersimmonwalkException;
+import org.persimmonwalk.result.ResultCode;
+
+/** Withdraws the one caller key whose hash begins with the given digits. */
+final class KeyWithdrawCommand implements Subcommand {
+  private static final Pattern PREFIX = Pattern.compile("[0-9a-f]{8,64}");
+
+  @Argument(
+      metaVar = "HASH-PREFIX",
+      required = true,
+      usage = "the first 8 or more digits of the key's hash")
+  private String prefix;
+
+  @Override
+  public void run(OperatorSession session) {
+    if (!PREFIX.matcher(prefix).matches()) {
+      throw PersimmonwalkException.of(
+          ResultCode.COMMAND_LINE_INVALID,
+          "the start of a hash has 8 to 64 lower-case hexadecimal digits");
+    }
+    KeyHash[] withdrawn = new KeyHash[1];
+    Revision revision =
+        RebasedNote.publish(
+            session,
+            current -> {
+              withdrawn[0] = find(current);
+              return note(current, withdrawn[0]);
+            });
+    session
+        .output()
+        .result(Results.of("hash", withdrawn[0].value(), "revision", revision.number()));
+    session.awaitRevision(revision);
+  }
+
+  private KeyHash find(Configuration current) {
+    List<KeyHash> matches =
+        current.keys().keySet().stream().filter(hash -> hash.value().startsWith(prefix)).toList();
+    if (matches.isEmpty()) {
+      throw PersimmonwalkException.of(
+          ResultCode.NOT_FOUND, "no key has a hash that begins with " + prefix);
+    }
+    if (matches.size() > 1) {
+      throw PersimmonwalkException.of(
+          ResultCode.COMMAND_LINE_INVALID,
+          matches.size() + " keys have a hash that begins with " + prefix + "; give more digits");
+    }
+    return matches.get(0);
+  }
+
+  /** The revision is part of the id, since a key may be withdrawn, added and withdrawn again. */
+  private static ReleaseNote note(Configuration current, KeyHash hash) {
+    String id = "withdraw-key-" + hash + "-" + current.revision().next();
+    return ReleaseNote.of(ReleaseNoteId.of(id), current.revision())
+        .withWithdrawn(List.of(ItemName.of(hash)));
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/OperatorSession.java
@@ -0,0 +1,166 @@
+package org.persimmonwalk.internal.operator.command;
+
+import java.util.Optional;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.internal.operator.fleet.FleetGoal;
+import org.persimmonwalk.internal.operator.fleet.FleetPoll;
+import org.persimmonwalk.internal.operator.fleet.FleetView;
+import org.persimmonwalk.internal.operator.fleet.HostAdministration;
+import org.persimmonwalk.internal.operator.note.FaultMessages;
+import org.persimmonwalk.internal.operator.output.Output;
+import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.release.PublishResult;
+import org.persimmonwalk.release.ReleaseNote;
+import org.persimmonwalk.release.ReleaseNotePublisher;
+import org.persimmonwalk.result.PersimmonwalkException;
+import org.persimmonwalk.result.ResultCode;
+
+/** One run of a subcommand; it opens the platform and the hosts when they are needed. */
+public final class OperatorSession implements AutoCloseable {
+  private final CommonOptions options;
+  private final OperatorEnvironment environment;
+  private final Output output;
+  private Optional<OperatorEnvironment.PlatformAccess> platform = Optional.empty();
+  private Optional<HostAdministration> hosts = Optional.empty();
+
+  private OperatorSession(CommonOptions options, OperatorEnvironment environment, Output output) {
+    this.options = options;
+    this.environment = environment;
+    this.output = output;
+  }
+
+  /** Returns a session that has opened nothing. */
+  public static OperatorSession of(
+      CommonOptions options, OperatorEnvironment environment, Output output) {
+    return new OperatorSession(options, environment, output);
+  }
+
+  CommonOptions options() {
+    return options;
+  }
+
+  Output output() {
+    return output;
+  }
+
+  KeySource keys() {
+    return environment.keys();
+  }
+
+  ConfigurationReader configurations() {
+    return ConfigurationReader.of(openPlatform());
+  }
+
+  HostAdministration hosts() {
+    if (hosts.isEmpty()) {
+      hosts = Optional.of(environment.hosts(options.token()));
+    }
+    return hosts.get();
+  }
+
+  /** Asks each host once. */
+  FleetView askHosts() {
+    return FleetPoll.of(hosts(), environment.clock())
+        .run(options.hostEndpoints(), FleetGoal.oneAnswer(), options.waitLimit(), progress -> {});
+  }
+
+  /**
+   * Publishes a release note.
+   *
+   * @throws PersimmonwalkException if it is refused or its outcome is not known
+   */
+  Revision publish(ReleaseNote note) {
+    OperatorEnvironment.PlatformAccess access = openPlatform();
+    PublishResult result =
+        Stages.await(
+            ReleaseNotePublisher.of(
+                    access.table(), access.objects(), RandomSource.system(), environment.pause())
+                .publish(note));
+    if (result instanceof PublishResult.Refused refused) {
+      throw FaultMessages.exception(refused.code(), refused.faults());
+    } else if (result instanceof PublishResult.Failed failed) {
+      String label = failed.code().label() + ": ";
+      String message = failed.message();
+      throw PersimmonwalkException.of(
+          failed.code(), message.startsWith(label) ? message.substring(label.length()) : message);
+    }
+    return ((PublishResult.Accepted) result).revision();
+  }
+
+  /**
+   * Waits until all hosts have the revision in force, if the options ask for it.
+   *
+   * @throws PersimmonwalkException if some hosts do not have it in time
+   */
+  void awaitRevision(Revision revision) {
+    if (!options.isWaiting()) {
+      return;
+    }
+    int count = (int) options.hostEndpoints().stream().distinct().count();
+    FleetGoal goal = FleetGoal.revision(revision);
+    FleetView end =
+        FleetPoll.of(hosts(), environment.clock())
+            .run(
+                options.hostEndpoints(),
+                goal,
+                options.waitLimit(),
+                view -> output.progress(progress(view, count, revision)));
+    if (end.reached() < count) {
+      throw PersimmonwalkException.of(
+          ResultCode.REVISION_NOT_EVERYWHERE,
+          progress(end, count, revision) + "; check " + missing(end, goal));
+    }
+  }
+
+  /**
+   * Fails if a host has not answered.
+   *
+   * @throws PersimmonwalkException with the code of the first failure
+   */
+  void requireAnswers(FleetView view) {
+    if (!view.failures().isEmpty()) {
+      String list =
+          String.join("\n  ", view.failures().stream().map(Throwable::getMessage).toList());
+      throw PersimmonwalkException.of(
+          view.failures().get(0).code(),
+          view.failures().size() + " host(s) gave no answer:\n  " + list);
+    }
+    int count = (int) options.hostEndpoints().stream().distinct().count();
+    if (view.answers().size() < count) {
+      throw PersimmonwalkException.of(
+          ResultCode.HOST_UNAVAILABLE,
+          (count - view.answers().size())
+              + " host(s) were not asked in time; raise --wait-seconds");
+    }
+  }
+
+  @Override
+  public void close() {
+    platform.ifPresent(OperatorEnvironment.PlatformAccess::close);
+    hosts.ifPresent(HostAdministration::close);
+  }
+
+  private OperatorEnvironment.PlatformAccess openPlatform() {
+    if (platform.isEmpty()) {
+      platform = Optional.of(environment.platform(options.platformEndpoint()));
+    }
+    return platform.get();
+  }
+
+  private String missing(FleetView view, FleetGoal goal) {
+    return String.join(
+        ", ",
+        options.hostEndpoints().stream()
+            .distinct()
+            .filter(
+                endpoint ->
+                    !view.answers().containsKey(endpoint)
+                        || !goal.isReachedBy(view.answers().get(endpoint)))
+            .map(Object::toString)
+            .toList());
+  }
+
+  private static String progress(FleetView view, int count, Revision revision) {
+    return view.reached() + " of " + count + " hosts on revision " + revision;
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateCommand.java
@@ -0,0 +1,34 @@
+package org.persimmonwalk.internal.operator.command;
+
+import org.kohsuke.args4j.Argument;
+import org.persimmonwalk.internal.operator.fleet.FleetView;
+
+/** Prints what the hosts know. */
+final class StateCommand implements Subcommand {
+  @Argument(
+      metaVar = "hosts|groups|servers|workspaces",
+      required = true,
+      usage = "what to print the state of")
+  private Subject subject;
+
+  /** What the state is printed of. */
+  enum Subject {
+    HOSTS(StateTables::hosts),
+    GROUPS(StateTables::groups),
+    SERVERS(StateTables::servers),
+    WORKSPACES(StateTables::workspaces);
+
+    private final StateTable table;
+
+    Subject(StateTable table) {
+      this.table = table;
+    }
+  }
+
+  @Override
+  public void run(OperatorSession session) {
+    FleetView view = session.askHosts();
+    session.output().table(subject.table.of(view));
+    session.requireAnswers(view);
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/SubcommandCatalog.java
@@ -0,0 +1,92 @@
+package org.persimmonwalk.internal.operator.command;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** The subcommands by name. */
+public final class SubcommandCatalog {
+  private static final List<Entry> ENTRIES =
+      List.of(
+          new Entry(
+              "apply",
+              ApplyCommand::new,
+              "submits a release note",
+              "apply note.yaml --platform http://10.0.0.5:8080 --hosts @hosts --wait"),
+          new Entry(
+              "check",
+              CheckCommand::new,
+              "checks a release note and submits nothing",
+              "check note.yaml --platform http://10.0.0.5:8080"),
+          new Entry(
+              "diff",
+              DiffCommand::new,
+              "prints what a release note would change",
+              "diff note.yaml --platform http://10.0.0.5:8080"),
+          new Entry(
+              "history",
+              HistoryCommand::new,
+              "prints the newest revisions and their release notes",
+              "history --limit 5 --platform http://10.0.0.5:8080"),
+          new Entry(
+              "revisions",
+              RevisionsCommand::new,
+              "prints which host has which revision",
+              "revisions --hosts 10.0.0.1:8432,10.0.0.2:8432 --token-file token"),
+          new Entry(
+              "state",
+              StateCommand::new,
+              "prints what the hosts know",
+              "state servers --hosts @hosts --token-file token --output json"),
+          new Entry(
+              "drain",
+              DrainCommand::new,
+              "asks a host to stop as planned",
+              "drain host-a1 --hosts @hosts --token-file token"),
+          new Entry(
+              "key mint",
+              KeyMintCommand::new,
+              "makes a caller key and prints it once",
+              "key mint oil --platform http://10.0.0.5:8080"),
+          new Entry(
+              "key withdraw",
+              KeyWithdrawCommand::new,
+              "withdraws a caller key",
+              "key withdraw 5e8848da --platform http://10.0.0.5:8080 --hosts @hosts --wait"));
+
+  private SubcommandCatalog() {}
+
+  /**
+   * A subcommand.
+   *
+   * @param name one or two words
+   * @param factory makes the subcommand
+   * @param summary what it does
+   * @param example a command line
+   */
+  public record Entry(String name, Supplier<Subcommand> factory, String summary, String example) {
+
+    /** Returns the arguments that follow the name. */
+    public List<String> rest(List<String> arguments) {
+      return arguments.subList(words().size(), arguments.size());
+    }
+
+    private List<String> words() {
+      return Arrays.asList(name.split(" "));
+    }
+  }
+
+  /** Returns all subcommands. */
+  public static List<Entry> entries() {
+    return ENTRIES;
+  }
+
+  /** Returns the subcommand that the arguments begin with. */
+  public static Optional<Entry> find(List<String> arguments) {
+    return ENTRIES.stream()
+        .filter(entry -> arguments.size() >= entry.words().size())
+        .filter(entry -> arguments.subList(0, entry.words().size()).equals(entry.words()))
+        .findFirst();
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HostReportFormat.java
@@ -0,0 +1,101 @@
+package org.persimmonwalk.internal.operator.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.HostPhase;
+import org.persimmonwalk.model.LogPosition;
+import org.persimmonwalk.model.ServerRole;
+import org.persimmonwalk.model.Term;
+
+/** Reads the JSON of an entry host's state. */
+final class HostReportFormat {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private HostReportFormat() {}
+
+  static HostReportFormat create() {
+    return new HostReportFormat();
+  }
+
+  /**
+   * Reads the state of a host.
+   *
+   * @throws IOException if the bytes are not JSON
+   * @throws IllegalArgumentException if a part is missing or not valid
+   */
+  HostReport decode(byte[] content) throws IOException {
+    JsonNode tree = JSON.readTree(content);
+    return new HostReport(
+        EntryHostId.of(text(tree, "host")),
+        AvailabilityZone.of(text(tree, "zone")),
+        HostPhase.valueOf(text(tree, "phase")),
+        Revision.of(tree.required("revision").longValue()),
+        age(tree, "freshnessAgeMilliseconds"),
+        list(tree, "groups", HostReportFormat::group),
+        list(tree, "servers", HostReportFormat::server),
+        list(tree, "workspaces", HostReportFormat::share));
+  }
+
+  private static HostReport.Group group(JsonNode tree) {
+    return new HostReport.Group(
+        DatabaseGroupId.of(text(tree, "id")),
+        Term.of(tree.required("term").longValue()),
+        Optional.ofNullable(text(tree, "primary")).map(BackendServerId::of),
+        age(tree, "confirmedAgeMilliseconds"));
+  }
+
+  private static HostReport.Server server(JsonNode tree) {
+    return new HostReport.Server(
+        BackendServerId.of(text(tree, "id")),
+        DatabaseGroupId.of(text(tree, "group")),
+        tree.required("leaving").booleanValue(),
+        tree.required("role").isNull() ? Optional.empty() : Optional.of(sample(tree)),
+        age(tree, "failingMilliseconds"));
+  }
+
+  private static HostReport.Sample sample(JsonNode tree) {
+    return new HostReport.Sample(
+        ServerRole.valueOf(text(tree, "role")),
+        Term.of(tree.required("term").longValue()),
+        LogPosition.parse(text(tree, "received")),
+        LogPosition.parse(text(tree, "replayed")),
+        age(tree, "sampleAgeMilliseconds").orElse(Duration.ZERO),
+        age(tree, "dataAgeMilliseconds"));
+  }
+
+  private static HostReport.Share share(JsonNode tree) {
+    return new HostReport.Share(
+        WorkspaceId.of(text(tree, "id")),
+        tree.required("rate").doubleValue(),
+        tree.required("burst").doubleValue(),
+        tree.required("shareRate").doubleValue(),
+        tree.required("demand").doubleValue());
+  }
+
+  private static <T> List<T> list(JsonNode tree, String name, Function<JsonNode, T> decoder) {
+    List<T> items = new ArrayList<>();
+    tree.required(name).forEach(item -> items.add(decoder.apply(item)));
+    return items;
+  }
+
+  private static String text(JsonNode tree, String name) {
+    return tree.required(name).textValue();
+  }
+
+  private static Optional<Duration> age(JsonNode tree, String name) {
+    JsonNode age = tree.required(name);
+    return age.isNull() ? Optional.empty() : Optional.of(Duration.ofMillis(age.longValue()));
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/FaultList.java
@@ -0,0 +1,28 @@
+package org.persimmonwalk.internal.operator.note;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.persimmonwalk.release.NoteFault;
+
+/** Collects the faults of a release note. */
+final class FaultList {
+  private final List<NoteFault> faults = new ArrayList<>();
+
+  private FaultList() {}
+
+  static FaultList create() {
+    return new FaultList();
+  }
+
+  void add(String path, String message) {
+    faults.add(NoteFault.of(path, message));
+  }
+
+  List<NoteFault> all() {
+    return List.copyOf(faults);
+  }
+
+  boolean isEmpty() {
+    return faults.isEmpty();
+  }
+}
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/package-info.java
@@ -0,0 +1,2 @@
+/** Reads release notes that operators write in YAML. */
+package org.persimmonwalk.internal.operator.note;
--- /dev/null
+++ b/operator/src/test/java/org/persimmonwalk/internal/operator/note/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the release note reader. */
+package org.persimmonwalk.internal.operator.note;
--- /dev/null
+++ b/operator/src/test/java/org/persimmonwalk/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operators' command line. */
+package org.persimmonwalk.operator;
