Serve metrics and state, and trace each hop of a statement

Cause: an operator saw nothing of what a host did. Change: the administration server, traffic and control metrics are part of the host; a statement has a span for the hop from the caller and one per attempt at a backend server; a signal to stop drains first. Conclusion: traces hold ids and reasons, no statement text and no key.

--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -1,9 +1,9 @@
 package org.persimmonwalk.entryhost;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.opentelemetry.api.OpenTelemetry;
 import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.admission.AdaptiveLimit;
 import org.persimmonwalk.admission.FairQueue;
@@ -13,8 +13,12 @@
 import org.persimmonwalk.blackboard.ControlLoop;
 import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.blackboard.Snapshot;
+import org.persimmonwalk.internal.admin.AdminServer;
 import org.persimmonwalk.internal.assembly.ControlPlane;
 import org.persimmonwalk.internal.settings.Settings;
+import org.persimmonwalk.internal.telemetry.LoggingSpanExporter;
+import org.persimmonwalk.internal.telemetry.Tracing;
+import org.persimmonwalk.internal.telemetry.TrafficListeners;
 import org.persimmonwalk.internal.traffic.backend.BackendConnector;
 import org.persimmonwalk.internal.traffic.backend.ConnectionReporter;
 import org.persimmonwalk.internal.traffic.backend.ConnectionWaiter;
@@ -54,12 +58,16 @@
   private final EventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
   private final MonotonicClock clock = MonotonicClock.system();
+  private final MetricRegistry metrics = new MetricRegistry();
   private final ControlPlane control;
   private final ServerPools pools;
   private final CallerRegistry registry;
   private final CallerListener callers;
+  private final AdminServer admin;
+  private final Tracing tracing;
 
   private EntryHost(Settings settings, TrafficPolicies.Factory policies, TrafficListener listener) {
+    tracing = Tracing.of(settings.trace().sampleRatio(), LoggingSpanExporter.create());
     BackendConnector connector = BackendConnector.of(eventLoops, settings.backend());
     control = ControlPlane.create(settings, eventLoops, connector, clock);
     ControlLoop loop = control.loop();
@@ -88,8 +96,12 @@
             SnapshotAcknowledger.of(loop, waiters, clock),
             waiters,
             new TrafficContext.Instruments(
-                clock, listener, OpenTelemetry.noop().getTracer("persimmonwalk")));
+                clock,
+                TrafficListeners.of(listener, TrafficMetrics.of(metrics)),
+                tracing.tracer()));
+    loop.addListener(ControlMetrics.of(metrics, clock, loop::droppedObservations));
     control.start();
+    admin = AdminServer.start(settings, loop::snapshot, metrics, this::drain);
     callers = CallerListener.open(eventLoops, context, registry);
   }
 
@@ -109,6 +121,11 @@
     return callers.port();
   }
 
+  /** Returns the port on which the host listens for operators. */
+  public int adminPort() {
+    return admin.port();
+  }
+
   /** Returns where the host listens for other entry hosts. */
   public SocketEndpoint peerEndpoint() {
     return control.peerEndpoint();
@@ -130,9 +147,11 @@
 
   @Override
   public void close() {
+    admin.close();
     callers.close();
     pools.close();
     control.close();
+    tracing.close();
     eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHostMain.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHostMain.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.entryhost;
 
 import java.nio.file.Path;
+import java.time.Duration;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -14,6 +15,14 @@
 public final class EntryHostMain {
   private static final int EXIT_INVALID = 2;
 
+  /** The control thread ends draining after 20 s; the rest is slack for a busy machine. */
+  private static final Duration LONGEST_DRAIN = Duration.ofSeconds(25);
+
+  /** Time for the leases of a stopped host to be returned to the platform. */
+  private static final Duration LEASE_RETURN = Duration.ofSeconds(1);
+
+  private static final long POLL_MILLISECONDS = 50;
+
   @Option(name = "--settings", metaVar = "FILE", usage = "the settings file", required = true)
   private Path settingsFile;
 
@@ -46,7 +55,22 @@
       return;
     }
     EntryHost host = EntryHost.start(settings, TrafficPolicies::standard, new TrafficListener() {});
-    Runtime.getRuntime().addShutdownHook(new Thread(host::close, "shutdown"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(host), "shutdown"));
     Logger.info("entry host {} listens on port {}", settings.host().id(), host.callerPort());
   }
+
+  /** Drains the host, so that a planned stop cuts no request, and closes it. */
+  private static void stop(EntryHost host) {
+    host.drain();
+    long end = System.nanoTime() + LONGEST_DRAIN.toNanos();
+    try {
+      while (!host.isStopped() && System.nanoTime() < end) {
+        Thread.sleep(POLL_MILLISECONDS);
+      }
+      Thread.sleep(LEASE_RETURN.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    host.close();
+  }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
@@ -8,7 +8,13 @@
 
 /** The settings of an entry host. */
 public record Settings(
-    Host host, Caller caller, Backend backend, Peer peer, Platform platform, Admin admin) {
+    Host host,
+    Caller caller,
+    Backend backend,
+    Peer peer,
+    Platform platform,
+    Admin admin,
+    Trace trace) {
 
   /** Who this entry host is. */
   public record Host(EntryHostId id, AvailabilityZone zone) {}
@@ -55,4 +61,11 @@
 
   /** Where the administration interface listens. */
   public record Admin(SocketEndpoint listen, Optional<String> token) {}
+
+  /**
+   * What is traced.
+   *
+   * @param sampleRatio the part of the traces that is written to the log, from 0 to 1
+   */
+  public record Trace(double sampleRatio) {}
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsReader.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsReader.java
@@ -69,7 +69,13 @@
     SettingsNode root = SettingsNode.root(tree, faults);
     Settings settings =
         new Settings(
-            host(root), caller(root), backend(root), peer(root), platform(root), admin(root));
+            host(root),
+            caller(root),
+            backend(root),
+            peer(root),
+            platform(root),
+            admin(root),
+            trace(root));
     root.rejectUnknown();
     if (!faults.isEmpty()) {
       throw failure(faults);
@@ -139,4 +145,19 @@
     node.rejectUnknown();
     return new Settings.Admin(listen, token);
   }
+
+  private static Settings.Trace trace(SettingsNode root) {
+    SettingsNode node = root.section("trace");
+    Double ratio = node.value("sampleRatio", Optional.of(0.0), SettingsReader::ratio);
+    node.rejectUnknown();
+    return new Settings.Trace(ratio == null ? 0 : ratio);
+  }
+
+  private static double ratio(String text) {
+    double value = Double.parseDouble(text);
+    if (!(value >= 0 && value <= 1)) {
+      throw new IllegalArgumentException("allowed are numbers from 0 to 1");
+    }
+    return value;
+  }
 }
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/Tracing.java
@@ -0,0 +1,39 @@
+package org.persimmonwalk.internal.telemetry;
+
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
+import io.opentelemetry.sdk.trace.export.SpanExporter;
+import io.opentelemetry.sdk.trace.samplers.Sampler;
+
+/** The tracer of an entry host. */
+public final class Tracing implements AutoCloseable {
+  private final SdkTracerProvider provider;
+
+  private Tracing(SdkTracerProvider provider) {
+    this.provider = provider;
+  }
+
+  /**
+   * Returns tracing that exports a part of the traces.
+   *
+   * @param sampleRatio the part of the traces that is exported, from 0 to 1
+   */
+  public static Tracing of(double sampleRatio, SpanExporter exporter) {
+    return new Tracing(
+        SdkTracerProvider.builder()
+            .setSampler(Sampler.parentBased(Sampler.traceIdRatioBased(sampleRatio)))
+            .addSpanProcessor(BatchSpanProcessor.builder(exporter).build())
+            .build());
+  }
+
+  /** Returns the tracer. */
+  public Tracer tracer() {
+    return provider.get("org.persimmonwalk.entryhost");
+  }
+
+  @Override
+  public void close() {
+    provider.close();
+  }
+}
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Traces of statements. */
+package org.persimmonwalk.internal.telemetry;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.blackboard.Snapshot;
+import org.persimmonwalk.internal.telemetry.StatementTrace;
 import org.persimmonwalk.internal.traffic.backend.BackendConnection;
 import org.persimmonwalk.internal.traffic.backend.ExchangeResult;
 import org.persimmonwalk.internal.traffic.backend.ServerPool;
@@ -39,6 +40,7 @@
   private final StatementBatch batch;
   private final Runnable whenFinished;
   private final BatchReplies replies;
+  private final StatementTrace trace;
   private StatementRequest request;
   private Optional<BackendConnection> running = Optional.empty();
   private Optional<ConnectionTicket> waiting = Optional.empty();
@@ -60,7 +62,6 @@
     this.batch = batch;
     this.whenFinished = whenFinished;
     MonotonicTime arrivedAt = context.clock().now();
-    this.replies = BatchReplies.of(context, state, CallerWriter.of(caller), arrivedAt);
     StatementKind kind = batch.onlyReads() ? StatementKind.READ : StatementKind.WRITE;
     Duration patience =
         state.parameters().deadline().orElse(context.settings().statementDeadline());
@@ -69,6 +70,8 @@
             state.transaction().map(Transaction::kind).orElse(kind),
             arrivedAt,
             arrivedAt.plus(patience));
+    this.trace = StatementTrace.start(context.instruments().tracer(), request);
+    this.replies = BatchReplies.of(context, state, CallerWriter.of(caller), trace, arrivedAt);
   }
 
   /**
@@ -175,7 +178,11 @@
       ticket.giveBack(connection);
       return;
     }
-    routed.ifPresent(decision -> context.listener().routed(request, decision));
+    routed.ifPresent(
+        decision -> {
+          context.listener().routed(request, decision);
+          trace.sent(decision);
+        });
     execute(connection, ticket.pool(), Optional.of(ticket));
   }
 
@@ -214,7 +221,7 @@
 
   /** Called by the exchange when the answer is complete. */
   void answered(BatchExchange exchange, ExchangeResult result) {
-    endAttempt();
+    endAttempt(true);
     BatchTraits traits = traits();
     if (runsElsewhere(exchange.relay())) {
       exchange.relay().discard();
@@ -234,7 +241,8 @@
     }
   }
 
-  private void endAttempt() {
+  private void endAttempt(boolean succeeded) {
+    trace.answered(succeeded);
     running = Optional.empty();
     answerTimer.ifPresent(timer -> timer.cancel(false));
   }
@@ -308,7 +316,7 @@
 
   /** Called by the exchange when the backend connection was lost before the answer was complete. */
   void lost(AnswerRelay relay) {
-    endAttempt();
+    endAttempt(false);
     relay.discard();
     boolean inTransaction = state.transaction().isPresent();
     StatementState outcome =
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchReplies.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchReplies.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.traffic.caller;
 
 import java.util.Optional;
+import org.persimmonwalk.internal.telemetry.StatementTrace;
 import org.persimmonwalk.internal.traffic.caller.CallerState.Transaction;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.request.StatementRequest;
@@ -13,24 +14,35 @@
   private final TrafficContext context;
   private final CallerState state;
   private final CallerWriter writer;
+  private final StatementTrace trace;
   private final MonotonicTime startedAt;
 
   private BatchReplies(
-      TrafficContext context, CallerState state, CallerWriter writer, MonotonicTime startedAt) {
+      TrafficContext context,
+      CallerState state,
+      CallerWriter writer,
+      StatementTrace trace,
+      MonotonicTime startedAt) {
     this.context = context;
     this.state = state;
     this.writer = writer;
+    this.trace = trace;
     this.startedAt = startedAt;
   }
 
   static BatchReplies of(
-      TrafficContext context, CallerState state, CallerWriter writer, MonotonicTime startedAt) {
-    return new BatchReplies(context, state, writer, startedAt);
+      TrafficContext context,
+      CallerState state,
+      CallerWriter writer,
+      StatementTrace trace,
+      MonotonicTime startedAt) {
+    return new BatchReplies(context, state, writer, trace, startedAt);
   }
 
   /** Passes on what the relay has held back. */
   void complete(StatementRequest request, AnswerRelay relay) {
     relay.release();
+    trace.finished(StatementState.RAN);
     context
         .listener()
         .finished(request, StatementState.RAN, context.clock().now().since(startedAt));
@@ -39,6 +51,7 @@
 
   /** Ends a batch that was sent with an error of this host. */
   void fail(StatementRequest request, ResultCode code, StatementState outcome, String detail) {
+    trace.finished(outcome);
     context.listener().finished(request, outcome, context.clock().now().since(startedAt));
     writer.error(code, detail);
     writer.ready(state.status());
@@ -46,6 +59,7 @@
 
   /** Refuses a batch that was not sent; an open transaction is rolled back. */
   void refuse(StatementRequest request, ResultCode code) {
+    trace.refused(code);
     context.listener().refused(request, code);
     state.transaction().ifPresent(this::rollBack);
     writer.error(code, "");
