--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/observation/ServerPromoted.java
@@ -0,0 +1,16 @@
+package org.persimmonwalk.observation;
+
+import java.util.Objects;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.model.Term;
+
+/** A backend server is the primary of the term. */
+public record ServerPromoted(BackendServerId server, Term term) implements Observation {
+
+  /** Checks that both parts are present. */
+  public ServerPromoted {
+    Objects.requireNonNull(server, "server");
+    Objects.requireNonNull(term, "term");
+  }
+}
