--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -15,6 +15,7 @@
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.PeerRevisions;
+import org.persimmonwalk.model.ServerProbe;
 import org.persimmonwalk.model.ShareLease;
 
 /** The entries of the blackboard; each is written by one controller. */
@@ -72,5 +73,9 @@
   public static final EntryKey<Map<BackendServerId, Integer>> CONNECTION_ALLOWANCES =
       EntryKey.of("connection allowances", Map.of());
 
+  /** The newest probe of each backend server. */
+  public static final EntryKey<Map<BackendServerId, ServerProbe>> PROBES =
+      EntryKey.of("probes", Map.of());
+
   private Entries() {}
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/position/GroupAssessment.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/GroupAssessment.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -42,28 +41,33 @@
     return new GroupAssessment(group, Optional.ofNullable(previous), views);
   }
 
-  GroupView assess(MonotonicTime now) {
-    Optional<ServerView> primary = findPrimary();
+  GroupView assess() {
     Term knownTerm = previous.map(GroupView::term).orElse(Term.NONE);
-    Term term = primary.map(view -> view.sample().get().term()).orElse(knownTerm);
-    if (knownTerm.isAfter(term)) {
-      return view(knownTerm, previous.get().primary(), previous.get().confirmed());
-    }
+    Term term = findTerm(knownTerm);
+    Optional<ServerView> primary =
+        servers.stream().filter(view -> view.has(ServerRole.PRIMARY, term)).findFirst();
     List<ConfirmedPosition> history =
         term.equals(knownTerm) ? previous.map(GroupView::confirmed).orElse(List.of()) : List.of();
-    return view(term, primary.map(found -> found.server().id()), confirm(history, primary));
-  }
-
-  private GroupView view(
-      Term term, Optional<BackendServerId> primary, List<ConfirmedPosition> confirmed) {
-    return new GroupView(group.id(), term, primary, servers, confirmed, group.defaultMaximumAge());
+    return new GroupView(
+        group.id(),
+        term,
+        primary.map(found -> found.server().id()),
+        servers,
+        confirm(history, primary),
+        group.defaultMaximumAge());
   }
 
-  private Optional<ServerView> findPrimary() {
+  /**
+   * Returns the highest term in which a server is primary or replica. A replica shows a term whose
+   * primary this host may never have reached. The term that a fenced server has promised does not
+   * count, because it may never have a primary.
+   */
+  private Term findTerm(Term knownTerm) {
     return servers.stream()
-        .filter(view -> view.sample().isPresent())
-        .filter(view -> view.sample().get().role() == ServerRole.PRIMARY)
-        .max(Comparator.comparing(view -> view.sample().get().term()));
+        .flatMap(view -> view.sample().stream())
+        .filter(sample -> sample.role() != ServerRole.FENCED)
+        .map(ServerSample::term)
+        .reduce(knownTerm, (first, second) -> second.isAfter(first) ? second : first);
   }
 
   /**
--- a/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.model.DatabaseGroup;
 import org.persimmonwalk.model.GroupView;
 import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.ServerProbe;
 import org.persimmonwalk.model.ServerView;
 import org.persimmonwalk.observation.ServerSampleFailed;
 import org.persimmonwalk.observation.ServerSampled;
@@ -35,12 +36,11 @@
     groups.values().forEach(group -> configure(servers, group, context.now()));
     blackboard.observations(ServerSampled.class).forEach(sampled -> apply(servers, sampled));
     blackboard.observations(ServerSampleFailed.class).forEach(failed -> apply(servers, failed));
+    blackboard.get(Entries.PROBES).forEach((server, probe) -> expire(servers, server, probe));
 
     Map<DatabaseGroupId, GroupView> next = new LinkedHashMap<>();
     for (DatabaseGroup group : groups.values()) {
-      next.put(
-          group.id(),
-          GroupAssessment.of(group, known.get(group.id()), servers).assess(context.now()));
+      next.put(group.id(), GroupAssessment.of(group, known.get(group.id()), servers).assess());
     }
     if (!next.equals(known)) {
       blackboard.put(Entries.GROUPS, Map.copyOf(next));
@@ -67,4 +67,12 @@
   private static void apply(Map<BackendServerId, ServerView> servers, ServerSampleFailed failed) {
     servers.computeIfPresent(failed.server(), (id, view) -> view.withFailure(failed.startedAt()));
   }
+
+  /** A probe without a result counts as failed, so that a lost result is not taken for health. */
+  private static void expire(
+      Map<BackendServerId, ServerView> servers, BackendServerId server, ServerProbe probe) {
+    if (probe.state() == ServerProbe.State.EXPIRED) {
+      servers.computeIfPresent(server, (id, view) -> view.withFailure(probe.startedAt()));
+    }
+  }
 }
--- a/core/src/main/java/org/persimmonwalk/model/GroupView.java
+++ b/core/src/main/java/org/persimmonwalk/model/GroupView.java
@@ -11,8 +11,8 @@
  * What an entry host knows of a database group.
  *
  * @param id the group
- * @param term the highest term in which a server was seen as primary
- * @param primary the primary of that term
+ * @param term the highest term in which a server was seen as primary or replica
+ * @param primary the primary of that term, if it was seen
  * @param servers all configured servers
  * @param confirmed confirmed positions of the current term, oldest first
  * @param defaultMaximumAge the oldest data that a read without a stated age accepts
--- a/core/src/main/java/org/persimmonwalk/model/ServerView.java
+++ b/core/src/main/java/org/persimmonwalk/model/ServerView.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.model;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -30,13 +31,19 @@
     return new ServerView(server, Optional.empty(), now, Optional.empty());
   }
 
-  /** Returns the view after a probe that succeeded. */
+  /** Returns the view after a probe that succeeded, unless a later probe has succeeded already. */
   public ServerView withSample(ServerSample newSample, MonotonicTime startedAt) {
+    if (sample.isPresent() && startedAt.isBefore(sampledAt)) {
+      return this;
+    }
     return new ServerView(server, Optional.of(newSample), startedAt, Optional.empty());
   }
 
-  /** Returns the view after a probe that failed. */
+  /** Returns the view after a probe that failed, unless a later probe has succeeded already. */
   public ServerView withFailure(MonotonicTime startedAt) {
+    if (sample.isPresent() && !startedAt.isAfter(sampledAt)) {
+      return this;
+    }
     return new ServerView(server, sample, sampledAt, Optional.of(failingSince.orElse(startedAt)));
   }
 
@@ -45,6 +52,18 @@
     return new ServerView(configured, sample, sampledAt, failingSince);
   }
 
+  /** Returns whether the newest probe succeeded and started at most the given time ago. */
+  public boolean isFresh(Duration age, MonotonicTime now) {
+    return sample.isPresent() && failingSince.isEmpty() && now.since(sampledAt).compareTo(age) <= 0;
+  }
+
+  /** Returns whether every probe for at least the given time has failed. */
+  public boolean isFailingFor(Duration time, MonotonicTime now) {
+    return failingSince.isPresent()
+        && now.since(failingSince.get()).compareTo(time) >= 0
+        && now.since(sampledAt).compareTo(time) >= 0;
+  }
+
   /** Returns whether the newest sample shows the given role in the given term. */
   public boolean has(ServerRole role, Term term) {
     return sample.isPresent() && sample.get().role() == role && sample.get().term().equals(term);
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/position/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of sampling and of positions. */
+package org.persimmonwalk.internal.control.position;
