Hold acknowledgements until a replica has received the write

AcknowledgementGate ends a write as confirmed when a replica of the same term has received it, and as unknown at the deadline, when the term has moved on or when too many writes wait. While writes wait it asks for samples, at most every 5 ms per group.

--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementGate.java
@@ -0,0 +1,145 @@
+package org.persimmonwalk.acknowledgement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.blackboard.Snapshot;
+import org.persimmonwalk.blackboard.SnapshotListener;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.model.GroupView;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.observation.SampleRequested;
+
+/**
+ * Holds the acknowledgement of each write until a replica of the same term has received it. Safe
+ * for use by several threads; callbacks run outside its lock.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * AcknowledgementGate gate = AcknowledgementGate.of(10_000, loop::post);
+ * loop.addListener(gate);
+ * gate.register(new PendingWrite(group, written, deadline, outcome -> answer(outcome)), now);
+ * }</pre>
+ */
+public final class AcknowledgementGate implements WriteAcknowledgement, SnapshotListener {
+  /** Equals the shortest interval at which servers are probed on request. */
+  private static final Duration REQUEST_INTERVAL = Duration.ofMillis(5);
+
+  private final Object lock = new Object();
+  private final List<PendingWrite> pending = new ArrayList<>();
+  private final Map<DatabaseGroupId, MonotonicTime> requestedAt = new HashMap<>();
+  private final int limit;
+  private final Consumer<Observation> observations;
+  private Optional<Snapshot> newest = Optional.empty();
+
+  private AcknowledgementGate(int limit, Consumer<Observation> observations) {
+    this.limit = limit;
+    this.observations = observations;
+  }
+
+  /**
+   * Returns an empty gate.
+   *
+   * @param limit the number of writes that may wait; a further one ends as unknown at once
+   * @param observations takes requests for samples while writes wait
+   */
+  public static AcknowledgementGate of(int limit, Consumer<Observation> observations) {
+    return new AcknowledgementGate(limit, observations);
+  }
+
+  /** Returns the number of writes that wait; at the limit no further write is to be sent. */
+  public int pendingWrites() {
+    synchronized (lock) {
+      return pending.size();
+    }
+  }
+
+  @Override
+  public void register(PendingWrite write, MonotonicTime now) {
+    Optional<AcknowledgementOutcome> outcome;
+    boolean request = false;
+    synchronized (lock) {
+      outcome = newest.flatMap(snapshot -> decide(snapshot, write, now));
+      if (outcome.isEmpty() && pending.size() >= limit) {
+        outcome = Optional.of(AcknowledgementOutcome.UNKNOWN);
+      }
+      if (outcome.isEmpty()) {
+        pending.add(write);
+        request = mayRequest(write.group(), now);
+      }
+    }
+    if (request) {
+      observations.accept(new SampleRequested(write.group()));
+    }
+    outcome.ifPresent(write.callback());
+  }
+
+  @Override
+  public void published(Snapshot snapshot) {
+    synchronized (lock) {
+      newest = Optional.of(snapshot);
+    }
+    release(snapshot, snapshot.publishedAt());
+  }
+
+  /** Ends the writes whose deadline has passed; for timers of traffic threads. */
+  public void expire(MonotonicTime now) {
+    Optional<Snapshot> snapshot;
+    synchronized (lock) {
+      snapshot = newest;
+    }
+    snapshot.ifPresent(known -> release(known, now));
+  }
+
+  private void release(Snapshot snapshot, MonotonicTime now) {
+    List<Runnable> callbacks = new ArrayList<>();
+    Set<DatabaseGroupId> requests = new HashSet<>();
+    synchronized (lock) {
+      for (Iterator<PendingWrite> writes = pending.iterator(); writes.hasNext(); ) {
+        PendingWrite write = writes.next();
+        Optional<AcknowledgementOutcome> outcome = decide(snapshot, write, now);
+        if (outcome.isPresent()) {
+          writes.remove();
+          callbacks.add(() -> write.callback().accept(outcome.get()));
+        } else if (mayRequest(write.group(), now)) {
+          requests.add(write.group());
+        }
+      }
+    }
+    requests.forEach(group -> observations.accept(new SampleRequested(group)));
+    callbacks.forEach(Runnable::run);
+  }
+
+  /** Returns the outcome of a write, or nothing if it has to wait. */
+  private static Optional<AcknowledgementOutcome> decide(
+      Snapshot snapshot, PendingWrite write, MonotonicTime now) {
+    GroupView group = snapshot.get(Entries.GROUPS).get(write.group());
+    boolean replaced = group != null && group.term().isAfter(write.written().term());
+    if (replaced || !now.isBefore(write.deadline())) {
+      return Optional.of(AcknowledgementOutcome.UNKNOWN);
+    }
+    boolean safe =
+        group != null
+            && (group.servers().size() == 1 || group.isReceivedByReplica(write.written()));
+    return safe ? Optional.of(AcknowledgementOutcome.CONFIRMED) : Optional.empty();
+  }
+
+  private boolean mayRequest(DatabaseGroupId group, MonotonicTime now) {
+    MonotonicTime last = requestedAt.get(group);
+    if (last != null && now.since(last).compareTo(REQUEST_INTERVAL) < 0) {
+      return false;
+    }
+    requestedAt.put(group, now);
+    return true;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/package-info.java
@@ -0,0 +1,2 @@
+/** When a caller is told that its write is safe. */
+package org.persimmonwalk.acknowledgement;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/acknowledgement/AcknowledgementGateTest.java
@@ -0,0 +1,151 @@
+package org.persimmonwalk.acknowledgement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.blackboard.ControlLoop;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.internal.control.configuration.ConfigurationController;
+import org.persimmonwalk.internal.control.position.ReplicaPositionController;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.DatabaseGroup;
+import org.persimmonwalk.model.GroupPosition;
+import org.persimmonwalk.model.LogPosition;
+import org.persimmonwalk.model.ServerRole;
+import org.persimmonwalk.model.ServerSample;
+import org.persimmonwalk.model.Term;
+import org.persimmonwalk.observation.ConfigurationLoaded;
+import org.persimmonwalk.observation.SampleRequested;
+import org.persimmonwalk.observation.ServerSampled;
+import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.testing.FakeClock;
+import org.persimmonwalk.testing.FakeDatabaseGroup;
+import org.persimmonwalk.testing.FakeLinks;
+import org.persimmonwalk.testing.RecordingCommandExecutor;
+
+class AcknowledgementGateTest {
+  private final FakeClock clock = new FakeClock();
+  private final DatabaseGroup group =
+      FakeDatabaseGroup.of(3, new FakeLinks(), clock).configuration();
+  private final ControlLoop loop =
+      ControlLoop.of(
+          List.of(ConfigurationController.create(), ReplicaPositionController.create()),
+          new RecordingCommandExecutor(),
+          clock,
+          RandomSource.seeded(1));
+  private final List<Observation> requests = new ArrayList<>();
+  private final AcknowledgementGate gate = AcknowledgementGate.of(2, requests::add);
+  private final List<AcknowledgementOutcome> outcomes = new ArrayList<>();
+
+  @BeforeEach
+  void loadConfiguration() {
+    loop.addListener(gate);
+    Configuration configuration =
+        new Configuration(
+            Revision.of(1),
+            ReleaseNoteId.of("first"),
+            Map.of(),
+            Map.of(),
+            Map.of(group.id(), group));
+    loop.post(new ConfigurationLoaded(configuration, clock.now()));
+    sample("a", ServerSample.ofPrimary(Term.of(1), LogPosition.of(500)));
+  }
+
+  /** The position of a primary alone confirms nothing: the primary may be lost with the write. */
+  @Test
+  void shouldConfirmOnlyWhenReplicaHasReceivedWrite() {
+    register(200);
+    sample("b", replica(1, 199));
+    assertThat(outcomes).isEmpty();
+    sample("c", replica(1, 200));
+    assertThat(outcomes).containsExactly(AcknowledgementOutcome.CONFIRMED);
+  }
+
+  @Test
+  void shouldConfirmAtOnceWhatReplicaHasReceivedAlready() {
+    sample("b", replica(1, 300));
+    register(200);
+    assertThat(outcomes).containsExactly(AcknowledgementOutcome.CONFIRMED);
+  }
+
+  /** A position of another term may belong to another history. */
+  @Test
+  void shouldEndUnknownWhenTermHasMovedOn() {
+    register(200);
+    sample("b", replica(2, 400));
+    assertThat(outcomes).containsExactly(AcknowledgementOutcome.UNKNOWN);
+  }
+
+  /** The log of a server that does not follow the primary may hold another history. */
+  @Test
+  void shouldNotConfirmByPositionOfServerThatDoesNotFollow() {
+    LogPosition tail = LogPosition.of(400);
+    register(200);
+    sample("b", new ServerSample(ServerRole.FENCED, Term.of(2), tail, tail, Duration.ZERO));
+    sample("c", replica(0, 400));
+    assertThat(outcomes).isEmpty();
+  }
+
+  @Test
+  void shouldEndUnknownAtDeadline() {
+    register(200);
+    clock.advance(Duration.ofMillis(999));
+    loop.runRound();
+    assertThat(outcomes).isEmpty();
+    clock.advance(Duration.ofMillis(1));
+    gate.expire(clock.now());
+    assertThat(outcomes).containsExactly(AcknowledgementOutcome.UNKNOWN);
+    sample("b", replica(1, 200));
+    assertThat(outcomes).hasSize(1);
+  }
+
+  @Test
+  void shouldEndUnknownBeyondLimit() {
+    register(200);
+    register(201);
+    register(202);
+    assertThat(gate.pendingWrites()).isEqualTo(2);
+    assertThat(outcomes).containsExactly(AcknowledgementOutcome.UNKNOWN);
+  }
+
+  @Test
+  void shouldRequestSamplesAtMostEveryFiveMillisecondsWhileWritesWait() {
+    register(200);
+    register(201);
+    loop.runRound();
+    assertThat(requests).containsExactly(new SampleRequested(group.id()));
+    clock.advance(Duration.ofMillis(5));
+    loop.runRound();
+    assertThat(requests).hasSize(2);
+    sample("b", replica(1, 201));
+    clock.advance(Duration.ofMillis(5));
+    loop.runRound();
+    assertThat(requests).hasSize(2);
+  }
+
+  private void register(long position) {
+    GroupPosition written = GroupPosition.of(Term.of(1), LogPosition.of(position));
+    gate.register(
+        new PendingWrite(
+            group.id(), written, clock.now().plus(Duration.ofSeconds(1)), outcomes::add),
+        clock.now());
+  }
+
+  private void sample(String server, ServerSample sample) {
+    loop.post(new ServerSampled(BackendServerId.of(server), sample, clock.now()));
+    loop.runRound();
+  }
+
+  private static ServerSample replica(long term, long received) {
+    LogPosition position = LogPosition.of(received);
+    return ServerSample.ofReplica(Term.of(term), position, position, Duration.ZERO);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/acknowledgement/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of acknowledgements. */
+package org.persimmonwalk.acknowledgement;
