Promote a new primary when a group has lost its own

PrimaryController advances one promotion per group as an explicit state in entry PROMOTIONS: rank delay, claim row, fences, promotion, settling, back-off. All servers but one must be fenced before one is promoted; any two such fences share a server, and each shares one with every acknowledged write. A fence that another host left unfinished for 2 s is taken up in a higher term, also when the old primary works, because the fenced replica would otherwise receive nothing any more. FollowController repoints servers that do not follow the current primary.

FailoverFleet runs several control loops against one fake group on simulated time. The safety test applies random faults and fails if an acknowledged write is missing on the last primary or was run by a replaced one.

--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -10,11 +10,13 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.CallerKey;
 import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.FollowOrder;
 import org.persimmonwalk.model.GroupView;
 import org.persimmonwalk.model.HostEntry;
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.PeerRevisions;
+import org.persimmonwalk.model.Promotion;
 import org.persimmonwalk.model.ServerProbe;
 import org.persimmonwalk.model.ShareLease;
 
@@ -77,5 +79,13 @@
   public static final EntryKey<Map<BackendServerId, ServerProbe>> PROBES =
       EntryKey.of("probes", Map.of());
 
+  /** The promotions that this host takes part in; groups without one are absent. */
+  public static final EntryKey<Map<DatabaseGroupId, Promotion>> PROMOTIONS =
+      EntryKey.of("promotions", Map.of());
+
+  /** The servers that this host has told, or is about to tell, to follow a primary. */
+  public static final EntryKey<Map<BackendServerId, FollowOrder>> FOLLOW_ORDERS =
+      EntryKey.of("followOrders", Map.of());
+
   private Entries() {}
 }
--- /dev/null
+++ b/core/src/main/java/org/persimmonwalk/model/FollowOrder.java
@@ -0,0 +1,18 @@
+package org.persimmonwalk.model;
+
+import java.util.Objects;
+
+/**
+ * A server that does not follow the current primary of its group.
+ *
+ * @param term the term of the primary that the server is to follow
+ * @param dueAt when the server is told, or told again
+ */
+public record FollowOrder(Term term, MonotonicTime dueAt) {
+
+  /** Checks that both parts are present. */
+  public FollowOrder {
+    Objects.requireNonNull(term, "term");
+    Objects.requireNonNull(dueAt, "dueAt");
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/FailoverSafetyTest.java
@@ -0,0 +1,89 @@
+package org.persimmonwalk.internal.control.primary;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.persimmonwalk.acknowledgement.AcknowledgeAtOnce;
+import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.testing.FailoverFleet;
+import org.persimmonwalk.testing.FailoverHost;
+import org.persimmonwalk.testing.FakeLinks;
+
+/** Guards against acknowledged writes that a failover loses, under random faults. */
+class FailoverSafetyTest {
+  private static final List<String> SERVERS = List.of("a", "b", "c");
+
+  @ParameterizedTest
+  @CsvSource({"3, 20", "5, 6"})
+  void shouldKeepAcknowledgedWritesThroughFailovers(int size, int seeds) {
+    int failovers = 0;
+    for (long seed = 0; seed < seeds; seed++) {
+      FailoverFleet fleet = FailoverFleet.standard(size, seed);
+      disturb(fleet, RandomSource.seeded(seed));
+      heal(fleet);
+
+      String description = "seed " + seed;
+      assertThat(fleet.lost()).as(description).isEmpty();
+      assertThat(fleet.acknowledged())
+          .as(description)
+          .noneMatch(FailoverFleet.Acknowledged::byReplaced)
+          .anyMatch(entry -> entry.term().equals(fleet.database().term()));
+      failovers += fleet.database().promotions();
+    }
+    assertThat(failovers).isGreaterThan(seeds);
+  }
+
+  /** The same faults must lose writes without the gate, or the check above shows nothing. */
+  @Test
+  void shouldSeeLostWritesWhenAcknowledgedAtOnce() {
+    int lost = 0;
+    for (long seed = 0; seed < 10; seed++) {
+      FailoverFleet fleet =
+          FailoverFleet.of(
+              3,
+              seed,
+              FailoverFleet::controllers,
+              host -> AcknowledgeAtOnce.create(),
+              Duration.ofMillis(20));
+      disturb(fleet, RandomSource.seeded(seed));
+      heal(fleet);
+      lost += fleet.lost().size();
+    }
+    assertThat(lost).isPositive();
+  }
+
+  /** Each second a server, a link, a host or the platform fails or comes back. */
+  private static void disturb(FailoverFleet fleet, RandomSource random) {
+    fleet.time().advance(Duration.ofSeconds(1));
+    for (int step = 0; step < 20; step++) {
+      String server = SERVERS.get(random.nextInt(SERVERS.size()));
+      String other = SERVERS.get(random.nextInt(SERVERS.size()));
+      FailoverHost host = fleet.hosts().get(random.nextInt(fleet.hosts().size()));
+      switch (random.nextInt(8)) {
+        case 0 -> fleet.database().stop(fleet.database().primary().orElse(server));
+        case 1 -> fleet.links().isolate(fleet.database().primary().orElse(server));
+        case 2 -> fleet.database().start(server);
+        case 3 -> fleet.links().heal(server);
+        case 4 -> host.pause();
+        case 5 -> fleet.hosts().forEach(FailoverHost::resume);
+        case 6 -> fleet.links().slow(host.id().value(), other, Duration.ofMillis(700));
+        default -> fleet.links().isolate(FakeLinks.PLATFORM);
+      }
+      fleet.time().advance(Duration.ofMillis(500 + random.nextInt(2000)));
+    }
+  }
+
+  private static void heal(FailoverFleet fleet) {
+    fleet.links().heal(FakeLinks.PLATFORM);
+    fleet.hosts().forEach(FailoverHost::resume);
+    for (String server : SERVERS) {
+      fleet.database().start(server);
+      fleet.links().heal(server);
+    }
+    fleet.time().advance(Duration.ofSeconds(15));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/PrimaryControllerTest.java
@@ -0,0 +1,319 @@
+package org.persimmonwalk.internal.control.primary;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.blackboard.Command;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.command.CompareAndSetTableRow;
+import org.persimmonwalk.command.FenceServer;
+import org.persimmonwalk.command.FollowPrimary;
+import org.persimmonwalk.command.PromoteServer;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.model.PromotionClaim;
+import org.persimmonwalk.model.ServerRole;
+import org.persimmonwalk.model.Term;
+import org.persimmonwalk.testing.FailoverFleet;
+import org.persimmonwalk.testing.FailoverHost;
+import org.persimmonwalk.testing.FakeLinks;
+
+class PrimaryControllerTest {
+  private static final DatabaseGroupId GROUP = DatabaseGroupId.of("tanks");
+
+  private FailoverFleet fleet = FailoverFleet.standard(3, 1);
+
+  @BeforeEach
+  void startWithConfirmedPrimary() {
+    run(1000);
+    assertThat(fleet.acknowledged()).isNotEmpty();
+  }
+
+  @Test
+  void shouldPromoteReplicaWhenPrimaryIsGone() {
+    fleet.database().stop("a");
+    run(4000);
+
+    assertHealthyAfterFailover();
+    assertThat(fleet.database().term()).isEqualTo(Term.of(2));
+    assertThat(claim().promoted()).isPresent();
+  }
+
+  @Test
+  void shouldFinishPromotionOfHostThatDiedAfterFencing() {
+    firstHost().onCommand(command -> stopBefore(command, PromoteServer.class));
+    fleet.database().stop("a");
+    run(8000);
+
+    assertThat(firstHost().isRunning()).isFalse();
+    assertHealthyAfterFailover();
+  }
+
+  /**
+   * Each host takes itself for the only one, so that all act at the same rank, and each is near
+   * another replica, so that no host gets both in the same term.
+   */
+  @Test
+  void shouldGetOnePrimaryWhenHostsPromoteAtOnce() {
+    fleet =
+        FailoverFleet.of(2, 1, this::aloneControllers, FailoverFleet::gate, Duration.ofMillis(20));
+    Map<Term, Set<EntryHostId>> fencing = new HashMap<>();
+    fleet.links().isolate(FakeLinks.PLATFORM);
+    for (FailoverHost host : fleet.hosts()) {
+      String far = host.id().value().equals("host-1") ? "b" : "c";
+      fleet.links().slow(host.id().value(), far, Duration.ofMillis(100));
+      host.onCommand(
+          command -> {
+            if (command instanceof FenceServer fence) {
+              fencing.computeIfAbsent(fence.term(), term -> new HashSet<>()).add(fence.host());
+            }
+          });
+    }
+    run(2000);
+    fleet.database().stop("a");
+    run(15_000);
+
+    assertThat(fencing.get(Term.of(2))).hasSizeGreaterThan(1);
+    assertHealthyAfterFailover();
+  }
+
+  @Test
+  void shouldRepeatCommandsWhoseAnswersAreLost() {
+    for (FailoverHost host : fleet.hosts()) {
+      host.loseAnswers(FenceServer.class, 1);
+      host.onCommand(
+          command -> {
+            if (command instanceof PromoteServer && fleet.database().term().equals(Term.of(1))) {
+              host.loseAnswers(PromoteServer.class, 1);
+            }
+          });
+    }
+    fleet.database().stop("a");
+    run(5000);
+
+    assertHealthyAfterFailover();
+    assertThat(fleet.database().term()).isEqualTo(Term.of(2));
+  }
+
+  @Test
+  void shouldRepeatPromotionThatWasLostOnTheWay() {
+    for (FailoverHost host : fleet.hosts()) {
+      host.onCommand(
+          command -> {
+            if (command instanceof PromoteServer promote) {
+              cutFor(host.id().value(), promote.server().id().value(), 200);
+            }
+          });
+    }
+    fleet.time().after(Duration.ofMillis(2600), this::stopInterfering);
+    fleet.database().stop("a");
+    run(5000);
+
+    assertHealthyAfterFailover();
+    assertThat(fleet.database().term()).isEqualTo(Term.of(2));
+  }
+
+  @Test
+  void shouldGoOnWithoutTableServiceThatDoesNotAnswer() {
+    fleet.links().isolate(FakeLinks.PLATFORM);
+    fleet.database().stop("a");
+    run(5000);
+
+    assertHealthyAfterFailover();
+  }
+
+  @Test
+  void shouldGoOnWhenTableServiceRefusesOrLosesAnswers() {
+    fleet.tables().setPercentLost(100);
+    fleet.database().stop("a");
+    run(4000);
+    assertHealthyAfterFailover();
+
+    String primary = fleet.database().primary().orElseThrow();
+    fleet.database().start("a");
+    fleet.tables().setDown(true);
+    run(2000);
+    fleet.database().stop(primary);
+    run(4000);
+    assertHealthyAfterFailover();
+  }
+
+  @Test
+  void shouldOvertakeClaimOfPausedHostAndRefuseItLater() {
+    FailoverHost paused = firstHost();
+    paused.onCommand(
+        command -> {
+          if (command instanceof PromoteServer) {
+            paused.onCommand(other -> {});
+            paused.pause();
+          }
+        });
+    fleet.database().stop("a");
+    run(8000);
+    assertThat(paused.isRunning()).isFalse();
+    assertHealthyAfterFailover();
+    String primary = fleet.database().primary().orElseThrow();
+    Term term = fleet.database().term();
+
+    paused.resume();
+    run(3000);
+
+    assertThat(fleet.database().primary()).contains(primary);
+    assertThat(fleet.database().term()).isEqualTo(term);
+    assertThat(paused.promotion()).isEmpty();
+  }
+
+  @Test
+  void shouldTellOldPrimaryThatComesBackToFollow() {
+    fleet.links().isolate("a");
+    run(5000);
+    assertHealthyAfterFailover();
+    assertThat(fleet.database().sample("a").role()).isEqualTo(ServerRole.PRIMARY);
+
+    fleet.links().heal("a");
+    run(1000);
+
+    assertThat(fleet.database().sample("a").role()).isEqualTo(ServerRole.REPLICA);
+    assertThat(fleet.database().sample("a").term()).isEqualTo(fleet.database().term());
+  }
+
+  @Test
+  void shouldPreferNewerTermToLongerTailOfOldPrimary() {
+    fleet.links().isolate("a");
+    for (int write = 0; write < 10_000; write++) {
+      fleet.database().write("a", -1 - write);
+    }
+    run(5000);
+    String second = fleet.database().primary().orElseThrow();
+    fleet.links().cut("a", second);
+    fleet.links().heal("a");
+    fleet.database().stop(second);
+    run(6000);
+
+    assertHealthyAfterFailover();
+    assertThat(fleet.database().primary()).isNotEqualTo(Optional.of("a"));
+  }
+
+  @Test
+  void shouldNotPromoteWithIncompleteFenceAndKeepTrying() {
+    for (FailoverHost host : fleet.hosts()) {
+      host.onCommand(
+          command -> {
+            if (command instanceof FenceServer) {
+              fleet.links().isolate("c");
+            }
+          });
+    }
+    fleet.database().stop("a");
+    run(10_000);
+    assertThat(fleet.database().sample("b").role()).isEqualTo(ServerRole.FENCED);
+    assertThat(fleet.database().term()).isEqualTo(Term.of(1));
+
+    stopInterfering();
+    fleet.links().heal("c");
+    run(6000);
+    assertHealthyAfterFailover();
+  }
+
+  @Test
+  void shouldNotPromoteWhenOnlyOneHostDoesNotReachPrimary() {
+    Set<Command> sent = new HashSet<>();
+    fleet.hosts().forEach(host -> host.onCommand(command -> addIfPromotion(command, sent)));
+    fleet.links().slow(firstHost().id().value(), "a", Duration.ofSeconds(4));
+    run(10_000);
+    fleet.links().cut(firstHost().id().value(), "a");
+    run(10_000);
+
+    assertThat(sent).isEmpty();
+    assertThat(fleet.database().term()).isEqualTo(Term.of(1));
+  }
+
+  @Test
+  void shouldFreeReplicaThatDeadHostFencedUnderWorkingPrimary() {
+    fleet.database().fence("b", Term.of(2), EntryHostId.of("dead-host"));
+    run(6000);
+
+    assertThat(fleet.database().primary()).contains("a");
+    assertThat(fleet.database().sample("b").role()).isEqualTo(ServerRole.REPLICA);
+    assertThat(fleet.database().sample("c").role()).isEqualTo(ServerRole.REPLICA);
+    assertThat(fleet.lost()).isEmpty();
+  }
+
+  @Test
+  void shouldPromoteReplicaWhenWorkingPrimaryRefusesFences() {
+    fleet.database().setPrimaryRefusesFences(true);
+    fleet.database().fence("b", Term.of(2), EntryHostId.of("dead-host"));
+    run(6000);
+
+    assertHealthyAfterFailover();
+    assertThat(fleet.database().sample("a").role()).isEqualTo(ServerRole.REPLICA);
+  }
+
+  /** The primary has answered and writes are acknowledged again, on a primary with all of them. */
+  private void assertHealthyAfterFailover() {
+    assertThat(fleet.database().primary()).isPresent();
+    assertThat(fleet.database().primary()).isNotEqualTo(Optional.of("a"));
+    assertThat(fleet.acknowledged())
+        .anyMatch(entry -> entry.term().equals(fleet.database().term()));
+    assertThat(fleet.lost()).isEmpty();
+    assertThat(fleet.acknowledged()).noneMatch(FailoverFleet.Acknowledged::byReplaced);
+  }
+
+  private FailoverHost firstHost() {
+    Set<EntryHostId> live =
+        fleet.hosts().stream().map(FailoverHost::id).collect(Collectors.toSet());
+    return fleet.hosts().stream()
+        .min(Comparator.comparingInt(host -> HostRank.of(host.id(), GROUP, live)))
+        .orElseThrow();
+  }
+
+  private void stopBefore(Command command, Class<? extends Command> type) {
+    if (type.isInstance(command)) {
+      firstHost().die();
+    }
+  }
+
+  private void cutFor(String first, String second, long milliseconds) {
+    fleet.links().cut(first, second);
+    fleet.time().after(Duration.ofMillis(milliseconds), () -> fleet.links().join(first, second));
+  }
+
+  private void stopInterfering() {
+    fleet.hosts().forEach(host -> host.onCommand(command -> {}));
+  }
+
+  private static void addIfPromotion(Command command, Set<Command> sent) {
+    if (command instanceof FenceServer
+        || command instanceof PromoteServer
+        || command instanceof FollowPrimary
+        || command instanceof CompareAndSetTableRow) {
+      sent.add(command);
+    }
+  }
+
+  private List<Controller> aloneControllers(EntryHostId host) {
+    List<Controller> controllers = new ArrayList<>(FailoverFleet.controllers(host));
+    controllers.add(0, (blackboard, context) -> blackboard.put(Entries.LIVE_HOSTS, Set.of(host)));
+    return controllers;
+  }
+
+  private PromotionClaim claim() {
+    return (PromotionClaim) fleet.tables().value(PromotionClaim.rowOf(GROUP)).orElseThrow();
+  }
+
+  private void run(long milliseconds) {
+    fleet.time().advance(Duration.ofMillis(milliseconds));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of promotions. */
+package org.persimmonwalk.internal.control.primary;
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
@@ -0,0 +1,258 @@
+package org.persimmonwalk.testing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.persimmonwalk.acknowledgement.AcknowledgementGate;
+import org.persimmonwalk.acknowledgement.AcknowledgementOutcome;
+import org.persimmonwalk.acknowledgement.PendingWrite;
+import org.persimmonwalk.acknowledgement.WriteAcknowledgement;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.internal.control.configuration.ConfigurationController;
+import org.persimmonwalk.internal.control.position.ReplicaPositionController;
+import org.persimmonwalk.internal.control.position.SamplingController;
+import org.persimmonwalk.internal.control.position.SamplingSettings;
+import org.persimmonwalk.internal.control.primary.FollowController;
+import org.persimmonwalk.internal.control.primary.PrimaryController;
+import org.persimmonwalk.internal.control.primary.PromotionSettings;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.GroupPosition;
+import org.persimmonwalk.model.GroupView;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.Term;
+import org.persimmonwalk.observation.ConfigurationLoaded;
+import org.persimmonwalk.port.MonotonicClock;
+import org.persimmonwalk.port.RandomSource;
+
+/** Several hosts' control loops against one fake database group and one fake table service. */
+public final class FailoverFleet {
+  private static final Duration ROUND = Duration.ofMillis(10);
+  private static final Duration REPLICATION = Duration.ofMillis(5);
+  private static final Duration WRITE_DEADLINE = Duration.ofSeconds(5);
+  private static final Duration CONFIRMATION_AGE = Duration.ofSeconds(1);
+
+  /**
+   * An acknowledged write.
+   *
+   * @param byReplaced whether a higher term had a primary when the write was committed
+   */
+  public record Acknowledged(
+      long write, String host, Term term, MonotonicTime at, boolean byReplaced) {}
+
+  private record Committed(GroupPosition position, boolean byReplaced) {}
+
+  /** Gives a host its controllers. */
+  public interface ControllerFactory {
+    /** Returns the controllers of a host, in order. */
+    List<Controller> create(EntryHostId host);
+  }
+
+  /** Gives a host its way to acknowledge writes. */
+  public interface AcknowledgementFactory {
+    /** Returns what decides on the acknowledgements of the host. */
+    WriteAcknowledgement create(FailoverHost host);
+  }
+
+  private final SimulatedTime time = new SimulatedTime();
+  private final MonotonicClock clock = () -> MonotonicTime.of(time.now());
+  private final FakeLinks links = new FakeLinks();
+  private final FakeDatabaseGroup database = FakeDatabaseGroup.of(3, links, clock);
+  private final FakeTableStore tables;
+  private final List<FailoverHost> hosts = new ArrayList<>();
+  private final List<Acknowledged> acknowledged = new ArrayList<>();
+  private long nextWrite;
+
+  private FailoverFleet(RandomSource random) {
+    tables = new FakeTableStore(time, random);
+  }
+
+  /** Returns a fleet of the given size, each host with its own random phase and sequence. */
+  public static FailoverFleet of(
+      int size,
+      long seed,
+      ControllerFactory controllers,
+      AcknowledgementFactory acknowledgements,
+      Duration writeInterval) {
+    RandomSource random = RandomSource.seeded(seed);
+    FailoverFleet fleet = new FailoverFleet(random);
+    Set<EntryHostId> live =
+        IntStream.range(0, size)
+            .mapToObj(index -> EntryHostId.of("host-" + index))
+            .collect(Collectors.toSet());
+    fleet.every(REPLICATION, fleet.database::replicate);
+    for (EntryHostId id : live.stream().sorted().toList()) {
+      List<Controller> all = new ArrayList<>();
+      all.add((blackboard, context) -> blackboard.put(Entries.LIVE_HOSTS, live));
+      all.addAll(controllers.create(id));
+      FailoverHost host =
+          FailoverHost.of(id, fleet, all, RandomSource.seeded(seed * 31 + random.nextInt(1000)));
+      WriteAcknowledgement acknowledgement = acknowledgements.create(host);
+      host.loop().post(new ConfigurationLoaded(fleet.configuration(), fleet.now()));
+      fleet.hosts.add(host);
+      fleet.time.after(
+          Duration.ofNanos(random.nextInt(10_000_000)), () -> fleet.every(ROUND, host::runRound));
+      fleet.time.after(
+          Duration.ofNanos(random.nextInt(20_000_000)),
+          () -> fleet.every(writeInterval, () -> fleet.write(host, acknowledgement)));
+    }
+    return fleet;
+  }
+
+  /** Returns a fleet with the project's controllers and gate; each host writes every 20 ms. */
+  public static FailoverFleet standard(int size, long seed) {
+    return of(size, seed, FailoverFleet::controllers, FailoverFleet::gate, Duration.ofMillis(20));
+  }
+
+  /** Returns the project's controllers of a host. */
+  public static List<Controller> controllers(EntryHostId host) {
+    PromotionSettings settings = PromotionSettings.defaults();
+    return List.of(
+        ConfigurationController.create(),
+        SamplingController.of(SamplingSettings.defaults()),
+        ReplicaPositionController.create(),
+        PrimaryController.of(host, settings),
+        FollowController.of(host, settings));
+  }
+
+  /** Returns the project's gate. */
+  public static WriteAcknowledgement gate(FailoverHost host) {
+    AcknowledgementGate gate = AcknowledgementGate.of(1000, host.loop()::post);
+    host.loop().addListener(gate);
+    return gate;
+  }
+
+  /** Returns the time that drives the fleet. */
+  public SimulatedTime time() {
+    return time;
+  }
+
+  /** Returns the clock of all hosts and servers. */
+  public MonotonicClock clock() {
+    return clock;
+  }
+
+  /** Returns the links between hosts, servers and platform. */
+  public FakeLinks links() {
+    return links;
+  }
+
+  /** Returns the database group. */
+  public FakeDatabaseGroup database() {
+    return database;
+  }
+
+  /** Returns the table service. */
+  public FakeTableStore tables() {
+    return tables;
+  }
+
+  /** Returns the hosts in order of their identifiers. */
+  public List<FailoverHost> hosts() {
+    return hosts;
+  }
+
+  /** Returns the acknowledged writes in the order in which they were acknowledged. */
+  public List<Acknowledged> acknowledged() {
+    return acknowledged;
+  }
+
+  /** Returns the acknowledged writes that the current primary does not hold. */
+  public List<Acknowledged> lost() {
+    Set<Long> kept = database.writes(database.primary().orElseThrow());
+    return acknowledged.stream().filter(entry -> !kept.contains(entry.write())).toList();
+  }
+
+  /** Returns the current time. */
+  public MonotonicTime now() {
+    return clock.now();
+  }
+
+  private void every(Duration interval, Runnable action) {
+    action.run();
+    time.after(interval, () -> every(interval, action));
+  }
+
+  /** Calls a machine; nothing comes back if the way there or back is cut. */
+  <T> void call(String from, String to, Supplier<T> service, Consumer<T> receiver) {
+    time.after(
+        links.latency(from, to),
+        () -> {
+          if (database.isReachable(from, to)) {
+            T result = service.get();
+            time.after(
+                links.latency(from, to),
+                () -> {
+                  if (database.isReachable(from, to)) {
+                    receiver.accept(result);
+                  }
+                });
+          }
+        });
+  }
+
+  /** Sends a write as a traffic thread does: only to a primary confirmed in the last second. */
+  private void write(FailoverHost host, WriteAcknowledgement acknowledgement) {
+    GroupView group = host.loop().snapshot().get(Entries.GROUPS).get(database.configuration().id());
+    boolean confirmed =
+        host.isRunning()
+            && group != null
+            && group
+                .newestConfirmed()
+                .filter(newest -> now().since(newest.startedAt()).compareTo(CONFIRMATION_AGE) <= 0)
+                .isPresent();
+    if (!confirmed || group.primary().isEmpty()) {
+      return;
+    }
+    String primary = group.primary().get().value();
+    long write = nextWrite++;
+    call(
+        host.id().value(),
+        primary,
+        () -> commit(primary, write),
+        committed -> committed.ifPresent(done -> register(host, acknowledgement, write, done)));
+  }
+
+  private Optional<Committed> commit(String primary, long write) {
+    return database
+        .write(primary, write)
+        .map(position -> new Committed(position, database.term().isAfter(position.term())));
+  }
+
+  private void register(
+      FailoverHost host, WriteAcknowledgement acknowledgement, long write, Committed committed) {
+    Term term = committed.position().term();
+    acknowledgement.register(
+        new PendingWrite(
+            database.configuration().id(),
+            committed.position(),
+            now().plus(WRITE_DEADLINE),
+            outcome -> {
+              if (outcome == AcknowledgementOutcome.CONFIRMED) {
+                acknowledged.add(
+                    new Acknowledged(
+                        write, host.id().value(), term, now(), committed.byReplaced()));
+              }
+            }),
+        now());
+  }
+
+  private Configuration configuration() {
+    return new Configuration(
+        Revision.of(1),
+        ReleaseNoteId.of("first"),
+        Map.of(),
+        Map.of(),
+        Map.of(database.configuration().id(), database.configuration()));
+  }
+}
