Measure the gap in writes of a failover

FailoverBenchmark runs seven scenarios on simulated time, each next to a version that promotes on the first failed probe without fencing and acknowledges at once.

--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
@@ -0,0 +1,150 @@
+package org.persimmonwalk.benchmark;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+import org.persimmonwalk.acknowledgement.AcknowledgeAtOnce;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.internal.control.configuration.ConfigurationController;
+import org.persimmonwalk.internal.control.position.ReplicaPositionController;
+import org.persimmonwalk.internal.control.position.SamplingController;
+import org.persimmonwalk.internal.control.position.SamplingSettings;
+import org.persimmonwalk.internal.control.primary.FollowController;
+import org.persimmonwalk.internal.control.primary.PromotionSettings;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.testing.FailoverFleet;
+import org.persimmonwalk.testing.FailoverHost;
+
+/**
+ * Prints the gap in writes, false promotions and lost acknowledged writes on the fake clock.
+ *
+ * <p>The gap of a run is the time from the fault until the last running host that reaches the new
+ * primary has a write of a new term acknowledged. The argument is the number of seeds.
+ */
+public final class FailoverBenchmark {
+  private static final int HOSTS = 6;
+  private static final int DEFAULT_SEEDS = 200;
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+  private static final Duration STEP = Duration.ofMillis(100);
+
+  /**
+   * The result of one run.
+   *
+   * @param gap the gap in milliseconds; empty if writes did not resume within 30 s
+   * @param promotions how often a server was promoted
+   * @param acknowledged the number of acknowledged writes
+   * @param lost how many of them the last primary, if there is one, does not hold
+   * @param byReplaced how many of them a replaced primary ran
+   */
+  private record Result(
+      OptionalLong gap, long promotions, long acknowledged, long lost, long byReplaced) {}
+
+  private FailoverBenchmark() {}
+
+  /** Runs all scenarios. */
+  public static void main(String[] arguments) {
+    int seeds = arguments.length == 0 ? DEFAULT_SEEDS : Integer.parseInt(arguments[0]);
+    System.out.printf(
+        "%d hosts, %d seeds, 1.5 ms one way, a write each 20 ms per host%n", HOSTS, seeds);
+    System.out.println(
+        "| scenario | version | median | 99th percentile | worst | not resumed | promotions"
+            + " | acknowledged | lost | by replaced primary |");
+    System.out.println("| --- | --- | --: | --: | --: | --: | --: | --: | --: | --: |");
+    for (FailoverScenario scenario : FailoverScenario.values()) {
+      for (boolean naive : new boolean[] {false, true}) {
+        List<Result> results =
+            LongStream.range(0, seeds).mapToObj(seed -> run(scenario, seed, naive)).toList();
+        print(scenario, naive, results);
+      }
+    }
+  }
+
+  private static Result run(FailoverScenario scenario, long seed, boolean naive) {
+    FailoverFleet fleet =
+        naive
+            ? FailoverFleet.of(
+                HOSTS,
+                seed,
+                FailoverBenchmark::naiveControllers,
+                host -> AcknowledgeAtOnce.create(),
+                Duration.ofMillis(20))
+            : FailoverFleet.standard(HOSTS, seed);
+    RandomSource random = RandomSource.seeded(seed);
+    fleet.time().advance(Duration.ofMillis(1500 + random.nextInt(500)));
+    MonotonicTime failedAt = fleet.now();
+    scenario.begin(fleet, random);
+    OptionalLong gap = OptionalLong.empty();
+    while (gap.isEmpty() && fleet.now().since(failedAt).compareTo(LIMIT) < 0) {
+      fleet.time().advance(STEP);
+      gap = scenario.isFailing() ? gap(fleet, failedAt) : OptionalLong.empty();
+    }
+    return new Result(
+        gap,
+        fleet.database().promotions(),
+        fleet.acknowledged().size(),
+        fleet.database().primary().isPresent() ? fleet.lost().size() : 0,
+        fleet.acknowledged().stream().filter(FailoverFleet.Acknowledged::byReplaced).count());
+  }
+
+  private static OptionalLong gap(FailoverFleet fleet, MonotonicTime failedAt) {
+    long slowest = 0;
+    for (FailoverHost host : fleet.hosts()) {
+      String primary = fleet.database().primary().orElse("a");
+      if (!host.isRunning()
+          || !primary.equals("a") && !fleet.database().isReachable(host.id().value(), primary)) {
+        continue;
+      }
+      OptionalLong first =
+          fleet.acknowledged().stream()
+              .filter(entry -> entry.host().equals(host.id().value()))
+              .filter(entry -> entry.term().number() > 1)
+              .mapToLong(entry -> entry.at().since(failedAt).toMillis())
+              .min();
+      if (first.isEmpty()) {
+        return first;
+      }
+      slowest = Math.max(slowest, first.getAsLong());
+    }
+    return OptionalLong.of(slowest);
+  }
+
+  private static List<Controller> naiveControllers(EntryHostId host) {
+    List<Controller> controllers = new ArrayList<>();
+    controllers.add(ConfigurationController.create());
+    controllers.add(SamplingController.of(SamplingSettings.defaults()));
+    controllers.add(ReplicaPositionController.create());
+    controllers.add(NaiveFailoverController.of(host));
+    controllers.add(FollowController.of(host, PromotionSettings.defaults()));
+    return controllers;
+  }
+
+  private static void print(FailoverScenario scenario, boolean naive, List<Result> results) {
+    long[] gaps =
+        results.stream().flatMapToLong(result -> result.gap().stream()).sorted().toArray();
+    boolean failing = scenario.isFailing();
+    System.out.printf(
+        "| %s | %s | %s | %s | %s | %s | %d | %d | %d | %d |%n",
+        scenario.description(),
+        naive ? "naive" : "persimmonwalk",
+        failing ? percentile(gaps, 50) : "-",
+        failing ? percentile(gaps, 99) : "-",
+        failing ? percentile(gaps, 100) : "-",
+        failing ? results.size() - gaps.length : "-",
+        results.stream().mapToLong(Result::promotions).sum(),
+        results.stream().mapToLong(Result::acknowledged).sum(),
+        results.stream().mapToLong(Result::lost).sum(),
+        results.stream().mapToLong(Result::byReplaced).sum());
+  }
+
+  private static String percentile(long[] sorted, int percent) {
+    if (sorted.length == 0) {
+      return "none";
+    }
+    int index = (int) Math.ceil(percent / 100.0 * sorted.length) - 1;
+    return sorted[Math.max(0, index)] + " ms";
+  }
+}
