--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -10,11 +10,14 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.CallerKey;
 import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.FollowOrder;
 import org.persimmonwalk.model.GroupView;
 import org.persimmonwalk.model.HostEntry;
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.PeerRevisions;
+import org.persimmonwalk.model.Promotion;
+import org.persimmonwalk.model.ServerProbe;
 import org.persimmonwalk.model.ShareLease;
 
 /** The entries of the blackboard; each is written by one controller. */
@@ -72,5 +75,17 @@
   public static final EntryKey<Map<BackendServerId, Integer>> CONNECTION_ALLOWANCES =
       EntryKey.of("connection allowances", Map.of());
 
+  /** The newest probe of each backend server. */
+  public static final EntryKey<Map<BackendServerId, ServerProbe>> PROBES =
+      EntryKey.of("probes", Map.of());
+
+  /** The promotions that this host takes part in; groups without one are absent. */
+  public static final EntryKey<Map<DatabaseGroupId, Promotion>> PROMOTIONS =
+      EntryKey.of("promotions", Map.of());
+
+  /** The servers that this host has told, or is about to tell, to follow a primary. */
+  public static final EntryKey<Map<BackendServerId, FollowOrder>> FOLLOW_ORDERS =
+      EntryKey.of("followOrders", Map.of());
+
   private Entries() {}
 }
