Add the operations page

Operators need to know how to install, change, watch and stop the fleet. Tests read the settings reference and both YAML examples, so that they cannot differ from the readers.

TrafficMetrics now creates counters only for codes and states that concern statements; the others could never count.

--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficMetrics.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficMetrics.java
@@ -7,6 +7,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.persimmonwalk.request.StatementRequest;
 import org.persimmonwalk.result.ResultCode;
 import org.persimmonwalk.result.StatementState;
@@ -20,35 +21,39 @@
  *
  * <ul>
  *   <li>{@code statements.routed.REASON}: counter for each {@link RoutingReason};
- *   <li>{@code statements.refused.CODE}: counter for each label of {@link ResultCode};
- *   <li>{@code statements.finished.STATE}: counter for each {@link StatementState};
+ *   <li>{@code statements.refused.CODE}: counter for the label of each {@link ResultCode} that
+ *       concerns statements;
+ *   <li>{@code statements.finished.STATE}: counter for each {@link StatementState} that concerns
+ *       statements;
  *   <li>{@code statements.time.STATE}: timer from the arrival of the statement to its end.
  * </ul>
  */
 public final class TrafficMetrics implements TrafficListener {
   private static final String PREFIX = "statements";
 
+  private final MetricRegistry registry;
   private final Map<RoutingReason, Counter> routed;
   private final Map<ResultCode, Counter> refused;
   private final Map<StatementState, Counter> finished;
   private final Map<StatementState, Timer> times;
 
   private TrafficMetrics(MetricRegistry registry) {
-    routed =
-        all(
-            RoutingReason.class,
-            reason -> registry.counter(MetricRegistry.name(PREFIX, "routed", reason.name())));
+    this.registry = registry;
+    routed = all(RoutingReason.class, reason -> true, reason -> counter("routed", reason.name()));
     refused =
         all(
             ResultCode.class,
-            code -> registry.counter(MetricRegistry.name(PREFIX, "refused", code.label())));
+            code -> concernsStatements(code.statementState()),
+            code -> counter("refused", code.label()));
     finished =
         all(
             StatementState.class,
-            state -> registry.counter(MetricRegistry.name(PREFIX, "finished", state.name())));
+            TrafficMetrics::concernsStatements,
+            state -> counter("finished", state.name()));
     times =
         all(
             StatementState.class,
+            TrafficMetrics::concernsStatements,
             state -> registry.timer(MetricRegistry.name(PREFIX, "time", state.name())));
   }
 
@@ -64,19 +69,36 @@
 
   @Override
   public void refused(StatementRequest request, ResultCode code) {
-    refused.get(code).inc();
+    Counter counter = refused.get(code);
+    if (counter != null) {
+      counter.inc();
+    }
   }
 
   @Override
   public void finished(StatementRequest request, StatementState state, Duration elapsed) {
-    finished.get(state).inc();
-    times.get(state).update(elapsed);
+    if (concernsStatements(state)) {
+      finished.get(state).inc();
+      times.get(state).update(elapsed);
+    }
+  }
+
+  private Counter counter(String event, String detail) {
+    return registry.counter(MetricRegistry.name(PREFIX, event, detail));
+  }
+
+  private static boolean concernsStatements(StatementState state) {
+    return state != StatementState.NOT_APPLICABLE;
   }
 
-  private static <K extends Enum<K>, V> Map<K, V> all(Class<K> type, Function<K, V> metric) {
+  /** Creates the metrics at the start, so that a value of 0 is visible and events find theirs. */
+  private static <K extends Enum<K>, V> Map<K, V> all(
+      Class<K> type, Predicate<K> condition, Function<K, V> metric) {
     Map<K, V> metrics = new EnumMap<>(type);
     for (K constant : type.getEnumConstants()) {
-      metrics.put(constant, metric.apply(constant));
+      if (condition.test(constant)) {
+        metrics.put(constant, metric.apply(constant));
+      }
     }
     return metrics;
   }
--- /dev/null
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
@@ -0,0 +1,66 @@
+package org.persimmonwalk.internal.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+class OperationsDocumentTest {
+  private static final Path DOCUMENT = Path.of("..", "docs", "OPERATIONS.md");
+  private static final Pattern ROW =
+      Pattern.compile("\\| `(\\w+)\\.(\\w+)` \\| [^|]+ \\| (\\w+) \\|[^|]+\\|");
+
+  /** Guards against an example that the process refuses. */
+  @Test
+  void shouldShowValidSettings() throws IOException {
+    String text = Files.readString(DOCUMENT);
+    String example = text.substring(text.indexOf("```yaml\nhost:") + 8);
+
+    Settings settings = SettingsReader.create().parse(example.substring(0, example.indexOf("```")));
+
+    assertThat(settings.admin().token()).contains("change-me-too");
+  }
+
+  /** Guards against settings and defaults that the documentation states otherwise. */
+  @Test
+  void shouldStateNamesAndDefaultsOfSettings() throws IOException {
+    StringBuilder stated = new StringBuilder();
+    String required =
+        """
+        host: {id: a, zone: b}
+        caller: {listen: "127.0.0.1:1"}
+        backend: {user: a, password: b}
+        peer: {listen: "127.0.0.1:2"}
+        admin: {listen: "127.0.0.1:3"}
+        """;
+    Matcher row = ROW.matcher(Files.readString(DOCUMENT));
+    int rows = 0;
+    while (row.find()) {
+      rows++;
+      if (!row.group(3).equals("required") && !row.group(3).equals("none")) {
+        stated.append(row.group(1)).append(": ").append(row.group(2)).append('=');
+        stated.append(row.group(3)).append('\n');
+      }
+    }
+
+    assertThat(rows).isEqualTo(17);
+    Settings defaults = SettingsReader.create().parse(required);
+    assertThat(SettingsReader.create().parse(merge(required, stated.toString())))
+        .isEqualTo(defaults);
+  }
+
+  /** Adds each line {@code section: name=value} to the section's flow mapping. */
+  private static String merge(String settings, String lines) {
+    String merged = settings + "platform: {}\n";
+    for (String line : lines.split("\n")) {
+      String section = line.substring(0, line.indexOf(':'));
+      String entry = line.substring(line.indexOf(' ') + 1).replace("=", ": ");
+      merged = merged.replace("\n" + section + ": {", "\n" + section + ": {" + entry + ", ");
+    }
+    return merged;
+  }
+}
--- a/operator/src/test/java/org/persimmonwalk/internal/operator/note/ReleaseNoteReaderTest.java
+++ b/operator/src/test/java/org/persimmonwalk/internal/operator/note/ReleaseNoteReaderTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Set;
@@ -129,6 +131,17 @@
     assertFault("key: x\n".repeat(500), "and 402 more");
   }
 
+  /** Guards against an example of the documentation that is refused. */
+  @Test
+  void shouldReadTheExampleOfTheDocumentation() throws IOException {
+    String text = Files.readString(Path.of("..", "docs", "OPERATIONS.md"));
+    String example = text.substring(text.indexOf("```yaml\nid:") + 8);
+
+    ReleaseNote note = reader.parse(bytes(example.substring(0, example.indexOf("```"))));
+
+    assertThat(note.added()).hasSize(2);
+  }
+
   @Test
   void shouldRefuseTextThatIsNotUtf8() {
     assertThat(failure(new byte[] {'i', 'd', ':', ' ', (byte) 0xff}))
