--- a/bench/src/test/java/org/persimmonwalk/bench/steps/SessionSteps.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/steps/SessionSteps.java
@@ -18,10 +18,16 @@
 import org.persimmonwalk.bench.LocalDeployment;
 import org.persimmonwalk.bench.RoutingRecorder;
 import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.release.ItemName;
+import org.persimmonwalk.release.ReleaseNote;
 
 /** Steps that drive a session through entry hosts with the PostgreSQL JDBC driver. */
 public final class SessionSteps {
   private static final Duration STOPPED = Duration.ofHours(1);
+  private static final BackendServerId PRIMARY = BackendServerId.of("server-a");
   private static final List<String> SERVERS = List.of("server-a", "server-b", "server-c");
 
   private final RoutingRecorder recorder = new RoutingRecorder();
@@ -138,6 +144,30 @@
     checkNotSeen(LocalDeployment.KEY);
   }
 
+  @When("the primary stops")
+  public void stopPrimary() {
+    deployment.group().kill(PRIMARY);
+  }
+
+  @When("the primary is cut off from its replicas")
+  public void isolatePrimary() {
+    deployment.group().setIsolatedFromPeers(PRIMARY, true);
+  }
+
+  @When("an operator withdraws the key of the workspace")
+  public void withdrawKey() {
+    deployment.publish(
+        ReleaseNote.of(ReleaseNoteId.of("withdraw"), Revision.of(1))
+            .withWithdrawn(List.of(ItemName.of(KeyHash.ofKey(LocalDeployment.KEY)))));
+  }
+
+  @When("the session books delivery {string} of {string} litres until it fails")
+  public void bookUntilFailure(String id, String litres) {
+    for (int i = 0; failure == null; i++) {
+      book(id + "-" + i, litres);
+    }
+  }
+
   /** Stops what the scenario has started. */
   @After
   public void stop() throws SQLException {
--- a/bench/src/test/resources/features/session.feature
+++ b/bench/src/test/resources/features/session.feature
@@ -42,3 +42,25 @@
     When the replicas receive nothing more
     And the session books delivery "d1" of "900" litres
     Then the booking fails with SQLSTATE "40003"
+
+  Scenario: A session goes on after its primary has stopped
+    Given session "dispatcher" is connected to entry host 2
+    When the session books delivery "d1" of "900" litres
+    And the primary stops
+    And the session books delivery "d2" of "100" litres
+    Then the session reads "900" litres for delivery "d1"
+    And the session reads "100" litres for delivery "d2"
+
+  Scenario: A write to an isolated primary is not acknowledged
+    Given session "dispatcher" is connected to entry host 1
+    When the session books delivery "d1" of "900" litres
+    And the primary is cut off from its replicas
+    And the session books delivery "d2" of "100" litres
+    Then the session reads "900" litres for delivery "d1"
+
+  Scenario: A withdrawn key stops on an open connection
+    Given session "dispatcher" is connected to entry host 1
+    When the session books delivery "d1" of "900" litres
+    And an operator withdraws the key of the workspace
+    And the session books delivery "d2" of "100" litres until it fails
+    Then the booking fails with SQLSTATE "28000"
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.persimmonwalk.acknowledgement.AcknowledgementOutcome;
+import org.persimmonwalk.acknowledgement.PendingWrite;
 import org.persimmonwalk.blackboard.Snapshot;
 import org.persimmonwalk.internal.telemetry.StatementTrace;
 import org.persimmonwalk.internal.traffic.backend.BackendConnection;
@@ -273,19 +275,19 @@
     } else if (result.position().isEmpty()) {
       unknown(relay);
     } else {
-      context
-          .acknowledger()
-          .await(
+      PendingWrite write =
+          new PendingWrite(
               request.group(),
               result.position().get(),
               now().plus(context.settings().confirmationTimeout()),
-              confirmed ->
-                  caller.eventLoop().execute(() -> acknowledged(relay, result, confirmed)));
+              outcome -> caller.eventLoop().execute(() -> acknowledged(relay, result, outcome)));
+      context.acknowledgement().register(write, now());
     }
   }
 
-  private void acknowledged(AnswerRelay relay, ExchangeResult result, boolean confirmed) {
-    if (confirmed) {
+  private void acknowledged(
+      AnswerRelay relay, ExchangeResult result, AcknowledgementOutcome outcome) {
+    if (outcome == AcknowledgementOutcome.CONFIRMED) {
       GroupPosition position = result.position().get();
       state.parameters().raiseFloor(position);
       CallerWriter.of(caller).position(position);
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
@@ -2,6 +2,7 @@
 
 import io.opentelemetry.api.trace.Tracer;
 import java.time.Duration;
+import org.persimmonwalk.acknowledgement.WriteAcknowledgement;
 import org.persimmonwalk.blackboard.ControlLoop;
 import org.persimmonwalk.entryhost.TrafficListener;
 import org.persimmonwalk.internal.settings.Settings;
@@ -18,7 +19,7 @@
     RequestPlanner planner,
     RetryPolicy retries,
     Backends backends,
-    Acknowledger acknowledger,
+    WriteAcknowledgement acknowledgement,
     SnapshotWaiters waiters,
     Instruments instruments) {
 
