--- a/entryhost/src/test/java/org/persimmonwalk/internal/admin/AdminServerTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/admin/AdminServerTest.java
@@ -144,6 +144,7 @@
             caller: {listen: "127.0.0.1:6432"}
             backend: {user: persimmonwalk, password: secret}
             peer: {listen: "127.0.0.1:7432"}
+            platform: {endpoint: "127.0.0.1:9432"}
             admin: {listen: "127.0.0.1:0", token: %s}
             """
                 .formatted(TOKEN));
--- a/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
@@ -35,7 +35,8 @@
         caller: {listen: "127.0.0.1:1"}
         backend: {user: a, password: b}
         peer: {listen: "127.0.0.1:2"}
-        admin: {listen: "127.0.0.1:3"}
+        platform: {endpoint: "127.0.0.1:3"}
+        admin: {listen: "127.0.0.1:4"}
         """;
     Matcher row = ROW.matcher(Files.readString(DOCUMENT));
     int rows = 0;
@@ -55,7 +56,7 @@
 
   /** Adds each line {@code section: name=value} to the section's flow mapping. */
   private static String merge(String settings, String lines) {
-    String merged = settings + "platform: {}\n";
+    String merged = settings;
     for (String line : lines.split("\n")) {
       String section = line.substring(0, line.indexOf(':'));
       String entry = line.substring(line.indexOf(' ') + 1).replace("=", ": ");
--- a/operator/src/test/java/org/persimmonwalk/operator/OperatorCommandLineTest.java
+++ b/operator/src/test/java/org/persimmonwalk/operator/OperatorCommandLineTest.java
@@ -297,6 +297,7 @@
         caller: {listen: "127.0.0.1:0"}
         backend: {user: persimmonwalk, password: secret}
         peer: {listen: "127.0.0.1:0"}
+        platform: {endpoint: "127.0.0.1:0"}
         admin: {listen: "127.0.0.1:0", token: operator-token}
         """
             .formatted(id);
