--- a/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
@@ -39,9 +39,16 @@
   private static final Duration STEADY = Duration.ofSeconds(10);
   private static final Duration LIMIT = Duration.ofSeconds(30);
 
+  /** Which hosts cannot reach the platform. */
+  private enum Cut {
+    NONE,
+    EVERY_SECOND_HOST,
+    WHOLE_ZONES
+  }
+
   /** A deployment, its configuration, and which half of the hosts is cut off. */
   private record Scenario(
-      String name, int hosts, int zones, Configuration first, boolean wholeZones, boolean peers) {}
+      String name, int hosts, int zones, Configuration first, Cut cut, boolean peers) {}
 
   /** Figures of one change; times in milliseconds, negative if hosts were left without it. */
   private record Figures(
@@ -56,9 +63,14 @@
 
   private SpreadBenchmark() {}
 
-  /** Runs all scenarios; the argument is the number of changes measured in each (10). */
+  /**
+   * Runs all scenarios. The first argument is the number of changes measured in each (10), the
+   * second limits the scenarios to one kind of {@link Cut}.
+   */
   public static void main(String[] arguments) {
     int changes = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 10;
+    List<Cut> cuts =
+        arguments.length > 1 ? List.of(Cut.valueOf(arguments[1])) : List.of(Cut.values());
     Configuration small = Configurations.of(1, 3, 8);
     Configuration large = Configurations.of(1, 570, 2000);
     System.out.println(
@@ -69,10 +81,10 @@
     System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
     for (boolean peers : new boolean[] {false, true}) {
       String prefix = peers ? "store and peers" : "store every 5 s";
-      for (boolean wholeZones : new boolean[] {false, true}) {
-        String name = prefix + (wholeZones ? ", whole zones cut off" : ", every 2nd host cut off");
-        report(new Scenario(name, 20, 3, small, wholeZones, peers), changes);
-        report(new Scenario(name, 430, 7, large, wholeZones, peers), changes);
+      for (Cut cut : cuts) {
+        String name = prefix + ", cut off: " + cut.name().toLowerCase(Locale.ROOT);
+        report(new Scenario(name, 20, 3, small, cut, peers), changes);
+        report(new Scenario(name, 430, 7, large, cut, peers), changes);
       }
     }
   }
@@ -155,11 +167,16 @@
 
   private static void cutOff(SpreadFleet fleet, Scenario scenario) {
     List<SpreadHost> hosts = new ArrayList<>(fleet.hosts());
-    if (scenario.wholeZones()) {
+    if (scenario.cut() == Cut.WHOLE_ZONES) {
       hosts.sort((first, second) -> first.entry().zone().compareTo(second.entry().zone()));
     }
     for (int index = 0; index < hosts.size(); index++) {
-      boolean cut = scenario.wholeZones() ? index < hosts.size() / 2 : index % 2 == 0;
+      boolean cut =
+          switch (scenario.cut()) {
+            case NONE -> false;
+            case EVERY_SECOND_HOST -> index % 2 == 0;
+            case WHOLE_ZONES -> index < hosts.size() / 2;
+          };
       hosts.get(index).setStoreReachable(!cut);
       hosts.get(index).setHostListReachable(!cut);
     }
