--- a/core/src/main/java/org/persimmonwalk/admission/KeyPolicy.java
+++ b/core/src/main/java/org/persimmonwalk/admission/KeyPolicy.java
@@ -19,7 +19,8 @@
  * <p>Example:
  *
  * <pre>{@code
- * Optional<ResultCode> refusal = policy.verify(snapshot, workspace, Optional.of(hash), clock.now());
+ * Optional<ResultCode> refusal =
+ *     policy.verify(snapshot, workspace, Optional.of(hash), clock.now());
  * }</pre>
  */
 public final class KeyPolicy implements KeyVerifier {
