Measure the control loop, the store and release notes at several sizes

docs/design.md states a target size; docs/CAPACITY.md is to extrapolate measured slopes to it. CapacityBenchmark runs the real controllers of all hosts in simulated time with commands answered in memory.

--- /dev/null
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityBenchmark.java
@@ -0,0 +1,78 @@
+package org.persimmonwalk.bench.capacity;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Measures the load of an entry host at several sizes and fits a line to each quantity. {@code
+ * docs/CAPACITY.md} extrapolates the slopes to the target size.
+ */
+public final class CapacityBenchmark {
+  private static final List<String> SECTIONS =
+      List.of("control", "store", "release", "traffic", "connections", "probes");
+
+  @Option(name = "--sections", usage = "what to measure, separated by commas")
+  private String sections = String.join(",", SECTIONS);
+
+  @Option(name = "--seconds", usage = "length of each measurement of the control loop, simulated")
+  private int seconds = 10;
+
+  @Option(name = "--warm-up", usage = "simulated seconds before; 66 fill the history of positions")
+  private int warmUp = 66;
+
+  @Option(name = "--check", usage = "also run the control loops of 430 hosts")
+  private boolean check;
+
+  @Option(name = "--json", usage = "file to which the measurements are written as JSON")
+  private String json = "";
+
+  private CapacityBenchmark() {}
+
+  /** Runs the benchmark. */
+  public static void main(String[] arguments) throws Exception {
+    CapacityBenchmark benchmark = new CapacityBenchmark();
+    CmdLineParser parser = new CmdLineParser(benchmark);
+    try {
+      parser.parseArgument(arguments);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      System.exit(2);
+    }
+    benchmark.run();
+  }
+
+  private void run() throws Exception {
+    CapacityReport report = CapacityReport.create();
+    for (String section : sections.split(",")) {
+      run(section, report);
+    }
+    System.out.print(report.text());
+    if (!json.isEmpty()) {
+      Files.writeString(Path.of(json), report.json());
+    }
+  }
+
+  private void run(String section, CapacityReport report) throws Exception {
+    switch (section) {
+      case "control" -> {
+        ControlMeasurement control =
+            ControlMeasurement.of(report, Duration.ofSeconds(warmUp), Duration.ofSeconds(seconds));
+        control.run();
+        if (check) {
+          control.runCheck();
+        }
+      }
+      case "store" -> StoreMeasurement.of(report).run();
+      case "release" -> ReleaseMeasurement.of(report).run();
+      default ->
+          throw new IllegalArgumentException(
+              "section " + section + " is unknown; the sections are " + SECTIONS);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/Series.java
@@ -0,0 +1,23 @@
+package org.persimmonwalk.bench.capacity;
+
+import java.util.List;
+
+/**
+ * A quantity measured at several sizes.
+ *
+ * @param quantity what was measured, with its unit
+ * @param variable what was varied
+ * @param setting what was kept
+ * @param points the measurements
+ */
+record Series(String quantity, String variable, String setting, List<LineFit.Point> points) {
+
+  /** Copies the points. */
+  Series {
+    points = List.copyOf(points);
+  }
+
+  LineFit line() {
+    return LineFit.of(points);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedStore.java
@@ -0,0 +1,113 @@
+package org.persimmonwalk.bench.capacity;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.persimmonwalk.internal.platform.ConfigurationFormat;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.ConfigurationRow;
+import org.persimmonwalk.model.RowValue;
+import org.persimmonwalk.model.RowVersion;
+import org.persimmonwalk.model.StoredConfiguration;
+import org.persimmonwalk.model.TableRow;
+import org.persimmonwalk.model.VersionedRow;
+import org.persimmonwalk.model.WriteOutcome;
+import org.persimmonwalk.platform.RowCodec;
+import org.persimmonwalk.platform.RowCodecs;
+
+/** The platform's table service and object store in memory; rows are kept as JSON. */
+final class SimulatedStore {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final Map<String, RowCodec<?>> codecs = RowCodecs.standard();
+  private final Map<TableRow, Stored> rows = new HashMap<>();
+  private final byte[] configuration;
+  private StoreCounts counts = StoreCounts.NONE;
+
+  private record Stored(long version, byte[] content) {}
+
+  private SimulatedStore(byte[] configuration) {
+    this.configuration = configuration;
+  }
+
+  /** Returns a store whose configuration row names the given configuration. */
+  static SimulatedStore of(Configuration configuration, ConfigurationRow row) {
+    byte[] object =
+        ConfigurationFormat.create()
+            .encode(StoredConfiguration.of(configuration, Optional.empty()));
+    SimulatedStore store = new SimulatedStore(object);
+    store.rows.put(ConfigurationRow.ROW, new Stored(1, store.encode(ConfigurationRow.ROW, row)));
+    return store;
+  }
+
+  VersionedRow read(TableRow row) {
+    counts = counts.plusRead(row.equals(ConfigurationRow.ROW));
+    Stored stored = rows.get(row);
+    return stored == null
+        ? VersionedRow.absent()
+        : VersionedRow.of(RowVersion.of(stored.version()), decode(row, stored.content()));
+  }
+
+  WriteOutcome compareAndSet(TableRow row, RowVersion expected, RowValue value) {
+    byte[] content = encode(row, value);
+    Stored stored = rows.get(row);
+    long version = stored == null ? 0 : stored.version();
+    boolean matches = version == expected.number();
+    counts = counts.plusWrite(matches);
+    if (matches) {
+      rows.put(row, new Stored(version + 1, content));
+    }
+    return matches ? WriteOutcome.WRITTEN : WriteOutcome.CONFLICT;
+  }
+
+  Configuration loadConfiguration() {
+    return ConfigurationFormat.create().decode(configuration).configuration();
+  }
+
+  void countHostList() {
+    counts = counts.plusHostList();
+  }
+
+  /** Returns the bytes of a row, 0 if it does not exist. */
+  int bytes(TableRow row) {
+    Stored stored = rows.get(row);
+    return stored == null ? 0 : stored.content().length;
+  }
+
+  /** Returns the bytes of all rows and the object. */
+  long bytes() {
+    return configuration.length
+        + rows.values().stream().mapToLong(stored -> stored.content().length).sum();
+  }
+
+  int configurationBytes() {
+    return configuration.length;
+  }
+
+  StoreCounts counts() {
+    return counts;
+  }
+
+  private byte[] encode(TableRow row, RowValue value) {
+    try {
+      return JSON.writeValueAsBytes(tree(codecs.get(row.table()), value));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("row " + row + " cannot be written", e);
+    }
+  }
+
+  private static <T extends RowValue> Object tree(RowCodec<T> codec, RowValue value) {
+    return codec.encode(codec.type().cast(value));
+  }
+
+  private RowValue decode(TableRow row, byte[] content) {
+    try {
+      return codecs.get(row.table()).decode(JSON.readTree(content));
+    } catch (IOException e) {
+      throw new IllegalStateException("row " + row + " cannot be read", e);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/Sizes.java
@@ -0,0 +1,19 @@
+package org.persimmonwalk.bench.capacity;
+
+/**
+ * The size of a deployment.
+ *
+ * @param hosts entry hosts
+ * @param groups database groups of 3 backend servers
+ * @param workspaces workspaces
+ * @param keys caller keys of all workspaces together
+ */
+record Sizes(int hosts, int groups, int workspaces, int keys) {
+  static final int SERVERS_PER_GROUP = 3;
+  private static final int KEYS_PER_WORKSPACE = 10;
+
+  /** Returns a size with 10 keys per workspace. */
+  static Sizes of(int hosts, int groups, int workspaces) {
+    return new Sizes(hosts, groups, workspaces, KEYS_PER_WORKSPACE * workspaces);
+  }
+}
--- a/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
@@ -136,7 +136,8 @@
     platform.close();
   }
 
-  private static List<Controller> controllers(HostEntry entry) {
+  /** Returns the controllers of the given host in the order in which they run. */
+  public static List<Controller> controllers(HostEntry entry) {
     return List.of(
         ConfigurationController.create(),
         KeyController.create(),
