Keep the map of connection allowances while none changes

Cause: AllowanceController put a new map in each round. ConnectionReporter compares maps by identity, so it reported the connections of every server after each round, and the reports woke the control thread for the next round at once. Change: the entry is replaced only if an allowance differs. Conclusion: the control thread waits between rounds again.

--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
@@ -49,7 +49,14 @@
     allowances.forEach(
         (server, allowance) ->
             published.put(server, allowance.run(blackboard, context, fleet, inbox)));
-    blackboard.put(Entries.CONNECTION_ALLOWANCES, Map.copyOf(published));
+    publish(blackboard, published);
+  }
+
+  /** Keeps the map while nothing changes, since a new one makes a listener report connections. */
+  private static void publish(Blackboard blackboard, Map<BackendServerId, Integer> allowances) {
+    if (!blackboard.get(Entries.CONNECTION_ALLOWANCES).equals(allowances)) {
+      blackboard.put(Entries.CONNECTION_ALLOWANCES, Map.copyOf(allowances));
+    }
   }
 
   private void configure(Configuration configuration, RoundContext context) {
--- a/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -84,6 +85,37 @@
     assertThat(open()).isGreaterThanOrEqualTo(6);
   }
 
+  /**
+   * A listener reports connections when the map is another one, and the report wakes the control
+   * thread: a new map in each round kept the thread busy without pause.
+   */
+  @Test
+  void shouldKeepMapWhileNoAllowanceChanges() {
+    fleet = new FakeFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet.hosts().forEach(host -> host.wantConnections(SERVER, 2));
+    run(Duration.ofSeconds(5), CONNECTIONS);
+    Map<BackendServerId, Integer> before = allowances();
+    run(Duration.ofSeconds(1), CONNECTIONS);
+    assertThat(allowances()).isSameAs(before).containsKey(SERVER);
+  }
+
+  /** Rounds look only at servers with news; a withdrawn server has none. */
+  @Test
+  void shouldForgetWithdrawnServer() {
+    fleet = new FakeFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
+    run(Duration.ofSeconds(5), CONNECTIONS);
+    Configuration empty =
+        new Configuration(
+            Revision.of(2), ReleaseNoteId.of("withdrawn"), Map.of(), Map.of(), Map.of());
+    fleet.hosts().forEach(host -> host.configure(empty));
+    run(Duration.ofSeconds(1), CONNECTIONS);
+    assertThat(allowances()).isEmpty();
+  }
+
+  private Map<BackendServerId, Integer> allowances() {
+    return fleet.hosts().get(0).snapshot().get(Entries.CONNECTION_ALLOWANCES);
+  }
+
   private void disturb() {
     int choice = fleet.random().nextInt(40);
     FakeHost host = fleet.hosts().get(fleet.random().nextInt(fleet.hosts().size()));
