Assess only the groups whose servers were sampled

Cause: ReplicaPositionController built the views of all groups in each round and compared them with the ones before, history included. Change: a round assesses the groups with samples, and all groups after a change of the configuration. Without either it publishes nothing.

--- a/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
@@ -1,7 +1,10 @@
 package org.persimmonwalk.internal.control.position;
 
-import java.util.LinkedHashMap;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
+import java.util.stream.Stream;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Entries;
@@ -16,8 +19,14 @@
 import org.persimmonwalk.observation.ServerSampleFailed;
 import org.persimmonwalk.observation.ServerSampled;
 
-/** Keeps the newest sample of each backend server and the confirmed positions of each group. */
+/**
+ * Keeps the newest sample of each backend server and the confirmed positions of each group. A round
+ * assesses only the groups whose servers were sampled, and all of them after a change of the
+ * configuration.
+ */
 public final class ReplicaPositionController implements Controller {
+  private final Map<BackendServerId, DatabaseGroup> groupsByServer = new HashMap<>();
+  private Map<DatabaseGroupId, DatabaseGroup> configured = Map.of();
 
   private ReplicaPositionController() {}
 
@@ -28,25 +37,57 @@
 
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
-    Map<BackendServerId, ServerView> servers = new LinkedHashMap<>();
-    Map<DatabaseGroupId, GroupView> known = blackboard.get(Entries.GROUPS);
-    known.values().forEach(group -> group.servers().forEach(view -> put(servers, view)));
     Map<DatabaseGroupId, DatabaseGroup> groups = blackboard.get(Entries.CONFIGURATION).groups();
-    groups.values().forEach(group -> configure(servers, group, context.now()));
+    Map<DatabaseGroupId, GroupView> known = blackboard.get(Entries.GROUPS);
+    boolean changed = groups != configured;
+    if (changed) {
+      configure(groups);
+    }
+    Collection<DatabaseGroup> touched = changed ? groups.values() : sampledGroups(blackboard);
+    if (touched.isEmpty() && !changed) {
+      return;
+    }
+    Map<BackendServerId, ServerView> servers = new HashMap<>();
+    (changed ? known.values() : views(known, touched))
+        .forEach(group -> group.servers().forEach(view -> put(servers, view)));
+    touched.forEach(group -> configure(servers, group, context.now()));
     blackboard.observations(ServerSampled.class).forEach(sampled -> apply(servers, sampled));
     blackboard.observations(ServerSampleFailed.class).forEach(failed -> apply(servers, failed));
 
-    Map<DatabaseGroupId, GroupView> next = new LinkedHashMap<>();
-    for (DatabaseGroup group : groups.values()) {
+    Map<DatabaseGroupId, GroupView> next = new HashMap<>(known);
+    next.keySet().retainAll(groups.keySet());
+    for (DatabaseGroup group : touched) {
       next.put(
           group.id(),
           GroupAssessment.of(group, known.get(group.id()), servers).assess(context.now()));
     }
-    if (!next.equals(known)) {
-      blackboard.put(Entries.GROUPS, Map.copyOf(next));
+    blackboard.put(Entries.GROUPS, Map.copyOf(next));
+  }
+
+  private void configure(Map<DatabaseGroupId, DatabaseGroup> groups) {
+    configured = groups;
+    groupsByServer.clear();
+    for (DatabaseGroup group : groups.values()) {
+      group.servers().forEach(server -> groupsByServer.put(server.id(), group));
     }
   }
 
+  private Collection<DatabaseGroup> sampledGroups(Blackboard blackboard) {
+    Map<DatabaseGroupId, DatabaseGroup> groups = new HashMap<>();
+    Stream.concat(
+            blackboard.observations(ServerSampled.class).map(ServerSampled::server),
+            blackboard.observations(ServerSampleFailed.class).map(ServerSampleFailed::server))
+        .map(groupsByServer::get)
+        .filter(Objects::nonNull)
+        .forEach(group -> groups.put(group.id(), group));
+    return groups.values();
+  }
+
+  private static Collection<GroupView> views(
+      Map<DatabaseGroupId, GroupView> known, Collection<DatabaseGroup> groups) {
+    return groups.stream().map(group -> known.get(group.id())).filter(Objects::nonNull).toList();
+  }
+
   private static void put(Map<BackendServerId, ServerView> servers, ServerView view) {
     servers.put(view.server().id(), view);
   }
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/position/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of positions and confirmed primaries. */
+package org.persimmonwalk.internal.control.position;
