Look at connection allowances without news every 100 ms

Cause: AllowanceController ran the allocation of every backend server in each round and went through the whole configuration. Change: a round runs the servers with observations; all of them run every 100 ms and after a change of the configuration or of the live hosts.

--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
@@ -1,23 +1,27 @@
 package org.persimmonwalk.internal.control.allowance;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.internal.control.lease.Fleet;
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
 import org.persimmonwalk.internal.control.lease.RowInbox;
 import org.persimmonwalk.model.BackendServer;
-import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.DatabaseGroup;
 import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.TableRow;
 import org.persimmonwalk.observation.ConnectionsCounted;
 
 /** Leases connections to backend servers and moves them to hosts that want more. */
@@ -25,13 +29,25 @@
   /** The table with one row per backend server. */
   public static final String TABLE = GrantTable.SERVER_TABLE;
 
+  /**
+   * Allowances without news are looked at this often: with 1,710 servers, a look in each round took
+   * most of the control thread's time. It is short against the 10 s before the end of a lease in
+   * which connections are closed.
+   */
+  private static final Duration FULL_RUN_INTERVAL = Duration.ofMillis(100);
+
   private final EntryHostId self;
   private final LeaseSettings settings;
   private final Map<BackendServerId, ServerAllowance> allowances = new TreeMap<>();
+  private final Map<BackendServerId, Integer> published = new HashMap<>();
+  private Map<DatabaseGroupId, DatabaseGroup> configured = Map.of();
+  private Fleet lastFleet;
+  private MonotonicTime lastFullRun = MonotonicTime.of(0);
 
   private AllowanceController(EntryHostId self, LeaseSettings settings) {
     this.self = self;
     this.settings = settings;
+    this.lastFleet = new Fleet(self, Set.of(), false);
   }
 
   /** Returns the controller of the given host. */
@@ -41,27 +57,55 @@
 
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
-    configure(blackboard.get(Entries.CONFIGURATION), context);
-    blackboard.observations(ConnectionsCounted.class).forEach(this::counted);
+    Map<DatabaseGroupId, DatabaseGroup> groups = blackboard.get(Entries.CONFIGURATION).groups();
     Fleet fleet = Fleet.of(self, blackboard);
+    boolean all = isFullRunDue(groups, fleet, context.now());
+    if (groups != configured) {
+      configure(groups, context);
+    }
+    blackboard.observations(ConnectionsCounted.class).forEach(this::counted);
     RowInbox inbox = RowInbox.of(blackboard);
-    Map<BackendServerId, Integer> published = new HashMap<>();
-    allowances.forEach(
-        (server, allowance) ->
-            published.put(server, allowance.run(blackboard, context, fleet, inbox)));
-    publish(blackboard, published);
+    boolean changed = published.keySet().retainAll(allowances.keySet());
+    for (BackendServerId server : all ? allowances.keySet() : touched(blackboard, inbox)) {
+      int allowance = allowances.get(server).run(blackboard, context, fleet, inbox);
+      Integer before = published.put(server, allowance);
+      changed |= before == null || before != allowance;
+    }
+    if (changed) {
+      blackboard.put(Entries.CONNECTION_ALLOWANCES, Map.copyOf(published));
+    }
   }
 
-  /** Keeps the map while nothing changes, since a new one makes a listener report connections. */
-  private static void publish(Blackboard blackboard, Map<BackendServerId, Integer> allowances) {
-    if (!blackboard.get(Entries.CONNECTION_ALLOWANCES).equals(allowances)) {
-      blackboard.put(Entries.CONNECTION_ALLOWANCES, Map.copyOf(allowances));
+  private boolean isFullRunDue(
+      Map<DatabaseGroupId, DatabaseGroup> groups, Fleet fleet, MonotonicTime now) {
+    boolean due =
+        groups != configured
+            || !fleet.equals(lastFleet)
+            || now.since(lastFullRun).compareTo(FULL_RUN_INTERVAL) >= 0;
+    if (due) {
+      lastFullRun = now;
+      lastFleet = fleet;
+    }
+    return due;
+  }
+
+  /** Returns the servers that this round's observations are about. */
+  private Set<BackendServerId> touched(Blackboard blackboard, RowInbox inbox) {
+    Set<BackendServerId> servers = new TreeSet<>();
+    blackboard.observations(ConnectionsCounted.class).forEach(seen -> servers.add(seen.server()));
+    for (TableRow row : inbox.rows()) {
+      if (row.table().equals(TABLE)) {
+        servers.add(BackendServerId.of(row.row()));
+      }
     }
+    servers.retainAll(allowances.keySet());
+    return servers;
   }
 
-  private void configure(Configuration configuration, RoundContext context) {
+  private void configure(Map<DatabaseGroupId, DatabaseGroup> groups, RoundContext context) {
+    configured = groups;
     Set<BackendServerId> servers = new HashSet<>();
-    for (DatabaseGroup group : configuration.groups().values()) {
+    for (DatabaseGroup group : groups.values()) {
       for (BackendServer server : group.servers()) {
         servers.add(server.id());
         allowances
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/RowInbox.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/RowInbox.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.model.ShareRequest;
@@ -35,6 +36,11 @@
     return byRow.getOrDefault(row, List.of());
   }
 
+  /** Returns the rows with observations. */
+  public Set<TableRow> rows() {
+    return byRow.keySet();
+  }
+
   private void addMessage(PeerMessageReceived received) {
     if (received.message() instanceof ShareRequest request) {
       add(request.row(), received);
