--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityBenchmark.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityBenchmark.java
@@ -28,6 +28,14 @@
   @Option(name = "--check", usage = "also run the control loops of 430 hosts")
   private boolean check;
 
+  @Option(name = "--real-seconds", usage = "length of each measurement of a real entry host")
+  private int realSeconds = 5;
+
+  @Option(
+      name = "--size",
+      usage = "measure the control loop of one size only: hosts,groups,workspaces")
+  private String size = "";
+
   @Option(name = "--json", usage = "file to which the measurements are written as JSON")
   private String json = "";
 
@@ -63,6 +71,10 @@
       case "control" -> {
         ControlMeasurement control =
             ControlMeasurement.of(report, Duration.ofSeconds(warmUp), Duration.ofSeconds(seconds));
+        if (!size.isEmpty()) {
+          control.run(Sizes.parse(size));
+          return;
+        }
         control.run();
         if (check) {
           control.runCheck();
@@ -70,6 +82,9 @@
       }
       case "store" -> StoreMeasurement.of(report).run();
       case "release" -> ReleaseMeasurement.of(report).run();
+      case "traffic" -> TrafficMeasurement.of(report, realSeconds).run();
+      case "connections" -> ConnectionMeasurement.of(report).run();
+      case "probes" -> ProbeMeasurement.of(report, realSeconds).run();
       default ->
           throw new IllegalArgumentException(
               "section " + section + " is unknown; the sections are " + SECTIONS);
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/ControlMeasurement.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/ControlMeasurement.java
@@ -48,6 +48,11 @@
     }
   }
 
+  /** Measures one size, without a line. */
+  void run(Sizes sizes) {
+    add("hosts", sizes.toString(), sizes.hosts(), measure(sizes));
+  }
+
   /** Measures the target's number of hosts as a check of the line. */
   void runCheck() {
     Sizes sizes = Sizes.of(TARGET_HOSTS, BASE_GROUPS, BASE_WORKSPACES);
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/Sizes.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/Sizes.java
@@ -1,5 +1,7 @@
 package org.persimmonwalk.bench.capacity;
 
+import java.util.Arrays;
+
 /**
  * The size of a deployment.
  *
@@ -16,4 +18,13 @@
   static Sizes of(int hosts, int groups, int workspaces) {
     return new Sizes(hosts, groups, workspaces, KEYS_PER_WORKSPACE * workspaces);
   }
+
+  /** Reads a size such as {@code 5,10,8}: hosts, groups, workspaces. */
+  static Sizes parse(String text) {
+    int[] numbers = Arrays.stream(text.split(",")).mapToInt(Integer::parseInt).toArray();
+    if (numbers.length != 3) {
+      throw new IllegalArgumentException("a size has 3 numbers: " + text);
+    }
+    return of(numbers[0], numbers[1], numbers[2]);
+  }
 }
