Offer TLS to callers

Callers sent their keys in plain text. The section caller.tls names a certificate and its key, which are checked at start, and TLS is required unless caller.tls.required is false. Plain text needs caller.plainText: true, so that nobody uses it by leaving a setting out; the same choice is read for peers.

Bytes that arrive between the TLS request and the handshake close the connection. Changed files are looked for every 30 s on an event loop and used for new connections; files with a fault are logged and the former context stays.

--- a/core/src/main/java/org/persimmonwalk/result/ResultCode.java
+++ b/core/src/main/java/org/persimmonwalk/result/ResultCode.java
@@ -43,6 +43,12 @@
       StatementState.NOT_APPLICABLE,
       "the operator token is wrong",
       "check the token"),
+  TLS_REQUIRED(
+      1007,
+      "28000",
+      StatementState.NOT_RUN,
+      "this entry host accepts connections with TLS only",
+      "connect with sslmode=require or stricter"),
   RATE_EXCEEDED(
       2001,
       "53400",
@@ -217,6 +223,12 @@
       "correct the value"),
   SETTING_MISSING(
       7004, "F0000", StatementState.NOT_APPLICABLE, "a required setting is missing", "add it"),
+  TLS_FILE_INVALID(
+      7005,
+      "F0000",
+      StatementState.NOT_APPLICABLE,
+      "a certificate or key file cannot be used",
+      "correct the file"),
   PLATFORM_UNAVAILABLE(
       8001,
       "58030",
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.admission.AdaptiveLimit;
 import org.persimmonwalk.admission.FairQueue;
@@ -19,6 +20,7 @@
 import org.persimmonwalk.internal.telemetry.LoggingSpanExporter;
 import org.persimmonwalk.internal.telemetry.Tracing;
 import org.persimmonwalk.internal.telemetry.TrafficListeners;
+import org.persimmonwalk.internal.tls.TlsContexts;
 import org.persimmonwalk.internal.traffic.backend.BackendConnector;
 import org.persimmonwalk.internal.traffic.backend.ConnectionReporter;
 import org.persimmonwalk.internal.traffic.backend.ConnectionWaiter;
@@ -26,9 +28,11 @@
 import org.persimmonwalk.internal.traffic.backend.ServerPools;
 import org.persimmonwalk.internal.traffic.caller.CallerListener;
 import org.persimmonwalk.internal.traffic.caller.CallerRegistry;
+import org.persimmonwalk.internal.traffic.caller.CallerSecurity;
 import org.persimmonwalk.internal.traffic.caller.DrainWatcher;
 import org.persimmonwalk.internal.traffic.caller.SnapshotAcknowledger;
 import org.persimmonwalk.internal.traffic.caller.SnapshotWaiters;
+import org.persimmonwalk.internal.traffic.caller.TlsSecurity;
 import org.persimmonwalk.internal.traffic.caller.TrafficContext;
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.SocketEndpoint;
@@ -102,7 +106,7 @@
     loop.addListener(ControlMetrics.of(metrics, clock, loop::droppedObservations));
     control.start();
     admin = AdminServer.start(settings, loop::snapshot, metrics, this::drain);
-    callers = CallerListener.open(eventLoops, context, registry);
+    callers = CallerListener.open(eventLoops, context, registry, security(settings.caller()));
   }
 
   /** Starts a host with the given settings and policies. */
@@ -155,6 +159,16 @@
     eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
+  private CallerSecurity security(Settings.Caller caller) {
+    if (caller.tls().isEmpty()) {
+      return CallerSecurity.plainText();
+    }
+    Settings.CallerTls tls = caller.tls().get();
+    TlsContexts contexts = TlsContexts.load("caller.tls", tls.files(), InstantSource.system());
+    contexts.watch(eventLoops.next());
+    return TlsSecurity.of(contexts, tls.required(), caller.messageTimeout());
+  }
+
   /** Weights follow the rates, so that a workspace inside its rate is inside its share. */
   private static ServerScheduler<ConnectionWaiter> scheduler(ControlLoop loop) {
     ServiceTimes times = ServiceTimes.create();
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsNode.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsNode.java
@@ -69,6 +69,11 @@
     return child.isMissingNode() || child.isNull() ? Optional.empty() : Optional.of(child.asText());
   }
 
+  boolean flag(String name, boolean defaultValue) {
+    Boolean value = value(name, Optional.of(defaultValue), SettingsNode::parseFlag);
+    return value == null ? defaultValue : value;
+  }
+
   int integer(String name, int defaultValue, int minimum, int maximum) {
     Integer value = value(name, Optional.of(defaultValue), text -> parse(text, minimum, maximum));
     return value == null ? defaultValue : value;
@@ -79,6 +84,11 @@
     return value == null ? defaultValue : value;
   }
 
+  /** Returns whether the section has a value or a section of this name. */
+  boolean contains(String name) {
+    return !take(name).isMissingNode() && !node.path(name).isNull();
+  }
+
   /** Records a fault for each name that nobody has read. */
   void rejectUnknown() {
     node.fieldNames()
@@ -103,7 +113,7 @@
     return path.isEmpty() ? name : path + "." + name;
   }
 
-  private void fault(ResultCode code, String name, String detail) {
+  void fault(ResultCode code, String name, String detail) {
     faults.add(SettingFault.of(code, pathOf(name), detail));
   }
 
@@ -120,6 +130,14 @@
     }
   }
 
+  private static boolean parseFlag(String text) {
+    return switch (text) {
+      case "true" -> true;
+      case "false" -> false;
+      default -> throw new IllegalArgumentException("allowed are true and false");
+    };
+  }
+
   private static Duration parseDuration(String text) {
     Matcher matcher = DURATION.matcher(text);
     if (!matcher.matches()) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsReader.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsReader.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.internal.tls.TlsFiles;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
@@ -106,7 +107,8 @@
             node.integer("maximumMessageBytes", 16 << 20, 1_024, MAXIMUM_MESSAGE_BYTES),
             node.duration("messageTimeout", Duration.ofSeconds(30)),
             node.duration("statementDeadline", Duration.ofSeconds(10)),
-            node.duration("confirmationTimeout", Duration.ofSeconds(10)));
+            node.duration("confirmationTimeout", Duration.ofSeconds(10)),
+            TlsSettingsReader.of(node).caller());
     node.rejectUnknown();
     return caller;
   }
@@ -126,8 +128,9 @@
   private static Settings.Peer peer(SettingsNode root) {
     SettingsNode node = root.section("peer");
     SocketEndpoint listen = node.value("listen", Optional.empty(), SocketEndpoint::parse);
+    Optional<TlsFiles> tls = TlsSettingsReader.of(node).peer();
     node.rejectUnknown();
-    return new Settings.Peer(listen);
+    return new Settings.Peer(listen, tls);
   }
 
   private static Settings.Platform platform(SettingsNode root) {
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFiles.java
@@ -0,0 +1,21 @@
+package org.persimmonwalk.internal.tls;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * The PEM files of one TLS listener.
+ *
+ * @param certificate the certificate of this host, followed by those of its issuers
+ * @param key the private key of the certificate, in PKCS#8 without a password
+ * @param authorities the certificates of the authorities that the other side is verified against
+ */
+public record TlsFiles(Path certificate, Path key, Optional<Path> authorities) {
+
+  /** Returns all files. */
+  List<Path> all() {
+    return Stream.concat(Stream.of(certificate, key), authorities.stream()).toList();
+  }
+}
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerListener.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerListener.java
@@ -20,21 +20,24 @@
 
   /** Opens the port of the settings; port 0 takes a free one. */
   public static CallerListener open(
-      EventLoopGroup eventLoops, TrafficContext context, CallerRegistry registry) {
+      EventLoopGroup eventLoops,
+      TrafficContext context,
+      CallerRegistry registry,
+      CallerSecurity security) {
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(eventLoops)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(initializer(context, registry));
+            .childHandler(initializer(context, registry, security));
     var listen = context.settings().listen();
     return new CallerListener(
         bootstrap.bind(listen.address(), listen.port()).syncUninterruptibly().channel());
   }
 
   private static ChannelInitializer<Channel> initializer(
-      TrafficContext context, CallerRegistry registry) {
+      TrafficContext context, CallerRegistry registry, CallerSecurity security) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(Channel channel) {
@@ -43,7 +46,7 @@
             .pipeline()
             .addLast(decoder)
             .addLast(FrameEncoder.create())
-            .addLast(CallerHandler.of(context, registry, decoder));
+            .addLast(CallerHandler.of(context, registry, decoder, security));
       }
     };
   }
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/PlainTextSecurity.java
@@ -0,0 +1,21 @@
+package org.persimmonwalk.internal.traffic.caller;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.handler.ssl.SslHandler;
+import java.util.Optional;
+
+/** Offers no TLS. */
+enum PlainTextSecurity implements CallerSecurity {
+  /** The only value. */
+  INSTANCE;
+
+  @Override
+  public Optional<SslHandler> newHandler(ByteBufAllocator allocator) {
+    return Optional.empty();
+  }
+
+  @Override
+  public boolean allowsPlainText() {
+    return true;
+  }
+}
--- /dev/null
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/tls/TlsContextsTest.java
@@ -0,0 +1,70 @@
+package org.persimmonwalk.internal.tls;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.ssl.SslContext;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.FileTime;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class TlsContextsTest {
+  private static final InstantSource TIME =
+      InstantSource.fixed(Instant.parse("2100-01-01T00:00:00Z"));
+
+  @TempDir private Path directory;
+  private TlsFiles files;
+  private long changes;
+
+  @BeforeEach
+  void copyFiles() throws IOException {
+    files = new TlsFiles(directory.resolve("a.pem"), directory.resolve("a.key"), Optional.empty());
+    replace(TestFiles.FIRST.certificate(), files.certificate());
+    replace(TestFiles.FIRST.key(), files.key());
+  }
+
+  /** Guards against a renewed certificate that needs a restart, and against needless reloads. */
+  @Test
+  void shouldUseChangedFilesForNewConnections() throws IOException {
+    TlsContexts contexts = TlsContexts.load("caller.tls", files, TIME);
+    SslContext first = contexts.accepting();
+    contexts.reloadIfChanged();
+    assertThat(contexts.accepting()).isSameAs(first);
+
+    replace(TestFiles.SECOND.certificate(), files.certificate());
+    replace(TestFiles.SECOND.key(), files.key());
+    contexts.reloadIfChanged();
+
+    assertThat(contexts.accepting()).isNotSameAs(first);
+  }
+
+  /** Guards against a half-written renewal that ends TLS or is never completed. */
+  @Test
+  void shouldKeepContextUntilFilesFitAgain() throws IOException {
+    TlsContexts contexts = TlsContexts.load("caller.tls", files, TIME);
+    SslContext first = contexts.accepting();
+
+    replace(TestFiles.SECOND.certificate(), files.certificate());
+    contexts.reloadIfChanged();
+    assertThat(contexts.accepting()).isSameAs(first);
+
+    FileTime unchanged = Files.getLastModifiedTime(files.key());
+    replace(TestFiles.SECOND.key(), files.key());
+    Files.setLastModifiedTime(files.key(), unchanged);
+    contexts.reloadIfChanged();
+    assertThat(contexts.accepting()).isNotSameAs(first);
+  }
+
+  /** Sets a time of its own for each change, since the clock of a file system may be coarse. */
+  private void replace(Path source, Path target) throws IOException {
+    Files.copy(source, target, StandardCopyOption.REPLACE_EXISTING);
+    Files.setLastModifiedTime(target, FileTime.fromMillis(++changes * 1_000));
+  }
+}
