Secure the connections between entry hosts by mutual TLS

Anyone who reached the peer port could send as an entry host. With the section peer.tls, both sides show a certificate and verify the other's against the authorities. Host names are not checked, since hosts know each other by IP numbers.

A refused peer is logged once for each connection with the reason, and plain text without the bytes that were sent.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import org.persimmonwalk.blackboard.ControlLoop;
@@ -34,13 +35,16 @@
 import org.persimmonwalk.internal.execution.SampleServerHandler;
 import org.persimmonwalk.internal.execution.SendPeerMessageHandler;
 import org.persimmonwalk.internal.settings.Settings;
+import org.persimmonwalk.internal.tls.TlsContexts;
 import org.persimmonwalk.internal.traffic.backend.BackendConnector;
 import org.persimmonwalk.internal.traffic.backend.MonitorConnections;
 import org.persimmonwalk.model.DatabaseGroup;
 import org.persimmonwalk.model.HostEntry;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.observation.PeerMessageReceived;
+import org.persimmonwalk.peer.MutualTls;
 import org.persimmonwalk.peer.PeerClient;
+import org.persimmonwalk.peer.PeerSecurity;
 import org.persimmonwalk.peer.PeerServer;
 import org.persimmonwalk.peer.PeerSettings;
 import org.persimmonwalk.platform.PlatformClient;
@@ -75,12 +79,14 @@
     this.clock = clock;
     this.self = settings.host().id();
     ObservationRelay relay = ObservationRelay.create();
+    PeerSecurity security = security(settings.peer(), eventLoops);
     peerServer =
         PeerServer.start(
             self,
             settings.peer().listen(),
             eventLoops,
             PeerSettings.defaults(),
+            security,
             (from, message) -> relay.accept(new PeerMessageReceived(from, message)));
     HostEntry entry = HostEntry.of(self, settings.host().zone(), peerServer.endpoint());
     loop = ControlLoop.of(controllers(entry), dispatcher, clock, RandomSource.system());
@@ -91,7 +97,12 @@
                 .withTimeout(settings.platform().timeout()));
     peerClient =
         PeerClient.of(
-            self, this::endpointOf, eventLoops, PeerSettings.defaults(), RandomSource.system());
+            self,
+            this::endpointOf,
+            eventLoops,
+            PeerSettings.defaults(),
+            security,
+            RandomSource.system());
     monitors = MonitorConnections.of(connector, SAMPLE_TIMEOUT, this::mayConnect);
     registerPlatform();
     registerServers();
@@ -148,6 +159,15 @@
         DrainController.create());
   }
 
+  private static PeerSecurity security(Settings.Peer peer, EventLoopGroup eventLoops) {
+    if (peer.tls().isEmpty()) {
+      return PeerSecurity.plainText();
+    }
+    TlsContexts contexts = TlsContexts.load("peer.tls", peer.tls().get(), InstantSource.system());
+    contexts.watch(eventLoops.next());
+    return MutualTls.of(contexts::accepting, contexts::connecting);
+  }
+
   private void registerPlatform() {
     TableService tables = PlatformTableService.of(platform, RowCodecs.standard());
     dispatcher.register(ReadTableRow.class, ReadTableRowHandler.of(tables, clock, loop::post));
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/InboundHandler.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/InboundHandler.java
@@ -67,8 +67,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+    Optional<String> handshakeFault = HandshakeFaults.describe(failure);
     Throwable cause = failure.getCause() instanceof PersimmonwalkException known ? known : failure;
-    if (cause instanceof IOException) {
+    if (handshakeFault.isPresent()) {
+      close(context, handshakeFault.get());
+    } else if (cause instanceof IOException) {
       context.close();
     } else if (cause instanceof TooLongFrameException) {
       close(context, "a message has more than " + PeerSettings.FRAME_LIMIT + " bytes");
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/InboundInitializer.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/InboundInitializer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.peer.PeerMessageListener;
+import org.persimmonwalk.peer.PeerSecurity;
 import org.persimmonwalk.peer.PeerSettings;
 
 /** Sets up the connections that peers open, as many as the settings allow. */
@@ -18,6 +19,7 @@
   private final AtomicInteger open = new AtomicInteger();
   private final EntryHostId self;
   private final PeerSettings settings;
+  private final PeerSecurity security;
   private final ChannelGroup accepted;
   private final PeerMessageListener listener;
   private final FaultReporter reporter;
@@ -25,11 +27,13 @@
   private InboundInitializer(
       EntryHostId self,
       PeerSettings settings,
+      PeerSecurity security,
       ChannelGroup accepted,
       PeerMessageListener listener,
       FaultReporter reporter) {
     this.self = self;
     this.settings = settings;
+    this.security = security;
     this.accepted = accepted;
     this.listener = listener;
     this.reporter = reporter;
@@ -39,10 +43,11 @@
   public static InboundInitializer of(
       EntryHostId self,
       PeerSettings settings,
+      PeerSecurity security,
       ChannelGroup accepted,
       PeerMessageListener listener,
       FaultReporter reporter) {
-    return new InboundInitializer(self, settings, accepted, listener, reporter);
+    return new InboundInitializer(self, settings, security, accepted, listener, reporter);
   }
 
   @Override
@@ -56,6 +61,7 @@
       return;
     }
     accepted.add(channel);
+    security.accepting(channel.alloc()).ifPresent(channel.pipeline()::addLast);
     channel
         .pipeline()
         .addLast(
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/OutboundHandler.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/OutboundHandler.java
@@ -52,6 +52,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+    HandshakeFaults.describe(failure)
+        .filter(reason -> !closing)
+        .ifPresent(reason -> reporter.report(context.channel().remoteAddress(), reason));
+    closing = true;
     context.close();
   }
 }
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/PeerConnection.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/PeerConnection.java
@@ -17,6 +17,7 @@
 import org.persimmonwalk.model.PeerMessage;
 import org.persimmonwalk.peer.PeerCodec;
 import org.persimmonwalk.peer.PeerEnvelope;
+import org.persimmonwalk.peer.PeerSecurity;
 import org.persimmonwalk.peer.PeerSettings;
 import org.persimmonwalk.port.PeerMessenger.SendOutcome;
 import org.persimmonwalk.port.RandomSource;
@@ -46,12 +47,13 @@
       InetSocketAddress address,
       Bootstrap template,
       PeerSettings settings,
+      PeerSecurity security,
       RandomSource random) {
     this.self = self;
     this.peer = peer;
     this.address = address;
     this.loop = template.config().group().next();
-    this.bootstrap = template.clone(loop).handler(initializer(settings));
+    this.bootstrap = template.clone(loop).handler(initializer(settings, security));
     this.buffer = OutgoingBuffer.of(settings.bufferedMessages());
     this.backoff = ReconnectBackoff.of(settings.firstRetry(), settings.lastRetry(), random);
   }
@@ -63,8 +65,9 @@
       InetSocketAddress address,
       Bootstrap template,
       PeerSettings settings,
+      PeerSecurity security,
       RandomSource random) {
-    return new PeerConnection(self, peer, address, template, settings, random);
+    return new PeerConnection(self, peer, address, template, settings, security, random);
   }
 
   /** Returns where the connection goes. */
@@ -167,10 +170,11 @@
             });
   }
 
-  private ChannelInitializer<Channel> initializer(PeerSettings settings) {
+  private ChannelInitializer<Channel> initializer(PeerSettings settings, PeerSecurity security) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(Channel opened) {
+        security.connecting(opened.alloc()).ifPresent(opened.pipeline()::addLast);
         opened
             .pipeline()
             .addLast(
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerClient.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerClient.java
@@ -27,7 +27,9 @@
  * <p>Example:
  *
  * <pre>{@code
- * PeerClient client = PeerClient.of(self, directory, group, PeerSettings.defaults(), random);
+ * PeerClient client =
+ *     PeerClient.of(
+ *         self, directory, group, PeerSettings.defaults(), PeerSecurity.plainText(), random);
  * client.send(peer, message);
  * }</pre>
  */
@@ -41,6 +43,7 @@
   private final PeerDirectory directory;
   private final Bootstrap template;
   private final PeerSettings settings;
+  private final PeerSecurity security;
   private final RandomSource random;
   private boolean closed;
 
@@ -49,10 +52,12 @@
       PeerDirectory directory,
       EventLoopGroup group,
       PeerSettings settings,
+      PeerSecurity security,
       RandomSource random) {
     this.self = Objects.requireNonNull(self, "self");
     this.directory = Objects.requireNonNull(directory, "directory");
     this.settings = Objects.requireNonNull(settings, "settings");
+    this.security = Objects.requireNonNull(security, "security");
     this.random = Objects.requireNonNull(random, "random");
     this.template =
         new Bootstrap()
@@ -72,6 +77,7 @@
    * @param directory tells where peers are
    * @param group runs the connections; the caller closes it
    * @param settings limits
+   * @param security secures the connections
    * @param random spreads connection attempts; used on several threads
    */
   public static PeerClient of(
@@ -79,8 +85,9 @@
       PeerDirectory directory,
       EventLoopGroup group,
       PeerSettings settings,
+      PeerSecurity security,
       RandomSource random) {
-    return new PeerClient(self, directory, group, settings, random);
+    return new PeerClient(self, directory, group, settings, security, random);
   }
 
   @Override
@@ -107,7 +114,7 @@
     }
     if (known == null && address.isPresent() && !closed) {
       removeUnknown();
-      known = PeerConnection.of(self, to, address.get(), template, settings, random);
+      known = PeerConnection.of(self, to, address.get(), template, settings, security, random);
       connections.put(to, known);
     }
     return Optional.ofNullable(known);
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerServer.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerServer.java
@@ -33,6 +33,7 @@
    * @param endpoint where to listen; port 0 stands for a free one
    * @param group runs the connections; the caller closes it
    * @param settings limits
+   * @param security secures the connections
    * @param listener takes the messages, on the threads of the group
    * @throws PersimmonwalkException with {@link ResultCode#SETTING_INVALID} if the endpoint cannot
    *     be used
@@ -42,6 +43,7 @@
       SocketEndpoint endpoint,
       EventLoopGroup group,
       PeerSettings settings,
+      PeerSecurity security,
       PeerMessageListener listener) {
     ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     ChannelFuture bound =
@@ -49,7 +51,8 @@
             .group(group)
             .channel(NioServerSocketChannel.class)
             .childHandler(
-                InboundInitializer.of(self, settings, accepted, listener, FaultReporter.logging()))
+                InboundInitializer.of(
+                    self, settings, security, accepted, listener, FaultReporter.logging()))
             .bind(endpoint.address(), endpoint.port())
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
--- a/peer/src/test/java/org/persimmonwalk/internal/peer/InboundHandlerTest.java
+++ b/peer/src/test/java/org/persimmonwalk/internal/peer/InboundHandlerTest.java
@@ -6,16 +6,20 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.ssl.NotSslRecordException;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import javax.net.ssl.SSLHandshakeException;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.PeerMessage;
 import org.persimmonwalk.peer.PeerCodec;
 import org.persimmonwalk.peer.PeerEnvelope;
 import org.persimmonwalk.peer.PeerMessages;
+import org.persimmonwalk.peer.PeerSecurity;
 import org.persimmonwalk.peer.PeerSettings;
 
 class InboundHandlerTest {
@@ -35,6 +39,7 @@
       InboundInitializer.of(
           SELF,
           SETTINGS,
+          PeerSecurity.plainText(),
           new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE),
           (from, message) -> received.add(message),
           (remote, reason) -> reports.add(reason));
@@ -107,6 +112,25 @@
     assertThat(second.isOpen()).isTrue();
   }
 
+  /** Guards against log lines that do not say why a peer is refused, or that repeat its bytes. */
+  @Test
+  void shouldReportWhyTlsFailed() {
+    new EmbeddedChannel(initializer)
+        .pipeline()
+        .fireExceptionCaught(
+            new DecoderException(new SSLHandshakeException("Empty client certificate chain")));
+    new EmbeddedChannel(initializer)
+        .pipeline()
+        .fireExceptionCaught(new NotSslRecordException("not an SSL/TLS record: 736563726574"));
+
+    assertThat(reports).hasSize(2);
+    assertThat(reports.get(0))
+        .isEqualTo(
+            "mutual TLS failed, check the certificates and authorities of both hosts:"
+                + " Empty client certificate chain");
+    assertThat(reports.get(1)).contains("plain text").doesNotContain("736563726574");
+  }
+
   private static ByteBuf frame(String from, String to, PeerMessage message) {
     byte[] body =
         PeerCodec.encode(PeerEnvelope.of(EntryHostId.of(from), EntryHostId.of(to), message));
--- a/peer/src/test/java/org/persimmonwalk/peer/PeerClientTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/PeerClientTest.java
@@ -39,6 +39,7 @@
           host -> Optional.ofNullable(directory.get(host)),
           group,
           PeerSettings.defaults(),
+          PeerSecurity.plainText(),
           RandomSource.system());
 
   @AfterEach
@@ -104,6 +105,7 @@
         SocketEndpoint.of("127.0.0.1", port),
         group,
         PeerSettings.defaults(),
+        PeerSecurity.plainText(),
         (from, message) -> received.add(message));
   }
 }
