Describe the settings of TLS for operators

Lists the settings, the faults of files, the reload and what peers verify. OperationsDocumentTest failed on the base with "platform.endpoint is missing", since the page called it optional and gave it a form that the reader refuses; the page and the settings of the test name it now. The test checks the two rows of plainText as well.

--- a/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
@@ -32,9 +32,10 @@
     String required =
         """
         host: {id: a, zone: b}
-        caller: {listen: "127.0.0.1:1"}
+        caller: {listen: "127.0.0.1:1", plainText: true}
         backend: {user: a, password: b}
-        peer: {listen: "127.0.0.1:2"}
+        peer: {listen: "127.0.0.1:2", plainText: true}
+        platform: {endpoint: "127.0.0.1:4"}
         admin: {listen: "127.0.0.1:3"}
         """;
     Matcher row = ROW.matcher(Files.readString(DOCUMENT));
@@ -47,7 +48,7 @@
       }
     }
 
-    assertThat(rows).isEqualTo(17);
+    assertThat(rows).isEqualTo(19);
     Settings defaults = SettingsReader.create().parse(required);
     assertThat(SettingsReader.create().parse(merge(required, stated.toString())))
         .isEqualTo(defaults);
@@ -55,7 +56,7 @@
 
   /** Adds each line {@code section: name=value} to the section's flow mapping. */
   private static String merge(String settings, String lines) {
-    String merged = settings + "platform: {}\n";
+    String merged = settings;
     for (String line : lines.split("\n")) {
       String section = line.substring(0, line.indexOf(':'));
       String entry = line.substring(line.indexOf(' ') + 1).replace("=", ": ");
