--- a/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
@@ -32,9 +32,9 @@
     String required =
         """
         host: {id: a, zone: b}
-        caller: {listen: "127.0.0.1:1"}
+        caller: {listen: "127.0.0.1:1", plainText: true}
         backend: {user: a, password: b}
-        peer: {listen: "127.0.0.1:2"}
+        peer: {listen: "127.0.0.1:2", plainText: true}
         platform: {endpoint: "127.0.0.1:3"}
         admin: {listen: "127.0.0.1:4"}
         """;
@@ -48,7 +48,7 @@
       }
     }
 
-    assertThat(rows).isEqualTo(17);
+    assertThat(rows).isEqualTo(19);
     Settings defaults = SettingsReader.create().parse(required);
     assertThat(SettingsReader.create().parse(merge(required, stated.toString())))
         .isEqualTo(defaults);
