--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/control/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of several controllers together. */
+package org.persimmonwalk.internal.control;
--- a/core/src/test/java/org/persimmonwalk/testing/FakeDatabaseGroup.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeDatabaseGroup.java
@@ -254,7 +254,8 @@
     server.log.addAll(source.log.subList(common, source.log.size()));
     server.role = ServerRole.REPLICA;
     server.contactAge = Duration.ZERO;
-    server.replayed = Math.max(0, server.log.size() - replayLag);
+    int kept = Math.min(server.replayed, common);
+    server.replayed = Math.max(kept, server.log.size() - replayLag);
   }
 
   private static GroupPosition end(Server server) {
