Ask peers for tokens and units on separate timers

Refusals of units delayed requests for tokens, so small workspaces gained little from peers. Transfers of units now need a clear difference in demand, demand of small workspaces is averaged over more statements, and a lowered number of connections stops lending.

--- a/core/src/main/java/org/persimmonwalk/admission/TokenBucket.java
+++ b/core/src/main/java/org/persimmonwalk/admission/TokenBucket.java
@@ -24,7 +24,11 @@
   /** A workspace that runs out of tokens is reported sooner, so that peers can help in time. */
   private static final Duration LOW_MEASURING_INTERVAL = Duration.ofMillis(20);
 
-  private static final double DEMAND_MEMORY_SECONDS = 1;
+  /** Demand is averaged over about this many statements, so that small demand is not all noise. */
+  private static final double DEMAND_MEMORY_STATEMENTS = 16;
+
+  private static final double SHORTEST_MEMORY_SECONDS = 1;
+  private static final double LONGEST_MEMORY_SECONDS = 10;
   private static final double NO_DEMAND = 0.01;
 
   private final WorkspaceId workspace;
@@ -88,7 +92,10 @@
       return Optional.empty();
     }
     double seconds = elapsed.toNanos() / SECOND;
-    demand += (offered / seconds - demand) * -Math.expm1(-seconds / DEMAND_MEMORY_SECONDS);
+    double newest = offered / seconds;
+    double memory = DEMAND_MEMORY_STATEMENTS / Math.max(newest, demand);
+    memory = Math.min(LONGEST_MEMORY_SECONDS, Math.max(SHORTEST_MEMORY_SECONDS, memory));
+    demand += (newest - demand) * -Math.expm1(-seconds / memory);
     if (demand < NO_DEMAND) {
       demand = 0;
     }
@@ -99,7 +106,7 @@
   }
 
   private boolean isLow() {
-    return offered > 0 && lease.isPresent() && tokens < Math.max(1, lease.get().burst() / 4);
+    return offered > 0 && lease.isPresent() && tokens < reserve(lease.get());
   }
 
   private boolean isLeased(MonotonicTime now) {
@@ -118,14 +125,20 @@
     filledAt = time;
   }
 
-  /** Prefers tokens that the lowered burst no longer holds, and leaves one for a statement here. */
+  /** Returns the tokens below which this host gives none away and looks for more. */
+  private static double reserve(ShareLease lease) {
+    return Math.max(1, lease.burst() / 4);
+  }
+
+  /** Prefers tokens that the lowered burst no longer holds, and keeps the reserve of this host. */
   private Optional<TokenOrderDone> carryOut(ShareLease newest) {
     TokenOrder order = newest.order();
     if (order.number() <= carriedOutOrder) {
       return Optional.empty();
     }
     carriedOutOrder = order.number();
-    double spare = Math.max(Math.min(tokens / 2, tokens - 1), tokens - newest.burst());
+    double spare =
+        Math.max(Math.min(tokens / 2, tokens - reserve(newest)), tokens - newest.burst());
     double withdrawn = Math.max(0, Math.min(order.withdrawal(), spare));
     tokens += order.deposit() - withdrawn;
     return Optional.of(new TokenOrderDone(workspace, order.number(), withdrawn));
--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/ServerAllowance.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/ServerAllowance.java
@@ -79,17 +79,21 @@
   }
 
   @Override
-  public boolean isShort(long held, MonotonicTime now) {
+  public boolean isShort(long held) {
     return wanted > held;
   }
 
   @Override
-  public double tokensToAsk(long held) {
+  public double tokensToAsk(long held, int peers, MonotonicTime now) {
     return 0;
   }
 
+  /** Lends nothing while the row states too many, since lent units delay lowering the row. */
   @Override
   public long unitsToGive(long held, ShareRequest request) {
+    if (allocation.statedTotal() > total) {
+      return 0;
+    }
     long fair = FairSplit.unitsToGive(held, wanted, request.held(), request.demand());
     long missing = (long) Math.ceil(request.demand()) - request.held();
     long kept = wanted > 0 ? 1 : 0;
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/LeasedUse.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/LeasedUse.java
@@ -14,11 +14,11 @@
   /** Returns the demand at this host, in statements per second or connections. */
   double demand();
 
-  /** Returns whether this host should ask peers for units or tokens. */
-  boolean isShort(long held, MonotonicTime now);
+  /** Returns whether this host should ask peers for units. */
+  boolean isShort(long held);
 
-  /** Returns the tokens for which a request to one peer reserves room. */
-  double tokensToAsk(long held);
+  /** Returns the tokens for which a request to each of some peers reserves room, or 0. */
+  double tokensToAsk(long held, int peers, MonotonicTime now);
 
   /** Returns the units to give to a peer that asks, out of those held. */
   long unitsToGive(long held, ShareRequest request);
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferGiver.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferGiver.java
@@ -67,6 +67,9 @@
     long units = use.unitsToGive(holdings.available(now), request);
     Optional<Holding> taken = units > 0 ? holdings.take(units, now) : Optional.empty();
     long amount = taken.map(Holding::amount).orElse(0L);
+    if (amount == 0 && request.tokens() == 0) {
+      return Optional.of(answer(next, ShareTransfer.nothing(request.id(), row)));
+    }
     use.release(amount, request.tokens());
     release = Optional.of(new Release(next, taken, now));
     return Optional.empty();
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferTaker.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferTaker.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.command.SendPeerMessage;
@@ -23,32 +25,35 @@
  * Asks a few peers for units of one row and applies each answer once.
  *
  * <p>Tokens in an answer use the room that the request reserved, so that tokens at hosts and in
- * messages never exceed the burst. A reservation lasts a second; later tokens are dropped.
+ * messages never exceed the burst. A reservation is short; later tokens are dropped.
  */
 final class TransferTaker {
   private static final int PEERS_ASKED_AT_ONCE = 3;
   private static final int PEERS_COMPARED = 8;
   private static final Duration SHORTEST_INTERVAL = Duration.ofMillis(20);
-  private static final Duration LONGEST_INTERVAL = Duration.ofSeconds(2);
-  private static final Duration RESERVATION = Duration.ofSeconds(1);
+  private static final Duration LONGEST_UNITS_INTERVAL = Duration.ofSeconds(2);
+  private static final Duration LONGEST_TOKENS_INTERVAL = Duration.ofMillis(200);
+  private static final Duration RESERVATION = Duration.ofMillis(250);
   private static final Duration FIRST_REPEAT = Duration.ofSeconds(1);
   private static final int REPEATS_LIMIT = 5;
 
   /** How long a peer that had nothing to give is left alone. */
-  private static final Duration EMPTY_PEER = Duration.ofSeconds(1);
+  private static final Duration EMPTY_PEER = Duration.ofMillis(250);
 
   private final TableRow row;
   private final Holdings holdings;
   private final Map<TransferId, Pending> pending = new LinkedHashMap<>();
   private final Map<EntryHostId, MonotonicTime> emptyUntil = new HashMap<>();
-  private MonotonicTime nextAsk;
-  private Duration interval = SHORTEST_INTERVAL;
+  private final Set<EntryHostId> givers = new HashSet<>();
+  private final AskTimer unitsTimer;
+  private final AskTimer tokensTimer;
   private long requestsMade;
 
   private TransferTaker(TableRow row, Holdings holdings, MonotonicTime now) {
     this.row = row;
     this.holdings = holdings;
-    this.nextAsk = now;
+    this.unitsTimer = AskTimer.of(SHORTEST_INTERVAL, LONGEST_UNITS_INTERVAL, now);
+    this.tokensTimer = AskTimer.of(SHORTEST_INTERVAL, LONGEST_TOKENS_INTERVAL, now);
   }
 
   static TransferTaker of(TableRow row, Holdings holdings, MonotonicTime now) {
@@ -67,12 +72,12 @@
       use.deposit(Math.min(transfer.tokens(), room));
     }
     if (transfer.amount() > 0 || transfer.tokens() > 0) {
-      interval = SHORTEST_INTERVAL;
+      givers.add(asked.peer());
+      (transfer.amount() > 0 ? unitsTimer : tokensTimer).gained(now);
     } else {
+      givers.remove(asked.peer());
       emptyUntil.put(asked.peer(), now.plus(EMPTY_PEER));
-      interval = shorter(interval.multipliedBy(2), LONGEST_INTERVAL);
     }
-    nextAsk = now.plus(interval);
   }
 
   /** Returns the tokens for which answers under way have reserved room. */
@@ -88,20 +93,29 @@
     MonotonicTime now = context.now();
     List<Command> commands = new ArrayList<>(repeat(now));
     long held = holdings.available(now);
-    if (fleet.stopping()
-        || now.isBefore(nextAsk)
-        || unanswered(now) >= PEERS_ASKED_AT_ONCE
-        || !use.isShort(held, now)) {
+    if (fleet.stopping() || unanswered(now) >= PEERS_ASKED_AT_ONCE) {
       return commands;
     }
+    double tokens = tokensTimer.isDue(now) ? use.tokensToAsk(held, PEERS_ASKED_AT_ONCE, now) : 0;
+    boolean unitsDue = unitsTimer.isDue(now) && use.isShort(held);
+    if (tokens > 0 || unitsDue) {
+      (unitsDue ? unitsTimer : tokensTimer).asked(now);
+      commands.addAll(ask(fleet, use, table, tokens, context));
+    }
+    return commands;
+  }
+
+  private List<Command> ask(
+      Fleet fleet, LeasedUse use, GrantTable table, double tokens, RoundContext context) {
+    MonotonicTime now = context.now();
+    long held = holdings.available(now);
+    List<Command> commands = new ArrayList<>();
     emptyUntil.values().removeIf(until -> !now.isBefore(until));
-    double tokens = use.tokensToAsk(held) / PEERS_ASKED_AT_ONCE;
     for (EntryHostId peer : choosePeers(fleet, use, table, context)) {
       ShareRequest request = new ShareRequest(nextId(fleet, now), row, held, use.demand(), tokens);
       pending.put(request.id(), new Pending(peer, request, now, 0));
       commands.add(new SendPeerMessage(peer, request));
     }
-    nextAsk = now.plus(interval);
     return commands;
   }
 
@@ -119,7 +133,10 @@
     return commands;
   }
 
-  /** Draws a few peers and prefers those with the most units granted for their demand. */
+  /**
+   * Draws a few peers and prefers those that gave something when last asked, then those with the
+   * most units granted for their demand.
+   */
   private List<EntryHostId> choosePeers(
       Fleet fleet, LeasedUse use, GrantTable table, RoundContext context) {
     List<EntryHostId> peers = fleet.peers();
@@ -132,7 +149,9 @@
       peers.set(index, peers.get(last));
       peers.remove(last);
     }
-    drawn.sort(Comparator.comparingDouble(peer -> -surplus(peer, use, table)));
+    drawn.sort(
+        Comparator.comparing((EntryHostId peer) -> !givers.contains(peer))
+            .thenComparingDouble(peer -> -surplus(peer, use, table)));
     int free = PEERS_ASKED_AT_ONCE - unanswered(context.now());
     return drawn.subList(0, Math.min(free, drawn.size()));
   }
@@ -158,10 +177,6 @@
     return TransferId.of(fleet.self() + ":" + time + ":" + requestsMade);
   }
 
-  private static Duration shorter(Duration first, Duration second) {
-    return first.compareTo(second) < 0 ? first : second;
-  }
-
   private record Pending(
       EntryHostId peer, ShareRequest request, MonotonicTime firstSent, int repeats) {
 
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
@@ -26,7 +26,7 @@
 /** This host's part of one workspace; the units are millionths of its rate and burst. */
 final class WorkspaceShare implements LeasedUse {
   /** Arrivals vary, so a host needs more than its mean demand to refuse almost nothing. */
-  private static final double HEADROOM = 1.25;
+  private static final double HEADROOM = 1.1;
 
   /** The part of an equal share that counts as demand of a host without any. */
   private static final double IDLE_DEMAND = 0.1;
@@ -107,20 +107,20 @@
   }
 
   @Override
-  public boolean isShort(long held, MonotonicTime now) {
-    if (demand <= 0) {
-      return false;
-    }
-    double burst = tokensIn(held);
-    boolean measured = now.since(measuredAt).compareTo(MEASUREMENT_AGE) < 0;
-    return rate(held) < HEADROOM * demand
-        || burst < Math.min(IDLE_BURST, workspace.burst())
-        || (measured && tokens < Math.max(1, burst / 4));
+  public boolean isShort(long held) {
+    return demand > 0 && (rate(held) < HEADROOM * demand || tokensIn(held) < 1);
   }
 
+  /** Asks each peer for enough, as most have none to spare, but for no more than there is room. */
   @Override
-  public double tokensToAsk(long held) {
-    return Math.max(0, tokensIn(held) - tokens);
+  public double tokensToAsk(long held, int peers, MonotonicTime now) {
+    boolean measured = now.since(measuredAt).compareTo(MEASUREMENT_AGE) < 0;
+    if (demand <= 0 || !measured || !isLow(held)) {
+      return 0;
+    }
+    double burst = tokensIn(held);
+    double wanted = Math.max(1, burst / 2) - tokens;
+    return Math.max(0, Math.min(wanted, (burst - tokens) / peers));
   }
 
   @Override
@@ -168,6 +168,10 @@
     return peerDemands.getOrDefault(peer, Map.of()).getOrDefault(workspace.id(), 0.0);
   }
 
+  private boolean isLow(long held) {
+    return tokens < Math.max(1, tokensIn(held) / 4);
+  }
+
   private double rate(long units) {
     return units * workspace.rate() / total();
   }
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
@@ -0,0 +1,235 @@
+package org.persimmonwalk.benchmark;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.persimmonwalk.admission.AdmissionPolicy;
+import org.persimmonwalk.admission.AdmitAll;
+import org.persimmonwalk.admission.EqualSplitAdmission;
+import org.persimmonwalk.id.ReleaseNoteId;
+import org.persimmonwalk.id.Revision;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.internal.control.lease.LeaseSettings;
+import org.persimmonwalk.model.Configuration;
+import org.persimmonwalk.model.Workspace;
+import org.persimmonwalk.testing.FakeFleet;
+import org.persimmonwalk.testing.FakeHost;
+import org.persimmonwalk.testing.RateWitness;
+
+/**
+ * Prints how many statements inside a workspace's rate are refused by leased shares and by the
+ * baselines, in simulated time.
+ *
+ * <p>A statement is inside the rate if one bucket for the whole fleet, with the workspace's rate
+ * and burst, would admit it.
+ */
+public final class ShareBenchmark {
+  private static final int HOSTS = 20;
+  private static final Duration STEP = Duration.ofMillis(1);
+  private static final double STEPS_PER_SECOND = 1000;
+  private static final double NANOSECONDS = 1e9;
+
+  private final Demand demand;
+  private final FakeFleet fleet;
+  private final Map<Workspace, List<Tally>> tallies = new LinkedHashMap<>();
+  private final List<AdmissionPolicy> equalSplit = new ArrayList<>();
+  private final AdmissionPolicy admitAll = AdmitAll.create();
+
+  private ShareBenchmark(Demand demand, long seed) {
+    this.demand = demand;
+    Map<WorkspaceId, Workspace> workspaces = new LinkedHashMap<>();
+    for (Workspace workspace : workspaces()) {
+      workspaces.put(workspace.id(), workspace);
+      tallies.put(workspace, List.of(tally(workspace), tally(workspace), tally(workspace)));
+    }
+    Configuration configuration =
+        new Configuration(
+            Revision.of(1), ReleaseNoteId.of("first"), workspaces, Map.of(), Map.of());
+    this.fleet = new FakeFleet(HOSTS, LeaseSettings.SHARES, configuration, seed);
+    fleet.hosts().forEach(host -> equalSplit.add(EqualSplitAdmission.of(HOSTS)));
+  }
+
+  /** Runs all scenarios; the only argument is the seed, 1 if absent. */
+  public static void main(String[] arguments) {
+    long seed = arguments.length > 0 ? Long.parseLong(arguments[0]) : 1;
+    System.out.println(
+        "scenario; refused inside the rate: leased (worst workspace), equal split"
+            + " (worst); beyond rate and burst: leased, admit all (worst workspace);"
+            + " peer messages per host and second; store requests in all");
+    Duration minute = Duration.ofMinutes(1);
+    for (double load : new double[] {0.8, 0.95}) {
+      String text = ", demand " + Math.round(load * 100) + " % of the rate";
+      new ShareBenchmark(new Demand(load, 0, Duration.ZERO), seed)
+          .measure("even" + text, minute, false);
+      new ShareBenchmark(new Demand(load, 0.5, Duration.ZERO), seed)
+          .measure("half at one host" + text, minute, false);
+    }
+    new ShareBenchmark(new Demand(0.8, 0.5, Duration.ofSeconds(5)), seed)
+        .measure("half at a host that changes every 5 s, 80 %", minute, false);
+    new ShareBenchmark(new Demand(0.8, 0, Duration.ZERO), seed)
+        .measure("store down for 30 min, even, 80 %", minute, true);
+    new ShareBenchmark(new Demand(0.8, 0.5, Duration.ofMinutes(5)), seed)
+        .measure(
+            "store down for 30 min, half at a host that changes every 5 min, 80 %", minute, true);
+  }
+
+  private static List<Workspace> workspaces() {
+    List<Workspace> workspaces = new ArrayList<>();
+    double[] rates = {600, 600, 150, 150, 40, 40, 40, 40};
+    for (double rate : rates) {
+      WorkspaceId id = WorkspaceId.of("workspace-" + workspaces.size());
+      workspaces.add(Workspace.of(id, rate, rate, Set.of()));
+    }
+    return workspaces;
+  }
+
+  private static Tally tally(Workspace workspace) {
+    return new Tally(new RateWitness(workspace.rate()));
+  }
+
+  /** Of a store outage of 30 minutes, counts the first and the last with traffic. */
+  private void measure(String name, Duration span, boolean outage) {
+    fleet.time().advance(Duration.ofSeconds(10));
+    if (outage) {
+      run(Duration.ofMinutes(1), false);
+      fleet.time().advance(Duration.ofMinutes(18));
+    }
+    run(Duration.ofSeconds(10), false);
+    fleet.store().setDown(outage);
+    long messages = fleet.network().messages();
+    run(span, true);
+    if (outage) {
+      fleet.time().advance(Duration.ofMinutes(28));
+      run(Duration.ofSeconds(10), false);
+      run(span, true);
+    }
+    messages = fleet.network().messages() - messages;
+    double seconds = span.toSeconds() * (outage ? 2.0 : 1.0);
+    System.out.printf(
+        "%s; %.2f %% (%.2f %%), %.2f %% (%.2f %%); %.1f, %.0f; %.1f; %d%n",
+        name,
+        refused(0),
+        worstRefused(0),
+        refused(1),
+        worstRefused(1),
+        worstExcess(0),
+        worstExcess(2),
+        messages / seconds / HOSTS,
+        fleet.store().requests());
+  }
+
+  private void run(Duration span, boolean counted) {
+    Map<Workspace, IdealBucket> ideals = new LinkedHashMap<>();
+    tallies.keySet().forEach(workspace -> ideals.put(workspace, new IdealBucket(workspace)));
+    for (long step = 0; step < span.dividedBy(STEP); step++) {
+      fleet.time().advance(STEP);
+      ideals.forEach(
+          (workspace, ideal) -> {
+            int arrivals = arrivals(demand.load() * workspace.rate() / STEPS_PER_SECOND);
+            for (int i = 0; i < arrivals; i++) {
+              arrive(workspace, ideal.admit(fleet.time().now()), counted);
+            }
+          });
+    }
+  }
+
+  private void arrive(Workspace workspace, boolean inside, boolean counted) {
+    int index = demand.host(fleet);
+    FakeHost host = fleet.hosts().get(index);
+    boolean[] admitted = {
+      host.admit(workspace.id()),
+      equalSplit.get(index).admit(host.snapshot(), workspace.id(), host.clock()),
+      admitAll.admit(host.snapshot(), workspace.id(), host.clock())
+    };
+    for (int policy = 0; counted && policy < admitted.length; policy++) {
+      tallies.get(workspace).get(policy).add(inside, admitted[policy], fleet.time().now());
+    }
+  }
+
+  /** Draws the number of arrivals of a Poisson process in one step. */
+  private int arrivals(double mean) {
+    double limit = Math.exp(-mean);
+    int arrivals = -1;
+    double product = 1;
+    while (product > limit) {
+      product *= (fleet.random().nextInt(Integer.MAX_VALUE) + 1.0) / Integer.MAX_VALUE;
+      arrivals++;
+    }
+    return arrivals;
+  }
+
+  private double refused(int policy) {
+    long refused = tallies.values().stream().mapToLong(all -> all.get(policy).refused).sum();
+    long inside = tallies.values().stream().mapToLong(all -> all.get(policy).inside).sum();
+    return 100.0 * refused / inside;
+  }
+
+  private double worstRefused(int policy) {
+    return tallies.values().stream()
+        .map(all -> all.get(policy))
+        .mapToDouble(tally -> 100.0 * tally.refused / tally.inside)
+        .max()
+        .orElse(0);
+  }
+
+  private double worstExcess(int policy) {
+    return tallies.entrySet().stream()
+        .mapToDouble(
+            entry -> entry.getValue().get(policy).witness.highest() - entry.getKey().burst())
+        .map(excess -> Math.max(0, excess))
+        .max()
+        .orElse(0);
+  }
+
+  /** How statements come: load as a part of the rate, the part that one hot host gets. */
+  private record Demand(double load, double hotPart, Duration hotSpan) {
+    int host(FakeFleet fleet) {
+      if (fleet.random().nextInt(1_000_000) < hotPart * 1_000_000) {
+        long span = hotSpan.toNanos();
+        return span == 0 ? 0 : (int) (fleet.time().now() / span % HOSTS);
+      }
+      return fleet.random().nextInt(HOSTS);
+    }
+  }
+
+  private static final class IdealBucket {
+    private final Workspace workspace;
+    private double tokens;
+    private long filledAt;
+
+    private IdealBucket(Workspace workspace) {
+      this.workspace = workspace;
+      this.tokens = workspace.burst();
+    }
+
+    private boolean admit(long now) {
+      double gained = filledAt == 0 ? 0 : workspace.rate() * (now - filledAt) / NANOSECONDS;
+      tokens = Math.min(workspace.burst(), tokens + gained);
+      filledAt = now;
+      boolean admitted = tokens >= 1;
+      tokens -= admitted ? 1 : 0;
+      return admitted;
+    }
+  }
+
+  private static final class Tally {
+    private final RateWitness witness;
+    private long inside;
+    private long refused;
+
+    private Tally(RateWitness witness) {
+      this.witness = witness;
+    }
+
+    private void add(boolean isInside, boolean admitted, long now) {
+      inside += isInside ? 1 : 0;
+      refused += isInside && !admitted ? 1 : 0;
+      if (admitted) {
+        witness.admitted(now);
+      }
+    }
+  }
+}
--- a/core/src/test/java/org/persimmonwalk/testing/FakeFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeFleet.java
@@ -3,9 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
+import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.port.RandomSource;
@@ -15,11 +19,14 @@
   private final SimulatedTime time = new SimulatedTime();
   private final List<FakeHost> hosts = new ArrayList<>();
   private final Set<EntryHostId> live = new TreeSet<>();
+  private final Map<EntryHostId, Map<WorkspaceId, Double>> demand = new TreeMap<>();
   private final LeaseSettings settings;
   private final Configuration configuration;
   private final RandomSource random;
   private final FakeTableStore store;
   private final FakePeerNetwork network;
+  private Set<EntryHostId> liveNow = Set.of();
+  private Map<EntryHostId, Map<WorkspaceId, Double>> demandNow = Map.of();
   private int hostsMade;
 
   /** Creates a fleet with the given number of hosts. */
@@ -35,14 +42,16 @@
     for (int i = 0; i < size; i++) {
       join();
     }
+    spreadDemand();
   }
 
   /** Adds a host; the others learn of it at once. */
   public FakeHost join() {
     EntryHostId id = EntryHostId.of("host-" + hostsMade++);
     live.add(id);
+    liveNow = Set.copyOf(live);
     FakeHost host =
-        FakeHost.start(id, settings, time, store, network, () -> Set.copyOf(live), random);
+        FakeHost.start(id, settings, time, store, network, () -> liveNow, () -> demandNow, random);
     host.configure(configuration);
     hosts.add(host);
     return host;
@@ -52,13 +61,13 @@
   public void kill(FakeHost host) {
     host.die();
     hosts.remove(host);
-    time.after(Duration.ofSeconds(5), () -> live.remove(host.id()));
+    time.after(Duration.ofSeconds(5), () -> leave(host));
   }
 
   /** Pauses a host; the others take it for dead until it goes on. */
   public void pause(FakeHost host, Duration span) {
     host.pause(span);
-    time.after(Duration.ofSeconds(5), () -> live.remove(host.id()));
+    time.after(Duration.ofSeconds(5), () -> leave(host));
     time.after(span.plusSeconds(6), () -> addIfLive(host));
   }
 
@@ -73,12 +82,25 @@
     return hosts;
   }
 
+  /** Hosts hear of each other's demand once a second. */
+  private void spreadDemand() {
+    hosts.forEach(host -> demand.put(host.id(), host.snapshot().get(Entries.DEMAND)));
+    demandNow = Map.copyOf(demand);
+    time.after(Duration.ofSeconds(1), this::spreadDemand);
+  }
+
   private void addIfLive(FakeHost host) {
     if (hosts.contains(host)) {
       live.add(host.id());
+      liveNow = Set.copyOf(live);
     }
   }
 
+  private void leave(FakeHost host) {
+    live.remove(host.id());
+    liveNow = Set.copyOf(live);
+  }
+
   /** Returns the time of the fleet. */
   public SimulatedTime time() {
     return time;
--- a/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
@@ -56,6 +56,7 @@
       FakeTableStore store,
       FakePeerNetwork network,
       Supplier<Set<EntryHostId>> live,
+      Supplier<Map<EntryHostId, Map<WorkspaceId, Double>>> demand,
       RandomSource random) {
     this.id = id;
     this.time = time;
@@ -65,7 +66,7 @@
     List<Controller> controllers =
         List.of(
             ConfigurationController.create(),
-            (blackboard, context) -> putMembership(blackboard, live),
+            (blackboard, context) -> putMembership(blackboard, live, demand),
             ShareController.of(id, settings),
             AllowanceController.of(id, settings));
     this.loop = ControlLoop.of(controllers, this::execute, this::clock, random);
@@ -83,8 +84,9 @@
       FakeTableStore store,
       FakePeerNetwork network,
       Supplier<Set<EntryHostId>> live,
+      Supplier<Map<EntryHostId, Map<WorkspaceId, Double>>> demand,
       RandomSource random) {
-    return new FakeHost(id, settings, time, store, network, live, random);
+    return new FakeHost(id, settings, time, store, network, live, demand, random);
   }
 
   /** Returns the identifier of the host. */
@@ -174,8 +176,12 @@
     }
   }
 
-  private void putMembership(Blackboard blackboard, Supplier<Set<EntryHostId>> live) {
+  private void putMembership(
+      Blackboard blackboard,
+      Supplier<Set<EntryHostId>> live,
+      Supplier<Map<EntryHostId, Map<WorkspaceId, Double>>> demand) {
     blackboard.put(Entries.LIVE_HOSTS, live.get());
+    blackboard.put(Entries.PEER_DEMAND, demand.get());
     blackboard.put(Entries.STOPPING, stopping);
   }
 
