--- a/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
@@ -57,6 +57,7 @@
       FakeTableStore store,
       FakePeerNetwork network,
       Supplier<Set<EntryHostId>> live,
+      Supplier<Map<EntryHostId, Map<WorkspaceId, Double>>> demand,
       RandomSource random) {
     this.id = id;
     this.time = time;
@@ -66,7 +67,7 @@
     List<Controller> controllers =
         List.of(
             ConfigurationController.create(),
-            (blackboard, context) -> putMembership(blackboard, live),
+            (blackboard, context) -> putMembership(blackboard, live, demand),
             ShareController.of(id, settings),
             AllowanceController.of(id, settings));
     this.loop = ControlLoop.of(controllers, this::execute, this::clock, random);
@@ -84,8 +85,9 @@
       FakeTableStore store,
       FakePeerNetwork network,
       Supplier<Set<EntryHostId>> live,
+      Supplier<Map<EntryHostId, Map<WorkspaceId, Double>>> demand,
       RandomSource random) {
-    return new FakeHost(id, settings, time, store, network, live, random);
+    return new FakeHost(id, settings, time, store, network, live, demand, random);
   }
 
   /** Returns the identifier of the host. */
@@ -175,8 +177,12 @@
     }
   }
 
-  private void putMembership(Blackboard blackboard, Supplier<Set<EntryHostId>> live) {
+  private void putMembership(
+      Blackboard blackboard,
+      Supplier<Set<EntryHostId>> live,
+      Supplier<Map<EntryHostId, Map<WorkspaceId, Double>>> demand) {
     blackboard.put(Entries.LIVE_HOSTS, live.get());
+    blackboard.put(Entries.PEER_DEMAND, demand.get());
     blackboard.put(Entries.HOST_PHASE, stopping ? HostPhase.STOPPED : HostPhase.SERVING);
   }
 
