Report the term of the last record when a server is fenced

Cause: a replica takes the term of a new primary at the first contact, before it has that primary's records; with that term a promotion could prefer it to a server that holds acknowledged writes of the former term. Change: the fence function of the stand-in answers with the term of the last log record, as the comparison of fenced logs needs. Conclusion: fenced logs are compared by what they hold.

--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedFleet.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedFleet.java
@@ -9,6 +9,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.persimmonwalk.admission.ServerScheduler;
+import org.persimmonwalk.admission.ServerSchedulers;
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.EntryHostId;
@@ -16,6 +18,7 @@
 import org.persimmonwalk.internal.settings.Settings;
 import org.persimmonwalk.internal.traffic.backend.BackendConnector;
 import org.persimmonwalk.internal.traffic.backend.ConnectionReporter;
+import org.persimmonwalk.internal.traffic.backend.ConnectionWaiter;
 import org.persimmonwalk.internal.traffic.backend.MonitorConnections;
 import org.persimmonwalk.internal.traffic.backend.ServerPools;
 import org.persimmonwalk.model.Configuration;
@@ -28,6 +31,7 @@
 import org.persimmonwalk.observation.PeerMessageReceived;
 import org.persimmonwalk.peer.PeerCodec;
 import org.persimmonwalk.peer.PeerEnvelope;
+import org.persimmonwalk.port.MonotonicClock;
 import org.persimmonwalk.port.RandomSource;
 
 /**
@@ -150,13 +154,23 @@
     host.loop()
         .addListener(
             ConnectionReporter.of(
-                ServerPools.of(connector, server -> 0),
+                ServerPools.of(
+                    connector,
+                    server -> 0,
+                    ServerSchedulers.of(SimulatedFleet::unusedScheduler),
+                    MonotonicClock.system(),
+                    eventLoops),
                 MonitorConnections.of(connector, Duration.ofSeconds(1), server -> false),
                 host::post));
     hosts.add(host);
     byId.put(host.id(), host);
   }
 
+  /** Hosts of this fleet have no callers, so that no statement is scheduled. */
+  private static ServerScheduler<ConnectionWaiter> unusedScheduler(BackendServerId server) {
+    throw new IllegalStateException("a statement was sent to " + server);
+  }
+
   private static LogPosition position(long milliseconds) {
     return LogPosition.of(milliseconds * BYTES_WRITTEN_PER_MILLISECOND);
   }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/GroupFunctions.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/GroupFunctions.java
@@ -60,12 +60,13 @@
   }
 
   /**
-   * Fences the server. The term of an accepted fence is the one of the server's log: of two fenced
-   * servers the one with the higher log term is ahead, whatever their positions are.
+   * Fences the server. The term of an accepted fence is the one of the server's last record: of two
+   * fenced servers the one with the higher term is ahead, whatever their positions are. The term
+   * that a server follows does not serve, as it rises before the server has that primary's records.
    */
   private static List<String> fence(ServerState server, Term term, String host) {
     boolean accepted = TermRules.fence(server, term, host);
-    Term shown = accepted ? server.logTerm : server.promisedTerm;
+    Term shown = accepted ? server.lastRecordTerm() : server.promisedTerm;
     return List.of(flag(accepted), shown.toString(), server.received().toString());
   }
 
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/ServerState.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/ServerState.java
@@ -76,6 +76,11 @@
     return positionAfter(log.size());
   }
 
+  /** Returns the term in which the last record of the log was written. */
+  Term lastRecordTerm() {
+    return log.isEmpty() ? Term.of(1) : log.get(log.size() - 1).record().term();
+  }
+
   LogPosition replayed() {
     return positionAfter(replayedRecords);
   }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StatementRunner.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StatementRunner.java
@@ -183,7 +183,7 @@
   }
 
   private void append(List<Change> changes) {
-    server.store(LogRecord.after(server.received(), now, changes), now);
+    server.store(LogRecord.after(server.logTerm, server.received(), now, changes), now);
     server.replayNext();
   }
 
--- a/standin/src/test/java/org/persimmonwalk/internal/standin/engine/GroupEngineTest.java
+++ b/standin/src/test/java/org/persimmonwalk/internal/standin/engine/GroupEngineTest.java
@@ -83,6 +83,17 @@
     assertThat(fence(onA, 9, "host-1")).isFalse();
   }
 
+  /** Guards against a promotion of a server that follows the new primary but lacks its log. */
+  @Test
+  void shouldStateTermOfLastRecordWhenFenced() {
+    engine.setReceiveDelay(C, Duration.ofHours(1));
+    insert(onA, "x");
+    promoteB();
+    assertThat(sample(onC).subList(0, 2)).containsExactly("replica", "7");
+    List<String> answer = row(onC, "SELECT * FROM persimmonwalk_fence(8, 'host-1')");
+    assertThat(answer.subList(0, 2)).containsExactly("t", "1");
+  }
+
   /** Guards against a promotion without a fence, and against one that is not idempotent. */
   @Test
   void shouldPromoteOnlyWhenFencedForTheTermAndHost() {
