Cut an isolated primary from its replicas before its hosts

With acknowledgements given without a replica all 60 schedules passed, since replication is faster than a failure of all links at once. The replicas are now cut 300 ms earlier: schedule 23 of 60 fails and shrinks to one fault; with the rule in place 60 of 60 pass.

--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
@@ -126,7 +126,7 @@
     String server = SERVERS.get(step.target());
     String primary = fleet.database().primary().orElse(server);
     switch (step.fault()) {
-      case PRIMARY_ISOLATED -> isolate(primary, step);
+      case PRIMARY_ISOLATED -> isolateFromReplicasFirst(primary, step);
       case SERVER_ISOLATED -> isolate(server, step);
       case PRIMARY_STOPPED -> {
         serversFailed = true;
@@ -165,6 +165,20 @@
     }
   }
 
+  /** For a while hosts still reach the primary, whose writes no replica receives. */
+  private void isolateFromReplicasFirst(String primary, FaultStep step) {
+    serversFailed = true;
+    List<String> replicas = SERVERS.stream().filter(name -> !name.equals(primary)).toList();
+    replicas.forEach(replica -> fleet.links().cut(primary, replica));
+    fleet.time().after(Duration.ofMillis(300), () -> fleet.links().isolate(primary));
+    end(
+        step,
+        () -> {
+          replicas.forEach(replica -> fleet.links().join(primary, replica));
+          fleet.links().heal(primary);
+        });
+  }
+
   private void isolate(String server, FaultStep step) {
     serversFailed = true;
     fleet.links().isolate(server);
