--- a/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
@@ -57,10 +57,10 @@
     long seed = arguments.length > 0 ? Long.parseLong(arguments[0]) : 1;
     System.out.println(
         "scenario; refused inside the rate: leased (worst workspace), equal split"
-            + " (worst); beyond rate and burst: leased, admit all (worst workspace);"
+            + " (worst); leased admits of one bucket; beyond rate and burst: leased, admit all (worst workspace);"
             + " peer messages per host and second; store requests in all");
     Duration minute = Duration.ofMinutes(1);
-    for (double load : new double[] {0.8, 0.95}) {
+    for (double load : new double[] {0.8, 0.95, 1.5}) {
       String text = ", demand " + Math.round(load * 100) + " % of the rate";
       new ShareBenchmark(new Demand(load, 0, Duration.ZERO), seed)
           .measure("even" + text, minute, false);
@@ -109,12 +109,13 @@
     messages = fleet.network().messages() - messages;
     double seconds = span.toSeconds() * (outage ? 2.0 : 1.0);
     System.out.printf(
-        "%s; %.2f %% (%.2f %%), %.2f %% (%.2f %%); %.1f, %.0f; %.1f; %d%n",
+        "%s; %.2f %% (%.2f %%), %.2f %% (%.2f %%); %.1f %%; %.1f, %.0f; %.1f; %d%n",
         name,
         refused(0),
         worstRefused(0),
         refused(1),
         worstRefused(1),
+        admitted(),
         worstExcess(0),
         worstExcess(2),
         messages / seconds / HOSTS,
@@ -167,6 +168,13 @@
     return 100.0 * refused / inside;
   }
 
+  /** Returns what leased shares admit as a part of what one bucket for the fleet admits. */
+  private double admitted() {
+    List<Tally> leased = tallies.values().stream().map(all -> all.get(0)).toList();
+    long admitted = leased.stream().mapToLong(tally -> tally.witness.admitted()).sum();
+    return 100.0 * admitted / leased.stream().mapToLong(tally -> tally.inside).sum();
+  }
+
   private double worstRefused(int policy) {
     return tallies.values().stream()
         .map(all -> all.get(policy))
