Run one statement at a time on a monitor connection

Cause: a sample and a promotion used the connection of a server at once; the second one failed, and its failure closed the connection under the first. Change: statements for one server run one after the other; a lost server is logged once and not for each attempt.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/MonitorConnections.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/MonitorConnections.java
@@ -25,6 +25,7 @@
 public final class MonitorConnections {
   private final Map<BackendServerId, CompletionStage<BackendConnection>> connections =
       new ConcurrentHashMap<>();
+  private final Map<BackendServerId, CompletionStage<Void>> tails = new ConcurrentHashMap<>();
   private final BackendConnector connector;
   private final Duration timeout;
   private final Predicate<BackendServerId> allowed;
@@ -60,6 +61,22 @@
           PersimmonwalkException.of(
               ResultCode.NO_CONNECTION, "no connection to " + server.id() + " is allowed now"));
     }
+    CompletableFuture<List<String>> result = new CompletableFuture<>();
+    tails.compute(
+        server.id(),
+        (id, tail) -> {
+          CompletionStage<Void> previous =
+              tail == null ? CompletableFuture.completedStage(null) : tail;
+          return previous
+              .thenCompose(done -> runNow(group, server, statement))
+              .handle((row, failure) -> complete(result, row, failure));
+        });
+    return result;
+  }
+
+  /** A connection runs one statement at a time; the next one starts when this one has ended. */
+  private CompletionStage<List<String>> runNow(
+      DatabaseGroupId group, BackendServer server, String statement) {
     CompletionStage<BackendConnection> connection =
         connections.computeIfAbsent(
             server.id(), id -> connector.connect(group, server, this::forget));
@@ -68,6 +85,16 @@
         .thenCompose(opened -> run(opened, statement));
   }
 
+  private static Void complete(
+      CompletableFuture<List<String>> result, List<String> row, Throwable failure) {
+    if (failure == null) {
+      result.complete(row);
+    } else {
+      result.completeExceptionally(failure);
+    }
+    return null;
+  }
+
   /** Returns whether a connection to the server is open or being opened. */
   public boolean isConnected(BackendServerId server) {
     return connections.containsKey(server);
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPool.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPool.java
@@ -28,6 +28,7 @@
   private final Deque<ConnectionWaiter> waiters = new ArrayDeque<>();
   private int opening;
   private int peak;
+  private long failures;
   private boolean closed;
 
   private ServerPool(
@@ -169,11 +170,15 @@
     synchronized (this) {
       opening--;
       if (failure == null) {
+        logRecovery();
         open.add(connection);
         idle.addFirst(connection);
         dispatch(actions);
       } else {
-        Logger.warn("no connection to backend server {}: {}", server.id(), failure.getMessage());
+        failures++;
+        if (failures == 1) {
+          Logger.warn("no connection to backend server {}: {}", server.id(), failure.getMessage());
+        }
         if (open.isEmpty() && opening == 0) {
           refuseWaiters(actions);
         }
@@ -182,6 +187,14 @@
     actions.forEach(Runnable::run);
   }
 
+  /** A lost server is reported once, not for each attempt. */
+  private void logRecovery() {
+    if (failures > 0) {
+      Logger.info("backend server {} is back after {} attempts", server.id(), failures);
+      failures = 0;
+    }
+  }
+
   private void refuseWaiters(List<Runnable> actions) {
     List<ConnectionWaiter> refused = List.copyOf(waiters);
     waiters.clear();
