Add a golden session of idempotency keys

Cause: no test ran a statement with an idempotency key through entry hosts. Change: a session repeats a keyed statement through another host, and uses a key inside a transaction, which is refused.

--- a/bench/src/test/java/org/persimmonwalk/bench/GoldenSessionTest.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/GoldenSessionTest.java
@@ -14,7 +14,7 @@
   private static final Path SESSIONS = Path.of("src/test/resources/sessions");
 
   @ParameterizedTest
-  @ValueSource(strings = {"own-writes", "transactions", "errors"})
+  @ValueSource(strings = {"own-writes", "transactions", "errors", "idempotency"})
   void shouldGiveTheAnswersAndDecisionsOfTheFile(String name)
       throws IOException, SQLException, InterruptedException {
     Path file = SESSIONS.resolve(name + ".session");
