Sum the pieces of a lease without streams and divisions

Cause: Holdings divided the length of a lease for each piece in each round, and summed pieces through streams; each round does this several times per row. Change: the margin is computed once and the sums are loops.

--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/Holdings.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/Holdings.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.internal.control.lease;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -18,6 +19,10 @@
   private static final int PIECES_LIMIT = 32;
 
   private final LeaseSettings settings;
+
+  /** Kept, because dividing a duration takes longer than the rest of a look at a piece. */
+  private final Duration lentMargin;
+
   private final List<Holding> lent = new ArrayList<>();
   private final List<Holding> received = new ArrayList<>();
   private Optional<OwnGrant> own = Optional.empty();
@@ -25,6 +30,7 @@
 
   private Holdings(LeaseSettings settings) {
     this.settings = settings;
+    this.lentMargin = settings.lentMargin();
   }
 
   static Holdings none(LeaseSettings settings) {
@@ -46,7 +52,7 @@
 
   /** Forgets pieces that have ended. */
   void expire(MonotonicTime now) {
-    lent.removeIf(piece -> !now.isBefore(piece.end().plus(settings.lentMargin())));
+    lent.removeIf(piece -> !now.isBefore(piece.end().plus(lentMargin)));
     received.removeIf(piece -> !isUsable(piece.end(), now));
   }
 
@@ -56,25 +62,33 @@
   }
 
   long receivedAvailable(MonotonicTime now) {
-    return received.stream()
-        .filter(piece -> isUsable(piece.end(), now))
-        .mapToLong(Holding::amount)
-        .sum();
+    long sum = 0;
+    for (Holding piece : received) {
+      sum += isUsable(piece.end(), now) ? piece.amount() : 0;
+    }
+    return sum;
   }
 
   /** Returns the units of the own grant that peers may be using. */
   long lent() {
-    return lent.stream().mapToLong(Holding::amount).sum();
+    long sum = 0;
+    for (Holding piece : lent) {
+      sum += piece.amount();
+    }
+    return sum;
   }
 
   /** Returns the earliest end of the units that may be used now. */
   MonotonicTime end(MonotonicTime now) {
-    List<MonotonicTime> ends = new ArrayList<>();
-    if (ownAvailable(now) > 0) {
-      ends.add(own.get().end());
+    Optional<MonotonicTime> earliest =
+        ownAvailable(now) > 0 ? own.map(OwnGrant::end) : Optional.empty();
+    for (Holding piece : received) {
+      if (isUsable(piece.end(), now)
+          && (earliest.isEmpty() || piece.end().isBefore(earliest.get()))) {
+        earliest = Optional.of(piece.end());
+      }
     }
-    received.stream().map(Holding::end).filter(end -> isUsable(end, now)).forEach(ends::add);
-    return ends.stream().min(Comparator.naturalOrder()).orElse(now);
+    return earliest.orElse(now);
   }
 
   /** Takes up to the given number of units out of the largest piece, to be sent to a peer. */
