--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/ProbeMeasurement.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/ProbeMeasurement.java
@@ -27,6 +27,7 @@
   private static final int CONNECTIONS = 4;
   private static final Duration MAXIMUM_AGE = Duration.ofSeconds(30);
   private static final long SETTLING_MILLISECONDS = 5_000;
+  private static final long WARM_UP_MILLISECONDS = 20_000;
   private static final int POLL_MILLISECONDS = 50;
   private static final double NANOSECONDS_PER_SECOND = 1e9;
   private static final int HEADER = 6;
@@ -46,6 +47,7 @@
   void run() throws IOException, InterruptedException {
     try (LocalDeployment deployment = LocalDeployment.start(1, new TrafficListener() {})) {
       measureBytes(deployment);
+      Thread.sleep(WARM_UP_MILLISECONDS);
       int known = 1;
       long revision = 1;
       for (int groups : GROUPS) {
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/RawCaller.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/RawCaller.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.bench.capacity;
 
+import java.io.BufferedOutputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -104,7 +105,8 @@
     return new DataInputStream(Channels.newInputStream(channel));
   }
 
+  /** Buffered, because a message in several small packets waits for delayed acknowledgements. */
   private DataOutputStream output() {
-    return new DataOutputStream(Channels.newOutputStream(channel));
+    return new DataOutputStream(new BufferedOutputStream(Channels.newOutputStream(channel)));
   }
 }
--- /dev/null
+++ b/bench/src/test/java/org/persimmonwalk/bench/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the measurements of capacity. */
+package org.persimmonwalk.bench.capacity;
