--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/ReleaseMeasurement.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/ReleaseMeasurement.java
@@ -9,7 +9,7 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.ReleaseNoteId;
-import org.persimmonwalk.internal.platform.ConfigurationFormat;
+import org.persimmonwalk.internal.store.ConfigurationFormat;
 import org.persimmonwalk.model.CallerKey;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.ConfigurationReply;
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedStore.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedStore.java
@@ -6,7 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.persimmonwalk.internal.platform.ConfigurationFormat;
+import org.persimmonwalk.internal.store.ConfigurationFormat;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.ConfigurationRow;
 import org.persimmonwalk.model.RowValue;
@@ -15,8 +15,8 @@
 import org.persimmonwalk.model.TableRow;
 import org.persimmonwalk.model.VersionedRow;
 import org.persimmonwalk.model.WriteOutcome;
-import org.persimmonwalk.platform.RowCodec;
-import org.persimmonwalk.platform.RowCodecs;
+import org.persimmonwalk.store.RowCodec;
+import org.persimmonwalk.store.RowCodecs;
 
 /** The platform's table service and object store in memory; rows are kept as JSON. */
 final class SimulatedStore {
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HttpHostAdministration.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HttpHostAdministration.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import org.persimmonwalk.internal.platform.BoundedBody;
+import org.persimmonwalk.internal.store.BoundedBody;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/BoundedBody.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/BoundedBody.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import java.io.ByteArrayOutputStream;
 import java.net.http.HttpResponse;
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/ConfigurationFormat.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/ConfigurationFormat.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/ConfigurationRowCodec.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/ConfigurationRowCodec.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -6,7 +6,7 @@
 import org.persimmonwalk.id.ReleaseNoteId;
 import org.persimmonwalk.id.Revision;
 import org.persimmonwalk.model.ConfigurationRow;
-import org.persimmonwalk.platform.RowCodec;
+import org.persimmonwalk.store.RowCodec;
 
 /** The row that names the configuration in force, as JSON. */
 public final class ConfigurationRowCodec implements RowCodec<ConfigurationRow> {
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/FailureOutcomes.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/FailureOutcomes.java
@@ -1,10 +1,10 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import java.net.ConnectException;
 import java.net.http.HttpConnectTimeoutException;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeoutException;
-import org.persimmonwalk.platform.PlatformSettings;
+import org.persimmonwalk.store.PlatformSettings;
 
 /** Decides what a failed exchange says of its request; a request counts as sent when in doubt. */
 final class FailureOutcomes {
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/GrantTableCodec.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/GrantTableCodec.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -10,7 +10,7 @@
 import org.persimmonwalk.id.GrantId;
 import org.persimmonwalk.model.Grant;
 import org.persimmonwalk.model.GrantTable;
-import org.persimmonwalk.platform.RowCodec;
+import org.persimmonwalk.store.RowCodec;
 
 /** The row that divides a rate or connections between entry hosts, as JSON. */
 public final class GrantTableCodec implements RowCodec<GrantTable> {
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/HttpOutcome.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/HttpOutcome.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 /** What became of a request; it tells a request that was never sent from a lost answer. */
 public sealed interface HttpOutcome {
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/HttpTransport.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/HttpTransport.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -9,7 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import org.persimmonwalk.platform.PlatformSettings;
+import org.persimmonwalk.store.PlatformSettings;
 
 /** Sends requests to the platform; the number in flight, the time and the answers are bounded. */
 public final class HttpTransport implements AutoCloseable {
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/PlatformFormat.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/PlatformFormat.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -14,7 +14,7 @@
 import org.persimmonwalk.model.RowVersion;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.model.VersionedRow;
-import org.persimmonwalk.platform.RowCodec;
+import org.persimmonwalk.store.RowCodec;
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/PromotionClaimCodec.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/PromotionClaimCodec.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -8,7 +8,7 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.PromotionClaim;
 import org.persimmonwalk.model.Term;
-import org.persimmonwalk.platform.RowCodec;
+import org.persimmonwalk.store.RowCodec;
 
 /** The row that tells which host promotes a server of a group, as JSON. */
 public final class PromotionClaimCodec implements RowCodec<PromotionClaim> {
--- a/platform/src/main/java/org/persimmonwalk/internal/platform/package-info.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/package-info.java
@@ -1,2 +1,2 @@
 /** The HTTP transport and the JSON format of the platform client. */
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
--- a/platform/src/main/java/org/persimmonwalk/platform/PlatformClient.java
+++ b/store/src/main/java/org/persimmonwalk/store/PlatformClient.java
@@ -1,12 +1,12 @@
-package org.persimmonwalk.platform;
+package org.persimmonwalk.store;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.persimmonwalk.internal.check.Names;
-import org.persimmonwalk.internal.platform.HttpOutcome;
-import org.persimmonwalk.internal.platform.HttpTransport;
-import org.persimmonwalk.internal.platform.PlatformFormat;
+import org.persimmonwalk.internal.store.HttpOutcome;
+import org.persimmonwalk.internal.store.HttpTransport;
+import org.persimmonwalk.internal.store.PlatformFormat;
 import org.persimmonwalk.model.HostEntry;
 import org.persimmonwalk.model.RowValue;
 import org.persimmonwalk.model.RowVersion;
--- a/platform/src/main/java/org/persimmonwalk/platform/PlatformObjectStore.java
+++ b/store/src/main/java/org/persimmonwalk/store/PlatformObjectStore.java
@@ -1,9 +1,9 @@
-package org.persimmonwalk.platform;
+package org.persimmonwalk.store;
 
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.persimmonwalk.id.ObjectName;
-import org.persimmonwalk.internal.platform.ConfigurationFormat;
+import org.persimmonwalk.internal.store.ConfigurationFormat;
 import org.persimmonwalk.model.StoredConfiguration;
 import org.persimmonwalk.port.ObjectStore;
 
--- a/platform/src/main/java/org/persimmonwalk/platform/RowCodecs.java
+++ b/store/src/main/java/org/persimmonwalk/store/RowCodecs.java
@@ -1,9 +1,9 @@
-package org.persimmonwalk.platform;
+package org.persimmonwalk.store;
 
 import java.util.Map;
-import org.persimmonwalk.internal.platform.ConfigurationRowCodec;
-import org.persimmonwalk.internal.platform.GrantTableCodec;
-import org.persimmonwalk.internal.platform.PromotionClaimCodec;
+import org.persimmonwalk.internal.store.ConfigurationRowCodec;
+import org.persimmonwalk.internal.store.GrantTableCodec;
+import org.persimmonwalk.internal.store.PromotionClaimCodec;
 import org.persimmonwalk.model.ConfigurationRow;
 import org.persimmonwalk.model.GrantTable;
 import org.persimmonwalk.model.PromotionClaim;
--- a/platform/src/main/java/org/persimmonwalk/platform/package-info.java
+++ b/store/src/main/java/org/persimmonwalk/store/package-info.java
@@ -1,2 +1,2 @@
 /** Client of the platform: table service, object store and host list. */
-package org.persimmonwalk.platform;
+package org.persimmonwalk.store;
--- a/platform/src/test/java/org/persimmonwalk/internal/platform/FailureOutcomesTest.java
+++ b/store/src/test/java/org/persimmonwalk/internal/store/FailureOutcomesTest.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.internal.platform;
+package org.persimmonwalk.internal.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.model.SocketEndpoint;
-import org.persimmonwalk.platform.PlatformSettings;
+import org.persimmonwalk.store.PlatformSettings;
 
 class FailureOutcomesTest {
   private final PlatformSettings settings =
--- /dev/null
+++ b/store/src/test/java/org/persimmonwalk/internal/store/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the platform transport. */
+package org.persimmonwalk.internal.store;
--- a/platform/src/test/java/org/persimmonwalk/platform/PlatformClientTest.java
+++ b/store/src/test/java/org/persimmonwalk/store/PlatformClientTest.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.platform;
+package org.persimmonwalk.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/platform/src/test/java/org/persimmonwalk/platform/RateRow.java
+++ b/store/src/test/java/org/persimmonwalk/store/RateRow.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.platform;
+package org.persimmonwalk.store;
 
 import org.persimmonwalk.model.RowValue;
 
--- a/platform/src/test/java/org/persimmonwalk/platform/RateRowCodec.java
+++ b/store/src/test/java/org/persimmonwalk/store/RateRowCodec.java
@@ -1,4 +1,4 @@
-package org.persimmonwalk.platform;
+package org.persimmonwalk.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
--- a/platform/src/test/java/org/persimmonwalk/platform/package-info.java
+++ b/store/src/test/java/org/persimmonwalk/store/package-info.java
@@ -1,2 +1,2 @@
 /** Tests of the platform client against the stand-in platform. */
-package org.persimmonwalk.platform;
+package org.persimmonwalk.store;
