Take tokens right after a verification and bound connections by the even part

Verifications now show the rate rows, and tokens are taken at once after one. Ruled out: an urgent call for each operation, as small workspaces wait for their first token only.

--- a/core/src/main/java/org/persimmonwalk/blackboard/ControlThread.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/ControlThread.java
@@ -8,9 +8,6 @@
 
 /** The one thread that runs a host's control loop. */
 public final class ControlThread {
-  /** Timers of the controllers are checked at least this often. */
-  private static final Duration LONGEST_ROUND_GAP = Duration.ofMillis(20);
-
   private static final long STOP_TIMEOUT_SECONDS = 5;
 
   private final ExecutorService executor;
@@ -22,13 +19,14 @@
   /**
    * Starts the thread.
    *
+   * @param longestGap timers of the controllers are checked at least this often
    * @param name the name of the thread
    * @param failures is told of each round that failed; the next round goes on
    */
   public static ControlThread start(
-      ControlLoop loop, String name, Consumer<RuntimeException> failures) {
+      ControlLoop loop, Duration longestGap, String name, Consumer<RuntimeException> failures) {
     ExecutorService executor = Executors.newSingleThreadExecutor(task -> new Thread(task, name));
-    executor.execute(() -> run(loop, failures));
+    executor.execute(() -> run(loop, longestGap, failures));
     return new ControlThread(executor);
   }
 
@@ -47,10 +45,11 @@
     }
   }
 
-  private static void run(ControlLoop loop, Consumer<RuntimeException> failures) {
+  private static void run(
+      ControlLoop loop, Duration longestGap, Consumer<RuntimeException> failures) {
     while (!Thread.currentThread().isInterrupted()) {
       try {
-        loop.awaitAndRunRound(LONGEST_ROUND_GAP);
+        loop.awaitAndRunRound(longestGap);
       } catch (InterruptedException e) {
         return;
       } catch (RuntimeException e) {
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -48,6 +48,12 @@
   public static final EntryKey<Map<WorkspaceId, TokenGrant>> TOKENS =
       EntryKey.of("tokens", Map.of());
 
+  /** The rate rows that the verification shows besides, so that tokens can be taken from them. */
+  public static final EntryKey<RowDemand> ROW_DEMAND = EntryKey.of("row demand", RowDemand.NONE);
+
+  /** The number of hosts that have lately taken tokens, this one included. */
+  public static final EntryKey<Integer> ACTIVE_HOSTS = EntryKey.of("active hosts", 1);
+
   /** Whether the host was asked to stop. */
   public static final EntryKey<Boolean> STOPPING = EntryKey.of("stopping", false);
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.RoundContext;
@@ -13,6 +14,7 @@
 import org.persimmonwalk.engine.RateLimit;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreTime;
@@ -30,7 +32,7 @@
  */
 public final class RateController implements Controller {
   /** Two hosts that change the same rows at once conflict; more attempts in a row help neither. */
-  static final int ATTEMPTS = 5;
+  static final int ATTEMPTS = 3;
 
   private static final String PURPOSE = "take-tokens";
 
@@ -67,29 +69,49 @@
             answer -> inFlight != null && answer.transaction().tag().serial() == inFlight.serial())
         .forEach(answer -> finish(blackboard, answer, now));
     workspaces.values().forEach(tokens -> tokens.lapse(now));
-    if (inFlight == null && workspaces.values().stream().anyMatch(tokens -> tokens.mustAsk(now))) {
-      ask(blackboard, now, 1, asking(now));
+    boolean rowsAreFresh =
+        blackboard
+            .observations(TransactionAnswered.class)
+            .filter(
+                answer ->
+                    answer.transaction().tag().purpose().equals(VerificationController.PURPOSE))
+            .anyMatch(answer -> answer.time().isPresent());
+    boolean needs = workspaces.values().stream().anyMatch(tokens -> tokens.mustAsk(now));
+    if (inFlight == null && rowsAreFresh && needs) {
+      ask(blackboard, now, 1, active(now));
     }
+    blackboard.put(
+        EngineEntries.ROW_DEMAND,
+        new RowDemand(
+            active(now).stream().map(RateRow::key).collect(Collectors.toSet()),
+            inFlight == null
+                && workspaces.values().stream().anyMatch(tokens -> tokens.isUrgent(now))));
     publish(blackboard);
   }
 
   private void publish(Blackboard blackboard) {
     Map<WorkspaceId, TokenGrant> grants = new HashMap<>();
     workspaces.forEach((workspace, tokens) -> grants.put(workspace, tokens.published()));
+    int hosts = 1;
+    for (WorkspaceId workspace : workspaces.keySet()) {
+      String text = Expectations.known(blackboard, RateRow.key(workspace)).value();
+      hosts = Math.max(hosts, RateRow.holders(text));
+    }
+    blackboard.put(EngineEntries.ACTIVE_HOSTS, hosts);
     if (!grants.equals(blackboard.get(EngineEntries.TOKENS))) {
       blackboard.put(EngineEntries.TOKENS, Map.copyOf(grants));
     }
   }
 
-  private Set<WorkspaceId> asking(MonotonicTime now) {
-    Set<WorkspaceId> asking = new HashSet<>();
+  private Set<WorkspaceId> active(MonotonicTime now) {
+    Set<WorkspaceId> active = new HashSet<>();
     workspaces.forEach(
         (workspace, tokens) -> {
-          if (tokens.mustAsk(now) || tokens.mayJoin(now)) {
-            asking.add(workspace);
+          if (tokens.isActive(now)) {
+            active.add(workspace);
           }
         });
-    return asking;
+    return active;
   }
 
   private void ask(Blackboard blackboard, MonotonicTime now, int attempt, Set<WorkspaceId> asking) {
@@ -139,7 +161,7 @@
     long fair = available > wanted * 2 ? available : Math.max(1, available / 2);
     long taken = Math.min(wanted, Math.min(available, fair));
     return new Taking(
-        taken, taken < wanted, row.taken(settings.host(), taken, held, time.latest(now)));
+        taken, taken < wanted / 2, row.taken(settings.host(), taken, held, time.latest(now)));
   }
 
   private void finish(Blackboard blackboard, TransactionAnswered answer, MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -28,7 +28,7 @@
    * The part of the tolerated excess that the bucket may hold beyond the burst, as the tokens held
    * by idle hosts are not at hand elsewhere; the rest is kept for requests delayed on their way.
    */
-  private static final double TOLERANCE_USED = 0.5;
+  private static final double TOLERANCE_USED = 0.8;
 
   private static final double MILLIS_PER_SECOND = 1000.0;
   private static final String SEPARATOR = " ";
@@ -59,6 +59,11 @@
     return new RateRow(Double.parseDouble(parts[0]), Long.parseLong(parts[1]), holdings);
   }
 
+  /** Returns the number of hosts that hold tokens or lately held some. */
+  static int holders(String text) {
+    return Math.max(0, (text.split(SEPARATOR).length - 2) / 3);
+  }
+
   /** Returns the tokens that may exist at once, held or not. */
   static double capacity(RateLimit limit, EngineSettings settings) {
     double window = limit.perSecond() * settings.rateWindow().toMillis() / MILLIS_PER_SECOND;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -10,6 +10,7 @@
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreTime;
@@ -34,12 +35,16 @@
   /** The pause after a call that failed, so that an outage is not answered by a flood of calls. */
   static final Duration FAILURE_PAUSE = Duration.ofMillis(400);
 
-  private static final String PURPOSE = "verify";
+  /** The least pause between two calls when work waits for tokens. */
+  static final Duration LEAST_PAUSE = Duration.ofMillis(300);
+
+  static final String PURPOSE = "verify";
 
   private final DecisionLog log;
   private long serial;
   private boolean inFlight;
   private boolean connected;
+  private MonotonicTime lastEnd = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime nextCall = MonotonicTime.of(Long.MIN_VALUE / 2);
 
   private VerificationController(DecisionLog log) {
@@ -56,12 +61,17 @@
     blackboard
         .observations(TransactionAnswered.class)
         .forEach(answer -> take(blackboard, answer, context.now()));
-    if (!inFlight && !context.now().isBefore(nextCall)) {
+    RowDemand demand = blackboard.get(EngineEntries.ROW_DEMAND);
+    MonotonicTime earliest = lastEnd.plus(LEAST_PAUSE);
+    boolean due =
+        !context.now().isBefore(nextCall)
+            || (demand.urgent() && connected && !context.now().isBefore(earliest));
+    if (!inFlight && due) {
       inFlight = true;
       serial++;
-      blackboard.submit(
-          new RunTransaction(
-              TransactionTag.of(PURPOSE, serial), Expectations.verifying(blackboard), Map.of()));
+      Map<RowKey, Long> expected = Expectations.verifying(blackboard);
+      demand.rows().forEach(row -> expected.put(row, Expectations.version(blackboard, row)));
+      blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, Map.of()));
     }
   }
 
@@ -71,6 +81,7 @@
             || answer.result() == TransactionResult.CONFLICT;
     if (answer.transaction().tag().purpose().equals(PURPOSE)) {
       inFlight = false;
+      lastEnd = now;
       nextCall =
           now.plus(answered ? interval(blackboard, now, context(answer, now)) : FAILURE_PAUSE);
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -7,17 +7,20 @@
 
 /** The tokens of one workspace at this host, and the demand for them. */
 final class WorkspaceTokens {
-  /** A host holds tokens for its demand of so many seconds, so that it asks about every 2.5 s. */
-  private static final double SECONDS_HELD = 3.5;
+  /** A host holds tokens for its demand of so many seconds, as the bucket has few more. */
+  private static final double SECONDS_HELD = 2.5;
 
   /** A host with little demand holds a few tokens, as operations come in bursts. */
-  private static final long LEAST_HELD = 3;
+  private static final long LEAST_HELD = 2;
 
   /** Tokens are taken anew when less than this part of the target is left. */
-  private static final double LOW_PART = 0.4;
+  private static final double LOW_PART = 0.5;
 
   /** The demand forgets half of what it has seen in this time. */
-  private static final double DEMAND_HALF_LIFE_SECONDS = 2.0;
+  private static final double DEMAND_HALF_LIFE_SECONDS = 3.0;
+
+  /** Operations per second below which a workspace counts as idle at this host. */
+  private static final double IDLE_DEMAND = 0.05;
 
   /** A host asks no more often while tokens are plentiful, in bursts of one workspace. */
   static final Duration LEAST_PAUSE = Duration.ofMillis(250);
@@ -50,7 +53,7 @@
 
   void note(WorkspaceDemand seen, MonotonicTime now) {
     decay(now);
-    demand += Math.log(2) / DEMAND_HALF_LIFE_SECONDS;
+    demand += seen.operations() * Math.log(2) / DEMAND_HALF_LIFE_SECONDS;
     if (seen.epoch() == epoch) {
       spent = Math.max(spent, seen.spent());
     }
@@ -76,24 +79,20 @@
   }
 
   boolean mustAsk(MonotonicTime now) {
-    if (now.since(lastAsked).compareTo(scarce ? SCARCE_PAUSE : LEAST_PAUSE) < 0) {
-      return false;
-    }
     boolean low = left() < target(now) * LOW_PART;
     boolean ends = validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
     return waiting || (isActive(now) && (low || ends));
   }
 
-  /** Returns whether the workspace may join a call that another one needs. */
-  boolean mayJoin(MonotonicTime now) {
-    return isActive(now)
-        && left() < target(now)
-        && now.since(lastAsked).compareTo(SCARCE_PAUSE) > 0;
+  /** Returns whether an operation waits for a token and another call may bring one. */
+  boolean isUrgent(MonotonicTime now) {
+    Duration pause = scarce ? SCARCE_PAUSE : LEAST_PAUSE;
+    return waiting && now.since(lastAsked).compareTo(pause) >= 0;
   }
 
-  private boolean isActive(MonotonicTime now) {
+  boolean isActive(MonotonicTime now) {
     decay(now);
-    return demand > 0.1;
+    return waiting || demand > IDLE_DEMAND;
   }
 
   void asked(MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerChoice.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerChoice.java
@@ -10,8 +10,11 @@
  * measured latency shows how long the server's own queue is.
  */
 final class ServerChoice {
-  /** Opening a connection takes the handshake and two more ways. */
-  static final double NEW_CONNECTION_MILLIS = 18;
+  /**
+   * Opening a connection takes the handshake and two more ways, and one of the server's slots for
+   * that time, which delays others; so a workspace keeps to the servers it is connected to.
+   */
+  static final double NEW_CONNECTION_MILLIS = 45;
 
   /** Another zone costs a few milliseconds on the way, and priced bytes. */
   static final double OTHER_ZONE_MILLIS = 4;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -8,8 +8,10 @@
 import java.util.PriorityQueue;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
+import org.persimmonwalk.engine.GroupSettings;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
+import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -18,13 +20,11 @@
  * connections of all hosts together and refuses more with a true "not run".
  */
 final class ServerPool {
-  /**
-   * Hosts may exceed their even part while others need less; the server refuses what is too much.
-   */
-  static final int MAXIMUM_CONNECTIONS = 4;
+  /** More connections than this would only move the queue from the host to the server. */
+  static final int MAXIMUM_CONNECTIONS = 6;
 
   /** A connection beyond the first that rests for so long makes room for other hosts. */
-  static final Duration SPARE_IDLE = Duration.ofSeconds(5);
+  static final Duration SPARE_IDLE = Duration.ofSeconds(12);
 
   /** The last connection rests longer, as making a new one takes one of the server's slots. */
   static final Duration LAST_IDLE = Duration.ofSeconds(30);
@@ -70,7 +70,15 @@
   }
 
   boolean hasRoom() {
-    return !idle.isEmpty() || connections.size() < MAXIMUM_CONNECTIONS;
+    return !idle.isEmpty() || connections.size() < limit();
+  }
+
+  /** Returns this host's even part of the connections that the server accepts. */
+  private int limit() {
+    GroupSettings group = context.entry(EngineEntries.CONFIGURATION).groups().get(server.group());
+    int accepted = group == null ? 1 : group.maximumConnections();
+    int even = accepted / context.entry(EngineEntries.ACTIVE_HOSTS);
+    return Math.max(1, Math.min(MAXIMUM_CONNECTIONS, even));
   }
 
   /** Asks for a connection; exactly one method of the wait is called, unless it is cancelled. */
@@ -133,7 +141,7 @@
     if (health.isAvoided(context.now())) {
       return false;
     }
-    if (connections.size() >= MAXIMUM_CONNECTIONS) {
+    if (connections.size() >= limit()) {
       Optional<PooledConnection> oldest =
           idle.stream().min(Comparator.comparing(PooledConnection::lastUsed));
       if (oldest.isEmpty()) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -116,6 +116,7 @@
   private void tick() {
     MonotonicTime now = context.now();
     servers.tick(now);
+    purse.reportDemand();
     sessions.removeIf(Session::isClosed);
     if (context.entry(EngineEntries.STOPPING)) {
       stop(now);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementRun.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementRun.java
@@ -29,7 +29,7 @@
   private static final int ATTEMPTS = 4;
 
   /** The part of the latency target that work may wait for a connection before it is refused. */
-  private static final int WAIT_DIVISOR = 4;
+  private static final int WAIT_DIVISOR = 2;
 
   /** A primary that is being replaced may be back within this time. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(20);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TokenPurse.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TokenPurse.java
@@ -16,6 +16,7 @@
 final class TokenPurse {
   private final TrafficContext context;
   private final Map<WorkspaceId, Spent> spent = new HashMap<>();
+  private final Map<WorkspaceId, Integer> unreported = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
 
   TokenPurse(TrafficContext context) {
@@ -56,6 +57,19 @@
     }
   }
 
+  /** Reports the operations admitted since the last call, so that not each one wakes control. */
+  void reportDemand() {
+    List.copyOf(unreported.keySet()).forEach(workspace -> report(workspace, false));
+  }
+
+  private void report(WorkspaceId workspace, boolean waits) {
+    Integer admitted = unreported.remove(workspace);
+    Spent current = spent.get(workspace);
+    int operations = (admitted == null ? 0 : admitted) + (waits ? 1 : 0);
+    context.post(
+        new WorkspaceDemand(workspace, current.epoch(), current.count(), operations, waits));
+  }
+
   private void giveUp(Waiter waiter) {
     if (waiters.remove(waiter)) {
       waiter.decided().accept(Admission.NO_TOKEN);
@@ -78,8 +92,10 @@
       current = new Spent(epoch, current.count() + 1);
     }
     spent.put(workspace, current);
-    if (reports || possible) {
-      context.post(new WorkspaceDemand(workspace, epoch, current.count(), !possible));
+    if (reports && !possible) {
+      report(workspace, true);
+    } else if (possible) {
+      unreported.merge(workspace, 1, Integer::sum);
     }
     return possible;
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
@@ -64,6 +64,9 @@
 
 /** The control thread of an entry host with its controllers and what carries out their commands. */
 public final class ControlPlane implements AutoCloseable {
+  /** Timers of the controllers are checked at least this often. */
+  private static final Duration LONGEST_ROUND_GAP = Duration.ofMillis(20);
+
   private static final Duration SAMPLE_TIMEOUT = Duration.ofMillis(500);
 
   private final MonotonicClock clock;
@@ -129,6 +132,7 @@
         Optional.of(
             ControlThread.start(
                 loop,
+                LONGEST_ROUND_GAP,
                 "control-" + self,
                 failure -> Logger.error(failure, "a control round failed; the next one goes on")));
   }
