--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -1,8 +1,8 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -44,6 +44,12 @@
   /** Calls end by their own timeout; an answer lost inside this process must not stop the rest. */
   static final Duration OVERDUE = Duration.ofMillis(5000);
 
+  /**
+   * The store takes 100 entries per call; a call states and writes each rate row, and states the
+   * configuration and leadership rows besides.
+   */
+  static final int MOST_ROWS = 40;
+
   private static final String PURPOSE = "take-tokens";
 
   private final EngineSettings settings;
@@ -116,15 +122,14 @@
     }
   }
 
+  /** Returns the workspaces that need tokens here, those that asked longest ago first. */
   private Set<WorkspaceId> active(MonotonicTime now) {
-    Set<WorkspaceId> active = new HashSet<>();
-    workspaces.forEach(
-        (workspace, tokens) -> {
-          if (tokens.isActive(now)) {
-            active.add(workspace);
-          }
-        });
-    return active;
+    return workspaces.entrySet().stream()
+        .filter(entry -> entry.getValue().isActive(now))
+        .sorted(Map.Entry.comparingByValue(Comparator.comparing(WorkspaceTokens::lastAsked)))
+        .limit(MOST_ROWS)
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
   }
 
   private void ask(Blackboard blackboard, MonotonicTime now, int attempt, Set<WorkspaceId> asking) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -101,6 +101,10 @@
     return waiting || demand > IDLE_DEMAND || now.since(seenAt).compareTo(PRESENCE) < 0;
   }
 
+  MonotonicTime lastAsked() {
+    return lastAsked;
+  }
+
   void asked(MonotonicTime now) {
     lastAsked = now;
   }
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -68,6 +68,7 @@
   private long nextVersion = 1;
   private RoutingConfiguration configuration;
 
+  /** Starts hosts and lets them read the configuration. */
   public EngineFixture(int hostCount) {
     for (int i = 1; i <= 3; i++) {
       ServerEntry entry = server("s" + i, i == 1);
@@ -80,6 +81,7 @@
     run(Duration.ofMillis(100));
   }
 
+  /** Returns the entry of a server of the group. */
   public static ServerEntry server(String id, boolean primary) {
     return new ServerEntry(
         BackendServerId.of(id),
@@ -92,6 +94,7 @@
         1);
   }
 
+  /** Returns a configuration with a route of each kind, named after it. */
   public static RoutingConfiguration configuration(
       long version, double rate, Map<KeyHash, WorkspaceId> keys) {
     Map<DatabaseName, Route> routes = new HashMap<>();
