--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -1,9 +1,11 @@
 package org.persimmonwalk.engine;
 
+import java.time.Duration;
 import java.util.List;
 import org.persimmonwalk.blackboard.ControlLoop;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Snapshot;
+import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.internal.engine.control.DirectoryController;
@@ -79,7 +81,7 @@
   }
 
   /** Tells the traffic thread when entries that it acts on have changed. */
-  private static final class Follower implements org.persimmonwalk.blackboard.SnapshotListener {
+  private static final class Follower implements SnapshotListener {
     private final TrafficScheduler scheduler;
     private final Sessions sessions;
     private List<Object> last = List.of();
@@ -102,7 +104,7 @@
       }
       if (changed) {
         last = current;
-        scheduler.schedule(java.time.Duration.ZERO, sessions::follow);
+        scheduler.schedule(Duration.ZERO, sessions::follow);
       }
     }
   }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoreTime.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoreTime.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.engine.control;
 
+import java.time.Duration;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -22,6 +23,6 @@
 
   /** Returns the earliest local time at which the store's clock may show the given reading. */
   public MonotonicTime earliestLocal(long storeMillis) {
-    return sentAt.plus(java.time.Duration.ofMillis(storeMillis - millis));
+    return sentAt.plus(Duration.ofMillis(storeMillis - millis));
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/Survey.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/Survey.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.ServerStatusRead.Status;
@@ -57,7 +58,7 @@
                 .thenComparing(ServerEntry::id));
   }
 
-  private java.util.stream.Stream<ServerEntry> replicas() {
+  private Stream<ServerEntry> replicas() {
     return servers.values().stream()
         .filter(entry -> !entry.id().equals(old))
         .filter(entry -> status(entry).isPresent());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.internal.engine.traffic;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -106,7 +107,7 @@
   }
 
   /** Ends a transaction whose caller has sent nothing for longer than the limit. */
-  void expireTransaction(java.time.Duration limit) {
+  void expireTransaction(Duration limit) {
     if (!busy && transaction.filter(open -> open.rests(limit)).isPresent()) {
       transaction.get().abort();
     }
@@ -234,8 +235,8 @@
         id,
         route -> {
           boolean needsPrimary = write || route.kind() == RouteKind.PRIMARY;
-          StatementRun.Work work =
-              new StatementRun.Work(
+          Work work =
+              new Work(
                   id,
                   identity.workspace(),
                   route,
@@ -249,7 +250,7 @@
         });
   }
 
-  private void finished(Route route, boolean write, StatementRun.Outcome outcome) {
+  private void finished(Route route, boolean write, Outcome outcome) {
     outcome.connection().ifPresent(PooledConnection::release);
     Answer answer = outcome.answer();
     if (answer.succeeded() && write) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementRun.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementRun.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -11,8 +10,6 @@
 import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
-import org.persimmonwalk.engine.PreparedShape;
-import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.TermPosition;
@@ -298,52 +295,4 @@
   }
 
   private record Target(ServerPool pool, boolean primary, Optional<TermPosition> position) {}
-
-  /**
-   * What is to be run.
-   *
-   * @param needsPrimary whether only the primary may run it
-   * @param writes whether it changes data that is kept at once
-   * @param floor the newest commit of the session; {@link TermPosition#ZERO} if it need not be seen
-   * @param values the session values that the connection must have
-   * @param shape the prepared statement that the connection must know
-   */
-  record Work(
-      org.persimmonwalk.engine.RequestId id,
-      org.persimmonwalk.id.WorkspaceId workspace,
-      org.persimmonwalk.engine.Route route,
-      BackendStatement.Action action,
-      boolean needsPrimary,
-      boolean writes,
-      TermPosition floor,
-      Map<String, String> values,
-      Optional<PreparedShape> shape) {
-
-    org.persimmonwalk.id.DatabaseGroupId group() {
-      return route.group();
-    }
-
-    Duration latencyTarget() {
-      return route.latencyTarget();
-    }
-
-    Duration timeout() {
-      return route.statementTimeout();
-    }
-
-    Duration staleness() {
-      return route.kind() == RouteKind.PRIMARY ? Duration.ZERO : route.maximumStaleness();
-    }
-
-    int priority() {
-      return route.priority();
-    }
-  }
-
-  /**
-   * How the work ended.
-   *
-   * @param connection the connection that ran it, if it succeeded; the taker gives it back
-   */
-  record Outcome(Answer answer, Optional<PooledConnection> connection, boolean onPrimary) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.persimmonwalk.blackboard.EntryKey;
 import org.persimmonwalk.blackboard.Observation;
@@ -26,7 +27,7 @@
     TrafficScheduler scheduler,
     BackendConnector connector,
     Supplier<Snapshot> snapshot,
-    java.util.function.Consumer<Observation> observations,
+    Consumer<Observation> observations,
     DecisionLog log,
     TrafficMeter meter,
     SuspensionDetector suspension) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -103,8 +103,8 @@
             .isPresent();
   }
 
-  private StatementRun.Work opening(RequestId id) {
-    return new StatementRun.Work(
+  private Work opening(RequestId id) {
+    return new Work(
         RequestId.OWN,
         session.workspace(),
         route,
@@ -116,7 +116,7 @@
         Optional.empty());
   }
 
-  private void opened(StatementRun.Outcome outcome, Runnable action) {
+  private void opened(Outcome outcome, Runnable action) {
     if (ended) {
       outcome.connection().ifPresent(PooledConnection::discard);
       return;
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Command;
+import org.persimmonwalk.blackboard.EntryKey;
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.Engine;
@@ -145,7 +147,7 @@
             scheduler,
             servers,
             command -> scheduler.schedule(STEP, () -> execute(self.get(0), command)),
-            (event, fields) -> events.add(event + java.util.Arrays.toString(fields)),
+            (event, fields) -> events.add(event + Arrays.toString(fields)),
             new TrafficMeter() {
               @Override
               public void count(String event) {}
@@ -271,7 +273,7 @@
   }
 
   /** Returns the contents of the blackboard of a host; a helper for assertions. */
-  public <T> T entry(Engine host, org.persimmonwalk.blackboard.EntryKey<T> key) {
+  public <T> T entry(Engine host, EntryKey<T> key) {
     return host.loop().snapshot().get(key);
   }
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.RequestId;
@@ -44,7 +45,7 @@
   private void limit() {
     fixture.publish(
         EngineFixture.configuration(
-            2, RATE, java.util.Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE)));
+            2, RATE, Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE)));
     fixture.run(Duration.ofMillis(1500));
   }
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
@@ -9,9 +9,11 @@
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.PreparedShape;
+import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.Statement;
@@ -74,7 +76,7 @@
     fixture.run(Duration.ofMillis(30));
     fixture.stepTimeOfDay(Duration.ofSeconds(8));
 
-    session.receive(org.persimmonwalk.engine.RequestId.of("1"), READ);
+    session.receive(RequestId.of("1"), READ);
 
     assertThat(caller.lastCode()).contains(FailureCode.OVERLOADED);
   }
@@ -236,11 +238,7 @@
   @Test
   void shouldRefuseUnknownDatabasesAndKeys() {
     FakeCaller other = new FakeCaller();
-    fixture
-        .hosts
-        .get(0)
-        .sessions()
-        .open(other, org.persimmonwalk.engine.DatabaseName.of("none"), Optional.empty());
+    fixture.hosts.get(0).sessions().open(other, DatabaseName.of("none"), Optional.empty());
 
     assertThat(other.refusal()).contains(FailureCode.UNKNOWN_DATABASE);
   }
