Read at another server when one fails a read

A server that fails part of its work while its health check is good made callers see failures that another server would not have given. Test: SessionTest.shouldReadElsewhereWhenAServerFails fails before.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
@@ -83,6 +83,11 @@
     avoidUntil = now.plus(FULL_AVOIDANCE);
   }
 
+  /** A server that fails reads is tried again after a pause; its connections stay usable. */
+  void failed(MonotonicTime now) {
+    avoidUntil = now.plus(AVOIDANCE);
+  }
+
   void behind(MonotonicTime now) {
     behindUntil = now.plus(AVOIDANCE);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementRun.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementRun.java
@@ -184,13 +184,17 @@
     if (code == FailureCode.UNKNOWN_NAME) {
       used.prepared().clear();
     }
-    boolean notRun = code.nothingKept() || code == FailureCode.UNKNOWN_NAME;
+    boolean failedRead = code == FailureCode.FAILED && !work.writes();
+    if (failedRead) {
+      used.pool().health().failed(now);
+    }
+    boolean repeatable = code.nothingKept() || code == FailureCode.UNKNOWN_NAME || failedRead;
     if (answer.state() == SessionState.IDLE) {
       used.release();
     } else {
       used.discard();
     }
-    if (notRun) {
+    if (repeatable) {
       notRun(used.server(), answer.failure().orElseThrow());
     } else {
       finish(new Outcome(answer.withState(SessionState.IDLE), Optional.empty(), onPrimary));
@@ -230,8 +234,8 @@
   }
 
   private void giveUp() {
-    FailureCode code =
-        lastFailure.code().nothingKept() ? lastFailure.code() : FailureCode.OVERLOADED;
+    boolean passedOn = lastFailure.code().nothingKept() || lastFailure.code() == FailureCode.FAILED;
+    FailureCode code = passedOn ? lastFailure.code() : FailureCode.OVERLOADED;
     fail(code, lastFailure.detail() + "; try again");
   }
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
@@ -216,6 +216,23 @@
     assertThat(caller.last().succeeded()).isTrue();
   }
 
+  /** Guards against passing on the failure of a read that another server can serve. */
+  @Test
+  void shouldReadElsewhereWhenAServerFails() {
+    Session session = open(RouteKind.BOUNDED_STALENESS);
+    fixture.send(session, "1", READ);
+    int[] failures = {1};
+    fixture.servers.behave(
+        sent ->
+            failures[0]-- > 0
+                ? Optional.of(Answer.failed(FailureCode.FAILED, "failed", SessionState.IDLE))
+                : fixture.servers.success(sent));
+
+    fixture.send(session, "2", READ);
+
+    assertThat(caller.last().succeeded()).isTrue();
+  }
+
   /** Guards against repeating a write that ran and failed. */
   @Test
   void shouldPassOnFailuresOfStatementsThatRan() {
