--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -43,7 +43,7 @@
    * without demand, so that operations are admitted at once, also while the store is away. The rest
    * serves hosts with more demand than others.
    */
-  private static final double READY_PART = 0.5;
+  private static final double READY_PART = 0.4;
 
   /** Calls end by their own timeout; an answer lost inside this process must not stop the rest. */
   static final Duration OVERDUE = Duration.ofMillis(5000);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -7,8 +7,11 @@
 
 /** The tokens of one workspace at this host, and the demand for them. */
 final class WorkspaceTokens {
-  /** A host holds tokens for its demand of so many seconds, as the bucket has few more. */
-  private static final double SECONDS_HELD = 3.2;
+  /**
+   * A host holds tokens for its demand of so many seconds. Tokens can be taken every second; all
+   * hosts together must leave a good part of the bucket to those whose demand grows.
+   */
+  private static final double SECONDS_HELD = 1.8;
 
   /** Tokens are taken anew when less than this part of the target is left. */
   private static final double LOW_PART = 0.5;
