--- a/engine/src/main/java/org/persimmonwalk/engine/TermPosition.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/TermPosition.java
@@ -5,7 +5,7 @@
 /**
  * A place in the log of a database group.
  *
- * @param term the reign in which the record was written
+ * @param term the term of the primary that wrote the record
  * @param number the number of the record
  */
 public record TermPosition(long term, long number) implements Comparable<TermPosition> {
