--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -12,9 +12,11 @@
 import org.persimmonwalk.internal.engine.control.PrimaryViewController;
 import org.persimmonwalk.internal.engine.control.PromotionController;
 import org.persimmonwalk.internal.engine.control.RateController;
+import org.persimmonwalk.internal.engine.control.RelayController;
 import org.persimmonwalk.internal.engine.control.StopController;
 import org.persimmonwalk.internal.engine.control.SuspicionController;
 import org.persimmonwalk.internal.engine.control.VerificationController;
+import org.persimmonwalk.internal.engine.control.ZoneExchangeController;
 import org.persimmonwalk.internal.engine.traffic.Sessions;
 import org.persimmonwalk.internal.engine.traffic.TrafficContext;
 import org.persimmonwalk.internal.engine.traffic.TrafficMeter;
@@ -47,12 +49,14 @@
     List<Controller> controllers =
         List.of(
             StopController.create(),
-            VerificationController.create(log),
+            RelayController.create(settings, log),
+            VerificationController.create(settings, log),
             DirectoryController.create(log),
             PrimaryViewController.create(log),
             SuspicionController.create(settings, log),
             PromotionController.create(settings, log, suspension),
-            RateController.create(settings, log));
+            RateController.create(settings, log, suspension),
+            ZoneExchangeController.create(settings, suspension));
     ControlLoop loop = ControlLoop.of(controllers, executor, clock, RandomSource.system());
     TrafficContext context =
         new TrafficContext(
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.engine.control;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -54,6 +55,20 @@
   /** The number of hosts that have lately taken tokens, this one included. */
   public static final EntryKey<Integer> ACTIVE_HOSTS = EntryKey.of("active hosts", 1);
 
+  /** Whether this host calls the store itself, for its zone, or asks another host. */
+  public static final EntryKey<RelayRole> RELAY_ROLE = EntryKey.of("relay role", RelayRole.DIRECT);
+
+  /** The questions about tokens for the relay of the zone. */
+  public static final EntryKey<TokenAsks> TOKEN_ASKS = EntryKey.of("token asks", TokenAsks.NONE);
+
+  /** The tokens lent in this round, by the exchange of the question. */
+  public static final EntryKey<Map<Long, List<TokenLoan>>> TOKEN_LOANS =
+      EntryKey.of("token loans", Map.of());
+
+  /** The revision of the list of servers, and when it was last read. */
+  public static final EntryKey<Optional<ServerListing>> SERVER_LISTING =
+      EntryKey.of("server listing", Optional.empty());
+
   /** Whether the host was asked to stop. */
   public static final EntryKey<Boolean> STOPPING = EntryKey.of("stopping", false);
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.model.SocketEndpoint;
 
 /**
  * What the controllers and the traffic need to know of the installation.
  *
+ * @param peers where the other hosts of the zone reach this one
  * @param keyRevocation the time within which a withdrawn key must stop working
  * @param rateWindow the span over which limits are judged
  * @param rateOverage the part of the limit by which a span may exceed it
@@ -16,6 +18,7 @@
 public record EngineSettings(
     EntryHostId host,
     AvailabilityZone zone,
+    SocketEndpoint peers,
     Duration keyRevocation,
     Duration rateWindow,
     double rateOverage,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
@@ -4,15 +4,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.HostAsked;
 import org.persimmonwalk.engine.control.ListServers;
+import org.persimmonwalk.engine.control.RelayAnswered;
+import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.ServerListing;
 import org.persimmonwalk.engine.control.ServerSilent;
 import org.persimmonwalk.engine.control.ServersListed;
+import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -35,7 +41,20 @@
   /** Calls end by their own timeout; an answer lost inside this process must not stop the list. */
   static final Duration OVERDUE = Duration.ofMillis(5000);
 
+  /**
+   * A host that asks the relay of its zone lists the servers itself when its list is older than
+   * this; a draining server must get no request 7 s after it says so.
+   */
+  static final Duration RELAY_PATIENCE = Duration.ofMillis(3500);
+
+  /** Revisions of two processes start apart, so that they are never taken for each other. */
+  private static final int REVISION_RANGE = 1 << 30;
+
+  /** The revision of a list that no relay has; the relay then sends its list again. */
+  private static final long UNKNOWN_REVISION = 0;
+
   private final DecisionLog log;
+  private long ownRevision;
   private boolean inFlight;
   private MonotonicTime lastCall = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime nextCall = MonotonicTime.of(Long.MIN_VALUE / 2);
@@ -54,15 +73,29 @@
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
+    if (ownRevision == 0) {
+      ownRevision = (long) context.random().nextInt(REVISION_RANGE) * REVISION_RANGE;
+    }
     blackboard
         .observations(ServersListed.class)
         .forEach(
             listed -> {
               inFlight = false;
               nextCall = now.plus(listed.entries().isPresent() ? INTERVAL : FAILURE_PAUSE);
-              listed.entries().ifPresent(entries -> replace(blackboard, entries, now));
+              listed.entries().ifPresent(entries -> takeOwn(blackboard, entries, now));
             });
-    if (isUrgent(blackboard, now)) {
+    blackboard
+        .observations(RelayAnswered.class)
+        .forEach(
+            answer ->
+                answer
+                    .reply()
+                    .filter(ZoneReply::serves)
+                    .flatMap(ZoneReply::servers)
+                    .ifPresent(list -> take(blackboard, list, answer.askedAt().minus(list.age()))));
+    if (blackboard.get(EngineEntries.RELAY_ROLE).isRelayed()) {
+      nextCall = lastList.plus(RELAY_PATIENCE);
+    } else if (isUrgent(blackboard, now)) {
       MonotonicTime soon = lastList.plus(URGENT_INTERVAL);
       nextCall = soon.isBefore(nextCall) && lastList.isAfter(keepLapsedUntil) ? soon : nextCall;
     }
@@ -76,10 +109,44 @@
 
   private static boolean isUrgent(Blackboard blackboard, MonotonicTime now) {
     return blackboard.observations(ServerSilent.class).findAny().isPresent()
+        || blackboard.observations(HostAsked.class).anyMatch(asked -> asked.request().urgent())
         || blackboard.get(EngineEntries.PRIMARIES).values().stream()
             .anyMatch(view -> view.at(now).isEmpty());
   }
 
+  private void takeOwn(Blackboard blackboard, List<ServerEntry> entries, MonotonicTime now) {
+    Map<BackendServerId, ServerEntry> old = blackboard.get(EngineEntries.SERVERS);
+    replace(blackboard, entries, now);
+    if (!old.equals(blackboard.get(EngineEntries.SERVERS)) || listing(blackboard) != ownRevision) {
+      ownRevision++;
+    }
+    note(blackboard, ownRevision);
+  }
+
+  private static long listing(Blackboard blackboard) {
+    return blackboard.get(EngineEntries.SERVER_LISTING).map(ServerListing::revision).orElse(0L);
+  }
+
+  private void note(Blackboard blackboard, long revision) {
+    blackboard.put(
+        EngineEntries.SERVER_LISTING, Optional.of(new ServerListing(revision, lastList)));
+  }
+
+  /** Takes over the list of the relay; one that is older than the own list shows nothing new. */
+  private void take(Blackboard blackboard, ServerList list, MonotonicTime readAt) {
+    if (!readAt.isAfter(lastList)) {
+      return;
+    }
+    if (listing(blackboard) == list.revision()) {
+      lastList = readAt;
+      note(blackboard, list.revision());
+      return;
+    }
+    replace(blackboard, list.entries(), readAt);
+    boolean isRelaysList = !readAt.isBefore(keepLapsedUntil);
+    note(blackboard, isRelaysList ? list.revision() : UNKNOWN_REVISION);
+  }
+
   private void replace(Blackboard blackboard, List<ServerEntry> entries, MonotonicTime now) {
     Map<BackendServerId, ServerEntry> old = blackboard.get(EngineEntries.SERVERS);
     if (!old.isEmpty() && now.since(lastList).compareTo(OUTAGE) > 0) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -1,80 +1,58 @@
 package org.persimmonwalk.internal.engine.control;
 
-import java.time.Duration;
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
+import java.util.function.Predicate;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
-import org.persimmonwalk.engine.RateLimit;
+import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.HostAsked;
+import org.persimmonwalk.engine.control.RelayAnswered;
+import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowDemand;
-import org.persimmonwalk.engine.control.RowKey;
-import org.persimmonwalk.engine.control.RunTransaction;
-import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.TokenAsk;
+import org.persimmonwalk.engine.control.TokenAsks;
 import org.persimmonwalk.engine.control.TokenGrant;
-import org.persimmonwalk.engine.control.TransactionAnswered;
-import org.persimmonwalk.engine.control.TransactionResult;
-import org.persimmonwalk.engine.control.TransactionTag;
+import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.WorkspaceDemand;
+import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Takes tokens for the operations of workspaces from the rows that all hosts share; owns the tokens
- * entry.
+ * Gives the sessions of this host tokens for their operations, and lends tokens to the other hosts
+ * of the zone while this host is the relay; owns the tokens and the questions about them.
  */
 public final class RateController implements Controller {
-  /**
-   * Hosts that change the same rows at once conflict; a host that gives up has no token for a
-   * second. With 3 attempts a small workspace on 15 hosts was refused now and then.
-   */
-  static final int ATTEMPTS = 8;
-
-  /**
-   * The part of the capacity that the hosts with sessions of a workspace hold in equal parts even
-   * without demand, so that operations are admitted at once, also while the store is away. The rest
-   * serves hosts with more demand than others.
-   */
-  private static final double READY_PART = 0.4;
-
-  /** Calls end by their own timeout; an answer lost inside this process must not stop the rest. */
-  static final Duration OVERDUE = Duration.ofMillis(5000);
-
-  /**
-   * The store takes 100 entries per call; a call states and writes each rate row, and states the
-   * configuration and leadership rows besides.
-   */
-  static final int MOST_ROWS = 40;
-
-  private static final String PURPOSE = "take-tokens";
-
   private final EngineSettings settings;
-  private final DecisionLog log;
+  private final SuspensionDetector suspension;
+  private final StoreTokens store;
   private final Map<WorkspaceId, WorkspaceTokens> workspaces = new TreeMap<>();
-  private long serial;
-  private Attempt inFlight;
+  private int hostsOfRelay = 1;
 
-  private RateController(EngineSettings settings, DecisionLog log) {
+  private RateController(EngineSettings settings, DecisionLog log, SuspensionDetector suspension) {
     this.settings = settings;
-    this.log = log;
+    this.suspension = suspension;
+    this.store = new StoreTokens(settings, log);
   }
 
   /** Returns a controller that holds no tokens. */
-  public static RateController create(EngineSettings settings, DecisionLog log) {
-    return new RateController(settings, log);
+  public static RateController create(
+      EngineSettings settings, DecisionLog log, SuspensionDetector suspension) {
+    return new RateController(settings, log, suspension);
   }
 
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
+    MonotonicTime resumedAt = suspension.lastResumedAt();
     blackboard
         .observations(WorkspaceDemand.class)
         .forEach(
@@ -82,150 +60,100 @@
                 workspaces
                     .computeIfAbsent(seen.workspace(), unused -> new WorkspaceTokens(now))
                     .note(seen, now));
-    blackboard
-        .observations(TransactionAnswered.class)
-        .filter(answer -> answer.transaction().tag().purpose().equals(PURPOSE))
-        .filter(
-            answer -> inFlight != null && answer.transaction().tag().serial() == inFlight.serial())
-        .forEach(answer -> finish(blackboard, answer, now));
-    workspaces.values().forEach(tokens -> tokens.lapse(now));
-    boolean rowsAreFresh =
-        blackboard
-            .observations(TransactionAnswered.class)
-            .filter(
-                answer ->
-                    answer.transaction().tag().purpose().equals(VerificationController.PURPOSE))
-            .anyMatch(answer -> answer.time().isPresent());
-    if (inFlight != null && now.since(inFlight.startedAt()).compareTo(OVERDUE) > 0) {
-      inFlight = null;
-    }
-    boolean needs = workspaces.values().stream().anyMatch(tokens -> tokens.mustAsk(now));
-    if (inFlight == null && rowsAreFresh && needs) {
-      ask(blackboard, now, 1, active(now));
-    }
-    blackboard.put(
-        EngineEntries.ROW_DEMAND,
-        new RowDemand(
-            active(now).stream().map(RateRow::key).collect(Collectors.toSet()),
-            inFlight == null
-                && workspaces.values().stream().anyMatch(tokens -> tokens.isUrgent(now))));
-    publish(blackboard);
-  }
-
-  private void publish(Blackboard blackboard) {
-    Map<WorkspaceId, TokenGrant> grants = new HashMap<>();
-    workspaces.forEach((workspace, tokens) -> grants.put(workspace, tokens.published()));
-    int hosts = 1;
-    for (WorkspaceId workspace : workspaces.keySet()) {
-      String text = Expectations.known(blackboard, RateRow.key(workspace)).value();
-      hosts = Math.max(hosts, RateRow.holders(text));
-    }
-    blackboard.put(EngineEntries.ACTIVE_HOSTS, hosts);
-    if (!grants.equals(blackboard.get(EngineEntries.TOKENS))) {
-      blackboard.put(EngineEntries.TOKENS, Map.copyOf(grants));
+    blackboard.observations(RelayAnswered.class).forEach(this::takeLoans);
+    store.finish(blackboard, now);
+    store.lapse(now, resumedAt);
+    workspaces.values().forEach(tokens -> tokens.lapse(now, resumedAt));
+    lendToOthers(blackboard, now, resumedAt);
+    if (blackboard.get(EngineEntries.RELAY_ROLE).isRelayed()) {
+      lendToSelf(now, resumedAt, store::hasTokens);
+      askRelay(blackboard, now);
+      publish(blackboard, RowDemand.NONE, hostsOfRelay);
+    } else {
+      lendToSelf(now, resumedAt, workspace -> true);
+      putAsks(blackboard, TokenAsks.NONE);
+      store.ask(blackboard, context);
+      publish(blackboard, store.rows(now), store.hosts(blackboard));
     }
   }
 
-  /** Returns the workspaces that need tokens here, those that asked longest ago first. */
-  private Set<WorkspaceId> active(MonotonicTime now) {
-    return workspaces.entrySet().stream()
-        .filter(entry -> entry.getValue().isActive(now))
-        .sorted(Map.Entry.comparingByValue(Comparator.comparing(WorkspaceTokens::lastAsked)))
-        .limit(MOST_ROWS)
-        .map(Map.Entry::getKey)
-        .collect(Collectors.toSet());
+  private void takeLoans(RelayAnswered answer) {
+    answer.question().request().asks().stream()
+        .map(TokenAsk::workspace)
+        .filter(workspaces::containsKey)
+        .forEach(workspace -> workspaces.get(workspace).asked(answer.askedAt()));
+    answer
+        .reply()
+        .filter(ZoneReply::serves)
+        .ifPresent(
+            reply -> {
+              hostsOfRelay = reply.activeHosts();
+              reply.loans().stream()
+                  .filter(loan -> workspaces.containsKey(loan.workspace()))
+                  .forEach(loan -> workspaces.get(loan.workspace()).grant(loan, answer.askedAt()));
+            });
   }
 
-  private void ask(Blackboard blackboard, MonotonicTime now, int attempt, Set<WorkspaceId> asking) {
-    Optional<StoreTime> time = blackboard.get(EngineEntries.STORE_TIME);
-    if (time.isEmpty()) {
-      return;
+  private void lendToOthers(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
+    Map<Long, List<TokenLoan>> lent = new HashMap<>();
+    if (blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAYING) {
+      blackboard
+          .observations(HostAsked.class)
+          .forEach(
+              asked -> {
+                List<TokenLoan> loans = new ArrayList<>();
+                for (TokenAsk ask : asked.request().asks()) {
+                  loans.add(store.lend(asked.request().from(), ask, now, resumedAt));
+                }
+                lent.put(asked.exchange(), loans);
+              });
     }
-    Map<WorkspaceId, RateLimit> limits = blackboard.get(EngineEntries.CONFIGURATION).limits();
-    Map<RowKey, Long> expected = Expectations.verifying(blackboard);
-    Map<RowKey, String> writes = new HashMap<>();
-    Map<WorkspaceId, Taking> takings = new HashMap<>();
-    asking.stream()
-        .filter(limits::containsKey)
-        .forEach(
-            workspace -> {
-              RateLimit limit = limits.get(workspace);
-              RowKey key = RateRow.key(workspace);
-              Taking taking = take(blackboard, workspace, limit, time.get(), now);
-              expected.put(key, Expectations.version(blackboard, key));
-              writes.put(key, taking.row().text());
-              takings.put(workspace, taking);
-            });
-    if (takings.isEmpty()) {
-      return;
+    if (!lent.equals(blackboard.get(EngineEntries.TOKEN_LOANS))) {
+      blackboard.put(EngineEntries.TOKEN_LOANS, Map.copyOf(lent));
     }
-    serial++;
-    inFlight = new Attempt(serial, attempt, now, takings);
-    blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, writes));
   }
 
-  private Taking take(
-      Blackboard blackboard,
-      WorkspaceId workspace,
-      RateLimit limit,
-      StoreTime time,
-      MonotonicTime now) {
-    WorkspaceTokens tokens = workspaces.get(workspace);
-    long storeMillis = time.earliest(time.receivedAt());
-    String text = Expectations.known(blackboard, RateRow.key(workspace)).value();
-    long held = tokens.left();
-    RateRow row =
-        RateRow.parse(text, limit, storeMillis)
-            .refilled(limit, settings, settings.host(), storeMillis)
-            .capped(RateRow.capacity(limit, settings), held);
-    long available = (long) Math.floor(row.tokens());
-    int holders = Math.max(1, RateRow.holders(text));
-    long even = (long) (RateRow.capacity(limit, settings) * READY_PART / holders);
-    long target = Math.max(tokens.target(now), even);
-    long wanted = Math.max(0, target - held);
-    long fair = available > wanted * 2 ? available : Math.max(1, available / 2);
-    long taken = Math.min(wanted, Math.min(available, fair));
-    boolean scarce = taken < wanted && tokens.exceeds(limit.perSecond() / holders, now);
-    return new Taking(taken, scarce, row.taken(settings.host(), taken, held, time.latest(now)));
+  /** A host that has just found a relay still has tokens of its own in the store. */
+  private void lendToSelf(
+      MonotonicTime now, MonotonicTime resumedAt, Predicate<WorkspaceId> isLent) {
+    workspaces.forEach(
+        (workspace, tokens) -> {
+          if (tokens.mustAsk(now) && isLent.test(workspace)) {
+            TokenAsk ask = tokens.ask(workspace, now);
+            tokens.grant(store.lend(settings.host(), ask, now, resumedAt), now);
+          }
+        });
   }
 
-  private void finish(Blackboard blackboard, TransactionAnswered answer, MonotonicTime now) {
-    Attempt ended = inFlight;
-    inFlight = null;
-    if (answer.result() == TransactionResult.CONFLICT && ended.attempt() < ATTEMPTS) {
-      ask(blackboard, now, ended.attempt() + 1, ended.takings().keySet());
-      return;
-    }
-    ended
-        .takings()
-        .forEach(
-            (workspace, taking) -> {
-              WorkspaceTokens tokens = workspaces.get(workspace);
-              tokens.asked(ended.startedAt());
-              if (answer.result() == TransactionResult.APPLIED) {
-                grant(workspace, tokens, taking, ended.startedAt());
-              }
-            });
+  private void askRelay(Blackboard blackboard, MonotonicTime now) {
+    boolean urgent = workspaces.values().stream().anyMatch(tokens -> tokens.isUrgent(now));
+    List<TokenAsk> asks = new ArrayList<>();
+    workspaces.forEach(
+        (workspace, tokens) -> {
+          if (tokens.mustAsk(now)) {
+            asks.add(tokens.ask(workspace, now));
+          }
+        });
+    putAsks(blackboard, new TokenAsks(asks, urgent));
   }
 
-  private void grant(
-      WorkspaceId workspace, WorkspaceTokens tokens, Taking taking, MonotonicTime startedAt) {
-    tokens.lapse(startedAt);
-    tokens.grant(taking.tokens(), taking.scarce(), startedAt);
-    if (taking.scarce()) {
-      log.write(
-          "tokens-scarce",
-          "workspace",
-          workspace,
-          "taken",
-          taking.tokens(),
-          "left",
-          taking.row().tokens());
+  private static void putAsks(Blackboard blackboard, TokenAsks asks) {
+    if (!asks.equals(blackboard.get(EngineEntries.TOKEN_ASKS))) {
+      blackboard.put(EngineEntries.TOKEN_ASKS, asks);
     }
   }
 
-  private record Taking(long tokens, boolean scarce, RateRow row) {}
-
-  private record Attempt(
-      long serial, int attempt, MonotonicTime startedAt, Map<WorkspaceId, Taking> takings) {}
+  private void publish(Blackboard blackboard, RowDemand demand, int hosts) {
+    Map<WorkspaceId, TokenGrant> grants = new HashMap<>();
+    workspaces.forEach((workspace, tokens) -> grants.put(workspace, tokens.published()));
+    if (!grants.equals(blackboard.get(EngineEntries.TOKENS))) {
+      blackboard.put(EngineEntries.TOKENS, Map.copyOf(grants));
+    }
+    if (hosts != blackboard.get(EngineEntries.ACTIVE_HOSTS)) {
+      blackboard.put(EngineEntries.ACTIVE_HOSTS, hosts);
+    }
+    if (!demand.equals(blackboard.get(EngineEntries.ROW_DEMAND))) {
+      blackboard.put(EngineEntries.ROW_DEMAND, demand);
+    }
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.persimmonwalk.engine.RateLimit;
 import org.persimmonwalk.engine.control.EngineSettings;
@@ -31,10 +32,18 @@
   private static final double TOLERANCE_USED = 0.8;
 
   private static final double MILLIS_PER_SECOND = 1000.0;
+  private static final double TENTHS = 10.0;
   private static final String SEPARATOR = " ";
+  private static final int HEADER_PARTS = 2;
+  private static final int HOLDING_PARTS = 5;
 
-  /** Tokens that a host holds since the given time of the store. */
-  record Holding(long tokens, long takenAtMillis) {
+  /**
+   * Tokens that a host holds since the given time of the store.
+   *
+   * @param hosts the hosts among which it shares them, itself included
+   * @param demand the operations per second that these hosts see
+   */
+  record Holding(long tokens, long takenAtMillis, int hosts, double demand) {
     boolean hasLapsed(long storeMillis) {
       return takenAtMillis + VALID_MILLIS + LAPSE_SLACK_MILLIS < storeMillis;
     }
@@ -47,21 +56,35 @@
   /** Reads the row; a row that does not exist is a bucket that holds the burst. */
   static RateRow parse(String text, RateLimit limit, long storeMillis) {
     String[] parts = text.split(SEPARATOR);
-    if (parts.length < 2) {
+    if (parts.length < HEADER_PARTS) {
       return new RateRow(limit.burst(), storeMillis, Map.of());
     }
     Map<EntryHostId, Holding> holdings = new TreeMap<>();
-    for (int i = 2; i + 2 < parts.length; i += 3) {
+    for (int i = HEADER_PARTS; i + HOLDING_PARTS <= parts.length; i += HOLDING_PARTS) {
       holdings.put(
           EntryHostId.of(parts[i]),
-          new Holding(Long.parseLong(parts[i + 1]), Long.parseLong(parts[i + 2])));
+          new Holding(
+              Long.parseLong(parts[i + 1]),
+              Long.parseLong(parts[i + 2]),
+              Integer.parseInt(parts[i + 3]),
+              Double.parseDouble(parts[i + 4])));
     }
     return new RateRow(Double.parseDouble(parts[0]), Long.parseLong(parts[1]), holdings);
   }
 
-  /** Returns the number of hosts that hold tokens or lately held some. */
-  static int holders(String text) {
-    return Math.max(0, (text.split(SEPARATOR).length - 2) / 3);
+  /** Returns the number of holders that take tokens from the row, or lately did. */
+  int takers() {
+    return (int) holdings.values().stream().filter(holding -> holding.hosts() > 0).count();
+  }
+
+  /** Returns the operations per second that all holders see. */
+  double demand() {
+    return holdings.values().stream().mapToDouble(Holding::demand).sum();
+  }
+
+  /** Returns the number of hosts that spend tokens of the row, or lately did. */
+  int hosts() {
+    return holdings.values().stream().mapToInt(Holding::hosts).sum();
   }
 
   /** Returns the tokens that may exist at once, held or not. */
@@ -71,10 +94,14 @@
     return limit.burst() + tolerated * TOLERANCE_USED;
   }
 
-  /** Refills the bucket up to the given time and drops holdings that can be spent no more. */
-  RateRow refilled(RateLimit limit, EngineSettings settings, EntryHostId self, long storeMillis) {
+  /**
+   * Refills the bucket up to the given time and drops holdings that can be spent no more and those
+   * of the given holders.
+   */
+  RateRow refilled(
+      RateLimit limit, EngineSettings settings, Set<EntryHostId> selves, long storeMillis) {
     Map<EntryHostId, Holding> valid = new TreeMap<>(holdings);
-    valid.remove(self);
+    valid.keySet().removeAll(selves);
     valid.values().removeIf(holding -> holding.hasLapsed(storeMillis));
     long elapsed = Math.max(0, storeMillis - atMillis);
     double filled = tokens + limit.perSecond() * elapsed / MILLIS_PER_SECOND;
@@ -88,11 +115,11 @@
     return new RateRow(Math.max(0, Math.min(tokens, capacity - held)), atMillis, holdings);
   }
 
-  /** Returns the row after this host took tokens in addition to those that it holds. */
-  RateRow taken(EntryHostId self, long taken, long held, long takenAtMillis) {
+  /** Returns the row after a holder took tokens in addition to those that it holds. */
+  RateRow taken(EntryHostId holder, long taken, Holding after) {
     Map<EntryHostId, Holding> changed = new TreeMap<>(holdings);
-    if (held + taken > 0) {
-      changed.put(self, new Holding(held + taken, takenAtMillis));
+    if (after.tokens() > 0 || after.hosts() > 0) {
+      changed.put(holder, after);
     }
     return new RateRow(tokens - taken, atMillis, changed);
   }
@@ -108,7 +135,11 @@
                 .append(SEPARATOR)
                 .append(holding.tokens())
                 .append(SEPARATOR)
-                .append(holding.takenAtMillis()));
+                .append(holding.takenAtMillis())
+                .append(SEPARATOR)
+                .append(holding.hosts())
+                .append(SEPARATOR)
+                .append(Math.round(holding.demand() * TENTHS) / TENTHS));
     return text.toString();
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -10,6 +10,8 @@
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
@@ -18,6 +20,7 @@
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
 import org.persimmonwalk.engine.control.TransactionTag;
+import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -47,10 +50,17 @@
   /** Calls end by their own timeout; an answer lost inside this process must not stop the rest. */
   static final Duration OVERDUE = Duration.ofMillis(5000);
 
+  /**
+   * A host that asks the relay of its zone calls the store itself when its verification is older
+   * than this: the relay's interval, the pause between questions and a slow answer.
+   */
+  static final Duration RELAY_PATIENCE = Duration.ofMillis(1900);
+
   private static final int MOST_IN_FLIGHT = 2;
 
   static final String PURPOSE = "verify";
 
+  private final EngineSettings settings;
   private final DecisionLog log;
   private long serial;
   private int inFlight;
@@ -59,13 +69,14 @@
   private MonotonicTime lastEnd = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime nextCall = MonotonicTime.of(Long.MIN_VALUE / 2);
 
-  private VerificationController(DecisionLog log) {
+  private VerificationController(EngineSettings settings, DecisionLog log) {
+    this.settings = settings;
     this.log = log;
   }
 
   /** Returns a controller that has verified nothing. */
-  public static VerificationController create(DecisionLog log) {
-    return new VerificationController(log);
+  public static VerificationController create(EngineSettings settings, DecisionLog log) {
+    return new VerificationController(settings, log);
   }
 
   @Override
@@ -73,11 +84,14 @@
     blackboard
         .observations(TransactionAnswered.class)
         .forEach(answer -> take(blackboard, answer, context.now()));
+    blackboard
+        .observations(RelayAnswered.class)
+        .forEach(answer -> answer.reply().ifPresent(reply -> take(blackboard, answer, reply)));
     RowDemand demand = blackboard.get(EngineEntries.ROW_DEMAND);
-    MonotonicTime earliest = lastEnd.plus(LEAST_PAUSE);
     boolean due =
-        !context.now().isBefore(nextCall)
-            || (demand.urgent() && connected && !context.now().isBefore(earliest));
+        blackboard.get(EngineEntries.RELAY_ROLE).isRelayed()
+            ? isDueBesidesRelay(blackboard, context.now())
+            : isDue(demand, context.now());
     boolean hedges =
         inFlight > 0
             && inFlight < MOST_IN_FLIGHT
@@ -91,10 +105,46 @@
       serial++;
       Map<RowKey, Long> expected = Expectations.verifying(blackboard);
       demand.rows().forEach(row -> expected.put(row, Expectations.version(blackboard, row)));
+      RowKey relay = RelayController.row(settings.zone());
+      expected.put(relay, Expectations.version(blackboard, relay));
       blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, Map.of()));
     }
   }
 
+  private boolean isDue(RowDemand demand, MonotonicTime now) {
+    MonotonicTime earliest = lastEnd.plus(LEAST_PAUSE);
+    return !now.isBefore(nextCall) || (demand.urgent() && connected && !now.isBefore(earliest));
+  }
+
+  private boolean isDueBesidesRelay(Blackboard blackboard, MonotonicTime now) {
+    boolean isOld =
+        blackboard
+            .get(EngineEntries.VERIFIED_AT)
+            .filter(at -> now.since(at).compareTo(RELAY_PATIENCE) < 0)
+            .isEmpty();
+    return isOld && now.since(lastStart).compareTo(INTERVAL) >= 0 && !now.isBefore(nextCall);
+  }
+
+  /** Takes over what the relay has verified, as of the time of its own call. */
+  private void take(Blackboard blackboard, RelayAnswered answer, ZoneReply reply) {
+    if (!reply.serves()) {
+      return;
+    }
+    merge(blackboard, reply.rows(), reply.configuration());
+    reply
+        .reading()
+        .map(reading -> reading.at(answer.askedAt(), answer.answeredAt()))
+        .ifPresent(time -> noteTime(blackboard, time));
+    boolean covers =
+        blackboard.get(EngineEntries.CONFIGURATION).isPresent()
+            && reply.configurationRow() >= Expectations.version(blackboard, RowKey.CONFIGURATION);
+    if (covers) {
+      reply
+          .verifiedAge()
+          .ifPresent(age -> noteVerification(blackboard, answer.askedAt().minus(age)));
+    }
+  }
+
   private void take(Blackboard blackboard, TransactionAnswered answer, MonotonicTime now) {
     boolean answered =
         answer.result() == TransactionResult.APPLIED
@@ -102,7 +152,7 @@
     noteConnection(answered, answer.result());
     boolean verified = false;
     if (answered) {
-      merge(blackboard, answer);
+      merge(blackboard, answer.rows(), answer.configuration());
       verified = answer.time().filter(time -> verify(blackboard, answer, time)).isPresent();
     }
     if (answer.transaction().tag().purpose().equals(PURPOSE)) {
@@ -138,16 +188,16 @@
     }
   }
 
-  private void merge(Blackboard blackboard, TransactionAnswered answer) {
+  private void merge(
+      Blackboard blackboard,
+      Map<RowKey, StoredRow> shown,
+      Optional<RoutingConfiguration> configuration) {
     Map<RowKey, StoredRow> rows = new HashMap<>(blackboard.get(EngineEntries.ROWS));
-    answer
-        .rows()
-        .forEach(
-            (key, row) ->
-                rows.merge(
-                    key, row, (old, shown) -> shown.version() > old.version() ? shown : old));
+    shown.forEach(
+        (key, row) ->
+            rows.merge(key, row, (old, other) -> other.version() > old.version() ? other : old));
     blackboard.put(EngineEntries.ROWS, Map.copyOf(rows));
-    answer.configuration().ifPresent(shown -> accept(blackboard, shown));
+    configuration.ifPresent(newest -> accept(blackboard, newest));
   }
 
   /** A host only ever moves to a newer configuration. */
@@ -168,10 +218,7 @@
 
   /** Returns whether the answer covers all rows that a verification must cover. */
   private static boolean verify(Blackboard blackboard, TransactionAnswered answer, StoreTime time) {
-    Optional<StoreTime> newest = blackboard.get(EngineEntries.STORE_TIME);
-    if (newest.isEmpty() || newest.get().sentAt().isBefore(time.sentAt())) {
-      blackboard.put(EngineEntries.STORE_TIME, Optional.of(time));
-    }
+    noteTime(blackboard, time);
     boolean complete =
         answer
             .transaction()
@@ -181,10 +228,21 @@
     if (!complete || !blackboard.get(EngineEntries.CONFIGURATION).isPresent()) {
       return false;
     }
+    noteVerification(blackboard, time.sentAt());
+    return true;
+  }
+
+  private static void noteTime(Blackboard blackboard, StoreTime time) {
+    Optional<StoreTime> newest = blackboard.get(EngineEntries.STORE_TIME);
+    if (newest.isEmpty() || newest.get().sentAt().isBefore(time.sentAt())) {
+      blackboard.put(EngineEntries.STORE_TIME, Optional.of(time));
+    }
+  }
+
+  private static void noteVerification(Blackboard blackboard, MonotonicTime sentAt) {
     Optional<MonotonicTime> verified = blackboard.get(EngineEntries.VERIFIED_AT);
-    if (verified.isEmpty() || verified.get().isBefore(time.sentAt())) {
-      blackboard.put(EngineEntries.VERIFIED_AT, Optional.of(time.sentAt()));
+    if (verified.isEmpty() || verified.get().isBefore(sentAt)) {
+      blackboard.put(EngineEntries.VERIFIED_AT, Optional.of(sentAt));
     }
-    return true;
   }
 }
--- /dev/null
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -0,0 +1,179 @@
+package org.persimmonwalk.internal.engine.control;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.persimmonwalk.blackboard.Blackboard;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.RoundContext;
+import org.persimmonwalk.engine.RoutingConfiguration;
+import org.persimmonwalk.engine.SuspensionDetector;
+import org.persimmonwalk.engine.control.AnswerHost;
+import org.persimmonwalk.engine.control.AskRelay;
+import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.HostAsked;
+import org.persimmonwalk.engine.control.RelayAnswered;
+import org.persimmonwalk.engine.control.RelayHost;
+import org.persimmonwalk.engine.control.RelayRole;
+import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.ServerListing;
+import org.persimmonwalk.engine.control.StoreReading;
+import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.engine.control.TokenAsks;
+import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequest;
+import org.persimmonwalk.model.MonotonicTime;
+
+/**
+ * Asks the relay of the zone for what is new and answers the hosts that ask this one. Runs last, so
+ * that its answers show what the other controllers have decided in the round.
+ */
+public final class ZoneExchangeController implements Controller {
+  /** A configuration must be in force everywhere within 3 s; the relay reads it every second. */
+  static final Duration INTERVAL = Duration.ofMillis(400);
+
+  /** The interval while a group has no primary, so that its end is seen soon. */
+  static final Duration URGENT_INTERVAL = Duration.ofMillis(100);
+
+  /** The least pause between two questions when operations wait for tokens. */
+  static final Duration LEAST_PAUSE = Duration.ofMillis(10);
+
+  /** Questions end by their own timeout; an answer lost in this process must not stop the rest. */
+  static final Duration OVERDUE = Duration.ofMillis(2000);
+
+  private final EngineSettings settings;
+  private final SuspensionDetector suspension;
+  private boolean inFlight;
+  private MonotonicTime askedAt = MonotonicTime.of(Long.MIN_VALUE / 2);
+  private Optional<RelayHost> lastRelay = Optional.empty();
+
+  private ZoneExchangeController(EngineSettings settings, SuspensionDetector suspension) {
+    this.settings = settings;
+    this.suspension = suspension;
+  }
+
+  /** Returns a controller that has asked nothing. */
+  public static ZoneExchangeController create(
+      EngineSettings settings, SuspensionDetector suspension) {
+    return new ZoneExchangeController(settings, suspension);
+  }
+
+  @Override
+  public void run(Blackboard blackboard, RoundContext context) {
+    MonotonicTime now = context.now();
+    if (blackboard.observations(RelayAnswered.class).findAny().isPresent()) {
+      inFlight = false;
+    }
+    blackboard
+        .observations(HostAsked.class)
+        .forEach(
+            asked ->
+                blackboard.submit(new AnswerHost(asked.exchange(), reply(blackboard, asked, now))));
+    relayToAsk(blackboard).ifPresent(relay -> ask(blackboard, relay, now));
+  }
+
+  /** Returns the relay that is named, also while it fails, so that its return is noticed. */
+  private Optional<RelayHost> relayToAsk(Blackboard blackboard) {
+    RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
+    if (role.kind() == RelayRole.Kind.RELAYING) {
+      return Optional.empty();
+    }
+    return role.relay()
+        .or(
+            () ->
+                RelayHost.parse(
+                        Expectations.known(blackboard, RelayController.row(settings.zone()))
+                            .value())
+                    .filter(relay -> !relay.host().equals(settings.host())));
+  }
+
+  private void ask(Blackboard blackboard, RelayHost relay, MonotonicTime now) {
+    boolean isNew = lastRelay.filter(relay::equals).isEmpty();
+    boolean overdue = now.since(askedAt).compareTo(OVERDUE) > 0;
+    boolean waitsForPrimary = waitsForPrimary(blackboard, now);
+    TokenAsks tokens = blackboard.get(EngineEntries.TOKEN_ASKS);
+    Duration pause = waitsForPrimary ? URGENT_INTERVAL : INTERVAL;
+    if (tokens.urgent()) {
+      pause = LEAST_PAUSE;
+    }
+    boolean due = isNew || now.since(askedAt).compareTo(pause) >= 0;
+    if (!due || (inFlight && !overdue && !isNew)) {
+      return;
+    }
+    inFlight = true;
+    askedAt = now;
+    lastRelay = Optional.of(relay);
+    Map<RowKey, Long> known = new HashMap<>(Expectations.verifying(blackboard));
+    RowKey row = RelayController.row(settings.zone());
+    known.put(row, Expectations.version(blackboard, row));
+    long revision =
+        blackboard.get(EngineEntries.SERVER_LISTING).map(ServerListing::revision).orElse(0L);
+    blackboard.submit(
+        new AskRelay(
+            relay,
+            new ZoneRequest(settings.host(), known, revision, waitsForPrimary, tokens.asks())));
+  }
+
+  private static boolean waitsForPrimary(Blackboard blackboard, MonotonicTime now) {
+    return blackboard.get(EngineEntries.PRIMARIES).values().stream()
+        .anyMatch(view -> view.at(now).isEmpty());
+  }
+
+  private ZoneReply reply(Blackboard blackboard, HostAsked asked, MonotonicTime now) {
+    if (blackboard.get(EngineEntries.RELAY_ROLE).kind() != RelayRole.Kind.RELAYING) {
+      return ZoneReply.notServing();
+    }
+    MonotonicTime resumedAt = suspension.lastResumedAt();
+    Optional<Duration> verifiedAge =
+        blackboard
+            .get(EngineEntries.VERIFIED_AT)
+            .filter(at -> !at.isBefore(resumedAt))
+            .map(now::since);
+    ZoneRequest request = asked.request();
+    long configurationRow = Expectations.version(blackboard, RowKey.CONFIGURATION);
+    RoutingConfiguration configuration = blackboard.get(EngineEntries.CONFIGURATION);
+    boolean isNews = configurationRow > request.known().getOrDefault(RowKey.CONFIGURATION, 0L);
+    return new ZoneReply(
+        true,
+        verifiedAge,
+        configurationRow,
+        blackboard.get(EngineEntries.STORE_TIME).map(time -> StoreReading.of(time, now)),
+        newerRows(blackboard, request),
+        isNews ? Optional.of(configuration) : Optional.empty(),
+        servers(blackboard, request, now),
+        blackboard.get(EngineEntries.TOKEN_LOANS).getOrDefault(asked.exchange(), List.of()),
+        blackboard.get(EngineEntries.ACTIVE_HOSTS));
+  }
+
+  private Map<RowKey, StoredRow> newerRows(Blackboard blackboard, ZoneRequest request) {
+    Map<RowKey, StoredRow> newer = new HashMap<>();
+    Map<RowKey, Long> shown = new HashMap<>(Expectations.verifying(blackboard));
+    RowKey relay = RelayController.row(settings.zone());
+    shown.put(relay, Expectations.version(blackboard, relay));
+    shown.forEach(
+        (row, version) -> {
+          if (version > request.known().getOrDefault(row, 0L)) {
+            newer.put(row, Expectations.known(blackboard, row));
+          }
+        });
+    return newer;
+  }
+
+  private static Optional<ServerList> servers(
+      Blackboard blackboard, ZoneRequest request, MonotonicTime now) {
+    return blackboard
+        .get(EngineEntries.SERVER_LISTING)
+        .map(
+            listing ->
+                new ServerList(
+                    listing.revision(),
+                    now.since(listing.readAt()),
+                    listing.revision() == request.serversRevision()
+                        ? List.of()
+                        : List.copyOf(blackboard.get(EngineEntries.SERVERS).values())));
+  }
+}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TokenPurse.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TokenPurse.java
@@ -102,6 +102,9 @@
       report(workspace, true);
     } else if (possible) {
       unreported.merge(workspace, 1, Integer::sum);
+      if (current.count() == grant.granted()) {
+        report(workspace, false);
+      }
     }
     return possible;
   }
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -21,11 +21,15 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.SuspensionDetector;
+import org.persimmonwalk.engine.control.AnswerHost;
+import org.persimmonwalk.engine.control.AskRelay;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.HostAsked;
 import org.persimmonwalk.engine.control.ListServers;
 import org.persimmonwalk.engine.control.OrderPromotion;
 import org.persimmonwalk.engine.control.PromotionOrdered;
 import org.persimmonwalk.engine.control.ReadServerStatus;
+import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.ServerStatusRead;
@@ -34,6 +38,7 @@
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
+import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -42,6 +47,7 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.internal.engine.traffic.Session;
 import org.persimmonwalk.internal.engine.traffic.TrafficMeter;
+import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.testing.FakeClock;
 
@@ -52,6 +58,7 @@
   public static final String KEY = "secret";
 
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(1300);
+  private static final Duration PEER_TIMEOUT = Duration.ofMillis(200);
   private static final Duration STEP = Duration.ofMillis(10);
 
   public final FakeClock clock = new FakeClock();
@@ -63,9 +70,15 @@
   public final List<Engine> hosts = new ArrayList<>();
   public final Map<RowKey, StoredRow> rows = new HashMap<>();
   public boolean storeIsUp = true;
+  public boolean peersAreReachable = true;
+  public int storeCalls;
   public int answersToLose;
   public final List<String> events = new ArrayList<>();
   private final Map<Engine, Boolean> cutOff = new HashMap<>();
+  private final Map<SocketEndpoint, Engine> byEndpoint = new HashMap<>();
+  private final Map<Engine, Boolean> frozen = new HashMap<>();
+  private final Map<Long, Question> questions = new HashMap<>();
+  private long nextExchange;
   private long timeOfDay = 1_000_000;
   private long nextVersion = 1;
   private RoutingConfiguration configuration;
@@ -134,6 +147,7 @@
         new EngineSettings(
             EntryHostId.of(name),
             AvailabilityZone.of("a"),
+            SocketEndpoint.of(name, 1),
             Duration.ofMillis(5000),
             Duration.ofSeconds(5),
             0.1,
@@ -156,6 +170,7 @@
               public void time(String event, Duration duration) {}
             });
     self.add(engine);
+    byEndpoint.put(settings.peers(), engine);
     engine.sessions().start();
     return engine;
   }
@@ -165,6 +180,11 @@
     cutOff.put(host, cut);
   }
 
+  /** Stops a host as a kill does, or lets it go on. */
+  public void freeze(Engine host, boolean stopped) {
+    frozen.put(host, stopped);
+  }
+
   /** Lets the time of day step, as after a suspension of the machine. */
   public void stepTimeOfDay(Duration step) {
     timeOfDay += step.toMillis();
@@ -173,6 +193,15 @@
   private void execute(Engine host, Command command) {
     boolean reachable = storeIsUp && !cutOff.getOrDefault(host, false);
     Observation result;
+    if (command instanceof AskRelay question) {
+      ask(host, question);
+      return;
+    }
+    if (command instanceof AnswerHost answer) {
+      answer(answer);
+      return;
+    }
+    storeCalls++;
     if (command instanceof RunTransaction transaction && answersToLose > 0) {
       answersToLose--;
       scheduler.schedule(
@@ -207,6 +236,32 @@
     host.loop().post(result);
   }
 
+  private void ask(Engine host, AskRelay question) {
+    long exchange = ++nextExchange;
+    questions.put(exchange, new Question(host, question, clock.now()));
+    Engine relay = byEndpoint.get(question.relay().endpoint());
+    if (peersAreReachable && relay != null && !frozen.getOrDefault(relay, false)) {
+      relay.loop().post(new HostAsked(exchange, question.request()));
+    }
+    scheduler.schedule(PEER_TIMEOUT, () -> end(exchange, Optional.empty()));
+  }
+
+  private void answer(AnswerHost answer) {
+    end(answer.exchange(), Optional.of(answer.reply()));
+  }
+
+  private void end(long exchange, Optional<ZoneReply> reply) {
+    Question ended = questions.remove(exchange);
+    if (ended != null) {
+      ended
+          .host()
+          .loop()
+          .post(new RelayAnswered(ended.question(), reply, ended.askedAt(), clock.now()));
+    }
+  }
+
+  private record Question(Engine host, AskRelay question, MonotonicTime askedAt) {}
+
   /** Servers report a change of their role at once. */
   private void reportRoles(BackendServerId primary) {
     entries.replaceAll(
@@ -254,7 +309,9 @@
   public void run(Duration duration) {
     long steps = duration.toMillis() / STEP.toMillis();
     for (long i = 0; i < steps; i++) {
-      hosts.forEach(host -> host.loop().runRound());
+      hosts.stream()
+          .filter(host -> !frozen.getOrDefault(host, false))
+          .forEach(host -> host.loop().runRound());
       scheduler.advance(STEP);
     }
   }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -11,6 +11,8 @@
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.Statement;
+import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
 import org.persimmonwalk.id.KeyHash;
@@ -116,4 +118,42 @@
 
     assertThat(admittedIn(Duration.ofSeconds(5), 3)).isLessThanOrEqualTo((int) tolerated);
   }
+
+  /**
+   * Guards against tokens that count twice: the hosts of the zone spend what a relay has lent them
+   * after it is gone, while its successor takes tokens anew.
+   */
+  @Test
+  void shouldKeepTheLimitWhileTheRelayIsReplaced() {
+    limit();
+    fixture.run(Duration.ofSeconds(3));
+    double tolerated = (RATE * 5 + RATE) * 1.1 + 20;
+    admittedIn(Duration.ofSeconds(1), 1);
+    Engine relay =
+        fixture.hosts.stream()
+            .filter(
+                host -> fixture.entry(host, EngineEntries.RELAY_ROLE).equals(RelayRole.RELAYING))
+            .findFirst()
+            .orElseThrow();
+    fixture.freeze(relay, true);
+
+    assertThat(admittedIn(Duration.ofSeconds(5), 3)).isLessThanOrEqualTo((int) tolerated);
+  }
+
+  /** Guards against a relay that lends on what it held before its machine was suspended. */
+  @Test
+  void shouldKeepTheLimitWhenTheRelayResumes() {
+    limit();
+    fixture.run(Duration.ofSeconds(3));
+    admittedIn(Duration.ofSeconds(1), 1);
+    double tolerated = (RATE * 5 + RATE) * 1.1 + 20;
+    fixture.storeIsUp = false;
+    fixture.stepTimeOfDay(Duration.ofSeconds(8));
+    fixture.run(Duration.ofMillis(200));
+
+    assertThat(admittedIn(Duration.ofSeconds(1), 3)).isZero();
+
+    fixture.storeIsUp = true;
+    assertThat(admittedIn(Duration.ofSeconds(5), 3)).isLessThanOrEqualTo((int) tolerated);
+  }
 }
--- /dev/null
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
@@ -0,0 +1,151 @@
+package org.persimmonwalk.internal.engine.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.engine.Engine;
+import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.Statement;
+import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.RelayRole;
+import org.persimmonwalk.engine.testing.EngineFixture;
+import org.persimmonwalk.engine.testing.FakeCaller;
+import org.persimmonwalk.internal.engine.traffic.Session;
+
+/** The hosts of a zone share the store calls of one of them. */
+class RelayTest {
+  private static final int HOSTS = 7;
+  private static final Duration KEY_LIMIT = Duration.ofMillis(4500);
+
+  private final EngineFixture fixture = new EngineFixture(HOSTS);
+
+  @BeforeEach
+  void letARelayBeFound() {
+    fixture.run(Duration.ofSeconds(3));
+  }
+
+  private List<Engine> hostsIn(RelayRole.Kind kind) {
+    return fixture.hosts.stream()
+        .filter(host -> fixture.entry(host, EngineEntries.RELAY_ROLE).kind() == kind)
+        .toList();
+  }
+
+  private Engine relay() {
+    return hostsIn(RelayRole.Kind.RELAYING).get(0);
+  }
+
+  private Duration verifiedAge(Engine host) {
+    return fixture.clock.now().since(fixture.entry(host, EngineEntries.VERIFIED_AT).orElseThrow());
+  }
+
+  /** Guards against store calls that grow with the number of hosts in a zone. */
+  @Test
+  void shouldCallTheStoreForTheZoneOnce() {
+    int before = fixture.storeCalls;
+    fixture.run(Duration.ofSeconds(10));
+
+    assertThat(hostsIn(RelayRole.Kind.RELAYING)).hasSize(1);
+    assertThat(hostsIn(RelayRole.Kind.RELAYED)).hasSize(HOSTS - 1);
+    assertThat(fixture.storeCalls - before).isLessThanOrEqualTo(10 * 3);
+    fixture.hosts.forEach(
+        host -> assertThat(verifiedAge(host)).isLessThan(Duration.ofMillis(1900)));
+  }
+
+  /** Guards against a configuration that reaches the relay only. */
+  @Test
+  void shouldPassANewConfigurationOn() {
+    fixture.publish(EngineFixture.configuration(2, 100, Map.of()));
+    fixture.run(Duration.ofMillis(2000));
+
+    fixture.hosts.forEach(
+        host ->
+            assertThat(fixture.entry(host, EngineEntries.CONFIGURATION).version()).isEqualTo(2));
+  }
+
+  /** Guards against a zone that loses its verification with one host. */
+  @Test
+  void shouldReplaceARelayThatIsGone() {
+    Engine gone = relay();
+    fixture.freeze(gone, true);
+    for (int i = 0; i < 40; i++) {
+      fixture.run(Duration.ofMillis(100));
+      fixture.hosts.stream()
+          .filter(host -> host != gone)
+          .forEach(host -> assertThat(verifiedAge(host)).isLessThan(Duration.ofMillis(2200)));
+    }
+
+    assertThat(hostsIn(RelayRole.Kind.RELAYING)).hasSize(2).contains(gone);
+    assertThat(hostsIn(RelayRole.Kind.DIRECT)).isEmpty();
+  }
+
+  /** Guards against hosts that rely on a relay which has itself lost the store. */
+  @Test
+  void shouldLeaveARelayThatHasLostTheStore() {
+    Engine deaf = relay();
+    fixture.cutOff(deaf, true);
+    fixture.run(Duration.ofSeconds(6));
+
+    fixture.hosts.stream()
+        .filter(host -> host != deaf)
+        .forEach(host -> assertThat(verifiedAge(host)).isLessThan(Duration.ofMillis(1900)));
+  }
+
+  /** Guards against a verification that looks fresher at a host than it was at the relay. */
+  @Test
+  void shouldPassOnTheAgeOfItsOwnCall() {
+    fixture.storeIsUp = false;
+    fixture.run(Duration.ofSeconds(5));
+    Session session = fixture.open(fixture.hosts.get(0), RouteKind.PRIMARY, new FakeCaller());
+    fixture.send(session, "late", new Statement.Data(false, "READ x"));
+
+    fixture.hosts.forEach(host -> assertThat(verifiedAge(host)).isGreaterThan(KEY_LIMIT));
+    assertThat(fixture.servers.sent()).isEmpty();
+  }
+
+  /** Guards against hosts that depend on each other: without peers each calls the store itself. */
+  @Test
+  void shouldCallTheStoreItselfWhenThePeersCannotBeReached() {
+    fixture.peersAreReachable = false;
+    fixture.run(Duration.ofSeconds(10));
+
+    fixture.hosts.forEach(
+        host -> assertThat(verifiedAge(host)).isLessThan(Duration.ofMillis(2200)));
+  }
+
+  /** Guards against a change of the role that goes to and fro while peers cannot be reached. */
+  @Test
+  void shouldClaimTheRoleLessAndLessOftenWhenItIsLostAgain() {
+    fixture.peersAreReachable = false;
+    fixture.run(Duration.ofSeconds(60));
+    long before = changes();
+    fixture.run(Duration.ofSeconds(30));
+
+    assertThat(changes() - before).isLessThanOrEqualTo(HOSTS * 30L);
+  }
+
+  private long changes() {
+    return fixture.events.stream().filter(event -> event.startsWith("relay-changed")).count();
+  }
+
+  /** Guards against refusals at the other hosts of the zone when the relay is gone. */
+  @Test
+  void shouldServeOperationsWhileTheRelayIsReplaced() {
+    Engine gone = relay();
+    Engine other = fixture.hosts.stream().filter(host -> host != gone).findFirst().orElseThrow();
+    Session session = fixture.open(other, RouteKind.PRIMARY, new FakeCaller());
+    for (int i = 0; i < 20; i++) {
+      fixture.send(session, "before" + i, new Statement.Data(false, "READ x"));
+    }
+    fixture.freeze(gone, true);
+    int before = fixture.servers.sent().size();
+    for (int i = 0; i < 30; i++) {
+      fixture.send(session, "after" + i, new Statement.Data(false, "READ x"));
+    }
+
+    assertThat(fixture.servers.sent().size() - before).isEqualTo(30);
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
@@ -0,0 +1,118 @@
+package org.persimmonwalk.peer.zone;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.persimmonwalk.engine.DatabaseName;
+import org.persimmonwalk.engine.GroupSettings;
+import org.persimmonwalk.engine.RateLimit;
+import org.persimmonwalk.engine.Route;
+import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.RoutingConfiguration;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.peer.generated.zone.GroupMessage;
+import org.persimmonwalk.peer.generated.zone.KeyMessage;
+import org.persimmonwalk.peer.generated.zone.LimitMessage;
+import org.persimmonwalk.peer.generated.zone.RouteMessage;
+import org.persimmonwalk.peer.generated.zone.RoutingConfigurationMessage;
+
+/** Translates the configuration from and to its message. */
+final class RoutingConfigurationCodec {
+
+  private RoutingConfigurationCodec() {}
+
+  static RoutingConfigurationMessage encode(RoutingConfiguration configuration) {
+    RoutingConfigurationMessage.Builder message =
+        RoutingConfigurationMessage.newBuilder()
+            .setVersion(configuration.version())
+            .setTransactionIdleMilliseconds(configuration.transactionIdle().toMillis());
+    configuration.routes().values().forEach(route -> message.addRoutes(encode(route)));
+    configuration
+        .groups()
+        .forEach(
+            (group, settings) ->
+                message.addGroups(
+                    GroupMessage.newBuilder()
+                        .setGroup(group.value())
+                        .setMaximumConnections(settings.maximumConnections())
+                        .setSynchronousReplicas(settings.synchronousReplicas())));
+    configuration
+        .keys()
+        .forEach(
+            (hash, workspace) ->
+                message.addKeys(
+                    KeyMessage.newBuilder().setHash(hash.value()).setWorkspace(workspace.value())));
+    configuration
+        .limits()
+        .forEach(
+            (workspace, limit) ->
+                message.addLimits(
+                    LimitMessage.newBuilder()
+                        .setWorkspace(workspace.value())
+                        .setPerSecond(limit.perSecond())
+                        .setBurst(limit.burst())));
+    return message.build();
+  }
+
+  private static RouteMessage encode(Route route) {
+    return RouteMessage.newBuilder()
+        .setDatabase(route.database().value())
+        .setGroup(route.group().value())
+        .setKind(route.kind().name())
+        .setStatementTimeoutMilliseconds(route.statementTimeout().toMillis())
+        .setLatencyTargetMilliseconds(route.latencyTarget().toMillis())
+        .setPriority(route.priority())
+        .setMaximumStalenessMilliseconds(route.maximumStaleness().toMillis())
+        .setOpen(route.open())
+        .build();
+  }
+
+  static RoutingConfiguration decode(RoutingConfigurationMessage message) {
+    Map<DatabaseName, Route> routes = new HashMap<>();
+    message
+        .getRoutesList()
+        .forEach(route -> routes.put(DatabaseName.of(route.getDatabase()), decode(route)));
+    Map<DatabaseGroupId, GroupSettings> groups = new HashMap<>();
+    message
+        .getGroupsList()
+        .forEach(
+            group ->
+                groups.put(
+                    DatabaseGroupId.of(group.getGroup()),
+                    new GroupSettings(
+                        group.getMaximumConnections(), group.getSynchronousReplicas())));
+    Map<KeyHash, WorkspaceId> keys = new HashMap<>();
+    message
+        .getKeysList()
+        .forEach(key -> keys.put(KeyHash.of(key.getHash()), WorkspaceId.of(key.getWorkspace())));
+    Map<WorkspaceId, RateLimit> limits = new HashMap<>();
+    message
+        .getLimitsList()
+        .forEach(
+            limit ->
+                limits.put(
+                    WorkspaceId.of(limit.getWorkspace()),
+                    new RateLimit(limit.getPerSecond(), limit.getBurst())));
+    return new RoutingConfiguration(
+        message.getVersion(),
+        routes,
+        groups,
+        keys,
+        limits,
+        Duration.ofMillis(message.getTransactionIdleMilliseconds()));
+  }
+
+  private static Route decode(RouteMessage route) {
+    return new Route(
+        DatabaseName.of(route.getDatabase()),
+        DatabaseGroupId.of(route.getGroup()),
+        RouteKind.valueOf(route.getKind()),
+        Duration.ofMillis(route.getStatementTimeoutMilliseconds()),
+        Duration.ofMillis(route.getLatencyTargetMilliseconds()),
+        route.getPriority(),
+        Duration.ofMillis(route.getMaximumStalenessMilliseconds()),
+        route.getOpen());
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -0,0 +1,238 @@
+package org.persimmonwalk.peer.zone;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.StoreReading;
+import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.engine.control.TokenAsk;
+import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequest;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.peer.generated.zone.RowMessage;
+import org.persimmonwalk.peer.generated.zone.RowVersionMessage;
+import org.persimmonwalk.peer.generated.zone.ServerListMessage;
+import org.persimmonwalk.peer.generated.zone.ServerMessage;
+import org.persimmonwalk.peer.generated.zone.StoreReadingMessage;
+import org.persimmonwalk.peer.generated.zone.TokenAskMessage;
+import org.persimmonwalk.peer.generated.zone.TokenLoanMessage;
+import org.persimmonwalk.peer.generated.zone.ZoneReplyMessage;
+import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
+
+/** Translates questions and answers of a zone from and to their messages. */
+final class ZoneCodec {
+  private static final long NANOS_PER_MICRO = 1000;
+
+  private ZoneCodec() {}
+
+  static ZoneRequestMessage encode(long exchange, ZoneRequest request) {
+    ZoneRequestMessage.Builder message =
+        ZoneRequestMessage.newBuilder()
+            .setExchange(exchange)
+            .setFrom(request.from().value())
+            .setServersRevision(request.serversRevision())
+            .setUrgent(request.urgent());
+    request
+        .known()
+        .forEach(
+            (row, version) ->
+                message.addKnown(
+                    RowVersionMessage.newBuilder()
+                        .setTable(row.table())
+                        .setKey(row.key())
+                        .setVersion(version)));
+    request
+        .asks()
+        .forEach(
+            ask ->
+                message.addAsks(
+                    TokenAskMessage.newBuilder()
+                        .setWorkspace(ask.workspace().value())
+                        .setHeld(ask.held())
+                        .setDemand(ask.demand())
+                        .setTarget(ask.target())));
+    return message.build();
+  }
+
+  /** Decodes a question; throws an IllegalArgumentException if an identifier is invalid. */
+  static ZoneRequest decode(ZoneRequestMessage message) {
+    Map<RowKey, Long> known = new HashMap<>();
+    message
+        .getKnownList()
+        .forEach(row -> known.put(RowKey.of(row.getTable(), row.getKey()), row.getVersion()));
+    List<TokenAsk> asks = new ArrayList<>();
+    message
+        .getAsksList()
+        .forEach(
+            ask ->
+                asks.add(
+                    new TokenAsk(
+                        WorkspaceId.of(ask.getWorkspace()),
+                        ask.getHeld(),
+                        ask.getDemand(),
+                        ask.getTarget())));
+    return new ZoneRequest(
+        EntryHostId.of(message.getFrom()),
+        known,
+        message.getServersRevision(),
+        message.getUrgent(),
+        asks);
+  }
+
+  static ZoneReplyMessage encode(long exchange, ZoneReply reply) {
+    ZoneReplyMessage.Builder message =
+        ZoneReplyMessage.newBuilder()
+            .setExchange(exchange)
+            .setServes(reply.serves())
+            .setConfigurationRowVersion(reply.configurationRow())
+            .setActiveHosts(reply.activeHosts());
+    reply.verifiedAge().ifPresent(age -> message.setVerifiedAgeMicroseconds(ceilMicros(age)));
+    reply
+        .reading()
+        .ifPresent(
+            reading ->
+                message.setReading(
+                    StoreReadingMessage.newBuilder()
+                        .setMilliseconds(reading.millis())
+                        .setSentAgeMicroseconds(ceilMicros(reading.sentAge()))
+                        .setReceivedAgeMicroseconds(floorMicros(reading.receivedAge()))));
+    reply
+        .rows()
+        .forEach(
+            (key, row) ->
+                message.addRows(
+                    RowMessage.newBuilder()
+                        .setTable(key.table())
+                        .setKey(key.key())
+                        .setVersion(row.version())
+                        .setValue(row.value())));
+    reply
+        .configuration()
+        .ifPresent(shown -> message.setConfiguration(RoutingConfigurationCodec.encode(shown)));
+    reply.servers().ifPresent(list -> message.setServers(encode(list)));
+    reply
+        .loans()
+        .forEach(
+            loan ->
+                message.addLoans(
+                    TokenLoanMessage.newBuilder()
+                        .setWorkspace(loan.workspace().value())
+                        .setTokens(loan.tokens())
+                        .setScarce(loan.scarce())
+                        .setRenews(loan.renews())
+                        .setValidMicroseconds(floorMicros(loan.validFor()))));
+    return message.build();
+  }
+
+  private static ServerListMessage encode(ServerList list) {
+    ServerListMessage.Builder message =
+        ServerListMessage.newBuilder()
+            .setRevision(list.revision())
+            .setAgeMicroseconds(ceilMicros(list.age()));
+    list.entries()
+        .forEach(
+            entry ->
+                message.addServers(
+                    ServerMessage.newBuilder()
+                        .setId(entry.id().value())
+                        .setGroup(entry.group().value())
+                        .setAddress(entry.endpoint().address())
+                        .setPort(entry.endpoint().port())
+                        .setZone(entry.zone().value())
+                        .setSlots(entry.slots())
+                        .setDraining(entry.draining())
+                        .setPrimary(entry.primary())
+                        .setStartedAtMilliseconds(entry.startedAtMillis())));
+    return message.build();
+  }
+
+  /** Decodes an answer; throws an IllegalArgumentException if an identifier is invalid. */
+  static ZoneReply decode(ZoneReplyMessage message) {
+    Map<RowKey, StoredRow> rows = new HashMap<>();
+    message
+        .getRowsList()
+        .forEach(
+            row ->
+                rows.put(
+                    RowKey.of(row.getTable(), row.getKey()),
+                    new StoredRow(row.getVersion(), row.getValue())));
+    List<TokenLoan> loans = new ArrayList<>();
+    message
+        .getLoansList()
+        .forEach(
+            loan ->
+                loans.add(
+                    new TokenLoan(
+                        WorkspaceId.of(loan.getWorkspace()),
+                        loan.getTokens(),
+                        loan.getScarce(),
+                        loan.getRenews(),
+                        micros(loan.getValidMicroseconds()))));
+    return new ZoneReply(
+        message.getServes(),
+        message.hasVerifiedAgeMicroseconds()
+            ? Optional.of(micros(message.getVerifiedAgeMicroseconds()))
+            : Optional.empty(),
+        message.getConfigurationRowVersion(),
+        message.hasReading() ? Optional.of(decode(message.getReading())) : Optional.empty(),
+        rows,
+        message.hasConfiguration()
+            ? Optional.of(RoutingConfigurationCodec.decode(message.getConfiguration()))
+            : Optional.empty(),
+        message.hasServers() ? Optional.of(decode(message.getServers())) : Optional.empty(),
+        loans,
+        message.getActiveHosts());
+  }
+
+  private static StoreReading decode(StoreReadingMessage message) {
+    return new StoreReading(
+        message.getMilliseconds(),
+        micros(message.getSentAgeMicroseconds()),
+        micros(message.getReceivedAgeMicroseconds()));
+  }
+
+  private static ServerList decode(ServerListMessage message) {
+    List<ServerEntry> entries = new ArrayList<>();
+    message
+        .getServersList()
+        .forEach(
+            server ->
+                entries.add(
+                    new ServerEntry(
+                        BackendServerId.of(server.getId()),
+                        DatabaseGroupId.of(server.getGroup()),
+                        SocketEndpoint.of(server.getAddress(), server.getPort()),
+                        AvailabilityZone.of(server.getZone()),
+                        server.getSlots(),
+                        server.getDraining(),
+                        server.getPrimary(),
+                        server.getStartedAtMilliseconds())));
+    return new ServerList(message.getRevision(), micros(message.getAgeMicroseconds()), entries);
+  }
+
+  /** Rounds up, as an age that is too long only shortens what is relied on. */
+  private static long ceilMicros(Duration duration) {
+    return (duration.toNanos() + NANOS_PER_MICRO - 1) / NANOS_PER_MICRO;
+  }
+
+  /** Rounds down, as a validity that is too short only costs another question. */
+  private static long floorMicros(Duration duration) {
+    return Math.max(0, duration.toNanos() / NANOS_PER_MICRO);
+  }
+
+  private static Duration micros(long microseconds) {
+    return Duration.ofNanos(microseconds * NANOS_PER_MICRO);
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneRehearsal.java
@@ -0,0 +1,61 @@
+package org.persimmonwalk.peer.zone;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.persimmonwalk.engine.RoutingConfiguration;
+import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.StoreReading;
+import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.engine.control.TokenAsk;
+import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequest;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.peer.generated.zone.ZoneReplyMessage;
+import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
+
+/**
+ * Loads the classes of an exchange, so that the build can record them and a restarted process need
+ * not parse them.
+ */
+public final class ZoneRehearsal {
+  private static final RowKey ROW = RowKey.of("rehearsal", "row");
+  private static final WorkspaceId WORKSPACE = WorkspaceId.of("rehearsal");
+
+  private ZoneRehearsal() {}
+
+  /** Encodes and decodes a question and an answer. */
+  public static void run() {
+    ZoneRequest request =
+        new ZoneRequest(
+            EntryHostId.of("rehearsal"),
+            Map.of(ROW, 1L),
+            1,
+            false,
+            List.of(new TokenAsk(WORKSPACE, 0, 0, 1)));
+    ZoneReply reply =
+        new ZoneReply(
+            true,
+            Optional.of(Duration.ZERO),
+            1,
+            Optional.of(new StoreReading(1, Duration.ZERO, Duration.ZERO)),
+            Map.of(ROW, new StoredRow(1, "")),
+            Optional.of(RoutingConfiguration.NONE),
+            Optional.of(new ServerList(1, Duration.ZERO, List.of())),
+            List.of(new TokenLoan(WORKSPACE, 1, false, true, Duration.ZERO)),
+            1);
+    try {
+      byte[] asked = ZoneCodec.encode(1, request).toByteArray();
+      byte[] answered = ZoneCodec.encode(1, reply).toByteArray();
+      ZoneCodec.decode(ZoneRequestMessage.parseFrom(asked));
+      ZoneCodec.decode(ZoneReplyMessage.parseFrom(answered));
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("a message that was just encoded cannot be read", e);
+    }
+  }
+}
--- /dev/null
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -0,0 +1,174 @@
+package org.persimmonwalk.peer.zone;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.engine.DatabaseName;
+import org.persimmonwalk.engine.GroupSettings;
+import org.persimmonwalk.engine.RateLimit;
+import org.persimmonwalk.engine.Route;
+import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.RoutingConfiguration;
+import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.control.AnswerHost;
+import org.persimmonwalk.engine.control.AskRelay;
+import org.persimmonwalk.engine.control.HostAsked;
+import org.persimmonwalk.engine.control.RelayAnswered;
+import org.persimmonwalk.engine.control.RelayHost;
+import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.StoreReading;
+import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.engine.control.TokenAsk;
+import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequest;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.KeyHash;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.port.MonotonicClock;
+
+/** Exchanges questions and answers over loopback connections. */
+class ZoneExchangeTest {
+  private static final long PATIENCE_SECONDS = 20;
+  private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
+  private static final DatabaseGroupId GROUP = DatabaseGroupId.of("tanks");
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BlockingQueue<HostAsked> asked = new ArrayBlockingQueue<>(10);
+  private final BlockingQueue<RelayAnswered> answered = new ArrayBlockingQueue<>(10);
+  private final ZoneClient client =
+      ZoneClient.create(group, MonotonicClock.system(), answered::add);
+
+  @AfterEach
+  void endThreads() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static SocketEndpoint freeEndpoint() throws Exception {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return SocketEndpoint.of("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  private static AskRelay question(SocketEndpoint endpoint) {
+    return new AskRelay(
+        new RelayHost(EntryHostId.of("relay"), endpoint),
+        new ZoneRequest(
+            EntryHostId.of("host"),
+            Map.of(RowKey.CONFIGURATION, 7L, RowKey.of("leadership", "tanks"), 3L),
+            9,
+            true,
+            List.of(new TokenAsk(WORKSPACE, 2, 3.5, 4))));
+  }
+
+  private static ZoneReply fullReply() {
+    Route route =
+        new Route(
+            DatabaseName.of("tanks"),
+            GROUP,
+            RouteKind.BOUNDED_STALENESS,
+            Duration.ofMillis(800),
+            Duration.ofMillis(200),
+            1,
+            Duration.ofMillis(1500),
+            true);
+    RoutingConfiguration configuration =
+        new RoutingConfiguration(
+            5,
+            Map.of(route.database(), route),
+            Map.of(GROUP, new GroupSettings(54, 1)),
+            Map.of(KeyHash.ofKey("secret"), WORKSPACE),
+            Map.of(WORKSPACE, new RateLimit(34.5, 12)),
+            Duration.ofSeconds(3));
+    ServerEntry server =
+        new ServerEntry(
+            BackendServerId.of("s1"),
+            GROUP,
+            SocketEndpoint.of("127.0.0.1", 5432),
+            AvailabilityZone.of("a"),
+            3,
+            true,
+            true,
+            1_700_000_000_000L);
+    return new ZoneReply(
+        true,
+        Optional.of(Duration.ofMillis(850)),
+        11,
+        Optional.of(new StoreReading(123_456, Duration.ofMillis(850), Duration.ofMillis(840))),
+        Map.of(RowKey.of("leadership", "tanks"), new StoredRow(8, "STABLE s1 1 0")),
+        Optional.of(configuration),
+        Optional.of(new ServerList(77, Duration.ofMillis(1200), List.of(server))),
+        List.of(new TokenLoan(WORKSPACE, 3, true, true, Duration.ofMillis(4100))),
+        21);
+  }
+
+  /** Guards against fields that are lost or mixed up on the way, in either direction. */
+  @Test
+  void shouldCarryQuestionsAndAnswersUnchanged() throws Exception {
+    SocketEndpoint endpoint = freeEndpoint();
+    ZoneServer server = ZoneServer.start(group, endpoint, asked::add);
+    AskRelay question = question(endpoint);
+    client.ask(question);
+    HostAsked received = asked.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    server.answer(new AnswerHost(received.exchange(), fullReply()));
+    RelayAnswered answer = answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+
+    assertThat(received.request()).isEqualTo(question.request());
+    assertThat(answer.question()).isEqualTo(question);
+    assertThat(answer.reply()).contains(fullReply());
+    assertThat(answer.answeredAt().isBefore(answer.askedAt())).isFalse();
+  }
+
+  /** Guards against a question that waits forever when nobody listens at the address. */
+  @Test
+  void shouldTellThatTheRelayCannotBeReached() throws Exception {
+    client.ask(question(freeEndpoint()));
+
+    assertThat(answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+  }
+
+  /** Guards against a relay that accepts connections and never answers. */
+  @Test
+  void shouldGiveUpWhenTheRelayIsSilent() throws Exception {
+    SocketEndpoint endpoint = freeEndpoint();
+    ZoneServer.start(group, endpoint, asked::add);
+    client.ask(question(endpoint));
+
+    assertThat(answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+  }
+
+  /** Guards against an answer to a question that was given up being taken for a later one. */
+  @Test
+  void shouldNotMixUpALateAnswer() throws Exception {
+    SocketEndpoint endpoint = freeEndpoint();
+    ZoneServer server = ZoneServer.start(group, endpoint, asked::add);
+    client.ask(question(endpoint));
+    HostAsked first = asked.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    assertThat(answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+    client.ask(question(endpoint));
+    HostAsked second = asked.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    server.answer(new AnswerHost(first.exchange(), fullReply()));
+    server.answer(new AnswerHost(second.exchange(), ZoneReply.notServing()));
+
+    assertThat(answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).reply())
+        .contains(ZoneReply.notServing());
+  }
+}
