Explain a failed request from the logs of several hosts

Cause: an on-call engineer had to search each host's log by hand, and the failure codes of the users' platform had no numbers to look up.

Change: 'operator explain REQUEST FILES...' prints the lines of a request and the beliefs around it in order of time; failure codes have numbers and a table in docs/ERRORS.md.

Measured: the tests tell the cause of a refused statement that another host has logged.

Conclusion: one command from the id to the cause.

--- a/engine/src/main/java/org/persimmonwalk/engine/FailureCode.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/FailureCode.java
@@ -1,38 +1,60 @@
 package org.persimmonwalk.engine;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 /** Why a statement failed, as callers and backend servers tell it. */
 public enum FailureCode {
   /** Too much is waiting; nothing ran. */
-  OVERLOADED(true),
+  OVERLOADED(7101, true, "the rate is used up or too much is waiting; nothing ran"),
   /** The transaction was ended; nothing of it is kept. */
-  ABORTED(true),
+  ABORTED(7102, true, "the transaction was ended; nothing of it is kept"),
   /** The log lacks a position that was asked for; nothing ran. */
-  BEHIND(true),
+  BEHIND(7103, true, "the server lacks a commit that must be seen; nothing ran"),
   /** The server is no primary; nothing is kept. */
-  NOT_PRIMARY(true),
+  NOT_PRIMARY(7104, true, "the server is no primary; nothing is kept"),
   /** The server is another one than expected; nothing ran. */
-  WRONG_SERVER(true),
+  WRONG_SERVER(7105, true, "the server is another one than expected; nothing ran"),
   /** The server has no connection left; nothing ran. */
-  NO_CONNECTION_LEFT(true),
+  NO_CONNECTION_LEFT(7106, true, "the server has no connection left; nothing ran"),
   /** A commit or write may or may not be kept. */
-  OUTCOME_UNKNOWN(false),
+  OUTCOME_UNKNOWN(7107, false, "the commit or write may or may not be kept"),
   /** The time allowed ran out; the statement may have run. */
-  TIMED_OUT(false),
+  TIMED_OUT(7108, false, "the time allowed ran out; the statement may have run"),
   /** The server ran the statement and it failed. */
-  FAILED(false),
+  FAILED(7109, false, "the server ran the statement and it failed"),
   /** The prepared name is unknown; nothing ran. */
-  UNKNOWN_NAME(false),
+  UNKNOWN_NAME(7110, false, "the prepared name is unknown; nothing ran"),
   /** The key opens no workspace. */
-  KEY_REJECTED(false),
+  KEY_REJECTED(7111, false, "the key opens no workspace; nothing ran"),
   /** No route has the database name. */
-  UNKNOWN_DATABASE(false),
+  UNKNOWN_DATABASE(7112, false, "no route has the database name; nothing ran"),
   /** The statement is not understood in this state; nothing ran. */
-  MALFORMED(false);
+  MALFORMED(7113, false, "the statement is not understood in this state; nothing ran");
 
+  private final int number;
   private final boolean nothingKept;
+  private final String meaning;
 
-  FailureCode(boolean nothingKept) {
+  FailureCode(int number, boolean nothingKept, String meaning) {
+    this.number = number;
     this.nothingKept = nothingKept;
+    this.meaning = meaning;
+  }
+
+  /** Returns the code with the given name; empty if there is none. */
+  public static Optional<FailureCode> named(String name) {
+    return Arrays.stream(values()).filter(code -> code.name().equals(name)).findFirst();
+  }
+
+  /** Returns the label under which the table of result codes lists this code. */
+  public String label() {
+    return "PW-" + number;
+  }
+
+  /** Returns what happened, in one line. */
+  public String meaning() {
+    return meaning;
   }
 
   /** Returns whether the code promises that nothing of the caller's attempt is kept. */
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/SubcommandCatalog.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/SubcommandCatalog.java
@@ -44,6 +44,11 @@
               DrainCommand::new,
               "asks a host to stop as planned",
               "drain host-a1 --hosts @hosts --token-file token"),
+          new Entry(
+              "explain",
+              ExplainCommand::new,
+              "prints what the logs of hosts tell about a request",
+              "explain 5c0e7a21d94b36f8 host-a1.log host-a2.log"),
           new Entry(
               "key mint",
               KeyMintCommand::new,
--- /dev/null
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/log/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of the log lines of entry hosts. */
+package org.persimmonwalk.internal.operator.log;
