Wait for the end of a planned stop on a condition instead of polling

Cause: the stop path of the entry host looked every 50 ms whether its phase had changed. Ruled out: the second wait there, 1 s for the return of leases, has no end that could be waited for; it stays.

--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.acknowledgement.AcknowledgementGate;
@@ -17,6 +18,7 @@
 import org.persimmonwalk.blackboard.Snapshot;
 import org.persimmonwalk.internal.admin.AdminServer;
 import org.persimmonwalk.internal.assembly.ControlPlane;
+import org.persimmonwalk.internal.assembly.StopWaiter;
 import org.persimmonwalk.internal.settings.Settings;
 import org.persimmonwalk.internal.telemetry.LoggingSpanExporter;
 import org.persimmonwalk.internal.telemetry.Tracing;
@@ -34,7 +36,6 @@
 import org.persimmonwalk.internal.traffic.caller.SnapshotWaiters;
 import org.persimmonwalk.internal.traffic.caller.TlsSecurity;
 import org.persimmonwalk.internal.traffic.caller.TrafficContext;
-import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.observation.StopRequested;
@@ -72,6 +73,7 @@
   private final CallerListener callers;
   private final AdminServer admin;
   private final Tracing tracing;
+  private final StopWaiter stop = StopWaiter.create();
 
   private EntryHost(Settings settings, TrafficPolicies.Factory policies, TrafficListener listener) {
     tracing = Tracing.of(settings.trace().sampleRatio(), LoggingSpanExporter.create());
@@ -91,6 +93,7 @@
     AcknowledgementGate gate = AcknowledgementGate.of(MAXIMUM_PENDING_WRITES, loop::post);
     loop.addListener(gate);
     loop.addListener(waiters);
+    loop.addListener(stop);
     loop.addListener(ReplacedPrimaries.of(pools));
     loop.addListener(ConnectionReporter.of(pools, control.monitors(), loop::post));
     loop.addListener(DrainWatcher.of(registry, loop::post));
@@ -144,15 +147,21 @@
   /**
    * Starts a planned stop: callers are moved away after their current request or transaction.
    *
-   * @see #isStopped()
+   * @see #awaitStop
    */
   public void drain() {
     control.loop().post(new StopRequested());
   }
 
-  /** Returns whether a planned stop has ended; the process may then be closed. */
-  public boolean isStopped() {
-    return snapshot().get(Entries.HOST_PHASE) == HostPhase.STOPPED;
+  /**
+   * Waits until a planned stop has ended, at most for the given time; the process may then be
+   * closed.
+   *
+   * @return whether it has ended
+   * @throws InterruptedException if the thread is interrupted while it waits
+   */
+  public boolean awaitStop(Duration longest) throws InterruptedException {
+    return stop.await(longest);
   }
 
   @Override
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHostMain.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHostMain.java
@@ -21,8 +21,6 @@
   /** Time for the leases of a stopped host to be returned to the platform. */
   private static final Duration LEASE_RETURN = Duration.ofSeconds(1);
 
-  private static final long POLL_MILLISECONDS = 50;
-
   @Option(name = "--settings", metaVar = "FILE", usage = "the settings file", required = true)
   private Path settingsFile;
 
@@ -62,10 +60,9 @@
   /** Drains the host, so that a planned stop cuts no request, and closes it. */
   private static void stop(EntryHost host) {
     host.drain();
-    long end = System.nanoTime() + LONGEST_DRAIN.toNanos();
     try {
-      while (!host.isStopped() && System.nanoTime() < end) {
-        Thread.sleep(POLL_MILLISECONDS);
+      if (!host.awaitStop(LONGEST_DRAIN)) {
+        Logger.warn("the stop did not end within {}; open connections are cut", LONGEST_DRAIN);
       }
       Thread.sleep(LEASE_RETURN.toMillis());
     } catch (InterruptedException e) {
--- /dev/null
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/StopWaiter.java
@@ -0,0 +1,38 @@
+package org.persimmonwalk.internal.assembly;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.persimmonwalk.blackboard.Entries;
+import org.persimmonwalk.blackboard.Snapshot;
+import org.persimmonwalk.blackboard.SnapshotListener;
+import org.persimmonwalk.model.HostPhase;
+
+/** Lets a thread wait until a planned stop has ended. */
+public final class StopWaiter implements SnapshotListener {
+  private final CountDownLatch stopped = new CountDownLatch(1);
+
+  private StopWaiter() {}
+
+  /** Returns a waiter for a host that runs. */
+  public static StopWaiter create() {
+    return new StopWaiter();
+  }
+
+  @Override
+  public void published(Snapshot snapshot) {
+    if (snapshot.get(Entries.HOST_PHASE) == HostPhase.STOPPED) {
+      stopped.countDown();
+    }
+  }
+
+  /**
+   * Waits until the stop has ended, at most for the given time.
+   *
+   * @return whether it has ended
+   * @throws InterruptedException if the thread is interrupted while it waits
+   */
+  public boolean await(Duration longest) throws InterruptedException {
+    return stopped.await(longest.toNanos(), TimeUnit.NANOSECONDS);
+  }
+}
--- /dev/null
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/assembly/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how an entry host is put together. */
+package org.persimmonwalk.internal.assembly;
