Free the tokens of a killed relay sooner and let callers wait for the configuration

Change: a loan lasts 1.2 s at a time, so a restarted relay takes the tokens of its last process back after 1.2 s; it still counts them until then. A host that has lost its relay asks it for tokens when it has none itself. Callers wait up to 1 s for the first configuration. Tests draw their randomness from a seed: PromotionTest failed once as the role of the relay was random; with a host that still hears the relay its check meant something else, so the host is cut off from its peers as well and a second test covers the host that asks the relay.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -40,6 +40,7 @@
   public static Engine create(
       EngineSettings settings,
       MonotonicClock clock,
+      RandomSource random,
       SuspensionDetector suspension,
       TrafficScheduler scheduler,
       BackendConnector connector,
@@ -57,7 +58,7 @@
             PromotionController.create(settings, log, suspension),
             RateController.create(settings, log, suspension),
             ZoneExchangeController.create(settings, suspension));
-    ControlLoop loop = ControlLoop.of(controllers, executor, clock, RandomSource.system());
+    ControlLoop loop = ControlLoop.of(controllers, executor, clock, random);
     TrafficContext context =
         new TrafficContext(
             settings,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -71,7 +71,7 @@
       publish(blackboard, RowDemand.NONE, hostsOfRelay);
     } else {
       lendToSelf(now, resumedAt, workspace -> true);
-      putAsks(blackboard, TokenAsks.NONE);
+      askRelay(blackboard, now);
       store.ask(blackboard, context);
       publish(blackboard, store.rows(now), store.hosts(blackboard));
     }
@@ -125,6 +125,7 @@
         });
   }
 
+  /** A relay that has lost the store may still have tokens when this host has none. */
   private void askRelay(Blackboard blackboard, MonotonicTime now) {
     boolean urgent = workspaces.values().stream().anyMatch(tokens -> tokens.isUrgent(now));
     List<TokenAsk> asks = new ArrayList<>();
@@ -134,12 +135,9 @@
             asks.add(tokens.ask(workspace, now));
           }
         });
-    putAsks(blackboard, new TokenAsks(asks, urgent));
-  }
-
-  private static void putAsks(Blackboard blackboard, TokenAsks asks) {
-    if (!asks.equals(blackboard.get(EngineEntries.TOKEN_ASKS))) {
-      blackboard.put(EngineEntries.TOKEN_ASKS, asks);
+    TokenAsks needed = new TokenAsks(asks, urgent);
+    if (!needed.equals(blackboard.get(EngineEntries.TOKEN_ASKS))) {
+      blackboard.put(EngineEntries.TOKEN_ASKS, needed);
     }
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -1,7 +1,6 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import org.persimmonwalk.engine.RateLimit;
 import org.persimmonwalk.engine.control.EngineSettings;
@@ -78,6 +77,12 @@
     return new RateRow(Double.parseDouble(parts[0]), Long.parseLong(parts[1]), holdings);
   }
 
+  /** Returns the tokens that the given holder has stated. */
+  long tokensOf(EntryHostId holder) {
+    Holding holding = holdings.get(holder);
+    return holding == null ? 0 : holding.tokens();
+  }
+
   /** Returns the number of holders that take tokens from the row, or lately did. */
   int takers() {
     return (int) holdings.values().stream().filter(holding -> holding.hosts() > 0).count();
@@ -104,13 +109,12 @@
   }
 
   /**
-   * Refills the bucket up to the given time and drops holdings that can be spent no more and those
-   * of the given holders.
+   * Refills the bucket up to the given time and drops holdings that can be spent no more and that
+   * of the given holder, which states it anew.
    */
-  RateRow refilled(
-      RateLimit limit, EngineSettings settings, Set<EntryHostId> selves, long storeMillis) {
+  RateRow refilled(RateLimit limit, EngineSettings settings, EntryHostId self, long storeMillis) {
     Map<EntryHostId, Holding> valid = new TreeMap<>(holdings);
-    valid.keySet().removeAll(selves);
+    valid.remove(self);
     valid.values().removeIf(holding -> holding.hasLapsed(storeMillis));
     long elapsed = Math.max(0, storeMillis - atMillis);
     double filled = tokens + limit.perSecond() * elapsed / MILLIS_PER_SECOND;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StoreTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StoreTokens.java
@@ -51,17 +51,12 @@
    */
   static final int MOST_ROWS = 40;
 
-  /** Separates the name of a host from the number of its process. */
-  private static final String PROCESS_MARK = ":";
-
-  private static final int PROCESS_RANGE = 1 << 30;
-
   private static final String PURPOSE = "take-tokens";
 
   private final EngineSettings settings;
   private final DecisionLog log;
   private final Map<WorkspaceId, TokenPool> pools = new TreeMap<>();
-  private Optional<EntryHostId> lender = Optional.empty();
+  private Optional<MonotonicTime> startedAt = Optional.empty();
   private Attempt inFlight;
   private long serial;
 
@@ -71,9 +66,11 @@
   }
 
   TokenLoan lend(EntryHostId host, TokenAsk ask, MonotonicTime now, MonotonicTime resumedAt) {
+    boolean own = host.equals(settings.host());
+    Duration longest = own ? Duration.ofMillis(RateRow.VALID_MILLIS) : TokenPool.LOAN_VALID;
     return pools
         .computeIfAbsent(ask.workspace(), unused -> new TokenPool(now))
-        .lend(host, ask, now, resumedAt);
+        .lend(host, ask, longest, now, resumedAt);
   }
 
   boolean hasTokens(WorkspaceId workspace) {
@@ -104,9 +101,8 @@
   /** Takes tokens if they are needed and the rows have just been shown. */
   void ask(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
-    if (lender.isEmpty()) {
-      int process = context.random().nextInt(PROCESS_RANGE);
-      lender = Optional.of(EntryHostId.of(settings.host() + PROCESS_MARK + process));
+    if (startedAt.isEmpty()) {
+      startedAt = Optional.of(now);
     }
     if (inFlight != null && now.since(inFlight.startedAt()).compareTo(OVERDUE) > 0) {
       inFlight = null;
@@ -177,12 +173,11 @@
     pool.asking(now);
     long storeMillis = time.earliest(time.receivedAt());
     double capacity = RateRow.capacity(limit, settings);
-    long held = pool.held();
     RateRow shown = row(blackboard, workspace, limit, storeMillis);
+    inherit(pool, shown, now);
+    long held = pool.held() + pool.inherited();
     RateRow row =
-        shown
-            .refilled(limit, settings, Set.of(settings.host(), lender.orElseThrow()), storeMillis)
-            .capped(capacity, held);
+        shown.refilled(limit, settings, settings.host(), storeMillis).capped(capacity, held);
     long available = (long) Math.floor(row.tokens());
     int takers = 1 + row.takers();
     long wanted = pool.wanted((long) (capacity * READY_PART / takers), now);
@@ -192,18 +187,25 @@
     long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
     long taken = Math.min(wanted, Math.min(available, fair));
     boolean scarce = available < wanted && allDemand > limit.perSecond();
-    long lent = pool.lentToOthers(settings.host());
-    long takenAt = time.latest(now);
-    int hosts = pool.hosts(now);
     RateRow after =
         row.taken(
-                settings.host(),
-                taken,
-                new RateRow.Holding(held - lent + taken, takenAt, hosts, demand))
-            .taken(lender.orElseThrow(), 0, new RateRow.Holding(lent, takenAt, 0, 0));
+            settings.host(),
+            taken,
+            new RateRow.Holding(held + taken, time.latest(now), pool.hosts(now), demand));
     return new Taking(taken, scarce, after);
   }
 
+  /** Hosts may still spend what the last process here has lent, until its loans have lapsed. */
+  private void inherit(TokenPool pool, RateRow shown, MonotonicTime now) {
+    boolean isYoung =
+        startedAt.filter(at -> now.since(at).compareTo(TokenPool.LOAN_VALID) < 0).isPresent();
+    if (!isYoung) {
+      pool.inherit(0);
+    } else if (pool.isNew()) {
+      pool.inherit(shown.tokensOf(settings.host()));
+    }
+  }
+
   /** Takes over the answers of the store. */
   void finish(Blackboard blackboard, MonotonicTime now) {
     blackboard
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -16,7 +16,7 @@
 final class TokenPool {
   /**
    * The pool and the hosts together hold tokens for the demand of so many seconds. Tokens are taken
-   * about every second; other zones need a good part of the bucket when their demand grows.
+   * about every second; what a relay holds that loses the store is lost to the others for 5.5 s.
    */
   private static final double SECONDS_HELD = 1.8;
 
@@ -32,11 +32,20 @@
   /** The store is asked no more often while the workspace is over its limit. */
   static final Duration SCARCE_PAUSE = Duration.ofMillis(600);
 
+  /**
+   * Other hosts may spend a loan for this long after they asked. They ask four times as often; a
+   * relay that is restarted must wait as long before it takes the tokens of its last process back.
+   */
+  static final Duration LOAN_VALID = Duration.ofMillis(1200);
+
   /** Holdings are renewed when they lapse this soon. */
   private static final Duration RENEW_BEFORE = Duration.ofMillis(1800);
 
   private final Map<EntryHostId, Loan> loans = new TreeMap<>();
   private long left;
+  private long least;
+  private long inherited;
+  private boolean hasTaken;
   private boolean scarce;
   private boolean unmet;
   private MonotonicTime takenAt;
@@ -49,8 +58,17 @@
     this.lastAsked = now.minus(SCARCE_PAUSE);
   }
 
-  /** Lends tokens to a host, as many as it wants while the pool has plenty. */
-  TokenLoan lend(EntryHostId host, TokenAsk ask, MonotonicTime now, MonotonicTime resumedAt) {
+  /**
+   * Lends tokens to a host, as many as it wants while the pool has plenty.
+   *
+   * @param longest how long they may be spent at most
+   */
+  TokenLoan lend(
+      EntryHostId host,
+      TokenAsk ask,
+      Duration longest,
+      MonotonicTime now,
+      MonotonicTime resumedAt) {
     Loan loan = loans.computeIfAbsent(host, unused -> new Loan());
     loan.hold(ask, now);
     boolean valid = now.isBefore(validUntil) && !takenAt.isBefore(resumedAt);
@@ -60,12 +78,13 @@
     left -= lent;
     loan.add(lent);
     unmet |= lent == 0 && ask.held() == 0 && wanted > 0;
+    Duration validity = valid ? validUntil.since(now) : Duration.ZERO;
     return new TokenLoan(
         ask.workspace(),
         lent,
         scarce && lent < wanted,
         valid && loan.isStated(),
-        valid ? validUntil.since(now) : Duration.ZERO);
+        validity.compareTo(longest) < 0 ? validity : longest);
   }
 
   /**
@@ -88,7 +107,7 @@
   }
 
   boolean mustAsk(MonotonicTime now) {
-    boolean low = held() < target(now) * LOW_PART || (unmet && left == 0);
+    boolean low = held() < Math.max(target(now), least) * LOW_PART || (unmet && left == 0);
     boolean ends = validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
     return isActive(now) && (low || ends);
   }
@@ -119,12 +138,18 @@
     return left + loans.values().stream().mapToLong(loan -> loan.tokens).sum();
   }
 
-  /** Returns the tokens that hosts other than the given one hold. */
-  long lentToOthers(EntryHostId self) {
-    return loans.entrySet().stream()
-        .filter(entry -> !entry.getKey().equals(self))
-        .mapToLong(entry -> entry.getValue().tokens)
-        .sum();
+  /** Returns the tokens that others may still spend which the last process here had lent. */
+  long inherited() {
+    return inherited;
+  }
+
+  /** Returns whether the row has stated no tokens of this process yet. */
+  boolean isNew() {
+    return !hasTaken;
+  }
+
+  void inherit(long tokens) {
+    inherited = tokens;
   }
 
   /** Returns the tokens to have in all; each host with sessions should have one at least. */
@@ -132,8 +157,13 @@
     return (long) Math.ceil(demand(now) * SECONDS_HELD) + hosts(now);
   }
 
-  /** Returns the tokens to take, given the least that should be held in all. */
-  long wanted(long least, MonotonicTime now) {
+  /**
+   * Returns the tokens to take.
+   *
+   * @param leastHeld the tokens to have in all even without demand
+   */
+  long wanted(long leastHeld, MonotonicTime now) {
+    least = leastHeld;
     long missing = Math.max(target(now), least) - held();
     long forWaiting = unmet && left == 0 ? 1 + hosts(now) + Math.round(demand(now)) : 0;
     return Math.max(0, Math.max(missing, forWaiting));
@@ -152,6 +182,7 @@
   /** Notes that the row states the tokens held when it was written and those taken then. */
   void grant(long tokens, boolean tokensAreScarce, MonotonicTime startedAt, Duration validity) {
     left += tokens;
+    hasTaken = true;
     scarce = tokensAreScarce;
     unmet = false;
     takenAt = startedAt;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -34,8 +34,8 @@
   /** Operations wait for a token no longer than this. */
   static final Duration LONGEST_WAIT = Duration.ofMillis(300);
 
-  /** Holdings are renewed when they lapse this soon. */
-  private static final Duration RENEW_BEFORE = Duration.ofMillis(1800);
+  /** Tokens are renewed when they lapse this soon; two questions may be lost. */
+  private static final Duration RENEW_BEFORE = Duration.ofMillis(700);
 
   /** Open sessions are reported every second; a workspace without any is forgotten after this. */
   private static final Duration PRESENCE = Duration.ofMillis(2500);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -1,10 +1,12 @@
 package org.persimmonwalk.internal.engine.traffic;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.persimmonwalk.engine.CallerConnection;
 import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.Failure;
@@ -27,6 +29,12 @@
   /** The platform sends new callers for up to 2 s after a host reports not ready. */
   private static final Duration STILL_SERVING = Duration.ofMillis(2200);
 
+  /**
+   * A host that has just started reads the configuration within about 0.3 s; a refusal would cost
+   * callers one of their few retries. Callers give up a connection that is not ready after 2 s.
+   */
+  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1000);
+
   /** A stopping host gives open transactions half of the grace. */
   private static final int TRANSACTION_DIVISOR = 2;
 
@@ -35,6 +43,7 @@
   private final TokenPurse purse;
   private final SessionAdmission admission;
   private final Set<Session> sessions = new LinkedHashSet<>();
+  private final List<Opening> openings = new ArrayList<>();
   private MonotonicTime presenceReportedAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime stoppingSince;
   private Runnable drained = () -> {};
@@ -57,6 +66,41 @@
     context.scheduler().schedule(TICK, this::tick);
   }
 
+  /**
+   * Opens a session or refuses the caller, as soon as the host has a configuration.
+   *
+   * @param opened is given the session, unless the caller is refused
+   */
+  public void open(
+      CallerConnection caller,
+      DatabaseName database,
+      Optional<KeyHash> key,
+      Consumer<Session> opened) {
+    Opening opening = new Opening(caller, database, key, opened);
+    if (context.entry(EngineEntries.CONFIGURATION).isPresent()) {
+      opening.run();
+      return;
+    }
+    openings.add(opening);
+    context
+        .scheduler()
+        .schedule(
+            CONFIGURATION_WAIT,
+            () -> {
+              if (openings.remove(opening)) {
+                opening.run();
+              }
+            });
+  }
+
+  private void openWaiting() {
+    if (!openings.isEmpty() && context.entry(EngineEntries.CONFIGURATION).isPresent()) {
+      List<Opening> waiting = List.copyOf(openings);
+      openings.clear();
+      waiting.forEach(Opening::run);
+    }
+  }
+
   /** Opens a session, or refuses the caller; empty if it was refused. */
   public Optional<Session> open(
       CallerConnection caller, DatabaseName database, Optional<KeyHash> key) {
@@ -116,12 +160,14 @@
 
   /** Follows a change of the control state. */
   public void follow() {
+    openWaiting();
     servers.follow();
     purse.retry();
   }
 
   private void tick() {
     MonotonicTime now = context.now();
+    openWaiting();
     servers.tick(now);
     purse.reportDemand();
     if (now.since(presenceReportedAt).compareTo(PRESENCE_INTERVAL) >= 0) {
@@ -168,4 +214,27 @@
       List.copyOf(sessions).forEach(Session::abortTransaction);
     }
   }
+
+  /** A caller that waits until the host has a configuration. */
+  private final class Opening {
+    private final CallerConnection caller;
+    private final DatabaseName database;
+    private final Optional<KeyHash> key;
+    private final Consumer<Session> opened;
+
+    private Opening(
+        CallerConnection caller,
+        DatabaseName database,
+        Optional<KeyHash> key,
+        Consumer<Session> opened) {
+      this.caller = caller;
+      this.database = database;
+      this.key = key;
+      this.opened = opened;
+    }
+
+    private void run() {
+      open(caller, database, key).ifPresent(opened);
+    }
+  }
 }
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -49,6 +49,7 @@
 import org.persimmonwalk.internal.engine.traffic.TrafficMeter;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.FakeClock;
 
 /** One or more hosts before one group, on fakes of the store and of the servers. */
@@ -77,8 +78,10 @@
   private final Map<Engine, Boolean> cutOff = new HashMap<>();
   private final Map<SocketEndpoint, Engine> byEndpoint = new HashMap<>();
   private final Map<Engine, Boolean> frozen = new HashMap<>();
+  private final Map<Engine, String> names = new HashMap<>();
   private final Map<Long, Question> questions = new HashMap<>();
   private long nextExchange;
+  private long seed;
   private long timeOfDay = 1_000_000;
   private long nextVersion = 1;
   private RoutingConfiguration configuration;
@@ -157,6 +160,7 @@
         Engine.create(
             settings,
             clock,
+            RandomSource.seeded(seed++),
             SuspensionDetector.of(clock, () -> timeOfDay + clock.now().nanoseconds() / 1_000_000),
             scheduler,
             servers,
@@ -171,6 +175,7 @@
             });
     self.add(engine);
     byEndpoint.put(settings.peers(), engine);
+    names.put(engine, name);
     engine.sessions().start();
     return engine;
   }
@@ -180,6 +185,15 @@
     cutOff.put(host, cut);
   }
 
+  /** Replaces the process of a host by a new one of the same name, which knows nothing. */
+  public Engine restart(Engine host) {
+    int index = hosts.indexOf(host);
+    frozen.put(host, true);
+    Engine started = host(names.get(host));
+    hosts.set(index, started);
+    return started;
+  }
+
   /** Stops a host as a kill does, or lets it go on. */
   public void freeze(Engine host, boolean stopped) {
     frozen.put(host, stopped);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -124,11 +124,11 @@
 
     private void disturb() {
       Engine host = fixture.hosts.get(random.nextInt(HOSTS));
-      switch (random.nextInt(60)) {
-        case 0 -> fixture.cutOff(host, true);
-        case 1, 2 -> fixture.hosts.forEach(each -> fixture.cutOff(each, false));
-        case 3 -> fixture.freeze(host, true);
-        case 4, 5 -> fixture.hosts.forEach(each -> fixture.freeze(each, false));
+      switch (random.nextInt(90)) {
+        case 0, 1, 2 -> fixture.cutOff(host, true);
+        case 3 -> fixture.hosts.forEach(each -> fixture.cutOff(each, false));
+        case 4 -> fixture.freeze(host, true);
+        case 5 -> fixture.hosts.forEach(each -> fixture.freeze(each, false));
         case 6 -> fixture.storeIsUp = false;
         case 7, 8 -> fixture.storeIsUp = true;
         case 9 -> fixture.peersAreReachable = !fixture.peersAreReachable;
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
@@ -67,6 +67,7 @@
   @Test
   void shouldWaitUntilNoHostReliesOnTheOldPrimary() {
     fixture.cutOff(fixture.hosts.get(3), true);
+    fixture.peersAreReachable = false;
     reportSilence(3);
     long waited = 0;
     while (fixture.promotions.isEmpty() && waited < 10_000) {
@@ -74,13 +75,30 @@
       waited += 50;
     }
 
-    boolean relies =
-        fixture
-            .entry(fixture.hosts.get(3), EngineEntries.VERIFIED_AT)
-            .filter(at -> fixture.clock.now().since(at).compareTo(PromotionController.RELIANCE) < 0)
-            .isPresent();
     assertThat(fixture.promotions).isNotEmpty();
-    assertThat(relies).isFalse();
+    assertThat(relies(fixture.hosts.get(3))).isFalse();
+  }
+
+  /** Guards against a host that learns of the replacement from its relay too late or not at all. */
+  @Test
+  void shouldStopUsingTheOldPrimaryAtHostsThatAskTheRelay() {
+    fixture.cutOff(fixture.hosts.get(3), true);
+    reportSilence(3);
+    long waited = 0;
+    while (fixture.promotions.isEmpty() && waited < 10_000) {
+      fixture.run(Duration.ofMillis(50));
+      waited += 50;
+    }
+
+    assertThat(fixture.promotions).isNotEmpty();
+    assertThat(fixture.hosts).noneMatch(host -> PRIMARY.equals(primaryOf(host)) && relies(host));
+  }
+
+  private boolean relies(Engine host) {
+    return fixture
+        .entry(host, EngineEntries.VERIFIED_AT)
+        .filter(at -> fixture.clock.now().since(at).compareTo(PromotionController.RELIANCE) < 0)
+        .isPresent();
   }
 
   /** Guards against a lost promoter: another host finishes what it announced. */
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -129,13 +129,7 @@
     fixture.run(Duration.ofSeconds(3));
     double tolerated = (RATE * 5 + RATE) * 1.1 + 20;
     admittedIn(Duration.ofSeconds(1), 1);
-    Engine relay =
-        fixture.hosts.stream()
-            .filter(
-                host -> fixture.entry(host, EngineEntries.RELAY_ROLE).equals(RelayRole.RELAYING))
-            .findFirst()
-            .orElseThrow();
-    fixture.freeze(relay, true);
+    fixture.freeze(relay(), true);
 
     assertThat(admittedIn(Duration.ofSeconds(5), 3)).isLessThanOrEqualTo((int) tolerated);
   }
@@ -156,4 +150,41 @@
     fixture.storeIsUp = true;
     assertThat(admittedIn(Duration.ofSeconds(5), 3)).isLessThanOrEqualTo((int) tolerated);
   }
+
+  /**
+   * Guards against a relay that comes back and takes the tokens of its last process anew while the
+   * other hosts still spend them.
+   */
+  @Test
+  void shouldKeepTheLimitWhileTheRelayIsRestarted() {
+    limit();
+    fixture.run(Duration.ofSeconds(3));
+    double tolerated = (RATE * 5 + RATE) * 1.1 + 20;
+    int admitted = admittedIn(Duration.ofSeconds(1), 1);
+    for (int i = 0; i < 4; i++) {
+      fixture.restart(relay());
+      fixture.run(Duration.ofMillis(200));
+      admitted += admittedIn(Duration.ofSeconds(1), 3);
+    }
+
+    assertThat(admitted).isLessThanOrEqualTo((int) tolerated);
+  }
+
+  /** Guards against tokens that stay counted for seconds after all processes were killed. */
+  @Test
+  void shouldAdmitSoonAfterAllHostsAreRestarted() {
+    fixture.run(Duration.ofSeconds(3));
+    admittedIn(Duration.ofSeconds(3), 1);
+    List.copyOf(fixture.hosts).forEach(fixture::restart);
+    fixture.run(Duration.ofMillis(1500));
+
+    assertThat(admittedIn(Duration.ofSeconds(3), 1)).isGreaterThanOrEqualTo(HOSTS * 30 * 95 / 100);
+  }
+
+  private Engine relay() {
+    return fixture.hosts.stream()
+        .filter(host -> fixture.entry(host, EngineEntries.RELAY_ROLE).equals(RelayRole.RELAYING))
+        .findFirst()
+        .orElseThrow();
+  }
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.DatabaseName;
+import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.PreparedShape;
@@ -22,6 +24,7 @@
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
 import org.persimmonwalk.engine.testing.FakeServers;
+import org.persimmonwalk.id.KeyHash;
 
 class SessionTest {
   private static final Statement READ = new Statement.Data(false, "READ x");
@@ -259,4 +262,45 @@
 
     assertThat(other.refusal()).contains(FailureCode.UNKNOWN_DATABASE);
   }
+
+  /** Guards against refusals by a host that was just started and has no configuration yet. */
+  @Test
+  void shouldLetCallersWaitForTheFirstConfiguration() {
+    EngineFixture fleet = new EngineFixture(2);
+    Engine started = fleet.restart(fleet.hosts.get(0));
+    FakeCaller waiting = new FakeCaller();
+    List<Session> opened = new ArrayList<>();
+    started
+        .sessions()
+        .open(
+            waiting,
+            DatabaseName.of(RouteKind.PRIMARY.name()),
+            Optional.of(KeyHash.ofKey(EngineFixture.KEY)),
+            opened::add);
+    assertThat(opened).isEmpty();
+    assertThat(waiting.refusal()).isEmpty();
+
+    fleet.run(Duration.ofMillis(400));
+
+    assertThat(opened).hasSize(1);
+  }
+
+  /** Guards against callers that wait without end when the store is away. */
+  @Test
+  void shouldRefuseACallerWhenNoConfigurationComes() {
+    EngineFixture fleet = new EngineFixture(2);
+    fleet.storeIsUp = false;
+    Engine started = fleet.restart(fleet.hosts.get(0));
+    FakeCaller waiting = new FakeCaller();
+    started
+        .sessions()
+        .open(
+            waiting,
+            DatabaseName.of(RouteKind.PRIMARY.name()),
+            Optional.of(KeyHash.ofKey(EngineFixture.KEY)),
+            session -> {});
+    fleet.run(Duration.ofMillis(1200));
+
+    assertThat(waiting.refusal()).contains(FailureCode.OVERLOADED);
+  }
 }
