Pause between failing lists of servers at hosts that ask a relay

Cause: reading the code, the next call of a host that asks a relay was set back to a time in the past after each failure, so that an outage of the store was answered by calls without a pause. Change: the later of the two times counts. Sources of time and randomness are one parameter. Ruled out: the verification; it keeps its pause.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -22,7 +22,6 @@
 import org.persimmonwalk.internal.engine.traffic.TrafficMeter;
 import org.persimmonwalk.port.CommandExecutor;
 import org.persimmonwalk.port.MonotonicClock;
-import org.persimmonwalk.port.RandomSource;
 
 /** The control loop and the sessions of one entry host, ready to be driven by a front end. */
 public final class Engine {
@@ -39,14 +38,14 @@
    */
   public static Engine create(
       EngineSettings settings,
-      MonotonicClock clock,
-      RandomSource random,
-      SuspensionDetector suspension,
+      EngineSources sources,
       TrafficScheduler scheduler,
       BackendConnector connector,
       CommandExecutor executor,
       DecisionLog log,
       TrafficMeter meter) {
+    MonotonicClock clock = sources.clock();
+    SuspensionDetector suspension = sources.suspension();
     List<Controller> controllers =
         List.of(
             StopController.create(),
@@ -58,7 +57,7 @@
             PromotionController.create(settings, log, suspension),
             RateController.create(settings, log, suspension),
             ZoneExchangeController.create(settings, suspension));
-    ControlLoop loop = ControlLoop.of(controllers, executor, clock, random);
+    ControlLoop loop = ControlLoop.of(controllers, executor, clock, sources.random());
     TrafficContext context =
         new TrafficContext(
             settings,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
@@ -94,7 +94,8 @@
                     .flatMap(ZoneReply::servers)
                     .ifPresent(list -> take(blackboard, list, answer.askedAt().minus(list.age()))));
     if (blackboard.get(EngineEntries.RELAY_ROLE).isRelayed()) {
-      nextCall = lastList.plus(RELAY_PATIENCE);
+      MonotonicTime patient = lastList.plus(RELAY_PATIENCE);
+      nextCall = patient.isAfter(nextCall) ? patient : nextCall;
     } else if (isUrgent(blackboard, now)) {
       MonotonicTime soon = lastList.plus(URGENT_INTERVAL);
       nextCall = soon.isBefore(nextCall) && lastList.isAfter(keepLapsedUntil) ? soon : nextCall;
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.Engine;
+import org.persimmonwalk.engine.EngineSources;
 import org.persimmonwalk.engine.GroupSettings;
 import org.persimmonwalk.engine.RateLimit;
 import org.persimmonwalk.engine.RequestId;
@@ -159,9 +160,11 @@
     Engine engine =
         Engine.create(
             settings,
-            clock,
-            RandomSource.seeded(seed++),
-            SuspensionDetector.of(clock, () -> timeOfDay + clock.now().nanoseconds() / 1_000_000),
+            new EngineSources(
+                clock,
+                RandomSource.seeded(seed++),
+                SuspensionDetector.of(
+                    clock, () -> timeOfDay + clock.now().nanoseconds() / 1_000_000)),
             scheduler,
             servers,
             command -> scheduler.schedule(STEP, () -> execute(self.get(0), command)),
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
@@ -107,6 +107,16 @@
     assertThat(fixture.servers.sent()).isEmpty();
   }
 
+  /** Guards against an outage of the store that is answered by calls without a pause. */
+  @Test
+  void shouldPauseBetweenCallsThatFail() {
+    fixture.storeIsUp = false;
+    int before = fixture.storeCalls;
+    fixture.run(Duration.ofSeconds(10));
+
+    assertThat(fixture.storeCalls - before).isLessThanOrEqualTo(HOSTS * 10 * 5);
+  }
+
   /** Guards against hosts that depend on each other: without peers each calls the store itself. */
   @Test
   void shouldCallTheStoreItselfWhenThePeersCannotBeReached() {
