Play restarts and late effects of lost answers in the drawn schedules

Cause: the schedules covered neither a process that is restarted nor a transaction that is applied seconds after its caller gave up. Change: both are drawn; a test of its own checks that all hosts learn of a draining server.

--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -60,6 +60,7 @@
   public static final String KEY = "secret";
 
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(1300);
+  private static final Duration EFFECT_DELAY = Duration.ofMillis(3000);
   private static final Duration PEER_TIMEOUT = Duration.ofMillis(200);
   private static final Duration STEP = Duration.ofMillis(10);
 
@@ -75,6 +76,7 @@
   public boolean peersAreReachable = true;
   public int storeCalls;
   public int answersToLose;
+  public int effectsToDelay;
   public final List<String> events = new ArrayList<>();
   private final Map<Engine, Boolean> cutOff = new HashMap<>();
   private final Map<SocketEndpoint, Engine> byEndpoint = new HashMap<>();
@@ -228,6 +230,16 @@
                   .post(TransactionAnswered.without(transaction, TransactionResult.UNKNOWN)));
       return;
     }
+    if (command instanceof RunTransaction transaction && effectsToDelay > 0) {
+      effectsToDelay--;
+      scheduler.schedule(EFFECT_DELAY, () -> run(transaction));
+      scheduler.schedule(
+          CALL_TIMEOUT,
+          () ->
+              host.loop()
+                  .post(TransactionAnswered.without(transaction, TransactionResult.UNKNOWN)));
+      return;
+    }
     if (command instanceof RunTransaction transaction) {
       result =
           reachable
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.RouteKind;
@@ -123,7 +125,7 @@
     }
 
     private void disturb() {
-      Engine host = fixture.hosts.get(random.nextInt(HOSTS));
+      Engine host = fixture.hosts.get(random.nextInt(fixture.hosts.size()));
       switch (random.nextInt(90)) {
         case 0, 1, 2 -> fixture.cutOff(host, true);
         case 3 -> fixture.hosts.forEach(each -> fixture.cutOff(each, false));
@@ -133,12 +135,28 @@
         case 7, 8 -> fixture.storeIsUp = true;
         case 9 -> fixture.peersAreReachable = !fixture.peersAreReachable;
         case 10 -> fixture.answersToLose += 3;
+        case 14, 15 -> fixture.effectsToDelay += 2;
+        case 16 -> restart(host);
         case 11 -> fixture.stepTimeOfDay(Duration.ofSeconds(random.nextInt(-3, 9)));
         case 12, 13 -> reportSilence();
         default -> {}
       }
     }
 
+    /** The sessions of the last process end; the new one opens one when it has a configuration. */
+    private void restart(Engine host) {
+      int index = fixture.hosts.indexOf(host);
+      sessions.get(index).ended();
+      Engine started = fixture.restart(host);
+      started
+          .sessions()
+          .open(
+              new FakeCaller(),
+              DatabaseName.of(RouteKind.PRIMARY.name()),
+              Optional.of(KeyHash.ofKey(EngineFixture.KEY)),
+              session -> sessions.set(index, session));
+    }
+
     private void reportSilence() {
       ServerEntry primary = fixture.entries.get(leader());
       fixture.hosts.forEach(host -> host.loop().post(new ServerSilent(primary)));
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
@@ -9,11 +9,13 @@
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
+import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.internal.engine.traffic.Session;
 
@@ -67,6 +69,29 @@
             assertThat(fixture.entry(host, EngineEntries.CONFIGURATION).version()).isEqualTo(2));
   }
 
+  /** Guards against work for a server that is about to leave: it must end within 7 s. */
+  @Test
+  void shouldTellAllHostsThatAServerDrains() {
+    ServerEntry leaving = fixture.entries.get(BackendServerId.of("s2"));
+    fixture.entries.put(
+        leaving.id(),
+        new ServerEntry(
+            leaving.id(),
+            leaving.group(),
+            leaving.endpoint(),
+            leaving.zone(),
+            leaving.slots(),
+            true,
+            false,
+            leaving.startedAtMillis()));
+    fixture.run(Duration.ofMillis(4000));
+
+    fixture.hosts.forEach(
+        host ->
+            assertThat(fixture.entry(host, EngineEntries.SERVERS).get(leaving.id()).draining())
+                .isTrue());
+  }
+
   /** Guards against a zone that loses its verification with one host. */
   @Test
   void shouldReplaceARelayThatIsGone() {
