--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -44,6 +44,9 @@
 
   private static final Duration WINDOW = Duration.ofSeconds(5);
 
+  /** The callers of the schedules rest for 4 s and then send for 4 s. */
+  private static final long STEPS_OF_REST = 40;
+
   /** Guards against a limit, a key, a primary or a fence number that a mix of faults breaks. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
@@ -114,7 +117,11 @@
       fixture.publish(EngineFixture.configuration(version++, RATE, keys));
     }
 
+    /** Bursts after rests find full buckets and full holdings. */
     private void operate(long step) {
+      if (step / STEPS_OF_REST % 2 == 0) {
+        return;
+      }
       for (Session session : sessions) {
         int count = random.nextInt(3);
         for (int i = 0; i < count; i++) {
