--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -181,6 +181,22 @@
     assertThat(admittedIn(Duration.ofSeconds(3), 1)).isGreaterThanOrEqualTo(HOSTS * 30 * 95 / 100);
   }
 
+  /**
+   * Guards against tokens in the bucket that hosts hold as well: after a rest both are full, and a
+   * burst spends them together.
+   */
+  @Test
+  void shouldKeepTheLimitInABurstAfterARest() {
+    limit();
+    for (Engine host : fixture.hosts) {
+      fixture.open(host, RouteKind.PRIMARY, new FakeCaller());
+    }
+    fixture.run(Duration.ofSeconds(12));
+    double tolerated = (RATE * 5 + RATE) * 1.1 + 20;
+
+    assertThat(admittedIn(Duration.ofSeconds(5), 4)).isLessThanOrEqualTo((int) tolerated);
+  }
+
   private Engine relay() {
     return fixture.hosts.stream()
         .filter(host -> fixture.entry(host, EngineEntries.RELAY_ROLE).equals(RelayRole.RELAYING))
