--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -33,8 +33,9 @@
   static final Duration SCARCE_PAUSE = Duration.ofMillis(600);
 
   /**
-   * Other hosts may spend a loan for this long after they asked. They ask four times as often; a
-   * relay that is restarted must wait as long before it takes the tokens of its last process back.
+   * Other hosts may spend a loan for this long after they asked. They ask every 250 ms, so four
+   * questions may be lost; a relay that is restarted must wait as long before it takes the tokens of
+   * its last process back.
    */
   static final Duration LOAN_VALID = Duration.ofMillis(1200);
 
