--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -34,8 +34,8 @@
 
   /**
    * Other hosts may spend a loan for this long after they asked. They ask every 250 ms, so four
-   * questions may be lost; a relay that is restarted must wait as long before it takes the tokens of
-   * its last process back.
+   * questions may be lost; a relay that is restarted must wait as long before it takes the tokens
+   * of its last process back.
    */
   static final Duration LOAN_VALID = Duration.ofMillis(1200);
 
