--- a/core/src/main/java/org/persimmonwalk/admission/AdaptiveLimit.java
+++ b/core/src/main/java/org/persimmonwalk/admission/AdaptiveLimit.java
@@ -3,31 +3,36 @@
 import java.time.Duration;
 
 /**
- * Follows the time that statements wait inside the backend server.
+ * Adapts the number of concurrent statements to the queueing delay inside the backend server.
  *
- * <p>The excess of a statement is its duration beyond the shortest recent one of its class. A
- * standing queue in the server shows as an excess of even the fastest of a window of statements. In
- * that case the host takes a fixed fraction less; otherwise it takes a fixed amount more. All hosts
- * see the same server, so additive increase and multiplicative decrease bring them to equal parts
- * without messages. Below one slot per host, starts are spaced out instead.
+ * <p>The excess of a statement is its duration minus the shortest recent duration of its class. If
+ * even the fastest statement of a window has an excess, the server has a standing queue, and the
+ * host reduces its slots by a fixed factor. Otherwise it adds a fixed amount. All hosts observe the
+ * same server, so this additive increase and multiplicative decrease converges to equal shares
+ * without messages between hosts. Below one slot per host, statement starts are spaced out instead.
  */
 public final class AdaptiveLimit implements ConcurrencyLimit {
-  /** Statements per decision; with fewer the fastest one says little about a standing queue. */
-  private static final int WINDOW = 12;
+  /**
+   * Statements per adjustment. With fewer, the fastest one is a poor indicator of a standing queue.
+   */
+  private static final int WINDOW_STATEMENTS = 12;
 
   /**
-   * The least excess of a window, relative to its mean duration, from which on the server has a
-   * standing queue. Exponential service times give 1 / 12 without any queue.
+   * The smallest excess in a window, relative to the mean duration, above which the server is
+   * assumed to have a standing queue. Exponential service times give 1 / 12 without any queue.
    */
-  private static final double STANDING_QUEUE = 0.25;
+  private static final double STANDING_QUEUE_EXCESS = 0.25;
 
-  /** Factor per window with a standing queue; small steps keep the limit from oscillating. */
-  private static final double DECREASE = 0.92;
+  /** Applied once per window with a standing queue. Small steps keep the limit from oscillating. */
+  private static final double DECREASE_FACTOR = 0.92;
 
-  /** Slots per window without one; a tenth of the even part of a host at 2 slots and 20 hosts. */
-  private static final double INCREASE = 0.01;
+  /**
+   * Added once per window without a standing queue. It is a tenth of a host's equal share if 20
+   * hosts share 2 slots.
+   */
+  private static final double SLOT_INCREMENT = 0.01;
 
-  /** Keeps a statement going now and then, so that the measurement goes on. */
+  /** Lower bound that still lets a statement start occasionally, to keep measuring durations. */
   private static final double MINIMUM_SLOTS = 0.02;
 
   private final double maximumSlots;
@@ -35,13 +40,13 @@
   private int samples;
   private long leastExcess = Long.MAX_VALUE;
   private long totalDuration;
-  private boolean waited;
+  private boolean anyWaiting;
 
   private AdaptiveLimit(double maximumSlots) {
     this.maximumSlots = maximumSlots;
   }
 
-  /** Returns a limit that starts at 1 and does not exceed the given maximum. */
+  /** Returns a limit that starts at 1 slot and never exceeds the given maximum. */
   public static AdaptiveLimit of(int maximum) {
     return new AdaptiveLimit(maximum);
   }
@@ -56,7 +61,7 @@
     return slots >= 1 ? Duration.ZERO : Duration.ofNanos((long) (cost.toNanos() / slots));
   }
 
-  /** Returns the number of slots that this host uses at most on average. */
+  /** Returns how many statements this host may keep in flight on average; it may be below 1. */
   public double slots() {
     return slots;
   }
@@ -66,21 +71,21 @@
     samples++;
     leastExcess = Math.min(leastExcess, Math.max(0, duration.minus(minimum).toNanos()));
     totalDuration += duration.toNanos();
-    waited |= waiting;
-    if (samples >= WINDOW) {
-      decide((double) leastExcess * samples / totalDuration);
+    anyWaiting |= waiting;
+    if (samples >= WINDOW_STATEMENTS) {
+      adjust((double) leastExcess * samples / totalDuration);
       samples = 0;
       leastExcess = Long.MAX_VALUE;
       totalDuration = 0;
-      waited = false;
+      anyWaiting = false;
     }
   }
 
-  private void decide(double relativeExcess) {
-    if (relativeExcess > STANDING_QUEUE) {
-      slots = Math.max(MINIMUM_SLOTS, slots * DECREASE);
-    } else if (waited || slots < 1) {
-      slots = Math.min(maximumSlots, slots + INCREASE);
+  private void adjust(double relativeExcess) {
+    if (relativeExcess > STANDING_QUEUE_EXCESS) {
+      slots = Math.max(MINIMUM_SLOTS, slots * DECREASE_FACTOR);
+    } else if (anyWaiting || slots < 1) {
+      slots = Math.min(maximumSlots, slots + SLOT_INCREMENT);
     }
   }
 }
--- a/core/src/main/java/org/persimmonwalk/admission/AdmissionPolicy.java
+++ b/core/src/main/java/org/persimmonwalk/admission/AdmissionPolicy.java
@@ -5,11 +5,15 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Decides whether a workspace may run one more statement now. Implementations are safe for use by
- * several threads.
+ * Rate limit: decides whether a workspace may run one more statement now. Traffic threads call it
+ * for each statement, so implementations are thread-safe.
  */
 public interface AdmissionPolicy {
 
-  /** Takes one statement from the workspace's share and returns whether there was one to take. */
+  /**
+   * Takes one statement from the workspace's rate limit at this host.
+   *
+   * @return whether the statement may run
+   */
   boolean admit(Snapshot snapshot, WorkspaceId workspace, MonotonicTime now);
 }
--- a/core/src/main/java/org/persimmonwalk/admission/AdmitAll.java
+++ b/core/src/main/java/org/persimmonwalk/admission/AdmitAll.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Admits every statement; the baseline without rate limits. */
+/** Admits every statement. Benchmarks use it as the baseline without rate limits. */
 public final class AdmitAll implements AdmissionPolicy {
 
   private AdmitAll() {}
--- a/core/src/main/java/org/persimmonwalk/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/org/persimmonwalk/admission/ConcurrencyLimit.java
@@ -3,24 +3,24 @@
 import java.time.Duration;
 
 /**
- * How many statements this host keeps at one backend server. Implementations are not safe for use
- * by several threads; {@link ServerScheduler} guards them with its lock.
+ * Limits how many statements this host has in flight at one backend server. Implementations are not
+ * thread-safe; {@link ServerScheduler} calls them while it holds its lock.
  */
 public interface ConcurrencyLimit {
 
-  /** Returns how many statements may be outstanding at once, at least 1. */
+  /** Returns how many statements may be in flight at once, at least 1. */
   int limit();
 
   /**
-   * Returns the time from the start of a statement to the next start. It is above zero if even one
-   * outstanding statement per host is too many.
+   * Returns the minimum time between the start of a statement and the next start. It is above zero
+   * if even one statement in flight per host is too many for the server.
    *
    * @param cost the expected service time of the statement that starts
    */
   Duration spacing(Duration cost);
 
   /**
-   * Takes note of a statement that the server has answered.
+   * Records a statement that the server has answered.
    *
    * @param duration the time from start to answer
    * @param minimum the shortest time that statements of its class took recently
--- a/core/src/main/java/org/persimmonwalk/admission/EqualSplitAdmission.java
+++ b/core/src/main/java/org/persimmonwalk/admission/EqualSplitAdmission.java
@@ -11,7 +11,10 @@
 import org.persimmonwalk.model.TokenOrder;
 import org.persimmonwalk.model.Workspace;
 
-/** Gives each entry host the same fixed part of each workspace; the baseline without leases. */
+/**
+ * Divides each workspace's rate and burst equally among the entry hosts. Benchmarks use it as the
+ * baseline without leases.
+ */
 public final class EqualSplitAdmission implements AdmissionPolicy {
   private final int hosts;
   private final Map<WorkspaceId, TokenBucket> buckets = new ConcurrentHashMap<>();
@@ -27,24 +30,28 @@
    */
   public static EqualSplitAdmission of(int hosts) {
     if (hosts < 1) {
-      throw new IllegalArgumentException("a split needs at least 1 host, not " + hosts);
+      throw new IllegalArgumentException(
+          "the number of entry hosts must be at least 1, but is " + hosts);
     }
     return new EqualSplitAdmission(hosts);
   }
 
   @Override
   public boolean admit(Snapshot snapshot, WorkspaceId workspace, MonotonicTime now) {
-    Optional<ShareLease> part =
-        snapshot.get(Entries.CONFIGURATION).workspace(workspace).map(found -> part(found, now));
+    Optional<ShareLease> equalShare =
+        snapshot
+            .get(Entries.CONFIGURATION)
+            .workspace(workspace)
+            .map(found -> equalShare(found, now));
     TokenBucket bucket =
         buckets.computeIfAbsent(workspace, absent -> TokenBucket.empty(absent, now));
-    bucket.apply(snapshot.round(), part, snapshot.publishedAt());
+    bucket.apply(snapshot.round(), equalShare, snapshot.publishedAt());
     return bucket.admit(now);
   }
 
-  private ShareLease part(Workspace workspace, MonotonicTime now) {
-    MonotonicTime never = MonotonicTime.of(now.nanoseconds() + Long.MAX_VALUE / 2);
+  private ShareLease equalShare(Workspace workspace, MonotonicTime now) {
+    MonotonicTime noExpiry = MonotonicTime.of(now.nanoseconds() + Long.MAX_VALUE / 2);
     return ShareLease.of(
-        workspace.rate() / hosts, workspace.burst() / hosts, never, TokenOrder.NONE);
+        workspace.rate() / hosts, workspace.burst() / hosts, noExpiry, TokenOrder.NONE);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/admission/FairQueue.java
+++ b/core/src/main/java/org/persimmonwalk/admission/FairQueue.java
@@ -15,25 +15,28 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Serves workspaces by weighted deficit round robin; the cost of a statement is its expected
- * service time. A workspace that uses less than its share keeps a bounded credit, so that a short
- * burst of it does not wait behind a workspace that always has statements waiting.
+ * Serves workspaces by weighted deficit round robin. The cost of a statement is its expected
+ * service time. A workspace that uses less than its share accumulates a bounded credit, so that a
+ * short burst of it does not wait behind a workspace that always has statements waiting.
  *
- * <p>Inside a workspace the order is urgency, then deadline, then arrival. An urgent statement of a
- * workspace inside its share goes before bulk statements of any workspace, at most at every second
- * dispatch. A statement whose deadline the measured progress of its workspace does not allow is
- * refused when it arrives. When the queue is full, the workspace with the longest queue loses its
- * newest, least urgent entry.
+ * <p>Within a workspace the order is urgency, then deadline, then arrival. An urgent statement of a
+ * workspace with credit goes before bulk statements of any workspace, but at most at every second
+ * dispatch. A statement that would miss its deadline at the rate at which its workspace was served
+ * recently is refused on arrival. When the queue is full, the workspace with the longest queue
+ * loses the newest of its least urgent statements.
  *
  * @param <T> the type of the payload
  */
 public final class FairQueue<T> implements RequestQueue<T> {
-  /** Cost per round and weight. It is less than most statements cost, so that turns stay even. */
+  /**
+   * Credit per round and unit of weight. It is below the cost of most statements, so that no
+   * workspace starts many statements in a row.
+   */
   private static final double QUANTUM_NANOSECONDS = 1e6;
 
   /**
-   * Credit that a workspace keeps per weight. With 200 ms, random bursts of large workspaces inside
-   * their rate used it up and their 99th percentile was up to 2.7 times as long.
+   * Maximum credit per unit of weight. 200 ms was too little: random bursts of large workspaces
+   * within their rate used it up, and their 99th percentile was up to 2.7 times as long.
    */
   private static final double MAXIMUM_CREDIT_NANOSECONDS = 800e6;
 
@@ -41,7 +44,7 @@
   private final WorkspaceWeights weights;
   private final ServiceTimes serviceTimes;
 
-  /** Workspaces in the order of their turns; one that has used its turn moves to the end. */
+  /** Workspaces in round-robin order; one that has used up its credit moves to the end. */
   private final Map<WorkspaceId, WorkspaceQueue<T>> workspaces = new LinkedHashMap<>();
 
   private final Map<QueuedRequest<T>, Entry<T>> entries = new IdentityHashMap<>();
@@ -50,7 +53,9 @@
           Comparator.<Entry<T>, MonotonicTime>comparing(entry -> entry.request().deadline())
               .thenComparingLong(Entry::sequence));
   private long nextSequence;
-  private boolean lastByPrecedence;
+
+  /** Whether the last dispatch let an urgent statement go before a bulk one. */
+  private boolean lastUrgentFirst;
 
   private FairQueue(int capacity, WorkspaceWeights weights, ServiceTimes serviceTimes) {
     this.capacity = capacity;
@@ -63,7 +68,7 @@
    *
    * @param capacity the number of requests that may wait
    * @param weights the share of each workspace
-   * @param serviceTimes the measured costs, which the scheduler of the queue keeps up to date
+   * @param serviceTimes the measured service times, which the {@link ServerScheduler} updates
    */
   public static <T> FairQueue<T> of(
       int capacity, WorkspaceWeights weights, ServiceTimes serviceTimes) {
@@ -74,38 +79,38 @@
   public List<RefusedRequest<T>> offer(QueuedRequest<T> request, MonotonicTime now) {
     double cost = serviceTimes.expected(request, now).toNanos();
     Entry<T> entry = new Entry<>(request, cost, nextSequence++);
-    WorkspaceQueue<T> own = workspaces.computeIfAbsent(request.workspace(), this::create);
-    if (isUnreachable(entry, own.estimatedWait(entry), now)) {
+    WorkspaceQueue<T> queue = workspaces.computeIfAbsent(request.workspace(), this::create);
+    if (isUnreachable(entry, queue.estimatedWait(entry), now)) {
       return List.of(RefusedRequest.deadlineUnreachable(request));
     }
-    own.add(entry, now);
+    queue.add(entry, now);
     entries.put(request, entry);
     byDeadline.add(entry);
     if (entries.size() <= capacity) {
       return List.of();
     }
-    Entry<T> loser = longest().leastUrgent();
-    discard(loser);
-    return List.of(RefusedRequest.queueFull(loser.request()));
+    Entry<T> dropped = longestQueue().leastUrgent();
+    discard(dropped);
+    return List.of(RefusedRequest.queueFull(dropped.request()));
   }
 
   @Override
   public PollResult<T> poll(MonotonicTime now) {
-    return poll(now, () -> entries.isEmpty() ? Optional.empty() : Optional.of(choose()));
+    return poll(now, () -> entries.isEmpty() ? Optional.empty() : Optional.of(nextEntry()));
   }
 
   @Override
-  public PollResult<T> pollInsideShare(MonotonicTime now) {
-    return poll(now, () -> firstOf(WorkspaceQueue::isInsideShare).map(WorkspaceQueue::first));
+  public PollResult<T> pollBelowShare(MonotonicTime now) {
+    return poll(now, () -> firstOf(WorkspaceQueue::isBelowShare).map(WorkspaceQueue::first));
   }
 
-  private PollResult<T> poll(MonotonicTime now, Supplier<Optional<Entry<T>>> choice) {
+  private PollResult<T> poll(MonotonicTime now, Supplier<Optional<Entry<T>>> selection) {
     List<RefusedRequest<T>> refused = expire(now);
-    Optional<Entry<T>> entry = choice.get();
+    Optional<Entry<T>> entry = selection.get();
     while (entry.isPresent() && isUnreachable(entry.get(), 0, now)) {
       discard(entry.get());
       refused.add(RefusedRequest.deadlineUnreachable(entry.get().request()));
-      entry = choice.get();
+      entry = selection.get();
     }
     entry.ifPresent(chosen -> serve(chosen, now));
     return new PollResult<>(entry.map(Entry::request), refused);
@@ -154,22 +159,22 @@
     return wait + entry.cost() > remaining;
   }
 
-  /** Returns the entry whose turn it is; starts the next round if no workspace has credit. */
-  private Entry<T> choose() {
+  /** Returns the next entry to serve; starts new rounds first if no workspace has credit. */
+  private Entry<T> nextEntry() {
     Optional<WorkspaceQueue<T>> eligible = firstOf(WorkspaceQueue::isEligible);
     if (eligible.isEmpty()) {
       advanceRounds();
       eligible = firstOf(WorkspaceQueue::isEligible);
     }
-    Entry<T> turn = eligible.orElseThrow().first();
-    if (turn.request().urgency() == Urgency.BULK && !lastByPrecedence) {
+    Entry<T> next = eligible.orElseThrow().first();
+    if (next.request().urgency() == Urgency.BULK && !lastUrgentFirst) {
       Optional<Entry<T>> urgent =
           firstOf(queue -> queue.isEligible() && isUrgent(queue)).map(WorkspaceQueue::first);
-      lastByPrecedence = urgent.isPresent();
-      return urgent.orElse(turn);
+      lastUrgentFirst = urgent.isPresent();
+      return urgent.orElse(next);
     }
-    lastByPrecedence = false;
-    return turn;
+    lastUrgentFirst = false;
+    return next;
   }
 
   private static boolean isUrgent(WorkspaceQueue<?> queue) {
@@ -190,7 +195,7 @@
             .min()
             .orElse(0);
     workspaces.values().forEach(queue -> queue.addRounds(rounds));
-    workspaces.values().removeIf(WorkspaceQueue::isSettled);
+    workspaces.values().removeIf(WorkspaceQueue::isRemovable);
   }
 
   private void serve(Entry<T> entry, MonotonicTime now) {
@@ -211,7 +216,7 @@
     byDeadline.remove(entry);
   }
 
-  private WorkspaceQueue<T> longest() {
+  private WorkspaceQueue<T> longestQueue() {
     return workspaces.values().stream()
         .max(Comparator.comparingInt(WorkspaceQueue::size))
         .orElseThrow();
--- a/core/src/main/java/org/persimmonwalk/admission/FirstInFirstOutQueue.java
+++ b/core/src/main/java/org/persimmonwalk/admission/FirstInFirstOutQueue.java
@@ -8,7 +8,8 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Starts requests in the order of their arrival, whatever their workspace; the baseline.
+ * Starts requests in the order of their arrival, whatever their workspace. Benchmarks use it as the
+ * baseline for {@link FairQueue}.
  *
  * @param <T> the type of the payload
  */
@@ -41,7 +42,7 @@
   }
 
   @Override
-  public PollResult<T> pollInsideShare(MonotonicTime now) {
+  public PollResult<T> pollBelowShare(MonotonicTime now) {
     return new PollResult<>(Optional.empty(), expire(now));
   }
 
--- a/core/src/main/java/org/persimmonwalk/admission/FixedLimit.java
+++ b/core/src/main/java/org/persimmonwalk/admission/FixedLimit.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** A limit that does not change; the baseline. */
+/** A limit that never changes. Benchmarks use it as the baseline for {@link AdaptiveLimit}. */
 public final class FixedLimit implements ConcurrencyLimit {
   private final int limit;
 
@@ -17,7 +17,7 @@
    */
   public static FixedLimit of(int limit) {
     if (limit < 1) {
-      throw new IllegalArgumentException("limit " + limit + " must be at least 1");
+      throw new IllegalArgumentException("concurrency limit " + limit + " must be at least 1");
     }
     return new FixedLimit(limit);
   }
@@ -34,6 +34,6 @@
 
   @Override
   public void record(Duration duration, Duration minimum, boolean waiting) {
-    // The limit does not follow measurements.
+    // A fixed limit ignores measurements.
   }
 }
--- a/core/src/main/java/org/persimmonwalk/admission/KeyPolicy.java
+++ b/core/src/main/java/org/persimmonwalk/admission/KeyPolicy.java
@@ -13,8 +13,8 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * Decides whether a key opens a workspace. It is asked when a caller connects and again for each
- * statement, so that a withdrawn key stops working on open connections.
+ * Checks a caller's key against the keys in the snapshot. Traffic threads call it when a caller
+ * connects and again for each statement, so that a withdrawn key stops working on open connections.
  *
  * <p>Example:
  *
@@ -24,7 +24,10 @@
  * }</pre>
  */
 public final class KeyPolicy implements KeyVerifier {
-  /** The time without news of the configuration after which keys are no longer accepted. */
+  /**
+   * The grace period: how long keys are accepted although this host could not confirm that its
+   * configuration is current.
+   */
   public static final Duration DEFAULT_UNVERIFIED_GRACE = Duration.ofMinutes(15);
 
   private final Duration unverifiedGrace;
@@ -33,19 +36,19 @@
     this.unverifiedGrace = Objects.requireNonNull(unverifiedGrace, "unverifiedGrace");
   }
 
-  /** Returns a policy with the grace of 15 minutes. */
+  /** Returns a policy with a grace period of 15 minutes. */
   public static KeyPolicy create() {
     return new KeyPolicy(DEFAULT_UNVERIFIED_GRACE);
   }
 
-  /** Returns a policy with the given grace. */
+  /** Returns a policy with the given grace period. */
   public static KeyPolicy of(Duration unverifiedGrace) {
     return new KeyPolicy(unverifiedGrace);
   }
 
   /**
-   * Returns why the caller may not use the workspace; empty if it may. After the grace open
-   * workspaces are refused too, because the workspace may no longer be open.
+   * Returns why the caller may not use the workspace; empty if it may. After the grace period,
+   * workspaces that need no key are refused too, because they may need one by now.
    */
   @Override
   public Optional<ResultCode> verify(
--- a/core/src/main/java/org/persimmonwalk/admission/KeyVerifier.java
+++ b/core/src/main/java/org/persimmonwalk/admission/KeyVerifier.java
@@ -7,10 +7,10 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.result.ResultCode;
 
-/** Decides whether a caller's key opens a workspace now. */
+/** Decides whether a caller's key grants access to a workspace now. */
 public interface KeyVerifier {
 
-  /** Returns why the key does not open the workspace, or nothing if it does. */
+  /** Returns why access to the workspace is refused; empty if it is granted. */
   Optional<ResultCode> verify(
       Snapshot snapshot, WorkspaceId workspace, Optional<KeyHash> key, MonotonicTime now);
 }
--- a/core/src/main/java/org/persimmonwalk/admission/LeasedAdmission.java
+++ b/core/src/main/java/org/persimmonwalk/admission/LeasedAdmission.java
@@ -14,10 +14,11 @@
 import org.persimmonwalk.model.ShareLease;
 
 /**
- * Admits statements from this host's leased part of the workspace's rate and burst.
+ * Admits statements within the part of a workspace's rate and burst that this host has leased.
  *
- * <p>It must listen to the control loop: a lowered lease is then in force before the commands of
- * the same round are carried out, whichever older snapshot a traffic thread still holds.
+ * <p>Traffic threads call {@link #admit}; the control thread calls {@link #published}. The policy
+ * has to be registered with the control loop: a lowered lease then takes effect before the commands
+ * of the same round are executed, even if a traffic thread still holds an older snapshot.
  *
  * <p>Example:
  *
@@ -35,7 +36,7 @@
     this.observations = observations;
   }
 
-  /** Returns a policy that reports demand and moved tokens to the given consumer. */
+  /** Returns a policy that reports demand and executed token orders to the given consumer. */
   public static LeasedAdmission of(Consumer<Observation> observations) {
     return new LeasedAdmission(Objects.requireNonNull(observations, "observations"));
   }
--- a/core/src/main/java/org/persimmonwalk/admission/PollResult.java
+++ b/core/src/main/java/org/persimmonwalk/admission/PollResult.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 
 /**
- * What leaves a queue at one poll.
+ * The requests that one poll removes from a {@link RequestQueue}.
  *
- * @param next the request to start now
- * @param refused the requests whose deadline cannot be met any more
+ * @param next the request to start now, if there is one
+ * @param refused the requests that can no longer meet their deadline
  * @param <T> the type of the payload
  */
 public record PollResult<T>(Optional<QueuedRequest<T>> next, List<RefusedRequest<T>> refused) {
--- a/core/src/main/java/org/persimmonwalk/admission/QueuedRequest.java
+++ b/core/src/main/java/org/persimmonwalk/admission/QueuedRequest.java
@@ -6,7 +6,7 @@
 import org.persimmonwalk.routing.StatementKind;
 
 /**
- * A statement that waits for a backend server. Queues tell requests apart by identity, since two
+ * A statement that waits for a backend server. Queues compare requests by identity, because two
  * callers may send equal statements.
  *
  * @param payload what the traffic thread needs to run the statement
--- a/core/src/main/java/org/persimmonwalk/admission/RefusedRequest.java
+++ b/core/src/main/java/org/persimmonwalk/admission/RefusedRequest.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * A request that left the queue without being started; it has not run and will not run.
+ * A request that was removed from the queue without being started; it will never run.
  *
  * @param request the request
  * @param code why it was refused
@@ -18,12 +18,12 @@
     Objects.requireNonNull(code, "code");
   }
 
-  /** Returns a refusal of a request that the bounded queue has no room for. */
+  /** Returns a refusal because the queue is at its capacity. */
   static <T> RefusedRequest<T> queueFull(QueuedRequest<T> request) {
     return new RefusedRequest<>(request, ResultCode.QUEUE_FULL);
   }
 
-  /** Returns a refusal of a request that cannot be answered before its deadline. */
+  /** Returns a refusal because the request cannot be answered before its deadline. */
   static <T> RefusedRequest<T> deadlineUnreachable(QueuedRequest<T> request) {
     return new RefusedRequest<>(request, ResultCode.DEADLINE_UNREACHABLE);
   }
--- a/core/src/main/java/org/persimmonwalk/admission/RequestQueue.java
+++ b/core/src/main/java/org/persimmonwalk/admission/RequestQueue.java
@@ -6,34 +6,39 @@
 
 /**
  * A bounded queue of statements in front of one backend server. A request leaves the queue exactly
- * once: as the next one to start, as refused, or as removed. Implementations are not safe for use
- * by several threads; {@link ServerScheduler} guards them with its lock.
+ * once: it is started, refused or removed. Implementations are not thread-safe; {@link
+ * ServerScheduler} calls them while it holds its lock.
  *
  * @param <T> the type of the payload
  */
 public interface RequestQueue<T> {
 
-  /** Adds a request and returns the requests, possibly this one, that are refused for it. */
+  /**
+   * Adds a request.
+   *
+   * @return the requests that are refused because of it, possibly the request itself
+   */
   List<RefusedRequest<T>> offer(QueuedRequest<T> request, MonotonicTime now);
 
-  /** Takes the next request to start, and those whose deadline has passed. */
+  /** Removes the next request to start, and the requests that can no longer meet their deadline. */
   PollResult<T> poll(MonotonicTime now);
 
   /**
-   * Takes the next request of a workspace that has used less than its share, and those whose
-   * deadline has passed. Such a request may start although the host has reached its limit.
+   * Removes the next request of a workspace that has used less than its share, and the requests
+   * that can no longer meet their deadline. Such a request may start although the host has reached
+   * its concurrency limit.
    */
-  PollResult<T> pollInsideShare(MonotonicTime now);
+  PollResult<T> pollBelowShare(MonotonicTime now);
 
-  /** Takes the requests whose deadline has passed. */
+  /** Removes and returns the requests whose deadline has passed. */
   List<RefusedRequest<T>> expire(MonotonicTime now);
 
-  /** Removes the request of a caller that has cancelled it; returns whether it still waited. */
+  /** Removes a request that its caller has cancelled; returns whether it was still waiting. */
   boolean remove(QueuedRequest<T> request);
 
-  /** Returns the earliest deadline of the requests that wait. */
+  /** Returns the earliest deadline of the waiting requests; empty if none waits. */
   Optional<MonotonicTime> earliestDeadline();
 
-  /** Returns the number of requests that wait. */
+  /** Returns the number of waiting requests. */
   int size();
 }
--- a/core/src/main/java/org/persimmonwalk/admission/SchedulerStep.java
+++ b/core/src/main/java/org/persimmonwalk/admission/SchedulerStep.java
@@ -6,11 +6,11 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * What a traffic thread does after a call to a {@link ServerScheduler}.
+ * The actions that the calling thread must take after a call to a {@link ServerScheduler}.
  *
  * @param started the requests to send to the backend server now
- * @param refused the requests to answer as refused
- * @param wakeAt when to call {@link ServerScheduler#advance} if nothing else happens before
+ * @param refused the requests to refuse to their callers
+ * @param wakeAt when to call {@link ServerScheduler#advance} unless another call comes first
  * @param <T> the type of the payload
  */
 public record SchedulerStep<T>(
--- a/core/src/main/java/org/persimmonwalk/admission/ServerScheduler.java
+++ b/core/src/main/java/org/persimmonwalk/admission/ServerScheduler.java
@@ -11,24 +11,25 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * The queue and the concurrency limit of this host for one backend server. Every request that is
- * submitted is started, refused or cancelled exactly once, and a started one is completed. Safe for
- * use by several threads; a call never blocks for longer than another call takes.
+ * Starts this host's statements at one backend server, in the order of a {@link RequestQueue} and
+ * within a {@link ConcurrencyLimit}. Every submitted request is started, refused or cancelled
+ * exactly once; the caller has to complete each started one. Thread-safe; a call waits at most for
+ * other calls to finish, never for the server.
  *
  * @param <T> the type of the payload
  */
 public final class ServerScheduler<T> {
   /**
-   * Statements beyond the limit that may be outstanding for workspaces inside their share, so that
-   * they do not wait behind a heavy statement of a workspace above its share.
+   * Slots beyond the limit for workspaces below their share, so that their statements do not wait
+   * behind a heavy statement of a workspace above its share.
    */
-  private static final int RESERVE = 2;
+  private static final int RESERVED_SLOTS = 2;
 
   /**
-   * How far starts inside the share may run ahead of the spacing. It bounds the time for which they
-   * keep all other workspaces from starting.
+   * How long before the next spaced start a workspace below its share may start a statement. Each
+   * such start delays all other workspaces, and this bounds the delay.
    */
-  private static final Duration MAXIMUM_ADVANCE = Duration.ofSeconds(1);
+  private static final Duration MAXIMUM_EARLY_START = Duration.ofSeconds(1);
 
   private final RequestQueue<T> queue;
   private final ConcurrencyLimit limit;
@@ -49,16 +50,16 @@
     return new ServerScheduler<>(queue, limit, serviceTimes);
   }
 
-  /** Adds a request. */
+  /** Queues a request and starts what the limit allows. */
   public synchronized SchedulerStep<T> submit(QueuedRequest<T> request, MonotonicTime now) {
     return step(new ArrayList<>(queue.offer(request, now)), now);
   }
 
   /**
-   * Takes note that a started request has ended. A second call for the same request has no effect.
+   * Reports the end of a started request. A second call for the same request is ignored.
    *
    * @param duration the time from its start to the end of the answer
-   * @param succeeded whether the server answered; the duration of a failure is not a measurement
+   * @param succeeded whether the server answered; the duration of a failed request is not recorded
    */
   public synchronized SchedulerStep<T> complete(
       QueuedRequest<T> request, Duration duration, boolean succeeded, MonotonicTime now) {
@@ -69,21 +70,21 @@
     return step(new ArrayList<>(), now);
   }
 
-  /** Starts or refuses what the passing of time allows. */
+  /** Starts requests whose spacing is over and refuses those whose deadline has passed. */
   public synchronized SchedulerStep<T> advance(MonotonicTime now) {
     return step(new ArrayList<>(), now);
   }
 
   /**
-   * Withdraws a request that has not been started.
+   * Removes a request that has not been started.
    *
-   * @return whether it was withdrawn; if not it has been started or refused before
+   * @return whether it was removed; if not, it has already been started or refused
    */
   public synchronized boolean cancel(QueuedRequest<T> request) {
     return queue.remove(request);
   }
 
-  /** Returns the number of requests that run or wait. */
+  /** Returns the number of requests that are running or waiting. */
   public synchronized int outstanding() {
     return running.size() + queue.size();
   }
@@ -92,7 +93,7 @@
     List<QueuedRequest<T>> started = new ArrayList<>();
     refused.addAll(queue.expire(now));
     boolean progress = true;
-    while (progress && queue.size() > 0 && running.size() < limit.limit() + RESERVE) {
+    while (progress && queue.size() > 0 && running.size() < limit.limit() + RESERVED_SLOTS) {
       PollResult<T> result = pollAllowed(now);
       refused.addAll(result.refused());
       result.next().ifPresent(request -> started.add(start(request, now)));
@@ -102,12 +103,12 @@
   }
 
   private PollResult<T> pollAllowed(MonotonicTime now) {
-    Duration advance = nextStart.map(time -> time.since(now)).orElse(Duration.ZERO);
-    if (running.size() < limit.limit() && advance.compareTo(Duration.ZERO) <= 0) {
+    Duration untilNextStart = nextStart.map(time -> time.since(now)).orElse(Duration.ZERO);
+    if (running.size() < limit.limit() && untilNextStart.compareTo(Duration.ZERO) <= 0) {
       return queue.poll(now);
     }
-    return advance.compareTo(MAXIMUM_ADVANCE) <= 0
-        ? queue.pollInsideShare(now)
+    return untilNextStart.compareTo(MAXIMUM_EARLY_START) <= 0
+        ? queue.pollBelowShare(now)
         : new PollResult<>(Optional.empty(), List.of());
   }
 
@@ -118,7 +119,10 @@
     return request;
   }
 
-  /** Returns the earliest of the next start, the next start inside the share and a deadline. */
+  /**
+   * Returns the earliest of the next spaced start, the next early start of a workspace below its
+   * share, and the earliest deadline.
+   */
   private Optional<MonotonicTime> wakeAt(MonotonicTime now) {
     if (queue.size() == 0) {
       return Optional.empty();
@@ -127,8 +131,8 @@
         Stream.concat(
             nextStart.filter(time -> running.size() < limit.limit()).stream(),
             nextStart
-                .filter(time -> running.size() < limit.limit() + RESERVE)
-                .map(time -> time.minus(MAXIMUM_ADVANCE))
+                .filter(time -> running.size() < limit.limit() + RESERVED_SLOTS)
+                .map(time -> time.minus(MAXIMUM_EARLY_START))
                 .stream());
     return Stream.concat(starts.filter(now::isBefore), queue.earliestDeadline().stream())
         .min(MonotonicTime::compareTo);
--- a/core/src/main/java/org/persimmonwalk/admission/ServerSchedulers.java
+++ b/core/src/main/java/org/persimmonwalk/admission/ServerSchedulers.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.routing.ServerLoad;
 
 /**
- * The schedulers of this host for all backend servers. Safe for use by several threads.
+ * This host's schedulers, one for each backend server. Thread-safe.
  *
  * @param <T> the type of the payload
  */
@@ -20,17 +20,17 @@
     this.factory = factory;
   }
 
-  /** Returns a set of schedulers that are made by the given function when first needed. */
+  /** Returns an empty set; the given function creates a scheduler when it is first needed. */
   public static <T> ServerSchedulers<T> of(Function<BackendServerId, ServerScheduler<T>> factory) {
     return new ServerSchedulers<>(factory);
   }
 
-  /** Returns the scheduler of the backend server. */
+  /** Returns the scheduler of the backend server; creates it if there is none. */
   public ServerScheduler<T> get(BackendServerId server) {
     return schedulers.computeIfAbsent(server, factory);
   }
 
-  /** Drops the schedulers without outstanding requests of servers that are not configured. */
+  /** Removes the schedulers of unconfigured servers that have no outstanding requests. */
   public void retain(Set<BackendServerId> configured) {
     schedulers
         .entrySet()
--- a/core/src/main/java/org/persimmonwalk/admission/ServiceTimes.java
+++ b/core/src/main/java/org/persimmonwalk/admission/ServiceTimes.java
@@ -8,27 +8,28 @@
 import org.persimmonwalk.routing.StatementKind;
 
 /**
- * Measured service times per workspace, kind and urgency. The queue takes the running mean as the
- * cost of a statement, so that a heavy statement counts for more than a short one. Guarded by the
- * lock of {@link ServerScheduler}.
+ * Measured service times per workspace, kind and urgency. {@link FairQueue} uses the moving average
+ * as the cost of a statement, so that a heavy statement counts for more than a short one. Not
+ * thread-safe; {@link ServerScheduler} calls it while it holds its lock.
  */
 public final class ServiceTimes {
-  /** A statement of which nothing is known counts like a short one. */
+  /** Assumed for statements without a measurement; the duration of a short statement. */
   static final Duration DEFAULT = Duration.ofMillis(5);
 
   /**
-   * An estimate without new measurements is forgotten. Otherwise one slow statement could have all
-   * later ones refused as too late, and none would run to correct the estimate.
+   * Estimates without a measurement for this long are ignored. Otherwise one slow statement could
+   * cause all later ones to be refused for their deadline, and none would run to correct the
+   * estimate.
    */
   static final Duration MAXIMUM_AGE = Duration.ofSeconds(10);
 
-  /** Weight of a new measurement in the running mean. */
-  private static final double GAIN = 0.05;
+  /** Weight of a new measurement in the exponential moving average. */
+  private static final double SMOOTHING_FACTOR = 0.05;
 
-  /** The minimum is taken over one to two of these periods, so that it follows a changed server. */
+  /** The minimum covers one to two of these periods, so that it adapts when the server changes. */
   private static final Duration MINIMUM_PERIOD = Duration.ofSeconds(30);
 
-  /** Least recently used estimates beyond this number are dropped. */
+  /** Beyond this number, the least recently used estimates are evicted. */
   private static final int MAXIMUM_ESTIMATES = 4096;
 
   private final Map<StatementClass, Estimate> estimates =
@@ -46,13 +47,13 @@
     return new ServiceTimes();
   }
 
-  /** Takes note of how long a statement took at the backend server. */
+  /** Records how long a statement took at the backend server. */
   public void record(QueuedRequest<?> request, Duration duration, MonotonicTime now) {
     Estimate estimate = estimates.computeIfAbsent(classOf(request), key -> new Estimate());
     estimate.record(Math.max(1, duration.toNanos()), now);
   }
 
-  /** Returns how long a statement like this one takes on average. */
+  /** Returns the average duration of statements of the same class. */
   public Duration expected(QueuedRequest<?> request, MonotonicTime now) {
     Estimate estimate = estimates.get(classOf(request));
     return estimate == null || now.since(estimate.updatedAt).compareTo(MAXIMUM_AGE) > 0
@@ -60,7 +61,7 @@
         : Duration.ofNanos((long) estimate.mean);
   }
 
-  /** Returns the shortest time that a statement like this one took recently, or zero. */
+  /** Returns the shortest recent duration of statements of the same class, or zero if none ran. */
   public Duration minimum(QueuedRequest<?> request) {
     Estimate estimate = estimates.get(classOf(request));
     return estimate == null
@@ -83,7 +84,7 @@
 
     private void record(long nanoseconds, MonotonicTime now) {
       boolean first = updatedAt == null || now.since(updatedAt).compareTo(MAXIMUM_AGE) > 0;
-      mean = first ? nanoseconds : mean + GAIN * (nanoseconds - mean);
+      mean = first ? nanoseconds : mean + SMOOTHING_FACTOR * (nanoseconds - mean);
       updatedAt = now;
       if (periodStart == null) {
         periodStart = now;
--- a/core/src/main/java/org/persimmonwalk/admission/Urgency.java
+++ b/core/src/main/java/org/persimmonwalk/admission/Urgency.java
@@ -1,10 +1,10 @@
 package org.persimmonwalk.admission;
 
-/** How soon a statement has to run, as its caller states it; the most urgent comes first. */
+/** How soon a statement has to run, as stated by its caller. Sorted from most to least urgent. */
 public enum Urgency {
-  /** Short statements that somebody waits for, such as a booking or a filing. */
+  /** Short statements that a person is waiting for, such as a booking or a filing. */
   URGENT,
-  /** Statements without a stated urgency. */
+  /** The default for statements without a stated urgency. */
   NORMAL,
   /** Heavy statements that can wait. */
   BULK
--- a/core/src/main/java/org/persimmonwalk/admission/WorkspaceQueue.java
+++ b/core/src/main/java/org/persimmonwalk/admission/WorkspaceQueue.java
@@ -4,9 +4,9 @@
 import java.util.TreeSet;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** The requests of one workspace in a {@link FairQueue}, its credit and its measured progress. */
+/** The waiting requests of one workspace in a {@link FairQueue}, its credit and service rate. */
 final class WorkspaceQueue<T> {
-  /** Measurements lose half of their weight in this time of continuous waiting. */
+  /** Time with waiting requests in which older measurements lose half of their weight. */
   private static final double HALF_LIFE_NANOSECONDS = 1e9;
 
   private final TreeSet<Entry<T>> entries =
@@ -46,7 +46,7 @@
     return entries.first();
   }
 
-  /** Returns the newest of the least urgent entries. */
+  /** Returns the newest of the least urgent entries; the queue must not be empty. */
   Entry<T> leastUrgent() {
     Urgency least = entries.last().request().urgency();
     return entries.stream()
@@ -63,7 +63,7 @@
     return entries.size();
   }
 
-  /** Takes the entry out to be started, charges its cost and measures the workspace's progress. */
+  /** Removes an entry that is to start, charges its cost and measures the service rate. */
   void serve(Entry<T> entry, MonotonicTime now) {
     entries.remove(entry);
     credit -= entry.cost();
@@ -74,7 +74,10 @@
     waitingSince = now;
   }
 
-  /** Returns the nanoseconds that the entry has to wait at the measured progress, or 0. */
+  /**
+   * Returns how many nanoseconds the entry is expected to wait at the measured service rate; 0 if
+   * the credit covers the entries before it or nothing has been measured.
+   */
   double estimatedWait(Entry<T> entry) {
     double ahead = entries.headSet(entry).stream().mapToDouble(Entry::cost).sum();
     return servedCost > 0 && ahead > credit ? ahead * servedTime / servedCost : 0;
@@ -85,13 +88,13 @@
     return credit > 0;
   }
 
-  /** Returns whether the workspace has left over credit of earlier rounds. */
-  boolean isInsideShare() {
+  /** Returns whether the workspace has used less than its share and has credit left over. */
+  boolean isBelowShare() {
     return credit > quantum;
   }
 
-  /** Returns whether nothing would be lost if the workspace were forgotten. */
-  boolean isSettled() {
+  /** Returns whether the queue is empty and has the credit of a new one, and can be discarded. */
+  boolean isRemovable() {
     return entries.isEmpty() && credit >= maximumCredit;
   }
 
@@ -104,6 +107,6 @@
     credit = Math.min(maximumCredit, credit + rounds * quantum);
   }
 
-  /** A waiting request with its cost in nanoseconds and its place in the order of arrival. */
+  /** A waiting request with its cost in nanoseconds and its sequence number by arrival. */
   record Entry<T>(QueuedRequest<T> request, double cost, long sequence) {}
 }
--- a/core/src/main/java/org/persimmonwalk/admission/WorkspaceWeights.java
+++ b/core/src/main/java/org/persimmonwalk/admission/WorkspaceWeights.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.id.WorkspaceId;
 
-/** Tells how large a part of a backend server each workspace gets when it is short. */
+/** Weights that divide a backend server's time among workspaces when it is overloaded. */
 public interface WorkspaceWeights {
 
   /** Returns the weight of the workspace, above 0. */
--- a/core/src/test/java/org/persimmonwalk/admission/AdaptiveLimitTest.java
+++ b/core/src/test/java/org/persimmonwalk/admission/AdaptiveLimitTest.java
@@ -11,23 +11,23 @@
 class AdaptiveLimitTest {
   private static final Duration SERVICE = Duration.ofMillis(10);
 
-  /** Guards against hosts that keep an early advantage, and against a limit that swings. */
+  /** Guards against a first host that keeps a larger share, and against an oscillating limit. */
   @Test
-  void shouldConvergeToEvenPartsWithoutOscillation() {
+  void shouldConvergeToEqualSharesWithoutOscillation() {
     List<AdaptiveLimit> hosts = new ArrayList<>();
-    AdaptiveLimit early = AdaptiveLimit.of(50);
-    answer(List.of(early), 3, 3_000);
-    assertThat(early.slots()).isBetween(2.5, 4.5);
-    hosts.add(early);
+    AdaptiveLimit first = AdaptiveLimit.of(50);
+    recordAnswers(List.of(first), 3, 3_000);
+    assertThat(first.slots()).isBetween(2.5, 4.5);
+    hosts.add(first);
     for (int host = 1; host < 20; host++) {
       hosts.add(AdaptiveLimit.of(50));
     }
 
-    answer(hosts, 3, 3_000);
+    recordAnswers(hosts, 3, 3_000);
 
     DoubleSummaryStatistics total = new DoubleSummaryStatistics();
     for (int step = 0; step < 1_000; step++) {
-      answer(hosts, 3, 1);
+      recordAnswers(hosts, 3, 1);
       total.accept(slots(hosts));
     }
     assertThat(total.getMin()).isBetween(3.0, 4.5);
@@ -51,8 +51,8 @@
     assertThat(limit.spacing(SERVICE)).isZero();
   }
 
-  /** Lets the server answer each host; it makes statements beyond its slots wait. */
-  private static void answer(List<AdaptiveLimit> hosts, int serverSlots, int rounds) {
+  /** Records answers of a server on which statements beyond its slots wait. */
+  private static void recordAnswers(List<AdaptiveLimit> hosts, int serverSlots, int rounds) {
     for (int round = 0; round < rounds; round++) {
       double load = Math.max(1, slots(hosts) / serverSlots);
       Duration duration = Duration.ofNanos((long) (SERVICE.toNanos() * load));
--- a/core/src/test/java/org/persimmonwalk/admission/FairQueueTest.java
+++ b/core/src/test/java/org/persimmonwalk/admission/FairQueueTest.java
@@ -21,13 +21,13 @@
 import org.persimmonwalk.result.StatementState;
 
 class FairQueueTest {
-  private final ServiceTimes times = ServiceTimes.create();
+  private final ServiceTimes serviceTimes = ServiceTimes.create();
 
-  /** Guards against short urgent filings that wait behind a queue of heavy look-ups. */
+  /** Guards against short urgent statements that wait behind a queue of heavy bulk statements. */
   @Test
-  void shouldServeUrgentStatementBehindHeavyLookUps() {
+  void shouldServeUrgentStatementBeforeHeavyBulkStatements() {
     RequestQueue<String> queue = queue(100);
-    measure(times, "heavy", Urgency.BULK, 100);
+    measure(serviceTimes, "heavy", Urgency.BULK, 100);
     fill(queue, "heavy", Urgency.BULK, 50);
     queue.poll(START);
     queue.offer(Requests.of("filing", Urgency.URGENT, "filing"), START);
@@ -45,30 +45,30 @@
     assertThat(poll(queue, 10)).filteredOn("urgent"::equals).hasSize(5);
   }
 
-  /** Guards against turns that count statements, which would favour heavy ones. */
+  /** Guards against shares counted in statements, which would favour heavy statements. */
   @Test
   void shouldShareServiceTimeAndNotStatements() {
     RequestQueue<String> queue = queue(1000);
-    measure(times, "heavy", Urgency.NORMAL, 50);
-    measure(times, "short", Urgency.NORMAL, 5);
+    measure(serviceTimes, "heavy", Urgency.NORMAL, 50);
+    measure(serviceTimes, "short", Urgency.NORMAL, 5);
     fill(queue, "heavy", Urgency.NORMAL, 400);
     fill(queue, "short", Urgency.NORMAL, 600);
 
     assertThat(poll(queue, 440)).filteredOn("heavy"::equals).hasSizeBetween(36, 60);
   }
 
-  /** Guards against weights without effect. */
+  /** Guards against weights that have no effect. */
   @Test
   void shouldServeByWeight() {
     WorkspaceWeights weights = workspace -> workspace.value().equals("large") ? 3 : 1;
-    RequestQueue<String> queue = FairQueue.of(2000, weights, times);
+    RequestQueue<String> queue = FairQueue.of(2000, weights, serviceTimes);
     fill(queue, "large", Urgency.NORMAL, 1000);
     fill(queue, "small", Urgency.NORMAL, 1000);
 
     assertThat(poll(queue, 1000)).filteredOn("large"::equals).hasSizeBetween(745, 755);
   }
 
-  /** Guards against growth without bound, and against one workspace that fills the queue. */
+  /** Guards against an unbounded queue, and against one workspace that fills the queue. */
   @Test
   void shouldDropNewestLeastUrgentEntryOfLongestQueueWhenFull() {
     RequestQueue<String> queue = queue(4);
@@ -86,11 +86,11 @@
     assertThat(poll(queue, 5)).containsExactlyInAnyOrder("old bulk", "urgent", "first", "second");
   }
 
-  /** Guards against statements that wait their whole deadline only to be refused. */
+  /** Guards against statements that are refused only after waiting until their deadline. */
   @Test
-  void shouldRefuseOnArrivalWhatTheMeasuredProgressCannotReach() {
+  void shouldRefuseOnArrivalWhatTheServiceRateCannotReach() {
     RequestQueue<String> queue = queue(1000);
-    measure(times, "a", Urgency.NORMAL, 50);
+    measure(serviceTimes, "a", Urgency.NORMAL, 50);
     fill(queue, "a", Urgency.NORMAL, 100);
     MonotonicTime now = START;
     for (int turn = 0; turn < 20; turn++) {
@@ -107,9 +107,9 @@
 
   /** Guards against a slow statement after which all later ones of its class are refused. */
   @Test
-  void shouldForgetOldServiceTimes() {
+  void shouldIgnoreOldServiceTimes() {
     RequestQueue<String> queue = queue(10);
-    measure(times, "a", Urgency.BULK, 5_000);
+    measure(serviceTimes, "a", Urgency.BULK, 5_000);
     MonotonicTime later = START.plus(ServiceTimes.MAXIMUM_AGE).plus(Duration.ofNanos(1));
 
     assertThat(queue.offer(request(Duration.ofSeconds(1)), START)).hasSize(1);
@@ -131,6 +131,7 @@
     assertThat(queue.poll(START).next()).isEmpty();
   }
 
+  /** Guards against requests of one workspace that start in the wrong order. */
   @Test
   void shouldOrderWorkspaceByUrgencyThenDeadlineThenArrival() {
     RequestQueue<String> queue = queue(10);
@@ -148,7 +149,7 @@
   void shouldLetEachRequestLeaveExactlyOnce(boolean fair) {
     SplittableRandom random = new SplittableRandom(7);
     RequestQueue<String> queue = fair ? queue(20) : FirstInFirstOutQueue.of(20);
-    Set<QueuedRequest<String>> inside = Collections.newSetFromMap(new IdentityHashMap<>());
+    Set<QueuedRequest<String>> queued = Collections.newSetFromMap(new IdentityHashMap<>());
     MonotonicTime now = START;
     for (int step = 0; step < 20_000; step++) {
       now = now.plus(Duration.ofMillis(random.nextInt(3)));
@@ -158,26 +159,26 @@
               Urgency.values()[random.nextInt(3)],
               "request",
               now.since(START).plusMillis(random.nextInt(60)));
-      inside.add(request);
+      queued.add(request);
       List<RefusedRequest<String>> refused = new ArrayList<>(queue.offer(request, now));
       if (random.nextInt(3) == 0) {
         PollResult<String> result =
-            random.nextBoolean() ? queue.poll(now) : queue.pollInsideShare(now);
+            random.nextBoolean() ? queue.poll(now) : queue.pollBelowShare(now);
         refused.addAll(result.refused());
         MonotonicTime time = now;
         result.next().ifPresent(next -> assertThat(next.deadline().isAfter(time)).isTrue());
-        result.next().ifPresent(next -> assertThat(inside.remove(next)).isTrue());
+        result.next().ifPresent(next -> assertThat(queued.remove(next)).isTrue());
       }
       for (RefusedRequest<String> entry : refused) {
-        assertThat(inside.remove(entry.request())).isTrue();
+        assertThat(queued.remove(entry.request())).isTrue();
         assertThat(entry.code().statementState()).isEqualTo(StatementState.NOT_RUN);
       }
-      assertThat(queue.size()).isEqualTo(inside.size()).isLessThanOrEqualTo(20);
+      assertThat(queue.size()).isEqualTo(queued.size()).isLessThanOrEqualTo(20);
     }
   }
 
   private RequestQueue<String> queue(int capacity) {
-    return FairQueue.of(capacity, WorkspaceWeights.equal(), times);
+    return FairQueue.of(capacity, WorkspaceWeights.equal(), serviceTimes);
   }
 
   private static QueuedRequest<String> request(Duration deadline) {
--- a/core/src/test/java/org/persimmonwalk/admission/KeyPolicyTest.java
+++ b/core/src/test/java/org/persimmonwalk/admission/KeyPolicyTest.java
@@ -41,9 +41,9 @@
           clock,
           RandomSource.seeded(1));
 
-  /** Guards against requests that run for a workspace other than that of their key. */
+  /** Guards against a key that gives access to another workspace than its own. */
   @Test
-  void shouldOpenOnlyTheWorkspaceOfTheKey() {
+  void shouldGrantAccessOnlyToTheWorkspaceOfTheKey() {
     load(1, Set.of());
 
     assertThat(check(FIRST, KEY)).isEmpty();
@@ -54,7 +54,7 @@
     assertThat(check(OPEN, null)).isEmpty();
   }
 
-  /** Guards against a withdrawn key that goes on working on open connections. */
+  /** Guards against a withdrawn key that keeps working on open connections. */
   @Test
   void shouldRefuseWithdrawnKeyUntilItIsAddedAgain() {
     load(1, Set.of());
@@ -67,9 +67,9 @@
     assertThat(loop.snapshot().get(Entries.WITHDRAWN_KEYS)).isEmpty();
   }
 
-  /** Guards against keys accepted for ever by a host that no longer hears of changes. */
+  /** Guards against a host that is cut off from configuration changes and accepts keys forever. */
   @Test
-  void shouldRefuseAfterGraceWithoutFreshness() {
+  void shouldRefuseWhenConfigurationIsUnconfirmedForTheGracePeriod() {
     assertThat(check(FIRST, KEY)).contains(ResultCode.KEYS_UNVERIFIED);
     load(1, Set.of());
 
--- a/core/src/test/java/org/persimmonwalk/admission/LeasedAdmissionTest.java
+++ b/core/src/test/java/org/persimmonwalk/admission/LeasedAdmissionTest.java
@@ -50,7 +50,7 @@
           clock,
           RandomSource.seeded(1));
 
-  /** A full bucket would let a host that joins again and again exceed the burst. */
+  /** Guards against a host that exceeds the burst by rejoining repeatedly with a full bucket. */
   @Test
   void shouldStartNewLeaseWithoutTokens() {
     publish(lease);
@@ -60,6 +60,7 @@
     assertThat(admit()).isFalse();
   }
 
+  /** Guards against a bucket that keeps filling while the workspace is idle. */
   @Test
   void shouldHoldNoMoreThanBurst() {
     publish(lease);
@@ -67,9 +68,12 @@
     assertThat(admitted()).isEqualTo(5);
   }
 
-  /** The control thread may not have run since the lease ended, as after a pause. */
+  /**
+   * Guards against statements admitted after the lease has expired. The control thread may not have
+   * run since then, for example after a pause of the process.
+   */
   @Test
-  void shouldRefuseAtLeaseEndWithoutNewSnapshot() {
+  void shouldRefuseWhenLeaseExpiresWithoutNewSnapshot() {
     publish(lease);
     clock.advance(Duration.ofSeconds(99));
     assertThat(admit()).isTrue();
@@ -77,18 +81,21 @@
     assertThat(admit()).isFalse();
   }
 
-  /** A renewed lease must not revive the tokens of one that had ended. */
+  /** Guards against a renewed lease that restores the tokens of an expired one. */
   @Test
-  void shouldLoseTokensWhenLeaseEnded() {
+  void shouldLoseTokensWhenLeaseHasExpired() {
     publish(lease);
     clock.advance(Duration.ofSeconds(101));
     publish(ShareLease.of(10, 5, END.plus(Duration.ofSeconds(100)), TokenOrder.NONE));
     assertThat(admit()).isFalse();
   }
 
-  /** A traffic thread may still hold the snapshot from before share was given to a peer. */
+  /**
+   * Guards against share that is used twice: a traffic thread may still hold the snapshot from
+   * before the share was transferred to a peer.
+   */
   @Test
-  void shouldObeyLoweredLeaseUnderOlderSnapshot() {
+  void shouldApplyLoweredLeaseDespiteOlderSnapshot() {
     publish(lease);
     Snapshot older = loop.snapshot();
     clock.advance(Duration.ofSeconds(50));
@@ -98,9 +105,12 @@
     assertThat(admission.admit(older, OIL, clock.now())).isFalse();
   }
 
-  /** The same order is in each snapshot until it is known to be done. */
+  /**
+   * Guards against an order that is executed twice: each snapshot repeats it until its execution is
+   * reported.
+   */
   @Test
-  void shouldCarryOutTokenOrderOnce() {
+  void shouldExecuteTokenOrderOnce() {
     publish(lease);
     TokenOrder order = TokenOrder.of(1, 2, 0);
     publish(ShareLease.of(0, 5, END, order));
@@ -109,9 +119,12 @@
     assertThat(done()).containsExactly(new TokenOrderDone(OIL, 1, 0));
   }
 
-  /** Tokens beyond the lowered burst go to the peer first, and one stays for a statement. */
+  /**
+   * Guards against tokens above the lowered burst that are discarded instead of transferred to the
+   * peer, and against a withdrawal that leaves no token for a statement.
+   */
   @Test
-  void shouldWithdrawWhatLoweredBurstNoLongerHolds() {
+  void shouldWithdrawTokensAboveLoweredBurst() {
     publish(lease);
     clock.advance(Duration.ofSeconds(50));
     publish(ShareLease.of(0, 2, END, TokenOrder.of(1, 0, 9)));
@@ -119,6 +132,7 @@
     assertThat(admitted()).isEqualTo(2);
   }
 
+  /** Guards against demand that counts admitted statements only and never exceeds the rate. */
   @Test
   void shouldMeasureDemandIncludingRefusedStatements() {
     publish(lease);
@@ -130,7 +144,7 @@
     assertThat(measured.get(measured.size() - 1).demand()).isBetween(90.0, 110.0);
   }
 
-  /** Tokens are either used here or withdrawn for a peer, whichever thread comes first. */
+  /** Guards against a race in which a token is used at this host and transferred to a peer too. */
   @Test
   void shouldNeverBothAdmitAndWithdrawToken() throws Exception {
     lease = ShareLease.of(1000, 50_000, END, TokenOrder.NONE);
--- a/core/src/test/java/org/persimmonwalk/admission/Requests.java
+++ b/core/src/test/java/org/persimmonwalk/admission/Requests.java
@@ -5,7 +5,7 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.routing.StatementKind;
 
-/** Makes requests and measured costs for tests; the payload is a label. */
+/** Creates requests and records service times for tests; the payload is a label. */
 final class Requests {
   static final MonotonicTime START = MonotonicTime.of(0);
 
--- a/core/src/test/java/org/persimmonwalk/admission/ServerSchedulerTest.java
+++ b/core/src/test/java/org/persimmonwalk/admission/ServerSchedulerTest.java
@@ -18,9 +18,9 @@
 class ServerSchedulerTest {
   private static final Duration SERVICE = Duration.ofMillis(10);
 
-  /** Guards against more statements at the server than the limit and the reserve allow. */
+  /** Guards against more statements in flight than the limit and the reserved slots allow. */
   @Test
-  void shouldStartWithinLimitAndReserve() {
+  void shouldStartWithinLimitAndReservedSlots() {
     ServerScheduler<String> scheduler = scheduler(FixedLimit.of(2), 100);
     int started = 0;
     for (int request = 0; request < 50; request++) {
@@ -33,7 +33,7 @@
 
   /** Guards against a short statement that waits behind a heavy one of a busy workspace. */
   @Test
-  void shouldStartWorkspaceInsideItsShareBeyondTheLimit() {
+  void shouldStartWorkspaceBelowItsShareBeyondTheLimit() {
     ServerScheduler<String> scheduler = scheduler(FixedLimit.of(1), 1000);
     List<QueuedRequest<String>> running = new ArrayList<>();
     for (int request = 0; request < 400; request++) {
@@ -48,7 +48,7 @@
     assertThat(scheduler.submit(light, START).started()).containsExactly(light);
   }
 
-  /** Guards against callers that are told of their deadline only when the server answers. */
+  /** Guards against callers that learn of a missed deadline only when the server answers. */
   @Test
   void shouldWakeUpForDeadlineWhileTheServerHangs() {
     ServerScheduler<String> scheduler = scheduler(FixedLimit.of(1), 100);
@@ -63,9 +63,9 @@
         .containsExactly(new RefusedRequest<>(late, ResultCode.DEADLINE_UNREACHABLE));
   }
 
-  /** Guards against a cancelled statement that runs, and against a second end of a statement. */
+  /** Guards against a cancelled statement that runs, and a statement that is completed twice. */
   @Test
-  void shouldNotStartCancelledRequestNorCountTwice() {
+  void shouldNotStartCancelledRequestNorCountCompletionTwice() {
     ServerScheduler<String> scheduler = scheduler(FixedLimit.of(1), 100);
     List<QueuedRequest<String>> requests = new ArrayList<>();
     for (int request = 0; request < 5; request++) {
@@ -83,7 +83,7 @@
     assertThat(scheduler.outstanding()).isEqualTo(1);
   }
 
-  /** Guards against starts that are not spaced out when one per host is too many. */
+  /** Guards against starts without spacing when one statement per host is too many. */
   @Test
   void shouldSpaceStartsBelowOneSlot() {
     AdaptiveLimit limit = lowLimit(500);
@@ -101,9 +101,9 @@
     assertThat(scheduler.advance(wakeAt).started()).hasSize(1);
   }
 
-  /** Guards against a light workspace that waits for the pace of a busy one. */
+  /** Guards against a light workspace that has to wait for the start spacing of a busy one. */
   @Test
-  void shouldWakeUpWhenAStartInsideTheShareIsAllowed() {
+  void shouldWakeUpWhenWorkspaceBelowItsShareMayStart() {
     ServerScheduler<String> scheduler = scheduler(lowLimit(5_000), 100);
     SchedulerStep<String> step = scheduler.submit(request("light"), START);
     for (int request = 0; request < 20 && !step.started().isEmpty(); request++) {
@@ -116,7 +116,7 @@
     assertThat(scheduler.advance(wakeAt).started()).hasSize(1);
   }
 
-  /** Guards against requests that are lost or started twice between traffic threads. */
+  /** Guards against races between threads that lose a request or start it twice. */
   @Test
   void shouldEndEachRequestOnceWithSeveralThreads() throws Exception {
     BackendServerId server = BackendServerId.of("a");
--- a/core/src/test/java/org/persimmonwalk/admission/package-info.java
+++ b/core/src/test/java/org/persimmonwalk/admission/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of admission decisions. */
+/** Tests of rate limits, access keys and the scheduling of statements. */
 package org.persimmonwalk.admission;
