Reword the acknowledgement package in plain terms

Comments said "the caller has not been told of" a write, writes "end as unknown" and a position "confirms nothing". They now say when a write is acknowledged, on which threads it is registered and completed, and what each outcome means. Private names follow: mayRequest, which also records the request, is startRequestIfDue, and release is completeWrites. Every test says which failure it guards against.

--- a/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgeAtOnce.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgeAtOnce.java
@@ -2,12 +2,15 @@
 
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Acknowledges as soon as the primary has committed; the baseline that loses writes. */
+/**
+ * Acknowledges a write as soon as the primary has committed it, so that a failover can lose
+ * acknowledged writes. Tests and benchmarks use it as the baseline for {@link AcknowledgementGate}.
+ */
 public final class AcknowledgeAtOnce implements WriteAcknowledgement {
 
   private AcknowledgeAtOnce() {}
 
-  /** Returns the baseline. */
+  /** Returns the policy. */
   public static AcknowledgeAtOnce create() {
     return new AcknowledgeAtOnce();
   }
--- a/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementGate.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementGate.java
@@ -20,8 +20,9 @@
 import org.persimmonwalk.observation.SampleRequested;
 
 /**
- * Holds the acknowledgement of each write until a replica of the same term has received it. Safe
- * for use by several threads; callbacks run outside its lock.
+ * Delays the acknowledgement of each write until a replica of the same term has received it.
+ * Traffic threads register writes, and the control thread completes them when it publishes a
+ * snapshot. Thread-safe; callbacks run on the calling thread, outside the lock.
  *
  * <p>Example:
  *
@@ -32,7 +33,10 @@
  * }</pre>
  */
 public final class AcknowledgementGate implements WriteAcknowledgement, SnapshotListener {
-  /** Equals the shortest interval at which servers are probed on request. */
+  /**
+   * Minimum time between two requests for samples of a group. Equals the shortest interval at which
+   * servers are probed on request.
+   */
   private static final Duration REQUEST_INTERVAL = Duration.ofMillis(5);
 
   private final Object lock = new Object();
@@ -40,7 +44,7 @@
   private final Map<DatabaseGroupId, MonotonicTime> requestedAt = new HashMap<>();
   private final int limit;
   private final Consumer<Observation> observations;
-  private Optional<Snapshot> newest = Optional.empty();
+  private Optional<Snapshot> latestSnapshot = Optional.empty();
 
   private AcknowledgementGate(int limit, Consumer<Observation> observations) {
     this.limit = limit;
@@ -50,14 +54,14 @@
   /**
    * Returns an empty gate.
    *
-   * @param limit the number of writes that may wait; a further one ends as unknown at once
-   * @param observations takes requests for samples while writes wait
+   * @param limit the maximum number of waiting writes; the outcome of any further one is unknown
+   * @param observations receives requests for samples while writes wait
    */
   public static AcknowledgementGate of(int limit, Consumer<Observation> observations) {
     return new AcknowledgementGate(limit, observations);
   }
 
-  /** Returns the number of writes that wait; at the limit no further write is to be sent. */
+  /** Returns the number of waiting writes; at the limit, no further write should be sent. */
   public int pendingWrites() {
     synchronized (lock) {
       return pending.size();
@@ -69,13 +73,13 @@
     Optional<AcknowledgementOutcome> outcome;
     boolean request = false;
     synchronized (lock) {
-      outcome = newest.flatMap(snapshot -> decide(snapshot, write, now));
+      outcome = latestSnapshot.flatMap(snapshot -> decide(snapshot, write, now));
       if (outcome.isEmpty() && pending.size() >= limit) {
         outcome = Optional.of(AcknowledgementOutcome.UNKNOWN);
       }
       if (outcome.isEmpty()) {
         pending.add(write);
-        request = mayRequest(write.group(), now);
+        request = startRequestIfDue(write.group(), now);
       }
     }
     if (request) {
@@ -87,21 +91,24 @@
   @Override
   public void published(Snapshot snapshot) {
     synchronized (lock) {
-      newest = Optional.of(snapshot);
+      latestSnapshot = Optional.of(snapshot);
     }
-    release(snapshot, snapshot.publishedAt());
+    completeWrites(snapshot, snapshot.publishedAt());
   }
 
-  /** Ends the writes whose deadline has passed; for timers of traffic threads. */
+  /**
+   * Completes the waiting writes whose deadline has passed, without waiting for the next snapshot.
+   * Timers of traffic threads may call it.
+   */
   public void expire(MonotonicTime now) {
     Optional<Snapshot> snapshot;
     synchronized (lock) {
-      snapshot = newest;
+      snapshot = latestSnapshot;
     }
-    snapshot.ifPresent(known -> release(known, now));
+    snapshot.ifPresent(known -> completeWrites(known, now));
   }
 
-  private void release(Snapshot snapshot, MonotonicTime now) {
+  private void completeWrites(Snapshot snapshot, MonotonicTime now) {
     List<Runnable> callbacks = new ArrayList<>();
     Set<DatabaseGroupId> requests = new HashSet<>();
     synchronized (lock) {
@@ -111,7 +118,7 @@
         if (outcome.isPresent()) {
           writes.remove();
           callbacks.add(() -> write.callback().accept(outcome.get()));
-        } else if (mayRequest(write.group(), now)) {
+        } else if (startRequestIfDue(write.group(), now)) {
           requests.add(write.group());
         }
       }
@@ -120,21 +127,22 @@
     callbacks.forEach(Runnable::run);
   }
 
-  /** Returns the outcome of a write, or nothing if it has to wait. */
+  /** Returns the outcome of a write; empty if the write has to wait. */
   private static Optional<AcknowledgementOutcome> decide(
       Snapshot snapshot, PendingWrite write, MonotonicTime now) {
     GroupView group = snapshot.get(Entries.GROUPS).get(write.group());
-    boolean replaced = group != null && group.term().isAfter(write.written().term());
-    if (replaced || !now.isBefore(write.deadline())) {
+    boolean primaryReplaced = group != null && group.term().isAfter(write.written().term());
+    if (primaryReplaced || !now.isBefore(write.deadline())) {
       return Optional.of(AcknowledgementOutcome.UNKNOWN);
     }
-    boolean safe =
+    boolean confirmed =
         group != null
             && (group.servers().size() == 1 || group.isReceivedByReplica(write.written()));
-    return safe ? Optional.of(AcknowledgementOutcome.CONFIRMED) : Optional.empty();
+    return confirmed ? Optional.of(AcknowledgementOutcome.CONFIRMED) : Optional.empty();
   }
 
-  private boolean mayRequest(DatabaseGroupId group, MonotonicTime now) {
+  /** Returns whether a request for samples of the group is due; if so, records it as sent now. */
+  private boolean startRequestIfDue(DatabaseGroupId group, MonotonicTime now) {
     MonotonicTime last = requestedAt.get(group);
     if (last != null && now.since(last).compareTo(REQUEST_INTERVAL) < 0) {
       return false;
--- a/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementOutcome.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementOutcome.java
@@ -1,9 +1,11 @@
 package org.persimmonwalk.acknowledgement;
 
-/** What a caller is told of a write that the primary has committed. */
+/** The outcome that is reported for a write that the primary has committed. */
 public enum AcknowledgementOutcome {
-  /** The write is at a replica as well and survives a promotion. */
+  /** A replica has received the write, so that it survives a promotion. */
   CONFIRMED,
-  /** The write may be lost in a promotion; the caller must not take it as done or as not run. */
+  /**
+   * A promotion may lose the write; the caller must assume neither that it ran nor that it did not.
+   */
   UNKNOWN
 }
--- a/core/src/main/java/org/persimmonwalk/acknowledgement/PendingWrite.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/PendingWrite.java
@@ -7,12 +7,12 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * A write that the primary has committed and the caller has not been told of.
+ * A write that the primary has committed and that has not been acknowledged to the caller.
  *
- * @param group the group that ran the write
+ * @param group the database group that ran the write
  * @param written the position after the commit, in the term of the primary that committed
  * @param deadline when the outcome becomes unknown
- * @param callback is told the outcome once; it may run on any thread and must return quickly
+ * @param callback receives the outcome once; it may run on any thread and must return quickly
  */
 public record PendingWrite(
     DatabaseGroupId group,
--- a/core/src/main/java/org/persimmonwalk/acknowledgement/WriteAcknowledgement.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/WriteAcknowledgement.java
@@ -3,15 +3,16 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Decides when a committed write is acknowledged. Implementations are safe for use by several
- * threads.
+ * Decides when a committed write is acknowledged. Traffic threads call it, so implementations are
+ * thread-safe.
  */
 public interface WriteAcknowledgement {
 
   /**
-   * Takes a committed write; its callback is told the outcome once, perhaps before this returns.
+   * Registers a committed write. Its callback receives the outcome once, possibly before this
+   * method returns.
    *
-   * @param write the write
+   * @param write the committed write
    * @param now the current time
    */
   void register(PendingWrite write, MonotonicTime now);
--- a/core/src/test/java/org/persimmonwalk/acknowledgement/AcknowledgementGateTest.java
+++ b/core/src/test/java/org/persimmonwalk/acknowledgement/AcknowledgementGateTest.java
@@ -59,7 +59,7 @@
     sample("a", ServerSample.ofPrimary(Term.of(1), LogPosition.of(500)));
   }
 
-  /** The position of a primary alone confirms nothing: the primary may be lost with the write. */
+  /** Guards against a write that is acknowledged and then lost together with its primary. */
   @Test
   void shouldConfirmOnlyWhenReplicaHasReceivedWrite() {
     register(200);
@@ -69,33 +69,38 @@
     assertThat(outcomes).containsExactly(AcknowledgementOutcome.CONFIRMED);
   }
 
+  /** Guards against a write that waits for a sample although the known ones already cover it. */
   @Test
-  void shouldConfirmAtOnceWhatReplicaHasReceivedAlready() {
+  void shouldConfirmImmediatelyIfReplicaHasAlreadyReceivedWrite() {
     sample("b", replica(1, 300));
     register(200);
     assertThat(outcomes).containsExactly(AcknowledgementOutcome.CONFIRMED);
   }
 
-  /** A position of another term may belong to another history. */
+  /** Guards against confirmation by a position of another term, whose log may have diverged. */
   @Test
-  void shouldEndUnknownWhenTermHasMovedOn() {
+  void shouldReportUnknownAfterNewerTerm() {
     register(200);
     sample("b", replica(2, 400));
     assertThat(outcomes).containsExactly(AcknowledgementOutcome.UNKNOWN);
   }
 
-  /** The log of a server that does not follow the primary may hold another history. */
+  /**
+   * Guards against confirmation by a server that does not follow the primary: its log may have
+   * diverged.
+   */
   @Test
-  void shouldNotConfirmByPositionOfServerThatDoesNotFollow() {
-    LogPosition tail = LogPosition.of(400);
+  void shouldNotConfirmByPositionOfServerThatDoesNotFollowPrimary() {
+    LogPosition position = LogPosition.of(400);
     register(200);
-    sample("b", new ServerSample(ServerRole.FENCED, Term.of(2), tail, tail, Duration.ZERO));
+    sample("b", new ServerSample(ServerRole.FENCED, Term.of(2), position, position, Duration.ZERO));
     sample("c", replica(0, 400));
     assertThat(outcomes).isEmpty();
   }
 
+  /** Guards against a caller that waits past the deadline, and against a second outcome. */
   @Test
-  void shouldEndUnknownAtDeadline() {
+  void shouldReportUnknownAtDeadline() {
     register(200);
     clock.advance(Duration.ofMillis(999));
     loop.runRound();
@@ -107,8 +112,9 @@
     assertThat(outcomes).hasSize(1);
   }
 
+  /** Guards against an unbounded number of waiting writes. */
   @Test
-  void shouldEndUnknownBeyondLimit() {
+  void shouldReportUnknownBeyondLimit() {
     register(200);
     register(201);
     register(202);
@@ -116,6 +122,7 @@
     assertThat(outcomes).containsExactly(AcknowledgementOutcome.UNKNOWN);
   }
 
+  /** Guards against backend servers that are overloaded by probes while writes wait. */
   @Test
   void shouldRequestSamplesAtMostEveryFiveMillisecondsWhileWritesWait() {
     register(200);
--- a/core/src/test/java/org/persimmonwalk/acknowledgement/package-info.java
+++ b/core/src/test/java/org/persimmonwalk/acknowledgement/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of acknowledgements. */
+/** Tests of the acknowledgement of writes. */
 package org.persimmonwalk.acknowledgement;
