Reword the retry package in plain terms

Comments spoke of "slices that earn" and statements that "come back together". They now speak of a retry budget, exponential backoff and jitter, with the same reasons and numbers. Private names follow: EARNING_SLICES is BUDGET_SLICES, SPENDING_SLICES is WINDOW_SLICES, FLOOR is MINIMUM_BUDGET.

--- a/core/src/main/java/org/persimmonwalk/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/org/persimmonwalk/retry/BudgetedRetryPolicy.java
@@ -7,49 +7,50 @@
 
 /**
  * Retries statements that did not run, reads, and statements with an idempotency key, within a
- * budget of 10 % of the first attempts. Each first attempt earns a tenth of a token that is valid
- * for 9 s, so that a long time without failures does not save up for a burst in an outage. Safe for
- * use by several threads.
+ * budget of 10 % of the first attempts. Each first attempt adds a tenth of a token, which expires
+ * after 9 s, so that a long time without failures does not accumulate a burst of retries for an
+ * outage. Thread-safe.
  */
 public final class BudgetedRetryPolicy implements RetryPolicy {
-  /** The most retries of one statement. */
+  /** The maximum number of retries of one statement. */
   public static final int MAXIMUM_RETRIES = 2;
 
   private static final double RETRIES_PER_FIRST_ATTEMPT = 0.1;
 
-  /** Retries that are always allowed per window, so that a host without load may retry too. */
-  private static final int FLOOR = 3;
+  /** Retries per window that are allowed at any load, so that an idle host can retry as well. */
+  private static final int MINIMUM_BUDGET = 3;
 
   private static final long SLICE_NANOSECONDS = 1_000_000_000;
 
   /**
-   * Slices that earn, the current one included. It is one fewer than 10 s, so that retries stay
-   * within 10 % of the first attempts of an outage of 10 s also if the load falls a little.
+   * Slices whose first attempts add to the budget, including the current one. They cover less than
+   * 10 s, so that retries stay within 10 % of the first attempts of a 10 s outage even if the load
+   * falls a little.
    */
-  private static final int EARNING_SLICES = 9;
+  private static final int BUDGET_SLICES = 9;
 
-  /** Slices in which retries count: any 10 s fall into this many. */
-  private static final int SPENDING_SLICES = 11;
+  /** Slices whose retries count against the budget. Any 10 s overlap at most this many slices. */
+  private static final int WINDOW_SLICES = 11;
 
-  private final long[] firstAttempts = new long[SPENDING_SLICES];
-  private final long[] retries = new long[SPENDING_SLICES];
+  private final long[] firstAttempts = new long[WINDOW_SLICES];
+  private final long[] retries = new long[WINDOW_SLICES];
   private long currentSlice = Long.MIN_VALUE;
 
   private BudgetedRetryPolicy() {}
 
-  /** Returns a policy with an empty window. */
+  /** Returns a policy that has recorded no attempts. */
   public static BudgetedRetryPolicy create() {
     return new BudgetedRetryPolicy();
   }
 
   @Override
   public synchronized void recordFirstAttempt(MonotonicTime now) {
-    firstAttempts[moveTo(now)]++;
+    firstAttempts[advanceTo(now)]++;
   }
 
   @Override
   public synchronized boolean mayRetry(FailedAttempt attempt, MonotonicTime now) {
-    int index = moveTo(now);
+    int index = advanceTo(now);
     long spent = LongStream.of(retries).sum();
     if (!isRepeatable(attempt) || attempt.attempts() > MAXIMUM_RETRIES || spent + 1 > budget()) {
       return false;
@@ -59,11 +60,11 @@
   }
 
   private double budget() {
-    long earning = 0;
-    for (int age = 0; age < EARNING_SLICES; age++) {
-      earning += firstAttempts[indexOf(currentSlice - age)];
+    long counted = 0;
+    for (int age = 0; age < BUDGET_SLICES; age++) {
+      counted += firstAttempts[indexOf(currentSlice - age)];
     }
-    return Math.max(FLOOR, RETRIES_PER_FIRST_ATTEMPT * earning);
+    return Math.max(MINIMUM_BUDGET, RETRIES_PER_FIRST_ATTEMPT * counted);
   }
 
   private static boolean isRepeatable(FailedAttempt attempt) {
@@ -72,14 +73,14 @@
             && (attempt.kind() == StatementKind.READ || attempt.idempotent());
   }
 
-  /** Forgets the slices that have left the window; returns the index of the one for the time. */
-  private int moveTo(MonotonicTime now) {
+  /** Clears the slices that have left the window and returns the index of the current slice. */
+  private int advanceTo(MonotonicTime now) {
     long slice = Math.floorDiv(now.nanoseconds(), SLICE_NANOSECONDS);
     if (slice > currentSlice) {
-      long first = Math.max(currentSlice, slice - SPENDING_SLICES) + 1;
-      for (long passed = first; passed <= slice; passed++) {
-        firstAttempts[indexOf(passed)] = 0;
-        retries[indexOf(passed)] = 0;
+      long first = Math.max(currentSlice, slice - WINDOW_SLICES) + 1;
+      for (long started = first; started <= slice; started++) {
+        firstAttempts[indexOf(started)] = 0;
+        retries[indexOf(started)] = 0;
       }
       currentSlice = slice;
     }
@@ -87,6 +88,6 @@
   }
 
   private static int indexOf(long slice) {
-    return Math.floorMod(slice, SPENDING_SLICES);
+    return Math.floorMod(slice, WINDOW_SLICES);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/retry/ConnectionPhase.java
+++ b/core/src/main/java/org/persimmonwalk/retry/ConnectionPhase.java
@@ -1,18 +1,20 @@
 package org.persimmonwalk.retry;
 
-/** How far a statement had come when its backend connection was lost. */
+/** How far a statement had progressed when its backend connection was lost. */
 public enum ConnectionPhase {
   /** No byte of the statement was written to the connection. */
   NOT_SENT,
   /**
-   * The statement was sent inside an open transaction that nothing sent so far can commit. A
-   * message that may hold several statements does not belong here.
+   * The statement was sent in an open transaction, and nothing sent so far can commit it. A message
+   * that may contain several statements does not count as this phase, since one of them may commit.
    */
   SENT_IN_TRANSACTION,
-  /** The statement was sent outside a transaction, or may commit by itself. */
+  /** The statement was sent outside a transaction, or may commit on its own. */
   SENT_OUTSIDE_TRANSACTION,
-  /** The end of the transaction was sent. */
+  /** The statement that ends the transaction was sent. */
   COMMIT_SENT,
-  /** A part of the answer reached this host, and no open transaction holds the effect back. */
+  /**
+   * This host received part of the answer, and no open transaction keeps the effect uncommitted.
+   */
   ANSWER_STARTED
 }
--- a/core/src/main/java/org/persimmonwalk/retry/NeverRetry.java
+++ b/core/src/main/java/org/persimmonwalk/retry/NeverRetry.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Retries nothing; the baseline. */
+/** Never retries. Benchmarks use it as the baseline for {@link BudgetedRetryPolicy}. */
 public final class NeverRetry implements RetryPolicy {
 
   private NeverRetry() {}
@@ -14,7 +14,7 @@
 
   @Override
   public void recordFirstAttempt(MonotonicTime now) {
-    // No budget is kept.
+    // Without retries there is no budget to keep.
   }
 
   @Override
--- a/core/src/main/java/org/persimmonwalk/retry/OutcomeClassifier.java
+++ b/core/src/main/java/org/persimmonwalk/retry/OutcomeClassifier.java
@@ -4,8 +4,8 @@
 import org.persimmonwalk.routing.StatementKind;
 
 /**
- * Says what is known of a statement whose backend connection was lost. A state of {@code NOT_RUN}
- * means that the statement has had no effect and will have none.
+ * Determines whether a statement may have run when its backend connection was lost. The state
+ * {@code NOT_RUN} means that the statement has had no effect and will have none.
  */
 public final class OutcomeClassifier {
 
@@ -14,7 +14,7 @@
   /**
    * Returns the state of the statement.
    *
-   * @param phase how far the statement had come
+   * @param phase how far the statement had progressed
    * @param kind whether the statement only reads; reads run in read-only transactions
    */
   public static StatementState classify(ConnectionPhase phase, StatementKind kind) {
--- a/core/src/main/java/org/persimmonwalk/retry/RetryBackoff.java
+++ b/core/src/main/java/org/persimmonwalk/retry/RetryBackoff.java
@@ -4,8 +4,8 @@
 import org.persimmonwalk.port.RandomSource;
 
 /**
- * How long to wait before a retry: a random time below a bound that doubles with each attempt, so
- * that the statements that failed together do not come back together.
+ * Exponential backoff with full jitter: a random delay below a bound that doubles with each
+ * attempt, so that statements that failed together are not retried together.
  */
 public final class RetryBackoff {
   private static final int FIRST_BOUND_MICROSECONDS = 20_000;
@@ -17,15 +17,15 @@
     this.random = random;
   }
 
-  /** Returns a backoff; it may be used by as many threads as the source of random numbers. */
+  /** Returns a backoff. It is thread-safe if the source of random numbers is. */
   public static RetryBackoff of(RandomSource random) {
     return new RetryBackoff(random);
   }
 
   /**
-   * Returns the time to wait.
+   * Returns the time to wait before the next attempt.
    *
-   * @param attempts how often the statement has been tried, at least 1
+   * @param attempts how many times the statement has been tried, at least 1
    */
   public Duration delay(int attempts) {
     int doublings = Math.min(MAXIMUM_DOUBLINGS, Math.max(0, attempts - 1));
--- a/core/src/test/java/org/persimmonwalk/retry/BudgetedRetryPolicyTest.java
+++ b/core/src/test/java/org/persimmonwalk/retry/BudgetedRetryPolicyTest.java
@@ -15,7 +15,7 @@
   private final FakeClock clock = new FakeClock();
   private final RetryPolicy policy = BudgetedRetryPolicy.create();
 
-  /** Guards against an outage that retries amplify by more than a tenth. */
+  /** Guards against retries that increase the load of an outage by more than a tenth. */
   @ParameterizedTest
   @CsvSource({"100, 10", "1000, 10", "1000, 3", "1000, 60"})
   void shouldKeepRetriesWithinATenthOfFirstAttempts(int perSecond, int outageSeconds) {
@@ -30,16 +30,16 @@
     assertThat(retries).isPositive().isLessThanOrEqualTo(Math.max(first, perSecond * 10) / 10);
   }
 
-  /** Guards against the first failures after a quiet time that are not retried. */
+  /** Guards against a host that does not retry its first failures after a time without load. */
   @Test
-  void shouldRetryFirstFailuresAfterQuietTime() {
+  void shouldRetryFirstFailuresAfterIdleTime() {
     attempt(1000, 100);
     clock.advance(Duration.ofHours(1));
 
     assertThat(attempt(10, 100)).isEqualTo(3);
   }
 
-  /** Guards against a statement that may have run and is repeated. */
+  /** Guards against a retry of a write that may have run and has no idempotency key. */
   @ParameterizedTest
   @CsvSource({
     "READ, NOT_RUN, false, 1, true",
@@ -54,14 +54,14 @@
     "WRITE, RAN, true, 1, false",
     "WRITE, NOT_APPLICABLE, true, 1, false",
   })
-  void shouldRetryOnlyWhatMayRunAgain(
+  void shouldRetryOnlyRepeatableStatements(
       StatementKind kind, StatementState state, boolean idempotent, int attempts, boolean retry) {
     FailedAttempt attempt = new FailedAttempt(kind, state, idempotent, attempts);
 
     assertThat(policy.mayRetry(attempt, clock.now())).isEqualTo(retry);
   }
 
-  /** Guards against statements that failed together and come back together. */
+  /** Guards against statements that failed together and are retried together. */
   @Test
   void shouldSpreadRetriesBelowDoublingBound() {
     RetryBackoff longest = RetryBackoff.of(bound -> bound - 1);
