Reword the routing package in plain terms

Comments said "where a statement goes, or why it goes nowhere yet" and "what the session must see". They now say which server runs a statement and which position its reads must see. Private names follow: serves is canServe, preference is byZoneAndLoad, isNewerThan is isFromLaterTerm. Every test says which failure it guards against.

--- a/core/src/main/java/org/persimmonwalk/routing/PrimaryOnlyRouter.java
+++ b/core/src/main/java/org/persimmonwalk/routing/PrimaryOnlyRouter.java
@@ -7,7 +7,7 @@
 import org.persimmonwalk.model.ServerView;
 import org.persimmonwalk.result.ResultCode;
 
-/** Sends every statement to the primary; the baseline that other routers are measured against. */
+/** Sends every statement to the primary. Benchmarks use it as the baseline for other routers. */
 public final class PrimaryOnlyRouter implements RequestRouter {
 
   private PrimaryOnlyRouter() {}
--- a/core/src/main/java/org/persimmonwalk/routing/RequestRouter.java
+++ b/core/src/main/java/org/persimmonwalk/routing/RequestRouter.java
@@ -4,7 +4,8 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Decides where a statement runs. Implementations are safe for use by several threads.
+ * Decides which backend server runs a statement. Traffic threads call it, so implementations are
+ * thread-safe.
  *
  * <p>Example:
  *
@@ -14,6 +15,6 @@
  */
 public interface RequestRouter {
 
-  /** Returns the decision for a statement, on the state of the given snapshot. */
+  /** Returns the decision for a statement, based on the given snapshot. */
   RoutingDecision route(Snapshot snapshot, RoutingRequest request, MonotonicTime now);
 }
--- a/core/src/main/java/org/persimmonwalk/routing/RoutingDecision.java
+++ b/core/src/main/java/org/persimmonwalk/routing/RoutingDecision.java
@@ -5,16 +5,16 @@
 import org.persimmonwalk.model.Term;
 import org.persimmonwalk.result.ResultCode;
 
-/** Where a statement goes, or why it goes nowhere yet. */
+/** Which server runs a statement, or why no server runs it yet. */
 public sealed interface RoutingDecision {
 
   /**
    * The statement runs on the server.
    *
-   * @param server where the statement runs
+   * @param server the server that runs the statement
    * @param term the term that the server must be in
    * @param floor the session's floor, resolved if it was unknown
-   * @param reason why this server was taken
+   * @param reason why this server was chosen
    */
   record Execute(BackendServer server, Term term, SessionFloor floor, RoutingReason reason)
       implements RoutingDecision {
@@ -30,7 +30,7 @@
   /**
    * The statement waits for a newer sample of its group; route it again with the next snapshot.
    *
-   * @param codeAtDeadline the refusal if the statement's deadline passes first
+   * @param codeAtDeadline the code of the refusal if the statement's deadline passes first
    */
   record Await(ResultCode codeAtDeadline) implements RoutingDecision {
     /** Checks that the code is present. */
--- a/core/src/main/java/org/persimmonwalk/routing/RoutingReason.java
+++ b/core/src/main/java/org/persimmonwalk/routing/RoutingReason.java
@@ -1,14 +1,14 @@
 package org.persimmonwalk.routing;
 
-/** Why a statement goes to a server. */
+/** Why a statement was routed to a server. */
 public enum RoutingReason {
   /** The statement writes. */
   WRITE,
-  /** A replica in the host's own zone has replayed enough. */
+  /** A replica in the host's own zone has data that is recent enough. */
   REPLICA_IN_ZONE,
-  /** A replica in another zone has replayed enough. */
+  /** Only a replica in another zone has data that is recent enough. */
   REPLICA_IN_OTHER_ZONE,
-  /** No replica has replayed enough. */
+  /** No replica has data that is recent enough, so that the primary runs a read. */
   REPLICAS_BEHIND,
   /** The router sends every statement to the primary. */
   PRIMARY_ONLY
--- a/core/src/main/java/org/persimmonwalk/routing/RoutingRequest.java
+++ b/core/src/main/java/org/persimmonwalk/routing/RoutingRequest.java
@@ -8,14 +8,14 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * What the router needs to know of a statement.
+ * The properties of a statement that a router needs.
  *
  * @param group the database group that the statement is for
  * @param kind whether the statement only reads
- * @param floor what the session must see
- * @param maximumAge the oldest data that the caller accepts, if it has stated an age
+ * @param floor the position that the session's reads must see
+ * @param maximumAge the maximum age of the data that the caller accepts, if it has stated one
  * @param zone the availability zone of this entry host
- * @param arrivedAt when the statement arrived; the age of data counts from here
+ * @param arrivedAt when the statement arrived; the age of data is measured back from this time
  */
 public record RoutingRequest(
     DatabaseGroupId group,
--- a/core/src/main/java/org/persimmonwalk/routing/ServerLoad.java
+++ b/core/src/main/java/org/persimmonwalk/routing/ServerLoad.java
@@ -2,9 +2,9 @@
 
 import org.persimmonwalk.id.BackendServerId;
 
-/** Tells how busy this host keeps each backend server. */
+/** The load that this host places on each backend server. Implementations are thread-safe. */
 public interface ServerLoad {
 
-  /** Returns the number of statements of this host that run or wait at the server. */
+  /** Returns the number of this host's statements that are running on or waiting for the server. */
   int outstanding(BackendServerId server);
 }
--- a/core/src/main/java/org/persimmonwalk/routing/SessionFloor.java
+++ b/core/src/main/java/org/persimmonwalk/routing/SessionFloor.java
@@ -12,12 +12,12 @@
     return None.INSTANCE;
   }
 
-  /** Returns the floor of a session whose last write ended at the position. */
+  /** Returns the floor of a session whose last write ended at the given position. */
   static SessionFloor known(GroupPosition position) {
     return new Known(position);
   }
 
-  /** Returns the floor of a session that may have written elsewhere before the given time. */
+  /** Returns the floor of a session that may have written through another host before the time. */
   static SessionFloor unknown(MonotonicTime declaredAt) {
     return new Unknown(declaredAt);
   }
--- a/core/src/main/java/org/persimmonwalk/routing/SessionRouter.java
+++ b/core/src/main/java/org/persimmonwalk/routing/SessionRouter.java
@@ -14,15 +14,16 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * Sends writes to the primary and reads to a replica that has replayed the session's floor and
- * whose data is inside the accepted age.
+ * Sends writes to the primary, and reads to a replica that has replayed the session's floor and
+ * whose data is not older than the caller accepts. If no replica qualifies, the primary runs the
+ * read.
  */
 public final class SessionRouter implements RequestRouter {
   /**
-   * A primary that no replica has confirmed for this long may be isolated; a write that it takes
-   * then could not be acknowledged.
+   * A primary that no replica has confirmed for this long may be isolated. A write that it accepted
+   * could not be acknowledged.
    */
-  private static final Duration WRITE_CONFIRMATION_AGE = Duration.ofSeconds(1);
+  private static final Duration MAXIMUM_CONFIRMATION_AGE = Duration.ofSeconds(1);
 
   private final ServerLoad load;
 
@@ -30,7 +31,7 @@
     this.load = load;
   }
 
-  /** Returns a router that prefers less loaded servers. */
+  /** Returns a router that prefers servers in its own zone, then less loaded ones. */
   public static SessionRouter of(ServerLoad load) {
     return new SessionRouter(load);
   }
@@ -52,7 +53,7 @@
     if (primary.isEmpty() || primary.get().server().leaving()) {
       return new RoutingDecision.Await(ResultCode.NO_PRIMARY);
     }
-    if (!isConfirmedSince(group, now.minus(WRITE_CONFIRMATION_AGE))) {
+    if (!isConfirmedSince(group, now.minus(MAXIMUM_CONFIRMATION_AGE))) {
       return new RoutingDecision.Await(ResultCode.PRIMARY_UNCONFIRMED);
     }
     return new RoutingDecision.Execute(
@@ -60,39 +61,42 @@
   }
 
   private RoutingDecision routeRead(GroupView group, RoutingRequest request) {
-    Optional<SessionFloor> floor = resolve(group, request.floor());
+    Optional<SessionFloor> floor = resolveFloor(group, request.floor());
     if (floor.isEmpty()) {
       return new RoutingDecision.Await(ResultCode.POSITION_UNKNOWN);
     }
     Duration maximumAge = request.maximumAge().orElse(group.defaultMaximumAge());
-    MonotonicTime oldest = request.arrivedAt().minus(maximumAge);
+    MonotonicTime oldestData = request.arrivedAt().minus(maximumAge);
     Optional<ServerView> replica =
         group.servers().stream()
-            .filter(view -> serves(group, view, floor.get(), oldest))
-            .min(preference(request.zone()));
+            .filter(view -> canServe(group, view, floor.get(), oldestData))
+            .min(byZoneAndLoad(request.zone()));
     if (replica.isPresent()) {
       ServerView chosen = replica.get();
       return new RoutingDecision.Execute(
           chosen.server(), group.term(), floor.get(), reason(chosen, request.zone()));
     }
-    return routeReadToPrimary(group, floor.get(), oldest);
+    return routeReadToPrimary(group, floor.get(), oldestData);
   }
 
   private static RoutingDecision routeReadToPrimary(
-      GroupView group, SessionFloor floor, MonotonicTime oldest) {
+      GroupView group, SessionFloor floor, MonotonicTime oldestData) {
     Optional<ServerView> primary = group.primaryView();
     if (primary.isEmpty() || primary.get().server().leaving()) {
       return new RoutingDecision.Await(ResultCode.NO_PRIMARY);
     }
-    if (isNewerThan(group, floor) || !isConfirmedSince(group, oldest)) {
+    if (isFromLaterTerm(group, floor) || !isConfirmedSince(group, oldestData)) {
       return new RoutingDecision.Await(ResultCode.NO_SERVER_WITHIN_AGE);
     }
     return new RoutingDecision.Execute(
         primary.get().server(), group.term(), floor, RoutingReason.REPLICAS_BEHIND);
   }
 
-  /** Returns the floor with a position, or nothing if no sample since the declaration gives one. */
-  private static Optional<SessionFloor> resolve(GroupView group, SessionFloor floor) {
+  /**
+   * Replaces an unknown floor by a confirmed position; empty if no sample has confirmed a position
+   * since the session was declared.
+   */
+  private static Optional<SessionFloor> resolveFloor(GroupView group, SessionFloor floor) {
     if (!(floor instanceof SessionFloor.Unknown unknown)) {
       return Optional.of(floor);
     }
@@ -102,33 +106,33 @@
         .map(confirmed -> SessionFloor.known(confirmed.position()));
   }
 
-  private static boolean serves(
-      GroupView group, ServerView view, SessionFloor floor, MonotonicTime oldest) {
+  private static boolean canServe(
+      GroupView group, ServerView view, SessionFloor floor, MonotonicTime oldestData) {
     return !view.server().leaving()
         && view.failingSince().isEmpty()
         && view.has(ServerRole.REPLICA, group.term())
         && hasReplayed(group, view, floor)
-        && hasDataSince(group, view, oldest);
+        && hasDataSince(group, view, oldestData);
   }
 
   private static boolean hasReplayed(GroupView group, ServerView view, SessionFloor floor) {
     if (floor instanceof SessionFloor.Known known) {
-      return !isNewerThan(group, floor)
+      return !isFromLaterTerm(group, floor)
           && view.sample().get().replayed().covers(known.position().position());
     }
     return true;
   }
 
-  /** Returns whether the floor was reached in a term that this host has not seen yet. */
-  private static boolean isNewerThan(GroupView group, SessionFloor floor) {
+  /** Returns whether the floor has a later term than this host has seen. */
+  private static boolean isFromLaterTerm(GroupView group, SessionFloor floor) {
     return floor instanceof SessionFloor.Known known
         && known.position().term().isAfter(group.term());
   }
 
-  /** Returns whether the server shows every write acknowledged before the given time. */
-  private static boolean hasDataSince(GroupView group, ServerView view, MonotonicTime oldest) {
+  /** Returns whether the server has replayed every write acknowledged before the given time. */
+  private static boolean hasDataSince(GroupView group, ServerView view, MonotonicTime since) {
     return group.confirmed().stream()
-        .filter(confirmed -> !confirmed.startedAt().isBefore(oldest))
+        .filter(confirmed -> !confirmed.startedAt().isBefore(since))
         .anyMatch(confirmed -> covers(view, confirmed));
   }
 
@@ -136,14 +140,14 @@
     return view.sample().get().replayed().covers(confirmed.position().position());
   }
 
-  private static boolean isConfirmedSince(GroupView group, MonotonicTime oldest) {
+  private static boolean isConfirmedSince(GroupView group, MonotonicTime since) {
     return group
         .newestConfirmed()
-        .filter(confirmed -> !confirmed.startedAt().isBefore(oldest))
+        .filter(confirmed -> !confirmed.startedAt().isBefore(since))
         .isPresent();
   }
 
-  private Comparator<ServerView> preference(AvailabilityZone zone) {
+  private Comparator<ServerView> byZoneAndLoad(AvailabilityZone zone) {
     return Comparator.<ServerView>comparingInt(view -> view.server().zone().equals(zone) ? 0 : 1)
         .thenComparingInt(view -> load.outstanding(view.server().id()));
   }
--- a/core/src/main/java/org/persimmonwalk/routing/StatementKind.java
+++ b/core/src/main/java/org/persimmonwalk/routing/StatementKind.java
@@ -1,6 +1,6 @@
 package org.persimmonwalk.routing;
 
-/** What a statement needs of a backend server. */
+/** Which backend servers can run a statement. */
 public enum StatementKind {
   /** Runs on any server whose data is recent enough, in a read-only transaction. */
   READ,
--- a/core/src/test/java/org/persimmonwalk/routing/SessionRouterTest.java
+++ b/core/src/test/java/org/persimmonwalk/routing/SessionRouterTest.java
@@ -67,6 +67,7 @@
     loop.runRound();
   }
 
+  /** Guards against a session that does not read its own writes. */
   @Test
   void shouldServeOwnWriteFromPrimaryUntilReplicaHasReplayedIt() {
     sample(100, 100, 100);
@@ -80,6 +81,7 @@
     assertThat(server(read(floor))).isEqualTo("b");
   }
 
+  /** Guards against a session that misses writes it made through another entry host before. */
   @Test
   void shouldAwaitSampleThatStartedAfterSessionWasDeclared() {
     sample(200, 200, 200);
@@ -92,8 +94,9 @@
     assertThat(server(read(floor))).isEqualTo("a");
   }
 
+  /** Guards against reads of data that is older than the caller accepts. */
   @Test
-  void shouldRefuseReplicaWhoseDataIsOlderThanStatedAge() {
+  void shouldNotReadFromReplicaWhoseDataIsOlderThanMaximumAge() {
     sample(100, 100, 100);
     clock.advance(Duration.ofSeconds(2));
     sample(200, 200, 100);
@@ -103,9 +106,12 @@
     assertThat(server(read(SessionFloor.none(), Duration.ofSeconds(1)))).isEqualTo("a");
   }
 
-  /** Guards against a bound that moves with the clock, which no sample would ever meet. */
+  /**
+   * Guards against a data age that is measured back from the current time instead of the arrival of
+   * the statement: no sample would ever be recent enough for a maximum age of zero.
+   */
   @Test
-  void shouldServeReadOfNoAgeOnceSampleHasStartedAfterItsArrival() {
+  void shouldServeReadWithZeroMaximumAgeAfterSampleStartedAfterItsArrival() {
     RoutingRequest request =
         new RoutingRequest(
             GROUP,
@@ -121,6 +127,7 @@
     assertThat(server(router.route(loop.snapshot(), request, clock.now()))).isEqualTo("b");
   }
 
+  /** Guards against writes on an isolated primary, which could not be acknowledged. */
   @Test
   void shouldNotSendWriteToPrimaryThatNoReplicaConfirms() {
     loop.post(
