Reword the request package in plain terms

The package and its planner were described as taking a statement "from its arrival to the decision where it runs" while "knowing no protocol". The comments now name the steps, key check, rate limit and routing, and the threads that call them.

--- a/core/src/main/java/org/persimmonwalk/request/RequestPlanner.java
+++ b/core/src/main/java/org/persimmonwalk/request/RequestPlanner.java
@@ -14,8 +14,8 @@
 import org.persimmonwalk.routing.RoutingRequest;
 
 /**
- * Takes a statement from its arrival to the decision where it runs. Every front end uses this
- * class; it knows no protocol.
+ * Checks the key, rate limit and database access of a statement and decides where it runs. Shared
+ * by all front ends and independent of their protocols. Traffic threads call it; it is thread-safe.
  *
  * <p>Example:
  *
@@ -45,10 +45,10 @@
   }
 
   /**
-   * Checks the key and takes the statement from the workspace's share. Call it once for each
-   * statement.
+   * Checks access as {@link #verify} does and takes the statement from the workspace's rate limit.
+   * Call it again for a statement only if it was refused.
    *
-   * @return why the statement is refused, or nothing if it may run
+   * @return why the statement is refused; empty if it may run
    */
   public Optional<ResultCode> admit(
       Snapshot snapshot, StatementRequest request, MonotonicTime now) {
@@ -61,7 +61,7 @@
         : Optional.of(ResultCode.RATE_EXCEEDED);
   }
 
-  /** Returns why the caller may not use the workspace or the group, or nothing if it may. */
+  /** Returns why the caller may not use the workspace or the database group; empty if it may. */
   public Optional<ResultCode> verify(
       Snapshot snapshot, StatementRequest request, MonotonicTime now) {
     Optional<ResultCode> refusal = keys.verify(snapshot, request.workspace(), request.key(), now);
@@ -74,7 +74,10 @@
     return allowed ? Optional.empty() : Optional.of(ResultCode.GROUP_NOT_ALLOWED);
   }
 
-  /** Decides where an admitted statement runs; call it again with each snapshot while it awaits. */
+  /**
+   * Decides where an admitted statement runs. While the decision is to wait, call it again with
+   * each new snapshot; after the statement's deadline it returns a refusal.
+   */
   public RoutingDecision route(Snapshot snapshot, StatementRequest request, MonotonicTime now) {
     RoutingRequest routing =
         new RoutingRequest(
--- a/core/src/main/java/org/persimmonwalk/request/StatementRequest.java
+++ b/core/src/main/java/org/persimmonwalk/request/StatementRequest.java
@@ -15,14 +15,14 @@
  * A statement or a group of statements that a caller sent as one unit.
  *
  * @param workspace the caller's workspace
- * @param key the hash of the key that the caller showed, if it showed one
+ * @param key the hash of the key that the caller presented, if any
  * @param group the database group that the statement is for
  * @param kind whether the statement only reads
- * @param floor what the session must see
- * @param maximumAge the oldest data that the caller accepts, if it has stated an age
- * @param idempotencyKey the key under which the caller may repeat the statement, if it gave one
+ * @param floor the position that the session's reads must see
+ * @param maximumAge the maximum age of the data that the caller accepts, if it has stated one
+ * @param idempotencyKey the key that lets the caller safely repeat the statement, if it gave one
  * @param arrivedAt when the statement arrived
- * @param deadline when the statement must have started
+ * @param deadline the time by which the statement must have started
  */
 public record StatementRequest(
     WorkspaceId workspace,
@@ -48,7 +48,7 @@
     Objects.requireNonNull(deadline, "deadline");
   }
 
-  /** Returns the same request as a statement that needs the primary. */
+  /** Returns a copy of this request as a write, which only the primary runs. */
   public StatementRequest asWrite() {
     return new StatementRequest(
         workspace,
