Reword the comments of the result package

The comments on ResultCode now say what each accessor returns ("what happened" is "a short description of what happened"), and the list of categories includes the internal error. The texts of the codes stay.

--- a/core/src/main/java/org/persimmonwalk/result/PersimmonwalkException.java
+++ b/core/src/main/java/org/persimmonwalk/result/PersimmonwalkException.java
@@ -19,7 +19,7 @@
     this.code = Objects.requireNonNull(code, "code");
   }
 
-  /** Returns a failure; the message says what happened and what to do. */
+  /** Returns a failure. The message states what happened and what the caller or operator can do. */
   public static PersimmonwalkException of(ResultCode code, String message) {
     return new PersimmonwalkException(code, message, null);
   }
--- a/core/src/main/java/org/persimmonwalk/result/ResultCode.java
+++ b/core/src/main/java/org/persimmonwalk/result/ResultCode.java
@@ -1,10 +1,10 @@
 package org.persimmonwalk.result;
 
 /**
- * Numbered results that callers and operators see.
+ * The results that are reported to callers and operators. Their numbers and texts are documented.
  *
- * <p>The first digit of the number groups the codes: 1 identity, 2 admission, 3 routing, 4 outcome,
- * 5 protocol, 6 configuration and administration, 7 settings, 8 platform.
+ * <p>The first digit of the number is the category: 1 identity, 2 admission, 3 routing, 4 outcome,
+ * 5 protocol, 6 configuration and administration, 7 settings, 8 platform, 9 internal.
  */
 public enum ResultCode {
   KEY_REJECTED(
@@ -263,27 +263,27 @@
     this.advice = advice;
   }
 
-  /** Returns the number that documentation and messages use. */
+  /** Returns the number by which documentation and messages identify the code. */
   public int number() {
     return number;
   }
 
-  /** Returns the SQLSTATE that callers see. */
+  /** Returns the SQLSTATE that is reported to callers. */
   public String sqlState() {
     return sqlState;
   }
 
-  /** Returns what the code says about the statement. */
+  /** Returns whether a statement with this result has run. */
   public StatementState statementState() {
     return statementState;
   }
 
-  /** Returns the code in the form that messages begin with, for example {@code PW-2001}. */
+  /** Returns the label at the start of messages, for example {@code PW-2001}. */
   public String label() {
     return "PW-" + number;
   }
 
-  /** Returns what happened. */
+  /** Returns a short description of what happened. */
   public String summary() {
     return summary;
   }
@@ -294,7 +294,7 @@
   }
 
   /**
-   * Returns a message for people, for example {@code PW-3001: the database has no primary at
+   * Returns the full message text, for example {@code PW-3001: the database has no primary at
    * present; retry (not run)}.
    */
   public String message() {
--- a/core/src/test/java/org/persimmonwalk/result/ResultCodeTest.java
+++ b/core/src/test/java/org/persimmonwalk/result/ResultCodeTest.java
@@ -13,7 +13,7 @@
 class ResultCodeTest {
   private static final Path DOCUMENT = Path.of("..", "docs", "ERRORS.md");
 
-  /** Guards against a code that the documentation lacks or describes otherwise. */
+  /** Guards against a code that is missing in the documentation or described differently there. */
   @Test
   void shouldBeDocumentedRowByRow() throws IOException {
     List<String> documented =
@@ -24,6 +24,7 @@
             Arrays.stream(ResultCode.values()).map(ResultCodeTest::row).toList());
   }
 
+  /** Guards against two codes with the same number. */
   @Test
   void shouldHaveDistinctNumbers() {
     assertThat(
