Reword the leases of table rows

Several names of the package were private to the project or vague: "RowInbox", "AskTimer", "TransferGiver", "TransferTaker", "GrantRow", "Holding" and "LeasedUse", and LeaseSettings named its safety margin "closing". Comments spoke of hosts that are "believed" to be live, of grants that are "surely over" and of a giver that is "clearly better off".

They are now RowObservations, RequestBackoff, TransferSender, TransferRequester, GrantManager, UnitLease and LeasedResource, and the comments use the usual terms: lease, safety margin, retry, backoff, in flight, reservation, expiry. The users of the package, share and allowance, follow in names only. The error for a lease that is too short now names the safety margin and the rule.

--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
@@ -16,7 +16,7 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.internal.control.lease.Fleet;
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
-import org.persimmonwalk.internal.control.lease.RowInbox;
+import org.persimmonwalk.internal.control.lease.RowObservations;
 import org.persimmonwalk.model.BackendServer;
 import org.persimmonwalk.model.DatabaseGroup;
 import org.persimmonwalk.model.GrantTable;
@@ -64,10 +64,11 @@
       configure(groups, context);
     }
     blackboard.observations(ConnectionsCounted.class).forEach(this::counted);
-    RowInbox inbox = RowInbox.of(blackboard);
+    RowObservations rowObservations = RowObservations.of(blackboard);
     boolean changed = published.keySet().retainAll(allowances.keySet());
-    for (BackendServerId server : all ? allowances.keySet() : touched(blackboard, inbox)) {
-      int allowance = allowances.get(server).run(blackboard, context, fleet, inbox);
+    for (BackendServerId server :
+        all ? allowances.keySet() : touched(blackboard, rowObservations)) {
+      int allowance = allowances.get(server).run(blackboard, context, fleet, rowObservations);
       Integer before = published.put(server, allowance);
       changed |= before == null || before != allowance;
     }
@@ -90,10 +91,10 @@
   }
 
   /** Returns the servers that this round's observations are about. */
-  private Set<BackendServerId> touched(Blackboard blackboard, RowInbox inbox) {
+  private Set<BackendServerId> touched(Blackboard blackboard, RowObservations rowObservations) {
     Set<BackendServerId> servers = new TreeSet<>();
     blackboard.observations(ConnectionsCounted.class).forEach(seen -> servers.add(seen.server()));
-    for (TableRow row : inbox.rows()) {
+    for (TableRow row : rowObservations.rows()) {
       if (row.table().equals(TABLE)) {
         servers.add(BackendServerId.of(row.row()));
       }
--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/ServerAllowance.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/ServerAllowance.java
@@ -11,9 +11,9 @@
 import org.persimmonwalk.internal.control.lease.FairSplit;
 import org.persimmonwalk.internal.control.lease.Fleet;
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
-import org.persimmonwalk.internal.control.lease.LeasedUse;
+import org.persimmonwalk.internal.control.lease.LeasedResource;
 import org.persimmonwalk.internal.control.lease.RowAllocation;
-import org.persimmonwalk.internal.control.lease.RowInbox;
+import org.persimmonwalk.internal.control.lease.RowObservations;
 import org.persimmonwalk.model.BackendServer;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.ShareRequest;
@@ -26,7 +26,7 @@
  * <p>A lowered allowance is in force only when a count of connections that obeys it has come: until
  * then a traffic thread may still open one under an older snapshot.
  */
-final class ServerAllowance implements LeasedUse {
+final class ServerAllowance implements LeasedResource {
   private static final int PUBLISHED_LIMIT = 64;
 
   private final TableRow row;
@@ -58,8 +58,9 @@
   }
 
   /** Runs the allocation and returns the allowance to publish. */
-  int run(Blackboard blackboard, RoundContext context, Fleet fleet, RowInbox inbox) {
-    allocation.run(blackboard, context, fleet, this, inbox.of(row));
+  int run(
+      Blackboard blackboard, RoundContext context, Fleet fleet, RowObservations rowObservations) {
+    allocation.run(blackboard, context, fleet, this, rowObservations.forRow(row));
     int allowance = usable(allocation.available(context.now()));
     if (published.isEmpty() || published.getLast().allowance() != allowance) {
       published.add(new Published(context.now(), allowance));
@@ -79,19 +80,19 @@
   }
 
   @Override
-  public boolean isShort(long held) {
+  public boolean needsUnits(long held) {
     return wanted > held;
   }
 
   @Override
-  public double tokensToAsk(long held, int peers, MonotonicTime now) {
+  public double tokensToRequest(long held, int peers, MonotonicTime now) {
     return 0;
   }
 
   /** Lends nothing while the row states too many, since lent units delay lowering the row. */
   @Override
   public long unitsToGive(long held, ShareRequest request) {
-    if (allocation.statedTotal() > total) {
+    if (allocation.rowTotal() > total) {
       return 0;
     }
     long fair = FairSplit.unitsToGive(held, wanted, request.held(), request.demand());
@@ -101,17 +102,17 @@
   }
 
   @Override
-  public void release(long units, double tokens) {
+  public void startRelease(long units, double tokens) {
     // The lowered allowance is published with this round.
   }
 
   @Override
-  public OptionalDouble released(long held) {
+  public OptionalDouble releasedTokens(long held) {
     return inUse() <= usable(held) ? OptionalDouble.of(0) : OptionalDouble.empty();
   }
 
   @Override
-  public double tokensIn(long units) {
+  public double tokensFor(long units) {
     return 0;
   }
 
@@ -133,7 +134,7 @@
 
   /** A server that accepts fewer connections than its row states is divided in proportion. */
   private int usable(long held) {
-    long stated = allocation.statedTotal();
+    long stated = allocation.rowTotal();
     return (int) (stated > total ? held * total / stated : held);
   }
 
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/Fleet.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/Fleet.java
@@ -11,12 +11,12 @@
 import org.persimmonwalk.model.TableRow;
 
 /**
- * The hosts that share the rows, as this host believes. A wrong belief costs share and never leads
- * to units being used twice.
+ * The entry hosts that divide the rows between them, from the view of this host. If the view is
+ * wrong, a host may get fewer units than its part, but units are never used twice.
  *
  * @param self this host
- * @param live live hosts; empty as long as none is known
- * @param stopping whether this host gives back what it holds
+ * @param live the live hosts; empty until the first are known
+ * @param stopping whether this host is stopping and returns its grants
  */
 public record Fleet(EntryHostId self, Set<EntryHostId> live, boolean stopping) {
 
@@ -25,7 +25,7 @@
     live = Set.copyOf(live);
   }
 
-  /** Returns the fleet that the blackboard shows to the given host. */
+  /** Returns the fleet according to the blackboard of the given host. */
   public static Fleet of(EntryHostId self, Blackboard blackboard) {
     return new Fleet(
         self,
@@ -33,12 +33,12 @@
         blackboard.get(Entries.HOST_PHASE) == HostPhase.STOPPED);
   }
 
-  /** Returns whether the hosts are known well enough to divide a row between them. */
+  /** Returns whether any live host is known, so that a row can be divided. */
   boolean isKnown() {
     return !live.isEmpty();
   }
 
-  /** Returns this host's equal part of the total, in whole units. */
+  /** Returns this host's equal part of the total in whole units; 0 while it is stopping. */
   long target(TableRow row, long total) {
     if (stopping) {
       return 0;
@@ -50,7 +50,7 @@
     return rank(row, hosts) < remainder ? part + 1 : part;
   }
 
-  /** Returns the peers that are believed to be live. */
+  /** Returns the live hosts other than this one, in ascending order. */
   List<EntryHostId> peers() {
     List<EntryHostId> peers = new ArrayList<>(live);
     peers.remove(self);
@@ -58,21 +58,24 @@
     return peers;
   }
 
-  /** Ranks hosts differently for each row, so that the remainders do not go to the same hosts. */
+  /**
+   * Returns this host's rank for the row. The order depends on the row, so that the remainders of
+   * different rows go to different hosts.
+   */
   private long rank(TableRow row, Set<EntryHostId> hosts) {
-    int own = mix(row, self);
+    int ownHash = hash(row, self);
     return hosts.stream()
         .filter(host -> !host.equals(self))
-        .filter(host -> precedes(mix(row, host), host, own))
+        .filter(host -> precedes(hash(row, host), host, ownHash))
         .count();
   }
 
-  private boolean precedes(int mixed, EntryHostId host, int own) {
-    return mixed < own || (mixed == own && host.compareTo(self) < 0);
+  private boolean precedes(int hash, EntryHostId host, int ownHash) {
+    return hash < ownHash || (hash == ownHash && host.compareTo(self) < 0);
   }
 
-  private static int mix(TableRow row, EntryHostId host) {
-    int mixed = (row.row() + "/" + host.value()).hashCode() * 0x9E3779B1;
-    return mixed ^ (mixed >>> 15);
+  private static int hash(TableRow row, EntryHostId host) {
+    int hash = (row.row() + "/" + host.value()).hashCode() * 0x9E3779B1;
+    return hash ^ (hash >>> 15);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/LeaseSettings.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/LeaseSettings.java
@@ -5,57 +5,63 @@
 import org.persimmonwalk.model.Grant;
 
 /**
- * How long leases last and when they are given up.
+ * How long leases last and how long before the end the holder stops using them.
  *
- * @param lease the duration that a row grants
- * @param closing how long before the end of a lease its units are no longer used
+ * @param duration the duration of a grant in a row
+ * @param safetyMargin how long before the end of a lease its units are no longer used
  */
-public record LeaseSettings(Duration lease, Duration closing) {
+public record LeaseSettings(Duration duration, Duration safetyMargin) {
 
-  /** Shares need only the time in which the control thread surely runs a round. */
+  /** The 2 s margin for rate shares only has to cover the longest time between control rounds. */
   public static final LeaseSettings SHARES =
       new LeaseSettings(Duration.ofHours(1), Duration.ofSeconds(2));
 
-  /** Connections must be closed before the end, after the statement that runs on them. */
+  /** Connections must be closed before the lease ends, after the statements that run on them. */
   public static final LeaseSettings CONNECTIONS =
       new LeaseSettings(Duration.ofHours(1), Duration.ofSeconds(10));
 
-  /** Checks that the lease is long enough for its margins. */
+  /** Checks that the lease is at least 4 times as long as its safety margin. */
   public LeaseSettings {
-    Objects.requireNonNull(closing, "closing");
-    if (lease.compareTo(closing.multipliedBy(4)) < 0) {
-      throw new IllegalArgumentException("a lease of " + lease + " is too short to be used");
+    Objects.requireNonNull(safetyMargin, "safetyMargin");
+    if (duration.compareTo(safetyMargin.multipliedBy(4)) < 0) {
+      throw new IllegalArgumentException(
+          "a lease duration of "
+              + duration
+              + " is too short: it must be at least 4 times the safety margin of "
+              + safetyMargin);
     }
   }
 
-  /** Returns for how long the holder uses a grant, counted from before it wrote the row. */
-  Duration usable() {
-    return lease.multipliedBy(9).dividedBy(10);
+  /** Returns how long the holder may use a grant, counted from before it sent the write. */
+  Duration usableDuration() {
+    return duration.multipliedBy(9).dividedBy(10);
   }
 
   /** Returns the age at which a grant is renewed. */
   Duration renewAfter() {
-    return lease.dividedBy(3);
+    return duration.dividedBy(3);
   }
 
-  /** Returns how long after the end of units lent to a peer their owner uses them again. */
+  /**
+   * Returns how long after the end of a loan to a peer the owner waits before it reuses the units.
+   */
   Duration lentMargin() {
-    return lease.dividedBy(100);
+    return duration.dividedBy(100);
   }
 
-  /** Returns for how long units must remain usable to be worth a transfer. */
-  Duration shortestTransfer() {
-    return closing.multipliedBy(2);
+  /** Returns for how long units must still be usable for a transfer to be worthwhile. */
+  Duration minTransferDuration() {
+    return safetyMargin.multipliedBy(2);
   }
 
-  /** Returns how soon a host looks again at a row that had nothing left for it. */
-  Duration retryFullRow() {
-    return lease.dividedBy(12);
+  /** Returns after how long a host again reads a row that had no units left for it. */
+  Duration fullRowRetryDelay() {
+    return duration.dividedBy(12);
   }
 
   /**
-   * Returns how long another host must have seen an unchanged grant before its units are free. The
-   * margin of a tenth covers clocks that run at different speeds.
+   * Returns how long another host must have seen a grant unchanged before it may treat the units as
+   * free. The margin of a tenth covers clocks that run at different speeds.
    */
   static Duration reclaimAfter(Grant grant) {
     return grant.duration().multipliedBy(11).dividedBy(10);
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/ObservedRow.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/ObservedRow.java
@@ -12,9 +12,9 @@
 import org.persimmonwalk.model.RowVersion;
 import org.persimmonwalk.observation.TableRowRead;
 
-/** A row as last read, and since when each grant has been seen in it without change. */
+/** A row as last read, and the time at which each of its grants was first seen. */
 final class ObservedRow {
-  private final Map<EntryHostId, Seen> seen = new HashMap<>();
+  private final Map<EntryHostId, FirstSeen> firstSeen = new HashMap<>();
   private GrantTable table = GrantTable.of(0, Map.of());
   private RowVersion version = RowVersion.ABSENT;
 
@@ -37,38 +37,40 @@
   }
 
   /**
-   * Takes note of a read unless a newer version was read before, and returns whether it did. The
-   * time must not precede the answer: the grant may have been written until then.
+   * Applies a read unless a newer version was read before, and returns whether it was applied. The
+   * time must not be earlier than the arrival of the answer: a grant in it may have been written
+   * until then.
    */
-  boolean note(TableRowRead read, MonotonicTime now) {
+  boolean update(TableRowRead read, MonotonicTime now) {
     if (read.version().compareTo(version) < 0) {
       return false;
     }
     version = read.version();
     table = read.value().map(GrantTable.class::cast).orElse(GrantTable.of(0, Map.of()));
-    seen.keySet().retainAll(table.grants().keySet());
-    table.grants().forEach((host, grant) -> noteGrant(host, grant, now));
+    firstSeen.keySet().retainAll(table.grants().keySet());
+    table.grants().forEach((host, grant) -> updateFirstSeen(host, grant, now));
     return true;
   }
 
-  /** Returns the grants that their holders may still use; those surely over are left out. */
+  /** Returns the grants that their holders may still use. */
   Map<EntryHostId, Grant> unexpired(MonotonicTime now) {
     Map<EntryHostId, Grant> grants = new HashMap<>(table.grants());
-    grants.entrySet().removeIf(entry -> isSurelyOver(entry.getKey(), entry.getValue(), now));
+    grants.entrySet().removeIf(entry -> hasExpired(entry.getKey(), entry.getValue(), now));
     return grants;
   }
 
-  private void noteGrant(EntryHostId host, Grant grant, MonotonicTime now) {
-    Seen known = seen.get(host);
+  private void updateFirstSeen(EntryHostId host, Grant grant, MonotonicTime now) {
+    FirstSeen known = firstSeen.get(host);
     if (known == null || !known.id().equals(grant.id())) {
-      seen.put(host, new Seen(grant.id(), now));
+      firstSeen.put(host, new FirstSeen(grant.id(), now));
     }
   }
 
-  private boolean isSurelyOver(EntryHostId host, Grant grant, MonotonicTime now) {
-    Duration age = now.since(seen.get(host).first());
+  private boolean hasExpired(EntryHostId host, Grant grant, MonotonicTime now) {
+    Duration age = now.since(firstSeen.get(host).time());
     return age.compareTo(LeaseSettings.reclaimAfter(grant)) >= 0;
   }
 
-  private record Seen(GrantId id, MonotonicTime first) {}
+  /** The current grant of a host and the time at which it was first read. */
+  private record FirstSeen(GrantId id, MonotonicTime time) {}
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/AskTimer.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/RequestBackoff.java
@@ -3,37 +3,40 @@
 import java.time.Duration;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Says when peers may be asked again: soon while they give, more and more rarely if not. */
-final class AskTimer {
+/**
+ * Decides when peers may be asked again. The interval doubles with each request up to a longest one
+ * and returns to the shortest one when a request succeeds.
+ */
+final class RequestBackoff {
   private final Duration shortest;
   private final Duration longest;
   private Duration interval;
   private MonotonicTime next;
 
-  private AskTimer(Duration shortest, Duration longest, MonotonicTime now) {
+  private RequestBackoff(Duration shortest, Duration longest, MonotonicTime now) {
     this.shortest = shortest;
     this.longest = longest;
     this.interval = shortest;
     this.next = now;
   }
 
-  static AskTimer of(Duration shortest, Duration longest, MonotonicTime now) {
-    return new AskTimer(shortest, longest, now);
+  static RequestBackoff of(Duration shortest, Duration longest, MonotonicTime now) {
+    return new RequestBackoff(shortest, longest, now);
   }
 
   boolean isDue(MonotonicTime now) {
     return !now.isBefore(next);
   }
 
-  void asked(MonotonicTime now) {
+  void requestSent(MonotonicTime now) {
     next = now.plus(interval);
     Duration doubled = interval.multipliedBy(2);
     interval = doubled.compareTo(longest) < 0 ? doubled : longest;
   }
 
-  void gained(MonotonicTime now) {
+  void requestSucceeded(MonotonicTime now) {
     interval = shortest;
-    MonotonicTime soon = now.plus(shortest);
-    next = soon.isBefore(next) ? soon : next;
+    MonotonicTime earliest = now.plus(shortest);
+    next = earliest.isBefore(next) ? earliest : next;
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/RowAllocation.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/RowAllocation.java
@@ -14,21 +14,24 @@
 import org.persimmonwalk.observation.TableRowReadFailed;
 import org.persimmonwalk.observation.TableRowWritten;
 
-/** This host's part of the units of one row; used by the control thread. */
+/**
+ * The units of one row that this host holds, by its own grant and by transfers with peers. A
+ * controller runs it on the control thread, at most once per round.
+ */
 public final class RowAllocation {
-  private final Holdings holdings;
-  private final GrantRow grants;
-  private final TransferGiver giver;
-  private final TransferTaker taker;
+  private final HeldUnits heldUnits;
+  private final GrantManager grantManager;
+  private final TransferSender transferSender;
+  private final TransferRequester transferRequester;
 
   private RowAllocation(TableRow row, LeaseSettings settings, MonotonicTime now) {
-    this.holdings = Holdings.none(settings);
-    this.grants = GrantRow.of(row, settings, holdings, now);
-    this.giver = TransferGiver.of(row, holdings);
-    this.taker = TransferTaker.of(row, holdings, now);
+    this.heldUnits = HeldUnits.none(settings);
+    this.grantManager = GrantManager.of(row, settings, heldUnits, now);
+    this.transferSender = TransferSender.of(row, heldUnits);
+    this.transferRequester = TransferRequester.of(row, heldUnits, now);
   }
 
-  /** Returns an allocation that holds nothing yet. */
+  /** Returns an allocation that holds no units yet. */
   public static RowAllocation of(TableRow row, LeaseSettings settings, MonotonicTime now) {
     return new RowAllocation(row, settings, now);
   }
@@ -38,49 +41,51 @@
       Blackboard blackboard,
       RoundContext context,
       Fleet fleet,
-      LeasedUse use,
+      LeasedResource resource,
       List<Observation> observations) {
     MonotonicTime now = context.now();
-    holdings.expire(now);
-    observations.forEach(observation -> apply(observation, fleet.self(), use, context));
-    grants.step(fleet, use, context).ifPresent(blackboard::submit);
-    giver.step(use, now).forEach(blackboard::submit);
-    taker.step(fleet, use, grants.table(), context).forEach(blackboard::submit);
+    heldUnits.expire(now);
+    observations.forEach(observation -> apply(observation, fleet.self(), resource, context));
+    grantManager.step(fleet, resource, context).ifPresent(blackboard::submit);
+    transferSender.step(resource, now).forEach(blackboard::submit);
+    transferRequester
+        .step(fleet, resource, grantManager.table(), context)
+        .forEach(blackboard::submit);
   }
 
   /** Returns the units that this host may use now. */
   public long available(MonotonicTime now) {
-    return holdings.available(now);
+    return heldUnits.available(now);
   }
 
   /** Returns the earliest end of the units that this host may use now. */
   public MonotonicTime end(MonotonicTime now) {
-    return holdings.end(now);
+    return heldUnits.end(now);
   }
 
-  /** Returns the tokens for which transfers under way have reserved room. */
+  /** Returns the tokens for which requests in flight have reserved room. */
   public double reservedTokens(MonotonicTime now) {
-    return taker.reservedTokens(now);
+    return transferRequester.reservedTokens(now);
   }
 
-  /** Returns the total that the row stated when it was last read; 0 before that. */
-  public long statedTotal() {
-    return grants.table().total();
+  /** Returns the total in the row when it was last read; 0 before the first read. */
+  public long rowTotal() {
+    return grantManager.table().total();
   }
 
   private void apply(
-      Observation observation, EntryHostId self, LeasedUse use, RoundContext context) {
+      Observation observation, EntryHostId self, LeasedResource resource, RoundContext context) {
     if (observation instanceof TableRowRead read) {
-      grants.read(read, self, context.now());
+      grantManager.read(read, self, context.now());
     } else if (observation instanceof TableRowReadFailed) {
-      grants.readFailed(context);
+      grantManager.readFailed(context);
     } else if (observation instanceof TableRowWritten written) {
-      grants.written(written.outcome(), context);
+      grantManager.written(written.outcome(), context);
     } else if (observation instanceof PeerMessageReceived received) {
       if (received.message() instanceof ShareRequest request) {
-        giver.requested(received.from(), request);
+        transferSender.enqueue(received.from(), request);
       } else if (received.message() instanceof ShareTransfer transfer) {
-        taker.answered(transfer, use, context.now());
+        transferRequester.receive(transfer, resource, context.now());
       }
     }
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/RowInbox.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/RowObservations.java
@@ -15,28 +15,32 @@
 import org.persimmonwalk.observation.TableRowReadFailed;
 import org.persimmonwalk.observation.TableRowWritten;
 
-/** This round's observations by the row that they are about. */
-public final class RowInbox {
+/** The observations of the current round on table rows and unit transfers, grouped by row. */
+public final class RowObservations {
   private final Map<TableRow, List<Observation>> byRow = new HashMap<>();
 
-  private RowInbox() {}
-
-  /** Returns the observations on the blackboard. */
-  public static RowInbox of(Blackboard blackboard) {
-    RowInbox inbox = new RowInbox();
-    blackboard.observations(TableRowRead.class).forEach(seen -> inbox.add(seen.row(), seen));
-    blackboard.observations(TableRowReadFailed.class).forEach(seen -> inbox.add(seen.row(), seen));
-    blackboard.observations(TableRowWritten.class).forEach(seen -> inbox.add(seen.row(), seen));
-    blackboard.observations(PeerMessageReceived.class).forEach(inbox::addMessage);
-    return inbox;
+  private RowObservations() {}
+
+  /** Groups the blackboard's observations by row. */
+  public static RowObservations of(Blackboard blackboard) {
+    RowObservations grouped = new RowObservations();
+    blackboard.observations(TableRowRead.class).forEach(read -> grouped.add(read.row(), read));
+    blackboard
+        .observations(TableRowReadFailed.class)
+        .forEach(failed -> grouped.add(failed.row(), failed));
+    blackboard
+        .observations(TableRowWritten.class)
+        .forEach(written -> grouped.add(written.row(), written));
+    blackboard.observations(PeerMessageReceived.class).forEach(grouped::addMessage);
+    return grouped;
   }
 
   /** Returns the observations about a row. */
-  public List<Observation> of(TableRow row) {
+  public List<Observation> forRow(TableRow row) {
     return byRow.getOrDefault(row, List.of());
   }
 
-  /** Returns the rows with observations. */
+  /** Returns the rows that have observations in this round. */
   public Set<TableRow> rows() {
     return byRow.keySet();
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
@@ -11,7 +11,7 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.internal.control.lease.Fleet;
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
-import org.persimmonwalk.internal.control.lease.RowInbox;
+import org.persimmonwalk.internal.control.lease.RowObservations;
 import org.persimmonwalk.model.GrantTable;
 import org.persimmonwalk.model.ShareLease;
 import org.persimmonwalk.model.Workspace;
@@ -43,13 +43,13 @@
     blackboard.observations(DemandMeasured.class).forEach(this::measured);
     blackboard.observations(TokenOrderDone.class).forEach(this::orderDone);
     Fleet fleet = Fleet.of(self, blackboard);
-    RowInbox inbox = RowInbox.of(blackboard);
+    RowObservations rowObservations = RowObservations.of(blackboard);
     Map<EntryHostId, Map<WorkspaceId, Double>> peerDemand = blackboard.get(Entries.PEER_DEMAND);
     Map<WorkspaceId, ShareLease> leases = new HashMap<>();
     Map<WorkspaceId, Double> demand = new HashMap<>();
     shares.forEach(
         (workspace, share) -> {
-          leases.put(workspace, share.run(blackboard, context, fleet, inbox, peerDemand));
+          leases.put(workspace, share.run(blackboard, context, fleet, rowObservations, peerDemand));
           demand.put(workspace, share.measuredDemand());
         });
     blackboard.put(Entries.SHARES, Map.copyOf(leases));
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
@@ -10,9 +10,9 @@
 import org.persimmonwalk.internal.control.lease.FairSplit;
 import org.persimmonwalk.internal.control.lease.Fleet;
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
-import org.persimmonwalk.internal.control.lease.LeasedUse;
+import org.persimmonwalk.internal.control.lease.LeasedResource;
 import org.persimmonwalk.internal.control.lease.RowAllocation;
-import org.persimmonwalk.internal.control.lease.RowInbox;
+import org.persimmonwalk.internal.control.lease.RowObservations;
 import org.persimmonwalk.model.GrantTable;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.ShareLease;
@@ -24,7 +24,7 @@
 import org.persimmonwalk.observation.TokenOrderDone;
 
 /** This host's part of one workspace; the units are millionths of its rate and burst. */
-final class WorkspaceShare implements LeasedUse {
+final class WorkspaceShare implements LeasedResource {
   /** Arrivals vary, so a host needs more than its mean demand to refuse almost nothing. */
   private static final double HEADROOM = 1.1;
 
@@ -86,11 +86,11 @@
       Blackboard blackboard,
       RoundContext context,
       Fleet newFleet,
-      RowInbox inbox,
+      RowObservations rowObservations,
       Map<EntryHostId, Map<WorkspaceId, Double>> newPeerDemands) {
     fleet = newFleet;
     peerDemands = newPeerDemands;
-    allocation.run(blackboard, context, fleet, this, inbox.of(row));
+    allocation.run(blackboard, context, fleet, this, rowObservations.forRow(row));
     MonotonicTime now = context.now();
     double part = (double) allocation.available(now) / total();
     TokenOrder order = moves.order();
@@ -110,8 +110,8 @@
   }
 
   @Override
-  public boolean isShort(long held) {
-    return demand > 0 && (rate(held) < HEADROOM * demand || tokensIn(held) < 1);
+  public boolean needsUnits(long held) {
+    return demand > 0 && (rate(held) < HEADROOM * demand || tokensFor(held) < 1);
   }
 
   /**
@@ -119,12 +119,12 @@
    * host gains itself until the answers come.
    */
   @Override
-  public double tokensToAsk(long held, int peers, MonotonicTime now) {
+  public double tokensToRequest(long held, int peers, MonotonicTime now) {
     boolean measured = now.since(measuredAt).compareTo(MEASUREMENT_AGE) < 0;
     if (demand <= 0 || !measured || !isLow(held)) {
       return 0;
     }
-    double burst = tokensIn(held);
+    double burst = tokensFor(held);
     double wanted = Math.max(1, burst / 2) - tokens;
     double room = burst - tokens - Math.min(1, OWN_GAIN_SECONDS * rate(held));
     return Math.max(0, Math.min(wanted, room / peers));
@@ -144,17 +144,17 @@
   }
 
   @Override
-  public void release(long units, double requestedTokens) {
-    moves.withdraw(requestedTokens + tokensIn(units));
+  public void startRelease(long units, double requestedTokens) {
+    moves.withdraw(requestedTokens + tokensFor(units));
   }
 
   @Override
-  public OptionalDouble released(long held) {
+  public OptionalDouble releasedTokens(long held) {
     return moves.takeWithdrawn();
   }
 
   @Override
-  public double tokensIn(long units) {
+  public double tokensFor(long units) {
     return units * workspace.burst() / total();
   }
 
@@ -176,7 +176,7 @@
   }
 
   private boolean isLow(long held) {
-    return tokens < Math.max(1, tokensIn(held) / 4);
+    return tokens < Math.max(1, tokensFor(held) / 4);
   }
 
   private double rate(long units) {
