Reword the workspace shares

Names and comments were short to the point of riddles: "TokenMoves", "OWN_GAIN_SECONDS" ("Without room for own tokens, hosts that are all short of them lost a fifth of the rate"), and tests whose comment states a fact but not the failure ("A peer that renewed is alive, although the host has seen it in the row for long").

The class is now TokenOrderQueue, constants say what they bound (REFILL_SECONDS, MAX_MEASUREMENT_AGE, MIN_TRANSFER_DIVISOR), and each test comment says which failure it guards against. A test without a comment got one.

--- a/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
@@ -18,7 +18,10 @@
 import org.persimmonwalk.observation.DemandMeasured;
 import org.persimmonwalk.observation.TokenOrderDone;
 
-/** Leases parts of the workspaces' rates and bursts and moves them to hosts with demand. */
+/**
+ * Leases parts of the workspaces' rates and bursts and transfers them to the hosts with the most
+ * demand. It publishes this host's shares and its measured demand.
+ */
 public final class ShareController implements Controller {
   /** The table with one row per workspace. */
   public static final String TABLE = GrantTable.WORKSPACE_TABLE;
@@ -40,8 +43,8 @@
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
     configure(blackboard.get(Entries.CONFIGURATION).workspaces(), context);
-    blackboard.observations(DemandMeasured.class).forEach(this::measured);
-    blackboard.observations(TokenOrderDone.class).forEach(this::orderDone);
+    blackboard.observations(DemandMeasured.class).forEach(this::demandMeasured);
+    blackboard.observations(TokenOrderDone.class).forEach(this::orderCompleted);
     Fleet fleet = Fleet.of(self, blackboard);
     RowObservations rowObservations = RowObservations.of(blackboard);
     Map<EntryHostId, Map<WorkspaceId, Double>> peerDemand = blackboard.get(Entries.PEER_DEMAND);
@@ -68,17 +71,17 @@
                     .configure(workspace));
   }
 
-  private void measured(DemandMeasured measured) {
+  private void demandMeasured(DemandMeasured measured) {
     WorkspaceShare share = shares.get(measured.workspace());
     if (share != null) {
-      share.measured(measured);
+      share.demandMeasured(measured);
     }
   }
 
-  private void orderDone(TokenOrderDone done) {
+  private void orderCompleted(TokenOrderDone done) {
     WorkspaceShare share = shares.get(done.workspace());
     if (share != null) {
-      share.orderDone(done);
+      share.orderCompleted(done);
     }
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
@@ -23,28 +23,31 @@
 import org.persimmonwalk.observation.DemandMeasured;
 import org.persimmonwalk.observation.TokenOrderDone;
 
-/** This host's part of one workspace; the units are millionths of its rate and burst. */
+/** This host's part of one workspace; a unit is a millionth of the workspace's rate and burst. */
 final class WorkspaceShare implements LeasedResource {
-  /** Arrivals vary, so a host needs more than its mean demand to refuse almost nothing. */
+  /** Arrivals vary, so a host needs more than its mean demand to refuse almost no statements. */
   private static final double HEADROOM = 1.1;
 
-  /** The part of an equal share that counts as demand of a host without any. */
-  private static final double IDLE_DEMAND = 0.1;
+  /** The fraction of an equal share of the rate that is added to the demand of each host. */
+  private static final double BASE_DEMAND_FRACTION = 0.1;
 
-  /** Statements that a host without demand can still run at once when a caller comes. */
+  /** The burst that a host without demand keeps, so that it can admit its next caller at once. */
   private static final double IDLE_BURST = 2;
 
-  /** Transfers of less than this part of an equal share are not worth a message. */
-  private static final int SMALLEST_TRANSFER = 20;
+  /** Transfers of less than 1/20 of an equal share are not worth a message. */
+  private static final int MIN_TRANSFER_DIVISOR = 20;
 
-  /** Without room for own tokens, hosts that are all short of them lost a fifth of the rate. */
-  private static final double OWN_GAIN_SECONDS = 0.1;
+  /**
+   * Requests leave room for the tokens that the host's own rate adds in this time. Without it, a
+   * fifth of the rate was lost when all hosts were short of tokens.
+   */
+  private static final double REFILL_SECONDS = 0.1;
 
-  private static final Duration MEASUREMENT_AGE = Duration.ofSeconds(1);
+  private static final Duration MAX_MEASUREMENT_AGE = Duration.ofSeconds(1);
 
   private final TableRow row;
   private final RowAllocation allocation;
-  private final TokenMoves moves;
+  private final TokenOrderQueue tokenOrders;
   private Workspace workspace;
   private Fleet fleet;
   private Map<EntryHostId, Map<WorkspaceId, Double>> peerDemands = Map.of();
@@ -55,7 +58,7 @@
   private WorkspaceShare(WorkspaceId id, LeaseSettings settings, MonotonicTime now) {
     this.row = TableRow.of(ShareController.TABLE, id.value());
     this.allocation = RowAllocation.of(row, settings, now);
-    this.moves = TokenMoves.create();
+    this.tokenOrders = TokenOrderQueue.create();
     this.measuredAt = now;
   }
 
@@ -67,14 +70,14 @@
     workspace = configured;
   }
 
-  void measured(DemandMeasured measured) {
+  void demandMeasured(DemandMeasured measured) {
     demand = measured.demand();
     tokens = measured.tokens();
     measuredAt = measured.measuredAt();
   }
 
-  void orderDone(TokenOrderDone done) {
-    moves.done(done.number(), done.withdrawn());
+  void orderCompleted(TokenOrderDone done) {
+    tokenOrders.completed(done.number(), done.withdrawn());
   }
 
   double measuredDemand() {
@@ -92,11 +95,11 @@
     peerDemands = newPeerDemands;
     allocation.run(blackboard, context, fleet, this, rowObservations.forRow(row));
     MonotonicTime now = context.now();
-    double part = (double) allocation.available(now) / total();
-    TokenOrder order = moves.order();
-    double reserved = allocation.reservedTokens(now) + moves.waitingDeposit();
-    double burst = Math.max(0, part * workspace.burst() - reserved);
-    return ShareLease.of(part * workspace.rate(), burst, allocation.end(now), order);
+    double fraction = (double) allocation.available(now) / total();
+    TokenOrder order = tokenOrders.order();
+    double reserved = allocation.reservedTokens(now) + tokenOrders.pendingDeposit();
+    double burst = Math.max(0, fraction * workspace.burst() - reserved);
+    return ShareLease.of(fraction * workspace.rate(), burst, allocation.end(now), order);
   }
 
   @Override
@@ -106,7 +109,7 @@
 
   @Override
   public double demand() {
-    return demand + IDLE_DEMAND * workspace.rate() / hosts();
+    return demand + BASE_DEMAND_FRACTION * workspace.rate() / hostCount();
   }
 
   @Override
@@ -115,24 +118,24 @@
   }
 
   /**
-   * Asks each peer for enough, as most have none to spare, but leaves room for the tokens that the
-   * host gains itself until the answers come.
+   * Requests the full amount from each peer, since most have none to spare, but leaves room for the
+   * tokens that the host's own rate adds before the answers arrive.
    */
   @Override
   public double tokensToRequest(long held, int peers, MonotonicTime now) {
-    boolean measured = now.since(measuredAt).compareTo(MEASUREMENT_AGE) < 0;
-    if (demand <= 0 || !measured || !isLow(held)) {
+    boolean recent = now.since(measuredAt).compareTo(MAX_MEASUREMENT_AGE) < 0;
+    if (demand <= 0 || !recent || !isLowOnTokens(held)) {
       return 0;
     }
     double burst = tokensFor(held);
     double wanted = Math.max(1, burst / 2) - tokens;
-    double room = burst - tokens - Math.min(1, OWN_GAIN_SECONDS * rate(held));
+    double room = burst - tokens - Math.min(1, REFILL_SECONDS * rate(held));
     return Math.max(0, Math.min(wanted, room / peers));
   }
 
   @Override
   public long unitsToGive(long held, ShareRequest request) {
-    double equalPart = (double) total() / hosts();
+    double equalPart = (double) total() / hostCount();
     double oneStatement = total() / workspace.burst();
     double kept = Math.min(equalPart / 2, IDLE_BURST * oneStatement);
     if (demand > 0) {
@@ -140,17 +143,17 @@
     }
     long fair = FairSplit.unitsToGive(held, demand(), request.held(), request.demand());
     long units = Math.min(fair, held - (long) Math.ceil(kept));
-    return units < equalPart / SMALLEST_TRANSFER ? 0 : units;
+    return units < equalPart / MIN_TRANSFER_DIVISOR ? 0 : units;
   }
 
   @Override
   public void startRelease(long units, double requestedTokens) {
-    moves.withdraw(requestedTokens + tokensFor(units));
+    tokenOrders.withdraw(requestedTokens + tokensFor(units));
   }
 
   @Override
   public OptionalDouble releasedTokens(long held) {
-    return moves.takeWithdrawn();
+    return tokenOrders.takeWithdrawn();
   }
 
   @Override
@@ -160,11 +163,13 @@
 
   @Override
   public void deposit(double added) {
-    moves.deposit(added);
+    tokenOrders.deposit(added);
     tokens += added;
   }
 
-  /** A lowered lease is in force before the commands of the round are carried out. */
+  /**
+   * Returns 0, since a lowered lease takes effect before the commands of the round are executed.
+   */
   @Override
   public long inUse() {
     return 0;
@@ -175,7 +180,7 @@
     return peerDemands.getOrDefault(peer, Map.of()).getOrDefault(workspace.id(), 0.0);
   }
 
-  private boolean isLow(long held) {
+  private boolean isLowOnTokens(long held) {
     return tokens < Math.max(1, tokensFor(held) / 4);
   }
 
@@ -183,7 +188,7 @@
     return units * workspace.rate() / total();
   }
 
-  private int hosts() {
+  private int hostCount() {
     return Math.max(1, fleet.live().size());
   }
 }
--- a/core/src/test/java/org/persimmonwalk/internal/control/share/ShareControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/share/ShareControllerTest.java
@@ -42,9 +42,9 @@
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
 
-/** One host whose store and peers are played by the test; the lease lasts 100 s. */
+/** Tests one host; the test acts as the store and the peers. A lease lasts 100 s. */
 class ShareControllerTest {
-  private static final WorkspaceId OIL = WorkspaceId.of("oil");
+  private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
   private static final EntryHostId SELF = EntryHostId.of("self");
   private static final EntryHostId PEER = EntryHostId.of("peer");
   private static final TableRow ROW = TableRow.of(ShareController.TABLE, "oil");
@@ -67,15 +67,18 @@
   private CompareAndSetTableRow write;
 
   @BeforeEach
-  void askForGrant() {
+  void requestGrant() {
     loop.runRound();
     assertThat(executor.take(ReadTableRow.class)).containsExactly(new ReadTableRow(ROW));
     write = round(CompareAndSetTableRow.class, read(0, Optional.empty())).get(0);
   }
 
-  /** The answer is lost, but the write took effect: the lease counts from before it was sent. */
+  /**
+   * Guards against a grant that is lost or lasts too long when the write took effect but its answer
+   * was lost: the lease counts from before the write was sent.
+   */
   @Test
-  void shouldFindWrittenGrantAfterLostAnswer() {
+  void shouldUseWrittenGrantAfterLostAnswer() {
     clock.advance(Duration.ofSeconds(3));
     round(Command.class, written(WriteOutcome.UNKNOWN, 0));
     assertThat(lease().rate()).isZero();
@@ -85,16 +88,19 @@
     assertThat(lease().end()).isEqualTo(clock.now().plus(Duration.ofSeconds(87)));
   }
 
-  /** An answer that says written may be about an earlier write. */
+  /** Guards against use of a grant after an answer that belongs to an earlier write. */
   @Test
-  void shouldNotUseGrantThatRowDoesNotShow() {
+  void shouldNotUseGrantMissingFromRow() {
     round(Command.class, written(WriteOutcome.WRITTEN, 1));
     assertThat(lease().rate()).isZero();
     round(Command.class, read(2, Optional.of(GrantTable.of(1_000_000, Map.of()))));
     assertThat(lease().rate()).isZero();
   }
 
-  /** The peer may have renewed until the read was answered, not only until it started. */
+  /**
+   * Guards against taking a peer's units too early: the peer may have renewed its grant until the
+   * read was answered, not only until it started.
+   */
   @Test
   void shouldCountLeaseOfPeerFromAnswerOfRead() {
     Grant grant = Grant.of(GrantId.of("peer:1"), 1_000_000, LEASE);
@@ -109,7 +115,7 @@
     assertThat(round(CompareAndSetTableRow.class, read(1, full))).hasSize(1);
   }
 
-  /** A peer that renewed is alive, although the host has seen it in the row for long. */
+  /** Guards against taking the units of a peer whose grant is old but was renewed in time. */
   @Test
   void shouldNotTakeRenewedGrant() {
     for (int renewal = 1; renewal < 5; renewal++) {
@@ -120,9 +126,9 @@
     }
   }
 
-  /** A transfer that waited in a connection for a minute must not extend the lease. */
+  /** Guards against a lease that is extended by a transfer delayed in a connection for a minute. */
   @Test
-  void shouldCountTransferFromBeforeRequest() {
+  void shouldCountTransferFromTimeOfRequest() {
     ShareRequest request = requestUnits();
     clock.advance(Duration.ofSeconds(60));
     round(Command.class, transfer(request.id(), 200_000, Duration.ofSeconds(70)));
@@ -130,8 +136,9 @@
     assertThat(lease().end()).isEqualTo(clock.now().plus(Duration.ofSeconds(10)));
   }
 
+  /** Guards against units that are counted twice, or taken from a transfer nobody requested. */
   @Test
-  void shouldApplyTransferOnceAndOnlyIfAskedFor() {
+  void shouldApplyTransferOnceAndOnlyIfRequested() {
     ShareRequest request = requestUnits();
     PeerMessageReceived transfer = transfer(request.id(), 200_000, Duration.ofSeconds(70));
     round(Command.class, transfer, transfer);
@@ -140,10 +147,10 @@
     assertThat(lease().rate()).isEqualTo(20);
   }
 
-  /** The answer to a request was lost: the same units are sent again, not others. */
+  /** Guards against giving units away twice when a request is repeated after a lost answer. */
   @Test
   void shouldAnswerRepeatedRequestWithSameTransfer() {
-    obtain();
+    obtainGrant();
     TransferId id = TransferId.of("peer:t1");
     PeerMessageReceived request =
         new PeerMessageReceived(PEER, new ShareRequest(id, ROW, 0, 50, 1));
@@ -151,22 +158,23 @@
     double lowered = lease().rate();
     assertThat(lowered).isBetween(1.0, 25.0);
     long order = lease().order().number();
-    List<SendPeerMessage> first = round(SendPeerMessage.class, new TokenOrderDone(OIL, order, 0.5));
+    List<SendPeerMessage> first =
+        round(SendPeerMessage.class, new TokenOrderDone(WORKSPACE, order, 0.5));
     assertThat(first).hasSize(1);
 
     assertThat(round(SendPeerMessage.class, request)).isEqualTo(first);
     assertThat(lease().rate()).isEqualTo(lowered);
   }
 
-  /** Lent units still run at the peer after the grant from which they came was renewed. */
+  /** Guards against using lent units twice after a renewal: the peer still holds their lease. */
   @Test
   void shouldCountLentUnitsAgainstRenewedGrant() {
-    obtain();
+    obtainGrant();
     TransferId id = TransferId.of("peer:t1");
     round(Command.class, new PeerMessageReceived(PEER, new ShareRequest(id, ROW, 0, 50, 1)));
     double lowered = lease().rate();
     clock.advance(Duration.ofSeconds(50));
-    round(Command.class, new TokenOrderDone(OIL, lease().order().number(), 0));
+    round(Command.class, new TokenOrderDone(WORKSPACE, lease().order().number(), 0));
     GrantTable table = (GrantTable) write.value();
     write = round(CompareAndSetTableRow.class, read(1, Optional.of(table))).get(0);
     round(Command.class, read(2, Optional.of((GrantTable) write.value())));
@@ -178,12 +186,15 @@
     assertThat(lease().rate()).isEqualTo(50);
   }
 
-  /** Tokens under way need room at the receiver, or the fleet would hold more than the burst. */
+  /**
+   * Guards against more tokens than the burst over all hosts: tokens in flight need reserved room
+   * at the receiver.
+   */
   @Test
-  void shouldReserveRoomForTokensItAsksFor() {
-    obtain();
+  void shouldReserveRoomForRequestedTokens() {
+    obtainGrant();
     List<SendPeerMessage> sent =
-        round(SendPeerMessage.class, new DemandMeasured(OIL, 40, 0, clock.now()));
+        round(SendPeerMessage.class, new DemandMeasured(WORKSPACE, 40, 0, clock.now()));
     ShareRequest request = (ShareRequest) sent.get(0).message();
     assertThat(request.tokens()).isGreaterThan(1);
     assertThat(lease().burst()).isEqualTo(20 - request.tokens());
@@ -196,7 +207,10 @@
     assertThat(lease().order().number()).isZero();
   }
 
-  /** The answer may be lost after the peer lowered its share. */
+  /**
+   * Guards against units that no host holds, after a peer lowered its share and its answer was
+   * lost.
+   */
   @Test
   void shouldRepeatUnansweredRequest() {
     ShareRequest request = requestUnits();
@@ -204,10 +218,13 @@
     assertThat(round(SendPeerMessage.class)).containsExactly(new SendPeerMessage(PEER, request));
   }
 
-  /** A lower grant may take effect at any time after it was sent, whatever the answer says. */
+  /**
+   * Guards against using more than a lower grant that may take effect at any time after it was
+   * sent, whatever the answer says.
+   */
   @Test
-  void shouldUseNoMoreThanLowerGrantUnderWay() {
-    obtain();
+  void shouldUseNoMoreThanLowerGrantInFlight() {
+    obtainGrant();
     live = Set.of(SELF, PEER, EntryHostId.of("third"), EntryHostId.of("fourth"));
     clock.advance(Duration.ofSeconds(40));
     GrantTable table = (GrantTable) write.value();
@@ -218,7 +235,7 @@
     assertThat(lease().rate()).isEqualTo(25);
   }
 
-  private void obtain() {
+  private void obtainGrant() {
     round(Command.class, written(WriteOutcome.WRITTEN, 1));
     round(Command.class, read(1, Optional.of((GrantTable) write.value())));
     assertThat(lease().rate()).isEqualTo(50);
@@ -226,7 +243,7 @@
 
   private ShareRequest requestUnits() {
     List<SendPeerMessage> sent =
-        round(SendPeerMessage.class, new DemandMeasured(OIL, 90, 0, clock.now()));
+        round(SendPeerMessage.class, new DemandMeasured(WORKSPACE, 90, 0, clock.now()));
     return (ShareRequest) sent.get(sent.size() - 1).message();
   }
 
@@ -249,14 +266,14 @@
   }
 
   private ShareLease lease() {
-    return loop.snapshot().get(Entries.SHARES).get(OIL);
+    return loop.snapshot().get(Entries.SHARES).get(WORKSPACE);
   }
 
   private static Configuration configuration() {
     return new Configuration(
         Revision.of(1),
         ReleaseNoteId.of("first"),
-        Map.of(OIL, Workspace.of(OIL, 100, 40, Set.of())),
+        Map.of(WORKSPACE, Workspace.of(WORKSPACE, 100, 40, Set.of())),
         Map.of(),
         Map.of());
   }
--- a/core/src/test/java/org/persimmonwalk/internal/control/share/ShareSafetyTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/share/ShareSafetyTest.java
@@ -21,15 +21,18 @@
 import org.persimmonwalk.testing.FakeHost;
 import org.persimmonwalk.testing.RateWitness;
 
-/** The rate and burst of a workspace hold over all hosts together, whatever fails. */
+/**
+ * Guards against faults that let all hosts together exceed the rate or burst of a workspace, or
+ * that leave its rate unused.
+ */
 class ShareSafetyTest {
-  private static final WorkspaceId OIL = WorkspaceId.of("oil");
+  private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
   private static final double RATE = 100;
   private static final double BURST = 40;
   private static final double ROUNDING = 1e-6;
   private static final Duration STEP = Duration.ofMillis(10);
 
-  /** Short leases, so that many of them begin and end within a run. */
+  /** Short leases, so that many of them start and end during a run. */
   private static final LeaseSettings SETTINGS =
       new LeaseSettings(Duration.ofSeconds(60), Duration.ofSeconds(1));
 
@@ -43,7 +46,7 @@
     fleet.store().setPercentLost(30);
     fleet.network().setPercentDisturbed(5);
     for (int second = 0; second < 300; second++) {
-      disturb();
+      injectFault();
       if (fleet.random().nextInt(4) > 0) {
         run(Duration.ofSeconds(1), fleet.hosts());
       } else {
@@ -58,7 +61,7 @@
   }
 
   @Test
-  void shouldUseShareOfDeadHostOnlyAfterItsLeaseIsSurelyOver() {
+  void shouldUseShareOfDeadHostOnlyAfterItsLeaseExpired() {
     fleet = fleet(2, 1);
     fleet.time().advance(Duration.ofSeconds(10));
     FakeHost survivor = fleet.hosts().get(0);
@@ -78,13 +81,13 @@
     fleet = fleet(2, 1);
     fleet.time().advance(Duration.ofSeconds(10));
     FakeHost paused = fleet.hosts().get(0);
-    assertThat(paused.admit(OIL)).isTrue();
+    assertThat(paused.admit(WORKSPACE)).isTrue();
     fleet.pause(paused, Duration.ofSeconds(200));
     fleet.time().advance(Duration.ofSeconds(199));
     assertThat(rate(fleet.hosts().get(1))).isEqualTo(RATE);
 
     fleet.time().advance(Duration.ofSeconds(1));
-    assertThat(paused.admit(OIL)).isFalse();
+    assertThat(paused.admit(WORKSPACE)).isFalse();
   }
 
   @Test
@@ -111,7 +114,7 @@
   }
 
   @Test
-  void shouldGiveBackShareInPlannedStop() {
+  void shouldReturnShareOnPlannedStop() {
     fleet = fleet(2, 1);
     fleet.time().advance(Duration.ofSeconds(5));
     FakeHost leaving = fleet.hosts().get(0);
@@ -125,7 +128,7 @@
     assertThat(rate(next)).isGreaterThan(RATE / 4);
   }
 
-  private void disturb() {
+  private void injectFault() {
     int choice = fleet.random().nextInt(40);
     FakeHost host = fleet.hosts().get(fleet.random().nextInt(fleet.hosts().size()));
     if (choice == 0 && fleet.hosts().size() > 3) {
@@ -143,7 +146,7 @@
     }
   }
 
-  /** Ends all disturbances and lets the leases of dead hosts run out. */
+  /** Ends all faults and runs until the leases of dead hosts have expired. */
   private void recover() {
     fleet.store().setDown(false);
     fleet.store().setPercentLost(0);
@@ -152,14 +155,16 @@
     run(Duration.ofSeconds(240), fleet.hosts());
   }
 
-  /** Lets the given hosts ask for more than the workspace's rate, some more than others. */
-  private void run(Duration span, List<FakeHost> asking) {
+  /**
+   * Sends more statements to the given hosts than the workspace's rate allows, most to the first.
+   */
+  private void run(Duration span, List<FakeHost> loaded) {
     for (long step = 0; step < span.dividedBy(STEP); step++) {
       fleet.time().advance(STEP);
-      for (FakeHost host : asking) {
-        int statements = fleet.random().nextInt(host.equals(asking.get(0)) ? 5 : 2);
+      for (FakeHost host : loaded) {
+        int statements = fleet.random().nextInt(host.equals(loaded.get(0)) ? 5 : 2);
         for (int i = 0; i < statements; i++) {
-          if (host.admit(OIL)) {
+          if (host.admit(WORKSPACE)) {
             witness.admitted(fleet.time().now());
           }
         }
@@ -168,14 +173,18 @@
   }
 
   private static double rate(FakeHost host) {
-    return host.snapshot().get(Entries.SHARES).get(OIL).rate();
+    return host.snapshot().get(Entries.SHARES).get(WORKSPACE).rate();
   }
 
   private static FakeFleet fleet(int size, long seed) {
-    Workspace workspace = Workspace.of(OIL, RATE, BURST, Set.of());
+    Workspace workspace = Workspace.of(WORKSPACE, RATE, BURST, Set.of());
     Configuration configuration =
         new Configuration(
-            Revision.of(1), ReleaseNoteId.of("first"), Map.of(OIL, workspace), Map.of(), Map.of());
+            Revision.of(1),
+            ReleaseNoteId.of("first"),
+            Map.of(WORKSPACE, workspace),
+            Map.of(),
+            Map.of());
     return new FakeFleet(size, SETTINGS, configuration, seed);
   }
 }
--- a/core/src/test/java/org/persimmonwalk/internal/control/share/package-info.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/share/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of workspace shares. */
+/** Tests of the division of workspace rates and bursts between entry hosts. */
 package org.persimmonwalk.internal.control.share;
