Reword the connection allowances

Comments were hard to place: "Allowances without news are looked at this often", "Lends nothing while the row states too many", "Statements that run for long keep their connections; the units stay here".

They now say what is run, counted or reduced and when, and each test comment names the failure it guards against. The measured figure of 1,710 servers and the 10 s before the end of a lease stay.

--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
@@ -24,15 +24,18 @@
 import org.persimmonwalk.model.TableRow;
 import org.persimmonwalk.observation.ConnectionsCounted;
 
-/** Leases connections to backend servers and moves them to hosts that want more. */
+/**
+ * Leases connections to backend servers and transfers them to hosts that need more. It publishes
+ * the connections that this host may have open to each server.
+ */
 public final class AllowanceController implements Controller {
   /** The table with one row per backend server. */
   public static final String TABLE = GrantTable.SERVER_TABLE;
 
   /**
-   * Allowances without news are looked at this often: with 1,710 servers, a look in each round took
-   * most of the control thread's time. It is short against the 10 s before the end of a lease in
-   * which connections are closed.
+   * How often allowances without new observations are run. Running all of them in each round took
+   * most of the control thread's time with 1,710 servers. The interval is short compared with the
+   * last 10 s of a lease, in which connections are closed.
    */
   private static final Duration FULL_RUN_INTERVAL = Duration.ofMillis(100);
 
@@ -59,15 +62,15 @@
   public void run(Blackboard blackboard, RoundContext context) {
     Map<DatabaseGroupId, DatabaseGroup> groups = blackboard.get(Entries.CONFIGURATION).groups();
     Fleet fleet = Fleet.of(self, blackboard);
-    boolean all = isFullRunDue(groups, fleet, context.now());
+    boolean runAll = isFullRunDue(groups, fleet, context.now());
     if (groups != configured) {
       configure(groups, context);
     }
-    blackboard.observations(ConnectionsCounted.class).forEach(this::counted);
+    blackboard.observations(ConnectionsCounted.class).forEach(this::connectionsCounted);
     RowObservations rowObservations = RowObservations.of(blackboard);
     boolean changed = published.keySet().retainAll(allowances.keySet());
     for (BackendServerId server :
-        all ? allowances.keySet() : touched(blackboard, rowObservations)) {
+        runAll ? allowances.keySet() : serversWithObservations(blackboard, rowObservations)) {
       int allowance = allowances.get(server).run(blackboard, context, fleet, rowObservations);
       Integer before = published.put(server, allowance);
       changed |= before == null || before != allowance;
@@ -90,10 +93,13 @@
     return due;
   }
 
-  /** Returns the servers that this round's observations are about. */
-  private Set<BackendServerId> touched(Blackboard blackboard, RowObservations rowObservations) {
+  /** Returns the configured servers that this round's observations are about. */
+  private Set<BackendServerId> serversWithObservations(
+      Blackboard blackboard, RowObservations rowObservations) {
     Set<BackendServerId> servers = new TreeSet<>();
-    blackboard.observations(ConnectionsCounted.class).forEach(seen -> servers.add(seen.server()));
+    blackboard
+        .observations(ConnectionsCounted.class)
+        .forEach(counted -> servers.add(counted.server()));
     for (TableRow row : rowObservations.rows()) {
       if (row.table().equals(TABLE)) {
         servers.add(BackendServerId.of(row.row()));
@@ -117,10 +123,10 @@
     allowances.keySet().retainAll(servers);
   }
 
-  private void counted(ConnectionsCounted counted) {
+  private void connectionsCounted(ConnectionsCounted counted) {
     ServerAllowance allowance = allowances.get(counted.server());
     if (allowance != null) {
-      allowance.counted(counted);
+      allowance.connectionsCounted(counted);
     }
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/ServerAllowance.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/ServerAllowance.java
@@ -21,13 +21,13 @@
 import org.persimmonwalk.observation.ConnectionsCounted;
 
 /**
- * This host's connections to one backend server; the units are connections.
+ * The connections that this host may have open to one backend server; a unit is a connection.
  *
- * <p>A lowered allowance is in force only when a count of connections that obeys it has come: until
- * then a traffic thread may still open one under an older snapshot.
+ * <p>A lowered allowance counts as in effect only after a connection count that respects it has
+ * arrived. Until then, a traffic thread may still open a connection by an older snapshot.
  */
 final class ServerAllowance implements LeasedResource {
-  private static final int PUBLISHED_LIMIT = 64;
+  private static final int MAX_PUBLISHED = 64;
 
   private final TableRow row;
   private final RowAllocation allocation;
@@ -49,7 +49,7 @@
     total = server.connections();
   }
 
-  void counted(ConnectionsCounted counted) {
+  void connectionsCounted(ConnectionsCounted counted) {
     open = counted.open();
     wanted = counted.wanted();
     while (published.size() > 1 && second().at().isBefore(counted.obeyed())) {
@@ -64,7 +64,7 @@
     int allowance = usable(allocation.available(context.now()));
     if (published.isEmpty() || published.getLast().allowance() != allowance) {
       published.add(new Published(context.now(), allowance));
-      forgetOldest();
+      mergeOldest();
     }
     return allowance;
   }
@@ -89,7 +89,10 @@
     return 0;
   }
 
-  /** Lends nothing while the row states too many, since lent units delay lowering the row. */
+  /**
+   * Gives nothing while the row's total exceeds the configured one, since lent units delay lowering
+   * the row.
+   */
   @Override
   public long unitsToGive(long held, ShareRequest request) {
     if (allocation.rowTotal() > total) {
@@ -103,7 +106,7 @@
 
   @Override
   public void startRelease(long units, double tokens) {
-    // The lowered allowance is published with this round.
+    // Nothing to do: the lowered allowance is published at the end of this round.
   }
 
   @Override
@@ -118,7 +121,7 @@
 
   @Override
   public void deposit(double tokens) {
-    // Connections have no tokens.
+    // Nothing to do: connections have no tokens.
   }
 
   @Override
@@ -132,15 +135,18 @@
     return 0;
   }
 
-  /** A server that accepts fewer connections than its row states is divided in proportion. */
+  /**
+   * Returns how many of the held units may be used. They are reduced in proportion while the row's
+   * total exceeds the connections that the server accepts.
+   */
   private int usable(long held) {
-    long stated = allocation.rowTotal();
-    return (int) (stated > total ? held * total / stated : held);
+    long rowTotal = allocation.rowTotal();
+    return (int) (rowTotal > total ? held * total / rowTotal : held);
   }
 
-  /** Bounds memory when no count comes; the higher of two allowances stays. */
-  private void forgetOldest() {
-    if (published.size() > PUBLISHED_LIMIT) {
+  /** Bounds memory when no counts arrive, by merging the two oldest entries into the higher one. */
+  private void mergeOldest() {
+    if (published.size() > MAX_PUBLISHED) {
       Published oldest = published.remove();
       Published next = published.remove();
       int higher = Math.max(oldest.allowance(), next.allowance());
@@ -154,5 +160,6 @@
     return entries.next();
   }
 
+  /** An allowance and the time of the round that published it. */
   private record Published(MonotonicTime at, int allowance) {}
 }
--- a/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
@@ -22,7 +22,7 @@
 import org.persimmonwalk.testing.FakeFleet;
 import org.persimmonwalk.testing.FakeHost;
 
-/** A backend server never gets more connections than it accepts. */
+/** Guards against more connections to a backend server than it accepts, over all hosts together. */
 class AllowanceControllerTest {
   static final BackendServerId SERVER = BackendServerId.of("a");
   private static final int CONNECTIONS = 20;
@@ -39,7 +39,7 @@
     fleet.store().setPercentLost(30);
     fleet.network().setPercentDisturbed(5);
     for (int second = 0; second < 300; second++) {
-      disturb();
+      injectFault();
       run(Duration.ofSeconds(1), CONNECTIONS);
     }
     fleet.store().setDown(false);
@@ -52,7 +52,7 @@
   }
 
   @Test
-  void shouldMoveConnectionsToHostThatWantsThem() {
+  void shouldMoveConnectionsToHostThatNeedsThem() {
     fleet = new FakeFleet(4, SETTINGS, configuration(1, CONNECTIONS), 1);
     fleet.hosts().forEach(host -> host.wantConnections(SERVER, 2));
     run(Duration.ofSeconds(5), CONNECTIONS);
@@ -61,7 +61,9 @@
     assertThat(fleet.hosts().get(0).connections(SERVER)).isGreaterThanOrEqualTo(10);
   }
 
-  /** The allowance must fall while the lease still runs, so that there is time to close. */
+  /**
+   * Guards against connections that are still open when the lease ends, because closing takes time.
+   */
   @Test
   void shouldLowerAllowanceBeforeLeaseEnds() {
     fleet = new FakeFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
@@ -73,7 +75,7 @@
     assertThat(open()).isZero();
   }
 
-  /** A server that accepts fewer connections than before must not get the old number for long. */
+  /** Guards against keeping the old number of connections after a server accepts fewer. */
   @Test
   void shouldFollowLoweredConnectionsOfServer() {
     fleet = new FakeFleet(4, SETTINGS, configuration(1, CONNECTIONS), 1);
@@ -86,8 +88,8 @@
   }
 
   /**
-   * A listener reports connections when the map is another one, and the report wakes the control
-   * thread: a new map in each round kept the thread busy without pause.
+   * Guards against a control thread that never rests. A listener reports connections when the map
+   * is replaced, and the report wakes the control thread, so a new map in each round kept it busy.
    */
   @Test
   void shouldKeepMapWhileNoAllowanceChanges() {
@@ -99,7 +101,10 @@
     assertThat(allowances()).isSameAs(before).containsKey(SERVER);
   }
 
-  /** Rounds look only at servers with news; a withdrawn server has none. */
+  /**
+   * Guards against keeping a withdrawn server: most rounds run only the servers with observations,
+   * and a withdrawn one has none.
+   */
   @Test
   void shouldForgetWithdrawnServer() {
     fleet = new FakeFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
@@ -116,7 +121,7 @@
     return fleet.hosts().get(0).snapshot().get(Entries.CONNECTION_ALLOWANCES);
   }
 
-  private void disturb() {
+  private void injectFault() {
     int choice = fleet.random().nextInt(40);
     FakeHost host = fleet.hosts().get(fleet.random().nextInt(fleet.hosts().size()));
     if (choice == 0 && fleet.hosts().size() > 3) {
--- a/core/src/test/java/org/persimmonwalk/internal/control/allowance/ConnectionReleaseTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/ConnectionReleaseTest.java
@@ -28,7 +28,7 @@
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
 
-/** A peer gets connections only when this host has surely closed its own. */
+/** Guards against giving connections to a peer before this host has closed its own. */
 class ConnectionReleaseTest {
   private static final EntryHostId SELF = EntryHostId.of("self");
   private static final EntryHostId PEER = EntryHostId.of("peer");
@@ -50,8 +50,8 @@
           RandomSource.seeded(1));
 
   @Test
-  void shouldSendConnectionsOnlyAfterCountThatObeysLoweredAllowance() {
-    obtain();
+  void shouldSendConnectionsOnlyAfterCountUnderLoweredAllowance() {
+    obtainGrant();
     MonotonicTime before = loop.snapshot().publishedAt();
     ShareRequest request = new ShareRequest(TransferId.of("peer:1"), ROW, 0, 10, 0);
     round(Command.class, counted(20, before));
@@ -66,10 +66,10 @@
     assertThat(((ShareTransfer) sent.get(0).message()).amount()).isEqualTo(6);
   }
 
-  /** Statements that run for long keep their connections; the units stay here. */
+  /** Guards against giving away units whose connections long-running statements still use. */
   @Test
   void shouldKeepConnectionsThatAreNotClosedInTime() {
-    obtain();
+    obtainGrant();
     round(Command.class, counted(20, loop.snapshot().publishedAt()));
     ShareRequest request = new ShareRequest(TransferId.of("peer:1"), ROW, 0, 10, 0);
     round(Command.class, new PeerMessageReceived(PEER, request));
@@ -81,7 +81,7 @@
     assertThat(allowance()).isEqualTo(20);
   }
 
-  private void obtain() {
+  private void obtainGrant() {
     loop.runRound();
     TableRowRead absent = new TableRowRead(ROW, RowVersion.ABSENT, Optional.empty(), clock.now());
     CompareAndSetTableRow write = round(CompareAndSetTableRow.class, absent).get(0);
--- a/core/src/test/java/org/persimmonwalk/internal/control/allowance/package-info.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of connection allowances. */
+/** Tests of the division of backend connections between entry hosts. */
 package org.persimmonwalk.internal.control.allowance;
