Reword the promotion controllers in plain terms

Comments and names of internal.control.primary left the reader guessing: "PromotionTurn", "isAstray", "rivalTime" ("how long another host's promotion is left alone without progress"), "Leaves the group to other hosts for a time that grows and differs between hosts".

They now use the terms of the field: PromotionStateMachine, needsRepointing, stallTimeout, and a back-off whose wait grows and is randomized. The handlers of the steps are named after what they check. Class comments say on which entries and after which controllers the code runs; the settings say what each timeout starts and ends. Tests have plainer names and say which failure they guard against.

The texts that changed are three component names in requireNonNull of PromotionSettings. PromotionTurn.java was renamed.

--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/ClaimStore.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/ClaimStore.java
@@ -18,29 +18,37 @@
 import org.persimmonwalk.observation.TableRowReadFailed;
 import org.persimmonwalk.observation.TableRowWritten;
 
-/** Submits commands for a group's claim row and finds their results. */
+/**
+ * Submits reads and writes of a group's claim row in the table service, and finds their results
+ * among the observations of a later round.
+ */
 final class ClaimStore {
   private final EntryHostId host;
   private final TableRow row;
   private final Blackboard blackboard;
 
   /**
-   * A read that has ended.
+   * The result of a read.
    *
-   * @param answered whether the table service gave an answer
-   * @param version the version to expect in a write
-   * @param claim the claim of another host, if there is one
+   * @param answered whether the table service answered
+   * @param version the expected version for the next write
+   * @param claim the claim in the row, if it is another host's
    */
   record Read(boolean answered, RowVersion version, Optional<PromotionClaim> claim) {
 
-    /** Returns the term of another host's claim that the group has not reached yet. */
-    Optional<Term> rivalTerm(Term reached) {
-      return claim.map(PromotionClaim::term).filter(term -> term.isAfter(reached));
+    /** Returns the term of another host's claim if it is above the group's term. */
+    Optional<Term> rivalTerm(Term groupTerm) {
+      return claim.map(PromotionClaim::term).filter(term -> term.isAfter(groupTerm));
     }
   }
 
-  /** A write that has ended; the version is empty unless the row is known to be written. */
-  record Written(boolean lost, Optional<RowVersion> version) {}
+  /**
+   * The result of a write.
+   *
+   * @param conflict whether the row had another version than expected
+   * @param version the new version, empty unless the row is known to be written
+   */
+  record Written(boolean conflict, Optional<RowVersion> version) {}
 
   private ClaimStore(EntryHostId host, TableRow row, Blackboard blackboard) {
     this.host = host;
@@ -97,8 +105,11 @@
         .findFirst();
   }
 
-  /** Tells other hosts the result; nothing depends on whether the write succeeds. */
-  void report(RowVersion claim, Term term, BackendServerId promoted) {
+  /**
+   * Writes the new primary to the claim row, for information only: the result of the write is not
+   * checked.
+   */
+  void writePromoted(RowVersion claim, Term term, BackendServerId promoted) {
     blackboard.submit(
         new CompareAndSetTableRow(
             row, claim, PromotionClaim.of(host, term).withPromoted(term, promoted)));
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/FencedLogs.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/FencedLogs.java
@@ -6,11 +6,11 @@
 import org.persimmonwalk.model.GroupPosition;
 import org.persimmonwalk.model.GroupView;
 
-/** The ends of the logs of fenced servers. */
+/** The log ends of the fenced servers, from which the server to promote is chosen. */
 final class FencedLogs {
   /**
-   * The term of the last record counts before the position: an old primary may have a long tail of
-   * a lower term that no replica received.
+   * Compares the term of the last record before the position, because an old primary may have a
+   * long tail of records of a lower term that no replica received.
    */
   private static final Comparator<GroupPosition> BY_TERM_AND_POSITION =
       Comparator.comparing(GroupPosition::term).thenComparing(GroupPosition::position);
@@ -27,7 +27,10 @@
     return new FencedLogs(group, fenced);
   }
 
-  /** Returns the server whose log holds every acknowledged write; at best the former primary. */
+  /**
+   * Returns the server with the most advanced log, which holds every acknowledged write. Among
+   * equals, the former primary is preferred, then the greatest identifier.
+   */
   BackendServerId mostAdvanced() {
     return fenced.entrySet().stream()
         .max(
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/FollowController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/FollowController.java
@@ -18,8 +18,9 @@
 import org.persimmonwalk.model.ServerView;
 
 /**
- * Tells servers that do not follow the current primary to do so: an old primary that comes back,
- * and replicas that the promoting host did not reach.
+ * Makes servers follow the current primary if they do not: an old primary that comes back, and
+ * replicas that the promoting host did not reach. It runs after {@link PrimaryController}; the time
+ * of the next command to each such server is in entry {@link Entries#FOLLOW_ORDERS}.
  */
 public final class FollowController implements Controller {
   private final EntryHostId host;
@@ -44,13 +45,13 @@
         continue;
       }
       for (ServerView view : group.servers()) {
-        if (isFresh(view, context.now()) && isAstray(group, view)) {
+        if (isFresh(view, context.now()) && needsRepointing(group, view)) {
           BackendServerId server = view.server().id();
           FollowOrder order = known.get(server);
           if (order == null || !order.term().equals(group.term())) {
-            order = first(group, blackboard, context);
+            order = scheduleFirst(group, blackboard, context);
           }
-          next.put(server, tellIfDue(order, group, view, blackboard, context));
+          next.put(server, submitIfDue(order, group, view, blackboard, context));
         }
       }
     }
@@ -59,20 +60,23 @@
     }
   }
 
-  /** A server that has promised a higher term waits for the promotion of that term instead. */
-  private static boolean isAstray(GroupView group, ServerView view) {
+  /**
+   * Returns whether the server is in a lower term than the group or fenced in the group's term. A
+   * server that is fenced in a higher term waits for the promotion in that term instead.
+   */
+  private static boolean needsRepointing(GroupView group, ServerView view) {
     ServerSample sample = view.sample().get();
     return group.term().isAfter(sample.term())
         || sample.role() == ServerRole.FENCED && sample.term().equals(group.term());
   }
 
-  private FollowOrder first(GroupView group, Blackboard blackboard, RoundContext context) {
+  private FollowOrder scheduleFirst(GroupView group, Blackboard blackboard, RoundContext context) {
     int rank = HostRank.of(host, group.id(), blackboard.get(Entries.LIVE_HOSTS));
     Duration delay = HostRank.delay(rank, settings.rankStep(), context.random());
     return new FollowOrder(group.term(), context.now().plus(delay));
   }
 
-  private FollowOrder tellIfDue(
+  private FollowOrder submitIfDue(
       FollowOrder order,
       GroupView group,
       ServerView view,
@@ -87,6 +91,6 @@
   }
 
   private boolean isFresh(ServerView view, MonotonicTime now) {
-    return view.isFresh(settings.sampleAge(), now);
+    return view.isFresh(settings.maxSampleAge(), now);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/GroupHealth.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/GroupHealth.java
@@ -8,10 +8,16 @@
 import org.persimmonwalk.model.ServerView;
 import org.persimmonwalk.model.Term;
 
-/** Judges from a group's samples whether its primary is lost or a promotion was left unfinished. */
+/**
+ * Decides from a group's samples whether the group needs a promotion: because its primary has
+ * failed, or because an earlier promotion was not finished.
+ */
 final class GroupHealth {
-  /** Two fences share a server only from this size on, so smaller groups are not promoted. */
-  private static final int SMALLEST_GROUP = 3;
+  /**
+   * Smaller groups are not promoted: two promotions that each fence all servers but one are sure to
+   * fence a server in common only in groups of at least 3.
+   */
+  private static final int MIN_GROUP_SIZE = 3;
 
   private final GroupView group;
   private final PromotionSettings settings;
@@ -28,12 +34,12 @@
   }
 
   /** Returns how many servers must be fenced before one is promoted: all but one. */
-  int fenceSize() {
+  int requiredFences() {
     return group.servers().size() - 1;
   }
 
   boolean needsPromotion() {
-    return group.servers().size() >= SMALLEST_GROUP && (isPrimaryLost() || isPromotionUnfinished());
+    return group.servers().size() >= MIN_GROUP_SIZE && (isPrimaryLost() || isPromotionUnfinished());
   }
 
   /** Returns the highest term above the group's that a server has promised, if there is one. */
@@ -47,27 +53,34 @@
   }
 
   /**
-   * Returns whether all servers but one report that they have no primary, and the remaining one,
-   * the primary, reports the same or is out of reach.
+   * Returns whether at least all servers but one report that they have no primary, and the
+   * remaining one, if any, is unreachable.
    */
   private boolean isPrimaryLost() {
-    long cutOff = group.servers().stream().filter(this::isCutOff).count();
-    long lost =
+    long withoutPrimary = group.servers().stream().filter(this::hasNoPrimary).count();
+    long unreachable =
         group.servers().stream()
-            .filter(view -> view.isFailingFor(settings.failureTime(), now))
+            .filter(view -> view.isFailingFor(settings.failureTimeout(), now))
             .count();
-    return cutOff >= fenceSize() && cutOff + lost == group.servers().size();
+    return withoutPrimary >= requiredFences()
+        && withoutPrimary + unreachable == group.servers().size();
   }
 
   /**
-   * Returns whether a server waits for a promotion and enough servers are in reach to finish it.
+   * Returns whether a server is fenced in a term above the group's, and enough servers are
+   * reachable to finish a promotion.
    */
   private boolean isPromotionUnfinished() {
     return unfinishedTerm().isPresent()
-        && group.servers().stream().filter(this::isFresh).count() >= fenceSize();
+        && group.servers().stream().filter(this::isFresh).count() >= requiredFences();
   }
 
-  private boolean isCutOff(ServerView view) {
+  /**
+   * Returns whether a fresh sample shows that the server has no working primary: it is fenced, in a
+   * lower term than the group, or a replica that had no contact with the primary for the failure
+   * timeout.
+   */
+  private boolean hasNoPrimary(ServerView view) {
     if (!isFresh(view)) {
       return false;
     }
@@ -76,10 +89,10 @@
       return true;
     }
     return sample.role() == ServerRole.REPLICA
-        && sample.primaryContactAge().compareTo(settings.failureTime()) >= 0;
+        && sample.primaryContactAge().compareTo(settings.failureTimeout()) >= 0;
   }
 
   private boolean isFresh(ServerView view) {
-    return view.isFresh(settings.sampleAge(), now);
+    return view.isFresh(settings.maxSampleAge(), now);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/HostRank.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/HostRank.java
@@ -6,15 +6,22 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.port.RandomSource;
 
-/** Orders the live hosts differently for each group, so that usually one host acts first. */
+/**
+ * Ranks the live hosts in an order that differs from group to group. Hosts of a higher rank act
+ * later, so that usually only the first one does.
+ */
 final class HostRank {
-  /** From this rank on hosts differ by jitter only, so that many dead hosts delay nothing. */
-  private static final int RANK_LIMIT = 5;
+  /**
+   * From this rank on, all hosts wait this many steps and differ by jitter only, so that dead hosts
+   * that still count as live do not add to the delay.
+   */
+  private static final int MAX_DELAY_STEPS = 5;
 
+  // FNV-1a over the characters, then the finalizer of SplitMix64.
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
-  private static final long MIX_FIRST = 0xbf58476d1ce4e5b9L;
-  private static final long MIX_SECOND = 0x94d049bb133111ebL;
+  private static final long SPLIT_MIX_FIRST = 0xbf58476d1ce4e5b9L;
+  private static final long SPLIT_MIX_SECOND = 0x94d049bb133111ebL;
 
   private HostRank() {}
 
@@ -28,10 +35,10 @@
             .count();
   }
 
-  /** Returns how long a host of the given rank leaves an action to the hosts before it. */
+  /** Returns how long a host of the given rank waits for the hosts before it to act. */
   static Duration delay(int rank, Duration step, RandomSource random) {
-    Duration delay = step.multipliedBy(Math.min(rank, RANK_LIMIT));
-    return rank < RANK_LIMIT ? delay : delay.plus(jitter(step, random));
+    Duration delay = step.multipliedBy(Math.min(rank, MAX_DELAY_STEPS));
+    return rank < MAX_DELAY_STEPS ? delay : delay.plus(jitter(step, random));
   }
 
   /** Returns a random time below the given one, in whole milliseconds. */
@@ -50,8 +57,8 @@
     for (int index = 0; index < text.length(); index++) {
       hash = (hash ^ text.charAt(index)) * FNV_PRIME;
     }
-    hash = (hash ^ (hash >>> 30)) * MIX_FIRST;
-    hash = (hash ^ (hash >>> 27)) * MIX_SECOND;
+    hash = (hash ^ (hash >>> 30)) * SPLIT_MIX_FIRST;
+    hash = (hash ^ (hash >>> 27)) * SPLIT_MIX_SECOND;
     return hash ^ (hash >>> 31);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/PrimaryController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/PrimaryController.java
@@ -12,8 +12,9 @@
 import org.persimmonwalk.model.Promotion;
 
 /**
- * Promotes a new primary in groups that have lost theirs. It runs after the controller of samples;
- * the state of each promotion is in entry {@link Entries#PROMOTIONS}.
+ * Promotes a new primary in groups whose primary has failed. It runs after the controller that
+ * writes {@link Entries#GROUPS}; the state of each promotion is in entry {@link
+ * Entries#PROMOTIONS}.
  */
 public final class PrimaryController implements Controller {
   private final EntryHostId host;
@@ -36,7 +37,7 @@
     for (GroupView group : blackboard.get(Entries.GROUPS).values()) {
       Promotion promotion = known.getOrDefault(group.id(), Promotion.idle(group.id()));
       Promotion advanced =
-          PromotionTurn.of(host, settings, group, blackboard, context).advance(promotion);
+          PromotionStateMachine.of(host, settings, group, blackboard, context).advance(promotion);
       if (!advanced.isIdle()) {
         next.put(group.id(), advanced);
       }
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionSettings.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionSettings.java
@@ -4,37 +4,41 @@
 import java.util.Objects;
 
 /**
- * The times that govern promotions.
+ * The timeouts and delays of promotions.
  *
- * @param failureTime how long a primary must be out of reach of this host and of every replica
- * @param sampleAge the oldest sample that counts as a server's own report
- * @param rankStep the delay of a host against the host of the next lower rank
- * @param storeTimeout the time after which a promotion goes on without the table service
+ * @param failureTimeout how long a primary must be unreachable for this host and every replica
+ *     before it counts as failed
+ * @param maxSampleAge the greatest age of a sample that still counts as the state of its server
+ * @param rankStep the delay that each rank of a host adds; also the unit of the back-off
+ * @param storeTimeout how long to wait for the table service before the promotion continues without
+ *     it
  * @param retryInterval the time after which an unanswered command is sent again
- * @param rivalTime how long another host's promotion is left alone without progress
- * @param fenceGrace how long a complete fence waits for the answers of further servers in reach
+ * @param stallTimeout how long a promotion may go without progress, at this host or another one,
+ *     before this host gives up its own attempt or no longer waits for the other host's
+ * @param fenceGrace how long after the first fence command a promotion with enough fenced servers
+ *     still waits for further reachable ones
  */
 public record PromotionSettings(
-    Duration failureTime,
-    Duration sampleAge,
+    Duration failureTimeout,
+    Duration maxSampleAge,
     Duration rankStep,
     Duration storeTimeout,
     Duration retryInterval,
-    Duration rivalTime,
+    Duration stallTimeout,
     Duration fenceGrace) {
 
   /** Checks that all parts are present. */
   public PromotionSettings {
-    Objects.requireNonNull(failureTime, "failureTime");
-    Objects.requireNonNull(sampleAge, "sampleAge");
+    Objects.requireNonNull(failureTimeout, "failureTimeout");
+    Objects.requireNonNull(maxSampleAge, "maxSampleAge");
     Objects.requireNonNull(rankStep, "rankStep");
     Objects.requireNonNull(storeTimeout, "storeTimeout");
     Objects.requireNonNull(retryInterval, "retryInterval");
-    Objects.requireNonNull(rivalTime, "rivalTime");
+    Objects.requireNonNull(stallTimeout, "stallTimeout");
     Objects.requireNonNull(fenceGrace, "fenceGrace");
   }
 
-  /** Returns the times of the design page. */
+  /** Returns the default settings, which entry hosts use. */
   public static PromotionSettings defaults() {
     return new PromotionSettings(
         Duration.ofSeconds(2),
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionTurn.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionStateMachine.java
@@ -24,9 +24,17 @@
 import org.persimmonwalk.observation.ServerPromoted;
 import org.persimmonwalk.observation.TermRefused;
 
-/** Advances the promotion of one group in one round. */
-final class PromotionTurn {
-  private static final int BACK_OFF_LIMIT = 3;
+/**
+ * The state machine of one group's promotion at this host. {@link PrimaryController} builds one for
+ * each group in each round; the state that lasts longer is the {@link Promotion} that it advances.
+ *
+ * <p>A promotion writes the group's claim row if the table service answers, fences at least all
+ * servers but one in a new term, promotes the fenced server with the most advanced log, and makes
+ * the other servers follow it.
+ */
+final class PromotionStateMachine {
+  /** The bound of the random part of the back-off doubles with this many attempts at most. */
+  private static final int MAX_BACK_OFF_DOUBLINGS = 3;
 
   private final EntryHostId host;
   private final PromotionSettings settings;
@@ -36,7 +44,7 @@
   private final RoundContext context;
   private final ClaimStore claims;
 
-  private PromotionTurn(
+  private PromotionStateMachine(
       EntryHostId host,
       PromotionSettings settings,
       GroupView group,
@@ -51,13 +59,13 @@
     this.claims = ClaimStore.of(host, group.id(), blackboard);
   }
 
-  static PromotionTurn of(
+  static PromotionStateMachine of(
       EntryHostId host,
       PromotionSettings settings,
       GroupView group,
       Blackboard blackboard,
       RoundContext context) {
-    return new PromotionTurn(host, settings, group, blackboard, context);
+    return new PromotionStateMachine(host, settings, group, blackboard, context);
   }
 
   Promotion advance(Promotion before) {
@@ -68,21 +76,21 @@
     } else if (step instanceof PromotionStep.Delaying delaying) {
       return delay(promotion, delaying);
     } else if (step instanceof PromotionStep.ReadingClaim reading) {
-      return readClaim(promotion, reading);
+      return checkClaimRead(promotion, reading);
     } else if (step instanceof PromotionStep.WritingClaim writing) {
-      return writeClaim(promotion, writing);
+      return checkClaimWrite(promotion, writing);
     } else if (step instanceof PromotionStep.Fencing fencing) {
-      return fence(promotion, fencing);
+      return checkFences(promotion, fencing);
     } else if (step instanceof PromotionStep.Promoting promoting) {
-      return promote(promotion, promoting);
+      return checkPromotion(promotion, promoting);
     } else if (step instanceof PromotionStep.Settling settling) {
-      return settle(promotion, settling);
+      return checkPrimarySample(promotion, settling);
     }
     PromotionStep.BackingOff backingOff = (PromotionStep.BackingOff) step;
-    return now().isBefore(backingOff.until()) ? promotion : stop(promotion);
+    return now().isBefore(backingOff.until()) ? promotion : resumeWatching(promotion);
   }
 
-  /** Takes note of the terms that servers show and of promotions by other hosts. */
+  /** Records the terms in the servers' samples and the promotions that other hosts have begun. */
   private Promotion observeTerms(Promotion before) {
     Promotion promotion = before.withSeen(group.term());
     for (ServerView view : group.servers()) {
@@ -110,7 +118,7 @@
 
   private Promotion delay(Promotion promotion, PromotionStep.Delaying delaying) {
     if (!health.needsPromotion() || isRivalActive(promotion)) {
-      return stop(promotion);
+      return resumeWatching(promotion);
     }
     if (now().isBefore(delaying.startsAt())) {
       return promotion.withStep(delaying);
@@ -119,9 +127,9 @@
     return promotion.withStep(new PromotionStep.ReadingClaim(now()));
   }
 
-  private Promotion readClaim(Promotion promotion, PromotionStep.ReadingClaim reading) {
+  private Promotion checkClaimRead(Promotion promotion, PromotionStep.ReadingClaim reading) {
     if (!health.needsPromotion()) {
-      return stop(promotion);
+      return resumeWatching(promotion);
     }
     Optional<ClaimStore.Read> read = claims.readResult(reading.startedAt());
     if (read.isEmpty()) {
@@ -144,9 +152,9 @@
     return seen.withStep(new PromotionStep.WritingClaim(reading.startedAt(), now()));
   }
 
-  private Promotion writeClaim(Promotion promotion, PromotionStep.WritingClaim writing) {
+  private Promotion checkClaimWrite(Promotion promotion, PromotionStep.WritingClaim writing) {
     if (!health.needsPromotion()) {
-      return stop(promotion);
+      return resumeWatching(promotion);
     }
     Optional<ClaimStore.Written> written = claims.writeResult(writing.sentAt());
     if (written.isEmpty()) {
@@ -154,7 +162,7 @@
           ? beginFencing(promotion)
           : promotion;
     }
-    if (written.get().lost()) {
+    if (written.get().conflict()) {
       return backOff(promotion);
     }
     return beginFencing(written.get().version().map(promotion::withClaim).orElse(promotion));
@@ -169,10 +177,10 @@
     return promotion.withStep(new PromotionStep.Fencing(now(), now(), Map.of()));
   }
 
-  private Promotion fence(Promotion before, PromotionStep.Fencing fencing) {
-    Optional<Promotion> ended = endIfOvertaken(before);
-    if (ended.isPresent()) {
-      return ended.get();
+  private Promotion checkFences(Promotion before, PromotionStep.Fencing fencing) {
+    Optional<Promotion> aborted = abortIfSuperseded(before);
+    if (aborted.isPresent()) {
+      return aborted.get();
     }
     Map<BackendServerId, GroupPosition> fenced = new HashMap<>(fencing.fenced());
     blackboard
@@ -180,7 +188,7 @@
         .filter(answer -> answer.term().equals(before.term()))
         .filter(answer -> group.server(answer.server()).isPresent())
         .forEach(answer -> fenced.put(answer.server(), answer.received()));
-    if (fenced.size() >= health.fenceSize() && !isFenceWorthWaiting(fencing, fenced)) {
+    if (fenced.size() >= health.requiredFences() && !shouldWaitForAnotherFence(fencing, fenced)) {
       return beginPromoting(before, fenced);
     }
     boolean resend = hasPassed(settings.retryInterval(), fencing.sentAt());
@@ -192,15 +200,16 @@
   }
 
   /**
-   * Returns whether the answer of one more server in reach may still come. It is most likely the
-   * old primary, whose log may hold writes that are not acknowledged yet.
+   * Returns whether to wait, within the grace period, for a reachable server that is not fenced
+   * yet. It is most likely the old primary, whose log may hold writes that are not acknowledged
+   * yet.
    */
-  private boolean isFenceWorthWaiting(
+  private boolean shouldWaitForAnotherFence(
       PromotionStep.Fencing fencing, Map<BackendServerId, GroupPosition> fenced) {
     return !hasPassed(settings.fenceGrace(), fencing.startedAt())
         && group.servers().stream()
             .filter(view -> !fenced.containsKey(view.server().id()))
-            .anyMatch(view -> view.isFresh(settings.sampleAge(), now()));
+            .anyMatch(view -> view.isFresh(settings.maxSampleAge(), now()));
   }
 
   private Promotion beginPromoting(
@@ -210,7 +219,7 @@
     return promotion.withStep(new PromotionStep.Promoting(now(), now(), chosen));
   }
 
-  private Promotion promote(Promotion promotion, PromotionStep.Promoting promoting) {
+  private Promotion checkPromotion(Promotion promotion, PromotionStep.Promoting promoting) {
     boolean promoted =
         blackboard
             .observations(ServerPromoted.class)
@@ -221,11 +230,11 @@
     if (promoted) {
       return finish(promotion, promoting.chosen());
     }
-    Optional<Promotion> ended = endIfOvertaken(promotion);
-    if (ended.isPresent()) {
-      return ended.get();
+    Optional<Promotion> aborted = abortIfSuperseded(promotion);
+    if (aborted.isPresent()) {
+      return aborted.get();
     }
-    if (hasPassed(settings.rivalTime(), promoting.startedAt())) {
+    if (hasPassed(settings.stallTimeout(), promoting.startedAt())) {
       return backOff(promotion);
     }
     if (!hasPassed(settings.retryInterval(), promoting.sentAt())) {
@@ -243,24 +252,27 @@
         .filter(server -> !server.id().equals(primary))
         .forEach(
             server -> blackboard.submit(new FollowPrimary(server, promotion.term(), promoted)));
-    promotion.claimVersion().ifPresent(claim -> claims.report(claim, promotion.term(), primary));
+    promotion
+        .claimVersion()
+        .ifPresent(claim -> claims.writePromoted(claim, promotion.term(), primary));
     return promotion.withStep(new PromotionStep.Settling(now()));
   }
 
-  private Promotion settle(Promotion promotion, PromotionStep.Settling settling) {
-    boolean shown = !promotion.term().isAfter(group.term());
-    return shown || hasPassed(settings.rivalTime(), settling.startedAt())
-        ? stop(promotion)
+  private Promotion checkPrimarySample(Promotion promotion, PromotionStep.Settling settling) {
+    boolean sampled = !promotion.term().isAfter(group.term());
+    return sampled || hasPassed(settings.stallTimeout(), settling.startedAt())
+        ? resumeWatching(promotion)
         : promotion;
   }
 
   /**
-   * Ends an attempt whose term is too low by now. A refusal for another reason, such as a primary
-   * that accepts no fence, ends nothing.
+   * Aborts an attempt if the group has reached its term, or if a server refused a command because
+   * it has promised the same or a higher term. A refusal for another reason aborts nothing, for
+   * example that of a primary that accepts no fence.
    */
-  private Optional<Promotion> endIfOvertaken(Promotion promotion) {
+  private Optional<Promotion> abortIfSuperseded(Promotion promotion) {
     if (!promotion.term().isAfter(group.term())) {
-      return Optional.of(stop(promotion));
+      return Optional.of(resumeWatching(promotion));
     }
     return blackboard
         .observations(TermRefused.class)
@@ -272,7 +284,10 @@
         .map(promised -> backOff(afterRefusal(promotion, promised)));
   }
 
-  /** Two hosts that met in the same term both try again; a host in a higher term is left alone. */
+  /**
+   * Records another host's promotion if the server has promised a higher term. If it has promised
+   * the same term to another host, both hosts back off and try again.
+   */
   private Promotion afterRefusal(Promotion promotion, Term promised) {
     return promised.isAfter(promotion.term())
         ? promotion.withSeen(promised).withRival(promised, now())
@@ -291,22 +306,27 @@
     blackboard.submit(new PromoteServer(server, term, host));
   }
 
-  /** Leaves the group to other hosts for a time that grows and differs between hosts. */
+  /**
+   * Gives up this attempt and waits before the next one. The wait grows with each attempt and is
+   * randomized, so that competing hosts do not try again at the same time.
+   */
   private Promotion backOff(Promotion promotion) {
     Duration bound =
-        settings.rankStep().multipliedBy(1L << Math.min(promotion.attempts(), BACK_OFF_LIMIT));
+        settings
+            .rankStep()
+            .multipliedBy(1L << Math.min(promotion.attempts(), MAX_BACK_OFF_DOUBLINGS));
     return promotion.backedOff(
         now().plus(settings.rankStep()).plus(HostRank.jitter(bound, context.random())));
   }
 
-  private static Promotion stop(Promotion promotion) {
+  private static Promotion resumeWatching(Promotion promotion) {
     return promotion.withStep(new PromotionStep.Watching());
   }
 
   private boolean isRivalActive(Promotion promotion) {
     return promotion
         .rival()
-        .filter(rival -> !hasPassed(settings.rivalTime(), rival.seenAt()))
+        .filter(rival -> !hasPassed(settings.stallTimeout(), rival.seenAt()))
         .isPresent();
   }
 
--- a/core/src/test/java/org/persimmonwalk/internal/control/primary/FailoverSafetyTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/FailoverSafetyTest.java
@@ -13,7 +13,7 @@
 import org.persimmonwalk.testing.FailoverHost;
 import org.persimmonwalk.testing.FakeLinks;
 
-/** Guards against acknowledged writes that a failover loses, under random faults. */
+/** Guards against failovers under random faults that lose acknowledged writes. */
 class FailoverSafetyTest {
   private static final List<String> SERVERS = List.of("a", "b", "c");
 
@@ -23,8 +23,8 @@
     int failovers = 0;
     for (long seed = 0; seed < seeds; seed++) {
       FailoverFleet fleet = FailoverFleet.standard(size, seed);
-      disturb(fleet, RandomSource.seeded(seed));
-      heal(fleet);
+      injectFaults(fleet, RandomSource.seeded(seed));
+      repairAll(fleet);
 
       String description = "seed " + seed;
       assertThat(fleet.lost()).as(description).isEmpty();
@@ -37,9 +37,12 @@
     assertThat(failovers).isGreaterThan(seeds);
   }
 
-  /** The same faults must lose writes without the gate, or the check above shows nothing. */
+  /**
+   * The same faults must lose writes if these are acknowledged at once; otherwise they would not
+   * exercise the check of the other test.
+   */
   @Test
-  void shouldSeeLostWritesWhenAcknowledgedAtOnce() {
+  void shouldLoseWritesWhenAcknowledgedAtOnce() {
     int lost = 0;
     for (long seed = 0; seed < 10; seed++) {
       FailoverFleet fleet =
@@ -49,15 +52,15 @@
               FailoverFleet::controllers,
               host -> AcknowledgeAtOnce.create(),
               Duration.ofMillis(20));
-      disturb(fleet, RandomSource.seeded(seed));
-      heal(fleet);
+      injectFaults(fleet, RandomSource.seeded(seed));
+      repairAll(fleet);
       lost += fleet.lost().size();
     }
     assertThat(lost).isPositive();
   }
 
-  /** Each second a server, a link, a host or the platform fails or comes back. */
-  private static void disturb(FailoverFleet fleet, RandomSource random) {
+  /** Every 0.5 to 2.5 s, a server, a link, a host or the platform fails or recovers. */
+  private static void injectFaults(FailoverFleet fleet, RandomSource random) {
     fleet.time().advance(Duration.ofSeconds(1));
     for (int step = 0; step < 20; step++) {
       String server = SERVERS.get(random.nextInt(SERVERS.size()));
@@ -77,7 +80,7 @@
     }
   }
 
-  private static void heal(FailoverFleet fleet) {
+  private static void repairAll(FailoverFleet fleet) {
     fleet.links().heal(FakeLinks.PLATFORM);
     fleet.hosts().forEach(FailoverHost::resume);
     for (String server : SERVERS) {
--- a/core/src/test/java/org/persimmonwalk/internal/control/primary/PrimaryControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/PrimaryControllerTest.java
@@ -30,6 +30,10 @@
 import org.persimmonwalk.testing.FailoverHost;
 import org.persimmonwalk.testing.FakeLinks;
 
+/**
+ * Guards against failovers that leave a group without a primary, with the wrong one, or without
+ * acknowledged writes, when servers, hosts, links or the table service fail.
+ */
 class PrimaryControllerTest {
   private static final DatabaseGroupId GROUP = DatabaseGroupId.of("tanks");
 
@@ -53,7 +57,7 @@
 
   @Test
   void shouldFinishPromotionOfHostThatDiedAfterFencing() {
-    firstHost().onCommand(command -> stopBefore(command, PromoteServer.class));
+    firstHost().onCommand(command -> killFirstHostBefore(command, PromoteServer.class));
     fleet.database().stop("a");
     run(8000);
 
@@ -62,13 +66,15 @@
   }
 
   /**
-   * Each host takes itself for the only one, so that all act at the same rank, and each is near
-   * another replica, so that no host gets both in the same term.
+   * Each host sees only itself as live, so that all have rank 0 and act at once. Each has a fast
+   * link to a different replica, so that in the first term every host fences one replica and none
+   * fences both.
    */
   @Test
   void shouldGetOnePrimaryWhenHostsPromoteAtOnce() {
     fleet =
-        FailoverFleet.of(2, 1, this::aloneControllers, FailoverFleet::gate, Duration.ofMillis(20));
+        FailoverFleet.of(
+            2, 1, this::controllersThatSeeOnlySelf, FailoverFleet::gate, Duration.ofMillis(20));
     Map<Term, Set<EntryHostId>> fencing = new HashMap<>();
     fleet.links().isolate(FakeLinks.PLATFORM);
     for (FailoverHost host : fleet.hosts()) {
@@ -108,16 +114,16 @@
   }
 
   @Test
-  void shouldRepeatPromotionThatWasLostOnTheWay() {
+  void shouldRepeatPromotionCommandThatIsLost() {
     for (FailoverHost host : fleet.hosts()) {
       host.onCommand(
           command -> {
             if (command instanceof PromoteServer promote) {
-              cutFor(host.id().value(), promote.server().id().value(), 200);
+              cutLinkFor(host.id().value(), promote.server().id().value(), 200);
             }
           });
     }
-    fleet.time().after(Duration.ofMillis(2600), this::stopInterfering);
+    fleet.time().after(Duration.ofMillis(2600), this::removeCommandListeners);
     fleet.database().stop("a");
     run(5000);
 
@@ -126,7 +132,7 @@
   }
 
   @Test
-  void shouldGoOnWithoutTableServiceThatDoesNotAnswer() {
+  void shouldPromoteWhenTableServiceDoesNotAnswer() {
     fleet.links().isolate(FakeLinks.PLATFORM);
     fleet.database().stop("a");
     run(5000);
@@ -135,7 +141,7 @@
   }
 
   @Test
-  void shouldGoOnWhenTableServiceRefusesOrLosesAnswers() {
+  void shouldPromoteWhenTableServiceRefusesOrLosesAnswers() {
     fleet.tables().setPercentLost(100);
     fleet.database().stop("a");
     run(4000);
@@ -151,7 +157,7 @@
   }
 
   @Test
-  void shouldOvertakeClaimOfPausedHostAndRefuseItLater() {
+  void shouldPromoteDespiteClaimOfPausedHostAndRefuseThatHostLater() {
     FailoverHost paused = firstHost();
     paused.onCommand(
         command -> {
@@ -176,7 +182,7 @@
   }
 
   @Test
-  void shouldTellOldPrimaryThatComesBackToFollow() {
+  void shouldMakeReturningOldPrimaryFollow() {
     fleet.links().isolate("a");
     run(5000);
     assertHealthyAfterFailover();
@@ -189,6 +195,10 @@
     assertThat(fleet.database().sample("a").term()).isEqualTo(fleet.database().term());
   }
 
+  /**
+   * Guards against choosing the server with the highest position: the isolated primary goes on
+   * writing, so that its log is the longest but of a lower term.
+   */
   @Test
   void shouldPreferNewerTermToLongerTailOfOldPrimary() {
     fleet.links().isolate("a");
@@ -207,7 +217,7 @@
   }
 
   @Test
-  void shouldNotPromoteWithIncompleteFenceAndKeepTrying() {
+  void shouldNotPromoteWithTooFewFencedServersAndKeepTrying() {
     for (FailoverHost host : fleet.hosts()) {
       host.onCommand(
           command -> {
@@ -221,16 +231,16 @@
     assertThat(fleet.database().sample("b").role()).isEqualTo(ServerRole.FENCED);
     assertThat(fleet.database().term()).isEqualTo(Term.of(1));
 
-    stopInterfering();
+    removeCommandListeners();
     fleet.links().heal("c");
     run(6000);
     assertHealthyAfterFailover();
   }
 
   @Test
-  void shouldNotPromoteWhenOnlyOneHostDoesNotReachPrimary() {
+  void shouldNotPromoteWhenOnlyOneHostCannotReachPrimary() {
     Set<Command> sent = new HashSet<>();
-    fleet.hosts().forEach(host -> host.onCommand(command -> addIfPromotion(command, sent)));
+    fleet.hosts().forEach(host -> host.onCommand(command -> addIfFailoverCommand(command, sent)));
     fleet.links().slow(firstHost().id().value(), "a", Duration.ofSeconds(4));
     run(10_000);
     fleet.links().cut(firstHost().id().value(), "a");
@@ -241,7 +251,7 @@
   }
 
   @Test
-  void shouldFreeReplicaThatDeadHostFencedUnderWorkingPrimary() {
+  void shouldReturnReplicaThatDeadHostFencedToWorkingPrimary() {
     fleet.database().fence("b", Term.of(2), EntryHostId.of("dead-host"));
     run(6000);
 
@@ -261,7 +271,10 @@
     assertThat(fleet.database().sample("a").role()).isEqualTo(ServerRole.REPLICA);
   }
 
-  /** The primary has answered and writes are acknowledged again, on a primary with all of them. */
+  /**
+   * Checks that a server other than {@code a} is the primary, that writes are acknowledged in its
+   * term, and that no acknowledged write is lost or was acknowledged by a replaced primary.
+   */
   private void assertHealthyAfterFailover() {
     assertThat(fleet.database().primary()).isPresent();
     assertThat(fleet.database().primary()).isNotEqualTo(Optional.of("a"));
@@ -279,22 +292,22 @@
         .orElseThrow();
   }
 
-  private void stopBefore(Command command, Class<? extends Command> type) {
+  private void killFirstHostBefore(Command command, Class<? extends Command> type) {
     if (type.isInstance(command)) {
       firstHost().die();
     }
   }
 
-  private void cutFor(String first, String second, long milliseconds) {
+  private void cutLinkFor(String first, String second, long milliseconds) {
     fleet.links().cut(first, second);
     fleet.time().after(Duration.ofMillis(milliseconds), () -> fleet.links().join(first, second));
   }
 
-  private void stopInterfering() {
+  private void removeCommandListeners() {
     fleet.hosts().forEach(host -> host.onCommand(command -> {}));
   }
 
-  private static void addIfPromotion(Command command, Set<Command> sent) {
+  private static void addIfFailoverCommand(Command command, Set<Command> sent) {
     if (command instanceof FenceServer
         || command instanceof PromoteServer
         || command instanceof FollowPrimary
@@ -303,7 +316,7 @@
     }
   }
 
-  private List<Controller> aloneControllers(EntryHostId host) {
+  private List<Controller> controllersThatSeeOnlySelf(EntryHostId host) {
     List<Controller> controllers = new ArrayList<>(FailoverFleet.controllers(host));
     controllers.add(0, (blackboard, context) -> blackboard.put(Entries.LIVE_HOSTS, Set.of(host)));
     return controllers;
