Reword the controllers of samples and positions

Names such as startable, isFree, touched, answer and four overloads of apply and configure had to be traced to see what they do, and comments such as "so that a lost result is not taken for health" or "must not take back what is known" had to be guessed at.

They now read serversToProbe, mayProbe, affected, markAnswered, applySample and so on, and the comments state the rule: a probe that timed out counts as failed, so that a server whose results are lost does not keep looking healthy. The reason behind a confirmed position is stated in full: a promotion first fences the primary itself or every replica.

--- a/core/src/main/java/org/persimmonwalk/internal/control/position/GroupAssessment.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/GroupAssessment.java
@@ -16,11 +16,15 @@
 import org.persimmonwalk.model.ServerView;
 import org.persimmonwalk.model.Term;
 
-/** Derives the primary and the confirmed positions of one group from its servers' samples. */
+/**
+ * Derives the term, the primary and the confirmed positions of one group from its servers' samples
+ * and the group's view of the previous round.
+ */
 final class GroupAssessment {
-  /** Enough entries for ages of a minute and more at the usual spacing. */
+  /** Enough entries for maximum ages of a minute and more, at the usual spacing. */
   private static final int HISTORY_LIMIT = 256;
 
+  /** A new entry replaces the last one if it is closer than this to the entry before that. */
   private static final Duration HISTORY_SPACING = Duration.ofMillis(250);
 
   private final DatabaseGroup group;
@@ -53,14 +57,14 @@
         term,
         primary.map(found -> found.server().id()),
         servers,
-        confirm(history, primary),
+        appendIfConfirmed(history, primary),
         group.defaultMaximumAge());
   }
 
   /**
-   * Returns the highest term in which a server is primary or replica. A replica shows a term whose
-   * primary this host may never have reached. The term that a fenced server has promised does not
-   * count, because it may never have a primary.
+   * Returns the highest term in which a server is primary or replica. Replicas count because this
+   * host may never have reached the primary that they follow. The term that a fenced server has
+   * promised does not count, because it may never have a primary.
    */
   private Term findTerm(Term knownTerm) {
     return servers.stream()
@@ -71,12 +75,13 @@
   }
 
   /**
-   * Adds the primary's sample to the history if a replica sample that started no earlier shows the
-   * same term: a promotion fences every replica first, so the primary was current at that time.
+   * Appends the primary's position to the history if a replica sample that started no earlier shows
+   * the same term, or if the group has only one server. A promotion first fences the primary itself
+   * or every replica, so the primary was current when its sample started.
    */
-  private List<ConfirmedPosition> confirm(
+  private List<ConfirmedPosition> appendIfConfirmed(
       List<ConfirmedPosition> history, Optional<ServerView> primary) {
-    if (primary.isEmpty() || !isCurrent(primary.get())) {
+    if (primary.isEmpty() || !isConfirmed(primary.get())) {
       return history;
     }
     ServerSample sample = primary.get().sample().get();
@@ -86,7 +91,7 @@
     return append(history, confirmed);
   }
 
-  private boolean isCurrent(ServerView primary) {
+  private boolean isConfirmed(ServerView primary) {
     Term term = primary.sample().get().term();
     return servers.size() == 1
         || servers.stream()
@@ -101,7 +106,7 @@
     if (last >= 0 && !confirmed.startedAt().isAfter(next.get(last).startedAt())) {
       return history;
     }
-    if (last >= 1 && isCloselySpaced(next.get(last - 1), confirmed)) {
+    if (last >= 1 && isCloserThanSpacing(next.get(last - 1), confirmed)) {
       next.remove(last);
     }
     next.add(confirmed);
@@ -111,7 +116,7 @@
     return next;
   }
 
-  private static boolean isCloselySpaced(ConfirmedPosition earlier, ConfirmedPosition later) {
+  private static boolean isCloserThanSpacing(ConfirmedPosition earlier, ConfirmedPosition later) {
     return later.startedAt().since(earlier.startedAt()).compareTo(HISTORY_SPACING) < 0;
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
@@ -21,9 +21,9 @@
 import org.persimmonwalk.observation.ServerSampled;
 
 /**
- * Keeps the newest sample of each backend server and the confirmed positions of each group. A round
- * assesses only the groups whose servers were sampled, and all of them after a change of the
- * configuration.
+ * Writes entry {@link Entries#GROUPS}: the newest sample of each backend server, and the primary
+ * and confirmed positions of each group. A round updates only the groups with results of probes, or
+ * all groups after a change of the configuration. It runs after {@link SamplingController}.
  */
 public final class ReplicaPositionController implements Controller {
   private final Map<BackendServerId, DatabaseGroup> groupsByServer = new HashMap<>();
@@ -42,29 +42,31 @@
     Map<DatabaseGroupId, GroupView> known = blackboard.get(Entries.GROUPS);
     boolean changed = groups != configured;
     if (changed) {
-      configure(groups);
+      applyConfiguration(groups);
     }
-    Collection<DatabaseGroup> touched = changed ? groups.values() : sampledGroups(blackboard);
-    if (touched.isEmpty() && !changed) {
+    Collection<DatabaseGroup> affected = changed ? groups.values() : groupsWithResults(blackboard);
+    if (affected.isEmpty() && !changed) {
       return;
     }
     Map<BackendServerId, ServerView> servers = new HashMap<>();
-    (changed ? known.values() : views(known, touched))
-        .forEach(group -> group.servers().forEach(view -> put(servers, view)));
-    touched.forEach(group -> configure(servers, group, context.now()));
-    blackboard.observations(ServerSampled.class).forEach(sampled -> apply(servers, sampled));
-    blackboard.observations(ServerSampleFailed.class).forEach(failed -> apply(servers, failed));
-    blackboard.get(Entries.PROBES).forEach((server, probe) -> expire(servers, server, probe));
+    (changed ? known.values() : viewsOf(known, affected))
+        .forEach(group -> group.servers().forEach(view -> putView(servers, view)));
+    affected.forEach(group -> addServers(servers, group, context.now()));
+    blackboard.observations(ServerSampled.class).forEach(sampled -> applySample(servers, sampled));
+    blackboard
+        .observations(ServerSampleFailed.class)
+        .forEach(failed -> applyFailure(servers, failed));
+    blackboard.get(Entries.PROBES).forEach((server, probe) -> applyExpiry(servers, server, probe));
 
     Map<DatabaseGroupId, GroupView> next = new HashMap<>(known);
     next.keySet().retainAll(groups.keySet());
-    for (DatabaseGroup group : touched) {
+    for (DatabaseGroup group : affected) {
       next.put(group.id(), GroupAssessment.of(group, known.get(group.id()), servers).assess());
     }
     blackboard.put(Entries.GROUPS, Map.copyOf(next));
   }
 
-  private void configure(Map<DatabaseGroupId, DatabaseGroup> groups) {
+  private void applyConfiguration(Map<DatabaseGroupId, DatabaseGroup> groups) {
     configured = groups;
     groupsByServer.clear();
     for (DatabaseGroup group : groups.values()) {
@@ -72,7 +74,7 @@
     }
   }
 
-  private Collection<DatabaseGroup> sampledGroups(Blackboard blackboard) {
+  private Collection<DatabaseGroup> groupsWithResults(Blackboard blackboard) {
     Map<DatabaseGroupId, DatabaseGroup> groups = new HashMap<>();
     Stream<BackendServerId> expired =
         blackboard.get(Entries.PROBES).entrySet().stream()
@@ -89,34 +91,38 @@
     return groups.values();
   }
 
-  private static Collection<GroupView> views(
+  private static Collection<GroupView> viewsOf(
       Map<DatabaseGroupId, GroupView> known, Collection<DatabaseGroup> groups) {
     return groups.stream().map(group -> known.get(group.id())).filter(Objects::nonNull).toList();
   }
 
-  private static void put(Map<BackendServerId, ServerView> servers, ServerView view) {
+  private static void putView(Map<BackendServerId, ServerView> servers, ServerView view) {
     servers.put(view.server().id(), view);
   }
 
-  private static void configure(
+  private static void addServers(
       Map<BackendServerId, ServerView> servers, DatabaseGroup group, MonotonicTime now) {
     for (BackendServer server : group.servers()) {
       ServerView view = servers.get(server.id());
-      put(servers, view == null ? ServerView.unknown(server, now) : view.withServer(server));
+      putView(servers, view == null ? ServerView.unknown(server, now) : view.withServer(server));
     }
   }
 
-  private static void apply(Map<BackendServerId, ServerView> servers, ServerSampled sampled) {
+  private static void applySample(Map<BackendServerId, ServerView> servers, ServerSampled sampled) {
     servers.computeIfPresent(
         sampled.server(), (id, view) -> view.withSample(sampled.sample(), sampled.startedAt()));
   }
 
-  private static void apply(Map<BackendServerId, ServerView> servers, ServerSampleFailed failed) {
+  private static void applyFailure(
+      Map<BackendServerId, ServerView> servers, ServerSampleFailed failed) {
     servers.computeIfPresent(failed.server(), (id, view) -> view.withFailure(failed.startedAt()));
   }
 
-  /** A probe without a result counts as failed, so that a lost result is not taken for health. */
-  private static void expire(
+  /**
+   * Counts a probe that timed out as failed, so that a server whose results are lost does not keep
+   * looking healthy.
+   */
+  private static void applyExpiry(
       Map<BackendServerId, ServerView> servers, BackendServerId server, ServerProbe probe) {
     if (probe.state() == ServerProbe.State.EXPIRED) {
       servers.computeIfPresent(server, (id, view) -> view.withFailure(probe.startedAt()));
--- a/core/src/main/java/org/persimmonwalk/internal/control/position/SamplingController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/SamplingController.java
@@ -26,10 +26,12 @@
 import org.persimmonwalk.observation.ServerSampled;
 
 /**
- * Decides when each backend server is probed. It runs before {@link ReplicaPositionController}.
+ * Decides when each backend server is probed and submits the probes. It runs before {@link
+ * ReplicaPositionController}.
  *
- * <p>At most one probe of a server is in flight. A primary is probed only together with a replica,
- * so that a replica answer which is slower than the primary's still confirms the primary's sample.
+ * <p>At most one probe of a server is in flight. A primary is probed only in the same round as a
+ * replica: a replica's sample confirms the primary's only if its probe started no earlier, however
+ * late its answer arrives.
  */
 public final class SamplingController implements Controller {
   private final SamplingSettings settings;
@@ -38,7 +40,7 @@
     this.settings = settings;
   }
 
-  /** Returns the controller. */
+  /** Returns a controller with the given settings. */
   public static SamplingController of(SamplingSettings settings) {
     return new SamplingController(settings);
   }
@@ -49,11 +51,11 @@
     Map<BackendServerId, ServerProbe> probes = new HashMap<>(blackboard.get(Entries.PROBES));
     blackboard
         .observations(ServerSampled.class)
-        .forEach(sampled -> answer(probes, sampled.server(), sampled.startedAt()));
+        .forEach(sampled -> markAnswered(probes, sampled.server(), sampled.startedAt()));
     blackboard
         .observations(ServerSampleFailed.class)
-        .forEach(failed -> answer(probes, failed.server(), failed.startedAt()));
-    Set<BackendServerId> expired = expire(probes, context.now());
+        .forEach(failed -> markAnswered(probes, failed.server(), failed.startedAt()));
+    Set<BackendServerId> expired = expireOverdue(probes, context.now());
     blackboard
         .observations(SampleRequested.class)
         .map(request -> configuration.group(request.group()))
@@ -64,11 +66,11 @@
 
     Map<BackendServerId, ServerProbe> next = new HashMap<>();
     for (DatabaseGroup group : configuration.groups().values()) {
-      group.servers().forEach(server -> copy(probes, next, server.id()));
+      group.servers().forEach(server -> copyProbe(probes, next, server.id()));
       Optional<BackendServerId> primary =
           Optional.ofNullable(blackboard.get(Entries.GROUPS).get(group.id()))
               .flatMap(GroupView::primary);
-      for (BackendServer server : startable(group, primary, next, expired, context.now())) {
+      for (BackendServer server : serversToProbe(group, primary, next, expired, context.now())) {
         next.put(server.id(), ServerProbe.start(context.now()));
         blackboard.submit(new SampleServer(server));
       }
@@ -79,24 +81,24 @@
   }
 
   /**
-   * Returns the servers to probe now, the primary first. A probe that has just expired is visible
-   * as such for one round before the next one starts.
+   * Returns the servers to probe now, the primary first. A server whose probe has just expired is
+   * left out for one round, so that {@link ReplicaPositionController} sees the expired probe.
    */
-  private List<BackendServer> startable(
+  private List<BackendServer> serversToProbe(
       DatabaseGroup group,
       Optional<BackendServerId> primary,
       Map<BackendServerId, ServerProbe> probes,
       Set<BackendServerId> expired,
       MonotonicTime now) {
-    List<BackendServer> free =
+    List<BackendServer> available =
         group.servers().stream()
             .filter(server -> !expired.contains(server.id()))
-            .filter(server -> isFree(probes.get(server.id()), now))
+            .filter(server -> mayProbe(probes.get(server.id()), now))
             .toList();
     List<BackendServer> replicas =
-        free.stream().filter(server -> !primary.equals(Optional.of(server.id()))).toList();
+        available.stream().filter(server -> !primary.equals(Optional.of(server.id()))).toList();
     Optional<BackendServer> duePrimary =
-        free.stream()
+        available.stream()
             .filter(server -> primary.equals(Optional.of(server.id())))
             .findFirst()
             .filter(server -> isDue(probes.get(server.id()), now))
@@ -107,20 +109,25 @@
     return Stream.concat(duePrimary.stream(), replicas.stream()).toList();
   }
 
-  private boolean isFree(ServerProbe probe, MonotonicTime now) {
+  /** Returns whether no probe is in flight and the minimum interval has passed. */
+  private boolean mayProbe(ServerProbe probe, MonotonicTime now) {
     return probe == null
         || probe.state() != State.IN_FLIGHT
-            && hasPassed(settings.requestedInterval(), probe.startedAt(), now);
+            && hasPassed(settings.minimumInterval(), probe.startedAt(), now);
   }
 
+  /** Returns whether a new sample was requested or the routine interval has passed. */
   private boolean isDue(ServerProbe probe, MonotonicTime now) {
     return probe == null
         || probe.requested()
         || hasPassed(settings.routineInterval(), probe.startedAt(), now);
   }
 
-  /** A result that started before the newest probe belongs to one that has expired. */
-  private static void answer(
+  /**
+   * Marks the server's newest probe as answered. A result of an earlier start is that of an expired
+   * probe and is ignored.
+   */
+  private static void markAnswered(
       Map<BackendServerId, ServerProbe> probes, BackendServerId server, MonotonicTime startedAt) {
     probes.computeIfPresent(
         server,
@@ -128,8 +135,9 @@
             startedAt.isBefore(probe.startedAt()) ? probe : probe.withState(State.ANSWERED));
   }
 
-  /** Marks the probes that got no result in time and returns their servers. */
-  private Set<BackendServerId> expire(Map<BackendServerId, ServerProbe> probes, MonotonicTime now) {
+  /** Marks the probes that got no result within the timeout as expired; returns their servers. */
+  private Set<BackendServerId> expireOverdue(
+      Map<BackendServerId, ServerProbe> probes, MonotonicTime now) {
     Set<BackendServerId> expired = new HashSet<>();
     for (Map.Entry<BackendServerId, ServerProbe> entry : probes.entrySet()) {
       ServerProbe probe = entry.getValue();
@@ -146,7 +154,7 @@
     return now.since(since).compareTo(time) >= 0;
   }
 
-  private static void copy(
+  private static void copyProbe(
       Map<BackendServerId, ServerProbe> from,
       Map<BackendServerId, ServerProbe> target,
       BackendServerId server) {
--- a/core/src/main/java/org/persimmonwalk/internal/control/position/SamplingSettings.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/SamplingSettings.java
@@ -6,21 +6,24 @@
 /**
  * How often backend servers are probed.
  *
- * @param routineInterval the time between probes of a server when nothing asks for one
- * @param requestedInterval the shortest time between probes of a server on request
+ * @param routineInterval the time between probes of a server when none is requested
+ * @param minimumInterval the shortest time between probes of a server, also when one is requested
  * @param probeTimeout the time after which a probe without a result counts as failed
  */
 public record SamplingSettings(
-    Duration routineInterval, Duration requestedInterval, Duration probeTimeout) {
+    Duration routineInterval, Duration minimumInterval, Duration probeTimeout) {
 
   /** Checks that all parts are present. */
   public SamplingSettings {
     Objects.requireNonNull(routineInterval, "routineInterval");
-    Objects.requireNonNull(requestedInterval, "requestedInterval");
+    Objects.requireNonNull(minimumInterval, "minimumInterval");
     Objects.requireNonNull(probeTimeout, "probeTimeout");
   }
 
-  /** Returns 200 ms, 5 ms on request, and a timeout of 500 ms. */
+  /**
+   * Returns the default settings: a probe every 200 ms, on request every 5 ms at most, and a
+   * timeout of 500 ms.
+   */
   public static SamplingSettings defaults() {
     return new SamplingSettings(
         Duration.ofMillis(200), Duration.ofMillis(5), Duration.ofMillis(500));
@@ -28,6 +31,6 @@
 
   /** Returns the settings with another routine interval. */
   public SamplingSettings withRoutineInterval(Duration interval) {
-    return new SamplingSettings(interval, requestedInterval, probeTimeout);
+    return new SamplingSettings(interval, minimumInterval, probeTimeout);
   }
 }
--- a/core/src/test/java/org/persimmonwalk/internal/control/position/ReplicaPositionControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/position/ReplicaPositionControllerTest.java
@@ -31,7 +31,10 @@
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
 
-/** A round must follow the samples and the configuration without work for groups without news. */
+/**
+ * Guards against group views that miss a sample or a change of the configuration, and against work
+ * for groups that have neither.
+ */
 class ReplicaPositionControllerTest {
   private static final DatabaseGroupId FIRST = DatabaseGroupId.of("first");
   private static final DatabaseGroupId SECOND = DatabaseGroupId.of("second");
@@ -50,7 +53,7 @@
     configure(1, group(FIRST, "a", "b"), group(SECOND, "c", "d"));
   }
 
-  /** With 570 groups, building every view in each round took most of a core. */
+  /** With 570 groups, building every view in each round took most of a CPU core. */
   @Test
   void shouldKeepViewOfGroupWithoutSamples() {
     GroupView second = views().get(SECOND);
@@ -60,18 +63,18 @@
   }
 
   @Test
-  void shouldKeepMapInRoundWithoutSamples() {
+  void shouldKeepViewsInRoundWithoutSamples() {
     Map<DatabaseGroupId, GroupView> before = views();
     loop.runRound();
     assertThat(views()).isSameAs(before);
   }
 
   @Test
-  void shouldNoteFailedSampleOfOneServerOnly() {
+  void shouldRecordFailedSampleForThatServerOnly() {
     loop.post(new ServerSampleFailed(BackendServerId.of("b"), clock.now()));
     loop.runRound();
-    assertThat(failing(FIRST, "b")).isTrue();
-    assertThat(failing(FIRST, "a")).isFalse();
+    assertThat(isFailing(FIRST, "b")).isTrue();
+    assertThat(isFailing(FIRST, "a")).isFalse();
   }
 
   @Test
@@ -81,7 +84,7 @@
     assertThat(views()).isSameAs(before);
   }
 
-  /** A change of one group must neither lose samples of another nor keep a withdrawn one. */
+  /** A changed configuration must not lose samples of remaining servers or keep a removed group. */
   @Test
   void shouldFollowChangedConfigurationAndKeepSamples() {
     sample("a", ServerSample.ofPrimary(TERM, LogPosition.of(10)));
@@ -90,7 +93,7 @@
     GroupView first = views().get(FIRST);
     assertThat(first.servers()).hasSize(3);
     assertThat(first.server(BackendServerId.of("a")).orElseThrow().sample()).isPresent();
-    sample("e", ServerSample.ofReplica(TERM, LogPosition.of(10), LogPosition.of(9), second()));
+    sample("e", ServerSample.ofReplica(TERM, LogPosition.of(10), LogPosition.of(9), oneSecond()));
     assertThat(views().get(FIRST).newestConfirmed()).isPresent();
   }
 
@@ -98,7 +101,7 @@
     return loop.snapshot().get(Entries.GROUPS);
   }
 
-  private boolean failing(DatabaseGroupId group, String server) {
+  private boolean isFailing(DatabaseGroupId group, String server) {
     return views()
         .get(group)
         .server(BackendServerId.of(server))
@@ -135,7 +138,7 @@
     return DatabaseGroup.of(id, list, Duration.ofSeconds(30));
   }
 
-  private static Duration second() {
+  private static Duration oneSecond() {
     return Duration.ofSeconds(1);
   }
 }
--- a/core/src/test/java/org/persimmonwalk/internal/control/position/SamplingControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/position/SamplingControllerTest.java
@@ -30,6 +30,10 @@
 import org.persimmonwalk.testing.FakeLinks;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
 
+/**
+ * Guards against probes that start too often, too late or not at all, and against samples that give
+ * a wrong view of the group.
+ */
 class SamplingControllerTest {
   private final FakeClock clock = new FakeClock();
   private final RecordingCommandExecutor executor = new RecordingCommandExecutor();
@@ -55,91 +59,94 @@
             Map.of(),
             Map.of(group.id(), group));
     loop.post(new ConfigurationLoaded(configuration, clock.now()));
-    assertThat(round()).containsExactly("a", "b", "c");
-    answer("a", "b", "c");
-    assertThat(round()).isEmpty();
+    assertThat(runRound()).containsExactly("a", "b", "c");
+    postSamples("a", "b", "c");
+    assertThat(runRound()).isEmpty();
   }
 
   @Test
   void shouldProbeAgainAfterRoutineInterval() {
     advance(199);
-    assertThat(round()).isEmpty();
+    assertThat(runRound()).isEmpty();
     advance(1);
-    assertThat(round()).containsExactly("a", "b", "c");
+    assertThat(runRound()).containsExactly("a", "b", "c");
   }
 
   @Test
   void shouldProbeOnRequestButNotMoreOftenThanEveryFiveMilliseconds() {
     advance(4);
     request();
-    assertThat(round()).isEmpty();
+    assertThat(runRound()).isEmpty();
     advance(1);
-    assertThat(round()).containsExactly("a", "b", "c");
-    answer("a", "b", "c");
+    assertThat(runRound()).containsExactly("a", "b", "c");
+    postSamples("a", "b", "c");
     advance(5);
-    assertThat(round()).isEmpty();
+    assertThat(runRound()).isEmpty();
   }
 
   @Test
-  void shouldKeepRequestUntilProbeInFlightHasEnded() {
+  void shouldKeepRequestUntilProbeInFlightIsAnswered() {
     advance(200);
-    round();
+    runRound();
     request();
     advance(10);
-    assertThat(round()).isEmpty();
-    answer("a", "b", "c");
-    assertThat(round()).containsExactly("a", "b", "c");
+    assertThat(runRound()).isEmpty();
+    postSamples("a", "b", "c");
+    assertThat(runRound()).containsExactly("a", "b", "c");
   }
 
-  /** A primary probed alone would be newer than each replica answer and never be confirmed. */
+  /** A primary's sample is never confirmed if every replica's probe started before it. */
   @Test
   void shouldProbePrimaryOnlyTogetherWithReplica() {
     advance(200);
-    round();
-    answer("a");
+    runRound();
+    postSamples("a");
     advance(200);
-    assertThat(round()).isEmpty();
-    answer("b");
-    assertThat(round()).containsExactly("a", "b");
+    assertThat(runRound()).isEmpty();
+    postSamples("b");
+    assertThat(runRound()).containsExactly("a", "b");
     assertThat(view().newestConfirmed().orElseThrow().startedAt().nanoseconds())
         .isEqualTo(Duration.ofMillis(200).toNanos());
   }
 
-  /** A lost result must not stop sampling, and must not be taken for health. */
+  /** A lost result must not stop sampling, and the server must not keep looking healthy. */
   @Test
   void shouldCountProbeWithoutResultAsFailedAndProbeAgain() {
     advance(200);
-    round();
+    runRound();
     MonotonicTime started = clock.now();
     advance(500);
-    round();
+    runRound();
     assertThat(view().server(BackendServerId.of("a")).orElseThrow().failingSince())
         .contains(started);
-    assertThat(round()).containsExactly("a", "b", "c");
+    assertThat(runRound()).containsExactly("a", "b", "c");
   }
 
-  /** A result that arrives after a newer one must not take back what is known. */
+  /** A result that arrives after one of a later probe must not replace it. */
   @Test
   void shouldIgnoreResultOlderThanNewestSample() {
     MonotonicTime late = clock.now();
     advance(200);
-    round();
+    runRound();
     loop.post(new ServerSampled(BackendServerId.of("b"), replica(300), clock.now()));
     loop.post(new ServerSampled(BackendServerId.of("b"), replica(100), late));
-    round();
+    runRound();
     assertThat(view().server(BackendServerId.of("b")).orElseThrow().sample())
         .contains(replica(300));
   }
 
-  /** A host that does not reach the new primary learns the term from a replica. */
+  /**
+   * A host that cannot reach the new primary learns of its term from a replica and must not go on
+   * using the old primary.
+   */
   @Test
-  void shouldLeaveTermOfPrimaryThatReplicaHasLeft() {
+  void shouldAdoptHigherTermOfReplica() {
     advance(200);
-    round();
+    runRound();
     ServerSample moved =
         ServerSample.ofReplica(Term.of(2), LogPosition.of(100), LogPosition.of(100), Duration.ZERO);
     loop.post(new ServerSampled(BackendServerId.of("c"), moved, clock.now()));
-    round();
+    runRound();
     assertThat(view().term()).isEqualTo(Term.of(2));
     assertThat(view().primary()).isEmpty();
     assertThat(view().confirmed()).isEmpty();
@@ -157,15 +164,16 @@
     clock.advance(Duration.ofMillis(milliseconds));
   }
 
-  private List<String> round() {
+  /** Runs a round and returns the servers that it probes. */
+  private List<String> runRound() {
     loop.runRound();
     return executor.take(SampleServer.class).stream()
         .map(command -> command.server().id().value())
         .toList();
   }
 
-  /** Answers the newest probes as of their start. */
-  private void answer(String... servers) {
+  /** Posts a sample for the newest probe of each server, with the start of that probe. */
+  private void postSamples(String... servers) {
     for (String name : servers) {
       BackendServerId server = BackendServerId.of(name);
       MonotonicTime startedAt = loop.snapshot().get(Entries.PROBES).get(server).startedAt();
