Reword the membership controller and its tests

Hosts "said", "stated", were "heard" and made "news", and methods were named apply, news, digest and answer: "Trusts the host itself first, then recent news of it, then the host list", "old news, passed on in a circle".

A host now makes reports of itself, which peers relay: withReport, isRelayable, LIVENESS_TIMEOUT, PeerSelection.chooseTargets. Comments state which source decides, how long a report is kept and why, and that a peer of the same zone sends a heartbeat about every 10 s at the target size.

PeerChoice.java was renamed.

--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/HostTable.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/HostTable.java
@@ -12,17 +12,20 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.observation.HostsListed;
 
-/** The other entry hosts that this host knows. */
+/** The other entry hosts that this host knows of, live or not. */
 final class HostTable {
-  /** Bounds the memory for hosts that only peers name; above the 430 hosts of the target size. */
+  /**
+   * Bounds the memory for hosts that are known from heartbeats only; above the 430 hosts of the
+   * target size.
+   */
   private static final int UNLISTED_LIMIT = 1024;
 
-  /** Sorted, so that the same seed leads to the same choices. */
+  /** Sorted, so that the same random seed leads to the same choices. */
   private final Map<EntryHostId, KnownHost> hosts = new TreeMap<>();
 
   private Optional<MonotonicTime> listedAt = Optional.empty();
 
-  /** Kept until an entry changes, since most rounds change none. */
+  /** The cached result of {@link #entries()}, because most rounds change no entry. */
   private Optional<Map<EntryHostId, HostEntry>> entries = Optional.empty();
 
   private HostTable() {}
@@ -31,8 +34,8 @@
     return new HostTable();
   }
 
-  /** Takes a host list unless a newer one has been taken. */
-  void apply(HostsListed listed, EntryHostId self) {
+  /** Applies a host list, unless one whose read started later has been applied. */
+  void applyList(HostsListed listed, EntryHostId self) {
     if (listedAt.isPresent() && listed.startedAt().isBefore(listedAt.get())) {
       return;
     }
@@ -41,22 +44,23 @@
     for (HostEntry entry : listed.hosts()) {
       if (!entry.id().equals(self) && named.add(entry.id())) {
         KnownHost known = hosts.get(entry.id());
-        put(known == null ? KnownHost.listed(entry) : known.withListing(entry));
+        put(known == null ? KnownHost.ofListing(entry) : known.withListing(entry));
       }
     }
     hosts.replaceAll((id, known) -> named.contains(id) ? known : known.withoutListing());
   }
 
-  /** Takes a statement of another host. */
-  void apply(HostEntry stated, MonotonicTime statedAt) {
-    KnownHost known = hosts.get(stated.id());
+  /** Applies a report that another host made of itself at the given time. */
+  void applyReport(HostEntry reported, MonotonicTime reportedAt) {
+    KnownHost known = hosts.get(reported.id());
     if (known != null) {
-      put(known.withStatement(stated, statedAt));
-    } else if (unlisted() < UNLISTED_LIMIT) {
-      put(KnownHost.heard(stated, statedAt));
+      put(known.withReport(reported, reportedAt));
+    } else if (countUnlisted() < UNLISTED_LIMIT) {
+      put(KnownHost.ofReport(reported, reportedAt));
     }
   }
 
+  /** Removes hosts that the list does not contain and that have no recent report. */
   void removeObsolete(MonotonicTime now) {
     if (hosts.values().removeIf(known -> known.isObsolete(now))) {
       entries = Optional.empty();
@@ -67,8 +71,9 @@
     return hosts.values().stream().filter(known -> known.isLive(now)).toList();
   }
 
-  List<KnownHost> news(MonotonicTime now) {
-    return hosts.values().stream().filter(known -> known.isNews(now)).toList();
+  /** Returns the hosts whose newest reports may be relayed to peers. */
+  List<KnownHost> relayable(MonotonicTime now) {
+    return hosts.values().stream().filter(known -> known.isRelayable(now)).toList();
   }
 
   Map<EntryHostId, HostEntry> entries() {
@@ -87,7 +92,7 @@
     }
   }
 
-  private long unlisted() {
+  private long countUnlisted() {
     return hosts.values().stream().filter(known -> known.listing().isEmpty()).count();
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/KnownHost.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/KnownHost.java
@@ -6,74 +6,84 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * What is known of another entry host.
+ * What this host knows of another entry host, from the platform's host list and from heartbeats.
  *
- * @param entry zone and endpoint; leaving only if the host said so itself
- * @param listing what the host list says, empty if it does not name the host
- * @param heardAt when the host last said something, directly or passed on by others
+ * @param entry the host's zone and endpoint; it is leaving only if the host reported so itself
+ * @param listing the state in the host list, empty if the list does not contain the host
+ * @param lastReportAt when the host made its newest report, received from it or relayed by a peer
  */
-record KnownHost(HostEntry entry, Optional<Listing> listing, Optional<MonotonicTime> heardAt) {
-  /** A host that was heard of within this time is live. */
-  static final Duration HEARD_LIMIT = Duration.ofSeconds(5);
+record KnownHost(HostEntry entry, Optional<Listing> listing, Optional<MonotonicTime> lastReportAt) {
+  /** A host with a report of at most this age is live, unless it is leaving. */
+  static final Duration LIVENESS_TIMEOUT = Duration.ofSeconds(5);
 
-  /** Longer than the host list usually lags, so that a stopped host is not taken for live. */
+  /**
+   * How long after its last report an unlisted host is remembered, and a report that a host is
+   * leaving is relayed. It is longer than the host list usually lags, so that a stopped host does
+   * not count as live again.
+   */
   static final Duration RETENTION = Duration.ofSeconds(60);
 
-  /** What the host list says of a host. */
+  /** The state of a host in the host list. */
   enum Listing {
     LIVE,
     LEAVING
   }
 
-  static KnownHost listed(HostEntry entry) {
+  static KnownHost ofListing(HostEntry entry) {
     return new KnownHost(entry.withLeaving(false), Optional.of(listingOf(entry)), Optional.empty());
   }
 
-  static KnownHost heard(HostEntry entry, MonotonicTime heardAt) {
-    return new KnownHost(entry, Optional.empty(), Optional.of(heardAt));
+  static KnownHost ofReport(HostEntry entry, MonotonicTime reportedAt) {
+    return new KnownHost(entry, Optional.empty(), Optional.of(reportedAt));
   }
 
   KnownHost withListing(HostEntry listed) {
-    HostEntry newEntry = heardAt.isPresent() ? entry : listed.withLeaving(entry.leaving());
-    return new KnownHost(newEntry, Optional.of(listingOf(listed)), heardAt);
+    HostEntry newEntry = lastReportAt.isPresent() ? entry : listed.withLeaving(entry.leaving());
+    return new KnownHost(newEntry, Optional.of(listingOf(listed)), lastReportAt);
   }
 
   KnownHost withoutListing() {
-    return new KnownHost(entry, Optional.empty(), heardAt);
+    return new KnownHost(entry, Optional.empty(), lastReportAt);
   }
 
-  /** Takes a newer statement of the host; a host that has said that it leaves never stays. */
-  KnownHost withStatement(HostEntry stated, MonotonicTime statedAt) {
-    if (heardAt.isPresent() && !statedAt.isAfter(heardAt.get())) {
+  /**
+   * Applies a report that the host made of itself, if it is newer. A host that has reported that it
+   * is leaving remains so.
+   */
+  KnownHost withReport(HostEntry reported, MonotonicTime reportedAt) {
+    if (lastReportAt.isPresent() && !reportedAt.isAfter(lastReportAt.get())) {
       return this;
     }
-    HostEntry newEntry = stated.withLeaving(stated.leaving() || entry.leaving());
-    return new KnownHost(newEntry, listing, Optional.of(statedAt));
+    HostEntry newEntry = reported.withLeaving(reported.leaving() || entry.leaving());
+    return new KnownHost(newEntry, listing, Optional.of(reportedAt));
   }
 
-  /** Trusts the host itself first, then recent news of it, then the host list. */
+  /**
+   * Returns whether the host is live. Its own report that it is leaving decides first, then any
+   * recent report, then the host list.
+   */
   boolean isLive(MonotonicTime now) {
     return !entry.leaving()
-        && (isHeardWithin(HEARD_LIMIT, now)
+        && (isReportedWithin(LIVENESS_TIMEOUT, now)
             || listing.filter(value -> value == Listing.LIVE).isPresent());
   }
 
-  /** Returns whether peers may need the news because the host list says something else. */
+  /** Returns whether the host list lacks the host or disagrees on whether it is leaving. */
   boolean contradictsListing() {
     return listing.isEmpty() || (listing.get() == Listing.LEAVING) != entry.leaving();
   }
 
-  /** Returns whether the news of the host is recent enough to be passed on. */
-  boolean isNews(MonotonicTime now) {
-    return isHeardWithin(entry.leaving() ? RETENTION : HEARD_LIMIT, now);
+  /** Returns whether the host's newest report is recent enough to be relayed to peers. */
+  boolean isRelayable(MonotonicTime now) {
+    return isReportedWithin(entry.leaving() ? RETENTION : LIVENESS_TIMEOUT, now);
   }
 
   boolean isObsolete(MonotonicTime now) {
-    return listing.isEmpty() && !isHeardWithin(RETENTION, now);
+    return listing.isEmpty() && !isReportedWithin(RETENTION, now);
   }
 
-  private boolean isHeardWithin(Duration limit, MonotonicTime now) {
-    return heardAt.isPresent() && now.since(heardAt.get()).compareTo(limit) <= 0;
+  private boolean isReportedWithin(Duration limit, MonotonicTime now) {
+    return lastReportAt.isPresent() && now.since(lastReportAt.get()).compareTo(limit) <= 0;
   }
 
   private static Listing listingOf(HostEntry listed) {
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
@@ -23,8 +23,9 @@
 import org.persimmonwalk.observation.PeerMessageReceived;
 
 /**
- * Keeps the set of live entry hosts from the platform's host list and from heartbeats, and
- * exchanges heartbeats with a few peers.
+ * Keeps the set of live entry hosts up to date from the platform's host list and from heartbeats,
+ * and exchanges heartbeats with a few peers at a time. It writes entries {@link Entries#HOSTS},
+ * {@link Entries#LIVE_HOSTS} and {@link Entries#PEER_DEMAND}.
  */
 public final class MembershipController implements Controller {
   private static final Duration LIST_INTERVAL = Duration.ofSeconds(5);
@@ -41,7 +42,7 @@
     this.self = Objects.requireNonNull(self, "self");
   }
 
-  /** Returns the controller of the given host. */
+  /** Returns the controller of the given entry host. */
   public static MembershipController of(HostEntry self) {
     return new MembershipController(self);
   }
@@ -49,15 +50,17 @@
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
-    blackboard.observations(HostsListed.class).forEach(listed -> table.apply(listed, self.id()));
+    blackboard
+        .observations(HostsListed.class)
+        .forEach(listed -> table.applyList(listed, self.id()));
     List<PeerMessageReceived> heartbeats =
         blackboard.observations(PeerMessageReceived.class).filter(this::isHeartbeatOfPeer).toList();
-    heartbeats.forEach(received -> apply((Heartbeat) received.message(), now));
+    heartbeats.forEach(received -> applyHeartbeat((Heartbeat) received.message(), now));
     table.removeObsolete(now);
     List<KnownHost> live = table.live(now);
     publish(blackboard, live, now);
-    answer(blackboard, heartbeats, context);
-    sendWhenDue(blackboard, live, context);
+    replyToHeartbeats(blackboard, heartbeats, context);
+    sendHeartbeatsIfDue(blackboard, live, context);
     if (isDue(nextListAt, now)) {
       nextListAt = Optional.of(Jitter.after(context, LIST_INTERVAL));
       blackboard.submit(new ListHosts());
@@ -70,12 +73,12 @@
         && !received.from().equals(self.id());
   }
 
-  private void apply(Heartbeat heartbeat, MonotonicTime now) {
-    table.apply(heartbeat.sender(), now);
+  private void applyHeartbeat(Heartbeat heartbeat, MonotonicTime now) {
+    table.applyReport(heartbeat.sender(), now);
     demand.apply(heartbeat, now);
-    for (HostNews news : heartbeat.heard()) {
-      if (!news.host().id().equals(self.id())) {
-        table.apply(news.host(), now.minus(news.age()));
+    for (HostNews relayed : heartbeat.heard()) {
+      if (!relayed.host().id().equals(self.id())) {
+        table.applyReport(relayed.host(), now.minus(relayed.age()));
       }
     }
   }
@@ -93,8 +96,8 @@
     blackboard.put(Entries.PEER_DEMAND, demand.byHost());
   }
 
-  /** Answers first heartbeats; an answer is not answered. */
-  private void answer(
+  /** Replies to heartbeats that are not replies themselves. */
+  private void replyToHeartbeats(
       Blackboard blackboard, List<PeerMessageReceived> heartbeats, RoundContext context) {
     for (PeerMessageReceived received : heartbeats) {
       Heartbeat heartbeat = (Heartbeat) received.message();
@@ -106,14 +109,15 @@
     }
   }
 
-  private void sendWhenDue(Blackboard blackboard, List<KnownHost> live, RoundContext context) {
+  private void sendHeartbeatsIfDue(
+      Blackboard blackboard, List<KnownHost> live, RoundContext context) {
     boolean leaving = ownEntry(blackboard).leaving();
     if (!isDue(nextHeartbeatAt, context.now()) && leaving == announcedLeaving) {
       return;
     }
     announcedLeaving = leaving;
     nextHeartbeatAt = Optional.of(Jitter.after(context, HEARTBEAT_INTERVAL));
-    for (HostEntry peer : PeerChoice.targets(live, self.zone(), context.random())) {
+    for (HostEntry peer : PeerSelection.chooseTargets(live, self.zone(), context.random())) {
       blackboard.submit(
           new SendPeerMessage(peer.id(), heartbeat(blackboard, Optional.empty(), context)));
     }
@@ -128,8 +132,8 @@
         blackboard.get(Entries.FRESHNESS).map(now::since),
         now,
         answers,
-        PeerChoice.news(table.news(now), now, context.random()),
-        PeerDemand.digest(blackboard.get(Entries.DEMAND)));
+        PeerSelection.chooseRelayed(table.relayable(now), now, context.random()),
+        PeerDemand.highest(blackboard.get(Entries.DEMAND)));
   }
 
   private HostEntry ownEntry(Blackboard blackboard) {
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/PeerDemand.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/PeerDemand.java
@@ -10,14 +10,14 @@
 import org.persimmonwalk.model.Heartbeat;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** The demand that peers stated in their last heartbeats. */
+/** The demand, in statements per second, that peers reported in their last heartbeats. */
 final class PeerDemand {
-  /** A peer of the same zone is heard about every 10 s at the target size. */
+  /** At the target size, a peer of the same zone sends this host a heartbeat about every 10 s. */
   private static final Duration RETENTION = Duration.ofSeconds(30);
 
-  private final Map<EntryHostId, Statement> statements = new HashMap<>();
+  private final Map<EntryHostId, Report> reports = new HashMap<>();
 
-  private record Statement(Map<WorkspaceId, Double> demand, MonotonicTime at) {}
+  private record Report(Map<WorkspaceId, Double> demand, MonotonicTime receivedAt) {}
 
   private PeerDemand() {}
 
@@ -26,22 +26,23 @@
   }
 
   void apply(Heartbeat heartbeat, MonotonicTime now) {
-    statements.put(heartbeat.sender().id(), new Statement(heartbeat.demand(), now));
+    reports.put(heartbeat.sender().id(), new Report(heartbeat.demand(), now));
   }
 
+  /** Removes the reports of hosts that are not live, and reports that are too old. */
   void retain(Set<EntryHostId> live, MonotonicTime now) {
-    statements.keySet().retainAll(live);
-    statements.values().removeIf(statement -> now.since(statement.at()).compareTo(RETENTION) > 0);
+    reports.keySet().retainAll(live);
+    reports.values().removeIf(report -> now.since(report.receivedAt()).compareTo(RETENTION) > 0);
   }
 
   Map<EntryHostId, Map<WorkspaceId, Double>> byHost() {
-    return statements.entrySet().stream()
+    return reports.entrySet().stream()
         .collect(
             Collectors.toUnmodifiableMap(Map.Entry::getKey, entry -> entry.getValue().demand()));
   }
 
   /** Returns the workspaces with the highest demand, as many as a heartbeat may list. */
-  static Map<WorkspaceId, Double> digest(Map<WorkspaceId, Double> demand) {
+  static Map<WorkspaceId, Double> highest(Map<WorkspaceId, Double> demand) {
     return demand.entrySet().stream()
         .sorted(Map.Entry.<WorkspaceId, Double>comparingByValue().reversed())
         .limit(Heartbeat.DEMAND_LIMIT)
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/PeerChoice.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/PeerSelection.java
@@ -9,35 +9,38 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.port.RandomSource;
 
-/** Chooses at random to whom heartbeats go and which hosts they list. */
-final class PeerChoice {
-  private static final int ZONE_PEERS = 3;
-  private static final int OTHER_PEERS = 1;
+/** Chooses at random the peers to which heartbeats are sent, and the hosts that they list. */
+final class PeerSelection {
+  private static final int PEERS_IN_ZONE = 3;
+  private static final int PEERS_IN_OTHER_ZONES = 1;
 
-  private PeerChoice() {}
+  private PeerSelection() {}
 
   /**
-   * Chooses 3 hosts of the zone and 1 of another zone. A zone with too few hosts is made up for by
-   * the others.
+   * Chooses 3 hosts of the zone and 1 of another zone. If either has too few hosts, the other one
+   * supplies more, up to 4 in total.
    */
-  static List<HostEntry> targets(List<KnownHost> live, AvailabilityZone zone, RandomSource random) {
+  static List<HostEntry> chooseTargets(
+      List<KnownHost> live, AvailabilityZone zone, RandomSource random) {
     List<HostEntry> inZone = new ArrayList<>();
-    List<HostEntry> elsewhere = new ArrayList<>();
+    List<HostEntry> inOtherZones = new ArrayList<>();
     for (KnownHost known : live) {
-      (known.entry().zone().equals(zone) ? inZone : elsewhere).add(known.entry());
+      (known.entry().zone().equals(zone) ? inZone : inOtherZones).add(known.entry());
     }
-    int total = ZONE_PEERS + OTHER_PEERS;
-    int fromElsewhere = Math.min(elsewhere.size(), Math.max(OTHER_PEERS, total - inZone.size()));
-    List<HostEntry> targets = sample(elsewhere, fromElsewhere, random);
+    int total = PEERS_IN_ZONE + PEERS_IN_OTHER_ZONES;
+    int fromOtherZones =
+        Math.min(inOtherZones.size(), Math.max(PEERS_IN_OTHER_ZONES, total - inZone.size()));
+    List<HostEntry> targets = sample(inOtherZones, fromOtherZones, random);
     targets.addAll(sample(inZone, total - targets.size(), random));
     return targets;
   }
 
   /**
-   * Chooses the hosts that a heartbeat lists. Up to half of the places go to hosts of which the
-   * host list says something else, since peers learn of those in no other way.
+   * Chooses the hosts that a heartbeat lists. Up to half of them are hosts that contradict the host
+   * list, because peers learn of their state only from heartbeats.
    */
-  static List<HostNews> news(List<KnownHost> candidates, MonotonicTime now, RandomSource random) {
+  static List<HostNews> chooseRelayed(
+      List<KnownHost> candidates, MonotonicTime now, RandomSource random) {
     List<KnownHost> contradicting = new ArrayList<>();
     List<KnownHost> others = new ArrayList<>();
     for (KnownHost known : candidates) {
@@ -46,10 +49,11 @@
     List<KnownHost> chosen = sample(contradicting, Heartbeat.HEARD_LIMIT / 2, random);
     chosen.addAll(sample(others, Heartbeat.HEARD_LIMIT - chosen.size(), random));
     return chosen.stream()
-        .map(known -> HostNews.of(known.entry(), now.since(known.heardAt().orElseThrow())))
+        .map(known -> HostNews.of(known.entry(), now.since(known.lastReportAt().orElseThrow())))
         .toList();
   }
 
+  /** Chooses items at random, each at most once; all of them if there are too few. */
   private static <T> List<T> sample(List<T> items, int count, RandomSource random) {
     List<T> rest = new ArrayList<>(items);
     List<T> chosen = new ArrayList<>();
--- a/core/src/test/java/org/persimmonwalk/internal/control/membership/MembershipControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/membership/MembershipControllerTest.java
@@ -26,6 +26,9 @@
 import org.persimmonwalk.testing.RecordingCommandExecutor;
 import org.persimmonwalk.testing.SpreadFleet;
 
+/**
+ * Guards against live hosts that count as dead, dead ones that count as live, and heartbeat storms.
+ */
 class MembershipControllerTest {
   private static final HostEntry SELF = SpreadFleet.entry("self", "zone-0");
   private static final HostEntry PEER = SpreadFleet.entry("peer", "zone-0");
@@ -37,13 +40,13 @@
       ControlLoop.of(
           List.of(MembershipController.of(SELF)), executor, clock, RandomSource.seeded(1));
 
-  /** Guards against share taken from a host that lives, because the host list lags. */
+  /** Guards against taking a live host's share of a rate because the host list lags. */
   @Test
-  void shouldTrustHeartbeatOverListThatSaysLeaving() {
-    list(PEER.withLeaving(true), THIRD.withLeaving(true));
+  void shouldTrustHeartbeatsOverListThatShowsHostsLeaving() {
+    postHostList(PEER.withLeaving(true), THIRD.withLeaving(true));
     assertThat(live()).doesNotContain(PEER.id(), THIRD.id());
 
-    receive(PEER, HostNews.of(THIRD, Duration.ofSeconds(2)));
+    postHeartbeat(PEER, HostNews.of(THIRD, Duration.ofSeconds(2)));
     assertThat(live()).contains(PEER.id(), THIRD.id());
 
     clock.advance(Duration.ofMillis(3100));
@@ -51,35 +54,36 @@
     assertThat(live()).contains(PEER.id()).doesNotContain(THIRD.id());
   }
 
-  /** Guards against share given to a host that stops, because the host list lags. */
+  /** Guards against giving a share of a rate to a stopping host because the host list lags. */
   @Test
-  void shouldTrustLeavingHostOverListThatSaysLive() {
-    list(PEER, THIRD);
+  void shouldTrustLeavingHostOverListThatShowsItLive() {
+    postHostList(PEER, THIRD);
     assertThat(live()).contains(PEER.id(), THIRD.id());
 
-    receive(PEER.withLeaving(true), HostNews.of(THIRD.withLeaving(true), Duration.ofSeconds(1)));
+    postHeartbeat(
+        PEER.withLeaving(true), HostNews.of(THIRD.withLeaving(true), Duration.ofSeconds(1)));
     clock.advance(Duration.ofSeconds(10));
-    list(PEER, THIRD);
+    postHostList(PEER, THIRD);
 
     assertThat(live()).containsExactly(SELF.id());
   }
 
-  /** Guards against old news, passed on in a circle, that keeps a dead host alive. */
+  /** Guards against old reports that peers relay to each other and that keep a dead host live. */
   @Test
-  void shouldNotTakeOldNewsForNewNews() {
-    receive(PEER, HostNews.of(THIRD, Duration.ofSeconds(1)));
+  void shouldNotCountRelayedOldReportAsNew() {
+    postHeartbeat(PEER, HostNews.of(THIRD, Duration.ofSeconds(1)));
     clock.advance(Duration.ofSeconds(3));
-    receive(PEER, HostNews.of(THIRD, Duration.ofSeconds(4)));
+    postHeartbeat(PEER, HostNews.of(THIRD, Duration.ofSeconds(4)));
     clock.advance(Duration.ofMillis(1500));
-    receive(PEER, HostNews.of(THIRD, Duration.ofMillis(5500)));
+    postHeartbeat(PEER, HostNews.of(THIRD, Duration.ofMillis(5500)));
 
     assertThat(live()).doesNotContain(THIRD.id());
   }
 
-  /** Guards against an unlisted host that stays known for ever. */
+  /** Guards against an unlisted host that stays in the table forever. */
   @Test
-  void shouldForgetUnlistedHost() {
-    receive(PEER);
+  void shouldRemoveUnlistedHostWithoutRecentReport() {
+    postHeartbeat(PEER);
     assertThat(loop.snapshot().get(Entries.HOSTS)).containsKey(PEER.id());
 
     clock.advance(Duration.ofSeconds(61));
@@ -90,13 +94,13 @@
   /** Guards against heartbeats whose number or size grows with the number of hosts. */
   @Test
   void shouldSendFourBoundedHeartbeatsASecond() {
-    list(
+    postHostList(
         IntStream.range(0, 430)
             .mapToObj(index -> SpreadFleet.entry("host-" + index, "zone-" + index % 7))
             .toArray(HostEntry[]::new));
     IntStream.range(0, 430)
         .mapToObj(index -> SpreadFleet.entry("host-" + index, "zone-" + index % 7))
-        .forEach(this::receive);
+        .forEach(this::postHeartbeat);
     executor.take(SendPeerMessage.class);
 
     int seconds = 100;
@@ -118,12 +122,12 @@
     assertThat(inZone * 4).isEqualTo(sent * 3);
   }
 
-  /** Guards against answers to answers, and against answers that lack the time of the question. */
+  /** Guards against replies to replies, and replies without the time of the first heartbeat. */
   @Test
-  void shouldAnswerFirstHeartbeatsOnly() {
+  void shouldNotReplyToReplies() {
     loop.runRound();
     executor.take(SendPeerMessage.class);
-    receive(PEER);
+    postHeartbeat(PEER);
     assertThat(executor.take(SendPeerMessage.class))
         .filteredOn(sent -> ((Heartbeat) sent.message()).answers().isPresent())
         .singleElement()
@@ -140,7 +144,7 @@
     assertThat(executor.take(SendPeerMessage.class)).isEmpty();
   }
 
-  /** Guards against demand of hosts that are gone. */
+  /** Guards against counting the demand of hosts that are no longer live. */
   @Test
   void shouldKeepDemandOfLivePeers() {
     Map<WorkspaceId, Double> demand = Map.of(WorkspaceId.of("oil"), 12.5);
@@ -154,9 +158,9 @@
     assertThat(loop.snapshot().get(Entries.PEER_DEMAND)).isEmpty();
   }
 
-  /** Guards against one host that speaks in the name of another. */
+  /** Guards against a host that sends heartbeats in the name of another host. */
   @Test
-  void shouldIgnoreHeartbeatUnderForeignName() {
+  void shouldIgnoreHeartbeatThatNamesAnotherSender() {
     loop.post(
         new PeerMessageReceived(
             THIRD.id(), heartbeat(PEER, new HashMap<>(), Optional.empty(), List.of())));
@@ -165,12 +169,12 @@
     assertThat(live()).containsExactly(SELF.id());
   }
 
-  private void list(HostEntry... hosts) {
+  private void postHostList(HostEntry... hosts) {
     loop.post(new HostsListed(List.of(hosts), clock.now()));
     loop.runRound();
   }
 
-  private void receive(HostEntry sender, HostNews... news) {
+  private void postHeartbeat(HostEntry sender, HostNews... news) {
     loop.post(
         new PeerMessageReceived(
             sender.id(), heartbeat(sender, Map.of(), Optional.empty(), List.of(news))));
--- a/core/src/test/java/org/persimmonwalk/internal/control/membership/package-info.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/membership/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the set of live hosts. */
+/** Tests of the set of live hosts and of heartbeats. */
 package org.persimmonwalk.internal.control.membership;
