Reword the drain controller and its tests

Two constants and some comments left out what they bound or decide: PEER_WAIT, STOP_DEADLINE (without a comment), "a stop that interrupts a request while time is left".

They now read PEER_TIMEOUT and DRAIN_TIMEOUT, and the comments say when a host is ready and drained, and why only counts after the start of draining are used.

--- a/core/src/main/java/org/persimmonwalk/internal/control/drain/DrainController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/drain/DrainController.java
@@ -14,14 +14,19 @@
 import org.persimmonwalk.observation.StopRequested;
 
 /**
- * Decides when the host starts serving callers and when a planned stop is complete. It runs after
- * the controller of the configuration.
+ * Decides when the host starts serving callers and when it is drained after a stop was requested.
+ * It writes entries {@link Entries#HOST_PHASE} and {@link Entries#DRAIN_DEADLINE} and runs after
+ * the controller that writes {@link Entries#CONFIGURATION}.
  */
 public final class DrainController implements Controller {
-  /** Bounds the wait for peers, which may all be down, after the first configuration. */
-  private static final Duration PEER_WAIT = Duration.ofSeconds(2);
+  /**
+   * How long a host that has its first configuration waits for peers to name their revisions. All
+   * peers may be down.
+   */
+  private static final Duration PEER_TIMEOUT = Duration.ofSeconds(2);
 
-  private static final Duration STOP_DEADLINE = Duration.ofSeconds(20);
+  /** How long a draining host waits for its sessions to end. */
+  private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(20);
 
   private Optional<MonotonicTime> configuredAt = Optional.empty();
 
@@ -41,16 +46,20 @@
           case DRAINING -> isDrained(blackboard, context) ? HostPhase.STOPPED : phase;
           case SERVING, STOPPED -> phase;
         };
-    boolean mayStop = next == HostPhase.STARTING || next == HostPhase.SERVING;
-    if (mayStop && blackboard.observations(StopRequested.class).findAny().isPresent()) {
+    boolean canDrain = next == HostPhase.STARTING || next == HostPhase.SERVING;
+    if (canDrain && blackboard.observations(StopRequested.class).findAny().isPresent()) {
       next = HostPhase.DRAINING;
-      blackboard.put(Entries.DRAIN_DEADLINE, Optional.of(context.now().plus(STOP_DEADLINE)));
+      blackboard.put(Entries.DRAIN_DEADLINE, Optional.of(context.now().plus(DRAIN_TIMEOUT)));
     }
     if (next != phase) {
       blackboard.put(Entries.HOST_PHASE, next);
     }
   }
 
+  /**
+   * Returns whether the host has a configuration, and enough peers have named a revision and none a
+   * newer one, or the wait for peers has timed out.
+   */
   private boolean isReady(Blackboard blackboard, RoundContext context) {
     Revision own = blackboard.get(Entries.CONFIGURATION).revision();
     if (own.equals(Revision.NONE)) {
@@ -61,12 +70,13 @@
     }
     PeerRevisions peers = blackboard.get(Entries.PEER_REVISIONS);
     boolean current = peers.isSufficient() && !peers.highest().isNewerThan(own);
-    return current || context.now().since(configuredAt.get()).compareTo(PEER_WAIT) >= 0;
+    return current || context.now().since(configuredAt.get()).compareTo(PEER_TIMEOUT) >= 0;
   }
 
   /**
-   * Counts sessions only in rounds after the one that began draining: a count from before may miss
-   * a session that was opened since.
+   * Returns whether no session is open or the deadline has passed. It is called only in rounds
+   * after the one that began draining, because an earlier count may miss a session that was opened
+   * since.
    */
   private static boolean isDrained(Blackboard blackboard, RoundContext context) {
     boolean empty =
--- a/core/src/test/java/org/persimmonwalk/internal/control/drain/DrainControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/drain/DrainControllerTest.java
@@ -28,6 +28,7 @@
 import org.persimmonwalk.testing.RecordingCommandExecutor;
 import org.persimmonwalk.testing.SpreadFleet;
 
+/** Guards against a host that starts or stops serving callers too early or never. */
 class DrainControllerTest {
   private static final HostEntry SELF = SpreadFleet.entry("self", "zone-0");
 
@@ -43,9 +44,9 @@
           clock,
           RandomSource.seeded(1));
 
-  /** Guards against serving without a configuration, and against waiting for ever for peers. */
+  /** Guards against serving without a configuration, and against waiting forever for peers. */
   @Test
-  void shouldServeAfterFirstConfigurationAndAtMostTwoSecondsForPeers() {
+  void shouldServeAfterFirstConfigurationAndTwoSecondsWithoutPeers() {
     clock.advance(Duration.ofMinutes(1));
     loop.runRound();
     assertThat(phase()).isEqualTo(HostPhase.STARTING);
@@ -60,20 +61,20 @@
     assertThat(phase()).isEqualTo(HostPhase.SERVING);
   }
 
-  /** Guards against serving with a revision that peers know to be outdated. */
+  /** Guards against serving with a configuration that a peer knows to be outdated. */
   @Test
-  void shouldServeOnceItHasTheHighestRevisionThatPeersName() {
+  void shouldServeOnceItHasHighestRevisionOfPeers() {
     configure(1);
-    hear("peer-1", 1);
-    hear("peer-2", 2);
-    hear("peer-3", 1);
+    receiveHeartbeat("peer-1", 1);
+    receiveHeartbeat("peer-2", 2);
+    receiveHeartbeat("peer-3", 1);
     assertThat(phase()).isEqualTo(HostPhase.STARTING);
 
     configure(2);
     assertThat(phase()).isEqualTo(HostPhase.SERVING);
   }
 
-  /** Guards against a stop that interrupts a request while time is left. */
+  /** Guards against a stop that interrupts a session before the deadline. */
   @Test
   void shouldStopWhenLastSessionHasEnded() {
     serve();
@@ -93,7 +94,7 @@
     assertThat(phase()).isEqualTo(HostPhase.STOPPED);
   }
 
-  /** Guards against a session that keeps a host from stopping. */
+  /** Guards against an open session that keeps a host from stopping forever. */
   @Test
   void shouldStopAtDeadline() {
     serve();
@@ -112,7 +113,7 @@
     assertThat(phase()).isEqualTo(HostPhase.STOPPED);
   }
 
-  /** Guards against peers that go on giving share to a host that stops. */
+  /** Guards against peers that go on giving a stopping host a share of the workspaces' rates. */
   @Test
   void shouldTellPeersOfPlannedStopAtOnce() {
     serve();
@@ -143,7 +144,7 @@
     loop.runRound();
   }
 
-  private void hear(String peer, long revision) {
+  private void receiveHeartbeat(String peer, long revision) {
     HostEntry sender = SpreadFleet.entry(peer, "zone-0");
     Heartbeat heartbeat =
         new Heartbeat(
--- a/core/src/test/java/org/persimmonwalk/internal/control/drain/package-info.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/drain/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of starting and stopping. */
+/** Tests of the start and the planned stop of a host. */
 package org.persimmonwalk.internal.control.drain;
