Reword the blackboard and the control loop

They now say what a round does, on which thread listeners and controllers run, what each entry holds, and what the parameters of ControlThread.start bound.

--- a/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
@@ -9,8 +9,8 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * The control state of one entry host. It belongs to the control thread; other threads read a
- * {@link Snapshot}.
+ * The control state of one host. Only the control thread uses it; other threads read a {@link
+ * Snapshot}.
  *
  * <p>Example:
  *
@@ -45,12 +45,14 @@
     values.put(key, Objects.requireNonNull(value, "value"));
   }
 
-  /** Returns this round's observations of the given type, in the order in which they came. */
+  /**
+   * Returns this round's observations of the given type, in the order in which they were queued.
+   */
   public <T extends Observation> Stream<T> observations(Class<T> type) {
     return observations.stream().filter(type::isInstance).map(type::cast);
   }
 
-  /** Asks for a command to be carried out after the round. */
+  /** Submits a command, which is executed after the round. */
   public void submit(Command command) {
     commands.add(Objects.requireNonNull(command, "command"));
   }
--- a/core/src/main/java/org/persimmonwalk/blackboard/Command.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Command.java
@@ -1,4 +1,4 @@
 package org.persimmonwalk.blackboard;
 
-/** An action outside the control thread that a controller asks for. */
+/** An action that a controller submits and that is carried out outside the control thread. */
 public interface Command {}
--- a/core/src/main/java/org/persimmonwalk/blackboard/ControlLoop.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/ControlLoop.java
@@ -13,7 +13,9 @@
 import org.persimmonwalk.port.RandomSource;
 
 /**
- * Runs the controllers in rounds on one thread.
+ * Runs the controllers in rounds on one thread. In a round, each controller in turn processes the
+ * observations queued so far; then the loop publishes a snapshot and executes the submitted
+ * commands.
  *
  * <p>Any thread may call {@link #post} and {@link #snapshot}; only the control thread may call the
  * other methods.
@@ -53,8 +55,8 @@
   }
 
   /**
-   * Queues an observation for the next round. An observation that may be dropped is dropped and
-   * counted when more than 16,384 wait.
+   * Queues an observation for the next round. A droppable observation is dropped and counted
+   * instead if 16,384 or more observations are queued.
    */
   public void post(Observation observation) {
     if (observation.droppable() && queue.size() >= DROPPABLE_LIMIT) {
@@ -74,13 +76,13 @@
     return snapshot;
   }
 
-  /** Adds a listener for published snapshots. */
+  /** Adds a listener, which is called on the control thread with each published snapshot. */
   public void addListener(SnapshotListener listener) {
     listeners.add(listener);
   }
 
   /**
-   * Waits for an observation, at most for the given time, and runs a round.
+   * Waits for an observation, at most for the given time, and then runs a round in either case.
    *
    * @throws InterruptedException if the thread is interrupted while it waits
    */
@@ -93,7 +95,7 @@
     runRound(batch);
   }
 
-  /** Runs a round with the observations that wait. */
+  /** Runs a round with the queued observations, also if there are none. */
   public void runRound() {
     runRound(new ArrayList<>());
   }
--- a/core/src/main/java/org/persimmonwalk/blackboard/ControlThread.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/ControlThread.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** The one thread that runs a host's control loop. */
+/** The single thread that runs a host's control loop. */
 public final class ControlThread {
   private static final long STOP_TIMEOUT_SECONDS = 5;
 
@@ -19,19 +19,24 @@
   /**
    * Starts the thread.
    *
-   * @param longestGap timers of the controllers are checked at least this often
+   * @param loop the loop to run
+   * @param maximumWait the longest wait for an observation before a round runs without one; the
+   *     timers of the controllers are late by up to this time
    * @param name the name of the thread
-   * @param failures is told of each round that failed; the next round goes on
+   * @param failureHandler receives the exception of each round that failed; the rounds continue
    */
   public static ControlThread start(
-      ControlLoop loop, Duration longestGap, String name, Consumer<RuntimeException> failures) {
+      ControlLoop loop,
+      Duration maximumWait,
+      String name,
+      Consumer<RuntimeException> failureHandler) {
     ExecutorService executor = Executors.newSingleThreadExecutor(task -> new Thread(task, name));
-    executor.execute(() -> run(loop, longestGap, failures));
+    executor.execute(() -> run(loop, maximumWait, failureHandler));
     return new ControlThread(executor);
   }
 
   /**
-   * Ends the thread after the round that runs.
+   * Interrupts the thread, which ends after the current round, and waits for it.
    *
    * @return whether the thread ended within 5 s
    */
@@ -46,14 +51,14 @@
   }
 
   private static void run(
-      ControlLoop loop, Duration longestGap, Consumer<RuntimeException> failures) {
+      ControlLoop loop, Duration maximumWait, Consumer<RuntimeException> failureHandler) {
     while (!Thread.currentThread().isInterrupted()) {
       try {
-        loop.awaitAndRunRound(longestGap);
+        loop.awaitAndRunRound(maximumWait);
       } catch (InterruptedException e) {
         return;
       } catch (RuntimeException e) {
-        failures.accept(e);
+        failureHandler.accept(e);
       }
     }
   }
--- a/core/src/main/java/org/persimmonwalk/blackboard/Controller.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Controller.java
@@ -1,11 +1,12 @@
 package org.persimmonwalk.blackboard;
 
 /**
- * Reads entries of the blackboard and writes entries of its own concern. A controller does no input
- * or output and calls no other controller.
+ * A part of the control logic. It reads any entry of the blackboard and writes only the entries
+ * that it owns. A controller runs on the control thread, does no input or output and calls no other
+ * controller.
  */
 public interface Controller {
 
-  /** Reads this round's observations and entries, and writes entries and commands. */
+  /** Reads this round's observations and the entries, writes entries and submits commands. */
   void run(Blackboard blackboard, RoundContext context);
 }
--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -35,22 +35,22 @@
   public static final EntryKey<Optional<MonotonicTime>> FRESHNESS =
       EntryKey.of("freshness", Optional.empty());
 
-  /** The revisions that peers have named. */
+  /** The configuration revisions that peers have named. */
   public static final EntryKey<PeerRevisions> PEER_REVISIONS =
       EntryKey.of("peerRevisions", PeerRevisions.NONE);
 
-  /** The keys that open workspaces. */
+  /** The caller keys that are valid, by their hashes. */
   public static final EntryKey<Map<KeyHash, CallerKey>> VALID_KEYS =
       EntryKey.of("validKeys", Map.of());
 
-  /** Keys that were valid since the start of this host and no longer are. */
+  /** The keys that were valid at some time since this host started and no longer are. */
   public static final EntryKey<Map<KeyHash, WorkspaceId>> WITHDRAWN_KEYS =
       EntryKey.of("withdrawnKeys", Map.of());
 
   /** The zones and endpoints of the other entry hosts that are known, live or not. */
   public static final EntryKey<Map<EntryHostId, HostEntry>> HOSTS = EntryKey.of("hosts", Map.of());
 
-  /** The entry hosts that are live; this host is among them unless it stops. */
+  /** The entry hosts that are live; includes this host unless it is stopping. */
   public static final EntryKey<Set<EntryHostId>> LIVE_HOSTS = EntryKey.of("liveHosts", Set.of());
 
   /** The demand at this host, in statements per second. */
@@ -60,14 +60,14 @@
   public static final EntryKey<Map<EntryHostId, Map<WorkspaceId, Double>>> PEER_DEMAND =
       EntryKey.of("peerDemand", Map.of());
 
-  /** What this host does for callers. */
+  /** Whether this host serves callers. */
   public static final EntryKey<HostPhase> HOST_PHASE = EntryKey.of("hostPhase", HostPhase.STARTING);
 
-  /** When a stopping host ends the sessions that are left. */
+  /** When a stopping host ends the remaining sessions. */
   public static final EntryKey<Optional<MonotonicTime>> DRAIN_DEADLINE =
       EntryKey.of("drainDeadline", Optional.empty());
 
-  /** This host's part of the rate and burst of each workspace. */
+  /** This host's leased share of the rate and burst of each workspace. */
   public static final EntryKey<Map<WorkspaceId, ShareLease>> SHARES =
       EntryKey.of("shares", Map.of());
 
@@ -83,7 +83,10 @@
   public static final EntryKey<Map<DatabaseGroupId, Promotion>> PROMOTIONS =
       EntryKey.of("promotions", Map.of());
 
-  /** The servers that this host has told, or is about to tell, to follow a primary. */
+  /**
+   * The servers that do not follow the primary of their group, with the time at which this host
+   * sends the next command to follow it.
+   */
   public static final EntryKey<Map<BackendServerId, FollowOrder>> FOLLOW_ORDERS =
       EntryKey.of("followOrders", Map.of());
 
--- a/core/src/main/java/org/persimmonwalk/blackboard/Observation.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Observation.java
@@ -1,6 +1,6 @@
 package org.persimmonwalk.blackboard;
 
-/** Something that an executor or a traffic thread has seen and reports to the control thread. */
+/** An event or the result of a command that another thread reports to the control thread. */
 public interface Observation {
 
   /**
--- a/core/src/main/java/org/persimmonwalk/blackboard/RoundContext.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/RoundContext.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.port.RandomSource;
 
-/** The time and the randomness that controllers may use in one round. */
+/** The time and the source of random numbers that controllers use in one round. */
 public record RoundContext(MonotonicTime now, RandomSource random) {
 
   /** Checks that both parts are present. */
--- a/core/src/main/java/org/persimmonwalk/blackboard/Snapshot.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Snapshot.java
@@ -39,7 +39,7 @@
     return round;
   }
 
-  /** Returns when the round ended. */
+  /** Returns the time of the round, which was read when the round began. */
   public MonotonicTime publishedAt() {
     return publishedAt;
   }
--- a/core/src/main/java/org/persimmonwalk/blackboard/SnapshotListener.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/SnapshotListener.java
@@ -1,8 +1,11 @@
 package org.persimmonwalk.blackboard;
 
-/** Is told of each published snapshot, on the control thread; must return quickly. */
+/**
+ * Receives each published snapshot on the control thread. It must return quickly because the
+ * round's commands and the next round wait for it.
+ */
 public interface SnapshotListener {
 
-  /** Takes note of a new snapshot. */
+  /** Called with the snapshot of a round before the round's commands are executed. */
   void published(Snapshot snapshot);
 }
--- a/core/src/main/java/org/persimmonwalk/blackboard/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/package-info.java
@@ -1,2 +1,5 @@
-/** The blackboard of an entry host, its controllers and the control loop. */
+/**
+ * The blackboard, which holds the control state of a host, and the control loop and thread that run
+ * the controllers on it. Other threads post observations, read snapshots and carry out commands.
+ */
 package org.persimmonwalk.blackboard;
