Reword the comments of the commands

"Asks a backend server to promise a term to a host and to stop as primary or replica" and "discards what its log has beyond that primary's log" did not use the terms fence and log record. The package comment now says who carries the commands out, when, and how results come back.

--- a/core/src/main/java/org/persimmonwalk/command/FenceServer.java
+++ b/core/src/main/java/org/persimmonwalk/command/FenceServer.java
@@ -7,8 +7,8 @@
 import org.persimmonwalk.model.Term;
 
 /**
- * Asks a backend server to promise a term to a host and to stop as primary or replica of any lower
- * term. Idempotent for the same term and host.
+ * Fences a backend server: it promises the term to the host and stops being primary or replica in
+ * any lower term. Idempotent for the same term and host.
  */
 public record FenceServer(BackendServer server, Term term, EntryHostId host) implements Command {
 
--- a/core/src/main/java/org/persimmonwalk/command/FollowPrimary.java
+++ b/core/src/main/java/org/persimmonwalk/command/FollowPrimary.java
@@ -6,8 +6,8 @@
 import org.persimmonwalk.model.Term;
 
 /**
- * Makes a backend server a replica of the primary of the given term and discards what its log has
- * beyond that primary's log. Idempotent.
+ * Makes a backend server a replica of the primary of the given term. The server discards log
+ * records that the primary's log does not have. Idempotent.
  */
 public record FollowPrimary(BackendServer server, Term term, BackendServer primary)
     implements Command {
--- a/core/src/main/java/org/persimmonwalk/command/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/command/package-info.java
@@ -1,2 +1,5 @@
-/** Commands that controllers ask executors to carry out. */
+/**
+ * The commands that controllers submit. A {@link org.persimmonwalk.port.CommandExecutor} carries
+ * them out after the round and posts their results as observations.
+ */
 package org.persimmonwalk.command;
