Reword the comments of the identifiers

"one granting of a share" and "a session that a caller has named" now read "one grant" and "a session; the caller chooses it", and the package comment says why identifiers have types of their own.

--- a/core/src/main/java/org/persimmonwalk/id/GrantId.java
+++ b/core/src/main/java/org/persimmonwalk/id/GrantId.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.internal.check.Names;
 
-/** Identifies one granting of a share or an allowance to an entry host; a renewal has a new one. */
+/** Identifies one grant of a share or an allowance to an entry host; a renewal has a new one. */
 public record GrantId(String value) implements Comparable<GrantId> {
 
   /** Checks the text of the identifier. */
--- a/core/src/main/java/org/persimmonwalk/id/IdempotencyKey.java
+++ b/core/src/main/java/org/persimmonwalk/id/IdempotencyKey.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.internal.check.Names;
 
-/** Names a statement that may be repeated without running twice. */
+/** Identifies a statement, so that a retry of it does not run it twice. */
 public record IdempotencyKey(String value) implements Comparable<IdempotencyKey> {
 
   /** Checks the text of the identifier. */
--- a/core/src/main/java/org/persimmonwalk/id/ReleaseNoteId.java
+++ b/core/src/main/java/org/persimmonwalk/id/ReleaseNoteId.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.internal.check.Names;
 
-/** Identifies a release note; chosen by the operator's client. */
+/** Identifies a release note; the operator's client chooses it. */
 public record ReleaseNoteId(String value) implements Comparable<ReleaseNoteId> {
 
   /** Checks the text of the identifier. */
--- a/core/src/main/java/org/persimmonwalk/id/SessionId.java
+++ b/core/src/main/java/org/persimmonwalk/id/SessionId.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.internal.check.Names;
 
-/** Identifies a session that a caller has named. */
+/** Identifies a session; the caller chooses it. */
 public record SessionId(String value) implements Comparable<SessionId> {
 
   /** Checks the text of the identifier. */
--- a/core/src/main/java/org/persimmonwalk/id/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/id/package-info.java
@@ -1,2 +1,2 @@
-/** Value types for identifiers. */
+/** Value types for identifiers, so that identifiers of different things cannot be confused. */
 package org.persimmonwalk.id;
