--- a/core/src/main/java/org/persimmonwalk/observation/ConfigurationLoaded.java
+++ b/core/src/main/java/org/persimmonwalk/observation/ConfigurationLoaded.java
@@ -9,7 +9,7 @@
  * A configuration arrived from the platform, a peer or the settings.
  *
  * @param configuration the configuration
- * @param currentAt when the configuration was known to be the newest
+ * @param currentAt a time at which the configuration was known to be the newest
  */
 public record ConfigurationLoaded(Configuration configuration, MonotonicTime currentAt)
     implements Observation {
--- a/core/src/main/java/org/persimmonwalk/observation/ConnectionsCounted.java
+++ b/core/src/main/java/org/persimmonwalk/observation/ConnectionsCounted.java
@@ -6,12 +6,13 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * The connections of this host to a backend server.
+ * The number of connections of this host to a backend server was counted.
  *
  * @param server the backend server
  * @param open connections that are open or being opened
- * @param wanted connections that the traffic of the last seconds needed at its peak
- * @param obeyed when the snapshot was published whose allowance no connection opened later exceeds
+ * @param wanted connections that the traffic of the last few seconds needed at its peak
+ * @param obeyed when the newest snapshot that the host applies was published; no further connection
+ *     is opened beyond that snapshot's allowance
  */
 public record ConnectionsCounted(BackendServerId server, int open, int wanted, MonotonicTime obeyed)
     implements Observation {
--- a/core/src/main/java/org/persimmonwalk/observation/DemandMeasured.java
+++ b/core/src/main/java/org/persimmonwalk/observation/DemandMeasured.java
@@ -6,12 +6,12 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * What callers of a workspace ask of this host.
+ * The demand of a workspace's callers at this host was measured.
  *
  * @param workspace the workspace
  * @param demand statements per second, admitted or not
- * @param tokens statements that the workspace could run at once when this was measured
- * @param measuredAt when this was measured
+ * @param tokens tokens in the workspace's bucket: statements that it could run at once
+ * @param measuredAt when demand and tokens were measured
  */
 public record DemandMeasured(
     WorkspaceId workspace, double demand, double tokens, MonotonicTime measuredAt)
--- a/core/src/main/java/org/persimmonwalk/observation/PeerMessageReceived.java
+++ b/core/src/main/java/org/persimmonwalk/observation/PeerMessageReceived.java
@@ -6,8 +6,8 @@
 import org.persimmonwalk.model.PeerMessage;
 
 /**
- * A message came from another entry host. It may be dropped: a heartbeat is repeated, a request is
- * sent again, and a lost transfer of share costs share until the lease ends.
+ * A message was received from another entry host. It may be dropped: heartbeats are repeated,
+ * requests are sent again, and the share in a lost transfer is unused until its lease expires.
  */
 public record PeerMessageReceived(EntryHostId from, PeerMessage message) implements Observation {
   /** Checks that both parts are present. */
--- a/core/src/main/java/org/persimmonwalk/observation/SampleRequested.java
+++ b/core/src/main/java/org/persimmonwalk/observation/SampleRequested.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.id.DatabaseGroupId;
 
-/** A request or an acknowledgement waits for newer samples of a group. */
+/** A request or the acknowledgement of a write is waiting for newer samples of a group. */
 public record SampleRequested(DatabaseGroupId group) implements Observation {
 
   /** Checks that the group is present. */
--- a/core/src/main/java/org/persimmonwalk/observation/ServerFenced.java
+++ b/core/src/main/java/org/persimmonwalk/observation/ServerFenced.java
@@ -7,7 +7,7 @@
 import org.persimmonwalk.model.Term;
 
 /**
- * A backend server has promised a term to this host.
+ * A backend server was fenced: it has promised a term to this host.
  *
  * @param server the server
  * @param term the promised term
--- a/core/src/main/java/org/persimmonwalk/observation/ServerPromoted.java
+++ b/core/src/main/java/org/persimmonwalk/observation/ServerPromoted.java
@@ -5,7 +5,7 @@
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.model.Term;
 
-/** A backend server is the primary of the term. */
+/** A backend server was promoted and is now the primary of the term. */
 public record ServerPromoted(BackendServerId server, Term term) implements Observation {
 
   /** Checks that both parts are present. */
--- a/core/src/main/java/org/persimmonwalk/observation/TableRowReadFailed.java
+++ b/core/src/main/java/org/persimmonwalk/observation/TableRowReadFailed.java
@@ -5,7 +5,7 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.TableRow;
 
-/** A read of a row that started at the given time got no answer. */
+/** The read of a row that started at the given time failed. */
 public record TableRowReadFailed(TableRow row, MonotonicTime startedAt) implements Observation {
   /** Checks that both parts are present. */
   public TableRowReadFailed {
--- a/core/src/main/java/org/persimmonwalk/observation/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/observation/package-info.java
@@ -1,2 +1,5 @@
-/** Observations that executors and traffic threads post to the control loop. */
+/**
+ * The observations that are posted to the control loop: results of commands, messages from peers,
+ * and measurements of the traffic threads.
+ */
 package org.persimmonwalk.observation;
