--- a/core/src/main/java/org/persimmonwalk/port/CommandExecutor.java
+++ b/core/src/main/java/org/persimmonwalk/port/CommandExecutor.java
@@ -6,8 +6,8 @@
 public interface CommandExecutor {
 
   /**
-   * Starts a command; each command leads to at most one result. It must not throw, as the other
-   * commands of the round would be lost.
+   * Starts a command, which leads to at most one result. The method must not throw, because the
+   * remaining commands of the round would be lost. The control thread calls it.
    */
   void execute(Command command);
 }
--- a/core/src/main/java/org/persimmonwalk/port/HostListing.java
+++ b/core/src/main/java/org/persimmonwalk/port/HostListing.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletionStage;
 import org.persimmonwalk.model.HostEntry;
 
-/** The platform's list of live and leaving hosts, which lags. */
+/** The platform's list of live and leaving hosts, which lags behind their actual state. */
 public interface HostListing {
 
   /**
--- a/core/src/main/java/org/persimmonwalk/port/MonotonicClock.java
+++ b/core/src/main/java/org/persimmonwalk/port/MonotonicClock.java
@@ -8,7 +8,7 @@
   /** Returns the current time. */
   MonotonicTime now();
 
-  /** Returns the clock of the Java runtime. */
+  /** Returns a clock that reads {@link System#nanoTime}. */
   static MonotonicClock system() {
     return () -> MonotonicTime.of(System.nanoTime());
   }
--- a/core/src/main/java/org/persimmonwalk/port/PeerMessenger.java
+++ b/core/src/main/java/org/persimmonwalk/port/PeerMessenger.java
@@ -7,7 +7,7 @@
 /** Sends messages to other entry hosts. */
 public interface PeerMessenger {
 
-  /** What became of a message at the sender; it says nothing of its arrival. */
+  /** The outcome of a message at the sender; it does not show whether the message arrived. */
   enum SendOutcome {
     /** The message was handed to the network. */
     SENT,
--- a/core/src/main/java/org/persimmonwalk/port/TableService.java
+++ b/core/src/main/java/org/persimmonwalk/port/TableService.java
@@ -18,7 +18,7 @@
 
   /**
    * Replaces a row if it still has the expected version. The stage does not fail; the result says
-   * what is known of the outcome.
+   * whether the row was written, as far as this is known.
    */
   CompletionStage<WriteResult> compareAndSet(TableRow row, RowVersion expected, RowValue value);
 }
--- a/core/src/main/java/org/persimmonwalk/port/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/port/package-info.java
@@ -1,2 +1,5 @@
-/** Interfaces to the world outside the control thread. */
+/**
+ * Interfaces between the control logic and what lies outside it: the platform, peers, clocks,
+ * random numbers and the execution of commands. Tests use fakes of them.
+ */
 package org.persimmonwalk.port;
