Reword the configuration controller

Comments left the reader to guess: "short against the 5 s for all hosts", "a store that is read more often than once a second, or piled up while slow", "keys that a cut-off zone accepts for ever".

They now name what is retried or read and why: a load is retried well within the 5 s in which a change must reach all hosts. Tests speak of requests, retries and reads in flight.

--- a/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
@@ -24,21 +24,24 @@
 import org.persimmonwalk.observation.TableRowReadFailed;
 
 /**
- * Puts the newest configuration in force and keeps the time at which it was last known to be the
- * newest. An older configuration never replaces a newer one.
+ * Puts the newest configuration in force and records the time at which it was last known to be the
+ * newest, its freshness. An older configuration never replaces a newer one.
  *
- * <p>The configuration row is read about once a second. A higher revision is loaded from the store
- * if the row names it, and from the peer if a peer names it; the two ways are independent of each
- * other, so that a peer that does not answer does not delay the store.
+ * <p>The configuration row is read about once a second. A newer revision in the row is loaded from
+ * the store, and a newer one in a peer's heartbeat is requested from that peer. The two ways are
+ * independent, so that a peer that does not answer does not delay loading from the store.
  */
 public final class ConfigurationController implements Controller {
   private static final Duration READ_INTERVAL = Duration.ofSeconds(1);
 
-  /** A read without any answer for this long is taken as lost. */
+  /** A read without an answer for this long is treated as lost, and the next one may start. */
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(5);
 
-  /** A load without result is repeated after this time; short against the 5 s for all hosts. */
-  private static final Duration FETCH_TIMEOUT = Duration.ofMillis(800);
+  /**
+   * A load or request without a result may be repeated after this time. It is short compared with
+   * the 5 s in which a change must reach all hosts.
+   */
+  private static final Duration LOAD_TIMEOUT = Duration.ofMillis(800);
 
   private Optional<MonotonicTime> nextReadAt = Optional.empty();
   private Optional<MonotonicTime> readStartedAt = Optional.empty();
@@ -92,7 +95,7 @@
         blackboard.get(Entries.PEER_REVISIONS).with(from, heartbeat.revision()));
     Revision own = blackboard.get(Entries.CONFIGURATION).revision();
     if (heartbeat.revision().isNewerThan(own)) {
-      if (hasPassed(requestStartedAt, FETCH_TIMEOUT, context)) {
+      if (isUnsetOrTimedOut(requestStartedAt, LOAD_TIMEOUT, context)) {
         requestStartedAt = Optional.of(context.now());
         blackboard.submit(new SendPeerMessage(from, new ConfigurationRequest(own, context.now())));
       }
@@ -121,7 +124,7 @@
     if (row.revision().equals(own)) {
       refresh(blackboard, read.startedAt(), context);
     } else if (row.revision().isNewerThan(own)
-        && hasPassed(loadStartedAt, FETCH_TIMEOUT, context)) {
+        && isUnsetOrTimedOut(loadStartedAt, LOAD_TIMEOUT, context)) {
       loadStartedAt = Optional.of(context.now());
       blackboard.submit(new LoadConfiguration(row.revision()));
     }
@@ -145,28 +148,28 @@
   }
 
   /**
-   * Moves the freshness forward. It stays when a newer revision arrives: if the former revision was
-   * the newest at that time, the newer one was accepted later.
+   * Moves the freshness forward. It is kept when a newer revision arrives: if the previous revision
+   * was the newest at that time, the newer one became the newest only later.
    */
   private static void refresh(
       Blackboard blackboard, MonotonicTime currentAt, RoundContext context) {
     Optional<MonotonicTime> known = blackboard.get(Entries.FRESHNESS);
-    boolean newer = known.isEmpty() || currentAt.isAfter(known.get());
-    if (newer && !currentAt.isAfter(context.now())) {
+    boolean later = known.isEmpty() || currentAt.isAfter(known.get());
+    if (later && !currentAt.isAfter(context.now())) {
       blackboard.put(Entries.FRESHNESS, Optional.of(currentAt));
     }
   }
 
   private void readWhenDue(Blackboard blackboard, RoundContext context) {
     boolean due = nextReadAt.isEmpty() || !context.now().isBefore(nextReadAt.get());
-    if (due && hasPassed(readStartedAt, READ_TIMEOUT, context)) {
+    if (due && isUnsetOrTimedOut(readStartedAt, READ_TIMEOUT, context)) {
       readStartedAt = Optional.of(context.now());
       nextReadAt = Optional.of(Jitter.after(context, READ_INTERVAL));
       blackboard.submit(new ReadTableRow(ConfigurationRow.ROW));
     }
   }
 
-  private static boolean hasPassed(
+  private static boolean isUnsetOrTimedOut(
       Optional<MonotonicTime> startedAt, Duration timeout, RoundContext context) {
     return startedAt.isEmpty() || context.now().since(startedAt.get()).compareTo(timeout) >= 0;
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/configuration/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/configuration/package-info.java
@@ -1,2 +1,2 @@
-/** Which configuration is in force. */
+/** Keeps the newest configuration in force, from the store or from a peer that has it first. */
 package org.persimmonwalk.internal.control.configuration;
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
@@ -40,7 +40,7 @@
       ControlLoop.of(
           List.of(ConfigurationController.create()), executor, clock, RandomSource.seeded(1));
 
-  /** Guards against a stale read of the store, which comes late, that undoes a change. */
+  /** Guards against a delayed, stale read from the store that undoes a change. */
   @Test
   void shouldKeepRevisionFromPeerWhenStoreAnswersWithOlderOne() {
     MonotonicTime start = clock.now();
@@ -56,9 +56,11 @@
     assertThat(executor.take(LoadConfiguration.class)).isEmpty();
   }
 
-  /** Guards against a stale read that is taken as proof that the revision is the newest. */
+  /**
+   * Guards against a read of another revision that counts as proof that the own one is the newest.
+   */
   @Test
-  void shouldNotRefreshFreshnessByReadOfOtherRevision() {
+  void shouldNotUpdateFreshnessOnReadOfOtherRevision() {
     loop.post(new ConfigurationLoaded(Configurations.of(5, 1, 1), clock.now()));
     loop.runRound();
     MonotonicTime loadedAt = clock.now();
@@ -75,9 +77,9 @@
     assertThat(loop.snapshot().get(Entries.FRESHNESS)).contains(readAt);
   }
 
-  /** Guards against freshness that counts from the arrival of a message that was held up. */
+  /** Guards against freshness that is counted from the arrival of a delayed message. */
   @Test
-  void shouldCountFreshnessOfPeerFromQuestionAndNotFromAnswer() {
+  void shouldCountFreshnessOfPeerFromRequestAndNotFromAnswer() {
     loop.post(new ConfigurationLoaded(Configurations.of(5, 1, 1), clock.now()));
     loop.runRound();
     clock.advance(Duration.ofMinutes(1));
@@ -94,9 +96,9 @@
         .contains(askedAt.minus(Duration.ofSeconds(2)));
   }
 
-  /** Guards against many requests for one revision, and against none after a lost answer. */
+  /** Guards against many requests for one revision, and against no retry after a lost answer. */
   @Test
-  void shouldAskOnePeerAtATimeAndAskAgainAfterLostAnswer() {
+  void shouldRequestFromOnePeerAtATimeAndRetryAfterLostAnswer() {
     loop.post(new ConfigurationLoaded(Configurations.of(1, 1, 1), clock.now()));
     loop.post(new PeerMessageReceived(PEER, heartbeat(2, Optional.empty(), Optional.empty())));
     loop.post(new PeerMessageReceived(PEER, heartbeat(2, Optional.empty(), Optional.empty())));
@@ -111,9 +113,9 @@
     assertThat(executor.take(SendPeerMessage.class)).hasSize(1);
   }
 
-  /** Guards against a store that is read more often than once a second, or piled up while slow. */
+  /** Guards against reads more often than once a second, and reads that pile up at a slow store. */
   @Test
-  void shouldReadRowOnceASecondAndNotWhileAReadIsOpen() {
+  void shouldReadRowOnceASecondAndNotWhileAReadIsInFlight() {
     int answered = 0;
     for (int step = 0; step < 1000; step++) {
       loop.runRound();
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationSpreadTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationSpreadTest.java
@@ -26,14 +26,14 @@
 class ConfigurationSpreadTest {
   private static final Duration STEP = Duration.ofMillis(50);
 
-  /** Shorter than the default, so that the test runs fewer rounds. */
-  private static final Duration GRACE = Duration.ofMinutes(1);
+  /** Shorter than the default grace period, so that the test runs fewer rounds. */
+  private static final Duration GRACE_PERIOD = Duration.ofMinutes(1);
 
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("workspace-0");
   private static final Optional<KeyHash> KEY = Optional.of(KeyHash.ofKey("key-0"));
 
   private final SpreadFleet fleet = SpreadFleet.of(STEP, (from, to, message) -> 0);
-  private final KeyPolicy policy = KeyPolicy.of(GRACE);
+  private final KeyPolicy policy = KeyPolicy.of(GRACE_PERIOD);
 
   @BeforeEach
   void startHosts() {
@@ -51,32 +51,32 @@
         .filter(host -> !host.entry().zone().value().equals("zone-0"))
         .forEach(host -> host.setStoreReachable(false));
     fleet.run(Duration.ofSeconds(10));
-    assertThat(fleet.hosts()).allSatisfy(host -> assertThat(check(host)).isEmpty());
+    assertThat(fleet.hosts()).allSatisfy(host -> assertThat(verifyKey(host)).isEmpty());
 
     withdrawKey();
     fleet.run(Duration.ofSeconds(5));
 
     assertThat(fleet.hosts())
-        .allSatisfy(host -> assertThat(check(host)).contains(ResultCode.KEY_WITHDRAWN));
+        .allSatisfy(host -> assertThat(verifyKey(host)).contains(ResultCode.KEY_WITHDRAWN));
   }
 
-  /** Guards against keys that a cut-off zone accepts for ever, and against refusing too early. */
+  /** Guards against hosts without the store that accept keys forever, or refuse them too early. */
   @Test
-  void shouldRefuseKeysAfterGraceWithoutFreshnessOnly() {
+  void shouldRefuseKeysOnlyAfterGracePeriodWithoutFreshness() {
     fleet.hosts().forEach(host -> host.setStoreReachable(false));
-    fleet.run(GRACE.minusSeconds(3));
-    assertThat(fleet.hosts()).allSatisfy(host -> assertThat(check(host)).isEmpty());
+    fleet.run(GRACE_PERIOD.minusSeconds(3));
+    assertThat(fleet.hosts()).allSatisfy(host -> assertThat(verifyKey(host)).isEmpty());
 
     fleet.run(Duration.ofSeconds(4));
     assertThat(fleet.hosts())
-        .allSatisfy(host -> assertThat(check(host)).contains(ResultCode.KEYS_UNVERIFIED));
+        .allSatisfy(host -> assertThat(verifyKey(host)).contains(ResultCode.KEYS_UNVERIFIED));
 
     fleet.hosts().get(0).setStoreReachable(true);
     fleet.run(Duration.ofSeconds(10));
-    assertThat(fleet.hosts()).allSatisfy(host -> assertThat(check(host)).isEmpty());
+    assertThat(fleet.hosts()).allSatisfy(host -> assertThat(verifyKey(host)).isEmpty());
   }
 
-  /** Guards against a restarted host that serves with an older revision than the fleet has. */
+  /** Guards against a restarted host that serves with an older revision than the other hosts. */
   @Test
   void shouldNotServeOlderRevisionAfterRestartWithStaleStoreRead() {
     withdrawKey();
@@ -105,7 +105,7 @@
                 Revision.of(2), first.note(), first.workspaces(), Map.of(), first.groups()));
   }
 
-  private Optional<ResultCode> check(SpreadHost host) {
+  private Optional<ResultCode> verifyKey(SpreadHost host) {
     return policy.verify(host.snapshot(), WORKSPACE, KEY, fleet.clock().now());
   }
 
