Reword the key controller

"A key that is forgotten" was never stored: a key beyond the limit of withdrawn keys is not kept, which the comment now says.

--- a/core/src/main/java/org/persimmonwalk/internal/control/key/KeyController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/key/KeyController.java
@@ -10,10 +10,13 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.CallerKey;
 
-/** Takes the valid keys from the configuration and remembers those that were withdrawn. */
+/**
+ * Publishes the valid keys of the configuration, and the keys that were withdrawn since this host
+ * started.
+ */
 public final class KeyController implements Controller {
-  /** Bounds the memory for withdrawn keys; a key that is forgotten is rejected as unknown. */
-  private static final int WITHDRAWN_LIMIT = 10_000;
+  /** Bounds the memory for withdrawn keys; a key beyond the limit is rejected as unknown. */
+  private static final int MAX_WITHDRAWN_KEYS = 10_000;
 
   private KeyController() {}
 
@@ -25,14 +28,14 @@
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
     Map<KeyHash, CallerKey> valid = blackboard.get(Entries.CONFIGURATION).keys();
-    Map<KeyHash, CallerKey> before = blackboard.get(Entries.VALID_KEYS);
-    if (valid == before) {
+    Map<KeyHash, CallerKey> previous = blackboard.get(Entries.VALID_KEYS);
+    if (valid == previous) {
       return;
     }
     Map<KeyHash, WorkspaceId> withdrawn = new HashMap<>(blackboard.get(Entries.WITHDRAWN_KEYS));
     withdrawn.keySet().removeAll(valid.keySet());
-    for (CallerKey key : before.values()) {
-      if (!valid.containsKey(key.hash()) && withdrawn.size() < WITHDRAWN_LIMIT) {
+    for (CallerKey key : previous.values()) {
+      if (!valid.containsKey(key.hash()) && withdrawn.size() < MAX_WITHDRAWN_KEYS) {
         withdrawn.put(key.hash(), key.workspace());
       }
     }
