--- a/core/src/main/java/org/persimmonwalk/internal/check/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/internal/check/package-info.java
@@ -1,2 +1,2 @@
-/** Argument checks shared by value types. */
+/** Argument checks that the value types share. */
 package org.persimmonwalk.internal.check;
