--- a/core/src/main/java/org/persimmonwalk/internal/control/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/package-info.java
@@ -1,2 +1,2 @@
-/** Helpers that the controllers share. */
+/** Code that several controllers share. Each controller has its own package below this one. */
 package org.persimmonwalk.internal.control;
--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
@@ -48,32 +48,33 @@
 import org.persimmonwalk.testing.FailoverHost;
 import org.persimmonwalk.testing.FakeLinks;
 
-/** Runs a schedule of faults against three hosts and notes each invariant that is broken. */
+/** Runs a schedule of faults against three hosts and collects the invariants that are violated. */
 final class FaultSchedule {
   private static final List<String> SERVERS = List.of("a", "b", "c");
   private static final Duration WRITE_INTERVAL = Duration.ofMillis(40);
   private static final Duration PROBE_INTERVAL = Duration.ofMillis(15);
   private static final Duration ONE_WAY = Duration.ofMillis(3);
-  private static final Duration GRACE = Duration.ofSeconds(5);
-  private static final WorkspaceId OIL = WorkspaceId.of("oil");
+  private static final Duration GRACE_PERIOD = Duration.ofSeconds(5);
+  private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
 
-  /** An acknowledged write of the session that roams between the hosts. */
+  /** An acknowledged write of the one session, which reads through all hosts. */
   private record SessionWrite(long write, GroupPosition position) {}
 
-  /** A session declared without a position, and what it had written by then. */
-  private record Declared(MonotonicTime at, Optional<SessionWrite> newest) {}
+  /** A session that was opened without a position, and its newest write at that time. */
+  private record DeclaredSession(MonotonicTime at, Optional<SessionWrite> newestWrite) {}
 
+  /** A configuration and the time at which it was published. */
   private record Published(Configuration configuration, MonotonicTime at) {}
 
   private final FailoverFleet fleet;
   private final SessionRouter router = SessionRouter.of(server -> 0);
-  private final KeyPolicy keys = KeyPolicy.of(GRACE);
-  private final Set<String> broken = new HashSet<>();
+  private final KeyPolicy keys = KeyPolicy.of(GRACE_PERIOD);
+  private final Set<String> violations = new HashSet<>();
   private final List<Published> published = new ArrayList<>();
-  private final Map<EntryHostId, Declared> declared = new HashMap<>();
-  private final Map<EntryHostId, Revision> highest = new HashMap<>();
-  private final Set<EntryHostId> pausing = new HashSet<>();
-  private Optional<SessionWrite> newest = Optional.empty();
+  private final Map<EntryHostId, DeclaredSession> declaredSessions = new HashMap<>();
+  private final Map<EntryHostId, Revision> highestRevisions = new HashMap<>();
+  private final Set<EntryHostId> hostsToPause = new HashSet<>();
+  private Optional<SessionWrite> newestWrite = Optional.empty();
   private boolean serversFailed;
   private int storeFaults;
 
@@ -84,7 +85,7 @@
     fleet.time().after(PROBE_INTERVAL, this::probe);
   }
 
-  /** Runs the faults, ends them all, and returns the names of the broken invariants. */
+  /** Runs the faults, waits until all have ended, and returns the violated invariants. */
   static Set<String> run(List<FaultStep> steps, long seed) {
     FaultSchedule schedule = new FaultSchedule(seed);
     schedule.fleet.time().advance(Duration.ofSeconds(2));
@@ -94,7 +95,7 @@
     }
     schedule.fleet.time().advance(Duration.ofSeconds(25));
     schedule.checkEnd();
-    return schedule.broken;
+    return schedule.violations;
   }
 
   private List<Controller> controllers(EntryHostId host) {
@@ -108,16 +109,20 @@
     return (write, now) ->
         gate.register(
             new PendingWrite(
-                write.group(), write.written(), write.deadline(), told -> note(write, told)),
+                write.group(),
+                write.written(),
+                write.deadline(),
+                outcome -> recordOutcome(write, outcome)),
             now);
   }
 
-  private void note(PendingWrite write, AcknowledgementOutcome outcome) {
+  private void recordOutcome(PendingWrite write, AcknowledgementOutcome outcome) {
     write.callback().accept(outcome);
     if (outcome == AcknowledgementOutcome.CONFIRMED) {
       long number = fleet.acknowledged().get(fleet.acknowledged().size() - 1).write();
-      boolean later = newest.isEmpty() || write.written().compareTo(newest.get().position()) > 0;
-      newest = later ? Optional.of(new SessionWrite(number, write.written())) : newest;
+      boolean isNewer =
+          newestWrite.isEmpty() || write.written().compareTo(newestWrite.get().position()) > 0;
+      newestWrite = isNewer ? Optional.of(new SessionWrite(number, write.written())) : newestWrite;
     }
   }
 
@@ -131,31 +136,31 @@
       case PRIMARY_STOPPED -> {
         serversFailed = true;
         fleet.database().stop(primary);
-        end(step, () -> fleet.database().start(primary));
+        scheduleEnd(step, () -> fleet.database().start(primary));
       }
       case HOST_CUT_FROM_PRIMARY -> {
         fleet.links().cut(host.id().value(), primary);
-        end(step, () -> fleet.links().join(host.id().value(), primary));
+        scheduleEnd(step, () -> fleet.links().join(host.id().value(), primary));
       }
       case REPLICAS_BEHIND -> {
         fleet.database().setReplayLag(200);
-        end(step, () -> fleet.database().setReplayLag(0));
+        scheduleEnd(step, () -> fleet.database().setReplayLag(0));
       }
-      case HOST_PAUSED -> pause(host, step.holdMillis());
+      case HOST_PAUSED -> pause(host, step.durationMillis());
       case HOST_KILLED -> {
         if (step.target() > 0) {
           host.die();
         }
       }
-      case PROMOTER_PAUSED -> pausing.add(host.id());
+      case PROMOTER_PAUSED -> hostsToPause.add(host.id());
       case STORE_DOWN -> {
         storeFaults++;
         fleet.links().isolate(FakeLinks.PLATFORM);
-        end(step, this::endStoreFault);
+        scheduleEnd(step, this::endStoreFault);
       }
       case STORE_ANSWERS_LOST -> {
         fleet.tables().setPercentLost(100);
-        end(step, () -> fleet.tables().setPercentLost(0));
+        scheduleEnd(step, () -> fleet.tables().setPercentLost(0));
       }
       case KEY_REPLACED -> publish();
       default -> {
@@ -165,13 +170,13 @@
     }
   }
 
-  /** For a while hosts still reach the primary, whose writes no replica receives. */
+  /** Cuts the primary off from its replicas first, while hosts still reach it for 300 ms. */
   private void isolateFromReplicasFirst(String primary, FaultStep step) {
     serversFailed = true;
     List<String> replicas = SERVERS.stream().filter(name -> !name.equals(primary)).toList();
     replicas.forEach(replica -> fleet.links().cut(primary, replica));
     fleet.time().after(Duration.ofMillis(300), () -> fleet.links().isolate(primary));
-    end(
+    scheduleEnd(
         step,
         () -> {
           replicas.forEach(replica -> fleet.links().join(primary, replica));
@@ -182,7 +187,7 @@
   private void isolate(String server, FaultStep step) {
     serversFailed = true;
     fleet.links().isolate(server);
-    end(step, () -> fleet.links().heal(server));
+    scheduleEnd(step, () -> fleet.links().heal(server));
   }
 
   private void endStoreFault() {
@@ -197,14 +202,14 @@
     fleet.time().after(Duration.ofMillis(millis), host::resume);
   }
 
-  private void end(FaultStep step, Runnable action) {
-    fleet.time().after(Duration.ofMillis(step.holdMillis()), action);
+  private void scheduleEnd(FaultStep step, Runnable action) {
+    fleet.time().after(Duration.ofMillis(step.durationMillis()), action);
   }
 
-  /** Serves the configuration, and pauses a host in the middle of its promotion. */
+  /** Answers reads of the configuration, and pauses a host in the middle of a promotion. */
   private void observe(FailoverHost host, Command command) {
     boolean promoting = command instanceof FenceServer || command instanceof PromoteServer;
-    if (promoting && pausing.remove(host.id())) {
+    if (promoting && hostsToPause.remove(host.id())) {
       pause(host, 1200);
     }
     if (storeFaults > 0) {
@@ -229,22 +234,24 @@
     fleet.time().after(ONE_WAY.multipliedBy(2), action);
   }
 
-  /** Publishes the next revision, whose only key differs from those before. */
+  /** Publishes the next revision, whose only key differs from those of earlier revisions. */
   private void publish() {
     int number = published.size() + 2;
-    CallerKey key = key(published.size());
+    CallerKey key = callerKey(published.size());
     Configuration next =
         new Configuration(
             Revision.of(number),
             ReleaseNoteId.of("note-" + number),
-            Map.of(OIL, Workspace.of(OIL, 100, 20, Set.of(fleet.database().configuration().id()))),
+            Map.of(
+                WORKSPACE,
+                Workspace.of(WORKSPACE, 100, 20, Set.of(fleet.database().configuration().id()))),
             Map.of(key.hash(), key),
             Map.of(fleet.database().configuration().id(), fleet.database().configuration()));
     published.add(new Published(next, fleet.now()));
   }
 
-  private static CallerKey key(int index) {
-    return Configurations.key("key-" + index, OIL.value());
+  private static CallerKey callerKey(int index) {
+    return Configurations.key("key-" + index, WORKSPACE.value());
   }
 
   private void probe() {
@@ -259,21 +266,23 @@
   }
 
   private void readWithPosition(FailoverHost host) {
-    newest.ifPresent(
+    newestWrite.ifPresent(
         write -> {
           SessionFloor floor = SessionFloor.known(write.position());
           if (route(host, floor, fleet.now()) instanceof RoutingDecision.Execute execute) {
-            read(host, execute, newest, "read-your-writes with position");
+            read(host, execute, newestWrite, "read-your-writes with position");
           }
         });
   }
 
   private void readDeclared(FailoverHost host) {
-    Declared session = declared.computeIfAbsent(host.id(), id -> new Declared(fleet.now(), newest));
+    DeclaredSession session =
+        declaredSessions.computeIfAbsent(
+            host.id(), id -> new DeclaredSession(fleet.now(), newestWrite));
     RoutingDecision decision = route(host, SessionFloor.unknown(session.at()), session.at());
     if (decision instanceof RoutingDecision.Execute execute) {
-      declared.remove(host.id());
-      read(host, execute, session.newest(), "read-your-writes of a declared session");
+      declaredSessions.remove(host.id());
+      read(host, execute, session.newestWrite(), "read-your-writes of a declared session");
     }
   }
 
@@ -301,13 +310,13 @@
             ONE_WAY,
             () -> {
               boolean answers = fleet.database().isReachable(host.id().value(), server);
-              if (answers && !expected.stream().allMatch(write -> shows(server, write))) {
-                broken.add(check);
+              if (answers && !expected.stream().allMatch(write -> contains(server, write))) {
+                violations.add(check);
               }
             });
   }
 
-  private boolean shows(String server, SessionWrite write) {
+  private boolean contains(String server, SessionWrite write) {
     ServerSample sample = fleet.database().sample(server);
     boolean replayed =
         sample.role() == ServerRole.PRIMARY
@@ -318,39 +327,41 @@
   private void checkConfiguration(FailoverHost host) {
     Snapshot snapshot = host.loop().snapshot();
     Revision revision = snapshot.get(Entries.CONFIGURATION).revision();
-    if (highest.getOrDefault(host.id(), Revision.NONE).isNewerThan(revision)) {
-      broken.add("configuration reverts");
+    if (highestRevisions.getOrDefault(host.id(), Revision.NONE).isNewerThan(revision)) {
+      violations.add("configuration went back to an older revision");
     }
-    highest.put(host.id(), revision);
+    highestRevisions.put(host.id(), revision);
     for (int index = 0; index + 1 < published.size(); index++) {
-      boolean over = fleet.now().since(published.get(index + 1).at()).compareTo(GRACE) > 0;
-      if (over && accepts(snapshot, index)) {
-        broken.add("withdrawn key works");
+      boolean expired =
+          fleet.now().since(published.get(index + 1).at()).compareTo(GRACE_PERIOD) > 0;
+      if (expired && accepts(snapshot, index)) {
+        violations.add("withdrawn key accepted after the grace period");
       }
     }
   }
 
   private boolean accepts(Snapshot snapshot, int index) {
-    return keys.verify(snapshot, OIL, Optional.of(key(index).hash()), fleet.now()).isEmpty();
+    return keys.verify(snapshot, WORKSPACE, Optional.of(callerKey(index).hash()), fleet.now())
+        .isEmpty();
   }
 
   private void checkEnd() {
     if (!fleet.lost().isEmpty()) {
-      broken.add("acknowledged write lost");
+      violations.add("acknowledged write lost");
     }
     if (fleet.acknowledged().stream().anyMatch(FailoverFleet.Acknowledged::byReplaced)) {
-      broken.add("acknowledged by a replaced primary");
+      violations.add("write acknowledged by a replaced primary");
     }
     if (!serversFailed && fleet.database().promotions() > 0) {
-      broken.add("promotion although the primary reaches its replicas");
+      violations.add("promotion although the primary reaches its replicas");
     }
     if (fleet.acknowledged().stream()
         .noneMatch(entry -> entry.term().equals(fleet.database().term()))) {
-      broken.add("no write acknowledged after the faults");
+      violations.add("no write acknowledged after the faults");
     }
     for (FailoverHost host : fleet.hosts()) {
       if (host.isRunning() && !accepts(host.loop().snapshot(), published.size() - 1)) {
-        broken.add("valid key refused after the faults");
+        violations.add("valid key refused after the faults");
       }
     }
   }
--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultScheduleTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultScheduleTest.java
@@ -24,9 +24,9 @@
 import org.persimmonwalk.testing.FakeHost;
 import org.persimmonwalk.testing.RateWitness;
 
-/** Guards against faults that break an invariant only in combination; a failure is shrunk. */
+/** Guards against faults that violate an invariant only in combination. Failures are shrunk. */
 class FaultScheduleTest {
-  private static final WorkspaceId OIL = WorkspaceId.of("oil");
+  private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
   private static final double RATE = 100;
   private static final double BURST = 40;
   private static final double ROUNDING = 1e-6;
@@ -37,35 +37,41 @@
     assertThat(FaultSchedule.run(steps, seed)).isEmpty();
   }
 
-  /** Pauses here outlast the leases of 20 s; answers of the store are lost all the time. */
+  /**
+   * Pauses may last longer than the leases of 20 s, and answers of the store are lost throughout.
+   */
   @Property(tries = 40, seed = "7316", edgeCases = EdgeCasesMode.NONE)
   void shouldKeepRateAndBurstUnderAnySchedule(
       @ForAll("schedules") List<FaultStep> steps, @ForAll @IntRange(max = 99) int seed) {
-    Workspace workspace = Workspace.of(OIL, RATE, BURST, Set.of());
+    Workspace workspace = Workspace.of(WORKSPACE, RATE, BURST, Set.of());
     Configuration configuration =
         new Configuration(
-            Revision.of(1), ReleaseNoteId.of("first"), Map.of(OIL, workspace), Map.of(), Map.of());
+            Revision.of(1),
+            ReleaseNoteId.of("first"),
+            Map.of(WORKSPACE, workspace),
+            Map.of(),
+            Map.of());
     LeaseSettings settings = new LeaseSettings(Duration.ofSeconds(20), Duration.ofSeconds(1));
     FakeFleet fleet = new FakeFleet(4, settings, configuration, seed);
-    RateWitness witness = new RateWitness(RATE);
+    RateWitness rateMeter = new RateWitness(RATE);
     fleet.store().setPercentLost(30);
-    ask(fleet, witness, Duration.ofSeconds(5));
+    sendBursts(fleet, rateMeter, Duration.ofSeconds(5));
     for (FaultStep step : steps) {
-      disturb(fleet, witness, step);
-      ask(fleet, witness, Duration.ofMillis(step.gapMillis() * 5L));
+      injectFault(fleet, rateMeter, step);
+      sendBursts(fleet, rateMeter, Duration.ofMillis(step.gapMillis() * 5L));
     }
-    ask(fleet, witness, Duration.ofSeconds(60));
-    assertThat(witness.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
-    assertThat(witness.admitted()).isGreaterThan((long) RATE);
+    sendBursts(fleet, rateMeter, Duration.ofSeconds(60));
+    assertThat(rateMeter.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
+    assertThat(rateMeter.admitted()).isGreaterThan((long) RATE);
   }
 
-  private static void disturb(FakeFleet fleet, RateWitness witness, FaultStep step) {
+  private static void injectFault(FakeFleet fleet, RateWitness rateMeter, FaultStep step) {
     FakeHost host = fleet.hosts().get(step.target() % fleet.hosts().size());
-    Duration hold = Duration.ofMillis(step.holdMillis() * 8L);
+    Duration duration = Duration.ofMillis(step.durationMillis() * 8L);
     switch (step.fault()) {
       case HOST_PAUSED, PROMOTER_PAUSED -> {
-        fleet.pause(host, hold);
-        fleet.time().after(hold, () -> pulse(fleet, witness));
+        fleet.pause(host, duration);
+        fleet.time().after(duration, () -> sendBurst(fleet, rateMeter));
       }
       case HOST_KILLED -> {
         if (fleet.hosts().size() > 2) {
@@ -74,32 +80,32 @@
       }
       case STORE_DOWN -> {
         fleet.store().setDown(true);
-        fleet.time().after(hold, () -> fleet.store().setDown(false));
+        fleet.time().after(duration, () -> fleet.store().setDown(false));
       }
       case HOST_CUT_FROM_PRIMARY, SERVER_ISOLATED -> {
         fleet.network().setSplit(true);
-        fleet.time().after(hold, () -> fleet.network().setSplit(false));
+        fleet.time().after(duration, () -> fleet.network().setSplit(false));
       }
       default -> {
         fleet.network().setPercentDisturbed(20);
-        fleet.time().after(hold, () -> fleet.network().setPercentDisturbed(0));
+        fleet.time().after(duration, () -> fleet.network().setPercentDisturbed(0));
       }
     }
   }
 
-  /** Asks in pulses, so that buckets are full when a paused host goes on. */
-  private static void ask(FakeFleet fleet, RateWitness witness, Duration span) {
+  /** Sends statements in bursts, so that buckets are full when a paused host resumes. */
+  private static void sendBursts(FakeFleet fleet, RateWitness rateMeter, Duration span) {
     Duration interval = Duration.ofMillis(500);
     for (long count = 0; count < span.dividedBy(interval); count++) {
       fleet.time().advance(interval);
-      pulse(fleet, witness);
+      sendBurst(fleet, rateMeter);
     }
   }
 
-  private static void pulse(FakeFleet fleet, RateWitness witness) {
+  private static void sendBurst(FakeFleet fleet, RateWitness rateMeter) {
     for (FakeHost host : fleet.hosts()) {
-      for (int count = 0; count < 2 * BURST && host.admit(OIL); count++) {
-        witness.admitted(fleet.time().now());
+      for (int count = 0; count < 2 * BURST && host.admit(WORKSPACE); count++) {
+        rateMeter.admitted(fleet.time().now());
       }
     }
   }
--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultStep.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultStep.java
@@ -3,13 +3,15 @@
 /**
  * One fault of a schedule.
  *
- * @param target which host or server it meets, where the fault does not say that
- * @param holdMillis how long the fault lasts
+ * @param target the index of the affected host or server, unless the kind of fault determines it
+ * @param durationMillis how long the fault lasts
  * @param gapMillis the time from this fault to the next one
  */
-record FaultStep(Fault fault, int target, int holdMillis, int gapMillis) {
+record FaultStep(Fault fault, int target, int durationMillis, int gapMillis) {
 
-  /** What may happen; all but the death of a host and the release notes end after a time. */
+  /**
+   * The kinds of fault. All end after a time, except the death of a host and configuration changes.
+   */
   enum Fault {
     PRIMARY_ISOLATED,
     PRIMARY_STOPPED,
--- a/core/src/test/java/org/persimmonwalk/internal/control/package-info.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of several controllers together. */
+/** Tests that run several controllers together under random faults. */
 package org.persimmonwalk.internal.control;
--- a/core/src/test/java/org/persimmonwalk/internal/control/share/ShareSafetyTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/share/ShareSafetyTest.java
@@ -36,7 +36,7 @@
   private static final LeaseSettings SETTINGS =
       new LeaseSettings(Duration.ofSeconds(60), Duration.ofSeconds(1));
 
-  private final RateWitness witness = new RateWitness(RATE);
+  private final RateWitness rateMeter = new RateWitness(RATE);
   private FakeFleet fleet;
 
   @ParameterizedTest
@@ -54,10 +54,10 @@
       }
     }
     recover();
-    long before = witness.admitted();
+    long before = rateMeter.admitted();
     run(Duration.ofSeconds(20), fleet.hosts());
-    assertThat(witness.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
-    assertThat(witness.admitted() - before).isGreaterThan((long) (0.8 * RATE * 20));
+    assertThat(rateMeter.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
+    assertThat(rateMeter.admitted() - before).isGreaterThan((long) (0.8 * RATE * 20));
   }
 
   @Test
@@ -110,7 +110,7 @@
     run(Duration.ofSeconds(10), List.of(busy));
 
     assertThat(rate(busy)).isGreaterThan(0.8 * RATE);
-    assertThat(witness.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
+    assertThat(rateMeter.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
   }
 
   @Test
@@ -165,7 +165,7 @@
         int statements = fleet.random().nextInt(host.equals(loaded.get(0)) ? 5 : 2);
         for (int i = 0; i < statements; i++) {
           if (host.admit(WORKSPACE)) {
-            witness.admitted(fleet.time().now());
+            rateMeter.admitted(fleet.time().now());
           }
         }
       }
