Reword the engine's entries, observations and commands

Summary lines left the reader to guess which record answers which, and parameters were described in private words: "Asks the relay of the zone" and "names the question towards the transport". "Tokens that are left lapse" is "the remaining tokens expire".

The roles RELAYING and RELAYED were hard to tell apart; they are RELAY and CLIENT. ServerListing, next to ServerList, is ServerListVersion, and TokenAsks is TokenRequests.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/AskRelay.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/AskRelay.java
@@ -2,5 +2,5 @@
 
 import org.persimmonwalk.blackboard.Command;
 
-/** Asks the relay of the zone; answered by {@link RelayAnswered}. */
+/** Sends a request to the relay of the zone; ends with {@link RelayAnswered}. */
 public record AskRelay(RelayHost relay, ZoneRequest request) implements Command {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -12,7 +12,7 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** The entries of the blackboard; each is written by one controller. */
+/** The entries of the blackboard. Each is written by one controller, on the control thread. */
 public final class EngineEntries {
 
   /** The configuration in force. */
@@ -20,20 +20,20 @@
       EntryKey.of("routing configuration", RoutingConfiguration.NONE);
 
   /**
-   * When the configuration and the leadership rows were last known to be the newest ones: the time
-   * before the call that showed it.
+   * When the configuration and the leadership rows were last verified to be the newest: the start
+   * of the call that verified it.
    */
   public static final EntryKey<Optional<MonotonicTime>> VERIFIED_AT =
       EntryKey.of("verified at", Optional.empty());
 
-  /** The rows of the store that this host has seen. */
-  public static final EntryKey<Map<RowKey, StoredRow>> ROWS = EntryKey.of("rows", Map.of());
+  /** The newest content of each row of the store that this host has seen. */
+  public static final EntryKey<Map<RowKey, StoredRow>> STORE_ROWS = EntryKey.of("rows", Map.of());
 
   /** The newest reading of the store's clock. */
   public static final EntryKey<Optional<StoreTime>> STORE_TIME =
       EntryKey.of("store time", Optional.empty());
 
-  /** The backend servers that may be used or are draining. */
+  /** The listed backend servers, including those that are draining. */
   public static final EntryKey<Map<BackendServerId, ServerEntry>> SERVERS =
       EntryKey.of("servers", Map.of());
 
@@ -41,35 +41,36 @@
   public static final EntryKey<Map<DatabaseGroupId, PrimaryView>> PRIMARIES =
       EntryKey.of("primaries", Map.of());
 
-  /** Primaries that enough hosts cannot reach. */
+  /** The primaries that a quorum of hosts can't reach. */
   public static final EntryKey<Set<BackendServerId>> UNREACHABLE_PRIMARIES =
       EntryKey.of("unreachable primaries", Set.of());
 
-  /** The tokens of each workspace with demand at this host. */
+  /** The tokens that this host may spend, for each workspace with demand here. */
   public static final EntryKey<Map<WorkspaceId, TokenGrant>> TOKENS =
       EntryKey.of("tokens", Map.of());
 
-  /** The rate rows that the verification shows besides, so that tokens can be taken from them. */
+  /** The rate rows that a verification also reads, so that tokens can be taken from them. */
   public static final EntryKey<RowDemand> ROW_DEMAND = EntryKey.of("row demand", RowDemand.NONE);
 
-  /** The number of hosts that have lately taken tokens, this one included. */
+  /** The number of hosts that have recently taken tokens, this one included. */
   public static final EntryKey<Integer> ACTIVE_HOSTS = EntryKey.of("active hosts", 1);
 
-  /** Whether this host calls the store itself, for its zone, or asks another host. */
+  /** Whether this host calls the store for itself, is the relay, or asks the relay. */
   public static final EntryKey<RelayRole> RELAY_ROLE = EntryKey.of("relay role", RelayRole.DIRECT);
 
-  /** The questions about tokens for the relay of the zone. */
-  public static final EntryKey<TokenAsks> TOKEN_ASKS = EntryKey.of("token asks", TokenAsks.NONE);
+  /** The tokens to request from the relay of the zone. */
+  public static final EntryKey<TokenRequests> TOKEN_REQUESTS =
+      EntryKey.of("token requests", TokenRequests.NONE);
 
-  /** The tokens lent in this round, by the exchange of the question. */
+  /** The tokens lent in this round, by the exchange of the request. */
   public static final EntryKey<Map<Long, List<TokenLoan>>> TOKEN_LOANS =
       EntryKey.of("token loans", Map.of());
 
-  /** The revision of the list of servers, and when it was last read. */
-  public static final EntryKey<Optional<ServerListing>> SERVER_LISTING =
-      EntryKey.of("server listing", Optional.empty());
+  /** The revision of the server list and when the list was last read. */
+  public static final EntryKey<Optional<ServerListVersion>> SERVER_LIST_VERSION =
+      EntryKey.of("server list version", Optional.empty());
 
-  /** Whether the host was asked to stop. */
+  /** Whether this host has been asked to stop. */
   public static final EntryKey<Boolean> STOPPING = EntryKey.of("stopping", false);
 
   private EngineEntries() {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -6,14 +6,14 @@
 import org.persimmonwalk.model.SocketEndpoint;
 
 /**
- * What the controllers and the traffic need to know of the installation.
+ * The settings that the controllers and the traffic thread need.
  *
- * @param peers where the other hosts of the zone reach this one
+ * @param peers the endpoint at which the other hosts of the zone reach this one
  * @param keyRevocation the time within which a withdrawn key must stop working
- * @param rateWindow the span over which limits are judged
- * @param rateOverage the part of the limit by which a span may exceed it
- * @param rateSlack operations by which a span may exceed the limit besides
- * @param stopGrace the time between the request to stop and the forced end
+ * @param rateWindow the length of the window over which rate limits hold
+ * @param rateOverage the fraction of the limit by which a window may exceed it
+ * @param rateSlack the number of operations by which a window may exceed the limit in addition
+ * @param stopGrace the time between the request to stop and the forced exit
  */
 public record EngineSettings(
     EntryHostId host,
--- a/engine/src/main/java/org/persimmonwalk/engine/control/HostAsked.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/HostAsked.java
@@ -3,8 +3,8 @@
 import org.persimmonwalk.blackboard.Observation;
 
 /**
- * Another host of the zone asks this one; answered by {@link AnswerHost}.
+ * A request of another host of the zone has arrived; answered by {@link AnswerHost}.
  *
- * @param exchange names the question towards the transport
+ * @param exchange identifies the request, so that the transport can match the reply to it
  */
 public record HostAsked(long exchange, ZoneRequest request) implements Observation {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/HostStopping.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/HostStopping.java
@@ -2,5 +2,5 @@
 
 import org.persimmonwalk.blackboard.Observation;
 
-/** The host was asked to stop. */
+/** This host has been asked to stop. */
 public record HostStopping() implements Observation {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ListServers.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ListServers.java
@@ -2,5 +2,5 @@
 
 import org.persimmonwalk.blackboard.Command;
 
-/** Asks the store for the entries of all backend servers. */
+/** Reads the entries of all backend servers from the store; ends with {@link ServersListed}. */
 public record ListServers() implements Command {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/OrderPromotion.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/OrderPromotion.java
@@ -5,9 +5,10 @@
 import org.persimmonwalk.id.EntryHostId;
 
 /**
- * Orders the platform to make a server the primary of its group.
+ * Orders the platform to make a server its group's primary. Ends with {@link PromotionOrdered}.
  *
- * @param fence rises whenever the holder of the duty changes
+ * @param holder the host that holds the promotion lease
+ * @param fence the fencing token of the lease; rises with each holder
  */
 public record OrderPromotion(ServerEntry server, EntryHostId holder, long fence)
     implements Command {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/PrimaryView.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/PrimaryView.java
@@ -5,17 +5,17 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * The primary of a group as this host knows it.
+ * The primary of a group, as far as this host knows.
  *
- * @param server the primary; empty while it is being replaced
- * @param until when it stops being the primary, if a replacement is planned
+ * @param server the primary; empty if the group has none or it is being replaced
+ * @param until when the server stops being the primary; empty unless a replacement is planned
  */
 public record PrimaryView(Optional<ServerEntry> server, Optional<MonotonicTime> until) {
 
   /** A group without a primary. */
   public static final PrimaryView NONE = new PrimaryView(Optional.empty(), Optional.empty());
 
-  /** Returns the server that is the primary at the given time. */
+  /** Returns the server that is the primary at the given time, if any. */
   public Optional<ServerEntry> at(MonotonicTime now) {
     return until.isPresent() && !now.isBefore(until.get()) ? Optional.empty() : server;
   }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ReadServerStatus.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ReadServerStatus.java
@@ -3,5 +3,5 @@
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.engine.ServerEntry;
 
-/** Asks a backend server for its role and log position. */
+/** Reads the role and log position of a backend server; ends with {@link ServerStatusRead}. */
 public record ReadServerStatus(ServerEntry server) implements Command {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayAnswered.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RelayAnswered.java
@@ -5,9 +5,9 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * The end of a question to the relay.
+ * A request to the relay has ended, with a reply or without.
  *
- * @param reply empty if no answer came in time
+ * @param reply empty if the request failed or timed out
  */
 public record RelayAnswered(
     AskRelay question, Optional<ZoneReply> reply, MonotonicTime askedAt, MonotonicTime answeredAt)
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayHost.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RelayHost.java
@@ -4,12 +4,12 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.SocketEndpoint;
 
-/** The entry host that calls the store on behalf of its availability zone, and its address. */
+/** The relay of an availability zone: the entry host that calls the store for the zone. */
 public record RelayHost(EntryHostId host, SocketEndpoint endpoint) {
   private static final String SEPARATOR = " ";
   private static final int PARTS = 2;
 
-  /** Reads what {@link #text()} wrote; empty if the text names no host. */
+  /** Parses the result of {@link #text()}; empty if the text names no host. */
   public static Optional<RelayHost> parse(String text) {
     String[] parts = text.split(SEPARATOR);
     return parts.length == PARTS
@@ -17,7 +17,7 @@
         : Optional.empty();
   }
 
-  /** Returns the form that is kept in the store. */
+  /** Returns the form that is stored. */
   public String text() {
     return host.value() + SEPARATOR + endpoint;
   }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayRole.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RelayRole.java
@@ -3,35 +3,35 @@
 import java.util.Optional;
 
 /**
- * How this host learns what the store holds.
+ * From where this host gets the rows of the store: by its own calls or from the relay of its zone.
  *
- * @param relay the host to ask; present in the kind RELAYED only
+ * @param relay the host to ask; present for the kind CLIENT only
  */
 public record RelayRole(Kind kind, Optional<RelayHost> relay) {
 
-  /** The host calls the store itself and answers no other host. */
+  /** This host calls the store for itself only. */
   public static final RelayRole DIRECT = new RelayRole(Kind.DIRECT, Optional.empty());
 
-  /** The host calls the store for its availability zone. */
-  public static final RelayRole RELAYING = new RelayRole(Kind.RELAYING, Optional.empty());
+  /** This host is the relay: it calls the store for its availability zone. */
+  public static final RelayRole RELAY = new RelayRole(Kind.RELAY, Optional.empty());
 
-  /** Returns the role of a host that asks the given one. */
-  public static RelayRole relayedBy(RelayHost relay) {
-    return new RelayRole(Kind.RELAYED, Optional.of(relay));
+  /** Returns the role of a host that asks the given relay. */
+  public static RelayRole clientOf(RelayHost relay) {
+    return new RelayRole(Kind.CLIENT, Optional.of(relay));
   }
 
-  /** Returns whether the host calls the store only when the relay does not answer. */
-  public boolean isRelayed() {
-    return kind == Kind.RELAYED;
+  /** Returns whether this host asks the relay, and calls the store only if that fails. */
+  public boolean isClient() {
+    return kind == Kind.CLIENT;
   }
 
-  /** The kinds of roles. */
+  /** The three roles. */
   public enum Kind {
-    /** Calls the store for itself. */
+    /** Calls the store for itself only. */
     DIRECT,
-    /** Asks another host of its zone. */
-    RELAYED,
-    /** Calls the store for the hosts of its zone. */
-    RELAYING
+    /** Asks the relay of its zone. */
+    CLIENT,
+    /** Calls the store for all hosts of its zone. */
+    RELAY
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RowDemand.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RowDemand.java
@@ -3,13 +3,13 @@
 import java.util.Set;
 
 /**
- * The rows that a controller wants to see.
+ * The rows that a verification should read in addition to its own.
  *
- * @param urgent whether work waits for them
+ * @param urgent whether operations wait for them
  */
 public record RowDemand(Set<RowKey> rows, boolean urgent) {
 
-  /** No row is wanted. */
+  /** No additional rows. */
   public static final RowDemand NONE = new RowDemand(Set.of(), false);
 
   /** Makes the set immutable. */
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RowKey.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RowKey.java
@@ -1,9 +1,9 @@
 package org.persimmonwalk.engine.control;
 
-/** Names a row of the platform's store. */
+/** The table and key of a row in the platform's store. */
 public record RowKey(String table, String key) {
 
-  /** The row in which operators keep the configuration; the adapter knows its name. */
+  /** The row that holds the configuration; the store adapter knows its actual name. */
   public static final RowKey CONFIGURATION = new RowKey("", "configuration");
 
   /** Returns the key of a row. */
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RunTransaction.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RunTransaction.java
@@ -4,9 +4,10 @@
 import org.persimmonwalk.blackboard.Command;
 
 /**
- * Writes rows if the rows stated still have the versions stated.
+ * Writes rows on condition that the expected rows have the expected versions; without writes it
+ * only verifies the versions. Ends with {@link TransactionAnswered}.
  *
- * @param expected the version that each row must have; 0 if it must not exist
+ * @param expected the version that each row must have; 0 if the row must not exist
  */
 public record RunTransaction(
     TransactionTag tag, Map<RowKey, Long> expected, Map<RowKey, String> writes) implements Command {
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ServerList.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ServerList.java
@@ -5,11 +5,11 @@
 import org.persimmonwalk.engine.ServerEntry;
 
 /**
- * The backend servers as a relay lists them.
+ * The list of backend servers in a reply of the relay.
  *
- * @param revision changes with the entries; never 0, and other for each process
- * @param age the time since the list was read
- * @param entries empty if the asking host has this revision already
+ * @param revision changes with the entries; never 0, and different for each process
+ * @param age the time since the list was read from the store
+ * @param entries empty if the requesting host already has this revision
  */
 public record ServerList(long revision, Duration age, List<ServerEntry> entries) {
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ServerSilent.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ServerSilent.java
@@ -3,7 +3,7 @@
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.engine.ServerEntry;
 
-/** This host has tried to reach a server for some time and heard nothing from it. */
+/** A server has not answered this host for some time, although this host has tried to reach it. */
 public record ServerSilent(ServerEntry server) implements Observation {
   @Override
   public boolean droppable() {
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ServerStatusRead.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ServerStatusRead.java
@@ -5,15 +5,16 @@
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.id.BackendServerId;
 
-/** What a backend server answered; empty if it did not. */
+/** The answer of a backend server to {@link ReadServerStatus}; empty if it didn't answer. */
 public record ServerStatusRead(BackendServerId server, Optional<Status> status)
     implements Observation {
 
   /**
-   * The state of a server.
+   * The role and log position of a server.
    *
-   * @param term the newest term that it knows
-   * @param received the end of the log that it has received
+   * @param primary whether the server is the primary
+   * @param term the newest term that the server knows
+   * @param received the end of the log that the server has received
    */
   public record Status(boolean primary, long term, TermPosition received) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ServersListed.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ServersListed.java
@@ -5,5 +5,5 @@
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.engine.ServerEntry;
 
-/** The entries of all backend servers; empty if the store did not answer. */
+/** The answer to {@link ListServers}; empty if the store didn't answer. */
 public record ServersListed(Optional<List<ServerEntry>> entries) implements Observation {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoredRow.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoredRow.java
@@ -1,9 +1,9 @@
 package org.persimmonwalk.engine.control;
 
 /**
- * A row as the store last told it.
+ * The content of a row as last seen in the store.
  *
- * @param version rises with each change; 0 if the row does not exist
+ * @param version rises with each change; 0 if the row doesn't exist
  */
 public record StoredRow(long version, String value) {
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenGrant.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenGrant.java
@@ -5,11 +5,11 @@
 /**
  * The tokens of a workspace that this host may spend; one token admits one operation.
  *
- * @param epoch another number means that earlier tokens lapsed
- * @param granted the tokens granted in this epoch so far
- * @param takenAt the time before the call that took or renewed the tokens
- * @param validUntil when the tokens that are left lapse
- * @param scarce whether the workspace asks for more than its limit
+ * @param epoch changes whenever all earlier tokens have expired
+ * @param granted the tokens granted so far in this epoch
+ * @param takenAt the start of the call that took or renewed the tokens
+ * @param validUntil when the remaining tokens expire
+ * @param scarce whether the demand of the workspace exceeds its limit
  */
 public record TokenGrant(
     long epoch, long granted, MonotonicTime takenAt, MonotonicTime validUntil, boolean scarce) {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TransactionAnswered.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TransactionAnswered.java
@@ -6,11 +6,11 @@
 import org.persimmonwalk.engine.RoutingConfiguration;
 
 /**
- * The end of a transaction.
+ * A transaction has ended, with an answer or without.
  *
- * @param rows the rows whose current content the answer shows: those written if it was applied,
- *     those expected if there was a conflict
- * @param configuration the configuration, if the answer shows it
+ * @param rows the current content of the rows that the answer returned: those written if the
+ *     transaction was applied, those expected if there was a conflict
+ * @param configuration the configuration, if the answer returned it
  * @param time a reading of the store's clock, if the store answered
  */
 public record TransactionAnswered(
@@ -21,7 +21,7 @@
     Optional<StoreTime> time)
     implements Observation {
 
-  /** Returns the answer of a transaction whose effect is not known or that was not run. */
+  /** Returns the end of a transaction that was not run or whose effect is unknown. */
   public static TransactionAnswered without(RunTransaction transaction, TransactionResult result) {
     return new TransactionAnswered(
         transaction, result, Map.of(), Optional.empty(), Optional.empty());
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TransactionResult.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TransactionResult.java
@@ -2,12 +2,12 @@
 
 /** How a transaction ended. */
 public enum TransactionResult {
-  /** All conditions held and all writes were done. */
+  /** All expected versions matched and all rows were written. */
   APPLIED,
-  /** A condition did not hold; nothing was done. */
+  /** An expected version did not match; nothing was written. */
   CONFLICT,
-  /** The store refused the call; nothing was done. */
+  /** The store refused the call; nothing was written. */
   REFUSED,
-  /** No answer came; the writes may be done, now or later. */
+  /** No answer arrived; the rows may be written, now or later. */
   UNKNOWN
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TransactionTag.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TransactionTag.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 
-/** Names the purpose of a transaction, so that its answer finds the controller that asked. */
+/** Identifies a transaction, so that the controller that submitted it recognizes its answer. */
 public record TransactionTag(String purpose, long serial) {
 
   /** Checks that the purpose is present. */
@@ -10,7 +10,7 @@
     Objects.requireNonNull(purpose, "purpose");
   }
 
-  /** Returns the tag of the given attempt. */
+  /** Returns the tag with the given purpose and serial number. */
   public static TransactionTag of(String purpose, long serial) {
     return new TransactionTag(purpose, serial);
   }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/WorkspaceDemand.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/WorkspaceDemand.java
@@ -4,12 +4,12 @@
 import org.persimmonwalk.id.WorkspaceId;
 
 /**
- * Operations of a workspace came.
+ * The operations of a workspace at this host since the last report of the traffic thread.
  *
- * @param epoch the epoch of the tokens that the count belongs to
- * @param spent the tokens spent in that epoch up to now
+ * @param epoch the epoch of the tokens spent
+ * @param spent the tokens spent so far in that epoch
  * @param operations the operations since the last report
- * @param waiting whether one of them waits for a token
+ * @param waiting whether an operation waits for a token
  */
 public record WorkspaceDemand(
     WorkspaceId workspace, long epoch, long spent, int operations, boolean waiting)
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
@@ -7,14 +7,17 @@
 import org.persimmonwalk.engine.RoutingConfiguration;
 
 /**
- * What the relay of a zone answers. Times are ages, as the clocks of two hosts cannot be compared.
+ * The relay's reply to a {@link ZoneRequest}. It holds ages instead of times, as the clocks of two
+ * hosts can't be compared.
  *
  * @param serves false if the answering host is not the relay or is about to stop
  * @param verifiedAge the time since the call that verified the rows was sent
- * @param configurationRow the version of the configuration row that the verification covers
- * @param rows the rows that are newer than those known to the asking host
- * @param configuration the configuration, if it is newer
- * @param activeHosts the entry hosts of all zones that take tokens
+ * @param configurationRow the version of the configuration row that was verified
+ * @param reading the newest reading of the store's clock
+ * @param rows the rows that are newer at the relay than at the requesting host
+ * @param configuration the configuration, if it is newer at the relay
+ * @param loans the tokens lent in answer to the request
+ * @param activeHosts the number of entry hosts of all zones that take tokens
  */
 public record ZoneReply(
     boolean serves,
@@ -33,7 +36,7 @@
     loans = List.copyOf(loans);
   }
 
-  /** Returns the answer of a host that is not the relay. */
+  /** Returns the reply of a host that isn't the relay. */
   public static ZoneReply notServing() {
     return new ZoneReply(
         false,
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
@@ -5,11 +5,13 @@
 import org.persimmonwalk.id.EntryHostId;
 
 /**
- * What an entry host asks of the relay of its zone.
+ * A regular request of an entry host to the relay of its zone, answered by {@link ZoneReply}.
  *
- * @param known the versions of the rows that the asking host has
- * @param serversRevision the relay's list of servers that it has; 0 if none
+ * @param from the requesting host
+ * @param known the versions of the rows that the requesting host has
+ * @param serversRevision the revision of the relay's server list that it has; 0 if none
  * @param urgent whether it waits for a change, such as a new primary
+ * @param asks the tokens that it requests
  */
 public record ZoneRequest(
     EntryHostId from,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
@@ -15,7 +15,7 @@
 import org.persimmonwalk.engine.control.ListServers;
 import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.ServerList;
-import org.persimmonwalk.engine.control.ServerListing;
+import org.persimmonwalk.engine.control.ServerListVersion;
 import org.persimmonwalk.engine.control.ServerSilent;
 import org.persimmonwalk.engine.control.ServersListed;
 import org.persimmonwalk.engine.control.ZoneReply;
@@ -104,7 +104,7 @@
                     .ifPresent(
                         list ->
                             applyRelayList(blackboard, list, answer.askedAt().minus(list.age()))));
-    if (blackboard.get(EngineEntries.RELAY_ROLE).isRelayed()) {
+    if (blackboard.get(EngineEntries.RELAY_ROLE).isClient()) {
       MonotonicTime fallbackAt = lastListAt.plus(RELAY_FALLBACK_AGE);
       nextCallAt = fallbackAt.isAfter(nextCallAt) ? fallbackAt : nextCallAt;
     } else if (isUrgent(blackboard, now)) {
@@ -136,16 +136,20 @@
         || publishedRevision(blackboard) != localRevision) {
       localRevision++;
     }
-    publishListing(blackboard, localRevision);
+    publishVersion(blackboard, localRevision);
   }
 
   private static long publishedRevision(Blackboard blackboard) {
-    return blackboard.get(EngineEntries.SERVER_LISTING).map(ServerListing::revision).orElse(0L);
+    return blackboard
+        .get(EngineEntries.SERVER_LIST_VERSION)
+        .map(ServerListVersion::revision)
+        .orElse(0L);
   }
 
-  private void publishListing(Blackboard blackboard, long revision) {
+  private void publishVersion(Blackboard blackboard, long revision) {
     blackboard.put(
-        EngineEntries.SERVER_LISTING, Optional.of(new ServerListing(revision, lastListAt)));
+        EngineEntries.SERVER_LIST_VERSION,
+        Optional.of(new ServerListVersion(revision, lastListAt)));
   }
 
   /** Applies the relay's list unless it was read before the list that is known here. */
@@ -155,12 +159,12 @@
     }
     if (publishedRevision(blackboard) == list.revision()) {
       lastListAt = readAt;
-      publishListing(blackboard, list.revision());
+      publishVersion(blackboard, list.revision());
       return;
     }
     replace(blackboard, list.entries(), readAt);
     boolean isExactCopy = !readAt.isBefore(keepExpiredUntil);
-    publishListing(blackboard, isExactCopy ? list.revision() : UNKNOWN_REVISION);
+    publishVersion(blackboard, isExactCopy ? list.revision() : UNKNOWN_REVISION);
   }
 
   private void replace(Blackboard blackboard, List<ServerEntry> entries, MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
@@ -29,7 +29,7 @@
 
   /** Returns the row as last seen; absent if it has never been seen. */
   static StoredRow row(Blackboard blackboard, RowKey row) {
-    return blackboard.get(EngineEntries.ROWS).getOrDefault(row, StoredRow.ABSENT);
+    return blackboard.get(EngineEntries.STORE_ROWS).getOrDefault(row, StoredRow.ABSENT);
   }
 
   /** Returns the last seen version of the row; 0 if the row is absent or has never been seen. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
@@ -88,7 +88,7 @@
     }
     Optional<StoreTime> time = blackboard.get(EngineEntries.STORE_TIME);
     return new PrimaryView(
-        server, time.map(reading -> reading.earliestLocal(leadership.switchAtMillis())));
+        server, time.map(reading -> reading.earliestLocalTime(leadership.switchAtMillis())));
   }
 
   private static PrimaryView stable(Optional<ServerEntry> server) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -18,9 +18,9 @@
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.TokenAsk;
-import org.persimmonwalk.engine.control.TokenAsks;
 import org.persimmonwalk.engine.control.TokenGrant;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenRequests;
 import org.persimmonwalk.engine.control.WorkspaceDemand;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.id.WorkspaceId;
@@ -66,13 +66,13 @@
     pools.dropExpired(now, resumedAt);
     workspaces.values().forEach(tokens -> tokens.dropExpired(now, resumedAt));
     lendToOthers(blackboard, now, resumedAt);
-    if (blackboard.get(EngineEntries.RELAY_ROLE).isRelayed()) {
+    if (blackboard.get(EngineEntries.RELAY_ROLE).isClient()) {
       lendToSelf(now, resumedAt, pools::hasTokens);
-      publishAsks(blackboard, now);
+      publishRequests(blackboard, now);
       publish(blackboard, RowDemand.NONE, activeHostsAtRelay);
     } else {
       lendToSelf(now, resumedAt, workspace -> true);
-      publishAsks(blackboard, now);
+      publishRequests(blackboard, now);
       pools.acquireIfNeeded(blackboard, context);
       publish(blackboard, pools.rowDemand(now), pools.activeHosts(blackboard));
     }
@@ -97,7 +97,7 @@
 
   private void lendToOthers(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
     Map<Long, List<TokenLoan>> lent = new HashMap<>();
-    if (blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAYING) {
+    if (blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY) {
       blackboard
           .observations(HostAsked.class)
           .forEach(
@@ -133,7 +133,7 @@
    * Publishes the token requests for the relay, also while this host doesn't use the relay: a relay
    * that has lost the store may still have tokens when this host has none.
    */
-  private void publishAsks(Blackboard blackboard, MonotonicTime now) {
+  private void publishRequests(Blackboard blackboard, MonotonicTime now) {
     boolean urgent = workspaces.values().stream().anyMatch(tokens -> tokens.isUrgent(now));
     List<TokenAsk> asks = new ArrayList<>();
     workspaces.forEach(
@@ -142,9 +142,9 @@
             asks.add(tokens.ask(workspace, now));
           }
         });
-    TokenAsks needed = new TokenAsks(asks, urgent);
-    if (!needed.equals(blackboard.get(EngineEntries.TOKEN_ASKS))) {
-      blackboard.put(EngineEntries.TOKEN_ASKS, needed);
+    TokenRequests needed = new TokenRequests(asks, urgent);
+    if (!needed.equals(blackboard.get(EngineEntries.TOKEN_REQUESTS))) {
+      blackboard.put(EngineEntries.TOKEN_REQUESTS, needed);
     }
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -106,7 +106,7 @@
         RelayHost.parse(KnownRows.row(blackboard, row(settings.zone())).value()), now);
     RelayRole role = role(blackboard, now);
     publish(blackboard, role, now);
-    boolean isClaimNeeded = role.equals(RelayRole.DIRECT) || (role.isRelayed() && stale);
+    boolean isClaimNeeded = role.equals(RelayRole.DIRECT) || (role.isClient() && stale);
     if (isClaimNeeded && !blackboard.get(EngineEntries.STOPPING)) {
       claimIfDue(blackboard, context);
     } else {
@@ -163,10 +163,10 @@
       return RelayRole.DIRECT;
     }
     if (currentRelay.get().equals(self())) {
-      return blackboard.get(EngineEntries.STOPPING) ? RelayRole.DIRECT : RelayRole.RELAYING;
+      return blackboard.get(EngineEntries.STOPPING) ? RelayRole.DIRECT : RelayRole.RELAY;
     }
     boolean isRelayUnneeded = stale && isVerifiedWithin(OWN_FRESHNESS_LIMIT, blackboard, now);
-    return failing || isRelayUnneeded ? RelayRole.DIRECT : RelayRole.relayedBy(currentRelay.get());
+    return failing || isRelayUnneeded ? RelayRole.DIRECT : RelayRole.clientOf(currentRelay.get());
   }
 
   private static boolean isVerifiedWithin(Duration age, Blackboard blackboard, MonotonicTime now) {
@@ -181,7 +181,7 @@
   }
 
   private void publish(Blackboard blackboard, RelayRole role, MonotonicTime now) {
-    boolean isRelay = role.equals(RelayRole.RELAYING);
+    boolean isRelay = role.equals(RelayRole.RELAY);
     if (isRelay && relayingSince.isEmpty()) {
       relayingSince = Optional.of(now);
     } else if (!isRelay && relayingSince.isPresent()) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -93,7 +93,7 @@
         .forEach(answer -> answer.reply().ifPresent(reply -> apply(blackboard, answer, reply)));
     RowDemand demand = blackboard.get(EngineEntries.ROW_DEMAND);
     boolean due =
-        blackboard.get(EngineEntries.RELAY_ROLE).isRelayed()
+        blackboard.get(EngineEntries.RELAY_ROLE).isClient()
             ? isFallbackDue(blackboard, context.now())
             : isDue(demand, context.now());
     boolean isHedgeDue =
@@ -202,11 +202,11 @@
       Blackboard blackboard,
       Map<RowKey, StoredRow> newRows,
       Optional<RoutingConfiguration> configuration) {
-    Map<RowKey, StoredRow> rows = new HashMap<>(blackboard.get(EngineEntries.ROWS));
+    Map<RowKey, StoredRow> rows = new HashMap<>(blackboard.get(EngineEntries.STORE_ROWS));
     newRows.forEach(
         (key, row) ->
             rows.merge(key, row, (old, other) -> other.version() > old.version() ? other : old));
-    blackboard.put(EngineEntries.ROWS, Map.copyOf(rows));
+    blackboard.put(EngineEntries.STORE_ROWS, Map.copyOf(rows));
     configuration.ifPresent(newest -> accept(blackboard, newest));
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -20,10 +20,10 @@
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.ServerList;
-import org.persimmonwalk.engine.control.ServerListing;
+import org.persimmonwalk.engine.control.ServerListVersion;
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoredRow;
-import org.persimmonwalk.engine.control.TokenAsks;
+import org.persimmonwalk.engine.control.TokenRequests;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.model.MonotonicTime;
@@ -86,7 +86,7 @@
   /** Returns the relay named in the store even while it fails, so that its recovery is noticed. */
   private Optional<RelayHost> relayToAsk(Blackboard blackboard) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
-    if (role.kind() == RelayRole.Kind.RELAYING) {
+    if (role.kind() == RelayRole.Kind.RELAY) {
       return Optional.empty();
     }
     return role.relay()
@@ -101,7 +101,7 @@
     boolean isNewRelay = lastRelay.filter(relay::equals).isEmpty();
     boolean overdue = now.since(askedAt).compareTo(LOST_ANSWER_TIMEOUT) > 0;
     boolean waitsForPrimary = waitsForPrimary(blackboard, now);
-    TokenAsks tokens = blackboard.get(EngineEntries.TOKEN_ASKS);
+    TokenRequests tokens = blackboard.get(EngineEntries.TOKEN_REQUESTS);
     Duration pause = waitsForPrimary ? URGENT_INTERVAL : INTERVAL;
     if (tokens.urgent()) {
       pause = MIN_PAUSE;
@@ -117,11 +117,14 @@
     RowKey row = RelayController.row(settings.zone());
     known.put(row, KnownRows.version(blackboard, row));
     long revision =
-        blackboard.get(EngineEntries.SERVER_LISTING).map(ServerListing::revision).orElse(0L);
+        blackboard
+            .get(EngineEntries.SERVER_LIST_VERSION)
+            .map(ServerListVersion::revision)
+            .orElse(0L);
     blackboard.submit(
         new AskRelay(
             relay,
-            new ZoneRequest(settings.host(), known, revision, waitsForPrimary, tokens.asks())));
+            new ZoneRequest(settings.host(), known, revision, waitsForPrimary, tokens.requests())));
   }
 
   private static boolean waitsForPrimary(Blackboard blackboard, MonotonicTime now) {
@@ -130,7 +133,7 @@
   }
 
   private ZoneReply reply(Blackboard blackboard, HostAsked asked, MonotonicTime now) {
-    if (blackboard.get(EngineEntries.RELAY_ROLE).kind() != RelayRole.Kind.RELAYING) {
+    if (blackboard.get(EngineEntries.RELAY_ROLE).kind() != RelayRole.Kind.RELAY) {
       return ZoneReply.notServing();
     }
     MonotonicTime resumedAt = suspension.lastResumedAt();
@@ -173,7 +176,7 @@
   private static Optional<ServerList> servers(
       Blackboard blackboard, ZoneRequest request, MonotonicTime now) {
     return blackboard
-        .get(EngineEntries.SERVER_LISTING)
+        .get(EngineEntries.SERVER_LIST_VERSION)
         .map(
             listing ->
                 new ServerList(
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -204,7 +204,7 @@
 
   private Engine relay() {
     return fixture.hosts.stream()
-        .filter(host -> fixture.entry(host, EngineEntries.RELAY_ROLE).equals(RelayRole.RELAYING))
+        .filter(host -> fixture.entry(host, EngineEntries.RELAY_ROLE).equals(RelayRole.RELAY))
         .findFirst()
         .orElseThrow();
   }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
@@ -38,7 +38,7 @@
   }
 
   private Engine relay() {
-    return hostsIn(RelayRole.Kind.RELAYING).get(0);
+    return hostsIn(RelayRole.Kind.RELAY).get(0);
   }
 
   private Duration verifiedAge(Engine host) {
@@ -51,8 +51,8 @@
     int before = fixture.storeCalls;
     fixture.run(Duration.ofSeconds(10));
 
-    assertThat(hostsIn(RelayRole.Kind.RELAYING)).hasSize(1);
-    assertThat(hostsIn(RelayRole.Kind.RELAYED)).hasSize(HOSTS - 1);
+    assertThat(hostsIn(RelayRole.Kind.RELAY)).hasSize(1);
+    assertThat(hostsIn(RelayRole.Kind.CLIENT)).hasSize(HOSTS - 1);
     assertThat(fixture.storeCalls - before).isLessThanOrEqualTo(10 * 3);
     fixture.hosts.forEach(
         host -> assertThat(verifiedAge(host)).isLessThan(Duration.ofMillis(1900)));
@@ -104,7 +104,7 @@
           .forEach(host -> assertThat(verifiedAge(host)).isLessThan(Duration.ofMillis(2200)));
     }
 
-    assertThat(hostsIn(RelayRole.Kind.RELAYING)).hasSize(2).contains(failedRelay);
+    assertThat(hostsIn(RelayRole.Kind.RELAY)).hasSize(2).contains(failedRelay);
     assertThat(hostsIn(RelayRole.Kind.DIRECT)).isEmpty();
   }
 
