Clarify a few comments of the engine's controllers

The comments on lost answers called a timeout "shorter", which these classes can't know; a limit in RelayController said "younger" without saying than what. Two parameters and a test method get plainer names.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
@@ -45,8 +45,8 @@
   static final Duration RECOVERY_TIME = Duration.ofMillis(2500);
 
   /**
-   * Each call has its own, shorter timeout. This one covers an answer that is lost inside this
-   * process, which must not stop the listing for good.
+   * Each call has its own timeout. This one covers an answer that is lost inside this process,
+   * which must not stop the listing for good.
    */
   static final Duration LOST_ANSWER_TIMEOUT = Duration.ofMillis(5000);
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -56,7 +56,10 @@
   /** The upper bound of the doubled claim delay. */
   static final Duration MAX_CLAIM_DELAY = Duration.ofSeconds(12);
 
-  /** A host claims the role only if its verification is younger: it must reach the store itself. */
+  /**
+   * A host claims the role only if its own verification is younger than this, since only a host
+   * that reaches the store can serve the others.
+   */
   static final Duration CLAIM_FRESHNESS_LIMIT = Duration.ofMillis(1500);
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -46,8 +46,8 @@
   private static final double RESERVED_PART = 0.4;
 
   /**
-   * Each call has its own, shorter timeout. This one covers an answer that is lost inside this
-   * process, which must not stop the taking of tokens for good.
+   * Each call has its own timeout. This one covers an answer that is lost inside this process,
+   * which must not stop the taking of tokens for good.
    */
   static final Duration LOST_ANSWER_TIMEOUT = Duration.ofMillis(5000);
 
@@ -129,8 +129,8 @@
   }
 
   /**
-   * Returns the workspaces in use here; if there are more than fit into a call, those whose last
-   * call is the longest ago.
+   * Returns the workspaces in use here; if there are more than fit into a call, those that have
+   * waited longest since their last call.
    */
   private Set<WorkspaceId> activeWorkspaces(MonotonicTime now) {
     return pools.entrySet().stream()
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -49,8 +49,8 @@
   static final Duration HEDGE_DELAY = Duration.ofMillis(500);
 
   /**
-   * Each call has its own, shorter timeout. This one covers an answer that is lost inside this
-   * process, which must not stop the verification for good.
+   * Each call has its own timeout. This one covers an answer that is lost inside this process,
+   * which must not stop the verification for good.
    */
   static final Duration LOST_ANSWER_TIMEOUT = Duration.ofMillis(5000);
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -74,18 +74,18 @@
     this.waitingUntil = now;
   }
 
-  void recordDemand(WorkspaceDemand seen, MonotonicTime now) {
+  void recordDemand(WorkspaceDemand reported, MonotonicTime now) {
     decay(now);
     if (now.since(seenAt).compareTo(PRESENCE_TIMEOUT) > 0) {
       firstSeenAt = now;
       demand = 0;
     }
     seenAt = now;
-    demand += seen.operations() * Math.log(2) / DEMAND_HALF_LIFE_SECONDS;
-    if (seen.epoch() == epoch) {
-      spent = Math.max(spent, seen.spent());
+    demand += reported.operations() * Math.log(2) / DEMAND_HALF_LIFE_SECONDS;
+    if (reported.epoch() == epoch) {
+      spent = Math.max(spent, reported.spent());
     }
-    if (seen.waiting()) {
+    if (reported.waiting()) {
       waitingUntil = now.plus(MAX_WAIT);
     }
   }
@@ -162,8 +162,8 @@
    */
   void grant(TokenLoan loan, MonotonicTime askedAt) {
     MonotonicTime until = askedAt.plus(loan.validFor());
-    boolean isOnlyLoan = remaining() == 0 && loan.tokens() > 0;
-    if (loan.renews() || isOnlyLoan) {
+    boolean holdsNoOthers = remaining() == 0 && loan.tokens() > 0;
+    if (loan.renews() || holdsNoOthers) {
       validUntil = until;
       takenAt = askedAt;
     } else if (loan.tokens() > 0 && until.isBefore(validUntil)) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -47,8 +47,8 @@
   static final Duration MIN_PAUSE = Duration.ofMillis(10);
 
   /**
-   * Each request has its own, shorter timeout. This one covers an answer that is lost inside this
-   * process, which must not stop the exchange for good.
+   * Each request has its own timeout. This one covers an answer that is lost inside this process,
+   * which must not stop the exchange for good.
    */
   static final Duration LOST_ANSWER_TIMEOUT = Duration.ofMillis(2000);
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -148,7 +148,7 @@
         case 14, 15 -> fixture.effectsToDelay += 2;
         case 16 -> restart(host);
         case 11 -> fixture.stepTimeOfDay(Duration.ofSeconds(random.nextInt(-3, 9)));
-        case 12, 13 -> reportSilence();
+        case 12, 13 -> reportUnreachable();
         default -> {}
       }
     }
@@ -170,7 +170,7 @@
               session -> sessions.set(index, session));
     }
 
-    private void reportSilence() {
+    private void reportUnreachable() {
       ServerEntry primary = fixture.entries.get(currentPrimary());
       fixture.hosts.forEach(host -> host.loop().post(new ServerSilent(primary)));
     }
