--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -108,7 +108,7 @@
       }
       if (changed) {
         last = current;
-        scheduler.schedule(Duration.ZERO, sessions::follow);
+        scheduler.schedule(Duration.ZERO, sessions::onSnapshotChanged);
       }
     }
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionWait.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionRequest.java
@@ -4,8 +4,8 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** A statement that waits for a connection. */
-final class ConnectionWait {
+/** A request for a pooled connection, queued until one is free or the deadline passes. */
+final class ConnectionRequest {
   private final WorkspaceId workspace;
   private final int priority;
   private final MonotonicTime deadline;
@@ -14,7 +14,7 @@
   private final Listener listener;
   private boolean waiting = true;
 
-  ConnectionWait(
+  ConnectionRequest(
       WorkspaceId workspace,
       int priority,
       MonotonicTime deadline,
@@ -67,13 +67,13 @@
     listener.refused(failure);
   }
 
-  /** Is told how the wait ended. */
+  /** Receives the result of the request. */
   interface Listener {
 
-    /** A connection is free for the statement. */
+    /** The connection is reserved for the requester, who must release or discard it. */
     void granted(PooledConnection connection);
 
-    /** No connection can be had; nothing was sent. */
+    /** No connection is available; nothing was sent. */
     void refused(Failure failure);
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Setup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -10,51 +10,54 @@
 import org.persimmonwalk.engine.PreparedShape;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Gives a connection the values and prepared names of a session before the session uses it. */
-final class Setup {
+/** Sets a session's variables and prepared statement on a connection before the session uses it. */
+final class ConnectionSetup {
   private final PooledConnection connection;
   private final Consumer<Boolean> done;
   private int unanswered;
   private boolean failed;
 
-  private Setup(PooledConnection connection, Consumer<Boolean> done) {
+  private ConnectionSetup(PooledConnection connection, Consumer<Boolean> done) {
     this.connection = connection;
     this.done = done;
   }
 
-  /** Sends what is missing in one go and tells whether the server accepted all of it. */
+  /**
+   * Sends everything that is missing without waiting for answers in between, and passes on whether
+   * the server accepted all of it.
+   */
   static void run(
       PooledConnection connection,
-      Map<String, String> values,
+      Map<String, String> variables,
       Optional<PreparedShape> shape,
       Consumer<Boolean> done) {
-    List<BackendStatement.Action> actions = missing(connection, values, shape);
+    List<BackendStatement.Action> actions = missing(connection, variables, shape);
     if (actions.isEmpty()) {
       done.accept(true);
       return;
     }
-    Setup setup = new Setup(connection, done);
+    ConnectionSetup setup = new ConnectionSetup(connection, done);
     setup.unanswered = actions.size();
     actions.forEach(setup::send);
   }
 
   private static List<BackendStatement.Action> missing(
-      PooledConnection connection, Map<String, String> values, Optional<PreparedShape> shape) {
+      PooledConnection connection, Map<String, String> variables, Optional<PreparedShape> shape) {
     List<BackendStatement.Action> actions = new ArrayList<>();
-    if (!values.keySet().containsAll(connection.values().keySet())) {
+    if (!variables.keySet().containsAll(connection.variables().keySet())) {
       actions.add(new BackendStatement.Reset());
-      connection.values().clear();
-      connection.prepared().clear();
+      connection.variables().clear();
+      connection.preparedShapes().clear();
     }
-    values.forEach(
+    variables.forEach(
         (name, value) -> {
-          if (!value.equals(connection.values().get(name))) {
+          if (!value.equals(connection.variables().get(name))) {
             actions.add(new BackendStatement.SetValue(name, value));
-            connection.values().put(name, value);
+            connection.variables().put(name, value);
           }
         });
     shape
-        .filter(connection.prepared()::add)
+        .filter(connection.preparedShapes()::add)
         .ifPresent(added -> actions.add(new BackendStatement.Prepare(added)));
     return actions;
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Work.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
@@ -13,23 +13,24 @@
 import org.persimmonwalk.id.WorkspaceId;
 
 /**
- * What is to be run.
+ * A statement, or the start of a transaction, that is to run on a backend server.
  *
  * @param needsPrimary whether only the primary may run it
- * @param writes whether it changes data that is kept at once
- * @param floor the newest commit of the session; {@link TermPosition#ZERO} if it need not be seen
- * @param values the session values that the connection must have
- * @param shape the prepared statement that the connection must know
+ * @param writes whether it changes data and commits at once
+ * @param minimumPosition the position of the session's newest commit, which the server must have;
+ *     {@link TermPosition#ZERO} for any position
+ * @param variables the session variables to set on the connection first
+ * @param shape the statement to prepare on the connection first
  */
-record Work(
+record ExecutionRequest(
     RequestId id,
     WorkspaceId workspace,
     Route route,
     BackendStatement.Action action,
     boolean needsPrimary,
     boolean writes,
-    TermPosition floor,
-    Map<String, String> values,
+    TermPosition minimumPosition,
+    Map<String, String> variables,
     Optional<PreparedShape> shape) {
 
   DatabaseGroupId group() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Identity.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Identity.java
@@ -5,12 +5,12 @@
 import org.persimmonwalk.id.WorkspaceId;
 
 /**
- * Who a session belongs to.
+ * The workspace that a session belongs to, and the hash of its caller's key.
  *
- * @param key the hash of the caller's key; empty on routes open to all
+ * @param key empty for callers without a valid key, whom only open routes accept
  */
 record Identity(WorkspaceId workspace, Optional<KeyHash> key) {
 
-  /** Stands for the callers of routes that are open to all. */
+  /** The workspace of all callers without a valid key. */
   static final WorkspaceId ANYONE = WorkspaceId.of("anyone");
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Outcome.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Outcome.java
@@ -4,8 +4,9 @@
 import org.persimmonwalk.engine.Answer;
 
 /**
- * How the work ended.
+ * How an {@link ExecutionRequest} ended.
  *
- * @param connection the connection that ran it, if it succeeded; the taker gives it back
+ * @param connection the connection that ran it, if it succeeded; the receiver must release it
+ * @param onPrimary whether the last attempt went to the primary
  */
 record Outcome(Answer answer, Optional<PooledConnection> connection, boolean onPrimary) {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -18,15 +18,18 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** A connection to a backend server that sessions of one workspace use in turn. */
+/**
+ * A pooled connection to a backend server, used by sessions of one workspace in turn. Remembers
+ * which session variables and prepared statements are set on it.
+ */
 final class PooledConnection implements BackendListener {
   private final ServerPool pool;
   private final WorkspaceId workspace;
   private final MonotonicTime openedAt;
-  private final Map<String, String> values = new HashMap<>();
-  private final Set<PreparedShape> prepared = new HashSet<>();
+  private final Map<String, String> variables = new HashMap<>();
+  private final Set<PreparedShape> preparedShapes = new HashSet<>();
   private final Deque<Pending> pending = new ArrayDeque<>();
-  private BackendConnection link;
+  private BackendConnection backend;
   private boolean open;
   private boolean ended;
   private MonotonicTime lastUsed;
@@ -43,11 +46,11 @@
   }
 
   void connect() {
-    BackendConnection made = pool.context().connector().open(server(), workspace, this);
+    BackendConnection created = pool.context().connector().open(server(), workspace, this);
     if (ended) {
-      made.close();
+      created.close();
     } else {
-      link = made;
+      backend = created;
     }
   }
 
@@ -71,30 +74,33 @@
     return open && !ended;
   }
 
-  Map<String, String> values() {
-    return values;
+  Map<String, String> variables() {
+    return variables;
   }
 
-  Set<PreparedShape> prepared() {
-    return prepared;
+  Set<PreparedShape> preparedShapes() {
+    return preparedShapes;
   }
 
-  /** Returns when the oldest statement without an answer was sent. */
-  Optional<MonotonicTime> waitingSince() {
+  /** Returns when the oldest unanswered statement was sent; empty if none is in flight. */
+  Optional<MonotonicTime> unansweredSince() {
     return Optional.ofNullable(pending.peekFirst()).map(Pending::sentAt);
   }
 
-  /** Sends a statement; exactly one method of the listener is called later. */
+  /**
+   * Sends a statement; exactly one method of the listener is called, or none if the connection is
+   * discarded first.
+   */
   void send(BackendStatement statement, StatementListener listener) {
     if (!isOpen()) {
-      listener.lost("the connection has ended");
+      listener.lost("the connection was already closed");
       return;
     }
     pending.addLast(new Pending(listener, pool.context().now()));
-    link.send(statement);
+    backend.send(statement);
   }
 
-  /** Gives the connection back for the next session. */
+  /** Returns the connection to the pool; one with an unanswered statement is discarded instead. */
   void release() {
     if (ended) {
       return;
@@ -107,24 +113,24 @@
     pool.released(this);
   }
 
-  /** Closes the connection; whatever ran in its open transaction is rolled back by the server. */
+  /** Closes the connection without telling listeners; the server rolls back an open transaction. */
   void discard() {
     if (ended) {
       return;
     }
     end();
-    if (link != null) {
-      link.close();
+    if (backend != null) {
+      backend.close();
     }
     pool.ended(this);
   }
 
-  /** Ends the connection as lost; statements without an answer learn it. */
-  void giveUp(String reason) {
+  /** Closes the connection and fails its unanswered statements as lost. */
+  void closeAsLost(String reason) {
     if (ended) {
       return;
     }
-    BackendConnection closing = link;
+    BackendConnection closing = backend;
     closed(reason);
     if (closing != null) {
       closing.close();
@@ -132,7 +138,7 @@
   }
 
   /** Returns whether the server ever accepted the connection. */
-  boolean isOpenedOnce() {
+  boolean wasEverOpen() {
     return open;
   }
 
@@ -143,7 +149,7 @@
 
   @Override
   public void opened(BackendConnection connection, Optional<TermPosition> position) {
-    link = connection;
+    backend = connection;
     open = true;
     pool.opened(this, position);
   }
@@ -159,7 +165,7 @@
   @Override
   public void answered(Answer answer) {
     Pending oldest = pending.pollFirst();
-    pool.heard();
+    pool.answerReceived();
     if (oldest != null) {
       oldest.listener().answered(answer, oldest.sentAt());
     }
@@ -176,7 +182,7 @@
     unanswered.forEach(waiting -> waiting.listener().lost(reason));
   }
 
-  /** Is told how one statement ended. */
+  /** Receives the result of one statement. */
   interface StatementListener {
 
     /** The server answered. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PositionHistory.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PositionHistory.java
@@ -9,28 +9,29 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Positions of a group's primary. A position read from an answer covers every commit acknowledged
- * before the request was sent.
+ * Recent log positions of a group's primary with the time at which each was requested. A position
+ * in an answer covers every commit acknowledged before the request was sent, so it bounds the
+ * staleness of reads.
  */
 final class PositionHistory {
-  /** Longer than any staleness that routes are likely to allow would only cost memory. */
-  private static final Duration KEPT = Duration.ofSeconds(30);
+  /** Samples are kept for longer than any staleness that routes are likely to allow. */
+  private static final Duration RETENTION = Duration.ofSeconds(30);
 
-  /** Closer samples would not let reads choose noticeably older positions. */
-  private static final Duration SPACING = Duration.ofMillis(50);
+  /** Samples closer together would not let reads choose noticeably older positions. */
+  private static final Duration MINIMUM_SPACING = Duration.ofMillis(50);
 
-  /** Time for a read to reach its server after the choice. */
-  private static final Duration MARGIN = Duration.ofMillis(150);
+  /** Allowance for the time that a read takes to reach its server after the choice. */
+  private static final Duration TRANSIT_MARGIN = Duration.ofMillis(150);
 
   private final Deque<Sample> samples = new ArrayDeque<>();
 
   void add(MonotonicTime sentAt, TermPosition position) {
     Sample last = samples.peekLast();
-    if (last != null && sentAt.since(last.sentAt()).compareTo(SPACING) < 0) {
+    if (last != null && sentAt.since(last.sentAt()).compareTo(MINIMUM_SPACING) < 0) {
       return;
     }
     samples.addLast(new Sample(sentAt, position));
-    while (sentAt.since(samples.getFirst().sentAt()).compareTo(KEPT) > 0) {
+    while (sentAt.since(samples.getFirst().sentAt()).compareTo(RETENTION) > 0) {
       samples.removeFirst();
     }
   }
@@ -40,11 +41,11 @@
   }
 
   /**
-   * Returns the oldest position that reads of the given staleness may rely on, as replicas that are
-   * far behind may have it already; empty if no sample is recent enough.
+   * Returns the oldest position that satisfies the given staleness: the older the position, the
+   * more replicas have it. Empty if no sample is recent enough.
    */
   Optional<TermPosition> oldestWithin(Duration staleness, MonotonicTime now) {
-    MonotonicTime earliest = now.minus(staleness).plus(MARGIN);
+    MonotonicTime earliest = now.minus(staleness).plus(TRANSIT_MARGIN);
     Iterator<Sample> all = samples.iterator();
     while (all.hasNext()) {
       Sample sample = all.next();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TokenPurse.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
@@ -12,77 +12,85 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Spends the tokens that the control state has granted, one for each operation. */
-final class TokenPurse {
+/**
+ * Admits operations against the rate tokens that the control state has granted to each workspace,
+ * one token for each operation, and reports the demand to the control thread.
+ */
+final class RateLimiter {
   private final TrafficContext context;
   private final Map<WorkspaceId, Spent> spent = new HashMap<>();
   private final Map<WorkspaceId, Integer> unreported = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
 
-  TokenPurse(TrafficContext context) {
+  RateLimiter(TrafficContext context) {
     this.context = context;
   }
 
   /**
-   * Admits an operation now or within the given time, or refuses it. A workspace that is known to
-   * be over its limit is refused at once.
+   * Admits an operation now or within the given time, or refuses it. If the grant says that tokens
+   * are scarce, the workspace is over its limit and the operation is refused at once.
    */
-  void admit(WorkspaceId workspace, Duration longestWait, Consumer<Admission> decided) {
+  void admit(WorkspaceId workspace, Duration longestWait, Consumer<Admission> onDecision) {
     MonotonicTime now = context.now();
-    if (spend(workspace, now, true)) {
-      decided.accept(Admission.ADMITTED);
+    if (trySpend(workspace, now, true)) {
+      onDecision.accept(Admission.ADMITTED);
       return;
     }
     TokenGrant grant = context.entry(EngineEntries.TOKENS).get(workspace);
     if (grant != null && grant.scarce() && now.isBefore(grant.validUntil())) {
-      decided.accept(Admission.OVER_LIMIT);
+      onDecision.accept(Admission.OVER_LIMIT);
       return;
     }
-    Waiter waiter = new Waiter(workspace, decided);
+    Waiter waiter = new Waiter(workspace, onDecision);
     waiters.add(waiter);
-    context.scheduler().schedule(longestWait, () -> giveUp(waiter));
+    context.scheduler().schedule(longestWait, () -> timeOut(waiter));
   }
 
-  /** Lets operations that wait try again; called after the control state has changed. */
+  /** Retries waiting operations; called when the control state has changed. */
   void retry() {
     if (waiters.isEmpty()) {
       return;
     }
     MonotonicTime now = context.now();
     for (Waiter waiter : List.copyOf(waiters)) {
-      if (spend(waiter.workspace(), now, false)) {
+      if (trySpend(waiter.workspace(), now, false)) {
         waiters.remove(waiter);
-        waiter.decided().accept(Admission.ADMITTED);
+        waiter.onDecision().accept(Admission.ADMITTED);
       }
     }
   }
 
-  /** Reports the operations admitted since the last call, so that not each one wakes control. */
+  /**
+   * Reports the operations admitted since the last call; one report for many operations, as each
+   * report wakes the control thread.
+   */
   void reportDemand() {
     List.copyOf(unreported.keySet()).forEach(workspace -> report(workspace, false));
   }
 
-  /** Reports a workspace that has open sessions, so that tokens are at hand for it. */
-  void reportPresence(WorkspaceId workspace) {
+  /**
+   * Reports a workspace that has open sessions, so that tokens are granted before they are needed.
+   */
+  void reportActive(WorkspaceId workspace) {
     spent.putIfAbsent(workspace, new Spent(0, 0));
     report(workspace, false);
   }
 
-  private void report(WorkspaceId workspace, boolean waits) {
+  private void report(WorkspaceId workspace, boolean waiting) {
     Integer admitted = unreported.remove(workspace);
     Spent current = spent.get(workspace);
-    int operations = (admitted == null ? 0 : admitted) + (waits ? 1 : 0);
+    int operations = (admitted == null ? 0 : admitted) + (waiting ? 1 : 0);
     context.post(
-        new WorkspaceDemand(workspace, current.epoch(), current.count(), operations, waits));
+        new WorkspaceDemand(workspace, current.epoch(), current.count(), operations, waiting));
   }
 
-  private void giveUp(Waiter waiter) {
+  private void timeOut(Waiter waiter) {
     if (waiters.remove(waiter)) {
-      waiter.decided().accept(Admission.NO_TOKEN);
+      waiter.onDecision().accept(Admission.NO_TOKEN);
     }
   }
 
-  private boolean spend(WorkspaceId workspace, MonotonicTime now, boolean reports) {
+  private boolean trySpend(WorkspaceId workspace, MonotonicTime now, boolean reportIfSpent) {
     TokenGrant grant = context.entry(EngineEntries.TOKENS).get(workspace);
     long epoch = grant == null ? 0 : grant.epoch();
     Spent current = spent.get(workspace);
@@ -98,7 +106,7 @@
       current = new Spent(epoch, current.count() + 1);
     }
     spent.put(workspace, current);
-    if (reports && !possible) {
+    if (reportIfSpent && !possible) {
       report(workspace, true);
     } else if (possible) {
       unreported.merge(workspace, 1, Integer::sum);
@@ -109,7 +117,7 @@
     return possible;
   }
 
-  /** What was decided of an operation. */
+  /** The decision on an operation. */
   enum Admission {
     ADMITTED,
     OVER_LIMIT,
@@ -118,5 +126,5 @@
 
   private record Spent(long epoch, long count) {}
 
-  private record Waiter(WorkspaceId workspace, Consumer<Admission> decided) {}
+  private record Waiter(WorkspaceId workspace, Consumer<Admission> onDecision) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerChoice.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerChoice.java
@@ -5,25 +5,25 @@
 import java.util.Optional;
 
 /**
- * Chooses the server for a read among those whose data is recent enough: the one that is expected
- * to answer first. Answers the load pattern of few slots per server shared by many hosts, where the
- * measured latency shows how long the server's own queue is.
+ * Chooses the server for a read: the one that is expected to answer first. A server has few slots,
+ * shared by many hosts, so the measured latency shows how long the server's own queue is.
  */
 final class ServerChoice {
   /**
-   * Opening a connection takes the handshake and two more ways, and one of the server's slots for
-   * that time, which delays others; so a workspace keeps to the servers it is connected to.
+   * Opening a connection takes the handshake and two more one-way trips, and one of the server's
+   * slots for that time, which delays others; so a workspace keeps to the servers it is connected
+   * to.
    */
-  static final double NEW_CONNECTION_MILLIS = 45;
+  static final double NEW_CONNECTION_PENALTY_MILLIS = 45;
 
-  /** Another zone costs a few milliseconds on the way, and priced bytes. */
-  static final double OTHER_ZONE_MILLIS = 4;
+  /** Another zone costs a few milliseconds of network latency, and its traffic is charged. */
+  static final double OTHER_ZONE_PENALTY_MILLIS = 4;
 
-  /** Writes need the primary, so reads leave it to them when others are about as fast. */
+  /** Writes need the primary, so reads prefer replicas that are about as fast. */
   static final double PRIMARY_FACTOR = 1.5;
 
-  /** A replica that lately lacked a position mostly lacks the next one too. */
-  static final double BEHIND_MILLIS = 60;
+  /** A replica that recently lacked a position mostly lacks the next one too. */
+  static final double BEHIND_PENALTY_MILLIS = 60;
 
   private ServerChoice() {}
 
@@ -39,13 +39,13 @@
       millis *= PRIMARY_FACTOR;
     }
     if (!candidate.connected()) {
-      millis += NEW_CONNECTION_MILLIS;
+      millis += NEW_CONNECTION_PENALTY_MILLIS;
     }
     if (!candidate.ownZone()) {
-      millis += OTHER_ZONE_MILLIS;
+      millis += OTHER_ZONE_PENALTY_MILLIS;
     }
     if (candidate.behind()) {
-      millis += BEHIND_MILLIS;
+      millis += BEHIND_PENALTY_MILLIS;
     }
     return millis;
   }
@@ -53,8 +53,10 @@
   /**
    * A server that could serve a read.
    *
-   * @param usable whether it is reachable as far as this host knows
-   * @param connected whether a connection of the workspace is free
+   * @param usable whether it answers this host and is not in backoff
+   * @param connected whether the workspace has an idle connection to it
+   * @param behind whether it recently lacked a required position
+   * @param outstanding connections in use and requests queued for them
    */
   record Candidate(
       ServerPool pool,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
@@ -3,33 +3,42 @@
 import java.time.Duration;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** What this host has measured of a backend server. */
+/**
+ * Latency and failures of one backend server as seen by this host. Used to choose servers for
+ * reads, to back off from failing servers and to detect unresponsive ones.
+ */
 final class ServerHealth {
-  /** A server that says nothing for so long while asked is treated as unreachable. */
-  static final Duration SILENCE = Duration.ofMillis(700);
+  /** A server that leaves requests unanswered for this long is treated as unreachable. */
+  static final Duration SILENCE_TIMEOUT = Duration.ofMillis(700);
 
-  /** After a failed connection the server is left alone for this long. */
-  static final Duration AVOIDANCE = Duration.ofMillis(250);
+  /**
+   * Backoff after a failed connection or read; also how long a server that lacked a position counts
+   * as behind.
+   */
+  static final Duration BACKOFF = Duration.ofMillis(250);
 
-  /** A server that reports no connection left is left alone for this long. */
-  static final Duration FULL_AVOIDANCE = Duration.ofMillis(300);
+  /** Backoff after the server refused a connection because it has none left. */
+  static final Duration FULL_SERVER_BACKOFF = Duration.ofMillis(300);
 
-  /** Failures further apart than this do not belong to one outage. */
-  static final Duration FAILURES_APART = Duration.ofMillis(1500);
+  /** Connection failures further apart than this do not belong to the same outage. */
+  static final Duration OUTAGE_GAP = Duration.ofMillis(1500);
 
-  /** The weight of a new latency in the moving average. */
-  private static final double WEIGHT = 0.15;
+  /** The weight of a new sample in the moving average of the latency. */
+  private static final double NEW_SAMPLE_WEIGHT = 0.15;
 
-  /** Old latencies lose half of their excess in this time, so that a recovered server is tried. */
+  /**
+   * Half-life of the difference from the initial latency, so that a server that has recovered is
+   * tried again.
+   */
   private static final double HALF_LIFE_SECONDS = 1.5;
 
-  private static final double INITIAL_MILLIS = 15;
+  private static final double INITIAL_LATENCY_MILLIS = 15;
   private static final double NANOS_PER_MILLI = 1e6;
   private static final double NANOS_PER_SECOND = 1e9;
 
-  private double latencyMillis = INITIAL_MILLIS;
+  private double latencyMillis = INITIAL_LATENCY_MILLIS;
   private MonotonicTime measuredAt;
-  private MonotonicTime avoidUntil;
+  private MonotonicTime backoffUntil;
   private MonotonicTime behindUntil;
   private MonotonicTime unansweredSince;
   private MonotonicTime failingSince;
@@ -37,76 +46,76 @@
 
   ServerHealth(MonotonicTime now) {
     this.measuredAt = now;
-    this.avoidUntil = now;
+    this.backoffUntil = now;
     this.behindUntil = now;
   }
 
-  void measured(Duration latency, MonotonicTime now) {
+  void recordLatency(Duration latency, MonotonicTime now) {
     double current = latencyMillis(now);
-    latencyMillis = current + WEIGHT * (latency.toNanos() / NANOS_PER_MILLI - current);
+    latencyMillis = current + NEW_SAMPLE_WEIGHT * (latency.toNanos() / NANOS_PER_MILLI - current);
     measuredAt = now;
-    heard();
+    recordResponse();
   }
 
   double latencyMillis(MonotonicTime now) {
     double seconds = now.since(measuredAt).toNanos() / NANOS_PER_SECOND;
     double kept = Math.pow(0.5, seconds / HALF_LIFE_SECONDS);
-    return INITIAL_MILLIS + (latencyMillis - INITIAL_MILLIS) * kept;
+    return INITIAL_LATENCY_MILLIS + (latencyMillis - INITIAL_LATENCY_MILLIS) * kept;
   }
 
-  void asked(MonotonicTime now) {
+  void recordRequest(MonotonicTime now) {
     if (unansweredSince == null) {
       unansweredSince = now;
     }
   }
 
-  void heard() {
+  void recordResponse() {
     unansweredSince = null;
     failingSince = null;
   }
 
-  /** Nothing is asked of the server any more, so its silence means nothing. */
-  void rested() {
+  /** Clears the silence timeout: no request is outstanding. */
+  void clearUnanswered() {
     unansweredSince = null;
   }
 
-  void connectionFailed(MonotonicTime now) {
-    if (failingSince == null || now.since(lastFailure).compareTo(FAILURES_APART) > 0) {
+  void recordConnectionFailure(MonotonicTime now) {
+    if (failingSince == null || now.since(lastFailure).compareTo(OUTAGE_GAP) > 0) {
       failingSince = now;
     }
     lastFailure = now;
-    avoidUntil = now.plus(AVOIDANCE);
+    backoffUntil = now.plus(BACKOFF);
   }
 
-  void full(MonotonicTime now) {
-    heard();
-    avoidUntil = now.plus(FULL_AVOIDANCE);
+  void recordFullServer(MonotonicTime now) {
+    recordResponse();
+    backoffUntil = now.plus(FULL_SERVER_BACKOFF);
   }
 
-  /** A server that fails reads is tried again after a pause; its connections stay usable. */
-  void failed(MonotonicTime now) {
-    avoidUntil = now.plus(AVOIDANCE);
+  /** Backs off from a server that failed a read; its connections stay usable. */
+  void recordReadFailure(MonotonicTime now) {
+    backoffUntil = now.plus(BACKOFF);
   }
 
-  void behind(MonotonicTime now) {
-    behindUntil = now.plus(AVOIDANCE);
+  void recordBehind(MonotonicTime now) {
+    behindUntil = now.plus(BACKOFF);
   }
 
   boolean isBehind(MonotonicTime now) {
     return now.isBefore(behindUntil);
   }
 
-  boolean isAvoided(MonotonicTime now) {
-    return now.isBefore(avoidUntil);
+  boolean isBackingOff(MonotonicTime now) {
+    return now.isBefore(backoffUntil);
   }
 
   boolean isSilent(MonotonicTime now) {
     boolean unanswered =
-        unansweredSince != null && now.since(unansweredSince).compareTo(SILENCE) >= 0;
+        unansweredSince != null && now.since(unansweredSince).compareTo(SILENCE_TIMEOUT) >= 0;
     boolean failing =
         failingSince != null
-            && now.since(failingSince).compareTo(SILENCE) >= 0
-            && now.since(lastFailure).compareTo(SILENCE) < 0;
+            && now.since(failingSince).compareTo(SILENCE_TIMEOUT) >= 0
+            && now.since(lastFailure).compareTo(SILENCE_TIMEOUT) < 0;
     return unanswered || failing;
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -16,18 +16,21 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * This host's connections to one backend server, each for one workspace. The server bounds the
- * connections of all hosts together and refuses more with a true "not run".
+ * This host's connections to one backend server, each for one workspace, and the queue of requests
+ * for them. The server limits the connections of all hosts together; when it refuses one, nothing
+ * was sent, so waiting statements may be reported as "not run".
  */
 final class ServerPool {
-  /** More connections than this would only move the queue from the host to the server. */
+  /** More connections than this would only move the queue from this host to the server. */
   static final int MAXIMUM_CONNECTIONS = 6;
 
-  /** A connection beyond the first that rests for so long makes room for other hosts. */
-  static final Duration SPARE_IDLE = Duration.ofSeconds(12);
+  /**
+   * Idle connections beyond the last one are closed after this time, to make room for other hosts.
+   */
+  static final Duration EXTRA_CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(12);
 
-  /** The last connection rests longer, as making a new one takes one of the server's slots. */
-  static final Duration LAST_IDLE = Duration.ofSeconds(30);
+  /** The last connection stays longer, as opening a new one takes one of the server's slots. */
+  static final Duration LAST_CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(30);
 
   private final TrafficContext context;
   private final ServerEntry server;
@@ -35,11 +38,11 @@
   private final PoolListener listener;
   private final List<PooledConnection> connections = new ArrayList<>();
   private final List<PooledConnection> idle = new ArrayList<>();
-  private final PriorityQueue<ConnectionWait> waits =
+  private final PriorityQueue<ConnectionRequest> queue =
       new PriorityQueue<>(
-          Comparator.comparingInt(ConnectionWait::priority)
-              .thenComparing(ConnectionWait::deadline)
-              .thenComparingLong(ConnectionWait::sequence));
+          Comparator.comparingInt(ConnectionRequest::priority)
+              .thenComparing(ConnectionRequest::deadline)
+              .thenComparingLong(ConnectionRequest::sequence));
   private long sequence;
 
   ServerPool(TrafficContext context, ServerEntry server, PoolListener listener) {
@@ -62,7 +65,7 @@
   }
 
   int outstanding() {
-    return connections.size() - idle.size() + waits.size();
+    return connections.size() - idle.size() + queue.size();
   }
 
   boolean hasIdle(WorkspaceId workspace) {
@@ -70,72 +73,80 @@
   }
 
   boolean hasRoom() {
-    return !idle.isEmpty() || connections.size() < limit();
+    return !idle.isEmpty() || connections.size() < connectionLimit();
   }
 
-  /** Returns this host's even part of the connections that the server accepts. */
-  private int limit() {
+  /** Returns this host's equal share of the connections that the server accepts. */
+  private int connectionLimit() {
     GroupSettings group = context.entry(EngineEntries.CONFIGURATION).groups().get(server.group());
     int accepted = group == null ? 1 : group.maximumConnections();
-    int even = accepted / context.entry(EngineEntries.ACTIVE_HOSTS);
-    return Math.max(1, Math.min(MAXIMUM_CONNECTIONS, even));
+    int evenShare = accepted / context.entry(EngineEntries.ACTIVE_HOSTS);
+    return Math.max(1, Math.min(MAXIMUM_CONNECTIONS, evenShare));
   }
 
-  /** Asks for a connection; exactly one method of the wait is called, unless it is cancelled. */
-  ConnectionWait acquire(
-      WorkspaceId workspace, int priority, MonotonicTime deadline, ConnectionWait.Listener waiter) {
-    ConnectionWait wait =
-        new ConnectionWait(workspace, priority, deadline, sequence++, context.now(), waiter);
+  /**
+   * Requests a connection; exactly one method of the listener is called, unless it is cancelled.
+   */
+  ConnectionRequest acquire(
+      WorkspaceId workspace,
+      int priority,
+      MonotonicTime deadline,
+      ConnectionRequest.Listener waiter) {
+    ConnectionRequest request =
+        new ConnectionRequest(workspace, priority, deadline, sequence++, context.now(), waiter);
     if (expectedWait().compareTo(deadline.since(context.now())) > 0 && !hasIdle(workspace)) {
-      wait.refuse(Failure.of(FailureCode.OVERLOADED, "the queue for the server is too long"));
-      return wait;
+      request.refuse(
+          Failure.of(
+              FailureCode.OVERLOADED,
+              "the expected wait for a connection is longer than the time left"));
+      return request;
     }
-    waits.add(wait);
-    serve();
-    if (wait.isWaiting()) {
+    queue.add(request);
+    serveQueue();
+    if (request.isWaiting()) {
       Duration left = deadline.since(context.now());
-      context.scheduler().schedule(left.isNegative() ? Duration.ZERO : left, () -> expire(wait));
+      context.scheduler().schedule(left.isNegative() ? Duration.ZERO : left, () -> expire(request));
     }
-    return wait;
+    return request;
   }
 
-  /** Returns how long the statements that wait will keep the connections busy. */
+  /** Estimates how long the queued requests will keep the connections busy. */
   private Duration expectedWait() {
-    double each = health.latencyMillis(context.now()) / limit();
-    return Duration.ofMillis(Math.round(each * waits.size()));
+    double each = health.latencyMillis(context.now()) / connectionLimit();
+    return Duration.ofMillis(Math.round(each * queue.size()));
   }
 
-  private void expire(ConnectionWait wait) {
-    if (wait.isWaiting()) {
-      waits.remove(wait);
-      wait.refuse(Failure.of(FailureCode.OVERLOADED, "no connection became free in time"));
+  private void expire(ConnectionRequest request) {
+    if (request.isWaiting()) {
+      queue.remove(request);
+      request.refuse(Failure.of(FailureCode.OVERLOADED, "no connection became free in time"));
     }
   }
 
-  private void serve() {
-    List<ConnectionWait> unserved = new ArrayList<>();
-    int connecting = (int) connections.stream().filter(made -> !made.isOpen()).count();
-    while (!waits.isEmpty()) {
-      ConnectionWait wait = waits.poll();
-      if (!wait.isWaiting()) {
+  private void serveQueue() {
+    List<ConnectionRequest> unserved = new ArrayList<>();
+    int connecting = (int) connections.stream().filter(connection -> !connection.isOpen()).count();
+    while (!queue.isEmpty()) {
+      ConnectionRequest request = queue.poll();
+      if (!request.isWaiting()) {
         continue;
       }
       Optional<PooledConnection> own =
           idle.stream()
-              .filter(connection -> connection.workspace().equals(wait.workspace()))
+              .filter(connection -> connection.workspace().equals(request.workspace()))
               .max(Comparator.comparing(PooledConnection::lastUsed));
       if (own.isPresent()) {
         idle.remove(own.get());
-        wait.grant(own.get());
+        request.grant(own.get());
       } else {
-        unserved.add(wait);
+        unserved.add(request);
       }
     }
-    waits.addAll(unserved);
-    for (ConnectionWait wait : unserved) {
-      if (connecting > 0 && connectingFor(wait.workspace()) > 0) {
+    queue.addAll(unserved);
+    for (ConnectionRequest request : unserved) {
+      if (connecting > 0 && connectingFor(request.workspace()) > 0) {
         connecting--;
-      } else if (!makeRoomFor(wait)) {
+      } else if (!openConnectionFor(request)) {
         return;
       }
     }
@@ -143,15 +154,15 @@
 
   private long connectingFor(WorkspaceId workspace) {
     return connections.stream()
-        .filter(made -> !made.isOpen() && made.workspace().equals(workspace))
+        .filter(connection -> !connection.isOpen() && connection.workspace().equals(workspace))
         .count();
   }
 
-  private boolean makeRoomFor(ConnectionWait wait) {
-    if (health.isAvoided(context.now())) {
+  private boolean openConnectionFor(ConnectionRequest request) {
+    if (health.isBackingOff(context.now())) {
       return false;
     }
-    if (connections.size() >= limit()) {
+    if (connections.size() >= connectionLimit()) {
       Optional<PooledConnection> oldest =
           idle.stream().min(Comparator.comparing(PooledConnection::lastUsed));
       if (oldest.isEmpty()) {
@@ -159,38 +170,38 @@
       }
       oldest.get().discard();
     }
-    PooledConnection made = new PooledConnection(this, wait.workspace(), context.now());
-    connections.add(made);
-    health.asked(context.now());
+    PooledConnection connection = new PooledConnection(this, request.workspace(), context.now());
+    connections.add(connection);
+    health.recordRequest(context.now());
     context.meter().count("connection.opened");
-    made.connect();
+    connection.connect();
     return true;
   }
 
   void opened(PooledConnection connection, Optional<TermPosition> position) {
-    health.heard();
+    health.recordResponse();
     position.ifPresent(shown -> listener.positionSeen(server, shown, connection.openedAt()));
     idle.add(connection);
-    serve();
+    serveQueue();
   }
 
   void refused(PooledConnection connection, Failure failure) {
     connections.remove(connection);
-    health.full(context.now());
+    health.recordFullServer(context.now());
     context.log().write("connection-refused", "server", server.id(), "code", failure.code());
-    refuseWaits(failure);
+    refuseQueued(failure);
   }
 
-  void heard() {
-    health.heard();
+  void answerReceived() {
+    health.recordResponse();
   }
 
   void lost(PooledConnection connection, String reason) {
     connections.remove(connection);
     idle.remove(connection);
-    if (!connection.isOpenedOnce()) {
-      health.connectionFailed(context.now());
-      refuseWaits(Failure.of(FailureCode.OVERLOADED, "the server cannot be reached: " + reason));
+    if (!connection.wasEverOpen()) {
+      health.recordConnectionFailure(context.now());
+      refuseQueued(Failure.of(FailureCode.OVERLOADED, "the server cannot be reached: " + reason));
     }
     context.log().write("connection-lost", "server", server.id(), "reason", reason);
   }
@@ -202,49 +213,57 @@
 
   void released(PooledConnection connection) {
     idle.add(connection);
-    serve();
+    serveQueue();
   }
 
-  private void refuseWaits(Failure failure) {
-    List<ConnectionWait> refused = new ArrayList<>(waits);
-    waits.clear();
-    refused.stream().filter(ConnectionWait::isWaiting).forEach(wait -> wait.refuse(failure));
+  private void refuseQueued(Failure failure) {
+    List<ConnectionRequest> refused = new ArrayList<>(queue);
+    queue.clear();
+    refused.stream()
+        .filter(ConnectionRequest::isWaiting)
+        .forEach(request -> request.refuse(failure));
   }
 
-  /** Closes connections that rest, and all that wait for a server that says nothing. */
+  /** Closes idle connections, and those that the server did not accept in time. */
   void tick(MonotonicTime now) {
     for (PooledConnection connection : List.copyOf(idle)) {
-      Duration rest = now.since(connection.lastUsed());
-      Duration limit = connections.size() > 1 ? SPARE_IDLE : LAST_IDLE;
-      if (rest.compareTo(limit) > 0) {
+      Duration idleTime = now.since(connection.lastUsed());
+      Duration limit =
+          connections.size() > 1 ? EXTRA_CONNECTION_IDLE_TIMEOUT : LAST_CONNECTION_IDLE_TIMEOUT;
+      if (idleTime.compareTo(limit) > 0) {
         connection.discard();
       }
     }
     boolean asked =
-        !waits.isEmpty()
+        !queue.isEmpty()
             || connections.stream()
-                .anyMatch(made -> !made.isOpen() || made.waitingSince().isPresent());
+                .anyMatch(
+                    connection -> !connection.isOpen() || connection.unansweredSince().isPresent());
     if (asked) {
-      health.asked(now);
+      health.recordRequest(now);
     } else {
-      health.rested();
+      health.clearUnanswered();
     }
     for (PooledConnection connection : List.copyOf(connections)) {
       boolean connecting = !connection.isOpen();
-      if (connecting && now.since(connection.openedAt()).compareTo(ServerHealth.SILENCE) > 0) {
-        connection.giveUp("the server does not answer");
+      if (connecting
+          && now.since(connection.openedAt()).compareTo(ServerHealth.SILENCE_TIMEOUT) > 0) {
+        connection.closeAsLost(
+            "the server did not accept the connection within "
+                + ServerHealth.SILENCE_TIMEOUT.toMillis()
+                + " ms");
       }
     }
   }
 
-  /** Closes all connections; statements that run get their answers as lost. */
+  /** Closes all connections; statements in flight fail as lost. */
   void close(String reason) {
     for (PooledConnection connection : List.copyOf(connections)) {
-      connection.giveUp(reason);
+      connection.closeAsLost(reason);
     }
   }
 
-  /** Lets statements that run end, and closes connections that rest. */
+  /** Closes idle connections and lets statements in flight finish. */
   void retire() {
     List.copyOf(idle).forEach(PooledConnection::discard);
   }
@@ -253,10 +272,10 @@
     return connections.isEmpty();
   }
 
-  /** Is told of the positions that servers show. */
+  /** Receives the log positions that servers return. */
   interface PoolListener {
 
-    /** A server showed its position in an answer to something sent at the given time. */
+    /** A server returned its position in the answer to a request sent at the given time. */
     void positionSeen(ServerEntry server, TermPosition position, MonotonicTime sentAt);
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Servers.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -15,15 +15,15 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** The pools of all backend servers and the positions of their groups. */
-final class Servers implements ServerPool.PoolListener {
+/** The connection pools of all backend servers, and the position history of each database group. */
+final class ServerPools implements ServerPool.PoolListener {
   private final TrafficContext context;
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
   private final Map<DatabaseGroupId, ServerEntry> primaries = new HashMap<>();
 
-  Servers(TrafficContext context) {
+  ServerPools(TrafficContext context) {
     this.context = context;
   }
 
@@ -37,14 +37,17 @@
       return pool;
     }
     if (pool != null) {
-      pool.close("the server was started anew");
+      pool.close("the server was restarted");
     }
-    ServerPool made = new ServerPool(context, entry, this);
-    pools.put(entry.id(), made);
-    return made;
+    ServerPool created = new ServerPool(context, entry, this);
+    pools.put(entry.id(), created);
+    return created;
   }
 
-  /** Returns the servers that could serve a read of the group, except those given. */
+  /**
+   * Returns the servers that could serve a read of the group, except those given. Left out are
+   * draining servers and those that report to be the primary but are not the verified one.
+   */
   List<ServerChoice.Candidate> candidates(
       DatabaseGroupId group, WorkspaceId workspace, Set<BackendServerId> except) {
     MonotonicTime now = context.now();
@@ -64,7 +67,7 @@
       candidates.add(
           new ServerChoice.Candidate(
               pool,
-              !health.isSilent(now) && !health.isAvoided(now),
+              !health.isSilent(now) && !health.isBackingOff(now),
               isPrimary,
               entry.zone().equals(context.settings().zone()),
               pool.hasIdle(workspace),
@@ -82,8 +85,11 @@
     }
   }
 
-  /** Follows the control state: forgets servers that are gone and positions of former primaries. */
-  void follow() {
+  /**
+   * Applies changed control state: retires the pools of servers that are gone and clears the
+   * position history of groups whose primary changed.
+   */
+  void onSnapshotChanged() {
     Map<BackendServerId, ServerEntry> listed = context.entry(EngineEntries.SERVERS);
     pools
         .values()
@@ -112,7 +118,7 @@
                         }));
   }
 
-  /** Reports silent servers and closes connections that rest. */
+  /** Reports unresponsive servers to the control thread and closes idle connections. */
   void tick(MonotonicTime now) {
     for (ServerPool pool : pools.values()) {
       pool.tick(now);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -21,57 +21,65 @@
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
 
-/** A caller's session: its values, prepared names, newest commit and open transaction. */
+/**
+ * A caller's session. It holds the session variables, the prepared statements, the position that
+ * reads must include and the open transaction, and runs the caller's statements one at a time in
+ * the order received. The front end calls it on the traffic thread.
+ */
 public final class Session {
-  /** A caller that sends more statements than this without reading answers is cut off. */
+  /** Statements that may be queued; a caller that sends more without reading answers is cut off. */
   private static final int MAXIMUM_QUEUED = 256;
 
   private final TrafficContext context;
-  private final Servers servers;
+  private final ServerPools pools;
   private final SessionAdmission admission;
   private final CallerConnection caller;
   private final DatabaseName database;
   private final Identity identity;
-  private final Map<String, String> values = new HashMap<>();
-  private final Map<String, PreparedShape> prepared = new HashMap<>();
+  private final Map<String, String> variables = new HashMap<>();
+  private final Map<String, PreparedShape> preparedStatements = new HashMap<>();
   private final Deque<Queued> queue = new ArrayDeque<>();
   private boolean busy;
   private boolean closed;
-  private DatabaseGroupId floorGroup;
-  private TermPosition floor = TermPosition.ZERO;
+  private DatabaseGroupId minimumPositionGroup;
+  private TermPosition minimumPosition = TermPosition.ZERO;
   private Optional<Transaction> transaction = Optional.empty();
 
   Session(
       TrafficContext context,
-      Servers servers,
+      ServerPools pools,
       SessionAdmission admission,
       CallerConnection caller,
       DatabaseName database,
       Identity identity) {
     this.context = context;
-    this.servers = servers;
+    this.pools = pools;
     this.admission = admission;
     this.caller = caller;
     this.database = database;
     this.identity = identity;
   }
 
-  /** Takes the next statement of the caller. */
+  /** Queues a statement of the caller and runs it after those received before it. */
   public void receive(RequestId id, Statement statement) {
     if (closed) {
       return;
     }
     if (queue.size() >= MAXIMUM_QUEUED) {
-      context.log().write("session-cut-off", "reason", "too many statements without answers");
+      context
+          .log()
+          .write("session-cut-off", "reason", "more than " + MAXIMUM_QUEUED + " statements queued");
       caller.close();
       ended();
       return;
     }
     queue.addLast(new Queued(id, statement));
-    next();
+    dispatchNext();
   }
 
-  /** Ends the session because the caller's connection has ended. */
+  /**
+   * Ends the session and rolls back its transaction; called when the caller's connection closes.
+   */
   public void ended() {
     closed = true;
     queue.clear();
@@ -91,7 +99,9 @@
     return !busy && queue.isEmpty() && transaction.isEmpty();
   }
 
-  /** Closes the connection if no statement and no transaction is open. */
+  /**
+   * Closes the caller's connection if no statement is queued or running and no transaction is open.
+   */
   void closeIfIdle() {
     if (!closed && isIdle()) {
       closed = true;
@@ -99,21 +109,21 @@
     }
   }
 
-  /** Ends a transaction that may no longer go on; its caller learns it with its next statement. */
+  /** Aborts an open transaction between statements; the caller's next statement fails. */
   void abortTransaction() {
     if (!busy) {
       transaction.ifPresent(Transaction::abort);
     }
   }
 
-  /** Ends a transaction whose caller has sent nothing for longer than the limit. */
+  /** Aborts an open transaction whose caller has been idle for longer than the limit. */
   void expireTransaction(Duration limit) {
-    if (!busy && transaction.filter(open -> open.rests(limit)).isPresent()) {
+    if (!busy && transaction.filter(open -> open.isIdleLongerThan(limit)).isPresent()) {
       transaction.get().abort();
     }
   }
 
-  private void next() {
+  private void dispatchNext() {
     if (busy || closed || queue.isEmpty()) {
       return;
     }
@@ -122,14 +132,14 @@
     dispatch(queued.id(), queued.statement());
   }
 
-  /** Answers the statement that is being worked on. */
+  /** Answers the running statement and starts the next one. */
   void answer(Answer answer) {
     busy = false;
     if (closed) {
       return;
     }
     caller.answer(answer);
-    next();
+    dispatchNext();
   }
 
   private SessionState state() {
@@ -148,10 +158,10 @@
       return;
     }
     if (statement instanceof Statement.SetValue set) {
-      values.put(set.name(), set.value());
+      variables.put(set.name(), set.value());
       answer(Answer.done(state()));
     } else if (statement instanceof Statement.Prepare prepare) {
-      prepared.put(prepare.name(), prepare.shape());
+      preparedStatements.put(prepare.name(), prepare.shape());
       answer(Answer.done(state()));
     } else if (statement instanceof Statement.Deallocate deallocate) {
       deallocate(deallocate);
@@ -166,12 +176,12 @@
     } else if (statement instanceof Statement.Execute execute) {
       execute(id, execute);
     } else {
-      fail(FailureCode.MALFORMED, "the statement is not known");
+      fail(FailureCode.MALFORMED, "unknown statement");
     }
   }
 
   private void deallocate(Statement.Deallocate deallocate) {
-    if (prepared.remove(deallocate.name()) == null) {
+    if (preparedStatements.remove(deallocate.name()) == null) {
       fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + deallocate.name());
     } else {
       answer(Answer.done(state()));
@@ -179,7 +189,7 @@
   }
 
   private void execute(RequestId id, Statement.Execute execute) {
-    PreparedShape shape = prepared.get(execute.name());
+    PreparedShape shape = preparedStatements.get(execute.name());
     if (shape == null) {
       fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + execute.name());
       return;
@@ -193,15 +203,14 @@
 
   private void begin(RequestId id, Statement.Begin begin) {
     if (transaction.isPresent()) {
-      fail(FailureCode.MALFORMED, "a transaction is open already");
+      fail(FailureCode.MALFORMED, "a transaction is already open");
       return;
     }
     admission.admit(
         this,
         id,
         route -> {
-          transaction =
-              Optional.of(new Transaction(context, servers, this, route, begin.readOnly()));
+          transaction = Optional.of(new Transaction(context, pools, this, route, begin.readOnly()));
           answer(Answer.done(SessionState.IN_TRANSACTION));
         });
   }
@@ -235,18 +244,19 @@
         id,
         route -> {
           boolean needsPrimary = write || route.kind() == RouteKind.PRIMARY;
-          Work work =
-              new Work(
+          ExecutionRequest request =
+              new ExecutionRequest(
                   id,
                   identity.workspace(),
                   route,
                   action,
                   needsPrimary,
                   write,
-                  floor(route),
-                  Map.copyOf(values),
+                  minimumPosition(route),
+                  Map.copyOf(variables),
                   shape);
-          StatementRun.start(context, servers, work, outcome -> finished(route, write, outcome));
+          StatementExecution.start(
+              context, pools, request, outcome -> finished(route, write, outcome));
         });
   }
 
@@ -256,52 +266,58 @@
     if (answer.succeeded() && write) {
       answer = acknowledge(route, answer, outcome.connection().orElseThrow());
     } else if (answer.succeeded() && outcome.onPrimary()) {
-      renewFloor(route, answer);
+      refreshMinimumPosition(route, answer);
     }
     answer(answer.withState(SessionState.IDLE));
   }
 
   /**
-   * Acknowledges a commit only if its server was the primary throughout: a replaced primary may
-   * still commit, and nothing of that is kept.
+   * Acknowledges a write or commit only if its server is still the primary; otherwise reports an
+   * unknown outcome. A replaced primary may still commit, but such commits are discarded.
    */
   Answer acknowledge(Route route, Answer answer, PooledConnection connection) {
     if (!context.isPrimary(connection.server())) {
       context.log().write("acknowledgement-withheld", "server", connection.server().id());
       return Answer.failed(
-          FailureCode.OUTCOME_UNKNOWN, "the primary was replaced meanwhile", SessionState.IDLE);
+          FailureCode.OUTCOME_UNKNOWN,
+          "the primary was replaced before the commit was acknowledged",
+          SessionState.IDLE);
     }
     answer
         .position()
         .ifPresent(
             position -> {
-              floor = floor(route).max(position);
-              floorGroup = route.group();
+              minimumPosition = minimumPosition(route).max(position);
+              minimumPositionGroup = route.group();
             });
     return answer;
   }
 
-  /** A position of an earlier term may be on no server any more; the primary shows a valid one. */
-  private void renewFloor(Route route, Answer answer) {
+  /**
+   * Replaces a minimum position of an earlier term by one that the current primary returned: no
+   * server may hold the old position any more.
+   */
+  private void refreshMinimumPosition(Route route, Answer answer) {
     answer
         .position()
-        .filter(position -> position.term() > floor(route).term())
-        .filter(position -> floor(route).term() > 0)
-        .ifPresent(position -> floor = position);
+        .filter(position -> position.term() > minimumPosition(route).term())
+        .filter(position -> minimumPosition(route).term() > 0)
+        .ifPresent(position -> minimumPosition = position);
   }
 
-  /** Returns the newest commit of the session that its reads must see. */
-  TermPosition floor(Route route) {
-    boolean own = route.group().equals(floorGroup) && route.kind() != RouteKind.BOUNDED_STALENESS;
-    return own ? floor : TermPosition.ZERO;
+  /** Returns the position of the session's newest commit if reads on the route must include it. */
+  TermPosition minimumPosition(Route route) {
+    boolean applies =
+        route.group().equals(minimumPositionGroup) && route.kind() != RouteKind.BOUNDED_STALENESS;
+    return applies ? minimumPosition : TermPosition.ZERO;
   }
 
   void transactionEnded() {
     transaction = Optional.empty();
   }
 
-  Map<String, String> values() {
-    return values;
+  Map<String, String> variables() {
+    return variables;
   }
 
   WorkspaceId workspace() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
@@ -9,23 +9,32 @@
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.control.EngineEntries;
 
-/** Decides whether a session may start an operation: route, key, freshness and rate. */
+/**
+ * Decides whether a session may start an operation. Checks that the route exists, that the key is
+ * valid and was verified recently, and that the workspace is within its rate limit.
+ */
 final class SessionAdmission {
-  /** The part of the latency target that an operation may wait for a token. */
+  /** An operation may wait for a token for the latency target divided by this. */
   private static final int WAIT_DIVISOR = 2;
 
-  /** Two calls to the store, one conflict included, mostly take less. */
-  private static final Duration LEAST_WAIT = Duration.ofMillis(80);
+  /**
+   * The shortest time an operation may wait for a token. Two calls to the store, one of them a
+   * conflict, mostly take less.
+   */
+  private static final Duration MINIMUM_WAIT = Duration.ofMillis(80);
 
   private final TrafficContext context;
-  private final TokenPurse purse;
+  private final RateLimiter rateLimiter;
 
-  SessionAdmission(TrafficContext context, TokenPurse purse) {
+  SessionAdmission(TrafficContext context, RateLimiter rateLimiter) {
     this.context = context;
-    this.purse = purse;
+    this.rateLimiter = rateLimiter;
   }
 
-  /** Runs the action with the route in force, or answers the statement with the refusal. */
+  /**
+   * Runs the action with the current route once the operation is admitted, or answers the statement
+   * with the refusal.
+   */
   void admit(Session session, RequestId id, Consumer<Route> admitted) {
     Optional<Refusal> refusal = check(session);
     if (refusal.isPresent()) {
@@ -38,15 +47,19 @@
       return;
     }
     Duration wait = route.latencyTarget().dividedBy(WAIT_DIVISOR);
-    purse.admit(
+    rateLimiter.admit(
         session.workspace(),
-        wait.compareTo(LEAST_WAIT) < 0 ? LEAST_WAIT : wait,
+        wait.compareTo(MINIMUM_WAIT) < 0 ? MINIMUM_WAIT : wait,
         decision -> {
           switch (decision) {
             case ADMITTED -> admitted.accept(route);
             case OVER_LIMIT ->
                 refuse(session, id, overloaded("the workspace is over its rate; not run"));
-            default -> refuse(session, id, overloaded("no share of the rate at hand; not run"));
+            default ->
+                refuse(
+                    session,
+                    id,
+                    overloaded("this host has no rate tokens for the workspace; not run"));
           }
         });
   }
@@ -55,7 +68,7 @@
     return new Refusal(FailureCode.OVERLOADED, detail);
   }
 
-  /** Returns why the session may not run anything now; empty if it may. */
+  /** Returns why the session may not run anything now, apart from its rate; empty if it may. */
   Optional<Refusal> check(Session session) {
     RoutingConfiguration configuration = context.entry(EngineEntries.CONFIGURATION);
     Route route = configuration.routes().get(session.database());
@@ -63,7 +76,10 @@
       return Optional.of(
           new Refusal(
               FailureCode.UNKNOWN_DATABASE,
-              "no route to " + session.database() + " in version " + configuration.version()));
+              "no route for database "
+                  + session.database()
+                  + " in configuration version "
+                  + configuration.version()));
     }
     Identity identity = session.identity();
     if (route.open() && identity.key().isEmpty()) {
@@ -79,11 +95,11 @@
       return Optional.of(
           new Refusal(
               FailureCode.KEY_REJECTED,
-              "the key is not valid in version " + configuration.version()));
+              "the key is not valid in configuration version " + configuration.version()));
     }
     if (!context.keysAreVerified()) {
       return Optional.of(
-          overloaded("this host cannot verify keys at present; connect to another one; not run"));
+          overloaded("this host cannot verify keys at present; connect to another host; not run"));
     }
     return Optional.empty();
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -18,113 +18,124 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** The sessions of a host; the entrance of the traffic thread. */
+/**
+ * The sessions of an entry host. It opens sessions for callers, closes them while the host drains,
+ * and runs the periodic work of the traffic thread. Front ends call it on that thread.
+ */
 public final class Sessions {
-  /** How often connections, silence and stops are looked at. */
-  private static final Duration TICK = Duration.ofMillis(100);
+  /** How often idle connections, unresponsive servers and the stop request are checked. */
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
 
-  /** Tokens lapse after 5 s, so a second of delay is no loss. */
-  private static final Duration PRESENCE_INTERVAL = Duration.ofMillis(1000);
+  /**
+   * How often active workspaces are reported. Tokens expire after 5 s, so 1 s of delay is harmless.
+   */
+  private static final Duration ACTIVE_REPORT_INTERVAL = Duration.ofMillis(1000);
 
-  /** The platform sends new callers for up to 2 s after a host reports not ready. */
-  private static final Duration STILL_SERVING = Duration.ofMillis(2200);
+  /**
+   * A stopping host serves for this long before it closes sessions: the platform sends new callers
+   * for up to 2 s after a host reports not ready.
+   */
+  private static final Duration DRAIN_DELAY = Duration.ofMillis(2200);
 
   /**
-   * A host that has just started reads the configuration within about 0.3 s; a refusal would cost
-   * callers one of their few retries. Callers give up a connection that is not ready after 2 s.
+   * How long a new caller waits for the first configuration. A host that has just started reads it
+   * within about 0.3 s, and a refusal would cost callers one of their few retries. Callers give up
+   * a connection that is not ready after 2 s.
    */
   private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1000);
 
-  /** A stopping host gives open transactions half of the grace. */
-  private static final int TRANSACTION_DIVISOR = 2;
+  /** A stopping host aborts open transactions after this fraction of the stop grace period. */
+  private static final int TRANSACTION_GRACE_DIVISOR = 2;
 
   private final TrafficContext context;
-  private final Servers servers;
-  private final TokenPurse purse;
+  private final ServerPools pools;
+  private final RateLimiter rateLimiter;
   private final SessionAdmission admission;
   private final Set<Session> sessions = new LinkedHashSet<>();
-  private final List<Opening> openings = new ArrayList<>();
-  private MonotonicTime presenceReportedAt = MonotonicTime.of(Long.MIN_VALUE / 2);
+  private final List<PendingOpen> pendingOpens = new ArrayList<>();
+  private MonotonicTime activeReportedAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime stoppingSince;
   private Runnable drained = () -> {};
-  private boolean wasVerified;
+  private boolean keysWereVerified;
 
   private Sessions(TrafficContext context) {
     this.context = context;
-    this.servers = new Servers(context);
-    this.purse = new TokenPurse(context);
-    this.admission = new SessionAdmission(context, purse);
+    this.pools = new ServerPools(context);
+    this.rateLimiter = new RateLimiter(context);
+    this.admission = new SessionAdmission(context, rateLimiter);
   }
 
-  /** Returns a host without sessions. */
+  /** Returns the sessions of a host that has just started: none. */
   public static Sessions create(TrafficContext context) {
     return new Sessions(context);
   }
 
-  /** Starts the regular work on the traffic thread. */
+  /** Schedules the periodic work on the traffic thread. */
   public void start() {
-    context.scheduler().schedule(TICK, this::tick);
+    context.scheduler().schedule(TICK_INTERVAL, this::tick);
   }
 
   /**
-   * Opens a session or refuses the caller, as soon as the host has a configuration.
+   * Opens a session or refuses the caller. While the host has no configuration, the caller waits up
+   * to 1 s for the first one.
    *
-   * @param opened is given the session, unless the caller is refused
+   * @param opened called with the session, unless the caller is refused
    */
   public void open(
       CallerConnection caller,
       DatabaseName database,
       Optional<KeyHash> key,
       Consumer<Session> opened) {
-    Opening opening = new Opening(caller, database, key, opened);
+    PendingOpen pending = new PendingOpen(caller, database, key, opened);
     if (context.entry(EngineEntries.CONFIGURATION).isPresent()) {
-      opening.run();
+      pending.run();
       return;
     }
-    openings.add(opening);
+    pendingOpens.add(pending);
     context
         .scheduler()
         .schedule(
             CONFIGURATION_WAIT,
             () -> {
-              if (openings.remove(opening)) {
-                opening.run();
+              if (pendingOpens.remove(pending)) {
+                pending.run();
               }
             });
   }
 
-  private void openWaiting() {
-    if (!openings.isEmpty() && context.entry(EngineEntries.CONFIGURATION).isPresent()) {
-      List<Opening> waiting = List.copyOf(openings);
-      openings.clear();
-      waiting.forEach(Opening::run);
+  private void openPending() {
+    if (!pendingOpens.isEmpty() && context.entry(EngineEntries.CONFIGURATION).isPresent()) {
+      List<PendingOpen> waiting = List.copyOf(pendingOpens);
+      pendingOpens.clear();
+      waiting.forEach(PendingOpen::run);
     }
   }
 
-  /** Opens a session, or refuses the caller; empty if it was refused. */
+  /** Opens a session at once; empty if the caller was refused. */
   public Optional<Session> open(
       CallerConnection caller, DatabaseName database, Optional<KeyHash> key) {
     RoutingConfiguration configuration = context.entry(EngineEntries.CONFIGURATION);
     if (!configuration.isPresent()) {
-      return refuse(caller, FailureCode.OVERLOADED, "no configuration yet; connect again");
+      return refuse(
+          caller, FailureCode.OVERLOADED, "this host has no configuration yet; connect again");
     }
     Route route = configuration.routes().get(database);
     if (route == null) {
-      return refuse(caller, FailureCode.UNKNOWN_DATABASE, "no route to " + database);
+      return refuse(caller, FailureCode.UNKNOWN_DATABASE, "no route for database " + database);
     }
     Optional<WorkspaceId> workspace = key.map(configuration.keys()::get);
     if (workspace.isEmpty() && !route.open()) {
-      return refuse(caller, FailureCode.KEY_REJECTED, "the key opens no workspace");
+      return refuse(caller, FailureCode.KEY_REJECTED, "the key belongs to no workspace");
     }
     Identity identity =
         workspace
             .map(owner -> new Identity(owner, key))
             .orElseGet(() -> new Identity(Identity.ANYONE, Optional.empty()));
-    Session session = new Session(context, servers, admission, caller, database, identity);
+    Session session = new Session(context, pools, admission, caller, database, identity);
     sessions.add(session);
     context.meter().count("session.opened");
     if (identity.key().isPresent()) {
-      purse.reportPresence(identity.workspace());
+      rateLimiter.reportActive(identity.workspace());
     }
     caller.ready(Optional.empty());
     return Optional.of(session);
@@ -153,48 +164,52 @@
         && !context.entry(EngineEntries.STOPPING);
   }
 
-  /** Runs an action once a stopping host has no session left; to be called before the start. */
+  /**
+   * Sets the action to run once a stopping host has no sessions left; call before {@link #start}.
+   */
   public void whenDrained(Runnable action) {
     drained = action;
   }
 
-  /** Follows a change of the control state. */
-  public void follow() {
-    openWaiting();
-    servers.follow();
-    purse.retry();
+  /**
+   * Applies changed control state: waiting callers, pools and waiting operations are re-examined.
+   */
+  public void onSnapshotChanged() {
+    openPending();
+    pools.onSnapshotChanged();
+    rateLimiter.retry();
   }
 
   private void tick() {
     MonotonicTime now = context.now();
-    openWaiting();
-    servers.tick(now);
-    purse.reportDemand();
-    if (now.since(presenceReportedAt).compareTo(PRESENCE_INTERVAL) >= 0) {
-      presenceReportedAt = now;
+    openPending();
+    pools.tick(now);
+    rateLimiter.reportDemand();
+    if (now.since(activeReportedAt).compareTo(ACTIVE_REPORT_INTERVAL) >= 0) {
+      activeReportedAt = now;
       sessions.stream()
           .filter(Session::needsKey)
           .map(Session::workspace)
           .distinct()
-          .forEach(purse::reportPresence);
+          .forEach(rateLimiter::reportActive);
     }
     sessions.removeIf(Session::isClosed);
     if (context.entry(EngineEntries.STOPPING)) {
       stop(now);
     }
-    Duration rest = context.entry(EngineEntries.CONFIGURATION).transactionIdle();
-    sessions.forEach(session -> session.expireTransaction(rest));
+    Duration idleLimit = context.entry(EngineEntries.CONFIGURATION).transactionIdle();
+    sessions.forEach(session -> session.expireTransaction(idleLimit));
     boolean verified = context.keysAreVerified();
-    if (wasVerified != verified) {
+    if (keysWereVerified != verified) {
       context
           .log()
           .write(verified ? "keys-verified" : "keys-unverified", "sessions", sessions.size());
-      wasVerified = verified;
+      keysWereVerified = verified;
     }
-    if (!context.keepsCallers()) {
+    if (!context.shouldKeepCallers()) {
       List.copyOf(sessions).stream().filter(Session::needsKey).forEach(Session::closeIfIdle);
     }
-    context.scheduler().schedule(TICK, this::tick);
+    context.scheduler().schedule(TICK_INTERVAL, this::tick);
   }
 
   private void stop(MonotonicTime now) {
@@ -203,26 +218,27 @@
       context.log().write("stopping", "sessions", sessions.size());
     }
     Duration elapsed = now.since(stoppingSince);
-    if (elapsed.compareTo(STILL_SERVING) > 0) {
+    if (elapsed.compareTo(DRAIN_DELAY) > 0) {
       List.copyOf(sessions).forEach(Session::closeIfIdle);
       sessions.removeIf(Session::isClosed);
       if (sessions.isEmpty()) {
         drained.run();
       }
     }
-    if (elapsed.compareTo(context.settings().stopGrace().dividedBy(TRANSACTION_DIVISOR)) > 0) {
+    if (elapsed.compareTo(context.settings().stopGrace().dividedBy(TRANSACTION_GRACE_DIVISOR))
+        > 0) {
       List.copyOf(sessions).forEach(Session::abortTransaction);
     }
   }
 
-  /** A caller that waits until the host has a configuration. */
-  private final class Opening {
+  /** An open request that waits until the host has a configuration. */
+  private final class PendingOpen {
     private final CallerConnection caller;
     private final DatabaseName database;
     private final Optional<KeyHash> key;
     private final Consumer<Session> opened;
 
-    private Opening(
+    private PendingOpen(
         CallerConnection caller,
         DatabaseName database,
         Optional<KeyHash> key,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementRun.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -17,23 +17,23 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Finds a server for one unit of work (a single statement, or the start of a transaction), prepares
- * a connection for the session and sends the work. Work that certainly did not run, and reads, go
- * to another server while time is left.
+ * Executes one request (a single statement, or the start of a transaction): chooses a server, sets
+ * up a connection for the session and sends the request. Reads, and requests that certainly did not
+ * run, are retried while time is left, reads on another server.
  */
-final class StatementRun {
-  /** More attempts would only add load when every server is full. */
-  private static final int ATTEMPTS = 4;
+final class StatementExecution {
+  /** More attempts would only add load when every server is overloaded. */
+  private static final int MAXIMUM_ATTEMPTS = 4;
 
-  /** The part of the latency target that work may wait for a connection before it is refused. */
+  /** A request may wait for a connection for the latency target divided by this. */
   private static final int WAIT_DIVISOR = 2;
 
-  /** A primary that is being replaced may be back within this time. */
+  /** Pause before a request is retried on the primary: a replacement may be ready by then. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(20);
 
   private final TrafficContext context;
-  private final Servers servers;
-  private final Work work;
+  private final ServerPools pools;
+  private final ExecutionRequest request;
   private final Consumer<Outcome> done;
   private final MonotonicTime startedAt;
   private final MonotonicTime waitUntil;
@@ -48,28 +48,30 @@
   private boolean onPrimary;
   private Runnable cancelTimeout = () -> {};
 
-  private StatementRun(TrafficContext context, Servers servers, Work work, Consumer<Outcome> done) {
+  private StatementExecution(
+      TrafficContext context, ServerPools pools, ExecutionRequest request, Consumer<Outcome> done) {
     this.context = context;
-    this.servers = servers;
-    this.work = work;
+    this.pools = pools;
+    this.request = request;
     this.done = done;
     this.startedAt = context.now();
-    this.waitUntil = startedAt.plus(work.latencyTarget().dividedBy(WAIT_DIVISOR));
-    this.deadline = startedAt.plus(work.timeout());
+    this.waitUntil = startedAt.plus(request.latencyTarget().dividedBy(WAIT_DIVISOR));
+    this.deadline = startedAt.plus(request.timeout());
   }
 
-  /** Starts the work; the outcome is told once. */
-  static void start(TrafficContext context, Servers servers, Work work, Consumer<Outcome> done) {
-    StatementRun run = new StatementRun(context, servers, work, done);
-    run.cancelTimeout = context.scheduler().schedule(work.timeout(), run::timeOut);
-    run.attempt();
+  /** Starts the request; the callback receives the outcome exactly once. */
+  static void start(
+      TrafficContext context, ServerPools pools, ExecutionRequest request, Consumer<Outcome> done) {
+    StatementExecution execution = new StatementExecution(context, pools, request, done);
+    execution.cancelTimeout = context.scheduler().schedule(request.timeout(), execution::timeOut);
+    execution.attempt();
   }
 
   private void attempt() {
     if (finished) {
       return;
     }
-    Optional<Target> target = attempts >= ATTEMPTS ? Optional.empty() : choose();
+    Optional<Target> target = attempts >= MAXIMUM_ATTEMPTS ? Optional.empty() : choose();
     if (target.isEmpty()) {
       giveUp();
       return;
@@ -78,12 +80,12 @@
     sent = false;
     ServerPool pool = target.get().pool();
     onPrimary = target.get().primary();
-    MonotonicTime latest = waitUntil.isBefore(context.now()) ? context.now() : waitUntil;
+    MonotonicTime waitDeadline = waitUntil.isBefore(context.now()) ? context.now() : waitUntil;
     pool.acquire(
-        work.workspace(),
-        work.priority(),
-        latest,
-        new ConnectionWait.Listener() {
+        request.workspace(),
+        request.priority(),
+        waitDeadline,
+        new ConnectionRequest.Listener() {
           @Override
           public void granted(PooledConnection free) {
             use(free, target.get());
@@ -91,33 +93,35 @@
 
           @Override
           public void refused(Failure failure) {
-            notRun(pool.server(), failure);
+            retry(pool.server(), failure);
           }
         });
   }
 
   private Optional<Target> choose() {
-    Optional<ServerEntry> primary = context.primary(work.group());
-    if (work.needsPrimary()) {
-      return primary.map(entry -> new Target(servers.pool(entry), true, Optional.empty()));
+    Optional<ServerEntry> primary = context.primary(request.group());
+    if (request.needsPrimary()) {
+      return primary.map(entry -> new Target(pools.pool(entry), true, Optional.empty()));
     }
     Optional<TermPosition> sample =
-        servers.history(work.group()).oldestWithin(work.staleness(), context.now());
+        pools.history(request.group()).oldestWithin(request.staleness(), context.now());
     if (sample.isPresent()) {
-      TermPosition floor = sample.get().max(work.floor());
+      TermPosition minimumPosition = sample.get().max(request.minimumPosition());
       List<ServerChoice.Candidate> candidates =
-          servers.candidates(work.group(), work.workspace(), tried);
+          pools.candidates(request.group(), request.workspace(), tried);
       Optional<ServerChoice.Candidate> best = ServerChoice.best(candidates);
       if (best.isPresent()) {
         boolean isPrimary = best.get().primary();
         return Optional.of(
             new Target(
-                best.get().pool(), isPrimary, isPrimary ? Optional.empty() : Optional.of(floor)));
+                best.get().pool(),
+                isPrimary,
+                isPrimary ? Optional.empty() : Optional.of(minimumPosition)));
       }
     }
     return primary
         .filter(entry -> !tried.contains(entry.id()))
-        .map(entry -> new Target(servers.pool(entry), true, Optional.empty()));
+        .map(entry -> new Target(pools.pool(entry), true, Optional.empty()));
   }
 
   private void use(PooledConnection free, Target target) {
@@ -127,36 +131,41 @@
     }
     if (onPrimary && !context.isPrimary(free.server())) {
       free.release();
-      notRun(free.server(), Failure.of(FailureCode.OVERLOADED, "the primary is being replaced"));
+      retry(free.server(), Failure.of(FailureCode.OVERLOADED, "the primary is being replaced"));
       return;
     }
     connection = free;
-    Setup.run(free, work.values(), work.shape(), ready -> prepared(ready, target));
+    ConnectionSetup.run(
+        free, request.variables(), request.shape(), ready -> connectionReady(ready, target));
   }
 
-  private void prepared(boolean ready, Target target) {
+  private void connectionReady(boolean ready, Target target) {
     if (finished) {
       return;
     }
     if (!ready) {
       connection.discard();
-      notRun(connection.server(), Failure.of(FailureCode.OVERLOADED, "the session was not set up"));
+      retry(
+          connection.server(),
+          Failure.of(
+              FailureCode.OVERLOADED, "the session could not be set up on the server connection"));
       return;
     }
     sent = true;
     PooledConnection used = connection;
-    BackendStatement statement = BackendStatement.of(work.id(), target.position(), work.action());
+    BackendStatement statement =
+        BackendStatement.of(request.id(), target.position(), request.action());
     used.send(
         statement,
         new PooledConnection.StatementListener() {
           @Override
           public void answered(Answer answer, MonotonicTime sentAt) {
-            StatementRun.this.answered(used, answer, sentAt);
+            StatementExecution.this.answered(used, answer, sentAt);
           }
 
           @Override
           public void lost(String reason) {
-            StatementRun.this.lost(used, reason);
+            StatementExecution.this.lost(used, reason);
           }
         });
   }
@@ -168,25 +177,25 @@
       return;
     }
     if (answer.succeeded()) {
-      used.pool().health().measured(now.since(sentAt), now);
+      used.pool().health().recordLatency(now.since(sentAt), now);
       if (onPrimary) {
         answer
             .position()
-            .ifPresent(position -> servers.positionSeen(used.server(), position, sentAt));
+            .ifPresent(position -> pools.positionSeen(used.server(), position, sentAt));
       }
       finish(new Outcome(answer, Optional.of(used), onPrimary));
       return;
     }
     FailureCode code = answer.failure().orElseThrow().code();
     if (code == FailureCode.BEHIND) {
-      used.pool().health().behind(now);
+      used.pool().health().recordBehind(now);
     }
     if (code == FailureCode.UNKNOWN_NAME) {
-      used.prepared().clear();
+      used.preparedShapes().clear();
     }
-    boolean failedRead = code == FailureCode.FAILED && !work.writes();
+    boolean failedRead = code == FailureCode.FAILED && !request.writes();
     if (failedRead) {
-      used.pool().health().failed(now);
+      used.pool().health().recordReadFailure(now);
     }
     boolean repeatable = code.nothingKept() || code == FailureCode.UNKNOWN_NAME || failedRead;
     if (answer.state() == SessionState.IDLE) {
@@ -195,7 +204,7 @@
       used.discard();
     }
     if (repeatable) {
-      notRun(used.server(), answer.failure().orElseThrow());
+      retry(used.server(), answer.failure().orElseThrow());
     } else {
       finish(new Outcome(answer.withState(SessionState.IDLE), Optional.empty(), onPrimary));
     }
@@ -205,16 +214,19 @@
     if (finished) {
       return;
     }
-    if (work.writes()) {
+    if (request.writes()) {
       fail(FailureCode.OUTCOME_UNKNOWN, "the connection to the primary ended: " + reason);
     } else {
-      notRun(
-          used.server(), Failure.of(FailureCode.ABORTED, "the server did not answer: " + reason));
+      retry(
+          used.server(),
+          Failure.of(FailureCode.ABORTED, "the connection to the server ended: " + reason));
     }
   }
 
-  /** The work did not run there, or only read; another attempt is allowed. */
-  private void notRun(ServerEntry server, Failure failure) {
+  /**
+   * Makes another attempt if time is left. The request did not run on the server, or only reads.
+   */
+  private void retry(ServerEntry server, Failure failure) {
     if (finished) {
       return;
     }
@@ -222,7 +234,7 @@
     tried.add(server.id());
     connection = null;
     context.meter().count("statement.retried");
-    if (work.needsPrimary()) {
+    if (request.needsPrimary()) {
       if (context.now().plus(RETRY_PAUSE).isBefore(waitUntil)) {
         context.scheduler().schedule(RETRY_PAUSE, this::attempt);
       } else {
@@ -234,8 +246,9 @@
   }
 
   private void giveUp() {
-    boolean passedOn = lastFailure.code().nothingKept() || lastFailure.code() == FailureCode.FAILED;
-    FailureCode code = passedOn ? lastFailure.code() : FailureCode.OVERLOADED;
+    boolean reportable =
+        lastFailure.code().nothingKept() || lastFailure.code() == FailureCode.FAILED;
+    FailureCode code = reportable ? lastFailure.code() : FailureCode.OVERLOADED;
     fail(code, lastFailure.detail() + "; try again");
   }
 
@@ -256,11 +269,17 @@
 
   private void finishTimeOut(boolean running) {
     if (!running) {
-      fail(FailureCode.OVERLOADED, "the statement did not start in time; try again");
-    } else if (work.writes()) {
-      fail(FailureCode.OUTCOME_UNKNOWN, "the server did not answer in time");
+      fail(
+          FailureCode.OVERLOADED,
+          "the statement did not start within " + request.timeout().toMillis() + " ms; try again");
+    } else if (request.writes()) {
+      fail(
+          FailureCode.OUTCOME_UNKNOWN,
+          "the statement got no answer within " + request.timeout().toMillis() + " ms");
     } else {
-      fail(FailureCode.TIMED_OUT, "the server did not answer in time");
+      fail(
+          FailureCode.TIMED_OUT,
+          "the statement got no answer within " + request.timeout().toMillis() + " ms");
     }
   }
 
@@ -281,9 +300,9 @@
           .write(
               "statement-failed",
               "request",
-              work.id(),
+              request.id(),
               "group",
-              work.group(),
+              request.group(),
               "code",
               failure.code(),
               "attempts",
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -20,7 +20,10 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.port.MonotonicClock;
 
-/** What the classes of the traffic thread share. */
+/**
+ * Dependencies that the classes of the traffic thread share, and the checks on how recently the
+ * control state was verified.
+ */
 public record TrafficContext(
     EngineSettings settings,
     MonotonicClock clock,
@@ -32,21 +35,25 @@
     TrafficMeter meter,
     SuspensionDetector suspension) {
 
-  /** A withdrawn key must not run longer than the installation says; this is kept for the way. */
+  /**
+   * Subtracted from the configured key revocation time, which a withdrawn key must not outlive, to
+   * allow for statements in transit to a server.
+   */
   private static final Duration REVOCATION_MARGIN = Duration.ofMillis(500);
 
   /**
-   * Verifications come every second and reach a host up to 0.3 s later, so a host with an older one
-   * has missed one and sends new callers elsewhere. The platform waits for two such reports, 1 s
-   * apart, so a single one does no harm.
+   * A host whose last verification is older reports not ready, so that new callers go elsewhere.
+   * Verifications come every second and reach a host up to 0.3 s later, so such a host has missed
+   * one. The platform waits for two reports, 1 s apart, so a single one does no harm.
    */
-  private static final Duration READY_AGE = Duration.ofMillis(1600);
+  private static final Duration READY_MAXIMUM_AGE = Duration.ofMillis(1600);
 
   /**
-   * The platform needs up to 2 s to send callers elsewhere; by then the primaries cannot be used
-   * any more, so callers that rest do better to connect again.
+   * A host whose last verification is older closes idle sessions. The platform needs up to 2 s to
+   * send callers elsewhere; by then this host may not use the primaries any more, so idle callers
+   * are better off reconnecting.
    */
-  private static final Duration MOVING_AGE = Duration.ofMillis(3700);
+  private static final Duration KEEP_CALLERS_MAXIMUM_AGE = Duration.ofMillis(3700);
 
   MonotonicTime now() {
     return clock.now();
@@ -60,19 +67,19 @@
     observations.accept(observation);
   }
 
-  /** Returns whether keys may be relied on: the configuration was verified recently enough. */
+  /** Returns whether the configuration was verified recently enough to accept its keys. */
   boolean keysAreVerified() {
     return verifiedWithin(settings.keyRevocation().minus(REVOCATION_MARGIN));
   }
 
-  /** Returns whether new callers are served well here. */
+  /** Returns whether the platform should send new callers to this host. */
   boolean isReadyForCallers() {
-    return verifiedWithin(READY_AGE);
+    return verifiedWithin(READY_MAXIMUM_AGE);
   }
 
-  /** Returns whether callers should stay here. */
-  boolean keepsCallers() {
-    return verifiedWithin(MOVING_AGE);
+  /** Returns whether idle sessions should stay open on this host. */
+  boolean shouldKeepCallers() {
+    return verifiedWithin(KEEP_CALLERS_MAXIMUM_AGE);
   }
 
   /** Returns the primary of a group, if its leadership was verified recently enough to use it. */
@@ -83,7 +90,7 @@
     return entry(EngineEntries.PRIMARIES).getOrDefault(group, PrimaryView.NONE).at(now());
   }
 
-  /** Returns whether the given process is the primary that may be used. */
+  /** Returns whether the given process is the primary of its group and may be used. */
   boolean isPrimary(ServerEntry server) {
     return primary(server.group()).filter(server::sameProcess).isPresent();
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficMeter.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficMeter.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 
-/** Counts what the traffic thread does; implementations must be fast. */
+/**
+ * Metrics of the traffic thread, which calls it for each statement; implementations must be fast.
+ */
 public interface TrafficMeter {
 
   /** Counts an event, for example {@code statement.refused}. */
   void count(String event);
 
-  /** Records how long something took. */
+  /** Records a duration, for example {@code statement.latency}. */
   void time(String event, Duration duration);
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -15,15 +15,15 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * An open transaction. It takes a backend connection with its first statement and keeps it until
- * the end, so that callers that rest after BEGIN hold none.
+ * An open transaction of a session. It takes a backend connection for its first statement and keeps
+ * it until the end, so that callers that are idle after BEGIN hold no connection.
  */
 final class Transaction {
-  /** A full server that ran nothing is asked again after this pause. */
+  /** Pause before a statement that an overloaded server did not run is sent again. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(15);
 
   private final TrafficContext context;
-  private final Servers servers;
+  private final ServerPools pools;
   private final Session session;
   private final Route route;
   private final boolean readOnly;
@@ -34,9 +34,9 @@
   private MonotonicTime lastUsed;
 
   Transaction(
-      TrafficContext context, Servers servers, Session session, Route route, boolean readOnly) {
+      TrafficContext context, ServerPools pools, Session session, Route route, boolean readOnly) {
     this.context = context;
-    this.servers = servers;
+    this.pools = pools;
     this.session = session;
     this.route = route;
     this.readOnly = readOnly;
@@ -47,7 +47,7 @@
     return state;
   }
 
-  boolean rests(Duration limit) {
+  boolean isIdleLongerThan(Duration limit) {
     return context.now().since(lastUsed).compareTo(limit) > 0;
   }
 
@@ -56,16 +56,16 @@
     withConnection(
         id,
         () ->
-            Setup.run(
+            ConnectionSetup.run(
                 connection,
-                Map.copyOf(session.values()),
+                Map.copyOf(session.variables()),
                 shape,
                 ready -> {
                   if (ready) {
                     wrote |= write;
                     send(id, action, context.now().plus(route.statementTimeout()));
                   } else {
-                    failed("the session could not be set up");
+                    failAborted("the session could not be set up on the server connection");
                   }
                 }));
   }
@@ -73,27 +73,27 @@
   private void withConnection(RequestId id, Runnable action) {
     if (route.kind() == RouteKind.PRIMARY || !readOnly) {
       if (connection != null && !context.isPrimary(connection.server())) {
-        failed("the primary is being replaced");
+        failAborted("the primary is being replaced");
         return;
       }
     }
-    if (session.needsKey() && !mayGoOn()) {
-      failed("the key can no longer be verified");
+    if (session.needsKey() && !isKeyStillValid()) {
+      failAborted("the key was withdrawn or can no longer be verified");
       return;
     }
     if (connection != null) {
       if (connection.isOpen()) {
         action.run();
       } else {
-        failed("the connection to the server has ended");
+        failAborted("the connection to the server has ended");
       }
       return;
     }
-    StatementRun.start(context, servers, opening(id), outcome -> opened(outcome, action));
+    StatementExecution.start(context, pools, beginRequest(id), outcome -> begun(outcome, action));
   }
 
-  /** Checks the key on each statement, as a withdrawn key must stop in open transactions too. */
-  private boolean mayGoOn() {
+  /** Checked for each statement: a withdrawn key must stop open transactions too. */
+  private boolean isKeyStillValid() {
     return context.keysAreVerified()
         && session
             .identity()
@@ -103,34 +103,34 @@
             .isPresent();
   }
 
-  private Work opening(RequestId id) {
-    return new Work(
+  private ExecutionRequest beginRequest(RequestId id) {
+    return new ExecutionRequest(
         RequestId.OWN,
         session.workspace(),
         route,
         new BackendStatement.Begin(readOnly),
         !readOnly || route.kind() == RouteKind.PRIMARY,
         false,
-        session.floor(route),
-        Map.copyOf(session.values()),
+        session.minimumPosition(route),
+        Map.copyOf(session.variables()),
         Optional.empty());
   }
 
-  private void opened(Outcome outcome, Runnable action) {
+  private void begun(Outcome outcome, Runnable action) {
     if (ended) {
       outcome.connection().ifPresent(PooledConnection::discard);
       return;
     }
     if (!outcome.answer().succeeded()) {
-      fail(outcome.answer().failure().orElseThrow().code(), "the transaction did not begin");
+      fail(outcome.answer().failure().orElseThrow().code(), "the transaction could not be started");
       return;
     }
     connection = outcome.connection().orElseThrow();
     action.run();
   }
 
-  private void failed(String detail) {
-    fail(FailureCode.ABORTED, detail + "; nothing of the transaction is kept");
+  private void failAborted(String detail) {
+    fail(FailureCode.ABORTED, detail + "; the transaction is rolled back");
   }
 
   private void fail(FailureCode code, String detail) {
@@ -142,32 +142,34 @@
   }
 
   private void send(RequestId id, BackendStatement.Action action, MonotonicTime deadline) {
-    Pending pending = new Pending(id, action, deadline);
+    PendingStatement pending = new PendingStatement(id, action, deadline);
     pending.cancel =
         context.scheduler().schedule(deadline.since(context.now()), () -> timeOut(pending));
     connection.send(BackendStatement.of(id, Optional.empty(), action), pending);
   }
 
-  private void timeOut(Pending pending) {
+  private void timeOut(PendingStatement pending) {
     if (!pending.done) {
       pending.done = true;
-      failed("a statement got no answer in time");
+      failAborted(
+          "a statement got no answer within " + route.statementTimeout().toMillis() + " ms");
     }
   }
 
-  private void answered(Pending pending, Answer answer) {
+  private void answered(PendingStatement pending, Answer answer) {
     lastUsed = context.now();
     if (answer.failedWith(FailureCode.OVERLOADED)
         && answer.state() == SessionState.IN_TRANSACTION
         && lastUsed.plus(RETRY_PAUSE).isBefore(pending.deadline)) {
       context.meter().count("statement.retried");
-      context.scheduler().schedule(RETRY_PAUSE, () -> sendAgain(pending));
+      context.scheduler().schedule(RETRY_PAUSE, () -> resend(pending));
       return;
     }
     if (answer.succeeded()) {
       answer
           .position()
-          .ifPresent(position -> servers.positionSeen(connection.server(), position, pending.at));
+          .ifPresent(
+              position -> pools.positionSeen(connection.server(), position, pending.startedAt));
       session.answer(answer.withState(SessionState.IN_TRANSACTION));
       return;
     }
@@ -175,13 +177,13 @@
     session.answer(answer.withState(state));
   }
 
-  private void sendAgain(Pending pending) {
+  private void resend(PendingStatement pending) {
     if (!ended && connection != null) {
       send(pending.id, pending.action, pending.deadline);
     }
   }
 
-  /** Ends the transaction; a failed one is rolled back and says so. */
+  /** Commits the transaction, or rolls back a failed one and answers that it was aborted. */
   void commit(RequestId id, String text) {
     if (state == SessionState.FAILED_TRANSACTION) {
       abandon();
@@ -193,14 +195,17 @@
         id,
         () -> {
           PooledConnection used = connection;
-          Commit pending = new Commit(used);
+          PendingCommit pending = new PendingCommit(used);
           pending.cancel = context.scheduler().schedule(route.statementTimeout(), pending::timeOut);
           used.send(
               BackendStatement.of(id, Optional.empty(), new BackendStatement.Text(text)), pending);
         });
   }
 
-  /** Gives the connection back, rolled back, and forgets the transaction. */
+  /**
+   * Rolls back and releases the connection, without an answer to the caller. A connection with an
+   * unanswered statement is discarded instead, which rolls back too.
+   */
   void abandon() {
     ended = true;
     if (connection == null) {
@@ -208,7 +213,7 @@
     }
     PooledConnection used = connection;
     connection = null;
-    if (used.waitingSince().isPresent() || !used.isOpen()) {
+    if (used.unansweredSince().isPresent() || !used.isOpen()) {
       used.discard();
       return;
     }
@@ -231,7 +236,10 @@
         });
   }
 
-  /** Ends the work on the server; the caller has still to end the transaction. */
+  /**
+   * Fails the transaction and discards its connection, which rolls it back. The caller still has to
+   * end it with ROLLBACK or COMMIT.
+   */
   void abort() {
     state = SessionState.FAILED_TRANSACTION;
     if (connection != null) {
@@ -240,15 +248,15 @@
     }
   }
 
-  private final class Pending implements PooledConnection.StatementListener {
+  private final class PendingStatement implements PooledConnection.StatementListener {
     private final RequestId id;
     private final BackendStatement.Action action;
     private final MonotonicTime deadline;
-    private final MonotonicTime at = context.now();
+    private final MonotonicTime startedAt = context.now();
     private Runnable cancel = () -> {};
     private boolean done;
 
-    private Pending(RequestId id, BackendStatement.Action action, MonotonicTime deadline) {
+    private PendingStatement(RequestId id, BackendStatement.Action action, MonotonicTime deadline) {
       this.id = id;
       this.action = action;
       this.deadline = deadline;
@@ -268,17 +276,17 @@
       cancel.run();
       if (!done && !ended) {
         done = true;
-        failed("the connection to the server ended: " + reason);
+        failAborted("the connection to the server ended: " + reason);
       }
     }
   }
 
-  private final class Commit implements PooledConnection.StatementListener {
+  private final class PendingCommit implements PooledConnection.StatementListener {
     private final PooledConnection used;
     private Runnable cancel = () -> {};
     private boolean done;
 
-    private Commit(PooledConnection used) {
+    private PendingCommit(PooledConnection used) {
       this.used = used;
     }
 
@@ -288,29 +296,31 @@
       if (done) {
         return;
       }
-      Answer told = answer.succeeded() && wrote ? session.acknowledge(route, answer, used) : answer;
+      Answer reported =
+          answer.succeeded() && wrote ? session.acknowledge(route, answer, used) : answer;
       if (answer.state() == SessionState.IDLE) {
         used.release();
       } else {
         used.discard();
       }
-      finish(told);
+      finish(reported);
     }
 
     @Override
     public void lost(String reason) {
       cancel.run();
-      unanswered("the connection ended before the answer to COMMIT: " + reason);
+      reportUnanswered("the connection ended before the answer to COMMIT: " + reason);
     }
 
     private void timeOut() {
       if (!done) {
         used.discard();
-        unanswered("COMMIT got no answer in time");
+        reportUnanswered(
+            "COMMIT got no answer within " + route.statementTimeout().toMillis() + " ms");
       }
     }
 
-    private void unanswered(String detail) {
+    private void reportUnanswered(String detail) {
       if (!done) {
         FailureCode code = wrote ? FailureCode.OUTCOME_UNKNOWN : FailureCode.ABORTED;
         context.log().write("commit-unanswered", "group", route.group(), "detail", detail);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PositionHistoryTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PositionHistoryTest.java
@@ -17,9 +17,9 @@
     return START.plus(Duration.ofMillis(millis));
   }
 
-  /** Old positions are on more replicas than new ones. */
+  /** Guards against needlessly new positions, which fewer replicas have than old ones. */
   @Test
-  void shouldGiveTheOldestPositionThatIsRecentEnough() {
+  void shouldReturnTheOldestPositionWithinTheStaleness() {
     history.add(at(0), TermPosition.of(1, 1));
     history.add(at(1000), TermPosition.of(1, 2));
     history.add(at(2000), TermPosition.of(1, 3));
@@ -29,7 +29,7 @@
 
   /** Guards against a read that misses a commit older than the staleness of its route. */
   @Test
-  void shouldGiveNoPositionThatIsTooOld() {
+  void shouldReturnNoPositionOlderThanTheStaleness() {
     history.add(at(0), TermPosition.of(1, 1));
 
     assertThat(history.oldestWithin(STALENESS, at(1400))).isEmpty();
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ServerChoiceTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ServerChoiceTest.java
@@ -14,7 +14,7 @@
   }
 
   @Test
-  void shouldPreferTheServerThatAnswersFirst() {
+  void shouldPreferTheServerExpectedToAnswerFirst() {
     ServerChoice.Candidate slow = candidate(true, false, true, 200, 0);
     ServerChoice.Candidate busy = candidate(true, false, true, 20, 3);
     ServerChoice.Candidate free = candidate(true, false, true, 20, 0);
@@ -24,16 +24,16 @@
 
   /** Guards against opening a connection for each statement of a workspace. */
   @Test
-  void shouldKeepToAConnectedServer() {
+  void shouldPreferAConnectedServer() {
     ServerChoice.Candidate connected = candidate(true, false, true, 40, 0);
     ServerChoice.Candidate fresh = candidate(true, false, false, 15, 0);
 
     assertThat(ServerChoice.best(List.of(connected, fresh))).contains(connected);
   }
 
-  /** Leaves the primary to the writes while replicas are about as fast. */
+  /** Guards against reads that load the primary while a replica is about as fast. */
   @Test
-  void shouldLeaveThePrimaryToWrites() {
+  void shouldPreferAReplicaToThePrimary() {
     ServerChoice.Candidate primary = candidate(true, true, true, 18, 0);
     ServerChoice.Candidate replica = candidate(true, false, true, 20, 0);
 
@@ -41,7 +41,7 @@
   }
 
   @Test
-  void shouldNotChooseAServerThatCannotBeReached() {
+  void shouldNotChooseAnUnusableServer() {
     assertThat(ServerChoice.best(List.of(candidate(false, false, true, 1, 0)))).isEmpty();
   }
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
@@ -46,7 +46,7 @@
     assertThat(fixture.servers.sent().get(0).server().value()).isEqualTo("s1");
   }
 
-  /** Guards against running a withdrawn key on a connection that was opened before. */
+  /** Guards against running statements of a session whose key was withdrawn after it was opened. */
   @Test
   void shouldRefuseWithdrawnKeyOnOpenSession() {
     Session session = open(RouteKind.PRIMARY);
@@ -59,9 +59,9 @@
     assertThat(fixture.servers.sent()).isEmpty();
   }
 
-  /** Guards against serving on an old configuration while the store cannot be reached. */
+  /** Guards against serving an outdated configuration while the store is unreachable. */
   @Test
-  void shouldRefuseWhenTheConfigurationCannotBeVerified() {
+  void shouldCloseSessionsWhenTheConfigurationCannotBeVerified() {
     Session session = open(RouteKind.READ_OWN_WRITES);
     fixture.send(session, "1", WRITE);
     fixture.storeIsUp = false;
@@ -71,7 +71,7 @@
     assertThat(fixture.hosts.get(0).sessions().isReady()).isFalse();
   }
 
-  /** Guards against relying on old beliefs after the machine was suspended. */
+  /** Guards against relying on outdated control state after the machine was suspended. */
   @Test
   void shouldRefuseAfterSuspensionUntilVerifiedAgain() {
     Session session = open(RouteKind.PRIMARY);
@@ -84,7 +84,7 @@
     assertThat(caller.lastCode()).contains(FailureCode.OVERLOADED);
   }
 
-  /** Guards against a promise that nothing is kept when a write may have run. */
+  /** Guards against reporting a write as not run when it may have run. */
   @Test
   void shouldReportUnknownOutcomeWhenWriteGetsNoAnswer() {
     fixture.servers.behave(sent -> Optional.empty());
@@ -115,9 +115,9 @@
     assertThat(caller.last().state()).isEqualTo(SessionState.IDLE);
   }
 
-  /** A transaction that was not committed is rolled back, so the promise is true. */
+  /** The server rolls back a transaction that was not committed, so nothing of it is kept. */
   @Test
-  void shouldPromiseNothingKeptWhenConnectionEndsBeforeCommit() {
+  void shouldReportAbortedWhenConnectionEndsBeforeCommit() {
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "1", new Statement.Begin(false));
     fixture.send(session, "2", WRITE);
@@ -128,7 +128,7 @@
     assertThat(caller.lastCode()).contains(FailureCode.ABORTED);
   }
 
-  /** Guards against acknowledging a commit of a primary that was replaced meanwhile. */
+  /** Guards against acknowledging a write to a primary that was replaced while the write ran. */
   @Test
   void shouldWithholdAcknowledgementWhenPrimaryIsBeingReplaced() {
     Session session = open(RouteKind.PRIMARY);
@@ -147,9 +147,9 @@
     assertThat(caller.lastCode()).contains(FailureCode.OUTCOME_UNKNOWN);
   }
 
-  /** Guards against a stale read after a replica refused the position. */
+  /** Guards against a read that misses the session's own commit because all replicas lack it. */
   @Test
-  void shouldReadAtThePrimaryWhenReplicasAreBehind() {
+  void shouldReadFromThePrimaryWhenReplicasAreBehind() {
     Session session = open(RouteKind.READ_OWN_WRITES);
     fixture.send(session, "1", WRITE);
     fixture.servers.behave(
@@ -165,9 +165,9 @@
     assertThat(sent.get(sent.size() - 1).server().value()).isEqualTo("s1");
   }
 
-  /** Guards against reading at a replica without stating the session's own commit. */
+  /** Guards against reads that don't tell the replica which position they need. */
   @Test
-  void shouldStateAPositionToReplicas() {
+  void shouldSendAMinimumPositionToReplicas() {
     Session session = open(RouteKind.READ_OWN_WRITES);
     fixture.send(session, "1", WRITE);
     fixture.send(session, "2", READ);
@@ -177,9 +177,9 @@
         .allMatch(sent -> sent.statement().position().isPresent());
   }
 
-  /** Guards against one session seeing values or prepared names of another one. */
+  /** Guards against a session that sees variables or prepared statements of another one. */
   @Test
-  void shouldGiveEachSessionItsOwnValues() {
+  void shouldIsolateVariablesOfSessionsThatShareAConnection() {
     Session first = open(RouteKind.PRIMARY);
     Session second = open(RouteKind.PRIMARY);
     fixture.send(first, "1", new Statement.SetValue("colour", "red"));
@@ -204,9 +204,9 @@
             new BackendStatement.Prepare(shape), new BackendStatement.Execute(shape, "x"));
   }
 
-  /** Guards against treating a full server's refusal as final while time is left. */
+  /** Guards against reporting an overloaded server's refusal while there is time for a retry. */
   @Test
-  void shouldRetryWhatAFullServerDidNotRun() {
+  void shouldRetryWritesThatAnOverloadedServerDidNotRun() {
     int[] refusals = {2};
     fixture.servers.behave(
         sent ->
@@ -219,9 +219,9 @@
     assertThat(caller.last().succeeded()).isTrue();
   }
 
-  /** Guards against passing on the failure of a read that another server can serve. */
+  /** Guards against reporting the failure of a read that another server can serve. */
   @Test
-  void shouldReadElsewhereWhenAServerFails() {
+  void shouldRetryFailedReadsOnAnotherServer() {
     Session session = open(RouteKind.BOUNDED_STALENESS);
     fixture.send(session, "1", READ);
     int[] failures = {1};
@@ -236,9 +236,9 @@
     assertThat(caller.last().succeeded()).isTrue();
   }
 
-  /** Guards against repeating a write that ran and failed. */
+  /** Guards against retrying a write that ran and failed. */
   @Test
-  void shouldPassOnFailuresOfStatementsThatRan() {
+  void shouldReportFailuresOfWritesThatRan() {
     fixture.servers.behave(
         sent ->
             Optional.of(
@@ -256,14 +256,14 @@
   }
 
   @Test
-  void shouldRefuseUnknownDatabasesAndKeys() {
+  void shouldRefuseUnknownDatabases() {
     FakeCaller other = new FakeCaller();
     fixture.hosts.get(0).sessions().open(other, DatabaseName.of("none"), Optional.empty());
 
     assertThat(other.refusal()).contains(FailureCode.UNKNOWN_DATABASE);
   }
 
-  /** Guards against refusals by a host that was just started and has no configuration yet. */
+  /** Guards against refusals by a host that has just started and has no configuration yet. */
   @Test
   void shouldLetCallersWaitForTheFirstConfiguration() {
     EngineFixture fleet = new EngineFixture(2);
@@ -285,7 +285,7 @@
     assertThat(opened).hasSize(1);
   }
 
-  /** Guards against callers that wait without end when the store is away. */
+  /** Guards against callers that wait forever while the store is unreachable. */
   @Test
   void shouldRefuseACallerWhenNoConfigurationComes() {
     EngineFixture fleet = new EngineFixture(2);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/StopTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/StopTest.java
@@ -18,7 +18,7 @@
   private final FakeCaller caller = new FakeCaller();
   private final Session session = fixture.open(host, RouteKind.PRIMARY, caller);
 
-  /** Guards against refusing callers that the platform still sends after the request to stop. */
+  /** Guards against refusing callers that the platform still sends after the stop request. */
   @Test
   void shouldServeUntilThePlatformSendsCallersElsewhere() {
     host.loop().post(new HostStopping());
@@ -30,16 +30,16 @@
   }
 
   @Test
-  void shouldCloseRestingSessionsThen() {
+  void shouldCloseIdleSessionsAfterTheDrainDelay() {
     host.loop().post(new HostStopping());
     fixture.run(Duration.ofMillis(2800));
 
     assertThat(caller.isClosed()).isTrue();
   }
 
-  /** Guards against cutting an open transaction before half of the grace has passed. */
+  /** Guards against aborting an open transaction before half of the grace period has passed. */
   @Test
-  void shouldLetAnOpenTransactionEnd() {
+  void shouldLetAnOpenTransactionCommit() {
     fixture.send(session, "1", new Statement.Begin(false));
     fixture.send(session, "2", new Statement.Data(true, "WRITE x 1"));
     host.loop().post(new HostStopping());
@@ -49,9 +49,11 @@
     assertThat(caller.last().succeeded()).isTrue();
   }
 
-  /** A transaction that rests longer is rolled back, and the promise is true. */
+  /**
+   * A transaction left idle for longer is rolled back, and its COMMIT reports that it was aborted.
+   */
   @Test
-  void shouldRollBackATransactionThatRestsTooLong() {
+  void shouldRollBackATransactionLeftIdle() {
     fixture.send(session, "1", new Statement.Begin(false));
     fixture.send(session, "2", new Statement.Data(true, "WRITE x 1"));
     host.loop().post(new HostStopping());
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/package-info.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of sessions on fakes of the store and of the servers. */
+/** Tests of caller sessions and server choice, on fakes of the store and of the backend servers. */
 package org.persimmonwalk.internal.engine.traffic;
