Make some comments on shares and configuration plainer

The share controller transfers parts between hosts by demand, not to "the hosts with the most demand"; the fault schedule on rates had no sentence on the failure that it guards against, and "hosts without the store" are hosts that are cut off from it.

--- a/core/src/main/java/org/persimmonwalk/internal/control/configuration/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/configuration/package-info.java
@@ -1,2 +1,4 @@
-/** Keeps the newest configuration in force, from the store or from a peer that has it first. */
+/**
+ * Loads the newest configuration from the store or from a peer, and puts it in force on this host.
+ */
 package org.persimmonwalk.internal.control.configuration;
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
@@ -19,8 +19,8 @@
 import org.persimmonwalk.observation.TokenOrderDone;
 
 /**
- * Leases parts of the workspaces' rates and bursts and transfers them to the hosts with the most
- * demand. It publishes this host's shares and its measured demand.
+ * Leases parts of the workspaces' rates and bursts and transfers them between hosts by demand. It
+ * publishes this host's shares and its measured demand.
  */
 public final class ShareController implements Controller {
   /** The table with one row per workspace. */
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
@@ -31,7 +31,7 @@
   /** The fraction of an equal share of the rate that is added to the demand of each host. */
   private static final double BASE_DEMAND_FRACTION = 0.1;
 
-  /** The burst that a host without demand keeps, so that it can admit its next caller at once. */
+  /** The burst, in statements, that a host keeps without demand, to admit a new caller at once. */
   private static final double IDLE_BURST = 2;
 
   /** Transfers of less than 1/20 of an equal share are not worth a message. */
--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultScheduleTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultScheduleTest.java
@@ -38,7 +38,8 @@
   }
 
   /**
-   * Pauses may last longer than the leases of 20 s, and answers of the store are lost throughout.
+   * Guards against faults that let the hosts together exceed a workspace's rate and burst. Pauses
+   * may last longer than the leases of 20 s, and the store loses answers throughout.
    */
   @Property(tries = 40, seed = "7316", edgeCases = EdgeCasesMode.NONE)
   void shouldKeepRateAndBurstUnderAnySchedule(
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationSpreadTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationSpreadTest.java
@@ -60,7 +60,9 @@
         .allSatisfy(host -> assertThat(verifyKey(host)).contains(ResultCode.KEY_WITHDRAWN));
   }
 
-  /** Guards against hosts without the store that accept keys forever, or refuse them too early. */
+  /**
+   * Guards against hosts cut off from the store that accept keys forever or refuse them too early.
+   */
   @Test
   void shouldRefuseKeysOnlyAfterGracePeriodWithoutFreshness() {
     fleet.hosts().forEach(host -> host.setStoreReachable(false));
