Reword the merge and publication of release notes

Several names and messages had to be guessed at: GroupDrafts and NoteApplication did not say that they build the new configuration, guard/advance/decide did not name the steps of a publication, and "the history of revisions ended" did not tell an operator what was looked for. "the platform did not answer in 5 attempts" was also printed after five answered conflicts.

The classes are now DatabaseGroupsBuilder and ReleaseNoteApplier, the steps are startAttempt, resendOrMerge, retryIfUnavailable and retry, and the messages name the revision and what to do ("does not exist; list it under 'added'", "its base revision 4 was not found in the history"). The doc comments say what a result means and when a conflict can only list all items of a note.

--- a/core/src/main/java/org/persimmonwalk/release/ConfigurationDifference.java
+++ b/core/src/main/java/org/persimmonwalk/release/ConfigurationDifference.java
@@ -7,12 +7,12 @@
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.DatabaseGroup;
 
-/** Finds the items in which two configurations differ. */
+/** Compares two configurations item by item, to find the items in conflict with a release note. */
 final class ConfigurationDifference {
 
   private ConfigurationDifference() {}
 
-  /** Returns the items that one configuration has and the other lacks or has with other content. */
+  /** Returns the items that only one configuration has or that differ in content. */
   static Set<ItemName> between(Configuration first, Configuration second) {
     Map<ItemName, Object> firstItems = items(first);
     Map<ItemName, Object> secondItems = items(second);
--- a/core/src/main/java/org/persimmonwalk/release/GroupDrafts.java
+++ b/core/src/main/java/org/persimmonwalk/release/DatabaseGroupsBuilder.java
@@ -12,18 +12,21 @@
 import org.persimmonwalk.model.BackendServer;
 import org.persimmonwalk.model.DatabaseGroup;
 
-/** Database groups while a release note is applied; a group may lack servers in between. */
-final class GroupDrafts {
+/**
+ * Mutable copy of the database groups of a configuration, to which {@link ReleaseNoteApplier}
+ * applies a release note. A group may be without servers until {@link #build}.
+ */
+final class DatabaseGroupsBuilder {
   private final Map<DatabaseGroupId, Duration> maximumAges = new HashMap<>();
   private final Map<DatabaseGroupId, Map<BackendServerId, BackendServer>> servers =
       new LinkedHashMap<>();
 
-  private GroupDrafts() {}
+  private DatabaseGroupsBuilder() {}
 
-  static GroupDrafts of(Map<DatabaseGroupId, DatabaseGroup> groups) {
-    GroupDrafts drafts = new GroupDrafts();
-    groups.values().forEach(drafts::putGroup);
-    return drafts;
+  static DatabaseGroupsBuilder of(Map<DatabaseGroupId, DatabaseGroup> groups) {
+    DatabaseGroupsBuilder builder = new DatabaseGroupsBuilder();
+    groups.values().forEach(builder::putGroup);
+    return builder;
   }
 
   void putGroup(DatabaseGroup group) {
@@ -71,6 +74,10 @@
     return groupOf(server).map(group -> servers.get(group).get(server));
   }
 
+  /**
+   * Adds a fault for each group without a server that accepts new work and for each server that is
+   * in two groups.
+   */
   void check(List<NoteFault> faults) {
     Map<BackendServerId, DatabaseGroupId> owners = new HashMap<>();
     servers.forEach(
@@ -79,13 +86,19 @@
           if (members.values().stream().allMatch(BackendServer::leaving)) {
             faults.add(
                 NoteFault.of(
-                    path, "no server is left that takes work; withdraw the group instead"));
+                    path, "no server accepts new work; keep one that does, or withdraw the group"));
           }
           for (BackendServerId server : members.keySet()) {
             DatabaseGroupId other = owners.putIfAbsent(server, group);
             if (other != null) {
               faults.add(
-                  NoteFault.of(path, "server " + server + " belongs to group " + other + " too"));
+                  NoteFault.of(
+                      path,
+                      "server "
+                          + server
+                          + " is also in group "
+                          + other
+                          + "; list it in one group"));
             }
           }
         });
--- a/core/src/main/java/org/persimmonwalk/release/ItemKind.java
+++ b/core/src/main/java/org/persimmonwalk/release/ItemKind.java
@@ -1,6 +1,6 @@
 package org.persimmonwalk.release;
 
-/** The kinds of items of a configuration. */
+/** The kinds of items in a configuration that a release note can add, change or withdraw. */
 public enum ItemKind {
   WORKSPACE("workspaces"),
   KEY("keys"),
@@ -13,7 +13,7 @@
     this.path = path;
   }
 
-  /** Returns the part of a path that stands for the kind. */
+  /** Returns the first segment of the paths of items of this kind, for example {@code keys}. */
   public String path() {
     return path;
   }
--- a/core/src/main/java/org/persimmonwalk/release/ItemName.java
+++ b/core/src/main/java/org/persimmonwalk/release/ItemName.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.id.WorkspaceId;
 
 /**
- * Names an item of a configuration.
+ * Identifies an item of a configuration by its kind and identifier.
  *
  * @param kind what the item is
  * @param id the text of the item's identifier
@@ -43,8 +43,8 @@
   }
 
   /**
-   * Returns the path of the item, for example {@code workspaces/oil}. Of a key hash only the first
-   * 8 digits stand in it, as in log lines.
+   * Returns the path of the item, for example {@code workspaces/oil}. A key hash is shortened to
+   * its first 8 digits, as in log lines.
    */
   public String path() {
     boolean shortened = kind == ItemKind.KEY && id.length() > HASH_DIGITS;
--- a/core/src/main/java/org/persimmonwalk/release/MergeResult.java
+++ b/core/src/main/java/org/persimmonwalk/release/MergeResult.java
@@ -5,10 +5,10 @@
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.result.ResultCode;
 
-/** The result of merging a release note into a configuration. */
+/** What {@link ReleaseNoteMerge} returns: the new configuration, or all reasons for a refusal. */
 public sealed interface MergeResult {
 
-  /** The release note is valid and leads to the given configuration. */
+  /** The release note is valid and results in the given configuration. */
   record Merged(Configuration configuration) implements MergeResult {
     /** Checks that the configuration is present. */
     public Merged {
@@ -20,7 +20,7 @@
    * The release note is refused as a whole.
    *
    * @param code {@link ResultCode#NOTE_CONFLICT} or {@link ResultCode#NOTE_INVALID}
-   * @param faults every fault found
+   * @param faults all faults that were found
    */
   record Refused(ResultCode code, List<NoteFault> faults) implements MergeResult {
     /** Copies the list. */
--- a/core/src/main/java/org/persimmonwalk/release/NoteFault.java
+++ b/core/src/main/java/org/persimmonwalk/release/NoteFault.java
@@ -3,10 +3,11 @@
 import java.util.Objects;
 
 /**
- * A reason for refusing a release note.
+ * A reason for refusing a release note, as reported to the operator.
  *
- * @param path the part of the release note, for example {@code changed/workspaces/oil}
- * @param message what is wrong and what to do
+ * @param path where the fault is: in the release note, for example {@code changed/workspaces/oil},
+ *     or in the resulting configuration, for example {@code workspaces/oil/groups}
+ * @param message what is wrong and, where it is not plain, how to correct it
  */
 public record NoteFault(String path, String message) {
 
--- a/core/src/main/java/org/persimmonwalk/release/PublishResult.java
+++ b/core/src/main/java/org/persimmonwalk/release/PublishResult.java
@@ -5,10 +5,10 @@
 import org.persimmonwalk.id.Revision;
 import org.persimmonwalk.result.ResultCode;
 
-/** What became of a release note. */
+/** The outcome of publishing a release note with {@link ReleaseNotePublisher}. */
 public sealed interface PublishResult {
 
-  /** The release note is accepted as the given revision. */
+  /** The release note was accepted and produced the given revision. */
   record Accepted(Revision revision) implements PublishResult {
     /** Checks that the revision is present. */
     public Accepted {
@@ -16,7 +16,7 @@
     }
   }
 
-  /** The release note is refused as a whole and changed nothing. */
+  /** The release note was refused as a whole; the configuration is unchanged. */
   record Refused(ResultCode code, List<NoteFault> faults) implements PublishResult {
     /** Copies the list. */
     public Refused {
@@ -26,12 +26,13 @@
   }
 
   /**
-   * The platform did not answer.
+   * The release note could not be published because the platform failed or did not answer, or
+   * because other publications changed the configuration row at each attempt.
    *
-   * @param code {@link ResultCode#PLATFORM_UNAVAILABLE} if the release note changed nothing, {@link
-   *     ResultCode#NOTE_OUTCOME_UNKNOWN} if it may have been accepted; submitting the same release
-   *     note again is safe in both cases
-   * @param message what happened
+   * @param code {@link ResultCode#NOTE_OUTCOME_UNKNOWN} if the release note may have been accepted,
+   *     {@link ResultCode#PLATFORM_UNAVAILABLE} or the code of another failure of the platform if
+   *     it changed nothing; submitting the same release note again is safe in all cases
+   * @param message what happened, for the operator
    */
   record Failed(ResultCode code, String message) implements PublishResult {
     /** Checks that both parts are present. */
--- a/core/src/main/java/org/persimmonwalk/release/ReleaseItem.java
+++ b/core/src/main/java/org/persimmonwalk/release/ReleaseItem.java
@@ -7,10 +7,10 @@
 import org.persimmonwalk.model.DatabaseGroup;
 import org.persimmonwalk.model.Workspace;
 
-/** An item that a release note adds or changes. */
+/** An item that a release note adds or changes, with its new content. */
 public sealed interface ReleaseItem {
 
-  /** Returns the name of the item. */
+  /** Returns the kind and identifier of the item. */
   ItemName name();
 
   /** A workspace. */
@@ -39,7 +39,7 @@
     }
   }
 
-  /** A database group with all of its servers. */
+  /** A database group with all its servers; a change replaces the list of servers. */
   record GroupItem(DatabaseGroup group) implements ReleaseItem {
     /** Checks that the group is present. */
     public GroupItem {
--- a/core/src/main/java/org/persimmonwalk/release/ReleaseNote.java
+++ b/core/src/main/java/org/persimmonwalk/release/ReleaseNote.java
@@ -9,7 +9,8 @@
 import org.persimmonwalk.id.Revision;
 
 /**
- * A change of the configuration that is accepted or refused as a whole.
+ * A set of changes to the configuration, submitted by an operator and accepted or refused as a
+ * whole.
  *
  * <p>Example:
  *
@@ -18,12 +19,13 @@
  *     .withWithdrawn(List.of(ItemName.of(hash)));
  * }</pre>
  *
- * @param id chosen by the operator's client, different for each release note
- * @param base the revision that the operator saw
- * @param added items that the configuration does not have
- * @param changed items that the configuration has, with their new content
- * @param withdrawn items that the configuration no longer has
- * @param leaving servers that get no new work
+ * @param id chosen by the operator's client, unique to each release note; submitting the same note
+ *     again does not apply it twice
+ * @param base the revision that the changes were written against
+ * @param added items that must not exist in the base revision
+ * @param changed items that must exist in the base revision, with their new content
+ * @param withdrawn items to remove
+ * @param leaving servers that are to receive no new work
  */
 public record ReleaseNote(
     ReleaseNoteId id,
@@ -69,8 +71,8 @@
   }
 
   /**
-   * Returns the items that the release note touches. A group that is added or changed touches its
-   * servers.
+   * Returns the items that the release note adds, changes, withdraws or marks as leaving. An added
+   * or changed group counts together with its servers.
    */
   public Set<ItemName> touched() {
     Set<ItemName> names = new TreeSet<>(withdrawn);
--- a/core/src/main/java/org/persimmonwalk/release/NoteApplication.java
+++ b/core/src/main/java/org/persimmonwalk/release/ReleaseNoteApplier.java
@@ -19,34 +19,40 @@
 import org.persimmonwalk.model.DatabaseGroup;
 import org.persimmonwalk.model.Workspace;
 
-/** Applies one release note to a copy of a configuration and collects every fault. */
-final class NoteApplication {
+/**
+ * Applies one release note to a copy of a configuration and collects all faults instead of stopping
+ * at the first.
+ */
+final class ReleaseNoteApplier {
   private final Revision revision;
   private final Map<WorkspaceId, Workspace> workspaces;
   private final Map<KeyHash, CallerKey> keys;
-  private final GroupDrafts groups;
+  private final DatabaseGroupsBuilder groups;
   private final List<NoteFault> faults = new ArrayList<>();
-  private final Map<ItemName, String> sections = new HashMap<>();
+  private final Map<ItemName, String> sectionByItem = new HashMap<>();
 
-  private NoteApplication(Configuration current) {
+  private ReleaseNoteApplier(Configuration current) {
     this.revision = current.revision().next();
     this.workspaces = new HashMap<>(current.workspaces());
     this.keys = new HashMap<>(current.keys());
-    this.groups = GroupDrafts.of(current.groups());
+    this.groups = DatabaseGroupsBuilder.of(current.groups());
   }
 
-  static NoteApplication of(Configuration current) {
-    return new NoteApplication(current);
+  static ReleaseNoteApplier of(Configuration current) {
+    return new ReleaseNoteApplier(current);
   }
 
-  /** Applies the release note; groups come before servers, so that both may come in one note. */
+  /**
+   * Applies the release note. Groups are applied before servers, so that one note may add a group
+   * and a server of it.
+   */
   void apply(ReleaseNote note) {
     note.withdrawn().forEach(this::withdraw);
     applyItems(note.added(), "added", false);
     applyItems(note.changed(), "changed", true);
     note.leaving().forEach(this::markLeaving);
-    if (sections.isEmpty()) {
-      fault("note", "the release note changes nothing; list at least one item");
+    if (sectionByItem.isEmpty()) {
+      addFault("note", "the release note changes nothing; list at least one item");
     }
     checkReferences();
   }
@@ -59,28 +65,30 @@
     return new Configuration(revision, note, workspaces, keys, groups.build());
   }
 
-  private void applyItems(List<ReleaseItem> items, String section, boolean expected) {
+  private void applyItems(List<ReleaseItem> items, String section, boolean mustExist) {
     for (ReleaseItem item : items) {
       if (item instanceof ReleaseItem.GroupItem) {
-        put(item, section, expected);
+        put(item, section, mustExist);
       }
     }
     for (ReleaseItem item : items) {
       if (!(item instanceof ReleaseItem.GroupItem)) {
-        put(item, section, expected);
+        put(item, section, mustExist);
       }
     }
   }
 
-  private void put(ReleaseItem item, String section, boolean expected) {
+  private void put(ReleaseItem item, String section, boolean mustExist) {
     ItemName name = item.name();
-    if (!enter(name, section)) {
+    if (!addToSection(name, section)) {
       return;
     }
-    if (exists(name) != expected) {
-      fault(
+    if (exists(name) != mustExist) {
+      addFault(
           section + "/" + name.path(),
-          expected ? "does not exist; add it instead" : "exists already; change it instead");
+          mustExist
+              ? "does not exist; list it under 'added'"
+              : "already exists; list it under 'changed'");
       return;
     }
     if (item instanceof ReleaseItem.WorkspaceItem workspaceItem) {
@@ -99,10 +107,10 @@
     Set<BackendServerId> members = new HashSet<>();
     for (BackendServer server : group.servers()) {
       if (!members.add(server.id())) {
-        fault(path, "lists server " + server.id() + " twice");
+        addFault(path, "lists server " + server.id() + " more than once");
       }
-      if ("withdrawn".equals(sections.get(ItemName.of(server.id())))) {
-        fault(path, "lists server " + server.id() + ", which the release note withdraws");
+      if ("withdrawn".equals(sectionByItem.get(ItemName.of(server.id())))) {
+        addFault(path, "lists server " + server.id() + ", which the same release note withdraws");
       }
     }
     groups.putGroup(group);
@@ -111,23 +119,23 @@
   private void putServer(ReleaseItem.ServerItem item, String section) {
     String path = section + "/" + item.name().path();
     if (!groups.hasGroup(item.group())) {
-      fault(path, "names database group " + item.group() + ", which does not exist");
+      addFault(path, "names database group " + item.group() + ", which does not exist");
       return;
     }
     Optional<DatabaseGroupId> owner = groups.groupOf(item.server().id());
     if (owner.isPresent() && !owner.get().equals(item.group())) {
-      fault(path, "belongs to database group " + owner.get() + " and cannot move to another");
+      addFault(path, "belongs to database group " + owner.get() + " and cannot move to another");
       return;
     }
     groups.putServer(item.group(), item.server());
   }
 
   private void withdraw(ItemName name) {
-    if (!enter(name, "withdrawn")) {
+    if (!addToSection(name, "withdrawn")) {
       return;
     }
     if (!exists(name)) {
-      fault("withdrawn/" + name.path(), "does not exist");
+      addFault("withdrawn/" + name.path(), "does not exist");
       return;
     }
     switch (name.kind()) {
@@ -140,22 +148,26 @@
 
   private void markLeaving(BackendServerId id) {
     ItemName name = ItemName.of(id);
-    if (!enter(name, "leaving")) {
+    if (!addToSection(name, "leaving")) {
       return;
     }
     Optional<BackendServer> server = groups.server(id);
     if (server.isEmpty()) {
-      fault("leaving/" + name.path(), "does not exist");
+      addFault("leaving/" + name.path(), "does not exist");
       return;
     }
     groups.putServer(groups.groupOf(id).orElseThrow(), server.get().asLeaving());
   }
 
-  /** Records that the note touches the item; false if it did before. */
-  private boolean enter(ItemName name, String section) {
-    String earlier = sections.putIfAbsent(name, section);
+  /**
+   * Records the section that lists the item. Returns false and adds a fault if another entry of the
+   * note lists it already.
+   */
+  private boolean addToSection(ItemName name, String section) {
+    String earlier = sectionByItem.putIfAbsent(name, section);
     if (earlier != null) {
-      fault(section + "/" + name.path(), "is listed already under " + earlier + "; list it once");
+      addFault(
+          section + "/" + name.path(), "is already listed under " + earlier + "; list it once");
       return false;
     }
     return true;
@@ -170,11 +182,12 @@
     };
   }
 
+  /** Checks that the items of the resulting configuration refer only to items that exist. */
   private void checkReferences() {
     for (Workspace workspace : workspaces.values()) {
       for (DatabaseGroupId group : workspace.groups()) {
         if (!groups.hasGroup(group)) {
-          fault(
+          addFault(
               ItemName.of(workspace.id()).path() + "/groups",
               "names database group " + group + ", which does not exist");
         }
@@ -182,7 +195,7 @@
     }
     for (CallerKey key : keys.values()) {
       if (!workspaces.containsKey(key.workspace())) {
-        fault(
+        addFault(
             ItemName.of(key.hash()).path() + "/workspace",
             "names workspace " + key.workspace() + ", which does not exist");
       }
@@ -190,7 +203,7 @@
     groups.check(faults);
   }
 
-  private void fault(String path, String message) {
+  private void addFault(String path, String message) {
     faults.add(NoteFault.of(path, message));
   }
 }
--- a/core/src/main/java/org/persimmonwalk/release/ReleaseNoteMerge.java
+++ b/core/src/main/java/org/persimmonwalk/release/ReleaseNoteMerge.java
@@ -8,13 +8,17 @@
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.result.ResultCode;
 
-/** Merges release notes into configurations, without input or output. */
+/**
+ * Merges a release note into a configuration, or refuses it as invalid or in conflict. Performs no
+ * input or output; {@link ReleaseNotePublisher} reads and writes the configuration.
+ */
 public final class ReleaseNoteMerge {
 
   private ReleaseNoteMerge() {}
 
   /**
-   * Merges a release note whose base, if it is older than the current revision, is not at hand.
+   * Merges a release note without its base configuration. If the note is based on an older
+   * revision, the refusal lists every item that the note affects.
    *
    * @param current the configuration in force
    * @param note the release note
@@ -28,8 +32,8 @@
    *
    * @param current the configuration in force
    * @param note the release note
-   * @param base the configuration that the release note is based on; needed only to name the items
-   *     in conflict if it is not the current one
+   * @param base the configuration that the release note is based on; used only if that is not the
+   *     current one, to report which items are in conflict
    */
   public static MergeResult merge(
       Configuration current, ReleaseNote note, Optional<Configuration> base) {
@@ -42,11 +46,11 @@
     if (revision.isNewerThan(note.base())) {
       return refused(ResultCode.NOTE_CONFLICT, conflicts(current, note, base));
     }
-    NoteApplication application = NoteApplication.of(current);
-    application.apply(note);
-    List<NoteFault> faults = application.faults();
+    ReleaseNoteApplier applier = ReleaseNoteApplier.of(current);
+    applier.apply(note);
+    List<NoteFault> faults = applier.faults();
     return faults.isEmpty()
-        ? new MergeResult.Merged(application.result(note.id()))
+        ? new MergeResult.Merged(applier.result(note.id()))
         : refused(ResultCode.NOTE_INVALID, faults);
   }
 
@@ -58,18 +62,20 @@
             "base",
             "revision "
                 + note.base()
-                + " is not the newest, "
+                + " is outdated; base the release note on the newest revision, "
                 + current.revision()
-                + " is; base the release note on it and submit it again with a new id"));
-    Set<ItemName> touched = note.touched();
+                + ", and submit it again with a new id"));
+    Set<ItemName> affected = note.touched();
     if (base.isEmpty()) {
-      touched.forEach(
+      affected.forEach(
           name ->
-              faults.add(NoteFault.of(name.path(), "may have been changed by a newer revision")));
+              faults.add(
+                  NoteFault.of(
+                      name.path(), "may have been changed by a newer revision; review it")));
       return faults;
     }
     Set<ItemName> changed = ConfigurationDifference.between(base.get(), current);
-    touched.stream()
+    affected.stream()
         .filter(changed::contains)
         .forEach(
             name ->
--- a/core/src/main/java/org/persimmonwalk/release/ReleaseNotePublisher.java
+++ b/core/src/main/java/org/persimmonwalk/release/ReleaseNotePublisher.java
@@ -18,14 +18,15 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * Publishes release notes: reads the configuration row, merges, writes the object and moves the row
- * by compare-and-set.
+ * Publishes release notes for the operator's client: reads the configuration row, merges the note
+ * into the configuration, writes the result as a new object and points the row to that object by
+ * compare-and-set.
  *
- * <p>Each attempt writes an object of its own, so that operators who publish at the same time never
- * replace an object that a row names. After a lost answer the row is read again: if the release
- * note is in the history of the row, it was accepted. If the row is unchanged, the same
- * compare-and-set is sent again, since the lost request may still arrive and only one of the two
- * can succeed.
+ * <p>Each merge is written under a new object name, so that operators who publish at the same time
+ * never overwrite an object that the row refers to. After a lost answer the row is read again: if a
+ * revision that the release note produced is in the history of the row, the note was accepted. If
+ * the row is unchanged, the same compare-and-set is sent again, since the lost request may still
+ * arrive and only one of the two can succeed.
  */
 public final class ReleaseNotePublisher {
   private static final int ATTEMPT_LIMIT = 5;
@@ -43,25 +44,29 @@
     this.pause = Objects.requireNonNull(pause, "pause");
   }
 
-  /** Returns a publisher that uses the given ports. */
+  /** Returns a publisher that uses the given table, object store, random source and backoff. */
   public static ReleaseNotePublisher of(
       TableService table, ObjectStore objects, RandomSource random, RetryPause pause) {
     return new ReleaseNotePublisher(table, objects, random, pause);
   }
 
-  /** Publishes a release note. Failures of the platform lead to {@link PublishResult.Failed}. */
+  /**
+   * Publishes a release note. A failure of the platform results in {@link PublishResult.Failed}.
+   */
   public CompletionStage<PublishResult> publish(ReleaseNote note) {
-    return new Publication(note).decide(1);
+    return new Publication(note).startAttempt(1);
   }
 
-  /** The row and the configuration that it names. */
+  /** The configuration row and the configuration object that it refers to. */
   private record CurrentState(
       RowVersion version, Optional<ConfigurationRow> row, StoredConfiguration stored) {}
 
-  /** A configuration that is written as an object and waits for the row to be moved. */
+  /**
+   * A configuration row whose object is written but whose compare-and-set has not succeeded yet.
+   */
   private record Proposal(RowVersion expected, ConfigurationRow row) {}
 
-  /** The publication of one release note; its steps run one after the other. */
+  /** The publication of one release note. Its steps never run at the same time. */
   private final class Publication {
     private final ReleaseNote note;
     private Optional<Proposal> proposal = Optional.empty();
@@ -71,32 +76,36 @@
       this.note = note;
     }
 
-    /** Reads the state of the platform and takes the next step. */
-    private CompletionStage<PublishResult> decide(int attempt) {
-      return guard(readCurrent().thenCompose(state -> advance(state, attempt)), attempt);
+    /** Reads the current configuration and continues from there. */
+    private CompletionStage<PublishResult> startAttempt(int attempt) {
+      return retryIfUnavailable(
+          readCurrent().thenCompose(state -> resendOrMerge(state, attempt)), attempt);
     }
 
-    private CompletionStage<PublishResult> advance(CurrentState state, int attempt) {
+    private CompletionStage<PublishResult> resendOrMerge(CurrentState state, int attempt) {
       if (proposal.isPresent() && proposal.get().expected().equals(state.version())) {
         return compareAndSet(proposal.get(), attempt);
       }
       return RevisionHistory.of(objects)
           .search(state.stored(), note)
-          .thenCompose(findings -> merge(state, findings, attempt));
+          .thenCompose(history -> merge(state, history, attempt));
     }
 
     private CompletionStage<PublishResult> merge(
-        CurrentState state, RevisionHistory.Findings findings, int attempt) {
-      if (findings.published().isPresent()) {
-        return done(new PublishResult.Accepted(findings.published().get()));
+        CurrentState state, RevisionHistory.SearchResult history, int attempt) {
+      if (history.published().isPresent()) {
+        return completed(new PublishResult.Accepted(history.published().get()));
       }
-      if (outcomeUnknown && findings.base().isEmpty()) {
-        return done(failed(ResultCode.NOTE_OUTCOME_UNKNOWN, "the history of revisions ended"));
+      if (outcomeUnknown && history.base().isEmpty()) {
+        return completed(
+            failed(
+                ResultCode.NOTE_OUTCOME_UNKNOWN,
+                "its base revision " + note.base() + " was not found in the history"));
       }
       MergeResult result =
-          ReleaseNoteMerge.merge(state.stored().configuration(), note, findings.base());
+          ReleaseNoteMerge.merge(state.stored().configuration(), note, history.base());
       if (result instanceof MergeResult.Refused refused) {
-        return done(new PublishResult.Refused(refused.code(), refused.faults()));
+        return completed(new PublishResult.Refused(refused.code(), refused.faults()));
       }
       Configuration merged = ((MergeResult.Merged) result).configuration();
       ObjectName name = newName(merged.revision());
@@ -112,57 +121,66 @@
               });
     }
 
-    private CompletionStage<PublishResult> compareAndSet(Proposal proposed, int attempt) {
+    private CompletionStage<PublishResult> compareAndSet(Proposal pending, int attempt) {
       return table
-          .compareAndSet(ConfigurationRow.ROW, proposed.expected(), proposed.row())
+          .compareAndSet(ConfigurationRow.ROW, pending.expected(), pending.row())
           .thenCompose(
               result ->
                   switch (result.outcome()) {
-                    case WRITTEN -> done(new PublishResult.Accepted(proposed.row().revision()));
-                    case CONFLICT -> repeat(attempt);
-                    case UNAVAILABLE -> repeat(attempt);
+                    case WRITTEN -> completed(new PublishResult.Accepted(pending.row().revision()));
+                    case CONFLICT -> retry(attempt);
+                    case UNAVAILABLE -> retry(attempt);
                     case UNKNOWN -> {
                       outcomeUnknown = true;
-                      yield repeat(attempt);
+                      yield retry(attempt);
                     }
                   });
     }
 
-    private CompletionStage<PublishResult> repeat(int attempt) {
+    private CompletionStage<PublishResult> retry(int attempt) {
       if (attempt < ATTEMPT_LIMIT) {
-        return pause.await(attempt).thenCompose(ignored -> decide(attempt + 1));
+        return pause.await(attempt).thenCompose(ignored -> startAttempt(attempt + 1));
       }
       ResultCode code =
           outcomeUnknown ? ResultCode.NOTE_OUTCOME_UNKNOWN : ResultCode.PLATFORM_UNAVAILABLE;
-      return done(failed(code, "the platform did not answer in " + ATTEMPT_LIMIT + " attempts"));
+      return completed(
+          failed(
+              code,
+              "the configuration row could not be updated in " + ATTEMPT_LIMIT + " attempts"));
     }
 
     private PublishResult failed(ResultCode code, String cause) {
       String message =
-          "release note " + note.id() + " is not confirmed: " + cause + "; submit it again";
+          "release note "
+              + note.id()
+              + " is not confirmed: "
+              + cause
+              + "; submit the same note again";
       return new PublishResult.Failed(code, message);
     }
 
-    /** Repeats a step that the platform did not answer; another failure ends the publication. */
-    private CompletionStage<PublishResult> guard(CompletionStage<PublishResult> step, int attempt) {
+    /** Retries if the platform was unavailable; any other failure ends the publication. */
+    private CompletionStage<PublishResult> retryIfUnavailable(
+        CompletionStage<PublishResult> step, int attempt) {
       return step.handle(
-              (result, failure) -> failure == null ? done(result) : afterFailure(failure, attempt))
+              (result, failure) ->
+                  failure == null ? completed(result) : handleFailure(failure, attempt))
           .thenCompose(stage -> stage);
     }
 
-    private CompletionStage<PublishResult> afterFailure(Throwable failure, int attempt) {
+    private CompletionStage<PublishResult> handleFailure(Throwable failure, int attempt) {
       Throwable cause = failure.getCause() == null ? failure : failure.getCause();
       if (!(cause instanceof PersimmonwalkException known)) {
         return CompletableFuture.failedStage(cause);
       }
       if (known.code() == ResultCode.PLATFORM_UNAVAILABLE) {
-        return repeat(attempt);
+        return retry(attempt);
       }
       ResultCode code = outcomeUnknown ? ResultCode.NOTE_OUTCOME_UNKNOWN : known.code();
-      return done(new PublishResult.Failed(code, known.getMessage()));
+      return completed(new PublishResult.Failed(code, known.getMessage()));
     }
 
-    private CompletionStage<PublishResult> done(PublishResult result) {
+    private CompletionStage<PublishResult> completed(PublishResult result) {
       return CompletableFuture.completedStage(result);
     }
   }
@@ -187,16 +205,20 @@
         .thenApply(
             found ->
                 new CurrentState(
-                    read.version(), Optional.of(row), found.orElseThrow(() -> missing(row))));
+                    read.version(), Optional.of(row), found.orElseThrow(() -> objectMissing(row))));
   }
 
-  private static PersimmonwalkException missing(ConfigurationRow row) {
+  private static PersimmonwalkException objectMissing(ConfigurationRow row) {
     return PersimmonwalkException.of(
         ResultCode.PLATFORM_ANSWER_INVALID,
-        "object " + row.object() + " of revision " + row.revision() + " does not exist");
+        "object "
+            + row.object()
+            + " of revision "
+            + row.revision()
+            + " does not exist; restore it");
   }
 
-  /** The name differs at each attempt, so that an object in force is never written again. */
+  /** Returns a new random name, so that the current object is never overwritten. */
   private ObjectName newName(Revision revision) {
     int high = random.nextInt(Integer.MAX_VALUE);
     int low = random.nextInt(Integer.MAX_VALUE);
--- a/core/src/main/java/org/persimmonwalk/release/RetryPause.java
+++ b/core/src/main/java/org/persimmonwalk/release/RetryPause.java
@@ -5,17 +5,17 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
-/** The pause before a step of publishing is repeated. */
+/** The delay before {@link ReleaseNotePublisher} retries. Tests use one that does not wait. */
 public interface RetryPause {
 
-  /** Returns a stage that ends when the given repetition, counted from 1, may start. */
-  CompletionStage<Void> await(int repetition);
+  /** Returns a stage that completes when the given retry, counted from 1, may start. */
+  CompletionStage<Void> await(int retry);
 
-  /** Returns a pause of half a second times the number of the repetition. */
+  /** Returns a linear backoff: half a second times the number of the retry. */
   static RetryPause growing() {
-    return repetition -> {
-      Executor later = CompletableFuture.delayedExecutor(500L * repetition, TimeUnit.MILLISECONDS);
-      return CompletableFuture.runAsync(() -> {}, later);
+    return retry -> {
+      Executor delayed = CompletableFuture.delayedExecutor(500L * retry, TimeUnit.MILLISECONDS);
+      return CompletableFuture.runAsync(() -> {}, delayed);
     };
   }
 }
--- a/core/src/test/java/org/persimmonwalk/release/ReleaseNoteMergeTest.java
+++ b/core/src/test/java/org/persimmonwalk/release/ReleaseNoteMergeTest.java
@@ -19,9 +19,9 @@
   private static final Configuration CURRENT = Configurations.of(1, 2, 2);
   private static final ReleaseNote NOTE = ReleaseNote.of(ReleaseNoteId.of("next"), Revision.of(1));
 
-  /** Guards against parts of a release note that are lost or applied to the wrong item. */
+  /** Guards against sections of a release note that are ignored or applied to the wrong item. */
   @Test
-  void shouldApplyAllPartsOfReleaseNote() {
+  void shouldApplyAllSectionsOfReleaseNote() {
     ReleaseNote note =
         NOTE.withAdded(
                 List.of(
@@ -54,7 +54,7 @@
         .isTrue();
   }
 
-  /** Guards against a refusal that stops at the first fault or does not say where it is. */
+  /** Guards against a refusal that reports only the first fault or omits its path. */
   @Test
   void shouldReportEveryFaultWithItsPath() {
     ReleaseNote note =
@@ -96,7 +96,7 @@
             "groups/group-0/servers");
   }
 
-  /** Guards against a group that brings back a server withdrawn by the same release note. */
+  /** Guards against a changed group that restores a server which the same note withdraws. */
   @Test
   void shouldRefuseGroupThatListsWithdrawnServer() {
     ReleaseNote note =
@@ -108,7 +108,7 @@
         .containsExactly("changed/groups/group-0/servers");
   }
 
-  /** Guards against an outdated release note that overwrites newer content. */
+  /** Guards against a release note with an outdated base that overwrites newer content. */
   @Test
   void shouldNameItemsChangedSinceBaseOfReleaseNote() {
     ReleaseNote first =
--- a/core/src/test/java/org/persimmonwalk/release/ReleaseNotePublisherTest.java
+++ b/core/src/test/java/org/persimmonwalk/release/ReleaseNotePublisherTest.java
@@ -26,11 +26,14 @@
     store.install(Configurations.of(1, 1, 2));
   }
 
-  /** Guards against two operators whose release notes are mixed or lost without notice. */
+  /**
+   * Guards against an overwritten update: two operators publish on the same base, and the second
+   * note replaces the first or is merged with it instead of being refused.
+   */
   @Test
   void shouldAcceptOneOfTwoConflictingReleaseNotesAndNameTheConflict() {
-    ReleaseNote rival = note("rival", 300);
-    store.runBeforeNextWrite(() -> assertAccepted(publish(publisher(2), rival), 2));
+    ReleaseNote other = note("rival", 300);
+    store.runBeforeNextWrite(() -> assertAccepted(publish(publisher(2), other), 2));
 
     PublishResult result = publish(publisher, note("mine", 200));
 
@@ -47,9 +50,12 @@
     assertThat(store.current().revision()).isEqualTo(Revision.of(2));
   }
 
-  /** Guards against a release note that is applied twice or reported as refused. */
+  /**
+   * Guards against a release note that is applied twice or refused after its compare-and-set
+   * succeeded and only the answer was lost.
+   */
   @Test
-  void shouldTakeOwnNoteInRowAsAcceptedAfterLostAnswer() {
+  void shouldReportAcceptedWhenRowHoldsOwnNoteAfterLostAnswer() {
     store.loseAnswers(1);
 
     assertAccepted(publish(publisher, note("mine", 200)), 2);
@@ -57,9 +63,12 @@
     assertThat(rate()).isEqualTo(200);
   }
 
-  /** Guards against taking an accepted release note that another one followed for a lost one. */
+  /**
+   * Guards against reporting an accepted release note as refused or lost because another operator
+   * published the next revision before the row was read again.
+   */
   @Test
-  void shouldFindOwnNoteInHistoryWhenAnotherFollowedBeforeReadBack() {
+  void shouldFindOwnNoteInHistoryWhenAnotherNoteFollowed() {
     ReleaseNote following =
         ReleaseNote.of(ReleaseNoteId.of("following"), Revision.of(2))
             .withChanged(List.of(change("workspace-1", 50)));
@@ -69,7 +78,7 @@
             store,
             store,
             RandomSource.seeded(3),
-            repetition -> {
+            retry -> {
               assertAccepted(publish(publisher, following), 3);
               return CompletableFuture.completedStage(null);
             });
@@ -77,15 +86,17 @@
     assertAccepted(publish(interrupted, note("mine", 200)), 2);
   }
 
-  /** Guards against giving up when the request, not the answer, was lost. */
+  /** Guards against giving up when the request was lost before it reached the platform. */
   @Test
-  void shouldRepeatCompareAndSetWhenRowIsUnchanged() {
+  void shouldResendCompareAndSetWhenRowIsUnchanged() {
     store.loseRequests(2);
 
     assertAccepted(publish(publisher, note("mine", 200)), 2);
   }
 
-  /** Guards against "refused" or "nothing changed" while the outcome is open. */
+  /**
+   * Guards against reporting a note as refused or without effect while it may still take effect.
+   */
   @Test
   void shouldReportUnknownOutcomeWhenNoAnswerComes() {
     store.loseRequests(100);
@@ -104,7 +115,7 @@
     assertThat(store.current().revision()).isEqualTo(Revision.of(2));
   }
 
-  /** Guards against an endless wait or an exception while the platform is down. */
+  /** Guards against waiting forever or throwing an exception while the platform is down. */
   @Test
   void shouldReportUnavailablePlatform() {
     store.setReachable(false);
@@ -117,10 +128,7 @@
 
   private ReleaseNotePublisher publisher(long seed) {
     return ReleaseNotePublisher.of(
-        store,
-        store,
-        RandomSource.seeded(seed),
-        repetition -> CompletableFuture.completedStage(null));
+        store, store, RandomSource.seeded(seed), retry -> CompletableFuture.completedStage(null));
   }
 
   private static PublishResult publish(ReleaseNotePublisher publisher, ReleaseNote note) {
--- a/core/src/test/java/org/persimmonwalk/release/package-info.java
+++ b/core/src/test/java/org/persimmonwalk/release/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of release notes. */
+/** Tests of merging and publishing release notes, with a fake configuration store. */
 package org.persimmonwalk.release;
