Reword the shared model types

GroupView says that a promotion fences at least all servers but one, which is what the code requires, instead of "all replicas". Messages about invalid values include the values, and those about positions an example.

--- a/core/src/main/java/org/persimmonwalk/model/BackendServer.java
+++ b/core/src/main/java/org/persimmonwalk/model/BackendServer.java
@@ -5,14 +5,15 @@
 import org.persimmonwalk.id.BackendServerId;
 
 /**
- * A backend server of a database group.
+ * A backend server of a database group, as configured.
  *
  * @param id the server
  * @param zone the availability zone of the server
- * @param endpoint where the server listens
- * @param slots statements that the server executes at once
- * @param connections connections that the server accepts from all entry hosts together
- * @param leaving whether the server gets no new work
+ * @param endpoint the address and port on which the server listens
+ * @param slots the number of statements that the server executes at the same time
+ * @param connections the number of connections that the server accepts from all entry hosts
+ *     together
+ * @param leaving whether the server is being taken out of service and receives no new work
  */
 public record BackendServer(
     BackendServerId id,
@@ -22,14 +23,19 @@
     int connections,
     boolean leaving) {
 
-  /** Checks the limits. */
+  /** Checks that the server has at least 1 slot and 1 connection. */
   public BackendServer {
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(zone, "zone");
     Objects.requireNonNull(endpoint, "endpoint");
     if (slots < 1 || connections < 1) {
       throw new IllegalArgumentException(
-          "backend server " + id + " needs at least 1 slot and 1 connection");
+          "backend server "
+              + id
+              + " needs at least 1 slot and 1 connection, not "
+              + slots
+              + " and "
+              + connections);
     }
   }
 
@@ -43,7 +49,7 @@
     return new BackendServer(id, zone, endpoint, slots, connections, false);
   }
 
-  /** Returns the same server, leaving. */
+  /** Returns a copy of this server that is leaving. */
   public BackendServer asLeaving() {
     return new BackendServer(id, zone, endpoint, slots, connections, true);
   }
--- a/core/src/main/java/org/persimmonwalk/model/CallerKey.java
+++ b/core/src/main/java/org/persimmonwalk/model/CallerKey.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.WorkspaceId;
 
-/** A caller key, kept as its hash, and the workspace that it opens. */
+/** The hash of a caller key and the workspace to which the key grants access. */
 public record CallerKey(KeyHash hash, WorkspaceId workspace) {
 
   /** Checks that both parts are present. */
--- a/core/src/main/java/org/persimmonwalk/model/Configuration.java
+++ b/core/src/main/java/org/persimmonwalk/model/Configuration.java
@@ -10,7 +10,16 @@
 import org.persimmonwalk.id.Revision;
 import org.persimmonwalk.id.WorkspaceId;
 
-/** An accepted configuration as a whole. */
+/**
+ * One revision of the configuration: all workspaces, caller keys and database groups. Each release
+ * note produces a new revision, and entry hosts replace the configuration as a whole.
+ *
+ * @param revision the revision
+ * @param note the release note that produced the revision
+ * @param workspaces the workspaces
+ * @param keys the caller keys, by hash
+ * @param groups the database groups
+ */
 public record Configuration(
     Revision revision,
     ReleaseNoteId note,
@@ -18,7 +27,7 @@
     Map<KeyHash, CallerKey> keys,
     Map<DatabaseGroupId, DatabaseGroup> groups) {
 
-  /** The configuration of a host that has read none yet. */
+  /** The configuration before the first release note, and of a host that has not read one yet. */
   public static final Configuration EMPTY =
       new Configuration(Revision.NONE, ReleaseNoteId.of("none"), Map.of(), Map.of(), Map.of());
 
@@ -46,8 +55,8 @@
     return groups.values().stream().filter(group -> group.server(server).isPresent()).findFirst();
   }
 
-  /** Returns whether the key opens the workspace. */
-  public boolean opens(KeyHash key, WorkspaceId workspace) {
+  /** Returns whether the key grants access to the workspace. */
+  public boolean allows(KeyHash key, WorkspaceId workspace) {
     CallerKey known = keys.get(key);
     return known != null && known.workspace().equals(workspace);
   }
--- a/core/src/main/java/org/persimmonwalk/model/ConfigurationReply.java
+++ b/core/src/main/java/org/persimmonwalk/model/ConfigurationReply.java
@@ -5,11 +5,12 @@
 import java.util.Optional;
 
 /**
- * Answers a {@link ConfigurationRequest} of a host that has a lower revision.
+ * Answers a {@link ConfigurationRequest} from a host that has a lower revision.
  *
  * @param configuration the sender's configuration
- * @param freshnessAge the time since it was last known to be current, if it ever was
- * @param answers the receiver's clock in the request
+ * @param freshnessAge the time since the configuration was last known to be the newest, if it ever
+ *     was
+ * @param answers the request's {@code sentAt}, on the receiver's clock
  */
 public record ConfigurationReply(
     Configuration configuration, Optional<Duration> freshnessAge, MonotonicTime answers)
@@ -18,7 +19,7 @@
   /** Checks that all parts are present. */
   public ConfigurationReply {
     Objects.requireNonNull(configuration, "configuration");
-    Ages.check(freshnessAge);
+    DurationLimits.check(freshnessAge);
     Objects.requireNonNull(answers, "answers");
   }
 }
--- a/core/src/main/java/org/persimmonwalk/model/ConfigurationRow.java
+++ b/core/src/main/java/org/persimmonwalk/model/ConfigurationRow.java
@@ -6,16 +6,16 @@
 import org.persimmonwalk.id.Revision;
 
 /**
- * The row that names the configuration in force.
+ * The table row that refers to the object of the current configuration.
  *
- * @param revision the revision in force
- * @param note the release note that led to it
+ * @param revision the current revision
+ * @param note the release note that produced it
  * @param object the object that holds the configuration
  */
 public record ConfigurationRow(Revision revision, ReleaseNoteId note, ObjectName object)
     implements RowValue {
 
-  /** Where the row is. */
+  /** The table and key of the row. */
   public static final TableRow ROW = TableRow.of("configuration", "current");
 
   /** Checks that all parts are present. */
--- a/core/src/main/java/org/persimmonwalk/model/ConfirmedPosition.java
+++ b/core/src/main/java/org/persimmonwalk/model/ConfirmedPosition.java
@@ -3,10 +3,10 @@
 import java.util.Objects;
 
 /**
- * A position that covers every write acknowledged before the given time.
+ * A log position that includes every write acknowledged before the given time.
  *
  * @param position the primary's position when the probe was answered
- * @param startedAt when the probe of the primary started; the primary was current then
+ * @param startedAt when the probe of the primary started; the server was still the primary then
  */
 public record ConfirmedPosition(GroupPosition position, MonotonicTime startedAt) {
 
--- a/core/src/main/java/org/persimmonwalk/model/DatabaseGroup.java
+++ b/core/src/main/java/org/persimmonwalk/model/DatabaseGroup.java
@@ -11,8 +11,8 @@
  * A group of backend servers that replicate one database.
  *
  * @param id the group
- * @param servers all servers, whichever is the primary
- * @param defaultMaximumAge the oldest data that a read without a stated age accepts
+ * @param servers the primary and all replicas; which of them is the primary is not configured
+ * @param defaultMaximumAge the maximum age of the data that a read accepts if it states none
  */
 public record DatabaseGroup(
     DatabaseGroupId id, List<BackendServer> servers, Duration defaultMaximumAge) {
@@ -23,7 +23,8 @@
     Objects.requireNonNull(defaultMaximumAge, "defaultMaximumAge");
     servers = List.copyOf(servers);
     if (servers.isEmpty()) {
-      throw new IllegalArgumentException("database group " + id + " needs a backend server");
+      throw new IllegalArgumentException(
+          "database group " + id + " needs at least 1 backend server");
     }
   }
 
--- a/core/src/main/java/org/persimmonwalk/model/Ages.java
+++ b/core/src/main/java/org/persimmonwalk/model/DurationLimits.java
@@ -3,15 +3,15 @@
 import java.time.Duration;
 import java.util.Optional;
 
-/** Checks the durations that messages state. */
-final class Ages {
-  /** Far above any real age, and small enough that arithmetic with nanoseconds cannot overflow. */
+/** Rejects durations in messages from peers that are negative or too long to calculate with. */
+final class DurationLimits {
+  /** Far above any real age, and short enough that arithmetic in nanoseconds cannot overflow. */
   private static final Duration LIMIT = Duration.ofDays(366);
 
-  private Ages() {}
+  private DurationLimits() {}
 
   static void check(Optional<Duration> age) {
-    age.ifPresent(Ages::check);
+    age.ifPresent(DurationLimits::check);
   }
 
   static void check(Duration age) {
--- a/core/src/main/java/org/persimmonwalk/model/Grant.java
+++ b/core/src/main/java/org/persimmonwalk/model/Grant.java
@@ -5,14 +5,15 @@
 import org.persimmonwalk.id.GrantId;
 
 /**
- * What a table row grants to one entry host.
+ * The lease of one entry host on a part of the total of a table row.
  *
- * <p>The row states a duration and no instant, since hosts have no common clock. The holder counts
- * the duration from before it wrote the row, and another host from after it first read the grant,
- * so that the holder always counts from the earlier instant.
+ * <p>The row contains a duration and not an instant, since hosts have no common clock. The holder
+ * counts the duration from before it wrote the row, and other hosts count it from after they first
+ * read the grant. The lease therefore expires for its holder first.
  *
- * @param id the grant; as long as it is in the row, the holder has not renewed
- * @param amount units of the row's total
+ * @param id changes with each renewal; while the row contains the same id, the holder has not
+ *     renewed the lease
+ * @param amount the number of units of the row's total
  * @param duration for how long the holder may use the amount
  */
 public record Grant(GrantId id, long amount, Duration duration) {
@@ -22,7 +23,7 @@
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(duration, "duration");
     if (amount <= 0) {
-      throw new IllegalArgumentException("grant " + id + " needs an amount above 0");
+      throw new IllegalArgumentException("grant " + id + " needs an amount above 0, not " + amount);
     }
   }
 
@@ -31,7 +32,7 @@
     return new Grant(id, amount, duration);
   }
 
-  /** Returns the same grant with another amount. */
+  /** Returns a copy of this grant with the given amount. */
   public Grant withAmount(long newAmount) {
     return new Grant(id, newAmount, duration);
   }
--- a/core/src/main/java/org/persimmonwalk/model/GrantTable.java
+++ b/core/src/main/java/org/persimmonwalk/model/GrantTable.java
@@ -4,15 +4,15 @@
 import org.persimmonwalk.id.EntryHostId;
 
 /**
- * The row that divides a workspace's rate and burst, or a backend server's connections, between the
- * entry hosts.
+ * The table row that divides the rate and burst of a workspace, or the connections of a backend
+ * server, between the entry hosts.
  *
- * <p>A workspace's row grants {@link #SHARE_TOTAL} equal parts of whatever rate and burst the
- * configuration states, so a changed rate is in force at once and sums are exact. A backend
- * server's row grants connections.
+ * <p>The row of a workspace grants some of {@link #SHARE_TOTAL} equal parts of the configured rate
+ * and burst, so that a changed rate applies immediately and sums are exact. The row of a backend
+ * server grants connections.
  *
- * @param total units that the row may grant
- * @param grants what each host is granted
+ * @param total the number of units that the row may grant
+ * @param grants the lease of each host
  */
 public record GrantTable(long total, Map<EntryHostId, Grant> grants) implements RowValue {
 
@@ -22,7 +22,7 @@
   /** The table with a row for each backend server. */
   public static final String SERVER_TABLE = "connection-allowances";
 
-  /** The parts into which a workspace's rate and burst are divided. */
+  /** The number of equal parts into which the rate and burst of a workspace are divided. */
   public static final long SHARE_TOTAL = 1_000_000;
 
   /** Copies the grants. */
@@ -35,7 +35,7 @@
     return new GrantTable(total, grants);
   }
 
-  /** Returns the sum of all grants. */
+  /** Returns the sum of the amounts of all grants. */
   public long granted() {
     return grants.values().stream().mapToLong(Grant::amount).sum();
   }
--- a/core/src/main/java/org/persimmonwalk/model/GroupPosition.java
+++ b/core/src/main/java/org/persimmonwalk/model/GroupPosition.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 
-/** A log position together with the term in which it was written. */
+/** A position in the log of a database group, with the term in which it was written. */
 public record GroupPosition(Term term, LogPosition position) implements Comparable<GroupPosition> {
 
   /** Checks that both parts are present. */
@@ -24,13 +24,16 @@
   public static GroupPosition parse(String text) {
     int colon = text.indexOf(':');
     if (colon < 1) {
-      throw new IllegalArgumentException("position '" + text + "' is not of the form term:X/X");
+      throw new IllegalArgumentException(
+          "position '" + text + "' is not of the form term:X/X, such as 3:16/B374D848");
     }
     Term term = Term.of(Long.parseLong(text.substring(0, colon)));
     return new GroupPosition(term, LogPosition.parse(text.substring(colon + 1)));
   }
 
-  /** Returns the later of two positions; acknowledged positions only grow across terms. */
+  /**
+   * Returns the later of two positions. Acknowledged positions never decrease, even across terms.
+   */
   public GroupPosition max(GroupPosition other) {
     return compareTo(other) >= 0 ? this : other;
   }
--- a/core/src/main/java/org/persimmonwalk/model/GroupView.java
+++ b/core/src/main/java/org/persimmonwalk/model/GroupView.java
@@ -8,14 +8,15 @@
 import org.persimmonwalk.id.DatabaseGroupId;
 
 /**
- * What an entry host knows of a database group.
+ * An entry host's knowledge of a database group, from the configuration and the samples of its
+ * servers. The control thread updates it; requests are routed by it from a snapshot.
  *
  * @param id the group
  * @param term the highest term in which a server was seen as primary or replica
- * @param primary the primary of that term, if it was seen
+ * @param primary the primary of that term, if a sample showed one
  * @param servers all configured servers
  * @param confirmed confirmed positions of the current term, oldest first
- * @param defaultMaximumAge the oldest data that a read without a stated age accepts
+ * @param defaultMaximumAge the maximum age of the data that a read accepts if it states none
  */
 public record GroupView(
     DatabaseGroupId id,
@@ -53,8 +54,9 @@
   }
 
   /**
-   * Returns whether a replica that follows the given term has received the position. Such a write
-   * survives every promotion, because a promotion fences all replicas and takes the most advanced.
+   * Returns whether a replica in the term of the position has received it. A write at that position
+   * survives every promotion: a promotion fences at least all servers but one, so at least one that
+   * has the write, and promotes the one with the most advanced log.
    */
   public boolean isReceivedByReplica(GroupPosition written) {
     return servers.stream()
--- a/core/src/main/java/org/persimmonwalk/model/HostNews.java
+++ b/core/src/main/java/org/persimmonwalk/model/HostNews.java
@@ -4,20 +4,20 @@
 import java.util.Objects;
 
 /**
- * What a host last said of itself, passed on by another host.
+ * The last known state of a host, passed on by another host in a {@link Heartbeat}.
  *
- * @param host the statement
- * @param age the time since the host made the statement
+ * @param host the entry that the host last sent about itself
+ * @param age the time since the host sent it
  */
 public record HostNews(HostEntry host, Duration age) {
 
-  /** Checks the age. */
+  /** Checks that the age is within limits. */
   public HostNews {
     Objects.requireNonNull(host, "host");
-    Ages.check(age);
+    DurationLimits.check(age);
   }
 
-  /** Returns the news with the given age. */
+  /** Returns the state of a host, sent the given time ago. */
   public static HostNews of(HostEntry host, Duration age) {
     return new HostNews(host, age);
   }
--- a/core/src/main/java/org/persimmonwalk/model/HostPhase.java
+++ b/core/src/main/java/org/persimmonwalk/model/HostPhase.java
@@ -1,13 +1,13 @@
 package org.persimmonwalk.model;
 
-/** What an entry host does for callers; it only ever moves forward. */
+/** The lifecycle of an entry host. A host never returns to an earlier phase. */
 public enum HostPhase {
   /** The host has no current configuration yet and accepts no callers. */
   STARTING,
   /** The host serves callers. */
   SERVING,
-  /** The host stops: it ends sessions at the end of their request or transaction. */
+  /** The host is stopping: it ends each session after its current request or transaction. */
   DRAINING,
-  /** No session is left, or the stop deadline has passed. */
+  /** All sessions have ended, or the stop deadline has passed. */
   STOPPED
 }
--- a/core/src/main/java/org/persimmonwalk/model/LogPosition.java
+++ b/core/src/main/java/org/persimmonwalk/model/LogPosition.java
@@ -1,6 +1,6 @@
 package org.persimmonwalk.model;
 
-/** A position in a database group's write-ahead log (a PostgreSQL LSN), in bytes. */
+/** A position in the write-ahead log of a database group, in bytes (a PostgreSQL LSN). */
 public record LogPosition(long bytes) implements Comparable<LogPosition> {
 
   /** The start of the log. */
@@ -33,7 +33,8 @@
   public static LogPosition parse(String text) {
     int slash = text.indexOf('/');
     if (slash < 1) {
-      throw new IllegalArgumentException("log position '" + text + "' is not of the form X/X");
+      throw new IllegalArgumentException(
+          "log position '" + text + "' is not of the form X/X, such as 16/B374D848");
     }
     long high = Long.parseLong(text.substring(0, slash), HEXADECIMAL);
     long low = Long.parseLong(text.substring(slash + 1), HEXADECIMAL);
--- a/core/src/main/java/org/persimmonwalk/model/MonotonicTime.java
+++ b/core/src/main/java/org/persimmonwalk/model/MonotonicTime.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 
-/** An instant on the monotonic clock of one process; never compared between processes. */
+/**
+ * An instant on the monotonic clock of one process. Instants of different processes must not be
+ * compared.
+ */
 public record MonotonicTime(long nanoseconds) implements Comparable<MonotonicTime> {
 
   /** Returns the instant at the given reading of the clock. */
@@ -10,17 +13,17 @@
     return new MonotonicTime(nanoseconds);
   }
 
-  /** Returns the instant that follows this one by the given time. */
+  /** Returns the instant that is the given duration after this one. */
   public MonotonicTime plus(Duration duration) {
     return new MonotonicTime(nanoseconds + duration.toNanos());
   }
 
-  /** Returns the instant that precedes this one by the given time. */
+  /** Returns the instant that is the given duration before this one. */
   public MonotonicTime minus(Duration duration) {
     return new MonotonicTime(nanoseconds - duration.toNanos());
   }
 
-  /** Returns the time from the earlier instant to this one; negative if it is later. */
+  /** Returns the time from the given instant to this one, negative if that instant is later. */
   public Duration since(MonotonicTime earlier) {
     return Duration.ofNanos(nanoseconds - earlier.nanoseconds);
   }
--- a/core/src/main/java/org/persimmonwalk/model/PeerMessage.java
+++ b/core/src/main/java/org/persimmonwalk/model/PeerMessage.java
@@ -1,4 +1,4 @@
 package org.persimmonwalk.model;
 
-/** A message between entry hosts; implementations are immutable. */
+/** A message that entry hosts send to each other. Implementations are immutable. */
 public interface PeerMessage {}
--- a/core/src/main/java/org/persimmonwalk/model/PromotionStep.java
+++ b/core/src/main/java/org/persimmonwalk/model/PromotionStep.java
@@ -4,13 +4,16 @@
 import java.util.Objects;
 import org.persimmonwalk.id.BackendServerId;
 
-/** Where an entry host stands in the promotion of a new primary. */
+/**
+ * A step of an entry host in the promotion of a new primary. The usual order is the one below; the
+ * control thread moves from step to step.
+ */
 public sealed interface PromotionStep {
 
-  /** The group needs no promotion as far as this host knows. */
+  /** No attempt is in progress at this host; it starts one when the group needs a promotion. */
   record Watching() implements PromotionStep {}
 
-  /** The group needs a promotion; hosts of lower rank act first. */
+  /** The group needs a promotion, and this host waits because hosts of lower rank start first. */
   record Delaying(MonotonicTime startsAt) implements PromotionStep {
     /** Checks that the time is present. */
     public Delaying {
@@ -29,7 +32,7 @@
   /**
    * The claim row is being written.
    *
-   * @param startedAt when the claim row was first asked for
+   * @param startedAt when the read of the claim row was sent
    * @param sentAt when the write was sent
    */
   record WritingClaim(MonotonicTime startedAt, MonotonicTime sentAt) implements PromotionStep {
@@ -41,11 +44,11 @@
   }
 
   /**
-   * Servers are being fenced.
+   * The servers of the group are being fenced.
    *
-   * @param startedAt when the first fence was sent
-   * @param sentAt when the unanswered fences were last sent
-   * @param fenced the ends of the logs of the servers fenced so far
+   * @param startedAt when the fence requests were first sent
+   * @param sentAt when the unanswered fence requests were last sent
+   * @param fenced the servers fenced so far, with the end of the log of each
    */
   record Fencing(
       MonotonicTime startedAt, MonotonicTime sentAt, Map<BackendServerId, GroupPosition> fenced)
@@ -61,7 +64,7 @@
   /**
    * The chosen server is being promoted. No other server may be promoted in the same term.
    *
-   * @param startedAt when the promotion was first sent
+   * @param startedAt when the promotion request was first sent
    * @param sentAt when it was last sent
    * @param chosen the server with the most advanced log
    */
@@ -75,7 +78,7 @@
     }
   }
 
-  /** The chosen server was promoted; samples have yet to show it. */
+  /** The chosen server was promoted, but no sample has shown its new term yet. */
   record Settling(MonotonicTime startedAt) implements PromotionStep {
     /** Checks that the time is present. */
     public Settling {
@@ -83,7 +86,10 @@
     }
   }
 
-  /** Another host or a higher term was met; the group is looked at again later. */
+  /**
+   * The attempt was given up, because of another host, a higher term or a missing answer. This host
+   * checks again after the given time whether the group needs a promotion.
+   */
   record BackingOff(MonotonicTime until) implements PromotionStep {
     /** Checks that the time is present. */
     public BackingOff {
--- a/core/src/main/java/org/persimmonwalk/model/RowValue.java
+++ b/core/src/main/java/org/persimmonwalk/model/RowValue.java
@@ -1,4 +1,4 @@
 package org.persimmonwalk.model;
 
-/** The typed content of a row of the platform's table service; implementations are immutable. */
+/** The typed content of a row of the platform's table service. Implementations are immutable. */
 public interface RowValue {}
--- a/core/src/main/java/org/persimmonwalk/model/RowVersion.java
+++ b/core/src/main/java/org/persimmonwalk/model/RowVersion.java
@@ -1,6 +1,9 @@
 package org.persimmonwalk.model;
 
-/** The version of a row; each write of the row raises it. */
+/**
+ * The version of a table row, which increases with each write and is compared on a conditional
+ * write.
+ */
 public record RowVersion(long number) implements Comparable<RowVersion> {
 
   /** The version of a row that does not exist. */
--- a/core/src/main/java/org/persimmonwalk/model/ServerProbe.java
+++ b/core/src/main/java/org/persimmonwalk/model/ServerProbe.java
@@ -3,21 +3,22 @@
 import java.util.Objects;
 
 /**
- * The newest probe of a backend server.
+ * The most recent probe of a backend server, which asks the server for a {@link ServerSample}.
  *
  * @param startedAt when the probe was submitted
  * @param state whether the probe has ended
- * @param requested whether a newer sample is wanted before the routine interval has passed
+ * @param requested whether a newer sample was requested before the regular probe interval has
+ *     passed
  */
 public record ServerProbe(MonotonicTime startedAt, State state, boolean requested) {
 
-  /** Whether a probe has ended. */
+  /** The state of a probe. */
   public enum State {
-    /** No result yet. */
+    /** No result has arrived yet. */
     IN_FLIGHT,
-    /** A result came. */
+    /** The probe has succeeded or failed. */
     ANSWERED,
-    /** No result came in time; the probe counts as failed. */
+    /** No result arrived in time; the probe counts as failed. */
     EXPIRED
   }
 
--- a/core/src/main/java/org/persimmonwalk/model/ServerRole.java
+++ b/core/src/main/java/org/persimmonwalk/model/ServerRole.java
@@ -1,11 +1,11 @@
 package org.persimmonwalk.model;
 
-/** What a backend server does in its database group. */
+/** The replication role of a backend server in its database group. */
 public enum ServerRole {
   /** Accepts writes. */
   PRIMARY,
   /** Receives the log of a primary. */
   REPLICA,
-  /** Has promised a term to a promotion and receives the log of no primary. */
+  /** Was fenced by a promotion: it has promised the term and receives the log of no primary. */
   FENCED
 }
--- a/core/src/main/java/org/persimmonwalk/model/ServerSample.java
+++ b/core/src/main/java/org/persimmonwalk/model/ServerSample.java
@@ -4,12 +4,12 @@
 import java.util.Objects;
 
 /**
- * What a backend server says of itself.
+ * The replication state that a backend server reports in answer to a probe.
  *
- * @param role what the server does
- * @param term the term of the server's log; for a fenced server the promised term
+ * @param role the role of the server
+ * @param term the term of the server's log, or the promised term if the server is fenced
  * @param received the last log position that the server has stored
- * @param replayed the last log position that reads on the server see
+ * @param replayed the last log position that is visible to reads on the server
  * @param primaryContactAge the time since the server last heard from the primary that it follows
  */
 public record ServerSample(
@@ -28,7 +28,7 @@
     Objects.requireNonNull(primaryContactAge, "primaryContactAge");
   }
 
-  /** Returns the sample of a primary at the given position. */
+  /** Returns the sample of a primary whose log ends at the given position. */
   public static ServerSample ofPrimary(Term term, LogPosition position) {
     return new ServerSample(ServerRole.PRIMARY, term, position, position, Duration.ZERO);
   }
--- a/core/src/main/java/org/persimmonwalk/model/ServerView.java
+++ b/core/src/main/java/org/persimmonwalk/model/ServerView.java
@@ -5,12 +5,13 @@
 import java.util.Optional;
 
 /**
- * What an entry host knows of a backend server.
+ * An entry host's knowledge of a backend server, part of a {@link GroupView}.
  *
  * @param server the server as configured
  * @param sample the newest sample, if there is one
- * @param sampledAt when the probe of the newest sample started
- * @param failingSince when the first of the probes that failed since the newest sample started
+ * @param sampledAt when the probe of the newest sample started; before the first sample, when the
+ *     server became known
+ * @param failingSince the start of the first probe that has failed since the newest sample, if any
  */
 public record ServerView(
     BackendServer server,
@@ -26,7 +27,7 @@
     Objects.requireNonNull(failingSince, "failingSince");
   }
 
-  /** Returns the view of a server of which nothing is known. */
+  /** Returns the view of a server that has not been sampled yet. */
   public static ServerView unknown(BackendServer server, MonotonicTime now) {
     return new ServerView(server, Optional.empty(), now, Optional.empty());
   }
@@ -47,17 +48,20 @@
     return new ServerView(server, sample, sampledAt, Optional.of(failingSince.orElse(startedAt)));
   }
 
-  /** Returns the view with the server as configured now. */
+  /** Returns the view with a changed configuration of the server. */
   public ServerView withServer(BackendServer configured) {
     return new ServerView(configured, sample, sampledAt, failingSince);
   }
 
-  /** Returns whether the newest probe succeeded and started at most the given time ago. */
+  /**
+   * Returns whether the probe of the newest sample started at most the given time ago and no later
+   * probe has failed.
+   */
   public boolean isFresh(Duration age, MonotonicTime now) {
     return sample.isPresent() && failingSince.isEmpty() && now.since(sampledAt).compareTo(age) <= 0;
   }
 
-  /** Returns whether every probe for at least the given time has failed. */
+  /** Returns whether all probes have failed for at least the given time. */
   public boolean isFailingFor(Duration time, MonotonicTime now) {
     return failingSince.isPresent()
         && now.since(failingSince.get()).compareTo(time) >= 0
--- a/core/src/main/java/org/persimmonwalk/model/ShareLease.java
+++ b/core/src/main/java/org/persimmonwalk/model/ShareLease.java
@@ -3,12 +3,13 @@
 import java.util.Objects;
 
 /**
- * This host's part of a workspace's rate and burst.
+ * This host's lease on a part of the rate and burst of a workspace. The control thread publishes it
+ * in a snapshot, and admission enforces it.
  *
  * @param rate statements per second that this host may admit
  * @param burst statements that this host may admit at once
- * @param end when the lease ends on the monotonic clock of this host
- * @param order the newest movement of tokens
+ * @param end when the lease expires, on the monotonic clock of this host
+ * @param order the newest instruction to add or remove tokens
  */
 public record ShareLease(double rate, double burst, MonotonicTime end, TokenOrder order) {
 
@@ -17,7 +18,8 @@
     Objects.requireNonNull(end, "end");
     Objects.requireNonNull(order, "order");
     if (!(rate >= 0) || !(burst >= 0)) {
-      throw new IllegalArgumentException("a lease needs a rate and a burst of at least 0");
+      throw new IllegalArgumentException(
+          "a lease needs a rate and a burst of at least 0, not " + rate + " and " + burst);
     }
   }
 
--- a/core/src/main/java/org/persimmonwalk/model/ShareRequest.java
+++ b/core/src/main/java/org/persimmonwalk/model/ShareRequest.java
@@ -4,13 +4,14 @@
 import org.persimmonwalk.id.TransferId;
 
 /**
- * Asks a peer for a part of what it holds of a row.
+ * Asks a peer to transfer some of the units that it holds of a {@link GrantTable} row.
  *
- * @param id the transfer that answers the request; a repeated request has the same one
- * @param row the row of the workspace or of the backend server
- * @param held units that the asking host holds
- * @param demand the demand at the asking host, in statements per second or connections
- * @param tokens statements for which the asking host has reserved room in its burst
+ * @param id the transfer that is to answer the request; a retry has the same id
+ * @param row the row of the workspace or the backend server
+ * @param held the number of units that the requesting host holds
+ * @param demand the demand at the requesting host, in statements per second or connections
+ * @param tokens the number of tokens for which the requesting host has reserved room in its burst;
+ *     one token admits one statement
  */
 public record ShareRequest(TransferId id, TableRow row, long held, double demand, double tokens)
     implements PeerMessage {
--- a/core/src/main/java/org/persimmonwalk/model/SocketEndpoint.java
+++ b/core/src/main/java/org/persimmonwalk/model/SocketEndpoint.java
@@ -1,13 +1,13 @@
 package org.persimmonwalk.model;
 
-/** The IP number and port of a process. */
+/** The IP address and port on which a process listens. */
 public record SocketEndpoint(String address, int port) {
   private static final int MAXIMUM_PORT = 65535;
 
-  /** Checks the port. */
+  /** Checks that the address is present and the port is valid. */
   public SocketEndpoint {
     if (address == null || address.isBlank()) {
-      throw new IllegalArgumentException("an endpoint needs an IP number");
+      throw new IllegalArgumentException("an endpoint with port " + port + " needs an IP address");
     }
     if (port < 0 || port > MAXIMUM_PORT) {
       throw new IllegalArgumentException("port " + port + " is not between 0 and " + MAXIMUM_PORT);
@@ -17,7 +17,7 @@
   /**
    * Returns the endpoint with the given parts.
    *
-   * @throws IllegalArgumentException if the port is not between 0 and 65535
+   * @throws IllegalArgumentException if the address is blank or the port is not between 0 and 65535
    */
   public static SocketEndpoint of(String address, int port) {
     return new SocketEndpoint(address, port);
@@ -26,7 +26,7 @@
   /**
    * Reads an endpoint, for example {@code 127.0.0.1:5432}.
    *
-   * @throws IllegalArgumentException if the text lacks a port
+   * @throws IllegalArgumentException if the text is not of the form address:port
    */
   public static SocketEndpoint parse(String text) {
     int colon = text.lastIndexOf(':');
--- a/core/src/main/java/org/persimmonwalk/model/StoredConfiguration.java
+++ b/core/src/main/java/org/persimmonwalk/model/StoredConfiguration.java
@@ -5,10 +5,11 @@
 import org.persimmonwalk.id.ObjectName;
 
 /**
- * The content of a configuration object. An object is written once and never changed.
+ * The content of a configuration object in the platform's object store. An object is written once
+ * and never changed.
  *
  * @param configuration the configuration
- * @param previous the object of the revision before, absent in the first one
+ * @param previous the object of the previous revision, empty in the first revision
  */
 public record StoredConfiguration(Configuration configuration, Optional<ObjectName> previous) {
 
@@ -18,7 +19,7 @@
     Objects.requireNonNull(previous, "previous");
   }
 
-  /** Returns the content with the given parts. */
+  /** Returns the content of an object with the given configuration. */
   public static StoredConfiguration of(Configuration configuration, Optional<ObjectName> previous) {
     return new StoredConfiguration(configuration, previous);
   }
--- a/core/src/main/java/org/persimmonwalk/model/TableRow.java
+++ b/core/src/main/java/org/persimmonwalk/model/TableRow.java
@@ -2,17 +2,17 @@
 
 import org.persimmonwalk.internal.check.Names;
 
-/** Names a row of the platform's table service. */
+/** The table and key of a row of the platform's table service. */
 public record TableRow(String table, String row) {
 
-  /** Checks the text of both parts. */
+  /** Checks that both parts are valid identifiers. */
   public TableRow {
     Names.check("table", table);
     Names.check("row", row);
   }
 
   /**
-   * Returns the row with the given names.
+   * Returns the row with the given table and key.
    *
    * @throws IllegalArgumentException if a part is not a valid identifier
    */
--- a/core/src/main/java/org/persimmonwalk/model/Term.java
+++ b/core/src/main/java/org/persimmonwalk/model/Term.java
@@ -1,9 +1,11 @@
 package org.persimmonwalk.model;
 
-/** The term of a database group's primary (a PostgreSQL timeline); each promotion raises it. */
+/**
+ * The term of the primary of a database group (a PostgreSQL timeline). Each promotion raises it.
+ */
 public record Term(long number) implements Comparable<Term> {
 
-  /** The term of a group of which nothing is known. */
+  /** The term before any server of a group was seen. */
   public static final Term NONE = new Term(0);
 
   /** Checks that the number is not negative. */
--- a/core/src/main/java/org/persimmonwalk/model/TokenOrder.java
+++ b/core/src/main/java/org/persimmonwalk/model/TokenOrder.java
@@ -1,15 +1,17 @@
 package org.persimmonwalk.model;
 
 /**
- * Tells the admission policy to put tokens into or take tokens out of a workspace's bucket, once.
+ * Instructs the admission policy to add tokens to, and remove tokens from, the token bucket of a
+ * workspace. Each instruction is carried out once.
  *
- * @param number the number of the order; an order with a number that was carried out is void
- * @param deposit tokens that a peer gave up, to be added
- * @param withdrawal tokens to be taken out for a peer, or as many of them as there are to spare
+ * @param number increases with each order; an order whose number was already carried out is ignored
+ * @param deposit the number of tokens received from a peer, to be added
+ * @param withdrawal the number of tokens to remove for a peer; fewer are removed if the bucket has
+ *     fewer to spare
  */
 public record TokenOrder(long number, double deposit, double withdrawal) {
 
-  /** The order of a workspace whose tokens have never been moved. */
+  /** The value before the first order of a workspace. */
   public static final TokenOrder NONE = new TokenOrder(0, 0, 0);
 
   /** Returns an order with the given number. */
--- a/core/src/main/java/org/persimmonwalk/model/VersionedRow.java
+++ b/core/src/main/java/org/persimmonwalk/model/VersionedRow.java
@@ -4,10 +4,10 @@
 import java.util.Optional;
 
 /**
- * What a read of a row returns.
+ * The result of reading a table row.
  *
- * @param version the version of the row
- * @param value the content, absent if the row does not exist
+ * @param version the version of the row, {@link RowVersion#ABSENT} if the row does not exist
+ * @param value the content, empty if the row does not exist
  */
 public record VersionedRow(RowVersion version, Optional<RowValue> value) {
 
--- a/core/src/main/java/org/persimmonwalk/model/Workspace.java
+++ b/core/src/main/java/org/persimmonwalk/model/Workspace.java
@@ -6,13 +6,13 @@
 import org.persimmonwalk.id.WorkspaceId;
 
 /**
- * A workspace and what it may use.
+ * A workspace, with its rate limit and the database groups that it may use.
  *
  * @param id the workspace
- * @param rate statements per second over all entry hosts together
- * @param burst statements that may come at once over all entry hosts together
- * @param groups the database groups that the workspace may reach
- * @param open whether the workspace serves callers without a key
+ * @param rate the statements per second that all entry hosts together may admit
+ * @param burst the statements that all entry hosts together may admit at once
+ * @param groups the database groups that callers of the workspace may use
+ * @param open whether callers without a key are served
  */
 public record Workspace(
     WorkspaceId id, double rate, double burst, Set<DatabaseGroupId> groups, boolean open) {
@@ -23,7 +23,12 @@
     groups = Set.copyOf(groups);
     if (!(rate > 0) || !(burst >= 1)) {
       throw new IllegalArgumentException(
-          "workspace " + id + " needs a rate above 0 and a burst of at least 1");
+          "workspace "
+              + id
+              + " needs a rate above 0 and a burst of at least 1, not "
+              + rate
+              + " and "
+              + burst);
     }
   }
 
--- a/core/src/main/java/org/persimmonwalk/model/WriteResult.java
+++ b/core/src/main/java/org/persimmonwalk/model/WriteResult.java
@@ -3,10 +3,10 @@
 import java.util.Objects;
 
 /**
- * The result of a compare-and-set.
+ * The result of a compare-and-set of a table row.
  *
- * @param outcome what happened
- * @param version the version that the row has, as far as the answer states it
+ * @param outcome whether the row was written
+ * @param version the version of the row, if the answer contains it
  */
 public record WriteResult(WriteOutcome outcome, RowVersion version) {
 
--- a/core/src/main/java/org/persimmonwalk/model/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/model/package-info.java
@@ -1,2 +1,6 @@
-/** Immutable values that controllers and decisions exchange. */
+/**
+ * Immutable values that controllers, decisions and the adapters to peers, servers and the platform
+ * exchange: the configuration, knowledge of servers and hosts, messages between entry hosts, and
+ * the content of stored rows. They may be used on any thread.
+ */
 package org.persimmonwalk.model;
--- a/core/src/test/java/org/persimmonwalk/release/ReleaseNoteMergeTest.java
+++ b/core/src/test/java/org/persimmonwalk/release/ReleaseNoteMergeTest.java
@@ -39,8 +39,8 @@
 
     assertThat(merged.revision()).isEqualTo(Revision.of(2));
     assertThat(merged.note()).isEqualTo(note.id());
-    assertThat(merged.opens(KeyHash.ofKey("new-key"), WorkspaceId.of("new"))).isTrue();
-    assertThat(merged.opens(KeyHash.ofKey("key-0"), WorkspaceId.of("workspace-0"))).isTrue();
+    assertThat(merged.allows(KeyHash.ofKey("new-key"), WorkspaceId.of("new"))).isTrue();
+    assertThat(merged.allows(KeyHash.ofKey("key-0"), WorkspaceId.of("workspace-0"))).isTrue();
     assertThat(merged.keys()).doesNotContainKey(KeyHash.ofKey("key-1"));
     assertThat(merged.workspace(WorkspaceId.of("workspace-0")).orElseThrow().groups())
         .containsExactly(DatabaseGroupId.of("group-1"));
