--- a/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
@@ -149,8 +149,8 @@
     FakeHost host = fleet.hosts().get(index);
     boolean[] admitted = {
       host.admit(workspace.id()),
-      equalSplit.get(index).admit(host.snapshot(), workspace.id(), host.clock()),
-      admitAll.admit(host.snapshot(), workspace.id(), host.clock())
+      equalSplit.get(index).admit(host.snapshot(), workspace.id(), host.now()),
+      admitAll.admit(host.snapshot(), workspace.id(), host.now())
     };
     for (int policy = 0; counted && policy < admitted.length; policy++) {
       tallies.get(workspace).get(policy).add(inside, admitted[policy], fleet.time().now());
--- a/core/src/test/java/org/persimmonwalk/testing/Configurations.java
+++ b/core/src/test/java/org/persimmonwalk/testing/Configurations.java
@@ -20,12 +20,15 @@
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.model.Workspace;
 
-/** Configurations for tests and benchmarks. */
+/** Builds configurations and their parts with plausible values for tests and benchmarks. */
 public final class Configurations {
 
   private Configurations() {}
 
-  /** Returns a configuration with one key for each workspace and three servers in each group. */
+  /**
+   * Returns a configuration with one key for each workspace and three servers in each group. The
+   * workspaces are assigned to the groups in turn.
+   */
   public static Configuration of(long revision, int groups, int workspaces) {
     Map<DatabaseGroupId, DatabaseGroup> groupMap = new HashMap<>();
     for (int index = 0; index < groups; index++) {
@@ -54,7 +57,7 @@
         configuration.groups());
   }
 
-  /** Returns a workspace that requires a key. */
+  /** Returns a workspace that requires a key and may use the given group. */
   public static Workspace workspace(String id, String group) {
     return Workspace.of(WorkspaceId.of(id), 100, 20, Set.of(DatabaseGroupId.of(group)));
   }
@@ -73,7 +76,7 @@
     return DatabaseGroup.of(DatabaseGroupId.of(id), servers, Duration.ofSeconds(30));
   }
 
-  /** Returns a server that takes work. */
+  /** Returns a server that accepts new work. */
   public static BackendServer server(String id, String zone) {
     return BackendServer.of(
         BackendServerId.of(id),
--- a/core/src/test/java/org/persimmonwalk/testing/EncodedSize.java
+++ b/core/src/test/java/org/persimmonwalk/testing/EncodedSize.java
@@ -18,17 +18,21 @@
 import org.persimmonwalk.model.Workspace;
 
 /**
- * Computes the size of frames of the peer protocol without the encoder, which the module core
- * cannot see. A test of the module peer compares both.
+ * Computes the size of a frame of the peer protocol without the encoder, which is in the module
+ * peer and cannot be used from the module core. A test of the module peer compares the two.
  */
 public final class EncodedSize implements MessageSize {
   private static final int LENGTH_PREFIX = 4;
-  private static final int FIXED64 = 9;
-  private static final int HASH = 34;
+
+  /** A field tag and eight bytes. */
+  private static final int FIXED64_FIELD = 9;
+
+  /** A field tag, a length byte and the 32 bytes of a key hash. */
+  private static final int KEY_HASH_FIELD = 34;
 
   private EncodedSize() {}
 
-  /** Returns the size. */
+  /** Returns an instance that computes sizes. */
   public static EncodedSize create() {
     return new EncodedSize();
   }
@@ -50,7 +54,8 @@
           + reply.freshnessAge().map(age -> 1 + varint(age.toMillis())).orElse(0L)
           + time(reply.answers());
     }
-    throw new IllegalArgumentException("no size is known for " + message);
+    throw new IllegalArgumentException(
+        "the size of this type of peer message is not implemented: " + message);
   }
 
   private static long heartbeat(Heartbeat heartbeat) {
@@ -58,7 +63,7 @@
         + number(heartbeat.revision().number())
         + heartbeat.freshnessAge().map(age -> 1 + varint(age.toMillis())).orElse(0L)
         + time(heartbeat.sentAt())
-        + (heartbeat.answers().isPresent() ? FIXED64 : 0)
+        + (heartbeat.answers().isPresent() ? FIXED64_FIELD : 0)
         + repeated(heartbeat.heard(), EncodedSize::news)
         + repeated(
             heartbeat.demand().entrySet(),
@@ -80,7 +85,8 @@
     return number(configuration.revision().number())
         + text(configuration.note().value())
         + repeated(configuration.workspaces().values(), EncodedSize::workspace)
-        + repeated(configuration.keys().values(), key -> HASH + text(key.workspace().value()))
+        + repeated(
+            configuration.keys().values(), key -> KEY_HASH_FIELD + text(key.workspace().value()))
         + repeated(configuration.groups().values(), EncodedSize::group);
   }
 
@@ -129,11 +135,11 @@
   }
 
   private static long decimal(double value) {
-    return value == 0 ? 0 : FIXED64;
+    return value == 0 ? 0 : FIXED64_FIELD;
   }
 
   private static long time(MonotonicTime time) {
-    return time.nanoseconds() == 0 ? 0 : FIXED64;
+    return time.nanoseconds() == 0 ? 0 : FIXED64_FIELD;
   }
 
   private static long flag(boolean value) {
--- a/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
@@ -35,32 +35,40 @@
 import org.persimmonwalk.port.MonotonicClock;
 import org.persimmonwalk.port.RandomSource;
 
-/** Several hosts' control loops against one fake database group and one fake table service. */
+/**
+ * Simulated entry hosts that write to one fake database group and promote a new primary when the
+ * old one fails. They share one fake table service. Tests drive it with {@link SimulatedTime} and
+ * inject faults through {@link FakeLinks}, the group, the table service and the hosts.
+ */
 public final class FailoverFleet {
-  private static final Duration ROUND = Duration.ofMillis(10);
-  private static final Duration REPLICATION = Duration.ofMillis(5);
+  private static final Duration ROUND_INTERVAL = Duration.ofMillis(10);
+  private static final Duration REPLICATION_INTERVAL = Duration.ofMillis(5);
   private static final Duration WRITE_DEADLINE = Duration.ofSeconds(5);
-  private static final Duration CONFIRMATION_AGE = Duration.ofSeconds(1);
+  private static final Duration MAX_CONFIRMATION_AGE = Duration.ofSeconds(1);
 
   /**
    * An acknowledged write.
    *
-   * @param byReplaced whether a higher term had a primary when the write was committed
+   * @param write the number of the write
+   * @param host the host that acknowledged the write
+   * @param term the term of the primary that committed the write
+   * @param at when the write was acknowledged
+   * @param byReplaced whether a higher term already had a primary when the write was committed
    */
   public record Acknowledged(
       long write, String host, Term term, MonotonicTime at, boolean byReplaced) {}
 
-  private record Committed(GroupPosition position, boolean byReplaced) {}
+  private record CommittedWrite(GroupPosition position, boolean byReplacedPrimary) {}
 
-  /** Gives a host its controllers. */
+  /** Creates the controllers of a host. */
   public interface ControllerFactory {
-    /** Returns the controllers of a host, in order. */
+    /** Returns the controllers of a host, in the order in which they run. */
     List<Controller> create(EntryHostId host);
   }
 
-  /** Gives a host its way to acknowledge writes. */
+  /** Creates the policy by which a host acknowledges writes. */
   public interface AcknowledgementFactory {
-    /** Returns what decides on the acknowledgements of the host. */
+    /** Returns the policy that decides when the host acknowledges a write. */
     WriteAcknowledgement create(FailoverHost host);
   }
 
@@ -77,7 +85,10 @@
     tables = new FakeTableStore(time, random);
   }
 
-  /** Returns a fleet of the given size, each host with its own random phase and sequence. */
+  /**
+   * Returns a fleet of the given size. Rounds and writes of each host start at a random offset, and
+   * each host has its own random sequence derived from the seed.
+   */
   public static FailoverFleet of(
       int size,
       long seed,
@@ -90,7 +101,7 @@
         IntStream.range(0, size)
             .mapToObj(index -> EntryHostId.of("host-" + index))
             .collect(Collectors.toSet());
-    fleet.every(REPLICATION, fleet.database::replicate);
+    fleet.runEvery(REPLICATION_INTERVAL, fleet.database::replicate);
     for (EntryHostId id : live.stream().sorted().toList()) {
       List<Controller> all = new ArrayList<>();
       all.add((blackboard, context) -> blackboard.put(Entries.LIVE_HOSTS, live));
@@ -101,20 +112,24 @@
       host.loop().post(new ConfigurationLoaded(fleet.configuration(), fleet.now()));
       fleet.hosts.add(host);
       fleet.time.after(
-          Duration.ofNanos(random.nextInt(10_000_000)), () -> fleet.every(ROUND, host::runRound));
+          Duration.ofNanos(random.nextInt(10_000_000)),
+          () -> fleet.runEvery(ROUND_INTERVAL, host::runRound));
       fleet.time.after(
           Duration.ofNanos(random.nextInt(20_000_000)),
-          () -> fleet.every(writeInterval, () -> fleet.write(host, acknowledgement)));
+          () -> fleet.runEvery(writeInterval, () -> fleet.write(host, acknowledgement)));
     }
     return fleet;
   }
 
-  /** Returns a fleet with the project's controllers and gate; each host writes every 20 ms. */
+  /**
+   * Returns a fleet with the production controllers and acknowledgement gate; each host writes
+   * every 20 ms.
+   */
   public static FailoverFleet standard(int size, long seed) {
     return of(size, seed, FailoverFleet::controllers, FailoverFleet::gate, Duration.ofMillis(20));
   }
 
-  /** Returns the project's controllers of a host. */
+  /** Returns the production controllers that take part in a failover. */
   public static List<Controller> controllers(EntryHostId host) {
     PromotionSettings settings = PromotionSettings.defaults();
     return List.of(
@@ -125,14 +140,14 @@
         FollowController.of(host, settings));
   }
 
-  /** Returns the project's gate. */
+  /** Returns the production acknowledgement gate, connected to the host's control loop. */
   public static WriteAcknowledgement gate(FailoverHost host) {
     AcknowledgementGate gate = AcknowledgementGate.of(1000, host.loop()::post);
     host.loop().addListener(gate);
     return gate;
   }
 
-  /** Returns the time that drives the fleet. */
+  /** Returns the simulated time; advancing it runs the fleet. */
   public SimulatedTime time() {
     return time;
   }
@@ -142,7 +157,7 @@
     return clock;
   }
 
-  /** Returns the links between hosts, servers and platform. */
+  /** Returns the links between the hosts, the servers and the platform. */
   public FakeLinks links() {
     return links;
   }
@@ -178,12 +193,15 @@
     return clock.now();
   }
 
-  private void every(Duration interval, Runnable action) {
+  private void runEvery(Duration interval, Runnable action) {
     action.run();
-    time.after(interval, () -> every(interval, action));
+    time.after(interval, () -> runEvery(interval, action));
   }
 
-  /** Calls a machine; nothing comes back if the way there or back is cut. */
+  /**
+   * Calls a service on a server after the one-way latency. The receiver gets no answer if the
+   * server is not reachable when the request or the answer arrives.
+   */
   <T> void call(String from, String to, Supplier<T> service, Consumer<T> receiver) {
     time.after(
         links.latency(from, to),
@@ -201,7 +219,10 @@
         });
   }
 
-  /** Sends a write as a traffic thread does: only to a primary confirmed in the last second. */
+  /**
+   * Sends a write only if the primary was confirmed in the last second, as traffic threads do.
+   * Otherwise the write is skipped.
+   */
   private void write(FailoverHost host, WriteAcknowledgement acknowledgement) {
     GroupView group = host.loop().snapshot().get(Entries.GROUPS).get(database.configuration().id());
     boolean confirmed =
@@ -209,7 +230,8 @@
             && group != null
             && group
                 .newestConfirmed()
-                .filter(newest -> now().since(newest.startedAt()).compareTo(CONFIRMATION_AGE) <= 0)
+                .filter(
+                    newest -> now().since(newest.startedAt()).compareTo(MAX_CONFIRMATION_AGE) <= 0)
                 .isPresent();
     if (!confirmed || group.primary().isEmpty()) {
       return;
@@ -223,14 +245,17 @@
         committed -> committed.ifPresent(done -> register(host, acknowledgement, write, done)));
   }
 
-  private Optional<Committed> commit(String primary, long write) {
+  private Optional<CommittedWrite> commit(String primary, long write) {
     return database
         .write(primary, write)
-        .map(position -> new Committed(position, database.term().isAfter(position.term())));
+        .map(position -> new CommittedWrite(position, database.term().isAfter(position.term())));
   }
 
   private void register(
-      FailoverHost host, WriteAcknowledgement acknowledgement, long write, Committed committed) {
+      FailoverHost host,
+      WriteAcknowledgement acknowledgement,
+      long write,
+      CommittedWrite committed) {
     Term term = committed.position().term();
     acknowledgement.register(
         new PendingWrite(
@@ -241,7 +266,7 @@
               if (outcome == AcknowledgementOutcome.CONFIRMED) {
                 acknowledged.add(
                     new Acknowledged(
-                        write, host.id().value(), term, now(), committed.byReplaced()));
+                        write, host.id().value(), term, now(), committed.byReplacedPrimary()));
               }
             }),
         now());
--- a/core/src/test/java/org/persimmonwalk/testing/FailoverHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FailoverHost.java
@@ -22,13 +22,16 @@
 import org.persimmonwalk.port.CommandExecutor;
 import org.persimmonwalk.port.RandomSource;
 
-/** A control loop whose commands reach the fakes of a {@link FailoverFleet} over its links. */
+/**
+ * An entry host of a {@link FailoverFleet}: a control loop whose commands reach the fleet's fake
+ * database group and table service over its links.
+ */
 public final class FailoverHost implements CommandExecutor {
   private final EntryHostId id;
   private final FailoverFleet fleet;
   private final ControlLoop loop;
   private Consumer<Command> onCommand = command -> {};
-  private Class<? extends Command> losing = Command.class;
+  private Class<? extends Command> commandsLosingAnswers = Command.class;
   private int answersToLose;
   private boolean paused;
   private boolean dead;
@@ -55,39 +58,42 @@
     return loop;
   }
 
-  /** Returns the host's promotion of the fleet's group, if it has one. */
+  /** Returns the state of the promotion of the fleet's group at this host, if there is one. */
   public Optional<Promotion> promotion() {
     return Optional.ofNullable(
         loop.snapshot().get(Entries.PROMOTIONS).get(fleet.database().configuration().id()));
   }
 
-  /** Tells the action of each command before it is sent; it may stop or pause the host. */
+  /**
+   * Sets an action that is called with each command before it is sent. The action may kill or pause
+   * the host; the command is then not sent.
+   */
   public void onCommand(Consumer<Command> action) {
     onCommand = action;
   }
 
-  /** Loses the next answers to commands of the given type, after they took effect. */
+  /** Drops the next answers to commands of the given type; the commands still take effect. */
   public void loseAnswers(Class<? extends Command> type, int count) {
-    losing = type;
+    commandsLosingAnswers = type;
     answersToLose = count;
   }
 
-  /** Stops the host for good. */
+  /** Kills the host; it cannot be started again. */
   public void die() {
     dead = true;
   }
 
-  /** Stops the control thread until {@link #resume}; answers queue meanwhile. */
+  /** Pauses the control thread until {@link #resume}; answers are queued meanwhile. */
   public void pause() {
     paused = true;
   }
 
-  /** Lets the control thread go on. */
+  /** Resumes the control thread after a pause. */
   public void resume() {
     paused = false;
   }
 
-  /** Returns whether the host runs. */
+  /** Returns whether the host is neither dead nor paused. */
   public boolean isRunning() {
     return !dead && !paused;
   }
@@ -110,37 +116,37 @@
     if (command instanceof SampleServer sample) {
       MonotonicTime startedAt = fleet.clock().now();
       String name = sample.server().id().value();
-      ask(
+      sendToServer(
           command,
           name,
           () -> new ServerSampled(sample.server().id(), database.sample(name), startedAt));
     } else if (command instanceof FenceServer fence) {
       String name = fence.server().id().value();
-      ask(command, name, () -> database.fence(name, fence.term(), fence.host()));
+      sendToServer(command, name, () -> database.fence(name, fence.term(), fence.host()));
     } else if (command instanceof PromoteServer promote) {
       String name = promote.server().id().value();
-      ask(command, name, () -> database.promote(name, promote.term(), promote.host()));
+      sendToServer(command, name, () -> database.promote(name, promote.term(), promote.host()));
     } else if (command instanceof FollowPrimary follow) {
       String name = follow.server().id().value();
       String primary = follow.primary().id().value();
-      ask(command, name, () -> database.follow(name, follow.term(), primary));
+      sendToServer(command, name, () -> database.follow(name, follow.term(), primary));
     } else {
-      askPlatform(command);
+      sendToPlatform(command);
     }
   }
 
-  private void askPlatform(Command command) {
+  private void sendToPlatform(Command command) {
     if (!isPlatformReachable()) {
       return;
     }
     if (command instanceof ReadTableRow read) {
-      fleet.tables().read(read, fleet.now(), this::answerFromPlatform);
+      fleet.tables().read(read, fleet.now(), this::receiveFromPlatform);
     } else if (command instanceof CompareAndSetTableRow write) {
-      fleet.tables().write(write, fleet.now(), this::answerFromPlatform);
+      fleet.tables().write(write, fleet.now(), this::receiveFromPlatform);
     }
   }
 
-  private void answerFromPlatform(Observation result) {
+  private void receiveFromPlatform(Observation result) {
     if (!dead && isPlatformReachable()) {
       loop.post(result);
     }
@@ -150,13 +156,14 @@
     return fleet.links().isOpen(id.value(), FakeLinks.PLATFORM);
   }
 
-  private void ask(Command command, String machine, Supplier<? extends Observation> answer) {
+  private void sendToServer(
+      Command command, String machine, Supplier<? extends Observation> answer) {
     fleet.call(
         id.value(),
         machine,
         answer,
         result -> {
-          if (losing.isInstance(command) && answersToLose > 0) {
+          if (commandsLosingAnswers.isInstance(command) && answersToLose > 0) {
             answersToLose--;
           } else if (!dead) {
             loop.post(result);
--- a/core/src/test/java/org/persimmonwalk/testing/FakeClock.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeClock.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.port.MonotonicClock;
 
-/** A clock that tests advance. */
+/** A clock that stands still until a test advances it. */
 public final class FakeClock implements MonotonicClock {
   private MonotonicTime now = MonotonicTime.of(0);
 
--- a/core/src/test/java/org/persimmonwalk/testing/FakeConfigurationStore.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeConfigurationStore.java
@@ -20,7 +20,10 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** The platform's table service and object store in memory, with switches for faults. */
+/**
+ * An in-memory table service and object store that hold the configuration. Answers complete at
+ * once; tests can make the store unreachable and drop requests or answers.
+ */
 public final class FakeConfigurationStore implements TableService, ObjectStore {
   private final Map<TableRow, VersionedRow> rows = new HashMap<>();
   private final Map<ObjectName, StoredConfiguration> objects = new HashMap<>();
@@ -30,22 +33,25 @@
   private boolean reachable = true;
   private long reads;
 
-  /** Runs an action once, between the next compare-and-set and the step before it. */
+  /**
+   * Runs an action once, immediately before the next compare-and-set takes effect, as a concurrent
+   * writer would.
+   */
   public void runBeforeNextWrite(Runnable action) {
     beforeWrite = action;
   }
 
-  /** Makes the next compare-and-sets take effect without an answer. */
+  /** Applies the next compare-and-sets but reports their outcome as unknown. */
   public void loseAnswers(int count) {
     lostAnswers = count;
   }
 
-  /** Makes the next compare-and-sets vanish without an answer. */
+  /** Drops the next compare-and-sets and reports their outcome as unknown. */
   public void loseRequests(int count) {
     lostRequests = count;
   }
 
-  /** Ends or resumes all answers. */
+  /** Makes all calls fail, or lets them succeed again. */
   public void setReachable(boolean newReachable) {
     reachable = newReachable;
   }
@@ -55,7 +61,10 @@
     return reads;
   }
 
-  /** Puts a configuration in force without a release note. */
+  /**
+   * Stores a configuration and makes it the current one, without publishing a release note and
+   * whether the store is reachable or not.
+   */
   public void install(Configuration configuration) {
     ObjectName name = ObjectName.of("installed-" + configuration.revision());
     Optional<ObjectName> previous = currentRow().map(ConfigurationRow::object);
@@ -65,7 +74,7 @@
         ConfigurationRow.of(configuration.revision(), configuration.note(), name));
   }
 
-  /** Returns the configuration in force. */
+  /** Returns the current configuration, or an empty one if none was stored. */
   public Configuration current() {
     return currentRow()
         .map(row -> objects.get(row.object()).configuration())
@@ -119,7 +128,8 @@
       return unavailable();
     }
     if (objects.putIfAbsent(name, content) != null) {
-      throw new AssertionError("object " + name + " is written twice");
+      throw new AssertionError(
+          "object " + name + " is already stored; objects are never overwritten");
     }
     return CompletableFuture.completedStage(null);
   }
@@ -141,6 +151,7 @@
 
   private static <T> CompletionStage<T> unavailable() {
     return CompletableFuture.failedStage(
-        PersimmonwalkException.of(ResultCode.PLATFORM_UNAVAILABLE, "the fake store is cut off"));
+        PersimmonwalkException.of(
+            ResultCode.PLATFORM_UNAVAILABLE, "the test has made the fake store unreachable"));
   }
 }
--- a/core/src/test/java/org/persimmonwalk/testing/FakeDatabaseGroup.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeDatabaseGroup.java
@@ -29,9 +29,9 @@
 import org.persimmonwalk.port.MonotonicClock;
 
 /**
- * Servers {@code a}, {@code b}, ... that replicate asynchronously; {@code a} begins as primary of
- * term 1. Machines in {@link FakeLinks} have the servers' names. {@link #replicate()} moves the
- * logs.
+ * A database group of servers {@code a}, {@code b}, ... with asynchronous replication. Server
+ * {@code a} is the primary of term 1 at the start. The servers have the same names in {@link
+ * FakeLinks}. Replicas receive log records only when {@link #replicate()} is called.
  */
 public final class FakeDatabaseGroup {
   private static final long RECORD_BYTES = 100;
@@ -39,18 +39,18 @@
   private record LogRecord(Term term, long write) {}
 
   private static final class Server {
-    final BackendServer configured;
+    final BackendServer backendServer;
     final List<LogRecord> log = new ArrayList<>();
     ServerRole role = ServerRole.REPLICA;
     Term term = Term.of(1);
     Optional<EntryHostId> promisedTo = Optional.empty();
-    String follows = "a";
+    String followedPrimary = "a";
     boolean up = true;
     int replayed;
-    Duration contactAge = Duration.ZERO;
+    Duration primaryContactAge = Duration.ZERO;
 
-    Server(BackendServer configured) {
-      this.configured = configured;
+    Server(BackendServer backendServer) {
+      this.backendServer = backendServer;
     }
   }
 
@@ -79,7 +79,7 @@
     this.group =
         DatabaseGroup.of(
             DatabaseGroupId.of("tanks"),
-            servers.values().stream().map(server -> server.configured).toList(),
+            servers.values().stream().map(server -> server.backendServer).toList(),
             Duration.ofSeconds(30));
     this.links = links;
     this.clock = clock;
@@ -106,17 +106,17 @@
     servers.get(server).up = true;
   }
 
-  /** Makes a primary refuse every fence, as a group may do, or ends that. */
+  /** Sets whether a primary refuses every fence command, as a database group may do. */
   public void setPrimaryRefusesFences(boolean refuses) {
     primaryRefusesFences = refuses;
   }
 
-  /** Makes reads on replicas see the given number of records less than they have received. */
+  /** Makes replicas replay all but the last given number of the records received. */
   public void setReplayLag(int records) {
     replayLag = records;
   }
 
-  /** Returns whether the server answers the machine. */
+  /** Returns whether the server is running and its link to the machine is open. */
   public boolean isReachable(String machine, String server) {
     return servers.get(server).up && links.isOpen(machine, server);
   }
@@ -134,12 +134,15 @@
         .map(Map.Entry::getKey);
   }
 
-  /** Returns how often a server became primary since the start. */
+  /** Returns how many promotions took place since the start. */
   public int promotions() {
     return promotions;
   }
 
-  /** Returns the highest term that a server has been promoted in. */
+  /**
+   * Returns the highest term among the primaries and replicas. A term that fenced servers only
+   * promised does not count.
+   */
   public Term term() {
     return servers.values().stream()
         .filter(server -> server.role != ServerRole.FENCED)
@@ -148,7 +151,10 @@
         .orElse(Term.NONE);
   }
 
-  /** Commits a write on the server if it is a primary, and returns the position. */
+  /**
+   * Commits a write on the server and returns its log position; empty if the server is stopped or
+   * is not a primary.
+   */
   public Optional<GroupPosition> write(String name, long write) {
     Server server = servers.get(name);
     if (!server.up || server.role != ServerRole.PRIMARY) {
@@ -158,7 +164,7 @@
     return Optional.of(GroupPosition.of(server.term, position(server.log.size())));
   }
 
-  /** Answers a probe. */
+  /** Returns what the server answers to a probe. */
   public ServerSample sample(String name) {
     Server server = servers.get(name);
     if (server.role == ServerRole.PRIMARY) {
@@ -169,28 +175,31 @@
         server.term,
         position(server.log.size()),
         position(server.replayed),
-        server.contactAge);
+        server.primaryContactAge);
   }
 
-  /** Accepts a higher term, or the same term from the same host while still fenced. */
+  /**
+   * Fences the server if the term is higher than the server's, or repeats the answer for the same
+   * term and host while the server is still fenced.
+   */
   public Observation fence(String name, Term term, EntryHostId host) {
     Server server = servers.get(name);
-    boolean again =
+    boolean repeated =
         server.role == ServerRole.FENCED
             && term.equals(server.term)
             && server.promisedTo.equals(Optional.of(host));
     boolean refusing = primaryRefusesFences && server.role == ServerRole.PRIMARY;
-    if (refusing || !term.isAfter(server.term) && !again) {
-      return new TermRefused(server.configured.id(), term, server.term);
+    if (refusing || !term.isAfter(server.term) && !repeated) {
+      return new TermRefused(server.backendServer.id(), term, server.term);
     }
     server.role = ServerRole.FENCED;
     server.term = term;
     server.promisedTo = Optional.of(host);
-    server.follows = "";
-    return new ServerFenced(server.configured.id(), term, end(server));
+    server.followedPrimary = "";
+    return new ServerFenced(server.backendServer.id(), term, logEnd(server));
   }
 
-  /** Accepts the term that the server has promised to the host, and repeats of it. */
+  /** Promotes the server if it has promised the term to the host; idempotent. */
   public Observation promote(String name, Term term, EntryHostId host) {
     Server server = servers.get(name);
     boolean promised =
@@ -198,34 +207,41 @@
             && term.equals(server.term)
             && server.promisedTo.equals(Optional.of(host));
     if (!promised) {
-      return new TermRefused(server.configured.id(), term, server.term);
+      return new TermRefused(server.backendServer.id(), term, server.term);
     }
     if (server.role != ServerRole.PRIMARY) {
       promotions++;
     }
     server.role = ServerRole.PRIMARY;
     server.replayed = server.log.size();
-    return new ServerPromoted(server.configured.id(), term);
+    return new ServerPromoted(server.backendServer.id(), term);
   }
 
-  /** Accepts a higher term, or the promised one; the server is a replica from the first contact. */
+  /**
+   * Makes the server follow the primary if the term is not lower than the server's and the server
+   * is not itself the primary of the term. It becomes a replica when it first receives from the
+   * primary.
+   */
   public Observation follow(String name, Term term, String primary) {
     Server server = servers.get(name);
     boolean primaryOfTerm = server.role == ServerRole.PRIMARY && term.equals(server.term);
     if (server.term.isAfter(term) || primaryOfTerm) {
-      return new TermRefused(server.configured.id(), term, server.term);
+      return new TermRefused(server.backendServer.id(), term, server.term);
     }
     boolean following = server.role == ServerRole.REPLICA && term.equals(server.term);
     if (!following) {
       server.role = ServerRole.FENCED;
       server.promisedTo = Optional.empty();
-      server.follows = primary;
+      server.followedPrimary = primary;
     }
     server.term = term;
-    return new ServerFollowing(server.configured.id(), term);
+    return new ServerFollowing(server.backendServer.id(), term);
   }
 
-  /** Lets replicas receive and replay what their primary has, where links are open. */
+  /**
+   * Copies the primary's log to each server that follows it over an open link, discards records
+   * that the primary does not have, and replays the log up to the replay lag.
+   */
   public void replicate() {
     Duration elapsed = clock.now().since(replicatedAt);
     replicatedAt = clock.now();
@@ -233,7 +249,7 @@
   }
 
   private void receive(String name, Server server, Duration elapsed) {
-    Server source = servers.get(server.follows);
+    Server source = servers.get(server.followedPrimary);
     boolean connected =
         server.up
             && server.role != ServerRole.PRIMARY
@@ -241,24 +257,25 @@
             && source.up
             && source.role == ServerRole.PRIMARY
             && source.term.equals(server.term)
-            && links.isOpen(name, server.follows);
+            && links.isOpen(name, server.followedPrimary);
     if (!connected) {
-      server.contactAge = server.contactAge.plus(elapsed);
+      server.primaryContactAge = server.primaryContactAge.plus(elapsed);
       return;
     }
-    int common = Math.min(server.log.size(), source.log.size());
-    while (common > 0 && !server.log.get(common - 1).equals(source.log.get(common - 1))) {
-      common--;
+    int commonPrefix = Math.min(server.log.size(), source.log.size());
+    while (commonPrefix > 0
+        && !server.log.get(commonPrefix - 1).equals(source.log.get(commonPrefix - 1))) {
+      commonPrefix--;
     }
-    server.log.subList(common, server.log.size()).clear();
-    server.log.addAll(source.log.subList(common, source.log.size()));
+    server.log.subList(commonPrefix, server.log.size()).clear();
+    server.log.addAll(source.log.subList(commonPrefix, source.log.size()));
     server.role = ServerRole.REPLICA;
-    server.contactAge = Duration.ZERO;
-    int kept = Math.min(server.replayed, common);
-    server.replayed = Math.max(kept, server.log.size() - replayLag);
+    server.primaryContactAge = Duration.ZERO;
+    int stillReplayed = Math.min(server.replayed, commonPrefix);
+    server.replayed = Math.max(stillReplayed, server.log.size() - replayLag);
   }
 
-  private static GroupPosition end(Server server) {
+  private static GroupPosition logEnd(Server server) {
     Term term = server.log.isEmpty() ? Term.NONE : server.log.get(server.log.size() - 1).term();
     return GroupPosition.of(term, position(server.log.size()));
   }
--- a/core/src/test/java/org/persimmonwalk/testing/FakeFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeFleet.java
@@ -14,20 +14,24 @@
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.port.RandomSource;
 
-/** Several fake hosts with one store and one network. */
+/**
+ * Simulated entry hosts that lease rate shares and connection allowances from one table store and
+ * exchange messages over one peer network. The fleet stands in for membership: it tells each host
+ * which hosts are live and what their demand is.
+ */
 public final class FakeFleet {
   private final SimulatedTime time = new SimulatedTime();
   private final List<FakeHost> hosts = new ArrayList<>();
-  private final Set<EntryHostId> live = new TreeSet<>();
+  private final Set<EntryHostId> liveHosts = new TreeSet<>();
   private final Map<EntryHostId, Map<WorkspaceId, Double>> demand = new TreeMap<>();
   private final LeaseSettings settings;
   private final Configuration configuration;
   private final RandomSource random;
   private final FakeTableStore store;
   private final FakePeerNetwork network;
-  private Set<EntryHostId> liveNow = Set.of();
-  private Map<EntryHostId, Map<WorkspaceId, Double>> demandNow = Map.of();
-  private int hostsMade;
+  private Set<EntryHostId> visibleLiveHosts = Set.of();
+  private Map<EntryHostId, Map<WorkspaceId, Double>> visibleDemand = Map.of();
+  private int hostsCreated;
 
   /** Creates a fleet with the given number of hosts. */
   public FakeFleet(int size, LeaseSettings settings, Configuration configuration, long seed) {
@@ -37,41 +41,52 @@
     this.store = new FakeTableStore(time, random);
     this.network = new FakePeerNetwork(time, random);
     for (int i = 0; i < size; i++) {
-      live.add(EntryHostId.of("host-" + i));
+      liveHosts.add(EntryHostId.of("host-" + i));
     }
     for (int i = 0; i < size; i++) {
       join();
     }
-    spreadDemand();
+    publishDemand();
   }
 
-  /** Adds a host; the others learn of it at once. */
+  /** Adds a host, which all hosts consider live at once. */
   public FakeHost join() {
-    EntryHostId id = EntryHostId.of("host-" + hostsMade++);
-    live.add(id);
-    liveNow = Set.copyOf(live);
+    EntryHostId id = EntryHostId.of("host-" + hostsCreated++);
+    liveHosts.add(id);
+    visibleLiveHosts = Set.copyOf(liveHosts);
     FakeHost host =
-        FakeHost.start(id, settings, time, store, network, () -> liveNow, () -> demandNow, random);
+        FakeHost.start(
+            id,
+            settings,
+            time,
+            store,
+            network,
+            () -> visibleLiveHosts,
+            () -> visibleDemand,
+            random);
     host.configure(configuration);
     hosts.add(host);
     return host;
   }
 
-  /** Ends a host; the others learn of it later. */
+  /** Kills a host; the others consider it live for another 5 s. */
   public void kill(FakeHost host) {
     host.die();
     hosts.remove(host);
-    time.after(Duration.ofSeconds(5), () -> leave(host));
+    time.after(Duration.ofSeconds(5), () -> removeFromLiveHosts(host));
   }
 
-  /** Pauses a host; the others take it for dead until it goes on. */
+  /**
+   * Pauses a host; the others consider it dead from 5 s after the start of the pause until 6 s
+   * after its end.
+   */
   public void pause(FakeHost host, Duration span) {
     host.pause(span);
-    time.after(Duration.ofSeconds(5), () -> leave(host));
-    time.after(span.plusSeconds(6), () -> addIfLive(host));
+    time.after(Duration.ofSeconds(5), () -> removeFromLiveHosts(host));
+    time.after(span.plusSeconds(6), () -> addToLiveHostsUnlessDead(host));
   }
 
-  /** Stops a host as planned and ends it after 20 s. */
+  /** Shuts a host down gracefully and kills it after 20 s. */
   public void stop(FakeHost host) {
     host.stop();
     time.after(Duration.ofSeconds(20), () -> kill(host));
@@ -82,41 +97,41 @@
     return hosts;
   }
 
-  /** Hosts hear of each other's demand once a second. */
-  private void spreadDemand() {
+  /** Publishes the demand of every host to all hosts once a second. */
+  private void publishDemand() {
     hosts.forEach(host -> demand.put(host.id(), host.snapshot().get(Entries.DEMAND)));
-    demandNow = Map.copyOf(demand);
-    time.after(Duration.ofSeconds(1), this::spreadDemand);
+    visibleDemand = Map.copyOf(demand);
+    time.after(Duration.ofSeconds(1), this::publishDemand);
   }
 
-  private void addIfLive(FakeHost host) {
+  private void addToLiveHostsUnlessDead(FakeHost host) {
     if (hosts.contains(host)) {
-      live.add(host.id());
-      liveNow = Set.copyOf(live);
+      liveHosts.add(host.id());
+      visibleLiveHosts = Set.copyOf(liveHosts);
     }
   }
 
-  private void leave(FakeHost host) {
-    live.remove(host.id());
-    liveNow = Set.copyOf(live);
+  private void removeFromLiveHosts(FakeHost host) {
+    liveHosts.remove(host.id());
+    visibleLiveHosts = Set.copyOf(liveHosts);
   }
 
-  /** Returns the time of the fleet. */
+  /** Returns the simulated time; advancing it runs the fleet. */
   public SimulatedTime time() {
     return time;
   }
 
-  /** Returns the randomness of the fleet. */
+  /** Returns the seeded source of random numbers of the whole fleet. */
   public RandomSource random() {
     return random;
   }
 
-  /** Returns the store of the fleet. */
+  /** Returns the table store that the hosts share. */
   public FakeTableStore store() {
     return store;
   }
 
-  /** Returns the network of the fleet. */
+  /** Returns the network between the hosts. */
   public FakePeerNetwork network() {
     return network;
   }
--- a/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
@@ -31,10 +31,14 @@
 import org.persimmonwalk.observation.ConnectionsCounted;
 import org.persimmonwalk.port.RandomSource;
 
-/** An entry host's control loop, admission and connection counts, without real I/O. */
+/**
+ * An entry host of a {@link FakeFleet}: the control loop with the share and allowance controllers,
+ * the admission policy and a count of open connections. It does no I/O, and its clock has a random
+ * offset from the clocks of the other hosts.
+ */
 public final class FakeHost {
   private static final Duration ROUND_INTERVAL = Duration.ofMillis(100);
-  private static final Duration WAKE_UP = Duration.ofNanos(100_000);
+  private static final Duration WAKE_UP_DELAY = Duration.ofNanos(100_000);
 
   private final EntryHostId id;
   private final SimulatedTime time;
@@ -48,7 +52,7 @@
   private boolean running = true;
   private boolean dead;
   private boolean stopping;
-  private boolean roundDue;
+  private boolean roundScheduled;
 
   private FakeHost(
       EntryHostId id,
@@ -70,14 +74,19 @@
             (blackboard, context) -> putMembership(blackboard, live, demand),
             ShareController.of(id, settings),
             AllowanceController.of(id, settings));
-    this.loop = ControlLoop.of(controllers, this::execute, this::clock, random);
+    this.loop = ControlLoop.of(controllers, this::execute, this::now, random);
     this.admission = LeasedAdmission.of(this::post);
     loop.addListener(admission);
     network.add(id, this::post);
     time.after(Duration.ofMillis(random.nextInt(100)), this::tick);
   }
 
-  /** Starts a host that believes the given hosts to be live. */
+  /**
+   * Starts a host.
+   *
+   * @param live the hosts that this host considers live, read in each round
+   * @param demand the demand of each host, read in each round
+   */
   public static FakeHost start(
       EntryHostId id,
       LeaseSettings settings,
@@ -95,14 +104,14 @@
     return id;
   }
 
-  /** Puts a configuration in force. */
+  /** Posts a configuration to the control loop. */
   public void configure(Configuration configuration) {
-    post(new ConfigurationLoaded(configuration, clock()));
+    post(new ConfigurationLoaded(configuration, now()));
   }
 
-  /** Asks for one statement. */
+  /** Returns whether the host runs and admits one more statement of the workspace. */
   public boolean admit(WorkspaceId workspace) {
-    return running && admission.admit(loop.snapshot(), workspace, clock());
+    return running && admission.admit(loop.snapshot(), workspace, now());
   }
 
   /** Returns the newest snapshot. */
@@ -110,18 +119,18 @@
     return loop.snapshot();
   }
 
-  /** Returns the time on the clock of this host. */
-  public MonotonicTime clock() {
+  /** Returns the time on this host's clock. */
+  public MonotonicTime now() {
     return MonotonicTime.of(time.now() + clockOffset);
   }
 
-  /** Stops all threads of the host for a while. */
+  /** Pauses all threads of the host for the given time. */
   public void pause(Duration span) {
     running = false;
     time.after(span, () -> running = !dead);
   }
 
-  /** Ends the host at once. */
+  /** Kills the host; its connections close at once. */
   public void die() {
     running = false;
     dead = true;
@@ -129,17 +138,17 @@
     network.remove(id);
   }
 
-  /** Begins a planned stop. */
+  /** Starts a graceful shutdown: from the next round on, the host is in phase STOPPED. */
   public void stop() {
     stopping = true;
   }
 
-  /** Sets how many connections the traffic of this host wants. */
+  /** Sets how many connections to the server this host's traffic needs. */
   public void wantConnections(BackendServerId server, int wanted) {
     wantedConnections.put(server, wanted);
   }
 
-  /** Returns how many connections are open. */
+  /** Returns how many connections to the server are open. */
   public int connections(BackendServerId server) {
     return openConnections.getOrDefault(server, 0);
   }
@@ -147,13 +156,13 @@
   private void tick() {
     if (!dead) {
       runRound();
-      wantedConnections.keySet().forEach(this::useConnections);
+      wantedConnections.keySet().forEach(this::updateConnections);
       time.after(ROUND_INTERVAL, this::tick);
     }
   }
 
-  /** Opens connections at once but closes no more than one in each round. */
-  private void useConnections(BackendServerId server) {
+  /** Opens all wanted and allowed connections at once, but closes at most one per round. */
+  private void updateConnections(BackendServerId server) {
     if (running) {
       int allowed = snapshot().get(Entries.CONNECTION_ALLOWANCES).getOrDefault(server, 0);
       int wanted = wantedConnections.get(server);
@@ -164,7 +173,7 @@
   }
 
   private void runRound() {
-    roundDue = false;
+    roundScheduled = false;
     if (running) {
       loop.runRound();
     }
@@ -172,9 +181,9 @@
 
   private void post(Observation observation) {
     loop.post(observation);
-    if (!roundDue) {
-      roundDue = true;
-      time.after(WAKE_UP, this::runRound);
+    if (!roundScheduled) {
+      roundScheduled = true;
+      time.after(WAKE_UP_DELAY, this::runRound);
     }
   }
 
@@ -189,9 +198,9 @@
 
   private void execute(Command command) {
     if (command instanceof ReadTableRow read) {
-      store.read(read, clock(), this::post);
+      store.read(read, now(), this::post);
     } else if (command instanceof CompareAndSetTableRow write) {
-      store.write(write, clock(), this::post);
+      store.write(write, now(), this::post);
     } else if (command instanceof SendPeerMessage message) {
       network.send(id, message);
     }
--- a/core/src/test/java/org/persimmonwalk/testing/FakeLinks.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeLinks.java
@@ -6,23 +6,26 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Links between named machines: each is open, cut, or slower than the usual 1.5 ms one way. */
+/**
+ * The network links between machines, which are the hosts, the servers and the platform. A link is
+ * open or cut, and its one-way latency is 1.5 ms unless a test sets another.
+ */
 public final class FakeLinks {
-  /** The name of the platform in cuts and delays. */
+  /** The name of the platform as one of the machines. */
   public static final String PLATFORM = "platform";
 
-  private static final Duration LATENCY = Duration.ofNanos(1_500_000);
+  private static final Duration DEFAULT_LATENCY = Duration.ofNanos(1_500_000);
 
   private final Set<Set<String>> cuts = new HashSet<>();
   private final Set<String> isolated = new HashSet<>();
-  private final Map<Set<String>, Duration> delays = new HashMap<>();
+  private final Map<Set<String>, Duration> latencies = new HashMap<>();
 
   /** Cuts the link between two machines. */
   public void cut(String first, String second) {
     cuts.add(Set.of(first, second));
   }
 
-  /** Opens the link between two machines. */
+  /** Opens the link between two machines again. */
   public void join(String first, String second) {
     cuts.remove(Set.of(first, second));
   }
@@ -32,14 +35,14 @@
     isolated.add(machine);
   }
 
-  /** Ends the isolation of a machine. */
+  /** Ends the isolation of a machine; links that were cut one by one stay cut. */
   public void heal(String machine) {
     isolated.remove(machine);
   }
 
-  /** Sets the time one way between two machines. */
+  /** Sets the one-way latency between two machines. */
   public void slow(String first, String second, Duration latency) {
-    delays.put(Set.of(first, second), latency);
+    latencies.put(Set.of(first, second), latency);
   }
 
   boolean isOpen(String first, String second) {
@@ -49,6 +52,6 @@
   }
 
   Duration latency(String first, String second) {
-    return delays.getOrDefault(Set.of(first, second), LATENCY);
+    return latencies.getOrDefault(Set.of(first, second), DEFAULT_LATENCY);
   }
 }
--- a/core/src/test/java/org/persimmonwalk/testing/FakePeerNetwork.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakePeerNetwork.java
@@ -10,14 +10,17 @@
 import org.persimmonwalk.observation.PeerMessageReceived;
 import org.persimmonwalk.port.RandomSource;
 
-/** Carries messages between hosts; it can lose, repeat and hold them up, and split in two. */
+/**
+ * Delivers messages between hosts after 1 to 2 ms. It can also drop, duplicate and delay messages
+ * and split the hosts into two partitions.
+ */
 public final class FakePeerNetwork {
   private final SimulatedTime time;
   private final RandomSource random;
   private final Map<EntryHostId, Consumer<Observation>> hosts = new HashMap<>();
-  private final Map<EntryHostId, Integer> sides = new HashMap<>();
-  private int percentDisturbed;
-  private boolean split;
+  private final Map<EntryHostId, Integer> partitions = new HashMap<>();
+  private int faultPercent;
+  private boolean partitioned;
   private long messages;
 
   /** Creates a network without hosts. */
@@ -26,42 +29,45 @@
     this.random = random;
   }
 
-  /** Adds a host, on one of two sides in turn. */
+  /** Adds a host; hosts are assigned to the two partitions in turn. */
   public void add(EntryHostId host, Consumer<Observation> receiver) {
-    sides.put(host, hosts.size() % 2);
+    partitions.put(host, hosts.size() % 2);
     hosts.put(host, receiver);
   }
 
-  /** Removes a host that died. */
+  /** Drops all further messages to a host that died. */
   public void remove(EntryHostId host) {
     hosts.put(host, message -> {});
   }
 
-  /** Loses, repeats and delays by up to two minutes this percentage of messages each. */
+  /**
+   * Drops the given percentage of messages. Of the others, the same percentage is delayed by up to
+   * two minutes, and independently the same percentage is duplicated with such a delay.
+   */
   public void setPercentDisturbed(int percent) {
-    percentDisturbed = percent;
+    faultPercent = percent;
   }
 
-  /** Cuts the two sides off from each other, or joins them. */
-  public void setSplit(boolean newSplit) {
-    split = newSplit;
+  /** Sets whether messages between the two partitions are dropped. */
+  public void setSplit(boolean newPartitioned) {
+    partitioned = newPartitioned;
   }
 
-  /** Returns how many messages were sent. */
+  /** Returns how many messages were sent, including dropped ones. */
   public long messages() {
     return messages;
   }
 
-  /** Sends a message. */
+  /** Sends a message, subject to the faults that are set. */
   public void send(EntryHostId from, SendPeerMessage command) {
     messages++;
-    boolean cut = split && !sides.get(from).equals(sides.get(command.to()));
-    if (cut || random.nextInt(100) < percentDisturbed) {
+    boolean cut = partitioned && !partitions.get(from).equals(partitions.get(command.to()));
+    if (cut || random.nextInt(100) < faultPercent) {
       return;
     }
-    boolean late = random.nextInt(100) < percentDisturbed;
+    boolean late = random.nextInt(100) < faultPercent;
     deliver(from, command, late ? random.nextInt(120_000) : 1 + random.nextInt(2));
-    if (random.nextInt(100) < percentDisturbed) {
+    if (random.nextInt(100) < faultPercent) {
       deliver(from, command, random.nextInt(120_000));
     }
   }
--- a/core/src/test/java/org/persimmonwalk/testing/FakeTableStore.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeTableStore.java
@@ -18,16 +18,19 @@
 import org.persimmonwalk.observation.TableRowWritten;
 import org.persimmonwalk.port.RandomSource;
 
-/** A table service that can be down, and that loses or delays some answers and writes. */
+/**
+ * A table service in simulated time, with 3 ms one-way latency. It can be down, drop answers to
+ * writes and apply writes late.
+ */
 public final class FakeTableStore {
-  private static final Duration ONE_WAY = Duration.ofMillis(3);
+  private static final Duration ONE_WAY_LATENCY = Duration.ofMillis(3);
 
   private final SimulatedTime time;
   private final RandomSource random;
   private final Map<TableRow, RowVersion> versions = new HashMap<>();
   private final Map<TableRow, RowValue> values = new HashMap<>();
   private boolean down;
-  private int percentLost;
+  private int lostAnswerPercent;
   private long reads;
   private long writes;
 
@@ -37,14 +40,17 @@
     this.random = random;
   }
 
-  /** Stops or starts the service. */
+  /** Sets whether the service is down; requests then fail. */
   public void setDown(boolean newDown) {
     down = newDown;
   }
 
-  /** Loses the answers to this percentage of writes, half of which take effect seconds later. */
+  /**
+   * Drops the answers to the given percentage of writes; the writer is told that the outcome is
+   * unknown. Half of these writes take effect after a delay of 0 to 7 s.
+   */
   public void setPercentLost(int percent) {
-    percentLost = percent;
+    lostAnswerPercent = percent;
   }
 
   /** Returns the value of a row. */
@@ -52,47 +58,47 @@
     return Optional.ofNullable(values.get(row));
   }
 
-  /** Returns how many reads and writes came. */
+  /** Returns how many reads and writes were requested. */
   public long requests() {
     return reads + writes;
   }
 
-  /** Reads a row for a host. */
+  /** Reads a row and delivers the answer after a round trip. */
   public void read(ReadTableRow command, MonotonicTime startedAt, Consumer<Observation> answer) {
     reads++;
     time.after(
-        ONE_WAY,
+        ONE_WAY_LATENCY,
         () -> {
           TableRow row = command.row();
           Observation result =
               down
                   ? new TableRowReadFailed(row, startedAt)
                   : new TableRowRead(row, version(row), value(row), startedAt);
-          time.after(ONE_WAY, () -> answer.accept(result));
+          time.after(ONE_WAY_LATENCY, () -> answer.accept(result));
         });
   }
 
-  /** Writes a row for a host. */
+  /** Compares and sets a row and delivers the outcome after a round trip. */
   public void write(
       CompareAndSetTableRow command, MonotonicTime startedAt, Consumer<Observation> answer) {
     writes++;
-    boolean lost = random.nextInt(100) < percentLost;
+    boolean lost = random.nextInt(100) < lostAnswerPercent;
     boolean late = lost && random.nextInt(2) == 0;
     time.after(
-        late ? Duration.ofSeconds(random.nextInt(8)) : ONE_WAY,
+        late ? Duration.ofSeconds(random.nextInt(8)) : ONE_WAY_LATENCY,
         () -> {
           WriteOutcome outcome = down ? WriteOutcome.UNAVAILABLE : apply(command);
           if (!late) {
-            WriteOutcome told = lost ? WriteOutcome.UNKNOWN : outcome;
+            WriteOutcome reported = lost ? WriteOutcome.UNKNOWN : outcome;
             TableRow row = command.row();
-            Observation result = new TableRowWritten(row, told, version(row), startedAt);
-            time.after(ONE_WAY, () -> answer.accept(result));
+            Observation result = new TableRowWritten(row, reported, version(row), startedAt);
+            time.after(ONE_WAY_LATENCY, () -> answer.accept(result));
           }
         });
     if (late) {
       Observation result =
           new TableRowWritten(command.row(), WriteOutcome.UNKNOWN, RowVersion.ABSENT, startedAt);
-      time.after(ONE_WAY.multipliedBy(2), () -> answer.accept(result));
+      time.after(ONE_WAY_LATENCY.multipliedBy(2), () -> answer.accept(result));
     }
   }
 
--- a/core/src/test/java/org/persimmonwalk/testing/MessageSize.java
+++ b/core/src/test/java/org/persimmonwalk/testing/MessageSize.java
@@ -3,9 +3,9 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.PeerMessage;
 
-/** Tells how many bytes a message between entry hosts has on a connection. */
+/** Computes how many bytes a message between entry hosts takes on the network. */
 public interface MessageSize {
 
-  /** Returns the number of bytes. */
+  /** Returns the number of bytes of the message with its framing. */
   long of(EntryHostId from, EntryHostId to, PeerMessage message);
 }
--- a/core/src/test/java/org/persimmonwalk/testing/RateWitness.java
+++ b/core/src/test/java/org/persimmonwalk/testing/RateWitness.java
@@ -1,29 +1,33 @@
 package org.persimmonwalk.testing;
 
-/** Measures by how much the statements of a workspace exceed its rate and burst in any window. */
+/**
+ * Measures by how much the admitted statements of a workspace exceed its rate. The excess in a time
+ * window is the number of admitted statements less the rate times the length of the window. A
+ * single token bucket would allow an excess of at most the burst.
+ */
 public final class RateWitness {
   private final double rate;
-  private double level;
-  private double highest;
+  private double excess;
+  private double largestExcess;
   private long lastAt;
   private long admitted;
 
-  /** Creates a witness for the given statements per second. */
+  /** Creates a meter for a rate in statements per second. */
   public RateWitness(double rate) {
     this.rate = rate;
   }
 
-  /** Takes note of an admitted statement. */
+  /** Records a statement that was admitted at the given time. */
   public void admitted(long nanoseconds) {
-    level = Math.max(0, level - rate * (nanoseconds - lastAt) / 1e9) + 1;
+    excess = Math.max(0, excess - rate * (nanoseconds - lastAt) / 1e9) + 1;
     lastAt = nanoseconds;
-    highest = Math.max(highest, level);
+    largestExcess = Math.max(largestExcess, excess);
     admitted++;
   }
 
-  /** Returns the most statements beyond rate times window over all windows until now. */
+  /** Returns the largest excess of all time windows so far. */
   public double highest() {
-    return highest;
+    return largestExcess;
   }
 
   /** Returns the number of admitted statements. */
--- a/core/src/test/java/org/persimmonwalk/testing/RecordingCommandExecutor.java
+++ b/core/src/test/java/org/persimmonwalk/testing/RecordingCommandExecutor.java
@@ -5,7 +5,7 @@
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.port.CommandExecutor;
 
-/** Keeps the commands of the controllers for the test to read and to answer. */
+/** Records the commands of the controllers and executes none; the test answers them itself. */
 public final class RecordingCommandExecutor implements CommandExecutor {
   private final List<Command> commands = new ArrayList<>();
 
@@ -14,7 +14,7 @@
     commands.add(command);
   }
 
-  /** Returns the commands since the last call that are of the given type, and forgets all. */
+  /** Returns the recorded commands of the given type and discards all recorded commands. */
   public <T extends Command> List<T> take(Class<T> type) {
     List<T> taken = commands.stream().filter(type::isInstance).map(type::cast).toList();
     commands.clear();
--- a/core/src/test/java/org/persimmonwalk/testing/SimulatedTime.java
+++ b/core/src/test/java/org/persimmonwalk/testing/SimulatedTime.java
@@ -4,24 +4,27 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
-/** Runs actions at their time on the thread of the test. */
+/**
+ * Simulated time that advances only when a test says so. Scheduled actions run in the order of
+ * their times, on the thread that advances the time.
+ */
 public final class SimulatedTime {
   private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::sequence));
   private long now;
-  private long eventsMade;
+  private long nextSequence;
 
-  /** Returns the nanoseconds since the start. */
+  /** Returns the simulated time in nanoseconds since the start. */
   public long now() {
     return now;
   }
 
-  /** Runs an action after the given time. */
+  /** Schedules an action to run after the given delay. */
   public void after(Duration delay, Runnable action) {
-    events.add(new Event(now + delay.toNanos(), eventsMade++, action));
+    events.add(new Event(now + delay.toNanos(), nextSequence++, action));
   }
 
-  /** Runs the actions of the given time span. */
+  /** Advances the time by the given span and runs the actions that become due. */
   public void advance(Duration span) {
     long end = now + span.toNanos();
     while (!events.isEmpty() && events.peek().at() <= end) {
@@ -32,5 +35,5 @@
     now = end;
   }
 
-  private record Event(long at, long number, Runnable action) {}
+  private record Event(long at, long sequence, Runnable action) {}
 }
--- a/core/src/test/java/org/persimmonwalk/testing/SpreadFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/SpreadFleet.java
@@ -13,34 +13,37 @@
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.observation.PeerMessageReceived;
 
-/** Entry hosts that run their controllers on one fake clock and exchange typed messages. */
+/**
+ * Simulated entry hosts that propagate configurations: they read the fake store and exchange peer
+ * messages without encoding. All hosts share one clock and run their rounds in steps.
+ */
 public final class SpreadFleet {
   private final FakeClock clock = new FakeClock();
   private final FakeConfigurationStore store = new FakeConfigurationStore();
   private final Map<EntryHostId, SpreadHost> hosts = new LinkedHashMap<>();
   private final Duration step;
-  private final MessageSize size;
+  private final MessageSize messageSize;
   private List<HostEntry> hostList = List.of();
-  private List<Runnable> deliveries = new ArrayList<>();
+  private List<Runnable> pendingDeliveries = new ArrayList<>();
   private long messages;
   private long bytes;
 
-  private SpreadFleet(Duration step, MessageSize size) {
+  private SpreadFleet(Duration step, MessageSize messageSize) {
     this.step = step;
-    this.size = size;
+    this.messageSize = messageSize;
   }
 
   /**
    * Returns an empty fleet.
    *
-   * @param step the time between two rounds; messages and answers take one step
-   * @param size the bytes that a message has on the network
+   * @param step the time between two rounds, and the latency of messages and of platform answers
+   * @param messageSize computes the bytes that a message takes on the network
    */
-  public static SpreadFleet of(Duration step, MessageSize size) {
-    return new SpreadFleet(step, size);
+  public static SpreadFleet of(Duration step, MessageSize messageSize) {
+    return new SpreadFleet(step, messageSize);
   }
 
-  /** Adds a host that runs the given controllers; the host list names it from now on. */
+  /** Adds a host that runs the given controllers and sets the host list to all added hosts. */
   public SpreadHost add(HostEntry entry, List<Controller> controllers, long seed) {
     SpreadHost host = SpreadHost.of(this, entry, controllers, seed);
     hosts.put(entry.id(), host);
@@ -48,7 +51,7 @@
     return host;
   }
 
-  /** Replaces what the platform's host list says. */
+  /** Replaces the platform's host list. */
   public void setHostList(List<HostEntry> newHostList) {
     hostList = List.copyOf(newHostList);
   }
@@ -59,18 +62,21 @@
         EntryHostId.of(id), AvailabilityZone.of(zone), SocketEndpoint.of("127.0.0.1", 7000));
   }
 
-  /** Lets the given time pass in steps. */
+  /** Runs steps until the given time has passed. */
   public void run(Duration time) {
-    for (long left = time.toNanos(); left > 0; left -= step.toNanos()) {
+    for (long remaining = time.toNanos(); remaining > 0; remaining -= step.toNanos()) {
       step();
     }
   }
 
-  /** Lets one step pass: delivers what was sent in the step before, then runs all rounds. */
+  /**
+   * Advances the clock by one step, delivers the messages and answers sent in the previous step and
+   * then runs a round of every host.
+   */
   public void step() {
     clock.advance(step);
-    List<Runnable> due = deliveries;
-    deliveries = new ArrayList<>();
+    List<Runnable> due = pendingDeliveries;
+    pendingDeliveries = new ArrayList<>();
     due.forEach(Runnable::run);
     hosts.values().forEach(SpreadHost::runRound);
   }
@@ -106,14 +112,14 @@
 
   void send(EntryHostId from, EntryHostId to, PeerMessage message) {
     messages++;
-    bytes += size.of(from, to, message);
+    bytes += messageSize.of(from, to, message);
     SpreadHost target = hosts.get(to);
     if (target != null) {
-      later(() -> target.post(new PeerMessageReceived(from, message)));
+      deliverInNextStep(() -> target.post(new PeerMessageReceived(from, message)));
     }
   }
 
-  void later(Runnable action) {
-    deliveries.add(action);
+  void deliverInNextStep(Runnable action) {
+    pendingDeliveries.add(action);
   }
 }
--- a/core/src/test/java/org/persimmonwalk/testing/SpreadHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/SpreadHost.java
@@ -28,7 +28,10 @@
 import org.persimmonwalk.port.CommandExecutor;
 import org.persimmonwalk.port.RandomSource;
 
-/** One host of a {@link SpreadFleet}, with a switch for its way to the store. */
+/**
+ * An entry host of a {@link SpreadFleet}. Tests can make the store and the host list unreachable
+ * for it.
+ */
 public final class SpreadHost implements CommandExecutor {
   private final SpreadFleet fleet;
   private final HostEntry entry;
@@ -47,7 +50,10 @@
     return new SpreadHost(fleet, entry, controllers, seed);
   }
 
-  /** Returns the controllers of this concern, in the order of the entry host. */
+  /**
+   * Returns the production controllers for configuration, keys, membership and draining, in the
+   * order in which the entry host runs them.
+   */
   public static List<Controller> controllers(HostEntry entry) {
     return List.of(
         ConfigurationController.create(),
@@ -56,22 +62,22 @@
         DrainController.create());
   }
 
-  /** Cuts the host off from the host list or connects it again. */
+  /** Sets whether the host can read the host list. */
   public void setHostListReachable(boolean reachable) {
     hostListReachable = reachable;
   }
 
-  /** Cuts the host off from the table service and the object store or connects it again. */
+  /** Sets whether the host can reach the table service and the object store. */
   public void setStoreReachable(boolean reachable) {
     storeReachable = reachable;
   }
 
-  /** Returns the host's own entry. */
+  /** Returns the host's entry in the host list. */
   public HostEntry entry() {
     return entry;
   }
 
-  /** Returns the revision in force at the host. */
+  /** Returns the revision of the configuration that the host uses. */
   public Revision revision() {
     return snapshot().get(Entries.CONFIGURATION).revision();
   }
@@ -97,14 +103,14 @@
       fleet.send(entry.id(), send.to(), send.message());
     } else if (command instanceof ListHosts && hostListReachable) {
       List<HostEntry> hosts = fleet.hostList();
-      fleet.later(() -> post(new HostsListed(hosts, startedAt)));
+      fleet.deliverInNextStep(() -> post(new HostsListed(hosts, startedAt)));
     } else if (command instanceof ReadTableRow && storeReachable) {
-      VersionedRow read = now(fleet.store().read(ConfigurationRow.ROW));
+      VersionedRow read = resultOf(fleet.store().read(ConfigurationRow.ROW));
       TableRowRead result =
           new TableRowRead(ConfigurationRow.ROW, read.version(), read.value(), startedAt);
-      fleet.later(() -> post(result));
+      fleet.deliverInNextStep(() -> post(result));
     } else if (command instanceof ReadTableRow) {
-      fleet.later(() -> post(new TableRowReadFailed(ConfigurationRow.ROW, startedAt)));
+      fleet.deliverInNextStep(() -> post(new TableRowReadFailed(ConfigurationRow.ROW, startedAt)));
     } else if (command instanceof LoadConfiguration && storeReachable) {
       load(startedAt);
     }
@@ -112,14 +118,14 @@
 
   private void load(MonotonicTime startedAt) {
     ConfigurationRow row =
-        (ConfigurationRow) now(fleet.store().read(ConfigurationRow.ROW)).value().orElseThrow();
+        (ConfigurationRow) resultOf(fleet.store().read(ConfigurationRow.ROW)).value().orElseThrow();
     ConfigurationLoaded loaded =
         new ConfigurationLoaded(
-            now(fleet.store().get(row.object())).orElseThrow().configuration(), startedAt);
-    fleet.later(() -> post(loaded));
+            resultOf(fleet.store().get(row.object())).orElseThrow().configuration(), startedAt);
+    fleet.deliverInNextStep(() -> post(loaded));
   }
 
-  private static <T> T now(CompletionStage<T> stage) {
+  private static <T> T resultOf(CompletionStage<T> stage) {
     return stage.toCompletableFuture().join();
   }
 }
