Reword the benchmarks of core

They now state what each benchmark measures, against which baseline, with which arguments, and when a fault takes effect. The record Figures said that times are negative for hosts without the revision; they never are, and the comment now says what the time is then. Column headers and result lines are plainer; scenario names that an argument selects stay.

--- a/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
@@ -20,39 +20,43 @@
 import org.persimmonwalk.testing.FailoverHost;
 
 /**
- * Prints the gap in writes, false promotions and lost acknowledged writes on the fake clock.
+ * Prints how long writes are interrupted by a failover, the number of promotions and the
+ * acknowledged writes that were lost, in simulated time, for the production controllers and for a
+ * naive baseline.
  *
- * <p>The gap of a run is the time from the fault until the last running host that reaches the new
- * primary has a write of a new term acknowledged. The argument is the number of seeds.
+ * <p>The write outage of a run is the time from the fault until every running host that can reach
+ * the new primary has acknowledged a write of a new term. The argument is the number of seeds, 200
+ * if absent.
  */
 public final class FailoverBenchmark {
   private static final int HOSTS = 6;
   private static final int DEFAULT_SEEDS = 200;
-  private static final Duration LIMIT = Duration.ofSeconds(30);
+  private static final Duration MAX_OUTAGE = Duration.ofSeconds(30);
   private static final Duration STEP = Duration.ofMillis(100);
 
   /**
    * The result of one run.
    *
-   * @param gap the gap in milliseconds; empty if writes did not resume within 30 s
-   * @param promotions how often a server was promoted
+   * @param outage the write outage in milliseconds; empty if writes did not resume within 30 s
+   * @param promotions the number of promotions
    * @param acknowledged the number of acknowledged writes
-   * @param lost how many of them the last primary, if there is one, does not hold
-   * @param byReplaced how many of them a replaced primary ran
+   * @param lost how many of them the last primary does not hold; 0 if there is no primary
+   * @param byReplacedPrimary how many of them a primary committed after it had been replaced
    */
   private record Result(
-      OptionalLong gap, long promotions, long acknowledged, long lost, long byReplaced) {}
+      OptionalLong outage, long promotions, long acknowledged, long lost, long byReplacedPrimary) {}
 
   private FailoverBenchmark() {}
 
-  /** Runs all scenarios. */
+  /** Runs all scenarios with both versions and prints a table. */
   public static void main(String[] arguments) {
     int seeds = arguments.length == 0 ? DEFAULT_SEEDS : Integer.parseInt(arguments[0]);
     System.out.printf(
-        "%d hosts, %d seeds, 1.5 ms one way, a write each 20 ms per host%n", HOSTS, seeds);
+        "%d hosts, %d seeds, 1.5 ms one-way latency, one write every 20 ms per host%n",
+        HOSTS, seeds);
     System.out.println(
-        "| scenario | version | median | 99th percentile | worst | not resumed | promotions"
-            + " | acknowledged | lost | by replaced primary |");
+        "| scenario | version | outage, median | outage, 99th percentile | outage, worst"
+            + " | not resumed | promotions | acknowledged | lost | by replaced primary |");
     System.out.println("| --- | --- | --: | --: | --: | --: | --: | --: | --: | --: |");
     for (FailoverScenario scenario : FailoverScenario.values()) {
       for (boolean naive : new boolean[] {false, true}) {
@@ -75,22 +79,22 @@
             : FailoverFleet.standard(HOSTS, seed);
     RandomSource random = RandomSource.seeded(seed);
     fleet.time().advance(Duration.ofMillis(1500 + random.nextInt(500)));
-    MonotonicTime failedAt = fleet.now();
-    scenario.begin(fleet, random);
-    OptionalLong gap = OptionalLong.empty();
-    while (gap.isEmpty() && fleet.now().since(failedAt).compareTo(LIMIT) < 0) {
+    MonotonicTime faultAt = fleet.now();
+    scenario.injectFaults(fleet, random);
+    OptionalLong outage = OptionalLong.empty();
+    while (outage.isEmpty() && fleet.now().since(faultAt).compareTo(MAX_OUTAGE) < 0) {
       fleet.time().advance(STEP);
-      gap = scenario.isFailing() ? gap(fleet, failedAt) : OptionalLong.empty();
+      outage = scenario.requiresPromotion() ? outage(fleet, faultAt) : OptionalLong.empty();
     }
     return new Result(
-        gap,
+        outage,
         fleet.database().promotions(),
         fleet.acknowledged().size(),
         fleet.database().primary().isPresent() ? fleet.lost().size() : 0,
         fleet.acknowledged().stream().filter(FailoverFleet.Acknowledged::byReplaced).count());
   }
 
-  private static OptionalLong gap(FailoverFleet fleet, MonotonicTime failedAt) {
+  private static OptionalLong outage(FailoverFleet fleet, MonotonicTime faultAt) {
     long slowest = 0;
     for (FailoverHost host : fleet.hosts()) {
       String primary = fleet.database().primary().orElse("a");
@@ -102,7 +106,7 @@
           fleet.acknowledged().stream()
               .filter(entry -> entry.host().equals(host.id().value()))
               .filter(entry -> entry.term().number() > 1)
-              .mapToLong(entry -> entry.at().since(failedAt).toMillis())
+              .mapToLong(entry -> entry.at().since(faultAt).toMillis())
               .min();
       if (first.isEmpty()) {
         return first;
@@ -123,21 +127,21 @@
   }
 
   private static void print(FailoverScenario scenario, boolean naive, List<Result> results) {
-    long[] gaps =
-        results.stream().flatMapToLong(result -> result.gap().stream()).sorted().toArray();
-    boolean failing = scenario.isFailing();
+    long[] outages =
+        results.stream().flatMapToLong(result -> result.outage().stream()).sorted().toArray();
+    boolean requiresPromotion = scenario.requiresPromotion();
     System.out.printf(
         "| %s | %s | %s | %s | %s | %s | %d | %d | %d | %d |%n",
         scenario.description(),
         naive ? "naive" : "persimmonwalk",
-        failing ? percentile(gaps, 50) : "-",
-        failing ? percentile(gaps, 99) : "-",
-        failing ? percentile(gaps, 100) : "-",
-        failing ? results.size() - gaps.length : "-",
+        requiresPromotion ? percentile(outages, 50) : "-",
+        requiresPromotion ? percentile(outages, 99) : "-",
+        requiresPromotion ? percentile(outages, 100) : "-",
+        requiresPromotion ? results.size() - outages.length : "-",
         results.stream().mapToLong(Result::promotions).sum(),
         results.stream().mapToLong(Result::acknowledged).sum(),
         results.stream().mapToLong(Result::lost).sum(),
-        results.stream().mapToLong(Result::byReplaced).sum());
+        results.stream().mapToLong(Result::byReplacedPrimary).sum());
   }
 
   private static String percentile(long[] sorted, int percent) {
--- a/core/src/test/java/org/persimmonwalk/benchmark/FleetModel.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/FleetModel.java
@@ -20,33 +20,36 @@
 import org.persimmonwalk.routing.StatementKind;
 
 /**
- * Entry hosts in front of one backend server, driven by events on a fake clock. The server runs as
- * many statements at once as it has slots and keeps the rest in the order of their arrival.
+ * A discrete-event simulation of entry hosts in front of one backend server. Each host schedules
+ * its statements with a {@link ServerScheduler}. The server runs as many statements at once as it
+ * has slots and queues the others in the order of their arrival.
  */
 final class FleetModel {
   static final int HOSTS = 20;
   static final int WORKSPACES = 8;
 
-  /** Parts of the load: two large workspaces and six small ones. */
-  static final double[] PARTS = {.3, .25, .075, .075, .075, .075, .075, .075};
+  /** The share of the total load of each workspace: two large ones and six small ones. */
+  static final double[] LOAD_SHARES = {.3, .25, .075, .075, .075, .075, .075, .075};
 
+  /** The mean over all urgencies, in the proportions in which {@link #arrive} draws them. */
   private static final double MEAN_SERVICE_MILLISECONDS = 10;
-  private static final long CALLER_ROUND_TRIP = 6_000_000;
+
+  private static final long CALLER_ROUND_TRIP_NANOS = 6_000_000;
   private static final Duration DEADLINE = Duration.ofSeconds(1);
 
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final List<ServerScheduler<Statement>> hosts = new ArrayList<>();
-  private final List<RetryPolicy> policies = new ArrayList<>();
+  private final List<RetryPolicy> hostRetryPolicies = new ArrayList<>();
   private final MonotonicTime[] wakeUps = new MonotonicTime[HOSTS];
   private final List<Statement> serverQueue = new ArrayList<>();
   private final RetryBackoff backoff;
   private final int slots;
   private final Statistics statistics;
   private MonotonicTime now = MonotonicTime.of(0);
-  private MonotonicTime downFrom = MonotonicTime.of(Long.MAX_VALUE / 2);
-  private MonotonicTime downUntil = downFrom;
+  private MonotonicTime outageFrom = MonotonicTime.of(Long.MAX_VALUE / 2);
+  private MonotonicTime outageUntil = outageFrom;
   private long sequence;
-  private int busy;
+  private int busySlots;
 
   FleetModel(
       int slots,
@@ -59,25 +62,31 @@
     this.backoff = RetryBackoff.of(RandomSource.seeded(seed));
     for (int host = 0; host < HOSTS; host++) {
       hosts.add(schedulers.apply(host));
-      policies.add(retryPolicies.apply(host));
+      hostRetryPolicies.add(retryPolicies.apply(host));
     }
   }
 
-  /** Lets each workspace send its part of the given load, times its factor. */
+  /**
+   * Starts the arrival of statements from all workspaces.
+   *
+   * @param utilization the total load as a multiple of what the server can run
+   * @param factors for each workspace, the multiple of its normal share that it sends
+   */
   void load(double utilization, double[] factors, long seed) {
     for (int workspace = 0; workspace < WORKSPACES; workspace++) {
-      double perSecond = utilization * slots * 1000 / MEAN_SERVICE_MILLISECONDS * PARTS[workspace];
+      double perSecond =
+          utilization * slots * 1000 / MEAN_SERVICE_MILLISECONDS * LOAD_SHARES[workspace];
       if (factors[workspace] > 0) {
         SplittableRandom random = new SplittableRandom(seed * 31 + workspace);
-        arriveNext(workspace, perSecond * factors[workspace], random);
+        scheduleArrival(workspace, perSecond * factors[workspace], random);
       }
     }
   }
 
-  /** Makes the server refuse connections during the given time. */
-  void outage(Duration from, Duration until) {
-    downFrom = MonotonicTime.of(from.toNanos());
-    downUntil = MonotonicTime.of(until.toNanos());
+  /** Makes the server refuse all statements that reach it during the given time. */
+  void scheduleOutage(Duration from, Duration until) {
+    outageFrom = MonotonicTime.of(from.toNanos());
+    outageUntil = MonotonicTime.of(until.toNanos());
   }
 
   void run(Duration until) {
@@ -89,18 +98,18 @@
     }
   }
 
-  private void arriveNext(int workspace, double perSecond, SplittableRandom random) {
-    after(
+  private void scheduleArrival(int workspace, double perSecond, SplittableRandom random) {
+    schedule(
         (long) (exponential(random) * 1e9 / perSecond),
         () -> {
           arrive(workspace, random);
-          arriveNext(workspace, perSecond, random);
+          scheduleArrival(workspace, perSecond, random);
         });
   }
 
   private void arrive(int workspace, SplittableRandom random) {
-    double pick = random.nextDouble();
-    Urgency urgency = pick < .6 ? Urgency.URGENT : pick < .9 ? Urgency.NORMAL : Urgency.BULK;
+    double draw = random.nextDouble();
+    Urgency urgency = draw < .6 ? Urgency.URGENT : draw < .9 ? Urgency.NORMAL : Urgency.BULK;
     double mean = urgency == Urgency.URGENT ? 5 : urgency == Urgency.NORMAL ? 10 : 40;
     Statement statement =
         new Statement(
@@ -136,7 +145,7 @@
 
   private void wake(int host, MonotonicTime time) {
     wakeUps[host] = time;
-    after(
+    schedule(
         Math.max(0, time.since(now).toNanos()),
         () -> {
           if (time.equals(wakeUps[host])) {
@@ -151,16 +160,16 @@
     statement.attempts++;
     statistics.started(statement, now);
     if (statement.attempts == 1) {
-      policies.get(statement.host).recordFirstAttempt(now);
+      hostRetryPolicies.get(statement.host).recordFirstAttempt(now);
     }
-    after(oneWay(statement.host), () -> reachServer(statement));
+    schedule(oneWayNanos(statement.host), () -> reachServer(statement));
   }
 
   private void reachServer(Statement statement) {
-    if (!now.isBefore(downFrom) && now.isBefore(downUntil)) {
-      after(oneWay(statement.host), () -> fail(statement));
-    } else if (busy < slots) {
-      busy++;
+    if (!now.isBefore(outageFrom) && now.isBefore(outageUntil)) {
+      schedule(oneWayNanos(statement.host), () -> fail(statement));
+    } else if (busySlots < slots) {
+      busySlots++;
       execute(statement);
     } else {
       serverQueue.add(statement);
@@ -168,12 +177,12 @@
   }
 
   private void execute(Statement statement) {
-    after(
+    schedule(
         statement.serviceNanoseconds,
         () -> {
-          after(oneWay(statement.host), () -> answer(statement));
+          schedule(oneWayNanos(statement.host), () -> answer(statement));
           if (serverQueue.isEmpty()) {
-            busy--;
+            busySlots--;
           } else {
             execute(serverQueue.remove(0));
           }
@@ -181,7 +190,7 @@
   }
 
   private void answer(Statement statement) {
-    Duration latency = now.since(statement.arrivedAt).plusNanos(CALLER_ROUND_TRIP);
+    Duration latency = now.since(statement.arrivedAt).plusNanos(CALLER_ROUND_TRIP_NANOS);
     statistics.answered(statement, latency, now.isBefore(statement.deadline()));
     complete(statement, true);
   }
@@ -190,8 +199,8 @@
     complete(statement, false);
     FailedAttempt attempt =
         new FailedAttempt(StatementKind.READ, StatementState.NOT_RUN, false, statement.attempts);
-    if (policies.get(statement.host).mayRetry(attempt, now)) {
-      after(backoff.delay(statement.attempts).toNanos(), () -> submit(statement));
+    if (hostRetryPolicies.get(statement.host).mayRetry(attempt, now)) {
+      schedule(backoff.delay(statement.attempts).toNanos(), () -> submit(statement));
     }
   }
 
@@ -201,12 +210,12 @@
     apply(statement.host, scheduler.complete(statement.request, duration, succeeded, now));
   }
 
-  /** A third of the hosts is in the zone of the server. */
-  private static long oneWay(int host) {
+  /** Returns the latency to the server. One third of the hosts is in the zone of the server. */
+  private static long oneWayNanos(int host) {
     return host % 3 == 0 ? 100_000 : 1_500_000;
   }
 
-  private void after(long nanoseconds, Runnable action) {
+  private void schedule(long nanoseconds, Runnable action) {
     events.add(new Event(now.plus(Duration.ofNanos(nanoseconds)), sequence++, action));
   }
 
@@ -214,7 +223,7 @@
     return -Math.log(1 - random.nextDouble());
   }
 
-  /** One statement of a caller. */
+  /** A statement of a caller, with its attempts so far. */
   static final class Statement {
     final int workspace;
     final int host;
--- a/core/src/test/java/org/persimmonwalk/benchmark/NaiveFailoverController.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/NaiveFailoverController.java
@@ -15,8 +15,8 @@
 import org.persimmonwalk.model.Term;
 
 /**
- * The baseline: promotes the replica with the highest sampled position on the first failed probe of
- * the primary, without fencing any other server.
+ * Baseline for the production {@code PrimaryController}. On the first failed probe of the primary,
+ * it promotes the replica with the highest sampled position and fences no other server.
  */
 final class NaiveFailoverController implements Controller {
   private final EntryHostId host;
@@ -31,13 +31,16 @@
 
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
-    blackboard.get(Entries.GROUPS).values().forEach(group -> check(group, blackboard));
+    blackboard
+        .get(Entries.GROUPS)
+        .values()
+        .forEach(group -> promoteIfPrimaryFails(group, blackboard));
   }
 
-  private void check(GroupView group, Blackboard blackboard) {
-    Optional<ServerView> failed =
+  private void promoteIfPrimaryFails(GroupView group, Blackboard blackboard) {
+    Optional<ServerView> failedPrimary =
         group.primaryView().filter(view -> view.failingSince().isPresent());
-    if (failed.isEmpty()) {
+    if (failedPrimary.isEmpty()) {
       return;
     }
     Term term = group.term().next();
@@ -47,9 +50,9 @@
             view -> view.has(ServerRole.REPLICA, group.term()) || view.has(ServerRole.FENCED, term))
         .max(Comparator.comparing(view -> view.sample().get().received()))
         .ifPresent(
-            chosen -> {
-              blackboard.submit(new FenceServer(chosen.server(), term, host));
-              blackboard.submit(new PromoteServer(chosen.server(), term, host));
+            candidate -> {
+              blackboard.submit(new FenceServer(candidate.server(), term, host));
+              blackboard.submit(new PromoteServer(candidate.server(), term, host));
             });
   }
 }
--- a/core/src/test/java/org/persimmonwalk/benchmark/OverloadBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/OverloadBenchmark.java
@@ -18,18 +18,23 @@
 import org.persimmonwalk.retry.NeverRetry;
 import org.persimmonwalk.retry.RetryPolicy;
 
-/** Measures isolation, goodput under overload and retries against the baselines. */
+/**
+ * Compares the adaptive admission policies with simple baselines: how well a workspace is isolated
+ * from another one's overload, the goodput under overload, and the extra load from retries during
+ * an outage.
+ */
 public final class OverloadBenchmark {
   private static final double NORMAL_LOAD = 0.6;
-  private static final int CAPACITY = 256;
+  private static final int QUEUE_CAPACITY = 256;
   private static final Duration WARM_UP = Duration.ofSeconds(30);
-  private static final Duration END = Duration.ofSeconds(330);
+  private static final Duration MEASUREMENT_END = Duration.ofSeconds(330);
 
-  /** Each workspace is configured with the rate that it normally sends. */
+  /** The weights are proportional to the normal load of the workspaces. */
   private static final WorkspaceWeights WEIGHTS =
       workspace ->
           FleetModel.WORKSPACES
-              * FleetModel.PARTS[Integer.parseInt(workspace.value().replace("workspace-", ""))];
+              * FleetModel.LOAD_SHARES[
+                  Integer.parseInt(workspace.value().replace("workspace-", ""))];
 
   private static final PrintStream OUT = System.out;
 
@@ -41,7 +46,7 @@
     this.slots = slots;
   }
 
-  /** Prints all figures; the seeds may be given as arguments. */
+  /** Runs and prints all measurements. The arguments are the seeds, 1 if absent. */
   public static void main(String[] arguments) {
     long[] seeds =
         arguments.length == 0
@@ -52,16 +57,16 @@
         OUT.printf("seed %d, %d slots, %d hosts%n", seed, slots, FleetModel.HOSTS);
         OverloadBenchmark benchmark = new OverloadBenchmark(seed, slots);
         for (Variant variant : Variant.values()) {
-          benchmark.isolation(variant, 0);
-          benchmark.isolation(variant, 7);
-          benchmark.overload(variant);
-          benchmark.retryStorm(variant);
+          benchmark.measureIsolation(variant, 0);
+          benchmark.measureIsolation(variant, 7);
+          benchmark.measureOverload(variant);
+          benchmark.measureRetryStorm(variant);
         }
       }
     }
   }
 
-  private void isolation(Variant variant, int aggressor) {
+  private void measureIsolation(Variant variant, int aggressor) {
     double[] factors = factors(1);
     factors[aggressor] = 8;
     Statistics together = run(variant, NORMAL_LOAD, factors);
@@ -71,9 +76,9 @@
     double alone = 0;
     for (int workspace = 0; workspace < FleetModel.WORKSPACES; workspace++) {
       if (workspace != aggressor) {
-        double[] only = factors(0);
-        only[workspace] = 1;
-        Statistics single = run(variant, NORMAL_LOAD, only);
+        double[] loadOfOne = factors(0);
+        loadOfOne[workspace] = 1;
+        Statistics single = run(variant, NORMAL_LOAD, loadOfOne);
         worstShare =
             Math.min(worstShare, together.successShare(workspace) / single.successShare(workspace));
         double ratio = together.percentile99(workspace) / single.percentile99(workspace);
@@ -85,8 +90,9 @@
       }
     }
     OUT.printf(
-        "  (a) %-8s workspace %d at 8 times: worst success share %.2f %%, worst p99 %.2f times"
-            + " (%.0f ms, alone %.0f ms), server used %.0f %%%n",
+        "  (a) %-8s workspace %d at 8 times its load; worst of the others, relative to running"
+            + " alone: success share %.2f %%, p99 %.2f times (%.0f ms, alone %.0f ms); server"
+            + " capacity spent on answers in time %.0f %%%n",
         variant,
         aggressor,
         100 * worstShare,
@@ -96,7 +102,7 @@
         100 * together.usefulShare(slots));
   }
 
-  private void overload(Variant variant) {
+  private void measureOverload(Variant variant) {
     double peak = 0;
     StringBuilder line = new StringBuilder();
     Statistics last = null;
@@ -108,11 +114,12 @@
               " %.1f: %.0f/s %.0f %%,", load, last.goodput(), 100 * last.usefulShare(slots)));
     }
     OUT.printf(
-        "  (b) %-8s goodput at 3 times %.1f %% of peak; load: goodput, useful work%s%n",
+        "  (b) %-8s goodput at load 3: %.1f %% of peak; by load, goodput and capacity spent on"
+            + " answers in time:%s%n",
         variant, 100 * last.goodput() / peak, line);
   }
 
-  private void retryStorm(Variant variant) {
+  private void measureRetryStorm(Variant variant) {
     Duration from = Duration.ofSeconds(60);
     Duration until = Duration.ofSeconds(70);
     Statistics statistics = Statistics.between(from, until);
@@ -120,22 +127,22 @@
         host -> variant == Variant.BASELINE ? new AlwaysRetry() : BudgetedRetryPolicy.create();
     FleetModel model = new FleetModel(slots, variant::scheduler, policies, seed, statistics);
     model.load(NORMAL_LOAD, factors(1), seed);
-    model.outage(from, until);
+    model.scheduleOutage(from, until);
     model.run(until);
     OUT.printf(
-        "  (c) %-8s server down 10 s: %d first attempts, %d extra (%.1f %%)%n",
+        "  (c) %-8s server down for 10 s: %d first attempts, %d retries (%.1f %%)%n",
         variant,
         statistics.firstAttempts(),
-        statistics.extraAttempts(),
-        100.0 * statistics.extraAttempts() / statistics.firstAttempts());
+        statistics.retries(),
+        100.0 * statistics.retries() / statistics.firstAttempts());
   }
 
   private Statistics run(Variant variant, double load, double[] factors) {
-    Statistics statistics = Statistics.between(WARM_UP, END);
+    Statistics statistics = Statistics.between(WARM_UP, MEASUREMENT_END);
     FleetModel model =
         new FleetModel(slots, variant::scheduler, host -> NeverRetry.create(), seed, statistics);
     model.load(load, factors, seed);
-    model.run(END.plusSeconds(2));
+    model.run(MEASUREMENT_END.plusSeconds(2));
     return statistics;
   }
 
@@ -152,17 +159,20 @@
     private ServerScheduler<Statement> scheduler(int host) {
       ServiceTimes serviceTimes = ServiceTimes.create();
       return this == BASELINE
-          ? ServerScheduler.of(FirstInFirstOutQueue.of(CAPACITY), FixedLimit.of(2), serviceTimes)
+          ? ServerScheduler.of(
+              FirstInFirstOutQueue.of(QUEUE_CAPACITY), FixedLimit.of(2), serviceTimes)
           : ServerScheduler.of(
-              FairQueue.of(CAPACITY, WEIGHTS, serviceTimes), AdaptiveLimit.of(50), serviceTimes);
+              FairQueue.of(QUEUE_CAPACITY, WEIGHTS, serviceTimes),
+              AdaptiveLimit.of(50),
+              serviceTimes);
     }
   }
 
-  /** Retries every failure; the baseline. */
+  /** Baseline that retries every failure. */
   private static final class AlwaysRetry implements RetryPolicy {
     @Override
     public void recordFirstAttempt(MonotonicTime now) {
-      // No budget is kept.
+      // Retries are not limited by a budget.
     }
 
     @Override
--- a/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
@@ -20,18 +20,18 @@
 import org.persimmonwalk.testing.RateWitness;
 
 /**
- * Prints how many statements inside a workspace's rate are refused by leased shares and by the
- * baselines, in simulated time.
+ * Prints how many statements within a workspace's limit are refused by leased shares and by the
+ * baselines, and by how much each policy exceeds the limit, in simulated time.
  *
- * <p>A statement is inside the rate if one bucket for the whole fleet, with the workspace's rate
- * and burst, would admit it.
+ * <p>A statement is within the limit if a single token bucket for the whole fleet, with the
+ * workspace's rate and burst, would admit it.
  */
 public final class ShareBenchmark {
   private static final int HOSTS = 20;
   private static final Duration STEP = Duration.ofMillis(1);
-  private static final Duration COUNTED = Duration.ofMinutes(1);
+  private static final Duration MEASUREMENT = Duration.ofMinutes(1);
   private static final double STEPS_PER_SECOND = 1000;
-  private static final double NANOSECONDS = 1e9;
+  private static final double NANOSECONDS_PER_SECOND = 1e9;
 
   private final Scenario scenario;
   private final FakeFleet fleet;
@@ -53,14 +53,18 @@
     fleet.hosts().forEach(host -> equalSplit.add(EqualSplitAdmission.of(HOSTS)));
   }
 
-  /** Runs the scenarios; arguments are the seed, 1 if absent, and a part of the names to run. */
+  /**
+   * Runs the scenarios. The first argument is the seed, 1 if absent; the second limits the
+   * scenarios to those whose name contains it.
+   */
   public static void main(String[] arguments) {
     long seed = arguments.length > 0 ? Long.parseLong(arguments[0]) : 1;
     String chosen = arguments.length > 1 ? arguments[1] : "";
     System.out.println(
-        "scenario; refused inside the rate: leased (worst workspace), equal split (worst);"
-            + " leased admits of one bucket; most beyond rate and burst: leased, admit all;"
-            + " peer messages per host and second; store requests in all");
+        "scenario; refused within the limit: leased shares (worst workspace), equal split (worst"
+            + " workspace); admitted by leased shares, relative to one bucket; largest excess over"
+            + " rate and burst: leased shares, admit all;"
+            + " peer messages per host and second; store requests in total");
     scenarios().stream()
         .filter(scenario -> scenario.name().contains(chosen))
         .forEach(scenario -> new ShareBenchmark(scenario, seed).measure());
@@ -96,7 +100,10 @@
     return new Tally(new RateWitness(workspace.rate()));
   }
 
-  /** Of a store outage of 30 minutes, counts the first and the last with traffic. */
+  /**
+   * Runs the scenario and prints its results. The statements of one minute are counted; in a store
+   * outage, which lasts 30 minutes, those of its first and its last minute.
+   */
   private void measure() {
     boolean outage = scenario.outage();
     fleet.time().advance(Duration.ofSeconds(10));
@@ -107,22 +114,22 @@
     run(Duration.ofSeconds(10), false);
     fleet.store().setDown(outage);
     long messages = fleet.network().messages();
-    run(COUNTED, true);
+    run(MEASUREMENT, true);
     if (outage) {
       fleet.time().advance(Duration.ofMinutes(28));
       run(Duration.ofSeconds(10), false);
-      run(COUNTED, true);
+      run(MEASUREMENT, true);
     }
     messages = fleet.network().messages() - messages;
-    double seconds = COUNTED.toSeconds() * (outage ? 2.0 : 1.0);
+    double seconds = MEASUREMENT.toSeconds() * (outage ? 2.0 : 1.0);
     System.out.printf(
         "%s; %.2f %% (%.2f %%), %.2f %% (%.2f %%); %.1f %%; %.1f, %.0f; %.1f; %d%n",
         scenario.name(),
-        refused(0),
-        worstRefused(0),
-        refused(1),
-        worstRefused(1),
-        admitted(),
+        refusedPercent(0),
+        worstRefusedPercent(0),
+        refusedPercent(1),
+        worstRefusedPercent(1),
+        leasedAdmittedPercent(),
         worstExcess(0),
         worstExcess(2),
         messages / seconds / HOSTS,
@@ -130,21 +137,21 @@
   }
 
   private void run(Duration span, boolean counted) {
-    Map<Workspace, IdealBucket> ideals = new LinkedHashMap<>();
-    tallies.keySet().forEach(workspace -> ideals.put(workspace, new IdealBucket(workspace)));
+    Map<Workspace, FleetBucket> fleetBuckets = new LinkedHashMap<>();
+    tallies.keySet().forEach(workspace -> fleetBuckets.put(workspace, new FleetBucket(workspace)));
     for (long step = 0; step < span.dividedBy(STEP); step++) {
       fleet.time().advance(STEP);
-      ideals.forEach(
-          (workspace, ideal) -> {
+      fleetBuckets.forEach(
+          (workspace, fleetBucket) -> {
             int arrivals = arrivals(scenario.load() * workspace.rate() / STEPS_PER_SECOND);
             for (int i = 0; i < arrivals; i++) {
-              arrive(workspace, ideal.admit(fleet.time().now()), counted);
+              arrive(workspace, fleetBucket.admit(fleet.time().now()), counted);
             }
           });
     }
   }
 
-  private void arrive(Workspace workspace, boolean inside, boolean counted) {
+  private void arrive(Workspace workspace, boolean withinLimit, boolean counted) {
     int index = scenario.host(fleet);
     FakeHost host = fleet.hosts().get(index);
     boolean[] admitted = {
@@ -153,7 +160,7 @@
       admitAll.admit(host.snapshot(), workspace.id(), host.now())
     };
     for (int policy = 0; counted && policy < admitted.length; policy++) {
-      tallies.get(workspace).get(policy).add(inside, admitted[policy], fleet.time().now());
+      tallies.get(workspace).get(policy).add(withinLimit, admitted[policy], fleet.time().now());
     }
   }
 
@@ -169,82 +176,94 @@
     return arrivals;
   }
 
-  private double refused(int policy) {
+  private double refusedPercent(int policy) {
     long refused = tallies.values().stream().mapToLong(all -> all.get(policy).refused).sum();
-    long inside = tallies.values().stream().mapToLong(all -> all.get(policy).inside).sum();
-    return 100.0 * refused / inside;
+    long withinLimit =
+        tallies.values().stream().mapToLong(all -> all.get(policy).withinLimit).sum();
+    return 100.0 * refused / withinLimit;
   }
 
-  /** Returns what leased shares admit as a part of what one bucket for the fleet admits. */
-  private double admitted() {
+  /** Returns how many statements leased shares admit, relative to one bucket for the fleet. */
+  private double leasedAdmittedPercent() {
     List<Tally> leased = tallies.values().stream().map(all -> all.get(0)).toList();
-    long admitted = leased.stream().mapToLong(tally -> tally.witness.admitted()).sum();
-    return 100.0 * admitted / leased.stream().mapToLong(tally -> tally.inside).sum();
+    long admitted = leased.stream().mapToLong(tally -> tally.meter.admitted()).sum();
+    return 100.0 * admitted / leased.stream().mapToLong(tally -> tally.withinLimit).sum();
   }
 
-  private double worstRefused(int policy) {
+  private double worstRefusedPercent(int policy) {
     return tallies.values().stream()
         .map(all -> all.get(policy))
-        .mapToDouble(tally -> 100.0 * tally.refused / tally.inside)
+        .mapToDouble(tally -> 100.0 * tally.refused / tally.withinLimit)
         .max()
         .orElse(0);
   }
 
   private double worstExcess(int policy) {
     return tallies.entrySet().stream()
-        .mapToDouble(
-            entry -> entry.getValue().get(policy).witness.highest() - entry.getKey().burst())
+        .mapToDouble(entry -> entry.getValue().get(policy).meter.highest() - entry.getKey().burst())
         .map(excess -> Math.max(0, excess))
         .max()
         .orElse(0);
   }
 
-  /** How statements come: load as a part of the rate, the part that one hot host gets. */
+  /**
+   * How statements arrive.
+   *
+   * @param name the name in the output, also matched with the second argument
+   * @param load the mean demand of each workspace, as a multiple of its rate
+   * @param hotHostShare the share of the statements that go to one hot host; the others go to
+   *     random hosts
+   * @param hotHostInterval the time after which another host becomes the hot one; zero if never
+   * @param outage whether the store is down while statements are counted
+   */
   private record Scenario(
-      String name, double load, double hotPart, Duration hotSpan, boolean outage) {
+      String name, double load, double hotHostShare, Duration hotHostInterval, boolean outage) {
     int host(FakeFleet fleet) {
-      if (fleet.random().nextInt(1_000_000) < hotPart * 1_000_000) {
-        long span = hotSpan.toNanos();
+      if (fleet.random().nextInt(1_000_000) < hotHostShare * 1_000_000) {
+        long span = hotHostInterval.toNanos();
         return span == 0 ? 0 : (int) (fleet.time().now() / span % HOSTS);
       }
       return fleet.random().nextInt(HOSTS);
     }
   }
 
-  private static final class IdealBucket {
+  /** A token bucket for the whole fleet, which decides whether a statement is within the limit. */
+  private static final class FleetBucket {
     private final Workspace workspace;
     private double tokens;
-    private long filledAt;
+    private long refilledAt;
 
-    private IdealBucket(Workspace workspace) {
+    private FleetBucket(Workspace workspace) {
       this.workspace = workspace;
       this.tokens = workspace.burst();
     }
 
     private boolean admit(long now) {
-      double gained = filledAt == 0 ? 0 : workspace.rate() * (now - filledAt) / NANOSECONDS;
+      double gained =
+          refilledAt == 0 ? 0 : workspace.rate() * (now - refilledAt) / NANOSECONDS_PER_SECOND;
       tokens = Math.min(workspace.burst(), tokens + gained);
-      filledAt = now;
+      refilledAt = now;
       boolean admitted = tokens >= 1;
       tokens -= admitted ? 1 : 0;
       return admitted;
     }
   }
 
+  /** Counts the decisions of one policy on the statements of one workspace. */
   private static final class Tally {
-    private final RateWitness witness;
-    private long inside;
+    private final RateWitness meter;
+    private long withinLimit;
     private long refused;
 
-    private Tally(RateWitness witness) {
-      this.witness = witness;
+    private Tally(RateWitness meter) {
+      this.meter = meter;
     }
 
-    private void add(boolean isInside, boolean admitted, long now) {
-      inside += isInside ? 1 : 0;
-      refused += isInside && !admitted ? 1 : 0;
+    private void add(boolean isWithinLimit, boolean admitted, long now) {
+      withinLimit += isWithinLimit ? 1 : 0;
+      refused += isWithinLimit && !admitted ? 1 : 0;
       if (admitted) {
-        witness.admitted(now);
+        meter.admitted(now);
       }
     }
   }
--- a/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
@@ -25,34 +25,61 @@
 import org.persimmonwalk.testing.SpreadHost;
 
 /**
- * Measures how long a new revision takes to all hosts, half of them without the store, and what
- * that costs. It runs on a fake clock, so the same seeds give the same times.
+ * Measures how long a new revision of the configuration takes to reach all hosts, also when half of
+ * them cannot reach the store, and the messages, bytes, store reads and processor time that this
+ * costs. Apart from the processor time, the results depend only on the seeds, because the benchmark
+ * runs in simulated time.
  *
  * <p>Run it with {@code mvn -q -B -ntp -pl core test-compile} and {@code java -cp
  * core/target/classes:core/target/test-classes org.persimmonwalk.benchmark.SpreadBenchmark}.
  */
 public final class SpreadBenchmark {
-  /** A message or an answer takes one step, well above the 1.5 ms between zones. */
+  /**
+   * The time between two rounds, which is also the latency of a message or an answer; well above
+   * the 1.5 ms between zones.
+   */
   private static final Duration STEP = Duration.ofMillis(50);
 
   private static final Duration WARM_UP = Duration.ofSeconds(15);
-  private static final Duration STEADY = Duration.ofSeconds(10);
-  private static final Duration LIMIT = Duration.ofSeconds(30);
+  private static final Duration STEADY_STATE = Duration.ofSeconds(10);
+  private static final Duration MAX_PROPAGATION_TIME = Duration.ofSeconds(30);
 
-  /** Which hosts cannot reach the platform. */
+  /** Which hosts cannot reach the platform; the name is a command-line argument. */
   private enum Cut {
     NONE,
     EVERY_SECOND_HOST,
     WHOLE_ZONES
   }
 
-  /** A deployment, its configuration, and which half of the hosts is cut off. */
+  /**
+   * A deployment to measure.
+   *
+   * @param name the description in the printed table
+   * @param hosts the number of hosts
+   * @param zones the number of zones
+   * @param first the configuration before the change
+   * @param cut which hosts cannot reach the platform
+   * @param peers whether hosts exchange messages; if not, each host only polls the store
+   */
   private record Scenario(
       String name, int hosts, int zones, Configuration first, Cut cut, boolean peers) {}
 
-  /** Figures of one change; times in milliseconds, negative if hosts were left without it. */
+  /**
+   * The results of one run, which installs one new revision. Rates are those of the steady state
+   * before the change.
+   *
+   * @param timeToAll the time in milliseconds until the last host had the revision, or until the
+   *     measurement was given up
+   * @param missing the number of hosts without the revision at the end
+   * @param messages messages per host and second
+   * @param bytes bytes per host and second
+   * @param changeBytes bytes per host during the change, beyond those of the steady state
+   * @param reads store reads per second
+   * @param peakReads the most store reads within one second of the change
+   * @param processorMicros processor time in microseconds per host and second
+   */
   private record Figures(
-      double all,
+      double timeToAll,
       long missing,
       double messages,
       double bytes,
@@ -64,8 +91,8 @@
   private SpreadBenchmark() {}
 
   /**
-   * Runs all scenarios. The first argument is the number of changes measured in each (10), the
-   * second limits the scenarios to one kind of {@link Cut}.
+   * Runs all scenarios. The first argument is the number of changes measured in each, 10 if absent;
+   * the second limits the scenarios to one kind of {@link Cut}.
    */
   public static void main(String[] arguments) {
     int changes = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 10;
@@ -74,9 +101,9 @@
     Configuration small = Configurations.of(1, 3, 8);
     Configuration large = Configurations.of(1, 570, 2000);
     System.out.println(
-        "| scenario | hosts | time to all, median (ms) | time to all, worst (ms)"
+        "| scenario | hosts | time to reach all, median (ms) | time to reach all, worst (ms)"
             + " | hosts without it after 30 s | messages/host/s | bytes/host/s"
-            + " | bytes/host in the change | store reads/s | store reads/s, peak"
+            + " | extra bytes/host for the change | store reads/s | store reads/s, peak"
             + " | processor us/host/s |");
     System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
     for (boolean peers : new boolean[] {false, true}) {
@@ -94,7 +121,7 @@
     for (int seed = 1; seed <= changes; seed++) {
       all.add(measure(scenario, seed));
     }
-    List<Double> times = new ArrayList<>(all.stream().map(Figures::all).toList());
+    List<Double> times = new ArrayList<>(all.stream().map(Figures::timeToAll).toList());
     Collections.sort(times);
     boolean complete = all.stream().allMatch(figures -> figures.missing() == 0);
     System.out.printf(
@@ -120,7 +147,7 @@
     for (int index = 0; index < scenario.hosts(); index++) {
       HostEntry entry = entry(index, scenario.zones());
       List<Controller> controllers =
-          scenario.peers() ? withDemand(entry) : List.of(new StorePolling());
+          scenario.peers() ? controllersWithDemand(entry) : List.of(new StorePollingController());
       fleet.add(entry, controllers, random.nextLong());
     }
     fleet.run(WARM_UP);
@@ -130,28 +157,31 @@
     long messages = fleet.messages();
     long bytes = fleet.bytes();
     long reads = fleet.store().reads();
-    long processor = processorNanos();
-    fleet.run(STEADY);
-    double hostSeconds = scenario.hosts() * (double) STEADY.toSeconds();
-    double processorMicros = (processorNanos() - processor) / 1000.0 / hostSeconds;
+    long processorBefore = processorNanos();
+    fleet.run(STEADY_STATE);
+    double hostSeconds = scenario.hosts() * (double) STEADY_STATE.toSeconds();
+    double processorMicros = (processorNanos() - processorBefore) / 1000.0 / hostSeconds;
     double bytesPerSecond = (fleet.bytes() - bytes) / hostSeconds;
     double messagesPerSecond = (fleet.messages() - messages) / hostSeconds;
-    double readsPerSecond = (fleet.store().reads() - reads) / (double) STEADY.toSeconds();
+    double readsPerSecond = (fleet.store().reads() - reads) / (double) STEADY_STATE.toSeconds();
 
-    Change change = Change.run(fleet, scenario);
+    Propagation propagation = Propagation.run(fleet, scenario);
     return new Figures(
-        change.time,
-        change.missing,
+        propagation.time,
+        propagation.missing,
         messagesPerSecond,
         bytesPerSecond,
-        change.bytes / (double) scenario.hosts() - bytesPerSecond * change.time / 1000,
+        propagation.bytes / (double) scenario.hosts() - bytesPerSecond * propagation.time / 1000,
         readsPerSecond,
-        change.peakReads,
+        propagation.peakReads,
         processorMicros);
   }
 
-  /** Fills heartbeats with as many demands as they may list. */
-  private static List<Controller> withDemand(HostEntry entry) {
+  /**
+   * Returns the production controllers, with demand for as many workspaces as a heartbeat may list,
+   * so that heartbeats have their largest size.
+   */
+  private static List<Controller> controllersWithDemand(HostEntry entry) {
     Map<WorkspaceId, Double> demand = new HashMap<>();
     for (int index = 0; index < Heartbeat.DEMAND_LIMIT; index++) {
       demand.put(WorkspaceId.of("workspace-" + index), 12.5 + index);
@@ -189,15 +219,15 @@
         SocketEndpoint.of("10.20." + index / 200 + "." + (100 + index % 100), 7432));
   }
 
-  /** The spreading of one new revision. */
-  private static final class Change {
+  /** Installs a new revision and measures its propagation to all hosts. */
+  private static final class Propagation {
     private double time;
     private long missing;
     private long bytes;
     private long peakReads;
 
-    static Change run(SpreadFleet fleet, Scenario scenario) {
-      Change change = new Change();
+    static Propagation run(SpreadFleet fleet, Scenario scenario) {
+      Propagation propagation = new Propagation();
       Revision revision = Revision.of(2);
       fleet.store().install(Configurations.withRevision(scenario.first(), revision.number()));
       long bytesBefore = fleet.bytes();
@@ -205,15 +235,16 @@
       int stepsPerSecond = (int) (1000 / STEP.toMillis());
       do {
         fleet.step();
-        change.time += STEP.toMillis();
+        propagation.time += STEP.toMillis();
         reads.add(fleet.store().reads());
-        long secondAgo = reads.get(Math.max(0, reads.size() - 1 - stepsPerSecond));
-        change.peakReads = Math.max(change.peakReads, fleet.store().reads() - secondAgo);
-        change.missing =
+        long readsOneSecondAgo = reads.get(Math.max(0, reads.size() - 1 - stepsPerSecond));
+        propagation.peakReads =
+            Math.max(propagation.peakReads, fleet.store().reads() - readsOneSecondAgo);
+        propagation.missing =
             fleet.hosts().stream().filter(host -> !host.revision().equals(revision)).count();
-      } while (change.missing > 0 && change.time < LIMIT.toMillis());
-      change.bytes = fleet.bytes() - bytesBefore;
-      return change;
+      } while (propagation.missing > 0 && propagation.time < MAX_PROPAGATION_TIME.toMillis());
+      propagation.bytes = fleet.bytes() - bytesBefore;
+      return propagation;
     }
   }
 }
--- a/core/src/test/java/org/persimmonwalk/benchmark/Statistics.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/Statistics.java
@@ -8,7 +8,10 @@
 import org.persimmonwalk.benchmark.FleetModel.Statement;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Counts the statements that arrive in one interval, and their outcomes. */
+/**
+ * Counts the statements that arrive in one interval, their answers within the deadline, and the
+ * attempts that start in the interval.
+ */
 final class Statistics {
   private final Duration interval;
   private final MonotonicTime from;
@@ -16,9 +19,9 @@
   private final int[] arrived = new int[FleetModel.WORKSPACES];
   private final int[] answered = new int[FleetModel.WORKSPACES];
   private final List<List<Long>> latencies = new ArrayList<>();
-  private long usefulWork;
+  private long usefulNanoseconds;
   private int firstAttempts;
-  private int extraAttempts;
+  private int retries;
 
   private Statistics(Duration from, Duration until) {
     this.interval = until.minus(from);
@@ -34,23 +37,23 @@
   }
 
   void arrived(Statement statement, MonotonicTime now) {
-    if (isInside(now)) {
+    if (isInInterval(now)) {
       arrived[statement.workspace]++;
     }
   }
 
   void started(Statement statement, MonotonicTime now) {
-    if (isInside(now) && statement.attempts == 1) {
+    if (isInInterval(now) && statement.attempts == 1) {
       firstAttempts++;
-    } else if (isInside(now)) {
-      extraAttempts++;
+    } else if (isInInterval(now)) {
+      retries++;
     }
   }
 
-  void answered(Statement statement, Duration latency, boolean inTime) {
-    if (isInside(statement.arrivedAt) && inTime) {
+  void answered(Statement statement, Duration latency, boolean withinDeadline) {
+    if (isInInterval(statement.arrivedAt) && withinDeadline) {
       answered[statement.workspace]++;
-      usefulWork += statement.serviceNanoseconds;
+      usefulNanoseconds += statement.serviceNanoseconds;
       latencies.get(statement.workspace).add(latency.toNanos());
     }
   }
@@ -59,7 +62,9 @@
     return (double) answered[workspace] / arrived[workspace];
   }
 
-  /** Returns the 99th percentile of the latency of answered statements in milliseconds. */
+  /**
+   * Returns the 99th percentile of the latency of statements answered within the deadline, in ms.
+   */
   double percentile99(int workspace) {
     List<Long> sorted = new ArrayList<>(latencies.get(workspace));
     Collections.sort(sorted);
@@ -70,20 +75,20 @@
     return Arrays.stream(answered).sum() / (interval.toNanos() / 1e9);
   }
 
-  /** Returns the part of the server's capacity that went into answers in time. */
+  /** Returns the share of the server's capacity that was spent on answers within the deadline. */
   double usefulShare(int slots) {
-    return usefulWork / ((double) interval.toNanos() * slots);
+    return usefulNanoseconds / ((double) interval.toNanos() * slots);
   }
 
   int firstAttempts() {
     return firstAttempts;
   }
 
-  int extraAttempts() {
-    return extraAttempts;
+  int retries() {
+    return retries;
   }
 
-  private boolean isInside(MonotonicTime time) {
+  private boolean isInInterval(MonotonicTime time) {
     return !time.isBefore(from) && time.isBefore(until);
   }
 }
--- a/core/src/test/java/org/persimmonwalk/benchmark/StorePolling.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/StorePollingController.java
@@ -16,8 +16,11 @@
 import org.persimmonwalk.observation.ConfigurationLoaded;
 import org.persimmonwalk.observation.TableRowRead;
 
-/** The baseline: each host reads the configuration row every 5 s and talks to no peer. */
-final class StorePolling implements Controller {
+/**
+ * Baseline for the propagation of configurations: each host reads the configuration row every 5 s
+ * and exchanges no messages with peers.
+ */
+final class StorePollingController implements Controller {
   private static final Duration INTERVAL = Duration.ofSeconds(5);
 
   private Optional<MonotonicTime> nextReadAt = Optional.empty();
@@ -27,7 +30,8 @@
     blackboard
         .observations(ConfigurationLoaded.class)
         .map(ConfigurationLoaded::configuration)
-        .filter(loaded -> loaded.revision().isNewerThan(own(blackboard).revision()))
+        .filter(
+            loaded -> loaded.revision().isNewerThan(currentConfiguration(blackboard).revision()))
         .forEach(loaded -> blackboard.put(Entries.CONFIGURATION, loaded));
     blackboard
         .observations(TableRowRead.class)
@@ -45,10 +49,10 @@
   }
 
   private static boolean isNewer(Revision revision, Blackboard blackboard) {
-    return revision.isNewerThan(own(blackboard).revision());
+    return revision.isNewerThan(currentConfiguration(blackboard).revision());
   }
 
-  private static Configuration own(Blackboard blackboard) {
+  private static Configuration currentConfiguration(Blackboard blackboard) {
     return blackboard.get(Entries.CONFIGURATION);
   }
 }
