--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerQueue.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerQueue.java
@@ -63,7 +63,7 @@
   }
 
   /** Withdraws a statement and returns whether it had not been given a connection. */
-  public boolean withdraw(QueuedRequest<ConnectionWaiter> request) {
+  public boolean cancel(QueuedRequest<ConnectionWaiter> request) {
     if (scheduler.cancel(request)) {
       return true;
     }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/AnswerRelay.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/AnswerRelay.java
@@ -12,39 +12,40 @@
 import org.persimmonwalk.wire.MessageType;
 
 /**
- * Passes an answer to the caller. It holds the first frames back until a row or the end of a
- * statement, so that a statement that failed without effect can run elsewhere; and it holds the
- * answer to a write back from its first command tag, until the write is acknowledged.
+ * Forwards the answer of a backend server to the caller. The first frames are buffered until a row
+ * or the end of a statement arrives, so that a statement that failed without effect can be retried
+ * on another server. The answer to a write is buffered from its first command tag until the write
+ * is acknowledged.
  */
 final class AnswerRelay {
-  /** A write's rows after its first command tag wait in memory for the acknowledgement. */
-  private static final int MAXIMUM_HELD_BYTES = 16 << 20;
+  /** Limits the memory for the answer to a write that waits for its acknowledgement. */
+  private static final int MAXIMUM_BUFFERED_BYTES = 16 << 20;
 
   private final Channel caller;
-  private final boolean holdsCompletion;
+  private final boolean awaitsAcknowledgement;
   private final Deque<Boolean> hiddenParses;
-  private final List<Frame> held = new ArrayList<>();
+  private final List<Frame> buffered = new ArrayList<>();
   private Optional<ErrorFields> error = Optional.empty();
   private boolean started;
   private boolean completed;
-  private int heldBytes;
+  private int bufferedBytes;
 
-  private AnswerRelay(Channel caller, boolean holdsCompletion, Deque<Boolean> hiddenParses) {
+  private AnswerRelay(Channel caller, boolean awaitsAcknowledgement, Deque<Boolean> hiddenParses) {
     this.caller = caller;
-    this.holdsCompletion = holdsCompletion;
+    this.awaitsAcknowledgement = awaitsAcknowledgement;
     this.hiddenParses = hiddenParses;
   }
 
   /**
-   * Returns a relay for the answer to one batch.
+   * Returns a relay for the answer to one attempt at a batch.
    *
-   * @param holdsCompletion whether the answer waits for an acknowledgement
+   * @param awaitsAcknowledgement whether the answer must wait for the acknowledgement of a write
    */
-  static AnswerRelay of(Channel caller, StatementBatch batch, boolean holdsCompletion) {
-    return new AnswerRelay(caller, holdsCompletion, new ArrayDeque<>(batch.hiddenParses()));
+  static AnswerRelay of(Channel caller, StatementBatch batch, boolean awaitsAcknowledgement) {
+    return new AnswerRelay(caller, awaitsAcknowledgement, new ArrayDeque<>(batch.hiddenParses()));
   }
 
-  /** Takes a frame and its ownership. */
+  /** Forwards, buffers or drops the next frame of the answer and takes ownership of it. */
   void accept(Frame frame) {
     if (frame.is(MessageType.PARSE_COMPLETE) && Boolean.TRUE.equals(hiddenParses.poll())) {
       frame.release();
@@ -56,35 +57,35 @@
     boolean ends =
         frame.is(MessageType.COMMAND_COMPLETE) || frame.is(MessageType.EMPTY_QUERY_RESPONSE);
     completed |= ends;
-    if (completed && holdsCompletion) {
-      hold(frame);
+    if (completed && awaitsAcknowledgement) {
+      buffer(frame);
     } else if (started || ends || frame.is(MessageType.DATA_ROW)) {
       start();
       caller.write(frame);
     } else {
-      hold(frame);
+      buffer(frame);
     }
   }
 
-  /** Sends what was held back; the caller still has to flush. */
-  void release() {
+  /** Writes the buffered frames without a flush. */
+  void writeBuffered() {
     start();
   }
 
-  /** Passes on what was written so far. */
+  /** Flushes the frames written so far. */
   void flush() {
     if (started) {
       caller.flush();
     }
   }
 
-  /** Drops what was held back. */
+  /** Drops the buffered frames. */
   void discard() {
-    held.forEach(ReferenceCountUtil::release);
-    held.clear();
+    buffered.forEach(ReferenceCountUtil::release);
+    buffered.clear();
   }
 
-  /** Returns whether the caller has been sent a part of the answer. */
+  /** Returns whether a part of the answer was written to the caller. */
   boolean hasStarted() {
     return started;
   }
@@ -94,9 +95,9 @@
     return completed;
   }
 
-  /** Returns whether more is held back than may be. */
+  /** Returns whether the buffered frames exceed the memory limit. */
   boolean isOverLimit() {
-    return heldBytes > MAXIMUM_HELD_BYTES;
+    return bufferedBytes > MAXIMUM_BUFFERED_BYTES;
   }
 
   /** Returns the error in the answer, if there is one. */
@@ -104,14 +105,14 @@
     return error;
   }
 
-  private void hold(Frame frame) {
-    held.add(frame);
-    heldBytes += frame.wireSize();
+  private void buffer(Frame frame) {
+    buffered.add(frame);
+    bufferedBytes += frame.wireSize();
   }
 
   private void start() {
     started = true;
-    held.forEach(caller::write);
-    held.clear();
+    buffered.forEach(caller::write);
+    buffered.clear();
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchBuilder.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchBuilder.java
@@ -29,7 +29,7 @@
   private final List<Frame> frames = new ArrayList<>();
   private final List<Boolean> hiddenParses = new ArrayList<>();
   private final List<String> statements = new ArrayList<>();
-  private Optional<String> current = Optional.empty();
+  private Optional<String> lastParsed = Optional.empty();
   private boolean describes;
   private int bytes;
 
@@ -43,15 +43,15 @@
   }
 
   /**
-   * Takes a message and its ownership.
+   * Adds a message and takes ownership of it.
    *
-   * @return the batch that the message completes, if it does
+   * @return the batch, if the message completes it
    * @throws PersimmonwalkException if the message is not supported; the batch is discarded
    */
   Optional<StatementBatch> add(Frame frame) {
     bytes += frame.wireSize();
     if (bytes > MAXIMUM_BATCH_BYTES) {
-      throw refuse(frame, ResultCode.MESSAGE_TOO_LARGE, "a batch is larger than 64 MiB");
+      throw refuse(frame, ResultCode.MESSAGE_TOO_LARGE, "the messages of one batch exceed 64 MiB");
     }
     switch (frame.type()) {
       case MessageType.QUERY -> addQuery(frame);
@@ -68,7 +68,7 @@
               "message type '" + (char) frame.type() + "' is not supported");
     }
     boolean complete = frame.is(MessageType.QUERY) || frame.is(MessageType.SYNC);
-    return complete ? Optional.of(take(frame.is(MessageType.QUERY))) : Optional.empty();
+    return complete ? Optional.of(endBatch(frame.is(MessageType.QUERY))) : Optional.empty();
   }
 
   /** Discards the messages collected so far. */
@@ -77,8 +77,8 @@
     clear();
   }
 
-  /** Forgets the portals, which end with the transaction. */
-  void forgetPortals() {
+  /** Removes the portals, which end with the transaction. */
+  void clearPortals() {
     portals.clear();
   }
 
@@ -150,7 +150,7 @@
 
   private void useStatement(String name) {
     find(name);
-    if (!current.equals(Optional.of(name))) {
+    if (!lastParsed.equals(Optional.of(name))) {
       insertParse(name, true);
     }
   }
@@ -158,7 +158,7 @@
   private void insertParse(String name, boolean hidden) {
     frames.add(find(name).toFrame(allocator));
     hiddenParses.add(hidden);
-    current = Optional.of(name);
+    lastParsed = Optional.of(name);
   }
 
   private Prepared find(String name) {
@@ -171,7 +171,7 @@
                     "prepared statement '" + name + "' does not exist; prepare it first"));
   }
 
-  private StatementBatch take(boolean simple) {
+  private StatementBatch endBatch(boolean simple) {
     StatementBatch batch = new StatementBatch(frames, hiddenParses, statements, simple, describes);
     clear();
     return batch;
@@ -181,7 +181,7 @@
     frames.clear();
     hiddenParses.clear();
     statements.clear();
-    current = Optional.empty();
+    lastParsed = Optional.empty();
     describes = false;
     bytes = 0;
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExchange.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExchange.java
@@ -10,7 +10,10 @@
 import org.persimmonwalk.routing.StatementKind;
 import org.persimmonwalk.wire.Frame;
 
-/** Carries the answer to one attempt from the backend's event loop to the caller's. */
+/**
+ * Moves the answer to one attempt at a batch from the event loop of the backend connection to that
+ * of the caller.
+ */
 final class BatchExchange implements ExchangeListener {
   private final BatchExecution execution;
   private final BackendConnection connection;
@@ -44,7 +47,7 @@
   /**
    * Sends the request.
    *
-   * @param whenEnded is told, before the execution, whether the server answered
+   * @param whenEnded receives whether the server answered, before the execution is notified
    */
   void start(ExchangePlan plan, Consumer<Boolean> whenEnded) {
     ended = whenEnded;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -31,9 +31,9 @@
  * Runs one batch: admission, routing, the wait for a connection, the exchange and the
  * acknowledgement. Used on the event loop of the caller only.
  */
-final class BatchExecution implements ConnectionTicket.Owner {
-  private static final Duration ADMISSION_INTERVAL = Duration.ofMillis(100);
-  private static final Duration SHARE_PATIENCE = Duration.ofSeconds(2);
+final class BatchExecution implements ConnectionRequest.Listener {
+  private static final Duration ADMISSION_RETRY_INTERVAL = Duration.ofMillis(100);
+  private static final Duration MAXIMUM_SHARE_WAIT = Duration.ofSeconds(2);
   private static final String READ_ONLY_VIOLATION = "25006";
   private static final String UNIQUE_VIOLATION = "23505";
 
@@ -45,8 +45,8 @@
   private final BatchReplies replies;
   private final StatementTrace trace;
   private StatementRequest request;
-  private Optional<BackendConnection> running = Optional.empty();
-  private Optional<ConnectionTicket> waiting = Optional.empty();
+  private Optional<BackendConnection> connectionInUse = Optional.empty();
+  private Optional<ConnectionRequest> pendingRequest = Optional.empty();
   private Optional<ScheduledFuture<?>> answerTimer = Optional.empty();
   private Optional<RoutingDecision.Execute> routed = Optional.empty();
   private int attempts;
@@ -66,13 +66,12 @@
     this.whenFinished = whenFinished;
     MonotonicTime arrivedAt = context.clock().now();
     StatementKind kind = batch.onlyReads() ? StatementKind.READ : StatementKind.WRITE;
-    Duration patience =
-        state.parameters().deadline().orElse(context.settings().statementDeadline());
+    Duration timeout = state.parameters().deadline().orElse(context.settings().statementDeadline());
     this.request =
         state.request(
             state.transaction().map(Transaction::kind).orElse(kind),
             arrivedAt,
-            arrivedAt.plus(patience));
+            arrivedAt.plus(timeout));
     this.trace = StatementTrace.start(context.instruments().tracer(), request);
     this.replies = BatchReplies.of(context, state, CallerWriter.of(caller), trace, arrivedAt);
   }
@@ -91,12 +90,12 @@
     return new BatchExecution(context, caller, state, batch, whenFinished);
   }
 
-  /** Admits the batch and starts it. */
+  /** Checks that the batch may run now and starts it, or tries again later. */
   void start() {
     if (finished) {
       return;
     }
-    if (traits().hasUnusableKey()) {
+    if (traits().hasUnsupportedIdempotencyKey()) {
       refuse(ResultCode.UNSUPPORTED);
       return;
     }
@@ -106,41 +105,45 @@
       context.retries().recordFirstAttempt(now());
       state.transaction().ifPresentOrElse(this::runInTransaction, this::route);
     } else if (refusal.get() == ResultCode.RATE_EXCEEDED && canWaitForShare()) {
-      schedule(this::start, ADMISSION_INTERVAL);
+      schedule(this::start, ADMISSION_RETRY_INTERVAL);
     } else {
       refuse(refusal.get());
     }
   }
 
-  /** The caller is gone; the backend connection is closed, as its answer is not read to the end. */
+  /**
+   * Ends the execution after the caller's connection has closed. A backend connection in use is
+   * closed, because the rest of its answer will not be read.
+   */
   void abandon() {
     abandoned = true;
-    running.ifPresent(BackendConnection::close);
-    if (running.isEmpty()) {
-      waiting.ifPresent(ConnectionTicket::withdraw);
+    connectionInUse.ifPresent(BackendConnection::close);
+    if (connectionInUse.isEmpty()) {
+      pendingRequest.ifPresent(ConnectionRequest::cancel);
       finish();
     }
   }
 
   /** Asks the backend server to cancel the statement. */
   void cancel() {
-    running.ifPresent(context.backends().connector()::cancel);
+    connectionInUse.ifPresent(context.backends().connector()::cancel);
   }
 
-  /** Resumes or stops reading the answer, as the caller takes it. */
+  /** Resumes or stops reading the answer, so that a slow caller does not fill the memory. */
   void setReading(boolean reading) {
-    running.ifPresent(connection -> connection.setReading(reading));
+    connectionInUse.ifPresent(connection -> connection.setReading(reading));
   }
 
   /**
-   * A statement waits a little for share that peers may give, since a host without demand holds
-   * none. Inside a transaction it waits longer, as a refusal would end the transaction.
+   * Returns whether the statement may wait until peers transfer a share of the workspace's rate; a
+   * host without demand has none. In a transaction it may wait until its deadline, because a
+   * refusal would roll the transaction back.
    */
   private boolean canWaitForShare() {
-    boolean patient =
+    boolean withinLimit =
         state.transaction().isPresent()
-            || now().since(request.arrivedAt()).compareTo(SHARE_PATIENCE) < 0;
-    return patient && now().isBefore(request.deadline());
+            || now().since(request.arrivedAt()).compareTo(MAXIMUM_SHARE_WAIT) < 0;
+    return withinLimit && now().isBefore(request.deadline());
   }
 
   private void route() {
@@ -171,18 +174,19 @@
   private void acquire(RoutingDecision.Execute decision) {
     state.parameters().resolveFloor(decision.floor());
     ServerQueue queue = context.backends().pools().queue(request.group(), decision.server());
-    ConnectionTicket ticket =
-        ConnectionTicket.of(queue, request, state.parameters().urgency(), caller.eventLoop(), this);
+    ConnectionRequest connectionRequest =
+        ConnectionRequest.of(
+            queue, request, state.parameters().urgency(), caller.eventLoop(), this);
     routed = Optional.of(decision);
-    waiting = Optional.of(ticket);
-    ticket.submit(context.clock());
+    pendingRequest = Optional.of(connectionRequest);
+    connectionRequest.submit(context.clock());
   }
 
   @Override
-  public void granted(ConnectionTicket ticket, BackendConnection connection) {
-    waiting = Optional.empty();
+  public void granted(ConnectionRequest connectionRequest, BackendConnection connection) {
+    pendingRequest = Optional.empty();
     if (finished) {
-      ticket.giveBack(connection);
+      connectionRequest.releaseUnused(connection);
       return;
     }
     routed.ifPresent(
@@ -190,13 +194,16 @@
           context.listener().routed(request, decision);
           trace.sent(decision);
         });
-    execute(connection, ticket.pool(), Optional.of(ticket));
+    execute(connection, connectionRequest.pool(), Optional.of(connectionRequest));
   }
 
-  /** A server without a connection may have failed; the next snapshot may name another one. */
+  /**
+   * Routes the statement again if no connection could be opened: the server may have failed, and
+   * the next snapshot may lead to another one.
+   */
   @Override
   public void refused(ResultCode code) {
-    waiting = Optional.empty();
+    pendingRequest = Optional.empty();
     if (code == ResultCode.NO_CONNECTION && now().isBefore(request.deadline())) {
       routeWithNextSnapshot();
     } else {
@@ -209,17 +216,21 @@
   }
 
   private void execute(
-      BackendConnection connection, ServerPool pool, Optional<ConnectionTicket> ticket) {
+      BackendConnection connection,
+      ServerPool pool,
+      Optional<ConnectionRequest> connectionRequest) {
     attempts++;
-    running = Optional.of(connection);
-    AnswerRelay relay = AnswerRelay.of(caller, batch, traits().holdsCompletion());
+    connectionInUse = Optional.of(connection);
+    AnswerRelay relay = AnswerRelay.of(caller, batch, traits().awaitsAcknowledgement());
     Optional<SessionSettings> settings =
         state.transaction().isPresent()
             ? Optional.empty()
             : Optional.of(state.connectionSettings(request.kind()));
     answerTimer = Optional.of(schedule(connection::close, context.backends().answerTimeout()));
     BatchExchange.of(this, connection, pool, relay, caller.eventLoop())
-        .start(traits().plan(settings), succeeded -> ticket.ifPresent(held -> held.end(succeeded)));
+        .start(
+            traits().plan(settings),
+            succeeded -> connectionRequest.ifPresent(granted -> granted.complete(succeeded)));
   }
 
   private BatchTraits traits() {
@@ -230,14 +241,14 @@
   void answered(BatchExchange exchange, ExchangeResult result) {
     endAttempt(true);
     BatchTraits traits = traits();
-    if (runsElsewhere(exchange.relay())) {
+    if (mustRunElsewhere(exchange.relay())) {
       exchange.relay().discard();
       exchange.releaseConnection();
       request = request.kind() == StatementKind.READ ? request.asWrite() : request;
       routeWithNextSnapshot();
       return;
     }
-    rememberSettings(exchange.relay());
+    recordSetting(exchange.relay());
     if (result.status() == TransactionStatus.IDLE) {
       exchange.releaseConnection();
       state.setStatus(result.status(), Optional.empty());
@@ -250,15 +261,16 @@
 
   private void endAttempt(boolean succeeded) {
     trace.answered(succeeded);
-    running = Optional.empty();
+    connectionInUse = Optional.empty();
     answerTimer.ifPresent(timer -> timer.cancel(false));
   }
 
   /**
-   * Returns whether the server refused to write: a statement taken for a read writes, or the server
-   * is no primary any more. Nothing has run then.
+   * Returns whether the server rejected a write and another server must run the batch. Either a
+   * statement classified as a read writes, or the server is no longer the primary. In both cases
+   * nothing has run.
    */
-  private boolean runsElsewhere(AnswerRelay relay) {
+  private boolean mustRunElsewhere(AnswerRelay relay) {
     boolean refused =
         state.transaction().isEmpty()
             && !relay.hasStarted()
@@ -274,11 +286,11 @@
   }
 
   private void acknowledge(AnswerRelay relay, ExchangeResult result, BatchTraits traits) {
-    boolean wrote = traits.holdsCompletion() && (relay.hasCompleted() || isRepetition(result));
+    boolean wrote = traits.awaitsAcknowledgement() && (relay.hasCompleted() || isDuplicate(result));
     if (!wrote) {
       answer(relay, result);
     } else if (result.position().isEmpty()) {
-      unknown(relay);
+      failAsUnknown(relay);
     } else {
       PendingWrite write =
           new PendingWrite(
@@ -298,12 +310,12 @@
       CallerWriter.of(caller).position(position);
       answer(relay, result);
     } else {
-      unknown(relay);
+      failAsUnknown(relay);
     }
   }
 
   private void answer(AnswerRelay relay, ExchangeResult result) {
-    if (isRepetition(result)) {
+    if (isDuplicate(result)) {
       fail(ResultCode.ALREADY_RAN, StatementState.RAN, "");
     } else if (result.guardError().isPresent()) {
       fail(ResultCode.NOT_RUN, StatementState.NOT_RUN, result.guardError().get().message());
@@ -312,11 +324,11 @@
     }
   }
 
-  private static boolean isRepetition(ExchangeResult result) {
+  private static boolean isDuplicate(ExchangeResult result) {
     return result.guardError().filter(e -> e.sqlState().equals(UNIQUE_VIOLATION)).isPresent();
   }
 
-  private void unknown(AnswerRelay relay) {
+  private void failAsUnknown(AnswerRelay relay) {
     relay.discard();
     fail(ResultCode.OUTCOME_UNKNOWN, StatementState.UNKNOWN, "");
   }
@@ -327,7 +339,7 @@
     relay.discard();
     boolean inTransaction = state.transaction().isPresent();
     StatementState outcome =
-        OutcomeClassifier.classify(traits().phaseOfLoss(relay.hasStarted()), request.kind());
+        OutcomeClassifier.classify(traits().phaseAtLoss(relay.hasStarted()), request.kind());
     if (!inTransaction && !relay.hasStarted() && mayRetry(outcome)) {
       routeWithNextSnapshot();
       return;
@@ -335,8 +347,8 @@
     boolean mustEndTransaction = inTransaction && outcome == StatementState.NOT_RUN;
     state.setStatus(
         mustEndTransaction ? TransactionStatus.FAILED : TransactionStatus.IDLE, Optional.empty());
-    ResultCode notRun = inTransaction ? ResultCode.NOT_RUN : ResultCode.ANSWER_INCOMPLETE;
-    fail(outcome == StatementState.UNKNOWN ? ResultCode.OUTCOME_UNKNOWN : notRun, outcome, "");
+    ResultCode knownCode = inTransaction ? ResultCode.NOT_RUN : ResultCode.ANSWER_INCOMPLETE;
+    fail(outcome == StatementState.UNKNOWN ? ResultCode.OUTCOME_UNKNOWN : knownCode, outcome, "");
   }
 
   private void complete(AnswerRelay relay) {
@@ -356,9 +368,9 @@
     }
   }
 
-  private void rememberSettings(AnswerRelay relay) {
+  private void recordSetting(AnswerRelay relay) {
     if (batch.isSingle(StatementClass.SET) && relay.error().isEmpty()) {
-      state.rememberSetting(batch.statements().get(0));
+      state.addSetting(batch.statements().get(0));
     }
   }
 
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchReplies.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchReplies.java
@@ -9,7 +9,7 @@
 import org.persimmonwalk.result.StatementState;
 import org.persimmonwalk.wire.TransactionStatus;
 
-/** Ends a batch with the answer that its caller gets. */
+/** Completes the answer to a batch and reports the outcome to the trace and the listener. */
 final class BatchReplies {
   private final TrafficContext context;
   private final CallerState state;
@@ -39,9 +39,9 @@
     return new BatchReplies(context, state, writer, trace, startedAt);
   }
 
-  /** Passes on what the relay has held back. */
+  /** Sends the frames that the relay has buffered and ends the answer. */
   void complete(StatementRequest request, AnswerRelay relay) {
-    relay.release();
+    relay.writeBuffered();
     trace.finished(StatementState.RAN);
     context
         .listener()
@@ -49,7 +49,7 @@
     writer.ready(state.status());
   }
 
-  /** Ends a batch that was sent with an error of this host. */
+  /** Answers a batch that was sent to a backend server with an error of this host. */
   void fail(StatementRequest request, ResultCode code, StatementState outcome, String detail) {
     trace.finished(outcome);
     context.listener().finished(request, outcome, context.clock().now().since(startedAt));
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchTraits.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchTraits.java
@@ -8,7 +8,10 @@
 import org.persimmonwalk.retry.ConnectionPhase;
 import org.persimmonwalk.routing.StatementKind;
 
-/** What follows from the statements of a batch and from the open transaction of its caller. */
+/**
+ * How a batch must be handled, depending on its statements and on whether its caller has an open
+ * transaction.
+ */
 final class BatchTraits {
   private final StatementBatch batch;
   private final StatementRequest request;
@@ -25,19 +28,19 @@
   }
 
   /** Returns whether the answer waits for the acknowledgement of a write. */
-  boolean holdsCompletion() {
+  boolean awaitsAcknowledgement() {
     return request.kind() == StatementKind.WRITE;
   }
 
-  /** Returns whether the batch may commit; the position after it is then wanted. */
+  /** Returns whether the batch may commit; the primary's position is then queried after it. */
   boolean mayCommit() {
     boolean staysOpen = inTransaction || batch.contains(StatementClass.BEGIN);
     boolean ends = batch.contains(StatementClass.END) || batch.contains(StatementClass.MULTIPLE);
-    return holdsCompletion() && (!staysOpen || ends);
+    return awaitsAcknowledgement() && (!staysOpen || ends);
   }
 
-  /** Returns whether the batch has an idempotency key that this host cannot honour. */
-  boolean hasUnusableKey() {
+  /** Returns whether an idempotency key is set for a batch that cannot use one. */
+  boolean hasUnsupportedIdempotencyKey() {
     boolean single =
         batch.statements().size() == 1
             && !batch.contains(StatementClass.MULTIPLE)
@@ -45,13 +48,15 @@
     return isIdempotent() && (inTransaction || !single);
   }
 
-  /** Returns whether the caller may repeat the statement. */
+  /**
+   * Returns whether the batch is a write with an idempotency key, which can be sent again safely.
+   */
   boolean isIdempotent() {
-    return holdsCompletion() && request.idempotencyKey().isPresent();
+    return awaitsAcknowledgement() && request.idempotencyKey().isPresent();
   }
 
-  /** Returns how far the batch had come when its connection was lost. */
-  ConnectionPhase phaseOfLoss(boolean answerStarted) {
+  /** Returns how far the batch had progressed when its backend connection was lost. */
+  ConnectionPhase phaseAtLoss(boolean answerStarted) {
     if (inTransaction) {
       return mayCommit() ? ConnectionPhase.COMMIT_SENT : ConnectionPhase.SENT_IN_TRANSACTION;
     }
@@ -67,8 +72,8 @@
   }
 
   /**
-   * Returns the statements that make a repeated statement fail before it runs: the identifier of
-   * the request is a primary key and is written in the same transaction.
+   * Returns the statements that make a repeated request fail before it runs: they insert its
+   * identifier, which is a primary key, in the same transaction.
    */
   private List<String> guards() {
     if (!isIdempotent()) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
@@ -30,7 +30,10 @@
 import org.persimmonwalk.wire.TransactionStatus;
 import org.tinylog.Logger;
 
-/** Brings a caller's connection through start-up and login, then hands its messages on. */
+/**
+ * Handles the start-up and login of one caller connection, then passes its messages to a {@link
+ * CallerSession}.
+ */
 final class CallerHandler extends SimpleChannelInboundHandler<Frame> {
   private static final Map<String, String> REPORTED_PARAMETERS = reportedParameters();
 
@@ -79,7 +82,10 @@
         KeyHash key = KeyHash.ofKey(PayloadReader.of(frame).readString());
         logIn(channelContext, Optional.of(key));
       } else {
-        fail(channelContext, ResultCode.MALFORMED_MESSAGE, "a password message is expected");
+        fail(
+            channelContext,
+            ResultCode.MALFORMED_MESSAGE,
+            "the start-up message must be followed by a password message");
       }
     } catch (ProtocolException e) {
       fail(channelContext, ResultCode.MALFORMED_MESSAGE, e.getMessage());
@@ -98,18 +104,18 @@
         return;
       }
       startup = Optional.of(StartupParameters.of(start.parameters()));
-      askForKey(channelContext);
+      authenticate(channelContext);
     } else if (request instanceof StartupRequest.Cancel cancel) {
       registry.cancel(BackendKey.of(cancel.processId(), cancel.secret()));
       channelContext.close();
     } else if (request instanceof StartupRequest.Tls) {
-      negotiation.requested(channelContext.channel());
+      negotiation.startTls(channelContext.channel());
     } else {
       negotiation.refuse(channelContext.channel());
     }
   }
 
-  private void askForKey(ChannelHandlerContext channelContext) {
+  private void authenticate(ChannelHandlerContext channelContext) {
     boolean open =
         context
             .control()
@@ -144,7 +150,7 @@
       return;
     }
     session = Optional.of(opened);
-    welcome(channelContext, cancelKey.get());
+    completeLogin(channelContext, cancelKey.get());
   }
 
   private Optional<ResultCode> verify(CallerState state) {
@@ -157,7 +163,7 @@
     return context.planner().verify(snapshot, state.request(StatementKind.READ, now, now), now);
   }
 
-  private static void welcome(ChannelHandlerContext channelContext, BackendKey key) {
+  private static void completeLogin(ChannelHandlerContext channelContext, BackendKey key) {
     Messages messages = Messages.of(channelContext.alloc());
     channelContext.write(messages.authenticationOk());
     REPORTED_PARAMETERS.forEach(
@@ -177,10 +183,11 @@
   }
 
   /**
-   * Closes a connection that has neither logged in nor completed a message since the last check, so
-   * that a caller that stops in the middle of a message does not hold memory.
+   * Closes a connection that incomplete for a login or for the rest of a message and has completed
+   * no message since the last check. Otherwise callers that stop in the middle of a message would
+   * hold memory for ever.
    */
-  private void scheduleProgressCheck(ChannelHandlerContext channelContext, long lastMessages) {
+  private void scheduleProgressCheck(ChannelHandlerContext channelContext, long previousMessages) {
     long delay = context.settings().messageTimeout().toNanos();
     channelContext
         .executor()
@@ -189,11 +196,11 @@
               if (!channelContext.channel().isActive()) {
                 return;
               }
-              boolean waits = session.isEmpty() || decoder.hasPartialMessage();
-              if (waits && decoder.messages() == lastMessages) {
+              boolean incomplete = session.isEmpty() || decoder.hasPartialMessage();
+              if (incomplete && decoder.messages() == previousMessages) {
                 fail(channelContext, ResultCode.IDLE_TIMEOUT, "");
               } else {
-                scheduleProgressCheck(channelContext, waits ? decoder.messages() : -1);
+                scheduleProgressCheck(channelContext, incomplete ? decoder.messages() : -1);
               }
             },
             delay,
@@ -215,28 +222,37 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext channelContext, Throwable cause) {
     if (cause instanceof SSLException || cause.getCause() instanceof SSLException) {
-      refuseHandshake(channelContext, cause);
+      closeAfterTlsFailure(channelContext, cause);
     } else if (cause instanceof TooLongFrameException) {
       fail(channelContext, ResultCode.MESSAGE_TOO_LARGE, cause.getMessage());
     } else if (cause instanceof CorruptedFrameException) {
       fail(channelContext, ResultCode.MALFORMED_MESSAGE, cause.getMessage());
     } else if (cause instanceof DecoderException || cause instanceof RuntimeException) {
-      Logger.error(cause, "a caller's message could not be handled; its connection is closed");
+      Logger.error(
+          cause,
+          "closing the connection of caller {}: its message could not be handled",
+          channelContext.channel().remoteAddress());
       fail(channelContext, ResultCode.INTERNAL_ERROR, "");
     } else {
-      Logger.debug("a caller's connection broke: {}", cause.getMessage());
+      Logger.debug(
+          "connection of caller {} failed: {}",
+          channelContext.channel().remoteAddress(),
+          cause.getMessage());
       channelContext.close();
     }
   }
 
-  /** Bytes that are not TLS may hold a key, so the text that repeats them is not logged. */
-  private static void refuseHandshake(ChannelHandlerContext channelContext, Throwable cause) {
+  /**
+   * Logs why TLS failed and closes the connection. The message of a {@link NotSslRecordException}
+   * is not logged: it repeats the received bytes, which may contain a caller key.
+   */
+  private static void closeAfterTlsFailure(ChannelHandlerContext channelContext, Throwable cause) {
     boolean plainText =
         cause instanceof NotSslRecordException || cause.getCause() instanceof NotSslRecordException;
     Logger.warn(
         "Closing the connection of {}: {}",
         channelContext.channel().remoteAddress(),
-        plainText ? "it sent plain text in place of TLS" : "TLS failed: " + cause.getMessage());
+        plainText ? "it sent plain text instead of TLS" : "TLS failed: " + cause.getMessage());
     channelContext.close();
   }
 
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerListener.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerListener.java
@@ -10,7 +10,7 @@
 import org.persimmonwalk.wire.FrameDecoder;
 import org.persimmonwalk.wire.FrameEncoder;
 
-/** Listens for callers. */
+/** The listening socket for callers; sets up the pipeline of each accepted connection. */
 public final class CallerListener {
   private final Channel channel;
 
@@ -18,7 +18,7 @@
     this.channel = channel;
   }
 
-  /** Opens the port of the settings; port 0 takes a free one. */
+  /** Listens on the address and port of the settings; port 0 selects a free port. */
   public static CallerListener open(
       EventLoopGroup eventLoops,
       TrafficContext context,
@@ -56,7 +56,7 @@
     return ((InetSocketAddress) channel.localAddress()).getPort();
   }
 
-  /** Stops listening; open connections stay. */
+  /** Stops listening; open connections are not closed. */
   public void close() {
     channel.close().syncUninterruptibly();
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerRegistry.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerRegistry.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.persimmonwalk.internal.traffic.backend.BackendKey;
 
-/** The callers that are connected to this host. Safe for use by several threads. */
+/** The callers that are logged in to this host, by their cancel keys. Thread-safe. */
 public final class CallerRegistry {
   private final Map<Integer, Entry> callers = new ConcurrentHashMap<>();
   private final AtomicInteger nextProcessId = new AtomicInteger(1);
@@ -18,7 +18,7 @@
     this.maximum = maximum;
   }
 
-  /** Returns an empty registry that takes the given number of callers. */
+  /** Returns an empty registry for at most the given number of callers. */
   public static CallerRegistry of(int maximum) {
     return new CallerRegistry(maximum);
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerSecurity.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerSecurity.java
@@ -13,7 +13,7 @@
   /** Returns whether a caller may log in without TLS. */
   boolean allowsPlainText();
 
-  /** Returns a security that offers no TLS. */
+  /** Returns an implementation that offers no TLS. */
   static CallerSecurity plainText() {
     return PlainTextSecurity.INSTANCE;
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerSession.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerSession.java
@@ -14,22 +14,22 @@
 import org.persimmonwalk.wire.TransactionStatus;
 
 /**
- * The messages of one caller after its login. Batches run one after the other; messages that arrive
- * meanwhile wait in a bounded queue. Used on the event loop of the caller only, but for {@link
+ * Processes the messages of one caller after its login. Batches run one after the other; messages
+ * that arrive meanwhile are queued. Used on the event loop of the caller only, except for {@link
  * #cancel} and {@link #drain}.
  */
 final class CallerSession {
-  /** Beyond this the host stops reading from the caller until its batch has ended. */
-  private static final int MAXIMUM_WAITING_BYTES = 1 << 20;
+  /** With more queued bytes, the host stops reading from the caller until its batch has ended. */
+  private static final int MAXIMUM_QUEUED_BYTES = 1 << 20;
 
   private final TrafficContext context;
   private final Channel channel;
   private final CallerState state;
   private final CallerWriter writer;
   private final BatchBuilder builder;
-  private final Deque<Frame> waiting = new ArrayDeque<>();
+  private final Deque<Frame> queued = new ArrayDeque<>();
   private Optional<BatchExecution> execution = Optional.empty();
-  private int waitingBytes;
+  private int queuedBytes;
   private boolean skipsToSync;
   private boolean draining;
   private boolean closed;
@@ -46,32 +46,35 @@
     return new CallerSession(context, channel, state);
   }
 
-  /** Takes a message and its ownership. */
+  /** Queues a message, takes ownership of it and processes what can run now. */
   void accept(Frame frame) {
-    waiting.add(frame);
-    waitingBytes += frame.wireSize();
-    if (execution.isPresent() && waitingBytes > MAXIMUM_WAITING_BYTES) {
+    queued.add(frame);
+    queuedBytes += frame.wireSize();
+    if (execution.isPresent() && queuedBytes > MAXIMUM_QUEUED_BYTES) {
       channel.config().setAutoRead(false);
     }
     process();
   }
 
-  /** The caller's connection has closed. */
+  /** Abandons the running batch and the transaction after the caller's connection has closed. */
   void close() {
     closed = true;
-    waiting.forEach(ReferenceCountUtil::release);
-    waiting.clear();
+    queued.forEach(ReferenceCountUtil::release);
+    queued.clear();
     builder.discard();
     execution.ifPresent(BatchExecution::abandon);
     state.transaction().ifPresent(open -> open.pool().release(open.connection(), false));
   }
 
-  /** Asks for the cancellation of the statement that runs, on any thread. */
+  /** Asks the backend server to cancel the running statement. Any thread may call this. */
   void cancel() {
     channel.eventLoop().execute(() -> execution.ifPresent(BatchExecution::cancel));
   }
 
-  /** Closes the connection once nothing is open on it, on any thread. */
+  /**
+   * Closes the connection as soon as no batch or transaction is open and no message is queued. Any
+   * thread may call this.
+   */
   void drain() {
     channel
         .eventLoop()
@@ -82,15 +85,15 @@
             });
   }
 
-  /** Takes note of whether the caller takes more of an answer. */
+  /** Reads the answer from the backend server only while the caller's connection is writable. */
   void setWritable(boolean writable) {
     execution.ifPresent(running -> running.setReading(writable));
   }
 
   private void process() {
-    while (execution.isEmpty() && !waiting.isEmpty() && !closed) {
-      Frame frame = waiting.remove();
-      waitingBytes -= frame.wireSize();
+    while (execution.isEmpty() && !queued.isEmpty() && !closed) {
+      Frame frame = queued.remove();
+      queuedBytes -= frame.wireSize();
       processFrame(frame);
     }
     if (execution.isEmpty() && !closed) {
@@ -110,11 +113,11 @@
         writer.ready(state.status());
       }
     } else {
-      build(frame);
+      addToBatch(frame);
     }
   }
 
-  private void build(Frame frame) {
+  private void addToBatch(Frame frame) {
     boolean simple = frame.is(MessageType.QUERY);
     Optional<StatementBatch> batch;
     try {
@@ -147,8 +150,8 @@
       refuse(batch, ResultCode.UNSUPPORTED, batch.statements().toString());
     } else if (batch.isSingle(StatementClass.SET_HOST_PARAMETER)) {
       setParameter(batch);
-    } else if (isDiscard(batch)) {
-      state.forgetSettings();
+    } else if (isDiscardAll(batch)) {
+      state.clearSettings();
       answerLocally(batch, "DISCARD ALL");
     } else {
       execute(batch);
@@ -165,11 +168,10 @@
   private void executionFinished() {
     execution = Optional.empty();
     if (state.status() == TransactionStatus.IDLE) {
-      builder.forgetPortals();
+      builder.clearPortals();
     }
     closeIfDrained();
-    // A batch that ended at once would otherwise make this method call itself for each waiting
-    // batch.
+    // Not called directly: if batches end at once, this method would recurse for each queued batch.
     channel.eventLoop().execute(this::process);
   }
 
@@ -205,13 +207,13 @@
   }
 
   private void closeIfDrained() {
-    boolean idle = execution.isEmpty() && state.transaction().isEmpty() && waiting.isEmpty();
+    boolean idle = execution.isEmpty() && state.transaction().isEmpty() && queued.isEmpty();
     if (draining && idle && !closed) {
       writer.fatal(ResultCode.STOPPING, "");
     }
   }
 
-  private static boolean isDiscard(StatementBatch batch) {
+  private static boolean isDiscardAll(StatementBatch batch) {
     return batch.statements().size() == 1
         && batch.statements().get(0).strip().toUpperCase(Locale.ROOT).startsWith("DISCARD ALL");
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerState.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerState.java
@@ -16,7 +16,10 @@
 import org.persimmonwalk.routing.StatementKind;
 import org.persimmonwalk.wire.TransactionStatus;
 
-/** What this host keeps for one caller. Used on the event loop of the caller only. */
+/**
+ * The session state of one caller: its identity, parameters, SET statements and open transaction.
+ * Used on the event loop of the caller only.
+ */
 final class CallerState {
   private static final int MAXIMUM_SETTINGS = 64;
 
@@ -66,7 +69,7 @@
     return status;
   }
 
-  /** Takes note of the status after an answer. */
+  /** Records the transaction status after an answer, and the transaction if one is open. */
   void setStatus(TransactionStatus newStatus, Optional<Transaction> newTransaction) {
     status = newStatus;
     transaction = newTransaction;
@@ -78,25 +81,26 @@
   }
 
   /**
-   * Remembers a SET statement, which then runs on each backend connection that the caller uses.
+   * Records a SET statement, which then runs on each backend connection that the caller uses.
    *
-   * @throws PersimmonwalkException if there are too many
+   * @throws PersimmonwalkException if there are too many settings
    */
-  void rememberSetting(String statement) {
+  void addSetting(String statement) {
     String text = statement.strip();
     settings.remove(text);
     if (settings.size() >= MAXIMUM_SETTINGS) {
       throw PersimmonwalkException.of(
-          ResultCode.UNSUPPORTED, "more than " + MAXIMUM_SETTINGS + " SET statements");
+          ResultCode.UNSUPPORTED,
+          "more than " + MAXIMUM_SETTINGS + " SET statements; use DISCARD ALL to reset them");
     }
     settings.add(text);
   }
 
-  void forgetSettings() {
+  void clearSettings() {
     settings.clear();
   }
 
-  /** Returns what must have run on a connection of the given kind. */
+  /** Returns the settings that a backend connection needs for statements of the given kind. */
   SessionSettings connectionSettings(StatementKind kind) {
     List<String> statements = new ArrayList<>();
     statements.add(
@@ -105,7 +109,7 @@
     return SessionSettings.of(this, statements);
   }
 
-  /** Returns a request for a batch. */
+  /** Returns a request for a batch and clears the idempotency key, which is part of it. */
   StatementRequest request(StatementKind kind, MonotonicTime arrivedAt, MonotonicTime deadline) {
     return new StatementRequest(
         workspace,
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerWriter.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerWriter.java
@@ -10,7 +10,7 @@
 import org.persimmonwalk.wire.Messages;
 import org.persimmonwalk.wire.TransactionStatus;
 
-/** Writes the host's own messages to a caller. */
+/** Writes the messages that this host itself creates, such as errors, to a caller. */
 final class CallerWriter {
   private static final String FAILED_TRANSACTION = "25P02";
 
@@ -30,12 +30,12 @@
     return messages;
   }
 
-  /** Sends an error after which the connection goes on. */
+  /** Writes an error; the connection stays open. */
   void error(ResultCode code, String detail) {
     channel.write(messages.error(ErrorFields.error(code.sqlState(), text(code, detail))));
   }
 
-  /** Tells that the transaction of the caller has ended and must be rolled back. */
+  /** Writes the error for a statement in a failed transaction, which the caller must roll back. */
   void failedTransaction() {
     channel.write(
         messages.error(
@@ -54,7 +54,7 @@
     channel.write(messages.parameterStatus(HostParameters.POSITION, position.toString()));
   }
 
-  /** Ends an answer. */
+  /** Ends an answer and flushes it. */
   void ready(TransactionStatus status) {
     channel.writeAndFlush(messages.readyForQuery(status));
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/ConnectionTicket.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/ConnectionRequest.java
@@ -17,68 +17,80 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * The place of one statement in the queue of a backend server. It moves the queue's answer to the
- * event loop of the caller.
+ * The request of one statement for a connection, in the queue of a backend server. The result is
+ * passed to the listener on the event loop of the caller.
  */
-final class ConnectionTicket implements ConnectionWaiter {
+final class ConnectionRequest implements ConnectionWaiter {
   private final ServerQueue queue;
   private final StatementRequest request;
   private final EventLoop loop;
-  private final Owner owner;
+  private final Listener listener;
   private final QueuedRequest<ConnectionWaiter> queued;
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
   private Optional<MonotonicClock> clock = Optional.empty();
   private MonotonicTime grantedAt;
 
-  private ConnectionTicket(
-      ServerQueue queue, StatementRequest request, Urgency urgency, EventLoop loop, Owner owner) {
+  private ConnectionRequest(
+      ServerQueue queue,
+      StatementRequest request,
+      Urgency urgency,
+      EventLoop loop,
+      Listener listener) {
     this.queue = queue;
     this.request = request;
     this.loop = loop;
-    this.owner = owner;
+    this.listener = listener;
     this.grantedAt = request.arrivedAt();
     this.queued =
         new QueuedRequest<>(this, request.workspace(), request.kind(), urgency, request.deadline());
   }
 
-  static ConnectionTicket of(
-      ServerQueue queue, StatementRequest request, Urgency urgency, EventLoop loop, Owner owner) {
-    return new ConnectionTicket(queue, request, urgency, loop, owner);
+  static ConnectionRequest of(
+      ServerQueue queue,
+      StatementRequest request,
+      Urgency urgency,
+      EventLoop loop,
+      Listener listener) {
+    return new ConnectionRequest(queue, request, urgency, loop, listener);
   }
 
-  /** The statement that waits; called on the event loop of its caller. */
-  interface Owner {
+  /** Receives the result of the request, on the event loop of the caller. */
+  interface Listener {
 
-    /** Takes a connection. */
-    void granted(ConnectionTicket ticket, BackendConnection connection);
+    /** The statement has a connection, which the listener must release. */
+    void granted(ConnectionRequest connectionRequest, BackendConnection connection);
 
-    /** Takes note that the statement has not run and why. */
+    /** No connection was granted; the statement has not run. */
     void refused(ResultCode code);
   }
 
-  /** Queues the statement until its deadline. */
+  /** Queues the request until the deadline of the statement. */
   void submit(MonotonicClock timeSource) {
     clock = Optional.of(timeSource);
-    Duration patience = request.deadline().since(timeSource.now());
-    timer = Optional.of(loop.schedule(this::giveUp, patience.toNanos(), TimeUnit.NANOSECONDS));
+    Duration timeout = request.deadline().since(timeSource.now());
+    timer = Optional.of(loop.schedule(this::expire, timeout.toNanos(), TimeUnit.NANOSECONDS));
     queue.submit(queued);
   }
 
-  /** Leaves the queue. */
-  void withdraw() {
+  /** Removes the request from the queue. */
+  void cancel() {
     stopTimer();
-    queue.withdraw(queued);
+    queue.cancel(queued);
   }
 
-  /** Takes note that the server has answered, or that the connection was lost. */
-  void end(boolean succeeded) {
+  /**
+   * Ends the request after it was granted.
+   *
+   * @param succeeded whether the server answered; false if the connection was lost or not used
+   */
+  void complete(boolean succeeded) {
     queue.complete(queued, now().since(grantedAt), succeeded);
   }
 
-  /** Returns a connection that nothing was sent on. */
-  void giveBack(BackendConnection connection) {
+  /** Releases a granted connection on which nothing was sent. */
+  void releaseUnused(BackendConnection connection) {
     queue.pool().release(connection, true);
-    end(false);
+    complete(false);
   }
 
   ServerPool pool() {
@@ -91,7 +103,7 @@
         () -> {
           stopTimer();
           grantedAt = now();
-          owner.granted(this, connection);
+          listener.granted(this, connection);
         });
   }
 
@@ -101,15 +113,15 @@
         () -> {
           stopTimer();
           if (code == ResultCode.NO_CONNECTION) {
-            end(false);
+            complete(false);
           }
-          owner.refused(code);
+          listener.refused(code);
         });
   }
 
-  private void giveUp() {
-    if (queue.withdraw(queued)) {
-      owner.refused(ResultCode.DEADLINE_UNREACHABLE);
+  private void expire() {
+    if (queue.cancel(queued)) {
+      listener.refused(ResultCode.DEADLINE_UNREACHABLE);
     }
   }
 
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/DrainWatcher.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/DrainWatcher.java
@@ -10,7 +10,10 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.observation.SessionsOpen;
 
-/** Moves callers away while the host drains, and reports how many are left. */
+/**
+ * Closes idle caller connections while the host drains, and reports how many are still open. Runs
+ * on the control thread.
+ */
 public final class DrainWatcher implements SnapshotListener {
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
 
@@ -23,7 +26,7 @@
     this.observations = observations;
   }
 
-  /** Returns a watcher that posts to the control loop. */
+  /** Returns a watcher that reports to the given consumer. */
   public static DrainWatcher of(CallerRegistry registry, Consumer<Observation> observations) {
     return new DrainWatcher(registry, observations);
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
@@ -19,12 +19,12 @@
   static final String PREFIX = "persimmonwalk.";
   static final String POSITION = PREFIX + "position";
 
-  private static final Pattern SET =
+  private static final Pattern SET_STATEMENT =
       Pattern.compile(
           "(?i)\\A\\s*SET\\s+(?:SESSION\\s+)?persimmonwalk\\.(\\w+)"
               + "\\s*(?:=|TO)\\s*(.*?)\\s*;?\\s*\\z",
           Pattern.DOTALL);
-  private static final Pattern AGE = Pattern.compile("(\\d{1,9})\\s*(ms|s|min)");
+  private static final Pattern DURATION = Pattern.compile("(\\d{1,9})\\s*(ms|s|min)");
 
   private Optional<SessionId> session = Optional.empty();
   private Optional<Duration> maximumAge = Optional.empty();
@@ -56,7 +56,7 @@
     return deadline;
   }
 
-  /** Returns the idempotency key and forgets it; it holds for one statement. */
+  /** Returns and clears the idempotency key, which applies to one statement. */
   Optional<IdempotencyKey> takeIdempotencyKey() {
     Optional<IdempotencyKey> taken = idempotencyKey;
     idempotencyKey = Optional.empty();
@@ -75,7 +75,7 @@
             : SessionFloor.known(position);
   }
 
-  /** Takes over a floor that the router has resolved from an unknown one. */
+  /** Replaces an unknown floor by the floor that the router has determined. */
   void resolveFloor(SessionFloor resolved) {
     if (floor instanceof SessionFloor.Unknown) {
       floor = resolved;
@@ -83,12 +83,12 @@
   }
 
   /**
-   * Carries out a SET statement.
+   * Sets the parameter that a SET statement names.
    *
    * @throws PersimmonwalkException with {@code INVALID_PARAMETER} if the name or value is invalid
    */
   void apply(String statement, MonotonicTime now) {
-    Matcher matcher = SET.matcher(statement);
+    Matcher matcher = SET_STATEMENT.matcher(statement);
     if (!matcher.matches()) {
       throw invalid("the statement is not of the form SET persimmonwalk.name = 'value'", null);
     }
@@ -96,9 +96,9 @@
   }
 
   /**
-   * Sets a parameter; the name is without prefix. The value {@code default} or an empty one resets
-   * it.
+   * Sets a parameter. An empty value or {@code default} resets it.
    *
+   * @param name the name without the prefix
    * @throws PersimmonwalkException with {@code INVALID_PARAMETER} if the name or value is invalid
    */
   void set(String name, String value, MonotonicTime now) {
@@ -107,12 +107,15 @@
       switch (name) {
         case "session" -> declareSession(reset, value, now);
         case "position" -> declarePosition(reset, value, now);
-        case "max_age" -> maximumAge = reset ? Optional.empty() : Optional.of(parseAge(value));
+        case "max_age" -> maximumAge = reset ? Optional.empty() : Optional.of(parseDuration(value));
         case "urgency" -> urgency = reset ? Urgency.NORMAL : parseUrgency(value);
-        case "deadline" -> deadline = reset ? Optional.empty() : Optional.of(parseAge(value));
+        case "deadline" -> deadline = reset ? Optional.empty() : Optional.of(parseDuration(value));
         case "idempotency_key" ->
             idempotencyKey = reset ? Optional.empty() : Optional.of(IdempotencyKey.of(value));
-        default -> throw new IllegalArgumentException("the parameter does not exist");
+        default ->
+            throw new IllegalArgumentException(
+                "the parameter is unknown; known are session, position, max_age, urgency,"
+                    + " deadline and idempotency_key");
       }
     } catch (IllegalArgumentException e) {
       throw invalid(PREFIX + name + " = '" + value + "': " + e.getMessage(), e);
@@ -132,14 +135,15 @@
     try {
       return Urgency.valueOf(value.toUpperCase(Locale.ROOT));
     } catch (IllegalArgumentException e) {
-      throw new IllegalArgumentException("allowed are urgent, normal and bulk", e);
+      throw new IllegalArgumentException("must be urgent, normal or bulk", e);
     }
   }
 
-  private static Duration parseAge(String value) {
-    Matcher matcher = AGE.matcher(value);
+  private static Duration parseDuration(String value) {
+    Matcher matcher = DURATION.matcher(value);
     if (!matcher.matches()) {
-      throw new IllegalArgumentException("allowed are a number and ms, s or min, such as 500ms");
+      throw new IllegalArgumentException(
+          "must be a number followed by ms, s or min, such as 500ms");
     }
     long number = Long.parseLong(matcher.group(1));
     return switch (matcher.group(2)) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/PlainTextSecurity.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/PlainTextSecurity.java
@@ -4,7 +4,7 @@
 import io.netty.handler.ssl.SslHandler;
 import java.util.Optional;
 
-/** Offers no TLS. */
+/** Offers no TLS and accepts all callers in plain text. */
 enum PlainTextSecurity implements CallerSecurity {
   /** The only value. */
   INSTANCE;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/PreparedStatements.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/PreparedStatements.java
@@ -12,8 +12,8 @@
 import org.persimmonwalk.wire.PayloadReader;
 
 /**
- * The prepared statements of one caller. They live here and not on a backend connection, so that
- * each batch can run on another connection.
+ * The prepared statements of one caller. They are kept here and not on a backend connection, so
+ * that each batch can run on a different connection.
  */
 final class PreparedStatements {
   private static final int MAXIMUM_STATEMENTS = 4_096;
@@ -29,7 +29,7 @@
   /** A statement text and its parameter types as object identifiers. */
   record Prepared(String text, int[] parameterTypes) {
 
-    /** Returns a message that prepares the statement without a name. */
+    /** Returns a parse message that prepares it as the unnamed statement. */
     Frame toFrame(ByteBufAllocator allocator) {
       FrameWriter writer =
           FrameWriter.of(allocator, MessageType.PARSE)
@@ -43,7 +43,7 @@
     }
   }
 
-  /** Keeps the statement of a parse message and returns its name. */
+  /** Stores the statement of a parse message and returns its name. */
   String prepare(Frame parse) {
     PayloadReader reader = PayloadReader.of(parse);
     String name = reader.readString();
@@ -66,7 +66,7 @@
     return Optional.ofNullable(statements.get(name));
   }
 
-  /** Forgets a statement. */
+  /** Removes a statement. */
   void close(String name) {
     statements.remove(name);
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/SnapshotWaiters.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/SnapshotWaiters.java
@@ -12,11 +12,12 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Runs actions once, when a snapshot with newer samples is published, or after 20 ms. Snapshots
- * without news are passed over, because an action may itself ask for a round.
+ * Runs each action once, with the next snapshot that has newer samples or is published 20 ms or
+ * more after the last run. Other snapshots are skipped, because an action may itself trigger the
+ * control round that publishes the next one.
  */
 public final class SnapshotWaiters implements SnapshotListener {
-  private static final Duration LONGEST_WAIT = Duration.ofMillis(20);
+  private static final Duration MAXIMUM_INTERVAL = Duration.ofMillis(20);
 
   private final Queue<Runnable> actions = new ConcurrentLinkedQueue<>();
   private Map<DatabaseGroupId, GroupView> lastGroups = Map.of();
@@ -24,7 +25,7 @@
 
   private SnapshotWaiters() {}
 
-  /** Returns an empty set of waiters. */
+  /** Returns an instance without actions. */
   public static SnapshotWaiters create() {
     return new SnapshotWaiters();
   }
@@ -38,7 +39,7 @@
   public void published(Snapshot snapshot) {
     Map<DatabaseGroupId, GroupView> groups = snapshot.get(Entries.GROUPS);
     MonotonicTime now = snapshot.publishedAt();
-    if (groups == lastGroups && now.since(lastRun).compareTo(LONGEST_WAIT) < 0) {
+    if (groups == lastGroups && now.since(lastRun).compareTo(MAXIMUM_INTERVAL) < 0) {
       return;
     }
     lastGroups = groups;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StartupParameters.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StartupParameters.java
@@ -37,7 +37,7 @@
   }
 
   /**
-   * Returns the host parameters, given by their names or by {@code options}.
+   * Returns the host parameters, given as start-up parameters or in {@code options}.
    *
    * @throws PersimmonwalkException with {@code INVALID_PARAMETER} if one is invalid
    */
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementBatch.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementBatch.java
@@ -5,8 +5,8 @@
 import org.persimmonwalk.wire.Frame;
 
 /**
- * Messages of a caller that run as one unit: a simple query, or extended-protocol messages up to a
- * sync.
+ * Messages of a caller that are sent and answered as one unit: a simple query, or extended-protocol
+ * messages up to a sync.
  *
  * @param frames the messages to send to a backend server
  * @param hiddenParses for each parse message in order, whether its answer is hidden from the caller
@@ -43,7 +43,9 @@
     return statements.size() == 1 && contains(wanted);
   }
 
-  /** Returns the messages for one sending; the batch keeps its own references for a retry. */
+  /**
+   * Retains and returns the messages for one attempt; the batch keeps its references for a retry.
+   */
   List<Frame> retainedFrames() {
     frames.forEach(Frame::retain);
     return frames;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClass.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClass.java
@@ -1,6 +1,6 @@
 package org.persimmonwalk.internal.traffic.caller;
 
-/** What the leading keyword of a statement tells. */
+/** The class of a statement, which decides how this host handles it. */
 enum StatementClass {
   /** Only reads, or fails on a read-only connection without any effect. */
   READ,
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClassifier.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/StatementClassifier.java
@@ -5,8 +5,9 @@
 import java.util.regex.Pattern;
 
 /**
- * Classifies statements by their leading keyword. What it does not know is a write, so a mistake
- * costs a replica read but never a stale or lost one.
+ * Classifies statements by their leading keyword. An unknown statement counts as a write: a read
+ * that is not recognised then runs on the primary instead of a replica, but no write is sent to a
+ * replica or goes without its acknowledgement.
  */
 final class StatementClassifier {
   private static final Set<String> READS = Set.of("SELECT", "SHOW", "VALUES", "TABLE");
@@ -29,7 +30,7 @@
   static StatementClass classify(String statement) {
     String text = normalize(statement);
     String keyword = keyword(text);
-    if (holdsSeveral(text)) {
+    if (mayHoldSeveral(text)) {
       return StatementClass.MULTIPLE;
     }
     if (READS.contains(keyword)) {
@@ -56,7 +57,7 @@
   }
 
   /** Returns whether the text may hold several statements; a quoted semicolon counts too. */
-  private static boolean holdsSeveral(String text) {
+  private static boolean mayHoldSeveral(String text) {
     int semicolon = text.indexOf(';');
     return semicolon >= 0 && !text.substring(semicolon + 1).isBlank();
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TlsNegotiation.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TlsNegotiation.java
@@ -31,20 +31,20 @@
     return security.allowsPlainText() || isSecured(channel);
   }
 
-  /** Refuses a kind of encryption; the caller may go on without it. */
+  /** Refuses a request for encryption; the caller may continue without it. */
   void refuse(Channel channel) {
     answer(channel, REFUSED);
   }
 
   /**
-   * Starts TLS if it is offered. Bytes that came with the request were sent before the handshake,
-   * so anyone on the way may have put them there; the connection is closed instead of reading them.
+   * Starts TLS if it is offered. The connection is closed if more bytes came with the request: they
+   * were sent before the handshake, so an attacker on the network may have injected them.
    *
    * @throws ProtocolException if the connection uses TLS already
    */
-  void requested(Channel channel) {
+  void startTls(Channel channel) {
     if (isSecured(channel)) {
-      throw new ProtocolException("TLS is requested a second time");
+      throw new ProtocolException("TLS was requested on a connection that already uses it");
     }
     Optional<SslHandler> handler = security.newHandler(channel.alloc());
     if (handler.isEmpty()) {
@@ -55,7 +55,7 @@
           channel.remoteAddress());
       channel.close();
     } else {
-      // The answer passes the head of the pipeline before the handler is there to encrypt it.
+      // Written before the TLS handler is added, because the answer must not be encrypted.
       answer(channel, ACCEPTED);
       channel.pipeline().addFirst(handler.get());
     }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TlsSecurity.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TlsSecurity.java
@@ -18,7 +18,7 @@
     this.handshakeTimeout = handshakeTimeout;
   }
 
-  /** Returns a security that uses the newest of the contexts for each connection. */
+  /** Returns an implementation that uses the newest TLS context for each new connection. */
   public static TlsSecurity of(TlsContexts contexts, boolean required, Duration handshakeTimeout) {
     return new TlsSecurity(contexts, required, handshakeTimeout);
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
@@ -12,7 +12,7 @@
 import org.persimmonwalk.request.RequestPlanner;
 import org.persimmonwalk.retry.RetryPolicy;
 
-/** What every caller connection of a host shares. */
+/** The settings and services that all caller connections of this host share. */
 public record TrafficContext(
     Settings.Caller settings,
     ControlLoop control,
@@ -24,13 +24,13 @@
     Instruments instruments) {
 
   /**
-   * The way to the backend servers.
+   * What is needed to reach the backend servers.
    *
    * @param answerTimeout how long a server may take for one answer
    */
   public record Backends(ServerPools pools, BackendConnector connector, Duration answerTimeout) {}
 
-  /** What observes the traffic. */
+  /** The clock of the traffic threads and the observers of the statements. */
   public record Instruments(MonotonicClock clock, TrafficListener listener, Tracer tracer) {}
 
   MonotonicClock clock() {
--- a/entryhost/src/test/java/org/persimmonwalk/internal/traffic/caller/package-info.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/traffic/caller/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the handling of callers. */
+/** Tests of the PostgreSQL front end. */
 package org.persimmonwalk.internal.traffic.caller;
