Correct two comments of the PostgreSQL front end

A rename by word had changed the comment of the progress check ("a connection that incomplete for a login"); it says "waits" again. A batch whose write was rejected as read-only is routed again, possibly to the same server with other settings, so runsElsewhere is mustRouteAgain and the comments no longer speak of another server.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/AnswerRelay.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/AnswerRelay.java
@@ -13,9 +13,9 @@
 
 /**
  * Forwards the answer of a backend server to the caller. The first frames are buffered until a row
- * or the end of a statement arrives, so that a statement that failed without effect can be retried
- * on another server. The answer to a write is buffered from its first command tag until the write
- * is acknowledged.
+ * or the end of a statement arrives, so that a statement that failed without effect can be routed
+ * again. The answer to a write is buffered from its first command tag until the write is
+ * acknowledged.
  */
 final class AnswerRelay {
   /** Limits the memory for the answer to a write that waits for its acknowledgement. */
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -241,7 +241,7 @@
   void answered(BatchExchange exchange, ExchangeResult result) {
     endAttempt(true);
     BatchTraits traits = traits();
-    if (mustRunElsewhere(exchange.relay())) {
+    if (mustRouteAgain(exchange.relay())) {
       exchange.relay().discard();
       exchange.releaseConnection();
       request = request.kind() == StatementKind.READ ? request.asWrite() : request;
@@ -266,11 +266,11 @@
   }
 
   /**
-   * Returns whether the server rejected a write and another server must run the batch. Either a
+   * Returns whether the server rejected a write, so that the batch must be routed again. Either a
    * statement classified as a read writes, or the server is no longer the primary. In both cases
    * nothing has run.
    */
-  private boolean mustRunElsewhere(AnswerRelay relay) {
+  private boolean mustRouteAgain(AnswerRelay relay) {
     boolean refused =
         state.transaction().isEmpty()
             && !relay.hasStarted()
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
@@ -183,9 +183,9 @@
   }
 
   /**
-   * Closes a connection that incomplete for a login or for the rest of a message and has completed
-   * no message since the last check. Otherwise callers that stop in the middle of a message would
-   * hold memory for ever.
+   * Closes a connection that waits for a login or for the rest of a message and has completed no
+   * message since the last check. Otherwise callers that stop in the middle of a message would hold
+   * memory for ever.
    */
   private void scheduleProgressCheck(ChannelHandlerContext channelContext, long previousMessages) {
     long delay = context.settings().messageTimeout().toNanos();
