Reword the connections to backend servers

Vague private names (tails, over, compare, LEAST_WANTED) say what they hold. Log lines about a lost server say that further failures are not logged and count failed attempts; errors name the expected number of columns and the supported authentication method.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendConnection.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendConnection.java
@@ -12,8 +12,8 @@
 import org.tinylog.Logger;
 
 /**
- * An open connection to a backend server. One request at a time runs on it. A frame that no request
- * waits for closes the connection, so that a late answer never reaches another caller.
+ * An open connection to a backend server, which runs one request at a time. A frame that belongs to
+ * no request closes the connection, so that a late answer never reaches another caller.
  */
 public final class BackendConnection extends SimpleChannelInboundHandler<Frame> {
   private static final String RESET = "DISCARD ALL";
@@ -55,7 +55,7 @@
   /**
    * Sends a request; the ownership of its frames passes to the connection.
    *
-   * @param listener is told of the answer on the event loop of this connection
+   * @param listener receives the answer on the event loop of this connection
    */
   public void exchange(ExchangePlan plan, ExchangeListener listener) {
     channel.eventLoop().execute(() -> startExchange(plan, listener));
@@ -96,7 +96,7 @@
     channel.config().setAutoRead(reading);
   }
 
-  /** Closes the connection; a request that runs on it is lost. */
+  /** Closes the connection; a running request ends with {@link ExchangeListener#onLost}. */
   public void close() {
     closing = true;
     channel.close();
@@ -116,7 +116,9 @@
     if (exchange == null) {
       frame.release();
       if (!closing) {
-        Logger.warn("backend server {} sent a message that was not asked for", server.id());
+        Logger.warn(
+            "closing a connection to backend server {}: it sent a message without a request",
+            server.id());
         close();
       }
       return;
@@ -138,7 +140,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    end("the backend server closed the connection");
+    handleClose("the backend server closed the connection");
   }
 
   @Override
@@ -147,7 +149,7 @@
     context.close();
   }
 
-  private void end(String reason) {
+  private void handleClose(String reason) {
     closing = true;
     closeListener.onClosed(this);
     BackendExchange lost = exchange;
@@ -157,9 +159,9 @@
     }
   }
 
-  /** Is told when a connection has closed. */
+  /** Receives the connections that have closed. */
   interface CloseListener {
-    /** Takes note of a closed connection. */
+    /** The connection has closed and cannot be used again. */
     void onClosed(BackendConnection connection);
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendConnector.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendConnector.java
@@ -22,7 +22,7 @@
 import org.persimmonwalk.wire.FrameEncoder;
 import org.persimmonwalk.wire.Messages;
 
-/** Opens connections to backend servers. */
+/** Opens connections to backend servers and sends them cancel requests. */
 public final class BackendConnector {
   private static final int MAXIMUM_FRAME_BYTES = 1 << 30;
 
@@ -68,7 +68,7 @@
             });
   }
 
-  /** Asks a server to cancel the statement that runs on a connection. */
+  /** Asks the backend server to cancel the statement that runs on a connection. */
   public void cancel(BackendConnection connection) {
     BackendServer server = connection.server();
     bootstrap(new NoInput())
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendExchange.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendExchange.java
@@ -10,8 +10,9 @@
 import org.persimmonwalk.wire.TransactionStatus;
 
 /**
- * Follows the answer to one request on a backend connection through its parts: the answers to the
- * session settings, to the guards, to the statement, to the commit and to the position query.
+ * Processes the answer to one request on a backend connection. The answer has these parts in order:
+ * the answers to the session settings, to the guards, to the statement, to the commit and to the
+ * position query.
  */
 final class BackendExchange {
   private enum Part {
@@ -59,7 +60,7 @@
     return settingsFailed;
   }
 
-  /** Takes a frame and its ownership. */
+  /** Processes the next frame of the answer and takes ownership of it. */
   void accept(Frame frame) {
     Part part = parts.isEmpty() ? Part.DONE : parts.peek();
     boolean ready = frame.is(MessageType.READY_FOR_QUERY);
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendKey.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendKey.java
@@ -1,9 +1,9 @@
 package org.persimmonwalk.internal.traffic.backend;
 
-/** The numbers with which a client cancels statements on a backend connection. */
+/** The process id and secret that a PostgreSQL cancel request sends to identify a connection. */
 public record BackendKey(int processId, int secret) {
 
-  /** The key of a server that has sent none. */
+  /** The key for a connection whose server has sent none. */
   public static final BackendKey NONE = new BackendKey(0, 0);
 
   /** Returns the key with the given numbers. */
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendLogin.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendLogin.java
@@ -54,7 +54,7 @@
       case MessageType.READY_FOR_QUERY -> result.complete(key);
       case MessageType.ERROR_RESPONSE -> fail(context, ErrorFields.parse(frame).message());
       default -> {
-        // Parameter statuses and notices carry nothing that the host uses.
+        // Parameter statuses and notices are not used.
       }
     }
   }
@@ -74,7 +74,9 @@
     if (method == AUTHENTICATION_CLEARTEXT) {
       context.writeAndFlush(messages(context).password(password));
     } else if (method != AUTHENTICATION_OK) {
-      fail(context, "the server asks for authentication method " + method);
+      fail(
+          context,
+          "the server requires authentication method " + method + "; supported is 3 (password)");
     }
   }
 
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ConnectionAllowance.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ConnectionAllowance.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.model.BackendServer;
 
-/** Tells how many connections to a backend server this host may have open. */
+/** The limit on the connections that this host may have open to a backend server. */
 public interface ConnectionAllowance {
 
   /** Returns the number of connections allowed now. */
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ConnectionReporter.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ConnectionReporter.java
@@ -15,15 +15,15 @@
 import org.persimmonwalk.observation.ConnectionsCounted;
 
 /**
- * Keeps the connections of this host inside its allowances and reports their number. Runs on the
- * control thread.
+ * Keeps the connections of this host to each backend server within its allowance and reports their
+ * number. Runs on the control thread.
  */
 public final class ConnectionReporter implements SnapshotListener {
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
   private static final Duration PEAK_WINDOW = Duration.ofSeconds(5);
 
   /** The monitor connection and one for traffic, opened ahead of the first statement. */
-  private static final int LEAST_WANTED = 2;
+  private static final int MINIMUM_WANTED = 2;
 
   private final ServerPools pools;
   private final MonitorConnections monitors;
@@ -39,7 +39,7 @@
     this.observations = observations;
   }
 
-  /** Returns a reporter that posts to the control loop. */
+  /** Returns a reporter that passes its reports to the given consumer. */
   public static ConnectionReporter of(
       ServerPools pools, MonitorConnections monitors, Consumer<Observation> observations) {
     return new ConnectionReporter(pools, monitors, observations);
@@ -67,18 +67,18 @@
     pools.find(server.id()).ifPresent(ServerPool::shrink);
     int open = pools.find(server.id()).map(ServerPool::openConnections).orElse(0);
     int recent = pools.find(server.id()).map(ServerPool::takePeak).orElse(0);
-    int wanted = Math.max(LEAST_WANTED, 1 + peak(server.id(), recent, now));
+    int wanted = Math.max(MINIMUM_WANTED, 1 + peak(server.id(), recent, now));
     observations.accept(new ConnectionsCounted(server.id(), open + monitor, wanted, now));
   }
 
-  /** Returns the highest recent number of statements; an old peak is forgotten. */
+  /** Returns the peak number of statements; a peak older than the window is replaced. */
   private int peak(BackendServerId server, int recent, MonotonicTime now) {
     Peak known = peaks.get(server);
-    boolean over =
+    boolean replaces =
         known == null
             || recent >= known.statements()
             || now.since(known.seenAt()).compareTo(PEAK_WINDOW) >= 0;
-    if (over) {
+    if (replaces) {
       peaks.put(server, new Peak(recent, now));
     }
     return peaks.get(server).statements();
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ExchangeListener.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ExchangeListener.java
@@ -3,15 +3,15 @@
 import org.persimmonwalk.wire.Frame;
 
 /**
- * Is told of the answer to one exchange. All calls come on the event loop of the backend
+ * Receives the answer to one exchange. All methods are called on the event loop of the backend
  * connection, and exactly one of {@link #onFinished} and {@link #onLost} ends the exchange.
  */
 public interface ExchangeListener {
 
-  /** Takes a frame of the answer and its ownership; never the ready-for-query frame. */
+  /** Receives a frame of the answer and takes ownership; ready-for-query is not passed on. */
   void onFrame(Frame frame);
 
-  /** All frames that have arrived together were given; now is the time to pass them on. */
+  /** All frames that arrived together have been passed; buffered output should be flushed now. */
   void onReadComplete();
 
   /** The answer is complete. */
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ExchangePlan.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ExchangePlan.java
@@ -5,15 +5,15 @@
 import org.persimmonwalk.wire.Frame;
 
 /**
- * What is sent to a backend server for one statement of a caller, as one pipelined write.
+ * What is sent to a backend server for one batch of a caller, pipelined in one flush.
  *
- * @param settings what must have run on the connection; empty inside a transaction, which keeps the
- *     settings that it began with
- * @param guards statements of this host before the caller's; if one fails, the caller's does not
- *     run
+ * @param settings the SET statements that the connection needs; empty inside a transaction, which
+ *     keeps the settings that it began with
+ * @param guards statements that this host adds before those of the caller; if one fails, the
+ *     caller's do not run
  * @param frames the caller's messages
  * @param commits whether this host opened the transaction by a guard and must commit it
- * @param asksPosition whether the position of the primary is wanted after the answer
+ * @param asksPosition whether to query the primary's position after the caller's statements
  */
 public record ExchangePlan(
     Optional<SessionSettings> settings,
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/MonitorConnections.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/MonitorConnections.java
@@ -19,13 +19,13 @@
 import org.persimmonwalk.wire.Messages;
 
 /**
- * One connection to each backend server for samples and administration. It is apart from the pools,
- * so that open transactions do not delay the detection of failures.
+ * One connection to each backend server for samples and administration. These connections are
+ * separate from the pools, so that open transactions do not delay the detection of failures.
  */
 public final class MonitorConnections {
   private final Map<BackendServerId, CompletionStage<BackendConnection>> connections =
       new ConcurrentHashMap<>();
-  private final Map<BackendServerId, CompletionStage<Void>> tails = new ConcurrentHashMap<>();
+  private final Map<BackendServerId, CompletionStage<Void>> lastQueries = new ConcurrentHashMap<>();
   private final BackendConnector connector;
   private final Duration timeout;
   private final Predicate<BackendServerId> allowed;
@@ -38,7 +38,7 @@
   }
 
   /**
-   * Returns a set without connections.
+   * Returns an instance without open connections.
    *
    * @param timeout how long a server may take to answer
    * @param allowed tells whether this host may have a connection to a server now
@@ -56,17 +56,18 @@
   public CompletionStage<List<String>> query(
       DatabaseGroupId group, BackendServer server, String statement) {
     if (!allowed.test(server.id())) {
-      closeUnallowed(server.id());
+      closeDisallowed(server.id());
       return CompletableFuture.failedStage(
           PersimmonwalkException.of(
-              ResultCode.NO_CONNECTION, "no connection to " + server.id() + " is allowed now"));
+              ResultCode.NO_CONNECTION,
+              "this host may not have a connection to backend server " + server.id() + " now"));
     }
     CompletableFuture<List<String>> result = new CompletableFuture<>();
-    tails.compute(
+    lastQueries.compute(
         server.id(),
-        (id, tail) -> {
+        (id, last) -> {
           CompletionStage<Void> previous =
-              tail == null ? CompletableFuture.completedStage(null) : tail;
+              last == null ? CompletableFuture.completedStage(null) : last;
           return previous
               .thenCompose(done -> runNow(group, server, statement))
               .handle((row, failure) -> complete(result, row, failure));
@@ -74,14 +75,14 @@
     return result;
   }
 
-  /** A connection runs one statement at a time; the next one starts when this one has ended. */
+  /** Runs a statement; the previous one has ended, as a connection runs one at a time. */
   private CompletionStage<List<String>> runNow(
       DatabaseGroupId group, BackendServer server, String statement) {
     CompletionStage<BackendConnection> connection =
         connections.computeIfAbsent(
-            server.id(), id -> connector.connect(group, server, this::forget));
+            server.id(), id -> connector.connect(group, server, this::remove));
     return connection
-        .whenComplete((opened, failure) -> forgetOnFailure(server, connection, failure))
+        .whenComplete((opened, failure) -> removeOnFailure(server, connection, failure))
         .thenCompose(opened -> run(opened, statement));
   }
 
@@ -100,7 +101,7 @@
     return connections.containsKey(server);
   }
 
-  private void closeUnallowed(BackendServerId server) {
+  private void closeDisallowed(BackendServerId server) {
     CompletionStage<BackendConnection> connection = connections.remove(server);
     if (connection != null) {
       connection.thenAccept(BackendConnection::close);
@@ -128,14 +129,14 @@
     }
   }
 
-  private void forgetOnFailure(
+  private void removeOnFailure(
       BackendServer server, CompletionStage<BackendConnection> connection, Throwable failure) {
     if (failure != null) {
       connections.remove(server.id(), connection);
     }
   }
 
-  private void forget(BackendConnection connection) {
+  private void remove(BackendConnection connection) {
     connections.remove(connection.server().id());
   }
 
@@ -154,7 +155,7 @@
 
     @Override
     public void onReadComplete() {
-      // The row is kept until the answer is complete.
+      // The row is used only when the answer is complete.
     }
 
     @Override
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ReplacedPrimaries.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ReplacedPrimaries.java
@@ -11,7 +11,7 @@
 
 /**
  * Closes the connections to a primary that has been replaced. An isolated server may never answer,
- * and none of its answers may be passed on.
+ * and none of its answers may be forwarded to callers. Runs on the control thread.
  */
 public final class ReplacedPrimaries implements SnapshotListener {
   private final ServerPools pools;
@@ -28,17 +28,17 @@
 
   @Override
   public void published(Snapshot snapshot) {
-    snapshot.get(Entries.GROUPS).values().forEach(this::compare);
+    snapshot.get(Entries.GROUPS).values().forEach(this::checkPrimary);
   }
 
-  private void compare(GroupView group) {
-    group.primary().ifPresent(primary -> replace(group.id(), primary));
+  private void checkPrimary(GroupView group) {
+    group.primary().ifPresent(primary -> recordPrimary(group.id(), primary));
   }
 
-  private void replace(DatabaseGroupId group, BackendServerId primary) {
-    BackendServerId before = primaries.put(group, primary);
-    if (before != null && !before.equals(primary)) {
-      pools.find(before).ifPresent(ServerPool::closeConnections);
+  private void recordPrimary(DatabaseGroupId group, BackendServerId primary) {
+    BackendServerId previous = primaries.put(group, primary);
+    if (previous != null && !previous.equals(primary)) {
+      pools.find(previous).ifPresent(ServerPool::closeConnections);
     }
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/SampleRow.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/SampleRow.java
@@ -38,7 +38,8 @@
    */
   public static SampleRow parse(List<String> values) {
     if (values.size() != COLUMNS) {
-      throw new ProtocolException("persimmonwalk_sample() returned " + values.size() + " columns");
+      throw new ProtocolException(
+          "persimmonwalk_sample() returned " + values.size() + " columns instead of " + COLUMNS);
     }
     try {
       return new SampleRow(
@@ -49,11 +50,11 @@
               LogPosition.parse(values.get(3)),
               Duration.ofMillis(Long.parseLong(values.get(4)))));
     } catch (IllegalArgumentException e) {
-      throw new ProtocolException("persimmonwalk_sample() returned " + values);
+      throw new ProtocolException("persimmonwalk_sample() returned invalid values: " + values);
     }
   }
 
-  /** Returns the position if the server is a primary. */
+  /** Returns the position of the server if it is a primary. */
   public Optional<GroupPosition> primaryPosition() {
     return sample.role() == ServerRole.PRIMARY
         ? Optional.of(GroupPosition.of(sample.term(), sample.replayed()))
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPool.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPool.java
@@ -13,8 +13,8 @@
 import org.tinylog.Logger;
 
 /**
- * The connections of this host to one backend server, given to statements in the order in which
- * they ask. Safe for use by several threads.
+ * The connections of this host to one backend server, granted to statements in the order of their
+ * requests. Thread-safe.
  */
 public final class ServerPool {
   private static final int MAXIMUM_WAITERS = 10_000;
@@ -55,7 +55,7 @@
     return new ServerPool(group, server, connector, allowance);
   }
 
-  /** Asks for a connection. */
+  /** Requests a connection, which the waiter receives when one is idle or has been opened. */
   public void acquire(ConnectionWaiter waiter) {
     List<Runnable> actions = new ArrayList<>();
     synchronized (this) {
@@ -71,13 +71,13 @@
     actions.forEach(Runnable::run);
   }
 
-  /** Withdraws a waiter and returns whether it was still waiting. */
-  public synchronized boolean abandon(ConnectionWaiter waiter) {
+  /** Removes a waiter and returns whether it was still waiting. */
+  public synchronized boolean cancel(ConnectionWaiter waiter) {
     return waiters.remove(waiter);
   }
 
   /**
-   * Gives a connection back.
+   * Returns a connection to the pool.
    *
    * @param reusable whether the connection is idle, with no answer outstanding
    */
@@ -100,7 +100,7 @@
     return open.size() - idle.size() + waiters.size();
   }
 
-  /** Returns the connections that are open or being opened. */
+  /** Returns the number of connections that are open or being opened. */
   public synchronized int openConnections() {
     return open.size() + opening;
   }
@@ -125,7 +125,7 @@
     actions.forEach(Runnable::run);
   }
 
-  /** Closes all connections, also those in use; the outcome of their statements is classified. */
+  /** Closes all connections, even those in use; their statements end as on a lost connection. */
   public void closeConnections() {
     List<BackendConnection> closing;
     synchronized (this) {
@@ -177,7 +177,10 @@
       } else {
         failures++;
         if (failures == 1) {
-          Logger.warn("no connection to backend server {}: {}", server.id(), failure.getMessage());
+          Logger.warn(
+              "could not connect to backend server {}; further failures are not logged: {}",
+              server.id(),
+              failure.getMessage());
         }
         if (open.isEmpty() && opening == 0) {
           refuseWaiters(actions);
@@ -187,10 +190,10 @@
     actions.forEach(Runnable::run);
   }
 
-  /** A lost server is reported once, not for each attempt. */
+  /** Logs the end of an outage, of which only the first failed attempt was logged. */
   private void logRecovery() {
     if (failures > 0) {
-      Logger.info("backend server {} is back after {} attempts", server.id(), failures);
+      Logger.info("connected to backend server {} after {} failed attempts", server.id(), failures);
       failures = 0;
     }
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPools.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerPools.java
@@ -11,7 +11,7 @@
 import org.persimmonwalk.port.MonotonicClock;
 import org.persimmonwalk.routing.ServerLoad;
 
-/** The pools and queues of this host, one for each backend server. */
+/** The pools and queues of this host, one of each for every backend server. Thread-safe. */
 public final class ServerPools implements ServerLoad {
   private final Map<BackendServerId, ServerQueue> queues = new ConcurrentHashMap<>();
   private final BackendConnector connector;
@@ -37,7 +37,7 @@
    * Returns an empty set of pools.
    *
    * @param schedulers decide the order and the pace of statements
-   * @param timers run what is due later
+   * @param timers run the delayed calls of the schedulers
    */
   public static ServerPools of(
       BackendConnector connector,
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerQueue.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ServerQueue.java
@@ -12,8 +12,8 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * Gives connections to one backend server to statements, in the order and at the pace that the
- * scheduler decides. Safe for use by several threads.
+ * Grants statements their connections to one backend server, in the order and at the rate that the
+ * scheduler decides. Thread-safe.
  */
 public final class ServerQueue {
   private final ServerScheduler<ConnectionWaiter> scheduler;
@@ -45,14 +45,14 @@
     return pool;
   }
 
-  /** Queues a statement; its payload is given a connection or refused. */
+  /** Queues a statement; its payload is granted a connection or refused. */
   public void submit(QueuedRequest<ConnectionWaiter> request) {
     apply(scheduler.submit(request, clock.now()));
   }
 
   /**
-   * Takes note of the end of a statement that was given a connection. The connection is released to
-   * the pool apart from this.
+   * Reports the end of a statement that was granted a connection. This does not release the
+   * connection.
    *
    * @param duration the time from the sending to the end of the answer
    * @param succeeded whether the server answered
@@ -62,12 +62,12 @@
     apply(scheduler.complete(request, duration, succeeded, clock.now()));
   }
 
-  /** Withdraws a statement and returns whether it had not been given a connection. */
+  /** Cancels a statement and returns whether it was still waiting for a connection. */
   public boolean cancel(QueuedRequest<ConnectionWaiter> request) {
     if (scheduler.cancel(request)) {
       return true;
     }
-    boolean waited = pool.abandon(request.payload());
+    boolean waited = pool.cancel(request.payload());
     if (waited) {
       complete(request, Duration.ZERO, false);
     }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/SessionSettings.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/SessionSettings.java
@@ -3,9 +3,9 @@
 import java.util.List;
 
 /**
- * The statements that must have run on a connection before a caller's statement does. When the
- * owner or the statements change, the connection is reset first, so that no state passes from one
- * caller to another.
+ * The SET statements that must have run on a connection before a caller's statement. When the owner
+ * or the statements change, the connection is reset first, so that one caller's state never reaches
+ * another.
  *
  * @param owner the caller, compared by identity
  * @param statements SET statements, in order
