Reword the handlers of commands

"Makes the dispatcher give the commands of promotions to this object" and "a lost message is the concern of its protocol" now say what happens: the object is registered as the handler, and a lost message is neither reported nor sent again. Log lines name the kind of thing that failed (backend server, configuration revision) and say that a command without a handler is dropped.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/execution/CommandDispatcher.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/CommandDispatcher.java
@@ -6,7 +6,7 @@
 import org.persimmonwalk.port.CommandExecutor;
 import org.tinylog.Logger;
 
-/** Gives each command to the handler of its type. */
+/** Passes each command to the handler that is registered for its type. */
 public final class CommandDispatcher implements CommandExecutor {
   private final Map<Class<?>, CommandHandler<Command>> handlers = new ConcurrentHashMap<>();
 
@@ -26,7 +26,9 @@
   public void execute(Command command) {
     CommandHandler<Command> handler = handlers.get(command.getClass());
     if (handler == null) {
-      Logger.error("no handler for {}; register one", command.getClass().getSimpleName());
+      Logger.error(
+          "command {} is dropped: no handler is registered for its type",
+          command.getClass().getSimpleName());
       return;
     }
     try {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/execution/CompareAndSetTableRowHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/CompareAndSetTableRowHandler.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.port.MonotonicClock;
 import org.persimmonwalk.port.TableService;
 
-/** Writes a row of the platform's table service if it is unchanged. */
+/** Writes a row of the platform's table service if it still has the expected version. */
 public final class CompareAndSetTableRowHandler implements CommandHandler<CompareAndSetTableRow> {
   private final TableService tables;
   private final MonotonicClock clock;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/execution/GroupFunctions.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/GroupFunctions.java
@@ -23,8 +23,9 @@
 import org.tinylog.Logger;
 
 /**
- * Calls the functions with which a backend server changes its term. A call without an answer has no
- * observation; the controllers repeat their commands, which are idempotent.
+ * Carries out the commands of a promotion by calling SQL functions that fence, promote and repoint
+ * a backend server. A call without an answer posts no observation; the controllers repeat their
+ * commands, which are idempotent.
  */
 public final class GroupFunctions {
   private static final String ACCEPTED = "t";
@@ -45,8 +46,8 @@
   /**
    * Returns the functions of all servers.
    *
-   * @param groups tells the group of a server
-   * @param observations takes the results
+   * @param groups returns the database group of a server
+   * @param observations receives the results
    */
   public static GroupFunctions of(
       MonitorConnections connections,
@@ -55,7 +56,7 @@
     return new GroupFunctions(connections, groups, observations);
   }
 
-  /** Makes the dispatcher give the commands of promotions to this object. */
+  /** Registers this object as the handler for the commands of a promotion. */
   public void register(CommandDispatcher dispatcher) {
     dispatcher.register(FenceServer.class, this::fence);
     dispatcher.register(PromoteServer.class, this::promote);
@@ -68,12 +69,13 @@
         command.server(),
         "persimmonwalk_fence(" + command.term() + ", '" + command.host() + "')",
         row -> {
-          Term shown = Term.of(Long.parseLong(row.get(1)));
+          Term reportedTerm = Term.of(Long.parseLong(row.get(1)));
           LogPosition received = LogPosition.parse(row.get(2));
           return Optional.of(
               isAccepted(row)
-                  ? new ServerFenced(server, command.term(), GroupPosition.of(shown, received))
-                  : new TermRefused(server, command.term(), shown));
+                  ? new ServerFenced(
+                      server, command.term(), GroupPosition.of(reportedTerm, received))
+                  : new TermRefused(server, command.term(), reportedTerm));
         });
   }
 
@@ -102,18 +104,20 @@
   }
 
   private void call(
-      BackendServer server,
-      String function,
-      Function<List<String>, Optional<Observation>> reading) {
+      BackendServer server, String function, Function<List<String>, Optional<Observation>> parser) {
     CompletionStage<List<String>> row =
         connections.query(groups.apply(server.id()), server, "SELECT * FROM " + function);
-    row.thenApply(reading)
+    row.thenApply(parser)
         .whenComplete(
             (result, failure) -> {
               if (failure == null) {
                 result.ifPresent(observations);
               } else {
-                Logger.warn("{} on {} failed: {}", function, server.id(), failure.getMessage());
+                Logger.warn(
+                    "{} on backend server {} failed: {}",
+                    function,
+                    server.id(),
+                    failure.getMessage());
               }
             });
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/execution/ListHostsHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/ListHostsHandler.java
@@ -9,7 +9,7 @@
 import org.persimmonwalk.port.MonotonicClock;
 import org.tinylog.Logger;
 
-/** Reads the platform's host list. */
+/** Reads the list of entry hosts from the platform. */
 public final class ListHostsHandler implements CommandHandler<ListHosts> {
   private final HostListing hosts;
   private final MonotonicClock clock;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/execution/LoadConfigurationHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/LoadConfigurationHandler.java
@@ -53,7 +53,7 @@
             (stored, failure) -> {
               if (failure != null) {
                 Logger.warn(
-                    "revision {} could not be loaded: {}",
+                    "configuration revision {} could not be loaded: {}",
                     command.revision(),
                     failure.getMessage());
               } else {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/execution/SampleServerHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/SampleServerHandler.java
@@ -15,7 +15,7 @@
 import org.persimmonwalk.port.MonotonicClock;
 import org.persimmonwalk.wire.ProtocolException;
 
-/** Asks a backend server for a sample. */
+/** Samples a backend server with the query of {@link SampleRow}. */
 public final class SampleServerHandler implements CommandHandler<SampleServer> {
   private final MonitorConnections connections;
   private final Function<BackendServerId, DatabaseGroupId> groups;
@@ -36,8 +36,8 @@
   /**
    * Returns the handler.
    *
-   * @param groups tells the group of a server
-   * @param observations takes the results
+   * @param groups returns the database group of a server
+   * @param observations receives the results
    */
   public static SampleServerHandler of(
       MonitorConnections connections,
--- a/entryhost/src/main/java/org/persimmonwalk/internal/execution/SendPeerMessageHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/SendPeerMessageHandler.java
@@ -3,7 +3,7 @@
 import org.persimmonwalk.command.SendPeerMessage;
 import org.persimmonwalk.port.PeerMessenger;
 
-/** Sends a message to another entry host; a lost message is the concern of its protocol. */
+/** Sends a message to another entry host. A lost message is not reported or sent again here. */
 public final class SendPeerMessageHandler implements CommandHandler<SendPeerMessage> {
   private final PeerMessenger messenger;
 
