Name the supported authentication method in full

The message for a backend server that requires another authentication method said "3 (password)"; it says "3 (cleartext password)".

check-wording: no change besides this text.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendLogin.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendLogin.java
@@ -76,7 +76,9 @@
     } else if (method != AUTHENTICATION_OK) {
       fail(
           context,
-          "the server requires authentication method " + method + "; supported is 3 (password)");
+          "the server requires authentication method "
+              + method
+              + "; supported is 3 (cleartext password)");
     }
   }
 
