Reword the entry host package

Comments and names said what a reader had to guess, such as "It must listen to the loop" for a listener that the control loop calls, "Weights follow the rates", and "decides whether a key opens a workspace". They now use the usual terms and say on which thread the listeners are called. Local names follow: "chosen" is "trafficPolicies", "LONGEST_DRAIN" is "DRAIN_TIMEOUT", and "MAXIMUM_OUTSTANDING" is "MAXIMUM_IN_FLIGHT".

The warning for a drain that takes too long is now "draining did not finish within {}; the remaining connections are closed".

--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/ControlMetrics.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/ControlMetrics.java
@@ -11,16 +11,19 @@
 import org.persimmonwalk.port.MonotonicClock;
 
 /**
- * Gauges of the control loop. It must listen to the loop.
+ * Gauges of the control loop. It must be registered as a listener of that loop, which calls it on
+ * the control thread; the gauges may be read on any thread.
  *
  * <p>Names of the metrics:
  *
  * <ul>
- *   <li>{@code control.rounds}: rounds since the start;
+ *   <li>{@code control.rounds}: rounds since the host started;
  *   <li>{@code control.roundMicroseconds}: time that the controllers took in the last round;
- *   <li>{@code control.longestRoundMicroseconds}: the longest such time since the start;
- *   <li>{@code control.droppedObservations}: observations dropped since the start;
- *   <li>{@code control.snapshotAgeMilliseconds}: time since the last round, -1 before the first.
+ *   <li>{@code control.longestRoundMicroseconds}: longest duration of a round since the host
+ *       started;
+ *   <li>{@code control.droppedObservations}: observations dropped since the host started;
+ *   <li>{@code control.snapshotAgeMilliseconds}: time since the start of the last round, -1 before
+ *       the first.
  * </ul>
  *
  * <p>Example:
@@ -32,22 +35,24 @@
 public final class ControlMetrics implements SnapshotListener {
   private final MonotonicClock clock;
 
-  private volatile Round last = new Round(0, MonotonicTime.of(0), Duration.ZERO, Duration.ZERO);
+  private volatile Round lastRound =
+      new Round(0, MonotonicTime.of(0), Duration.ZERO, Duration.ZERO);
 
   private ControlMetrics(MonotonicClock clock) {
     this.clock = clock;
   }
 
-  /** One round as the gauges show it. */
-  private record Round(long number, MonotonicTime start, Duration time, Duration longest) {}
+  /** Values of the last round, replaced as a whole so that the gauges read consistent values. */
+  private record Round(long number, MonotonicTime start, Duration duration, Duration longest) {}
 
-  /** Returns a listener that puts its gauges into the registry. */
+  /** Registers the gauges and returns the listener that updates them. */
   public static ControlMetrics of(
       MetricRegistry registry, MonotonicClock clock, LongSupplier droppedObservations) {
     ControlMetrics metrics = new ControlMetrics(clock);
-    register(registry, "rounds", () -> metrics.last.number());
-    register(registry, "roundMicroseconds", () -> microseconds(metrics.last.time()));
-    register(registry, "longestRoundMicroseconds", () -> microseconds(metrics.last.longest()));
+    register(registry, "rounds", () -> metrics.lastRound.number());
+    register(registry, "roundMicroseconds", () -> toMicroseconds(metrics.lastRound.duration()));
+    register(
+        registry, "longestRoundMicroseconds", () -> toMicroseconds(metrics.lastRound.longest()));
     register(registry, "droppedObservations", droppedObservations);
     register(registry, "snapshotAgeMilliseconds", metrics::snapshotAgeMilliseconds);
     return metrics;
@@ -56,13 +61,13 @@
   @Override
   public void published(Snapshot snapshot) {
     MonotonicTime start = snapshot.publishedAt();
-    Duration time = clock.now().since(start);
-    Duration longest = time.compareTo(last.longest()) > 0 ? time : last.longest();
-    last = new Round(snapshot.round(), start, time, longest);
+    Duration duration = clock.now().since(start);
+    Duration longest = duration.compareTo(lastRound.longest()) > 0 ? duration : lastRound.longest();
+    lastRound = new Round(snapshot.round(), start, duration, longest);
   }
 
   private long snapshotAgeMilliseconds() {
-    Round round = last;
+    Round round = lastRound;
     return round.number() == 0 ? -1 : clock.now().since(round.start()).toMillis();
   }
 
@@ -71,7 +76,7 @@
     registry.register(MetricRegistry.name("control", name), gauge);
   }
 
-  private static long microseconds(Duration time) {
-    return TimeUnit.NANOSECONDS.toMicros(time.toNanos());
+  private static long toMicroseconds(Duration duration) {
+    return TimeUnit.NANOSECONDS.toMicros(duration.toNanos());
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -43,7 +43,8 @@
 import org.persimmonwalk.request.RequestPlanner;
 
 /**
- * An entry host: accepts callers, decides where their statements run, and passes on the answers.
+ * An entry host: accepts callers, chooses the backend server for each statement and forwards the
+ * results. It owns the event loops, the control thread and the administration server.
  *
  * <p>Example:
  *
@@ -57,11 +58,11 @@
   /** Statements of this host that may wait for one backend server. */
   private static final int QUEUE_CAPACITY = 1_024;
 
-  /** Committed writes of this host that may wait for a replica. */
+  /** Committed writes of this host that may wait for confirmation by a replica. */
   private static final int MAXIMUM_PENDING_WRITES = 10_000;
 
-  /** Statements of this host that may be outstanding at one backend server. */
-  private static final int MAXIMUM_OUTSTANDING = 64;
+  /** Statements of this host that may be in flight at one backend server. */
+  private static final int MAXIMUM_IN_FLIGHT = 64;
 
   private final EventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
@@ -69,11 +70,11 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private final ControlPlane control;
   private final ServerPools pools;
-  private final CallerRegistry registry;
-  private final CallerListener callers;
+  private final CallerRegistry callerRegistry;
+  private final CallerListener callerListener;
   private final AdminServer admin;
   private final Tracing tracing;
-  private final StopWaiter stop = StopWaiter.create();
+  private final StopWaiter stopWaiter = StopWaiter.create();
 
   private EntryHost(Settings settings, TrafficPolicies.Factory policies, TrafficListener listener) {
     tracing = Tracing.of(settings.trace().sampleRatio(), LoggingSpanExporter.create());
@@ -85,26 +86,26 @@
             connector,
             server ->
                 loop.snapshot().get(Entries.CONNECTION_ALLOWANCES).getOrDefault(server.id(), 0) - 1,
-            ServerSchedulers.of(server -> scheduler(loop)),
+            ServerSchedulers.of(server -> createScheduler(loop)),
             clock,
             eventLoops);
-    registry = CallerRegistry.of(settings.caller().maximumConnections());
+    callerRegistry = CallerRegistry.of(settings.caller().maximumConnections());
     SnapshotWaiters waiters = SnapshotWaiters.create();
     AcknowledgementGate gate = AcknowledgementGate.of(MAXIMUM_PENDING_WRITES, loop::post);
     loop.addListener(gate);
     loop.addListener(waiters);
-    loop.addListener(stop);
+    loop.addListener(stopWaiter);
     loop.addListener(ReplacedPrimaries.of(pools));
     loop.addListener(ConnectionReporter.of(pools, control.monitors(), loop::post));
-    loop.addListener(DrainWatcher.of(registry, loop::post));
-    TrafficPolicies chosen = policies.create(loop::post);
-    chosen.listeners().forEach(loop::addListener);
+    loop.addListener(DrainWatcher.of(callerRegistry, loop::post));
+    TrafficPolicies trafficPolicies = policies.create(loop::post);
+    trafficPolicies.listeners().forEach(loop::addListener);
     TrafficContext context =
         new TrafficContext(
             settings.caller(),
             loop,
-            planner(settings, chosen),
-            chosen.retries(),
+            createPlanner(settings, trafficPolicies),
+            trafficPolicies.retries(),
             new TrafficContext.Backends(pools, connector, settings.backend().answerTimeout()),
             gate,
             waiters,
@@ -115,10 +116,15 @@
     loop.addListener(ControlMetrics.of(metrics, clock, loop::droppedObservations));
     control.start();
     admin = AdminServer.start(settings, loop::snapshot, metrics, this::drain);
-    callers = CallerListener.open(eventLoops, context, registry, security(settings.caller()));
+    callerListener =
+        CallerListener.open(eventLoops, context, callerRegistry, callerSecurity(settings.caller()));
   }
 
-  /** Starts a host with the given settings and policies. */
+  /**
+   * Starts a host, which accepts callers once it has a current configuration.
+   *
+   * @param listener is called on traffic threads for each statement
+   */
   public static EntryHost start(
       Settings settings, TrafficPolicies.Factory policies, TrafficListener listener) {
     return new EntryHost(settings, policies, listener);
@@ -131,21 +137,21 @@
 
   /** Returns the port on which the host listens for callers. */
   public int callerPort() {
-    return callers.port();
+    return callerListener.port();
   }
 
-  /** Returns the port on which the host listens for operators. */
+  /** Returns the port of the administration interface. */
   public int adminPort() {
     return admin.port();
   }
 
-  /** Returns where the host listens for other entry hosts. */
+  /** Returns the endpoint on which the host listens for other entry hosts. */
   public SocketEndpoint peerEndpoint() {
     return control.peerEndpoint();
   }
 
   /**
-   * Starts a planned stop: callers are moved away after their current request or transaction.
+   * Starts draining the host: it ends each session after its current request or transaction.
    *
    * @see #awaitStop
    */
@@ -154,27 +160,26 @@
   }
 
   /**
-   * Waits until a planned stop has ended, at most for the given time; the process may then be
-   * closed.
+   * Waits until draining has finished, after which the host can be closed.
    *
-   * @return whether it has ended
+   * @return whether draining finished within the given time
    * @throws InterruptedException if the thread is interrupted while it waits
    */
-  public boolean awaitStop(Duration longest) throws InterruptedException {
-    return stop.await(longest);
+  public boolean awaitStop(Duration timeout) throws InterruptedException {
+    return stopWaiter.await(timeout);
   }
 
   @Override
   public void close() {
     admin.close();
-    callers.close();
+    callerListener.close();
     pools.close();
     control.close();
     tracing.close();
     eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
-  private CallerSecurity security(Settings.Caller caller) {
+  private CallerSecurity callerSecurity(Settings.Caller caller) {
     if (caller.tls().isEmpty()) {
       return CallerSecurity.plainText();
     }
@@ -184,8 +189,11 @@
     return TlsSecurity.of(contexts, tls.required(), caller.messageTimeout());
   }
 
-  /** Weights follow the rates, so that a workspace inside its rate is inside its share. */
-  private static ServerScheduler<ConnectionWaiter> scheduler(ControlLoop loop) {
+  /**
+   * Creates the scheduler of one backend server. The weight of a workspace in its queue is the rate
+   * limit of the workspace, so one that stays within its limit also stays within its fair share.
+   */
+  private static ServerScheduler<ConnectionWaiter> createScheduler(ControlLoop loop) {
     ServiceTimes times = ServiceTimes.create();
     return ServerScheduler.of(
         FairQueue.of(
@@ -197,11 +205,11 @@
                     .map(Workspace::rate)
                     .orElse(1.0),
             times),
-        AdaptiveLimit.of(MAXIMUM_OUTSTANDING),
+        AdaptiveLimit.of(MAXIMUM_IN_FLIGHT),
         times);
   }
 
-  private RequestPlanner planner(Settings settings, TrafficPolicies policies) {
+  private RequestPlanner createPlanner(Settings settings, TrafficPolicies policies) {
     return RequestPlanner.of(
         settings.host().zone(),
         policies.keys(),
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHostMain.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHostMain.java
@@ -11,15 +11,17 @@
 import org.persimmonwalk.result.ResultCode;
 import org.tinylog.Logger;
 
-/** The entry host process. */
+/** Starts an entry host from a settings file and drains it when the process is asked to stop. */
 public final class EntryHostMain {
-  private static final int EXIT_INVALID = 2;
+  private static final int EXIT_INVALID_INPUT = 2;
 
-  /** The control thread ends draining after 20 s; the rest is slack for a busy machine. */
-  private static final Duration LONGEST_DRAIN = Duration.ofSeconds(25);
+  /**
+   * The control thread ends draining after 20 s at the latest; the rest allows for a busy machine.
+   */
+  private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(25);
 
-  /** Time for the leases of a stopped host to be returned to the platform. */
-  private static final Duration LEASE_RETURN = Duration.ofSeconds(1);
+  /** Wait before closing, so that the host can return its leases to the platform. */
+  private static final Duration LEASE_RETURN_WAIT = Duration.ofSeconds(1);
 
   @Option(name = "--settings", metaVar = "FILE", usage = "the settings file", required = true)
   private Path settingsFile;
@@ -39,10 +41,10 @@
     } catch (CmdLineException e) {
       System.err.println(ResultCode.COMMAND_LINE_INVALID.label() + ": " + e.getMessage());
       parser.printUsage(System.err);
-      System.exit(EXIT_INVALID);
+      System.exit(EXIT_INVALID_INPUT);
     } catch (PersimmonwalkException e) {
       System.err.println(e.getMessage());
-      System.exit(EXIT_INVALID);
+      System.exit(EXIT_INVALID_INPUT);
     }
   }
 
@@ -57,14 +59,16 @@
     Logger.info("entry host {} listens on port {}", settings.host().id(), host.callerPort());
   }
 
-  /** Drains the host, so that a planned stop cuts no request, and closes it. */
+  /** Drains the host, so that requests in progress can finish, and then closes it. */
   private static void stop(EntryHost host) {
     host.drain();
     try {
-      if (!host.awaitStop(LONGEST_DRAIN)) {
-        Logger.warn("the stop did not end within {}; open connections are cut", LONGEST_DRAIN);
+      if (!host.awaitStop(DRAIN_TIMEOUT)) {
+        Logger.warn(
+            "draining did not finish within {}; the remaining connections are closed",
+            DRAIN_TIMEOUT);
       }
-      Thread.sleep(LEASE_RETURN.toMillis());
+      Thread.sleep(LEASE_RETURN_WAIT.toMillis());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficListener.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficListener.java
@@ -7,7 +7,8 @@
 import org.persimmonwalk.routing.RoutingDecision;
 
 /**
- * Is told of the decisions on statements, on traffic threads; must return quickly.
+ * Receives the routing, the refusal and the end of statements. It is called on the traffic threads,
+ * which wait for it, so it must return quickly.
  *
  * <p>Example:
  *
@@ -17,14 +18,14 @@
  */
 public interface TrafficListener {
 
-  /** A statement goes to a backend server. */
+  /** Called when a statement is sent to a backend server. */
   default void routed(StatementRequest request, RoutingDecision.Execute decision) {}
 
-  /** A statement was refused; it has not run. */
+  /** Called when a statement was refused; it has not run. */
   default void refused(StatementRequest request, ResultCode code) {}
 
   /**
-   * A statement that was sent to a backend server has ended.
+   * Called when a statement that was sent to a backend server has ended.
    *
    * @param elapsed the time since the statement arrived
    */
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficMetrics.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficMetrics.java
@@ -15,17 +15,18 @@
 import org.persimmonwalk.routing.RoutingReason;
 
 /**
- * Counts and times statements.
+ * Counts statements and measures their duration. It is called on traffic threads.
  *
  * <p>Names of the metrics:
  *
  * <ul>
- *   <li>{@code statements.routed.REASON}: counter for each {@link RoutingReason};
- *   <li>{@code statements.refused.CODE}: counter for the label of each {@link ResultCode} that
- *       concerns statements;
- *   <li>{@code statements.finished.STATE}: counter for each {@link StatementState} that concerns
- *       statements;
- *   <li>{@code statements.time.STATE}: timer from the arrival of the statement to its end.
+ *   <li>{@code statements.routed.REASON}: statements sent to a backend server, counted for each
+ *       {@link RoutingReason};
+ *   <li>{@code statements.refused.CODE}: refused statements, counted for the label of each {@link
+ *       ResultCode} that applies to statements;
+ *   <li>{@code statements.finished.STATE}: finished statements, counted for each {@link
+ *       StatementState} that applies to statements;
+ *   <li>{@code statements.time.STATE}: time from the arrival of a statement until it finished.
  * </ul>
  */
 public final class TrafficMetrics implements TrafficListener {
@@ -39,25 +40,27 @@
 
   private TrafficMetrics(MetricRegistry registry) {
     this.registry = registry;
-    routed = all(RoutingReason.class, reason -> true, reason -> counter("routed", reason.name()));
+    routed =
+        createMetrics(
+            RoutingReason.class, reason -> true, reason -> counter("routed", reason.name()));
     refused =
-        all(
+        createMetrics(
             ResultCode.class,
-            code -> concernsStatements(code.statementState()),
+            code -> appliesToStatements(code.statementState()),
             code -> counter("refused", code.label()));
     finished =
-        all(
+        createMetrics(
             StatementState.class,
-            TrafficMetrics::concernsStatements,
+            TrafficMetrics::appliesToStatements,
             state -> counter("finished", state.name()));
     times =
-        all(
+        createMetrics(
             StatementState.class,
-            TrafficMetrics::concernsStatements,
+            TrafficMetrics::appliesToStatements,
             state -> registry.timer(MetricRegistry.name(PREFIX, "time", state.name())));
   }
 
-  /** Returns a listener that puts its metrics into the registry. */
+  /** Registers the metrics and returns the listener that updates them. */
   public static TrafficMetrics of(MetricRegistry registry) {
     return new TrafficMetrics(registry);
   }
@@ -77,7 +80,7 @@
 
   @Override
   public void finished(StatementRequest request, StatementState state, Duration elapsed) {
-    if (concernsStatements(state)) {
+    if (appliesToStatements(state)) {
       finished.get(state).inc();
       times.get(state).update(elapsed);
     }
@@ -87,17 +90,20 @@
     return registry.counter(MetricRegistry.name(PREFIX, event, detail));
   }
 
-  private static boolean concernsStatements(StatementState state) {
+  private static boolean appliesToStatements(StatementState state) {
     return state != StatementState.NOT_APPLICABLE;
   }
 
-  /** Creates the metrics at the start, so that a value of 0 is visible and events find theirs. */
-  private static <K extends Enum<K>, V> Map<K, V> all(
-      Class<K> type, Predicate<K> condition, Function<K, V> metric) {
+  /**
+   * Creates a metric for each accepted constant at once, so that those with a value of 0 are
+   * reported too and no event has to create its metric.
+   */
+  private static <K extends Enum<K>, V> Map<K, V> createMetrics(
+      Class<K> type, Predicate<K> accepted, Function<K, V> factory) {
     Map<K, V> metrics = new EnumMap<>(type);
     for (K constant : type.getEnumConstants()) {
-      if (condition.test(constant)) {
-        metrics.put(constant, metric.apply(constant));
+      if (accepted.test(constant)) {
+        metrics.put(constant, factory.apply(constant));
       }
     }
     return metrics;
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficPolicies.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/TrafficPolicies.java
@@ -19,13 +19,14 @@
 import org.persimmonwalk.routing.SessionRouter;
 
 /**
- * The decisions that an entry host takes on traffic.
+ * The policies by which an entry host authenticates callers and admits, routes and retries
+ * statements.
  *
- * @param keys decides whether a key opens a workspace
- * @param admission decides whether a workspace may run one more statement
- * @param router makes the router, which decides where a statement runs
- * @param retries decides whether a statement runs again
- * @param listeners policies that follow the control state
+ * @param keys decides whether a caller key grants access to a workspace
+ * @param admission decides whether a workspace may run another statement now
+ * @param router creates the router, which chooses the backend server of a statement
+ * @param retries decides whether a failed statement is retried
+ * @param listeners the policies that need each new snapshot of the control state
  */
 public record TrafficPolicies(
     KeyVerifier keys,
@@ -43,19 +44,19 @@
     listeners = List.copyOf(listeners);
   }
 
-  /** Makes the policies of one entry host. */
+  /** Creates the policies of one entry host. */
   public interface Factory {
-    /** Returns policies that post what they measure. */
+    /** Returns policies that post their measurements as observations to the given consumer. */
     TrafficPolicies create(Consumer<Observation> observations);
   }
 
-  /** Makes a router that knows how busy the host keeps each backend server. */
+  /** Creates a router that takes into account how much this host uses each backend server. */
   public interface RouterFactory {
-    /** Returns the router. */
+    /** Returns a router that reads the given load. */
     RequestRouter create(ServerLoad load);
   }
 
-  /** Returns the policies of an entry host in service. */
+  /** Returns the policies for production use. */
   public static TrafficPolicies standard(Consumer<Observation> observations) {
     LeasedAdmission admission = LeasedAdmission.of(observations);
     return new TrafficPolicies(
@@ -66,7 +67,10 @@
         List.of(admission));
   }
 
-  /** Returns the policies of the baseline that sends every statement to the primary. */
+  /**
+   * Returns the policies of the baseline for comparisons: every statement is admitted, runs on the
+   * primary and is never retried.
+   */
   public static TrafficPolicies primaryOnly(Consumer<Observation> observations) {
     return new TrafficPolicies(
         KeyPolicy.create(),
--- a/entryhost/src/test/java/org/persimmonwalk/entryhost/MetricsTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/entryhost/MetricsTest.java
@@ -22,7 +22,7 @@
 class MetricsTest {
   private final MetricRegistry registry = new MetricRegistry();
 
-  /** Guards against refusals and outcomes that are counted under another name. */
+  /** Guards against refusals and outcomes that are counted under the wrong metric name. */
   @Test
   void shouldCountRefusalsAndOutcomesByName() {
     TrafficMetrics metrics = TrafficMetrics.of(registry);
@@ -48,7 +48,7 @@
         .isEqualTo(Duration.ofMillis(7).toNanos());
   }
 
-  /** Guards against a gauge that looks healthy while no round runs any more. */
+  /** Guards against gauges that look healthy after the control loop has stopped running rounds. */
   @Test
   void shouldShowRoundTimeAndAgeOfSnapshot() {
     FakeClock clock = new FakeClock();
