Reword the assembly of an entry host

"The control thread of an entry host with its controllers and what carries out their commands" and "what comes before is dropped" left open what was meant. The comments now name the handlers, the connections and the observations. StopWaiter says that it waits for the end of draining and has to be registered with the control loop. LONGEST_ROUND_GAP is MAXIMUM_ROUND_INTERVAL, and registerPlatform and registerServers name the handlers that they register.

Two log lines changed: "a control round failed; the next one goes on" is "a round of the control loop failed; later rounds continue", and the control thread "did not stop in time" rather than "did not end in time".

Two test methods have plainer names.

--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -96,7 +96,7 @@
     loop.addListener(waiters);
     loop.addListener(stopWaiter);
     loop.addListener(ReplacedPrimaries.of(pools));
-    loop.addListener(ConnectionReporter.of(pools, control.monitors(), loop::post));
+    loop.addListener(ConnectionReporter.of(pools, control.monitorConnections(), loop::post));
     loop.addListener(DrainWatcher.of(callerRegistry, loop::post));
     TrafficPolicies trafficPolicies = policies.create(loop::post);
     trafficPolicies.listeners().forEach(loop::addListener);
--- a/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
@@ -62,10 +62,13 @@
 import org.persimmonwalk.store.RowCodecs;
 import org.tinylog.Logger;
 
-/** The control thread of an entry host with its controllers and what carries out their commands. */
+/**
+ * The control thread of an entry host, its controllers, and the handlers and connections that
+ * execute their commands.
+ */
 public final class ControlPlane implements AutoCloseable {
-  /** Timers of the controllers are checked at least this often. */
-  private static final Duration LONGEST_ROUND_GAP = Duration.ofMillis(20);
+  /** Longest time between two rounds, and so the precision of the timers of the controllers. */
+  private static final Duration MAXIMUM_ROUND_INTERVAL = Duration.ofMillis(20);
 
   private static final Duration SAMPLE_TIMEOUT = Duration.ofMillis(500);
 
@@ -74,7 +77,7 @@
   private final PlatformClient platform;
   private final PeerServer peerServer;
   private final PeerClient peerClient;
-  private final MonitorConnections monitors;
+  private final MonitorConnections monitorConnections;
   private final ControlLoop loop;
   private final EntryHostId self;
   private Optional<ControlThread> thread = Optional.empty();
@@ -87,14 +90,14 @@
     this.clock = clock;
     this.self = settings.host().id();
     ObservationRelay relay = ObservationRelay.create();
-    PeerSecurity security = security(settings.peer(), eventLoops);
+    PeerSecurity peerSecurity = peerSecurity(settings.peer(), eventLoops);
     peerServer =
         PeerServer.start(
             self,
             settings.peer().listen(),
             eventLoops,
             PeerSettings.defaults(),
-            security,
+            peerSecurity,
             (from, message) -> relay.accept(new PeerMessageReceived(from, message)));
     HostEntry entry = HostEntry.of(self, settings.host().zone(), peerServer.endpoint());
     loop = ControlLoop.of(controllers(entry), dispatcher, clock, RandomSource.system());
@@ -109,15 +112,15 @@
             this::endpointOf,
             eventLoops,
             PeerSettings.defaults(),
-            security,
+            peerSecurity,
             RandomSource.system());
-    monitors = MonitorConnections.of(connector, SAMPLE_TIMEOUT, this::mayConnect);
-    registerPlatform();
-    registerServers();
+    monitorConnections = MonitorConnections.of(connector, SAMPLE_TIMEOUT, this::mayConnect);
+    registerPlatformHandlers();
+    registerServerHandlers();
     dispatcher.register(SendPeerMessage.class, SendPeerMessageHandler.of(peerClient));
   }
 
-  /** Returns a control plane whose thread has not been started. */
+  /** Returns a control plane whose control thread has not been started. */
   public static ControlPlane create(
       Settings settings,
       EventLoopGroup eventLoops,
@@ -132,9 +135,11 @@
         Optional.of(
             ControlThread.start(
                 loop,
-                LONGEST_ROUND_GAP,
+                MAXIMUM_ROUND_INTERVAL,
                 "control-" + self,
-                failure -> Logger.error(failure, "a control round failed; the next one goes on")));
+                failure ->
+                    Logger.error(
+                        failure, "a round of the control loop failed; later rounds continue")));
   }
 
   /** Returns the control loop. */
@@ -142,12 +147,12 @@
     return loop;
   }
 
-  /** Returns the connections for samples and administration. */
-  public MonitorConnections monitors() {
-    return monitors;
+  /** Returns the connections that sample and administer the backend servers. */
+  public MonitorConnections monitorConnections() {
+    return monitorConnections;
   }
 
-  /** Returns where this host listens for peers. */
+  /** Returns the endpoint on which this host listens for its peers. */
   public SocketEndpoint peerEndpoint() {
     return peerServer.endpoint();
   }
@@ -155,15 +160,15 @@
   @Override
   public void close() {
     if (thread.isPresent() && !thread.get().stop()) {
-      Logger.warn("the control thread did not end in time");
+      Logger.warn("the control thread did not stop in time");
     }
-    monitors.close();
+    monitorConnections.close();
     peerClient.close();
     peerServer.close();
     platform.close();
   }
 
-  /** Returns the controllers of the given host in the order in which they run. */
+  /** Returns the controllers of a host in the order in which each round runs them. */
   public static List<Controller> controllers(HostEntry entry) {
     return List.of(
         ConfigurationController.create(),
@@ -178,7 +183,7 @@
         DrainController.create());
   }
 
-  private static PeerSecurity security(Settings.Peer peer, EventLoopGroup eventLoops) {
+  private static PeerSecurity peerSecurity(Settings.Peer peer, EventLoopGroup eventLoops) {
     if (peer.tls().isEmpty()) {
       return PeerSecurity.plainText();
     }
@@ -187,7 +192,7 @@
     return MutualTls.of(contexts::accepting, contexts::connecting);
   }
 
-  private void registerPlatform() {
+  private void registerPlatformHandlers() {
     TableService tables = PlatformTableService.of(platform, RowCodecs.standard());
     dispatcher.register(ReadTableRow.class, ReadTableRowHandler.of(tables, clock, loop::post));
     dispatcher.register(
@@ -198,10 +203,11 @@
     dispatcher.register(ListHosts.class, ListHostsHandler.of(platform, clock, loop::post));
   }
 
-  private void registerServers() {
+  private void registerServerHandlers() {
     dispatcher.register(
-        SampleServer.class, SampleServerHandler.of(monitors, this::groupOf, clock, loop::post));
-    GroupFunctions.of(monitors, this::groupOf, loop::post).register(dispatcher);
+        SampleServer.class,
+        SampleServerHandler.of(monitorConnections, this::groupOf, clock, loop::post));
+    GroupFunctions.of(monitorConnections, this::groupOf, loop::post).register(dispatcher);
   }
 
   private Optional<SocketEndpoint> endpointOf(EntryHostId host) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ObservationRelay.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ObservationRelay.java
@@ -6,8 +6,8 @@
 import org.persimmonwalk.blackboard.Observation;
 
 /**
- * Passes observations to the control loop. Network listeners are open before the control loop
- * exists, because the loop's controllers need to know their ports; what comes before is dropped.
+ * Forwards observations to the control loop. Network listeners open before the control loop exists,
+ * because its controllers need to know the ports; observations that arrive earlier are dropped.
  */
 final class ObservationRelay implements Consumer<Observation> {
   private volatile Optional<ControlLoop> loop = Optional.empty();
--- a/entryhost/src/main/java/org/persimmonwalk/internal/assembly/StopWaiter.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/StopWaiter.java
@@ -8,13 +8,16 @@
 import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.model.HostPhase;
 
-/** Lets a thread wait until a planned stop has ended. */
+/**
+ * Lets a thread wait until the host has finished draining. It must be registered as a listener of
+ * the control loop.
+ */
 public final class StopWaiter implements SnapshotListener {
   private final CountDownLatch stopped = new CountDownLatch(1);
 
   private StopWaiter() {}
 
-  /** Returns a waiter for a host that runs. */
+  /** Returns a waiter for a host that has not stopped. */
   public static StopWaiter create() {
     return new StopWaiter();
   }
@@ -27,12 +30,12 @@
   }
 
   /**
-   * Waits until the stop has ended, at most for the given time.
+   * Waits until the host has finished draining.
    *
-   * @return whether it has ended
+   * @return whether draining finished within the given time
    * @throws InterruptedException if the thread is interrupted while it waits
    */
-  public boolean await(Duration longest) throws InterruptedException {
-    return stopped.await(longest.toNanos(), TimeUnit.NANOSECONDS);
+  public boolean await(Duration timeout) throws InterruptedException {
+    return stopped.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
   }
 }
--- a/entryhost/src/test/java/org/persimmonwalk/internal/assembly/StopWaiterTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/assembly/StopWaiterTest.java
@@ -25,17 +25,17 @@
     loop.runRound();
   }
 
-  /** Guards against a process that ends while callers are still being moved away. */
+  /** Guards against a process that exits while sessions are still being drained. */
   @Test
-  void shouldGoOnWaitingWhileTheHostDrains() throws InterruptedException {
+  void shouldKeepWaitingWhileHostDrains() throws InterruptedException {
     publish(HostPhase.DRAINING);
 
     assertThat(waiter.await(Duration.ZERO)).isFalse();
   }
 
-  /** Guards against a process that stays after its stop has ended. */
+  /** Guards against a process that keeps running after draining has finished. */
   @Test
-  void shouldEndTheWaitWhenTheHostHasStopped() throws InterruptedException {
+  void shouldEndWaitOnceHostHasStopped() throws InterruptedException {
     publish(HostPhase.STOPPED);
 
     assertThat(waiter.await(Duration.ZERO)).isTrue();
--- a/entryhost/src/test/java/org/persimmonwalk/internal/assembly/package-info.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/assembly/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of how an entry host is put together. */
+/** Tests of the assembly of an entry host. */
 package org.persimmonwalk.internal.assembly;
