Reword the settings of the entry host

The records described settings by loose phrases, such as "Who this entry host is", "How the host meets other entry hosts" and "while it owes an answer". They now say which connection or endpoint is meant and what an empty value does; the parameters of the administration section are described too. In SettingsNode, "take" is "readChild" and "rejectUnknown" is "rejectUnknownNames"; "isChosen" of the TLS settings, which also records a fault, is "checkTlsConfigured".

Messages about values say what the value must be: "must be a whole number from 1 to 1000000" rather than "allowed are whole numbers from 1 to 1000000", and likewise for flags, durations and ratios. No test or tool matches these texts.

Three test methods have plainer names.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
@@ -7,7 +7,7 @@
 import org.persimmonwalk.internal.tls.TlsFiles;
 import org.persimmonwalk.model.SocketEndpoint;
 
-/** The settings of an entry host. */
+/** The settings of an entry host, as checked by {@link SettingsReader}. */
 public record Settings(
     Host host,
     Caller caller,
@@ -17,19 +17,19 @@
     Admin admin,
     Trace trace) {
 
-  /** Who this entry host is. */
+  /** The identity of this entry host. */
   public record Host(EntryHostId id, AvailabilityZone zone) {}
 
   /**
-   * How callers connect.
+   * The connections of callers.
    *
-   * @param listen where the host listens for callers
-   * @param maximumConnections callers that may be connected at once
+   * @param listen the endpoint on which the host listens for callers
+   * @param maximumConnections callers that may be connected at the same time
    * @param maximumMessageBytes the largest message of a caller, in bytes
    * @param messageTimeout how long the rest of a message may take to arrive
    * @param statementDeadline how long a statement may wait before it starts
    * @param confirmationTimeout how long a write may wait for a replica's confirmation
-   * @param tls how TLS is offered; without it callers connect in plain text
+   * @param tls how TLS is offered; if empty, callers connect in plain text
    */
   public record Caller(
       SocketEndpoint listen,
@@ -44,44 +44,49 @@
    * How TLS is offered to callers.
    *
    * @param files the certificate and its key
-   * @param required whether callers in plain text are refused
+   * @param required whether callers that connect in plain text are refused
    */
   public record CallerTls(TlsFiles files, boolean required) {}
 
   /**
-   * How the host logs in to backend servers.
+   * The connections to backend servers.
    *
-   * @param user the user name
-   * @param password the password
-   * @param connectTimeout how long a connection may take to open
-   * @param answerTimeout how long a backend server may stay silent while it owes an answer
+   * @param user the user name of the entry host at the backend servers
+   * @param password the password of this user
+   * @param connectTimeout how long opening a connection may take
+   * @param answerTimeout how long a backend server may send nothing while a response is pending
    */
   public record Backend(
       String user, String password, Duration connectTimeout, Duration answerTimeout) {}
 
   /**
-   * How the host meets other entry hosts.
+   * The connections between entry hosts.
    *
-   * @param listen where the host listens for them
-   * @param tls the files of mutual TLS; without them hosts meet in plain text
+   * @param listen the endpoint on which the host listens for other entry hosts
+   * @param tls the files for mutual TLS; if empty, hosts connect in plain text
    */
   public record Peer(SocketEndpoint listen, Optional<TlsFiles> tls) {}
 
   /**
-   * Where the platform's service is.
+   * The connection to the platform.
    *
-   * @param endpoint the endpoint of the service, which speaks HTTP
-   * @param timeout how long the service may take to answer
+   * @param endpoint the endpoint of the platform's HTTP service
+   * @param timeout how long the service may take to respond
    */
   public record Platform(SocketEndpoint endpoint, Duration timeout) {}
 
-  /** Where the administration interface listens. */
+  /**
+   * The administration interface.
+   *
+   * @param listen the endpoint on which the host listens for operators
+   * @param token the operator token; if empty, only requests from loopback addresses are accepted
+   */
   public record Admin(SocketEndpoint listen, Optional<String> token) {}
 
   /**
-   * What is traced.
+   * The tracing of statements.
    *
-   * @param sampleRatio the part of the traces that is written to the log, from 0 to 1
+   * @param sampleRatio the fraction of the traces that is written to the log, from 0 to 1
    */
   public record Trace(double sampleRatio) {}
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsNode.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsNode.java
@@ -14,7 +14,7 @@
 
 /**
  * A section of the settings file. It records every fault instead of stopping at the first one, and
- * remembers which names were read so that unknown names are found.
+ * remembers which names were read so that {@link #rejectUnknownNames} finds the others.
  */
 final class SettingsNode {
   private static final Pattern DURATION = Pattern.compile("(\\d{1,9})(ms|s|m|h)");
@@ -22,7 +22,7 @@
   private final JsonNode node;
   private final String path;
   private final List<SettingFault> faults;
-  private final Set<String> read = new HashSet<>();
+  private final Set<String> readNames = new HashSet<>();
 
   private SettingsNode(JsonNode node, String path, List<SettingFault> faults) {
     this.node = node;
@@ -35,7 +35,7 @@
   }
 
   SettingsNode section(String name) {
-    JsonNode child = take(name);
+    JsonNode child = readChild(name);
     if (!child.isMissingNode() && !child.isObject()) {
       fault(ResultCode.SETTING_INVALID, name, "is not a section; indent its settings below it");
       child = MissingNode.getInstance();
@@ -43,9 +43,9 @@
     return new SettingsNode(child, pathOf(name), faults);
   }
 
-  /** Returns the converted value, the default if it is missing, or null after a fault. */
+  /** Returns the converted value, the default if the setting is missing, or null after a fault. */
   <T> T value(String name, Optional<T> defaultValue, Function<String, T> conversion) {
-    JsonNode child = take(name);
+    JsonNode child = readChild(name);
     if (child.isMissingNode() || child.isNull()) {
       if (defaultValue.isEmpty()) {
         fault(ResultCode.SETTING_MISSING, name, "is missing");
@@ -65,7 +65,7 @@
   }
 
   Optional<String> optionalText(String name) {
-    JsonNode child = take(name);
+    JsonNode child = readChild(name);
     return child.isMissingNode() || child.isNull() ? Optional.empty() : Optional.of(child.asText());
   }
 
@@ -75,7 +75,8 @@
   }
 
   int integer(String name, int defaultValue, int minimum, int maximum) {
-    Integer value = value(name, Optional.of(defaultValue), text -> parse(text, minimum, maximum));
+    Integer value =
+        value(name, Optional.of(defaultValue), text -> parseInteger(text, minimum, maximum));
     return value == null ? defaultValue : value;
   }
 
@@ -84,28 +85,31 @@
     return value == null ? defaultValue : value;
   }
 
-  /** Returns whether the section has a value or a section of this name. */
+  /** Returns whether the section contains a value or a subsection of this name. */
   boolean contains(String name) {
-    return !take(name).isMissingNode() && !node.path(name).isNull();
+    return !readChild(name).isMissingNode() && !node.path(name).isNull();
   }
 
-  /** Records a fault for each name that nobody has read. */
-  void rejectUnknown() {
+  /** Records a fault for each name in the section that was not read. */
+  void rejectUnknownNames() {
     node.fieldNames()
         .forEachRemaining(
             name -> {
-              if (!read.contains(name)) {
-                fault(ResultCode.SETTING_UNKNOWN, name, "is not a setting; known here: " + known());
+              if (!readNames.contains(name)) {
+                fault(
+                    ResultCode.SETTING_UNKNOWN,
+                    name,
+                    "is not a setting; known here: " + knownNames());
               }
             });
   }
 
-  private String known() {
-    return String.join(", ", read.stream().sorted().toList());
+  private String knownNames() {
+    return String.join(", ", readNames.stream().sorted().toList());
   }
 
-  private JsonNode take(String name) {
-    read.add(name);
+  private JsonNode readChild(String name) {
+    readNames.add(name);
     return node.path(name);
   }
 
@@ -117,16 +121,16 @@
     faults.add(SettingFault.of(code, pathOf(name), detail));
   }
 
-  private static int parse(String text, int minimum, int maximum) {
-    String allowed = "allowed are whole numbers from " + minimum + " to " + maximum;
+  private static int parseInteger(String text, int minimum, int maximum) {
+    String requirement = "must be a whole number from " + minimum + " to " + maximum;
     try {
       int value = Integer.parseInt(text);
       if (value < minimum || value > maximum) {
-        throw new IllegalArgumentException(allowed);
+        throw new IllegalArgumentException(requirement);
       }
       return value;
     } catch (NumberFormatException e) {
-      throw new IllegalArgumentException(allowed, e);
+      throw new IllegalArgumentException(requirement, e);
     }
   }
 
@@ -134,14 +138,15 @@
     return switch (text) {
       case "true" -> true;
       case "false" -> false;
-      default -> throw new IllegalArgumentException("allowed are true and false");
+      default -> throw new IllegalArgumentException("must be true or false");
     };
   }
 
   private static Duration parseDuration(String text) {
     Matcher matcher = DURATION.matcher(text);
     if (!matcher.matches()) {
-      throw new IllegalArgumentException("allowed are a number and ms, s, m or h, such as 500ms");
+      throw new IllegalArgumentException(
+          "must be a whole number with the unit ms, s, m or h, such as 500ms");
     }
     long number = Long.parseLong(matcher.group(1));
     return switch (matcher.group(2)) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsReader.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/SettingsReader.java
@@ -20,7 +20,7 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * Reads the settings file and checks it as a whole.
+ * Reads the settings file and checks the whole file, so that one run reports every fault.
  *
  * <p>Example:
  *
@@ -30,7 +30,7 @@
  */
 public final class SettingsReader {
   private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
-  private static final int MAXIMUM_MESSAGE_BYTES = 1 << 30;
+  private static final int LARGEST_ALLOWED_MESSAGE_BYTES = 1 << 30;
 
   private SettingsReader() {}
 
@@ -40,9 +40,9 @@
   }
 
   /**
-   * Reads a file.
+   * Reads and checks a settings file.
    *
-   * @throws PersimmonwalkException with every fault of the file in its message
+   * @throws PersimmonwalkException if the file cannot be read or has a fault; lists every fault
    */
   public Settings read(Path file) {
     try {
@@ -54,9 +54,9 @@
   }
 
   /**
-   * Reads the text of a settings file.
+   * Reads and checks the text of a settings file.
    *
-   * @throws PersimmonwalkException with every fault of the text in its message
+   * @throws PersimmonwalkException if the text is not YAML or has a fault; lists every fault
    */
   public Settings parse(String text) {
     JsonNode tree;
@@ -77,7 +77,7 @@
             platform(root),
             admin(root),
             trace(root));
-    root.rejectUnknown();
+    root.rejectUnknownNames();
     if (!faults.isEmpty()) {
       throw failure(faults);
     }
@@ -94,7 +94,7 @@
     SettingsNode node = root.section("host");
     EntryHostId id = node.value("id", Optional.empty(), EntryHostId::of);
     AvailabilityZone zone = node.value("zone", Optional.empty(), AvailabilityZone::of);
-    node.rejectUnknown();
+    node.rejectUnknownNames();
     return new Settings.Host(id, zone);
   }
 
@@ -104,12 +104,12 @@
         new Settings.Caller(
             node.value("listen", Optional.empty(), SocketEndpoint::parse),
             node.integer("maximumConnections", 10_000, 1, 1_000_000),
-            node.integer("maximumMessageBytes", 16 << 20, 1_024, MAXIMUM_MESSAGE_BYTES),
+            node.integer("maximumMessageBytes", 16 << 20, 1_024, LARGEST_ALLOWED_MESSAGE_BYTES),
             node.duration("messageTimeout", Duration.ofSeconds(30)),
             node.duration("statementDeadline", Duration.ofSeconds(10)),
             node.duration("confirmationTimeout", Duration.ofSeconds(10)),
             TlsSettingsReader.of(node).caller());
-    node.rejectUnknown();
+    node.rejectUnknownNames();
     return caller;
   }
 
@@ -121,7 +121,7 @@
             node.value("password", Optional.empty(), text -> text),
             node.duration("connectTimeout", Duration.ofSeconds(2)),
             node.duration("answerTimeout", Duration.ofSeconds(60)));
-    node.rejectUnknown();
+    node.rejectUnknownNames();
     return backend;
   }
 
@@ -129,7 +129,7 @@
     SettingsNode node = root.section("peer");
     SocketEndpoint listen = node.value("listen", Optional.empty(), SocketEndpoint::parse);
     Optional<TlsFiles> tls = TlsSettingsReader.of(node).peer();
-    node.rejectUnknown();
+    node.rejectUnknownNames();
     return new Settings.Peer(listen, tls);
   }
 
@@ -137,7 +137,7 @@
     SettingsNode node = root.section("platform");
     SocketEndpoint endpoint = node.value("endpoint", Optional.empty(), SocketEndpoint::parse);
     Duration timeout = node.duration("timeout", Duration.ofSeconds(1));
-    node.rejectUnknown();
+    node.rejectUnknownNames();
     return new Settings.Platform(endpoint, timeout);
   }
 
@@ -145,21 +145,21 @@
     SettingsNode node = root.section("admin");
     SocketEndpoint listen = node.value("listen", Optional.empty(), SocketEndpoint::parse);
     Optional<String> token = node.optionalText("token");
-    node.rejectUnknown();
+    node.rejectUnknownNames();
     return new Settings.Admin(listen, token);
   }
 
   private static Settings.Trace trace(SettingsNode root) {
     SettingsNode node = root.section("trace");
-    Double ratio = node.value("sampleRatio", Optional.of(0.0), SettingsReader::ratio);
-    node.rejectUnknown();
+    Double ratio = node.value("sampleRatio", Optional.of(0.0), SettingsReader::parseRatio);
+    node.rejectUnknownNames();
     return new Settings.Trace(ratio == null ? 0 : ratio);
   }
 
-  private static double ratio(String text) {
+  private static double parseRatio(String text) {
     double value = Double.parseDouble(text);
     if (!(value >= 0 && value <= 1)) {
-      throw new IllegalArgumentException("allowed are numbers from 0 to 1");
+      throw new IllegalArgumentException("must be a number from 0 to 1");
     }
     return value;
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/TlsSettingsReader.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/TlsSettingsReader.java
@@ -8,8 +8,8 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * Reads whether a section uses TLS or plain text. One of them must be chosen, so that nobody uses
- * plain text by leaving a setting out.
+ * Reads the TLS settings of a section. The section must either configure TLS or allow plain text
+ * explicitly, so that leaving out a setting never results in plain text.
  */
 final class TlsSettingsReader {
   private static final String TLS = "tls";
@@ -26,10 +26,10 @@
     return new TlsSettingsReader(section);
   }
 
-  /** Returns how callers use TLS. */
+  /** Returns the TLS settings for callers; empty if they use plain text, or after a fault. */
   Optional<Settings.CallerTls> caller() {
     boolean plainText = section.flag(PLAIN_TEXT, false);
-    if (!isChosen(plainText)) {
+    if (!checkTlsConfigured(plainText)) {
       return Optional.empty();
     }
     SettingsNode node = section.section(TLS);
@@ -41,10 +41,10 @@
     return files(node, false).map(files -> new Settings.CallerTls(files, required));
   }
 
-  /** Returns the files of mutual TLS between hosts. */
+  /** Returns the files for mutual TLS between hosts; empty for plain text, or after a fault. */
   Optional<TlsFiles> peer() {
     boolean plainText = section.flag(PLAIN_TEXT, false);
-    if (!isChosen(plainText)) {
+    if (!checkTlsConfigured(plainText)) {
       return Optional.empty();
     }
     if (plainText) {
@@ -53,22 +53,22 @@
     return files(section.section(TLS), true);
   }
 
-  private boolean isChosen(boolean plainText) {
-    boolean chosen = section.contains(TLS);
-    if (!chosen && !plainText) {
+  private boolean checkTlsConfigured(boolean plainText) {
+    boolean configured = section.contains(TLS);
+    if (!configured && !plainText) {
       section.fault(
           ResultCode.SETTING_MISSING,
           TLS,
           "is missing; name the certificate files, or set plainText to true");
     }
-    return chosen;
+    return configured;
   }
 
   private static Optional<TlsFiles> files(SettingsNode node, boolean mutual) {
     Path certificate = node.value("certificate", Optional.empty(), Path::of);
     Path key = node.value("key", Optional.empty(), Path::of);
     Path authorities = mutual ? node.value("authorities", Optional.empty(), Path::of) : null;
-    node.rejectUnknown();
+    node.rejectUnknownNames();
     if (certificate == null || key == null || (mutual && authorities == null)) {
       return Optional.empty();
     }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/package-info.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/package-info.java
@@ -1,2 +1,5 @@
-/** Reads and checks the settings file of the entry host. */
+/**
+ * The settings of an entry host, read from a YAML file once at start. The whole file is checked,
+ * and every fault is reported at once.
+ */
 package org.persimmonwalk.internal.settings;
--- a/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/settings/OperationsDocumentTest.java
@@ -14,9 +14,9 @@
   private static final Pattern ROW =
       Pattern.compile("\\| `(\\w+)\\.(\\w+)` \\| [^|]+ \\| (\\w+) \\|[^|]+\\|");
 
-  /** Guards against an example that the process refuses. */
+  /** Guards against an example in the documentation that the entry host rejects. */
   @Test
-  void shouldShowValidSettings() throws IOException {
+  void shouldDocumentValidExample() throws IOException {
     String text = Files.readString(DOCUMENT);
     String example = text.substring(text.indexOf("```yaml\nhost:") + 8);
 
@@ -25,10 +25,10 @@
     assertThat(settings.admin().token()).contains("change-me-too");
   }
 
-  /** Guards against settings and defaults that the documentation states otherwise. */
+  /** Guards against a documented setting name or default that differs from the code. */
   @Test
-  void shouldStateNamesAndDefaultsOfSettings() throws IOException {
-    StringBuilder stated = new StringBuilder();
+  void shouldDocumentNamesAndDefaultsOfSettings() throws IOException {
+    StringBuilder documented = new StringBuilder();
     String required =
         """
         host: {id: a, zone: b}
@@ -43,18 +43,18 @@
     while (row.find()) {
       rows++;
       if (!row.group(3).equals("required") && !row.group(3).equals("none")) {
-        stated.append(row.group(1)).append(": ").append(row.group(2)).append('=');
-        stated.append(row.group(3)).append('\n');
+        documented.append(row.group(1)).append(": ").append(row.group(2)).append('=');
+        documented.append(row.group(3)).append('\n');
       }
     }
 
     assertThat(rows).isEqualTo(19);
     Settings defaults = SettingsReader.create().parse(required);
-    assertThat(SettingsReader.create().parse(merge(required, stated.toString())))
+    assertThat(SettingsReader.create().parse(merge(required, documented.toString())))
         .isEqualTo(defaults);
   }
 
-  /** Adds each line {@code section: name=value} to the section's flow mapping. */
+  /** Adds each line {@code section: name=value} to the YAML flow mapping of its section. */
   private static String merge(String settings, String lines) {
     String merged = settings;
     for (String line : lines.split("\n")) {
--- a/entryhost/src/test/java/org/persimmonwalk/internal/settings/SettingsReaderTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/settings/SettingsReaderTest.java
@@ -32,7 +32,9 @@
     assertThat(settings.platform().timeout()).isEqualTo(Duration.ofSeconds(1));
   }
 
-  /** Guards against a check that stops at the first fault, which costs operators a try for each. */
+  /**
+   * Guards against a check that stops at the first fault, so that operators need a run for each.
+   */
   @Test
   void shouldReportEveryFaultWithItsPath() {
     String text =
@@ -57,9 +59,12 @@
         .hasMessageStartingWith("PW-7001");
   }
 
-  /** Guards against plain text by a setting that was left out, and against files without check. */
+  /**
+   * Guards against plain text as the result of a missing setting, and against certificate files
+   * that are not checked.
+   */
   @Test
-  void shouldDemandTlsOrPlainText() {
+  void shouldRequireTlsOrExplicitPlainText() {
     String text =
         VALID.replace(
             ", plainText: true}\nplatform", ", tls: {certificate: c.pem, key: k.pem}}\nplatform");
--- a/entryhost/src/test/java/org/persimmonwalk/internal/settings/package-info.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/settings/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the settings file. */
+/** Tests of reading the settings file and of its documentation. */
 package org.persimmonwalk.internal.settings;
