Reword the administration interface

The interface called its HTTP responses "answers" and said "Serves whoever shows the operator token" or "Checks who asks". It now uses the terms of HTTP: AdminAnswer is AdminResponse, AdminAggregator is AdminRequestAggregator, AdminResource.answer() is handle(), AdminRouter.answer() is route() and closeGently is closeAfterLinger. Paths, methods and JSON fields are unchanged.

Five test methods have plainer names.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminHandler.java
@@ -24,7 +24,7 @@
 import org.persimmonwalk.result.ResultCode;
 import org.tinylog.Logger;
 
-/** Maps HTTP requests to {@link AdminRequest} and answers to HTTP. */
+/** Converts HTTP requests to {@link AdminRequest} and each {@link AdminResponse} to HTTP. */
 final class AdminHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final int BAD_REQUEST = 400;
   private static final int LINGER_SECONDS = 2;
@@ -42,19 +42,19 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     if (request.decoderResult().isFailure()) {
-      write(context, malformed(request.decoderResult().cause()), false);
+      write(context, malformedRequest(request.decoderResult().cause()), false);
       return;
     }
     String uri = request.uri();
     int query = uri.indexOf('?');
-    AdminAnswer answer =
-        router.answer(
+    AdminResponse response =
+        router.route(
             new AdminRequest(
                 request.method().name(),
                 query < 0 ? uri : uri.substring(0, query),
                 ((InetSocketAddress) context.channel().remoteAddress()).getAddress(),
                 Optional.ofNullable(request.headers().get(HttpHeaderNames.AUTHORIZATION))));
-    write(context, answer, HttpUtil.isKeepAlive(request));
+    write(context, response, HttpUtil.isKeepAlive(request));
   }
 
   @Override
@@ -65,27 +65,28 @@
     context.close();
   }
 
-  static void write(ChannelHandlerContext context, AdminAnswer answer, boolean keepAlive) {
+  static void write(ChannelHandlerContext context, AdminResponse response, boolean keepAlive) {
     ByteBuf body =
-        Unpooled.copiedBuffer(answer.body().toPrettyString() + "\n", StandardCharsets.UTF_8);
-    FullHttpResponse response =
+        Unpooled.copiedBuffer(response.body().toPrettyString() + "\n", StandardCharsets.UTF_8);
+    FullHttpResponse httpResponse =
         new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), body);
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json; charset=utf-8");
-    response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_STORE);
-    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-    HttpUtil.setKeepAlive(response, keepAlive);
-    ChannelFuture written = context.writeAndFlush(response);
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()), body);
+    httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json; charset=utf-8");
+    httpResponse.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_STORE);
+    httpResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    HttpUtil.setKeepAlive(httpResponse, keepAlive);
+    ChannelFuture written = context.writeAndFlush(httpResponse);
     if (!keepAlive) {
-      written.addListener(done -> closeGently(context));
+      written.addListener(done -> closeAfterLinger(context));
     }
   }
 
   /**
-   * Ends the answer and discards what still arrives for a while. Closing at once would reset the
-   * connection while the peer still sends, and the peer might never see the answer.
+   * Closes the sending side and discards incoming data for a few seconds before closing the
+   * connection. Closing at once would reset the connection while the client is still sending, and
+   * the client might never receive the response.
    */
-  private static void closeGently(ChannelHandlerContext context) {
+  private static void closeAfterLinger(ChannelHandlerContext context) {
     if (context.channel() instanceof SocketChannel channel && channel.isActive()) {
       channel.shutdownOutput();
       context.executor().schedule(() -> channel.close(), LINGER_SECONDS, TimeUnit.SECONDS);
@@ -94,11 +95,13 @@
     }
   }
 
-  private static AdminAnswer malformed(Throwable cause) {
+  private static AdminResponse malformedRequest(Throwable cause) {
     if (cause instanceof TooLongHttpLineException || cause instanceof TooLongHttpHeaderException) {
-      return AdminAggregator.tooLarge("the request line or the headers are too long");
+      return AdminRequestAggregator.tooLarge("the request line or the headers are too long");
     }
-    return AdminAnswer.error(
-        BAD_REQUEST, ResultCode.MALFORMED_MESSAGE, "the request is not valid HTTP; check it");
+    return AdminResponse.error(
+        BAD_REQUEST,
+        ResultCode.MALFORMED_MESSAGE,
+        "the request is not valid HTTP; check the request line and the headers");
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminRequest.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminRequest.java
@@ -9,8 +9,8 @@
  *
  * @param method the HTTP method, for example {@code GET}
  * @param path the path without the query
- * @param remote where the request comes from
- * @param authorization the header {@code Authorization}, if there is one
+ * @param remote the address of the client
+ * @param authorization the value of the header {@code Authorization}, if present
  */
 public record AdminRequest(
     String method, String path, InetAddress remote, Optional<String> authorization) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminAggregator.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminRequestAggregator.java
@@ -7,19 +7,19 @@
 import io.netty.handler.codec.http.HttpUtil;
 import org.persimmonwalk.result.ResultCode;
 
-/** Collects a request and refuses one whose body is larger than the limit. */
-final class AdminAggregator extends HttpObjectAggregator {
+/** Aggregates the parts of an HTTP request and rejects a body that is larger than the limit. */
+final class AdminRequestAggregator extends HttpObjectAggregator {
   private static final int REQUEST_ENTITY_TOO_LARGE = 413;
 
   private final int limit;
 
-  private AdminAggregator(int limit) {
+  private AdminRequestAggregator(int limit) {
     super(limit);
     this.limit = limit;
   }
 
-  static AdminAggregator of(int limit) {
-    return new AdminAggregator(limit);
+  static AdminRequestAggregator of(int limit) {
+    return new AdminRequestAggregator(limit);
   }
 
   @Override
@@ -31,12 +31,13 @@
 
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    AdminHandler.write(context, tooLarge("the body has more than " + limit + " bytes"), false);
+    AdminHandler.write(
+        context, tooLarge("the request body is larger than " + limit + " bytes"), false);
   }
 
-  /** Returns the refusal of a request with a part that is larger than its limit. */
-  static AdminAnswer tooLarge(String reason) {
-    return AdminAnswer.error(
+  /** Returns the response to a request of which a part is larger than its limit. */
+  static AdminResponse tooLarge(String reason) {
+    return AdminResponse.error(
         REQUEST_ENTITY_TOO_LARGE,
         ResultCode.REQUEST_TOO_LARGE,
         reason + "; send a smaller request");
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminResource.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminResource.java
@@ -1,19 +1,19 @@
 package org.persimmonwalk.internal.admin;
 
-/** One path of the administration interface. */
+/** Handles one method and path of the administration interface, on the thread of the server. */
 public interface AdminResource {
 
-  /** Returns the HTTP method that the path accepts. */
+  /** Returns the HTTP method that this resource handles, for example {@code GET}. */
   String method();
 
   /** Returns the path, for example {@code /state}. */
   String path();
 
-  /** Returns whether the path is served without the operator token. */
+  /** Returns whether the path needs no operator token, even if one is configured. */
   default boolean isPublic() {
     return false;
   }
 
-  /** Carries out the request. */
-  AdminAnswer answer();
+  /** Handles a request and returns the response. */
+  AdminResponse handle();
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminAnswer.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminResponse.java
@@ -7,31 +7,31 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * An answer of the administration interface.
+ * A response of the administration interface.
  *
  * @param status the HTTP status
- * @param body the content
+ * @param body the JSON content
  */
-public record AdminAnswer(int status, JsonNode body) {
+public record AdminResponse(int status, JsonNode body) {
   private static final int OK = 200;
 
-  /** Checks that the content is present. */
-  public AdminAnswer {
+  /** Checks that the body is present. */
+  public AdminResponse {
     Objects.requireNonNull(body, "body");
   }
 
-  /** Returns an answer with status 200. */
-  public static AdminAnswer ok(JsonNode body) {
-    return new AdminAnswer(OK, body);
+  /** Returns a response with status 200. */
+  public static AdminResponse ok(JsonNode body) {
+    return new AdminResponse(OK, body);
   }
 
-  /** Returns an answer that names a result code; the detail says what happened and what to do. */
-  public static AdminAnswer error(int status, ResultCode code, String detail) {
+  /** Returns an error with its result code; the detail says what happened and what to do. */
+  public static AdminResponse error(int status, ResultCode code, String detail) {
     ObjectNode body = JsonNodeFactory.instance.objectNode();
     body.putObject("error")
         .put("code", code.label())
         .put("name", code.name())
         .put("message", code.label() + ": " + detail);
-    return new AdminAnswer(status, body);
+    return new AdminResponse(status, body);
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminServer.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/AdminServer.java
@@ -24,7 +24,7 @@
 import org.persimmonwalk.port.MonotonicClock;
 
 /**
- * Serves operators over HTTP on one thread of its own, so that traffic does not wait for it.
+ * The HTTP server for operators. It runs on one thread of its own, so that it never delays traffic.
  *
  * <p>Example:
  *
@@ -38,10 +38,13 @@
   private static final int MAXIMUM_CONNECTIONS = 64;
   private static final int READ_TIMEOUT_SECONDS = 10;
 
-  /** Bounds how long peers that send a byte now and then can occupy all connections. */
+  /**
+   * Bounds how long clients that send just often enough to avoid the read timeout can occupy all
+   * connections.
+   */
   private static final int CONNECTION_LIFETIME_SECONDS = 60;
 
-  private final EventLoopGroup loop =
+  private final EventLoopGroup eventLoop =
       new MultiThreadIoEventLoopGroup(
           1, new DefaultThreadFactory("admin", true), NioIoHandler.newFactory());
   private final AtomicInteger connections = new AtomicInteger();
@@ -53,18 +56,18 @@
     try {
       this.listener = listen(endpoint);
     } catch (RuntimeException failure) {
-      loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+      eventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
       throw failure;
     }
   }
 
   /**
-   * Starts to serve on the endpoint {@code admin.listen} of the settings.
+   * Starts the server on the endpoint {@code admin.listen} of the settings.
    *
    * @param settings the settings of the entry host
    * @param snapshots returns the newest snapshot
    * @param registry the metrics of the entry host
-   * @param drain starts a planned stop; is called on the thread of the server
+   * @param drain starts draining the host; called on the thread of the server
    */
   public static AdminServer start(
       Settings settings, Supplier<Snapshot> snapshots, MetricRegistry registry, Runnable drain) {
@@ -85,17 +88,17 @@
 
   @Override
   public void close() {
-    if (loop.isShuttingDown()) {
+    if (eventLoop.isShuttingDown()) {
       return;
     }
     listener.close().syncUninterruptibly();
-    loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    eventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
   private Channel listen(SocketEndpoint endpoint) {
     ServerBootstrap bootstrap =
         new ServerBootstrap()
-            .group(loop)
+            .group(eventLoop)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childHandler(
@@ -122,7 +125,7 @@
         .addLast(
             new ReadTimeoutHandler(READ_TIMEOUT_SECONDS),
             new HttpServerCodec(),
-            AdminAggregator.of(MAXIMUM_BODY_BYTES),
+            AdminRequestAggregator.of(MAXIMUM_BODY_BYTES),
             AdminHandler.of(router));
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/DrainResource.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/DrainResource.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import org.tinylog.Logger;
 
-/** Asks the host to stop as planned; asking again changes nothing. */
+/** Starts draining the host; repeated requests have no further effect. */
 final class DrainResource implements AdminResource {
   private static final int ACCEPTED = 202;
 
@@ -28,9 +28,9 @@
   }
 
   @Override
-  public AdminAnswer answer() {
-    Logger.info("an operator asks this host to drain");
+  public AdminResponse handle() {
+    Logger.info("an operator requested that this host drain");
     drain.run();
-    return new AdminAnswer(ACCEPTED, JsonNodeFactory.instance.objectNode().put("accepted", true));
+    return new AdminResponse(ACCEPTED, JsonNodeFactory.instance.objectNode().put("accepted", true));
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/HealthResource.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/HealthResource.java
@@ -6,7 +6,7 @@
 import org.persimmonwalk.blackboard.Snapshot;
 import org.persimmonwalk.model.HostPhase;
 
-/** Answers with status 200 while the host serves callers and 503 otherwise, for balancers. */
+/** Tells load balancers whether the host serves callers: status 200 if so, otherwise 503. */
 final class HealthResource implements AdminResource {
   private static final int OK = 200;
   private static final int SERVICE_UNAVAILABLE = 503;
@@ -37,9 +37,9 @@
   }
 
   @Override
-  public AdminAnswer answer() {
+  public AdminResponse handle() {
     HostPhase phase = snapshots.get().get(Entries.HOST_PHASE);
-    return new AdminAnswer(
+    return new AdminResponse(
         phase == HostPhase.SERVING ? OK : SERVICE_UNAVAILABLE,
         JsonNodeFactory.instance.objectNode().put("phase", phase.name()));
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/LoopbackAccess.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/LoopbackAccess.java
@@ -1,6 +1,6 @@
 package org.persimmonwalk.internal.admin;
 
-/** Serves processes on the same machine. */
+/** Permits requests from the same machine only; used if no operator token is configured. */
 final class LoopbackAccess implements OperatorAccess {
 
   private LoopbackAccess() {}
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/MetricsResource.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/MetricsResource.java
@@ -11,9 +11,9 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** Answers with all counters, gauges, meters, histograms and timers. */
+/** Returns the values of all counters, gauges, meters, histograms and timers. */
 final class MetricsResource implements AdminResource {
-  private static final double NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final double NANOSECONDS_PER_MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final MetricRegistry registry;
 
@@ -36,7 +36,7 @@
   }
 
   @Override
-  public AdminAnswer answer() {
+  public AdminResponse handle() {
     ObjectNode tree = JsonNodeFactory.instance.objectNode();
     putCounts(tree.putObject("counters"), registry.getCounters());
     ObjectNode gauges = tree.putObject("gauges");
@@ -52,7 +52,7 @@
             });
     ObjectNode timers = tree.putObject("timers");
     registry.getTimers().forEach((name, timer) -> putTimer(timers.putObject(name), timer));
-    return AdminAnswer.ok(tree);
+    return AdminResponse.ok(tree);
   }
 
   private static void putCounts(ObjectNode tree, Map<String, ? extends Counting> counts) {
@@ -82,7 +82,7 @@
   private static void putTimer(ObjectNode tree, Timer timer) {
     tree.put("count", timer.getCount());
     tree.put("perSecondOverOneMinute", timer.getOneMinuteRate());
-    putQuantiles(tree, timer.getSnapshot(), NANOSECONDS, "Milliseconds");
+    putQuantiles(tree, timer.getSnapshot(), NANOSECONDS_PER_MILLISECOND, "Milliseconds");
   }
 
   private static void putQuantiles(ObjectNode tree, Snapshot values, double unit, String suffix) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/OperatorAccess.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/OperatorAccess.java
@@ -2,16 +2,16 @@
 
 import java.util.Optional;
 
-/** Decides whether a request comes from an operator. */
+/** Decides which requests are permitted. */
 public interface OperatorAccess {
 
-  /** Returns whether the request may be carried out. */
+  /** Returns whether the request may use a resource that is reserved for operators. */
   boolean permits(AdminRequest request);
 
-  /** Returns whether the request may read what is served without a token. */
+  /** Returns whether the request may use a public resource, which needs no token. */
   boolean permitsPublic(AdminRequest request);
 
-  /** Returns the rule for the given token: with none, only loopback addresses are served. */
+  /** Returns the check for the configured token; without one, only loopback is permitted. */
   static OperatorAccess of(Optional<String> token) {
     return token.<OperatorAccess>map(TokenAccess::of).orElseGet(LoopbackAccess::create);
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/StateDocument.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/StateDocument.java
@@ -23,7 +23,7 @@
 import org.persimmonwalk.model.ShareLease;
 import org.persimmonwalk.model.Workspace;
 
-/** A snapshot as JSON; ages count up to the time of the request. */
+/** Converts a snapshot to JSON. Ages are measured up to the time of the request. */
 final class StateDocument {
   private final Settings.Host host;
   private final Snapshot snapshot;
@@ -100,13 +100,15 @@
         "primaryContactAgeMilliseconds",
         sample.map(found -> found.primaryContactAge().toMillis()).orElse(null));
     putAge(tree, "sampleAgeMilliseconds", sample.map(found -> view.sampledAt()));
-    putAge(tree, "dataAgeMilliseconds", sample.flatMap(found -> replayedSince(group, found)));
+    putAge(
+        tree, "dataAgeMilliseconds", sample.flatMap(found -> replayedPositionTime(group, found)));
     putAge(tree, "failingMilliseconds", view.failingSince());
     tree.put("connectionAllowance", snapshot.get(Entries.CONNECTION_ALLOWANCES).get(server.id()));
   }
 
-  /** Returns when the newest confirmed position that the server has replayed was sampled. */
-  private static Optional<MonotonicTime> replayedSince(GroupView group, ServerSample sample) {
+  /** Returns the sample time of the newest confirmed position that the server has replayed. */
+  private static Optional<MonotonicTime> replayedPositionTime(
+      GroupView group, ServerSample sample) {
     return group.confirmed().stream()
         .filter(confirmed -> confirmed.position().term().equals(sample.term()))
         .filter(confirmed -> sample.replayed().covers(confirmed.position().position()))
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/StateResource.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/StateResource.java
@@ -5,7 +5,7 @@
 import org.persimmonwalk.internal.settings.Settings;
 import org.persimmonwalk.port.MonotonicClock;
 
-/** Answers with what this host knows, from the newest snapshot. */
+/** Returns the state of this host and its view of servers and peers, from the newest snapshot. */
 final class StateResource implements AdminResource {
   private final Settings.Host host;
   private final Supplier<Snapshot> snapshots;
@@ -32,7 +32,7 @@
   }
 
   @Override
-  public AdminAnswer answer() {
-    return AdminAnswer.ok(StateDocument.of(host, snapshots.get(), clock.now()).toJson());
+  public AdminResponse handle() {
+    return AdminResponse.ok(StateDocument.of(host, snapshots.get(), clock.now()).toJson());
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/TokenAccess.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/TokenAccess.java
@@ -4,26 +4,26 @@
 import java.security.MessageDigest;
 import org.persimmonwalk.id.KeyHash;
 
-/** Serves whoever shows the operator token. */
+/** Permits requests with the configured operator token as bearer token. */
 final class TokenAccess implements OperatorAccess {
   private static final String SCHEME = "Bearer ";
 
-  private final byte[] expected;
+  private final byte[] expectedHash;
 
-  private TokenAccess(byte[] expected) {
-    this.expected = expected;
+  private TokenAccess(byte[] expectedHash) {
+    this.expectedHash = expectedHash;
   }
 
   static TokenAccess of(String token) {
     return new TokenAccess(hash(token));
   }
 
-  /** Compares hashes in constant time, so that the time tells neither content nor length. */
+  /** Compares hashes in constant time, so that the duration reveals neither content nor length. */
   @Override
   public boolean permits(AdminRequest request) {
     String header = request.authorization().orElse("");
     return header.regionMatches(true, 0, SCHEME, 0, SCHEME.length())
-        && MessageDigest.isEqual(expected, hash(header.substring(SCHEME.length()).strip()));
+        && MessageDigest.isEqual(expectedHash, hash(header.substring(SCHEME.length()).strip()));
   }
 
   @Override
--- a/entryhost/src/test/java/org/persimmonwalk/internal/admin/AdminServerTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/admin/AdminServerTest.java
@@ -45,7 +45,7 @@
   }
 
   @Test
-  void shouldServeStateMetricsHealthAndDrainToOperators() throws Exception {
+  void shouldServeStateMetricsAndDrainToOperators() throws Exception {
     control.runRound();
     registry.counter("statements.refused.PW-2001").inc();
 
@@ -62,7 +62,9 @@
     assertThat(drains).hasValue(1);
   }
 
-  /** Guards against an effect of a request whose token is missing, wrong or only a part. */
+  /**
+   * Guards against a request that has an effect although its token is missing, wrong or partial.
+   */
   @Test
   void shouldRefuseWrongTokensWithoutEffect() throws Exception {
     for (String token : List.of("", "wrong", TOKEN.substring(1), TOKEN + "x")) {
@@ -75,7 +77,7 @@
     assertThat(drains).hasValue(0);
   }
 
-  /** Guards against requests that take memory without limit. */
+  /** Guards against requests that use unlimited memory. */
   @Test
   void shouldRefuseOversizedRequestsWithoutEffect() throws Exception {
     JsonNode body = json(send("POST", "/drain", TOKEN, OVERSIZED), 413);
@@ -87,7 +89,7 @@
   }
 
   @Test
-  void shouldNumberErrorsOfPathsAndMethods() throws Exception {
+  void shouldReportCodeForUnknownPathOrMethod() throws Exception {
     assertThat(json(send("GET", "/unknown", TOKEN, 0), 404).at("/error/code").asText())
         .isEqualTo("PW-6006");
     assertThat(json(send("GET", "/drain", TOKEN, 0), 405).at("/error/code").asText())
@@ -95,9 +97,9 @@
     assertThat(drains).hasValue(0);
   }
 
-  /** Guards against a balancer that sends callers to a host without a configuration. */
+  /** Guards against a load balancer that sends callers to a host without a configuration. */
   @Test
-  void shouldTellBalancersWhetherTheHostServes() throws Exception {
+  void shouldReportHealthToLoadBalancers() throws Exception {
     assertThat(json(send("GET", "/health", "", 0), 503).path("phase").asText())
         .isEqualTo("STARTING");
     control.runRound();
@@ -105,9 +107,9 @@
         .isEqualTo("SERVING");
   }
 
-  /** Guards against an interface without a token that is open to the network. */
+  /** Guards against an interface that is open to the network if no token is configured. */
   @Test
-  void shouldServeOnlyLoopbackWithoutToken() throws Exception {
+  void shouldPermitOnlyLoopbackWithoutToken() throws Exception {
     OperatorAccess access = OperatorAccess.of(Optional.empty());
 
     assertThat(access.permits(requestFrom("127.0.0.1"))).isTrue();
--- a/entryhost/src/test/java/org/persimmonwalk/internal/admin/StateDocumentTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/admin/StateDocumentTest.java
@@ -45,9 +45,12 @@
   private static final WorkspaceId OIL = WorkspaceId.of("oil");
   private static final EntryHostId PEER = EntryHostId.of("host-b1");
 
-  /** Guards against ages that stop when the control thread does, and against wrong units. */
+  /**
+   * Guards against ages that stop increasing while the control thread is stalled, and against wrong
+   * units.
+   */
   @Test
-  void shouldStatePositionsSharesAndAges() {
+  void shouldReportPositionsSharesAndAges() {
     FakeClock clock = new FakeClock();
     clock.advance(Duration.ofSeconds(10));
     ControlLoop control =
