Reword the telemetry of the entry host

Two private fields of StatementTrace say that they hold spans. Span names and attributes are unchanged.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/LoggingSpanExporter.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/LoggingSpanExporter.java
@@ -6,7 +6,7 @@
 import java.util.Collection;
 import org.tinylog.Logger;
 
-/** Writes finished spans to the log with the tag {@code trace}. */
+/** Writes each finished span as one log line with the tag {@code trace}. */
 public final class LoggingSpanExporter implements SpanExporter {
   private static final long NANOSECONDS_PER_MICROSECOND = 1_000;
 
--- a/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/StatementTrace.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/StatementTrace.java
@@ -12,17 +12,18 @@
 import org.persimmonwalk.routing.RoutingDecision;
 
 /**
- * The spans of one statement: one for the hop from the caller to this host, and one for each
- * attempt at a backend server. They hold no statement text and no key.
+ * The spans of one statement: a server span for its handling by this host, and a client span for
+ * each attempt at a backend server. They contain neither the text of the statement nor a caller
+ * key.
  */
 public final class StatementTrace {
   private final Tracer tracer;
-  private final Span statement;
-  private Optional<Span> attempt = Optional.empty();
+  private final Span statementSpan;
+  private Optional<Span> attemptSpan = Optional.empty();
 
-  private StatementTrace(Tracer tracer, Span statement) {
+  private StatementTrace(Tracer tracer, Span statementSpan) {
     this.tracer = tracer;
-    this.statement = statement;
+    this.statementSpan = statementSpan;
   }
 
   /** Starts the span of a statement. */
@@ -38,13 +39,13 @@
     return new StatementTrace(tracer, span);
   }
 
-  /** Starts the span of an attempt at a server. */
+  /** Starts the span of an attempt when the statement is sent to a backend server. */
   public void sent(RoutingDecision.Execute decision) {
-    attempt =
+    attemptSpan =
         Optional.of(
             tracer
                 .spanBuilder("backend")
-                .setParent(Context.root().with(statement))
+                .setParent(Context.root().with(statementSpan))
                 .setSpanKind(SpanKind.CLIENT)
                 .setAttribute("server", decision.server().id().value())
                 .setAttribute("zone", decision.server().zone().value())
@@ -53,22 +54,22 @@
                 .startSpan());
   }
 
-  /** Ends the span of the attempt that runs. */
+  /** Ends the span of the current attempt, if any. */
   public void answered(boolean succeeded) {
-    attempt.ifPresent(span -> end(span, succeeded));
-    attempt = Optional.empty();
+    attemptSpan.ifPresent(span -> end(span, succeeded));
+    attemptSpan = Optional.empty();
   }
 
-  /** Ends the span of the statement after it was sent. */
+  /** Ends the span of a statement that was sent to a backend server. */
   public void finished(StatementState state) {
-    statement.setAttribute("outcome", state.name());
-    end(statement, state == StatementState.RAN);
+    statementSpan.setAttribute("outcome", state.name());
+    end(statementSpan, state == StatementState.RAN);
   }
 
   /** Ends the span of a statement that was refused. */
   public void refused(ResultCode code) {
-    statement.setAttribute("code", code.label());
-    end(statement, false);
+    statementSpan.setAttribute("code", code.label());
+    end(statementSpan, false);
   }
 
   private static void end(Span span, boolean succeeded) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/Tracing.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/Tracing.java
@@ -6,7 +6,7 @@
 import io.opentelemetry.sdk.trace.export.SpanExporter;
 import io.opentelemetry.sdk.trace.samplers.Sampler;
 
-/** The tracer of an entry host. */
+/** The OpenTelemetry tracer of an entry host. Closing it exports the remaining spans. */
 public final class Tracing implements AutoCloseable {
   private final SdkTracerProvider provider;
 
@@ -15,9 +15,9 @@
   }
 
   /**
-   * Returns tracing that exports a part of the traces.
+   * Returns tracing that exports a random sample of the traces.
    *
-   * @param sampleRatio the part of the traces that is exported, from 0 to 1
+   * @param sampleRatio the fraction of the traces that is exported, from 0 to 1
    */
   public static Tracing of(double sampleRatio, SpanExporter exporter) {
     return new Tracing(
--- a/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/TrafficListeners.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/TrafficListeners.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.result.StatementState;
 import org.persimmonwalk.routing.RoutingDecision;
 
-/** Tells several listeners of the traffic. */
+/** Passes each call to several listeners, in order. */
 public final class TrafficListeners implements TrafficListener {
   private final List<TrafficListener> listeners;
 
@@ -16,7 +16,7 @@
     this.listeners = listeners;
   }
 
-  /** Returns a listener that passes each call to all of the given ones. */
+  /** Returns a listener that passes each call to all given listeners. */
   public static TrafficListeners of(TrafficListener... listeners) {
     return new TrafficListeners(List.of(listeners));
   }
