Reword the TLS files and contexts

Private names follow: accepting and connecting contexts are server and client contexts, and the wrapped trust manager is the delegate. The certificate that the tests called "stranger" is "other-authority", in the file names too; the contents are unchanged.

A key now "does not match the certificate" rather than "does not fit" it, and the test compares the whole new message as before. Log lines about reloads say that the previous files stay in use.

Two test methods have plainer names.

--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/PeerTrustManager.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/PeerTrustManager.java
@@ -12,14 +12,15 @@
 import javax.net.ssl.X509ExtendedTrustManager;
 
 /**
- * Verifies certificates against authorities. The JDK accepts a certificate that is itself among the
- * authorities without a look at its dates, so they are checked here in every case.
+ * Verifies the certificates of the other side against the configured authorities. The JDK does not
+ * check the validity period of a certificate that is itself one of the authorities, so this class
+ * checks it in every case.
  */
 final class PeerTrustManager extends X509ExtendedTrustManager {
-  private final X509ExtendedTrustManager standard;
+  private final X509ExtendedTrustManager delegate;
 
-  private PeerTrustManager(X509ExtendedTrustManager standard) {
-    this.standard = standard;
+  private PeerTrustManager(X509ExtendedTrustManager delegate) {
+    this.delegate = delegate;
   }
 
   static PeerTrustManager of(List<X509Certificate> authorities) {
@@ -34,7 +35,8 @@
       factory.init(store);
       return new PeerTrustManager((X509ExtendedTrustManager) factory.getTrustManagers()[0]);
     } catch (GeneralSecurityException | IOException e) {
-      throw new IllegalStateException("the authorities cannot be put into a key store", e);
+      throw new IllegalStateException(
+          "the certificates of the authorities cannot be added to a key store", e);
     }
   }
 
@@ -42,44 +44,44 @@
   public void checkClientTrusted(X509Certificate[] chain, String type, SSLEngine engine)
       throws CertificateException {
     chain[0].checkValidity();
-    standard.checkClientTrusted(chain, type, engine);
+    delegate.checkClientTrusted(chain, type, engine);
   }
 
   @Override
   public void checkServerTrusted(X509Certificate[] chain, String type, SSLEngine engine)
       throws CertificateException {
     chain[0].checkValidity();
-    standard.checkServerTrusted(chain, type, engine);
+    delegate.checkServerTrusted(chain, type, engine);
   }
 
   @Override
   public void checkClientTrusted(X509Certificate[] chain, String type, Socket socket)
       throws CertificateException {
     chain[0].checkValidity();
-    standard.checkClientTrusted(chain, type, socket);
+    delegate.checkClientTrusted(chain, type, socket);
   }
 
   @Override
   public void checkServerTrusted(X509Certificate[] chain, String type, Socket socket)
       throws CertificateException {
     chain[0].checkValidity();
-    standard.checkServerTrusted(chain, type, socket);
+    delegate.checkServerTrusted(chain, type, socket);
   }
 
   @Override
   public void checkClientTrusted(X509Certificate[] chain, String type) throws CertificateException {
     chain[0].checkValidity();
-    standard.checkClientTrusted(chain, type);
+    delegate.checkClientTrusted(chain, type);
   }
 
   @Override
   public void checkServerTrusted(X509Certificate[] chain, String type) throws CertificateException {
     chain[0].checkValidity();
-    standard.checkServerTrusted(chain, type);
+    delegate.checkServerTrusted(chain, type);
   }
 
   @Override
   public X509Certificate[] getAcceptedIssuers() {
-    return standard.getAcceptedIssuers();
+    return delegate.getAcceptedIssuers();
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsContexts.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsContexts.java
@@ -20,8 +20,9 @@
 import org.tinylog.Logger;
 
 /**
- * The TLS contexts made of a set of files. When the files change, new connections use new contexts;
- * open connections go on. Files with a fault leave the contexts as they are.
+ * Creates TLS contexts from certificate files and reloads them when a file changes. New connections
+ * then use the new contexts, and open connections are not affected. If a file has a fault, the
+ * previous contexts stay in use. The contexts may be read on any thread.
  */
 public final class TlsContexts {
   private static final Duration RELOAD_INTERVAL = Duration.ofSeconds(30);
@@ -30,7 +31,7 @@
   private final TlsFiles files;
   private final InstantSource time;
   private volatile Contexts contexts;
-  private Map<Path, FileTime> modified = Map.of();
+  private Map<Path, FileTime> lastModified = Map.of();
   private String lastFaults = "";
 
   private TlsContexts(String section, TlsFiles files, InstantSource time) {
@@ -40,14 +41,14 @@
   }
 
   /**
-   * Loads the files.
+   * Loads the files and creates the contexts.
    *
    * @param section the section of the settings that names the files, for example {@code caller.tls}
    * @throws PersimmonwalkException with {@link ResultCode#TLS_FILE_INVALID} if a file has a fault
    */
   public static TlsContexts load(String section, TlsFiles files, InstantSource time) {
     TlsContexts loaded = new TlsContexts(section, files, time);
-    loaded.modified = loaded.modificationTimes();
+    loaded.lastModified = loaded.modificationTimes();
     List<String> faults = new ArrayList<>();
     loaded.contexts =
         loaded
@@ -59,42 +60,44 @@
     return loaded;
   }
 
-  /** Looks for changed files on the event loop from now on, until the loop ends. */
+  /** Checks for changed files at a fixed interval on the event loop, until the loop shuts down. */
   public void watch(EventLoop loop) {
     long interval = RELOAD_INTERVAL.toMillis();
     loop.scheduleWithFixedDelay(this::reloadIfChanged, interval, interval, TimeUnit.MILLISECONDS);
   }
 
-  /** Returns the context for a connection that is being accepted. */
+  /** Returns the current context for accepted connections. */
   public SslContext accepting() {
-    return contexts.accepting();
+    return contexts.server();
   }
 
-  /** Returns the context for a connection that is being opened. */
+  /** Returns the current context for outgoing connections, which requires authorities. */
   public SslContext connecting() {
-    return contexts.connecting().orElseThrow();
+    return contexts.client().orElseThrow();
   }
 
   /**
-   * Loads the files if one has changed, or if the last attempt failed, since a file may have been
-   * read while it was being written.
+   * Reloads the files if one has changed, or if the last attempt failed, because a file may have
+   * been read while it was being written.
    */
   void reloadIfChanged() {
     Map<Path, FileTime> current = modificationTimes();
-    if (current.equals(modified) && lastFaults.isEmpty()) {
+    if (current.equals(lastModified) && lastFaults.isEmpty()) {
       return;
     }
-    modified = current;
+    lastModified = current;
     List<String> faults = new ArrayList<>();
     Optional<Contexts> reloaded = read(faults);
     if (reloaded.isPresent()) {
       contexts = reloaded.get();
-      Logger.info("{}: the changed certificates are used for new connections", section);
+      Logger.info("{}: the changed certificate files were loaded for new connections", section);
     }
     String text = String.join("; ", faults);
     if (!text.isEmpty() && !text.equals(lastFaults)) {
       Logger.error(
-          "{} the changed files are not used: {}", ResultCode.TLS_FILE_INVALID.label(), text);
+          "{} the changed files are not used, the previous ones stay in use: {}",
+          ResultCode.TLS_FILE_INVALID.label(),
+          text);
     }
     lastFaults = text;
   }
@@ -119,21 +122,21 @@
       try {
         times.put(file, Files.getLastModifiedTime(file));
       } catch (IOException e) {
-        Logger.debug("the time of {} cannot be read: {}", file, e.getMessage());
+        Logger.debug("the modification time of {} cannot be read: {}", file, e.getMessage());
       }
     }
     return times;
   }
 
-  /** The two directions; only a listener with authorities also opens connections. */
-  private record Contexts(SslContext accepting, Optional<SslContext> connecting) {
+  /** The contexts of both directions; outgoing connections exist only if there are authorities. */
+  private record Contexts(SslContext server, Optional<SslContext> client) {
 
     static Contexts of(TlsMaterial material) throws SSLException {
-      Optional<SslContext> connecting =
+      Optional<SslContext> client =
           material.authorities().isEmpty()
               ? Optional.empty()
-              : Optional.of(material.connectingContext());
-      return new Contexts(material.acceptingContext(), connecting);
+              : Optional.of(material.clientContext());
+      return new Contexts(material.serverContext(), client);
     }
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFaultListener.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFaultListener.java
@@ -1,13 +1,13 @@
 package org.persimmonwalk.internal.tls;
 
-/** Is told of each file that cannot be used. */
+/** Receives the faults found in the files of a TLS listener. */
 public interface TlsFaultListener {
 
   /**
-   * Reports a fault.
+   * Called for each fault.
    *
    * @param setting the setting that names the file: certificate, key or authorities
-   * @param detail the file and what is wrong with it
+   * @param detail the path of the file and what is wrong with it
    */
   void fault(String setting, String detail);
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFiles.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFiles.java
@@ -9,12 +9,13 @@
  * The PEM files of one TLS listener.
  *
  * @param certificate the certificate of this host, followed by those of its issuers
- * @param key the private key of the certificate, in PKCS#8 without a password
- * @param authorities the certificates of the authorities that the other side is verified against
+ * @param key the private key of the certificate, in unencrypted PKCS#8
+ * @param authorities certificates of the authorities that verify the other side; empty if it is not
+ *     verified
  */
 public record TlsFiles(Path certificate, Path key, Optional<Path> authorities) {
 
-  /** Returns all files. */
+  /** Returns the paths of all files. */
   List<Path> all() {
     return Stream.concat(Stream.of(certificate, key), authorities.stream()).toList();
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsLoader.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsLoader.java
@@ -24,7 +24,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Loads the files of a TLS listener and reports every fault in them. */
+/** Loads the PEM files of a TLS listener and reports every fault in them. */
 public final class TlsLoader {
   private static final String CERTIFICATE = "certificate";
   private static final String KEY = "key";
@@ -41,20 +41,20 @@
     this.now = now;
   }
 
-  /** Reports each fault that keeps the files from being used at the given time. */
+  /** Reports each fault that would make the files unusable at the given time. */
   public static void check(TlsFiles files, Instant now, TlsFaultListener listener) {
     load(files, now, listener);
   }
 
-  /** Returns what the files hold, or nothing if any of them has a fault. */
+  /** Returns the content of the files, or empty if any of them has a fault. */
   static Optional<TlsMaterial> load(TlsFiles files, Instant now, TlsFaultListener listener) {
     TlsLoader loader = new TlsLoader(listener, now);
     List<X509Certificate> chain = loader.certificates(CERTIFICATE, files.certificate());
     Optional<PrivateKey> key = loader.key(files.key(), chain);
     List<X509Certificate> authorities =
         files.authorities().map(file -> loader.certificates(AUTHORITIES, file)).orElse(List.of());
-    boolean incomplete = files.authorities().isPresent() && authorities.isEmpty();
-    if (chain.isEmpty() || key.isEmpty() || incomplete) {
+    boolean authoritiesInvalid = files.authorities().isPresent() && authorities.isEmpty();
+    if (chain.isEmpty() || key.isEmpty() || authoritiesInvalid) {
       return Optional.empty();
     }
     return Optional.of(new TlsMaterial(chain, key.get(), authorities));
@@ -85,7 +85,8 @@
     } catch (CertificateExpiredException e) {
       listener.fault(setting, file + " holds a certificate that has expired: " + e.getMessage());
     } catch (CertificateNotYetValidException e) {
-      listener.fault(setting, file + " holds a certificate not valid yet: " + e.getMessage());
+      listener.fault(
+          setting, file + " holds a certificate that is not valid yet: " + e.getMessage());
     } catch (CertificateException e) {
       listener.fault(setting, file + " holds a malformed certificate: " + e.getMessage());
     }
@@ -115,18 +116,18 @@
       PrivateKey key =
           KeyFactory.getInstance(publicKey.getAlgorithm())
               .generatePrivate(new PKCS8EncodedKeySpec(encoded));
-      if (isPair(key, publicKey)) {
+      if (isKeyPair(key, publicKey)) {
         return Optional.of(key);
       }
     } catch (GeneralSecurityException | IllegalArgumentException e) {
-      // The decoder's text may repeat parts of the key, so it is not reported.
+      // The exception message may contain parts of the key, so it is not reported.
     }
-    listener.fault(KEY, file + " does not fit the certificate");
+    listener.fault(KEY, file + " does not match the certificate");
     return Optional.empty();
   }
 
-  /** Returns whether the public key verifies what the private key signs. */
-  private static boolean isPair(PrivateKey key, PublicKey publicKey)
+  /** Returns whether the public key verifies a signature of the private key. */
+  private static boolean isKeyPair(PrivateKey key, PublicKey publicKey)
       throws GeneralSecurityException {
     String algorithm =
         switch (key.getAlgorithm()) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsMaterial.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsMaterial.java
@@ -10,11 +10,11 @@
 import javax.net.ssl.SSLException;
 
 /**
- * Certificates and a key that have been checked.
+ * The checked certificates and private key from which TLS contexts are built.
  *
  * @param chain the certificate of this host, followed by those of its issuers
  * @param key the private key of the first certificate
- * @param authorities who the other side is verified against; empty if it needs no certificate
+ * @param authorities certificates that verify the other side; empty if it needs no certificate
  */
 record TlsMaterial(List<X509Certificate> chain, PrivateKey key, List<X509Certificate> authorities) {
   private static final String[] PROTOCOLS = {"TLSv1.3", "TLSv1.2"};
@@ -25,8 +25,8 @@
     authorities = List.copyOf(authorities);
   }
 
-  /** Returns the context of accepted connections. */
-  SslContext acceptingContext() throws SSLException {
+  /** Returns a context for accepted connections. */
+  SslContext serverContext() throws SSLException {
     SslContextBuilder builder = SslContextBuilder.forServer(key, chain);
     if (!authorities.isEmpty()) {
       builder.trustManager(PeerTrustManager.of(authorities)).clientAuth(ClientAuth.REQUIRE);
@@ -35,10 +35,10 @@
   }
 
   /**
-   * Returns the context of opened connections. Host names are not checked, since hosts know each
-   * other by IP numbers.
+   * Returns a context for outgoing connections. Host names are not verified, because hosts connect
+   * to each other by IP address.
    */
-  SslContext connectingContext() throws SSLException {
+  SslContext clientContext() throws SSLException {
     return SslContextBuilder.forClient()
         .keyManager(key, chain)
         .trustManager(PeerTrustManager.of(authorities))
--- a/entryhost/src/test/java/org/persimmonwalk/internal/tls/MutualTlsTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/tls/MutualTlsTest.java
@@ -39,7 +39,7 @@
 import org.persimmonwalk.port.PeerMessenger.SendOutcome;
 import org.persimmonwalk.port.RandomSource;
 
-/** Uses loopback connections; the time limit only ends a test that would never end. */
+/** Uses loopback connections; the timeout only stops a test that hangs. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class MutualTlsTest {
   private static final EntryHostId SELF = EntryHostId.of("self");
@@ -65,43 +65,47 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** Guards against certificates of the same authority that hosts refuse for their IP numbers. */
+  /**
+   * Guards against host name verification, which would reject valid certificates because hosts
+   * connect by IP address.
+   */
   @Test
   void shouldAcceptPeerOfTheSameAuthority() throws InterruptedException {
     assertThat(senderAfter(security(TestFiles.SECOND))).isEqualTo(SELF);
   }
 
-  /** Guards against a server that goes on without a certificate that it can verify. */
+  /** Guards against a server that accepts a peer without a certificate that it can verify. */
   @Test
   void shouldRefusePeersWithoutCertificateOfTheAuthority() throws Exception {
-    TlsMaterial stranger = material(TestFiles.STRANGER);
-    SSLContext foreign = ((JdkSslContext) stranger.connectingContext()).context();
-    SSLContext empty = SSLContext.getInstance("TLS");
-    empty.init(null, new TrustManager[] {PeerTrustManager.of(stranger.authorities())}, null);
+    TlsMaterial otherAuthority = material(TestFiles.OTHER_AUTHORITY);
+    SSLContext unverifiable = ((JdkSslContext) otherAuthority.clientContext()).context();
+    SSLContext withoutCertificate = SSLContext.getInstance("TLS");
+    withoutCertificate.init(
+        null, new TrustManager[] {PeerTrustManager.of(otherAuthority.authorities())}, null);
 
-    for (SSLContext context : List.of(foreign, empty)) {
+    for (SSLContext context : List.of(unverifiable, withoutCertificate)) {
       sendUntilClosed(context.getSocketFactory());
       assertThat(senders).isEmpty();
     }
   }
 
-  /** Guards against a host that sends its messages to whoever answers at the address of a peer. */
+  /** Guards against sending messages to another server that listens at the address of a peer. */
   @Test
   void shouldNotSendToPeerOfAnotherAuthority() throws Exception {
-    BlockingQueue<EntryHostId> overheard = new LinkedBlockingQueue<>();
+    BlockingQueue<EntryHostId> received = new LinkedBlockingQueue<>();
     try (PeerServer impostor =
             PeerServer.start(
                 PEER,
                 SocketEndpoint.of("127.0.0.1", 0),
                 group,
                 PeerSettings.defaults(),
-                security(TestFiles.STRANGER),
-                (from, message) -> overheard.add(from));
+                security(TestFiles.OTHER_AUTHORITY),
+                (from, message) -> received.add(from));
         PeerClient client = client(security(TestFiles.SECOND), impostor)) {
       assertThat(client.send(PEER, MESSAGE).toCompletableFuture().join())
           .isEqualTo(SendOutcome.DROPPED);
     }
-    assertThat(overheard).isEmpty();
+    assertThat(received).isEmpty();
   }
 
   @Test
@@ -111,7 +115,7 @@
     assertThat(senders).isEmpty();
   }
 
-  /** Sends a valid message and waits until the server ends the connection. */
+  /** Sends a valid message and waits until the server closes the connection. */
   private void sendUntilClosed(SocketFactory factory) throws IOException {
     byte[] body = PeerCodec.encode(PeerEnvelope.of(SELF, PEER, MESSAGE));
     try (Socket socket = factory.createSocket("127.0.0.1", server.endpoint().port())) {
@@ -121,7 +125,7 @@
       output.flush();
       socket.getInputStream().readAllBytes();
     } catch (SSLException | SocketException e) {
-      // The server ends the connection with an alert or a reset, depending on what it has read.
+      // The server closes the connection with an alert or a reset, depending on what it has read.
     }
   }
 
--- a/entryhost/src/test/java/org/persimmonwalk/internal/tls/TestFiles.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/tls/TestFiles.java
@@ -4,14 +4,14 @@
 import java.util.Optional;
 
 /**
- * Certificates and keys for tests. The authority has signed the first and the second; an authority
- * of the same name with another key has signed that of the stranger.
+ * Certificates and keys for tests. One authority signed {@code FIRST} and {@code SECOND}. {@code
+ * OTHER_AUTHORITY} was signed by an authority with the same name and another key.
  */
 final class TestFiles {
   static final Path DIRECTORY = Path.of("src", "test", "resources", "tls");
   static final TlsFiles FIRST = pair("first");
   static final TlsFiles SECOND = pair("second");
-  static final TlsFiles STRANGER = pair("stranger");
+  static final TlsFiles OTHER_AUTHORITY = pair("other-authority");
 
   private TestFiles() {}
 
--- a/entryhost/src/test/java/org/persimmonwalk/internal/tls/TlsContextsTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/tls/TlsContextsTest.java
@@ -30,7 +30,7 @@
     replace(TestFiles.FIRST.key(), files.key());
   }
 
-  /** Guards against a renewed certificate that needs a restart, and against needless reloads. */
+  /** Guards against renewed certificates that require a restart, and against needless reloads. */
   @Test
   void shouldUseChangedFilesForNewConnections() throws IOException {
     TlsContexts contexts = TlsContexts.load("caller.tls", files, TIME);
@@ -45,9 +45,12 @@
     assertThat(contexts.accepting()).isNotSameAs(first);
   }
 
-  /** Guards against a half-written renewal that ends TLS or is never completed. */
+  /**
+   * Guards against a renewal that is read while only one of its files is written: it must not
+   * disable TLS, and the complete files must be loaded later.
+   */
   @Test
-  void shouldKeepContextUntilFilesFitAgain() throws IOException {
+  void shouldKeepContextUntilFilesMatchAgain() throws IOException {
     TlsContexts contexts = TlsContexts.load("caller.tls", files, TIME);
     SslContext first = contexts.accepting();
 
@@ -62,7 +65,7 @@
     assertThat(contexts.accepting()).isNotSameAs(first);
   }
 
-  /** Sets a time of its own for each change, since the clock of a file system may be coarse. */
+  /** Sets a different time for each change, since file systems may store coarse timestamps. */
   private void replace(Path source, Path target) throws IOException {
     Files.copy(source, target, StandardCopyOption.REPLACE_EXISTING);
     Files.setLastModifiedTime(target, FileTime.fromMillis(++changes * 1_000));
--- a/entryhost/src/test/java/org/persimmonwalk/internal/tls/TlsLoaderTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/tls/TlsLoaderTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Guards against files that are accepted at start and then fail every handshake. */
+/** Guards against files that are accepted at startup but make every handshake fail. */
 class TlsLoaderTest {
   private static final Instant VALID = Instant.parse("2100-01-01T00:00:00Z");
   private static final Instant EXPIRED = Instant.parse("2200-01-01T00:00:00Z");
@@ -60,11 +60,11 @@
 
     load(new TlsFiles(TestFiles.FIRST.certificate(), key, Optional.empty()), VALID);
 
-    assertThat(faults).containsExactly("key " + key + " does not fit the certificate");
+    assertThat(faults).containsExactly("key " + key + " does not match the certificate");
   }
 
   @Test
-  void shouldReportCertificatesOutsideTheirDates() {
+  void shouldReportCertificatesOutsideValidityPeriod() {
     assertThat(load(TestFiles.FIRST, EXPIRED)).isEmpty();
     assertThat(faults).hasSize(2).allMatch(fault -> fault.contains("has expired"));
     faults.clear();
--- a/entryhost/src/test/java/org/persimmonwalk/internal/tls/package-info.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/tls/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of certificates, keys and the TLS contexts made of them. */
+/** Tests of loading certificates and keys, and of TLS connections that use them. */
 package org.persimmonwalk.internal.tls;
