Reword the capacity benchmark

Comments and names were vague in places: a fitted point had the fields "at" and "value", the results of a release were "store", "load", "pass" and "take", and a test guarded against a fleet that was "measured too cheap". Points are now x and y, each duration names the operation and its unit, and the tests say which failure they guard against. The option help names units, and messages name the offending value or the missed limit.

--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityBenchmark.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityBenchmark.java
@@ -9,34 +9,36 @@
 import org.kohsuke.args4j.Option;
 
 /**
- * Measures the load of an entry host at several sizes and fits a line to each quantity. {@code
- * docs/CAPACITY.md} extrapolates the slopes to the target size.
+ * Measures the load of an entry host at several deployment sizes and fits a line to each quantity.
+ * {@code docs/CAPACITY.md} extrapolates these lines to the target size.
  */
 public final class CapacityBenchmark {
   private static final List<String> SECTIONS =
       List.of("control", "store", "release", "traffic", "connections", "probes");
 
-  @Option(name = "--sections", usage = "what to measure, separated by commas")
+  @Option(name = "--sections", usage = "measurements to run, separated by commas")
   private String sections = String.join(",", SECTIONS);
 
-  @Option(name = "--seconds", usage = "length of each measurement of the control loop, simulated")
+  @Option(name = "--seconds", usage = "simulated seconds of each measurement of the control loop")
   private int seconds = 10;
 
-  @Option(name = "--warm-up", usage = "simulated seconds before; 66 fill the history of positions")
+  @Option(
+      name = "--warm-up",
+      usage = "simulated seconds before each of them; 66 fill the position history")
   private int warmUp = 66;
 
-  @Option(name = "--check", usage = "also run the control loops of 430 hosts")
+  @Option(name = "--check", usage = "also measure the control loop in a fleet of 430 hosts")
   private boolean check;
 
-  @Option(name = "--real-seconds", usage = "length of each measurement of a real entry host")
+  @Option(name = "--real-seconds", usage = "seconds of each measurement of a real entry host")
   private int realSeconds = 5;
 
   @Option(
       name = "--size",
-      usage = "measure the control loop of one size only: hosts,groups,workspaces")
+      usage = "measure the control loop at this size only: hosts,groups,workspaces")
   private String size = "";
 
-  @Option(name = "--json", usage = "file to which the measurements are written as JSON")
+  @Option(name = "--json", usage = "file to write the measurements to, as JSON")
   private String json = "";
 
   private CapacityBenchmark() {}
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityReport.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityReport.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Collects measurements at several sizes and prints them with the lines fitted to them. */
+/** Collects measurements and writes them, with the lines fitted to them, as text or JSON. */
 final class CapacityReport {
   private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -24,18 +24,23 @@
     return new CapacityReport();
   }
 
-  /** Adds a point to the series of a quantity over a variable. */
-  void add(String quantity, String variable, String setting, double at, double value) {
+  /**
+   * Adds a point to the series of a quantity over a variable.
+   *
+   * @param x the value of the variable
+   * @param y the measured quantity
+   */
+  void add(String quantity, String variable, String setting, double x, double y) {
     String name = quantity + " / " + variable + " / " + setting;
     List<LineFit.Point> points = new ArrayList<>();
     if (series.containsKey(name)) {
       points.addAll(series.get(name).points());
     }
-    points.add(new LineFit.Point(at, value));
+    points.add(new LineFit.Point(x, y));
     series.put(name, new Series(quantity, variable, setting, points));
   }
 
-  /** Adds a remark, such as the sizes that a limit of the machine allowed. */
+  /** Adds a note, such as the number of connections that the file descriptors allow. */
   void note(String name, String text) {
     notes.put(name, text);
   }
@@ -50,7 +55,7 @@
       text.append(
           String.format("%n%s by %s (%s)%n", item.quantity(), item.variable(), item.setting()));
       for (LineFit.Point point : item.points()) {
-        text.append(String.format(Locale.ROOT, "  %12.0f  %14.4f%n", point.at(), point.value()));
+        text.append(String.format(Locale.ROOT, "  %12.0f  %14.4f%n", point.x(), point.y()));
       }
       if (item.points().size() > 1) {
         LineFit line = item.line();
@@ -76,7 +81,7 @@
       node.put("variable", item.variable());
       node.put("setting", item.setting());
       ArrayNode points = node.putArray("points");
-      item.points().forEach(point -> points.addArray().add(point.at()).add(point.value()));
+      item.points().forEach(point -> points.addArray().add(point.x()).add(point.y()));
       if (item.points().size() > 1) {
         LineFit line = item.line();
         node.put("intercept", line.intercept());
@@ -89,7 +94,7 @@
     try {
       return JSON.writerWithDefaultPrettyPrinter().writeValueAsString(tree);
     } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a tree of plain values cannot be written", e);
+      throw new IllegalStateException("the report cannot be written as JSON", e);
     }
   }
 }
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/ConnectionMeasurement.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/ConnectionMeasurement.java
@@ -14,19 +14,20 @@
 import org.persimmonwalk.entryhost.TrafficListener;
 
 /**
- * Measures the memory of idle caller connections of a real entry host. Both ends are in this
- * process; what a bare channel holds is measured first and subtracted for the caller's end. Buffers
- * of the kernel are not counted.
+ * Measures the memory of idle caller connections at a real entry host. Both ends are in this
+ * process, so the heap of a bare channel is measured first and subtracted for the caller's end.
+ * Kernel buffers are not counted.
  */
 final class ConnectionMeasurement {
-  private static final List<Integer> SIZES = List.of(1_000, 2_000, 4_000, 8_000, 20_000);
-  private static final int BARE_PAIRS = 2_000;
+  private static final List<Integer> CONNECTION_COUNTS =
+      List.of(1_000, 2_000, 4_000, 8_000, 20_000);
+  private static final int BARE_CHANNEL_PAIRS = 2_000;
 
-  /** File descriptors for everything but the measured connections, which need two each. */
+  /** File descriptors left for all else than the measured connections, which need two each. */
   private static final int RESERVED_DESCRIPTORS = 1_000;
 
-  /** The number of callers that an entry host accepts unless its settings say otherwise. */
-  private static final int CALLERS_LIMIT = 10_000;
+  /** The default of an entry host's setting for its maximum number of caller connections. */
+  private static final int DEFAULT_MAXIMUM_CONNECTIONS = 10_000;
 
   private final CapacityReport report;
 
@@ -39,8 +40,8 @@
   }
 
   void run() throws IOException {
-    double channel = bareChannelBytes();
-    int limit = limit();
+    double channelHeapBytes = bareChannelBytes();
+    int limit = connectionLimit();
     report.note("caller connections", "at most " + limit + " by file descriptors and settings");
     List<RawCaller> callers = new ArrayList<>();
     try (LocalDeployment deployment = LocalDeployment.start(1, new TrafficListener() {})) {
@@ -48,11 +49,11 @@
       int base = callers.size();
       long heapBefore = Heap.usedBytes();
       long directBefore = directBytes();
-      for (int size : SIZES) {
+      for (int size : CONNECTION_COUNTS) {
         int count = Math.min(size, limit);
         if (count > callers.size() - base) {
           connect(deployment, callers, base + count - callers.size());
-          double heap = Heap.usedBytes() - heapBefore - channel * count;
+          double heap = Heap.usedBytes() - heapBefore - channelHeapBytes * count;
           report.add("heap of idle connections, KB", "connections", "1 host", count, heap / 1e3);
           report.add(
               "direct buffers of idle connections, KB",
@@ -70,11 +71,11 @@
     }
   }
 
-  private static int limit() {
+  private static int connectionLimit() {
     UnixOperatingSystemMXBean system =
         (UnixOperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
     long descriptors = system.getMaxFileDescriptorCount() - RESERVED_DESCRIPTORS;
-    return (int) Math.min(descriptors / 2, CALLERS_LIMIT - RESERVED_DESCRIPTORS);
+    return (int) Math.min(descriptors / 2, DEFAULT_MAXIMUM_CONNECTIONS - RESERVED_DESCRIPTORS);
   }
 
   private static void connect(LocalDeployment deployment, List<RawCaller> callers, int count)
@@ -89,13 +90,13 @@
     }
   }
 
-  /** Returns the heap of one end of a connection without anything but its channel. */
+  /** Returns the heap that one end of a connection needs for its channel alone. */
   private static double bareChannelBytes() throws IOException {
     List<SocketChannel> channels = new ArrayList<>();
     try (ServerSocketChannel server =
         ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0))) {
       long before = Heap.usedBytes();
-      for (int i = 0; i < BARE_PAIRS; i++) {
+      for (int i = 0; i < BARE_CHANNEL_PAIRS; i++) {
         channels.add(SocketChannel.open(server.getLocalAddress()));
         channels.add(server.accept());
       }
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/Heap.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/Heap.java
@@ -2,7 +2,7 @@
 
 import java.lang.management.ManagementFactory;
 
-/** Reads the heap that is in use after a collection. */
+/** Returns the heap in use after garbage collection. */
 final class Heap {
   private static final int COLLECTIONS = 3;
 
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/HostCounts.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/HostCounts.java
@@ -1,15 +1,15 @@
 package org.persimmonwalk.bench.capacity;
 
 /**
- * What the control thread of one simulated host has done.
+ * Work of the control thread of one simulated host since its start.
  *
- * @param processorNanoseconds processor time of rounds, commands and the decoding of answers
+ * @param processorNanoseconds processor time of rounds, of commands and of decoding the answers
  * @param rounds rounds of the control loop
  * @param messages messages sent to peers
- * @param messageBytes bytes of these messages with their length prefix
- * @param storeBytes bytes of rows written and read, without HTTP headers
- * @param probes samples asked of backend servers
- * @param refusedProbes samples not asked because the host has no connection to the server
+ * @param messageBytes bytes of these messages, including their length prefixes
+ * @param storeBytes bytes of rows and objects written and read, without HTTP headers
+ * @param probes probes sent to backend servers
+ * @param refusedProbes probes not sent because the host may not open a connection to the server
  */
 record HostCounts(
     long processorNanoseconds,
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/LineFit.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/LineFit.java
@@ -5,44 +5,45 @@
 /**
  * A line fitted to points by least squares.
  *
- * @param intercept the value at 0
- * @param slope the rise per unit
- * @param residual the root of the mean squared distance of the points from the line
+ * @param intercept the value at x = 0
+ * @param slope the change of the value per unit of x
+ * @param residual the root mean square of the vertical distances of the points from the line
  */
 record LineFit(double intercept, double slope, double residual) {
 
-  /** A measured point. */
-  record Point(double at, double value) {}
+  /** A value y measured at x. */
+  record Point(double x, double y) {}
 
   /**
-   * Returns the line through the points.
+   * Returns the line that fits the points best.
    *
-   * @throws IllegalArgumentException if there are not two points at different places
+   * @throws IllegalArgumentException if there are no two points with different x
    */
   static LineFit of(List<Point> points) {
-    double meanAt = points.stream().mapToDouble(Point::at).average().orElse(0);
-    double meanValue = points.stream().mapToDouble(Point::value).average().orElse(0);
-    double spread = 0;
-    double common = 0;
+    double meanX = points.stream().mapToDouble(Point::x).average().orElse(0);
+    double meanY = points.stream().mapToDouble(Point::y).average().orElse(0);
+    double sumOfSquaresX = 0;
+    double sumOfProducts = 0;
     for (Point point : points) {
-      spread += (point.at() - meanAt) * (point.at() - meanAt);
-      common += (point.at() - meanAt) * (point.value() - meanValue);
+      sumOfSquaresX += (point.x() - meanX) * (point.x() - meanX);
+      sumOfProducts += (point.x() - meanX) * (point.y() - meanY);
     }
-    if (!(spread > 0)) {
-      throw new IllegalArgumentException("a line needs two points at different places");
+    if (!(sumOfSquaresX > 0)) {
+      throw new IllegalArgumentException(
+          "a line needs two points with different x, but the points are " + points);
     }
-    double slope = common / spread;
-    double intercept = meanValue - slope * meanAt;
-    double squares = 0;
+    double slope = sumOfProducts / sumOfSquaresX;
+    double intercept = meanY - slope * meanX;
+    double sumOfSquaredResiduals = 0;
     for (Point point : points) {
-      double distance = point.value() - intercept - slope * point.at();
-      squares += distance * distance;
+      double verticalDistance = point.y() - intercept - slope * point.x();
+      sumOfSquaredResiduals += verticalDistance * verticalDistance;
     }
-    return new LineFit(intercept, slope, Math.sqrt(squares / points.size()));
+    return new LineFit(intercept, slope, Math.sqrt(sumOfSquaredResiduals / points.size()));
   }
 
-  /** Returns the value of the line. */
-  double valueAt(double at) {
-    return intercept + slope * at;
+  /** Returns the value of the line at x. */
+  double valueAt(double x) {
+    return intercept + slope * x;
   }
 }
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/ProbeMeasurement.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/ProbeMeasurement.java
@@ -19,8 +19,8 @@
 import org.persimmonwalk.release.ReleaseNote;
 
 /**
- * Measures what sampling costs a real entry host without callers, by database groups. The added
- * groups are further names of the servers of one stand-in group.
+ * Measures the processor time that probes cost a real entry host without callers, at several
+ * numbers of database groups. The added groups are aliases of the servers of one stand-in group.
  */
 final class ProbeMeasurement {
   private static final List<Integer> GROUPS = List.of(1, 6, 11, 16);
@@ -30,7 +30,9 @@
   private static final long WARM_UP_MILLISECONDS = 20_000;
   private static final int POLL_MILLISECONDS = 50;
   private static final double NANOSECONDS_PER_SECOND = 1e9;
-  private static final int HEADER = 6;
+
+  /** The type byte, the length field and the zero byte that ends the text. */
+  private static final int QUERY_OVERHEAD_BYTES = 6;
 
   private final CapacityReport report;
   private final int seconds;
@@ -70,7 +72,7 @@
       report.note(
           "probe",
           "request "
-              + (HEADER + SampleRow.QUERY.length())
+              + (QUERY_OVERHEAD_BYTES + SampleRow.QUERY.length())
               + " bytes, answer "
               + answer
               + " bytes, without headers of TCP and IP");
@@ -128,7 +130,11 @@
     while (sampledGroups(deployment) < groups) {
       if (System.nanoTime() > limit) {
         throw new IllegalStateException(
-            "only " + sampledGroups(deployment) + " of " + groups + " groups were sampled");
+            "only "
+                + sampledGroups(deployment)
+                + " of "
+                + groups
+                + " groups were sampled within 30 s");
       }
       Thread.sleep(POLL_MILLISECONDS);
     }
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/RawCaller.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/RawCaller.java
@@ -10,10 +10,13 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 
-/** A caller connection of PostgreSQL's protocol that holds nothing but its socket. */
+/**
+ * A client of the PostgreSQL protocol that keeps no state but its socket, so that it adds little to
+ * the memory measured for the entry host in the same process.
+ */
 final class RawCaller implements AutoCloseable {
   private static final int PROTOCOL_VERSION = 196608;
-  private static final int LENGTH_FIELD = 4;
+  private static final int LENGTH_FIELD_BYTES = 4;
 
   private final SocketChannel channel;
 
@@ -21,7 +24,7 @@
     this.channel = channel;
   }
 
-  /** Connects, logs in with a clear-text password if asked, and waits until the server is ready. */
+  /** Connects, sends the password in clear text if asked for it, and waits for ReadyForQuery. */
   static RawCaller connect(int port, String user, String password, String database)
       throws IOException {
     RawCaller caller = new RawCaller(SocketChannel.open(new InetSocketAddress("127.0.0.1", port)));
@@ -29,7 +32,7 @@
     return caller;
   }
 
-  /** Runs a statement and returns the bytes of the whole answer. */
+  /** Runs a statement and returns the size of the whole answer in bytes. */
   int query(String text) throws IOException {
     send('Q', text);
     int bytes = 0;
@@ -37,10 +40,10 @@
     while (true) {
       int type = input.readUnsignedByte();
       int length = input.readInt();
-      input.skipNBytes(length - LENGTH_FIELD);
+      input.skipNBytes(length - LENGTH_FIELD_BYTES);
       bytes += 1 + length;
       if (type == 'E') {
-        throw new IOException("the server refused the statement");
+        throw new IOException("the server refused the statement: " + text);
       }
       if (type == 'Z') {
         return bytes;
@@ -62,7 +65,7 @@
       startup.writeByte(0);
     }
     DataOutputStream output = output();
-    output.writeInt(body.size() + LENGTH_FIELD);
+    output.writeInt(body.size() + LENGTH_FIELD_BYTES);
     output.write(body.toByteArray());
     output.flush();
     awaitReady(password);
@@ -72,7 +75,7 @@
     DataInputStream input = input();
     while (true) {
       int type = input.readUnsignedByte();
-      int length = input.readInt() - LENGTH_FIELD;
+      int length = input.readInt() - LENGTH_FIELD_BYTES;
       if (type == 'Z') {
         input.skipNBytes(length);
         return;
@@ -82,7 +85,7 @@
       }
       int remaining = length;
       if (type == 'R') {
-        remaining -= LENGTH_FIELD;
+        remaining -= LENGTH_FIELD_BYTES;
         if (input.readInt() != 0) {
           send('p', password);
         }
@@ -95,7 +98,7 @@
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
     DataOutputStream output = output();
     output.writeByte(type);
-    output.writeInt(LENGTH_FIELD + bytes.length + 1);
+    output.writeInt(LENGTH_FIELD_BYTES + bytes.length + 1);
     output.write(bytes);
     output.writeByte(0);
     output.flush();
@@ -105,7 +108,7 @@
     return new DataInputStream(Channels.newInputStream(channel));
   }
 
-  /** Buffered, because a message in several small packets waits for delayed acknowledgements. */
+  /** Buffered, because a message sent in several small packets waits for delayed TCP ACKs. */
   private DataOutputStream output() {
     return new DataOutputStream(new BufferedOutputStream(Channels.newOutputStream(channel)));
   }
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/ReleaseMeasurement.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/ReleaseMeasurement.java
@@ -22,15 +22,15 @@
 import org.persimmonwalk.release.ReleaseNote;
 import org.persimmonwalk.release.ReleaseNoteMerge;
 
-/** Measures what one configuration takes to merge, store, load and pass on. */
+/** Measures the size of a configuration and the time to merge, encode and decode it. */
 final class ReleaseMeasurement {
   private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
-  private static final Duration LENGTH = Duration.ofMillis(300);
+  private static final Duration MEASURED_TIME = Duration.ofMillis(300);
   private static final int GROUPS = 10;
   private static final int WORKSPACES = 8;
   private static final int KEYS = 80;
-  private static final EntryHostId FROM = EntryHostId.of("entry-host-0");
-  private static final EntryHostId TO = EntryHostId.of("entry-host-1");
+  private static final EntryHostId SENDER = EntryHostId.of("entry-host-0");
+  private static final EntryHostId RECEIVER = EntryHostId.of("entry-host-1");
 
   private final CapacityReport report;
 
@@ -58,21 +58,25 @@
   private record Result(
       int objectBytes,
       int messageBytes,
-      double merge,
-      double store,
-      double load,
-      double pass,
-      double take) {}
+      double mergeMicroseconds,
+      double encodeObjectMicroseconds,
+      double decodeObjectMicroseconds,
+      double encodeMessageMicroseconds,
+      double decodeMessageMicroseconds) {}
 
-  private void add(String variable, String setting, int at, Sizes sizes) {
+  private void add(String variable, String setting, int x, Sizes sizes) {
     Result result = measure(sizes);
-    report.add("stored configuration, bytes", variable, setting, at, result.objectBytes());
-    report.add("configuration message, bytes", variable, setting, at, result.messageBytes());
-    report.add("merge of a note with 1 key, us", variable, setting, at, result.merge());
-    report.add("encoding of the object, us", variable, setting, at, result.store());
-    report.add("decoding of the object, us", variable, setting, at, result.load());
-    report.add("encoding of the message, us", variable, setting, at, result.pass());
-    report.add("decoding of the message, us", variable, setting, at, result.take());
+    report.add("stored configuration, bytes", variable, setting, x, result.objectBytes());
+    report.add("configuration message, bytes", variable, setting, x, result.messageBytes());
+    report.add("merge of a note with 1 key, us", variable, setting, x, result.mergeMicroseconds());
+    report.add(
+        "encoding of the object, us", variable, setting, x, result.encodeObjectMicroseconds());
+    report.add(
+        "decoding of the object, us", variable, setting, x, result.decodeObjectMicroseconds());
+    report.add(
+        "encoding of the message, us", variable, setting, x, result.encodeMessageMicroseconds());
+    report.add(
+        "decoding of the message, us", variable, setting, x, result.decodeMessageMicroseconds());
   }
 
   private static Result measure(Sizes sizes) {
@@ -82,11 +86,12 @@
     byte[] object = format.encode(stored);
     ConfigurationReply reply =
         new ConfigurationReply(configuration, Optional.of(Duration.ZERO), MonotonicTime.of(0));
-    PeerEnvelope envelope = PeerEnvelope.of(FROM, TO, reply);
+    PeerEnvelope envelope = PeerEnvelope.of(SENDER, RECEIVER, reply);
     byte[] message = PeerCodec.encode(envelope);
     ReleaseNote note = note(configuration);
     if (!(ReleaseNoteMerge.merge(configuration, note) instanceof MergeResult.Merged)) {
-      throw new IllegalStateException("the note was refused");
+      throw new IllegalStateException(
+          "the release note could not be merged into the configuration");
     }
     return new Result(
         object.length,
@@ -105,7 +110,7 @@
         .withAdded(List.of(new ReleaseItem.KeyItem(key)));
   }
 
-  /** Returns the processor time of one call, from many calls after as many that warm up. */
+  /** Returns the mean processor time of a call, after a warm-up of the same length. */
   private static double microseconds(Runnable call) {
     repeat(call);
     return repeat(call);
@@ -115,7 +120,7 @@
     long start = THREADS.getCurrentThreadCpuTime();
     long calls = 0;
     long elapsed = 0;
-    while (elapsed < LENGTH.toNanos()) {
+    while (elapsed < MEASURED_TIME.toNanos()) {
       call.run();
       calls++;
       elapsed = THREADS.getCurrentThreadCpuTime() - start;
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/Series.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/Series.java
@@ -6,8 +6,8 @@
  * A quantity measured at several sizes.
  *
  * @param quantity what was measured, with its unit
- * @param variable what was varied
- * @param setting what was kept
+ * @param variable the size that was varied, such as hosts
+ * @param setting the sizes that were held constant
  * @param points the measurements
  */
 record Series(String quantity, String variable, String setting, List<LineFit.Point> points) {
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedClock.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedClock.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.port.MonotonicClock;
 
-/** A clock that the simulation advances. */
+/** A clock that stands still until {@link SimulatedFleet} advances it. */
 final class SimulatedClock implements MonotonicClock {
   private MonotonicTime now = MonotonicTime.of(0);
 
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedFleet.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedFleet.java
@@ -35,13 +35,15 @@
 import org.persimmonwalk.port.RandomSource;
 
 /**
- * The control loops of all entry hosts of a deployment, run by one thread in simulated time.
+ * Runs the control loops of all entry hosts of a deployment on the calling thread, in simulated
+ * time.
  *
- * <p>A round runs at most once per tick, so that answers that arrive within a tick share a round.
+ * <p>Each host runs at most one round per tick, so that answers that arrive within a tick share a
+ * round.
  */
 final class SimulatedFleet implements AutoCloseable {
   private static final long STATEMENT_INTERVAL_MILLISECONDS = 100;
-  private static final int NETWORK_MILLISECONDS = 3;
+  private static final int MAXIMUM_NETWORK_DELAY_MILLISECONDS = 3;
   private static final long BYTES_WRITTEN_PER_MILLISECOND = 100;
   private static final long REPLAY_LAG_MILLISECONDS = 20;
   private static final String PRIMARY_SUFFIX = "-server-0";
@@ -51,44 +53,44 @@
   private final SimulatedClock clock = new SimulatedClock();
   private final EventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final Map<EntryHostId, SimulatedHost> byId = new HashMap<>();
+  private final Map<EntryHostId, SimulatedHost> hostsById = new HashMap<>();
   private final List<SimulatedHost> hosts = new ArrayList<>();
-  private final List<HostEntry> entries;
+  private final List<HostEntry> hostEntries;
   private final SimulatedStore store;
   private final Duration tick;
-  private final boolean probing;
+  private final boolean probesAnswered;
   private long ticks;
 
-  private SimulatedFleet(Sizes sizes, Duration tick, boolean probing) {
+  private SimulatedFleet(Sizes sizes, Duration tick, boolean probesAnswered) {
     this.tick = tick;
-    this.probing = probing;
+    this.probesAnswered = probesAnswered;
     Configuration configuration = SyntheticConfiguration.of(sizes);
     ObjectName object = ObjectName.of("configuration-1");
     store =
         SimulatedStore.of(
             configuration,
             ConfigurationRow.of(configuration.revision(), configuration.note(), object));
-    entries = SyntheticConfiguration.hosts(sizes.hosts());
-    for (int i = 0; i < entries.size(); i++) {
-      add(SimulatedHost.of(entries.get(i), this, RandomSource.seeded(i + 1L)));
+    hostEntries = SyntheticConfiguration.hosts(sizes.hosts());
+    for (int i = 0; i < hostEntries.size(); i++) {
+      add(SimulatedHost.of(hostEntries.get(i), this, RandomSource.seeded(i + 1L)));
     }
   }
 
-  /** Returns a fleet whose hosts start at once. */
+  /** Returns a fleet whose hosts all start at the same time. */
   static SimulatedFleet of(Sizes sizes, Duration tick) {
     return new SimulatedFleet(sizes, tick, true);
   }
 
-  /** Returns a fleet whose samples of backend servers are never answered. */
+  /** Returns a fleet whose probes of backend servers are never answered. */
   static SimulatedFleet withoutProbes(Sizes sizes, Duration tick) {
     return new SimulatedFleet(sizes, tick, false);
   }
 
   boolean answersProbes() {
-    return probing;
+    return probesAnswered;
   }
 
-  /** Runs all hosts for a simulated time. */
+  /** Advances the clock by the given time, tick by tick, and runs all hosts. */
   void run(Duration duration) {
     MonotonicTime end = clock.now().plus(duration);
     long statementTicks = Math.max(1, STATEMENT_INTERVAL_MILLISECONDS / tick.toMillis());
@@ -116,11 +118,11 @@
     return store;
   }
 
-  List<HostEntry> entries() {
-    return entries;
+  List<HostEntry> hostEntries() {
+    return hostEntries;
   }
 
-  /** Returns what a server says of itself; server 0 of each group is the primary. */
+  /** Returns the answer of a server to a probe; server 0 of each group is the primary. */
   ServerSample sample(BackendServerId server, MonotonicTime at) {
     long milliseconds = at.nanoseconds() / 1_000_000;
     Term term = Term.of(1);
@@ -131,12 +133,12 @@
     return ServerSample.ofReplica(term, position(milliseconds), replayed, Duration.ZERO);
   }
 
-  Duration probeDelay(RandomSource random) {
-    return Duration.ofMillis(1 + random.nextInt(NETWORK_MILLISECONDS));
+  Duration networkDelay(RandomSource random) {
+    return Duration.ofMillis(1 + random.nextInt(MAXIMUM_NETWORK_DELAY_MILLISECONDS));
   }
 
   void deliver(EntryHostId to, byte[] message, RandomSource random) {
-    byId.get(to).receive(message, probeDelay(random));
+    hostsById.get(to).receive(message, networkDelay(random));
   }
 
   static Observation decode(byte[] message) {
@@ -163,12 +165,13 @@
                 MonitorConnections.of(connector, Duration.ofSeconds(1), server -> false),
                 host::post));
     hosts.add(host);
-    byId.put(host.id(), host);
+    hostsById.put(host.id(), host);
   }
 
-  /** Hosts of this fleet have no callers, so that no statement is scheduled. */
+  /** Fails, because the hosts of this fleet have no callers and never schedule a statement. */
   private static ServerScheduler<ConnectionWaiter> unusedScheduler(BackendServerId server) {
-    throw new IllegalStateException("a statement was sent to " + server);
+    throw new IllegalStateException(
+        "a statement was scheduled in a fleet without callers, for " + server);
   }
 
   private static LogPosition position(long milliseconds) {
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedHost.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedHost.java
@@ -38,14 +38,16 @@
 import org.persimmonwalk.port.CommandExecutor;
 import org.persimmonwalk.port.RandomSource;
 
-/** One entry host's control loop with the real controllers; commands are answered in memory. */
+/**
+ * The control loop of one entry host, with the real controllers and commands answered in memory.
+ */
 final class SimulatedHost implements CommandExecutor {
-  /** As in the control thread, which checks timers at least this often. */
+  /** The control thread of a real host checks its timers at least this often. */
   private static final Duration LONGEST_ROUND_GAP = Duration.ofMillis(20);
 
   private static final Duration STORE_DELAY = Duration.ofMillis(5);
   private static final Duration REFUSAL_DELAY = Duration.ofMillis(1);
-  private static final int LENGTH_PREFIX = 4;
+  private static final int LENGTH_PREFIX_BYTES = 4;
   private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
   private final HostEntry entry;
@@ -112,7 +114,7 @@
     processorNanoseconds += THREADS.getCurrentThreadCpuTime() - start;
   }
 
-  /** Lets one statement of each workspace arrive. */
+  /** Requests admission of one statement of each workspace. */
   void offerStatements(MonotonicTime now) {
     Snapshot snapshot = loop.snapshot();
     snapshot
@@ -122,15 +124,15 @@
         .forEach(workspace -> admission.admit(snapshot, workspace, now));
   }
 
-  /** Queues an observation, which wakes the control loop in the next tick. */
+  /** Queues an observation; the host runs a round in its next step. */
   void post(Observation observation) {
     posted = true;
     loop.post(observation);
   }
 
-  /** Takes the bytes of a message of a peer. */
+  /** Delivers an encoded message of a peer after the given delay. */
   void receive(byte[] message, Duration delay) {
-    arrive(delay, () -> SimulatedFleet.decode(message));
+    postAfter(delay, () -> SimulatedFleet.decode(message));
   }
 
   @Override
@@ -141,18 +143,18 @@
       send(send);
     } else if (command instanceof ReadTableRow read) {
       MonotonicTime startedAt = fleet.clock().now();
-      arrive(STORE_DELAY, () -> read(read.row(), startedAt));
+      postAfter(STORE_DELAY, () -> read(read.row(), startedAt));
     } else if (command instanceof CompareAndSetTableRow write) {
       MonotonicTime startedAt = fleet.clock().now();
-      arrive(STORE_DELAY, () -> write(write, startedAt));
+      postAfter(STORE_DELAY, () -> write(write, startedAt));
     } else if (command instanceof ListHosts) {
       MonotonicTime startedAt = fleet.clock().now();
       fleet.store().countHostList();
-      arrive(STORE_DELAY, () -> new HostsListed(fleet.entries(), startedAt));
+      postAfter(STORE_DELAY, () -> new HostsListed(fleet.hostEntries(), startedAt));
     } else if (command instanceof LoadConfiguration) {
       MonotonicTime startedAt = fleet.clock().now();
       storeBytes += fleet.store().configurationBytes();
-      arrive(
+      postAfter(
           STORE_DELAY, () -> new ConfigurationLoaded(fleet.store().loadConfiguration(), startedAt));
     } else {
       throw new IllegalStateException("no answer is simulated for " + command.getClass());
@@ -168,37 +170,37 @@
     int allowance = loop.snapshot().get(Entries.CONNECTION_ALLOWANCES).getOrDefault(server, 0);
     if (allowance == 0) {
       refusedProbes++;
-      arrive(REFUSAL_DELAY, () -> new ServerSampleFailed(server, startedAt));
+      postAfter(REFUSAL_DELAY, () -> new ServerSampleFailed(server, startedAt));
       return;
     }
     probes++;
-    arrive(
-        fleet.probeDelay(random),
+    postAfter(
+        fleet.networkDelay(random),
         () -> new ServerSampled(server, fleet.sample(server, startedAt), startedAt));
   }
 
   private void send(SendPeerMessage command) {
     byte[] bytes = PeerCodec.encode(PeerEnvelope.of(entry.id(), command.to(), command.message()));
     messages++;
-    messageBytes += bytes.length + LENGTH_PREFIX;
+    messageBytes += bytes.length + LENGTH_PREFIX_BYTES;
     fleet.deliver(command.to(), bytes, random);
   }
 
   private Observation read(TableRow row, MonotonicTime startedAt) {
     VersionedRow result = fleet.store().read(row);
-    storeBytes += fleet.store().bytes(row);
+    storeBytes += fleet.store().rowBytes(row);
     return new TableRowRead(row, result.version(), result.value(), startedAt);
   }
 
   private Observation write(CompareAndSetTableRow write, MonotonicTime startedAt) {
     WriteOutcome outcome =
         fleet.store().compareAndSet(write.row(), write.expected(), write.value());
-    storeBytes += fleet.store().bytes(write.row());
+    storeBytes += fleet.store().rowBytes(write.row());
     long version = write.expected().number() + (outcome == WriteOutcome.WRITTEN ? 1 : 0);
     return new TableRowWritten(write.row(), outcome, RowVersion.of(version), startedAt);
   }
 
-  private void arrive(Duration delay, Supplier<Observation> observation) {
+  private void postAfter(Duration delay, Supplier<Observation> observation) {
     arrivals.add(new Arrival(fleet.clock().now().plus(delay), observation));
   }
 }
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedStore.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedStore.java
@@ -18,34 +18,34 @@
 import org.persimmonwalk.store.RowCodec;
 import org.persimmonwalk.store.RowCodecs;
 
-/** The platform's table service and object store in memory; rows are kept as JSON. */
+/** Stands for the platform's table service and object store; keeps rows in memory, as JSON. */
 final class SimulatedStore {
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final Map<String, RowCodec<?>> codecs = RowCodecs.standard();
-  private final Map<TableRow, Stored> rows = new HashMap<>();
+  private final Map<TableRow, StoredRow> rows = new HashMap<>();
   private final byte[] configuration;
   private StoreCounts counts = StoreCounts.NONE;
 
-  private record Stored(long version, byte[] content) {}
+  private record StoredRow(long version, byte[] content) {}
 
   private SimulatedStore(byte[] configuration) {
     this.configuration = configuration;
   }
 
-  /** Returns a store whose configuration row names the given configuration. */
+  /** Returns a store that holds the given configuration and the row that refers to it. */
   static SimulatedStore of(Configuration configuration, ConfigurationRow row) {
     byte[] object =
         ConfigurationFormat.create()
             .encode(StoredConfiguration.of(configuration, Optional.empty()));
     SimulatedStore store = new SimulatedStore(object);
-    store.rows.put(ConfigurationRow.ROW, new Stored(1, store.encode(ConfigurationRow.ROW, row)));
+    store.rows.put(ConfigurationRow.ROW, new StoredRow(1, store.encode(ConfigurationRow.ROW, row)));
     return store;
   }
 
   VersionedRow read(TableRow row) {
     counts = counts.plusRead(row.equals(ConfigurationRow.ROW));
-    Stored stored = rows.get(row);
+    StoredRow stored = rows.get(row);
     return stored == null
         ? VersionedRow.absent()
         : VersionedRow.of(RowVersion.of(stored.version()), decode(row, stored.content()));
@@ -53,12 +53,12 @@
 
   WriteOutcome compareAndSet(TableRow row, RowVersion expected, RowValue value) {
     byte[] content = encode(row, value);
-    Stored stored = rows.get(row);
+    StoredRow stored = rows.get(row);
     long version = stored == null ? 0 : stored.version();
     boolean matches = version == expected.number();
     counts = counts.plusWrite(matches);
     if (matches) {
-      rows.put(row, new Stored(version + 1, content));
+      rows.put(row, new StoredRow(version + 1, content));
     }
     return matches ? WriteOutcome.WRITTEN : WriteOutcome.CONFLICT;
   }
@@ -71,14 +71,14 @@
     counts = counts.plusHostList();
   }
 
-  /** Returns the bytes of a row, 0 if it does not exist. */
-  int bytes(TableRow row) {
-    Stored stored = rows.get(row);
+  /** Returns the size of a row in bytes, or 0 if it does not exist. */
+  int rowBytes(TableRow row) {
+    StoredRow stored = rows.get(row);
     return stored == null ? 0 : stored.content().length;
   }
 
-  /** Returns the bytes of all rows and the object. */
-  long bytes() {
+  /** Returns the size of all rows and of the configuration object in bytes. */
+  long totalBytes() {
     return configuration.length
         + rows.values().stream().mapToLong(stored -> stored.content().length).sum();
   }
@@ -95,7 +95,7 @@
     try {
       return JSON.writeValueAsBytes(tree(codecs.get(row.table()), value));
     } catch (JsonProcessingException e) {
-      throw new IllegalStateException("row " + row + " cannot be written", e);
+      throw new IllegalStateException("row " + row + " cannot be encoded as JSON", e);
     }
   }
 
@@ -107,7 +107,7 @@
     try {
       return codecs.get(row.table()).decode(JSON.readTree(content));
     } catch (IOException e) {
-      throw new IllegalStateException("row " + row + " cannot be read", e);
+      throw new IllegalStateException("row " + row + " cannot be decoded from JSON", e);
     }
   }
 }
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/Sizes.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/Sizes.java
@@ -19,11 +19,12 @@
     return new Sizes(hosts, groups, workspaces, KEYS_PER_WORKSPACE * workspaces);
   }
 
-  /** Reads a size such as {@code 5,10,8}: hosts, groups, workspaces. */
+  /** Parses a size such as {@code 5,10,8}: hosts, groups, workspaces. */
   static Sizes parse(String text) {
     int[] numbers = Arrays.stream(text.split(",")).mapToInt(Integer::parseInt).toArray();
     if (numbers.length != 3) {
-      throw new IllegalArgumentException("a size has 3 numbers: " + text);
+      throw new IllegalArgumentException(
+          "a size has the form hosts,groups,workspaces, but was: " + text);
     }
     return of(numbers[0], numbers[1], numbers[2]);
   }
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/StoreCounts.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/StoreCounts.java
@@ -1,12 +1,12 @@
 package org.persimmonwalk.bench.capacity;
 
 /**
- * Requests that a platform store has answered.
+ * Numbers of requests that the platform store has answered.
  *
  * @param configurationReads reads of the configuration row
- * @param leaseReads reads of rows with leases
- * @param writes writes that took effect
- * @param conflicts writes refused because the row had changed
+ * @param leaseReads reads of all other rows, which hold leases
+ * @param writes compare-and-set writes that took effect
+ * @param conflicts compare-and-set writes refused because the row had another version
  * @param hostLists reads of the host list
  */
 record StoreCounts(
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/SyntheticConfiguration.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SyntheticConfiguration.java
@@ -23,7 +23,7 @@
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.model.Workspace;
 
-/** Makes configurations and host lists of a given size over 7 availability zones. */
+/** Generates configurations and host lists of a given size, spread over 7 availability zones. */
 final class SyntheticConfiguration {
   private static final int ZONES = 7;
   private static final int CONNECTIONS = 50;
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/ThreadTimes.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/ThreadTimes.java
@@ -14,8 +14,8 @@
  * stand-ins.
  *
  * <p>The host's event loops are those of the newest Netty group, since a deployment starts its
- * stand-ins before its hosts. Collections and compilations run on threads of the virtual machine
- * and are not counted.
+ * stand-ins before its hosts. Garbage collection and JIT compilation run on other threads and are
+ * not counted.
  *
  * @param traffic nanoseconds of the host's event loops
  * @param control nanoseconds of the host's control thread
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/TrafficMeasurement.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/TrafficMeasurement.java
@@ -20,13 +20,13 @@
   private static final String READ = "SELECT litres FROM tank WHERE id = ?";
   private static final String WRITE = "UPDATE tank SET litres = '1' WHERE id = ?";
 
-  /** Enough for the virtual machine to compile the path of a statement. */
-  private static final int WARM_UPS = 4;
+  /** Enough for the JIT compiler to compile the code that a statement runs through. */
+  private static final int WARM_UP_RUNS = 4;
 
   private static final int WARM_UP_RATE = 4_000;
   private static final int READERS = 8;
 
-  /** A write waits for a replica's confirmation, so that more callers are needed for a rate. */
+  /** More than the readers: a write waits for a replica, so each writer reaches a lower rate. */
   private static final int WRITERS = 60;
 
   private static final List<Integer> READ_RATES = List.of(500, 1_000, 1_500, 2_000);
@@ -59,7 +59,7 @@
   }
 
   private void warmUp(LocalDeployment deployment, String text, int callers) throws Exception {
-    for (int i = 0; i < WARM_UPS; i++) {
+    for (int i = 0; i < WARM_UP_RUNS; i++) {
       measure(deployment, text, callers, WARM_UP_RATE);
     }
   }
--- a/bench/src/test/java/org/persimmonwalk/bench/capacity/LineFitTest.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/capacity/LineFitTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** A wrong slope would make every extrapolation of the capacity page wrong. */
+/** Guards against a wrong line, which would make every extrapolated capacity wrong. */
 class LineFitTest {
   private static final double TOLERANCE = 1e-9;
 
@@ -21,19 +21,19 @@
   }
 
   @Test
-  void shouldStateDistanceOfPointsFromLine() {
+  void shouldReturnResidualOfPointsOffTheLine() {
     LineFit line = LineFit.of(List.of(point(0, 1), point(0, -1), point(2, 1), point(2, -1)));
     assertThat(line.slope()).isCloseTo(0, within(TOLERANCE));
     assertThat(line.residual()).isCloseTo(1, within(TOLERANCE));
   }
 
   @Test
-  void shouldRefusePointsAtOnePlace() {
+  void shouldRefusePointsWithSameX() {
     assertThatThrownBy(() -> LineFit.of(List.of(point(1, 5), point(1, 6))))
         .isInstanceOf(IllegalArgumentException.class);
   }
 
-  private static LineFit.Point point(double at, double value) {
-    return new LineFit.Point(at, value);
+  private static LineFit.Point point(double x, double y) {
+    return new LineFit.Point(x, y);
   }
 }
--- a/bench/src/test/java/org/persimmonwalk/bench/capacity/SimulatedFleetTest.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/capacity/SimulatedFleetTest.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.blackboard.Snapshot;
 import org.persimmonwalk.model.HostPhase;
 
-/** A fleet that does not reach its usual state would be measured too cheap. */
+/** Guards against a fleet that never reaches its steady state: its load would measure too low. */
 class SimulatedFleetTest {
   private static final Sizes SIZES = Sizes.of(3, 2, 4);
   private static final Duration START = Duration.ofSeconds(8);
@@ -31,13 +31,16 @@
     }
   }
 
-  /** The counts do not depend on the speed of the machine, so that two runs agree on them. */
+  /** Guards against counts that depend on the speed of the machine. */
   @Test
   void shouldCountTheSameRequestsInEachRun() {
     assertThat(countsOfOneRun()).isEqualTo(countsOfOneRun());
   }
 
-  /** The control thread must wait when nothing happens: probes every 50 ms and timers wake it. */
+  /**
+   * Guards against a control loop that runs rounds while nothing is due; only probes every 50 ms
+   * and timers may wake it.
+   */
   @Test
   void shouldNotRunRoundsWithoutCause() {
     try (SimulatedFleet fleet = SimulatedFleet.of(SIZES, Duration.ofMillis(1))) {
--- a/bench/src/test/java/org/persimmonwalk/bench/capacity/package-info.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/capacity/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the measurements of capacity. */
+/** Tests of the capacity benchmark. */
 package org.persimmonwalk.bench.capacity;
