Reword the demo, the benchmarks and the session tests

Some texts had to be guessed at: a benchmark measured reads "through an entry host and past it" with measurements "past" and "through", a printer showed "where statements go and why", a recorder "forgets" what it hands out, and a scenario said that "a withdrawn key stops". They now say direct and proxied, name what is printed or recorded, and state what is refused. Step texts changed together with the features: the replicas "stop receiving writes", a backend server has not "received" a key. Commands and expected values of the golden session files are unchanged.

--- a/bench/src/main/java/org/persimmonwalk/bench/DemoMain.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/DemoMain.java
@@ -12,11 +12,13 @@
 import org.kohsuke.args4j.Option;
 import org.persimmonwalk.entryhost.TrafficListener;
 
-/** Starts two entry hosts before a stand-in group and runs a short session through them. */
+/** Starts two entry hosts in front of a stand-in group and runs a short session through them. */
 public final class DemoMain {
   private static final Duration REPLAY_LAG = Duration.ofMillis(300);
 
-  @Option(name = "--serve", usage = "stay up for your own client instead of running the session")
+  @Option(
+      name = "--serve",
+      usage = "keep running for your own client instead of running the session")
   private boolean serve;
 
   private DemoMain() {}
@@ -59,10 +61,10 @@
     Map<String, String> session = Map.of("session", "dispatcher-7");
     try (Connection first = deployment.connect(0, session)) {
       execute(first, "INSERT INTO delivery (id, tank, litres) VALUES ('d1', 'kainuu', '900')");
-      System.out.println("The read right after the write needs a server that has it:");
+      System.out.println("The read right after the write must run on a server that has the write:");
       query(first, "SELECT litres FROM delivery WHERE id = 'd1'");
       Thread.sleep(REPLAY_LAG.plusMillis(300).toMillis());
-      System.out.println("After the replay lag a replica has it:");
+      System.out.println("After the replay lag a replica has the write:");
       query(first, "SELECT litres FROM delivery WHERE id = 'd1'");
       execute(first, "UPDATE delivery SET litres = '950' WHERE id = 'd1'");
     }
--- a/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
@@ -54,7 +54,7 @@
 import org.persimmonwalk.store.RowCodecs;
 
 /**
- * Entry hosts before one stand-in database group, all in this process.
+ * Entry hosts in front of one stand-in database group on a stand-in platform, all in this process.
  *
  * <p>Example:
  *
@@ -71,16 +71,16 @@
   /** The database group that callers use. */
   public static final DatabaseGroupId GROUP = DatabaseGroupId.of("tanks");
 
-  /** The key of the workspace. */
+  /** The caller key of the workspace. */
   public static final String KEY = "demo-key-of-workspace-oil";
 
   private static final List<String> SERVERS = List.of("server-a", "server-b", "server-c");
   private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
   private static final Duration MAXIMUM_AGE = Duration.ofSeconds(30);
-  private static final Duration LONGEST_WAIT = Duration.ofSeconds(30);
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
   private static final long POLL_MILLISECONDS = 5;
-  private static final int CONNECTIONS = 50;
-  private static final double RATE = 1_000_000;
+  private static final int CONNECTIONS_PER_SERVER = 50;
+  private static final double WORKSPACE_RATE = 1_000_000;
 
   private final StandInGroup group;
   private final StandInPlatform platform;
@@ -93,12 +93,12 @@
     this.callerSecurity = callerSecurity;
   }
 
-  /** Starts a group with a primary and two replicas, and the given number of entry hosts. */
+  /** Starts a primary, two replicas and entry hosts, and waits until the hosts serve. */
   public static LocalDeployment start(int hostCount, TrafficListener listener) {
     return start(hostCount, TrafficPolicies::standard, listener);
   }
 
-  /** Starts a group and entry hosts with the given policies, and waits until they serve. */
+  /** Starts a group and entry hosts with the given policies, and waits until the hosts serve. */
   public static LocalDeployment start(
       int hostCount, TrafficPolicies.Factory policies, TrafficListener listener) {
     LocalDeployment deployment = start(hostCount, policies, listener, "plainText: true");
@@ -108,7 +108,10 @@
     return deployment;
   }
 
-  /** Connects until the host holds a share; a host that was never asked holds none. */
+  /**
+   * Opens connections until the host holds a share of the workspace's rate. A host that has had no
+   * caller holds none and refuses the first ones with {@link ResultCode#RATE_EXCEEDED}.
+   */
   private void awaitShare(int hostNumber) {
     MonotonicTime start = MonotonicClock.system().now();
     while (true) {
@@ -116,9 +119,10 @@
         connect(hostNumber, Map.of()).close();
         return;
       } catch (SQLException e) {
-        boolean late = MonotonicClock.system().now().since(start).compareTo(LONGEST_WAIT) > 0;
-        if (late || !ResultCode.RATE_EXCEEDED.sqlState().equals(e.getSQLState())) {
-          throw new IllegalStateException("an entry host serves no caller", e);
+        boolean timedOut = MonotonicClock.system().now().since(start).compareTo(TIMEOUT) > 0;
+        if (timedOut || !ResultCode.RATE_EXCEEDED.sqlState().equals(e.getSQLState())) {
+          throw new IllegalStateException(
+              "entry host number " + hostNumber + " refused a caller connection", e);
         }
       }
     }
@@ -142,7 +146,7 @@
         StandInGroup.start(StandInGroupSettings.of(SERVERS.toArray(String[]::new)));
     StandInPlatform platform = StandInPlatform.start(StandInPlatformSettings.create());
     LocalDeployment deployment = new LocalDeployment(group, platform, callerSecurity);
-    deployment.publish(deployment.note());
+    deployment.publish(deployment.initialReleaseNote());
     for (int i = 0; i < hostCount; i++) {
       deployment.hosts.add(deployment.startHost(i, policies, listener));
     }
@@ -202,14 +206,15 @@
     return DriverManager.getConnection(url(hosts.get(hostNumber).callerPort()), properties);
   }
 
-  /** Opens a connection to a backend server, past the entry hosts. */
+  /** Opens a connection to a backend server, bypassing the entry hosts. */
   public Connection connectDirectly(String server) throws SQLException {
     int port = group.endpoint(BackendServerId.of(server)).port();
     return DriverManager.getConnection(url(port), "direct", "direct");
   }
 
   /**
-   * Waits until every host has seen every replica at the position of the primary.
+   * Waits until every host knows a position of the primary from after this call, and has seen every
+   * server replay up to it.
    *
    * @throws IllegalStateException if this does not happen within 30 s
    */
@@ -217,8 +222,8 @@
     for (EntryHost host : hosts) {
       MonotonicTime start = MonotonicClock.system().now();
       while (!isCaughtUp(host, start)) {
-        if (MonotonicClock.system().now().since(start).compareTo(LONGEST_WAIT) > 0) {
-          throw new IllegalStateException("the replicas did not catch up within " + LONGEST_WAIT);
+        if (MonotonicClock.system().now().since(start).compareTo(TIMEOUT) > 0) {
+          throw new IllegalStateException("the replicas did not catch up within " + TIMEOUT);
         }
         Thread.sleep(POLL_MILLISECONDS);
       }
@@ -278,16 +283,13 @@
     return host;
   }
 
-  /** Waits until the host serves callers, knows its primary and may open connections. */
+  /** Waits until the host serves, has a confirmed position and may open backend connections. */
   private static void awaitReady(EntryHost host) {
     MonotonicTime start = MonotonicClock.system().now();
     while (!isReady(host.snapshot())) {
-      if (MonotonicClock.system().now().since(start).compareTo(LONGEST_WAIT) > 0) {
+      if (MonotonicClock.system().now().since(start).compareTo(TIMEOUT) > 0) {
         throw new IllegalStateException(
-            "an entry host did not serve within "
-                + LONGEST_WAIT
-                + ": "
-                + describe(host.snapshot()));
+            "an entry host was not ready within " + TIMEOUT + ": " + describe(host.snapshot()));
       }
       try {
         Thread.sleep(POLL_MILLISECONDS);
@@ -325,18 +327,19 @@
         && view.newestConfirmed().isPresent();
   }
 
-  private ReleaseNote note() {
+  private ReleaseNote initialReleaseNote() {
     List<BackendServer> servers = new ArrayList<>();
     for (int i = 0; i < SERVERS.size(); i++) {
       BackendServerId id = BackendServerId.of(SERVERS.get(i));
       AvailabilityZone zone = AvailabilityZone.of(ZONES.get(i));
-      servers.add(BackendServer.of(id, zone, group.endpoint(id), 3, CONNECTIONS));
+      servers.add(BackendServer.of(id, zone, group.endpoint(id), 3, CONNECTIONS_PER_SERVER));
     }
     return ReleaseNote.of(ReleaseNoteId.of("demo"), Revision.NONE)
         .withAdded(
             List.of(
                 new ReleaseItem.GroupItem(DatabaseGroup.of(GROUP, servers, MAXIMUM_AGE)),
-                new ReleaseItem.WorkspaceItem(Workspace.of(WORKSPACE, RATE, RATE, Set.of(GROUP))),
+                new ReleaseItem.WorkspaceItem(
+                    Workspace.of(WORKSPACE, WORKSPACE_RATE, WORKSPACE_RATE, Set.of(GROUP))),
                 new ReleaseItem.KeyItem(CallerKey.of(KeyHash.ofKey(KEY), WORKSPACE))));
   }
 }
--- a/bench/src/main/java/org/persimmonwalk/bench/PathBenchmark.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/PathBenchmark.java
@@ -19,26 +19,26 @@
 import org.persimmonwalk.entryhost.TrafficListener;
 
 /**
- * Measures reads per second and their latency through an entry host and past it, in one run, and
- * prints the ratios.
+ * Measures the rate and the latency of reads through an entry host and directly at a backend
+ * server, in one run, and prints how they compare.
  */
 public final class PathBenchmark {
   private static final double NANOSECONDS_PER_MICROSECOND = 1e3;
   private static final double NANOSECONDS_PER_SECOND = 1e9;
 
-  @Option(name = "--callers", usage = "connections that read at once")
+  @Option(name = "--callers", usage = "connections that read concurrently")
   private int callers = 4;
 
-  @Option(name = "--seconds", usage = "length of each measurement")
+  @Option(name = "--seconds", usage = "seconds of each measurement")
   private int seconds = 5;
 
-  @Option(name = "--rounds", usage = "measurements of each kind, which take turns")
+  @Option(name = "--rounds", usage = "rounds of one direct and one proxied measurement")
   private int rounds = 3;
 
   private PathBenchmark() {}
 
-  /** Opens a caller connection. */
-  private interface Opener {
+  /** Opens the connections of one kind of measurement. */
+  private interface ConnectionFactory {
     Connection open() throws SQLException;
   }
 
@@ -69,14 +69,14 @@
   private void run() throws Exception {
     try (LocalDeployment deployment = LocalDeployment.start(1, new TrafficListener() {})) {
       prepare(deployment);
-      Opener direct = () -> deployment.connectDirectly("server-b");
-      Opener proxied = () -> deployment.connect(0, Map.of());
+      ConnectionFactory direct = () -> deployment.connectDirectly("server-b");
+      ConnectionFactory proxied = () -> deployment.connect(0, Map.of());
       measure(direct);
       measure(proxied);
       for (int round = 1; round <= rounds; round++) {
-        Measurement past = measure(direct);
-        Measurement through = measure(proxied);
-        print(round, past, through);
+        Measurement directResult = measure(direct);
+        Measurement proxiedResult = measure(proxied);
+        print(round, directResult, proxiedResult);
       }
     }
   }
@@ -91,13 +91,14 @@
     deployment.awaitReplicas();
   }
 
-  private Measurement measure(Opener opener) throws InterruptedException, ExecutionException {
+  private Measurement measure(ConnectionFactory connections)
+      throws InterruptedException, ExecutionException {
     ExecutorService executor = Executors.newFixedThreadPool(callers);
     List<Future<Histogram>> results = new ArrayList<>();
     long start = System.nanoTime();
     long end = start + (long) (seconds * NANOSECONDS_PER_SECOND);
     for (int i = 0; i < callers; i++) {
-      results.add(executor.submit(() -> read(opener, end)));
+      results.add(executor.submit(() -> read(connections, end)));
     }
     Histogram latency = new Histogram(3);
     for (Future<Histogram> result : results) {
@@ -108,17 +109,17 @@
     return new Measurement(latency.getTotalCount(), elapsed, latency);
   }
 
-  private static Histogram read(Opener opener, long end) throws SQLException {
+  private static Histogram read(ConnectionFactory connections, long end) throws SQLException {
     Histogram latency = new Histogram(3);
     String text = "SELECT litres FROM tank WHERE id = ?";
-    try (Connection connection = opener.open();
+    try (Connection connection = connections.open();
         PreparedStatement statement = connection.prepareStatement(text)) {
       statement.setString(1, "t1");
       while (System.nanoTime() < end) {
         long start = System.nanoTime();
         try (ResultSet result = statement.executeQuery()) {
           if (!result.next()) {
-            throw new IllegalStateException("the row is missing");
+            throw new IllegalStateException("the row with id t1 is missing");
           }
         }
         latency.recordValue(System.nanoTime() - start);
@@ -127,18 +128,18 @@
     return latency;
   }
 
-  private static void print(int round, Measurement past, Measurement through) {
+  private static void print(int round, Measurement directResult, Measurement proxiedResult) {
     System.out.printf(
         "round %d: direct %.0f/s, p50 %.0f us, p99 %.0f us; through the host %.0f/s, p50 %.0f us,"
             + " p99 %.0f us; ratio of rates %.2f, added p50 %.0f us%n",
         round,
-        past.rate(),
-        past.microseconds(50),
-        past.microseconds(99),
-        through.rate(),
-        through.microseconds(50),
-        through.microseconds(99),
-        through.rate() / past.rate(),
-        through.microseconds(50) - past.microseconds(50));
+        directResult.rate(),
+        directResult.microseconds(50),
+        directResult.microseconds(99),
+        proxiedResult.rate(),
+        proxiedResult.microseconds(50),
+        proxiedResult.microseconds(99),
+        proxiedResult.rate() / directResult.rate(),
+        proxiedResult.microseconds(50) - directResult.microseconds(50));
   }
 }
--- a/bench/src/main/java/org/persimmonwalk/bench/ReadShareBenchmark.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/ReadShareBenchmark.java
@@ -25,33 +25,33 @@
 import org.persimmonwalk.routing.StatementKind;
 
 /**
- * Measures the part of reads that replicas serve, and counts reads that miss the session's own last
- * write, next to the baseline that sends every statement to the primary.
+ * Measures the share of reads that replicas serve and counts stale reads, which miss the session's
+ * own last write. The baseline for both is a policy that sends every statement to the primary.
  */
 public final class ReadShareBenchmark {
   private static final int THREADS = 32;
   private static final long SEED = 20_261_204;
 
-  @Option(name = "--sessions", usage = "sessions that are open at once")
+  @Option(name = "--sessions", usage = "sessions that are open concurrently")
   private int sessions = 100;
 
-  @Option(name = "--seconds", usage = "length of each measurement")
+  @Option(name = "--seconds", usage = "seconds of each measurement")
   private int seconds = 15;
 
   @Option(
       name = "--warm-up",
-      usage = "seconds before counting; sessions connect and write first meanwhile")
+      usage = "seconds before counting, in which sessions connect and insert their rows")
   private int warmUpSeconds = 8;
 
-  @Option(name = "--pause", usage = "mean pause of a session between statements, in milliseconds")
+  @Option(name = "--pause", usage = "mean milliseconds between the statements of a session")
   private int pauseMilliseconds = 1_000;
 
-  @Option(name = "--writes", usage = "writes in percent of all statements")
+  @Option(name = "--writes", usage = "percentage of statements that are writes")
   private int writePercent = 10;
 
   private ReadShareBenchmark() {}
 
-  /** Counts routing decisions and answers of one measurement. */
+  /** Counts the routed reads, the stale reads and the failures of one measurement. */
   private static final class Counts implements TrafficListener {
     private final LongAdder replicaReads = new LongAdder();
     private final LongAdder primaryReads = new LongAdder();
@@ -135,7 +135,7 @@
         counts.failed.sum());
   }
 
-  /** A session that writes its own row now and then and reads it otherwise. */
+  /** A session that runs reads and writes of its own row in random order. */
   private final class Session {
     private final String id;
     private final Counts counts;
--- a/bench/src/main/java/org/persimmonwalk/bench/RoutingPrinter.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/RoutingPrinter.java
@@ -8,7 +8,10 @@
 import org.persimmonwalk.result.StatementState;
 import org.persimmonwalk.routing.RoutingDecision;
 
-/** Prints where statements go and why. */
+/**
+ * Prints each routing decision with its reason, and the outcome of each statement. Called on
+ * traffic threads.
+ */
 public final class RoutingPrinter implements TrafficListener {
   private final PrintStream output;
 
--- a/bench/src/test/java/org/persimmonwalk/bench/BadInputTest.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/BadInputTest.java
@@ -17,7 +17,10 @@
 import org.persimmonwalk.entryhost.TrafficListener;
 import org.persimmonwalk.id.BackendServerId;
 
-/** Guards against input of one caller that leaks, hangs, or costs another caller anything. */
+/**
+ * Guards against bad input of one caller that leaks resources, hangs or affects other callers, and
+ * against a lost answer that is not reported as an unknown outcome.
+ */
 class BadInputTest {
   private static final int PROTOCOL_VERSION = 196_608;
 
--- a/bench/src/test/java/org/persimmonwalk/bench/CallerTlsTest.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/CallerTlsTest.java
@@ -29,7 +29,7 @@
     deployment.close();
   }
 
-  /** Guards against a driver that cannot verify the host or run statements through TLS. */
+  /** Guards against a TLS setup with which drivers cannot verify the host or run statements. */
   @Test
   void shouldRunStatementsThroughTls() throws SQLException {
     try (Connection connection = connect("verify-ca");
@@ -44,7 +44,7 @@
     connect("require").close();
   }
 
-  /** Guards against a key that is asked for in plain text. */
+  /** Guards against a host that requests the caller's key over an unencrypted connection. */
   @Test
   void shouldRefusePlainTextWhenTlsIsRequired() {
     assertThatThrownBy(() -> connect("disable"))
@@ -53,7 +53,7 @@
         .hasMessageContaining("PW-1007");
   }
 
-  /** Guards against messages that someone on the way puts before the handshake. */
+  /** Guards against plain-text messages that an attacker injects before the TLS handshake. */
   @Test
   void shouldCloseConnectionWithBytesBeforeTheHandshake() throws IOException {
     try (Socket socket = new Socket("127.0.0.1", deployment.host(0).callerPort())) {
@@ -87,7 +87,10 @@
         properties);
   }
 
-  /** Returns what arrives until the connection ends, which unread bytes turn into a reset. */
+  /**
+   * Returns the bytes that arrive until the connection ends, or none if it is reset, as happens
+   * when the host closes it with unread input.
+   */
   private static byte[] readAll(Socket socket) throws IOException {
     try {
       return socket.getInputStream().readAllBytes();
--- a/bench/src/test/java/org/persimmonwalk/bench/DifferentialTest.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/DifferentialTest.java
@@ -18,7 +18,7 @@
 
 /**
  * Runs the same random schedule of sessions on entry hosts and on the baseline that sends every
- * statement to the primary. Guards against an answer that differs because a replica gave it.
+ * statement to the primary. Guards against answers that differ because a replica served the read.
  */
 class DifferentialTest {
   private static final int SESSIONS = 4;
--- a/bench/src/test/java/org/persimmonwalk/bench/GoldenSessionTest.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/GoldenSessionTest.java
@@ -9,13 +9,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against a change of an answer or of a routing decision that nobody intended. */
+/** Guards against unintended changes of answers and routing decisions. */
 class GoldenSessionTest {
   private static final Path SESSIONS = Path.of("src/test/resources/sessions");
 
   @ParameterizedTest
   @ValueSource(strings = {"own-writes", "transactions", "errors", "idempotency"})
-  void shouldGiveTheAnswersAndDecisionsOfTheFile(String name)
+  void shouldReproduceAnswersAndDecisionsOfFile(String name)
       throws IOException, SQLException, InterruptedException {
     Path file = SESSIONS.resolve(name + ".session");
     try (SessionTranscript transcript = SessionTranscript.create()) {
--- a/bench/src/test/java/org/persimmonwalk/bench/RoutingRecorder.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/RoutingRecorder.java
@@ -7,15 +7,15 @@
 import org.persimmonwalk.result.ResultCode;
 import org.persimmonwalk.routing.RoutingDecision;
 
-/** Keeps the routing decisions for tests to read. */
+/** Records routing decisions and refusals for tests. */
 public final class RoutingRecorder implements TrafficListener {
   private final List<String> decisions = new CopyOnWriteArrayList<>();
 
-  /** Returns the decisions since the last call, and forgets them. */
-  public List<String> take() {
-    List<String> taken = List.copyOf(decisions);
+  /** Returns the decisions recorded since the last call, and clears them. */
+  public List<String> drain() {
+    List<String> drained = List.copyOf(decisions);
     decisions.clear();
-    return taken;
+    return drained;
   }
 
   @Override
--- a/bench/src/test/java/org/persimmonwalk/bench/SessionTranscript.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/SessionTranscript.java
@@ -12,13 +12,14 @@
 import org.persimmonwalk.entryhost.TrafficPolicies;
 
 /**
- * Runs the commands of a session file and writes down answers and routing decisions.
+ * Runs the commands of a session file and records the answers and routing decisions.
  *
  * <p>Lines that begin with {@code >} are commands: {@code open NAME HOST [parameter=value]}, {@code
  * close NAME}, {@code replicas stop|resume|await}, or {@code NAME: statement}. Answers begin with
  * {@code <}, decisions with {@code @}.
  */
 final class SessionTranscript implements AutoCloseable {
+  /** Longer than any test runs, so that the replicas replay nothing. */
   private static final Duration STOPPED = Duration.ofHours(1);
 
   private final RoutingRecorder recorder = new RoutingRecorder();
@@ -33,7 +34,9 @@
     return new SessionTranscript();
   }
 
-  /** Runs the commands of the file and returns the whole file as it should read. */
+  /**
+   * Runs the commands of the file and returns its lines with the recorded answers and decisions.
+   */
   List<String> run(List<String> file) throws SQLException, InterruptedException {
     for (String line : file) {
       if (line.startsWith("#") || line.isBlank()) {
@@ -66,7 +69,7 @@
         execute(connection, command.substring(colon + 1).strip());
       }
     }
-    recorder.take().forEach(decision -> lines.add("@ " + decision));
+    recorder.drain().forEach(decision -> lines.add("@ " + decision));
   }
 
   private void open(String[] words) throws SQLException {
@@ -75,7 +78,7 @@
       parameters.put(words[i].split("=")[0], words[i].split("=")[1]);
     }
     connections.put(words[1], deployment.connect(Integer.parseInt(words[2]) - 1, parameters));
-    recorder.take();
+    recorder.drain();
   }
 
   private void controlReplicas(String word) throws InterruptedException {
--- a/bench/src/test/java/org/persimmonwalk/bench/steps/SessionSteps.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/steps/SessionSteps.java
@@ -24,9 +24,11 @@
 import org.persimmonwalk.release.ItemName;
 import org.persimmonwalk.release.ReleaseNote;
 
-/** Steps that drive a session through entry hosts with the PostgreSQL JDBC driver. */
+/** Step definitions that run a session through entry hosts with the PostgreSQL JDBC driver. */
 public final class SessionSteps {
+  /** Longer than any scenario runs, so that the replicas receive or replay nothing. */
   private static final Duration STOPPED = Duration.ofHours(1);
+
   private static final String OUTCOME_UNKNOWN = "40003";
   private static final BackendServerId PRIMARY = BackendServerId.of("server-a");
   private static final List<String> SERVERS = List.of("server-a", "server-b", "server-c");
@@ -37,7 +39,7 @@
   private String session;
   private SQLException failure;
 
-  @Given("two entry hosts before a primary and two replicas")
+  @Given("two entry hosts in front of a primary and two replicas")
   public void startDeployment() {
     deployment = LocalDeployment.start(2, recorder);
   }
@@ -51,12 +53,12 @@
     deployment.awaitReplicas();
   }
 
-  @Given("the replicas replay nothing")
+  @Given("the replicas have stopped replaying")
   public void stopReplay() {
     deployment.group().setReplayLag(STOPPED);
   }
 
-  @When("the replicas receive nothing more")
+  @When("the replicas stop receiving writes")
   public void stopReceiving() {
     deployment.group().setReceiveDelay(STOPPED);
   }
@@ -91,11 +93,11 @@
   }
 
   /**
-   * Books as a careful caller does: after an unknown outcome it reads the row and repeats the
-   * booking only if the row is missing.
+   * Books and, after an unknown outcome, reads the row and repeats the booking only if the row is
+   * missing.
    */
   @When("the session books delivery {string} of {string} litres and checks unknown outcomes")
-  public void bookChecked(String id, String litres) throws SQLException {
+  public void bookCheckingUnknownOutcomes(String id, String litres) throws SQLException {
     book(id, litres);
     while (failure != null && OUTCOME_UNKNOWN.equals(failure.getSQLState())) {
       failure = null;
@@ -117,7 +119,7 @@
 
   @Then("the session reads {string} litres for delivery {string}")
   public void read(String litres, String id) throws SQLException {
-    recorder.take();
+    recorder.drain();
     String select = "SELECT litres FROM delivery WHERE id = ?";
     try (PreparedStatement statement = connection.prepareStatement(select)) {
       statement.setString(1, id);
@@ -129,13 +131,13 @@
   }
 
   @Then("the read ran on the primary because {string}")
-  public void checkPrimary(String reason) {
-    assertThat(recorder.take()).containsExactly("READ server-a " + reason);
+  public void checkReadOnPrimary(String reason) {
+    assertThat(recorder.drain()).containsExactly("READ server-a " + reason);
   }
 
   @Then("the read ran on a replica")
-  public void checkReplica() {
-    assertThat(String.join(", ", recorder.take()))
+  public void checkReadOnReplica() {
+    assertThat(String.join(", ", recorder.drain()))
         .matches("READ server-[bc] REPLICA_IN_(OTHER_)?ZONE");
   }
 
@@ -156,8 +158,8 @@
     assertThat(failure.getSQLState()).isEqualTo(sqlState);
   }
 
-  @Then("no backend server has seen {string}")
-  public void checkNotSeen(String secret) {
+  @Then("no backend server has received {string}")
+  public void checkNotReceived(String secret) {
     for (String server : SERVERS) {
       assertThat(deployment.group().counters(BackendServerId.of(server)).toString())
           .contains("backend-password")
@@ -165,9 +167,9 @@
     }
   }
 
-  @Then("no backend server has seen the key of the workspace")
-  public void checkKeyNotSeen() {
-    checkNotSeen(LocalDeployment.KEY);
+  @Then("no backend server has received the key of the workspace")
+  public void checkKeyNotReceived() {
+    checkNotReceived(LocalDeployment.KEY);
   }
 
   @When("the primary stops")
--- a/bench/src/test/java/org/persimmonwalk/bench/steps/package-info.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/steps/package-info.java
@@ -1,2 +1,2 @@
-/** Steps of the acceptance features. */
+/** Step definitions of the acceptance features. */
 package org.persimmonwalk.bench.steps;
--- a/bench/src/test/resources/features/session.feature
+++ b/bench/src/test/resources/features/session.feature
@@ -1,12 +1,12 @@
 Feature: A session reads its own writes
-  Replicas lag. A session sees what it has written, whichever entry host it uses.
+  Replicas lag. A session reads its own writes through any entry host.
 
   Background:
-    Given two entry hosts before a primary and two replicas
+    Given two entry hosts in front of a primary and two replicas
     And a table "delivery"
 
   Scenario: A write is read from the primary while the replicas lag
-    Given the replicas replay nothing
+    Given the replicas have stopped replaying
     And session "dispatcher" is connected to entry host 1
     When the session books delivery "d1" of "900" litres
     Then the session reads "900" litres for delivery "d1"
@@ -19,8 +19,8 @@
     Then the session reads "900" litres for delivery "d1"
     And the read ran on a replica
 
-  Scenario: A session that moves to another entry host still sees its write
-    Given the replicas replay nothing
+  Scenario: A session that moves to another entry host reads its own write
+    Given the replicas have stopped replaying
     And session "dispatcher" is connected to entry host 1
     When the session books delivery "d1" of "900" litres
     And the session moves to entry host 2
@@ -30,20 +30,20 @@
   Scenario: A caller with a wrong key is refused and the key reaches no backend server
     When a caller connects with the key "wrong-key"
     Then the caller is refused with SQLSTATE "28P01"
-    And no backend server has seen "wrong-key"
+    And no backend server has received "wrong-key"
 
-  Scenario: The key of the workspace stays at the entry host
+  Scenario: The entry host does not pass the key of the workspace to a backend server
     Given session "dispatcher" is connected to entry host 1
     When the session books delivery "d1" of "900" litres
-    Then no backend server has seen the key of the workspace
+    Then no backend server has received the key of the workspace
 
-  Scenario: A write without a replica that has received it has an unknown outcome
+  Scenario: A write that no replica has received has an unknown outcome
     Given session "dispatcher" is connected to entry host 1
-    When the replicas receive nothing more
+    When the replicas stop receiving writes
     And the session books delivery "d1" of "900" litres
     Then the booking fails with SQLSTATE "40003"
 
-  Scenario: A session goes on after its primary has stopped
+  Scenario: A session continues after its primary has stopped
     Given session "dispatcher" is connected to entry host 2
     When the session books delivery "d1" of "900" litres
     And the primary stops
@@ -58,7 +58,7 @@
     And the session books delivery "d2" of "100" litres
     Then the session reads "900" litres for delivery "d1"
 
-  Scenario: A withdrawn key stops on an open connection
+  Scenario: A withdrawn key is refused on an open connection
     Given session "dispatcher" is connected to entry host 1
     When the session books delivery "d1" of "900" litres
     And an operator withdraws the key of the workspace
