--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityBenchmark.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/CapacityBenchmark.java
@@ -24,7 +24,7 @@
 
   @Option(
       name = "--warm-up",
-      usage = "simulated seconds before each of them; 66 fill the position history")
+      usage = "simulated seconds before a control loop measurement; 66 fill the position history")
   private int warmUp = 66;
 
   @Option(name = "--check", usage = "also measure the control loop in a fleet of 430 hosts")
