Reword the parser of release notes

Comments spoke of a note's text "before it has a meaning", of "named parts" and of a "hostile" note. They now use the terms of YAML (node, mapping, entries, sequence) and say what each method does after a fault, for example "Returns the converted value; empty, and a fault, if it is missing or invalid".

--- a/operator/src/main/java/org/persimmonwalk/internal/operator/note/FaultList.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/FaultList.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import org.persimmonwalk.release.NoteFault;
 
-/** Collects the faults of a release note. */
+/** Collects the validation faults found while a release note is read. */
 final class FaultList {
   private final List<NoteFault> faults = new ArrayList<>();
 
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/note/FaultMessages.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/FaultMessages.java
@@ -6,14 +6,17 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Turns the faults of a release note into one failure. */
+/** Formats the validation faults of a release note as the message of a single exception. */
 public final class FaultMessages {
-  /** A hostile note could otherwise have as many faults as bytes. */
+  /** Bounds the message: a malicious release note can have as many faults as bytes. */
   private static final int LISTED_FAULTS = 100;
 
   private FaultMessages() {}
 
-  /** Returns a failure that lists the faults, at most 100, each with the label of the code. */
+  /**
+   * Returns an exception whose message lists the faults, at most 100, one per line. Each is
+   * prefixed with the label of the code, such as {@code PW-6001}.
+   */
   public static PersimmonwalkException exception(ResultCode code, List<NoteFault> faults) {
     String list =
         faults.stream()
@@ -26,7 +29,7 @@
         code, code.summary() + ", " + faults.size() + " fault(s):" + list + more);
   }
 
-  /** Replaces control characters, which names in a hostile release note may contain. */
+  /** Replaces control characters, since names in a malicious note may hold escape sequences. */
   private static String printable(String text) {
     return text.replaceAll("\\p{Cntrl}", "?");
   }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/note/NoteItems.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/NoteItems.java
@@ -19,13 +19,16 @@
 import org.persimmonwalk.release.ItemName;
 import org.persimmonwalk.release.ReleaseItem;
 
-/** Reads the items of a release note. */
+/**
+ * Converts the sections of a release note into configuration items. An item with a fault is left
+ * out; the fault is recorded by the section.
+ */
 final class NoteItems {
   private static final Duration DEFAULT_MAXIMUM_AGE = Duration.ofSeconds(30);
 
   private NoteItems() {}
 
-  /** Reads the items that are added or changed. */
+  /** Reads the items of the section "added" or "changed". */
   static List<ReleaseItem> items(NoteSection section) {
     List<ReleaseItem> items = new ArrayList<>();
     NoteSection workspaces = section.section(ItemKind.WORKSPACE.path());
@@ -48,8 +51,8 @@
     return items;
   }
 
-  /** Reads the names of items that are withdrawn. */
-  static List<ItemName> names(NoteSection section) {
+  /** Reads the names of the items in the section "withdrawn". */
+  static List<ItemName> itemNames(NoteSection section) {
     List<ItemName> names = new ArrayList<>();
     section
         .list(ItemKind.WORKSPACE.path(), WorkspaceId::of)
@@ -66,7 +69,7 @@
   }
 
   private static Optional<Workspace> workspace(NoteSection parent, String name) {
-    Optional<WorkspaceId> id = parent.nameOf(name, WorkspaceId::of);
+    Optional<WorkspaceId> id = parent.convertName(name, WorkspaceId::of);
     NoteSection section = parent.section(name);
     Optional<Double> rate = section.required("rate", NoteValues::number);
     Optional<Double> burst = section.required("burst", NoteValues::number);
@@ -81,7 +84,7 @@
   }
 
   private static Optional<CallerKey> key(NoteSection parent, String name) {
-    Optional<KeyHash> hash = parent.nameOf(name, KeyHash::of);
+    Optional<KeyHash> hash = parent.convertName(name, KeyHash::of);
     NoteSection section = parent.section(name);
     Optional<WorkspaceId> workspace = section.required("workspace", WorkspaceId::of);
     section.rejectUnknown();
@@ -91,7 +94,7 @@
   }
 
   private static Optional<DatabaseGroup> group(NoteSection parent, String name) {
-    Optional<DatabaseGroupId> id = parent.nameOf(name, DatabaseGroupId::of);
+    Optional<DatabaseGroupId> id = parent.convertName(name, DatabaseGroupId::of);
     NoteSection section = parent.section(name);
     Optional<Duration> maximumAge =
         section.optional("defaultMaximumAge", DEFAULT_MAXIMUM_AGE, NoteValues::duration);
@@ -122,7 +125,7 @@
 
   private static Optional<BackendServer> server(
       NoteSection parent, String name, NoteSection section) {
-    Optional<BackendServerId> id = parent.nameOf(name, BackendServerId::of);
+    Optional<BackendServerId> id = parent.convertName(name, BackendServerId::of);
     Optional<AvailabilityZone> zone = section.required("zone", AvailabilityZone::of);
     Optional<SocketEndpoint> endpoint = section.required("endpoint", NoteValues::endpoint);
     Optional<Integer> slots = section.required("slots", NoteValues::wholeNumber);
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/note/NoteNode.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/NoteNode.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Map;
 
-/** A part of a release note's text, before it has a meaning. */
+/** A node of the YAML tree of a release note, before validation. */
 sealed interface NoteNode {
 
-  /** A single value, as written; empty if none was written. */
+  /** A scalar value as written; the text is empty if the value is null or missing. */
   record Scalar(String text) implements NoteNode {}
 
-  /** A list. */
+  /** A YAML sequence. */
   record Sequence(List<NoteNode> items) implements NoteNode {
     /** Copies the list. */
     public Sequence {
@@ -18,11 +18,11 @@
     }
   }
 
-  /** Named parts, in the order in which they were written. */
-  record Mapping(Map<String, NoteNode> parts) implements NoteNode {
+  /** A YAML mapping; its entries are in the order of the file. */
+  record Mapping(Map<String, NoteNode> entries) implements NoteNode {
     /** Copies the map and keeps its order. */
     public Mapping {
-      parts = new LinkedHashMap<>(parts);
+      entries = new LinkedHashMap<>(entries);
     }
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/note/NoteParser.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/NoteParser.java
@@ -10,11 +10,11 @@
 import java.util.Map;
 
 /**
- * Reads YAML token by token into a tree. It resolves no aliases and builds no objects that the text
- * names, so the tree is never larger than the text.
+ * Parses YAML into a tree of {@link NoteNode}s. Aliases are not resolved, so that the tree is never
+ * larger than the text, and classes that the text names in tags are not instantiated.
  */
 final class NoteParser {
-  /** The deepest valid part, a value of a server in a group, is at depth 7. */
+  /** The deepest valid node, a property of a server in a group, is at depth 7. */
   private static final int DEPTH_LIMIT = 10;
 
   private static final YAMLFactory YAML = new YAMLFactory();
@@ -27,17 +27,18 @@
     this.faults = faults;
   }
 
-  /** Signals that the rest of the text cannot be read; the fault is recorded already. */
-  static final class UnreadableException extends IOException {
-    private UnreadableException(String message) {
+  /** Ends parsing after a fault that is already in the fault list. */
+  static final class UnreadableNoteException extends IOException {
+    private UnreadableNoteException(String message) {
       super(message);
     }
   }
 
   /**
-   * Reads the text of a release note.
+   * Parses the text of a release note and adds the faults found to the list.
    *
-   * @throws IOException if the text is not YAML or is nested too deeply
+   * @throws IOException if the text is not YAML, or an {@link UnreadableNoteException} if it is
+   *     nested too deeply
    */
   static NoteNode parse(String text, FaultList faults) throws IOException {
     try (YAMLParser tokens = YAML.createParser(text)) {
@@ -53,23 +54,24 @@
     }
   }
 
+  /** Appends a name to a path, such as {@code added/workspaces}; the root has the empty path. */
   static String join(String path, String name) {
     return path.isEmpty() ? name : path + "/" + name;
   }
 
   private NoteNode node(String path, int depth) throws IOException {
-    String place = path.isEmpty() ? "note" : path;
+    String location = path.isEmpty() ? "note" : path;
     if (depth > DEPTH_LIMIT) {
       String message = "is nested deeper than " + DEPTH_LIMIT + " levels; remove levels";
-      faults.add(place, message);
-      throw new UnreadableException(message);
+      faults.add(location, message);
+      throw new UnreadableNoteException(message);
     }
     if (tokens.isCurrentAlias()) {
-      faults.add(place, "is an alias; write the content out");
+      faults.add(location, "is an alias; replace it with the content it refers to");
       return new NoteNode.Scalar("");
     }
     if (tokens.getObjectId() != null || tokens.getTypeId() != null) {
-      faults.add(place, "has an anchor or a tag; remove it");
+      faults.add(location, "has an anchor or a tag; remove it");
     }
     return switch (tokens.currentToken()) {
       case START_OBJECT -> mapping(path, depth);
@@ -80,17 +82,17 @@
   }
 
   private NoteNode mapping(String path, int depth) throws IOException {
-    Map<String, NoteNode> parts = new LinkedHashMap<>();
+    Map<String, NoteNode> entries = new LinkedHashMap<>();
     while (tokens.nextToken() != JsonToken.END_OBJECT) {
       String name = tokens.currentName();
-      String place = join(path, name);
+      String location = join(path, name);
       tokens.nextToken();
-      NoteNode part = node(place, depth + 1);
-      if (parts.putIfAbsent(name, part) != null) {
-        faults.add(place, "is written twice; keep one");
+      NoteNode value = node(location, depth + 1);
+      if (entries.putIfAbsent(name, value) != null) {
+        faults.add(location, "is written twice; keep one");
       }
     }
-    return new NoteNode.Mapping(parts);
+    return new NoteNode.Mapping(entries);
   }
 
   private NoteNode sequence(String path, int depth) throws IOException {
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/note/NoteValues.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/NoteValues.java
@@ -5,7 +5,10 @@
 import java.util.regex.Pattern;
 import org.persimmonwalk.model.SocketEndpoint;
 
-/** Converts single values; each method fails with {@link IllegalArgumentException}. */
+/**
+ * Converts the text of scalar values. Each method throws {@link IllegalArgumentException} with a
+ * message that quotes the value and shows a valid one.
+ */
 final class NoteValues {
   private static final Pattern NUMBER = Pattern.compile("\\d{1,9}(\\.\\d{1,6})?");
   private static final Pattern WHOLE_NUMBER = Pattern.compile("\\d{1,9}");
@@ -39,7 +42,7 @@
   }
 
   static Duration duration(String text) {
-    check(text, DURATION, "a number and ms, s, m or h, such as 30s");
+    check(text, DURATION, "a duration; write a number and ms, s, m or h, such as 30s");
     Matcher matcher = DURATION.matcher(text);
     matcher.matches();
     long number = Long.parseLong(matcher.group(1));
@@ -52,7 +55,7 @@
   }
 
   static SocketEndpoint endpoint(String text) {
-    check(text, ENDPOINT, "an IP number and a port, such as 10.0.0.1:5432");
+    check(text, ENDPOINT, "an IPv4 address and a port, such as 10.0.0.1:5432");
     return SocketEndpoint.parse(text);
   }
 
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/note/ReleaseNoteReader.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/note/ReleaseNoteReader.java
@@ -21,7 +21,9 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * Reads a release note and checks its form as a whole.
+ * Parses a release note and validates its form. It checks neither that items exist nor that the
+ * resulting configuration is valid; see {@link org.persimmonwalk.release.ReleaseNoteMerge} for
+ * that.
  *
  * <p>Example:
  *
@@ -42,8 +44,9 @@
   /**
    * Reads a file of at most 1 MiB.
    *
-   * @throws PersimmonwalkException with code {@link ResultCode#REQUEST_TOO_LARGE} or {@link
-   *     ResultCode#NOTE_MALFORMED}; the message lists every fault with its path, at most 100
+   * @throws PersimmonwalkException with code {@link ResultCode#REQUEST_TOO_LARGE} if the file is
+   *     larger, or {@link ResultCode#NOTE_MALFORMED} if it cannot be read or has faults; the
+   *     message lists at most 100 faults with their paths
    */
   public ReleaseNote read(Path file) {
     byte[] content;
@@ -51,13 +54,13 @@
       content = input.readNBytes(MAXIMUM_BYTES + 1);
     } catch (IOException e) {
       throw PersimmonwalkException.of(
-          ResultCode.NOTE_MALFORMED, "cannot read " + file + "; check the name and the rights", e);
+          ResultCode.NOTE_MALFORMED, "cannot read " + file + "; check its path and permissions", e);
     }
     return parse(content);
   }
 
   /**
-   * Reads the content of a release note.
+   * Parses the content of a release note.
    *
    * @throws PersimmonwalkException as {@link #read} does
    */
@@ -68,14 +71,14 @@
           "the release note has more than " + MAXIMUM_BYTES + " bytes; split it into several");
     }
     FaultList faults = FaultList.create();
-    NoteNode root = tree(content, faults);
+    NoteNode root = parseTree(content, faults);
     NoteSection section = NoteSection.of(Optional.of(root), "", faults);
     Optional<ReleaseNoteId> id = section.required("id", ReleaseNoteId::of);
     Optional<Revision> base =
         section.required("base", text -> Revision.of(NoteValues.revision(text)));
     List<ReleaseItem> added = NoteItems.items(section.section("added"));
     List<ReleaseItem> changed = NoteItems.items(section.section("changed"));
-    List<ItemName> withdrawn = NoteItems.names(section.section("withdrawn"));
+    List<ItemName> withdrawn = NoteItems.itemNames(section.section("withdrawn"));
     List<BackendServerId> leaving = section.list("leaving", BackendServerId::of);
     section.rejectUnknown();
     if (!faults.isEmpty()) {
@@ -84,24 +87,25 @@
     return new ReleaseNote(id.get(), base.get(), added, changed, withdrawn, leaving);
   }
 
-  private static NoteNode tree(byte[] content, FaultList faults) {
+  private static NoteNode parseTree(byte[] content, FaultList faults) {
     try {
       String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(content)).toString();
       return NoteParser.parse(text, faults);
     } catch (CharacterCodingException e) {
       faults.add("note", "is not UTF-8 text");
-    } catch (NoteParser.UnreadableException e) {
+    } catch (NoteParser.UnreadableNoteException e) {
       throw malformed(faults.all());
     } catch (JsonProcessingException e) {
       faults.add(
-          place(e), "is not valid YAML: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+          location(e),
+          "is not valid YAML: " + e.getOriginalMessage().lines().findFirst().orElse(""));
     } catch (IOException | RuntimeException e) {
       faults.add("note", "is not valid YAML: " + e.getMessage());
     }
     throw malformed(faults.all());
   }
 
-  private static String place(JsonProcessingException e) {
+  private static String location(JsonProcessingException e) {
     return e.getLocation() == null
         ? "note"
         : "line " + e.getLocation().getLineNr() + " column " + e.getLocation().getColumnNr();
--- a/operator/src/test/java/org/persimmonwalk/internal/operator/note/ReleaseNoteReaderTest.java
+++ b/operator/src/test/java/org/persimmonwalk/internal/operator/note/ReleaseNoteReaderTest.java
@@ -68,7 +68,7 @@
     assertThat(note.leaving()).containsExactly(BackendServerId.of("tanks-c"));
   }
 
-  /** Guards against a check that stops at the first fault, which costs operators a try for each. */
+  /** Guards against validation that stops at the first fault, which costs operators a run each. */
   @Test
   void shouldReportEveryFaultWithCodeAndPath() {
     String text =
@@ -94,7 +94,7 @@
         .hasMessageContaining("PW-6001 leaving/2: backend server '-x' is not valid");
   }
 
-  /** Guards against limits of values that only the typed items check. */
+  /** Guards against values out of range, some of which only the model's constructors reject. */
   @Test
   void shouldReportValuesOutOfRange() {
     assertFault(VALID.replace("burst: 100", "burst: 0.5"), "added/workspaces/oil: workspace oil");
@@ -105,7 +105,7 @@
     assertFault(VALID.replace(HASH + ":", "abc:"), "added/keys/abc: a key hash has 64");
   }
 
-  /** Guards against a note whose second part silently replaces the first. */
+  /** Guards against a duplicate entry that silently replaces the first, and ignored names. */
   @Test
   void shouldReportDuplicateAndUnknownNames() {
     assertFault(VALID + "base: 42\n", "base: is written twice");
@@ -119,9 +119,12 @@
     assertFault("", "id: is missing");
   }
 
-  /** Guards against text that takes more memory or stack than its size, or that builds objects. */
+  /**
+   * Guards against a note that exhausts memory or stack, makes the parser instantiate classes named
+   * by tags, or prints control characters on the terminal.
+   */
   @Test
-  void shouldRefuseHostileText() {
+  void shouldRefuseMaliciousText() {
     assertFault("id: x\nbase: 1\nadded: " + "[".repeat(5_000), "is nested deeper than 10 levels");
     assertFault("a".repeat(2_000) + "{".repeat(100_000), "PW-6001");
     assertFault(VALID.replace("[tanks]", "&a [tanks]") + "more: *a\n", "more: is an alias");
@@ -131,7 +134,7 @@
     assertFault("key: x\n".repeat(500), "and 402 more");
   }
 
-  /** Guards against an example of the documentation that is refused. */
+  /** Guards against documentation whose example is refused. */
   @Test
   void shouldReadTheExampleOfTheDocumentation() throws IOException {
     String text = Files.readString(Path.of("..", "docs", "OPERATIONS.md"));
@@ -148,7 +151,7 @@
         .hasMessageContaining("PW-6001 note: is not UTF-8 text");
   }
 
-  /** Guards against reading a file of any size into memory. */
+  /** Guards against a file of any size being read into memory. */
   @Test
   void shouldRefuseMoreThanOneMebibyte() {
     byte[] content = bytes(VALID + "#".repeat(1024 * 1024 - VALID.length()));
--- a/operator/src/test/java/org/persimmonwalk/internal/operator/note/package-info.java
+++ b/operator/src/test/java/org/persimmonwalk/internal/operator/note/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the release note reader. */
+/** Tests that release notes are parsed and that all faults are reported. */
 package org.persimmonwalk.internal.operator.note;
