Reword the polling of entry hosts

HostAnswer, "the newest answer of a host", also stood for a failed request, and HostAnswered was "a host answered, or failed to". They are now HostPollResult and HostPollCompleted, the command AskHost is PollHost, HostReportFormat, which only decodes, is HostReportDecoder, and HostReport.Share is WorkspaceShare. Three messages of unavailable hosts say what happened, for example "sent a state that cannot be parsed".

--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/DrainCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/DrainCommand.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.kohsuke.args4j.Argument;
 import org.persimmonwalk.internal.operator.fleet.FleetView;
-import org.persimmonwalk.internal.operator.fleet.HostAnswer;
+import org.persimmonwalk.internal.operator.fleet.HostPollResult;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
@@ -16,9 +16,9 @@
 
   @Override
   public void run(OperatorSession session) {
-    FleetView view = session.askHosts();
+    FleetView view = session.pollHosts();
     List<SocketEndpoint> endpoints =
-        view.answers().entrySet().stream()
+        view.results().entrySet().stream()
             .filter(entry -> isNamed(entry.getValue()))
             .map(Map.Entry::getKey)
             .toList();
@@ -28,7 +28,7 @@
           "the endpoints " + endpoints + " all belong to host " + host + "; name one of them");
     }
     if (endpoints.isEmpty()) {
-      session.requireAnswers(view);
+      session.requireAllReported(view);
       throw PersimmonwalkException.of(
           ResultCode.NOT_FOUND, "no endpoint of --hosts belongs to host " + host);
     }
@@ -39,8 +39,8 @@
             Results.of("host", host, "endpoint", endpoints.get(0).toString(), "drain", "asked"));
   }
 
-  private boolean isNamed(HostAnswer answer) {
-    return answer instanceof HostAnswer.Reported reported
+  private boolean isNamed(HostPollResult result) {
+    return result instanceof HostPollResult.Reported reported
         && reported.report().host().value().equals(host);
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/OperatorSession.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/OperatorSession.java
@@ -59,9 +59,9 @@
   }
 
   /** Asks each host once. */
-  FleetView askHosts() {
+  FleetView pollHosts() {
     return FleetPoll.of(hosts(), environment.clock())
-        .run(options.hostEndpoints(), FleetGoal.oneAnswer(), options.waitLimit(), progress -> {});
+        .run(options.hostEndpoints(), FleetGoal.onePoll(), options.waitLimit(), progress -> {});
   }
 
   /**
@@ -117,7 +117,7 @@
    *
    * @throws PersimmonwalkException with the code of the first failure
    */
-  void requireAnswers(FleetView view) {
+  void requireAllReported(FleetView view) {
     if (!view.failures().isEmpty()) {
       String list =
           String.join("\n  ", view.failures().stream().map(Throwable::getMessage).toList());
@@ -126,10 +126,10 @@
           view.failures().size() + " host(s) gave no answer:\n  " + list);
     }
     int count = (int) options.hostEndpoints().stream().distinct().count();
-    if (view.answers().size() < count) {
+    if (view.results().size() < count) {
       throw PersimmonwalkException.of(
           ResultCode.HOST_UNAVAILABLE,
-          (count - view.answers().size())
+          (count - view.results().size())
               + " host(s) were not asked in time; raise --wait-seconds");
     }
   }
@@ -154,8 +154,8 @@
             .distinct()
             .filter(
                 endpoint ->
-                    !view.answers().containsKey(endpoint)
-                        || !goal.isReachedBy(view.answers().get(endpoint)))
+                    !view.results().containsKey(endpoint)
+                        || !goal.isReachedBy(view.results().get(endpoint)))
             .map(Object::toString)
             .toList());
   }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/RevisionsCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/RevisionsCommand.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import org.persimmonwalk.id.Revision;
 import org.persimmonwalk.internal.operator.fleet.FleetView;
-import org.persimmonwalk.internal.operator.fleet.HostAnswer;
+import org.persimmonwalk.internal.operator.fleet.HostPollResult;
 import org.persimmonwalk.internal.operator.fleet.HostReport;
 import org.persimmonwalk.internal.operator.output.Table;
 import org.persimmonwalk.model.SocketEndpoint;
@@ -13,7 +13,7 @@
 
   @Override
   public void run(OperatorSession session) {
-    FleetView view = session.askHosts();
+    FleetView view = session.pollHosts();
     Revision newest =
         session.options().hasPlatform()
             ? session.configurations().current().revision()
@@ -22,9 +22,9 @@
                 .max(Revision::compareTo)
                 .orElse(Revision.NONE);
     Table table = Table.of("endpoint", "host", "zone", "revision", "newest");
-    for (Map.Entry<SocketEndpoint, HostAnswer> entry : view.answers().entrySet()) {
+    for (Map.Entry<SocketEndpoint, HostPollResult> entry : view.results().entrySet()) {
       String endpoint = entry.getKey().toString();
-      if (entry.getValue() instanceof HostAnswer.Reported reported) {
+      if (entry.getValue() instanceof HostPollResult.Reported reported) {
         HostReport report = reported.report();
         table =
             table.withRow(
@@ -38,6 +38,6 @@
       }
     }
     session.output().table(table);
-    session.requireAnswers(view);
+    session.requireAllReported(view);
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateCommand.java
@@ -27,8 +27,8 @@
 
   @Override
   public void run(OperatorSession session) {
-    FleetView view = session.askHosts();
+    FleetView view = session.pollHosts();
     session.output().table(subject.table.of(view));
-    session.requireAnswers(view);
+    session.requireAllReported(view);
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateTables.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateTables.java
@@ -10,7 +10,7 @@
 import java.util.stream.Collector;
 import java.util.stream.Collectors;
 import org.persimmonwalk.internal.operator.fleet.FleetView;
-import org.persimmonwalk.internal.operator.fleet.HostAnswer;
+import org.persimmonwalk.internal.operator.fleet.HostPollResult;
 import org.persimmonwalk.internal.operator.fleet.HostReport;
 import org.persimmonwalk.internal.operator.output.Table;
 
@@ -21,8 +21,8 @@
 
   static Table hosts(FleetView view) {
     Table table = Table.of("endpoint", "host", "zone", "phase", "revision", "freshness_ms");
-    for (var entry : view.answers().entrySet()) {
-      if (entry.getValue() instanceof HostAnswer.Reported reported) {
+    for (var entry : view.results().entrySet()) {
+      if (entry.getValue() instanceof HostPollResult.Reported reported) {
         HostReport report = reported.report();
         table =
             table.withRow(
@@ -93,7 +93,7 @@
               milliseconds(newest.flatMap(HostReport.Sample::dataAge)),
               same.stream().anyMatch(HostReport.Server::leaving),
               same.size(),
-              same.stream().filter(server -> server.failing().isPresent()).count());
+              same.stream().filter(server -> server.failingFor().isPresent()).count());
     }
     return table;
   }
@@ -101,18 +101,18 @@
   /** One row for each workspace, with the sums over all hosts that answered. */
   static Table workspaces(FleetView view) {
     Table table = Table.of("workspace", "rate", "burst", "shares", "demand", "hosts");
-    Map<String, List<HostReport.Share>> byWorkspace =
+    Map<String, List<HostReport.WorkspaceShare>> byWorkspace =
         view.reports().stream()
             .flatMap(report -> report.workspaces().stream())
             .collect(grouping(share -> share.id().value()));
-    for (List<HostReport.Share> same : byWorkspace.values()) {
+    for (List<HostReport.WorkspaceShare> same : byWorkspace.values()) {
       table =
           table.withRow(
               same.get(0).id().value(),
               same.get(0).rate(),
               same.get(0).burst(),
-              same.stream().mapToDouble(HostReport.Share::share).sum(),
-              same.stream().mapToDouble(HostReport.Share::demand).sum(),
+              same.stream().mapToDouble(HostReport.WorkspaceShare::share).sum(),
+              same.stream().mapToDouble(HostReport.WorkspaceShare::demand).sum(),
               same.size());
     }
     return table;
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/FleetController.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/FleetController.java
@@ -14,16 +14,20 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.SocketEndpoint;
 
-/** Decides which hosts to ask next, until each has reached the goal or the time is over. */
+/**
+ * Decides which hosts to poll in each round, until every host has reached the goal or the time
+ * limit has passed. It keeps at most 32 requests in flight and waits at least 500 ms after a result
+ * before it polls the host again.
+ */
 final class FleetController implements Controller {
   private static final int IN_FLIGHT_LIMIT = 32;
-  private static final Duration REPEAT_INTERVAL = Duration.ofMillis(500);
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
 
   private final List<SocketEndpoint> endpoints;
   private final FleetGoal goal;
   private final Duration limit;
-  private final Map<SocketEndpoint, HostAnswer> answers = new HashMap<>();
-  private final Map<SocketEndpoint, MonotonicTime> answeredAt = new HashMap<>();
+  private final Map<SocketEndpoint, HostPollResult> results = new HashMap<>();
+  private final Map<SocketEndpoint, MonotonicTime> completedAt = new HashMap<>();
   private final Set<SocketEndpoint> inFlight = new HashSet<>();
   private Optional<MonotonicTime> start = Optional.empty();
 
@@ -44,12 +48,12 @@
       start = Optional.of(now);
     }
     blackboard
-        .observations(HostAnswered.class)
+        .observations(HostPollCompleted.class)
         .forEach(
-            answered -> {
-              inFlight.remove(answered.endpoint());
-              answers.put(answered.endpoint(), answered.answer());
-              answeredAt.put(answered.endpoint(), now);
+            completed -> {
+              inFlight.remove(completed.endpoint());
+              results.put(completed.endpoint(), completed.result());
+              completedAt.put(completed.endpoint(), now);
             });
     boolean expired = now.since(start.get()).compareTo(limit) >= 0;
     int reached = (int) endpoints.stream().filter(this::hasReached).count();
@@ -61,26 +65,26 @@
           .forEach(
               endpoint -> {
                 inFlight.add(endpoint);
-                blackboard.submit(new AskHost(endpoint));
+                blackboard.submit(new PollHost(endpoint));
               });
     }
-    Map<SocketEndpoint, HostAnswer> ordered = new LinkedHashMap<>();
+    Map<SocketEndpoint, HostPollResult> ordered = new LinkedHashMap<>();
     endpoints.stream()
-        .filter(answers::containsKey)
-        .forEach(endpoint -> ordered.put(endpoint, answers.get(endpoint)));
+        .filter(results::containsKey)
+        .forEach(endpoint -> ordered.put(endpoint, results.get(endpoint)));
     blackboard.put(FleetView.ENTRY, new FleetView(ordered, reached, ended));
   }
 
   private boolean hasReached(SocketEndpoint endpoint) {
-    HostAnswer answer = answers.get(endpoint);
-    return answer != null && goal.isReachedBy(answer);
+    HostPollResult result = results.get(endpoint);
+    return result != null && goal.isReachedBy(result);
   }
 
   private boolean isDue(SocketEndpoint endpoint, MonotonicTime now) {
     if (inFlight.contains(endpoint) || hasReached(endpoint)) {
       return false;
     }
-    MonotonicTime last = answeredAt.get(endpoint);
-    return last == null || now.since(last).compareTo(REPEAT_INTERVAL) >= 0;
+    MonotonicTime last = completedAt.get(endpoint);
+    return last == null || now.since(last).compareTo(POLL_INTERVAL) >= 0;
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/FleetGoal.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/FleetGoal.java
@@ -2,21 +2,21 @@
 
 import org.persimmonwalk.id.Revision;
 
-/** Decides when no more questions to a host are needed. */
+/** The condition on which a host is polled no longer. */
 public interface FleetGoal {
 
-  /** Returns whether the answer of a host is enough. */
-  boolean isReachedBy(HostAnswer answer);
+  /** Returns whether a host with this newest result needs no further poll. */
+  boolean isReachedBy(HostPollResult result);
 
-  /** Returns the goal that each host answers or fails once. */
-  static FleetGoal oneAnswer() {
-    return answer -> true;
+  /** Returns the goal that is reached after one poll of each host, even if it fails. */
+  static FleetGoal onePoll() {
+    return result -> true;
   }
 
-  /** Returns the goal that each host has the revision or a newer one in force. */
+  /** Returns the goal that each host has the given revision or a newer one in force. */
   static FleetGoal revision(Revision revision) {
-    return answer ->
-        answer instanceof HostAnswer.Reported reported
+    return result ->
+        result instanceof HostPollResult.Reported reported
             && !revision.isNewerThan(reported.report().revision());
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/FleetPoll.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/FleetPoll.java
@@ -13,9 +13,13 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Asks hosts in a control loop on the calling thread; requests run on other threads. */
+/**
+ * Polls entry hosts until a goal is reached. The control loop runs on the calling thread and waits
+ * for observations between rounds; requests complete on the threads of {@link HostAdministration}.
+ */
 public final class FleetPoll {
-  private static final Duration LONGEST_ROUND_GAP = Duration.ofMillis(100);
+  /** The longest wait for an observation before a round runs without one. */
+  private static final Duration MAXIMUM_ROUND_WAIT = Duration.ofMillis(100);
 
   private final HostAdministration hosts;
   private final MonotonicClock clock;
@@ -25,33 +29,35 @@
     this.clock = clock;
   }
 
-  /** Returns a poll that uses the given interfaces. */
+  /** Returns a poll that sends requests through the client and measures time with the clock. */
   public static FleetPoll of(HostAdministration hosts, MonotonicClock clock) {
     return new FleetPoll(hosts, clock);
   }
 
   /**
-   * Asks the hosts until each has reached the goal or the time is over.
+   * Polls the hosts until each has reached the goal or the time limit has passed. If the calling
+   * thread is interrupted, returns early with the newest view and keeps the interrupt status.
    *
-   * @param progress is told when more or fewer hosts have reached the goal
+   * @param progress called on the calling thread when the number of hosts that have reached the
+   *     goal changes
    */
   public FleetView run(
       List<SocketEndpoint> endpoints,
       FleetGoal goal,
       Duration limit,
       Consumer<FleetView> progress) {
-    LoopExecutor executor = new LoopExecutor();
+    PollExecutor executor = new PollExecutor();
     ControlLoop loop =
         ControlLoop.of(
             List.of(FleetController.of(endpoints, goal, limit)),
             executor::execute,
             clock,
             RandomSource.system());
-    executor.results = loop::post;
+    executor.observations = loop::post;
     FleetView view = loop.snapshot().get(FleetView.ENTRY);
     try {
       while (!view.ended()) {
-        loop.awaitAndRunRound(LONGEST_ROUND_GAP);
+        loop.awaitAndRunRound(MAXIMUM_ROUND_WAIT);
         FleetView next = loop.snapshot().get(FleetView.ENTRY);
         if (next.reached() != view.reached()) {
           progress.accept(next);
@@ -64,26 +70,26 @@
     return view;
   }
 
-  /** Carries out {@link AskHost}. */
-  private final class LoopExecutor {
-    private Consumer<Observation> results = result -> {};
+  /** Executes {@link PollHost} and posts the result to the control loop. */
+  private final class PollExecutor {
+    private Consumer<Observation> observations = observation -> {};
 
     private void execute(Command command) {
-      SocketEndpoint endpoint = ((AskHost) command).endpoint();
+      SocketEndpoint endpoint = ((PollHost) command).endpoint();
       hosts
           .state(endpoint)
           .whenComplete(
               (report, failure) ->
-                  results.accept(
-                      new HostAnswered(
+                  observations.accept(
+                      new HostPollCompleted(
                           endpoint,
                           failure == null
-                              ? new HostAnswer.Reported(report)
-                              : new HostAnswer.Failed(known(failure)))));
+                              ? new HostPollResult.Reported(report)
+                              : new HostPollResult.Failed(toException(failure)))));
     }
   }
 
-  private static PersimmonwalkException known(Throwable failure) {
+  private static PersimmonwalkException toException(Throwable failure) {
     Throwable cause =
         failure instanceof CompletionException && failure.getCause() != null
             ? failure.getCause()
@@ -91,6 +97,6 @@
     return cause instanceof PersimmonwalkException exception
         ? exception
         : PersimmonwalkException.of(
-            ResultCode.INTERNAL_ERROR, "a host could not be asked: " + cause, cause);
+            ResultCode.INTERNAL_ERROR, "an entry host could not be polled: " + cause, cause);
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/FleetView.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/FleetView.java
@@ -10,36 +10,37 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 
 /**
- * What is known of the hosts that are asked.
+ * The progress of a poll: the results so far and whether it has ended.
  *
- * @param answers the newest answer of each host that has answered or failed
+ * @param results the newest result of each host, in the order of the command line; hosts without a
+ *     completed request are absent
  * @param reached the number of hosts that have reached the goal
- * @param ended whether all hosts have reached the goal or the time is over
+ * @param ended whether all hosts have reached the goal or the time limit has passed
  */
-public record FleetView(Map<SocketEndpoint, HostAnswer> answers, int reached, boolean ended) {
+public record FleetView(Map<SocketEndpoint, HostPollResult> results, int reached, boolean ended) {
   static final EntryKey<FleetView> ENTRY = EntryKey.of("fleet", new FleetView(Map.of(), 0, false));
 
   /** Copies the map and keeps its order. */
   public FleetView {
-    answers = Collections.unmodifiableMap(new LinkedHashMap<>(answers));
+    results = Collections.unmodifiableMap(new LinkedHashMap<>(results));
   }
 
-  /** Returns the reports of the hosts that have answered. */
+  /** Returns the reports of the hosts whose newest request succeeded. */
   public List<HostReport> reports() {
     List<HostReport> reports = new ArrayList<>();
-    for (HostAnswer answer : answers.values()) {
-      if (answer instanceof HostAnswer.Reported reported) {
+    for (HostPollResult result : results.values()) {
+      if (result instanceof HostPollResult.Reported reported) {
         reports.add(reported.report());
       }
     }
     return reports;
   }
 
-  /** Returns why the other hosts have not answered. */
+  /** Returns the causes for the hosts whose newest request failed. */
   public List<PersimmonwalkException> failures() {
     List<PersimmonwalkException> failures = new ArrayList<>();
-    for (HostAnswer answer : answers.values()) {
-      if (answer instanceof HostAnswer.Failed failed) {
+    for (HostPollResult result : results.values()) {
+      if (result instanceof HostPollResult.Failed failed) {
         failures.add(failed.cause());
       }
     }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HostAdministration.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HostAdministration.java
@@ -4,15 +4,15 @@
 import org.persimmonwalk.model.SocketEndpoint;
 
 /**
- * The administration interfaces of entry hosts. The stages fail with {@link
- * org.persimmonwalk.result.PersimmonwalkException}.
+ * Client of the administration interfaces of entry hosts. The returned stages fail with {@link
+ * org.persimmonwalk.result.PersimmonwalkException} and may complete on any thread.
  */
 public interface HostAdministration extends AutoCloseable {
 
-  /** Reads the state of a host. */
+  /** Requests the state of the host at the endpoint. */
   CompletionStage<HostReport> state(SocketEndpoint endpoint);
 
-  /** Asks a host to stop as planned. */
+  /** Tells the host at the endpoint to drain, that is, to begin a planned stop. */
   CompletionStage<Void> drain(SocketEndpoint endpoint);
 
   @Override
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HostReportFormat.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HostReportDecoder.java
@@ -19,21 +19,21 @@
 import org.persimmonwalk.model.ServerRole;
 import org.persimmonwalk.model.Term;
 
-/** Reads the JSON of an entry host's state. */
-final class HostReportFormat {
+/** Decodes the JSON document that an entry host returns for {@code GET /state}. */
+final class HostReportDecoder {
   private static final ObjectMapper JSON = new ObjectMapper();
 
-  private HostReportFormat() {}
+  private HostReportDecoder() {}
 
-  static HostReportFormat create() {
-    return new HostReportFormat();
+  static HostReportDecoder create() {
+    return new HostReportDecoder();
   }
 
   /**
-   * Reads the state of a host.
+   * Decodes the state of a host.
    *
    * @throws IOException if the bytes are not JSON
-   * @throws IllegalArgumentException if a part is missing or not valid
+   * @throws IllegalArgumentException if a field is missing or invalid
    */
   HostReport decode(byte[] content) throws IOException {
     JsonNode tree = JSON.readTree(content);
@@ -43,9 +43,9 @@
         HostPhase.valueOf(text(tree, "phase")),
         Revision.of(tree.required("revision").longValue()),
         age(tree, "freshnessAgeMilliseconds"),
-        list(tree, "groups", HostReportFormat::group),
-        list(tree, "servers", HostReportFormat::server),
-        list(tree, "workspaces", HostReportFormat::share));
+        list(tree, "groups", HostReportDecoder::group),
+        list(tree, "servers", HostReportDecoder::server),
+        list(tree, "workspaces", HostReportDecoder::share));
   }
 
   private static HostReport.Group group(JsonNode tree) {
@@ -75,8 +75,8 @@
         age(tree, "dataAgeMilliseconds"));
   }
 
-  private static HostReport.Share share(JsonNode tree) {
-    return new HostReport.Share(
+  private static HostReport.WorkspaceShare share(JsonNode tree) {
+    return new HostReport.WorkspaceShare(
         WorkspaceId.of(text(tree, "id")),
         tree.required("rate").doubleValue(),
         tree.required("burst").doubleValue(),
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HttpHostAdministration.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HttpHostAdministration.java
@@ -15,11 +15,11 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Reaches the administration interfaces over HTTP. */
+/** Sends requests to the administration interfaces over HTTP; each has a timeout of 3 s. */
 public final class HttpHostAdministration implements HostAdministration {
   private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
-  /** The state of a host of the target size, with 570 groups, has about 1 MB. */
+  /** The state of an entry host at the target size of 570 database groups takes about 1 MB. */
   private static final int MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
 
   private static final int OK = 200;
@@ -28,14 +28,14 @@
 
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
-  private final HostReportFormat format = HostReportFormat.create();
+  private final HostReportDecoder decoder = HostReportDecoder.create();
   private final Optional<String> token;
 
   private HttpHostAdministration(Optional<String> token) {
     this.token = token;
   }
 
-  /** Returns a client that shows the given operator token. */
+  /** Returns a client that sends the operator token, if any, with each request. */
   public static HttpHostAdministration of(Optional<String> token) {
     return new HttpHostAdministration(token);
   }
@@ -76,7 +76,7 @@
           "the entry host at " + endpoint + " rejects the operator token; check --token-file");
     }
     if (status != OK && status != ACCEPTED) {
-      throw unavailable(endpoint, "answers with status " + status + detail(response.body()));
+      throw unavailable(endpoint, "answers with HTTP status " + status + detail(response.body()));
     }
     return response.body();
   }
@@ -91,9 +91,9 @@
 
   private HostReport decode(SocketEndpoint endpoint, byte[] body) {
     try {
-      return format.decode(body);
+      return decoder.decode(body);
     } catch (IOException | RuntimeException e) {
-      throw unavailable(endpoint, "gives an answer that cannot be read");
+      throw unavailable(endpoint, "sent a state that cannot be parsed");
     }
   }
 
--- a/operator/src/test/java/org/persimmonwalk/internal/operator/fleet/FleetControllerTest.java
+++ b/operator/src/test/java/org/persimmonwalk/internal/operator/fleet/FleetControllerTest.java
@@ -25,36 +25,38 @@
   private static final SocketEndpoint SECOND = endpoint(2);
 
   private final FakeClock clock = new FakeClock();
-  private final List<SocketEndpoint> asked = new ArrayList<>();
+  private final List<SocketEndpoint> polled = new ArrayList<>();
 
-  /** Guards against a wait that ends while a host is behind, or asks it without a pause. */
+  /**
+   * Guards against a poll that ends while a host is behind, or repeats requests without a pause.
+   */
   @Test
-  void shouldAskAgainUntilEveryHostHasTheRevision() {
+  void shouldPollAgainUntilEveryHostHasTheRevision() {
     ControlLoop loop = loop(List.of(FIRST, SECOND), FleetGoal.revision(Revision.of(42)));
 
     loop.runRound();
-    assertThat(asked).containsExactly(FIRST, SECOND);
-    loop.post(new HostAnswered(FIRST, reported(42)));
-    loop.post(new HostAnswered(SECOND, reported(41)));
+    assertThat(polled).containsExactly(FIRST, SECOND);
+    loop.post(new HostPollCompleted(FIRST, reported(42)));
+    loop.post(new HostPollCompleted(SECOND, reported(41)));
     loop.runRound();
     assertThat(view(loop).reached()).isEqualTo(1);
-    assertThat(asked).hasSize(2);
+    assertThat(polled).hasSize(2);
 
     clock.advance(Duration.ofMillis(500));
     loop.runRound();
-    assertThat(asked).containsExactly(FIRST, SECOND, SECOND);
-    loop.post(new HostAnswered(SECOND, reported(43)));
+    assertThat(polled).containsExactly(FIRST, SECOND, SECOND);
+    loop.post(new HostPollCompleted(SECOND, reported(43)));
     loop.runRound();
     assertThat(view(loop).reached()).isEqualTo(2);
     assertThat(view(loop).ended()).isTrue();
   }
 
-  /** Guards against a wait without end for a host that is down. */
+  /** Guards against a poll that never ends because a host is down. */
   @Test
-  void shouldEndAtTheLimitAndNameFailures() {
+  void shouldEndAtTheTimeLimitAndReportFailures() {
     ControlLoop loop = loop(List.of(FIRST, SECOND), FleetGoal.revision(Revision.of(42)));
     loop.runRound();
-    loop.post(new HostAnswered(FIRST, failed()));
+    loop.post(new HostPollCompleted(FIRST, failed()));
     loop.runRound();
     assertThat(view(loop).ended()).isFalse();
 
@@ -64,34 +66,34 @@
     assertThat(view(loop).ended()).isTrue();
     assertThat(view(loop).reached()).isZero();
     assertThat(view(loop).failures()).hasSize(1);
-    assertThat(view(loop).answers()).doesNotContainKey(SECOND);
+    assertThat(view(loop).results()).doesNotContainKey(SECOND);
   }
 
-  /** Guards against a request to every host of a large fleet at once. */
+  /** Guards against requests to every host of a large fleet at once. */
   @Test
-  void shouldBoundRequestsInFlightAndAskEachHostOnce() {
+  void shouldBoundRequestsInFlightAndPollEachHostOnce() {
     List<SocketEndpoint> endpoints =
         new ArrayList<>(
             IntStream.rangeClosed(1, 100).mapToObj(FleetControllerTest::endpoint).toList());
     endpoints.add(FIRST);
-    ControlLoop loop = loop(endpoints, FleetGoal.oneAnswer());
+    ControlLoop loop = loop(endpoints, FleetGoal.onePoll());
     loop.runRound();
-    assertThat(asked).hasSize(32);
+    assertThat(polled).hasSize(32);
 
-    int answered = 0;
+    int completed = 0;
     while (!view(loop).ended()) {
-      assertThat(asked.size() - answered).isBetween(1, 32);
-      loop.post(new HostAnswered(asked.get(answered++), failed()));
+      assertThat(polled.size() - completed).isBetween(1, 32);
+      loop.post(new HostPollCompleted(polled.get(completed++), failed()));
       loop.runRound();
     }
 
-    assertThat(asked).hasSize(100).doesNotHaveDuplicates();
+    assertThat(polled).hasSize(100).doesNotHaveDuplicates();
   }
 
   private ControlLoop loop(List<SocketEndpoint> endpoints, FleetGoal goal) {
     return ControlLoop.of(
         List.of(FleetController.of(endpoints, goal, LIMIT)),
-        command -> asked.add(((AskHost) command).endpoint()),
+        command -> polled.add(((PollHost) command).endpoint()),
         clock,
         RandomSource.seeded(1));
   }
@@ -100,8 +102,8 @@
     return loop.snapshot().get(FleetView.ENTRY);
   }
 
-  private static HostAnswer reported(long revision) {
-    return new HostAnswer.Reported(
+  private static HostPollResult reported(long revision) {
+    return new HostPollResult.Reported(
         new HostReport(
             EntryHostId.of("host"),
             AvailabilityZone.of("zone-a"),
@@ -113,8 +115,9 @@
             List.of()));
   }
 
-  private static HostAnswer failed() {
-    return new HostAnswer.Failed(PersimmonwalkException.of(ResultCode.HOST_UNAVAILABLE, "down"));
+  private static HostPollResult failed() {
+    return new HostPollResult.Failed(
+        PersimmonwalkException.of(ResultCode.HOST_UNAVAILABLE, "down"));
   }
 
   private static SocketEndpoint endpoint(int port) {
--- a/operator/src/test/java/org/persimmonwalk/internal/operator/fleet/package-info.java
+++ b/operator/src/test/java/org/persimmonwalk/internal/operator/fleet/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the questions to many hosts. */
+/** Tests of the polling of many entry hosts. */
 package org.persimmonwalk.internal.operator.fleet;
