--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/ExplainCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/ExplainCommand.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import org.kohsuke.args4j.Argument;
 import org.persimmonwalk.internal.operator.log.LogLine;
-import org.persimmonwalk.internal.operator.log.RequestStory;
+import org.persimmonwalk.internal.operator.log.RequestTimeline;
 import org.persimmonwalk.internal.operator.output.Table;
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
@@ -31,8 +31,8 @@
   public void run(OperatorSession session) {
     List<LogLine> lines = new ArrayList<>();
     files.forEach(file -> read(file, lines));
-    RequestStory story = RequestStory.of(request, lines);
-    if (story.lines().isEmpty()) {
+    RequestTimeline timeline = RequestTimeline.of(request, lines);
+    if (timeline.lines().isEmpty()) {
       throw PersimmonwalkException.of(
           ResultCode.COMMAND_LINE_INVALID,
           "no line names the request "
@@ -40,11 +40,11 @@
               + "; only refused and failed requests are logged, so check the id and the files");
     }
     Table table = Table.of("time", "host", "event", "details");
-    for (LogLine line : story.lines()) {
+    for (LogLine line : timeline.lines()) {
       table = table.withRow(line.time().toString(), line.source(), line.event(), line.details());
     }
     session.output().table(table);
-    story
+    timeline
         .codes()
         .forEach(
             code ->
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/log/LogLine.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/log/LogLine.java
@@ -8,10 +8,12 @@
 import java.util.regex.Pattern;
 
 /**
- * One line of an entry host's log: {@code HH:MM:SS.mmm LEVEL event=NAME field=value ...}.
+ * A structured line of an entry host's log: {@code HH:MM:SS.mmm LEVEL event=NAME field=value ...}.
  *
- * @param source the file, or the name that stands before the time in collected logs
- * @param fields the fields in their order, the event excluded
+ * @param source the host: the name before the time, which log collectors add, or else the file name
+ * @param time the time of day on the clock of that host
+ * @param event the name of the event
+ * @param fields the other fields in the order of the line
  */
 public record LogLine(String source, LocalTime time, String event, Map<String, String> fields) {
   private static final Pattern LINE =
@@ -21,12 +23,12 @@
   private static final Pattern FIELD = Pattern.compile("(\\w+)=(\"[^\"]*\"|\\[[^\\]]*\\]|\\S*)");
   private static final Pattern NAME_BEFORE_TIME = Pattern.compile("(\\S*[A-Za-z]\\S*)\\s*$");
 
-  /** Makes the fields immutable. */
+  /** Copies the fields and keeps their order. */
   public LogLine {
     fields = new LinkedHashMap<>(fields);
   }
 
-  /** Reads a line; empty if it has another form. */
+  /** Parses a line; empty if it is not a structured log line. */
   public static Optional<LogLine> parse(String file, String text) {
     Matcher line = LINE.matcher(text);
     if (!line.matches()) {
@@ -51,13 +53,13 @@
     return quoted ? value.substring(1, value.length() - 1) : value;
   }
 
-  /** Returns a field; empty if the line lacks it. */
+  /** Returns the value of a field; empty if the line has no such field. */
   public Optional<String> field(String name) {
     return Optional.ofNullable(fields.get(name));
   }
 
-  /** Returns whether a field has the given value, or is a list that holds it. */
-  public boolean names(String value) {
+  /** Returns whether the value of any field equals the given one or is a list that contains it. */
+  public boolean mentions(String value) {
     return fields.values().stream()
         .anyMatch(
             text ->
@@ -66,7 +68,7 @@
                         && text.matches("\\[(.*[ ,])?" + Pattern.quote(value) + "([ ,].*)?\\]")));
   }
 
-  /** Returns the fields as they are printed. */
+  /** Returns the fields as {@code name=value}, separated by spaces. */
   public String details() {
     StringBuilder text = new StringBuilder();
     fields.forEach(
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/log/package-info.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/log/package-info.java
@@ -1,2 +1,5 @@
-/** Reading of the log lines of entry hosts. */
+/**
+ * Parses the logs of entry hosts and selects the lines that explain why a request failed. The
+ * subcommand {@code explain} is the only caller.
+ */
 package org.persimmonwalk.internal.operator.log;
--- a/operator/src/test/java/org/persimmonwalk/operator/ExplainTest.java
+++ b/operator/src/test/java/org/persimmonwalk/operator/ExplainTest.java
@@ -31,9 +31,12 @@
         .toList();
   }
 
-  /** Guards against a story without the cause, which other hosts have logged, or with too much. */
+  /**
+   * Guards against a timeline that omits the cause, which another host has logged, or that includes
+   * unrelated lines.
+   */
   @Test
-  void shouldTellTheCauseOfAFailedRequestInOrder() {
+  void shouldShowTheCauseOfAFailedRequestInOrderOfTime() {
     assertThat(run("explain", "5c0e7a21d94b36f8", FIRST, SECOND)).isZero();
 
     assertThat(events())
