--- a/operator/src/main/java/org/persimmonwalk/internal/operator/output/JsonOutput.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/output/JsonOutput.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import org.persimmonwalk.result.PersimmonwalkException;
 
-/** Prints JSON for programs. */
+/** Prints JSON for programs: a table is an array of objects, all else is one object. */
 public final class JsonOutput implements Output {
   private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -20,7 +20,7 @@
     this.err = err;
   }
 
-  /** Returns an output; progress and failures go to the second stream. */
+  /** Returns an output that prints results to the first stream, all else to the second. */
   public static JsonOutput of(PrintStream out, PrintStream err) {
     return new JsonOutput(out, err);
   }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/output/Table.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/output/Table.java
@@ -5,8 +5,7 @@
 import java.util.List;
 
 /**
- * Rows with the same columns. A cell is a text, a number, a truth value, or null if nothing is
- * known.
+ * An immutable table. A cell is a string, a number, a boolean, or null if the value is not known.
  *
  * @param columns the names of the columns
  * @param rows the cells of each row
@@ -19,15 +18,20 @@
     rows = List.copyOf(rows);
   }
 
-  /** Returns a table without rows. */
+  /** Returns a table with the given columns and no rows. */
   public static Table of(String... columns) {
     return new Table(List.of(columns), List.of());
   }
 
-  /** Returns the table with one more row. */
+  /**
+   * Returns a copy with one more row.
+   *
+   * @throws IllegalArgumentException unless there is one cell for each column
+   */
   public Table withRow(Object... cells) {
     if (cells.length != columns.size()) {
-      throw new IllegalArgumentException("a row needs " + columns.size() + " cells");
+      throw new IllegalArgumentException(
+          "a row needs " + columns.size() + " cells but has " + cells.length);
     }
     List<Object> row = new ArrayList<>();
     Collections.addAll(row, cells);
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/output/TextOutput.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/output/TextOutput.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import org.persimmonwalk.result.PersimmonwalkException;
 
-/** Prints text for people. */
+/** Prints text for people: a table has aligned columns, named values have a line each. */
 public final class TextOutput implements Output {
   private final PrintStream out;
   private final PrintStream err;
@@ -16,7 +16,7 @@
     this.err = err;
   }
 
-  /** Returns an output; progress and failures go to the second stream. */
+  /** Returns an output that prints results to the first stream, all else to the second. */
   public static TextOutput of(PrintStream out, PrintStream err) {
     return new TextOutput(out, err);
   }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/output/package-info.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/output/package-info.java
@@ -1,2 +1,5 @@
-/** What the operators' command line prints, as text or JSON. */
+/**
+ * Prints the results of subcommands, either as text for people or as JSON for programs. Results go
+ * to standard output; progress and failures go to standard error.
+ */
 package org.persimmonwalk.internal.operator.output;
