Reword the subcommands of the operator

"What a release note would lead to" (NoteReview) is NotePreview, RebasedNote, which publishes, is RebasingPublisher, OutputForm is OutputFormat, and SubcommandCatalog's rest is argumentsAfterName. Error messages name the value and what to do, for example "--limit must be from 1 to 1000, not 0". "host(s) gave no answer" also covered hosts that reject the token, so it is now "host(s) did not report their state". A comment says why the search for a base ends after 128 revisions.

--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/ApplyCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/ApplyCommand.java
@@ -7,7 +7,7 @@
 import org.persimmonwalk.internal.operator.note.ReleaseNoteReader;
 import org.persimmonwalk.release.ReleaseNote;
 
-/** Submits a release note. */
+/** Submits a release note or, with {@code --dry-run}, prints what it would change. */
 final class ApplyCommand implements Subcommand {
   @Argument(metaVar = "NOTE.yaml", required = true, usage = "the release note")
   private Path file;
@@ -19,7 +19,7 @@
   public void run(OperatorSession session) {
     ReleaseNote note = ReleaseNoteReader.create().read(file);
     if (dryRun) {
-      NoteReview.of(session, note).printChanges(session);
+      NotePreview.of(session, note).printChanges(session);
       return;
     }
     Revision revision = session.publish(note);
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/CheckCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/CheckCommand.java
@@ -5,7 +5,10 @@
 import org.persimmonwalk.internal.operator.note.ReleaseNoteReader;
 import org.persimmonwalk.release.ReleaseNote;
 
-/** Checks the form of a release note and, if the platform is named, what it would lead to. */
+/**
+ * Checks the form of a release note and, with {@code --platform}, whether it merges into the
+ * configuration in force. Publishes nothing.
+ */
 final class CheckCommand implements Subcommand {
   @Argument(metaVar = "NOTE.yaml", required = true, usage = "the release note")
   private Path file;
@@ -15,7 +18,7 @@
     ReleaseNote note = ReleaseNoteReader.create().read(file);
     boolean merged = session.options().hasPlatform();
     if (merged) {
-      NoteReview.of(session, note);
+      NotePreview.of(session, note);
     }
     session
         .output()
@@ -24,6 +27,7 @@
                 "note", note.id().value(),
                 "base", note.base().number(),
                 "items", note.touched().size(),
-                "checked", merged ? "form and merge" : "form only; name --platform for the merge"));
+                "checked",
+                    merged ? "form and merge" : "form only; give --platform to check the merge"));
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/CommonOptions.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/CommonOptions.java
@@ -15,7 +15,7 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** The options that every subcommand has. */
+/** The options that all subcommands accept; args4j sets the fields. */
 public final class CommonOptions {
   private static final int MAXIMUM_TOKEN_BYTES = 4 * 1024;
   private static final int MAXIMUM_WAIT_SECONDS = 24 * 3_600;
@@ -27,63 +27,67 @@
       name = "--hosts",
       metaVar = "LIST",
       usage =
-          "admin endpoints ADDRESS:PORT of entry hosts, comma-separated, or @FILE with one a line")
+          "comma-separated admin endpoints ADDRESS:PORT of entry hosts, or @FILE with one per line")
   private String hosts;
 
   @Option(name = "--token-file", metaVar = "FILE", usage = "file that holds the operator token")
   private Path tokenFile;
 
   @Option(name = "--output", usage = "how to print results")
-  private OutputForm output = OutputForm.TEXT;
+  private OutputFormat output = OutputFormat.TEXT;
 
-  @Option(name = "--wait", usage = "wait until all hosts of --hosts have the new revision")
+  @Option(name = "--wait", usage = "wait until all hosts of --hosts have the new revision in force")
   private boolean wait;
 
-  @Option(name = "--wait-seconds", metaVar = "N", usage = "the longest wait of --wait, in seconds")
+  @Option(
+      name = "--wait-seconds",
+      metaVar = "N",
+      usage = "the time limit for --wait and for polling hosts, in seconds")
   private int waitSeconds = 60;
 
   @Option(name = "--help", help = true, usage = "print this help")
   private boolean help;
 
-  /** How results are printed. */
-  public enum OutputForm {
+  /** The format in which results are printed; the names are the values of {@code --output}. */
+  public enum OutputFormat {
     TEXT,
     JSON
   }
 
-  /** Returns whether only help is asked for. */
+  /** Returns whether to print only the help of the subcommand. */
   public boolean isHelp() {
     return help;
   }
 
-  /** Returns how to print results. */
-  public OutputForm output() {
+  /** Returns the format in which to print results. */
+  public OutputFormat output() {
     return output;
   }
 
-  /** Returns whether to wait until a revision is in force everywhere. */
-  public boolean isWaiting() {
+  /** Returns whether to wait until a published revision is in force on all hosts. */
+  public boolean waitsForRevision() {
     return wait;
   }
 
-  /** Returns the longest wait. */
+  /** Returns the time limit for polling hosts, both with {@code --wait} and without. */
   public Duration waitLimit() {
     return Duration.ofSeconds(waitSeconds);
   }
 
-  /** Returns whether the platform is named. */
+  /** Returns whether {@code --platform} is given. */
   public boolean hasPlatform() {
     return platform != null;
   }
 
   /**
-   * Checks the values that no subcommand may have wrong.
+   * Checks the options whose values must be valid for every subcommand.
    *
    * @throws PersimmonwalkException with code {@link ResultCode#COMMAND_LINE_INVALID}
    */
   public void check() {
     if (waitSeconds < 1 || waitSeconds > MAXIMUM_WAIT_SECONDS) {
-      throw invalid("--wait-seconds is not from 1 to " + MAXIMUM_WAIT_SECONDS);
+      throw invalid(
+          "--wait-seconds must be from 1 to " + MAXIMUM_WAIT_SECONDS + ", not " + waitSeconds);
     }
     if (wait) {
       hostEndpoints();
@@ -94,13 +98,13 @@
   }
 
   /**
-   * Returns where the platform is.
+   * Returns the endpoint of the platform.
    *
    * @throws PersimmonwalkException with code {@link ResultCode#COMMAND_LINE_INVALID}
    */
   public SocketEndpoint platformEndpoint() {
     if (platform == null) {
-      throw invalid("--platform is missing; name the platform, such as http://10.0.0.5:8080");
+      throw invalid("--platform is missing; give its URL, such as http://10.0.0.5:8080");
     }
     try {
       URI uri = URI.create(platform);
@@ -125,7 +129,8 @@
    */
   public List<SocketEndpoint> hostEndpoints() {
     if (hosts == null) {
-      throw invalid("--hosts is missing; name admin endpoints, such as 10.0.0.1:8432");
+      throw invalid(
+          "--hosts is missing; give admin endpoints of entry hosts, such as 10.0.0.1:8432");
     }
     List<SocketEndpoint> endpoints = new ArrayList<>();
     for (String text : hostTexts()) {
@@ -134,13 +139,13 @@
       }
     }
     if (endpoints.isEmpty()) {
-      throw invalid("--hosts names no endpoint; name at least one, such as 10.0.0.1:8432");
+      throw invalid("--hosts has no endpoint; give at least one, such as 10.0.0.1:8432");
     }
     return endpoints;
   }
 
   /**
-   * Returns the operator token, if a file with one is named.
+   * Returns the operator token, if {@code --token-file} is given.
    *
    * @throws PersimmonwalkException with code {@link ResultCode#SETTING_UNREADABLE}
    */
@@ -156,11 +161,13 @@
       }
     } catch (IOException e) {
       throw PersimmonwalkException.of(
-          ResultCode.SETTING_UNREADABLE, "cannot read the token file " + tokenFile, e);
+          ResultCode.SETTING_UNREADABLE,
+          "cannot read the token file " + tokenFile + "; check its path and permissions",
+          e);
     }
     throw PersimmonwalkException.of(
         ResultCode.SETTING_UNREADABLE,
-        "the token file " + tokenFile + " holds no token; write one line of printable ASCII");
+        "the token file " + tokenFile + " holds no valid token; write one word of printable ASCII");
   }
 
   private List<String> hostTexts() {
@@ -171,7 +178,9 @@
       return Files.readAllLines(Path.of(hosts.substring(1)));
     } catch (IOException | RuntimeException e) {
       throw PersimmonwalkException.of(
-          ResultCode.COMMAND_LINE_INVALID, "cannot read the list of hosts " + hosts, e);
+          ResultCode.COMMAND_LINE_INVALID,
+          "cannot read the list of hosts " + hosts + "; check its path and permissions",
+          e);
     }
   }
 
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/ConfigurationChanges.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/ConfigurationChanges.java
@@ -13,12 +13,12 @@
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.release.ItemName;
 
-/** Lists in which fields two configurations differ. */
+/** Compares two configurations field by field. */
 final class ConfigurationChanges {
 
   private ConfigurationChanges() {}
 
-  /** Returns a row for each field that differs, in the order of the items. */
+  /** Returns a table with a row for each field that differs, ordered by item. */
   static Table between(Configuration before, Configuration after) {
     Map<ItemName, Map<String, Object>> old = describe(before);
     Map<ItemName, Map<String, Object>> next = describe(after);
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/ConfigurationReader.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/ConfigurationReader.java
@@ -11,8 +11,9 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Reads the configuration in force and the ones before it. */
+/** Reads the configuration in force and earlier ones from the platform; each call blocks. */
 final class ConfigurationReader {
+  /** The publisher of release notes also searches at most 128 revisions for the base of a note. */
   private static final int BASE_DISTANCE_LIMIT = 128;
 
   private final OperatorEnvironment.PlatformAccess platform;
@@ -25,12 +26,12 @@
     return new ConfigurationReader(platform);
   }
 
-  /** Returns the configuration in force; the empty one if none was ever accepted. */
+  /** Returns the configuration in force, or an empty one if none was ever published. */
   Configuration current() {
     return newest().map(StoredConfiguration::configuration).orElse(Configuration.EMPTY);
   }
 
-  /** Returns the configuration of a revision, if it is among the newest 128. */
+  /** Returns the configuration of a revision; empty unless it is among the newest 128. */
   Optional<Configuration> find(Revision revision) {
     if (revision.equals(Revision.NONE)) {
       return Optional.of(Configuration.EMPTY);
@@ -45,7 +46,10 @@
     return Optional.ofNullable(found[0]);
   }
 
-  /** Visits configurations from the newest back, until the visitor is done or the limit is met. */
+  /**
+   * Visits configurations from the newest to the oldest, until the visitor returns false or the
+   * given number has been visited.
+   */
   void walk(int limit, Predicate<Configuration> visitor) {
     Optional<StoredConfiguration> stored = newest();
     int visited = 0;
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/DiffCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/DiffCommand.java
@@ -4,13 +4,13 @@
 import org.kohsuke.args4j.Argument;
 import org.persimmonwalk.internal.operator.note.ReleaseNoteReader;
 
-/** Prints what a release note would change in the configuration in force. */
+/** Prints the fields of the configuration in force that a release note would change. */
 final class DiffCommand implements Subcommand {
   @Argument(metaVar = "NOTE.yaml", required = true, usage = "the release note")
   private Path file;
 
   @Override
   public void run(OperatorSession session) {
-    NoteReview.of(session, ReleaseNoteReader.create().read(file)).printChanges(session);
+    NotePreview.of(session, ReleaseNoteReader.create().read(file)).printChanges(session);
   }
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/DrainCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/DrainCommand.java
@@ -9,7 +9,7 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Asks one host to stop as planned. */
+/** Starts the planned stop of one entry host and does not wait for its end. */
 final class DrainCommand implements Subcommand {
   @Argument(metaVar = "HOST", required = true, usage = "the id of the entry host")
   private String host;
@@ -25,12 +25,13 @@
     if (endpoints.size() > 1) {
       throw PersimmonwalkException.of(
           ResultCode.COMMAND_LINE_INVALID,
-          "the endpoints " + endpoints + " all belong to host " + host + "; name one of them");
+          "the endpoints " + endpoints + " all belong to host " + host + "; list only one");
     }
     if (endpoints.isEmpty()) {
       session.requireAllReported(view);
       throw PersimmonwalkException.of(
-          ResultCode.NOT_FOUND, "no endpoint of --hosts belongs to host " + host);
+          ResultCode.NOT_FOUND,
+          "no endpoint of --hosts belongs to host " + host + "; check the id and the list");
     }
     Stages.await(session.hosts().drain(endpoints.get(0)));
     session
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/ExplainCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/ExplainCommand.java
@@ -14,7 +14,7 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Prints what the logs of entry hosts tell about one request. */
+/** Prints the log lines that explain why a request failed, and the meaning of its codes. */
 final class ExplainCommand implements Subcommand {
   @Argument(index = 0, metaVar = "REQUEST", required = true, usage = "the id of the request")
   private String request;
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/HistoryCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/HistoryCommand.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Prints the newest revisions and the release notes that led to them. */
+/** Prints the newest revisions with the release notes that led to them. */
 final class HistoryCommand implements Subcommand {
   private static final int LARGEST_LIMIT = 1_000;
 
@@ -19,7 +19,8 @@
   public void run(OperatorSession session) {
     if (limit < 1 || limit > LARGEST_LIMIT) {
       throw PersimmonwalkException.of(
-          ResultCode.COMMAND_LINE_INVALID, "--limit is not from 1 to " + LARGEST_LIMIT);
+          ResultCode.COMMAND_LINE_INVALID,
+          "--limit must be from 1 to " + LARGEST_LIMIT + ", not " + limit);
     }
     List<Configuration> configurations = new ArrayList<>();
     session.configurations().walk(limit, configurations::add);
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/KeyMintCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/KeyMintCommand.java
@@ -13,16 +13,22 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Makes a caller key, puts its hash in force, and prints the key, which is not kept. */
+/**
+ * Generates a caller key, publishes a release note that adds its hash, and prints the key, which is
+ * stored nowhere.
+ */
 final class KeyMintCommand implements Subcommand {
-  @Argument(metaVar = "WORKSPACE", required = true, usage = "the workspace that the key opens")
+  @Argument(
+      metaVar = "WORKSPACE",
+      required = true,
+      usage = "the workspace that the key gives access to")
   private String workspace;
 
   @Override
   public void run(OperatorSession session) {
     String key = session.keys().next();
     KeyHash hash = KeyHash.ofKey(key);
-    Revision revision = RebasedNote.publish(session, current -> note(current, hash));
+    Revision revision = RebasingPublisher.publish(session, current -> note(current, hash));
     session
         .output()
         .result(
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/KeySource.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/KeySource.java
@@ -3,13 +3,13 @@
 import java.security.SecureRandom;
 import java.util.Base64;
 
-/** Makes caller keys that cannot be guessed. */
+/** Generates caller keys that cannot be guessed. */
 public interface KeySource {
 
   /** Returns a new key. */
   String next();
 
-  /** Returns a source of keys with 256 random bits, in URL-safe Base64. */
+  /** Returns a source of keys that encode 256 random bits in URL-safe Base64. */
   static KeySource secure() {
     SecureRandom random = new SecureRandom();
     return () -> {
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/KeyWithdrawCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/KeyWithdrawCommand.java
@@ -12,14 +12,14 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Withdraws the one caller key whose hash begins with the given digits. */
+/** Publishes a release note that withdraws the one caller key with the given hash prefix. */
 final class KeyWithdrawCommand implements Subcommand {
   private static final Pattern PREFIX = Pattern.compile("[0-9a-f]{8,64}");
 
   @Argument(
       metaVar = "HASH-PREFIX",
       required = true,
-      usage = "the first 8 or more digits of the key's hash")
+      usage = "at least the first 8 digits of the key's hash")
   private String prefix;
 
   @Override
@@ -27,11 +27,11 @@
     if (!PREFIX.matcher(prefix).matches()) {
       throw PersimmonwalkException.of(
           ResultCode.COMMAND_LINE_INVALID,
-          "the start of a hash has 8 to 64 lower-case hexadecimal digits");
+          "HASH-PREFIX must be 8 to 64 lower-case hexadecimal digits");
     }
     KeyHash[] withdrawn = new KeyHash[1];
     Revision revision =
-        RebasedNote.publish(
+        RebasingPublisher.publish(
             session,
             current -> {
               withdrawn[0] = find(current);
@@ -48,7 +48,8 @@
         current.keys().keySet().stream().filter(hash -> hash.value().startsWith(prefix)).toList();
     if (matches.isEmpty()) {
       throw PersimmonwalkException.of(
-          ResultCode.NOT_FOUND, "no key has a hash that begins with " + prefix);
+          ResultCode.NOT_FOUND,
+          "no key has a hash that begins with " + prefix + "; check the digits");
     }
     if (matches.size() > 1) {
       throw PersimmonwalkException.of(
@@ -58,7 +59,7 @@
     return matches.get(0);
   }
 
-  /** The revision is part of the id, since a key may be withdrawn, added and withdrawn again. */
+  /** The id includes the revision, since a key may be withdrawn, added and withdrawn again. */
   private static ReleaseNote note(Configuration current, KeyHash hash) {
     String id = "withdraw-key-" + hash + "-" + current.revision().next();
     return ReleaseNote.of(ReleaseNoteId.of(id), current.revision())
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/NoteReview.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/NotePreview.java
@@ -8,19 +8,20 @@
 import org.persimmonwalk.release.ReleaseNoteMerge;
 
 /**
- * What a release note would lead to.
+ * The result of merging a release note without publishing it.
  *
  * @param current the configuration in force
- * @param next the configuration that the release note leads to
+ * @param next the configuration that publishing the release note would put in force
  */
-record NoteReview(Configuration current, Configuration next) {
+record NotePreview(Configuration current, Configuration next) {
 
   /**
-   * Merges a release note into the configuration in force without publishing it.
+   * Merges a release note into the configuration in force.
    *
-   * @throws org.persimmonwalk.result.PersimmonwalkException with every fault if it would be refused
+   * @throws org.persimmonwalk.result.PersimmonwalkException with the list of faults if the release
+   *     note conflicts with a newer one or leads to an invalid configuration
    */
-  static NoteReview of(OperatorSession session, ReleaseNote note) {
+  static NotePreview of(OperatorSession session, ReleaseNote note) {
     ConfigurationReader configurations = session.configurations();
     Configuration current = configurations.current();
     Optional<Configuration> base =
@@ -31,9 +32,10 @@
     if (result instanceof MergeResult.Refused refused) {
       throw FaultMessages.exception(refused.code(), refused.faults());
     }
-    return new NoteReview(current, ((MergeResult.Merged) result).configuration());
+    return new NotePreview(current, ((MergeResult.Merged) result).configuration());
   }
 
+  /** Prints a row for each field that the release note would change. */
   void printChanges(OperatorSession session) {
     session.output().table(ConfigurationChanges.between(current, next));
   }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/OperatorEnvironment.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/OperatorEnvironment.java
@@ -8,25 +8,25 @@
 import org.persimmonwalk.port.TableService;
 import org.persimmonwalk.release.RetryPause;
 
-/** What subcommands reach outside of their process. */
+/** The external dependencies of the subcommands, which tests replace by fakes. */
 public interface OperatorEnvironment {
 
-  /** Opens the platform. */
+  /** Returns a client of the platform at the endpoint; the caller closes it. */
   PlatformAccess platform(SocketEndpoint endpoint);
 
-  /** Opens the administration interfaces of entry hosts. */
+  /** Returns a client of the administration interfaces of entry hosts; the caller closes it. */
   HostAdministration hosts(Optional<String> token);
 
   /** Returns a source of new caller keys. */
   KeySource keys();
 
-  /** Returns the clock that limits waits. */
+  /** Returns the clock that measures the time limit of polling. */
   MonotonicClock clock();
 
-  /** Returns the pause between attempts to publish. */
+  /** Returns the pause between the attempts to publish a release note. */
   RetryPause pause();
 
-  /** The parts of the platform that operators use. */
+  /** A client of the services of the platform that subcommands use. */
   interface PlatformAccess extends AutoCloseable {
     /** Returns the table service. */
     TableService table();
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/OperatorSession.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/OperatorSession.java
@@ -15,7 +15,10 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** One run of a subcommand; it opens the platform and the hosts when they are needed. */
+/**
+ * The context of one run of a subcommand: its options, its output, and clients of the platform and
+ * the entry hosts, which are created on first use. It is used by the main thread only.
+ */
 public final class OperatorSession implements AutoCloseable {
   private final CommonOptions options;
   private final OperatorEnvironment environment;
@@ -29,7 +32,7 @@
     this.output = output;
   }
 
-  /** Returns a session that has opened nothing. */
+  /** Returns a session that has not created any client yet. */
   public static OperatorSession of(
       CommonOptions options, OperatorEnvironment environment, Output output) {
     return new OperatorSession(options, environment, output);
@@ -58,16 +61,17 @@
     return hosts.get();
   }
 
-  /** Asks each host once. */
+  /** Requests the state of each host of {@code --hosts} once. */
   FleetView pollHosts() {
     return FleetPoll.of(hosts(), environment.clock())
         .run(options.hostEndpoints(), FleetGoal.onePoll(), options.waitLimit(), progress -> {});
   }
 
   /**
-   * Publishes a release note.
+   * Publishes a release note and returns the revision that it led to.
    *
-   * @throws PersimmonwalkException if it is refused or its outcome is not known
+   * @throws PersimmonwalkException if the release note is refused, or if publishing it failed or
+   *     may have failed; the code tells which
    */
   Revision publish(ReleaseNote note) {
     OperatorEnvironment.PlatformAccess access = openPlatform();
@@ -88,34 +92,35 @@
   }
 
   /**
-   * Waits until all hosts have the revision in force, if the options ask for it.
+   * With {@code --wait}, waits until all hosts have the revision or a newer one in force.
    *
-   * @throws PersimmonwalkException if some hosts do not have it in time
+   * @throws PersimmonwalkException if some hosts do not have it in force within the time limit
    */
   void awaitRevision(Revision revision) {
-    if (!options.isWaiting()) {
+    if (!options.waitsForRevision()) {
       return;
     }
     int count = (int) options.hostEndpoints().stream().distinct().count();
     FleetGoal goal = FleetGoal.revision(revision);
-    FleetView end =
+    FleetView finalView =
         FleetPoll.of(hosts(), environment.clock())
             .run(
                 options.hostEndpoints(),
                 goal,
                 options.waitLimit(),
                 view -> output.progress(progress(view, count, revision)));
-    if (end.reached() < count) {
+    if (finalView.reached() < count) {
       throw PersimmonwalkException.of(
           ResultCode.REVISION_NOT_EVERYWHERE,
-          progress(end, count, revision) + "; check " + missing(end, goal));
+          progress(finalView, count, revision) + "; check " + endpointsBehind(finalView, goal));
     }
   }
 
   /**
-   * Fails if a host has not answered.
+   * Checks that every host of {@code --hosts} has reported its state.
    *
-   * @throws PersimmonwalkException with the code of the first failure
+   * @throws PersimmonwalkException with the code of the first failure if a request failed, or with
+   *     {@link ResultCode#HOST_UNAVAILABLE} if hosts were not polled within the time limit
    */
   void requireAllReported(FleetView view) {
     if (!view.failures().isEmpty()) {
@@ -123,14 +128,14 @@
           String.join("\n  ", view.failures().stream().map(Throwable::getMessage).toList());
       throw PersimmonwalkException.of(
           view.failures().get(0).code(),
-          view.failures().size() + " host(s) gave no answer:\n  " + list);
+          view.failures().size() + " host(s) did not report their state:\n  " + list);
     }
     int count = (int) options.hostEndpoints().stream().distinct().count();
     if (view.results().size() < count) {
       throw PersimmonwalkException.of(
           ResultCode.HOST_UNAVAILABLE,
           (count - view.results().size())
-              + " host(s) were not asked in time; raise --wait-seconds");
+              + " host(s) were not polled in time; raise --wait-seconds");
     }
   }
 
@@ -147,7 +152,7 @@
     return platform.get();
   }
 
-  private String missing(FleetView view, FleetGoal goal) {
+  private String endpointsBehind(FleetView view, FleetGoal goal) {
     return String.join(
         ", ",
         options.hostEndpoints().stream()
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/Results.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/Results.java
@@ -3,12 +3,12 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Named values in the order in which they are given. */
+/** Builds the named values of a result. */
 final class Results {
 
   private Results() {}
 
-  /** Returns the values, given as names and values in turn. */
+  /** Returns a map, in the given order, of names and values that alternate in the arguments. */
   static Map<String, Object> of(Object... namesAndValues) {
     Map<String, Object> values = new LinkedHashMap<>();
     for (int i = 0; i < namesAndValues.length; i += 2) {
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/RevisionsCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/RevisionsCommand.java
@@ -8,7 +8,10 @@
 import org.persimmonwalk.internal.operator.output.Table;
 import org.persimmonwalk.model.SocketEndpoint;
 
-/** Prints which host has which revision in force. */
+/**
+ * Prints the revision that each host has in force and whether it is the newest: that of the
+ * platform or, without {@code --platform}, the newest that any host reports.
+ */
 final class RevisionsCommand implements Subcommand {
 
   @Override
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/Stages.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/Stages.java
@@ -4,12 +4,15 @@
 import java.util.concurrent.CompletionStage;
 import org.persimmonwalk.result.PersimmonwalkException;
 
-/** Waits for asynchronous results. */
+/** Waits for completion stages. */
 final class Stages {
 
   private Stages() {}
 
-  /** Returns the result; the failure of the stage is thrown as it is. */
+  /**
+   * Blocks until the stage completes and returns its result. A {@link PersimmonwalkException} is
+   * thrown without the {@link CompletionException}s around it.
+   */
   static <T> T await(CompletionStage<T> stage) {
     try {
       return stage.toCompletableFuture().join();
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/StandardEnvironment.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/StandardEnvironment.java
@@ -16,9 +16,9 @@
 import org.persimmonwalk.store.PlatformTableService;
 import org.persimmonwalk.store.RowCodecs;
 
-/** Reaches the platform and the hosts over HTTP. */
+/** The environment outside of tests: reaches the platform and the entry hosts over HTTP. */
 public final class StandardEnvironment implements OperatorEnvironment {
-  /** Operators are in no availability zone; the platform only logs the name. */
+  /** The command line runs in no availability zone; the platform only logs the name. */
   private static final AvailabilityZone ZONE = AvailabilityZone.of("operator");
 
   private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
@@ -56,7 +56,7 @@
     return RetryPause.growing();
   }
 
-  /** The platform over HTTP. */
+  /** The services of the platform over one HTTP client. */
   private record HttpPlatform(PlatformClient client, TableService table, ObjectStore objects)
       implements PlatformAccess {
 
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateCommand.java
@@ -3,7 +3,7 @@
 import org.kohsuke.args4j.Argument;
 import org.persimmonwalk.internal.operator.fleet.FleetView;
 
-/** Prints what the hosts know. */
+/** Prints a summary of the state that the hosts of {@code --hosts} report. */
 final class StateCommand implements Subcommand {
   @Argument(
       metaVar = "hosts|groups|servers|workspaces",
@@ -11,7 +11,7 @@
       usage = "what to print the state of")
   private Subject subject;
 
-  /** What the state is printed of. */
+  /** The subject of the table; the names are the values of the argument. */
   enum Subject {
     HOSTS(StateTables::hosts),
     GROUPS(StateTables::groups),
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateTable.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateTable.java
@@ -3,9 +3,9 @@
 import org.persimmonwalk.internal.operator.fleet.FleetView;
 import org.persimmonwalk.internal.operator.output.Table;
 
-/** Sums up the answers of the hosts. */
+/** Summarizes the reports of the hosts in a table. */
 interface StateTable {
 
-  /** Returns the rows to print. */
+  /** Returns the table for the reports in the view. */
   Table of(FleetView view);
 }
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateTables.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateTables.java
@@ -19,6 +19,7 @@
 
   private StateTables() {}
 
+  /** One row for each host that reported its state. */
   static Table hosts(FleetView view) {
     Table table = Table.of("endpoint", "host", "zone", "phase", "revision", "freshness_ms");
     for (var entry : view.results().entrySet()) {
@@ -37,7 +38,10 @@
     return table;
   }
 
-  /** One row for each distinct view, so that hosts that disagree stand out. */
+  /**
+   * One row for each distinct combination of group, term and primary, so that a disagreement
+   * between hosts is visible. The confirmed age is the highest that a host reports.
+   */
   static Table groups(FleetView view) {
     Table table = Table.of("group", "term", "primary", "hosts", "confirmed_ms");
     Map<String, List<HostReport.Group>> byView =
@@ -59,7 +63,7 @@
     return table;
   }
 
-  /** One row for each server, with the newest sample of any host. */
+  /** One row for each server, with the newest sample that any host reports. */
   static Table servers(FleetView view) {
     Table table =
         Table.of(
@@ -98,7 +102,7 @@
     return table;
   }
 
-  /** One row for each workspace, with the sums over all hosts that answered. */
+  /** One row for each workspace, with shares and demand summed over all hosts that reported. */
   static Table workspaces(FleetView view) {
     Table table = Table.of("workspace", "rate", "burst", "shares", "demand", "hosts");
     Map<String, List<HostReport.WorkspaceShare>> byWorkspace =
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/Subcommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/Subcommand.java
@@ -1,10 +1,10 @@
 package org.persimmonwalk.internal.operator.command;
 
-/** One action of the command line; args4j fills its options and arguments. */
+/** A subcommand. args4j sets its annotated fields from the command line before it runs. */
 public interface Subcommand {
 
   /**
-   * Carries out the action.
+   * Runs the subcommand on the calling thread and prints its result to the session's output.
    *
    * @throws org.persimmonwalk.result.PersimmonwalkException if it fails
    */
--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/SubcommandCatalog.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/SubcommandCatalog.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
-/** The subcommands by name. */
+/** Lists the subcommands with their names, summaries and examples. */
 public final class SubcommandCatalog {
   private static final List<Entry> ENTRIES =
       List.of(
@@ -32,27 +32,27 @@
           new Entry(
               "revisions",
               RevisionsCommand::new,
-              "prints which host has which revision",
+              "prints the revision that each host has in force",
               "revisions --hosts 10.0.0.1:8432,10.0.0.2:8432 --token-file token"),
           new Entry(
               "state",
               StateCommand::new,
-              "prints what the hosts know",
+              "prints the state that the hosts report",
               "state servers --hosts @hosts --token-file token --output json"),
           new Entry(
               "drain",
               DrainCommand::new,
-              "asks a host to stop as planned",
+              "starts the planned stop of a host",
               "drain host-a1 --hosts @hosts --token-file token"),
           new Entry(
               "explain",
               ExplainCommand::new,
-              "prints what the logs of hosts tell about a request",
+              "prints the log lines that explain a failed request",
               "explain 5c0e7a21d94b36f8 host-a1.log host-a2.log"),
           new Entry(
               "key mint",
               KeyMintCommand::new,
-              "makes a caller key and prints it once",
+              "generates a caller key and prints it once",
               "key mint oil --platform http://10.0.0.5:8080"),
           new Entry(
               "key withdraw",
@@ -65,15 +65,15 @@
   /**
    * A subcommand.
    *
-   * @param name one or two words
-   * @param factory makes the subcommand
-   * @param summary what it does
-   * @param example a command line
+   * @param name the name, one or two words
+   * @param factory creates an instance whose options are not set yet
+   * @param summary one line for the help
+   * @param example a command line for the help, without the name of the program
    */
   public record Entry(String name, Supplier<Subcommand> factory, String summary, String example) {
 
     /** Returns the arguments that follow the name. */
-    public List<String> rest(List<String> arguments) {
+    public List<String> argumentsAfterName(List<String> arguments) {
       return arguments.subList(words().size(), arguments.size());
     }
 
@@ -87,7 +87,7 @@
     return ENTRIES;
   }
 
-  /** Returns the subcommand that the arguments begin with. */
+  /** Returns the subcommand whose name the arguments begin with; empty if there is none. */
   public static Optional<Entry> find(List<String> arguments) {
     return ENTRIES.stream()
         .filter(entry -> arguments.size() >= entry.words().size())
--- a/operator/src/main/java/org/persimmonwalk/operator/OperatorCommandLine.java
+++ b/operator/src/main/java/org/persimmonwalk/operator/OperatorCommandLine.java
@@ -72,7 +72,7 @@
           PersimmonwalkException.of(
               ResultCode.COMMAND_LINE_INVALID, name + "; see the commands in 'help'"));
     }
-    return run(entry.get(), entry.get().rest(arguments));
+    return run(entry.get(), entry.get().argumentsAfterName(arguments));
   }
 
   private int run(SubcommandCatalog.Entry entry, List<String> arguments) {
@@ -86,7 +86,7 @@
         printHelp(entry);
         return SUCCESS;
       }
-      if (options.output() == CommonOptions.OutputForm.JSON) {
+      if (options.output() == CommonOptions.OutputFormat.JSON) {
         output = JsonOutput.of(out, err);
       }
       options.check();
