Reword the command line of the operator

The message for a wrong command was only "'publish'; see the commands in 'help'"; it now says "unknown or incomplete command 'publish'; 'operator help' lists the commands". Exit code 2 was documented for "a file it names as a setting"; the comment now lists the token file, the host list and the log files. The comments of the tests name the failure that each guards against, for example "a missing log file that is silently skipped" for "a missing file being passed over".

--- a/operator/src/main/java/org/persimmonwalk/operator/OperatorCommandLine.java
+++ b/operator/src/main/java/org/persimmonwalk/operator/OperatorCommandLine.java
@@ -19,7 +19,8 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * The operators' command line.
+ * The operators' command line: finds the subcommand, parses its options, runs it, and turns
+ * failures into messages and exit codes.
  *
  * <p>Example:
  *
@@ -31,8 +32,8 @@
 public final class OperatorCommandLine {
   private static final int SUCCESS = 0;
   private static final int FAILURE = 1;
-  private static final int INVALID = 2;
-  private static final List<String> HELP = List.of("help", "--help", "-h");
+  private static final int INVALID_COMMAND_LINE = 2;
+  private static final List<String> HELP_ARGUMENTS = List.of("help", "--help", "-h");
 
   private final OperatorEnvironment environment;
   private final PrintStream out;
@@ -54,23 +55,26 @@
   }
 
   /**
-   * Runs a subcommand.
+   * Runs the subcommand that the arguments name; the first one or two are its name.
    *
-   * @return the exit code: 0 on success, 2 if the command line or a file it names as a setting is
-   *     invalid, 1 otherwise
+   * @return the exit code: 0 on success, 2 if the command line is invalid or a token file, host
+   *     list or log file that it names cannot be used, 1 for all other failures
    */
   public int run(List<String> arguments) {
-    if (!arguments.isEmpty() && HELP.contains(arguments.get(0))) {
+    if (!arguments.isEmpty() && HELP_ARGUMENTS.contains(arguments.get(0))) {
       printHelp(out);
       return SUCCESS;
     }
     Optional<SubcommandCatalog.Entry> entry = SubcommandCatalog.find(arguments);
     if (entry.isEmpty()) {
-      String name = arguments.isEmpty() ? "no command is given" : "'" + arguments.get(0) + "'";
+      String problem =
+          arguments.isEmpty()
+              ? "no command is given"
+              : "unknown or incomplete command '" + arguments.get(0) + "'";
       return fail(
           TextOutput.of(out, err),
           PersimmonwalkException.of(
-              ResultCode.COMMAND_LINE_INVALID, name + "; see the commands in 'help'"));
+              ResultCode.COMMAND_LINE_INVALID, problem + "; 'operator help' lists the commands"));
     }
     return run(entry.get(), entry.get().argumentsAfterName(arguments));
   }
@@ -121,7 +125,7 @@
           SETTING_UNKNOWN,
           SETTING_INVALID,
           SETTING_MISSING ->
-          INVALID;
+          INVALID_COMMAND_LINE;
       default -> FAILURE;
     };
   }
--- a/operator/src/test/java/org/persimmonwalk/operator/ExplainTest.java
+++ b/operator/src/test/java/org/persimmonwalk/operator/ExplainTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Explains requests from the log files in the folder "explain" of the test resources. */
+/** Runs the subcommand explain on the log files in the folder "explain" of the test resources. */
 class ExplainTest {
   private static final String FIRST = "src/test/resources/explain/host-a1.log";
   private static final String SECOND = "src/test/resources/explain/host-a2.log";
@@ -49,15 +49,15 @@
     assertThat(out.toString(StandardCharsets.UTF_8)).contains("PW-7101", "nothing ran");
   }
 
-  /** Guards against a success code and no output when the id is mistyped. */
+  /** Guards against empty output and exit code 0 when the id is mistyped. */
   @Test
-  void shouldSayThatNoLineNamesTheRequest() {
+  void shouldFailIfNoLineNamesTheRequest() {
     assertThat(run("explain", "0000", FIRST)).isEqualTo(2);
 
     assertThat(err.toString(StandardCharsets.UTF_8)).contains("no line names the request 0000");
   }
 
-  /** Guards against a missing file being passed over. */
+  /** Guards against a missing log file that is silently skipped. */
   @Test
   void shouldNameAFileThatCannotBeRead() {
     assertThat(run("explain", "5c0e7a21d94b36f8", "missing.log")).isEqualTo(2);
--- a/operator/src/test/java/org/persimmonwalk/operator/FakeEnvironment.java
+++ b/operator/src/test/java/org/persimmonwalk/operator/FakeEnvironment.java
@@ -17,7 +17,11 @@
 import org.persimmonwalk.result.ResultCode;
 import org.persimmonwalk.testing.FakeClock;
 
-/** The stand-in platform, hosts that answer at once, and a clock that moves with each reading. */
+/**
+ * Replaces entry hosts by fixed reports that are returned at once, drops the pauses between
+ * retries, and advances the clock by 1 s with each reading, so that time limits pass quickly. The
+ * platform is reached over HTTP as outside of tests.
+ */
 final class FakeEnvironment implements OperatorEnvironment {
   private final Map<SocketEndpoint, HostReport> reports;
   private final FakeClock clock = new FakeClock();
@@ -26,7 +30,7 @@
     this.reports = reports;
   }
 
-  /** Returns an environment in which only the given hosts answer. */
+  /** Returns an environment in which only the hosts with a report answer. */
   static FakeEnvironment of(Map<SocketEndpoint, HostReport> reports) {
     return new FakeEnvironment(reports);
   }
--- a/operator/src/test/java/org/persimmonwalk/operator/OperatorCommandLineTest.java
+++ b/operator/src/test/java/org/persimmonwalk/operator/OperatorCommandLineTest.java
@@ -115,7 +115,7 @@
     assertNewestRevision(1);
   }
 
-  /** Guards against a refused note that changes something, and against a wrong exit code. */
+  /** Guards against a refused note that still changes something, and against wrong exit codes. */
   @Test
   void shouldRefuseNotesWithCodeAndChangeNothing() throws IOException {
     run("apply", file("first.yaml"));
@@ -173,7 +173,7 @@
     assertThat(output()).contains("HOSTS | GROUPS | SERVERS").contains("--token-file");
   }
 
-  /** Guards against a key that is stored, or one that cannot be withdrawn by what is shown. */
+  /** Guards against storing the key itself, and a printed hash that cannot withdraw the key. */
   @Test
   void shouldMintAndWithdrawKeys() throws IOException {
     run("apply", file("first.yaml"));
@@ -191,7 +191,7 @@
     assertNewestRevision(3);
   }
 
-  /** Guards against a failure of the platform that looks like a refusal or a success. */
+  /** Guards against an outage of the platform that is reported as a refusal or a success. */
   @Test
   void shouldReportAnOutageOfThePlatform() {
     platform.setOutage(PlatformOutage.REFUSED);
@@ -200,7 +200,7 @@
     assertThat(error()).startsWith("PW-8001: ").doesNotContain("PW-8001: PW-8001");
   }
 
-  /** Guards against a lost answer that makes the operator submit a note twice. */
+  /** Guards against a note that is published twice because an answer of the platform is lost. */
   @Test
   void shouldAcceptNotesWhoseAnswerIsLost() {
     platform.loseNextAnswers(2);
@@ -235,7 +235,7 @@
     assertThat(drains).hasValue(1);
   }
 
-  /** Guards against a wrong token that still has an effect or exits as a success. */
+  /** Guards against a wrong token that still has an effect, exits with 0 or is printed. */
   @Test
   void shouldFailWithWrongTokens() throws IOException {
     startHost("host-a1", 1);
@@ -247,7 +247,7 @@
     assertThat(drains).hasValue(0);
   }
 
-  /** Guards against a host that is down and passes unnoticed. */
+  /** Guards against a host that is down and is not reported. */
   @Test
   void shouldNameHostsThatDoNotAnswer() {
     startHost("host-a1", 1);
@@ -258,9 +258,9 @@
     assertThat(output()).contains("host-a1").contains(endpoints.get(1));
   }
 
-  /** Guards against a wait that reports success, or hides that the note is accepted. */
+  /** Guards against a timed-out wait that reports success or hides that the note is accepted. */
   @Test
-  void shouldReportHostsThatStayBehind() {
+  void shouldReportHostsThatDoNotReachTheRevision() {
     HostReport report =
         new HostReport(
             EntryHostId.of("host-a1"),
@@ -332,7 +332,7 @@
     return run(all.toArray(String[]::new));
   }
 
-  /** Runs a command; it names the platform unless it states one itself. */
+  /** Runs a command with --platform, unless it has that option itself, or is empty or help. */
   private int run(String... arguments) {
     List<String> all = new ArrayList<>(List.of(arguments));
     boolean named = all.isEmpty() || all.contains("--platform") || all.get(0).equals("help");
--- a/operator/src/test/java/org/persimmonwalk/operator/package-info.java
+++ b/operator/src/test/java/org/persimmonwalk/operator/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the operators' command line. */
+/** Tests of the operators' command line with a stand-in platform and in-process entry hosts. */
 package org.persimmonwalk.operator;
