--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateTables.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/StateTables.java
@@ -10,7 +10,7 @@
 import java.util.stream.Collector;
 import java.util.stream.Collectors;
 import org.persimmonwalk.internal.operator.fleet.FleetView;
-import org.persimmonwalk.internal.operator.fleet.HostAnswer;
+import org.persimmonwalk.internal.operator.fleet.HostPollResult;
 import org.persimmonwalk.internal.operator.fleet.HostReport;
 import org.persimmonwalk.internal.operator.output.Table;
 
@@ -19,10 +19,11 @@
 
   private StateTables() {}
 
+  /** One row for each host that reported its state. */
   static Table hosts(FleetView view) {
     Table table = Table.of("endpoint", "host", "zone", "phase", "revision", "freshness_ms");
-    for (var entry : view.answers().entrySet()) {
-      if (entry.getValue() instanceof HostAnswer.Reported reported) {
+    for (var entry : view.results().entrySet()) {
+      if (entry.getValue() instanceof HostPollResult.Reported reported) {
         HostReport report = reported.report();
         table =
             table.withRow(
@@ -37,7 +38,10 @@
     return table;
   }
 
-  /** One row for each distinct view, so that hosts that disagree stand out. */
+  /**
+   * One row for each distinct combination of group, term and primary, so that a disagreement
+   * between hosts is visible. The confirmed age is the highest that a host reports.
+   */
   static Table groups(FleetView view) {
     Table table = Table.of("group", "term", "primary", "hosts", "confirmed_ms");
     Map<String, List<HostReport.Group>> byView =
@@ -59,7 +63,7 @@
     return table;
   }
 
-  /** One row for each server, with the newest sample of any host. */
+  /** One row for each server, with the newest sample that any host reports. */
   static Table servers(FleetView view) {
     Table table =
         Table.of(
@@ -93,26 +97,26 @@
               milliseconds(newest.flatMap(HostReport.Sample::dataAge)),
               same.stream().anyMatch(HostReport.Server::leaving),
               same.size(),
-              same.stream().filter(server -> server.failing().isPresent()).count());
+              same.stream().filter(server -> server.failingFor().isPresent()).count());
     }
     return table;
   }
 
-  /** One row for each workspace, with the sums over all hosts that answered. */
+  /** One row for each workspace, with shares and demand summed over all hosts that reported. */
   static Table workspaces(FleetView view) {
     Table table = Table.of("workspace", "rate", "burst", "shares", "demand", "hosts");
-    Map<String, List<HostReport.Share>> byWorkspace =
+    Map<String, List<HostReport.WorkspaceShare>> byWorkspace =
         view.reports().stream()
             .flatMap(report -> report.workspaces().stream())
             .collect(grouping(share -> share.id().value()));
-    for (List<HostReport.Share> same : byWorkspace.values()) {
+    for (List<HostReport.WorkspaceShare> same : byWorkspace.values()) {
       table =
           table.withRow(
               same.get(0).id().value(),
               same.get(0).rate(),
               same.get(0).burst(),
-              same.stream().mapToDouble(HostReport.Share::share).sum(),
-              same.stream().mapToDouble(HostReport.Share::demand).sum(),
+              same.stream().mapToDouble(HostReport.WorkspaceShare::share).sum(),
+              same.stream().mapToDouble(HostReport.WorkspaceShare::demand).sum(),
               same.size());
     }
     return table;
