--- a/operator/src/main/java/org/persimmonwalk/internal/operator/command/CheckCommand.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/command/CheckCommand.java
@@ -27,7 +27,6 @@
                 "note", note.id().value(),
                 "base", note.base().number(),
                 "items", note.touched().size(),
-                "checked",
-                    merged ? "form and merge" : "form only; give --platform to check the merge"));
+                "checked", merged ? "form and merge" : "form only; name --platform for the merge"));
   }
 }
