Reword the zone protocol in terms of requests and replies

The package called a request a "question" and a timeout "giving up", and some comments left the reader guessing: "a relay that is slower than this for once costs one call of the store", "a connection may go silent for good without a reset, so a lost answer ends it".

Private names follow: giveUp is timeOut, end is complete, MAXIMUM_OPEN is MAXIMUM_UNANSWERED. Four tests have plainer names.

--- a/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
@@ -18,7 +18,7 @@
 import org.persimmonwalk.peer.generated.zone.RouteMessage;
 import org.persimmonwalk.peer.generated.zone.RoutingConfigurationMessage;
 
-/** Translates the configuration from and to its message. */
+/** Converts the routing configuration to its protobuf message and back. */
 final class RoutingConfigurationCodec {
 
   private RoutingConfigurationCodec() {}
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClient.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClient.java
@@ -28,11 +28,15 @@
 import org.persimmonwalk.port.MonotonicClock;
 import org.tinylog.Logger;
 
-/** Sends questions to the relay of the zone over one connection; runs on one event loop. */
+/**
+ * Sends requests to the relay of the zone over one connection. Any thread may call {@link #ask};
+ * the rest, including the listener, runs on one event loop.
+ */
 public final class ZoneClient {
   /**
-   * An answer takes about 2 ms in a zone. A relay that is slower than this for once costs one call
-   * of the store; a longer wait would let verifications and tokens lapse.
+   * Limits the time for connecting and for a reply, which takes about 2 ms within a zone. A single
+   * slower reply costs one call to the store; a longer timeout would let verifications and tokens
+   * expire.
    */
   private static final Duration TIMEOUT = Duration.ofMillis(200);
 
@@ -42,7 +46,7 @@
   private final Map<Long, Pending> pending = new HashMap<>();
   private Optional<SocketEndpoint> connectedTo = Optional.empty();
   private Channel channel;
-  private long nextExchange;
+  private long lastExchange;
 
   private ZoneClient(EventLoopGroup group, MonotonicClock clock, Consumer<RelayAnswered> listener) {
     this.group = group;
@@ -54,28 +58,28 @@
    * Returns a client without a connection.
    *
    * @param group a group with one thread; the caller closes it
-   * @param listener is told the end of each question once
+   * @param listener called once for each request, when its reply arrives or it fails
    */
   public static ZoneClient create(
       EventLoopGroup group, MonotonicClock clock, Consumer<RelayAnswered> listener) {
     return new ZoneClient(group, clock, listener);
   }
 
-  /** Sends a question. */
-  public void ask(AskRelay question) {
-    group.next().execute(() -> start(question));
+  /** Sends a request, over a new connection if there is none to that relay. */
+  public void ask(AskRelay command) {
+    group.next().execute(() -> send(command));
   }
 
-  private void start(AskRelay question) {
-    long exchange = ++nextExchange;
+  private void send(AskRelay command) {
+    long exchange = ++lastExchange;
     Future<?> timer =
-        group.next().schedule(() -> giveUp(exchange), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-    pending.put(exchange, new Pending(question, clock.now(), timer));
-    SocketEndpoint endpoint = question.relay().endpoint();
-    boolean usable =
+        group.next().schedule(() -> timeOut(exchange), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    pending.put(exchange, new Pending(command, clock.now(), timer));
+    SocketEndpoint endpoint = command.relay().endpoint();
+    boolean connectedToRelay =
         channel != null && channel.isActive() && connectedTo.filter(endpoint::equals).isPresent();
-    if (usable) {
-      ZoneFrames.write(channel, ZoneCodec.encode(exchange, question.request()));
+    if (connectedToRelay) {
+      ZoneFrames.write(channel, ZoneCodec.encode(exchange, command.request()));
     } else {
       connect(endpoint, exchange);
     }
@@ -94,7 +98,7 @@
               @Override
               protected void initChannel(SocketChannel created) {
                 ZoneFrames.addDecoder(created.pipeline());
-                created.pipeline().addLast(new Inbound());
+                created.pipeline().addLast(new ReplyHandler());
               }
             })
         .connect(endpoint.address(), endpoint.port())
@@ -104,20 +108,23 @@
   private void connected(ChannelFuture future, long exchange) {
     Pending waiting = pending.get(exchange);
     if (!future.isSuccess()) {
-      end(exchange, Optional.empty());
+      complete(exchange, Optional.empty());
     } else if (waiting == null) {
       future.channel().close();
     } else {
       channel = future.channel();
-      ZoneFrames.write(channel, ZoneCodec.encode(exchange, waiting.question().request()));
+      ZoneFrames.write(channel, ZoneCodec.encode(exchange, waiting.command().request()));
     }
   }
 
-  /** A connection may go silent for good without a reset, so a lost answer ends it. */
-  private void giveUp(long exchange) {
+  /**
+   * Fails a request and closes the connection, because a broken connection may stay open without a
+   * reset.
+   */
+  private void timeOut(long exchange) {
     if (pending.containsKey(exchange)) {
       disconnect();
-      end(exchange, Optional.empty());
+      complete(exchange, Optional.empty());
     }
   }
 
@@ -129,29 +136,30 @@
     connectedTo = Optional.empty();
   }
 
-  private void end(long exchange, Optional<ZoneReply> reply) {
-    Pending ended = pending.remove(exchange);
-    if (ended != null) {
-      ended.timer().cancel(false);
-      listener.accept(new RelayAnswered(ended.question(), reply, ended.askedAt(), clock.now()));
+  private void complete(long exchange, Optional<ZoneReply> reply) {
+    Pending completed = pending.remove(exchange);
+    if (completed != null) {
+      completed.timer().cancel(false);
+      listener.accept(
+          new RelayAnswered(completed.command(), reply, completed.askedAt(), clock.now()));
     }
   }
 
-  private record Pending(AskRelay question, MonotonicTime askedAt, Future<?> timer) {}
+  private record Pending(AskRelay command, MonotonicTime askedAt, Future<?> timer) {}
 
-  private final class Inbound extends SimpleChannelInboundHandler<ByteBuf> {
+  private final class ReplyHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
       ZoneReplyMessage message = ZoneReplyMessage.parseFrom(frame.nioBuffer());
-      end(message.getExchange(), Optional.of(ZoneCodec.decode(message)));
+      complete(message.getExchange(), Optional.of(ZoneCodec.decode(message)));
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       if (context.channel() == channel) {
         channel = null;
-        List.copyOf(pending.keySet()).forEach(exchange -> end(exchange, Optional.empty()));
+        List.copyOf(pending.keySet()).forEach(exchange -> complete(exchange, Optional.empty()));
       }
     }
 
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -31,7 +31,7 @@
 import org.persimmonwalk.peer.generated.zone.ZoneReplyMessage;
 import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
 
-/** Translates questions and answers of a zone from and to their messages. */
+/** Converts the requests and replies of a zone to protobuf messages and back. */
 final class ZoneCodec {
   private static final long NANOS_PER_MICRO = 1000;
 
@@ -66,7 +66,7 @@
     return message.build();
   }
 
-  /** Decodes a question; throws an IllegalArgumentException if an identifier is invalid. */
+  /** Decodes a request; throws an IllegalArgumentException if an identifier is invalid. */
   static ZoneRequest decode(ZoneRequestMessage message) {
     Map<RowKey, Long> known = new HashMap<>();
     message
@@ -98,7 +98,7 @@
             .setServes(reply.serves())
             .setConfigurationRowVersion(reply.configurationRow())
             .setActiveHosts(reply.activeHosts());
-    reply.verifiedAge().ifPresent(age -> message.setVerifiedAgeMicroseconds(ceilMicros(age)));
+    reply.verifiedAge().ifPresent(age -> message.setVerifiedAgeMicroseconds(microsRoundedUp(age)));
     reply
         .reading()
         .ifPresent(
@@ -106,8 +106,8 @@
                 message.setReading(
                     StoreReadingMessage.newBuilder()
                         .setMilliseconds(reading.millis())
-                        .setSentAgeMicroseconds(ceilMicros(reading.sentAge()))
-                        .setReceivedAgeMicroseconds(floorMicros(reading.receivedAge()))));
+                        .setSentAgeMicroseconds(microsRoundedUp(reading.sentAge()))
+                        .setReceivedAgeMicroseconds(microsRoundedDown(reading.receivedAge()))));
     reply
         .rows()
         .forEach(
@@ -120,7 +120,7 @@
                         .setValue(row.value())));
     reply
         .configuration()
-        .ifPresent(shown -> message.setConfiguration(RoutingConfigurationCodec.encode(shown)));
+        .ifPresent(newer -> message.setConfiguration(RoutingConfigurationCodec.encode(newer)));
     reply.servers().ifPresent(list -> message.setServers(encode(list)));
     reply
         .loans()
@@ -132,7 +132,7 @@
                         .setTokens(loan.tokens())
                         .setScarce(loan.scarce())
                         .setRenews(loan.renews())
-                        .setValidMicroseconds(floorMicros(loan.validFor()))));
+                        .setValidMicroseconds(microsRoundedDown(loan.validFor()))));
     return message.build();
   }
 
@@ -140,7 +140,7 @@
     ServerListMessage.Builder message =
         ServerListMessage.newBuilder()
             .setRevision(list.revision())
-            .setAgeMicroseconds(ceilMicros(list.age()));
+            .setAgeMicroseconds(microsRoundedUp(list.age()));
     list.entries()
         .forEach(
             entry ->
@@ -158,7 +158,7 @@
     return message.build();
   }
 
-  /** Decodes an answer; throws an IllegalArgumentException if an identifier is invalid. */
+  /** Decodes a reply; throws an IllegalArgumentException if an identifier is invalid. */
   static ZoneReply decode(ZoneReplyMessage message) {
     Map<RowKey, StoredRow> rows = new HashMap<>();
     message
@@ -222,13 +222,13 @@
     return new ServerList(message.getRevision(), micros(message.getAgeMicroseconds()), entries);
   }
 
-  /** Rounds up, as an age that is too long only shortens what is relied on. */
-  private static long ceilMicros(Duration duration) {
+  /** Rounds an age up; an overstated age only makes what depends on it expire earlier. */
+  private static long microsRoundedUp(Duration duration) {
     return (duration.toNanos() + NANOS_PER_MICRO - 1) / NANOS_PER_MICRO;
   }
 
-  /** Rounds down, as a validity that is too short only costs another question. */
-  private static long floorMicros(Duration duration) {
+  /** Rounds a validity down; an understated validity only costs another request. */
+  private static long microsRoundedDown(Duration duration) {
     return Math.max(0, duration.toNanos() / NANOS_PER_MICRO);
   }
 
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneFrames.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneFrames.java
@@ -6,9 +6,9 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 
-/** The frames of a connection between hosts of a zone: a 4-byte length and a message. */
+/** Reads and writes the frames of a zone connection: a 4-byte length and a message. */
 final class ZoneFrames {
-  /** Larger than a configuration of several thousand routes. */
+  /** The largest message in bytes; a configuration of several thousand routes fits. */
   private static final int FRAME_LIMIT = 8 * 1024 * 1024;
 
   private static final int LENGTH_BYTES = 4;
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneRehearsal.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneRehearsal.java
@@ -20,8 +20,8 @@
 import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
 
 /**
- * Loads the classes of an exchange, so that the build can record them and a restarted process need
- * not parse them.
+ * Loads the classes that encode and decode zone messages. The build calls it to record these
+ * classes, so that a restarted process need not parse them.
  */
 public final class ZoneRehearsal {
   private static final RowKey ROW = RowKey.of("rehearsal", "row");
@@ -29,7 +29,7 @@
 
   private ZoneRehearsal() {}
 
-  /** Encodes and decodes a question and an answer. */
+  /** Encodes and decodes a request and a reply. */
   public static void run() {
     ZoneRequest request =
         new ZoneRequest(
@@ -50,12 +50,12 @@
             List.of(new TokenLoan(WORKSPACE, 1, false, true, Duration.ZERO)),
             1);
     try {
-      byte[] asked = ZoneCodec.encode(1, request).toByteArray();
-      byte[] answered = ZoneCodec.encode(1, reply).toByteArray();
-      ZoneCodec.decode(ZoneRequestMessage.parseFrom(asked));
-      ZoneCodec.decode(ZoneReplyMessage.parseFrom(answered));
+      byte[] requestBytes = ZoneCodec.encode(1, request).toByteArray();
+      byte[] replyBytes = ZoneCodec.encode(1, reply).toByteArray();
+      ZoneCodec.decode(ZoneRequestMessage.parseFrom(requestBytes));
+      ZoneCodec.decode(ZoneReplyMessage.parseFrom(replyBytes));
     } catch (InvalidProtocolBufferException e) {
-      throw new IllegalStateException("a message that was just encoded cannot be read", e);
+      throw new IllegalStateException("a zone message cannot be decoded after encoding", e);
     }
   }
 }
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
@@ -20,15 +20,21 @@
 import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
 import org.tinylog.Logger;
 
-/** Takes the questions of the other hosts of the zone; runs on one event loop. */
+/**
+ * Receives the requests of the other hosts of the zone and sends the replies. Any thread may call
+ * {@link #answer}; the rest, including the listener, runs on one event loop.
+ */
 public final class ZoneServer {
-  /** Questions that wait for their answer; one per host and a few that were given up. */
-  private static final int MAXIMUM_OPEN = 1024;
+  /**
+   * Requests that may wait for a reply: one per host and a few whose sender stopped waiting. Above
+   * this number the oldest is dropped.
+   */
+  private static final int MAXIMUM_UNANSWERED = 1024;
 
   private final EventLoopGroup group;
   private final Consumer<HostAsked> listener;
-  private final Map<Long, Origin> open = new LinkedHashMap<>();
-  private long nextExchange;
+  private final Map<Long, Origin> unanswered = new LinkedHashMap<>();
+  private long lastExchange;
 
   private ZoneServer(EventLoopGroup group, Consumer<HostAsked> listener) {
     this.group = group;
@@ -36,10 +42,11 @@
   }
 
   /**
-   * Starts to listen. A port that cannot be opened is logged; the host then never serves others.
+   * Starts to listen. If the port cannot be opened, that is logged and the host receives no
+   * requests.
    *
    * @param group a group with one thread; the caller closes it
-   * @param listener takes the questions, on the thread of the group
+   * @param listener receives the requests, on the thread of the group
    */
   public static ZoneServer start(
       EventLoopGroup group, SocketEndpoint endpoint, Consumer<HostAsked> listener) {
@@ -54,7 +61,7 @@
               @Override
               protected void initChannel(SocketChannel channel) {
                 ZoneFrames.addDecoder(channel.pipeline());
-                channel.pipeline().addLast(server.new Inbound());
+                channel.pipeline().addLast(server.new RequestHandler());
               }
             })
         .bind(endpoint.address(), endpoint.port())
@@ -67,33 +74,33 @@
     return server;
   }
 
-  /** Sends an answer; it is dropped if the connection of the question has ended. */
-  public void answer(AnswerHost answer) {
+  /** Sends a reply; it is dropped if the connection of the request is closed. */
+  public void answer(AnswerHost command) {
     group
         .next()
         .execute(
             () -> {
-              Origin origin = open.remove(answer.exchange());
+              Origin origin = unanswered.remove(command.exchange());
               if (origin != null && origin.channel().isActive()) {
                 ZoneFrames.write(
-                    origin.channel(), ZoneCodec.encode(origin.exchange(), answer.reply()));
+                    origin.channel(), ZoneCodec.encode(origin.exchange(), command.reply()));
               }
             });
   }
 
   private void received(Channel channel, ZoneRequestMessage message) {
-    if (open.size() >= MAXIMUM_OPEN) {
-      open.remove(open.keySet().iterator().next());
+    if (unanswered.size() >= MAXIMUM_UNANSWERED) {
+      unanswered.remove(unanswered.keySet().iterator().next());
     }
-    nextExchange++;
-    open.put(nextExchange, new Origin(channel, message.getExchange()));
-    listener.accept(new HostAsked(nextExchange, ZoneCodec.decode(message)));
+    lastExchange++;
+    unanswered.put(lastExchange, new Origin(channel, message.getExchange()));
+    listener.accept(new HostAsked(lastExchange, ZoneCodec.decode(message)));
   }
 
-  /** Where a question came from and how its sender names it. */
+  /** The connection that a request came from, and the number that its sender gave it. */
   private record Origin(Channel channel, long exchange) {}
 
-  private final class Inbound extends SimpleChannelInboundHandler<ByteBuf> {
+  private final class RequestHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -44,9 +44,9 @@
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.port.MonotonicClock;
 
-/** Exchanges questions and answers over loopback connections. */
+/** Exchanges requests and replies over loopback connections. */
 class ZoneExchangeTest {
-  private static final long PATIENCE_SECONDS = 20;
+  private static final long TIMEOUT_SECONDS = 20;
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
   private static final DatabaseGroupId GROUP = DatabaseGroupId.of("tanks");
 
@@ -58,7 +58,7 @@
       ZoneClient.create(group, MonotonicClock.system(), answered::add);
 
   @AfterEach
-  void endThreads() {
+  void stopEventLoop() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
@@ -68,7 +68,7 @@
     }
   }
 
-  private static AskRelay question(SocketEndpoint endpoint) {
+  private static AskRelay command(SocketEndpoint endpoint) {
     return new AskRelay(
         new RelayHost(EntryHostId.of("relay"), endpoint),
         new ZoneRequest(
@@ -120,55 +120,55 @@
         21);
   }
 
-  /** Guards against fields that are lost or mixed up on the way, in either direction. */
+  /** Guards against fields that are lost or swapped by the encoding, in either direction. */
   @Test
-  void shouldCarryQuestionsAndAnswersUnchanged() throws Exception {
+  void shouldDeliverRequestsAndRepliesUnchanged() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
     ZoneServer server = ZoneServer.start(group, endpoint, asked::add);
-    AskRelay question = question(endpoint);
-    client.ask(question);
-    HostAsked received = asked.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    AskRelay command = command(endpoint);
+    client.ask(command);
+    HostAsked received = asked.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     server.answer(new AnswerHost(received.exchange(), fullReply()));
-    RelayAnswered answer = answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    RelayAnswered answer = answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
 
-    assertThat(received.request()).isEqualTo(question.request());
-    assertThat(answer.question()).isEqualTo(question);
+    assertThat(received.request()).isEqualTo(command.request());
+    assertThat(answer.question()).isEqualTo(command);
     assertThat(answer.reply()).contains(fullReply());
     assertThat(answer.answeredAt().isBefore(answer.askedAt())).isFalse();
   }
 
-  /** Guards against a question that waits forever when nobody listens at the address. */
+  /** Guards against a request that never completes when no process listens at the address. */
   @Test
-  void shouldTellThatTheRelayCannotBeReached() throws Exception {
-    client.ask(question(freeEndpoint()));
+  void shouldReportThatTheRelayIsUnreachable() throws Exception {
+    client.ask(command(freeEndpoint()));
 
-    assertThat(answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+    assertThat(answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
   }
 
-  /** Guards against a relay that accepts connections and never answers. */
+  /** Guards against a request that never completes because the relay accepts and never replies. */
   @Test
-  void shouldGiveUpWhenTheRelayIsSilent() throws Exception {
+  void shouldTimeOutWhenTheRelayDoesNotReply() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
     ZoneServer.start(group, endpoint, asked::add);
-    client.ask(question(endpoint));
+    client.ask(command(endpoint));
 
-    assertThat(answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+    assertThat(answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
   }
 
-  /** Guards against an answer to a question that was given up being taken for a later one. */
+  /** Guards against a late reply to a timed-out request being taken for that to a later one. */
   @Test
-  void shouldNotMixUpALateAnswer() throws Exception {
+  void shouldIgnoreALateReply() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
     ZoneServer server = ZoneServer.start(group, endpoint, asked::add);
-    client.ask(question(endpoint));
-    HostAsked first = asked.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
-    assertThat(answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
-    client.ask(question(endpoint));
-    HostAsked second = asked.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    client.ask(command(endpoint));
+    HostAsked first = asked.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertThat(answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+    client.ask(command(endpoint));
+    HostAsked second = asked.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     server.answer(new AnswerHost(first.exchange(), fullReply()));
     server.answer(new AnswerHost(second.exchange(), ZoneReply.notServing()));
 
-    assertThat(answered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).reply())
+    assertThat(answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply())
         .contains(ZoneReply.notServing());
   }
 }
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/package-info.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the messages between the hosts of a zone. */
+/** Tests of the requests and replies between the hosts of a zone. */
 package org.persimmonwalk.peer.zone;
