Reword the peer connections and their limits

The limits of a backoff were called first and last.

The comments now use the terms bounded queue, backoff, jitter and writable; log reasons name the peer and say what changed. Errors about settings name the setting and its value. Private names follow (makeRoom is addAndEvict, pump is drainBuffer), and the components firstRetry and lastRetry of PeerSettings are initialRetryDelay and maximumRetryDelay. Three tests have plainer names.

--- a/peer/src/main/java/org/persimmonwalk/internal/peer/FaultReporter.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/FaultReporter.java
@@ -3,15 +3,18 @@
 import java.net.SocketAddress;
 import org.tinylog.Logger;
 
-/** Is told of each connection that is closed because of what the other side sent. */
+/**
+ * Receives the reason for each connection that is closed because of a peer: invalid data, a TLS
+ * failure or too many connections.
+ */
 public interface FaultReporter {
 
-  /** Reports a connection that is being closed. */
+  /** Reports why a connection is being closed. */
   void report(SocketAddress remote, String reason);
 
   /** Returns a reporter that writes one log line for each connection. */
   static FaultReporter logging() {
     return (remote, reason) ->
-        Logger.warn("Closing the peer connection from {}: {}", remote, reason);
+        Logger.warn("Closing the connection with peer {}: {}", remote, reason);
   }
 }
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/InboundHandler.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/InboundHandler.java
@@ -16,7 +16,8 @@
 import org.tinylog.Logger;
 
 /**
- * Decodes the frames of one connection that a peer opened. An invalid frame closes the connection.
+ * Decodes the messages on one connection that a peer opened and passes those addressed to this host
+ * to the listener. Invalid data and a change of the sender close the connection.
  */
 public final class InboundHandler extends SimpleChannelInboundHandler<ByteBuf> {
   private final EntryHostId self;
@@ -45,14 +46,14 @@
     PeerEnvelope envelope = PeerCodec.decode(frame.nioBuffer());
     EntryHostId known = peer.orElse(envelope.from());
     if (!known.equals(envelope.from())) {
-      close(context, "it sends as " + envelope.from() + " after " + known);
+      close(context, "the sender changed from " + known + " to " + envelope.from());
       return;
     }
     peer = Optional.of(known);
     if (envelope.to().equals(self)) {
       listener.received(envelope.from(), envelope.message());
     } else {
-      Logger.debug("A message of {} is meant for {}, not for {}", known, envelope.to(), self);
+      Logger.debug("Ignoring a message from {} to {}; this host is {}", known, envelope.to(), self);
     }
   }
 
@@ -74,7 +75,8 @@
     } else if (cause instanceof IOException) {
       context.close();
     } else if (cause instanceof TooLongFrameException) {
-      close(context, "a message has more than " + PeerSettings.FRAME_LIMIT + " bytes");
+      close(
+          context, "a message is larger than the limit of " + PeerSettings.FRAME_LIMIT + " bytes");
     } else {
       close(context, String.valueOf(cause.getMessage()));
     }
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/InboundInitializer.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/InboundInitializer.java
@@ -12,7 +12,10 @@
 import org.persimmonwalk.peer.PeerSecurity;
 import org.persimmonwalk.peer.PeerSettings;
 
-/** Sets up the connections that peers open, as many as the settings allow. */
+/**
+ * Sets up the connections that peers open. Connections above {@link
+ * PeerSettings#inboundConnections()} are closed at once.
+ */
 public final class InboundInitializer extends ChannelInitializer<Channel> {
   private static final int LENGTH_BYTES = 4;
 
@@ -39,7 +42,7 @@
     this.reporter = reporter;
   }
 
-  /** Returns the initializer of all connections to one server. */
+  /** Returns the initializer for all connections accepted by one server. */
   public static InboundInitializer of(
       EntryHostId self,
       PeerSettings settings,
@@ -56,7 +59,7 @@
     if (open.incrementAndGet() > settings.inboundConnections()) {
       reporter.report(
           channel.remoteAddress(),
-          "more than " + settings.inboundConnections() + " connections are open");
+          "more than " + settings.inboundConnections() + " connections from peers are open");
       channel.close();
       return;
     }
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/OutboundHandler.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/OutboundHandler.java
@@ -6,22 +6,22 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Watches a connection that this host opened. Messages go one way only, so bytes that come back
- * close it.
+ * Handles the events of a connection that this host opened. Messages are only sent on it, so
+ * received data is an error that closes it.
  */
 final class OutboundHandler extends ChannelInboundHandlerAdapter {
-  private final Runnable writable;
+  private final Runnable onWritable;
   private final FaultReporter reporter;
   private boolean closing;
 
-  private OutboundHandler(Runnable writable, FaultReporter reporter) {
-    this.writable = writable;
+  private OutboundHandler(Runnable onWritable, FaultReporter reporter) {
+    this.onWritable = onWritable;
     this.reporter = reporter;
   }
 
-  /** Returns a handler that runs the action when the connection takes more bytes. */
-  static OutboundHandler of(Runnable writable, FaultReporter reporter) {
-    return new OutboundHandler(writable, reporter);
+  /** Returns a handler that runs the action when the connection becomes writable again. */
+  static OutboundHandler of(Runnable onWritable, FaultReporter reporter) {
+    return new OutboundHandler(onWritable, reporter);
   }
 
   @Override
@@ -29,7 +29,8 @@
     ReferenceCountUtil.release(message);
     if (!closing) {
       closing = true;
-      reporter.report(context.channel().remoteAddress(), "it answers on a one-way connection");
+      reporter.report(
+          context.channel().remoteAddress(), "the peer sent data on a one-way connection");
       context.close();
     }
   }
@@ -37,7 +38,7 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (context.channel().isWritable()) {
-      writable.run();
+      onWritable.run();
     }
   }
 
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/OutgoingBuffer.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/OutgoingBuffer.java
@@ -10,26 +10,27 @@
 import org.persimmonwalk.port.PeerMessenger.SendOutcome;
 
 /**
- * The messages that wait for a connection to one peer. When it is full the oldest heartbeat goes,
- * because a newer one follows within a second. Safe for use by several threads.
+ * A bounded queue of the messages that are not yet written to the connection of one peer. When it
+ * is full, adding a message drops the oldest heartbeat, because a newer one follows within a
+ * second; if it holds no heartbeat, the new message is dropped. Safe for use by several threads.
  */
 public final class OutgoingBuffer {
   private final Deque<Entry> entries = new ArrayDeque<>();
-  private final int limit;
+  private final int capacity;
 
-  private OutgoingBuffer(int limit) {
-    this.limit = limit;
+  private OutgoingBuffer(int capacity) {
+    this.capacity = capacity;
   }
 
-  /** Returns an empty buffer for the given number of messages. */
-  public static OutgoingBuffer of(int limit) {
-    return new OutgoingBuffer(limit);
+  /** Returns an empty buffer that holds up to the given number of messages. */
+  public static OutgoingBuffer of(int capacity) {
+    return new OutgoingBuffer(capacity);
   }
 
-  /** A message that waits, and what becomes of it. */
+  /** A queued message and its outcome, which is completed when it is sent or dropped. */
   public record Entry(PeerMessage message, CompletableFuture<SendOutcome> outcome) {
 
-    /** Says that the message will not be sent. */
+    /** Completes the outcome as dropped. */
     public void drop() {
       outcome.complete(SendOutcome.DROPPED);
     }
@@ -38,7 +39,7 @@
   /** Adds a message; one message is dropped if the buffer is full. */
   public CompletableFuture<SendOutcome> add(PeerMessage message) {
     Entry added = new Entry(message, new CompletableFuture<>());
-    makeRoom(added).ifPresent(Entry::drop);
+    addAndEvict(added).ifPresent(Entry::drop);
     return added.outcome();
   }
 
@@ -47,7 +48,7 @@
     return Optional.ofNullable(entries.poll());
   }
 
-  /** Returns whether no message waits. */
+  /** Returns whether the buffer holds no message. */
   public synchronized boolean isEmpty() {
     return entries.isEmpty();
   }
@@ -59,9 +60,12 @@
     }
   }
 
-  /** Adds the entry and returns the one that is dropped for it, which may be the entry itself. */
-  private synchronized Optional<Entry> makeRoom(Entry added) {
-    if (entries.size() < limit) {
+  /**
+   * Adds an entry if there is room or a heartbeat to evict. Returns the entry that the buffer does
+   * not keep: the evicted heartbeat, or the given entry if it was not added.
+   */
+  private synchronized Optional<Entry> addAndEvict(Entry added) {
+    if (entries.size() < capacity) {
       entries.add(added);
       return Optional.empty();
     }
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/PeerConnection.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/PeerConnection.java
@@ -24,12 +24,12 @@
 import org.tinylog.Logger;
 
 /**
- * The connection to one peer. It is opened when a message waits, and opened again with growing
- * pauses while the peer does not answer. Any thread may call {@link #send} and {@link #close}; the
- * rest runs on one event loop.
+ * Sends messages to one peer over one connection. It connects when there is a message to send, and
+ * retries with backoff after a failed or lost connection. Any thread may call {@link #send} and
+ * {@link #close}; the rest runs on one event loop.
  */
 public final class PeerConnection {
-  private final AtomicBoolean pumpScheduled = new AtomicBoolean();
+  private final AtomicBoolean drainScheduled = new AtomicBoolean();
   private final EntryHostId self;
   private final EntryHostId peer;
   private final InetSocketAddress address;
@@ -55,10 +55,11 @@
     this.loop = template.config().group().next();
     this.bootstrap = template.clone(loop).handler(initializer(settings, security));
     this.buffer = OutgoingBuffer.of(settings.bufferedMessages());
-    this.backoff = ReconnectBackoff.of(settings.firstRetry(), settings.lastRetry(), random);
+    this.backoff =
+        ReconnectBackoff.of(settings.initialRetryDelay(), settings.maximumRetryDelay(), random);
   }
 
-  /** Returns a connection that is opened with the first message. */
+  /** Returns a connection that is opened when the first message is sent. */
   public static PeerConnection of(
       EntryHostId self,
       EntryHostId peer,
@@ -70,31 +71,32 @@
     return new PeerConnection(self, peer, address, template, settings, security, random);
   }
 
-  /** Returns where the connection goes. */
+  /** Returns the address of the peer. */
   public InetSocketAddress address() {
     return address;
   }
 
-  /** Sends a message as soon as the connection takes it. */
+  /** Queues a message, which is sent when the connection is open and writable. */
   public CompletionStage<SendOutcome> send(PeerMessage message) {
     CompletionStage<SendOutcome> outcome = buffer.add(message);
-    if (pumpScheduled.compareAndSet(false, true)) {
+    if (drainScheduled.compareAndSet(false, true)) {
       loop.execute(
           () -> {
-            pumpScheduled.set(false);
-            pump();
+            drainScheduled.set(false);
+            drainBuffer();
           });
     }
     return outcome;
   }
 
-  /** Closes the connection and drops the messages that wait. */
+  /** Closes the connection and drops the queued messages. */
   public void close() {
     closed = true;
-    loop.execute(this::pump);
+    loop.execute(this::drainBuffer);
   }
 
-  private void pump() {
+  /** Writes the queued messages, connecting first if needed; after close, drops them instead. */
+  private void drainBuffer() {
     if (closed) {
       buffer.clear();
       channel.ifPresent(Channel::close);
@@ -108,23 +110,23 @@
 
   private void connected(ChannelFuture attempt) {
     if (!attempt.isSuccess()) {
-      long pause = backoff.next().toMillis();
+      long delay = backoff.next().toMillis();
       Logger.debug("Cannot connect to peer {} at {}: {}", peer, address, attempt.cause());
-      loop.schedule(this::retry, pause, TimeUnit.MILLISECONDS);
+      loop.schedule(this::retry, delay, TimeUnit.MILLISECONDS);
       return;
     }
     connecting = false;
     channel = Optional.of(attempt.channel());
     attempt.channel().closeFuture().addListener(ended -> disconnected());
-    pump();
+    drainBuffer();
   }
 
   private void retry() {
     connecting = false;
-    pump();
+    drainBuffer();
   }
 
-  /** Waits before the next attempt, since a peer may close each connection at once. */
+  /** Delays the next attempt, because a peer may close every connection as soon as it is open. */
   private void disconnected() {
     channel = Optional.empty();
     connecting = true;
@@ -150,7 +152,7 @@
     byte[] body = PeerCodec.encode(PeerEnvelope.of(self, peer, entry.message()));
     if (body.length > PeerSettings.FRAME_LIMIT) {
       Logger.error(
-          "A message to peer {} has {} bytes, more than {}; it is not sent",
+          "Dropping a message to peer {}: its {} bytes exceed the limit of {} bytes",
           peer,
           body.length,
           PeerSettings.FRAME_LIMIT);
@@ -180,7 +182,7 @@
             .addLast(
                 new IdleStateHandler(
                     0, 0, settings.idleTimeout().toMillis(), TimeUnit.MILLISECONDS))
-            .addLast(OutboundHandler.of(PeerConnection.this::pump, FaultReporter.logging()));
+            .addLast(OutboundHandler.of(PeerConnection.this::drainBuffer, FaultReporter.logging()));
       }
     };
   }
--- a/peer/src/main/java/org/persimmonwalk/internal/peer/package-info.java
+++ b/peer/src/main/java/org/persimmonwalk/internal/peer/package-info.java
@@ -1,2 +1,2 @@
-/** Connections between entry hosts. */
+/** Connections between entry hosts: framing, outgoing buffers and reconnection. */
 package org.persimmonwalk.internal.peer;
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerSettings.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerSettings.java
@@ -6,18 +6,19 @@
 /**
  * Limits of the connections between entry hosts.
  *
- * @param connectTimeout how long a connection attempt may take
- * @param idleTimeout a connection without traffic for this long is closed
- * @param firstRetry the pause after the first failed connection attempt; it doubles up to lastRetry
- * @param lastRetry the longest pause between connection attempts
- * @param bufferedMessages messages to one peer that wait for the connection
- * @param inboundConnections connections that peers may have open to this host
+ * @param connectTimeout the longest time that a connection attempt may take
+ * @param idleTimeout the time without traffic after which a connection is closed
+ * @param initialRetryDelay the delay after the first failed connection attempt; each further
+ *     failure doubles it
+ * @param maximumRetryDelay the longest delay between connection attempts
+ * @param bufferedMessages the most messages to one peer that are queued
+ * @param inboundConnections the most connections that all peers together may open to this host
  */
 public record PeerSettings(
     Duration connectTimeout,
     Duration idleTimeout,
-    Duration firstRetry,
-    Duration lastRetry,
+    Duration initialRetryDelay,
+    Duration maximumRetryDelay,
     int bufferedMessages,
     int inboundConnections) {
   /** The largest message in bytes, without the length prefix. */
@@ -27,20 +28,28 @@
   public PeerSettings {
     Objects.requireNonNull(connectTimeout, "connectTimeout");
     Objects.requireNonNull(idleTimeout, "idleTimeout");
-    Objects.requireNonNull(firstRetry, "firstRetry");
-    Objects.requireNonNull(lastRetry, "lastRetry");
-    if (firstRetry.toMillis() < 1 || lastRetry.compareTo(firstRetry) < 0) {
+    Objects.requireNonNull(initialRetryDelay, "initialRetryDelay");
+    Objects.requireNonNull(maximumRetryDelay, "maximumRetryDelay");
+    if (initialRetryDelay.toMillis() < 1 || maximumRetryDelay.compareTo(initialRetryDelay) < 0) {
       throw new IllegalArgumentException(
-          "the pause between connection attempts needs at least 1 ms and must not shrink");
+          "initialRetryDelay "
+              + initialRetryDelay
+              + " must be at least 1 ms and not longer than maximumRetryDelay "
+              + maximumRetryDelay);
     }
     if (bufferedMessages < 1 || inboundConnections < 1) {
-      throw new IllegalArgumentException("peers need at least 1 buffered message and connection");
+      throw new IllegalArgumentException(
+          "bufferedMessages "
+              + bufferedMessages
+              + " and inboundConnections "
+              + inboundConnections
+              + " must be at least 1");
     }
   }
 
   /**
-   * Returns the usual limits. A peer of another zone is contacted every few minutes at the target
-   * size, so connections to it are opened again rather than kept.
+   * Returns the default limits. At the target size, a host sends to a given peer of another zone
+   * only every few minutes, so the idle timeout closes such a connection between two messages.
    */
   public static PeerSettings defaults() {
     return new PeerSettings(
--- a/peer/src/test/java/org/persimmonwalk/internal/peer/InboundHandlerTest.java
+++ b/peer/src/test/java/org/persimmonwalk/internal/peer/InboundHandlerTest.java
@@ -44,9 +44,9 @@
           (from, message) -> received.add(message),
           (remote, reason) -> reports.add(reason));
 
-  /** Guards against frames that must arrive in one piece. */
+  /** Guards against a decoder that needs each frame to arrive in one read. */
   @Test
-  void shouldDecodeFramesInAnyPieces() {
+  void shouldDecodeFramesSplitAcrossReads() {
     EmbeddedChannel channel = new EmbeddedChannel(initializer);
     for (PeerMessage message : PeerMessages.all()) {
       ByteBuf frame = frame("peer", "self", message);
@@ -58,9 +58,9 @@
     assertThat(channel.isOpen()).isTrue();
   }
 
-  /** Guards against a hostile peer that disturbs more than its own connection. */
+  /** Guards against a hostile peer that disrupts the connections of other peers. */
   @Test
-  void shouldCloseOnlyTheConnectionOfAMalformedFrame() {
+  void shouldCloseOnlyTheConnectionWithMalformedData() {
     EmbeddedChannel honest = new EmbeddedChannel(initializer);
     List<ByteBuf> hostile =
         List.of(
@@ -89,7 +89,7 @@
     assertThat(honest.isOpen()).isTrue();
   }
 
-  /** Guards against messages to a process that ran at this endpoint before. */
+  /** Guards against handling messages to an earlier process at the same endpoint. */
   @Test
   void shouldIgnoreMessagesToAnotherHost() {
     EmbeddedChannel channel = new EmbeddedChannel(initializer);
@@ -99,7 +99,7 @@
     assertThat(channel.isOpen()).isTrue();
   }
 
-  /** Guards against a peer that opens connections without end. */
+  /** Guards against a peer that opens an unlimited number of connections. */
   @Test
   void shouldLimitTheNumberOfConnections() {
     EmbeddedChannel first = new EmbeddedChannel(initializer);
@@ -112,7 +112,9 @@
     assertThat(second.isOpen()).isTrue();
   }
 
-  /** Guards against log lines that do not say why a peer is refused, or that repeat its bytes. */
+  /**
+   * Guards against log lines that omit why TLS failed, or that contain bytes that the peer sent.
+   */
   @Test
   void shouldReportWhyTlsFailed() {
     new EmbeddedChannel(initializer)
--- a/peer/src/test/java/org/persimmonwalk/internal/peer/OutgoingBufferTest.java
+++ b/peer/src/test/java/org/persimmonwalk/internal/peer/OutgoingBufferTest.java
@@ -14,7 +14,7 @@
 class OutgoingBufferTest {
   private final OutgoingBuffer buffer = OutgoingBuffer.of(3);
 
-  /** Guards against a buffer that grows, and against requests dropped in favour of heartbeats. */
+  /** Guards against an unbounded buffer, and against dropping requests to keep heartbeats. */
   @Test
   void shouldDropOldestHeartbeatWhenFull() {
     buffer.add(PeerMessages.request(1));
@@ -30,7 +30,7 @@
             PeerMessages.smallHeartbeat(4));
   }
 
-  /** Guards against a buffer that grows when no heartbeat is left to drop. */
+  /** Guards against an unbounded buffer when it holds no heartbeat to drop. */
   @Test
   void shouldDropNewMessageWhenFullOfOtherMessages() {
     buffer.add(PeerMessages.request(1));
@@ -43,7 +43,7 @@
     assertThat(drain()).hasSize(3);
   }
 
-  /** Guards against senders that wait for ever after the connection is closed. */
+  /** Guards against outcomes that never complete after the connection is closed. */
   @Test
   void shouldCompleteOutcomesWhenCleared() {
     CompletableFuture<SendOutcome> waiting = buffer.add(PeerMessages.request(1));
--- a/peer/src/test/java/org/persimmonwalk/internal/peer/ReconnectBackoffTest.java
+++ b/peer/src/test/java/org/persimmonwalk/internal/peer/ReconnectBackoffTest.java
@@ -7,9 +7,9 @@
 
 class ReconnectBackoffTest {
 
-  /** Guards against a host that is flooded with connection attempts when it comes back. */
+  /** Guards against a restarted host being flooded with connection attempts. */
   @Test
-  void shouldDoubleThePauseUpToTheLastOne() {
+  void shouldDoubleTheDelayUpToTheMaximum() {
     ReconnectBackoff longest = backoff(true);
     ReconnectBackoff shortest = backoff(false);
 
