Reword the peer protocol's client, server and codec

The doc comments say that the client is thread-safe, that listeners run on event loops and must not block, and that only IP addresses are accepted so that no DNS lookup is made. The package-private enum PlainTextPeers is PlainTextSecurity, as it implements PeerSecurity. Two tests have plainer names.

--- a/peer/src/main/java/org/persimmonwalk/peer/ConfigurationCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/ConfigurationCodec.java
@@ -26,7 +26,7 @@
 import org.persimmonwalk.peer.generated.DatabaseGroupMessage;
 import org.persimmonwalk.peer.generated.WorkspaceMessage;
 
-/** Translates configurations to protocol buffers and back. */
+/** Converts configurations to protobuf messages and back. */
 final class ConfigurationCodec {
 
   private ConfigurationCodec() {}
--- a/peer/src/main/java/org/persimmonwalk/peer/MutualTls.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/MutualTls.java
@@ -7,8 +7,8 @@
 import java.util.function.Supplier;
 
 /**
- * Secures connections with TLS in both directions. The contexts must verify the certificate of the
- * other side.
+ * Secures connections with mutual TLS. The given contexts must require and verify the certificate
+ * of the peer.
  */
 public final class MutualTls implements PeerSecurity {
   private final Supplier<SslContext> accepting;
@@ -20,10 +20,10 @@
   }
 
   /**
-   * Returns a security that asks for the context of each new connection.
+   * Returns an instance that gets the current context for each new connection.
    *
-   * @param accepting gives the context of a connection that a peer opened
-   * @param connecting gives the context of a connection to a peer
+   * @param accepting supplies the context for a connection that a peer opened
+   * @param connecting supplies the context for a connection to a peer
    */
   public static MutualTls of(Supplier<SslContext> accepting, Supplier<SslContext> connecting) {
     return new MutualTls(accepting, connecting);
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerClient.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerClient.java
@@ -22,7 +22,7 @@
 import org.persimmonwalk.port.RandomSource;
 
 /**
- * Sends messages to peers, over one connection to each.
+ * Sends messages to peers over one connection to each. Safe for use by several threads.
  *
  * <p>Example:
  *
@@ -34,7 +34,10 @@
  * }</pre>
  */
 public final class PeerClient implements PeerMessenger, AutoCloseable {
-  /** Bytes that one connection takes before further messages wait in the bounded buffer. */
+  /**
+   * Limits of the bytes that one connection queues for writing. Above the higher one, messages wait
+   * in the bounded buffer until the queue falls below the lower one.
+   */
   private static final WriteBufferWaterMark WATER_MARK =
       new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
@@ -74,11 +77,11 @@
    * Returns a client without connections.
    *
    * @param self the host that sends
-   * @param directory tells where peers are
+   * @param directory finds the endpoints of peers
    * @param group runs the connections; the caller closes it
-   * @param settings limits
+   * @param settings limits of the connections
    * @param security secures the connections
-   * @param random spreads connection attempts; used on several threads
+   * @param random source of the jitter between connection attempts; used by several threads
    */
   public static PeerClient of(
       EntryHostId self,
@@ -97,7 +100,7 @@
         .orElseGet(() -> CompletableFuture.completedStage(SendOutcome.DROPPED));
   }
 
-  /** Closes all connections; messages that wait are dropped. */
+  /** Closes all connections and drops the queued messages. */
   @Override
   public synchronized void close() {
     closed = true;
@@ -113,15 +116,15 @@
       known = null;
     }
     if (known == null && address.isPresent() && !closed) {
-      removeUnknown();
+      closeUnknown();
       known = PeerConnection.of(self, to, address.get(), template, settings, security, random);
       connections.put(to, known);
     }
     return Optional.ofNullable(known);
   }
 
-  /** Closes the connections to hosts that the directory no longer names. */
-  private void removeUnknown() {
+  /** Closes the connections to hosts that are no longer in the directory. */
+  private void closeUnknown() {
     connections
         .entrySet()
         .removeIf(
@@ -134,9 +137,9 @@
             });
   }
 
-  /** Accepts IP numbers only, so that no name is looked up on behalf of a peer. */
+  /** Accepts only IP addresses, so that no endpoint received from a peer causes a DNS lookup. */
   private static Optional<InetSocketAddress> address(SocketEndpoint endpoint) {
-    InetAddress number = NetUtil.createInetAddressFromIpAddressString(endpoint.address());
-    return Optional.ofNullable(number).map(found -> new InetSocketAddress(found, endpoint.port()));
+    InetAddress parsed = NetUtil.createInetAddressFromIpAddressString(endpoint.address());
+    return Optional.ofNullable(parsed).map(ip -> new InetSocketAddress(ip, endpoint.port()));
   }
 }
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerCodec.java
@@ -36,7 +36,7 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Translates typed messages between entry hosts to protocol buffers and back. */
+/** Converts the messages between entry hosts to protobuf envelopes and back. */
 public final class PeerCodec {
 
   private PeerCodec() {}
@@ -44,7 +44,7 @@
   /**
    * Returns the encoded envelope of a message, without the length prefix.
    *
-   * @throws IllegalArgumentException if the protocol has no form for the message
+   * @throws IllegalArgumentException if the protocol has no encoding for this type of message
    */
   public static byte[] encode(PeerEnvelope envelope) {
     Envelope.Builder builder =
@@ -64,13 +64,14 @@
     } else if (message instanceof ShareRequest request) {
       builder.setShareRequest(encode(request));
     } else {
-      throw new IllegalArgumentException("the peer protocol has no form for " + message.getClass());
+      throw new IllegalArgumentException(
+          "the peer protocol has no encoding for " + message.getClass());
     }
     return builder.build().toByteArray();
   }
 
   /**
-   * Reads an encoded envelope.
+   * Decodes an envelope.
    *
    * @throws PersimmonwalkException with {@link ResultCode#MALFORMED_MESSAGE} if the bytes are not a
    *     valid envelope
@@ -241,7 +242,8 @@
   }
 
   /**
-   * Rounds an age up, so that it is never understated; the time left of a lease is rounded down.
+   * Rounds an age up, so that it is never understated. The remaining time of a lease, in contrast,
+   * is rounded down.
    */
   private static long millisecondsRoundedUp(Duration age) {
     return age.plusNanos(999_999).toMillis();
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerEnvelope.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerEnvelope.java
@@ -8,8 +8,8 @@
  * A message with its sender and its receiver.
  *
  * @param from the host that sends the message
- * @param to the host that the message is meant for; a process that was started again at the same
- *     endpoint is another host
+ * @param to the host that the message is addressed to; a process restarted at the same endpoint is
+ *     a different host and ignores it
  * @param message the message
  */
 public record PeerEnvelope(EntryHostId from, EntryHostId to, PeerMessage message) {
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerMessageListener.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerMessageListener.java
@@ -3,9 +3,9 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.PeerMessage;
 
-/** Takes messages that arrive from other entry hosts; called on network threads. */
+/** Receives the messages of other entry hosts; called on event loops. */
 public interface PeerMessageListener {
 
-  /** Takes a message without blocking. */
+  /** Handles a message; must not block. */
   void received(EntryHostId from, PeerMessage message);
 }
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerSecurity.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerSecurity.java
@@ -4,17 +4,20 @@
 import io.netty.handler.ssl.SslHandler;
 import java.util.Optional;
 
-/** Secures the connections between entry hosts. Its methods are called on event loops. */
+/**
+ * Supplies the TLS handlers of the connections between entry hosts. Its methods are called on event
+ * loops.
+ */
 public interface PeerSecurity {
 
-  /** Returns a handler for a connection that a peer opened, or nothing for plain text. */
+  /** Returns the TLS handler for a connection that a peer opened, empty for plain text. */
   Optional<SslHandler> accepting(ByteBufAllocator allocator);
 
-  /** Returns a handler for a connection to a peer, or nothing for plain text. */
+  /** Returns the TLS handler for a connection to a peer, empty for plain text. */
   Optional<SslHandler> connecting(ByteBufAllocator allocator);
 
-  /** Returns a security that leaves connections in plain text. */
+  /** Returns an instance that uses plain text. */
   static PeerSecurity plainText() {
-    return PlainTextPeers.INSTANCE;
+    return PlainTextSecurity.INSTANCE;
   }
 }
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerServer.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerServer.java
@@ -16,7 +16,7 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** Accepts messages from peers. */
+/** Accepts connections from peers and passes their messages to a listener. */
 public final class PeerServer implements AutoCloseable {
   private final Channel listening;
   private final ChannelGroup accepted;
@@ -29,14 +29,14 @@
   /**
    * Starts to listen and waits until the port is open.
    *
-   * @param self the host for which messages are meant
-   * @param endpoint where to listen; port 0 stands for a free one
+   * @param self this host; messages addressed to others are ignored
+   * @param endpoint the endpoint to listen on; port 0 selects a free port
    * @param group runs the connections; the caller closes it
-   * @param settings limits
+   * @param settings limits of the connections
    * @param security secures the connections
-   * @param listener takes the messages, on the threads of the group
-   * @throws PersimmonwalkException with {@link ResultCode#SETTING_INVALID} if the endpoint cannot
-   *     be used
+   * @param listener receives the messages, on the threads of the group
+   * @throws PersimmonwalkException with {@link ResultCode#SETTING_INVALID} if the server cannot
+   *     listen on the endpoint
    */
   public static PeerServer start(
       EntryHostId self,
@@ -64,7 +64,7 @@
     return new PeerServer(bound.channel(), accepted);
   }
 
-  /** Returns where the server listens. */
+  /** Returns the endpoint that the server listens on, with the actual port. */
   public SocketEndpoint endpoint() {
     InetSocketAddress address = (InetSocketAddress) listening.localAddress();
     return SocketEndpoint.of(address.getAddress().getHostAddress(), address.getPort());
--- a/peer/src/main/java/org/persimmonwalk/peer/PlainTextPeers.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PlainTextSecurity.java
@@ -4,8 +4,8 @@
 import io.netty.handler.ssl.SslHandler;
 import java.util.Optional;
 
-/** Leaves connections in plain text. */
-enum PlainTextPeers implements PeerSecurity {
+/** Uses no TLS: peers exchange messages in plain text. */
+enum PlainTextSecurity implements PeerSecurity {
   /** The only value. */
   INSTANCE;
 
--- a/peer/src/test/java/org/persimmonwalk/peer/PeerClientTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/PeerClientTest.java
@@ -23,7 +23,7 @@
 import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.Configurations;
 
-/** Uses loopback connections; the time limit only ends a test that would never end. */
+/** Uses loopback connections; the timeout only stops a test that hangs. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class PeerClientTest {
   private static final EntryHostId SELF = EntryHostId.of("self");
@@ -66,9 +66,9 @@
     }
   }
 
-  /** Guards against a peer that is given up after it was away. */
+  /** Guards against a client that does not reconnect to a restarted peer. */
   @Test
-  void shouldConnectAgainAfterThePeerWasAway() throws InterruptedException {
+  void shouldReconnectAfterThePeerRestarts() throws InterruptedException {
     SocketEndpoint endpoint;
     try (PeerServer server = start(0)) {
       endpoint = server.endpoint();
@@ -88,7 +88,7 @@
     }
   }
 
-  /** Guards against senders that wait for a host that does not exist. */
+  /** Guards against sends that never complete because the peer has no usable address. */
   @Test
   void shouldDropMessagesToUnknownHostsAndToHostNames() {
     assertThat(client.send(PEER, PeerMessages.request(1)).toCompletableFuture())
--- a/peer/src/test/java/org/persimmonwalk/peer/PeerCodecTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/PeerCodecTest.java
@@ -40,16 +40,16 @@
           .setPort(1)
           .build();
 
-  /** Guards against a part of a message that is lost on the way. */
+  /** Guards against fields that are lost by the encoding. */
   @Test
-  void shouldReturnEveryMessageUnchanged() {
+  void shouldDecodeEveryMessageUnchanged() {
     for (PeerMessage message : PeerMessages.all()) {
       PeerEnvelope envelope = PeerEnvelope.of(FROM, TO, message);
       assertThat(decode(PeerCodec.encode(envelope))).isEqualTo(envelope);
     }
   }
 
-  /** Guards against sizes in the benchmark of module core that the encoder does not have. */
+  /** Guards against encoded sizes that differ from those in the benchmark of module core. */
   @Test
   void shouldEncodeToTheSizeThatTheBenchmarkCountsAndBoundHeartbeats() {
     for (PeerMessage message : PeerMessages.all()) {
@@ -63,7 +63,7 @@
         .hasSizeLessThan(1024);
   }
 
-  /** Guards against a configuration of the target size that no frame can hold. */
+  /** Guards against a configuration of the target size that exceeds the frame limit. */
   @Test
   void shouldHoldConfigurationOfTargetSizeInOneFrame() {
     ConfigurationReply reply =
@@ -74,7 +74,7 @@
         .hasSizeLessThan(PeerSettings.FRAME_LIMIT);
   }
 
-  /** Guards against an age that is understated, which would overstate the freshness. */
+  /** Guards against rounding an age down, which would overstate the freshness. */
   @Test
   void shouldRoundAgesUp() {
     ConfigurationReply reply =
@@ -85,7 +85,7 @@
     assertThat(((ConfigurationReply) decoded).freshnessAge()).contains(Duration.ofMillis(1));
   }
 
-  /** Guards against values that reach the control thread and make its arithmetic fail there. */
+  /** Guards against invalid values that make calculations on the control thread fail. */
   @Test
   void shouldRefuseMalformedMessages() {
     HeartbeatMessage heartbeat =
@@ -126,7 +126,7 @@
     assertMalformed("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
   }
 
-  /** Guards against amounts and times of shares that make the control thread fail. */
+  /** Guards against invalid amounts and times of shares, which make the control thread fail. */
   @Test
   void shouldRefuseMalformedShares() {
     TableRowMessage row = TableRowMessage.newBuilder().setTable("shares").setRow("oil").build();
--- a/peer/src/test/java/org/persimmonwalk/peer/PeerMessages.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/PeerMessages.java
@@ -25,7 +25,7 @@
 import org.persimmonwalk.model.TableRow;
 import org.persimmonwalk.testing.Configurations;
 
-/** Messages for tests. */
+/** Sample messages for tests. */
 public final class PeerMessages {
 
   private static final TableRow ROW = TableRow.of(GrantTable.WORKSPACE_TABLE, "oil");
@@ -45,12 +45,12 @@
         new ShareTransfer(TransferId.of("transfer"), ROW, 3, 0.25, Duration.ofMillis(3_599_999)));
   }
 
-  /** Returns a request that a number tells apart. */
+  /** Returns a configuration request that is identified by its number. */
   public static ConfigurationRequest request(long number) {
     return new ConfigurationRequest(Revision.of(number), time(12));
   }
 
-  /** Returns a heartbeat without lists that a number tells apart. */
+  /** Returns a heartbeat with empty lists that is identified by its number. */
   public static Heartbeat smallHeartbeat(long number) {
     return new Heartbeat(
         host(0, false),
@@ -62,7 +62,7 @@
         Map.of());
   }
 
-  /** Returns a heartbeat that lists as much as it may, with long names. */
+  /** Returns a heartbeat of the largest size: lists up to their limits, and long names. */
   public static Heartbeat fullHeartbeat() {
     List<HostNews> heard =
         IntStream.range(0, Heartbeat.HEARD_LIMIT)
