Reword the HTTP transport to the platform

The transport spoke of answers and exchanges where HTTP has responses and requests, and some comments had to be guessed at: "Decides what a failed exchange says of its request", "Half of the time is for connecting, so that a request that was not sent is known as such" on a constant called CONNECT_SHARE. Error texts were vague: "an object holds no configuration".

FailureOutcomes is FailureClassifier, OversizedAnswerException is ResponseTooLargeException, CONNECT_SHARE is CONNECT_TIMEOUT_DIVISOR, the cases of HttpOutcome are Responded, ResponseTooLarge, NotSent and ResponseLost, and PlatformSettings.maximumAnswerBytes is maximumResponseBytes. The comments of the codecs say what they convert, and those of PlatformFormat say when it throws. JSON fields are unchanged.

--- a/store/src/main/java/org/persimmonwalk/internal/store/BoundedBody.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/BoundedBody.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Flow;
 
-/** Collects the body of an answer up to a limit. */
+/** Collects the body of an HTTP response in memory, up to a limit. */
 public final class BoundedBody implements HttpResponse.BodySubscriber<byte[]> {
   private final int limitBytes;
   private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
@@ -30,8 +30,8 @@
   }
 
   @Override
-  public void onSubscribe(Flow.Subscription started) {
-    subscription = started;
+  public void onSubscribe(Flow.Subscription newSubscription) {
+    subscription = newSubscription;
     subscription.request(Long.MAX_VALUE);
   }
 
@@ -40,7 +40,7 @@
     for (ByteBuffer buffer : buffers) {
       if (collected.size() + buffer.remaining() > limitBytes) {
         subscription.cancel();
-        body.completeExceptionally(new OversizedAnswerException(limitBytes));
+        body.completeExceptionally(new ResponseTooLargeException(limitBytes));
         return;
       }
       byte[] bytes = new byte[buffer.remaining()];
--- a/store/src/main/java/org/persimmonwalk/internal/store/ConfigurationFormat.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/ConfigurationFormat.java
@@ -32,7 +32,7 @@
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
 
-/** A configuration object, as JSON. */
+/** Converts the configuration objects of the object store to JSON and back. */
 public final class ConfigurationFormat {
   private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -43,7 +43,7 @@
     return new ConfigurationFormat();
   }
 
-  /** Returns the bytes of an object. */
+  /** Returns the JSON of an object. */
   public byte[] encode(StoredConfiguration content) {
     Configuration configuration = content.configuration();
     ObjectNode tree = JSON.createObjectNode();
@@ -59,15 +59,15 @@
     try {
       return JSON.writeValueAsBytes(tree);
     } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a tree of plain values cannot be written", e);
+      throw new IllegalStateException("the configuration cannot be written as JSON", e);
     }
   }
 
   /**
-   * Reads the bytes of an object.
+   * Reads the JSON of an object.
    *
-   * @throws PersimmonwalkException with {@code PLATFORM_ANSWER_INVALID} if they hold no
-   *     configuration
+   * @throws PersimmonwalkException with {@code PLATFORM_ANSWER_INVALID} if the bytes are not a
+   *     valid configuration
    */
   public StoredConfiguration decode(byte[] content) {
     try {
@@ -77,7 +77,7 @@
           Optional.ofNullable(tree.get("previous")).map(JsonNode::textValue).map(ObjectName::of));
     } catch (IOException | IllegalArgumentException e) {
       throw PersimmonwalkException.of(
-          ResultCode.PLATFORM_ANSWER_INVALID, "an object holds no configuration", e);
+          ResultCode.PLATFORM_ANSWER_INVALID, "the stored object is not a valid configuration", e);
     }
   }
 
--- a/store/src/main/java/org/persimmonwalk/internal/store/ConfigurationRowCodec.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/ConfigurationRowCodec.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.model.ConfigurationRow;
 import org.persimmonwalk.store.RowCodec;
 
-/** The row that names the configuration in force, as JSON. */
+/** Converts the row that names the current configuration to JSON and back. */
 public final class ConfigurationRowCodec implements RowCodec<ConfigurationRow> {
 
   private ConfigurationRowCodec() {}
--- a/store/src/main/java/org/persimmonwalk/internal/store/FailureOutcomes.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/FailureClassifier.java
@@ -6,27 +6,30 @@
 import java.util.concurrent.TimeoutException;
 import org.persimmonwalk.store.PlatformSettings;
 
-/** Decides what a failed exchange says of its request; a request counts as sent when in doubt. */
-final class FailureOutcomes {
+/**
+ * Classifies the failures of requests. A request counts as not sent only if that is certain; in any
+ * other case the platform may have carried it out.
+ */
+final class FailureClassifier {
 
-  private FailureOutcomes() {}
+  private FailureClassifier() {}
 
-  static HttpOutcome of(Throwable failure, PlatformSettings settings) {
+  static HttpOutcome classify(Throwable failure, PlatformSettings settings) {
     Throwable cause = failure;
     while (cause instanceof CompletionException && cause.getCause() != null) {
       cause = cause.getCause();
     }
-    if (hasCause(cause, OversizedAnswerException.class)) {
-      return new HttpOutcome.Oversized(settings.maximumAnswerBytes());
+    if (hasCause(cause, ResponseTooLargeException.class)) {
+      return new HttpOutcome.ResponseTooLarge(settings.maximumResponseBytes());
     }
     if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
       return new HttpOutcome.NotSent("no connection to " + settings.endpoint());
     }
     if (cause instanceof TimeoutException) {
-      return new HttpOutcome.AnswerLost(
-          "no answer within " + settings.timeout().toMillis() + " ms");
+      return new HttpOutcome.ResponseLost(
+          "no response within " + settings.timeout().toMillis() + " ms");
     }
-    return new HttpOutcome.AnswerLost(cause.toString());
+    return new HttpOutcome.ResponseLost(cause.toString());
   }
 
   private static boolean hasCause(Throwable failure, Class<?> type) {
--- a/store/src/main/java/org/persimmonwalk/internal/store/GrantTableCodec.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/GrantTableCodec.java
@@ -12,7 +12,7 @@
 import org.persimmonwalk.model.GrantTable;
 import org.persimmonwalk.store.RowCodec;
 
-/** The row that divides a rate or connections between entry hosts, as JSON. */
+/** Converts the row that divides a rate or connections among entry hosts to JSON and back. */
 public final class GrantTableCodec implements RowCodec<GrantTable> {
 
   private GrantTableCodec() {}
--- a/store/src/main/java/org/persimmonwalk/internal/store/HttpOutcome.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/HttpOutcome.java
@@ -1,17 +1,20 @@
 package org.persimmonwalk.internal.store;
 
-/** What became of a request; it tells a request that was never sent from a lost answer. */
+/**
+ * The outcome of a request. It distinguishes a request that was not sent from one whose response
+ * was lost, which the platform may have carried out.
+ */
 public sealed interface HttpOutcome {
 
-  /** The platform answered. */
-  record Answered(int status, byte[] body) implements HttpOutcome {}
+  /** The platform sent a complete response. */
+  record Responded(int status, byte[] body) implements HttpOutcome {}
 
-  /** The answer is larger than the limit; its content is unknown. */
-  record Oversized(int limitBytes) implements HttpOutcome {}
+  /** The response is larger than the limit, so its content was discarded. */
+  record ResponseTooLarge(int limitBytes) implements HttpOutcome {}
 
   /** The request was not sent, so it was not carried out. */
   record NotSent(String reason) implements HttpOutcome {}
 
-  /** The request may have been sent and no complete answer came. */
-  record AnswerLost(String reason) implements HttpOutcome {}
+  /** The request may have been sent, but no complete response arrived. */
+  record ResponseLost(String reason) implements HttpOutcome {}
 }
--- a/store/src/main/java/org/persimmonwalk/internal/store/HttpTransport.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/HttpTransport.java
@@ -11,13 +11,19 @@
 import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.store.PlatformSettings;
 
-/** Sends requests to the platform; the number in flight, the time and the answers are bounded. */
+/**
+ * Sends HTTP requests to the platform. The number of requests in flight, their time and the size of
+ * responses are limited. Safe for use by several threads.
+ */
 public final class HttpTransport implements AutoCloseable {
   private static final String ZONE_HEADER = "X-Availability-Zone";
   private static final int THREADS = 2;
 
-  /** Half of the time is for connecting, so that a request that was not sent is known as such. */
-  private static final int CONNECT_SHARE = 2;
+  /**
+   * Connecting may take half of the timeout. It thus fails before the request times out, and the
+   * request is known not to have been sent.
+   */
+  private static final int CONNECT_TIMEOUT_DIVISOR = 2;
 
   private final PlatformSettings settings;
   private final ExecutorService threads;
@@ -38,22 +44,22 @@
     this.client =
         HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(settings.timeout().dividedBy(CONNECT_SHARE))
+            .connectTimeout(settings.timeout().dividedBy(CONNECT_TIMEOUT_DIVISOR))
             .executor(threads)
             .build();
   }
 
-  /** Returns a transport without connections. */
+  /** Returns a transport; it connects with the first request. */
   public static HttpTransport create(PlatformSettings settings) {
     return new HttpTransport(settings);
   }
 
-  /** Sends a GET request; the stage does not fail. */
+  /** Sends a GET request; the future never fails. */
   public CompletableFuture<HttpOutcome> get(String path) {
     return send(request(path).GET().build());
   }
 
-  /** Sends a PUT request; the stage does not fail. */
+  /** Sends a PUT request; the future never fails. */
   public CompletableFuture<HttpOutcome> put(String path, byte[] body) {
     return send(request(path).PUT(HttpRequest.BodyPublishers.ofByteArray(body)).build());
   }
@@ -66,25 +72,26 @@
   private CompletableFuture<HttpOutcome> send(HttpRequest request) {
     if (!inFlight.tryAcquire()) {
       return CompletableFuture.completedFuture(
-          new HttpOutcome.NotSent(settings.maximumInFlight() + " requests are in flight"));
+          new HttpOutcome.NotSent(
+              "the limit of " + settings.maximumInFlight() + " requests in flight is reached"));
     }
-    CompletableFuture<HttpResponse<byte[]>> exchange;
+    CompletableFuture<HttpResponse<byte[]>> pending;
     try {
-      exchange = client.sendAsync(request, answer -> BoundedBody.of(settings.maximumAnswerBytes()));
+      pending = client.sendAsync(request, info -> BoundedBody.of(settings.maximumResponseBytes()));
     } catch (RuntimeException failure) {
       inFlight.release();
       return CompletableFuture.completedFuture(new HttpOutcome.NotSent(failure.toString()));
     }
-    return exchange
+    return pending
         .copy()
         .orTimeout(settings.timeout().toNanos(), TimeUnit.NANOSECONDS)
         .handle(
             (response, failure) -> {
-              exchange.cancel(true);
+              pending.cancel(true);
               inFlight.release();
               return failure == null
-                  ? new HttpOutcome.Answered(response.statusCode(), response.body())
-                  : FailureOutcomes.of(failure, settings);
+                  ? new HttpOutcome.Responded(response.statusCode(), response.body())
+                  : FailureClassifier.classify(failure, settings);
             });
   }
 
--- a/store/src/main/java/org/persimmonwalk/internal/store/PlatformFormat.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/PlatformFormat.java
@@ -18,7 +18,7 @@
 import org.persimmonwalk.result.ResultCode;
 import org.persimmonwalk.store.RowCodec;
 
-/** Maps the platform's JSON to values and back. */
+/** Writes the JSON of requests to the platform and reads that of its responses. */
 public final class PlatformFormat {
   private final ObjectMapper mapper =
       new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
@@ -30,7 +30,7 @@
     return new PlatformFormat();
   }
 
-  /** Returns the body of a compare-and-set. */
+  /** Returns the body of a compare-and-set request. */
   public <T extends RowValue> byte[] writeRequest(RowVersion expected, T value, RowCodec<T> codec) {
     try {
       return mapper.writeValueAsBytes(
@@ -39,14 +39,17 @@
               .put("expectedVersion", expected.number())
               .set("content", codec.encode(value)));
     } catch (JsonProcessingException failure) {
-      throw new IllegalArgumentException("the row's content cannot be written as JSON", failure);
+      throw new IllegalArgumentException(
+          "row content of type " + codec.type().getSimpleName() + " cannot be written as JSON",
+          failure);
     }
   }
 
   /**
    * Reads a row.
    *
-   * @throws PersimmonwalkException with code {@link ResultCode#PLATFORM_ANSWER_INVALID}
+   * @throws PersimmonwalkException with code {@link ResultCode#PLATFORM_ANSWER_INVALID} if the body
+   *     is not a row whose content the codec can read
    */
   public VersionedRow row(byte[] body, RowCodec<?> codec) {
     JsonNode tree = tree(body);
@@ -54,14 +57,15 @@
     try {
       return VersionedRow.of(version, codec.decode(tree.path("content")));
     } catch (RuntimeException failure) {
-      throw invalid("the row's content is not of type " + codec.type().getSimpleName(), failure);
+      throw invalid("the row's content cannot be read as " + codec.type().getSimpleName(), failure);
     }
   }
 
   /**
    * Reads the version of a row.
    *
-   * @throws PersimmonwalkException with code {@link ResultCode#PLATFORM_ANSWER_INVALID}
+   * @throws PersimmonwalkException with code {@link ResultCode#PLATFORM_ANSWER_INVALID} if the body
+   *     has no valid version
    */
   public RowVersion version(byte[] body) {
     return version(tree(body));
@@ -70,7 +74,8 @@
   /**
    * Reads the list of hosts.
    *
-   * @throws PersimmonwalkException with code {@link ResultCode#PLATFORM_ANSWER_INVALID}
+   * @throws PersimmonwalkException with code {@link ResultCode#PLATFORM_ANSWER_INVALID} if the body
+   *     is not a list of valid hosts
    */
   public List<HostEntry> hosts(byte[] body) {
     JsonNode tree = tree(body);
@@ -81,7 +86,7 @@
     try {
       tree.forEach(host -> hosts.add(host(host)));
     } catch (IllegalArgumentException failure) {
-      throw invalid("a host of the list is malformed", failure);
+      throw invalid("the list of hosts has an invalid entry", failure);
     }
     return List.copyOf(hosts);
   }
@@ -101,7 +106,7 @@
   private static RowVersion version(JsonNode tree) {
     JsonNode version = tree.path("version");
     if (!version.isIntegralNumber() || version.longValue() < 0) {
-      throw invalid("the answer has no version", null);
+      throw invalid("the response has no valid version", null);
     }
     return RowVersion.of(version.longValue());
   }
@@ -110,12 +115,12 @@
     try {
       return mapper.readTree(body);
     } catch (IOException failure) {
-      throw invalid("the answer is not JSON", failure);
+      throw invalid("the response is not valid JSON", failure);
     }
   }
 
-  private static PersimmonwalkException invalid(String text, Throwable cause) {
+  private static PersimmonwalkException invalid(String reason, Throwable cause) {
     return PersimmonwalkException.of(
-        ResultCode.PLATFORM_ANSWER_INVALID, text + "; check the platform's version", cause);
+        ResultCode.PLATFORM_ANSWER_INVALID, reason + "; check the platform's version", cause);
   }
 }
--- a/store/src/main/java/org/persimmonwalk/internal/store/PromotionClaimCodec.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/PromotionClaimCodec.java
@@ -10,7 +10,7 @@
 import org.persimmonwalk.model.Term;
 import org.persimmonwalk.store.RowCodec;
 
-/** The row that tells which host promotes a server of a group, as JSON. */
+/** Converts the row that names the host promoting a server of a group to JSON and back. */
 public final class PromotionClaimCodec implements RowCodec<PromotionClaim> {
 
   private PromotionClaimCodec() {}
--- a/store/src/main/java/org/persimmonwalk/internal/store/package-info.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/package-info.java
@@ -1,2 +1,2 @@
-/** The HTTP transport and the JSON format of the platform client. */
+/** The HTTP transport and the JSON formats that the platform client uses. */
 package org.persimmonwalk.internal.store;
--- a/store/src/main/java/org/persimmonwalk/store/PlatformClient.java
+++ b/store/src/main/java/org/persimmonwalk/store/PlatformClient.java
@@ -102,7 +102,7 @@
     if (outcome instanceof HttpOutcome.NotSent) {
       return WriteResult.of(WriteOutcome.UNAVAILABLE, expected);
     }
-    if (outcome instanceof HttpOutcome.Answered answer) {
+    if (outcome instanceof HttpOutcome.Responded answer) {
       boolean refused = answer.status() < SERVER_ERROR || answer.status() == SERVICE_UNAVAILABLE;
       if (answer.status() == OK || answer.status() == CONFLICT) {
         return answeredWrite(answer, expected);
@@ -113,7 +113,7 @@
     return WriteResult.of(WriteOutcome.UNKNOWN, expected);
   }
 
-  private WriteResult answeredWrite(HttpOutcome.Answered answer, RowVersion expected) {
+  private WriteResult answeredWrite(HttpOutcome.Responded answer, RowVersion expected) {
     try {
       WriteOutcome outcome = answer.status() == OK ? WriteOutcome.WRITTEN : WriteOutcome.CONFLICT;
       return WriteResult.of(outcome, format.version(answer.body()));
@@ -126,12 +126,12 @@
   private static Optional<byte[]> body(HttpOutcome outcome) {
     if (outcome instanceof HttpOutcome.NotSent notSent) {
       throw unavailable(notSent.reason());
-    } else if (outcome instanceof HttpOutcome.AnswerLost lost) {
+    } else if (outcome instanceof HttpOutcome.ResponseLost lost) {
       throw unavailable(lost.reason());
-    } else if (outcome instanceof HttpOutcome.Oversized oversized) {
+    } else if (outcome instanceof HttpOutcome.ResponseTooLarge oversized) {
       throw invalid("the answer is larger than " + oversized.limitBytes() + " bytes");
     }
-    HttpOutcome.Answered answer = (HttpOutcome.Answered) outcome;
+    HttpOutcome.Responded answer = (HttpOutcome.Responded) outcome;
     if (answer.status() >= SERVER_ERROR) {
       throw unavailable("status " + answer.status());
     } else if (answer.status() == NOT_FOUND) {
--- a/store/src/test/java/org/persimmonwalk/internal/store/FailureOutcomesTest.java
+++ b/store/src/test/java/org/persimmonwalk/internal/store/FailureClassifierTest.java
@@ -13,20 +13,20 @@
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.store.PlatformSettings;
 
-class FailureOutcomesTest {
+class FailureClassifierTest {
   private final PlatformSettings settings =
       PlatformSettings.of(SocketEndpoint.of("127.0.0.1", 80), AvailabilityZone.of("north"));
 
-  /** Guards against a write that may have run and counts as not sent. */
+  /** Guards against reporting a request as not sent although it may have been carried out. */
   @Test
   void shouldCountARequestAsSentWhenInDoubt() {
-    assertThat(outcome(new TimeoutException())).isInstanceOf(HttpOutcome.AnswerLost.class);
+    assertThat(outcome(new TimeoutException())).isInstanceOf(HttpOutcome.ResponseLost.class);
     assertThat(outcome(new CompletionException(new HttpTimeoutException("late"))))
-        .isInstanceOf(HttpOutcome.AnswerLost.class);
-    assertThat(outcome(new IOException("reset"))).isInstanceOf(HttpOutcome.AnswerLost.class);
+        .isInstanceOf(HttpOutcome.ResponseLost.class);
+    assertThat(outcome(new IOException("reset"))).isInstanceOf(HttpOutcome.ResponseLost.class);
   }
 
-  /** Guards against a request without a connection that counts as sent. */
+  /** Guards against reporting a request as sent although no connection was opened. */
   @Test
   void shouldCountARequestWithoutConnectionAsNotSent() {
     assertThat(outcome(new CompletionException(new ConnectException())))
@@ -36,6 +36,6 @@
   }
 
   private HttpOutcome outcome(Throwable failure) {
-    return FailureOutcomes.of(failure, settings);
+    return FailureClassifier.classify(failure, settings);
   }
 }
--- a/store/src/test/java/org/persimmonwalk/internal/store/package-info.java
+++ b/store/src/test/java/org/persimmonwalk/internal/store/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the platform transport. */
+/** Tests of the HTTP transport to the platform. */
 package org.persimmonwalk.internal.store;
