Reword the platform client and its settings

Errors of the platform client said "the platform does not serve" and "the platform's answer cannot be used", and the settings' errors did not name the setting: "the platform's limits must be at least 1". Summary lines such as "How to reach the platform" and "Returns the store that the client reaches" said little, and the package text did not say who uses it.

The errors now say "the platform is unavailable" and "the platform sent an invalid response"; those of the settings contain names and values. The doc comments state when a stage fails with which code and that the client is thread-safe. The tests' comments name the failure that they guard against, and six tests have plainer names. Paths and JSON fields are unchanged.

--- a/store/src/main/java/org/persimmonwalk/store/PlatformClient.java
+++ b/store/src/main/java/org/persimmonwalk/store/PlatformClient.java
@@ -19,11 +19,13 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * An asynchronous client of the platform's table service, object store and host list.
+ * An asynchronous client of the platform's table service, object store and host list. Safe for use
+ * by several threads.
  *
  * <p>Stages other than those of {@link #compareAndSet} fail with {@link PersimmonwalkException}:
- * code {@link ResultCode#PLATFORM_UNAVAILABLE} if there is no answer, code {@link
- * ResultCode#PLATFORM_ANSWER_INVALID} if the answer cannot be used.
+ * code {@link ResultCode#PLATFORM_UNAVAILABLE} if the request cannot be sent, gets no response or
+ * gets a status of 500 or above, code {@link ResultCode#PLATFORM_ANSWER_INVALID} if the response is
+ * invalid.
  */
 public final class PlatformClient implements HostListing, AutoCloseable {
   private static final int OK = 200;
@@ -44,7 +46,7 @@
     return new PlatformClient(HttpTransport.create(settings));
   }
 
-  /** Reads a row. */
+  /** Reads a row; returns {@link VersionedRow#absent()} if it does not exist. */
   public CompletionStage<VersionedRow> readRow(TableRow row, RowCodec<?> codec) {
     return transport
         .get(path(row))
@@ -54,9 +56,9 @@
   }
 
   /**
-   * Replaces a row if it still has the expected version. The stage does not fail. After {@link
-   * WriteOutcome#UNKNOWN} the write may still take effect; the version of the result is the
-   * expected one then, as it is after {@link WriteOutcome#UNAVAILABLE}.
+   * Replaces a row if it still has the expected version. The stage never fails. After {@link
+   * WriteOutcome#UNKNOWN} the write may still take effect. After {@link WriteOutcome#UNKNOWN} and
+   * {@link WriteOutcome#UNAVAILABLE} the version of the result is the expected one.
    *
    * @throws IllegalArgumentException if the codec cannot encode the value
    */
@@ -66,7 +68,7 @@
     return transport.put(path(row), request).thenApply(outcome -> writeResult(outcome, expected));
   }
 
-  /** Reads an object, empty if there is none. */
+  /** Reads an object, empty if it does not exist. */
   public CompletionStage<Optional<byte[]>> getObject(String name) {
     return transport.get(objectPath(name)).thenApply(PlatformClient::body);
   }
@@ -102,10 +104,11 @@
     if (outcome instanceof HttpOutcome.NotSent) {
       return WriteResult.of(WriteOutcome.UNAVAILABLE, expected);
     }
-    if (outcome instanceof HttpOutcome.Responded answer) {
-      boolean refused = answer.status() < SERVER_ERROR || answer.status() == SERVICE_UNAVAILABLE;
-      if (answer.status() == OK || answer.status() == CONFLICT) {
-        return answeredWrite(answer, expected);
+    if (outcome instanceof HttpOutcome.Responded response) {
+      boolean refused =
+          response.status() < SERVER_ERROR || response.status() == SERVICE_UNAVAILABLE;
+      if (response.status() == OK || response.status() == CONFLICT) {
+        return completedWrite(response, expected);
       } else if (refused) {
         return WriteResult.of(WriteOutcome.UNAVAILABLE, expected);
       }
@@ -113,44 +116,44 @@
     return WriteResult.of(WriteOutcome.UNKNOWN, expected);
   }
 
-  private WriteResult answeredWrite(HttpOutcome.Responded answer, RowVersion expected) {
+  private WriteResult completedWrite(HttpOutcome.Responded response, RowVersion expected) {
     try {
-      WriteOutcome outcome = answer.status() == OK ? WriteOutcome.WRITTEN : WriteOutcome.CONFLICT;
-      return WriteResult.of(outcome, format.version(answer.body()));
-    } catch (PersimmonwalkException unreadable) {
+      WriteOutcome outcome = response.status() == OK ? WriteOutcome.WRITTEN : WriteOutcome.CONFLICT;
+      return WriteResult.of(outcome, format.version(response.body()));
+    } catch (PersimmonwalkException invalidBody) {
       return WriteResult.of(WriteOutcome.UNKNOWN, expected);
     }
   }
 
-  /** Returns the body of a successful answer, empty if the platform states that there is none. */
+  /** Returns the body of a successful response, empty if the status is 404. */
   private static Optional<byte[]> body(HttpOutcome outcome) {
     if (outcome instanceof HttpOutcome.NotSent notSent) {
       throw unavailable(notSent.reason());
     } else if (outcome instanceof HttpOutcome.ResponseLost lost) {
       throw unavailable(lost.reason());
-    } else if (outcome instanceof HttpOutcome.ResponseTooLarge oversized) {
-      throw invalid("the answer is larger than " + oversized.limitBytes() + " bytes");
+    } else if (outcome instanceof HttpOutcome.ResponseTooLarge tooLarge) {
+      throw invalid("the response is larger than " + tooLarge.limitBytes() + " bytes");
     }
-    HttpOutcome.Responded answer = (HttpOutcome.Responded) outcome;
-    if (answer.status() >= SERVER_ERROR) {
-      throw unavailable("status " + answer.status());
-    } else if (answer.status() == NOT_FOUND) {
+    HttpOutcome.Responded response = (HttpOutcome.Responded) outcome;
+    if (response.status() >= SERVER_ERROR) {
+      throw unavailable("status " + response.status());
+    } else if (response.status() == NOT_FOUND) {
       return Optional.empty();
-    } else if (answer.status() != OK) {
-      throw invalid("status " + answer.status());
+    } else if (response.status() != OK) {
+      throw invalid("status " + response.status());
     }
-    return Optional.of(answer.body());
+    return Optional.of(response.body());
   }
 
   private static PersimmonwalkException unavailable(String reason) {
     return PersimmonwalkException.of(
-        ResultCode.PLATFORM_UNAVAILABLE, "the platform does not serve: " + reason + "; retry");
+        ResultCode.PLATFORM_UNAVAILABLE, "the platform is unavailable: " + reason + "; retry");
   }
 
   private static PersimmonwalkException invalid(String reason) {
     return PersimmonwalkException.of(
         ResultCode.PLATFORM_ANSWER_INVALID,
-        "the platform's answer cannot be used: " + reason + "; check the platform's version");
+        "the platform sent an invalid response: " + reason + "; check the platform's version");
   }
 
   private static String path(TableRow row) {
--- a/store/src/main/java/org/persimmonwalk/store/PlatformObjectStore.java
+++ b/store/src/main/java/org/persimmonwalk/store/PlatformObjectStore.java
@@ -7,7 +7,7 @@
 import org.persimmonwalk.model.StoredConfiguration;
 import org.persimmonwalk.port.ObjectStore;
 
-/** The configurations in the platform's object store. */
+/** Stores configurations as JSON objects in the platform's object store. */
 public final class PlatformObjectStore implements ObjectStore {
   private final PlatformClient client;
   private final ConfigurationFormat format = ConfigurationFormat.create();
@@ -16,7 +16,7 @@
     this.client = client;
   }
 
-  /** Returns the store that the client reaches. */
+  /** Returns an object store that uses the client. */
   public static PlatformObjectStore of(PlatformClient client) {
     return new PlatformObjectStore(client);
   }
--- a/store/src/main/java/org/persimmonwalk/store/PlatformSettings.java
+++ b/store/src/main/java/org/persimmonwalk/store/PlatformSettings.java
@@ -6,13 +6,13 @@
 import org.persimmonwalk.model.SocketEndpoint;
 
 /**
- * How to reach the platform.
+ * The platform's address and the limits of requests to it.
  *
  * @param endpoint the address of the platform
- * @param zone the zone of this process, which each request states
- * @param timeout the time within which a request must be answered completely
- * @param maximumInFlight the requests that may wait for an answer at once
- * @param maximumResponseBytes the largest answer accepted
+ * @param zone the zone of this process, sent with each request
+ * @param timeout the longest time from sending a request to receiving its whole response
+ * @param maximumInFlight the most requests that may wait for a response at the same time
+ * @param maximumResponseBytes the largest response body accepted
  */
 public record PlatformSettings(
     SocketEndpoint endpoint,
@@ -23,33 +23,38 @@
   private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(1);
   private static final int DEFAULT_IN_FLIGHT = 64;
 
-  /** Bounds the memory of answers in flight; a configuration of the target size fits. */
+  /** Limits the memory for responses in flight; a configuration of the target size fits. */
   private static final int DEFAULT_RESPONSE_BYTES = 4 * 1024 * 1024;
 
-  /** Checks the numbers. */
+  /** Checks the endpoint, the zone and the limits. */
   public PlatformSettings {
     Objects.requireNonNull(endpoint, "endpoint");
     Objects.requireNonNull(zone, "zone");
     if (timeout.isNegative() || timeout.isZero()) {
-      throw new IllegalArgumentException("the platform's timeout must be positive");
+      throw new IllegalArgumentException("the platform's timeout must be positive, not " + timeout);
     }
     if (maximumInFlight < 1 || maximumResponseBytes < 1) {
-      throw new IllegalArgumentException("the platform's limits must be at least 1");
+      throw new IllegalArgumentException(
+          "maximumInFlight "
+              + maximumInFlight
+              + " and maximumResponseBytes "
+              + maximumResponseBytes
+              + " must be at least 1");
     }
   }
 
-  /** Returns settings with a timeout of 1 s, 64 requests in flight and answers up to 4 MiB. */
+  /** Returns settings with the default limits: 1 s, 64 requests in flight, 4 MiB per response. */
   public static PlatformSettings of(SocketEndpoint endpoint, AvailabilityZone zone) {
     return new PlatformSettings(
         endpoint, zone, DEFAULT_TIMEOUT, DEFAULT_IN_FLIGHT, DEFAULT_RESPONSE_BYTES);
   }
 
-  /** Returns the settings with another timeout. */
+  /** Returns a copy with the given timeout. */
   public PlatformSettings withTimeout(Duration other) {
     return new PlatformSettings(endpoint, zone, other, maximumInFlight, maximumResponseBytes);
   }
 
-  /** Returns the settings with other limits. */
+  /** Returns a copy with the given limits. */
   public PlatformSettings withLimits(int otherInFlight, int otherResponseBytes) {
     return new PlatformSettings(endpoint, zone, timeout, otherInFlight, otherResponseBytes);
   }
--- a/store/src/main/java/org/persimmonwalk/store/PlatformTableService.java
+++ b/store/src/main/java/org/persimmonwalk/store/PlatformTableService.java
@@ -9,7 +9,7 @@
 import org.persimmonwalk.model.WriteResult;
 import org.persimmonwalk.port.TableService;
 
-/** The table service of the platform; each table holds rows of one type. */
+/** Reads and writes rows of the platform's table service; a table holds rows of one type. */
 public final class PlatformTableService implements TableService {
   private final PlatformClient client;
   private final Map<String, RowCodec<?>> codecs;
@@ -19,7 +19,7 @@
     this.codecs = Map.copyOf(codecs);
   }
 
-  /** Returns the service with the codec of each table. */
+  /** Returns a service that uses the client and the given codecs by table name. */
   public static PlatformTableService of(PlatformClient client, Map<String, RowCodec<?>> codecs) {
     return new PlatformTableService(client, codecs);
   }
--- a/store/src/main/java/org/persimmonwalk/store/RowCodec.java
+++ b/store/src/main/java/org/persimmonwalk/store/RowCodec.java
@@ -4,22 +4,22 @@
 import org.persimmonwalk.model.RowValue;
 
 /**
- * Maps one type of row content to a JSON tree and back.
+ * Converts one type of row content to a JSON tree and back.
  *
  * @param <T> the type of the content
  */
 public interface RowCodec<T extends RowValue> {
 
-  /** Returns the type of the content. */
+  /** Returns the type of the content that this codec handles. */
   Class<T> type();
 
-  /** Returns the content as a tree. */
+  /** Encodes the content as a JSON tree. */
   JsonNode encode(T value);
 
   /**
-   * Reads the content.
+   * Decodes the content.
    *
-   * @throws RuntimeException if the tree does not hold such content
+   * @throws RuntimeException if the tree is not valid content of this type
    */
   T decode(JsonNode tree);
 }
--- a/store/src/main/java/org/persimmonwalk/store/RowCodecs.java
+++ b/store/src/main/java/org/persimmonwalk/store/RowCodecs.java
@@ -8,12 +8,12 @@
 import org.persimmonwalk.model.GrantTable;
 import org.persimmonwalk.model.PromotionClaim;
 
-/** The codecs of the tables that persimmonwalk keeps in the platform's table service. */
+/** The codecs of the tables that persimmonwalk uses in the platform's table service. */
 public final class RowCodecs {
 
   private RowCodecs() {}
 
-  /** Returns the codec of each table by the name of the table. */
+  /** Returns the codecs by table name. */
   public static Map<String, RowCodec<?>> standard() {
     return Map.of(
         ConfigurationRow.ROW.table(),
--- a/store/src/main/java/org/persimmonwalk/store/package-info.java
+++ b/store/src/main/java/org/persimmonwalk/store/package-info.java
@@ -1,2 +1,5 @@
-/** Client of the platform: table service, object store and host list. */
+/**
+ * Asynchronous client of the platform, by which entry hosts and the operator command use its table
+ * service, object store and host list over HTTP.
+ */
 package org.persimmonwalk.store;
--- a/store/src/test/java/org/persimmonwalk/store/PlatformClientTest.java
+++ b/store/src/test/java/org/persimmonwalk/store/PlatformClientTest.java
@@ -30,12 +30,12 @@
   private static final TableRow ROW = TableRow.of("share", "tanks");
   private static final AvailabilityZone NORTH = AvailabilityZone.of("north");
 
-  /** Long enough that no answer of the stand-in is late on a busy machine. */
-  private static final Duration PATIENCE = Duration.ofMinutes(5);
+  /** Long enough that the stand-in never exceeds it, even on a busy machine. */
+  private static final Duration TIMEOUT = Duration.ofMinutes(5);
 
   private final StandInPlatform platform = StandInPlatform.start(StandInPlatformSettings.create());
   private final PlatformSettings settings =
-      PlatformSettings.of(platform.endpoint(), NORTH).withTimeout(PATIENCE);
+      PlatformSettings.of(platform.endpoint(), NORTH).withTimeout(TIMEOUT);
   private final PlatformClient client = PlatformClient.create(settings);
   private final PlatformTableService tables = tables(client);
 
@@ -45,7 +45,7 @@
     platform.close();
   }
 
-  /** Guards against values or versions that change on the way, and against lost conflicts. */
+  /** Guards against changed values or versions, and against conflicts that are not reported. */
   @Test
   void shouldCompareAndSetRows() {
     assertThat(await(tables.read(ROW))).isEqualTo(VersionedRow.absent());
@@ -56,15 +56,15 @@
     assertThat(platform.counters().requestsByZone()).containsOnlyKeys("north");
   }
 
-  /** Guards against a write reported as not done although it took effect. */
+  /** Guards against reporting a write as not done although it took effect. */
   @Test
-  void shouldReportALostAnswerAsUnknown() {
+  void shouldReportALostResponseAsUnknown() {
     platform.loseNextAnswers(1);
     assertThat(write(RowVersion.ABSENT, 10)).isEqualTo(result(WriteOutcome.UNKNOWN, 0));
     assertThat(await(tables.read(ROW)).version()).isEqualTo(RowVersion.of(1));
   }
 
-  /** Guards against unknown outcomes where the platform states that it did nothing. */
+  /** Guards against reporting an unknown outcome when the platform states that it did nothing. */
   @Test
   void shouldReportARefusalAsUnavailable() {
     platform.setOutage(NORTH, PlatformOutage.REFUSED);
@@ -73,19 +73,19 @@
     assertFails(client.list(), ResultCode.PLATFORM_UNAVAILABLE);
   }
 
-  /** Guards against requests that wait for ever. */
+  /** Guards against requests that never complete because the platform does not respond. */
   @Test
-  void shouldGiveUpOnASilentPlatform() {
+  void shouldTimeOutOnASilentPlatform() {
     platform.setOutage(PlatformOutage.SILENT);
-    try (PlatformClient hasty =
+    try (PlatformClient shortTimeout =
         PlatformClient.create(settings.withTimeout(Duration.ofMillis(200)))) {
-      assertFails(tables(hasty).read(ROW), ResultCode.PLATFORM_UNAVAILABLE);
+      assertFails(tables(shortTimeout).read(ROW), ResultCode.PLATFORM_UNAVAILABLE);
     }
   }
 
-  /** Guards against a write reported as not done although the platform received it. */
+  /** Guards against reporting a write as not done although the platform received it. */
   @Test
-  void shouldReportAWriteCutOffAsUnknown() throws InterruptedException {
+  void shouldReportAnInterruptedWriteAsUnknown() throws InterruptedException {
     platform.setOutage(PlatformOutage.SILENT);
     CompletionStage<WriteResult> write =
         tables.compareAndSet(ROW, RowVersion.ABSENT, new RateRow(10));
@@ -94,15 +94,15 @@
     assertThat(await(write)).isEqualTo(result(WriteOutcome.UNKNOWN, 0));
   }
 
-  /** Guards against a request that was never sent and counts as unknown. */
+  /** Guards against reporting an unknown outcome for a request that was not sent. */
   @Test
-  void shouldReportAMissingPlatformAsUnavailable() {
+  void shouldReportAnUnreachablePlatformAsUnavailable() {
     platform.close();
     assertThat(write(RowVersion.ABSENT, 10)).isEqualTo(result(WriteOutcome.UNAVAILABLE, 0));
     assertFails(client.getObject("note"), ResultCode.PLATFORM_UNAVAILABLE);
   }
 
-  /** Guards against requests that pile up while the platform is silent. */
+  /** Guards against an unlimited number of requests in flight while the platform is silent. */
   @Test
   void shouldBoundTheRequestsInFlight() {
     platform.setOutage(PlatformOutage.SILENT);
@@ -119,9 +119,12 @@
     }
   }
 
-  /** Guards against answers that fill the memory, and against slots that stay taken by them. */
+  /**
+   * Guards against responses that exhaust the memory, and against in-flight slots that are not
+   * released after them.
+   */
   @Test
-  void shouldRefuseOversizedAnswers() {
+  void shouldRejectResponsesOverTheLimit() {
     await(client.putObject("note", new byte[101]));
     await(client.putObject("short-note", new byte[100]));
     try (PlatformClient bounded = PlatformClient.create(settings.withLimits(1, 100))) {
@@ -130,9 +133,9 @@
     }
   }
 
-  /** Guards against content of another type that reaches a decision. */
+  /** Guards against decisions based on row content of the wrong type. */
   @Test
-  void shouldRefuseContentThatTheCodecCannotRead() {
+  void shouldRejectContentThatTheCodecCannotRead() {
     write(RowVersion.ABSENT, 10);
     RowCodec<RateRow> refusing = RefusingCodec.INSTANCE;
     assertFails(client.readRow(ROW, refusing), ResultCode.PLATFORM_ANSWER_INVALID);
@@ -141,7 +144,7 @@
         .isInstanceOf(IllegalArgumentException.class);
   }
 
-  /** Guards against objects and hosts that change on the way. */
+  /** Guards against objects and hosts that are changed by the transport or the JSON format. */
   @Test
   void shouldReadObjectsAndHosts() {
     byte[] content = "Säiliö".getBytes(StandardCharsets.UTF_8);
--- a/store/src/test/java/org/persimmonwalk/store/RateRow.java
+++ b/store/src/test/java/org/persimmonwalk/store/RateRow.java
@@ -2,5 +2,5 @@
 
 import org.persimmonwalk.model.RowValue;
 
-/** Row content of the tests. */
+/** Row content for tests. */
 record RateRow(int rate) implements RowValue {}
--- a/store/src/test/java/org/persimmonwalk/store/RateRowCodec.java
+++ b/store/src/test/java/org/persimmonwalk/store/RateRowCodec.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 
-/** Maps {@link RateRow}. */
+/** Converts {@link RateRow} to JSON and back. */
 final class RateRowCodec implements RowCodec<RateRow> {
 
   @Override
--- a/store/src/test/java/org/persimmonwalk/store/RefusingCodec.java
+++ b/store/src/test/java/org/persimmonwalk/store/RefusingCodec.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-/** A codec that reads no content. */
+/** A codec that rejects all content. */
 enum RefusingCodec implements RowCodec<RateRow> {
   INSTANCE;
 
@@ -13,11 +13,11 @@
 
   @Override
   public JsonNode encode(RateRow value) {
-    throw new IllegalArgumentException("the codec writes nothing");
+    throw new IllegalArgumentException("this codec cannot encode");
   }
 
   @Override
   public RateRow decode(JsonNode tree) {
-    throw new IllegalArgumentException("the codec reads nothing");
+    throw new IllegalArgumentException("this codec cannot decode");
   }
 }
