Reword the PostgreSQL codec in the protocol's terms

Some doc comments paraphrased the names that the protocol gives its messages ("Returns the message that ends an answer", "Returns the report of a parameter's value"), and others were vague: "who takes a frame releases it", "Appends the bytes of a payload that follow the first ones, which are skipped".

They now name the messages (ready-for-query, parameter status, row description), say who owns and releases a buffer, and on which thread the decoder runs. Four tests without a comment have one that names the failure that they guard against; two have plainer names.

--- a/wire/src/main/java/org/persimmonwalk/wire/ErrorFields.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/ErrorFields.java
@@ -2,7 +2,13 @@
 
 import java.util.Objects;
 
-/** The fields of an error response that persimmonwalk reads and writes. */
+/**
+ * The fields of an error response that persimmonwalk reads and writes.
+ *
+ * @param severity the severity, not localized, for example {@code ERROR} or {@code FATAL}
+ * @param sqlState the SQLSTATE code
+ * @param message the message for the user
+ */
 public record ErrorFields(String severity, String sqlState, String message) {
 
   /** Checks that all fields are present. */
@@ -22,7 +28,7 @@
     return new ErrorFields("FATAL", sqlState, message);
   }
 
-  /** Reads an error response frame. */
+  /** Reads an error response frame; unknown fields are ignored, missing ones have defaults. */
   public static ErrorFields parse(Frame frame) {
     PayloadReader reader = PayloadReader.of(frame);
     String severity = "ERROR";
--- a/wire/src/main/java/org/persimmonwalk/wire/Frame.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/Frame.java
@@ -5,10 +5,11 @@
 import io.netty.buffer.DefaultByteBufHolder;
 
 /**
- * One message of the PostgreSQL v3 protocol: a type byte and a payload without type and length. The
- * messages of the start-up phase have no type byte; {@link MessageType#STARTUP} takes its place.
+ * One message of the PostgreSQL v3 protocol: the type byte, and the payload without type and
+ * length. The messages of the start-up phase have no type byte; {@link MessageType#STARTUP} takes
+ * its place.
  *
- * <p>A frame owns its payload; who takes a frame releases it.
+ * <p>A frame owns its payload, and the last user of a frame must release it.
  */
 public final class Frame extends DefaultByteBufHolder {
   private final byte type;
@@ -18,7 +19,7 @@
     this.type = type;
   }
 
-  /** Returns a frame that takes over the payload. */
+  /** Returns a frame that takes ownership of the payload. */
   public static Frame of(byte type, ByteBuf payload) {
     return new Frame(type, payload);
   }
--- a/wire/src/main/java/org/persimmonwalk/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/FrameDecoder.java
@@ -8,13 +8,14 @@
 import java.util.List;
 
 /**
- * Cuts a byte stream into frames. A server reads start-up messages without a type byte until {@link
- * #endStartup} is called; a client never does.
+ * Splits a byte stream into frames. The decoder of a server expects start-up messages, which have
+ * no type byte, until {@link #endStartup} is called; that of a client expects none. Runs on the
+ * event loop of the connection.
  */
 public final class FrameDecoder extends ByteToMessageDecoder {
   private static final int LENGTH_BYTES = Integer.BYTES;
 
-  /** Start-up messages hold a few short parameters; PostgreSQL itself uses this limit. */
+  /** Start-up messages have few and short parameters; PostgreSQL itself uses this limit. */
   private static final int MAXIMUM_STARTUP_BYTES = 10_000;
 
   private final int maximumFrameBytes;
@@ -49,7 +50,7 @@
     startup = false;
   }
 
-  /** Returns whether a part of a message has arrived and the rest has not. */
+  /** Returns whether a message has arrived only in part. */
   public boolean hasPartialMessage() {
     return actualReadableBytes() > 0;
   }
--- a/wire/src/main/java/org/persimmonwalk/wire/FrameEncoder.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/FrameEncoder.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.MessageToByteEncoder;
 
-/** Writes frames to a byte stream. */
+/** Encodes frames as bytes. */
 @Sharable
 public final class FrameEncoder extends MessageToByteEncoder<Frame> {
 
--- a/wire/src/main/java/org/persimmonwalk/wire/FrameWriter.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/FrameWriter.java
@@ -54,7 +54,7 @@
     return this;
   }
 
-  /** Appends a value with its length, or an SQL null if the value is null. */
+  /** Appends a value preceded by its length, or SQL NULL if the value is null. */
   public FrameWriter value(byte[] value) {
     if (value == null) {
       return intValue(NULL_LENGTH);
@@ -64,14 +64,14 @@
     return this;
   }
 
-  /** Appends the bytes of a payload that follow the first ones, which are skipped. */
+  /** Appends the readable bytes of the source except the first {@code skipped} ones. */
   public FrameWriter bytes(ByteBuf source, int skipped) {
     int start = source.readerIndex() + skipped;
     payload.writeBytes(source, start, source.readableBytes() - skipped);
     return this;
   }
 
-  /** Returns the frame, which takes over the payload. */
+  /** Returns the frame, which takes ownership of the payload. */
   public Frame toFrame() {
     return Frame.of(type, payload);
   }
--- a/wire/src/main/java/org/persimmonwalk/wire/MessageType.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/MessageType.java
@@ -1,6 +1,9 @@
 package org.persimmonwalk.wire;
 
-/** Type bytes of the PostgreSQL v3 protocol. */
+/**
+ * Type bytes of the messages of the PostgreSQL v3 protocol: first those that a client sends, then
+ * those that a server sends.
+ */
 public final class MessageType {
   /** Stands for the messages of the start-up phase, which have no type byte. */
   public static final byte STARTUP = 0;
--- a/wire/src/main/java/org/persimmonwalk/wire/Messages.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/Messages.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Builds the messages that persimmonwalk sends. */
+/** Builds the messages that persimmonwalk sends to callers and backend servers. */
 public final class Messages {
   private static final int AUTHENTICATION_OK = 0;
   private static final int AUTHENTICATION_CLEARTEXT = 3;
@@ -18,12 +18,12 @@
     this.allocator = allocator;
   }
 
-  /** Returns a builder that takes buffers from the allocator. */
+  /** Returns a builder that allocates buffers from the allocator. */
   public static Messages of(ByteBufAllocator allocator) {
     return new Messages(allocator);
   }
 
-  /** Returns a request for a session. */
+  /** Returns the start-up message that opens a session. */
   public Frame startup(Map<String, String> parameters) {
     FrameWriter writer = writer(MessageType.STARTUP).intValue(StartupRequest.PROTOCOL_VERSION);
     parameters.forEach((name, value) -> writer.string(name).string(value));
@@ -54,17 +54,17 @@
     return writer(MessageType.AUTHENTICATION).intValue(AUTHENTICATION_OK).toFrame();
   }
 
-  /** Returns the report of a parameter's value. */
+  /** Returns a parameter status message. */
   public Frame parameterStatus(String name, String value) {
     return writer(MessageType.PARAMETER_STATUS).string(name).string(value).toFrame();
   }
 
-  /** Returns the key with which a client cancels statements. */
+  /** Returns the key that a client needs to cancel statements of this connection. */
   public Frame backendKeyData(int processId, int secret) {
     return writer(MessageType.BACKEND_KEY_DATA).intValue(processId).intValue(secret).toFrame();
   }
 
-  /** Returns the message that ends an answer. */
+  /** Returns the ready-for-query message, which ends the response to a request. */
   public Frame readyForQuery(TransactionStatus status) {
     return writer(MessageType.READY_FOR_QUERY).byteValue(status.code()).toFrame();
   }
@@ -84,7 +84,7 @@
     return empty(MessageType.TERMINATE);
   }
 
-  /** Returns the description of a statement without parameters. */
+  /** Returns the parameter description of a statement without parameters. */
   public Frame noParameters() {
     return writer(MessageType.PARAMETER_DESCRIPTION).shortValue(0).toFrame();
   }
@@ -109,12 +109,12 @@
         .toFrame();
   }
 
-  /** Returns the tag that ends a statement's result, for example {@code SELECT 1}. */
+  /** Returns the command-complete message with a tag, for example {@code SELECT 1}. */
   public Frame commandComplete(String tag) {
     return writer(MessageType.COMMAND_COMPLETE).string(tag).toFrame();
   }
 
-  /** Returns the description of a result whose columns are all of type text. */
+  /** Returns the row description of a result whose columns are all of type text. */
   public Frame textRowDescription(List<String> columns) {
     FrameWriter writer = writer(MessageType.ROW_DESCRIPTION).shortValue(columns.size());
     for (String column : columns) {
@@ -130,7 +130,7 @@
     return writer.toFrame();
   }
 
-  /** Returns a row of text values; null values are SQL nulls. */
+  /** Returns a data row of text values; a null value is SQL NULL. */
   public Frame textRow(List<String> values) {
     FrameWriter writer = writer(MessageType.DATA_ROW).shortValue(values.size());
     for (String value : values) {
--- a/wire/src/main/java/org/persimmonwalk/wire/PayloadReader.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/PayloadReader.java
@@ -3,7 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 
-/** Reads the fields of a payload; every malformed field is a {@link ProtocolException}. */
+/** Reads the fields of a payload; a malformed field causes a {@link ProtocolException}. */
 public final class PayloadReader {
   private static final int NULL_LENGTH = -1;
 
@@ -13,7 +13,7 @@
     this.payload = payload;
   }
 
-  /** Returns a reader at the start of the frame's payload; the frame keeps the payload. */
+  /** Returns a reader at the start of the frame's payload; the frame still owns the payload. */
   public static PayloadReader of(Frame frame) {
     return new PayloadReader(frame.content().duplicate());
   }
@@ -35,7 +35,7 @@
     return payload.readByte();
   }
 
-  /** Reads a 16-bit count, which is not negative. */
+  /** Reads an unsigned 16-bit count. */
   public int readCount() {
     require(Short.BYTES);
     return payload.readUnsignedShort();
@@ -47,7 +47,7 @@
     return payload.readInt();
   }
 
-  /** Reads a value with its length, or returns null if the length states an SQL null. */
+  /** Reads a value preceded by its length; returns null if it is SQL NULL. */
   public byte[] readValue() {
     int length = readInt();
     if (length == NULL_LENGTH) {
@@ -62,7 +62,7 @@
     return value;
   }
 
-  /** Returns whether fields are left. */
+  /** Returns whether there are bytes left to read. */
   public boolean hasMore() {
     return payload.isReadable();
   }
@@ -70,7 +70,7 @@
   private void require(int bytes) {
     if (payload.readableBytes() < bytes) {
       throw new ProtocolException(
-          "the message ends " + (bytes - payload.readableBytes()) + " bytes too early");
+          "the message is " + (bytes - payload.readableBytes()) + " bytes too short");
     }
   }
 }
--- a/wire/src/main/java/org/persimmonwalk/wire/ProtocolException.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/ProtocolException.java
@@ -1,9 +1,9 @@
 package org.persimmonwalk.wire;
 
-/** A message that does not follow the PostgreSQL v3 protocol. */
+/** Thrown when a message violates the PostgreSQL v3 protocol. */
 public final class ProtocolException extends RuntimeException {
 
-  /** Creates the exception; the message says what is wrong with the bytes. */
+  /** Creates the exception; the message says how the bytes violate the protocol. */
   public ProtocolException(String message) {
     super(message);
   }
--- a/wire/src/main/java/org/persimmonwalk/wire/StartupRequest.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/StartupRequest.java
@@ -3,10 +3,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** What a client sends first on a connection. */
+/** The first message that a client sends on a connection. */
 public sealed interface StartupRequest {
 
-  /** The client asks for a session with the given parameters, for example {@code user}. */
+  /** Opens a session with the given parameters, for example {@code user}. */
   record Start(Map<String, String> parameters) implements StartupRequest {
     /** Copies the parameters. */
     public Start {
@@ -14,28 +14,28 @@
     }
   }
 
-  /** The client asks for TLS. */
+  /** Requests TLS. */
   enum Tls implements StartupRequest {
     /** The only value. */
     INSTANCE
   }
 
-  /** The client asks for GSSAPI encryption. */
+  /** Requests GSSAPI encryption. */
   enum GssEncryption implements StartupRequest {
     /** The only value. */
     INSTANCE
   }
 
-  /** The client asks to cancel the statement of another connection. */
+  /** Requests the cancellation of the statement that runs on another connection. */
   record Cancel(int processId, int secret) implements StartupRequest {}
 
-  /** The code that asks for TLS in place of a protocol version. */
+  /** The code that requests TLS, in the place of a protocol version. */
   int TLS_CODE = 80_877_103;
 
-  /** The code that asks for a cancellation in place of a protocol version. */
+  /** The code that requests a cancellation, in the place of a protocol version. */
   int CANCEL_CODE = 80_877_102;
 
-  /** The code that asks for GSSAPI encryption in place of a protocol version. */
+  /** The code that requests GSSAPI encryption, in the place of a protocol version. */
   int GSS_CODE = 80_877_104;
 
   /** Version 3.0 of the protocol. */
@@ -44,7 +44,7 @@
   /**
    * Reads a start-up frame.
    *
-   * @throws ProtocolException if the frame is malformed or asks for another major version
+   * @throws ProtocolException if the frame is malformed or requests another major version
    */
   static StartupRequest parse(Frame frame) {
     PayloadReader reader = PayloadReader.of(frame);
--- a/wire/src/main/java/org/persimmonwalk/wire/TransactionStatus.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/TransactionStatus.java
@@ -1,6 +1,6 @@
 package org.persimmonwalk.wire;
 
-/** The transaction status that a backend server reports when it is ready for a statement. */
+/** The transaction status in a ready-for-query message. */
 public enum TransactionStatus {
   IDLE('I'),
   IN_TRANSACTION('T'),
@@ -12,7 +12,7 @@
     this.code = code;
   }
 
-  /** Returns the byte on the wire. */
+  /** Returns the byte that encodes the status in the message. */
   public char code() {
     return code;
   }
--- a/wire/src/main/java/org/persimmonwalk/wire/package-info.java
+++ b/wire/src/main/java/org/persimmonwalk/wire/package-info.java
@@ -1,2 +1,5 @@
-/** The PostgreSQL v3 protocol, shared by callers, backend servers and stand-ins. */
+/**
+ * Encoding and decoding of PostgreSQL v3 messages, used on the connections of callers, on those to
+ * backend servers and by the stand-in servers.
+ */
 package org.persimmonwalk.wire;
--- a/wire/src/test/java/org/persimmonwalk/wire/FrameDecoderTest.java
+++ b/wire/src/test/java/org/persimmonwalk/wire/FrameDecoderTest.java
@@ -17,9 +17,9 @@
 
   private final Messages messages = Messages.of(UnpooledByteBufAllocator.DEFAULT);
 
-  /** Guards against a decoder that needs a message to arrive in one piece. */
+  /** Guards against a decoder that needs a message to arrive in one read. */
   @Test
-  void shouldJoinMessageThatArrivesByteByByte() {
+  void shouldDecodeMessageThatArrivesByteByByte() {
     EmbeddedChannel channel = new EmbeddedChannel(FrameDecoder.forClient(LIMIT));
     ByteBuf bytes = encode(messages.query("SELECT 1"));
 
@@ -34,6 +34,7 @@
     bytes.release();
   }
 
+  /** Guards against a decoder that expects a type byte too early or too late. */
   @Test
   void shouldReadStartupThenTypedMessages() {
     FrameDecoder decoder = FrameDecoder.forServer(LIMIT);
@@ -52,7 +53,7 @@
     sync.release();
   }
 
-  /** Guards against a caller that makes the host buffer without bound. */
+  /** Guards against a caller that makes the host buffer an unlimited number of bytes. */
   @Test
   void shouldRejectMessageOverLimitBeforeItArrives() {
     EmbeddedChannel channel = new EmbeddedChannel(FrameDecoder.forClient(LIMIT));
@@ -63,6 +64,7 @@
         .hasMessageContaining("1000 bytes");
   }
 
+  /** Guards against a negative payload size, which would break the decoder. */
   @Test
   void shouldRejectLengthBelowItsOwnSize() {
     EmbeddedChannel channel = new EmbeddedChannel(FrameDecoder.forClient(LIMIT));
@@ -72,6 +74,7 @@
         .isInstanceOf(CorruptedFrameException.class);
   }
 
+  /** Guards against reading past the end of a payload. */
   @Test
   void shouldReportStringWithoutTerminator() {
     Frame frame = Frame.of(MessageType.QUERY, Unpooled.copiedBuffer(new byte[] {'a', 'b'}));
@@ -81,8 +84,9 @@
     frame.release();
   }
 
+  /** Guards against error fields that are lost or swapped by the encoding. */
   @Test
-  void shouldReadBackErrorFields() {
+  void shouldParseEncodedErrorFields() {
     ErrorFields fields = ErrorFields.error("25006", "read-only");
     Frame frame = messages.error(fields);
 
--- a/wire/src/test/java/org/persimmonwalk/wire/package-info.java
+++ b/wire/src/test/java/org/persimmonwalk/wire/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the PostgreSQL codec. */
+/** Tests of the PostgreSQL message codec. */
 package org.persimmonwalk.wire;
