Reword the comments of the stand-in's engine

"What became of a statement that did not fail", "a server that follows does not serve" and "the tokens of a statement and a place in them" read as riddles; they now name the outcome, the term that a fence reports and the cursor. The state of a server says what each term, position and flag means. Statement.Term, which was an assignment or a condition and not a term, is now ColumnValue; fail and end of a session are failTransaction and endTransaction.

--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Change.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Change.java
@@ -2,13 +2,13 @@
 
 import java.util.List;
 
-/** One change of a table. */
+/** One change to a table, as it is kept in transactions and in the replication log. */
 sealed interface Change {
 
-  /** Returns the size in the log, in bytes. */
+  /** Returns the number of bytes by which the change advances the log position. */
   int logBytes();
 
-  /** A new table. */
+  /** Creates a table. */
   record TableCreated(String table, List<String> columns) implements Change {
     @Override
     public int logBytes() {
@@ -16,7 +16,7 @@
     }
   }
 
-  /** A row that is new or has new values. */
+  /** Inserts a row or replaces its values. */
   record RowPut(String table, String key, List<String> values) implements Change {
     @Override
     public int logBytes() {
@@ -28,7 +28,7 @@
     }
   }
 
-  /** A row that is gone. */
+  /** Deletes a row. */
   record RowRemoved(String table, String key) implements Change {
     @Override
     public int logBytes() {
@@ -36,6 +36,6 @@
     }
   }
 
-  /** Room for the type, the lengths and the checksum of a change. */
+  /** The assumed size of the type, lengths and checksum that precede each change in the log. */
   int HEADER_BYTES = 32;
 }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Execution.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Execution.java
@@ -3,13 +3,13 @@
 import java.util.List;
 import java.util.Objects;
 
-/** What became of a statement that did not fail. */
+/** The outcome of a statement that did not fail: an answer, or a wait for a row lock. */
 public sealed interface Execution {
 
   /**
-   * The statement ran.
+   * The result of a statement that ran.
    *
-   * @param columns the columns of the result, or null if the statement has none
+   * @param columns the column names of the result, or null if the statement returns no rows
    * @param rows the rows of the result
    * @param tag the command tag, empty for an empty statement
    */
@@ -20,7 +20,7 @@
       Objects.requireNonNull(tag, "tag");
     }
 
-    /** Returns the answer of a statement without a result. */
+    /** Returns the answer of a statement that returns no rows. */
     static Answer ofTag(String tag) {
       return new Answer(null, List.of(), tag);
     }
@@ -31,6 +31,8 @@
     }
   }
 
-  /** The statement has not run because another session's transaction holds a row. */
+  /**
+   * The statement has not run, because another session's transaction has locked one of its rows.
+   */
   record LockWait(Session holder) implements Execution {}
 }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/GroupEngine.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/GroupEngine.java
@@ -10,8 +10,9 @@
 import org.persimmonwalk.port.MonotonicClock;
 
 /**
- * A replicated database group in memory. All times come from the injected clock; each call first
- * brings the state up to the current time. One thread uses an engine.
+ * A replicated database group in memory. Time comes from the injected clock. There is no timer for
+ * replication: a call that runs a statement or changes a setting first applies the replication that
+ * is due by now. Not thread-safe: all calls come from the engine thread.
  */
 public final class GroupEngine {
   private final GroupState state = GroupState.create();
@@ -35,14 +36,14 @@
     return engine;
   }
 
-  /** Opens a session with the parameters of a start-up message. */
+  /** Opens a session at the server with the parameters of a start-up message. */
   public Session open(BackendServerId server, Map<String, String> startup) {
     Session session = Session.open(server, startup);
     state.server(server).sessions.add(session);
     return session;
   }
 
-  /** Ends a session and rolls its transaction back. */
+  /** Ends a session and rolls back its open transaction. */
   public void close(Session session) {
     ServerState server = state.server(session.server());
     rollBack(server, session);
@@ -51,11 +52,11 @@
 
   private static void rollBack(ServerState server, Session session) {
     server.rowLocks.values().removeIf(holder -> holder == session);
-    session.end();
+    session.endTransaction();
   }
 
   /**
-   * Runs a statement.
+   * Runs a statement now, or reports the session whose row lock it has to wait for.
    *
    * @param parameters the values of {@code $1} and so on; null values are SQL nulls
    * @throws SqlException if the statement fails
@@ -78,7 +79,7 @@
       if (ending) {
         rollBack(server, session);
       }
-      session.fail();
+      session.failTransaction();
       throw failure;
     }
   }
@@ -100,7 +101,7 @@
   }
 
   /**
-   * Returns the columns of the statement's result, or null if it has none.
+   * Returns the column names of the statement's result, or null if it returns no rows.
    *
    * @throws SqlException if a table or function does not exist
    */
@@ -110,22 +111,24 @@
     return StatementRunner.of(server, session, List.of(), now).columns(statement);
   }
 
-  /** Returns the sessions that the server has ended and that are still open. */
+  /** Returns the sessions that the server has terminated and whose connections are still open. */
   public List<Session> terminated(BackendServerId server) {
     return state.server(server).sessions.stream().filter(Session::terminated).toList();
   }
 
-  /** Makes the session's transaction, if one is open, end in a rollback. */
-  public void fail(Session session) {
-    session.fail();
+  /** Marks the session's open transaction, if any, as failed; it can only be rolled back. */
+  public void failTransaction(Session session) {
+    session.failTransaction();
   }
 
-  /** Sets the time between a commit and its arrival at the server. */
+  /** Sets the time between a commit on the primary and its arrival in the server's log. */
   public void setReceiveDelay(BackendServerId server, Duration delay) {
     change(server, changed -> changed.receiveDelay = delay);
   }
 
-  /** Sets the time between the arrival of a commit at the server and its visibility there. */
+  /**
+   * Sets the time between a commit's arrival in the server's log and its visibility to reads there.
+   */
   public void setReplayLag(BackendServerId server, Duration lag) {
     change(server, changed -> changed.replayLag = lag);
   }
@@ -135,12 +138,12 @@
     change(server, changed -> changed.isolated = isolated);
   }
 
-  /** Stops the server's process for a time, or lets it continue. */
+  /** Suspends the server: it neither receives nor replays log records until it resumes. */
   public void setPaused(BackendServerId server, boolean paused) {
     change(server, changed -> changed.paused = paused);
   }
 
-  /** Kills the server or starts it again; the log and the promised term survive. */
+  /** Kills the server, ending all its sessions, or restarts it with its log and promised term. */
   public void setRunning(BackendServerId server, boolean running) {
     change(server, changed -> changed.running = running);
     if (!running) {
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/GroupFunctions.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/GroupFunctions.java
@@ -6,7 +6,7 @@
 import org.persimmonwalk.model.ServerRole;
 import org.persimmonwalk.model.Term;
 
-/** The functions with which hosts monitor and administer a group. */
+/** The SQL functions with which entry hosts monitor, fence, promote and redirect a server. */
 final class GroupFunctions {
   private static final String SAMPLE = "persimmonwalk_sample";
   private static final String FENCE = "persimmonwalk_fence";
@@ -15,7 +15,7 @@
 
   private GroupFunctions() {}
 
-  /** Returns the columns of a function's result. */
+  /** Returns the column names of a function's result. */
   static List<String> columns(String function) {
     return switch (function) {
       case SAMPLE -> List.of("role", "term", "received", "replayed", "primary_contact_age_ms");
@@ -60,20 +60,21 @@
   }
 
   /**
-   * Fences the server. The term of an accepted fence is the one of the server's last record: of two
-   * fenced servers the one with the higher term is ahead, whatever their positions are. The term
-   * that a server follows does not serve, as it rises before the server has that primary's records.
+   * Fences the server. An accepted fence reports the term of the server's last record: of two
+   * fenced servers, the one with the higher such term is ahead, whatever their positions are. The
+   * followed term would be wrong here, as it rises before the server has records of that term's
+   * primary.
    */
   private static List<String> fence(ServerState server, Term term, String host) {
     boolean accepted = TermRules.fence(server, term, host);
-    Term shown = accepted ? server.lastRecordTerm() : server.promisedTerm;
-    return List.of(flag(accepted), shown.toString(), server.received().toString());
+    Term reported = accepted ? server.lastRecordTerm() : server.promisedTerm;
+    return List.of(flag(accepted), reported.toString(), server.received().toString());
   }
 
   private static List<String> promote(ServerState server, Term term, String host) {
     boolean accepted = TermRules.promote(server, term, host);
-    Term shown = accepted ? server.logTerm : server.promisedTerm;
-    return List.of(flag(accepted), shown.toString(), server.promotedAt.toString());
+    Term reported = accepted ? server.logTerm : server.promisedTerm;
+    return List.of(flag(accepted), reported.toString(), server.promotionPosition.toString());
   }
 
   private static List<String> follow(
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/GroupState.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/GroupState.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.persimmonwalk.id.BackendServerId;
 
-/** The blackboard of a stand-in group; one thread reads and writes it. */
+/** The blackboard of a stand-in group: the state of its servers. Used on the engine thread. */
 final class GroupState {
   private final Map<BackendServerId, ServerState> servers = new LinkedHashMap<>();
 
@@ -27,7 +27,7 @@
     return servers.containsKey(id);
   }
 
-  /** Returns the state of a server that the group has. */
+  /** Returns the state of a server; fails if the group has no such server. */
   ServerState server(BackendServerId id) {
     ServerState server = servers.get(id);
     if (server == null) {
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/LogReceiver.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/LogReceiver.java
@@ -4,10 +4,12 @@
 import org.persimmonwalk.model.ServerRole;
 
 /**
- * Ships the log of the primary to the servers that follow it.
+ * Copies records from the log of the primary to the servers that follow it, after each server's
+ * receive delay.
  *
- * <p>A server that was told to follow a higher term stays fenced until its first contact with the
- * primary of that term. Before it, its diverged tail would count as received in the new term.
+ * <p>A server that was told to follow the primary of a new term stays fenced until it first reaches
+ * that primary and has discarded the records that the primary lacks. Otherwise these records would
+ * be reported as received in the new term.
  */
 final class LogReceiver implements StateController {
 
@@ -20,8 +22,8 @@
   @Override
   public void run(GroupState state, MonotonicTime now) {
     for (ServerState server : state.servers()) {
-      if (server.followed != null) {
-        receive(server, state.server(server.followed), now);
+      if (server.followedPrimary != null) {
+        receive(server, state.server(server.followedPrimary), now);
       }
     }
   }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/LogReplayer.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/LogReplayer.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Makes received records visible after the replay lag of each server. */
+/** Applies received records to the tables of each server, after its replay lag. */
 final class LogReplayer implements StateController {
 
   private LogReplayer() {}
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Operand.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Operand.java
@@ -5,7 +5,7 @@
 /** A value in a statement: a literal or a parameter. */
 public sealed interface Operand {
 
-  /** Returns the value; null is the SQL null. */
+  /** Returns the value, given the values of the statement's parameters; null is the SQL null. */
   String value(List<String> parameters);
 
   /** A value in the statement's text. */
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/ServerState.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/ServerState.java
@@ -13,7 +13,7 @@
 import org.persimmonwalk.model.ServerRole;
 import org.persimmonwalk.model.Term;
 
-/** What the blackboard of a stand-in group holds for one server. */
+/** The state of one server on the blackboard of a stand-in group. */
 final class ServerState {
   /** The log starts above zero, as PostgreSQL's does. */
   private static final LogPosition START = LogPosition.of(0x100_0000);
@@ -24,19 +24,37 @@
   final BackendServerId id;
   final List<StoredRecord> log = new ArrayList<>();
   final Map<String, Table> tables = new HashMap<>();
+
+  /** The session that holds each locked row, by table and primary key. */
   final Map<String, Session> rowLocks = new HashMap<>();
+
   final Set<Session> sessions = new HashSet<>();
 
   ServerRole role;
+
+  /** The term of the primary that this server is, or that it last received the log of. */
   Term logTerm = Term.of(1);
+
+  /** The highest term promised by a fence or seen in a follow command. */
   Term promisedTerm = Term.of(1);
+
+  /** The entry host to which the term is promised; empty if it is promised to none. */
   String promisedHost = "";
-  LogPosition promotedAt = START;
-  BackendServerId followed;
+
+  /** The end of the log when this server was last promoted. */
+  LogPosition promotionPosition = START;
+
+  /** The server whose log this one receives; null for a primary and after a fence. */
+  BackendServerId followedPrimary;
+
   Term followedTerm = Term.of(1);
 
+  /** How many records of the log have been applied to the tables. */
   int replayedRecords;
+
+  /** Whether the server receives the log of the primary that it follows. */
   boolean connected;
+
   MonotonicTime connectedSince;
   MonotonicTime lastContact;
 
@@ -59,7 +77,7 @@
 
   static ServerState replica(BackendServerId id, BackendServerId primary, MonotonicTime now) {
     ServerState state = new ServerState(id, ServerRole.REPLICA, now);
-    state.followed = primary;
+    state.followedPrimary = primary;
     return state;
   }
 
@@ -67,11 +85,12 @@
     return role == ServerRole.PRIMARY;
   }
 
-  /** Returns whether peers can exchange messages with the server. */
+  /** Returns whether the server can exchange messages with other servers of the group. */
   boolean reachable() {
     return running && !paused && !isolated;
   }
 
+  /** Returns the position after the last record of the log. */
   LogPosition received() {
     return positionAfter(log.size());
   }
@@ -81,6 +100,7 @@
     return log.isEmpty() ? Term.of(1) : log.get(log.size() - 1).record().term();
   }
 
+  /** Returns the position after the last record that reads can see. */
   LogPosition replayed() {
     return positionAfter(replayedRecords);
   }
@@ -98,7 +118,10 @@
     replayedRecords++;
   }
 
-  /** Discards the records after the first ones and the effects of the discarded ones. */
+  /**
+   * Keeps the given number of records and discards the rest. If a discarded record was replayed,
+   * the tables are rebuilt from the remaining log.
+   */
   void truncate(int records) {
     if (records == log.size()) {
       return;
@@ -113,7 +136,7 @@
     }
   }
 
-  /** Returns the number of records that both logs start with. */
+  /** Returns the length, in records, of the prefix that both logs share. */
   int commonRecords(ServerState other) {
     int common = Math.min(log.size(), other.log.size());
     while (common > 0 && log.get(common - 1).record() != other.log.get(common - 1).record()) {
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Session.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Session.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.persimmonwalk.id.BackendServerId;
 
-/** A connection's state at a server: parameters and the open transaction. */
+/** A connection's state at a server: its session parameters and its open transaction. */
 public final class Session {
   private static final Map<String, String> DEFAULTS =
       Map.of(
@@ -38,22 +38,22 @@
     return new Session(server, initial);
   }
 
-  /** Returns the server. */
+  /** Returns the server to which the session is connected. */
   public BackendServerId server() {
     return server;
   }
 
-  /** Returns whether an explicit transaction is open. */
+  /** Returns whether a transaction opened by BEGIN is open, failed or not. */
   public boolean inTransaction() {
     return transaction != null;
   }
 
-  /** Returns whether the open transaction can only be rolled back. */
+  /** Returns whether the open transaction has failed and can only be rolled back. */
   public boolean failed() {
     return failed;
   }
 
-  /** Returns whether the server has ended the session. */
+  /** Returns whether the server has terminated the session; its statements fail with 57P01. */
   public boolean terminated() {
     return terminated;
   }
@@ -70,6 +70,7 @@
     return value;
   }
 
+  /** Sets a parameter; a null value restores the value that it had at the start. */
   void set(String name, String value) {
     if (value != null) {
       parameters.put(name, value);
@@ -95,12 +96,12 @@
     failed = false;
   }
 
-  void end() {
+  void endTransaction() {
     transaction = null;
     failed = false;
   }
 
-  void fail() {
+  void failTransaction() {
     failed = transaction != null;
   }
 
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/SessionStatements.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/SessionStatements.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** Runs the statements that concern only the session: transaction control and parameters. */
+/** Runs the statements that use no table: transaction control and session parameters. */
 final class SessionStatements {
 
   private SessionStatements() {}
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/SqlException.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/SqlException.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 
-/** A statement that fails with an SQLSTATE. */
+/** Reports that a statement failed, with the SQLSTATE and the message for the client. */
 public final class SqlException extends RuntimeException {
   private final String sqlState;
 
@@ -16,12 +16,12 @@
     return new SqlException(sqlState, message);
   }
 
-  /** Returns the failure of a statement that the engine cannot read. */
+  /** Returns a syntax error at the given token. */
   public static SqlException syntax(String near) {
     return new SqlException("42601", "syntax error at or near \"" + near + "\"");
   }
 
-  /** Returns the five characters that name the kind of failure. */
+  /** Returns the five-character SQLSTATE. */
   public String sqlState() {
     return sqlState;
   }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/SqlParser.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/SqlParser.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 
-/** Reads the small part of SQL that the stand-in runs. */
+/** Parses the subset of SQL that the stand-in runs. */
 public final class SqlParser {
 
   private SqlParser() {}
@@ -12,7 +12,7 @@
   /**
    * Returns the statements of a simple query in their order.
    *
-   * @throws SqlException if the text is not understood
+   * @throws SqlException if the text is not in the supported subset
    */
   public static List<Statement> parseAll(String text) {
     return SqlTokens.split(text).stream().map(SqlParser::parse).toList();
@@ -21,7 +21,7 @@
   /**
    * Returns the single statement of an extended query.
    *
-   * @throws SqlException if the text is not understood or holds several statements
+   * @throws SqlException if the text is not in the supported subset or holds several statements
    */
   public static Statement parseOne(String text) {
     List<Statement> statements = parseAll(text);
@@ -81,12 +81,12 @@
       columns.add(tokens.takeName());
     } while (tokens.accept(","));
     tokens.expect(")", "VALUES", "(");
-    List<Statement.Term> values = new ArrayList<>();
+    List<Statement.ColumnValue> values = new ArrayList<>();
     for (String column : columns) {
       if (!values.isEmpty()) {
         tokens.expect(",");
       }
-      values.add(new Statement.Term(column, tokens.takeOperand()));
+      values.add(new Statement.ColumnValue(column, tokens.takeOperand()));
     }
     tokens.expect(")");
     return new Statement.Insert(table, List.copyOf(values));
@@ -95,7 +95,7 @@
   private static Statement update(SqlTokens tokens) {
     String table = tokens.takeName();
     tokens.expect("SET");
-    List<Statement.Term> assignments = terms(tokens, ",");
+    List<Statement.ColumnValue> assignments = columnValues(tokens, ",");
     return new Statement.Update(table, assignments, conditions(tokens));
   }
 
@@ -120,7 +120,7 @@
     if (!count && columns.isEmpty() && tokens.accept("(")) {
       return call(table, tokens);
     }
-    List<Statement.Term> conditions = conditions(tokens);
+    List<Statement.ColumnValue> conditions = conditions(tokens);
     boolean locking = tokens.accept("FOR");
     if (locking) {
       tokens.takeRest();
@@ -200,17 +200,17 @@
     return new Statement.Deallocate(tokens.accept("ALL") ? null : tokens.takeName());
   }
 
-  private static List<Statement.Term> conditions(SqlTokens tokens) {
-    return tokens.accept("WHERE") ? terms(tokens, "AND") : List.of();
+  private static List<Statement.ColumnValue> conditions(SqlTokens tokens) {
+    return tokens.accept("WHERE") ? columnValues(tokens, "AND") : List.of();
   }
 
-  private static List<Statement.Term> terms(SqlTokens tokens, String separator) {
-    List<Statement.Term> terms = new ArrayList<>();
+  private static List<Statement.ColumnValue> columnValues(SqlTokens tokens, String separator) {
+    List<Statement.ColumnValue> columnValues = new ArrayList<>();
     do {
       String column = tokens.takeName();
       tokens.expect("=");
-      terms.add(new Statement.Term(column, tokens.takeOperand()));
+      columnValues.add(new Statement.ColumnValue(column, tokens.takeOperand()));
     } while (tokens.accept(separator));
-    return List.copyOf(terms);
+    return List.copyOf(columnValues);
   }
 }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/SqlTokens.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/SqlTokens.java
@@ -6,7 +6,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** The tokens of a statement and a place in them. */
+/** The tokens of one SQL statement and a cursor over them. */
 final class SqlTokens {
   private static final Pattern TOKEN =
       Pattern.compile(
@@ -19,7 +19,7 @@
     this.tokens = tokens;
   }
 
-  /** Cuts a text at the semicolons outside quotes; each part holds one statement's tokens. */
+  /** Splits a text into statements, at the semicolons outside quotes, and these into tokens. */
   static List<SqlTokens> split(String text) {
     List<SqlTokens> statements = new ArrayList<>();
     List<String> current = new ArrayList<>();
@@ -42,7 +42,7 @@
     return next == tokens.size();
   }
 
-  /** Returns whether the next token is the given word or sign. */
+  /** Returns whether the next token is the given keyword or punctuation mark. */
   boolean peek(String word) {
     return !isAtEnd() && tokens.get(next).equalsIgnoreCase(word);
   }
@@ -57,7 +57,7 @@
     return word || first == '\'' || first == '$' || first == '-' || Character.isDigit(first);
   }
 
-  /** Skips the given words if they come next. */
+  /** Consumes the given words if all of them come next, and returns whether they did. */
   boolean accept(String... words) {
     for (int index = 0; index < words.length; index++) {
       int at = next + index;
@@ -81,6 +81,7 @@
     }
   }
 
+  /** Consumes the next token. */
   String take() {
     if (isAtEnd()) {
       throw SqlException.syntax("end of input");
@@ -88,7 +89,7 @@
     return tokens.get(next++);
   }
 
-  /** Takes the name of a table, column or parameter. */
+  /** Consumes the name of a table, column or parameter; unquoted names become lower case. */
   String takeName() {
     String token = take();
     if (token.startsWith("\"")) {
@@ -100,7 +101,7 @@
     return token.toLowerCase(Locale.ROOT);
   }
 
-  /** Takes a literal or a parameter, with a cast if there is one. */
+  /** Consumes a literal or a parameter; a cast after it is skipped. */
   Operand takeOperand() {
     Operand operand = operand(take());
     if (accept("::")) {
@@ -109,7 +110,7 @@
     return operand;
   }
 
-  /** Takes the rest as text. */
+  /** Consumes the remaining tokens and returns them joined by spaces. */
   String takeRest() {
     String rest = String.join(" ", tokens.subList(next, tokens.size()));
     next = tokens.size();
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StateController.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StateController.java
@@ -2,9 +2,9 @@
 
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Brings one part of the group's state up to the given time. */
+/** Advances one aspect of replication to the given time. */
 interface StateController {
 
-  /** Reads and writes the blackboard. */
+  /** Applies to the blackboard everything that is due by {@code now}. */
   void run(GroupState state, MonotonicTime now);
 }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Statement.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Statement.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** A statement that the stand-in understands. */
+/** A parsed SQL statement. */
 public sealed interface Statement {
 
   /** Returns whether the statement reads or writes a table, and so needs an execution slot. */
@@ -10,8 +10,8 @@
     return false;
   }
 
-  /** An assignment or a comparison of a column with a value. */
-  record Term(String column, Operand operand) {}
+  /** A column and the value that it is set to, or has to equal. */
+  record ColumnValue(String column, Operand operand) {}
 
   /** Creates a table; the first column is the primary key. */
   record CreateTable(String table, List<String> columns) implements Statement {
@@ -22,7 +22,7 @@
   }
 
   /** Inserts one row. */
-  record Insert(String table, List<Term> values) implements Statement {
+  record Insert(String table, List<ColumnValue> values) implements Statement {
     @Override
     public boolean usesSlot() {
       return true;
@@ -30,15 +30,16 @@
   }
 
   /** Changes the rows that meet all conditions. */
-  record Update(String table, List<Term> assignments, List<Term> conditions) implements Statement {
+  record Update(String table, List<ColumnValue> assignments, List<ColumnValue> conditions)
+      implements Statement {
     @Override
     public boolean usesSlot() {
       return true;
     }
   }
 
-  /** Removes the rows that meet all conditions. */
-  record Delete(String table, List<Term> conditions) implements Statement {
+  /** Deletes the rows that meet all conditions. */
+  record Delete(String table, List<ColumnValue> conditions) implements Statement {
     @Override
     public boolean usesSlot() {
       return true;
@@ -53,7 +54,11 @@
    * @param locking whether the statement ends with {@code FOR UPDATE} or similar
    */
   record Select(
-      String table, List<String> columns, boolean count, List<Term> conditions, boolean locking)
+      String table,
+      List<String> columns,
+      boolean count,
+      List<ColumnValue> conditions,
+      boolean locking)
       implements Statement {
     @Override
     public boolean usesSlot() {
@@ -87,12 +92,12 @@
   /** Shows a parameter of the session. */
   record Show(String name) implements Statement {}
 
-  /** Resets the session. */
+  /** Restores the session's initial parameters and drops its prepared statements. */
   record DiscardAll() implements Statement {}
 
-  /** Removes a prepared statement, or all if the name is null. */
+  /** Drops a prepared statement, or all of them if the name is null. */
   record Deallocate(String name) implements Statement {}
 
-  /** A statement without text. */
+  /** An empty statement. */
   record Empty() implements Statement {}
 }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StatementQueue.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StatementQueue.java
@@ -11,82 +11,97 @@
 import java.util.function.IntConsumer;
 
 /**
- * The execution slots of one server. A table statement occupies a slot for the service time and
- * takes effect at its end; other statements run at once.
+ * Limits how many statements a server executes at once. A statement that reads or writes a table
+ * waits for a free slot, occupies it for the service time and takes effect at its end; other
+ * statements run at once. A statement that meets a locked row gives up its slot and is retried when
+ * a transaction ends. Used on the engine thread.
  */
 public final class StatementQueue {
   private final GroupEngine engine;
   private final Timers timers;
   private final int slots;
-  private final IntConsumer concurrency;
+  private final IntConsumer concurrencyListener;
   private final Deque<StatementTask> waiting = new ArrayDeque<>();
   private final Set<StatementTask> running = new LinkedHashSet<>();
-  private final Deque<StatementTask> due = new ArrayDeque<>();
+  private final Deque<StatementTask> dueDuringPause = new ArrayDeque<>();
   private final Set<StatementTask> lockWaiters = new LinkedHashSet<>();
   private Duration serviceTime;
   private boolean paused;
   private int answersToLose;
 
   private StatementQueue(
-      GroupEngine engine, Timers timers, int slots, Duration serviceTime, IntConsumer concurrency) {
+      GroupEngine engine,
+      Timers timers,
+      int slots,
+      Duration serviceTime,
+      IntConsumer concurrencyListener) {
     this.engine = engine;
     this.timers = timers;
     this.slots = slots;
     this.serviceTime = serviceTime;
-    this.concurrency = concurrency;
+    this.concurrencyListener = concurrencyListener;
   }
 
   /**
-   * Returns a queue without statements.
+   * Returns an empty queue.
    *
-   * @param concurrency hears the number of occupied slots each time that it rises
+   * @param concurrencyListener is called with the number of occupied slots each time that it rises
    */
   public static StatementQueue create(
-      GroupEngine engine, Timers timers, int slots, Duration serviceTime, IntConsumer concurrency) {
-    Objects.requireNonNull(concurrency, "concurrency");
-    return new StatementQueue(engine, timers, slots, serviceTime, concurrency);
+      GroupEngine engine,
+      Timers timers,
+      int slots,
+      Duration serviceTime,
+      IntConsumer concurrencyListener) {
+    Objects.requireNonNull(concurrencyListener, "concurrencyListener");
+    return new StatementQueue(engine, timers, slots, serviceTime, concurrencyListener);
   }
 
-  /** Runs a statement when a slot is free. */
+  /** Runs a statement as soon as a slot is free, or at once if it needs none. */
   public void submit(StatementTask task) {
     if (!task.statement().usesSlot()) {
       execute(task);
       return;
     }
     waiting.add(task);
-    startWaiting();
+    startQueued();
   }
 
-  /** Sets the time that each statement occupies a slot, from the next statement on. */
+  /** Sets how long a statement occupies its slot; statements that run already are not affected. */
   public void setServiceTime(Duration time) {
     serviceTime = Objects.requireNonNull(time, "time");
   }
 
-  /** Keeps statements from taking effect, or lets them continue. */
+  /** Keeps statements that need a slot from starting or taking effect, or lets them continue. */
   public void setPaused(boolean pause) {
     paused = pause;
-    while (!paused && !due.isEmpty()) {
-      finish(due.remove());
+    while (!paused && !dueDuringPause.isEmpty()) {
+      finish(dueDuringPause.remove());
     }
-    startWaiting();
+    startQueued();
   }
 
-  /** Ends the connection in the middle of the next answer to a table statement or a commit. */
+  /**
+   * Makes the listener of the next table statement or commit that succeeds cut its connection in
+   * the middle of the answer. Each call affects one more answer.
+   */
   public void loseNextAnswer() {
     answersToLose++;
   }
 
-  /** Cancels the session's statement if it has not taken effect. */
+  /** Cancels the session's statement with SQLSTATE 57014 if it has not taken effect. */
   public void cancel(Session session) {
     StatementTask task = remove(session);
     if (task != null) {
-      engine.fail(session);
+      engine.failTransaction(session);
       SqlException cancelled = SqlException.of("57014", "canceling statement due to user request");
       task.listener().onFailure(cancelled);
     }
   }
 
-  /** Forgets the session's statement, closes the session and lets waiting statements run. */
+  /**
+   * Drops the session's statement, closes the session and retries statements that wait for locks.
+   */
   public void close(Session session) {
     remove(session);
     engine.close(session);
@@ -98,10 +113,10 @@
     if (task != null) {
       task.cancelTimer();
       waiting.remove(task);
-      due.remove(task);
+      dueDuringPause.remove(task);
       lockWaiters.remove(task);
       if (running.remove(task)) {
-        startWaiting();
+        startQueued();
       }
     }
     return task;
@@ -114,11 +129,11 @@
     return all.stream().filter(task -> task.session() == session).findFirst().orElse(null);
   }
 
-  private void startWaiting() {
+  private void startQueued() {
     while (!paused && running.size() < slots && !waiting.isEmpty()) {
       StatementTask task = waiting.remove();
       running.add(task);
-      concurrency.accept(running.size());
+      concurrencyListener.accept(running.size());
       if (serviceTime.isZero()) {
         finish(task);
       } else {
@@ -129,12 +144,12 @@
 
   private void finish(StatementTask task) {
     if (paused) {
-      due.add(task);
+      dueDuringPause.add(task);
       return;
     }
     running.remove(task);
     execute(task);
-    startWaiting();
+    startQueued();
   }
 
   private void execute(StatementTask task) {
@@ -144,7 +159,7 @@
       if (execution instanceof Execution.LockWait wait) {
         awaitLock(task, wait.holder());
       } else if (execution instanceof Execution.Answer answer) {
-        task.listener().onAnswer(answer, takeLostAnswer(task.statement()));
+        task.listener().onAnswer(answer, consumeAnswerLoss(task.statement()));
       }
     } catch (SqlException failure) {
       task.listener().onFailure(failure);
@@ -154,7 +169,7 @@
     }
   }
 
-  private boolean takeLostAnswer(Statement statement) {
+  private boolean consumeAnswerLoss(Statement statement) {
     boolean eligible = statement.usesSlot() || statement instanceof Statement.Commit;
     if (!eligible || answersToLose == 0) {
       return false;
@@ -168,23 +183,23 @@
     task.setLockHolder(holder);
     if (waitsFor(holder, task.session())) {
       lockWaiters.remove(task);
-      engine.fail(task.session());
+      engine.failTransaction(task.session());
       task.listener().onFailure(SqlException.of("40P01", "deadlock detected"));
     }
   }
 
-  private boolean waitsFor(Session waiter, Session wanted) {
+  private boolean waitsFor(Session waiter, Session target) {
     Session current = waiter;
     for (int steps = 0; steps <= lockWaiters.size() && current != null; steps++) {
-      if (current == wanted) {
+      if (current == target) {
         return true;
       }
-      current = holderOf(current);
+      current = awaitedLockHolder(current);
     }
     return false;
   }
 
-  private Session holderOf(Session waiter) {
+  private Session awaitedLockHolder(Session waiter) {
     for (StatementTask task : lockWaiters) {
       if (task.session() == waiter) {
         return task.lockHolder();
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StatementRunner.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StatementRunner.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Runs table statements and transaction control on one server. */
+/** Runs one statement of a session on one server; an instance serves a single statement. */
 final class StatementRunner {
   private final ServerState server;
   private final Session session;
@@ -45,7 +45,7 @@
     return SessionStatements.run(this, session, statement);
   }
 
-  /** Returns the columns of the statement's result, or null if it has none. */
+  /** Returns the column names of the statement's result, or null if it returns no rows. */
   List<String> columns(Statement statement) {
     if (statement instanceof Statement.Select select) {
       return select.count() ? List.of("count") : selected(table(select.table()), select);
@@ -59,7 +59,10 @@
     return null;
   }
 
-  /** Commits the session's transaction and returns the command tag. */
+  /**
+   * Commits the session's transaction, or rolls it back if it has failed, and returns the command
+   * tag.
+   */
   String commit() {
     boolean rollback = session.failed();
     if (!rollback && session.inTransaction() && !session.transaction().changes().isEmpty()) {
@@ -70,10 +73,10 @@
     return rollback ? "ROLLBACK" : "COMMIT";
   }
 
-  /** Ends the session's transaction without effect, or after its effect. */
+  /** Closes the session's transaction and releases its row locks; uncommitted changes are lost. */
   void endTransaction() {
     server.rowLocks.values().removeIf(holder -> holder == session);
-    session.end();
+    session.endTransaction();
   }
 
   private static List<String> constantColumns(Statement.SelectConstant constant) {
@@ -165,6 +168,7 @@
     return Execution.Answer.ofTag("CREATE TABLE");
   }
 
+  /** The changes of a statement outside a transaction, written to the log when it ends. */
   private final List<Change> pending = new ArrayList<>();
 
   private void write(String table, String key, Change change) {
@@ -221,10 +225,11 @@
     return Collections.nCopies(table.columns().size(), null);
   }
 
-  private List<String> assign(Table table, List<String> row, List<Statement.Term> assignments) {
+  private List<String> assign(
+      Table table, List<String> row, List<Statement.ColumnValue> assignments) {
     List<String> changed = new ArrayList<>(row);
-    for (Statement.Term term : assignments) {
-      changed.set(table.indexOf(term.column()), term.operand().value(parameters));
+    for (Statement.ColumnValue assignment : assignments) {
+      changed.set(table.indexOf(assignment.column()), assignment.operand().value(parameters));
     }
     return Collections.unmodifiableList(changed);
   }
@@ -237,20 +242,20 @@
     return row.get(0);
   }
 
-  private List<List<String>> matches(Table table, List<Statement.Term> conditions) {
-    for (Statement.Term term : conditions) {
-      if (table.indexOf(term.column()) == 0) {
-        List<String> row = table.rows().get(term.operand().value(parameters));
+  private List<List<String>> matches(Table table, List<Statement.ColumnValue> conditions) {
+    for (Statement.ColumnValue condition : conditions) {
+      if (table.indexOf(condition.column()) == 0) {
+        List<String> row = table.rows().get(condition.operand().value(parameters));
         return row != null && matches(table, row, conditions) ? List.of(row) : List.of();
       }
     }
     return table.rows().values().stream().filter(row -> matches(table, row, conditions)).toList();
   }
 
-  private boolean matches(Table table, List<String> row, List<Statement.Term> conditions) {
-    for (Statement.Term term : conditions) {
-      String wanted = term.operand().value(parameters);
-      if (wanted == null || !wanted.equals(row.get(table.indexOf(term.column())))) {
+  private boolean matches(Table table, List<String> row, List<Statement.ColumnValue> conditions) {
+    for (Statement.ColumnValue condition : conditions) {
+      String wanted = condition.operand().value(parameters);
+      if (wanted == null || !wanted.equals(row.get(table.indexOf(condition.column())))) {
         return false;
       }
     }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StatementTask.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/StatementTask.java
@@ -3,20 +3,20 @@
 import java.util.List;
 import java.util.Objects;
 
-/** A statement that a session waits for. */
+/** A submitted statement with its parameters, its session and the listener for its outcome. */
 public final class StatementTask {
 
-  /** Takes the outcome of a statement on the engine's thread. */
+  /** Receives the outcome of a statement, on the engine thread. */
   public interface Listener {
 
     /**
-     * The statement ran.
+     * Called when the statement has run.
      *
-     * @param answerLost whether the connection is to end in the middle of the answer
+     * @param answerLost whether to cut the connection in the middle of the answer
      */
     void onAnswer(Execution.Answer answer, boolean answerLost);
 
-    /** The statement failed. */
+    /** Called when the statement has failed. */
     void onFailure(SqlException failure);
   }
 
@@ -35,7 +35,7 @@
     this.listener = Objects.requireNonNull(listener, "listener");
   }
 
-  /** Returns a task; the listener hears of exactly one outcome unless the session ends. */
+  /** Returns a task; its listener is called once, or never if the session is closed before. */
   public static StatementTask of(
       Session session, Statement statement, List<String> parameters, Listener listener) {
     return new StatementTask(session, statement, parameters, listener);
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Table.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Table.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** The rows of a table by primary key, the first column. */
+/** A table whose first column is the primary key. */
 final class Table {
   private final List<String> columns;
   private final Map<String, List<String>> rows = new LinkedHashMap<>();
@@ -35,7 +35,7 @@
     return rows;
   }
 
-  /** Returns the index of a column. */
+  /** Returns the index of a column; fails if the table has no such column. */
   int indexOf(String column) {
     int index = columns.indexOf(column);
     if (index < 0) {
@@ -44,7 +44,7 @@
     return index;
   }
 
-  /** Applies a change to the tables of a server or of a transaction. */
+  /** Applies a change to the given tables: a server's, or a transaction's view of them. */
   static void apply(Change change, Map<String, Table> tables) {
     if (change instanceof Change.TableCreated created) {
       tables.put(created.table(), Table.of(created.columns()));
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/TermRules.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/TermRules.java
@@ -4,46 +4,56 @@
 import org.persimmonwalk.model.ServerRole;
 import org.persimmonwalk.model.Term;
 
-/** Decides on fences, promotions and changes of the followed primary. */
+/**
+ * Decides whether a server accepts a fence, a promotion or a new primary to follow. A server
+ * promises each term to at most one entry host.
+ */
 final class TermRules {
 
   private TermRules() {}
 
   /**
-   * Promises a term to a host. A primary refuses, since its log may hold a tail that no promotion
-   * may use.
+   * Promises a term to an entry host, after which the server accepts no records of lower terms. A
+   * primary refuses: its log may end in records that no replica has received, and a promotion must
+   * not build on them.
    */
   static boolean fence(ServerState server, Term term, String host) {
-    boolean repeated = term.equals(server.promisedTerm) && host.equals(server.promisedHost);
-    if (server.isPrimary() || !(term.isAfter(server.promisedTerm) || repeated)) {
+    boolean alreadyPromised = term.equals(server.promisedTerm) && host.equals(server.promisedHost);
+    if (server.isPrimary() || !(term.isAfter(server.promisedTerm) || alreadyPromised)) {
       return false;
     }
     server.promisedTerm = term;
     server.promisedHost = host;
-    if (server.followed == null || term.isAfter(server.followedTerm)) {
+    if (server.followedPrimary == null || term.isAfter(server.followedTerm)) {
       server.role = ServerRole.FENCED;
-      server.followed = null;
+      server.followedPrimary = null;
       server.connected = false;
     }
     return true;
   }
 
-  /** Makes a server that is fenced for the term and the host the primary of that term. */
+  /**
+   * Makes the server the primary of the term, provided that it is fenced and has promised this term
+   * to this host. Repeating an accepted promotion is accepted and changes nothing.
+   */
   static boolean promote(ServerState server, Term term, String host) {
     boolean promised = term.equals(server.promisedTerm) && host.equals(server.promisedHost);
     if (server.isPrimary()) {
       return promised && term.equals(server.logTerm);
     }
-    if (!promised || server.role != ServerRole.FENCED || server.followed != null) {
+    if (!promised || server.role != ServerRole.FENCED || server.followedPrimary != null) {
       return false;
     }
     server.role = ServerRole.PRIMARY;
     server.logTerm = term;
-    server.promotedAt = server.received();
+    server.promotionPosition = server.received();
     return true;
   }
 
-  /** Makes a server receive the log of the primary of the term. */
+  /**
+   * Makes a server receive the log of the given term's primary. A primary that is demoted by this
+   * terminates the sessions with open transactions.
+   */
   static boolean follow(ServerState server, Term term, BackendServerId primary) {
     if (primary.equals(server.id) || server.promisedTerm.isAfter(term)) {
       return false;
@@ -51,7 +61,7 @@
     if (server.isPrimary() && !term.isAfter(server.logTerm)) {
       return false;
     }
-    if (primary.equals(server.followed) && term.equals(server.followedTerm)) {
+    if (primary.equals(server.followedPrimary) && term.equals(server.followedTerm)) {
       return true;
     }
     if (term.isAfter(server.promisedTerm)) {
@@ -62,7 +72,7 @@
       server.sessions.stream().filter(Session::inTransaction).forEach(Session::terminate);
     }
     server.role = ServerRole.FENCED;
-    server.followed = primary;
+    server.followedPrimary = primary;
     server.followedTerm = term;
     server.connected = false;
     return true;
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Timers.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Timers.java
@@ -2,16 +2,16 @@
 
 import java.time.Duration;
 
-/** Runs actions later on the engine's thread. */
+/** Schedules actions on the engine thread. */
 public interface Timers {
 
-  /** Runs the action after the delay unless it is cancelled before. */
+  /** Runs the action after the delay unless the timer is cancelled before. */
   Timer schedule(Duration delay, Runnable action);
 
-  /** An action that has not run yet. */
+  /** A handle to a scheduled action. */
   interface Timer {
 
-    /** Keeps the action from running. */
+    /** Cancels the action if it has not run yet. */
     void cancel();
   }
 }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Transaction.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Transaction.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** The uncommitted changes of a session; other sessions do not see them. */
+/** An open transaction with its uncommitted changes, which other sessions do not see. */
 final class Transaction {
   private final boolean readOnly;
   private final List<Change> changes = new ArrayList<>();
@@ -25,18 +25,18 @@
     return readOnly;
   }
 
-  /** Returns the changes in their order. */
+  /** Returns the changes in the order made. */
   List<Change> changes() {
     return changes;
   }
 
-  /** Adds a change of the given table. */
+  /** Adds a change to the given table. */
   void add(String table, Change change) {
     changes.add(change);
     changesByTable.computeIfAbsent(table, name -> new ArrayList<>()).add(change);
   }
 
-  /** Returns the table as the transaction sees it, or null if it does not exist. */
+  /** Returns the table with the transaction's own changes applied, or null if it does not exist. */
   Table view(String name, Map<String, Table> committed) {
     Table table = committed.get(name);
     List<Change> own = changesByTable.get(name);
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/package-info.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/package-info.java
@@ -1,2 +1,7 @@
-/** The engine of a stand-in database group: tables, transactions, log, replication and terms. */
+/**
+ * An in-memory imitation of a small replicated PostgreSQL group, without a network: SQL parser,
+ * tables, transactions, row locks, replication log and terms. The protocol package submits
+ * statements through {@link org.persimmonwalk.internal.standin.engine.StatementQueue}; everything
+ * here runs on one thread, the engine thread.
+ */
 package org.persimmonwalk.internal.standin.engine;
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/BackendConnection.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/BackendConnection.java
@@ -287,6 +287,6 @@
 
   @Override
   public void failTransaction() {
-    server.engine().fail(session);
+    server.engine().failTransaction(session);
   }
 }
--- a/standin/src/test/java/org/persimmonwalk/internal/standin/engine/GroupEngineTest.java
+++ b/standin/src/test/java/org/persimmonwalk/internal/standin/engine/GroupEngineTest.java
@@ -28,7 +28,7 @@
     run(onA, "CREATE TABLE filing (code text, street text)");
   }
 
-  /** Guards against replicas that show a commit before the receive delay and the replay lag. */
+  /** Guards against replicas that receive or show a commit before its delay has passed. */
   @Test
   void shouldReceiveAndReplayAfterTheirDelays() {
     engine.setReceiveDelay(B, Duration.ofMillis(10));
@@ -47,7 +47,9 @@
         .containsExactly("replica", "1", position.toString(), position.toString(), "0");
   }
 
-  /** Guards against an isolated replica that receives, or one that does not catch up. */
+  /**
+   * Guards against an isolated replica that receives records, or that does not catch up afterwards.
+   */
   @Test
   void shouldReceiveNothingWhileIsolated() {
     engine.setIsolated(B, true);
@@ -61,7 +63,10 @@
     assertThat(sample(onB).get(4)).isEqualTo("0");
   }
 
-  /** Guards against a fence that lets an old primary's writes be confirmed. */
+  /**
+   * Guards against a fenced server that goes on receiving from the old primary: such writes would
+   * count as replicated although the promotion may lose them.
+   */
   @Test
   void shouldReceiveNothingFromALowerTermOnceFenced() {
     List<String> answer = row(onB, "SELECT * FROM persimmonwalk_fence(7, 'host-1')");
@@ -71,7 +76,9 @@
     assertThat(sample(onB).subList(0, 2)).containsExactly("fenced", "7");
   }
 
-  /** Guards against two hosts that both fence the same term, and against older terms. */
+  /**
+   * Guards against a term promised to two hosts, and against accepting a lower term than promised.
+   */
   @Test
   void shouldPromiseEachTermToOneHost() {
     assertThat(fence(onB, 7, "host-1")).isTrue();
@@ -83,7 +90,10 @@
     assertThat(fence(onA, 9, "host-1")).isFalse();
   }
 
-  /** Guards against a promotion of a server that follows the new primary but lacks its log. */
+  /**
+   * Guards against promoting a server that was told to follow the new primary but lacks its
+   * records.
+   */
   @Test
   void shouldStateTermOfLastRecordWhenFenced() {
     engine.setReceiveDelay(C, Duration.ofHours(1));
@@ -94,7 +104,7 @@
     assertThat(answer.subList(0, 2)).containsExactly("t", "1");
   }
 
-  /** Guards against a promotion without a fence, and against one that is not idempotent. */
+  /** Guards against a promotion without a fence, and against a repeated one with another result. */
   @Test
   void shouldPromoteOnlyWhenFencedForTheTermAndHost() {
     insert(onA, "x");
@@ -109,7 +119,7 @@
     assertThat(count(onB)).isEqualTo(2);
   }
 
-  /** Guards against an isolated primary that stops serving the callers that reach it. */
+  /** Guards against an isolated primary that stops serving the callers that still reach it. */
   @Test
   void shouldLetTheOldPrimaryAcceptWritesThatNobodyReceives() {
     engine.setIsolated(A, true);
@@ -122,9 +132,11 @@
     assertThat(received(onC)).isEqualTo(received(onB));
   }
 
-  /** Guards against a diverged tail that survives, or counts as received in the new term. */
+  /**
+   * Guards against records unknown to the new primary that survive, or count as received from it.
+   */
   @Test
-  void shouldDiscardTheDivergedTailWhenFollowing() {
+  void shouldDiscardDivergedRecordsWhenFollowing() {
     insert(onA, "common");
     engine.setIsolated(A, true);
     promoteB();
@@ -144,7 +156,7 @@
     assertFails(onA, "COMMIT", "57P01");
   }
 
-  /** Guards against servers that go back to an older term or follow themselves. */
+  /** Guards against servers that follow an older term, themselves or a server outside the group. */
   @Test
   void shouldRefuseToFollowOlderTerms() {
     promoteB();
@@ -155,7 +167,7 @@
     assertThat(follow(onB, 8, "server-x")).isFalse();
   }
 
-  /** Guards against a killed server that forgets its promise or its log. */
+  /** Guards against a restarted server that has lost its log or its promised term. */
   @Test
   void shouldKeepPromiseAndLogOverARestart() {
     insert(onA, "x");
@@ -168,7 +180,9 @@
     assertThat(fence(again, 7, "host-2")).isFalse();
   }
 
-  /** Guards against a read-only transaction that writes, and against a lost failure. */
+  /**
+   * Guards against writes in a read-only transaction, and against statements after a failed one.
+   */
   @Test
   void shouldKeepTransactionRules() {
     run(onA, "BEGIN READ ONLY");
--- a/standin/src/test/java/org/persimmonwalk/internal/standin/engine/StatementQueueTest.java
+++ b/standin/src/test/java/org/persimmonwalk/internal/standin/engine/StatementQueueTest.java
@@ -31,7 +31,7 @@
     concurrency.clear();
   }
 
-  /** Guards against more statements at once than the server has slots. */
+  /** Guards against running more statements at once than the server has slots. */
   @Test
   void shouldRunAtMostTwoStatementsAtOnce() {
     queue.setServiceTime(Duration.ofMillis(5));
@@ -61,7 +61,7 @@
     assertThat(outcomes).containsExactly("57014", "57014", "INSERT 0 1");
   }
 
-  /** Guards against statements that take effect in a paused server. */
+  /** Guards against statements that take effect while the server is paused. */
   @Test
   void shouldTakeEffectOnlyAfterAPause() {
     queue.setServiceTime(Duration.ofMillis(5));
@@ -73,7 +73,7 @@
     assertThat(outcomes).containsExactly("INSERT 0 1");
   }
 
-  /** Guards against two open transactions that insert the same key. */
+  /** Guards against two open transactions that both insert the same key. */
   @Test
   void shouldWaitForTheTransactionThatHoldsTheRow() {
     submit(first, "BEGIN");
@@ -84,7 +84,7 @@
     assertThat(outcomes).containsExactly("BEGIN", "INSERT 0 1", "COMMIT", "23505");
   }
 
-  /** Guards against a row that stays locked after its holder's connection is gone. */
+  /** Guards against a row that stays locked after the connection that locked it is closed. */
   @Test
   void shouldReleaseRowsOfAClosedSession() {
     submit(first, "BEGIN");
@@ -125,7 +125,7 @@
     queue.submit(StatementTask.of(session, SqlParser.parseOne(sql), List.of(), listener));
   }
 
-  /** Timers that a test lets run out. */
+  /** Timers that fire when the test says so. */
   private static final class ManualTimers implements Timers {
     private final List<Runnable> actions = new ArrayList<>();
 
--- a/standin/src/test/java/org/persimmonwalk/internal/standin/engine/package-info.java
+++ b/standin/src/test/java/org/persimmonwalk/internal/standin/engine/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the engine without a network. */
+/** Tests of the database engine that call it directly, without a network. */
 package org.persimmonwalk.internal.standin.engine;
