Reword the comments of the stand-in's protocol front end

"Cuts the connection without a word", "ends the connection with an administrator's command" and the counter book did not say what is sent or recorded; they now name the missing error message, the error 57P01 and a counter recorder. The package and its types say which methods run on the event loop and which on the engine thread, and the frames held back during a pause are called unhandled and unsent.

--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/BackendConnection.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/BackendConnection.java
@@ -22,13 +22,15 @@
 import org.persimmonwalk.wire.TransactionStatus;
 
 /**
- * One connection of a caller to a stand-in server. While the server is paused or isolated from the
- * caller, received messages wait unhandled and answers wait unsent.
+ * One connection of a caller to a stand-in server, used on its event loop. It handles start-up and
+ * log-in itself and passes later messages to a {@link SessionProtocol}. While the server is paused
+ * or isolated from the caller, received messages wait in {@code unhandled} and answers in {@code
+ * unsent}.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter
     implements SessionProtocol.Connection {
   private static final int MAXIMUM_QUEUED_FRAMES = 256;
-  private static final Map<String, String> REPORTED =
+  private static final Map<String, String> REPORTED_PARAMETERS =
       Map.of(
           "server_version", "16.0",
           "server_encoding", "UTF8",
@@ -41,14 +43,14 @@
   private final ServerFrontEnd server;
   private final int processId;
   private final int secret;
-  private final Deque<Frame> received = new ArrayDeque<>();
-  private final Deque<Frame> held = new ArrayDeque<>();
+  private final Deque<Frame> unhandled = new ArrayDeque<>();
+  private final Deque<Frame> unsent = new ArrayDeque<>();
   private ChannelHandlerContext context;
   private Messages messages;
   private volatile Map<String, String> parameters;
   private volatile Session session;
   private SessionProtocol protocol;
-  private boolean counted;
+  private boolean countedAsOpen;
   private boolean suspended;
   private boolean closing;
 
@@ -62,7 +64,7 @@
     return new BackendConnection(server, processId, secret);
   }
 
-  boolean hasKey(int otherProcessId, int otherSecret) {
+  boolean hasCancelKey(int otherProcessId, int otherSecret) {
     return processId == otherProcessId && secret == otherSecret;
   }
 
@@ -78,8 +80,8 @@
 
   @Override
   public void channelRead(ChannelHandlerContext reading, Object message) {
-    received.add((Frame) message);
-    if (received.size() >= MAXIMUM_QUEUED_FRAMES) {
+    unhandled.add((Frame) message);
+    if (unhandled.size() >= MAXIMUM_QUEUED_FRAMES) {
       context.channel().config().setAutoRead(false);
     }
     handleReceived();
@@ -88,13 +90,13 @@
   @Override
   public void channelInactive(ChannelHandlerContext inactive) {
     closing = true;
-    received.forEach(Frame::release);
-    received.clear();
-    held.forEach(Frame::release);
-    held.clear();
-    server.closed(this, counted);
+    unhandled.forEach(Frame::release);
+    unhandled.clear();
+    unsent.forEach(Frame::release);
+    unsent.clear();
+    server.connectionClosed(this, countedAsOpen);
     if (session != null) {
-      server.onEngine(() -> server.queue().close(session));
+      server.onEngineThread(() -> server.queue().close(session));
     }
   }
 
@@ -103,13 +105,13 @@
     failed.close();
   }
 
-  /** Applies a change of the server's switches. */
-  void switchesChanged() {
-    onLoop(
+  /** Sends and handles what was held back, unless the server's faults still hold it back. */
+  void onFaultsChanged() {
+    onEventLoop(
         () -> {
           if (!stalled()) {
-            while (!held.isEmpty()) {
-              context.write(held.remove());
+            while (!unsent.isEmpty()) {
+              context.write(unsent.remove());
             }
             context.flush();
             handleReceived();
@@ -117,9 +119,9 @@
         });
   }
 
-  /** Ends the connection with an administrator's command. */
+  /** Sends the error of an administrator's command (57P01), then closes the connection. */
   void terminate() {
-    onLoop(
+    onEventLoop(
         () -> {
           send(
               messages.error(
@@ -129,8 +131,8 @@
         });
   }
 
-  /** Cuts the connection without a word. */
-  void cut() {
+  /** Closes the connection without an error message. */
+  void closeAbruptly() {
     context.close();
   }
 
@@ -139,15 +141,15 @@
   }
 
   private void handleReceived() {
-    while (!suspended && !closing && !received.isEmpty() && !stalled()) {
-      Frame frame = received.remove();
+    while (!suspended && !closing && !unhandled.isEmpty() && !stalled()) {
+      Frame frame = unhandled.remove();
       try {
         handle(frame);
       } finally {
         frame.release();
       }
     }
-    if (received.isEmpty() && !closing && !context.channel().config().isAutoRead()) {
+    if (unhandled.isEmpty() && !closing && !context.channel().config().isAutoRead()) {
       context.channel().config().setAutoRead(true);
     }
   }
@@ -158,7 +160,7 @@
     } else if (protocol != null) {
       protocol.handle(ClientMessage.parse(frame));
     } else if (frame.is(MessageType.PASSWORD)) {
-      server.counters().passwordSeen(PayloadReader.of(frame).readString());
+      server.counters().recordPassword(PayloadReader.of(frame).readString());
       logIn();
     } else {
       refuse("08P01", "expected a password message");
@@ -168,7 +170,7 @@
   private void start(StartupRequest request) {
     if (request instanceof StartupRequest.Start start) {
       parameters = start.parameters();
-      server.counters().started(parameters);
+      server.counters().recordStartup(parameters);
       context.pipeline().get(FrameDecoder.class).endStartup();
       send(messages.authenticationCleartext());
       flush();
@@ -181,8 +183,8 @@
   }
 
   private void logIn() {
-    counted = server.tryOpen();
-    if (!counted) {
+    countedAsOpen = server.tryCountConnection();
+    if (!countedAsOpen) {
       refuse("53300", "sorry, too many clients already");
       return;
     }
@@ -190,19 +192,19 @@
     server.afterConnectDelay(
         () -> {
           Session opened = server.open(parameters);
-          onLoop(() -> logInDone(opened));
+          onEventLoop(() -> completeLogIn(opened));
         });
   }
 
-  private void logInDone(Session opened) {
+  private void completeLogIn(Session opened) {
     session = opened;
     if (closing) {
-      server.onEngine(() -> server.queue().close(opened));
+      server.onEngineThread(() -> server.queue().close(opened));
       return;
     }
     protocol = SessionProtocol.create(this, opened, context.alloc());
     send(messages.authenticationOk());
-    REPORTED.forEach((name, value) -> send(messages.parameterStatus(name, value)));
+    REPORTED_PARAMETERS.forEach((name, value) -> send(messages.parameterStatus(name, value)));
     send(messages.backendKeyData(processId, secret));
     send(messages.readyForQuery(TransactionStatus.IDLE));
     flush();
@@ -219,7 +221,7 @@
     if (closing) {
       frame.release();
     } else if (stalled()) {
-      held.add(frame);
+      unsent.add(frame);
     } else {
       context.write(frame);
     }
@@ -231,7 +233,7 @@
   }
 
   @Override
-  public void sendPartly(List<Frame> frames) {
+  public void sendTruncated(List<Frame> frames) {
     ByteBuf bytes = context.alloc().buffer();
     for (Frame frame : frames) {
       bytes.writeByte(frame.type());
@@ -264,12 +266,12 @@
   }
 
   @Override
-  public void onEngine(Runnable action) {
-    server.onEngine(action);
+  public void onEngineThread(Runnable action) {
+    server.onEngineThread(action);
   }
 
   @Override
-  public void onLoop(Runnable action) {
+  public void onEventLoop(Runnable action) {
     if (!context.executor().isShuttingDown()) {
       context.executor().execute(action);
     }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ClientMessage.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ClientMessage.java
@@ -6,10 +6,13 @@
 import org.persimmonwalk.wire.MessageType;
 import org.persimmonwalk.wire.PayloadReader;
 
-/** A message that a client sends after the start-up. */
+/** A message that a client sends after log-in; named as in the PostgreSQL protocol. */
 sealed interface ClientMessage {
 
-  /** Returns whether the message is skipped after an error up to the next sync. */
+  /**
+   * Returns whether the message belongs to a sequence that a sync ends; after an error the rest of
+   * the sequence is skipped.
+   */
   default boolean extended() {
     return true;
   }
@@ -55,7 +58,7 @@
     }
   }
 
-  /** Reads a frame; the frame stays with the caller. */
+  /** Parses a frame without releasing it. */
   static ClientMessage parse(Frame frame) {
     PayloadReader reader = PayloadReader.of(frame);
     return switch (frame.type()) {
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ParameterDecoder.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ParameterDecoder.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import org.persimmonwalk.internal.standin.engine.SqlException;
 
-/** Turns the parameter values of a bind message into text. */
+/**
+ * Converts the parameter values of a bind message to text. The constants are PostgreSQL's object
+ * identifiers of the types.
+ */
 final class ParameterDecoder {
   private static final int BOOLEAN = 16;
   private static final int INT8 = 20;
@@ -22,7 +25,7 @@
    * Returns the values as text.
    *
    * @param types the type identifiers of the parse message, which may be fewer than the values
-   * @throws SqlException if a binary value has a type that the stand-in does not know
+   * @throws SqlException if a binary value has an unsupported type
    */
   static List<String> decode(ClientMessage.Bind bind, List<Integer> types) {
     List<String> texts = new ArrayList<>();
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/PreparedQueries.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/PreparedQueries.java
@@ -25,10 +25,10 @@
     return new PreparedQueries();
   }
 
-  /** A prepared statement and the types of its parameters. */
+  /** A prepared statement and the type identifiers of its parameters. */
   record Prepared(Statement statement, List<Integer> types) {}
 
-  /** A statement with parameter values and, once it ran, the part of its result not sent yet. */
+  /** A statement with its parameter values and, once it has run, its result and the rows sent. */
   static final class Portal {
     private final Statement statement;
     private final List<String> parameters;
@@ -52,11 +52,11 @@
       return answer;
     }
 
-    void ran(Execution.Answer result) {
+    void setAnswer(Execution.Answer result) {
       answer = result;
     }
 
-    /** Takes the next rows, at most the given number, or all left if the number is 0. */
+    /** Returns the next rows to send: at most the given number, or all that remain if it is 0. */
     List<List<String>> takeRows(int maximum) {
       int left = answer.rows().size() - sentRows;
       int count = maximum == 0 ? left : Math.min(left, maximum);
@@ -65,7 +65,7 @@
       return rows;
     }
 
-    boolean hasRows() {
+    boolean hasUnsentRows() {
       return sentRows < answer.rows().size();
     }
   }
@@ -108,7 +108,7 @@
     portals.remove(name);
   }
 
-  /** Applies the effect that a statement has on the connection's prepared statements. */
+  /** Drops the prepared statements and portals that a DISCARD or DEALLOCATE removes. */
   void afterExecution(Statement statement) {
     if (statement instanceof Statement.DiscardAll) {
       statements.clear();
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/CounterBook.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ServerCounterRecorder.java
@@ -5,25 +5,25 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-/** Counts what callers do to one server; any thread may use it. */
-public final class CounterBook {
+/** Records what callers send to one server, for the tests' assertions. Thread-safe. */
+public final class ServerCounterRecorder {
   private final Map<String, Long> statementsByUser = new TreeMap<>();
   private final Set<String> passwords = new HashSet<>();
-  private final Set<Map<String, String>> startups = new HashSet<>();
+  private final Set<Map<String, String>> startupParameters = new HashSet<>();
   private int connections;
   private int highestConnections;
   private long statements;
   private int highestConcurrency;
 
-  private CounterBook() {}
+  private ServerCounterRecorder() {}
 
-  /** Returns counters at zero. */
-  public static CounterBook create() {
-    return new CounterBook();
+  /** Returns a recorder that has recorded nothing. */
+  public static ServerCounterRecorder create() {
+    return new ServerCounterRecorder();
   }
 
-  /** The readings at one time. */
-  public record Reading(
+  /** The values of all counters at one moment. */
+  public record Values(
       int connections,
       int highestConnections,
       long statements,
@@ -32,20 +32,20 @@
       Set<String> passwords,
       Set<Map<String, String>> startupParameters) {}
 
-  /** Returns the readings now. */
-  public synchronized Reading read() {
-    return new Reading(
+  /** Returns the current values. */
+  public synchronized Values read() {
+    return new Values(
         connections,
         highestConnections,
         statements,
         highestConcurrency,
         Map.copyOf(statementsByUser),
         Set.copyOf(passwords),
-        Set.copyOf(startups));
+        Set.copyOf(startupParameters));
   }
 
-  /** Counts a connection unless the limit is reached, and returns whether it was counted. */
-  synchronized boolean tryOpen(int limit) {
+  /** Counts a connection as open and returns true, or returns false if the limit is reached. */
+  synchronized boolean tryCountConnection(int limit) {
     if (connections >= limit) {
       return false;
     }
@@ -54,25 +54,25 @@
     return true;
   }
 
-  synchronized void closed() {
+  synchronized void recordClosedConnection() {
     connections--;
   }
 
-  synchronized void started(Map<String, String> parameters) {
-    startups.add(Map.copyOf(parameters));
+  synchronized void recordStartup(Map<String, String> parameters) {
+    startupParameters.add(Map.copyOf(parameters));
   }
 
-  synchronized void passwordSeen(String password) {
+  synchronized void recordPassword(String password) {
     passwords.add(password);
   }
 
-  synchronized void statementRun(String user) {
+  synchronized void recordStatement(String user) {
     statements++;
     statementsByUser.merge(user, 1L, Long::sum);
   }
 
-  /** Notes the number of occupied slots. */
-  public synchronized void concurrent(int occupiedSlots) {
+  /** Records the number of execution slots that are occupied now. */
+  public synchronized void recordOccupiedSlots(int occupiedSlots) {
     highestConcurrency = Math.max(highestConcurrency, occupiedSlots);
   }
 }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ServerFrontEnd.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/ServerFrontEnd.java
@@ -27,7 +27,11 @@
 import org.persimmonwalk.wire.FrameDecoder;
 import org.persimmonwalk.wire.FrameEncoder;
 
-/** The listening socket of one stand-in server, its connections and its switches. */
+/**
+ * The network side of one stand-in server: its listening socket, its connections and the faults
+ * injected into them. Connections are served on event loops and pass statements to the engine
+ * thread; the public methods may be called from any other thread.
+ */
 public final class ServerFrontEnd {
   private static final String LOOPBACK = "127.0.0.1";
   private static final int MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
@@ -36,7 +40,7 @@
   private final BackendServerId id;
   private final GroupEngine engine;
   private final StatementQueue queue;
-  private final CounterBook counters;
+  private final ServerCounterRecorder counters;
   private final ScheduledExecutorService engineThread;
   private final int connectionLimit;
   private final Duration connectDelay;
@@ -52,7 +56,7 @@
       BackendServerId id,
       GroupEngine engine,
       StatementQueue queue,
-      CounterBook counters,
+      ServerCounterRecorder counters,
       ScheduledExecutorService engineThread,
       int connectionLimit,
       Duration connectDelay) {
@@ -70,7 +74,7 @@
       BackendServerId id,
       GroupEngine engine,
       StatementQueue queue,
-      CounterBook counters,
+      ServerCounterRecorder counters,
       ScheduledExecutorService engineThread,
       int connectionLimit,
       Duration connectDelay) {
@@ -108,7 +112,7 @@
         .addLast(FrameDecoder.forServer(MAXIMUM_FRAME_BYTES), FrameEncoder.create(), connection);
     connections.add(connection);
     if (killed) {
-      connection.cut();
+      connection.closeAbruptly();
     }
   }
 
@@ -117,46 +121,53 @@
     return SocketEndpoint.of(LOOPBACK, port);
   }
 
-  /** Returns the counters. */
-  public CounterBook counters() {
+  /** Returns the recorder of what callers send to this server. */
+  public ServerCounterRecorder counters() {
     return counters;
   }
 
-  /** Returns the execution slots; they are used on the engine's thread. */
+  /** Returns the server's statement queue, which may only be used on the engine thread. */
   public StatementQueue queue() {
     return queue;
   }
 
-  /** Sends nothing more, so that no answer leaves a server that is being killed. */
-  public void silence() {
+  /** Sends nothing from now on, so that no answer leaves a server that is about to be killed. */
+  public void stopSending() {
     killed = true;
   }
 
-  /** Stops listening and cuts all connections without a word. */
+  /** Stops listening and closes all connections without an error message. */
   public void kill() {
-    silence();
+    stopSending();
     listener.close().syncUninterruptibly();
-    connections.forEach(BackendConnection::cut);
+    connections.forEach(BackendConnection::closeAbruptly);
   }
 
-  /** Ends all connections with an administrator's command; the server goes on listening. */
+  /**
+   * Closes all connections with the error of an administrator's command (57P01); new ones may open.
+   */
   public void terminateConnections() {
     connections.forEach(BackendConnection::terminate);
   }
 
-  /** Accepts and answers nothing, or goes on. */
+  /** Stops accepting connections and handling messages, or resumes both. */
   public void setPaused(boolean pause) {
     paused = pause;
     listener.config().setAutoRead(!pause);
-    connections.forEach(BackendConnection::switchesChanged);
+    connections.forEach(BackendConnection::onFaultsChanged);
   }
 
-  /** Exchanges no data with callers whose user or application name is in the set. */
+  /** Handles and sends no messages of callers whose user or application name is in the set. */
   public void isolateCallers(Set<String> names) {
     isolatedCallers = Set.copyOf(names);
-    connections.forEach(BackendConnection::switchesChanged);
+    connections.forEach(BackendConnection::onFaultsChanged);
   }
 
+  /**
+   * Returns whether a connection must neither handle nor send messages now.
+   *
+   * @param parameters the connection's start-up parameters, or null if it has not sent them yet
+   */
   boolean isStalled(Map<String, String> parameters) {
     if (paused || killed) {
       return true;
@@ -169,14 +180,14 @@
         || isolated.contains(parameters.getOrDefault("application_name", ""));
   }
 
-  boolean tryOpen() {
-    return counters.tryOpen(connectionLimit);
+  boolean tryCountConnection() {
+    return counters.tryCountConnection(connectionLimit);
   }
 
-  void closed(BackendConnection connection, boolean counted) {
+  void connectionClosed(BackendConnection connection, boolean countedAsOpen) {
     connections.remove(connection);
-    if (counted) {
-      counters.closed();
+    if (countedAsOpen) {
+      counters.recordClosedConnection();
     }
   }
 
@@ -196,14 +207,14 @@
     }
   }
 
-  void onEngine(Runnable action) {
+  void onEngineThread(Runnable action) {
     if (!engineThread.isShutdown()) {
       engineThread.execute(action);
     }
   }
 
   void submit(StatementTask task, String user) {
-    counters.statementRun(user);
+    counters.recordStatement(user);
     queue.submit(task);
     if (task.statement() instanceof Statement.Call) {
       Set<Session> terminated = Set.copyOf(engine.terminated(id));
@@ -215,8 +226,8 @@
 
   void cancel(int processId, int secret) {
     connections.stream()
-        .filter(connection -> connection.hasKey(processId, secret))
+        .filter(connection -> connection.hasCancelKey(processId, secret))
         .filter(connection -> connection.session() != null)
-        .forEach(connection -> onEngine(() -> queue.cancel(connection.session())));
+        .forEach(connection -> onEngineThread(() -> queue.cancel(connection.session())));
   }
 }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/SessionProtocol.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/SessionProtocol.java
@@ -16,50 +16,54 @@
 import org.persimmonwalk.wire.Messages;
 import org.persimmonwalk.wire.TransactionStatus;
 
-/** Answers the messages of one session; it is used on the connection's event loop. */
+/**
+ * Handles the simple and extended query protocol of one session after log-in. Used on the
+ * connection's event loop; statements run on the engine thread, and the connection handles no
+ * further message until their outcome is back.
+ */
 final class SessionProtocol {
   private static final String ADMIN_SHUTDOWN = "57P01";
 
-  /** What the connection does for the session. */
+  /** The operations that the protocol needs from its connection. */
   interface Connection {
 
-    /** Sends a frame with the next flush. */
+    /** Queues a frame for the next flush. */
     void send(Frame frame);
 
-    /** Sends what is waiting. */
+    /** Sends the queued frames. */
     void flush();
 
-    /** Sends a part of the frames, then closes the connection. */
-    void sendPartly(List<Frame> frames);
+    /** Sends the first half of the frames' bytes, then closes the connection. */
+    void sendTruncated(List<Frame> frames);
 
-    /** Closes the connection after what was sent. */
+    /** Closes the connection after the queued frames have been sent. */
     void close();
 
-    /** Keeps the connection from handling messages until it is resumed. */
+    /** Stops handling messages until {@link #resume()}. */
     void suspend();
 
-    /** Goes on with the next message. */
+    /** Continues with the next message. */
     void resume();
 
-    /** Runs an action on the engine's thread. */
-    void onEngine(Runnable action);
+    /** Runs an action on the engine thread. */
+    void onEngineThread(Runnable action);
 
     /** Runs an action on the connection's event loop. */
-    void onLoop(Runnable action);
+    void onEventLoop(Runnable action);
 
-    /** Submits a statement, on the engine's thread. */
+    /** Submits a statement; called on the engine thread. */
     void submit(StatementTask task);
 
-    /** Returns the columns of a statement's result, on the engine's thread. */
+    /** Returns the column names of a statement's result; called on the engine thread. */
     List<String> columns(Statement statement);
 
-    /** Makes the open transaction fail, on the engine's thread. */
+    /** Marks the open transaction as failed; called on the engine thread. */
     void failTransaction();
   }
 
-  /** Takes the answer of a statement on the event loop. */
+  /** Sends the answer of a statement, on the event loop. */
   private interface AnswerAction {
-    void accept(Execution.Answer answer, boolean lost);
+    void accept(Execution.Answer answer, boolean answerLost);
   }
 
   private final Connection connection;
@@ -89,7 +93,7 @@
     try {
       dispatch(message);
     } catch (SqlException failure) {
-      connection.onEngine(connection::failTransaction);
+      connection.onEngineThread(connection::failTransaction);
       if (status == TransactionStatus.IN_TRANSACTION) {
         status = TransactionStatus.FAILED;
       }
@@ -125,7 +129,7 @@
     } else if (message instanceof ClientMessage.Terminate) {
       connection.close();
     } else {
-      throw SqlException.of("0A000", "the stand-in does not support this message");
+      throw SqlException.of("0A000", "the stand-in does not support the message " + message);
     }
   }
 
@@ -138,10 +142,10 @@
     run(
         statement,
         List.of(),
-        (answer, lost) -> {
+        (answer, answerLost) -> {
           List<Frame> frames = resultFrames(answer);
-          if (lost) {
-            connection.sendPartly(frames);
+          if (answerLost) {
+            connection.sendTruncated(frames);
             return;
           }
           frames.forEach(connection::send);
@@ -158,11 +162,11 @@
     run(
         portal.statement(),
         portal.parameters(),
-        (answer, lost) -> {
-          portal.ran(answer);
+        (answer, answerLost) -> {
+          portal.setAnswer(answer);
           List<Frame> frames = portalFrames(portal, maximumRows);
-          if (lost) {
-            connection.sendPartly(frames);
+          if (answerLost) {
+            connection.sendTruncated(frames);
           } else {
             frames.forEach(connection::send);
           }
@@ -177,10 +181,10 @@
         new StatementTask.Listener() {
           @Override
           public void onAnswer(Execution.Answer answer, boolean answerLost) {
-            TransactionStatus reached = statusOf(session);
-            connection.onLoop(
+            TransactionStatus newStatus = statusOf(session);
+            connection.onEventLoop(
                 () -> {
-                  status = reached;
+                  status = newStatus;
                   queries.afterExecution(statement);
                   onAnswer.accept(answer, answerLost);
                   connection.resume();
@@ -189,10 +193,10 @@
 
           @Override
           public void onFailure(SqlException failure) {
-            TransactionStatus reached = statusOf(session);
-            connection.onLoop(
+            TransactionStatus newStatus = statusOf(session);
+            connection.onEventLoop(
                 () -> {
-                  status = reached;
+                  status = newStatus;
                   sendFailure(failure);
                   onFailure.run();
                   connection.resume();
@@ -200,7 +204,7 @@
           }
         };
     StatementTask task = StatementTask.of(session, statement, parameters, listener);
-    connection.onEngine(() -> connection.submit(task));
+    connection.onEngineThread(() -> connection.submit(task));
   }
 
   private void describe(ClientMessage.Describe describe) {
@@ -213,13 +217,13 @@
       statement = prepared.statement();
     }
     connection.suspend();
-    connection.onEngine(() -> describe(statement));
+    connection.onEngineThread(() -> describe(statement));
   }
 
   private void describe(Statement statement) {
     try {
       List<String> columns = connection.columns(statement);
-      connection.onLoop(
+      connection.onEventLoop(
           () -> {
             connection.send(
                 columns == null
@@ -229,10 +233,10 @@
           });
     } catch (SqlException failure) {
       connection.failTransaction();
-      TransactionStatus reached = statusOf(session);
-      connection.onLoop(
+      TransactionStatus newStatus = statusOf(session);
+      connection.onEventLoop(
           () -> {
-            status = reached;
+            status = newStatus;
             sendFailure(failure);
             skipToSync = true;
             connection.resume();
@@ -263,7 +267,7 @@
     List<Frame> frames = new ArrayList<>();
     portal.takeRows(maximumRows).forEach(row -> frames.add(messages.textRow(row)));
     frames.add(
-        portal.hasRows()
+        portal.hasUnsentRows()
             ? messages.empty(MessageType.PORTAL_SUSPENDED)
             : completion(portal.answer()));
     return frames;
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/package-info.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/protocol/package-info.java
@@ -1,2 +1,6 @@
-/** The PostgreSQL v3 front end of the stand-in's engine. */
+/**
+ * Serves the engine's servers to callers over the PostgreSQL v3 protocol: listening sockets,
+ * connections, prepared statements and the injected connection faults. Connections run on event
+ * loops and hand statements to the engine thread.
+ */
 package org.persimmonwalk.internal.standin.protocol;
--- a/standin/src/main/java/org/persimmonwalk/standin/ServerCounters.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/ServerCounters.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import java.util.Set;
-import org.persimmonwalk.internal.standin.protocol.CounterBook;
+import org.persimmonwalk.internal.standin.protocol.ServerCounterRecorder;
 
 /**
  * What callers did to a stand-in server since it started.
@@ -31,14 +31,14 @@
     startupParameters = Set.copyOf(startupParameters);
   }
 
-  static ServerCounters of(CounterBook.Reading reading) {
+  static ServerCounters of(ServerCounterRecorder.Values values) {
     return new ServerCounters(
-        reading.connections(),
-        reading.highestConnections(),
-        reading.statements(),
-        reading.highestConcurrentStatements(),
-        reading.statementsByUser(),
-        reading.passwords(),
-        reading.startupParameters());
+        values.connections(),
+        values.highestConnections(),
+        values.statements(),
+        values.highestConcurrentStatements(),
+        values.statementsByUser(),
+        values.passwords(),
+        values.startupParameters());
   }
 }
--- a/standin/src/main/java/org/persimmonwalk/standin/StandInGroup.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInGroup.java
@@ -16,7 +16,7 @@
 import org.persimmonwalk.internal.standin.engine.GroupEngine;
 import org.persimmonwalk.internal.standin.engine.StatementQueue;
 import org.persimmonwalk.internal.standin.engine.Timers;
-import org.persimmonwalk.internal.standin.protocol.CounterBook;
+import org.persimmonwalk.internal.standin.protocol.ServerCounterRecorder;
 import org.persimmonwalk.internal.standin.protocol.ServerFrontEnd;
 import org.persimmonwalk.model.SocketEndpoint;
 
@@ -75,10 +75,14 @@
 
   private void startServer(BackendServerId id, int port) {
     StandInGroupSettings.Delays delays = settings.delays();
-    CounterBook counters = CounterBook.create();
+    ServerCounterRecorder counters = ServerCounterRecorder.create();
     StatementQueue queue =
         StatementQueue.create(
-            engine, this::schedule, settings.slots(), delays.service(), counters::concurrent);
+            engine,
+            this::schedule,
+            settings.slots(),
+            delays.service(),
+            counters::recordOccupiedSlots);
     ServerFrontEnd server =
         ServerFrontEnd.create(
             id, engine, queue, counters, engineThread, settings.connections(), delays.connect());
@@ -154,7 +158,7 @@
 
   /** Kills the server; its connections are cut and its log survives. */
   public void kill(BackendServerId server) {
-    front(server).silence();
+    front(server).stopSending();
     onEngine(() -> engine.setRunning(server, false));
     front(server).kill();
   }
