Reword the comments of the stand-in platform's state and HTTP front end

"What the platform answers, free of its encoding", "a host list and the time from which it was true" and "slowness" now read "an answer of the platform, independent of HTTP and JSON", "the time since when it was current" and a request delay. The switches and the counter book are now called faults and a counter recorder, and the answers say what they report.

--- a/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformAnswer.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformAnswer.java
@@ -3,25 +3,25 @@
 import java.util.List;
 import org.persimmonwalk.model.HostEntry;
 
-/** What the platform answers, free of its encoding. */
+/** An answer of the platform, independent of HTTP and JSON. */
 public sealed interface PlatformAnswer {
 
-  /** The row exists. */
+  /** The row that was read. */
   record Row(long version, String content) implements PlatformAnswer {}
 
-  /** The row has the new content. */
+  /** The row was written and has the given version now. */
   record Written(long version) implements PlatformAnswer {}
 
-  /** The row has another version than expected. */
+  /** The row was not written, since its version, given here, is not the expected one. */
   record Conflict(long version) implements PlatformAnswer {}
 
-  /** The object exists. */
+  /** The object that was read. */
   record StoredObject(byte[] content) implements PlatformAnswer {}
 
-  /** The hosts as the lagging list shows them. */
+  /** The host list as of the configured lag ago. */
   record Hosts(List<HostEntry> hosts) implements PlatformAnswer {}
 
-  /** The object or the host was written. */
+  /** An object was written, or a host was added, replaced or removed. */
   record Done() implements PlatformAnswer {}
 
   /** The row or the object does not exist. */
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformHandler.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformHandler.java
@@ -19,53 +19,57 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-/** Serves the requests of one connection. */
+/**
+ * Handles the HTTP requests of one connection. Requests are parsed on the connection's event loop
+ * and carried out on the state thread.
+ */
 public final class PlatformHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final String ZONE_HEADER = "X-Availability-Zone";
   private static final byte[] NO_BODY = {};
 
   private final PlatformState state;
-  private final PlatformSwitches switches;
-  private final PlatformCounterBook counters;
+  private final PlatformFaults faults;
+  private final PlatformCounterRecorder counters;
   private final ScheduledExecutorService stateThread;
   private final PlatformJson json = PlatformJson.create();
 
   private PlatformHandler(
       PlatformState state,
-      PlatformSwitches switches,
-      PlatformCounterBook counters,
+      PlatformFaults faults,
+      PlatformCounterRecorder counters,
       ScheduledExecutorService stateThread) {
     this.state = state;
-    this.switches = switches;
+    this.faults = faults;
     this.counters = counters;
     this.stateThread = stateThread;
   }
 
-  /** Returns a handler that uses the state on the given thread only. */
+  /** Returns a handler that reads and changes the state only on the given thread. */
   public static PlatformHandler of(
       PlatformState state,
-      PlatformSwitches switches,
-      PlatformCounterBook counters,
+      PlatformFaults faults,
+      PlatformCounterRecorder counters,
       ScheduledExecutorService stateThread) {
-    return new PlatformHandler(state, switches, counters, stateThread);
+    return new PlatformHandler(state, faults, counters, stateThread);
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     String zone = request.headers().get(ZONE_HEADER, "");
-    PlatformSwitches.Treatment treatment = switches.treatment(zone);
-    Duration slowness = switches.slowness();
-    counters.arrived(zone);
+    PlatformFaults.Treatment treatment = faults.treatment(zone);
+    Duration requestDelay = faults.requestDelay();
+    counters.recordRequest(zone);
     switch (treatment) {
       case REFUSE -> send(context, HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY);
-      case SERVE -> serve(context, request, slowness);
+      case SERVE -> serve(context, request, requestDelay);
       default -> {
-        // A caller behind a partition gets neither an answer nor the end of its connection.
+        // As during a network partition, there is no answer and the connection stays open.
       }
     }
   }
 
-  private void serve(ChannelHandlerContext context, FullHttpRequest request, Duration slowness) {
+  private void serve(
+      ChannelHandlerContext context, FullHttpRequest request, Duration requestDelay) {
     byte[] body = ByteBufUtil.getBytes(request.content());
     Optional<PlatformRequest> parsed;
     try {
@@ -79,14 +83,14 @@
       return;
     }
     Runnable action = () -> carryOut(context, parsed.get());
-    stateThread.schedule(action, slowness.toNanos(), TimeUnit.NANOSECONDS);
+    stateThread.schedule(action, requestDelay.toNanos(), TimeUnit.NANOSECONDS);
   }
 
   private void carryOut(ChannelHandlerContext context, PlatformRequest request) {
     PlatformAnswer answer = state.apply(request);
-    counters.carriedOut(request, answer);
-    if (request.isWrite() && switches.takeLostAnswer()) {
-      counters.answerLost();
+    counters.recordOutcome(request, answer);
+    if (request.isWrite() && faults.consumeAnswerLoss()) {
+      counters.recordLostAnswer();
       context.close();
       return;
     }
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformJson.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformJson.java
@@ -13,7 +13,7 @@
 import org.persimmonwalk.model.HostEntry;
 import org.persimmonwalk.model.SocketEndpoint;
 
-/** Reads requests from paths and JSON, and writes answers as JSON. */
+/** Parses requests from HTTP methods, paths and JSON bodies, and encodes answers as JSON. */
 final class PlatformJson {
   private static final String VERSION = "version";
   private static final String LEAVING = "leaving";
@@ -26,7 +26,13 @@
     return new PlatformJson();
   }
 
-  /** Returns the request, empty if there is no such path or method. */
+  /**
+   * Returns the request, or nothing if the platform has no such path or method.
+   *
+   * @param path the decoded segments of the path
+   * @throws IOException if the body is malformed
+   * @throws IllegalArgumentException if an id, a zone or an endpoint is invalid
+   */
   Optional<PlatformRequest> request(String method, List<String> path, byte[] body)
       throws IOException {
     String key = method + " " + path.get(0) + "/" + (path.size() - 1);
@@ -43,7 +49,7 @@
     };
   }
 
-  /** Returns the body of an answer. */
+  /** Returns the HTTP body of an answer. */
   byte[] body(PlatformAnswer answer) {
     if (answer instanceof PlatformAnswer.StoredObject object) {
       return object.content();
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformRequest.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformRequest.java
@@ -3,7 +3,7 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.HostEntry;
 
-/** A request to the platform, free of its encoding. */
+/** A request to the platform, independent of HTTP and JSON. */
 public sealed interface PlatformRequest {
 
   /** Returns whether the request changes state. */
@@ -37,7 +37,7 @@
   /** Lists the hosts. */
   record ListHosts() implements PlatformRequest {}
 
-  /** Adds or replaces a host of the list. */
+  /** Adds a host to the list, or replaces the one with its id. */
   record PutHost(HostEntry host) implements PlatformRequest {
     @Override
     public boolean isWrite() {
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformState.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformState.java
@@ -12,22 +12,22 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.port.MonotonicClock;
 
-/** The tables, objects and hosts of the platform; one thread uses them. */
+/** The tables, objects and host list of the platform. Used on the state thread. */
 public final class PlatformState {
 
-  /** A host list and the time from which it was true. */
+  /** A host list and the time since when it is, or was, current. */
   private record DatedHosts(List<HostEntry> hosts, MonotonicTime since) {}
 
   private final MonotonicClock clock;
   private final Map<String, PlatformAnswer.Row> rows = new HashMap<>();
   private final Map<String, byte[]> objects = new HashMap<>();
   private final Map<EntryHostId, HostEntry> hosts = new TreeMap<>();
-  private final Deque<DatedHosts> history = new ArrayDeque<>();
-  private Duration hostLag = Duration.ZERO;
+  private final Deque<DatedHosts> hostListHistory = new ArrayDeque<>();
+  private Duration hostListLag = Duration.ZERO;
 
   private PlatformState(MonotonicClock clock) {
     this.clock = clock;
-    history.add(new DatedHosts(List.of(), clock.now()));
+    hostListHistory.add(new DatedHosts(List.of(), clock.now()));
   }
 
   /** Returns a state without rows, objects and hosts. */
@@ -35,30 +35,30 @@
     return new PlatformState(clock);
   }
 
-  /** Sets by how much the list of hosts is behind. */
-  public void setHostLag(Duration lag) {
-    hostLag = lag;
+  /** Sets by how much the host list that callers read lags behind the changes. */
+  public void setHostListLag(Duration lag) {
+    hostListLag = lag;
   }
 
-  /** Carries out a request. */
+  /** Carries out a request and returns its answer. */
   public PlatformAnswer apply(PlatformRequest request) {
     if (request instanceof PlatformRequest.ReadRow read) {
-      return present(rows.get(rowName(read.table(), read.row())));
+      return orAbsent(rows.get(rowName(read.table(), read.row())));
     } else if (request instanceof PlatformRequest.WriteRow write) {
       return writeRow(write);
     } else if (request instanceof PlatformRequest.ReadObject read) {
       byte[] content = objects.get(read.name());
-      return present(content == null ? null : new PlatformAnswer.StoredObject(content));
+      return orAbsent(content == null ? null : new PlatformAnswer.StoredObject(content));
     } else if (request instanceof PlatformRequest.WriteObject write) {
       objects.put(write.name(), write.content());
     } else if (request instanceof PlatformRequest.PutHost put) {
       hosts.put(put.host().id(), put.host());
-      noteHosts();
+      recordHosts();
     } else if (request instanceof PlatformRequest.RemoveHost remove) {
       hosts.remove(remove.host());
-      noteHosts();
+      recordHosts();
     } else {
-      return new PlatformAnswer.Hosts(shownHosts());
+      return new PlatformAnswer.Hosts(visibleHosts());
     }
     return new PlatformAnswer.Done();
   }
@@ -74,22 +74,22 @@
     return new PlatformAnswer.Written(version + 1);
   }
 
-  private void noteHosts() {
-    history.add(new DatedHosts(List.copyOf(hosts.values()), clock.now()));
+  private void recordHosts() {
+    hostListHistory.add(new DatedHosts(List.copyOf(hosts.values()), clock.now()));
   }
 
-  /** Returns the newest list that is older than the lag, and forgets the ones before it. */
-  private List<HostEntry> shownHosts() {
-    MonotonicTime shownTime = clock.now().minus(hostLag);
-    DatedHosts shown = history.remove();
-    while (!history.isEmpty() && !history.peek().since().isAfter(shownTime)) {
-      shown = history.remove();
+  /** Returns the list that was current {@code hostListLag} ago, and discards the older ones. */
+  private List<HostEntry> visibleHosts() {
+    MonotonicTime visibleTime = clock.now().minus(hostListLag);
+    DatedHosts visible = hostListHistory.remove();
+    while (!hostListHistory.isEmpty() && !hostListHistory.peek().since().isAfter(visibleTime)) {
+      visible = hostListHistory.remove();
     }
-    history.addFirst(shown);
-    return shown.hosts();
+    hostListHistory.addFirst(visible);
+    return visible.hosts();
   }
 
-  private static PlatformAnswer present(PlatformAnswer answer) {
+  private static PlatformAnswer orAbsent(PlatformAnswer answer) {
     return answer == null ? new PlatformAnswer.Absent() : answer;
   }
 
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/platform/package-info.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/platform/package-info.java
@@ -1,2 +1,5 @@
-/** The state and the HTTP front end of the stand-in platform. */
+/**
+ * Implements the stand-in platform behind {@link org.persimmonwalk.standin.StandInPlatform}: its
+ * tables, objects and host list, the HTTP and JSON front end, and the faults injected into it.
+ */
 package org.persimmonwalk.internal.standin.platform;
--- a/standin/src/main/java/org/persimmonwalk/standin/PlatformCounters.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/PlatformCounters.java
@@ -1,7 +1,7 @@
 package org.persimmonwalk.standin;
 
 import java.util.Map;
-import org.persimmonwalk.internal.standin.platform.PlatformCounterBook;
+import org.persimmonwalk.internal.standin.platform.PlatformCounterRecorder;
 
 /**
  * What callers asked of a stand-in platform since it started.
@@ -26,13 +26,13 @@
     requestsByZone = Map.copyOf(requestsByZone);
   }
 
-  static PlatformCounters of(PlatformCounterBook.Reading reading) {
+  static PlatformCounters of(PlatformCounterRecorder.Values values) {
     return new PlatformCounters(
-        reading.requests(),
-        reading.reads(),
-        reading.writes(),
-        reading.conflicts(),
-        reading.lostAnswers(),
-        reading.requestsByZone());
+        values.requests(),
+        values.reads(),
+        values.writes(),
+        values.conflicts(),
+        values.lostAnswers(),
+        values.requestsByZone());
   }
 }
--- a/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
@@ -19,11 +19,11 @@
 import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
-import org.persimmonwalk.internal.standin.platform.PlatformCounterBook;
+import org.persimmonwalk.internal.standin.platform.PlatformCounterRecorder;
+import org.persimmonwalk.internal.standin.platform.PlatformFaults;
 import org.persimmonwalk.internal.standin.platform.PlatformHandler;
 import org.persimmonwalk.internal.standin.platform.PlatformRequest;
 import org.persimmonwalk.internal.standin.platform.PlatformState;
-import org.persimmonwalk.internal.standin.platform.PlatformSwitches;
 import org.persimmonwalk.model.HostEntry;
 import org.persimmonwalk.model.SocketEndpoint;
 
@@ -41,8 +41,8 @@
 public final class StandInPlatform implements AutoCloseable {
   private static final String LOOPBACK = "127.0.0.1";
 
-  private final PlatformSwitches switches = PlatformSwitches.create();
-  private final PlatformCounterBook counters = PlatformCounterBook.create();
+  private final PlatformFaults faults = PlatformFaults.create();
+  private final PlatformCounterRecorder counters = PlatformCounterRecorder.create();
   private final ScheduledExecutorService stateThread;
   private final EventLoopGroup loops;
   private final PlatformState state;
@@ -91,7 +91,7 @@
                         .addLast(
                             new HttpServerCodec(),
                             new HttpObjectAggregator(settings.maximumRequestBytes()),
-                            PlatformHandler.of(state, switches, counters, stateThread));
+                            PlatformHandler.of(state, faults, counters, stateThread));
                   }
                 });
     return bootstrap.bind(LOOPBACK, settings.port()).syncUninterruptibly().channel();
@@ -117,27 +117,27 @@
 
   /** Starts or ends an outage for all callers. */
   public void setOutage(PlatformOutage outage) {
-    switches.setTreatment(treatment(outage));
+    faults.setTreatment(treatment(outage));
   }
 
   /** Starts or ends an outage for the callers that state the given zone. */
   public void setOutage(AvailabilityZone zone, PlatformOutage outage) {
-    switches.setTreatment(zone.value(), treatment(outage));
+    faults.setTreatment(zone.value(), treatment(outage));
   }
 
   /** Sets the time that each request waits before it is carried out. */
   public void setSlowness(Duration time) {
-    switches.setSlowness(time);
+    faults.setRequestDelay(time);
   }
 
   /** Ends connections without an answer after the next writes took effect. */
   public void loseNextAnswers(int count) {
-    switches.loseAnswers(count);
+    faults.loseNextAnswers(count);
   }
 
   /** Sets by how much the list of hosts is behind. */
   public void setHostListLag(Duration lag) {
-    onStateThread(() -> state.setHostLag(lag));
+    onStateThread(() -> state.setHostListLag(lag));
   }
 
   /** Adds or replaces a host of the list. */
@@ -160,11 +160,11 @@
     CompletableFuture.runAsync(action, stateThread).join();
   }
 
-  private static PlatformSwitches.Treatment treatment(PlatformOutage outage) {
+  private static PlatformFaults.Treatment treatment(PlatformOutage outage) {
     return switch (outage) {
-      case NONE -> PlatformSwitches.Treatment.SERVE;
-      case REFUSED -> PlatformSwitches.Treatment.REFUSE;
-      case SILENT -> PlatformSwitches.Treatment.IGNORE;
+      case NONE -> PlatformFaults.Treatment.SERVE;
+      case REFUSED -> PlatformFaults.Treatment.REFUSE;
+      case SILENT -> PlatformFaults.Treatment.IGNORE;
     };
   }
 }
