Reword the comments of the stand-ins' public types

"The times that things take", "what callers did to a stand-in server" and "Guards against a host list that lags for ever" now say which delays, counts and failures are meant. The two stand-ins say who uses them and from which threads. setSlowness is now setRequestDelay, as it delays each request. Settings that are refused now name the values that were given.

--- a/standin/src/main/java/org/persimmonwalk/standin/PlatformCounters.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/PlatformCounters.java
@@ -4,14 +4,14 @@
 import org.persimmonwalk.internal.standin.platform.PlatformCounterRecorder;
 
 /**
- * What callers asked of a stand-in platform since it started.
+ * The requests to a stand-in platform since it started.
  *
- * @param requests the requests that arrived, also during outages
+ * @param requests the requests that arrived, including those during outages
  * @param reads the reads carried out
- * @param writes the writes carried out, including those that met a conflict
- * @param conflicts the writes that met another version than expected
- * @param lostAnswers the answers lost after a write took effect
- * @param requestsByZone the requests by the zone that the caller stated
+ * @param writes the writes carried out, including those that ended in a conflict
+ * @param conflicts the writes refused since the row had another version than expected
+ * @param lostAnswers the writes that were carried out but whose answer was withheld
+ * @param requestsByZone the requests by the zone of their zone header, empty if there was none
  */
 public record PlatformCounters(
     long requests,
--- a/standin/src/main/java/org/persimmonwalk/standin/PlatformOutage.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/PlatformOutage.java
@@ -1,11 +1,11 @@
 package org.persimmonwalk.standin;
 
-/** How the stand-in platform fails. */
+/** How the stand-in platform treats requests during an outage. */
 public enum PlatformOutage {
-  /** The platform serves requests. */
+  /** No outage: the platform serves requests. */
   NONE,
   /** The platform answers each request with status 503. */
   REFUSED,
-  /** The platform answers nothing, as behind a partition. */
+  /** The platform neither answers nor closes connections, as during a network partition. */
   SILENT
 }
--- a/standin/src/main/java/org/persimmonwalk/standin/ServerCounters.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/ServerCounters.java
@@ -5,15 +5,15 @@
 import org.persimmonwalk.internal.standin.protocol.ServerCounterRecorder;
 
 /**
- * What callers did to a stand-in server since it started.
+ * The connections and statements at a stand-in server since it started.
  *
- * @param connections the connections that are open
- * @param highestConnections the most connections that were open at once
+ * @param connections the connections that are open now
+ * @param highestConnections the highest number of connections open at once
  * @param statements the statements submitted, including those that failed
- * @param highestConcurrentStatements the most slots that were occupied at once
- * @param statementsByUser the statements by user of the start-up message
+ * @param highestConcurrentStatements the highest number of slots occupied at once
+ * @param statementsByUser the statements by the user that the start-up message names
  * @param passwords the distinct passwords received
- * @param startupParameters the distinct parameters of start-up messages
+ * @param startupParameters the distinct parameter sets of the start-up messages
  */
 public record ServerCounters(
     int connections,
--- a/standin/src/main/java/org/persimmonwalk/standin/StandInGroup.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInGroup.java
@@ -22,8 +22,9 @@
 
 /**
  * A replicated database group of in-process servers that speak the PostgreSQL v3 protocol on
- * loopback. One thread runs the engine; two event loops serve all connections. Each switch has
- * taken effect when its method returns.
+ * loopback, for tests and the demo. One thread runs the engine; two event loops serve all
+ * connections. The methods may be called from any other thread; a fault or setting has taken effect
+ * when its method returns.
  *
  * <p>Example:
  *
@@ -40,7 +41,7 @@
   private final ScheduledExecutorService engineThread;
   private final EventLoopGroup loops;
   private final GroupEngine engine;
-  private final Map<BackendServerId, ServerFrontEnd> servers = new LinkedHashMap<>();
+  private final Map<BackendServerId, ServerFrontEnd> frontEnds = new LinkedHashMap<>();
 
   private StandInGroup(StandInGroupSettings settings) {
     this.settings = settings;
@@ -56,7 +57,7 @@
   }
 
   /**
-   * Starts a group.
+   * Starts a group whose first server is the primary.
    *
    * @throws RuntimeException if a port is in use
    */
@@ -86,7 +87,7 @@
     ServerFrontEnd server =
         ServerFrontEnd.create(
             id, engine, queue, counters, engineThread, settings.connections(), delays.connect());
-    servers.put(id, server);
+    frontEnds.put(id, server);
     server.listen(loops, port);
     setReceiveDelay(id, delays.receive());
     setReplayLag(id, delays.replay());
@@ -100,79 +101,83 @@
 
   /** Returns the address of a server; it stays the same after a restart. */
   public SocketEndpoint endpoint(BackendServerId server) {
-    return front(server).endpoint();
+    return frontEnd(server).endpoint();
   }
 
   /** Returns the counters of a server. */
   public ServerCounters counters(BackendServerId server) {
-    return ServerCounters.of(front(server).counters().read());
+    return ServerCounters.of(frontEnd(server).counters().read());
   }
 
-  /** Sets the time between a commit and its arrival at the server. */
+  /** Sets the time between a commit on the primary and its arrival in the server's log. */
   public void setReceiveDelay(BackendServerId server, Duration delay) {
-    onEngine(() -> engine.setReceiveDelay(server, delay));
+    onEngineThread(() -> engine.setReceiveDelay(server, delay));
   }
 
   /** Sets the receive delay of all servers. */
   public void setReceiveDelay(Duration delay) {
-    servers.keySet().forEach(server -> setReceiveDelay(server, delay));
+    frontEnds.keySet().forEach(server -> setReceiveDelay(server, delay));
   }
 
-  /** Sets the time between the arrival of a commit at the server and its visibility there. */
+  /** Sets the time between a commit's arrival in the server's log and its visibility to reads. */
   public void setReplayLag(BackendServerId server, Duration lag) {
-    onEngine(() -> engine.setReplayLag(server, lag));
+    onEngineThread(() -> engine.setReplayLag(server, lag));
   }
 
   /** Sets the replay lag of all servers. */
   public void setReplayLag(Duration lag) {
-    servers.keySet().forEach(server -> setReplayLag(server, lag));
+    frontEnds.keySet().forEach(server -> setReplayLag(server, lag));
   }
 
-  /** Sets the time that a table statement occupies a slot of the server. */
+  /** Sets how long each statement that reads or writes a table occupies a slot of the server. */
   public void setServiceTime(BackendServerId server, Duration time) {
-    onEngine(() -> front(server).queue().setServiceTime(time));
+    onEngineThread(() -> frontEnd(server).queue().setServiceTime(time));
   }
 
   /** Cuts the server off from the other servers of the group, or connects it again. */
   public void setIsolatedFromPeers(BackendServerId server, boolean isolated) {
-    onEngine(() -> engine.setIsolated(server, isolated));
+    onEngineThread(() -> engine.setIsolated(server, isolated));
   }
 
   /**
-   * Exchanges no data between the server and the callers whose backend user or {@code
-   * application_name} start-up parameter is in the set; an empty set ends the isolation.
+   * Isolates the server from the callers whose {@code user} or {@code application_name} start-up
+   * parameter is in the set: their connections stay open, but no messages are handled or sent. The
+   * set replaces the one of the last call; an empty set ends the isolation.
    */
   public void isolateFromCallers(BackendServerId server, Set<String> callers) {
-    front(server).isolateCallers(callers);
+    frontEnd(server).isolateCallers(callers);
   }
 
-  /** Stops the server's process: it accepts nothing and answers nothing until it resumes. */
+  /**
+   * Suspends the server, or resumes it. While suspended it accepts no connections, handles no
+   * messages and neither receives nor replays log records.
+   */
   public void setPaused(BackendServerId server, boolean paused) {
-    onEngine(
+    onEngineThread(
         () -> {
           engine.setPaused(server, paused);
-          front(server).queue().setPaused(paused);
+          frontEnd(server).queue().setPaused(paused);
         });
-    front(server).setPaused(paused);
+    frontEnd(server).setPaused(paused);
   }
 
-  /** Kills the server; its connections are cut and its log survives. */
+  /** Kills the server: its connections close without an error message, its log survives. */
   public void kill(BackendServerId server) {
-    front(server).stopSending();
-    onEngine(() -> engine.setRunning(server, false));
-    front(server).kill();
+    frontEnd(server).stopSending();
+    onEngineThread(() -> engine.setRunning(server, false));
+    frontEnd(server).kill();
   }
 
-  /** Starts a killed server again, at the same address and in the role that it had. */
+  /** Restarts a killed server at the same address and in the role that it had. */
   public void restart(BackendServerId server) {
-    ServerFrontEnd front = front(server);
-    front.listen(loops, front.endpoint().port());
-    onEngine(() -> engine.setRunning(server, true));
+    ServerFrontEnd frontEnd = frontEnd(server);
+    frontEnd.listen(loops, frontEnd.endpoint().port());
+    onEngineThread(() -> engine.setRunning(server, true));
   }
 
-  /** Ends the server's connections with SQLSTATE 57P01; the server goes on. */
+  /** Closes the server's connections with SQLSTATE 57P01; the server goes on accepting new ones. */
   public void terminateConnections(BackendServerId server) {
-    front(server).terminateConnections();
+    frontEnd(server).terminateConnections();
   }
 
   /**
@@ -180,7 +185,7 @@
    * commit, after the statement took effect.
    */
   public void loseNextAnswer(BackendServerId server) {
-    onEngine(() -> front(server).queue().loseNextAnswer());
+    onEngineThread(() -> frontEnd(server).queue().loseNextAnswer());
   }
 
   @Override
@@ -189,15 +194,15 @@
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
-  private ServerFrontEnd front(BackendServerId server) {
-    ServerFrontEnd front = servers.get(server);
-    if (front == null) {
+  private ServerFrontEnd frontEnd(BackendServerId server) {
+    ServerFrontEnd frontEnd = frontEnds.get(server);
+    if (frontEnd == null) {
       throw new IllegalArgumentException("the group has no server " + server);
     }
-    return front;
+    return frontEnd;
   }
 
-  private void onEngine(Runnable action) {
+  private void onEngineThread(Runnable action) {
     CompletableFuture.runAsync(action, engineThread).join();
   }
 }
--- a/standin/src/main/java/org/persimmonwalk/standin/StandInGroupSettings.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInGroupSettings.java
@@ -7,14 +7,14 @@
 import org.persimmonwalk.port.MonotonicClock;
 
 /**
- * How a stand-in group starts.
+ * The initial settings of a stand-in group.
  *
  * @param servers the servers; the first is the primary of term 1
- * @param ports the ports in the order of the servers, 0 for free ones
- * @param slots the statements that each server runs at once
- * @param connections the connections that each server accepts
- * @param delays the times that things take
- * @param clock the clock of log shipping and replay
+ * @param ports the port of each server, in the order of the servers; 0 selects a free one
+ * @param slots the number of table statements that each server runs at once
+ * @param connections the number of connections that each server accepts
+ * @param delays the simulated delays
+ * @param clock the clock by which commits are received and replayed
  */
 public record StandInGroupSettings(
     List<BackendServerId> servers,
@@ -25,20 +25,20 @@
     MonotonicClock clock) {
 
   /**
-   * The times that things take.
+   * The simulated delays of a group.
    *
-   * @param connect from the password to the first ready-for-query of a connection
-   * @param service the time that a table statement occupies a slot
-   * @param receive from a commit to its arrival at a replica
-   * @param replay from the arrival of a commit at a replica to its visibility there
+   * @param connect from the password message to the first ready-for-query message of a connection
+   * @param service how long a table statement occupies a slot
+   * @param receive from a commit to its arrival in a replica's log
+   * @param replay from a commit's arrival in a replica's log to its visibility to reads there
    */
   public record Delays(Duration connect, Duration service, Duration receive, Duration replay) {
 
-    /** Nothing takes time. */
+    /** No delays. */
     public static final Delays NONE =
         new Delays(Duration.ZERO, Duration.ZERO, Duration.ZERO, Duration.ZERO);
 
-    /** Checks that all times are present. */
+    /** Checks that no delay is null. */
     public Delays {
       Objects.requireNonNull(connect, "connect");
       Objects.requireNonNull(service, "service");
@@ -50,17 +50,25 @@
   private static final int DEFAULT_SLOTS = 3;
   private static final int DEFAULT_CONNECTIONS = 50;
 
-  /** Checks the numbers. */
+  /** Checks that there is a port for each server and that the limits are positive. */
   public StandInGroupSettings {
     servers = List.copyOf(servers);
     ports = List.copyOf(ports);
     Objects.requireNonNull(delays, "delays");
     Objects.requireNonNull(clock, "clock");
     if (servers.isEmpty() || ports.size() != servers.size()) {
-      throw new IllegalArgumentException("a group needs at least one server and a port for each");
+      throw new IllegalArgumentException(
+          "a group needs at least one server and a port for each, not servers "
+              + servers
+              + " and ports "
+              + ports);
     }
     if (slots < 1 || connections < 1) {
-      throw new IllegalArgumentException("a server needs at least one slot and one connection");
+      throw new IllegalArgumentException(
+          "a server needs at least one slot and one connection, not "
+              + slots
+              + " and "
+              + connections);
     }
   }
 
@@ -77,7 +85,7 @@
     return new StandInGroupSettings(servers, other, slots, connections, delays, clock);
   }
 
-  /** Returns the settings with other limits per server. */
+  /** Returns the settings with another number of slots and of connections per server. */
   public StandInGroupSettings withLimits(int otherSlots, int otherConnections) {
     return new StandInGroupSettings(servers, ports, otherSlots, otherConnections, delays, clock);
   }
--- a/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
@@ -28,7 +28,9 @@
 import org.persimmonwalk.model.SocketEndpoint;
 
 /**
- * The platform's table service, object store and host list over HTTP and JSON on loopback.
+ * The platform's table service, object store and host list over HTTP and JSON on loopback, for
+ * tests and the demo. One thread reads and changes the state; one event loop serves all
+ * connections. The methods may be called from any other thread.
  *
  * <p>Example:
  *
@@ -67,7 +69,7 @@
   }
 
   /**
-   * Starts a platform without rows, objects and hosts.
+   * Starts a platform without rows, objects or hosts.
    *
    * @throws RuntimeException if the port is in use
    */
@@ -108,14 +110,14 @@
   }
 
   /**
-   * Waits until the given number of requests has arrived since the start. Later changes of the
-   * switches do not concern these requests.
+   * Waits until the given number of requests has arrived since the start. Faults that are set later
+   * do not affect these requests.
    */
   public void awaitRequests(long count) throws InterruptedException {
     counters.awaitRequests(count);
   }
 
-  /** Starts or ends an outage for all callers. */
+  /** Starts or ends an outage for all callers; it takes precedence over outages of single zones. */
   public void setOutage(PlatformOutage outage) {
     faults.setTreatment(treatment(outage));
   }
@@ -125,22 +127,24 @@
     faults.setTreatment(zone.value(), treatment(outage));
   }
 
-  /** Sets the time that each request waits before it is carried out. */
-  public void setSlowness(Duration time) {
+  /** Sets the delay before each request is carried out. */
+  public void setRequestDelay(Duration time) {
     faults.setRequestDelay(time);
   }
 
-  /** Ends connections without an answer after the next writes took effect. */
+  /**
+   * Makes the given number of next writes take effect but close the connection without an answer.
+   */
   public void loseNextAnswers(int count) {
     faults.loseNextAnswers(count);
   }
 
-  /** Sets by how much the list of hosts is behind. */
+  /** Sets by how much the host list that callers read lags behind the changes. */
   public void setHostListLag(Duration lag) {
     onStateThread(() -> state.setHostListLag(lag));
   }
 
-  /** Adds or replaces a host of the list. */
+  /** Adds a host to the list, or replaces the one with its id. */
   public void putHost(HostEntry host) {
     onStateThread(() -> state.apply(new PlatformRequest.PutHost(host)));
   }
--- a/standin/src/main/java/org/persimmonwalk/standin/StandInPlatformSettings.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInPlatformSettings.java
@@ -4,20 +4,24 @@
 import org.persimmonwalk.port.MonotonicClock;
 
 /**
- * How a stand-in platform starts.
+ * The initial settings of a stand-in platform.
  *
- * @param port the port, 0 for a free one
+ * @param port the port; 0 selects a free one
  * @param maximumRequestBytes the largest request body accepted; larger ones get status 413
- * @param clock the clock of the host list's lag
+ * @param clock the clock that measures the lag of the host list
  */
 public record StandInPlatformSettings(int port, int maximumRequestBytes, MonotonicClock clock) {
   private static final int DEFAULT_REQUEST_BYTES = 1024 * 1024;
 
-  /** Checks the numbers. */
+  /** Checks the ranges of the port and the request size. */
   public StandInPlatformSettings {
     Objects.requireNonNull(clock, "clock");
     if (port < 0 || maximumRequestBytes < 1) {
-      throw new IllegalArgumentException("the port or the request size is out of range");
+      throw new IllegalArgumentException(
+          "the port must be at least 0 and the request size at least 1, not "
+              + port
+              + " and "
+              + maximumRequestBytes);
     }
   }
 
@@ -31,7 +35,7 @@
     return new StandInPlatformSettings(other, maximumRequestBytes, clock);
   }
 
-  /** Returns the settings with another limit of request bodies. */
+  /** Returns the settings with another maximum size of request bodies. */
   public StandInPlatformSettings withMaximumRequestBytes(int other) {
     return new StandInPlatformSettings(port, other, clock);
   }
--- a/standin/src/test/java/org/persimmonwalk/standin/StandInSwitchesTest.java
+++ b/standin/src/test/java/org/persimmonwalk/standin/StandInFaultsTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.id.BackendServerId;
 
-class StandInSwitchesTest {
+class StandInFaultsTest {
   private static final BackendServerId A = BackendServerId.of("a");
   private static final BackendServerId B = BackendServerId.of("b");
 
@@ -37,9 +37,9 @@
     group.close();
   }
 
-  /** Guards against an isolated caller that is served, and against others that are not. */
+  /** Guards against serving an isolated caller, and against not serving the other callers. */
   @Test
-  void shouldServeNoIsolatedCaller() throws SQLException {
+  void shouldNotServeIsolatedCallers() throws SQLException {
     try (Connection byUser = connect(A, "host-1");
         Connection byApplication = connect(A, "host-2", "monitor");
         Connection other = connect(A, "host-2")) {
@@ -59,7 +59,9 @@
     }
   }
 
-  /** Guards against held messages that stay unanswered after an isolation or a pause. */
+  /**
+   * Guards against messages that stay unanswered after the isolation or pause that held them back.
+   */
   @Test
   void shouldAnswerHeldMessages() throws SQLException {
     try (Connection connection = connect(A, "host-1")) {
@@ -106,7 +108,7 @@
     }
   }
 
-  /** Guards against connections that survive an administrator's command. */
+  /** Guards against connections that stay open after they were terminated. */
   @Test
   void shouldTerminateConnections() throws SQLException {
     try (Connection connection = connect(A, "host-1")) {
@@ -117,7 +119,9 @@
     }
   }
 
-  /** The server never answers, so the wait ends the same way however long it is. */
+  /**
+   * Expects a read timeout. The server never answers, so the result does not depend on its length.
+   */
   private static void assertNoAnswer(Connection connection) throws SQLException {
     connection.setNetworkTimeout(Runnable::run, 300);
     assertThatThrownBy(() -> body(connection)).hasRootCauseInstanceOf(SocketTimeoutException.class);
--- a/standin/src/test/java/org/persimmonwalk/standin/StandInGroupTest.java
+++ b/standin/src/test/java/org/persimmonwalk/standin/StandInGroupTest.java
@@ -27,7 +27,7 @@
     group.close();
   }
 
-  /** Guards against messages of the extended protocol that the JDBC driver does not understand. */
+  /** Guards against extended query protocol answers that the JDBC driver does not understand. */
   @Test
   void shouldServeTheJdbcDriver() throws SQLException {
     try (Connection connection = connect(A)) {
@@ -48,7 +48,10 @@
     }
   }
 
-  /** Guards against server-side prepared statements that differ from the first executions. */
+  /**
+   * Guards against executions of a named prepared statement that differ from the first, unnamed
+   * ones.
+   */
   @Test
   void shouldReuseNamedStatements() throws SQLException {
     try (Connection connection = connect(A)) {
@@ -68,7 +71,9 @@
     }
   }
 
-  /** Guards against transactions that other connections see, or that outlive a failure. */
+  /**
+   * Guards against uncommitted writes that others see, and against statements after a failed one.
+   */
   @Test
   void shouldKeepTransactionsApart() throws SQLException {
     try (Connection writer = connect(A);
@@ -100,7 +105,7 @@
     }
   }
 
-  /** Guards against a lost answer whose statement has no effect, and against late sockets. */
+  /** Guards against a lost answer whose statement has no effect, or whose connection stays open. */
   @Test
   void shouldLoseAnAnswerAfterTheEffect() throws SQLException {
     try (Connection first = connect(A)) {
--- a/standin/src/test/java/org/persimmonwalk/standin/StandInPlatformTest.java
+++ b/standin/src/test/java/org/persimmonwalk/standin/StandInPlatformTest.java
@@ -45,7 +45,7 @@
     assertThat(platform.counters().conflicts()).isOne();
   }
 
-  /** Guards against malformed and oversized requests that are carried out. */
+  /** Guards against carrying out malformed or oversized requests. */
   @Test
   void shouldRefuseMalformedRequests() throws Exception {
     assertThat(put("/tables/share/tanks", "{\"content\":{}}").statusCode()).isEqualTo(400);
@@ -55,7 +55,7 @@
     assertThat(platform.counters().writes()).isZero();
   }
 
-  /** Guards against objects that come back changed. */
+  /** Guards against objects that are read with other content than was written. */
   @Test
   void shouldStoreObjects() throws Exception {
     assertThat(get("/objects/configuration-1").statusCode()).isEqualTo(404);
@@ -72,7 +72,7 @@
     assertThat(platform.counters().lostAnswers()).isOne();
   }
 
-  /** Guards against an outage of one zone that other zones notice. */
+  /** Guards against an outage of one zone that affects the callers of another. */
   @Test
   void shouldRefuseOnlyTheChosenZone() throws Exception {
     platform.setOutage(AvailabilityZone.of("north"), PlatformOutage.REFUSED);
@@ -88,23 +88,23 @@
         .containsEntry("south", 2L);
   }
 
-  /** Guards against a silent or slow platform that carries out what it should hold back. */
+  /** Guards against a silent or delayed platform that carries out requests at once. */
   @Test
   void shouldHoldRequestsBack() throws Exception {
     platform.setOutage(PlatformOutage.SILENT);
     CompletableFuture<HttpResponse<String>> ignored = client.sendAsync(row(0, 10), asText());
     platform.awaitRequests(1);
     platform.setOutage(PlatformOutage.NONE);
-    platform.setSlowness(Duration.ofDays(1));
+    platform.setRequestDelay(Duration.ofDays(1));
     CompletableFuture<HttpResponse<String>> slow = client.sendAsync(row(0, 20), asText());
     platform.awaitRequests(2);
-    platform.setSlowness(Duration.ZERO);
+    platform.setRequestDelay(Duration.ZERO);
     assertThat(get("/tables/share/tanks").statusCode()).isEqualTo(404);
     assertThat(ignored).isNotDone();
     assertThat(slow).isNotDone();
   }
 
-  /** Guards against a host list that does not lag, or lags for ever. */
+  /** Guards against a host list that shows changes before the lag has passed, or never. */
   @Test
   void shouldShowHostsWithALag() throws Exception {
     HostEntry host =
--- a/standin/src/test/java/org/persimmonwalk/standin/package-info.java
+++ b/standin/src/test/java/org/persimmonwalk/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Tests of the stand-ins through their protocols. */
+/** Tests of the stand-ins over the PostgreSQL protocol and HTTP. */
 package org.persimmonwalk.standin;
