Describe the replication fields of a stand-in server

A reader had to find out from the log receiver what the followed term and the two contact times are; the fields say so now.

--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/ServerState.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/ServerState.java
@@ -47,6 +47,7 @@
   /** The server whose log this one receives; null for a primary and after a fence. */
   BackendServerId followedPrimary;
 
+  /** The term in which the followed server has to be primary for this one to receive its log. */
   Term followedTerm = Term.of(1);
 
   /** How many records of the log have been applied to the tables. */
@@ -55,7 +56,10 @@
   /** Whether the server receives the log of the primary that it follows. */
   boolean connected;
 
+  /** When the server last connected to the primary; records due before are stored at this time. */
   MonotonicTime connectedSince;
+
+  /** When the server was last connected to the primary. */
   MonotonicTime lastContact;
 
   Duration receiveDelay = Duration.ZERO;
