--- a/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
@@ -19,16 +19,18 @@
 import java.util.concurrent.TimeUnit;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
-import org.persimmonwalk.internal.standin.platform.PlatformCounterBook;
+import org.persimmonwalk.internal.standin.platform.PlatformCounterRecorder;
+import org.persimmonwalk.internal.standin.platform.PlatformFaults;
 import org.persimmonwalk.internal.standin.platform.PlatformHandler;
 import org.persimmonwalk.internal.standin.platform.PlatformRequest;
 import org.persimmonwalk.internal.standin.platform.PlatformState;
-import org.persimmonwalk.internal.standin.platform.PlatformSwitches;
 import org.persimmonwalk.model.HostEntry;
 import org.persimmonwalk.model.SocketEndpoint;
 
 /**
- * The platform's table service, object store and host list over HTTP and JSON on loopback.
+ * The platform's table service, object store and host list over HTTP and JSON on loopback, for
+ * tests and the demo. One thread reads and changes the state; one event loop serves all
+ * connections. The methods may be called from any other thread.
  *
  * <p>Example:
  *
@@ -41,8 +43,8 @@
 public final class StandInPlatform implements AutoCloseable {
   private static final String LOOPBACK = "127.0.0.1";
 
-  private final PlatformSwitches switches = PlatformSwitches.create();
-  private final PlatformCounterBook counters = PlatformCounterBook.create();
+  private final PlatformFaults faults = PlatformFaults.create();
+  private final PlatformCounterRecorder counters = PlatformCounterRecorder.create();
   private final ScheduledExecutorService stateThread;
   private final EventLoopGroup loops;
   private final PlatformState state;
@@ -67,7 +69,7 @@
   }
 
   /**
-   * Starts a platform without rows, objects and hosts.
+   * Starts a platform without rows, objects or hosts.
    *
    * @throws RuntimeException if the port is in use
    */
@@ -91,7 +93,7 @@
                         .addLast(
                             new HttpServerCodec(),
                             new HttpObjectAggregator(settings.maximumRequestBytes()),
-                            PlatformHandler.of(state, switches, counters, stateThread));
+                            PlatformHandler.of(state, faults, counters, stateThread));
                   }
                 });
     return bootstrap.bind(LOOPBACK, settings.port()).syncUninterruptibly().channel();
@@ -108,39 +110,41 @@
   }
 
   /**
-   * Waits until the given number of requests has arrived since the start. Later changes of the
-   * switches do not concern these requests.
+   * Waits until the given number of requests has arrived since the start. Faults that are set later
+   * do not affect these requests.
    */
   public void awaitRequests(long count) throws InterruptedException {
     counters.awaitRequests(count);
   }
 
-  /** Starts or ends an outage for all callers. */
+  /** Starts or ends an outage for all callers; it takes precedence over outages of single zones. */
   public void setOutage(PlatformOutage outage) {
-    switches.setTreatment(treatment(outage));
+    faults.setTreatment(treatment(outage));
   }
 
   /** Starts or ends an outage for the callers that state the given zone. */
   public void setOutage(AvailabilityZone zone, PlatformOutage outage) {
-    switches.setTreatment(zone.value(), treatment(outage));
+    faults.setTreatment(zone.value(), treatment(outage));
   }
 
-  /** Sets the time that each request waits before it is carried out. */
-  public void setSlowness(Duration time) {
-    switches.setSlowness(time);
+  /** Sets the delay before each request is carried out. */
+  public void setRequestDelay(Duration time) {
+    faults.setRequestDelay(time);
   }
 
-  /** Ends connections without an answer after the next writes took effect. */
+  /**
+   * Makes the given number of next writes take effect but close the connection without an answer.
+   */
   public void loseNextAnswers(int count) {
-    switches.loseAnswers(count);
+    faults.loseNextAnswers(count);
   }
 
-  /** Sets by how much the list of hosts is behind. */
+  /** Sets by how much the host list that callers read lags behind the changes. */
   public void setHostListLag(Duration lag) {
-    onStateThread(() -> state.setHostLag(lag));
+    onStateThread(() -> state.setHostListLag(lag));
   }
 
-  /** Adds or replaces a host of the list. */
+  /** Adds a host to the list, or replaces the one with its id. */
   public void putHost(HostEntry host) {
     onStateThread(() -> state.apply(new PlatformRequest.PutHost(host)));
   }
@@ -160,11 +164,11 @@
     CompletableFuture.runAsync(action, stateThread).join();
   }
 
-  private static PlatformSwitches.Treatment treatment(PlatformOutage outage) {
+  private static PlatformFaults.Treatment treatment(PlatformOutage outage) {
     return switch (outage) {
-      case NONE -> PlatformSwitches.Treatment.SERVE;
-      case REFUSED -> PlatformSwitches.Treatment.REFUSE;
-      case SILENT -> PlatformSwitches.Treatment.IGNORE;
+      case NONE -> PlatformFaults.Treatment.SERVE;
+      case REFUSED -> PlatformFaults.Treatment.REFUSE;
+      case SILENT -> PlatformFaults.Treatment.IGNORE;
     };
   }
 }
