Rename statement and session types of the engine

RequestId.OWN and BackendStatement.own() did not say whose they are, PreparedShape did not say what a shape is, and Session.ended() read like a query. They are now RequestId.INTERNAL, BackendStatement.internal(), StatementTemplate (with the component text) and Session.callerDisconnected(). SetValue is SetVariable, Identity is CallerIdentity and Outcome is ExecutionOutcome; variables and components follow.

--- a/engine/src/main/java/org/persimmonwalk/engine/BackendStatement.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/BackendStatement.java
@@ -25,20 +25,20 @@
   public record Reset() implements Action {}
 
   /** Sets a session variable. */
-  public record SetValue(String name, String value) implements Action {}
+  public record SetVariable(String name, String value) implements Action {}
 
-  /** Prepares a statement under its {@link PreparedShape#sharedName shared name}. */
-  public record Prepare(PreparedShape shape) implements Action {}
+  /** Prepares a statement under its {@link StatementTemplate#sharedName shared name}. */
+  public record Prepare(StatementTemplate template) implements Action {}
 
   /** Executes a prepared statement. */
-  public record Execute(PreparedShape shape, String arguments) implements Action {}
+  public record Execute(StatementTemplate template, String arguments) implements Action {}
 
   /** Requests the status of the server. */
   public record ReadStatus() implements Action {}
 
   /** Returns a statement that the entry host issues itself. */
-  public static BackendStatement own(Action action) {
-    return new BackendStatement(RequestId.OWN, Optional.empty(), action);
+  public static BackendStatement internal(Action action) {
+    return new BackendStatement(RequestId.INTERNAL, Optional.empty(), action);
   }
 
   /** Returns a caller's statement. */
--- a/engine/src/main/java/org/persimmonwalk/engine/RequestId.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/RequestId.java
@@ -6,7 +6,7 @@
 public record RequestId(String value) {
 
   /** The id of statements that the entry host issues itself. */
-  public static final RequestId OWN = new RequestId("-");
+  public static final RequestId INTERNAL = new RequestId("-");
 
   /** Checks that the id is present. */
   public RequestId {
--- a/engine/src/main/java/org/persimmonwalk/engine/Statement.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Statement.java
@@ -19,10 +19,10 @@
   record Execute(String name, String arguments) implements Statement {}
 
   /** Sets a session variable. */
-  record SetValue(String name, String value) implements Statement {}
+  record SetVariable(String name, String value) implements Statement {}
 
   /** Prepares a statement under a name of the session. */
-  record Prepare(String name, PreparedShape shape) implements Statement {}
+  record Prepare(String name, StatementTemplate template) implements Statement {}
 
   /** Removes a prepared statement. */
   record Deallocate(String name) implements Statement {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Identity.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/CallerIdentity.java
@@ -9,7 +9,7 @@
  *
  * @param key empty for callers without a valid key, whom only open routes accept
  */
-record Identity(WorkspaceId workspace, Optional<KeyHash> key) {
+record CallerIdentity(WorkspaceId workspace, Optional<KeyHash> key) {
 
   /** The workspace of all callers without a valid key. */
   static final WorkspaceId ANYONE = WorkspaceId.of("anyone");
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
-import org.persimmonwalk.engine.PreparedShape;
+import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.model.MonotonicTime;
 
 /** Sets a session's variables and prepared statement on a connection before the session uses it. */
@@ -29,9 +29,9 @@
   static void run(
       PooledConnection connection,
       Map<String, String> variables,
-      Optional<PreparedShape> shape,
+      Optional<StatementTemplate> template,
       Consumer<Boolean> done) {
-    List<BackendStatement.Action> actions = missing(connection, variables, shape);
+    List<BackendStatement.Action> actions = missing(connection, variables, template);
     if (actions.isEmpty()) {
       done.accept(true);
       return;
@@ -42,29 +42,31 @@
   }
 
   private static List<BackendStatement.Action> missing(
-      PooledConnection connection, Map<String, String> variables, Optional<PreparedShape> shape) {
+      PooledConnection connection,
+      Map<String, String> variables,
+      Optional<StatementTemplate> template) {
     List<BackendStatement.Action> actions = new ArrayList<>();
     if (!variables.keySet().containsAll(connection.variables().keySet())) {
       actions.add(new BackendStatement.Reset());
       connection.variables().clear();
-      connection.preparedShapes().clear();
+      connection.preparedTemplates().clear();
     }
     variables.forEach(
         (name, value) -> {
           if (!value.equals(connection.variables().get(name))) {
-            actions.add(new BackendStatement.SetValue(name, value));
+            actions.add(new BackendStatement.SetVariable(name, value));
             connection.variables().put(name, value);
           }
         });
-    shape
-        .filter(connection.preparedShapes()::add)
+    template
+        .filter(connection.preparedTemplates()::add)
         .ifPresent(added -> actions.add(new BackendStatement.Prepare(added)));
     return actions;
   }
 
   private void send(BackendStatement.Action action) {
     connection.send(
-        BackendStatement.own(action),
+        BackendStatement.internal(action),
         new PooledConnection.StatementListener() {
           @Override
           public void answered(Answer answer, MonotonicTime sentAt) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Outcome.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionOutcome.java
@@ -9,4 +9,4 @@
  * @param connection the connection that ran it, if it succeeded; the receiver must release it
  * @param onPrimary whether the last attempt went to the primary
  */
-record Outcome(Answer answer, Optional<PooledConnection> connection, boolean onPrimary) {}
+record ExecutionOutcome(Answer answer, Optional<PooledConnection> connection, boolean onPrimary) {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 import java.util.Optional;
 import org.persimmonwalk.engine.BackendStatement;
-import org.persimmonwalk.engine.PreparedShape;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
@@ -20,7 +20,7 @@
  * @param minimumPosition the position of the session's newest commit, which the server must have;
  *     {@link TermPosition#ZERO} for any position
  * @param variables the session variables to set on the connection first
- * @param shape the statement to prepare on the connection first
+ * @param template the statement to prepare on the connection first
  */
 record ExecutionRequest(
     RequestId id,
@@ -31,7 +31,7 @@
     boolean writes,
     TermPosition minimumPosition,
     Map<String, String> variables,
-    Optional<PreparedShape> shape) {
+    Optional<StatementTemplate> template) {
 
   DatabaseGroupId group() {
     return route.group();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -12,8 +12,8 @@
 import org.persimmonwalk.engine.BackendListener;
 import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.Failure;
-import org.persimmonwalk.engine.PreparedShape;
 import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -27,7 +27,7 @@
   private final WorkspaceId workspace;
   private final MonotonicTime openedAt;
   private final Map<String, String> variables = new HashMap<>();
-  private final Set<PreparedShape> preparedShapes = new HashSet<>();
+  private final Set<StatementTemplate> preparedTemplates = new HashSet<>();
   private final Deque<Pending> pending = new ArrayDeque<>();
   private BackendConnection backend;
   private boolean open;
@@ -78,8 +78,8 @@
     return variables;
   }
 
-  Set<PreparedShape> preparedShapes() {
-    return preparedShapes;
+  Set<StatementTemplate> preparedTemplates() {
+    return preparedTemplates;
   }
 
   /** Returns when the oldest unanswered statement was sent; empty if none is in flight. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -11,12 +11,12 @@
 import org.persimmonwalk.engine.CallerConnection;
 import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.FailureCode;
-import org.persimmonwalk.engine.PreparedShape;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.Statement;
+import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
@@ -35,9 +35,9 @@
   private final SessionAdmission admission;
   private final CallerConnection caller;
   private final DatabaseName database;
-  private final Identity identity;
+  private final CallerIdentity identity;
   private final Map<String, String> variables = new HashMap<>();
-  private final Map<String, PreparedShape> preparedStatements = new HashMap<>();
+  private final Map<String, StatementTemplate> preparedStatements = new HashMap<>();
   private final Deque<Queued> queue = new ArrayDeque<>();
   private boolean busy;
   private boolean closed;
@@ -51,7 +51,7 @@
       SessionAdmission admission,
       CallerConnection caller,
       DatabaseName database,
-      Identity identity) {
+      CallerIdentity identity) {
     this.context = context;
     this.pools = pools;
     this.admission = admission;
@@ -70,7 +70,7 @@
           .log()
           .write("session-cut-off", "reason", "more than " + MAXIMUM_QUEUED + " statements queued");
       caller.close();
-      ended();
+      callerDisconnected();
       return;
     }
     queue.addLast(new Queued(id, statement));
@@ -80,7 +80,7 @@
   /**
    * Ends the session and rolls back its transaction; called when the caller's connection closes.
    */
-  public void ended() {
+  public void callerDisconnected() {
     closed = true;
     queue.clear();
     transaction.ifPresent(Transaction::abandon);
@@ -157,11 +157,11 @@
       fail(FailureCode.MALFORMED, "the transaction failed; end it with ROLLBACK");
       return;
     }
-    if (statement instanceof Statement.SetValue set) {
+    if (statement instanceof Statement.SetVariable set) {
       variables.put(set.name(), set.value());
       answer(Answer.done(state()));
     } else if (statement instanceof Statement.Prepare prepare) {
-      preparedStatements.put(prepare.name(), prepare.shape());
+      preparedStatements.put(prepare.name(), prepare.template());
       answer(Answer.done(state()));
     } else if (statement instanceof Statement.Deallocate deallocate) {
       deallocate(deallocate);
@@ -189,16 +189,16 @@
   }
 
   private void execute(RequestId id, Statement.Execute execute) {
-    PreparedShape shape = preparedStatements.get(execute.name());
-    if (shape == null) {
+    StatementTemplate template = preparedStatements.get(execute.name());
+    if (template == null) {
       fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + execute.name());
       return;
     }
     run(
         id,
-        shape.write(),
-        new BackendStatement.Execute(shape, execute.arguments()),
-        Optional.of(shape));
+        template.write(),
+        new BackendStatement.Execute(template, execute.arguments()),
+        Optional.of(template));
   }
 
   private void begin(RequestId id, Statement.Begin begin) {
@@ -234,9 +234,12 @@
   }
 
   private void run(
-      RequestId id, boolean write, BackendStatement.Action action, Optional<PreparedShape> shape) {
+      RequestId id,
+      boolean write,
+      BackendStatement.Action action,
+      Optional<StatementTemplate> template) {
     if (transaction.isPresent()) {
-      transaction.get().run(id, write, action, shape);
+      transaction.get().run(id, write, action, template);
       return;
     }
     admission.admit(
@@ -254,13 +257,13 @@
                   write,
                   minimumPosition(route),
                   Map.copyOf(variables),
-                  shape);
+                  template);
           StatementExecution.start(
               context, pools, request, outcome -> finished(route, write, outcome));
         });
   }
 
-  private void finished(Route route, boolean write, Outcome outcome) {
+  private void finished(Route route, boolean write, ExecutionOutcome outcome) {
     outcome.connection().ifPresent(PooledConnection::release);
     Answer answer = outcome.answer();
     if (answer.succeeded() && write) {
@@ -324,7 +327,7 @@
     return identity.workspace();
   }
 
-  Identity identity() {
+  CallerIdentity identity() {
     return identity;
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
@@ -81,7 +81,7 @@
                   + " in configuration version "
                   + configuration.version()));
     }
-    Identity identity = session.identity();
+    CallerIdentity identity = session.identity();
     if (route.open() && identity.key().isEmpty()) {
       return Optional.empty();
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -127,10 +127,10 @@
     if (workspace.isEmpty() && !route.open()) {
       return refuse(caller, FailureCode.KEY_REJECTED, "the key belongs to no workspace");
     }
-    Identity identity =
+    CallerIdentity identity =
         workspace
-            .map(owner -> new Identity(owner, key))
-            .orElseGet(() -> new Identity(Identity.ANYONE, Optional.empty()));
+            .map(owner -> new CallerIdentity(owner, key))
+            .orElseGet(() -> new CallerIdentity(CallerIdentity.ANYONE, Optional.empty()));
     Session session = new Session(context, pools, admission, caller, database, identity);
     sessions.add(session);
     context.meter().count("session.opened");
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -34,7 +34,7 @@
   private final TrafficContext context;
   private final ServerPools pools;
   private final ExecutionRequest request;
-  private final Consumer<Outcome> done;
+  private final Consumer<ExecutionOutcome> done;
   private final MonotonicTime startedAt;
   private final MonotonicTime waitUntil;
   private final MonotonicTime deadline;
@@ -49,7 +49,10 @@
   private Runnable cancelTimeout = () -> {};
 
   private StatementExecution(
-      TrafficContext context, ServerPools pools, ExecutionRequest request, Consumer<Outcome> done) {
+      TrafficContext context,
+      ServerPools pools,
+      ExecutionRequest request,
+      Consumer<ExecutionOutcome> done) {
     this.context = context;
     this.pools = pools;
     this.request = request;
@@ -61,7 +64,10 @@
 
   /** Starts the request; the callback receives the outcome exactly once. */
   static void start(
-      TrafficContext context, ServerPools pools, ExecutionRequest request, Consumer<Outcome> done) {
+      TrafficContext context,
+      ServerPools pools,
+      ExecutionRequest request,
+      Consumer<ExecutionOutcome> done) {
     StatementExecution execution = new StatementExecution(context, pools, request, done);
     execution.cancelTimeout = context.scheduler().schedule(request.timeout(), execution::timeOut);
     execution.attempt();
@@ -136,7 +142,7 @@
     }
     connection = free;
     ConnectionSetup.run(
-        free, request.variables(), request.shape(), ready -> connectionReady(ready, target));
+        free, request.variables(), request.template(), ready -> connectionReady(ready, target));
   }
 
   private void connectionReady(boolean ready, Target target) {
@@ -183,7 +189,7 @@
             .position()
             .ifPresent(position -> pools.positionSeen(used.server(), position, sentAt));
       }
-      finish(new Outcome(answer, Optional.of(used), onPrimary));
+      finish(new ExecutionOutcome(answer, Optional.of(used), onPrimary));
       return;
     }
     FailureCode code = answer.failure().orElseThrow().code();
@@ -191,7 +197,7 @@
       used.pool().health().recordBehind(now);
     }
     if (code == FailureCode.UNKNOWN_NAME) {
-      used.preparedShapes().clear();
+      used.preparedTemplates().clear();
     }
     boolean failedRead = code == FailureCode.FAILED && !request.writes();
     if (failedRead) {
@@ -207,7 +213,8 @@
     if (repeatable) {
       retry(used.server(), answer.failure().orElseThrow());
     } else {
-      finish(new Outcome(answer.withState(SessionState.IDLE), Optional.empty(), onPrimary));
+      finish(
+          new ExecutionOutcome(answer.withState(SessionState.IDLE), Optional.empty(), onPrimary));
     }
   }
 
@@ -286,10 +293,11 @@
 
   private void fail(FailureCode code, String detail) {
     finish(
-        new Outcome(Answer.failed(code, detail, SessionState.IDLE), Optional.empty(), onPrimary));
+        new ExecutionOutcome(
+            Answer.failed(code, detail, SessionState.IDLE), Optional.empty(), onPrimary));
   }
 
-  private void finish(Outcome outcome) {
+  private void finish(ExecutionOutcome outcome) {
     finished = true;
     cancelTimeout.run();
     context.meter().time("statement.latency", context.now().since(startedAt));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -6,11 +6,11 @@
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.FailureCode;
-import org.persimmonwalk.engine.PreparedShape;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.SessionState;
+import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -52,14 +52,17 @@
   }
 
   void run(
-      RequestId id, boolean write, BackendStatement.Action action, Optional<PreparedShape> shape) {
+      RequestId id,
+      boolean write,
+      BackendStatement.Action action,
+      Optional<StatementTemplate> template) {
     withConnection(
         id,
         () ->
             ConnectionSetup.run(
                 connection,
                 Map.copyOf(session.variables()),
-                shape,
+                template,
                 ready -> {
                   if (ready) {
                     wrote |= write;
@@ -105,7 +108,7 @@
 
   private ExecutionRequest beginRequest(RequestId id) {
     return new ExecutionRequest(
-        RequestId.OWN,
+        RequestId.INTERNAL,
         session.workspace(),
         route,
         new BackendStatement.Begin(readOnly),
@@ -116,7 +119,7 @@
         Optional.empty());
   }
 
-  private void begun(Outcome outcome, Runnable action) {
+  private void begun(ExecutionOutcome outcome, Runnable action) {
     if (ended) {
       outcome.connection().ifPresent(PooledConnection::discard);
       return;
@@ -218,7 +221,7 @@
       return;
     }
     used.send(
-        BackendStatement.own(new BackendStatement.Rollback()),
+        BackendStatement.internal(new BackendStatement.Rollback()),
         new PooledConnection.StatementListener() {
           @Override
           public void answered(Answer answer, MonotonicTime sentAt) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -159,7 +159,7 @@
      */
     private void restart(Engine host) {
       int index = fixture.hosts.indexOf(host);
-      sessions.get(index).ended();
+      sessions.get(index).callerDisconnected();
       Engine started = fixture.restart(host);
       started
           .sessions()
@@ -183,7 +183,7 @@
     }
 
     private void checkStatement(BackendServerId server, RequestId id) {
-      if (id.equals(RequestId.OWN)) {
+      if (id.equals(RequestId.INTERNAL)) {
         return;
       }
       MonotonicTime now = fixture.clock.now();
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
@@ -14,11 +14,11 @@
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
-import org.persimmonwalk.engine.PreparedShape;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.Statement;
+import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.testing.EngineFixture;
@@ -182,26 +182,26 @@
   void shouldIsolateVariablesOfSessionsThatShareAConnection() {
     Session first = open(RouteKind.PRIMARY);
     Session second = open(RouteKind.PRIMARY);
-    fixture.send(first, "1", new Statement.SetValue("colour", "red"));
+    fixture.send(first, "1", new Statement.SetVariable("colour", "red"));
     fixture.send(first, "2", READ);
     fixture.send(second, "3", READ);
 
     assertThat(fixture.servers.sent())
         .extracting(sent -> (Object) sent.statement().action().getClass().getSimpleName())
-        .containsExactly("SetValue", "Text", "Reset", "Text");
+        .containsExactly("SetVariable", "Text", "Reset", "Text");
   }
 
   @Test
-  void shouldPrepareShapesUnderTheirSharedName() {
+  void shouldPrepareTemplatesUnderTheirSharedName() {
     Session session = open(RouteKind.PRIMARY);
-    PreparedShape shape = new PreparedShape(false, "q1");
-    fixture.send(session, "1", new Statement.Prepare("mine", shape));
+    StatementTemplate template = new StatementTemplate(false, "q1");
+    fixture.send(session, "1", new Statement.Prepare("mine", template));
     fixture.send(session, "2", new Statement.Execute("mine", "x"));
 
     assertThat(fixture.servers.sent())
         .extracting(sent -> (Object) sent.statement().action())
         .containsExactly(
-            new BackendStatement.Prepare(shape), new BackendStatement.Execute(shape, "x"));
+            new BackendStatement.Prepare(template), new BackendStatement.Execute(template, "x"));
   }
 
   /** Guards against reporting an overloaded server's refusal while there is time for a retry. */
