Rename control-state types of the engine

Some names of commands, observations and record components were vague: ServersListed, PromotionOrdered (it is the platform's answer, not the order), RELIANCE, PrimaryView.until and EngineSettings.peers (a single endpoint). They are now ServerListRead (with the command ReadServerList), PromotionOrderAnswered, VERIFICATION_VALIDITY, endsAt and peerEndpoint. ServerSilent is ServerUnreachable, DirectoryController is ServerListController and OrderPromotion.fence is fencingToken; methods and variables follow. The log event "promotion-ordered", the log field "fence" and the header Fence-Token stay.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -8,11 +8,11 @@
 import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
-import org.persimmonwalk.internal.engine.control.DirectoryController;
 import org.persimmonwalk.internal.engine.control.PrimaryViewController;
 import org.persimmonwalk.internal.engine.control.PromotionController;
 import org.persimmonwalk.internal.engine.control.RateController;
 import org.persimmonwalk.internal.engine.control.RelayController;
+import org.persimmonwalk.internal.engine.control.ServerListController;
 import org.persimmonwalk.internal.engine.control.StopController;
 import org.persimmonwalk.internal.engine.control.SuspicionController;
 import org.persimmonwalk.internal.engine.control.VerificationController;
@@ -55,7 +55,7 @@
             StopController.create(),
             RelayController.create(settings, log),
             VerificationController.create(settings, log),
-            DirectoryController.create(log),
+            ServerListController.create(log),
             PrimaryViewController.create(log),
             SuspicionController.create(settings, log),
             PromotionController.create(settings, log, suspension),
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -8,7 +8,7 @@
 /**
  * The settings that the controllers and the traffic thread need.
  *
- * @param peers the endpoint at which the other hosts of the zone reach this one
+ * @param peerEndpoint the endpoint at which the other hosts of the zone reach this one
  * @param keyRevocation the time within which a withdrawn key must stop working
  * @param rateWindow the length of the window over which rate limits hold
  * @param rateOverage the fraction of the limit by which a window may exceed it
@@ -18,7 +18,7 @@
 public record EngineSettings(
     EntryHostId host,
     AvailabilityZone zone,
-    SocketEndpoint peers,
+    SocketEndpoint peerEndpoint,
     Duration keyRevocation,
     Duration rateWindow,
     double rateOverage,
--- a/engine/src/main/java/org/persimmonwalk/engine/control/OrderPromotion.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/OrderPromotion.java
@@ -5,10 +5,11 @@
 import org.persimmonwalk.id.EntryHostId;
 
 /**
- * Orders the platform to make a server its group's primary. Ends with {@link PromotionOrdered}.
+ * Orders the platform to make a server its group's primary. Ends with {@link
+ * PromotionOrderAnswered}.
  *
  * @param holder the host that holds the promotion lease
- * @param fence the fencing token of the lease; rises with each holder
+ * @param fencingToken the fencing token of the lease; rises with each holder
  */
-public record OrderPromotion(ServerEntry server, EntryHostId holder, long fence)
+public record OrderPromotion(ServerEntry server, EntryHostId holder, long fencingToken)
     implements Command {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/PrimaryView.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/PrimaryView.java
@@ -8,15 +8,15 @@
  * The primary of a group, as far as this host knows.
  *
  * @param server the primary; empty if the group has none or it is being replaced
- * @param until when the server stops being the primary; empty unless a replacement is planned
+ * @param endsAt when the server stops being the primary; empty unless a replacement is planned
  */
-public record PrimaryView(Optional<ServerEntry> server, Optional<MonotonicTime> until) {
+public record PrimaryView(Optional<ServerEntry> server, Optional<MonotonicTime> endsAt) {
 
   /** A group without a primary. */
   public static final PrimaryView NONE = new PrimaryView(Optional.empty(), Optional.empty());
 
   /** Returns the server that is the primary at the given time, if any. */
   public Optional<ServerEntry> at(MonotonicTime now) {
-    return until.isPresent() && !now.isBefore(until.get()) ? Optional.empty() : server;
+    return endsAt.isPresent() && !now.isBefore(endsAt.get()) ? Optional.empty() : server;
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/PromotionOrdered.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/PromotionOrderAnswered.java
@@ -4,4 +4,5 @@
 import org.persimmonwalk.id.BackendServerId;
 
 /** The platform's answer to {@link OrderPromotion}. */
-public record PromotionOrdered(BackendServerId server, boolean accepted) implements Observation {}
+public record PromotionOrderAnswered(BackendServerId server, boolean accepted)
+    implements Observation {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
@@ -55,7 +55,7 @@
             "server",
             view.server().map(ServerEntry::id).map(BackendServerId::value).orElse("none"),
             "planned",
-            view.until().isPresent());
+            view.endsAt().isPresent());
       }
     }
     if (!views.equals(old)) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -27,7 +27,7 @@
  */
 public final class PromotionController implements Controller {
   /** A host uses a primary only if it verified the leadership row within this time. */
-  public static final Duration RELIANCE = Duration.ofMillis(3000);
+  public static final Duration VERIFICATION_VALIDITY = Duration.ofMillis(3000);
 
   /** Allowance for the rounding of clocks and for a host that is slow between check and use. */
   static final Duration CLOCK_MARGIN = Duration.ofMillis(300);
@@ -73,7 +73,7 @@
     boolean isVerified =
         blackboard
             .get(EngineEntries.VERIFIED_AT)
-            .filter(at -> now.since(at).compareTo(RELIANCE) < 0)
+            .filter(at -> now.since(at).compareTo(VERIFICATION_VALIDITY) < 0)
             .isPresent();
     if (!isVerified || blackboard.get(EngineEntries.STOPPING)) {
       return;
@@ -114,7 +114,8 @@
     }
     long switchAt =
         change.phase() == Leadership.Phase.SWITCHING
-            ? time.get().latest(now) + RELIANCE.plus(CLOCK_MARGIN).plus(CLOCK_MARGIN).toMillis()
+            ? time.get().latest(now)
+                + VERIFICATION_VALIDITY.plus(CLOCK_MARGIN).plus(CLOCK_MARGIN).toMillis()
             : 0;
     Leadership announced =
         new Leadership(change.phase(), change.server(), change.startedAtMillis(), switchAt);
@@ -167,7 +168,11 @@
       Blackboard blackboard, Leadership row, Announcement announcement, MonotonicTime now) {
     if (row.phase() == Leadership.Phase.MOVING) {
       return !now.isBefore(
-          announcement.at().plus(RELIANCE).plus(CLOCK_MARGIN).plus(announcement.delay()));
+          announcement
+              .at()
+              .plus(VERIFICATION_VALIDITY)
+              .plus(CLOCK_MARGIN)
+              .plus(announcement.delay()));
     }
     return blackboard
         .get(EngineEntries.STORE_TIME)
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionLease.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionLease.java
@@ -7,10 +7,10 @@
  * The lease that a host must hold to promote a server; at most one host holds it, for all groups
  * together. Stored as one row.
  *
- * @param fence the fencing token; rises by one with each holder
+ * @param fencingToken the fencing token; rises by one with each holder
  * @param expiresAtMillis the store's time from which another host may take the lease
  */
-record PromotionLease(EntryHostId holder, long fence, long expiresAtMillis) {
+record PromotionLease(EntryHostId holder, long fencingToken, long expiresAtMillis) {
 
   static final RowKey ROW = RowKey.of("duty", "promotion");
 
@@ -18,8 +18,8 @@
   private static final int PARTS = 3;
 
   /** Returns the fencing token of the next holder, given the text of the row. */
-  static long nextFence(String text) {
-    return isReadable(text) ? parse(text).fence + 1 : 1;
+  static long nextFencingToken(String text) {
+    return isReadable(text) ? parse(text).fencingToken + 1 : 1;
   }
 
   /** Returns whether the lease is free when the store's clock shows at least the given time. */
@@ -29,7 +29,7 @@
 
   String text() {
     return String.join(
-        SEPARATOR, holder.value(), Long.toString(fence), Long.toString(expiresAtMillis));
+        SEPARATOR, holder.value(), Long.toString(fencingToken), Long.toString(expiresAtMillis));
   }
 
   private static boolean isReadable(String text) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -12,7 +12,7 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.OrderPromotion;
-import org.persimmonwalk.engine.control.PromotionOrdered;
+import org.persimmonwalk.engine.control.PromotionOrderAnswered;
 import org.persimmonwalk.engine.control.ReadServerStatus;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
@@ -69,7 +69,7 @@
   private DatabaseGroupId group;
   private Leadership leadership;
   private long leadershipVersion;
-  private long fence;
+  private long fencingToken;
   private long serial;
   private long pendingSerial;
   private MonotonicTime leaseTakenAt;
@@ -132,9 +132,9 @@
         .observations(ServerStatusRead.class)
         .forEach(read -> statuses.put(read.server(), read.status()));
     blackboard
-        .observations(PromotionOrdered.class)
-        .filter(ordered -> stage == Stage.ORDERED && ordered.server().equals(target.id()))
-        .forEach(ordered -> handleOrderAnswer(ordered, now));
+        .observations(PromotionOrderAnswered.class)
+        .filter(answer -> stage == Stage.ORDERED && answer.server().equals(target.id()))
+        .forEach(answer -> handleOrderAnswer(answer, now));
     step(blackboard, now);
   }
 
@@ -146,7 +146,7 @@
     pendingSerial = 0;
     if (result == TransactionResult.APPLIED) {
       if (stage == Stage.TAKE_LEASE) {
-        log.write("duty-taken", "group", group, "fence", fence);
+        log.write("duty-taken", "group", group, "fence", fencingToken);
         enter(Stage.POLL_STATUSES, now);
       }
     } else if (result != TransactionResult.CONFLICT) {
@@ -154,9 +154,9 @@
     }
   }
 
-  private void handleOrderAnswer(PromotionOrdered ordered, MonotonicTime now) {
-    log.write("promotion-ordered", "server", target.id(), "accepted", ordered.accepted());
-    enter(ordered.accepted() ? Stage.CONFIRM : Stage.POLL_STATUSES, now);
+  private void handleOrderAnswer(PromotionOrderAnswered answer, MonotonicTime now) {
+    log.write("promotion-ordered", "server", target.id(), "accepted", answer.accepted());
+    enter(answer.accepted() ? Stage.CONFIRM : Stage.POLL_STATUSES, now);
   }
 
   private void enter(Stage next, MonotonicTime now) {
@@ -192,10 +192,10 @@
       nextStepAt = now.plus(RETRY_PAUSE);
       return;
     }
-    fence = PromotionLease.nextFence(leaseText);
+    fencingToken = PromotionLease.nextFencingToken(leaseText);
     leaseTakenAt = now;
     long end = time.get().latest(now) + LEASE_DURATION.toMillis();
-    PromotionLease taken = new PromotionLease(settings.host(), fence, end);
+    PromotionLease taken = new PromotionLease(settings.host(), fencingToken, end);
     submit(blackboard, TAKE_LEASE_PURPOSE, Map.of(PromotionLease.ROW, taken.text()));
   }
 
@@ -263,7 +263,7 @@
     }
     target = best;
     enter(Stage.ORDERED, now);
-    blackboard.submit(new OrderPromotion(target, settings.host(), fence));
+    blackboard.submit(new OrderPromotion(target, settings.host(), fencingToken));
   }
 
   private void confirm(MonotonicTime now, Blackboard blackboard) {
@@ -283,8 +283,8 @@
   private void record(Blackboard blackboard, MonotonicTime now) {
     Leadership stable =
         new Leadership(Leadership.Phase.STABLE, target.id(), target.startedAtMillis(), 0);
-    log.write("primary-recorded", "group", group, "server", target.id(), "fence", fence);
-    PromotionLease free = new PromotionLease(settings.host(), fence, 0);
+    log.write("primary-recorded", "group", group, "server", target.id(), "fence", fencingToken);
+    PromotionLease free = new PromotionLease(settings.host(), fencingToken, 0);
     Map<RowKey, String> writes = new HashMap<>();
     writes.put(Leadership.row(group), stable.text());
     if (now.since(leaseTakenAt).compareTo(LEASE_DURATION) < 0) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -180,7 +180,7 @@
   }
 
   private RelayHost self() {
-    return new RelayHost(settings.host(), settings.peers());
+    return new RelayHost(settings.host(), settings.peerEndpoint());
   }
 
   private void publish(Blackboard blackboard, RelayRole role, MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/DirectoryController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
@@ -12,12 +12,12 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.HostAsked;
-import org.persimmonwalk.engine.control.ListServers;
+import org.persimmonwalk.engine.control.ReadServerList;
 import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.ServerListRead;
 import org.persimmonwalk.engine.control.ServerListVersion;
-import org.persimmonwalk.engine.control.ServerSilent;
-import org.persimmonwalk.engine.control.ServersListed;
+import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -26,7 +26,7 @@
  * Keeps the list of backend servers up to date, from the store or from the relay of the zone.
  * Writes the servers entry and the server listing entry.
  */
-public final class DirectoryController implements Controller {
+public final class ServerListController implements Controller {
   /**
    * A draining server must get no request later than 7 s after it announces it; this interval
    * allows two lists to be lost.
@@ -70,13 +70,13 @@
   private MonotonicTime lastListAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime keepExpiredUntil = MonotonicTime.of(Long.MIN_VALUE / 2);
 
-  private DirectoryController(DecisionLog log) {
+  private ServerListController(DecisionLog log) {
     this.log = log;
   }
 
   /** Returns a controller that knows no server. */
-  public static DirectoryController create(DecisionLog log) {
-    return new DirectoryController(log);
+  public static ServerListController create(DecisionLog log) {
+    return new ServerListController(log);
   }
 
   @Override
@@ -86,12 +86,12 @@
       localRevision = (long) context.random().nextInt(REVISION_RANGE) * REVISION_RANGE;
     }
     blackboard
-        .observations(ServersListed.class)
+        .observations(ServerListRead.class)
         .forEach(
-            listed -> {
+            read -> {
               inFlight = false;
-              nextCallAt = now.plus(listed.entries().isPresent() ? INTERVAL : FAILURE_PAUSE);
-              listed.entries().ifPresent(entries -> applyStoreList(blackboard, entries, now));
+              nextCallAt = now.plus(read.entries().isPresent() ? INTERVAL : FAILURE_PAUSE);
+              read.entries().ifPresent(entries -> applyStoreList(blackboard, entries, now));
             });
     blackboard
         .observations(RelayAnswered.class)
@@ -118,12 +118,12 @@
     if ((!inFlight || overdue) && !now.isBefore(nextCallAt)) {
       inFlight = true;
       lastCallAt = now;
-      blackboard.submit(new ListServers());
+      blackboard.submit(new ReadServerList());
     }
   }
 
   private static boolean isUrgent(Blackboard blackboard, MonotonicTime now) {
-    return blackboard.observations(ServerSilent.class).findAny().isPresent()
+    return blackboard.observations(ServerUnreachable.class).findAny().isPresent()
         || blackboard.observations(HostAsked.class).anyMatch(asked -> asked.request().urgent())
         || blackboard.get(EngineEntries.PRIMARIES).values().stream()
             .anyMatch(view -> view.at(now).isEmpty());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/SuspicionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/SuspicionController.java
@@ -16,7 +16,7 @@
 import org.persimmonwalk.engine.control.PrimaryView;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
-import org.persimmonwalk.engine.control.ServerSilent;
+import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.control.StoreTime;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
@@ -70,8 +70,8 @@
         .filter(answer -> answer.transaction().tag().purpose().equals(PURPOSE))
         .forEach(answer -> handleAnswer(blackboard, answer, now));
     blackboard
-        .observations(ServerSilent.class)
-        .map(ServerSilent::server)
+        .observations(ServerUnreachable.class)
+        .map(ServerUnreachable::server)
         .forEach(server -> reportIfDue(blackboard, server, now));
     unreachableSince.values().removeIf(since -> now.since(since).toMillis() > REPORT_VALID_MILLIS);
     Set<BackendServerId> servers = new HashSet<>(unreachableSince.keySet());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
@@ -109,7 +109,7 @@
     return now.isBefore(backoffUntil);
   }
 
-  boolean isSilent(MonotonicTime now) {
+  boolean isUnreachable(MonotonicTime now) {
     boolean unanswered =
         unansweredSince != null && now.since(unansweredSince).compareTo(SILENCE_TIMEOUT) >= 0;
     boolean failing =
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -9,7 +9,7 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
-import org.persimmonwalk.engine.control.ServerSilent;
+import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
@@ -67,7 +67,7 @@
       candidates.add(
           new ServerChoice.Candidate(
               pool,
-              !health.isSilent(now) && !health.isBackingOff(now),
+              !health.isUnreachable(now) && !health.isBackingOff(now),
               isPrimary,
               entry.zone().equals(context.settings().zone()),
               pool.hasIdle(workspace),
@@ -122,8 +122,8 @@
   void tick(MonotonicTime now) {
     for (ServerPool pool : pools.values()) {
       pool.tick(now);
-      if (pool.health().isSilent(now)) {
-        context.post(new ServerSilent(pool.server()));
+      if (pool.health().isUnreachable(now)) {
+        context.post(new ServerUnreachable(pool.server()));
       }
     }
     retired.forEach(
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -84,7 +84,7 @@
 
   /** Returns the primary of a group, if its leadership was verified recently enough to use it. */
   Optional<ServerEntry> primary(DatabaseGroupId group) {
-    if (!verifiedWithin(PromotionController.RELIANCE)) {
+    if (!verifiedWithin(PromotionController.VERIFICATION_VALIDITY)) {
       return Optional.empty();
     }
     return entry(EngineEntries.PRIMARIES).getOrDefault(group, PrimaryView.NONE).at(now());
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -26,15 +26,15 @@
 import org.persimmonwalk.engine.control.AskRelay;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.HostAsked;
-import org.persimmonwalk.engine.control.ListServers;
 import org.persimmonwalk.engine.control.OrderPromotion;
-import org.persimmonwalk.engine.control.PromotionOrdered;
+import org.persimmonwalk.engine.control.PromotionOrderAnswered;
+import org.persimmonwalk.engine.control.ReadServerList;
 import org.persimmonwalk.engine.control.ReadServerStatus;
 import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
+import org.persimmonwalk.engine.control.ServerListRead;
 import org.persimmonwalk.engine.control.ServerStatusRead;
-import org.persimmonwalk.engine.control.ServersListed;
 import org.persimmonwalk.engine.control.StoreTime;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
@@ -184,7 +184,7 @@
               public void time(String event, Duration duration) {}
             });
     self.add(engine);
-    hostsByEndpoint.put(settings.peers(), engine);
+    hostsByEndpoint.put(settings.peerEndpoint(), engine);
     names.put(engine, name);
     engine.sessions().start();
     return engine;
@@ -253,9 +253,9 @@
           reachable
               ? run(transaction)
               : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
-    } else if (command instanceof ListServers) {
+    } else if (command instanceof ReadServerList) {
       result =
-          new ServersListed(
+          new ServerListRead(
               reachable ? Optional.of(List.copyOf(entries.values())) : Optional.empty());
     } else if (command instanceof OrderPromotion order) {
       promotions.add(order);
@@ -263,7 +263,7 @@
           order.server().id(),
           (id, old) -> new ServerStatusRead.Status(true, old.term() + 1, old.received()));
       reportRoles(order.server().id());
-      result = new PromotionOrdered(order.server().id(), true);
+      result = new PromotionOrderAnswered(order.server().id(), true);
     } else if (command instanceof ReadServerStatus read) {
       BackendServerId id = read.server().id();
       result = new ServerStatusRead(id, Optional.ofNullable(statuses.get(id)));
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -18,8 +18,8 @@
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.OrderPromotion;
-import org.persimmonwalk.engine.control.ServerSilent;
 import org.persimmonwalk.engine.control.ServerStatusRead;
+import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
 import org.persimmonwalk.id.BackendServerId;
@@ -112,7 +112,7 @@
         sendOperations(step);
         fixture.run(STEP);
       }
-      checkFences();
+      checkFencingTokens();
       assertThat(violations).as("violated invariants with seed %d", seed).isEmpty();
     }
 
@@ -172,7 +172,7 @@
 
     private void reportUnreachable() {
       ServerEntry primary = fixture.entries.get(currentPrimary());
-      fixture.hosts.forEach(host -> host.loop().post(new ServerSilent(primary)));
+      fixture.hosts.forEach(host -> host.loop().post(new ServerUnreachable(primary)));
     }
 
     private BackendServerId currentPrimary() {
@@ -201,12 +201,13 @@
     }
 
     /** Checks that each fencing token belongs to one holder and that they never fall. */
-    private void checkFences() {
+    private void checkFencingTokens() {
       for (int i = 1; i < fixture.promotions.size(); i++) {
         OrderPromotion earlier = fixture.promotions.get(i - 1);
         OrderPromotion later = fixture.promotions.get(i);
-        boolean same = earlier.fence() == later.fence();
-        if (later.fence() < earlier.fence() || (same && !earlier.holder().equals(later.holder()))) {
+        boolean same = earlier.fencingToken() == later.fencingToken();
+        if (later.fencingToken() < earlier.fencingToken()
+            || (same && !earlier.holder().equals(later.holder()))) {
           violations.add("fence: " + later + " after " + earlier);
         }
       }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
@@ -10,8 +10,8 @@
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.OrderPromotion;
-import org.persimmonwalk.engine.control.ServerSilent;
 import org.persimmonwalk.engine.control.ServerStatusRead;
+import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.id.BackendServerId;
 
@@ -33,7 +33,7 @@
   private void reportUnreachable(int hosts) {
     ServerEntry primary = fixture.entries.get(PRIMARY);
     for (int i = 0; i < hosts; i++) {
-      fixture.hosts.get(i).loop().post(new ServerSilent(primary));
+      fixture.hosts.get(i).loop().post(new ServerUnreachable(primary));
     }
   }
 
@@ -100,7 +100,10 @@
   private boolean isVerified(Engine host) {
     return fixture
         .entry(host, EngineEntries.VERIFIED_AT)
-        .filter(at -> fixture.clock.now().since(at).compareTo(PromotionController.RELIANCE) < 0)
+        .filter(
+            at ->
+                fixture.clock.now().since(at).compareTo(PromotionController.VERIFICATION_VALIDITY)
+                    < 0)
         .isPresent();
   }
 
@@ -126,12 +129,12 @@
     fixture.statuses.put(
         SHORT_LOG_REPLICA, new ServerStatusRead.Status(false, 4, TermPosition.of(4, 2)));
     ServerEntry second = fixture.entries.get(LONG_LOG_REPLICA);
-    fixture.hosts.forEach(host -> host.loop().post(new ServerSilent(second)));
+    fixture.hosts.forEach(host -> host.loop().post(new ServerUnreachable(second)));
     fixture.run(Duration.ofSeconds(7));
 
     assertThat(fixture.promotions).hasSizeGreaterThanOrEqualTo(2);
     assertThat(fixture.promotions)
-        .extracting(OrderPromotion::fence)
+        .extracting(OrderPromotion::fencingToken)
         .isSorted()
         .doesNotHaveDuplicates();
   }
