Rename two controls of the engine's test fixture

answersToLose counts store transactions that are lost without effect, not lost answers, and stepTimeOfDay steps the wall clock. They are now transactionsToLose and stepWallClock.

--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -77,7 +77,7 @@
   public int storeCalls;
 
   /** How many of the next store transactions are lost without effect and time out. */
-  public int answersToLose;
+  public int transactionsToLose;
 
   /** How many of the next store transactions time out but take effect later. */
   public int effectsToDelay;
@@ -213,7 +213,7 @@
   }
 
   /** Steps the wall clock, as a suspension of the machine does. */
-  public void stepTimeOfDay(Duration step) {
+  public void stepWallClock(Duration step) {
     wallClockOffset += step.toMillis();
   }
 
@@ -229,8 +229,8 @@
       return;
     }
     storeCalls++;
-    if (command instanceof RunTransaction transaction && answersToLose > 0) {
-      answersToLose--;
+    if (command instanceof RunTransaction transaction && transactionsToLose > 0) {
+      transactionsToLose--;
       scheduler.schedule(
           CALL_TIMEOUT,
           () ->
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -144,10 +144,10 @@
         case 6 -> fixture.storeIsUp = false;
         case 7, 8 -> fixture.storeIsUp = true;
         case 9 -> fixture.peersAreReachable = !fixture.peersAreReachable;
-        case 10 -> fixture.answersToLose += 3;
+        case 10 -> fixture.transactionsToLose += 3;
         case 14, 15 -> fixture.effectsToDelay += 2;
         case 16 -> restart(host);
-        case 11 -> fixture.stepTimeOfDay(Duration.ofSeconds(random.nextInt(-3, 9)));
+        case 11 -> fixture.stepWallClock(Duration.ofSeconds(random.nextInt(-3, 9)));
         case 12, 13 -> reportUnreachable();
         default -> {}
       }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -146,7 +146,7 @@
     sendAndCountAdmitted(Duration.ofSeconds(1), 1);
     double tolerated = (RATE * 5 + RATE) * 1.1 + 20;
     fixture.storeIsUp = false;
-    fixture.stepTimeOfDay(Duration.ofSeconds(8));
+    fixture.stepWallClock(Duration.ofSeconds(8));
     fixture.run(Duration.ofMillis(200));
 
     assertThat(sendAndCountAdmitted(Duration.ofSeconds(1), 3)).isZero();
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/VerificationTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/VerificationTest.java
@@ -43,7 +43,7 @@
   @Test
   void shouldStayVerifiedWhenOneAnswerIsLost() {
     fixture.run(Duration.ofSeconds(2));
-    fixture.answersToLose = 1;
+    fixture.transactionsToLose = 1;
     long maximumAgeMillis = 0;
     for (int i = 0; i < 80; i++) {
       fixture.run(Duration.ofMillis(50));
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
@@ -77,7 +77,7 @@
     Session session = open(RouteKind.PRIMARY);
     fixture.storeIsUp = false;
     fixture.run(Duration.ofMillis(30));
-    fixture.stepTimeOfDay(Duration.ofSeconds(8));
+    fixture.stepWallClock(Duration.ofSeconds(8));
 
     session.receive(RequestId.of("1"), READ);
 
