Rename the types for session positions and acknowledgement

SessionFloor was figurative, and AcknowledgementGate did not say what it waits for. They are now MinimumPosition and ReplicatedAcknowledgement; likewise WriteAcknowledgement -> AcknowledgementPolicy, AcknowledgeAtOnce -> ImmediateAcknowledgement, ConnectionPhase -> StatementPhase and PendingWrite.written -> position. Components, variables, comments and null-check messages that repeat an old name follow.

--- a/core/src/main/java/org/persimmonwalk/acknowledgement/WriteAcknowledgement.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementPolicy.java
@@ -6,7 +6,7 @@
  * Decides when a committed write is acknowledged. Traffic threads call it, so implementations are
  * thread-safe.
  */
-public interface WriteAcknowledgement {
+public interface AcknowledgementPolicy {
 
   /**
    * Registers a committed write. Its callback receives the outcome once, possibly before this
--- a/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgeAtOnce.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/ImmediateAcknowledgement.java
@@ -4,15 +4,16 @@
 
 /**
  * Acknowledges a write as soon as the primary has committed it, so that a failover can lose
- * acknowledged writes. Tests and benchmarks use it as the baseline for {@link AcknowledgementGate}.
+ * acknowledged writes. Tests and benchmarks use it as the baseline for {@link
+ * ReplicatedAcknowledgement}.
  */
-public final class AcknowledgeAtOnce implements WriteAcknowledgement {
+public final class ImmediateAcknowledgement implements AcknowledgementPolicy {
 
-  private AcknowledgeAtOnce() {}
+  private ImmediateAcknowledgement() {}
 
   /** Returns the policy. */
-  public static AcknowledgeAtOnce create() {
-    return new AcknowledgeAtOnce();
+  public static ImmediateAcknowledgement create() {
+    return new ImmediateAcknowledgement();
   }
 
   @Override
--- a/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementGate.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/ReplicatedAcknowledgement.java
@@ -27,12 +27,13 @@
  * <p>Example:
  *
  * <pre>{@code
- * AcknowledgementGate gate = AcknowledgementGate.of(10_000, loop::post);
- * loop.addListener(gate);
- * gate.register(new PendingWrite(group, written, deadline, outcome -> answer(outcome)), now);
+ * ReplicatedAcknowledgement acknowledgement = ReplicatedAcknowledgement.of(10_000, loop::post);
+ * loop.addListener(acknowledgement);
+ * acknowledgement.register(
+ *     new PendingWrite(group, position, deadline, outcome -> answer(outcome)), now);
  * }</pre>
  */
-public final class AcknowledgementGate implements WriteAcknowledgement, SnapshotListener {
+public final class ReplicatedAcknowledgement implements AcknowledgementPolicy, SnapshotListener {
   /**
    * Minimum time between two requests for samples of a group. Equals the shortest interval at which
    * servers are probed on request.
@@ -46,19 +47,19 @@
   private final Consumer<Observation> observations;
   private Optional<Snapshot> latestSnapshot = Optional.empty();
 
-  private AcknowledgementGate(int limit, Consumer<Observation> observations) {
+  private ReplicatedAcknowledgement(int limit, Consumer<Observation> observations) {
     this.limit = limit;
     this.observations = observations;
   }
 
   /**
-   * Returns an empty gate.
+   * Returns a policy without waiting writes.
    *
    * @param limit the maximum number of waiting writes; the outcome of any further one is unknown
    * @param observations receives requests for samples while writes wait
    */
-  public static AcknowledgementGate of(int limit, Consumer<Observation> observations) {
-    return new AcknowledgementGate(limit, observations);
+  public static ReplicatedAcknowledgement of(int limit, Consumer<Observation> observations) {
+    return new ReplicatedAcknowledgement(limit, observations);
   }
 
   /** Returns the number of waiting writes; at the limit, no further write should be sent. */
@@ -131,13 +132,13 @@
   private static Optional<AcknowledgementOutcome> decide(
       Snapshot snapshot, PendingWrite write, MonotonicTime now) {
     GroupView group = snapshot.get(Entries.GROUPS).get(write.group());
-    boolean primaryReplaced = group != null && group.term().isAfter(write.written().term());
+    boolean primaryReplaced = group != null && group.term().isAfter(write.position().term());
     if (primaryReplaced || !now.isBefore(write.deadline())) {
       return Optional.of(AcknowledgementOutcome.UNKNOWN);
     }
     boolean confirmed =
         group != null
-            && (group.servers().size() == 1 || group.isReceivedByReplica(write.written()));
+            && (group.servers().size() == 1 || group.isReceivedByReplica(write.position()));
     return confirmed ? Optional.of(AcknowledgementOutcome.CONFIRMED) : Optional.empty();
   }
 
--- a/core/src/main/java/org/persimmonwalk/request/RequestPlanner.java
+++ b/core/src/main/java/org/persimmonwalk/request/RequestPlanner.java
@@ -83,7 +83,7 @@
         new RoutingRequest(
             request.group(),
             request.kind(),
-            request.floor(),
+            request.minimumPosition(),
             request.maximumAge(),
             zone,
             request.arrivedAt());
--- a/core/src/main/java/org/persimmonwalk/request/StatementRequest.java
+++ b/core/src/main/java/org/persimmonwalk/request/StatementRequest.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
-import org.persimmonwalk.routing.SessionFloor;
+import org.persimmonwalk.routing.MinimumPosition;
 import org.persimmonwalk.routing.StatementKind;
 
 /**
@@ -18,7 +18,7 @@
  * @param key the hash of the key that the caller presented, if any
  * @param group the database group that the statement is for
  * @param kind whether the statement only reads
- * @param floor the position that the session's reads must see
+ * @param minimumPosition the position that the session's reads must see
  * @param maximumAge the maximum age of the data that the caller accepts, if it has stated one
  * @param idempotencyKey the key that lets the caller safely repeat the statement, if it gave one
  * @param arrivedAt when the statement arrived
@@ -29,7 +29,7 @@
     Optional<KeyHash> key,
     DatabaseGroupId group,
     StatementKind kind,
-    SessionFloor floor,
+    MinimumPosition minimumPosition,
     Optional<Duration> maximumAge,
     Optional<IdempotencyKey> idempotencyKey,
     MonotonicTime arrivedAt,
@@ -41,7 +41,7 @@
     Objects.requireNonNull(key, "key");
     Objects.requireNonNull(group, "group");
     Objects.requireNonNull(kind, "kind");
-    Objects.requireNonNull(floor, "floor");
+    Objects.requireNonNull(minimumPosition, "minimumPosition");
     Objects.requireNonNull(maximumAge, "maximumAge");
     Objects.requireNonNull(idempotencyKey, "idempotencyKey");
     Objects.requireNonNull(arrivedAt, "arrivedAt");
@@ -55,7 +55,7 @@
         key,
         group,
         StatementKind.WRITE,
-        floor,
+        minimumPosition,
         maximumAge,
         idempotencyKey,
         arrivedAt,
--- a/core/src/main/java/org/persimmonwalk/retry/OutcomeClassifier.java
+++ b/core/src/main/java/org/persimmonwalk/retry/OutcomeClassifier.java
@@ -17,7 +17,7 @@
    * @param phase how far the statement had progressed
    * @param kind whether the statement only reads; reads run in read-only transactions
    */
-  public static StatementState classify(ConnectionPhase phase, StatementKind kind) {
+  public static StatementState classify(StatementPhase phase, StatementKind kind) {
     return switch (phase) {
       case NOT_SENT, SENT_IN_TRANSACTION -> StatementState.NOT_RUN;
       case COMMIT_SENT -> StatementState.UNKNOWN;
--- a/core/src/main/java/org/persimmonwalk/retry/ConnectionPhase.java
+++ b/core/src/main/java/org/persimmonwalk/retry/StatementPhase.java
@@ -1,7 +1,7 @@
 package org.persimmonwalk.retry;
 
 /** How far a statement had progressed when its backend connection was lost. */
-public enum ConnectionPhase {
+public enum StatementPhase {
   /** No byte of the statement was written to the connection. */
   NOT_SENT,
   /**
--- a/core/src/main/java/org/persimmonwalk/routing/PrimaryOnlyRouter.java
+++ b/core/src/main/java/org/persimmonwalk/routing/PrimaryOnlyRouter.java
@@ -25,6 +25,6 @@
     }
     ServerView primary = group.primaryView().get();
     return new RoutingDecision.Execute(
-        primary.server(), group.term(), request.floor(), RoutingReason.PRIMARY_ONLY);
+        primary.server(), group.term(), request.minimumPosition(), RoutingReason.PRIMARY_ONLY);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/routing/RoutingDecision.java
+++ b/core/src/main/java/org/persimmonwalk/routing/RoutingDecision.java
@@ -13,16 +13,17 @@
    *
    * @param server the server that runs the statement
    * @param term the term that the server must be in
-   * @param floor the session's floor, resolved if it was unknown
+   * @param minimumPosition the session's minimum position, resolved if it was unknown
    * @param reason why this server was chosen
    */
-  record Execute(BackendServer server, Term term, SessionFloor floor, RoutingReason reason)
+  record Execute(
+      BackendServer server, Term term, MinimumPosition minimumPosition, RoutingReason reason)
       implements RoutingDecision {
     /** Checks that all parts are present. */
     public Execute {
       Objects.requireNonNull(server, "server");
       Objects.requireNonNull(term, "term");
-      Objects.requireNonNull(floor, "floor");
+      Objects.requireNonNull(minimumPosition, "minimumPosition");
       Objects.requireNonNull(reason, "reason");
     }
   }
--- a/core/src/main/java/org/persimmonwalk/routing/RoutingRequest.java
+++ b/core/src/main/java/org/persimmonwalk/routing/RoutingRequest.java
@@ -12,7 +12,7 @@
  *
  * @param group the database group that the statement is for
  * @param kind whether the statement only reads
- * @param floor the position that the session's reads must see
+ * @param minimumPosition the position that the session's reads must see
  * @param maximumAge the maximum age of the data that the caller accepts, if it has stated one
  * @param zone the availability zone of this entry host
  * @param arrivedAt when the statement arrived; the age of data is measured back from this time
@@ -20,7 +20,7 @@
 public record RoutingRequest(
     DatabaseGroupId group,
     StatementKind kind,
-    SessionFloor floor,
+    MinimumPosition minimumPosition,
     Optional<Duration> maximumAge,
     AvailabilityZone zone,
     MonotonicTime arrivedAt) {
@@ -29,7 +29,7 @@
   public RoutingRequest {
     Objects.requireNonNull(group, "group");
     Objects.requireNonNull(kind, "kind");
-    Objects.requireNonNull(floor, "floor");
+    Objects.requireNonNull(minimumPosition, "minimumPosition");
     Objects.requireNonNull(maximumAge, "maximumAge");
     Objects.requireNonNull(zone, "zone");
     Objects.requireNonNull(arrivedAt, "arrivedAt");
--- a/core/src/main/java/org/persimmonwalk/routing/SessionRouter.java
+++ b/core/src/main/java/org/persimmonwalk/routing/SessionRouter.java
@@ -14,9 +14,9 @@
 import org.persimmonwalk.result.ResultCode;
 
 /**
- * Sends writes to the primary, and reads to a replica that has replayed the session's floor and
- * whose data is not older than the caller accepts. If no replica qualifies, the primary runs the
- * read.
+ * Sends writes to the primary, and reads to a replica that has replayed the session's minimum
+ * position and whose data is not older than the caller accepts. If no replica qualifies, the
+ * primary runs the read.
  */
 public final class SessionRouter implements RequestRouter {
   /**
@@ -57,75 +57,78 @@
       return new RoutingDecision.Await(ResultCode.PRIMARY_UNCONFIRMED);
     }
     return new RoutingDecision.Execute(
-        primary.get().server(), group.term(), request.floor(), RoutingReason.WRITE);
+        primary.get().server(), group.term(), request.minimumPosition(), RoutingReason.WRITE);
   }
 
   private RoutingDecision routeRead(GroupView group, RoutingRequest request) {
-    Optional<SessionFloor> floor = resolveFloor(group, request.floor());
-    if (floor.isEmpty()) {
+    Optional<MinimumPosition> minimumPosition =
+        resolveMinimumPosition(group, request.minimumPosition());
+    if (minimumPosition.isEmpty()) {
       return new RoutingDecision.Await(ResultCode.POSITION_UNKNOWN);
     }
     Duration maximumAge = request.maximumAge().orElse(group.defaultMaximumAge());
     MonotonicTime oldestData = request.arrivedAt().minus(maximumAge);
     Optional<ServerView> replica =
         group.servers().stream()
-            .filter(view -> canServe(group, view, floor.get(), oldestData))
+            .filter(view -> canServe(group, view, minimumPosition.get(), oldestData))
             .min(byZoneAndLoad(request.zone()));
     if (replica.isPresent()) {
       ServerView chosen = replica.get();
       return new RoutingDecision.Execute(
-          chosen.server(), group.term(), floor.get(), reason(chosen, request.zone()));
+          chosen.server(), group.term(), minimumPosition.get(), reason(chosen, request.zone()));
     }
-    return routeReadToPrimary(group, floor.get(), oldestData);
+    return routeReadToPrimary(group, minimumPosition.get(), oldestData);
   }
 
   private static RoutingDecision routeReadToPrimary(
-      GroupView group, SessionFloor floor, MonotonicTime oldestData) {
+      GroupView group, MinimumPosition minimumPosition, MonotonicTime oldestData) {
     Optional<ServerView> primary = group.primaryView();
     if (primary.isEmpty() || primary.get().server().leaving()) {
       return new RoutingDecision.Await(ResultCode.NO_PRIMARY);
     }
-    if (isFromLaterTerm(group, floor) || !isConfirmedSince(group, oldestData)) {
+    if (isFromLaterTerm(group, minimumPosition) || !isConfirmedSince(group, oldestData)) {
       return new RoutingDecision.Await(ResultCode.NO_SERVER_WITHIN_AGE);
     }
     return new RoutingDecision.Execute(
-        primary.get().server(), group.term(), floor, RoutingReason.REPLICAS_BEHIND);
+        primary.get().server(), group.term(), minimumPosition, RoutingReason.REPLICAS_BEHIND);
   }
 
   /**
-   * Replaces an unknown floor by a confirmed position; empty if no sample has confirmed a position
-   * since the session was declared.
+   * Replaces an unknown minimum position by a confirmed position; empty if no sample has confirmed
+   * a position since the session was declared.
    */
-  private static Optional<SessionFloor> resolveFloor(GroupView group, SessionFloor floor) {
-    if (!(floor instanceof SessionFloor.Unknown unknown)) {
-      return Optional.of(floor);
+  private static Optional<MinimumPosition> resolveMinimumPosition(
+      GroupView group, MinimumPosition minimumPosition) {
+    if (!(minimumPosition instanceof MinimumPosition.Unknown unknown)) {
+      return Optional.of(minimumPosition);
     }
     return group.confirmed().stream()
         .filter(confirmed -> !confirmed.startedAt().isBefore(unknown.declaredAt()))
         .findFirst()
-        .map(confirmed -> SessionFloor.known(confirmed.position()));
+        .map(confirmed -> MinimumPosition.known(confirmed.position()));
   }
 
   private static boolean canServe(
-      GroupView group, ServerView view, SessionFloor floor, MonotonicTime oldestData) {
+      GroupView group, ServerView view, MinimumPosition minimumPosition, MonotonicTime oldestData) {
     return !view.server().leaving()
         && view.failingSince().isEmpty()
         && view.has(ServerRole.REPLICA, group.term())
-        && hasReplayed(group, view, floor)
+        && hasReplayed(group, view, minimumPosition)
         && hasDataSince(group, view, oldestData);
   }
 
-  private static boolean hasReplayed(GroupView group, ServerView view, SessionFloor floor) {
-    if (floor instanceof SessionFloor.Known known) {
-      return !isFromLaterTerm(group, floor)
+  private static boolean hasReplayed(
+      GroupView group, ServerView view, MinimumPosition minimumPosition) {
+    if (minimumPosition instanceof MinimumPosition.Known known) {
+      return !isFromLaterTerm(group, minimumPosition)
           && view.sample().get().replayed().covers(known.position().position());
     }
     return true;
   }
 
-  /** Returns whether the floor has a later term than this host has seen. */
-  private static boolean isFromLaterTerm(GroupView group, SessionFloor floor) {
-    return floor instanceof SessionFloor.Known known
+  /** Returns whether the minimum position has a later term than this host has seen. */
+  private static boolean isFromLaterTerm(GroupView group, MinimumPosition minimumPosition) {
+    return minimumPosition instanceof MinimumPosition.Known known
         && known.position().term().isAfter(group.term());
   }
 
--- a/core/src/test/java/org/persimmonwalk/acknowledgement/AcknowledgementGateTest.java
+++ b/core/src/test/java/org/persimmonwalk/acknowledgement/ReplicatedAcknowledgementTest.java
@@ -31,7 +31,7 @@
 import org.persimmonwalk.testing.FakeLinks;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
 
-class AcknowledgementGateTest {
+class ReplicatedAcknowledgementTest {
   private final FakeClock clock = new FakeClock();
   private final DatabaseGroup group =
       FakeDatabaseGroup.of(3, new FakeLinks(), clock).configuration();
@@ -42,12 +42,13 @@
           clock,
           RandomSource.seeded(1));
   private final List<Observation> requests = new ArrayList<>();
-  private final AcknowledgementGate gate = AcknowledgementGate.of(2, requests::add);
+  private final ReplicatedAcknowledgement acknowledgement =
+      ReplicatedAcknowledgement.of(2, requests::add);
   private final List<AcknowledgementOutcome> outcomes = new ArrayList<>();
 
   @BeforeEach
   void loadConfiguration() {
-    loop.addListener(gate);
+    loop.addListener(acknowledgement);
     Configuration configuration =
         new Configuration(
             Revision.of(1),
@@ -106,7 +107,7 @@
     loop.runRound();
     assertThat(outcomes).isEmpty();
     clock.advance(Duration.ofMillis(1));
-    gate.expire(clock.now());
+    acknowledgement.expire(clock.now());
     assertThat(outcomes).containsExactly(AcknowledgementOutcome.UNKNOWN);
     sample("b", replica(1, 200));
     assertThat(outcomes).hasSize(1);
@@ -118,7 +119,7 @@
     register(200);
     register(201);
     register(202);
-    assertThat(gate.pendingWrites()).isEqualTo(2);
+    assertThat(acknowledgement.pendingWrites()).isEqualTo(2);
     assertThat(outcomes).containsExactly(AcknowledgementOutcome.UNKNOWN);
   }
 
@@ -140,7 +141,7 @@
 
   private void register(long position) {
     GroupPosition written = GroupPosition.of(Term.of(1), LogPosition.of(position));
-    gate.register(
+    acknowledgement.register(
         new PendingWrite(
             group.id(), written, clock.now().plus(Duration.ofSeconds(1)), outcomes::add),
         clock.now());
--- a/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.stream.LongStream;
-import org.persimmonwalk.acknowledgement.AcknowledgeAtOnce;
+import org.persimmonwalk.acknowledgement.ImmediateAcknowledgement;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.internal.control.configuration.ConfigurationController;
@@ -74,7 +74,7 @@
                 HOSTS,
                 seed,
                 FailoverBenchmark::naiveControllers,
-                host -> AcknowledgeAtOnce.create(),
+                host -> ImmediateAcknowledgement.create(),
                 Duration.ofMillis(20))
             : FailoverFleet.standard(HOSTS, seed);
     RandomSource random = RandomSource.seeded(seed);
--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.persimmonwalk.acknowledgement.AcknowledgementOutcome;
+import org.persimmonwalk.acknowledgement.AcknowledgementPolicy;
 import org.persimmonwalk.acknowledgement.PendingWrite;
-import org.persimmonwalk.acknowledgement.WriteAcknowledgement;
 import org.persimmonwalk.admission.KeyPolicy;
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.blackboard.Controller;
@@ -38,9 +38,9 @@
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.observation.ConfigurationLoaded;
 import org.persimmonwalk.observation.TableRowRead;
+import org.persimmonwalk.routing.MinimumPosition;
 import org.persimmonwalk.routing.RoutingDecision;
 import org.persimmonwalk.routing.RoutingRequest;
-import org.persimmonwalk.routing.SessionFloor;
 import org.persimmonwalk.routing.SessionRouter;
 import org.persimmonwalk.routing.StatementKind;
 import org.persimmonwalk.testing.Configurations;
@@ -104,13 +104,13 @@
     return all;
   }
 
-  private WriteAcknowledgement acknowledgement(FailoverHost host) {
-    WriteAcknowledgement gate = FailoverFleet.gate(host);
+  private AcknowledgementPolicy acknowledgement(FailoverHost host) {
+    AcknowledgementPolicy policy = FailoverFleet.gate(host);
     return (write, now) ->
-        gate.register(
+        policy.register(
             new PendingWrite(
                 write.group(),
-                write.written(),
+                write.position(),
                 write.deadline(),
                 outcome -> recordOutcome(write, outcome)),
             now);
@@ -121,8 +121,8 @@
     if (outcome == AcknowledgementOutcome.CONFIRMED) {
       long number = fleet.acknowledged().get(fleet.acknowledged().size() - 1).write();
       boolean isNewer =
-          newestWrite.isEmpty() || write.written().compareTo(newestWrite.get().position()) > 0;
-      newestWrite = isNewer ? Optional.of(new SessionWrite(number, write.written())) : newestWrite;
+          newestWrite.isEmpty() || write.position().compareTo(newestWrite.get().position()) > 0;
+      newestWrite = isNewer ? Optional.of(new SessionWrite(number, write.position())) : newestWrite;
     }
   }
 
@@ -268,8 +268,9 @@
   private void readWithPosition(FailoverHost host) {
     newestWrite.ifPresent(
         write -> {
-          SessionFloor floor = SessionFloor.known(write.position());
-          if (route(host, floor, fleet.now()) instanceof RoutingDecision.Execute execute) {
+          MinimumPosition minimumPosition = MinimumPosition.known(write.position());
+          if (route(host, minimumPosition, fleet.now())
+              instanceof RoutingDecision.Execute execute) {
             read(host, execute, newestWrite, "read-your-writes with position");
           }
         });
@@ -279,19 +280,20 @@
     DeclaredSession session =
         declaredSessions.computeIfAbsent(
             host.id(), id -> new DeclaredSession(fleet.now(), newestWrite));
-    RoutingDecision decision = route(host, SessionFloor.unknown(session.at()), session.at());
+    RoutingDecision decision = route(host, MinimumPosition.unknown(session.at()), session.at());
     if (decision instanceof RoutingDecision.Execute execute) {
       declaredSessions.remove(host.id());
       read(host, execute, session.newestWrite(), "read-your-writes of a declared session");
     }
   }
 
-  private RoutingDecision route(FailoverHost host, SessionFloor floor, MonotonicTime arrivedAt) {
+  private RoutingDecision route(
+      FailoverHost host, MinimumPosition minimumPosition, MonotonicTime arrivedAt) {
     RoutingRequest request =
         new RoutingRequest(
             fleet.database().configuration().id(),
             StatementKind.READ,
-            floor,
+            minimumPosition,
             Optional.empty(),
             AvailabilityZone.of("zone-" + SERVERS.get(fleet.hosts().indexOf(host))),
             arrivedAt);
--- a/core/src/test/java/org/persimmonwalk/internal/control/primary/FailoverSafetyTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/FailoverSafetyTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.persimmonwalk.acknowledgement.AcknowledgeAtOnce;
+import org.persimmonwalk.acknowledgement.ImmediateAcknowledgement;
 import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.FailoverFleet;
 import org.persimmonwalk.testing.FailoverHost;
@@ -50,7 +50,7 @@
               3,
               seed,
               FailoverFleet::controllers,
-              host -> AcknowledgeAtOnce.create(),
+              host -> ImmediateAcknowledgement.create(),
               Duration.ofMillis(20));
       injectFaults(fleet, RandomSource.seeded(seed));
       repairAll(fleet);
--- a/core/src/test/java/org/persimmonwalk/retry/OutcomeClassifierTest.java
+++ b/core/src/test/java/org/persimmonwalk/retry/OutcomeClassifierTest.java
@@ -23,7 +23,7 @@
     "ANSWER_STARTED, READ, NOT_RUN",
     "ANSWER_STARTED, WRITE, UNKNOWN",
   })
-  void shouldClassifyEachPhase(ConnectionPhase phase, StatementKind kind, StatementState state) {
+  void shouldClassifyEachPhase(StatementPhase phase, StatementKind kind, StatementState state) {
     assertThat(OutcomeClassifier.classify(phase, kind)).isEqualTo(state);
   }
 }
--- a/core/src/test/java/org/persimmonwalk/routing/SessionRouterTest.java
+++ b/core/src/test/java/org/persimmonwalk/routing/SessionRouterTest.java
@@ -73,12 +73,12 @@
     sample(100, 100, 100);
     clock.advance(Duration.ofMillis(500));
     sample(200, 200, 100);
-    SessionFloor floor = SessionFloor.known(position(150));
+    MinimumPosition minimumPosition = MinimumPosition.known(position(150));
 
-    assertThat(server(read(floor))).isEqualTo("a");
+    assertThat(server(read(minimumPosition))).isEqualTo("a");
 
     sample(200, 200, 150);
-    assertThat(server(read(floor))).isEqualTo("b");
+    assertThat(server(read(minimumPosition))).isEqualTo("b");
   }
 
   /** Guards against a session that misses writes it made through another entry host before. */
@@ -86,12 +86,13 @@
   void shouldAwaitSampleThatStartedAfterSessionWasDeclared() {
     sample(200, 200, 200);
     clock.advance(Duration.ofMillis(1));
-    SessionFloor floor = SessionFloor.unknown(clock.now());
+    MinimumPosition minimumPosition = MinimumPosition.unknown(clock.now());
 
-    assertThat(read(floor)).isEqualTo(new RoutingDecision.Await(ResultCode.POSITION_UNKNOWN));
+    assertThat(read(minimumPosition))
+        .isEqualTo(new RoutingDecision.Await(ResultCode.POSITION_UNKNOWN));
 
     sample(300, 300, 200);
-    assertThat(server(read(floor))).isEqualTo("a");
+    assertThat(server(read(minimumPosition))).isEqualTo("a");
   }
 
   /** Guards against reads of data that is older than the caller accepts. */
@@ -102,8 +103,8 @@
     sample(200, 200, 100);
     clock.advance(Duration.ofMillis(100));
 
-    assertThat(server(read(SessionFloor.none(), Duration.ofSeconds(3)))).isEqualTo("b");
-    assertThat(server(read(SessionFloor.none(), Duration.ofSeconds(1)))).isEqualTo("a");
+    assertThat(server(read(MinimumPosition.none(), Duration.ofSeconds(3)))).isEqualTo("b");
+    assertThat(server(read(MinimumPosition.none(), Duration.ofSeconds(1)))).isEqualTo("a");
   }
 
   /**
@@ -116,7 +117,7 @@
         new RoutingRequest(
             GROUP,
             StatementKind.READ,
-            SessionFloor.none(),
+            MinimumPosition.none(),
             Optional.of(Duration.ZERO),
             ZONE,
             clock.now());
@@ -137,7 +138,7 @@
             clock.now()));
     loop.runRound();
 
-    assertThat(route(StatementKind.WRITE, SessionFloor.none(), Optional.empty()))
+    assertThat(route(StatementKind.WRITE, MinimumPosition.none(), Optional.empty()))
         .isEqualTo(new RoutingDecision.Await(ResultCode.PRIMARY_UNCONFIRMED));
   }
 
@@ -155,17 +156,18 @@
     loop.post(new ServerSampled(BackendServerId.of(server), sample, clock.now()));
   }
 
-  private RoutingDecision read(SessionFloor floor) {
-    return route(StatementKind.READ, floor, Optional.empty());
+  private RoutingDecision read(MinimumPosition minimumPosition) {
+    return route(StatementKind.READ, minimumPosition, Optional.empty());
   }
 
-  private RoutingDecision read(SessionFloor floor, Duration maximumAge) {
-    return route(StatementKind.READ, floor, Optional.of(maximumAge));
+  private RoutingDecision read(MinimumPosition minimumPosition, Duration maximumAge) {
+    return route(StatementKind.READ, minimumPosition, Optional.of(maximumAge));
   }
 
   private RoutingDecision route(
-      StatementKind kind, SessionFloor floor, Optional<Duration> maximumAge) {
-    RoutingRequest request = new RoutingRequest(GROUP, kind, floor, maximumAge, ZONE, clock.now());
+      StatementKind kind, MinimumPosition minimumPosition, Optional<Duration> maximumAge) {
+    RoutingRequest request =
+        new RoutingRequest(GROUP, kind, minimumPosition, maximumAge, ZONE, clock.now());
     return router.route(loop.snapshot(), request, clock.now());
   }
 
--- a/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
@@ -10,10 +10,10 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import org.persimmonwalk.acknowledgement.AcknowledgementGate;
 import org.persimmonwalk.acknowledgement.AcknowledgementOutcome;
+import org.persimmonwalk.acknowledgement.AcknowledgementPolicy;
 import org.persimmonwalk.acknowledgement.PendingWrite;
-import org.persimmonwalk.acknowledgement.WriteAcknowledgement;
+import org.persimmonwalk.acknowledgement.ReplicatedAcknowledgement;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.id.EntryHostId;
@@ -69,7 +69,7 @@
   /** Creates the policy by which a host acknowledges writes. */
   public interface AcknowledgementFactory {
     /** Returns the policy that decides when the host acknowledges a write. */
-    WriteAcknowledgement create(FailoverHost host);
+    AcknowledgementPolicy create(FailoverHost host);
   }
 
   private final SimulatedTime time = new SimulatedTime();
@@ -108,7 +108,7 @@
       all.addAll(controllers.create(id));
       FailoverHost host =
           FailoverHost.of(id, fleet, all, RandomSource.seeded(seed * 31 + random.nextInt(1000)));
-      WriteAcknowledgement acknowledgement = acknowledgements.create(host);
+      AcknowledgementPolicy acknowledgement = acknowledgements.create(host);
       host.loop().post(new ConfigurationLoaded(fleet.configuration(), fleet.now()));
       fleet.hosts.add(host);
       fleet.time.after(
@@ -122,7 +122,7 @@
   }
 
   /**
-   * Returns a fleet with the production controllers and acknowledgement gate; each host writes
+   * Returns a fleet with the production controllers and acknowledgement policy; each host writes
    * every 20 ms.
    */
   public static FailoverFleet standard(int size, long seed) {
@@ -140,11 +140,12 @@
         FollowController.of(host, settings));
   }
 
-  /** Returns the production acknowledgement gate, connected to the host's control loop. */
-  public static WriteAcknowledgement gate(FailoverHost host) {
-    AcknowledgementGate gate = AcknowledgementGate.of(1000, host.loop()::post);
-    host.loop().addListener(gate);
-    return gate;
+  /** Returns the production acknowledgement policy, connected to the host's control loop. */
+  public static AcknowledgementPolicy gate(FailoverHost host) {
+    ReplicatedAcknowledgement acknowledgement =
+        ReplicatedAcknowledgement.of(1000, host.loop()::post);
+    host.loop().addListener(acknowledgement);
+    return acknowledgement;
   }
 
   /** Returns the simulated time; advancing it runs the fleet. */
@@ -223,7 +224,7 @@
    * Sends a write only if the primary was confirmed in the last second, as traffic threads do.
    * Otherwise the write is skipped.
    */
-  private void write(FailoverHost host, WriteAcknowledgement acknowledgement) {
+  private void write(FailoverHost host, AcknowledgementPolicy acknowledgement) {
     GroupView group = host.loop().snapshot().get(Entries.GROUPS).get(database.configuration().id());
     boolean confirmed =
         host.isRunning()
@@ -253,7 +254,7 @@
 
   private void register(
       FailoverHost host,
-      WriteAcknowledgement acknowledgement,
+      AcknowledgementPolicy acknowledgement,
       long write,
       CommittedWrite committed) {
     Term term = committed.position().term();
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -7,7 +7,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
-import org.persimmonwalk.acknowledgement.AcknowledgementGate;
+import org.persimmonwalk.acknowledgement.ReplicatedAcknowledgement;
 import org.persimmonwalk.admission.AdaptiveLimit;
 import org.persimmonwalk.admission.FairQueue;
 import org.persimmonwalk.admission.ServerScheduler;
@@ -91,8 +91,9 @@
             eventLoops);
     callerRegistry = CallerRegistry.of(settings.caller().maximumConnections());
     SnapshotWaiters waiters = SnapshotWaiters.create();
-    AcknowledgementGate gate = AcknowledgementGate.of(MAXIMUM_PENDING_WRITES, loop::post);
-    loop.addListener(gate);
+    ReplicatedAcknowledgement acknowledgement =
+        ReplicatedAcknowledgement.of(MAXIMUM_PENDING_WRITES, loop::post);
+    loop.addListener(acknowledgement);
     loop.addListener(waiters);
     loop.addListener(stopWaiter);
     loop.addListener(ReplacedPrimaries.of(pools));
@@ -107,7 +108,7 @@
             createPlanner(settings, trafficPolicies),
             trafficPolicies.retries(),
             new TrafficContext.Backends(pools, connector, settings.backend().answerTimeout()),
-            gate,
+            acknowledgement,
             waiters,
             new TrafficContext.Instruments(
                 clock,
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -172,7 +172,7 @@
   }
 
   private void acquire(RoutingDecision.Execute decision) {
-    state.parameters().resolveFloor(decision.floor());
+    state.parameters().resolveMinimumPosition(decision.minimumPosition());
     ServerQueue queue = context.backends().pools().queue(request.group(), decision.server());
     ConnectionRequest connectionRequest =
         ConnectionRequest.of(
@@ -306,7 +306,7 @@
       AnswerRelay relay, ExchangeResult result, AcknowledgementOutcome outcome) {
     if (outcome == AcknowledgementOutcome.CONFIRMED) {
       GroupPosition position = result.position().get();
-      state.parameters().raiseFloor(position);
+      state.parameters().raiseMinimumPosition(position);
       CallerWriter.of(caller).position(position);
       answer(relay, result);
     } else {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchTraits.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchTraits.java
@@ -5,7 +5,7 @@
 import org.persimmonwalk.internal.traffic.backend.ExchangePlan;
 import org.persimmonwalk.internal.traffic.backend.SessionSettings;
 import org.persimmonwalk.request.StatementRequest;
-import org.persimmonwalk.retry.ConnectionPhase;
+import org.persimmonwalk.retry.StatementPhase;
 import org.persimmonwalk.routing.StatementKind;
 
 /**
@@ -56,13 +56,11 @@
   }
 
   /** Returns how far the batch had progressed when its backend connection was lost. */
-  ConnectionPhase phaseAtLoss(boolean answerStarted) {
+  StatementPhase phaseAtLoss(boolean answerStarted) {
     if (inTransaction) {
-      return mayCommit() ? ConnectionPhase.COMMIT_SENT : ConnectionPhase.SENT_IN_TRANSACTION;
+      return mayCommit() ? StatementPhase.COMMIT_SENT : StatementPhase.SENT_IN_TRANSACTION;
     }
-    return answerStarted
-        ? ConnectionPhase.ANSWER_STARTED
-        : ConnectionPhase.SENT_OUTSIDE_TRANSACTION;
+    return answerStarted ? StatementPhase.ANSWER_STARTED : StatementPhase.SENT_OUTSIDE_TRANSACTION;
   }
 
   /** Returns what is sent to the backend server; the plan has its own references to the frames. */
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerState.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerState.java
@@ -116,7 +116,7 @@
         key,
         group,
         kind,
-        parameters.floor(),
+        parameters.minimumPosition(),
         parameters.maximumAge(),
         parameters.takeIdempotencyKey(),
         arrivedAt,
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
@@ -12,7 +12,7 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.result.PersimmonwalkException;
 import org.persimmonwalk.result.ResultCode;
-import org.persimmonwalk.routing.SessionFloor;
+import org.persimmonwalk.routing.MinimumPosition;
 
 /** The parameters with the prefix {@code persimmonwalk.} that one caller has set. */
 final class HostParameters {
@@ -31,7 +31,7 @@
   private Optional<IdempotencyKey> idempotencyKey = Optional.empty();
   private Urgency urgency = Urgency.NORMAL;
   private Optional<Duration> deadline = Optional.empty();
-  private SessionFloor floor = SessionFloor.none();
+  private MinimumPosition minimumPosition = MinimumPosition.none();
 
   private HostParameters() {}
 
@@ -63,22 +63,22 @@
     return taken;
   }
 
-  SessionFloor floor() {
-    return floor;
+  MinimumPosition minimumPosition() {
+    return minimumPosition;
   }
 
-  /** Raises the floor to a position that the session has reached. */
-  void raiseFloor(GroupPosition position) {
-    floor =
-        floor instanceof SessionFloor.Known known
-            ? SessionFloor.known(known.position().max(position))
-            : SessionFloor.known(position);
+  /** Raises the minimum position to a position that the session has reached. */
+  void raiseMinimumPosition(GroupPosition position) {
+    minimumPosition =
+        minimumPosition instanceof MinimumPosition.Known known
+            ? MinimumPosition.known(known.position().max(position))
+            : MinimumPosition.known(position);
   }
 
-  /** Replaces an unknown floor by the floor that the router has determined. */
-  void resolveFloor(SessionFloor resolved) {
-    if (floor instanceof SessionFloor.Unknown) {
-      floor = resolved;
+  /** Replaces an unknown minimum position by the one that the router has determined. */
+  void resolveMinimumPosition(MinimumPosition resolved) {
+    if (minimumPosition instanceof MinimumPosition.Unknown) {
+      minimumPosition = resolved;
     }
   }
 
@@ -124,11 +124,12 @@
 
   private void declareSession(boolean reset, String value, MonotonicTime now) {
     session = reset ? Optional.empty() : Optional.of(SessionId.of(value));
-    floor = reset ? SessionFloor.none() : SessionFloor.unknown(now);
+    minimumPosition = reset ? MinimumPosition.none() : MinimumPosition.unknown(now);
   }
 
   private void declarePosition(boolean reset, String value, MonotonicTime now) {
-    floor = reset ? SessionFloor.unknown(now) : SessionFloor.known(GroupPosition.parse(value));
+    minimumPosition =
+        reset ? MinimumPosition.unknown(now) : MinimumPosition.known(GroupPosition.parse(value));
   }
 
   private static Urgency parseUrgency(String value) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
@@ -2,7 +2,7 @@
 
 import io.opentelemetry.api.trace.Tracer;
 import java.time.Duration;
-import org.persimmonwalk.acknowledgement.WriteAcknowledgement;
+import org.persimmonwalk.acknowledgement.AcknowledgementPolicy;
 import org.persimmonwalk.blackboard.ControlLoop;
 import org.persimmonwalk.entryhost.TrafficListener;
 import org.persimmonwalk.internal.settings.Settings;
@@ -19,7 +19,7 @@
     RequestPlanner planner,
     RetryPolicy retries,
     Backends backends,
-    WriteAcknowledgement acknowledgement,
+    AcknowledgementPolicy acknowledgement,
     SnapshotWaiters waiters,
     Instruments instruments) {
 
--- a/entryhost/src/test/java/org/persimmonwalk/entryhost/MetricsTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/entryhost/MetricsTest.java
@@ -15,7 +15,7 @@
 import org.persimmonwalk.request.StatementRequest;
 import org.persimmonwalk.result.ResultCode;
 import org.persimmonwalk.result.StatementState;
-import org.persimmonwalk.routing.SessionFloor;
+import org.persimmonwalk.routing.MinimumPosition;
 import org.persimmonwalk.routing.StatementKind;
 import org.persimmonwalk.testing.FakeClock;
 
@@ -32,7 +32,7 @@
             Optional.empty(),
             DatabaseGroupId.of("tanks"),
             StatementKind.READ,
-            SessionFloor.none(),
+            MinimumPosition.none(),
             Optional.empty(),
             Optional.empty(),
             MonotonicTime.of(0),
