Rename the states and components of a promotion

Rival, Watching and Settling were figurative, and has did not say which property it tests. They are now Promotion.CompetingPromotion, PromotionStep.Idle, PromotionStep.AwaitingPrimarySample and ServerView.hasRole; likewise withSeen -> withSeenTerm, backedOff -> withBackoff and the component attempts, which counted the times that the host backed off, -> backoffs. Private methods and variables that repeat an old name follow.

--- a/core/src/main/java/org/persimmonwalk/internal/control/position/GroupAssessment.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/GroupAssessment.java
@@ -49,7 +49,7 @@
     Term knownTerm = previous.map(GroupView::term).orElse(Term.NONE);
     Term term = findTerm(knownTerm);
     Optional<ServerView> primary =
-        servers.stream().filter(view -> view.has(ServerRole.PRIMARY, term)).findFirst();
+        servers.stream().filter(view -> view.hasRole(ServerRole.PRIMARY, term)).findFirst();
     List<ConfirmedPosition> history =
         term.equals(knownTerm) ? previous.map(GroupView::confirmed).orElse(List.of()) : List.of();
     return new GroupView(
@@ -95,7 +95,7 @@
     Term term = primary.sample().get().term();
     return servers.size() == 1
         || servers.stream()
-            .filter(view -> view.has(ServerRole.REPLICA, term))
+            .filter(view -> view.hasRole(ServerRole.REPLICA, term))
             .anyMatch(view -> !view.sampledAt().isBefore(primary.sampledAt()));
   }
 
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/ClaimStore.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/ClaimStore.java
@@ -37,7 +37,7 @@
   record Read(boolean answered, RowVersion version, Optional<PromotionClaim> claim) {
 
     /** Returns the term of another host's claim if it is above the group's term. */
-    Optional<Term> rivalTerm(Term groupTerm) {
+    Optional<Term> competingTerm(Term groupTerm) {
       return claim.map(PromotionClaim::term).filter(term -> term.isAfter(groupTerm));
     }
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionStateMachine.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionStateMachine.java
@@ -71,8 +71,8 @@
   Promotion advance(Promotion before) {
     Promotion promotion = observeTerms(before);
     PromotionStep step = promotion.step();
-    if (step instanceof PromotionStep.Watching) {
-      return watch(promotion);
+    if (step instanceof PromotionStep.Idle) {
+      return startIfNeeded(promotion);
     } else if (step instanceof PromotionStep.Delaying delaying) {
       return delay(promotion, delaying);
     } else if (step instanceof PromotionStep.ReadingClaim reading) {
@@ -83,32 +83,35 @@
       return checkFences(promotion, fencing);
     } else if (step instanceof PromotionStep.Promoting promoting) {
       return checkPromotion(promotion, promoting);
-    } else if (step instanceof PromotionStep.Settling settling) {
-      return checkPrimarySample(promotion, settling);
+    } else if (step instanceof PromotionStep.AwaitingPrimarySample awaiting) {
+      return checkPrimarySample(promotion, awaiting);
     }
     PromotionStep.BackingOff backingOff = (PromotionStep.BackingOff) step;
-    return now().isBefore(backingOff.until()) ? promotion : resumeWatching(promotion);
+    return now().isBefore(backingOff.until()) ? promotion : returnToIdle(promotion);
   }
 
   /** Records the terms in the servers' samples and the promotions that other hosts have begun. */
   private Promotion observeTerms(Promotion before) {
-    Promotion promotion = before.withSeen(group.term());
+    Promotion promotion = before.withSeenTerm(group.term());
     for (ServerView view : group.servers()) {
       if (view.sample().isPresent()) {
-        promotion = promotion.withSeen(view.sample().get().term());
+        promotion = promotion.withSeenTerm(view.sample().get().term());
       }
     }
     Optional<Term> unfinished = health.unfinishedTerm();
     if (unfinished.isPresent() && !unfinished.get().equals(promotion.term())) {
-      promotion = promotion.withRival(unfinished.get(), now());
+      promotion = promotion.withCompeting(unfinished.get(), now());
     }
-    boolean rivalDone =
-        promotion.rival().filter(rival -> !rival.term().isAfter(group.term())).isPresent();
-    return rivalDone ? promotion.withoutRival() : promotion;
+    boolean competingDone =
+        promotion
+            .competing()
+            .filter(competing -> !competing.term().isAfter(group.term()))
+            .isPresent();
+    return competingDone ? promotion.withoutCompeting() : promotion;
   }
 
-  private Promotion watch(Promotion promotion) {
-    if (!health.needsPromotion() || isRivalActive(promotion)) {
+  private Promotion startIfNeeded(Promotion promotion) {
+    if (!health.needsPromotion() || isCompetingPromotionActive(promotion)) {
       return promotion;
     }
     int rank = HostRank.of(host, group.id(), blackboard.get(Entries.LIVE_HOSTS));
@@ -117,8 +120,8 @@
   }
 
   private Promotion delay(Promotion promotion, PromotionStep.Delaying delaying) {
-    if (!health.needsPromotion() || isRivalActive(promotion)) {
-      return resumeWatching(promotion);
+    if (!health.needsPromotion() || isCompetingPromotionActive(promotion)) {
+      return returnToIdle(promotion);
     }
     if (now().isBefore(delaying.startsAt())) {
       return promotion.withStep(delaying);
@@ -129,7 +132,7 @@
 
   private Promotion checkClaimRead(Promotion promotion, PromotionStep.ReadingClaim reading) {
     if (!health.needsPromotion()) {
-      return resumeWatching(promotion);
+      return returnToIdle(promotion);
     }
     Optional<ClaimStore.Read> read = claims.readResult(reading.startedAt());
     if (read.isEmpty()) {
@@ -141,10 +144,10 @@
       return beginFencing(promotion);
     }
     Promotion seen = promotion;
-    Optional<Term> rival = read.get().rivalTerm(group.term());
-    if (rival.isPresent()) {
-      seen = promotion.withSeen(rival.get()).withRival(rival.get(), now());
-      if (isRivalActive(seen)) {
+    Optional<Term> competing = read.get().competingTerm(group.term());
+    if (competing.isPresent()) {
+      seen = promotion.withSeenTerm(competing.get()).withCompeting(competing.get(), now());
+      if (isCompetingPromotionActive(seen)) {
         return backOff(seen);
       }
     }
@@ -154,7 +157,7 @@
 
   private Promotion checkClaimWrite(Promotion promotion, PromotionStep.WritingClaim writing) {
     if (!health.needsPromotion()) {
-      return resumeWatching(promotion);
+      return returnToIdle(promotion);
     }
     Optional<ClaimStore.Written> written = claims.writeResult(writing.sentAt());
     if (written.isEmpty()) {
@@ -169,7 +172,7 @@
   }
 
   private Promotion beginFencing(Promotion before) {
-    if (isRivalActive(before)) {
+    if (isCompetingPromotionActive(before)) {
       return backOff(before);
     }
     Promotion promotion = before.withNextTerm();
@@ -255,13 +258,14 @@
     promotion
         .claimVersion()
         .ifPresent(claim -> claims.writePromoted(claim, promotion.term(), primary));
-    return promotion.withStep(new PromotionStep.Settling(now()));
+    return promotion.withStep(new PromotionStep.AwaitingPrimarySample(now()));
   }
 
-  private Promotion checkPrimarySample(Promotion promotion, PromotionStep.Settling settling) {
+  private Promotion checkPrimarySample(
+      Promotion promotion, PromotionStep.AwaitingPrimarySample awaiting) {
     boolean sampled = !promotion.term().isAfter(group.term());
-    return sampled || hasPassed(settings.stallTimeout(), settling.startedAt())
-        ? resumeWatching(promotion)
+    return sampled || hasPassed(settings.stallTimeout(), awaiting.startedAt())
+        ? returnToIdle(promotion)
         : promotion;
   }
 
@@ -272,7 +276,7 @@
    */
   private Optional<Promotion> abortIfSuperseded(Promotion promotion) {
     if (!promotion.term().isAfter(group.term())) {
-      return Optional.of(resumeWatching(promotion));
+      return Optional.of(returnToIdle(promotion));
     }
     return blackboard
         .observations(TermRefused.class)
@@ -290,7 +294,7 @@
    */
   private Promotion afterRefusal(Promotion promotion, Term promised) {
     return promised.isAfter(promotion.term())
-        ? promotion.withSeen(promised).withRival(promised, now())
+        ? promotion.withSeenTerm(promised).withCompeting(promised, now())
         : promotion;
   }
 
@@ -314,19 +318,19 @@
     Duration bound =
         settings
             .rankStep()
-            .multipliedBy(1L << Math.min(promotion.attempts(), MAX_BACK_OFF_DOUBLINGS));
-    return promotion.backedOff(
+            .multipliedBy(1L << Math.min(promotion.backoffs(), MAX_BACK_OFF_DOUBLINGS));
+    return promotion.withBackoff(
         now().plus(settings.rankStep()).plus(HostRank.jitter(bound, context.random())));
   }
 
-  private static Promotion resumeWatching(Promotion promotion) {
-    return promotion.withStep(new PromotionStep.Watching());
+  private static Promotion returnToIdle(Promotion promotion) {
+    return promotion.withStep(new PromotionStep.Idle());
   }
 
-  private boolean isRivalActive(Promotion promotion) {
+  private boolean isCompetingPromotionActive(Promotion promotion) {
     return promotion
-        .rival()
-        .filter(rival -> !hasPassed(settings.stallTimeout(), rival.seenAt()))
+        .competing()
+        .filter(competing -> !hasPassed(settings.stallTimeout(), competing.seenAt()))
         .isPresent();
   }
 
--- a/core/src/main/java/org/persimmonwalk/model/GroupView.java
+++ b/core/src/main/java/org/persimmonwalk/model/GroupView.java
@@ -60,7 +60,7 @@
    */
   public boolean isReceivedByReplica(GroupPosition written) {
     return servers.stream()
-        .filter(view -> view.has(ServerRole.REPLICA, written.term()))
+        .filter(view -> view.hasRole(ServerRole.REPLICA, written.term()))
         .anyMatch(view -> view.sample().get().received().covers(written.position()));
   }
 }
--- a/core/src/main/java/org/persimmonwalk/model/Promotion.java
+++ b/core/src/main/java/org/persimmonwalk/model/Promotion.java
@@ -11,18 +11,18 @@
  * @param step the current step of the promotion
  * @param term the term of the last attempt of this host, {@link Term#NONE} before the first
  * @param highestTerm the highest term that this host has seen or used
- * @param rival the competing promotion with the highest term, if another host started one
+ * @param competing the competing promotion with the highest term, if another host started one
  * @param claimVersion the version of the claim row that this host has written, if any
- * @param attempts the number of times that this host has backed off since the state was last idle
+ * @param backoffs the number of times that this host has backed off since the state was last idle
  */
 public record Promotion(
     DatabaseGroupId group,
     PromotionStep step,
     Term term,
     Term highestTerm,
-    Optional<Rival> rival,
+    Optional<CompetingPromotion> competing,
     Optional<RowVersion> claimVersion,
-    int attempts) {
+    int backoffs) {
 
   /**
    * A competing promotion by another host.
@@ -30,9 +30,9 @@
    * @param term the term of that promotion
    * @param seenAt when this host first saw the term
    */
-  public record Rival(Term term, MonotonicTime seenAt) {
+  public record CompetingPromotion(Term term, MonotonicTime seenAt) {
     /** Checks that both parts are present. */
-    public Rival {
+    public CompetingPromotion {
       Objects.requireNonNull(term, "term");
       Objects.requireNonNull(seenAt, "seenAt");
     }
@@ -44,7 +44,7 @@
     Objects.requireNonNull(step, "step");
     Objects.requireNonNull(term, "term");
     Objects.requireNonNull(highestTerm, "highestTerm");
-    Objects.requireNonNull(rival, "rival");
+    Objects.requireNonNull(competing, "competing");
     Objects.requireNonNull(claimVersion, "claimVersion");
   }
 
@@ -52,7 +52,7 @@
   public static Promotion idle(DatabaseGroupId group) {
     return new Promotion(
         group,
-        new PromotionStep.Watching(),
+        new PromotionStep.Idle(),
         Term.NONE,
         Term.NONE,
         Optional.empty(),
@@ -65,24 +65,24 @@
    * be removed.
    */
   public boolean isIdle() {
-    return step instanceof PromotionStep.Watching && rival.isEmpty();
+    return step instanceof PromotionStep.Idle && competing.isEmpty();
   }
 
   /** Returns the state with the given step. */
   public Promotion withStep(PromotionStep next) {
-    return new Promotion(group, next, term, highestTerm, rival, claimVersion, attempts);
+    return new Promotion(group, next, term, highestTerm, competing, claimVersion, backoffs);
   }
 
   /** Returns the state after the given term was seen on a server or in the claim row. */
-  public Promotion withSeen(Term seen) {
+  public Promotion withSeenTerm(Term seen) {
     return seen.isAfter(highestTerm)
-        ? new Promotion(group, step, term, seen, rival, claimVersion, attempts)
+        ? new Promotion(group, step, term, seen, competing, claimVersion, backoffs)
         : this;
   }
 
   /** Returns the state after a competing promotion in the given term was seen. */
-  public Promotion withRival(Term seen, MonotonicTime now) {
-    boolean known = rival.isPresent() && !seen.isAfter(rival.get().term());
+  public Promotion withCompeting(Term seen, MonotonicTime now) {
+    boolean known = competing.isPresent() && !seen.isAfter(competing.get().term());
     return known
         ? this
         : new Promotion(
@@ -90,36 +90,36 @@
             step,
             term,
             highestTerm,
-            Optional.of(new Rival(seen, now)),
+            Optional.of(new CompetingPromotion(seen, now)),
             claimVersion,
-            attempts);
+            backoffs);
   }
 
   /** Returns the state without a competing promotion. */
-  public Promotion withoutRival() {
-    return new Promotion(group, step, term, highestTerm, Optional.empty(), claimVersion, attempts);
+  public Promotion withoutCompeting() {
+    return new Promotion(group, step, term, highestTerm, Optional.empty(), claimVersion, backoffs);
   }
 
   /** Returns the state after this host wrote the claim row. */
   public Promotion withClaim(RowVersion version) {
-    return new Promotion(group, step, term, highestTerm, rival, Optional.of(version), attempts);
+    return new Promotion(group, step, term, highestTerm, competing, Optional.of(version), backoffs);
   }
 
   /** Returns the state of a new attempt, in the term after the highest one seen. */
   public Promotion withNextTerm() {
     Term next = highestTerm.next();
-    return new Promotion(group, step, next, next, rival, claimVersion, attempts);
+    return new Promotion(group, step, next, next, competing, claimVersion, backoffs);
   }
 
   /** Returns the state after an attempt was given up, with backoff until the given time. */
-  public Promotion backedOff(MonotonicTime until) {
+  public Promotion withBackoff(MonotonicTime until) {
     return new Promotion(
         group,
         new PromotionStep.BackingOff(until),
         term,
         highestTerm,
-        rival,
+        competing,
         Optional.empty(),
-        attempts + 1);
+        backoffs + 1);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/model/PromotionStep.java
+++ b/core/src/main/java/org/persimmonwalk/model/PromotionStep.java
@@ -11,7 +11,7 @@
 public sealed interface PromotionStep {
 
   /** No attempt is in progress at this host; it starts one when the group needs a promotion. */
-  record Watching() implements PromotionStep {}
+  record Idle() implements PromotionStep {}
 
   /** The group needs a promotion, and this host waits because hosts of lower rank start first. */
   record Delaying(MonotonicTime startsAt) implements PromotionStep {
@@ -79,9 +79,9 @@
   }
 
   /** The chosen server was promoted, but no sample has shown its new term yet. */
-  record Settling(MonotonicTime startedAt) implements PromotionStep {
+  record AwaitingPrimarySample(MonotonicTime startedAt) implements PromotionStep {
     /** Checks that the time is present. */
-    public Settling {
+    public AwaitingPrimarySample {
       Objects.requireNonNull(startedAt, "startedAt");
     }
   }
--- a/core/src/main/java/org/persimmonwalk/model/ServerView.java
+++ b/core/src/main/java/org/persimmonwalk/model/ServerView.java
@@ -69,7 +69,7 @@
   }
 
   /** Returns whether the newest sample shows the given role in the given term. */
-  public boolean has(ServerRole role, Term term) {
+  public boolean hasRole(ServerRole role, Term term) {
     return sample.isPresent() && sample.get().role() == role && sample.get().term().equals(term);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/routing/SessionRouter.java
+++ b/core/src/main/java/org/persimmonwalk/routing/SessionRouter.java
@@ -112,7 +112,7 @@
       GroupView group, ServerView view, MinimumPosition minimumPosition, MonotonicTime oldestData) {
     return !view.server().leaving()
         && view.failingSince().isEmpty()
-        && view.has(ServerRole.REPLICA, group.term())
+        && view.hasRole(ServerRole.REPLICA, group.term())
         && hasReplayed(group, view, minimumPosition)
         && hasDataSince(group, view, oldestData);
   }
--- a/core/src/test/java/org/persimmonwalk/benchmark/NaiveFailoverController.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/NaiveFailoverController.java
@@ -47,7 +47,9 @@
     group.servers().stream()
         .filter(view -> view.failingSince().isEmpty())
         .filter(
-            view -> view.has(ServerRole.REPLICA, group.term()) || view.has(ServerRole.FENCED, term))
+            view ->
+                view.hasRole(ServerRole.REPLICA, group.term())
+                    || view.hasRole(ServerRole.FENCED, term))
         .max(Comparator.comparing(view -> view.sample().get().received()))
         .ifPresent(
             candidate -> {
