Rename entries and observations of the blackboard

Likewise Observation.droppable -> isDroppable, SnapshotListener.published -> onPublished, Entries.FRESHNESS -> CONFIGURATION_CURRENT_AT, SessionsOpen -> OpenSessionsCounted, TokenOrderDone -> TokenOrderCompleted and ShareTransfer.nothing -> empty. Variables and the null-check message that repeat an old name follow; the names of the entries and the fields of the state document stay.

--- a/core/src/main/java/org/persimmonwalk/acknowledgement/ReplicatedAcknowledgement.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/ReplicatedAcknowledgement.java
@@ -90,11 +90,11 @@
   }
 
   @Override
-  public void published(Snapshot snapshot) {
+  public void onPublished(Snapshot snapshot) {
     synchronized (lock) {
       latestSnapshot = Optional.of(snapshot);
     }
-    completeWrites(snapshot, snapshot.publishedAt());
+    completeWrites(snapshot, snapshot.roundStartedAt());
   }
 
   /**
--- a/core/src/main/java/org/persimmonwalk/admission/EqualSplitAdmission.java
+++ b/core/src/main/java/org/persimmonwalk/admission/EqualSplitAdmission.java
@@ -45,7 +45,7 @@
             .map(found -> equalShare(found, now));
     TokenBucket bucket =
         buckets.computeIfAbsent(workspace, absent -> TokenBucket.empty(absent, now));
-    bucket.apply(snapshot.round(), equalShare, snapshot.publishedAt());
+    bucket.apply(snapshot.round(), equalShare, snapshot.roundStartedAt());
     return bucket.admit(now);
   }
 
--- a/core/src/main/java/org/persimmonwalk/admission/KeyPolicy.java
+++ b/core/src/main/java/org/persimmonwalk/admission/KeyPolicy.java
@@ -70,8 +70,8 @@
 
   private boolean isVerified(Snapshot snapshot, MonotonicTime now) {
     return snapshot
-        .get(Entries.FRESHNESS)
-        .filter(freshness -> now.since(freshness).compareTo(unverifiedGrace) <= 0)
+        .get(Entries.CONFIGURATION_CURRENT_AT)
+        .filter(currentAt -> now.since(currentAt).compareTo(unverifiedGrace) <= 0)
         .isPresent();
   }
 
--- a/core/src/main/java/org/persimmonwalk/admission/LeasedAdmission.java
+++ b/core/src/main/java/org/persimmonwalk/admission/LeasedAdmission.java
@@ -16,7 +16,7 @@
 /**
  * Admits statements within the part of a workspace's rate and burst that this host has leased.
  *
- * <p>Traffic threads call {@link #admit}; the control thread calls {@link #published}. The policy
+ * <p>Traffic threads call {@link #admit}; the control thread calls {@link #onPublished}. The policy
  * has to be registered with the control loop: a lowered lease then takes effect before the commands
  * of the same round are executed, even if a traffic thread still holds an older snapshot.
  *
@@ -54,22 +54,22 @@
   }
 
   @Override
-  public void published(Snapshot snapshot) {
+  public void onPublished(Snapshot snapshot) {
     snapshot.get(Entries.SHARES).keySet().forEach(workspace -> bucket(workspace, snapshot));
     buckets.forEach(
         (workspace, bucket) -> {
           apply(bucket, workspace, snapshot);
-          bucket.measure(snapshot.publishedAt()).ifPresent(observations);
+          bucket.measure(snapshot.roundStartedAt()).ifPresent(observations);
         });
   }
 
   private TokenBucket bucket(WorkspaceId workspace, Snapshot snapshot) {
     return buckets.computeIfAbsent(
-        workspace, absent -> TokenBucket.empty(absent, snapshot.publishedAt()));
+        workspace, absent -> TokenBucket.empty(absent, snapshot.roundStartedAt()));
   }
 
   private void apply(TokenBucket bucket, WorkspaceId workspace, Snapshot snapshot) {
     Optional<ShareLease> lease = Optional.ofNullable(snapshot.get(Entries.SHARES).get(workspace));
-    bucket.apply(snapshot.round(), lease, snapshot.publishedAt()).ifPresent(observations);
+    bucket.apply(snapshot.round(), lease, snapshot.roundStartedAt()).ifPresent(observations);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/admission/TokenBucket.java
+++ b/core/src/main/java/org/persimmonwalk/admission/TokenBucket.java
@@ -7,7 +7,7 @@
 import org.persimmonwalk.model.ShareLease;
 import org.persimmonwalk.model.TokenOrder;
 import org.persimmonwalk.observation.DemandMeasured;
-import org.persimmonwalk.observation.TokenOrderDone;
+import org.persimmonwalk.observation.TokenOrderCompleted;
 
 /**
  * The token bucket of one workspace at this host. Traffic threads take tokens and the control
@@ -63,22 +63,22 @@
    *
    * @return the result of the token order, if it was executed now
    */
-  synchronized Optional<TokenOrderDone> apply(
-      long round, Optional<ShareLease> newest, MonotonicTime publishedAt) {
+  synchronized Optional<TokenOrderCompleted> apply(
+      long round, Optional<ShareLease> newest, MonotonicTime roundStartedAt) {
     if (round <= appliedRound) {
       return Optional.empty();
     }
     appliedRound = round;
-    refill(publishedAt);
+    refill(roundStartedAt);
     lease = newest;
     if (newest.isEmpty()) {
       tokens = 0;
       lastExecutedOrder = 0;
       return Optional.empty();
     }
-    Optional<TokenOrderDone> done = execute(newest.get());
+    Optional<TokenOrderCompleted> completed = execute(newest.get());
     tokens = Math.min(tokens, newest.get().burst());
-    return done;
+    return completed;
   }
 
   /** Takes a token, unless there is none or the lease has expired. */
@@ -148,7 +148,7 @@
    * leaves the reserve of this host, but it may always take the tokens above the lowered burst,
    * because they would be discarded otherwise.
    */
-  private Optional<TokenOrderDone> execute(ShareLease newest) {
+  private Optional<TokenOrderCompleted> execute(ShareLease newest) {
     TokenOrder order = newest.order();
     if (order.number() <= lastExecutedOrder) {
       return Optional.empty();
@@ -158,6 +158,6 @@
         Math.max(Math.min(tokens / 2, tokens - reserve(newest)), tokens - newest.burst());
     double withdrawn = Math.max(0, Math.min(order.withdrawal(), surplus));
     tokens += order.deposit() - withdrawn;
-    return Optional.of(new TokenOrderDone(workspace, order.number(), withdrawn));
+    return Optional.of(new TokenOrderCompleted(workspace, order.number(), withdrawn));
   }
 }
--- a/core/src/main/java/org/persimmonwalk/blackboard/ControlLoop.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/ControlLoop.java
@@ -59,7 +59,7 @@
    * instead if 16,384 or more observations are queued.
    */
   public void post(Observation observation) {
-    if (observation.droppable() && queue.size() >= DROPPABLE_LIMIT) {
+    if (observation.isDroppable() && queue.size() >= DROPPABLE_LIMIT) {
       dropped.incrementAndGet();
       return;
     }
@@ -109,7 +109,7 @@
     }
     snapshot = blackboard.snapshot(context.now());
     for (SnapshotListener listener : listeners) {
-      listener.published(snapshot);
+      listener.onPublished(snapshot);
     }
     for (Command command : blackboard.drainCommands()) {
       executor.execute(command);
--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -32,7 +32,7 @@
       EntryKey.of("groups", Map.of());
 
   /** When the configuration in force was last known to be the newest one. */
-  public static final EntryKey<Optional<MonotonicTime>> FRESHNESS =
+  public static final EntryKey<Optional<MonotonicTime>> CONFIGURATION_CURRENT_AT =
       EntryKey.of("freshness", Optional.empty());
 
   /** The configuration revisions that peers have named. */
--- a/core/src/main/java/org/persimmonwalk/blackboard/Observation.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Observation.java
@@ -7,7 +7,7 @@
    * Returns whether the control loop may drop the observation when its queue is full. Results of
    * commands must not be dropped.
    */
-  default boolean droppable() {
+  default boolean isDroppable() {
     return false;
   }
 }
--- a/core/src/main/java/org/persimmonwalk/blackboard/Snapshot.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Snapshot.java
@@ -14,17 +14,17 @@
  */
 public final class Snapshot {
   private final long round;
-  private final MonotonicTime publishedAt;
+  private final MonotonicTime roundStartedAt;
   private final Map<EntryKey<?>, Object> values;
 
-  private Snapshot(long round, MonotonicTime publishedAt, Map<EntryKey<?>, Object> values) {
+  private Snapshot(long round, MonotonicTime roundStartedAt, Map<EntryKey<?>, Object> values) {
     this.round = round;
-    this.publishedAt = publishedAt;
+    this.roundStartedAt = roundStartedAt;
     this.values = values;
   }
 
-  static Snapshot of(long round, MonotonicTime publishedAt, Map<EntryKey<?>, Object> values) {
-    return new Snapshot(round, publishedAt, Map.copyOf(values));
+  static Snapshot of(long round, MonotonicTime roundStartedAt, Map<EntryKey<?>, Object> values) {
+    return new Snapshot(round, roundStartedAt, Map.copyOf(values));
   }
 
   /** Returns the value of an entry. */
@@ -40,7 +40,7 @@
   }
 
   /** Returns the time of the round, which was read when the round began. */
-  public MonotonicTime publishedAt() {
-    return publishedAt;
+  public MonotonicTime roundStartedAt() {
+    return roundStartedAt;
   }
 }
--- a/core/src/main/java/org/persimmonwalk/blackboard/SnapshotListener.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/SnapshotListener.java
@@ -7,5 +7,5 @@
 public interface SnapshotListener {
 
   /** Called with the snapshot of a round before the round's commands are executed. */
-  void published(Snapshot snapshot);
+  void onPublished(Snapshot snapshot);
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/ServerAllowance.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/ServerAllowance.java
@@ -52,7 +52,7 @@
   void connectionsCounted(ConnectionsCounted counted) {
     open = counted.open();
     wanted = counted.wanted();
-    while (published.size() > 1 && second().at().isBefore(counted.obeyed())) {
+    while (published.size() > 1 && second().at().isBefore(counted.appliedSnapshotAt())) {
       published.remove();
     }
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
@@ -109,7 +109,8 @@
       Blackboard blackboard, EntryHostId from, ConfigurationRequest request, RoundContext context) {
     Configuration own = blackboard.get(Entries.CONFIGURATION);
     if (own.revision().isNewerThan(request.known())) {
-      Optional<Duration> age = blackboard.get(Entries.FRESHNESS).map(context.now()::since);
+      Optional<Duration> age =
+          blackboard.get(Entries.CONFIGURATION_CURRENT_AT).map(context.now()::since);
       blackboard.submit(
           new SendPeerMessage(from, new ConfigurationReply(own, age, request.sentAt())));
     }
@@ -153,10 +154,10 @@
    */
   private static void refresh(
       Blackboard blackboard, MonotonicTime currentAt, RoundContext context) {
-    Optional<MonotonicTime> known = blackboard.get(Entries.FRESHNESS);
+    Optional<MonotonicTime> known = blackboard.get(Entries.CONFIGURATION_CURRENT_AT);
     boolean later = known.isEmpty() || currentAt.isAfter(known.get());
     if (later && !currentAt.isAfter(context.now())) {
-      blackboard.put(Entries.FRESHNESS, Optional.of(currentAt));
+      blackboard.put(Entries.CONFIGURATION_CURRENT_AT, Optional.of(currentAt));
     }
   }
 
--- a/core/src/main/java/org/persimmonwalk/internal/control/drain/DrainController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/drain/DrainController.java
@@ -10,7 +10,7 @@
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.PeerRevisions;
-import org.persimmonwalk.observation.SessionsOpen;
+import org.persimmonwalk.observation.OpenSessionsCounted;
 import org.persimmonwalk.observation.StopRequested;
 
 /**
@@ -81,7 +81,7 @@
   private static boolean isDrained(Blackboard blackboard, RoundContext context) {
     boolean empty =
         blackboard
-            .observations(SessionsOpen.class)
+            .observations(OpenSessionsCounted.class)
             .reduce((first, second) -> second)
             .filter(sessions -> sessions.count() == 0)
             .isPresent();
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferSender.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferSender.java
@@ -68,7 +68,7 @@
     Optional<UnitLease> taken = units > 0 ? heldUnits.take(units, now) : Optional.empty();
     long amount = taken.map(UnitLease::amount).orElse(0L);
     if (amount == 0 && request.tokens() == 0) {
-      return Optional.of(answer(next, ShareTransfer.nothing(request.id(), row)));
+      return Optional.of(answer(next, ShareTransfer.empty(request.id(), row)));
     }
     resource.startRelease(amount, request.tokens());
     release = Optional.of(new Release(next, taken, now));
@@ -84,7 +84,7 @@
     release = Optional.empty();
     if (tokens.isEmpty()) {
       current.taken().ifPresent(heldUnits::receive);
-      return Optional.of(answer(current.request(), ShareTransfer.nothing(current.id(), row)));
+      return Optional.of(answer(current.request(), ShareTransfer.empty(current.id(), row)));
     }
     ShareTransfer transfer =
         new ShareTransfer(
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
@@ -129,7 +129,7 @@
     return new Heartbeat(
         ownEntry(blackboard),
         blackboard.get(Entries.CONFIGURATION).revision(),
-        blackboard.get(Entries.FRESHNESS).map(now::since),
+        blackboard.get(Entries.CONFIGURATION_CURRENT_AT).map(now::since),
         now,
         answers,
         PeerSelection.chooseRelayed(table.relayable(now), now, context.random()),
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
@@ -16,7 +16,7 @@
 import org.persimmonwalk.model.ShareLease;
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.observation.DemandMeasured;
-import org.persimmonwalk.observation.TokenOrderDone;
+import org.persimmonwalk.observation.TokenOrderCompleted;
 
 /**
  * Leases parts of the workspaces' rates and bursts and transfers them between hosts by demand. It
@@ -44,7 +44,7 @@
   public void run(Blackboard blackboard, RoundContext context) {
     configure(blackboard.get(Entries.CONFIGURATION).workspaces(), context);
     blackboard.observations(DemandMeasured.class).forEach(this::demandMeasured);
-    blackboard.observations(TokenOrderDone.class).forEach(this::orderCompleted);
+    blackboard.observations(TokenOrderCompleted.class).forEach(this::orderCompleted);
     Fleet fleet = Fleet.of(self, blackboard);
     RowObservations rowObservations = RowObservations.of(blackboard);
     Map<EntryHostId, Map<WorkspaceId, Double>> peerDemand = blackboard.get(Entries.PEER_DEMAND);
@@ -78,10 +78,10 @@
     }
   }
 
-  private void orderCompleted(TokenOrderDone done) {
-    WorkspaceShare share = shares.get(done.workspace());
+  private void orderCompleted(TokenOrderCompleted completed) {
+    WorkspaceShare share = shares.get(completed.workspace());
     if (share != null) {
-      share.orderCompleted(done);
+      share.orderCompleted(completed);
     }
   }
 }
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
@@ -21,7 +21,7 @@
 import org.persimmonwalk.model.TokenOrder;
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.observation.DemandMeasured;
-import org.persimmonwalk.observation.TokenOrderDone;
+import org.persimmonwalk.observation.TokenOrderCompleted;
 
 /** This host's part of one workspace; a unit is a millionth of the workspace's rate and burst. */
 final class WorkspaceShare implements LeasedResource {
@@ -76,8 +76,8 @@
     measuredAt = measured.measuredAt();
   }
 
-  void orderCompleted(TokenOrderDone done) {
-    tokenOrders.completed(done.number(), done.withdrawn());
+  void orderCompleted(TokenOrderCompleted completed) {
+    tokenOrders.completed(completed.number(), completed.withdrawn());
   }
 
   double measuredDemand() {
--- a/core/src/main/java/org/persimmonwalk/model/ShareTransfer.java
+++ b/core/src/main/java/org/persimmonwalk/model/ShareTransfer.java
@@ -37,7 +37,7 @@
   }
 
   /** Returns an answer without units or tokens. */
-  public static ShareTransfer nothing(TransferId id, TableRow row) {
+  public static ShareTransfer empty(TransferId id, TableRow row) {
     return new ShareTransfer(id, row, 0, 0, Duration.ZERO);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/observation/ConnectionsCounted.java
+++ b/core/src/main/java/org/persimmonwalk/observation/ConnectionsCounted.java
@@ -11,20 +11,21 @@
  * @param server the backend server
  * @param open connections that are open or being opened
  * @param wanted connections that the traffic of the last few seconds needed at its peak
- * @param obeyed when the newest snapshot that the host applies was published; no further connection
- *     is opened beyond that snapshot's allowance
+ * @param appliedSnapshotAt when the newest snapshot that the host applies was published; no further
+ *     connection is opened beyond that snapshot's allowance
  */
-public record ConnectionsCounted(BackendServerId server, int open, int wanted, MonotonicTime obeyed)
+public record ConnectionsCounted(
+    BackendServerId server, int open, int wanted, MonotonicTime appliedSnapshotAt)
     implements Observation {
 
   /** Checks that all parts are present. */
   public ConnectionsCounted {
     Objects.requireNonNull(server, "server");
-    Objects.requireNonNull(obeyed, "obeyed");
+    Objects.requireNonNull(appliedSnapshotAt, "appliedSnapshotAt");
   }
 
   @Override
-  public boolean droppable() {
+  public boolean isDroppable() {
     return true;
   }
 }
--- a/core/src/main/java/org/persimmonwalk/observation/DemandMeasured.java
+++ b/core/src/main/java/org/persimmonwalk/observation/DemandMeasured.java
@@ -24,7 +24,7 @@
   }
 
   @Override
-  public boolean droppable() {
+  public boolean isDroppable() {
     return true;
   }
 }
--- a/core/src/main/java/org/persimmonwalk/observation/PeerMessageReceived.java
+++ b/core/src/main/java/org/persimmonwalk/observation/PeerMessageReceived.java
@@ -17,7 +17,7 @@
   }
 
   @Override
-  public boolean droppable() {
+  public boolean isDroppable() {
     return true;
   }
 }
--- a/core/src/main/java/org/persimmonwalk/observation/SampleRequested.java
+++ b/core/src/main/java/org/persimmonwalk/observation/SampleRequested.java
@@ -13,7 +13,7 @@
   }
 
   @Override
-  public boolean droppable() {
+  public boolean isDroppable() {
     return true;
   }
 }
--- a/core/src/main/java/org/persimmonwalk/observation/TokenOrderDone.java
+++ b/core/src/main/java/org/persimmonwalk/observation/TokenOrderCompleted.java
@@ -5,11 +5,11 @@
 import org.persimmonwalk.id.WorkspaceId;
 
 /** The admission policy has carried out a token order and withdrawn the given number of tokens. */
-public record TokenOrderDone(WorkspaceId workspace, long number, double withdrawn)
+public record TokenOrderCompleted(WorkspaceId workspace, long number, double withdrawn)
     implements Observation {
 
   /** Checks that all parts are present. */
-  public TokenOrderDone {
+  public TokenOrderCompleted {
     Objects.requireNonNull(workspace, "workspace");
   }
 }
--- a/core/src/test/java/org/persimmonwalk/admission/LeasedAdmissionTest.java
+++ b/core/src/test/java/org/persimmonwalk/admission/LeasedAdmissionTest.java
@@ -26,7 +26,7 @@
 import org.persimmonwalk.model.TokenOrder;
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.observation.DemandMeasured;
-import org.persimmonwalk.observation.TokenOrderDone;
+import org.persimmonwalk.observation.TokenOrderCompleted;
 import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
@@ -116,7 +116,7 @@
     publish(ShareLease.of(0, 5, END, order));
     publish(ShareLease.of(0, 5, END, order));
     assertThat(admitted()).isEqualTo(2);
-    assertThat(done()).containsExactly(new TokenOrderDone(OIL, 1, 0));
+    assertThat(completedOrders()).containsExactly(new TokenOrderCompleted(OIL, 1, 0));
   }
 
   /**
@@ -128,7 +128,7 @@
     publish(lease);
     clock.advance(Duration.ofSeconds(50));
     publish(ShareLease.of(0, 2, END, TokenOrder.of(1, 0, 9)));
-    assertThat(done()).containsExactly(new TokenOrderDone(OIL, 1, 3));
+    assertThat(completedOrders()).containsExactly(new TokenOrderCompleted(OIL, 1, 3));
     assertThat(admitted()).isEqualTo(2);
   }
 
@@ -165,14 +165,14 @@
     }
     threads.shutdown();
     admitted += admitted();
-    double withdrawn = done().stream().mapToDouble(TokenOrderDone::withdrawn).sum();
+    double withdrawn = completedOrders().stream().mapToDouble(TokenOrderCompleted::withdrawn).sum();
     assertThat(admitted + withdrawn).isEqualTo(50_000);
   }
 
   private void publish(ShareLease published) {
     lease = published;
     loop.runRound();
-    admission.published(loop.snapshot());
+    admission.onPublished(loop.snapshot());
   }
 
   private boolean admit() {
@@ -191,8 +191,8 @@
     return admitted;
   }
 
-  private List<TokenOrderDone> done() {
-    return all(TokenOrderDone.class);
+  private List<TokenOrderCompleted> completedOrders() {
+    return all(TokenOrderCompleted.class);
   }
 
   private <T extends Observation> List<T> all(Class<T> type) {
--- a/core/src/test/java/org/persimmonwalk/internal/control/allowance/ConnectionReleaseTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/ConnectionReleaseTest.java
@@ -52,14 +52,14 @@
   @Test
   void shouldSendConnectionsOnlyAfterCountUnderLoweredAllowance() {
     obtainGrant();
-    MonotonicTime before = loop.snapshot().publishedAt();
+    MonotonicTime before = loop.snapshot().roundStartedAt();
     ShareRequest request = new ShareRequest(TransferId.of("peer:1"), ROW, 0, 10, 0);
     round(Command.class, counted(20, before));
     round(Command.class, new PeerMessageReceived(PEER, request));
     assertThat(allowance()).isEqualTo(14);
 
     assertThat(round(SendPeerMessage.class, counted(10, before))).isEmpty();
-    MonotonicTime after = loop.snapshot().publishedAt();
+    MonotonicTime after = loop.snapshot().roundStartedAt();
     assertThat(round(SendPeerMessage.class, counted(15, after))).isEmpty();
     List<SendPeerMessage> sent = round(SendPeerMessage.class, counted(14, after));
     assertThat(sent).hasSize(1);
@@ -70,12 +70,12 @@
   @Test
   void shouldKeepConnectionsThatAreNotClosedInTime() {
     obtainGrant();
-    round(Command.class, counted(20, loop.snapshot().publishedAt()));
+    round(Command.class, counted(20, loop.snapshot().roundStartedAt()));
     ShareRequest request = new ShareRequest(TransferId.of("peer:1"), ROW, 0, 10, 0);
     round(Command.class, new PeerMessageReceived(PEER, request));
     clock.advance(Duration.ofSeconds(5));
     List<SendPeerMessage> sent =
-        round(SendPeerMessage.class, counted(20, loop.snapshot().publishedAt()));
+        round(SendPeerMessage.class, counted(20, loop.snapshot().roundStartedAt()));
 
     assertThat(((ShareTransfer) sent.get(0).message()).amount()).isZero();
     assertThat(allowance()).isEqualTo(20);
@@ -91,8 +91,8 @@
     assertThat(allowance()).isEqualTo(20);
   }
 
-  private ConnectionsCounted counted(int open, MonotonicTime obeyed) {
-    return new ConnectionsCounted(AllowanceControllerTest.SERVER, open, 20, obeyed);
+  private ConnectionsCounted counted(int open, MonotonicTime appliedSnapshotAt) {
+    return new ConnectionsCounted(AllowanceControllerTest.SERVER, open, 20, appliedSnapshotAt);
   }
 
   private int allowance() {
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
@@ -68,13 +68,13 @@
     loop.post(rowRead(4, clock.now()));
     loop.post(rowRead(6, clock.now()));
     loop.runRound();
-    assertThat(loop.snapshot().get(Entries.FRESHNESS)).contains(loadedAt);
+    assertThat(loop.snapshot().get(Entries.CONFIGURATION_CURRENT_AT)).contains(loadedAt);
 
     MonotonicTime readAt = clock.now();
     clock.advance(Duration.ofSeconds(1));
     loop.post(rowRead(5, readAt));
     loop.runRound();
-    assertThat(loop.snapshot().get(Entries.FRESHNESS)).contains(readAt);
+    assertThat(loop.snapshot().get(Entries.CONFIGURATION_CURRENT_AT)).contains(readAt);
   }
 
   /** Guards against freshness that is counted from the arrival of a delayed message. */
@@ -92,7 +92,7 @@
     loop.post(new PeerMessageReceived(PEER, heartbeat(5, age, Optional.of(askedAt))));
     loop.runRound();
 
-    assertThat(loop.snapshot().get(Entries.FRESHNESS))
+    assertThat(loop.snapshot().get(Entries.CONFIGURATION_CURRENT_AT))
         .contains(askedAt.minus(Duration.ofSeconds(2)));
   }
 
--- a/core/src/test/java/org/persimmonwalk/internal/control/drain/DrainControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/drain/DrainControllerTest.java
@@ -19,8 +19,8 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.observation.ConfigurationLoaded;
 import org.persimmonwalk.observation.HostsListed;
+import org.persimmonwalk.observation.OpenSessionsCounted;
 import org.persimmonwalk.observation.PeerMessageReceived;
-import org.persimmonwalk.observation.SessionsOpen;
 import org.persimmonwalk.observation.StopRequested;
 import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.Configurations;
@@ -78,18 +78,18 @@
   @Test
   void shouldStopWhenLastSessionHasEnded() {
     serve();
-    loop.post(new SessionsOpen(0));
+    loop.post(new OpenSessionsCounted(0));
     loop.post(new StopRequested());
     loop.runRound();
     assertThat(phase()).isEqualTo(HostPhase.DRAINING);
 
-    loop.post(new SessionsOpen(0));
-    loop.post(new SessionsOpen(1));
+    loop.post(new OpenSessionsCounted(0));
+    loop.post(new OpenSessionsCounted(1));
     clock.advance(Duration.ofSeconds(19));
     loop.runRound();
     assertThat(phase()).isEqualTo(HostPhase.DRAINING);
 
-    loop.post(new SessionsOpen(0));
+    loop.post(new OpenSessionsCounted(0));
     loop.runRound();
     assertThat(phase()).isEqualTo(HostPhase.STOPPED);
   }
@@ -105,10 +105,10 @@
 
     clock.advance(Duration.ofSeconds(10));
     loop.post(new StopRequested());
-    loop.post(new SessionsOpen(3));
+    loop.post(new OpenSessionsCounted(3));
     loop.runRound();
     clock.advance(Duration.ofSeconds(10));
-    loop.post(new SessionsOpen(3));
+    loop.post(new OpenSessionsCounted(3));
     loop.runRound();
     assertThat(phase()).isEqualTo(HostPhase.STOPPED);
   }
--- a/core/src/test/java/org/persimmonwalk/internal/control/share/ShareControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/share/ShareControllerTest.java
@@ -37,7 +37,7 @@
 import org.persimmonwalk.observation.PeerMessageReceived;
 import org.persimmonwalk.observation.TableRowRead;
 import org.persimmonwalk.observation.TableRowWritten;
-import org.persimmonwalk.observation.TokenOrderDone;
+import org.persimmonwalk.observation.TokenOrderCompleted;
 import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
@@ -159,7 +159,7 @@
     assertThat(lowered).isBetween(1.0, 25.0);
     long order = lease().order().number();
     List<SendPeerMessage> first =
-        round(SendPeerMessage.class, new TokenOrderDone(WORKSPACE, order, 0.5));
+        round(SendPeerMessage.class, new TokenOrderCompleted(WORKSPACE, order, 0.5));
     assertThat(first).hasSize(1);
 
     assertThat(round(SendPeerMessage.class, request)).isEqualTo(first);
@@ -174,7 +174,7 @@
     round(Command.class, new PeerMessageReceived(PEER, new ShareRequest(id, ROW, 0, 50, 1)));
     double lowered = lease().rate();
     clock.advance(Duration.ofSeconds(50));
-    round(Command.class, new TokenOrderDone(WORKSPACE, lease().order().number(), 0));
+    round(Command.class, new TokenOrderCompleted(WORKSPACE, lease().order().number(), 0));
     GrantTable table = (GrantTable) write.value();
     write = round(CompareAndSetTableRow.class, read(1, Optional.of(table))).get(0);
     round(Command.class, read(2, Optional.of((GrantTable) write.value())));
--- a/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
@@ -168,7 +168,7 @@
       int wanted = wantedConnections.get(server);
       int open = Math.max(Math.min(wanted, allowed), connections(server) - 1);
       openConnections.put(server, open);
-      post(new ConnectionsCounted(server, open, wanted, snapshot().publishedAt()));
+      post(new ConnectionsCounted(server, open, wanted, snapshot().roundStartedAt()));
     }
   }
 
--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -100,7 +100,7 @@
     }
 
     @Override
-    public void published(Snapshot snapshot) {
+    public void onPublished(Snapshot snapshot) {
       List<Object> current =
           List.of(
               snapshot.get(EngineEntries.TOKENS),
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ServerSilent.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ServerSilent.java
@@ -6,7 +6,7 @@
 /** A server has not answered this host for some time, although this host has tried to reach it. */
 public record ServerSilent(ServerEntry server) implements Observation {
   @Override
-  public boolean droppable() {
+  public boolean isDroppable() {
     return true;
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/ControlMetrics.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/ControlMetrics.java
@@ -59,8 +59,8 @@
   }
 
   @Override
-  public void published(Snapshot snapshot) {
-    MonotonicTime start = snapshot.publishedAt();
+  public void onPublished(Snapshot snapshot) {
+    MonotonicTime start = snapshot.roundStartedAt();
     Duration duration = clock.now().since(start);
     Duration longest = duration.compareTo(lastRound.longest()) > 0 ? duration : lastRound.longest();
     lastRound = new Round(snapshot.round(), start, duration, longest);
--- a/entryhost/src/main/java/org/persimmonwalk/internal/admin/StateDocument.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/admin/StateDocument.java
@@ -46,10 +46,10 @@
     tree.put("zone", host.zone().value());
     tree.put("phase", snapshot.get(Entries.HOST_PHASE).name());
     tree.put("round", snapshot.round());
-    putAge(tree, "snapshotAgeMilliseconds", Optional.of(snapshot.publishedAt()));
+    putAge(tree, "snapshotAgeMilliseconds", Optional.of(snapshot.roundStartedAt()));
     tree.put("revision", configuration.revision().number());
     tree.put("note", configuration.note().value());
-    putAge(tree, "freshnessAgeMilliseconds", snapshot.get(Entries.FRESHNESS));
+    putAge(tree, "freshnessAgeMilliseconds", snapshot.get(Entries.CONFIGURATION_CURRENT_AT));
     ArrayNode groups = tree.putArray("groups");
     ArrayNode servers = tree.putArray("servers");
     for (GroupView group : sortedGroups()) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/assembly/StopWaiter.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/StopWaiter.java
@@ -23,7 +23,7 @@
   }
 
   @Override
-  public void published(Snapshot snapshot) {
+  public void onPublished(Snapshot snapshot) {
     if (snapshot.get(Entries.HOST_PHASE) == HostPhase.STOPPED) {
       stopped.countDown();
     }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ConnectionReporter.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ConnectionReporter.java
@@ -48,9 +48,9 @@
   private record Peak(int statements, MonotonicTime seenAt) {}
 
   @Override
-  public void published(Snapshot snapshot) {
+  public void onPublished(Snapshot snapshot) {
     Map<BackendServerId, Integer> allowances = snapshot.get(Entries.CONNECTION_ALLOWANCES);
-    MonotonicTime now = snapshot.publishedAt();
+    MonotonicTime now = snapshot.roundStartedAt();
     boolean due = now.since(lastReport).compareTo(REPORT_INTERVAL) >= 0;
     if (!due && allowances == lastAllowances) {
       return;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ReplacedPrimaries.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ReplacedPrimaries.java
@@ -27,7 +27,7 @@
   }
 
   @Override
-  public void published(Snapshot snapshot) {
+  public void onPublished(Snapshot snapshot) {
     snapshot.get(Entries.GROUPS).values().forEach(this::checkPrimary);
   }
 
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/DrainWatcher.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/DrainWatcher.java
@@ -8,7 +8,7 @@
 import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.MonotonicTime;
-import org.persimmonwalk.observation.SessionsOpen;
+import org.persimmonwalk.observation.OpenSessionsCounted;
 
 /**
  * Closes idle caller connections while the host drains, and reports how many are still open. Runs
@@ -32,12 +32,12 @@
   }
 
   @Override
-  public void published(Snapshot snapshot) {
-    boolean due = snapshot.publishedAt().since(lastReport).compareTo(REPORT_INTERVAL) >= 0;
+  public void onPublished(Snapshot snapshot) {
+    boolean due = snapshot.roundStartedAt().since(lastReport).compareTo(REPORT_INTERVAL) >= 0;
     if (due && snapshot.get(Entries.HOST_PHASE) == HostPhase.DRAINING) {
-      lastReport = snapshot.publishedAt();
+      lastReport = snapshot.roundStartedAt();
       registry.drain();
-      observations.accept(new SessionsOpen(registry.size()));
+      observations.accept(new OpenSessionsCounted(registry.size()));
     }
   }
 }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/SnapshotWaiters.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/SnapshotWaiters.java
@@ -36,9 +36,9 @@
   }
 
   @Override
-  public void published(Snapshot snapshot) {
+  public void onPublished(Snapshot snapshot) {
     Map<DatabaseGroupId, GroupView> groups = snapshot.get(Entries.GROUPS);
-    MonotonicTime now = snapshot.publishedAt();
+    MonotonicTime now = snapshot.roundStartedAt();
     if (groups == lastGroups && now.since(lastRun).compareTo(MAXIMUM_INTERVAL) < 0) {
       return;
     }
--- a/entryhost/src/test/java/org/persimmonwalk/internal/admin/StateDocumentTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/admin/StateDocumentTest.java
@@ -116,7 +116,7 @@
             Map.of(OIL, Workspace.of(OIL, 500, 100, Set.of(GROUP))),
             Map.of(),
             Map.of()));
-    blackboard.put(Entries.FRESHNESS, Optional.of(now.minus(Duration.ofSeconds(1))));
+    blackboard.put(Entries.CONFIGURATION_CURRENT_AT, Optional.of(now.minus(Duration.ofSeconds(1))));
     blackboard.put(
         Entries.SHARES,
         Map.of(OIL, ShareLease.of(25, 5, now.plus(Duration.ofMinutes(1)), TokenOrder.NONE)));
