Rename types and methods of the entry host

ReplacedPrimaries and GroupFunctions named neither a role nor a task; they are now ReplacedPrimaryDisconnector and PromotionFunctions. Likewise TlsContexts.accepting -> serverContext, connecting -> clientContext, and StatementTrace.sent -> startAttempt, answered -> endAttempt, since these two start and end the span of an attempt. The names of spans and attributes stay.

--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -27,7 +27,7 @@
 import org.persimmonwalk.internal.traffic.backend.BackendConnector;
 import org.persimmonwalk.internal.traffic.backend.ConnectionReporter;
 import org.persimmonwalk.internal.traffic.backend.ConnectionWaiter;
-import org.persimmonwalk.internal.traffic.backend.ReplacedPrimaries;
+import org.persimmonwalk.internal.traffic.backend.ReplacedPrimaryDisconnector;
 import org.persimmonwalk.internal.traffic.backend.ServerPools;
 import org.persimmonwalk.internal.traffic.caller.CallerListener;
 import org.persimmonwalk.internal.traffic.caller.CallerRegistry;
@@ -96,7 +96,7 @@
     loop.addListener(acknowledgement);
     loop.addListener(waiters);
     loop.addListener(stopWaiter);
-    loop.addListener(ReplacedPrimaries.of(pools));
+    loop.addListener(ReplacedPrimaryDisconnector.of(pools));
     loop.addListener(ConnectionReporter.of(pools, control.monitorConnections(), loop::post));
     loop.addListener(DrainWatcher.of(callerRegistry, loop::post));
     TrafficPolicies trafficPolicies = policies.create(loop::post);
--- a/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/assembly/ControlPlane.java
@@ -33,9 +33,9 @@
 import org.persimmonwalk.internal.control.share.ShareController;
 import org.persimmonwalk.internal.execution.CommandDispatcher;
 import org.persimmonwalk.internal.execution.CompareAndSetTableRowHandler;
-import org.persimmonwalk.internal.execution.GroupFunctions;
 import org.persimmonwalk.internal.execution.ListHostsHandler;
 import org.persimmonwalk.internal.execution.LoadConfigurationHandler;
+import org.persimmonwalk.internal.execution.PromotionFunctions;
 import org.persimmonwalk.internal.execution.ReadTableRowHandler;
 import org.persimmonwalk.internal.execution.SampleServerHandler;
 import org.persimmonwalk.internal.execution.SendPeerMessageHandler;
@@ -189,7 +189,7 @@
     }
     TlsContexts contexts = TlsContexts.load("peer.tls", peer.tls().get(), InstantSource.system());
     contexts.watch(eventLoops.next());
-    return MutualTls.of(contexts::accepting, contexts::connecting);
+    return MutualTls.of(contexts::serverContext, contexts::clientContext);
   }
 
   private void registerPlatformHandlers() {
@@ -207,7 +207,7 @@
     dispatcher.register(
         SampleServer.class,
         SampleServerHandler.of(monitorConnections, this::groupOf, clock, loop::post));
-    GroupFunctions.of(monitorConnections, this::groupOf, loop::post).register(dispatcher);
+    PromotionFunctions.of(monitorConnections, this::groupOf, loop::post).register(dispatcher);
   }
 
   private Optional<SocketEndpoint> endpointOf(EntryHostId host) {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/execution/GroupFunctions.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/execution/PromotionFunctions.java
@@ -27,14 +27,14 @@
  * a backend server. A call without an answer posts no observation; the controllers repeat their
  * commands, which are idempotent.
  */
-public final class GroupFunctions {
+public final class PromotionFunctions {
   private static final String ACCEPTED = "t";
 
   private final MonitorConnections connections;
   private final Function<BackendServerId, DatabaseGroupId> groups;
   private final Consumer<Observation> observations;
 
-  private GroupFunctions(
+  private PromotionFunctions(
       MonitorConnections connections,
       Function<BackendServerId, DatabaseGroupId> groups,
       Consumer<Observation> observations) {
@@ -49,11 +49,11 @@
    * @param groups returns the database group of a server
    * @param observations receives the results
    */
-  public static GroupFunctions of(
+  public static PromotionFunctions of(
       MonitorConnections connections,
       Function<BackendServerId, DatabaseGroupId> groups,
       Consumer<Observation> observations) {
-    return new GroupFunctions(connections, groups, observations);
+    return new PromotionFunctions(connections, groups, observations);
   }
 
   /** Registers this object as the handler for the commands of a promotion. */
--- a/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/StatementTrace.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/telemetry/StatementTrace.java
@@ -40,7 +40,7 @@
   }
 
   /** Starts the span of an attempt when the statement is sent to a backend server. */
-  public void sent(RoutingDecision.Execute decision) {
+  public void startAttempt(RoutingDecision.Execute decision) {
     attemptSpan =
         Optional.of(
             tracer
@@ -55,7 +55,7 @@
   }
 
   /** Ends the span of the current attempt, if any. */
-  public void answered(boolean succeeded) {
+  public void endAttempt(boolean succeeded) {
     attemptSpan.ifPresent(span -> end(span, succeeded));
     attemptSpan = Optional.empty();
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsContexts.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsContexts.java
@@ -67,12 +67,12 @@
   }
 
   /** Returns the current context for accepted connections. */
-  public SslContext accepting() {
+  public SslContext serverContext() {
     return contexts.server();
   }
 
   /** Returns the current context for outgoing connections, which requires authorities. */
-  public SslContext connecting() {
+  public SslContext clientContext() {
     return contexts.client().orElseThrow();
   }
 
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ReplacedPrimaries.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ReplacedPrimaryDisconnector.java
@@ -13,17 +13,17 @@
  * Closes the connections to a primary that has been replaced. An isolated server may never answer,
  * and none of its answers may be forwarded to callers. Runs on the control thread.
  */
-public final class ReplacedPrimaries implements SnapshotListener {
+public final class ReplacedPrimaryDisconnector implements SnapshotListener {
   private final ServerPools pools;
   private final Map<DatabaseGroupId, BackendServerId> primaries = new HashMap<>();
 
-  private ReplacedPrimaries(ServerPools pools) {
+  private ReplacedPrimaryDisconnector(ServerPools pools) {
     this.pools = pools;
   }
 
   /** Returns a listener that closes connections of the pools. */
-  public static ReplacedPrimaries of(ServerPools pools) {
-    return new ReplacedPrimaries(pools);
+  public static ReplacedPrimaryDisconnector of(ServerPools pools) {
+    return new ReplacedPrimaryDisconnector(pools);
   }
 
   @Override
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/BatchExecution.java
@@ -192,7 +192,7 @@
     routed.ifPresent(
         decision -> {
           context.listener().routed(request, decision);
-          trace.sent(decision);
+          trace.startAttempt(decision);
         });
     execute(connection, connectionRequest.pool(), Optional.of(connectionRequest));
   }
@@ -260,7 +260,7 @@
   }
 
   private void endAttempt(boolean succeeded) {
-    trace.answered(succeeded);
+    trace.endAttempt(succeeded);
     connectionInUse = Optional.empty();
     answerTimer.ifPresent(timer -> timer.cancel(false));
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TlsSecurity.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TlsSecurity.java
@@ -25,7 +25,7 @@
 
   @Override
   public Optional<SslHandler> newHandler(ByteBufAllocator allocator) {
-    SslHandler handler = contexts.accepting().newHandler(allocator);
+    SslHandler handler = contexts.serverContext().newHandler(allocator);
     handler.setHandshakeTimeoutMillis(handshakeTimeout.toMillis());
     return Optional.of(handler);
   }
--- a/entryhost/src/test/java/org/persimmonwalk/internal/tls/MutualTlsTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/tls/MutualTlsTest.java
@@ -153,6 +153,6 @@
 
   private static PeerSecurity security(TlsFiles files) {
     TlsContexts contexts = TlsContexts.load("peer.tls", files, InstantSource.system());
-    return MutualTls.of(contexts::accepting, contexts::connecting);
+    return MutualTls.of(contexts::serverContext, contexts::clientContext);
   }
 }
--- a/entryhost/src/test/java/org/persimmonwalk/internal/tls/TlsContextsTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/tls/TlsContextsTest.java
@@ -34,15 +34,15 @@
   @Test
   void shouldUseChangedFilesForNewConnections() throws IOException {
     TlsContexts contexts = TlsContexts.load("caller.tls", files, TIME);
-    SslContext first = contexts.accepting();
+    SslContext first = contexts.serverContext();
     contexts.reloadIfChanged();
-    assertThat(contexts.accepting()).isSameAs(first);
+    assertThat(contexts.serverContext()).isSameAs(first);
 
     replace(TestFiles.SECOND.certificate(), files.certificate());
     replace(TestFiles.SECOND.key(), files.key());
     contexts.reloadIfChanged();
 
-    assertThat(contexts.accepting()).isNotSameAs(first);
+    assertThat(contexts.serverContext()).isNotSameAs(first);
   }
 
   /**
@@ -52,17 +52,17 @@
   @Test
   void shouldKeepContextUntilFilesMatchAgain() throws IOException {
     TlsContexts contexts = TlsContexts.load("caller.tls", files, TIME);
-    SslContext first = contexts.accepting();
+    SslContext first = contexts.serverContext();
 
     replace(TestFiles.SECOND.certificate(), files.certificate());
     contexts.reloadIfChanged();
-    assertThat(contexts.accepting()).isSameAs(first);
+    assertThat(contexts.serverContext()).isSameAs(first);
 
     FileTime unchanged = Files.getLastModifiedTime(files.key());
     replace(TestFiles.SECOND.key(), files.key());
     Files.setLastModifiedTime(files.key(), unchanged);
     contexts.reloadIfChanged();
-    assertThat(contexts.accepting()).isNotSameAs(first);
+    assertThat(contexts.serverContext()).isNotSameAs(first);
   }
 
   /** Sets a different time for each change, since file systems may store coarse timestamps. */
