Rename the simulated fleets and fault switches of the tests

SpreadFleet and FakeFleet did not say what their hosts share: they are now ConfigurationFleet and LeaseFleet, with ConfigurationHost and LeaseHost. RateWitness was figurative and is now RateExcessMeter, with largestExcess and recordAdmission. Likewise FailoverFleet.Acknowledged -> AcknowledgedWrite with committedByReplacedPrimary, lost -> lostWrites and gate -> replicatedAcknowledgement; setPercentDisturbed -> setFaultPercent, setSplit -> setPartitioned, setPercentLost -> setLostAnswerPercent, and for FakeLinks slow -> setLatency and join -> restore. SpreadBenchmark keeps its name because it is started by name.

--- a/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
@@ -90,8 +90,10 @@
         outage,
         fleet.database().promotions(),
         fleet.acknowledged().size(),
-        fleet.database().primary().isPresent() ? fleet.lost().size() : 0,
-        fleet.acknowledged().stream().filter(FailoverFleet.Acknowledged::byReplaced).count());
+        fleet.database().primary().isPresent() ? fleet.lostWrites().size() : 0,
+        fleet.acknowledged().stream()
+            .filter(FailoverFleet.AcknowledgedWrite::committedByReplacedPrimary)
+            .count());
   }
 
   private static OptionalLong outage(FailoverFleet fleet, MonotonicTime faultAt) {
--- a/core/src/test/java/org/persimmonwalk/benchmark/FailoverScenario.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/FailoverScenario.java
@@ -61,7 +61,7 @@
     void injectFaults(FailoverFleet fleet, RandomSource random) {
       for (int count = random.nextInt(2); count >= 0; count--) {
         String host = fleet.hosts().get(random.nextInt(fleet.hosts().size())).id().value();
-        fleet.links().slow(host, "a", Duration.ofMillis(200 + random.nextInt(4000)));
+        fleet.links().setLatency(host, "a", Duration.ofMillis(200 + random.nextInt(4000)));
       }
     }
   };
--- a/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/ShareBenchmark.java
@@ -15,9 +15,9 @@
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.Workspace;
-import org.persimmonwalk.testing.FakeFleet;
-import org.persimmonwalk.testing.FakeHost;
-import org.persimmonwalk.testing.RateWitness;
+import org.persimmonwalk.testing.LeaseFleet;
+import org.persimmonwalk.testing.LeaseHost;
+import org.persimmonwalk.testing.RateExcessMeter;
 
 /**
  * Prints how many statements within a workspace's limit are refused by leased shares and by the
@@ -34,7 +34,7 @@
   private static final double NANOSECONDS_PER_SECOND = 1e9;
 
   private final Scenario scenario;
-  private final FakeFleet fleet;
+  private final LeaseFleet fleet;
   private final Map<Workspace, List<Tally>> tallies = new LinkedHashMap<>();
   private final List<AdmissionPolicy> equalSplit = new ArrayList<>();
   private final AdmissionPolicy admitAll = AdmitAll.create();
@@ -49,7 +49,7 @@
     Configuration configuration =
         new Configuration(
             Revision.of(1), ReleaseNoteId.of("first"), workspaces, Map.of(), Map.of());
-    this.fleet = new FakeFleet(HOSTS, LeaseSettings.SHARES, configuration, seed);
+    this.fleet = new LeaseFleet(HOSTS, LeaseSettings.SHARES, configuration, seed);
     fleet.hosts().forEach(host -> equalSplit.add(EqualSplitAdmission.of(HOSTS)));
   }
 
@@ -97,7 +97,7 @@
   }
 
   private static Tally tally(Workspace workspace) {
-    return new Tally(new RateWitness(workspace.rate()));
+    return new Tally(new RateExcessMeter(workspace.rate()));
   }
 
   /**
@@ -153,7 +153,7 @@
 
   private void arrive(Workspace workspace, boolean withinLimit, boolean counted) {
     int index = scenario.host(fleet);
-    FakeHost host = fleet.hosts().get(index);
+    LeaseHost host = fleet.hosts().get(index);
     boolean[] admitted = {
       host.admit(workspace.id()),
       equalSplit.get(index).admit(host.snapshot(), workspace.id(), host.now()),
@@ -200,7 +200,8 @@
 
   private double worstExcess(int policy) {
     return tallies.entrySet().stream()
-        .mapToDouble(entry -> entry.getValue().get(policy).meter.highest() - entry.getKey().burst())
+        .mapToDouble(
+            entry -> entry.getValue().get(policy).meter.largestExcess() - entry.getKey().burst())
         .map(excess -> Math.max(0, excess))
         .max()
         .orElse(0);
@@ -218,7 +219,7 @@
    */
   private record Scenario(
       String name, double load, double hotHostShare, Duration hotHostInterval, boolean outage) {
-    int host(FakeFleet fleet) {
+    int host(LeaseFleet fleet) {
       if (fleet.random().nextInt(1_000_000) < hotHostShare * 1_000_000) {
         long span = hotHostInterval.toNanos();
         return span == 0 ? 0 : (int) (fleet.time().now() / span % HOSTS);
@@ -251,11 +252,11 @@
 
   /** Counts the decisions of one policy on the statements of one workspace. */
   private static final class Tally {
-    private final RateWitness meter;
+    private final RateExcessMeter meter;
     private long withinLimit;
     private long refused;
 
-    private Tally(RateWitness meter) {
+    private Tally(RateExcessMeter meter) {
       this.meter = meter;
     }
 
@@ -263,7 +264,7 @@
       withinLimit += isWithinLimit ? 1 : 0;
       refused += isWithinLimit && !admitted ? 1 : 0;
       if (admitted) {
-        meter.admitted(now);
+        meter.recordAdmission(now);
       }
     }
   }
--- a/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
@@ -19,10 +19,10 @@
 import org.persimmonwalk.model.Heartbeat;
 import org.persimmonwalk.model.HostEntry;
 import org.persimmonwalk.model.SocketEndpoint;
+import org.persimmonwalk.testing.ConfigurationFleet;
+import org.persimmonwalk.testing.ConfigurationHost;
 import org.persimmonwalk.testing.Configurations;
 import org.persimmonwalk.testing.EncodedSize;
-import org.persimmonwalk.testing.SpreadFleet;
-import org.persimmonwalk.testing.SpreadHost;
 
 /**
  * Measures how long a new revision of the configuration takes to reach all hosts, also when half of
@@ -142,7 +142,7 @@
 
   private static Figures measure(Scenario scenario, int seed) {
     SplittableRandom random = new SplittableRandom(seed);
-    SpreadFleet fleet = SpreadFleet.of(STEP, EncodedSize.create());
+    ConfigurationFleet fleet = ConfigurationFleet.of(STEP, EncodedSize.create());
     fleet.store().install(scenario.first());
     for (int index = 0; index < scenario.hosts(); index++) {
       HostEntry entry = entry(index, scenario.zones());
@@ -186,7 +186,7 @@
     for (int index = 0; index < Heartbeat.DEMAND_LIMIT; index++) {
       demand.put(WorkspaceId.of("workspace-" + index), 12.5 + index);
     }
-    List<Controller> controllers = new ArrayList<>(SpreadHost.controllers(entry));
+    List<Controller> controllers = new ArrayList<>(ConfigurationHost.controllers(entry));
     controllers.add((blackboard, context) -> blackboard.put(Entries.DEMAND, demand));
     return controllers;
   }
@@ -195,8 +195,8 @@
     return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
   }
 
-  private static void cutOff(SpreadFleet fleet, Scenario scenario) {
-    List<SpreadHost> hosts = new ArrayList<>(fleet.hosts());
+  private static void cutOff(ConfigurationFleet fleet, Scenario scenario) {
+    List<ConfigurationHost> hosts = new ArrayList<>(fleet.hosts());
     if (scenario.cut() == Cut.WHOLE_ZONES) {
       hosts.sort((first, second) -> first.entry().zone().compareTo(second.entry().zone()));
     }
@@ -226,7 +226,7 @@
     private long bytes;
     private long peakReads;
 
-    static Propagation run(SpreadFleet fleet, Scenario scenario) {
+    static Propagation run(ConfigurationFleet fleet, Scenario scenario) {
       Propagation propagation = new Propagation();
       Revision revision = Revision.of(2);
       fleet.store().install(Configurations.withRevision(scenario.first(), revision.number()));
--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
@@ -105,7 +105,7 @@
   }
 
   private AcknowledgementPolicy acknowledgement(FailoverHost host) {
-    AcknowledgementPolicy policy = FailoverFleet.gate(host);
+    AcknowledgementPolicy policy = FailoverFleet.replicatedAcknowledgement(host);
     return (write, now) ->
         policy.register(
             new PendingWrite(
@@ -140,7 +140,7 @@
       }
       case HOST_CUT_FROM_PRIMARY -> {
         fleet.links().cut(host.id().value(), primary);
-        scheduleEnd(step, () -> fleet.links().join(host.id().value(), primary));
+        scheduleEnd(step, () -> fleet.links().restore(host.id().value(), primary));
       }
       case REPLICAS_BEHIND -> {
         fleet.database().setReplayLag(200);
@@ -159,8 +159,8 @@
         scheduleEnd(step, this::endStoreFault);
       }
       case STORE_ANSWERS_LOST -> {
-        fleet.tables().setPercentLost(100);
-        scheduleEnd(step, () -> fleet.tables().setPercentLost(0));
+        fleet.tables().setLostAnswerPercent(100);
+        scheduleEnd(step, () -> fleet.tables().setLostAnswerPercent(0));
       }
       case KEY_REPLACED -> publish();
       default -> {
@@ -179,7 +179,7 @@
     scheduleEnd(
         step,
         () -> {
-          replicas.forEach(replica -> fleet.links().join(primary, replica));
+          replicas.forEach(replica -> fleet.links().restore(primary, replica));
           fleet.links().heal(primary);
         });
   }
@@ -348,10 +348,11 @@
   }
 
   private void checkEnd() {
-    if (!fleet.lost().isEmpty()) {
+    if (!fleet.lostWrites().isEmpty()) {
       violations.add("acknowledged write lost");
     }
-    if (fleet.acknowledged().stream().anyMatch(FailoverFleet.Acknowledged::byReplaced)) {
+    if (fleet.acknowledged().stream()
+        .anyMatch(FailoverFleet.AcknowledgedWrite::committedByReplacedPrimary)) {
       violations.add("write acknowledged by a replaced primary");
     }
     if (!serversFailed && fleet.database().promotions() > 0) {
--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultScheduleTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultScheduleTest.java
@@ -20,9 +20,9 @@
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.Workspace;
-import org.persimmonwalk.testing.FakeFleet;
-import org.persimmonwalk.testing.FakeHost;
-import org.persimmonwalk.testing.RateWitness;
+import org.persimmonwalk.testing.LeaseFleet;
+import org.persimmonwalk.testing.LeaseHost;
+import org.persimmonwalk.testing.RateExcessMeter;
 
 /** Guards against faults that violate an invariant only in combination. Failures are shrunk. */
 class FaultScheduleTest {
@@ -53,21 +53,21 @@
             Map.of(),
             Map.of());
     LeaseSettings settings = new LeaseSettings(Duration.ofSeconds(20), Duration.ofSeconds(1));
-    FakeFleet fleet = new FakeFleet(4, settings, configuration, seed);
-    RateWitness rateMeter = new RateWitness(RATE);
-    fleet.store().setPercentLost(30);
+    LeaseFleet fleet = new LeaseFleet(4, settings, configuration, seed);
+    RateExcessMeter rateMeter = new RateExcessMeter(RATE);
+    fleet.store().setLostAnswerPercent(30);
     sendBursts(fleet, rateMeter, Duration.ofSeconds(5));
     for (FaultStep step : steps) {
       injectFault(fleet, rateMeter, step);
       sendBursts(fleet, rateMeter, Duration.ofMillis(step.gapMillis() * 5L));
     }
     sendBursts(fleet, rateMeter, Duration.ofSeconds(60));
-    assertThat(rateMeter.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
+    assertThat(rateMeter.largestExcess()).isLessThanOrEqualTo(BURST + ROUNDING);
     assertThat(rateMeter.admitted()).isGreaterThan((long) RATE);
   }
 
-  private static void injectFault(FakeFleet fleet, RateWitness rateMeter, FaultStep step) {
-    FakeHost host = fleet.hosts().get(step.target() % fleet.hosts().size());
+  private static void injectFault(LeaseFleet fleet, RateExcessMeter rateMeter, FaultStep step) {
+    LeaseHost host = fleet.hosts().get(step.target() % fleet.hosts().size());
     Duration duration = Duration.ofMillis(step.durationMillis() * 8L);
     switch (step.fault()) {
       case HOST_PAUSED, PROMOTER_PAUSED -> {
@@ -84,18 +84,18 @@
         fleet.time().after(duration, () -> fleet.store().setDown(false));
       }
       case HOST_CUT_FROM_PRIMARY, SERVER_ISOLATED -> {
-        fleet.network().setSplit(true);
-        fleet.time().after(duration, () -> fleet.network().setSplit(false));
+        fleet.network().setPartitioned(true);
+        fleet.time().after(duration, () -> fleet.network().setPartitioned(false));
       }
       default -> {
-        fleet.network().setPercentDisturbed(20);
-        fleet.time().after(duration, () -> fleet.network().setPercentDisturbed(0));
+        fleet.network().setFaultPercent(20);
+        fleet.time().after(duration, () -> fleet.network().setFaultPercent(0));
       }
     }
   }
 
   /** Sends statements in bursts, so that buckets are full when a paused host resumes. */
-  private static void sendBursts(FakeFleet fleet, RateWitness rateMeter, Duration span) {
+  private static void sendBursts(LeaseFleet fleet, RateExcessMeter rateMeter, Duration span) {
     Duration interval = Duration.ofMillis(500);
     for (long count = 0; count < span.dividedBy(interval); count++) {
       fleet.time().advance(interval);
@@ -103,10 +103,10 @@
     }
   }
 
-  private static void sendBurst(FakeFleet fleet, RateWitness rateMeter) {
-    for (FakeHost host : fleet.hosts()) {
+  private static void sendBurst(LeaseFleet fleet, RateExcessMeter rateMeter) {
+    for (LeaseHost host : fleet.hosts()) {
       for (int count = 0; count < 2 * BURST && host.admit(WORKSPACE); count++) {
-        rateMeter.admitted(fleet.time().now());
+        rateMeter.recordAdmission(fleet.time().now());
       }
     }
   }
--- a/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
@@ -19,8 +19,8 @@
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.DatabaseGroup;
 import org.persimmonwalk.model.SocketEndpoint;
-import org.persimmonwalk.testing.FakeFleet;
-import org.persimmonwalk.testing.FakeHost;
+import org.persimmonwalk.testing.LeaseFleet;
+import org.persimmonwalk.testing.LeaseHost;
 
 /** Guards against more connections to a backend server than it accepts, over all hosts together. */
 class AllowanceControllerTest {
@@ -30,22 +30,22 @@
   private static final LeaseSettings SETTINGS =
       new LeaseSettings(Duration.ofSeconds(60), Duration.ofSeconds(2));
 
-  private FakeFleet fleet;
+  private LeaseFleet fleet;
 
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
   void shouldNeverExceedConnectionsOfServer(long seed) {
-    fleet = new FakeFleet(6, SETTINGS, configuration(1, CONNECTIONS), seed);
-    fleet.store().setPercentLost(30);
-    fleet.network().setPercentDisturbed(5);
+    fleet = new LeaseFleet(6, SETTINGS, configuration(1, CONNECTIONS), seed);
+    fleet.store().setLostAnswerPercent(30);
+    fleet.network().setFaultPercent(5);
     for (int second = 0; second < 300; second++) {
       injectFault();
       run(Duration.ofSeconds(1), CONNECTIONS);
     }
     fleet.store().setDown(false);
-    fleet.store().setPercentLost(0);
-    fleet.network().setPercentDisturbed(0);
-    fleet.network().setSplit(false);
+    fleet.store().setLostAnswerPercent(0);
+    fleet.network().setFaultPercent(0);
+    fleet.network().setPartitioned(false);
     fleet.hosts().forEach(host -> host.wantConnections(SERVER, CONNECTIONS));
     run(Duration.ofSeconds(240), CONNECTIONS);
     assertThat(open()).isGreaterThan(CONNECTIONS / 2);
@@ -53,7 +53,7 @@
 
   @Test
   void shouldMoveConnectionsToHostThatNeedsThem() {
-    fleet = new FakeFleet(4, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet = new LeaseFleet(4, SETTINGS, configuration(1, CONNECTIONS), 1);
     fleet.hosts().forEach(host -> host.wantConnections(SERVER, 2));
     run(Duration.ofSeconds(5), CONNECTIONS);
     fleet.hosts().get(0).wantConnections(SERVER, 12);
@@ -66,7 +66,7 @@
    */
   @Test
   void shouldLowerAllowanceBeforeLeaseEnds() {
-    fleet = new FakeFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet = new LeaseFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
     fleet.hosts().forEach(host -> host.wantConnections(SERVER, 10));
     run(Duration.ofSeconds(5), CONNECTIONS);
     assertThat(open()).isEqualTo(CONNECTIONS);
@@ -78,7 +78,7 @@
   /** Guards against keeping the old number of connections after a server accepts fewer. */
   @Test
   void shouldFollowLoweredConnectionsOfServer() {
-    fleet = new FakeFleet(4, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet = new LeaseFleet(4, SETTINGS, configuration(1, CONNECTIONS), 1);
     fleet.hosts().forEach(host -> host.wantConnections(SERVER, 10));
     run(Duration.ofSeconds(5), CONNECTIONS);
     fleet.hosts().forEach(host -> host.configure(configuration(2, 8)));
@@ -93,7 +93,7 @@
    */
   @Test
   void shouldKeepMapWhileNoAllowanceChanges() {
-    fleet = new FakeFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet = new LeaseFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
     fleet.hosts().forEach(host -> host.wantConnections(SERVER, 2));
     run(Duration.ofSeconds(5), CONNECTIONS);
     Map<BackendServerId, Integer> before = allowances();
@@ -107,7 +107,7 @@
    */
   @Test
   void shouldForgetWithdrawnServer() {
-    fleet = new FakeFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
+    fleet = new LeaseFleet(2, SETTINGS, configuration(1, CONNECTIONS), 1);
     run(Duration.ofSeconds(5), CONNECTIONS);
     Configuration empty =
         new Configuration(
@@ -123,7 +123,7 @@
 
   private void injectFault() {
     int choice = fleet.random().nextInt(40);
-    FakeHost host = fleet.hosts().get(fleet.random().nextInt(fleet.hosts().size()));
+    LeaseHost host = fleet.hosts().get(fleet.random().nextInt(fleet.hosts().size()));
     if (choice == 0 && fleet.hosts().size() > 3) {
       fleet.kill(host);
     } else if (choice == 1 && fleet.hosts().size() < 9) {
@@ -133,7 +133,7 @@
     } else if (choice == 3) {
       fleet.store().setDown(fleet.random().nextInt(2) == 0);
     } else if (choice == 4) {
-      fleet.network().setSplit(fleet.random().nextInt(2) == 0);
+      fleet.network().setPartitioned(fleet.random().nextInt(2) == 0);
     } else if (choice == 5 && fleet.hosts().size() > 3) {
       fleet.stop(host);
     } else {
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
@@ -26,10 +26,10 @@
 import org.persimmonwalk.observation.PeerMessageReceived;
 import org.persimmonwalk.observation.TableRowRead;
 import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.testing.ConfigurationFleet;
 import org.persimmonwalk.testing.Configurations;
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
-import org.persimmonwalk.testing.SpreadFleet;
 
 class ConfigurationControllerTest {
   private static final EntryHostId PEER = EntryHostId.of("peer");
@@ -157,7 +157,7 @@
   private static Heartbeat heartbeat(
       long revision, Optional<Duration> age, Optional<MonotonicTime> answers) {
     return new Heartbeat(
-        SpreadFleet.entry("peer", "zone-a"),
+        ConfigurationFleet.entry("peer", "zone-a"),
         Revision.of(revision),
         age,
         MonotonicTime.of(77),
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationSpreadTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationSpreadTest.java
@@ -19,9 +19,9 @@
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.observation.ConfigurationLoaded;
 import org.persimmonwalk.result.ResultCode;
+import org.persimmonwalk.testing.ConfigurationFleet;
+import org.persimmonwalk.testing.ConfigurationHost;
 import org.persimmonwalk.testing.Configurations;
-import org.persimmonwalk.testing.SpreadFleet;
-import org.persimmonwalk.testing.SpreadHost;
 
 class ConfigurationSpreadTest {
   private static final Duration STEP = Duration.ofMillis(50);
@@ -32,7 +32,7 @@
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("workspace-0");
   private static final Optional<KeyHash> KEY = Optional.of(KeyHash.ofKey("key-0"));
 
-  private final SpreadFleet fleet = SpreadFleet.of(STEP, (from, to, message) -> 0);
+  private final ConfigurationFleet fleet = ConfigurationFleet.of(STEP, (from, to, message) -> 0);
   private final KeyPolicy policy = KeyPolicy.of(GRACE_PERIOD);
 
   @BeforeEach
@@ -83,7 +83,7 @@
   void shouldNotServeOlderRevisionAfterRestartWithStaleStoreRead() {
     withdrawKey();
     fleet.run(Duration.ofSeconds(5));
-    SpreadHost restarted = add("host-restarted", "zone-1");
+    ConfigurationHost restarted = add("host-restarted", "zone-1");
     restarted.setStoreReachable(false);
     restarted.post(new ConfigurationLoaded(Configurations.of(1, 1, 1), fleet.clock().now()));
 
@@ -107,12 +107,12 @@
                 Revision.of(2), first.note(), first.workspaces(), Map.of(), first.groups()));
   }
 
-  private Optional<ResultCode> verifyKey(SpreadHost host) {
+  private Optional<ResultCode> verifyKey(ConfigurationHost host) {
     return policy.verify(host.snapshot(), WORKSPACE, KEY, fleet.clock().now());
   }
 
-  private SpreadHost add(String id, String zone) {
-    HostEntry entry = SpreadFleet.entry(id, zone);
-    return fleet.add(entry, SpreadHost.controllers(entry), id.hashCode());
+  private ConfigurationHost add(String id, String zone) {
+    HostEntry entry = ConfigurationFleet.entry(id, zone);
+    return fleet.add(entry, ConfigurationHost.controllers(entry), id.hashCode());
   }
 }
--- a/core/src/test/java/org/persimmonwalk/internal/control/drain/DrainControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/drain/DrainControllerTest.java
@@ -23,14 +23,14 @@
 import org.persimmonwalk.observation.PeerMessageReceived;
 import org.persimmonwalk.observation.StopRequested;
 import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.testing.ConfigurationFleet;
 import org.persimmonwalk.testing.Configurations;
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
-import org.persimmonwalk.testing.SpreadFleet;
 
 /** Guards against a host that starts or stops serving callers too early or never. */
 class DrainControllerTest {
-  private static final HostEntry SELF = SpreadFleet.entry("self", "zone-0");
+  private static final HostEntry SELF = ConfigurationFleet.entry("self", "zone-0");
 
   private final FakeClock clock = new FakeClock();
   private final RecordingCommandExecutor executor = new RecordingCommandExecutor();
@@ -117,7 +117,7 @@
   @Test
   void shouldTellPeersOfPlannedStopAtOnce() {
     serve();
-    loop.post(new HostsListed(List.of(SpreadFleet.entry("peer-1", "zone-0")), clock.now()));
+    loop.post(new HostsListed(List.of(ConfigurationFleet.entry("peer-1", "zone-0")), clock.now()));
     loop.runRound();
     clock.advance(Duration.ofMillis(10));
     loop.post(new StopRequested());
@@ -145,7 +145,7 @@
   }
 
   private void receiveHeartbeat(String peer, long revision) {
-    HostEntry sender = SpreadFleet.entry(peer, "zone-0");
+    HostEntry sender = ConfigurationFleet.entry(peer, "zone-0");
     Heartbeat heartbeat =
         new Heartbeat(
             sender,
--- a/core/src/test/java/org/persimmonwalk/internal/control/membership/MembershipControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/membership/MembershipControllerTest.java
@@ -22,17 +22,17 @@
 import org.persimmonwalk.observation.HostsListed;
 import org.persimmonwalk.observation.PeerMessageReceived;
 import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.testing.ConfigurationFleet;
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
-import org.persimmonwalk.testing.SpreadFleet;
 
 /**
  * Guards against live hosts that count as dead, dead ones that count as live, and heartbeat storms.
  */
 class MembershipControllerTest {
-  private static final HostEntry SELF = SpreadFleet.entry("self", "zone-0");
-  private static final HostEntry PEER = SpreadFleet.entry("peer", "zone-0");
-  private static final HostEntry THIRD = SpreadFleet.entry("third", "zone-1");
+  private static final HostEntry SELF = ConfigurationFleet.entry("self", "zone-0");
+  private static final HostEntry PEER = ConfigurationFleet.entry("peer", "zone-0");
+  private static final HostEntry THIRD = ConfigurationFleet.entry("third", "zone-1");
 
   private final FakeClock clock = new FakeClock();
   private final RecordingCommandExecutor executor = new RecordingCommandExecutor();
@@ -96,10 +96,10 @@
   void shouldSendFourBoundedHeartbeatsASecond() {
     postHostList(
         IntStream.range(0, 430)
-            .mapToObj(index -> SpreadFleet.entry("host-" + index, "zone-" + index % 7))
+            .mapToObj(index -> ConfigurationFleet.entry("host-" + index, "zone-" + index % 7))
             .toArray(HostEntry[]::new));
     IntStream.range(0, 430)
-        .mapToObj(index -> SpreadFleet.entry("host-" + index, "zone-" + index % 7))
+        .mapToObj(index -> ConfigurationFleet.entry("host-" + index, "zone-" + index % 7))
         .forEach(this::postHeartbeat);
     executor.take(SendPeerMessage.class);
 
--- a/core/src/test/java/org/persimmonwalk/internal/control/primary/FailoverSafetyTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/FailoverSafetyTest.java
@@ -27,10 +27,10 @@
       repairAll(fleet);
 
       String description = "seed " + seed;
-      assertThat(fleet.lost()).as(description).isEmpty();
+      assertThat(fleet.lostWrites()).as(description).isEmpty();
       assertThat(fleet.acknowledged())
           .as(description)
-          .noneMatch(FailoverFleet.Acknowledged::byReplaced)
+          .noneMatch(FailoverFleet.AcknowledgedWrite::committedByReplacedPrimary)
           .anyMatch(entry -> entry.term().equals(fleet.database().term()));
       failovers += fleet.database().promotions();
     }
@@ -54,7 +54,7 @@
               Duration.ofMillis(20));
       injectFaults(fleet, RandomSource.seeded(seed));
       repairAll(fleet);
-      lost += fleet.lost().size();
+      lost += fleet.lostWrites().size();
     }
     assertThat(lost).isPositive();
   }
@@ -73,7 +73,7 @@
         case 3 -> fleet.links().heal(server);
         case 4 -> host.pause();
         case 5 -> fleet.hosts().forEach(FailoverHost::resume);
-        case 6 -> fleet.links().slow(host.id().value(), other, Duration.ofMillis(700));
+        case 6 -> fleet.links().setLatency(host.id().value(), other, Duration.ofMillis(700));
         default -> fleet.links().isolate(FakeLinks.PLATFORM);
       }
       fleet.time().advance(Duration.ofMillis(500 + random.nextInt(2000)));
--- a/core/src/test/java/org/persimmonwalk/internal/control/primary/PrimaryControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/PrimaryControllerTest.java
@@ -74,12 +74,16 @@
   void shouldGetOnePrimaryWhenHostsPromoteAtOnce() {
     fleet =
         FailoverFleet.of(
-            2, 1, this::controllersThatSeeOnlySelf, FailoverFleet::gate, Duration.ofMillis(20));
+            2,
+            1,
+            this::controllersThatSeeOnlySelf,
+            FailoverFleet::replicatedAcknowledgement,
+            Duration.ofMillis(20));
     Map<Term, Set<EntryHostId>> fencing = new HashMap<>();
     fleet.links().isolate(FakeLinks.PLATFORM);
     for (FailoverHost host : fleet.hosts()) {
       String far = host.id().value().equals("host-1") ? "b" : "c";
-      fleet.links().slow(host.id().value(), far, Duration.ofMillis(100));
+      fleet.links().setLatency(host.id().value(), far, Duration.ofMillis(100));
       host.onCommand(
           command -> {
             if (command instanceof FenceServer fence) {
@@ -142,7 +146,7 @@
 
   @Test
   void shouldPromoteWhenTableServiceRefusesOrLosesAnswers() {
-    fleet.tables().setPercentLost(100);
+    fleet.tables().setLostAnswerPercent(100);
     fleet.database().stop("a");
     run(4000);
     assertHealthyAfterFailover();
@@ -241,7 +245,7 @@
   void shouldNotPromoteWhenOnlyOneHostCannotReachPrimary() {
     Set<Command> sent = new HashSet<>();
     fleet.hosts().forEach(host -> host.onCommand(command -> addIfFailoverCommand(command, sent)));
-    fleet.links().slow(firstHost().id().value(), "a", Duration.ofSeconds(4));
+    fleet.links().setLatency(firstHost().id().value(), "a", Duration.ofSeconds(4));
     run(10_000);
     fleet.links().cut(firstHost().id().value(), "a");
     run(10_000);
@@ -258,7 +262,7 @@
     assertThat(fleet.database().primary()).contains("a");
     assertThat(fleet.database().sample("b").role()).isEqualTo(ServerRole.REPLICA);
     assertThat(fleet.database().sample("c").role()).isEqualTo(ServerRole.REPLICA);
-    assertThat(fleet.lost()).isEmpty();
+    assertThat(fleet.lostWrites()).isEmpty();
   }
 
   @Test
@@ -280,8 +284,9 @@
     assertThat(fleet.database().primary()).isNotEqualTo(Optional.of("a"));
     assertThat(fleet.acknowledged())
         .anyMatch(entry -> entry.term().equals(fleet.database().term()));
-    assertThat(fleet.lost()).isEmpty();
-    assertThat(fleet.acknowledged()).noneMatch(FailoverFleet.Acknowledged::byReplaced);
+    assertThat(fleet.lostWrites()).isEmpty();
+    assertThat(fleet.acknowledged())
+        .noneMatch(FailoverFleet.AcknowledgedWrite::committedByReplacedPrimary);
   }
 
   private FailoverHost firstHost() {
@@ -300,7 +305,7 @@
 
   private void cutLinkFor(String first, String second, long milliseconds) {
     fleet.links().cut(first, second);
-    fleet.time().after(Duration.ofMillis(milliseconds), () -> fleet.links().join(first, second));
+    fleet.time().after(Duration.ofMillis(milliseconds), () -> fleet.links().restore(first, second));
   }
 
   private void removeCommandListeners() {
--- a/core/src/test/java/org/persimmonwalk/internal/control/share/ShareSafetyTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/share/ShareSafetyTest.java
@@ -17,9 +17,9 @@
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.Workspace;
-import org.persimmonwalk.testing.FakeFleet;
-import org.persimmonwalk.testing.FakeHost;
-import org.persimmonwalk.testing.RateWitness;
+import org.persimmonwalk.testing.LeaseFleet;
+import org.persimmonwalk.testing.LeaseHost;
+import org.persimmonwalk.testing.RateExcessMeter;
 
 /**
  * Guards against faults that let all hosts together exceed the rate or burst of a workspace, or
@@ -36,15 +36,15 @@
   private static final LeaseSettings SETTINGS =
       new LeaseSettings(Duration.ofSeconds(60), Duration.ofSeconds(1));
 
-  private final RateWitness rateMeter = new RateWitness(RATE);
-  private FakeFleet fleet;
+  private final RateExcessMeter rateMeter = new RateExcessMeter(RATE);
+  private LeaseFleet fleet;
 
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
   void shouldNeverExceedRateAndBurstWhateverFails(long seed) {
     fleet = fleet(6, seed);
-    fleet.store().setPercentLost(30);
-    fleet.network().setPercentDisturbed(5);
+    fleet.store().setLostAnswerPercent(30);
+    fleet.network().setFaultPercent(5);
     for (int second = 0; second < 300; second++) {
       injectFault();
       if (fleet.random().nextInt(4) > 0) {
@@ -56,7 +56,7 @@
     recover();
     long before = rateMeter.admitted();
     run(Duration.ofSeconds(20), fleet.hosts());
-    assertThat(rateMeter.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
+    assertThat(rateMeter.largestExcess()).isLessThanOrEqualTo(BURST + ROUNDING);
     assertThat(rateMeter.admitted() - before).isGreaterThan((long) (0.8 * RATE * 20));
   }
 
@@ -64,8 +64,8 @@
   void shouldUseShareOfDeadHostOnlyAfterItsLeaseExpired() {
     fleet = fleet(2, 1);
     fleet.time().advance(Duration.ofSeconds(10));
-    FakeHost survivor = fleet.hosts().get(0);
-    FakeHost dead = fleet.hosts().get(1);
+    LeaseHost survivor = fleet.hosts().get(0);
+    LeaseHost dead = fleet.hosts().get(1);
     fleet.kill(dead);
 
     for (int second = 0; second < 55; second++) {
@@ -80,7 +80,7 @@
   void shouldAdmitNothingAfterPauseBeyondLease() {
     fleet = fleet(2, 1);
     fleet.time().advance(Duration.ofSeconds(10));
-    FakeHost paused = fleet.hosts().get(0);
+    LeaseHost paused = fleet.hosts().get(0);
     assertThat(paused.admit(WORKSPACE)).isTrue();
     fleet.pause(paused, Duration.ofSeconds(200));
     fleet.time().advance(Duration.ofSeconds(199));
@@ -106,23 +106,23 @@
     fleet = fleet(4, 1);
     fleet.time().advance(Duration.ofSeconds(5));
     fleet.store().setDown(true);
-    FakeHost busy = fleet.hosts().get(0);
+    LeaseHost busy = fleet.hosts().get(0);
     run(Duration.ofSeconds(10), List.of(busy));
 
     assertThat(rate(busy)).isGreaterThan(0.8 * RATE);
-    assertThat(rateMeter.highest()).isLessThanOrEqualTo(BURST + ROUNDING);
+    assertThat(rateMeter.largestExcess()).isLessThanOrEqualTo(BURST + ROUNDING);
   }
 
   @Test
   void shouldReturnShareOnPlannedStop() {
     fleet = fleet(2, 1);
     fleet.time().advance(Duration.ofSeconds(5));
-    FakeHost leaving = fleet.hosts().get(0);
+    LeaseHost leaving = fleet.hosts().get(0);
     leaving.stop();
     fleet.time().advance(Duration.ofSeconds(2));
     assertThat(rate(leaving)).isZero();
 
-    FakeHost next = fleet.join();
+    LeaseHost next = fleet.join();
     fleet.kill(leaving);
     fleet.time().advance(Duration.ofSeconds(6));
     assertThat(rate(next)).isGreaterThan(RATE / 4);
@@ -130,7 +130,7 @@
 
   private void injectFault() {
     int choice = fleet.random().nextInt(40);
-    FakeHost host = fleet.hosts().get(fleet.random().nextInt(fleet.hosts().size()));
+    LeaseHost host = fleet.hosts().get(fleet.random().nextInt(fleet.hosts().size()));
     if (choice == 0 && fleet.hosts().size() > 3) {
       fleet.kill(host);
     } else if (choice == 1 && fleet.hosts().size() < 9) {
@@ -140,7 +140,7 @@
     } else if (choice == 3) {
       fleet.store().setDown(fleet.random().nextInt(2) == 0);
     } else if (choice == 4) {
-      fleet.network().setSplit(fleet.random().nextInt(2) == 0);
+      fleet.network().setPartitioned(fleet.random().nextInt(2) == 0);
     } else if (choice == 5 && fleet.hosts().size() > 3) {
       fleet.stop(host);
     }
@@ -149,34 +149,34 @@
   /** Ends all faults and runs until the leases of dead hosts have expired. */
   private void recover() {
     fleet.store().setDown(false);
-    fleet.store().setPercentLost(0);
-    fleet.network().setPercentDisturbed(0);
-    fleet.network().setSplit(false);
+    fleet.store().setLostAnswerPercent(0);
+    fleet.network().setFaultPercent(0);
+    fleet.network().setPartitioned(false);
     run(Duration.ofSeconds(240), fleet.hosts());
   }
 
   /**
    * Sends more statements to the given hosts than the workspace's rate allows, most to the first.
    */
-  private void run(Duration span, List<FakeHost> loaded) {
+  private void run(Duration span, List<LeaseHost> loaded) {
     for (long step = 0; step < span.dividedBy(STEP); step++) {
       fleet.time().advance(STEP);
-      for (FakeHost host : loaded) {
+      for (LeaseHost host : loaded) {
         int statements = fleet.random().nextInt(host.equals(loaded.get(0)) ? 5 : 2);
         for (int i = 0; i < statements; i++) {
           if (host.admit(WORKSPACE)) {
-            rateMeter.admitted(fleet.time().now());
+            rateMeter.recordAdmission(fleet.time().now());
           }
         }
       }
     }
   }
 
-  private static double rate(FakeHost host) {
+  private static double rate(LeaseHost host) {
     return host.snapshot().get(Entries.SHARES).get(WORKSPACE).rate();
   }
 
-  private static FakeFleet fleet(int size, long seed) {
+  private static LeaseFleet fleet(int size, long seed) {
     Workspace workspace = Workspace.of(WORKSPACE, RATE, BURST, Set.of());
     Configuration configuration =
         new Configuration(
@@ -185,6 +185,6 @@
             Map.of(WORKSPACE, workspace),
             Map.of(),
             Map.of());
-    return new FakeFleet(size, SETTINGS, configuration, seed);
+    return new LeaseFleet(size, SETTINGS, configuration, seed);
   }
 }
--- a/core/src/test/java/org/persimmonwalk/testing/SpreadFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/ConfigurationFleet.java
@@ -17,10 +17,10 @@
  * Simulated entry hosts that propagate configurations: they read the fake store and exchange peer
  * messages without encoding. All hosts share one clock and run their rounds in steps.
  */
-public final class SpreadFleet {
+public final class ConfigurationFleet {
   private final FakeClock clock = new FakeClock();
   private final FakeConfigurationStore store = new FakeConfigurationStore();
-  private final Map<EntryHostId, SpreadHost> hosts = new LinkedHashMap<>();
+  private final Map<EntryHostId, ConfigurationHost> hosts = new LinkedHashMap<>();
   private final Duration step;
   private final MessageSize messageSize;
   private List<HostEntry> hostList = List.of();
@@ -28,7 +28,7 @@
   private long messages;
   private long bytes;
 
-  private SpreadFleet(Duration step, MessageSize messageSize) {
+  private ConfigurationFleet(Duration step, MessageSize messageSize) {
     this.step = step;
     this.messageSize = messageSize;
   }
@@ -39,15 +39,15 @@
    * @param step the time between two rounds, and the latency of messages and of platform answers
    * @param messageSize computes the bytes that a message takes on the network
    */
-  public static SpreadFleet of(Duration step, MessageSize messageSize) {
-    return new SpreadFleet(step, messageSize);
+  public static ConfigurationFleet of(Duration step, MessageSize messageSize) {
+    return new ConfigurationFleet(step, messageSize);
   }
 
   /** Adds a host that runs the given controllers and sets the host list to all added hosts. */
-  public SpreadHost add(HostEntry entry, List<Controller> controllers, long seed) {
-    SpreadHost host = SpreadHost.of(this, entry, controllers, seed);
+  public ConfigurationHost add(HostEntry entry, List<Controller> controllers, long seed) {
+    ConfigurationHost host = ConfigurationHost.of(this, entry, controllers, seed);
     hosts.put(entry.id(), host);
-    hostList = hosts().stream().map(SpreadHost::entry).toList();
+    hostList = hosts().stream().map(ConfigurationHost::entry).toList();
     return host;
   }
 
@@ -78,11 +78,11 @@
     List<Runnable> due = pendingDeliveries;
     pendingDeliveries = new ArrayList<>();
     due.forEach(Runnable::run);
-    hosts.values().forEach(SpreadHost::runRound);
+    hosts.values().forEach(ConfigurationHost::runRound);
   }
 
   /** Returns the hosts in the order in which they were added. */
-  public List<SpreadHost> hosts() {
+  public List<ConfigurationHost> hosts() {
     return List.copyOf(hosts.values());
   }
 
@@ -113,7 +113,7 @@
   void send(EntryHostId from, EntryHostId to, PeerMessage message) {
     messages++;
     bytes += messageSize.of(from, to, message);
-    SpreadHost target = hosts.get(to);
+    ConfigurationHost target = hosts.get(to);
     if (target != null) {
       deliverInNextStep(() -> target.post(new PeerMessageReceived(from, message)));
     }
--- a/core/src/test/java/org/persimmonwalk/testing/SpreadHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/ConfigurationHost.java
@@ -29,25 +29,26 @@
 import org.persimmonwalk.port.RandomSource;
 
 /**
- * An entry host of a {@link SpreadFleet}. Tests can make the store and the host list unreachable
- * for it.
+ * An entry host of a {@link ConfigurationFleet}. Tests can make the store and the host list
+ * unreachable for it.
  */
-public final class SpreadHost implements CommandExecutor {
-  private final SpreadFleet fleet;
+public final class ConfigurationHost implements CommandExecutor {
+  private final ConfigurationFleet fleet;
   private final HostEntry entry;
   private final ControlLoop loop;
   private boolean storeReachable = true;
   private boolean hostListReachable = true;
 
-  private SpreadHost(SpreadFleet fleet, HostEntry entry, List<Controller> controllers, long seed) {
+  private ConfigurationHost(
+      ConfigurationFleet fleet, HostEntry entry, List<Controller> controllers, long seed) {
     this.fleet = fleet;
     this.entry = entry;
     this.loop = ControlLoop.of(controllers, this, fleet.clock(), RandomSource.seeded(seed));
   }
 
-  static SpreadHost of(
-      SpreadFleet fleet, HostEntry entry, List<Controller> controllers, long seed) {
-    return new SpreadHost(fleet, entry, controllers, seed);
+  static ConfigurationHost of(
+      ConfigurationFleet fleet, HostEntry entry, List<Controller> controllers, long seed) {
+    return new ConfigurationHost(fleet, entry, controllers, seed);
   }
 
   /**
--- a/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
@@ -53,10 +53,11 @@
    * @param host the host that acknowledged the write
    * @param term the term of the primary that committed the write
    * @param at when the write was acknowledged
-   * @param byReplaced whether a higher term already had a primary when the write was committed
+   * @param committedByReplacedPrimary whether a higher term already had a primary when the write
+   *     was committed
    */
-  public record Acknowledged(
-      long write, String host, Term term, MonotonicTime at, boolean byReplaced) {}
+  public record AcknowledgedWrite(
+      long write, String host, Term term, MonotonicTime at, boolean committedByReplacedPrimary) {}
 
   private record CommittedWrite(GroupPosition position, boolean byReplacedPrimary) {}
 
@@ -78,7 +79,7 @@
   private final FakeDatabaseGroup database = FakeDatabaseGroup.of(3, links, clock);
   private final FakeTableStore tables;
   private final List<FailoverHost> hosts = new ArrayList<>();
-  private final List<Acknowledged> acknowledged = new ArrayList<>();
+  private final List<AcknowledgedWrite> acknowledged = new ArrayList<>();
   private long nextWrite;
 
   private FailoverFleet(RandomSource random) {
@@ -126,7 +127,12 @@
    * every 20 ms.
    */
   public static FailoverFleet standard(int size, long seed) {
-    return of(size, seed, FailoverFleet::controllers, FailoverFleet::gate, Duration.ofMillis(20));
+    return of(
+        size,
+        seed,
+        FailoverFleet::controllers,
+        FailoverFleet::replicatedAcknowledgement,
+        Duration.ofMillis(20));
   }
 
   /** Returns the production controllers that take part in a failover. */
@@ -141,7 +147,7 @@
   }
 
   /** Returns the production acknowledgement policy, connected to the host's control loop. */
-  public static AcknowledgementPolicy gate(FailoverHost host) {
+  public static AcknowledgementPolicy replicatedAcknowledgement(FailoverHost host) {
     ReplicatedAcknowledgement acknowledgement =
         ReplicatedAcknowledgement.of(1000, host.loop()::post);
     host.loop().addListener(acknowledgement);
@@ -179,12 +185,12 @@
   }
 
   /** Returns the acknowledged writes in the order in which they were acknowledged. */
-  public List<Acknowledged> acknowledged() {
+  public List<AcknowledgedWrite> acknowledged() {
     return acknowledged;
   }
 
   /** Returns the acknowledged writes that the current primary does not hold. */
-  public List<Acknowledged> lost() {
+  public List<AcknowledgedWrite> lostWrites() {
     Set<Long> kept = database.writes(database.primary().orElseThrow());
     return acknowledged.stream().filter(entry -> !kept.contains(entry.write())).toList();
   }
@@ -266,7 +272,7 @@
             outcome -> {
               if (outcome == AcknowledgementOutcome.CONFIRMED) {
                 acknowledged.add(
-                    new Acknowledged(
+                    new AcknowledgedWrite(
                         write, host.id().value(), term, now(), committed.byReplacedPrimary()));
               }
             }),
--- a/core/src/test/java/org/persimmonwalk/testing/FakeLinks.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeLinks.java
@@ -26,7 +26,7 @@
   }
 
   /** Opens the link between two machines again. */
-  public void join(String first, String second) {
+  public void restore(String first, String second) {
     cuts.remove(Set.of(first, second));
   }
 
@@ -41,7 +41,7 @@
   }
 
   /** Sets the one-way latency between two machines. */
-  public void slow(String first, String second, Duration latency) {
+  public void setLatency(String first, String second, Duration latency) {
     latencies.put(Set.of(first, second), latency);
   }
 
--- a/core/src/test/java/org/persimmonwalk/testing/FakePeerNetwork.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakePeerNetwork.java
@@ -44,12 +44,12 @@
    * Drops the given percentage of messages. Of the others, the same percentage is delayed by up to
    * two minutes, and independently the same percentage is duplicated with such a delay.
    */
-  public void setPercentDisturbed(int percent) {
+  public void setFaultPercent(int percent) {
     faultPercent = percent;
   }
 
   /** Sets whether messages between the two partitions are dropped. */
-  public void setSplit(boolean newPartitioned) {
+  public void setPartitioned(boolean newPartitioned) {
     partitioned = newPartitioned;
   }
 
--- a/core/src/test/java/org/persimmonwalk/testing/FakeTableStore.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeTableStore.java
@@ -49,7 +49,7 @@
    * Drops the answers to the given percentage of writes; the writer is told that the outcome is
    * unknown. Half of these writes take effect after a delay of 0 to 7 s.
    */
-  public void setPercentLost(int percent) {
+  public void setLostAnswerPercent(int percent) {
     lostAnswerPercent = percent;
   }
 
--- a/core/src/test/java/org/persimmonwalk/testing/FakeFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/LeaseFleet.java
@@ -19,9 +19,9 @@
  * exchange messages over one peer network. The fleet stands in for membership: it tells each host
  * which hosts are live and what their demand is.
  */
-public final class FakeFleet {
+public final class LeaseFleet {
   private final SimulatedTime time = new SimulatedTime();
-  private final List<FakeHost> hosts = new ArrayList<>();
+  private final List<LeaseHost> hosts = new ArrayList<>();
   private final Set<EntryHostId> liveHosts = new TreeSet<>();
   private final Map<EntryHostId, Map<WorkspaceId, Double>> demand = new TreeMap<>();
   private final LeaseSettings settings;
@@ -34,7 +34,7 @@
   private int hostsCreated;
 
   /** Creates a fleet with the given number of hosts. */
-  public FakeFleet(int size, LeaseSettings settings, Configuration configuration, long seed) {
+  public LeaseFleet(int size, LeaseSettings settings, Configuration configuration, long seed) {
     this.settings = settings;
     this.configuration = configuration;
     this.random = RandomSource.seeded(seed);
@@ -50,12 +50,12 @@
   }
 
   /** Adds a host, which all hosts consider live at once. */
-  public FakeHost join() {
+  public LeaseHost join() {
     EntryHostId id = EntryHostId.of("host-" + hostsCreated++);
     liveHosts.add(id);
     visibleLiveHosts = Set.copyOf(liveHosts);
-    FakeHost host =
-        FakeHost.start(
+    LeaseHost host =
+        LeaseHost.start(
             id,
             settings,
             time,
@@ -70,7 +70,7 @@
   }
 
   /** Kills a host; the others consider it live for another 5 s. */
-  public void kill(FakeHost host) {
+  public void kill(LeaseHost host) {
     host.die();
     hosts.remove(host);
     time.after(Duration.ofSeconds(5), () -> removeFromLiveHosts(host));
@@ -80,20 +80,20 @@
    * Pauses a host; the others consider it dead from 5 s after the start of the pause until 6 s
    * after its end.
    */
-  public void pause(FakeHost host, Duration span) {
+  public void pause(LeaseHost host, Duration span) {
     host.pause(span);
     time.after(Duration.ofSeconds(5), () -> removeFromLiveHosts(host));
     time.after(span.plusSeconds(6), () -> addToLiveHostsUnlessDead(host));
   }
 
   /** Shuts a host down gracefully and kills it after 20 s. */
-  public void stop(FakeHost host) {
+  public void stop(LeaseHost host) {
     host.stop();
     time.after(Duration.ofSeconds(20), () -> kill(host));
   }
 
   /** Returns the hosts that have not died. */
-  public List<FakeHost> hosts() {
+  public List<LeaseHost> hosts() {
     return hosts;
   }
 
@@ -104,14 +104,14 @@
     time.after(Duration.ofSeconds(1), this::publishDemand);
   }
 
-  private void addToLiveHostsUnlessDead(FakeHost host) {
+  private void addToLiveHostsUnlessDead(LeaseHost host) {
     if (hosts.contains(host)) {
       liveHosts.add(host.id());
       visibleLiveHosts = Set.copyOf(liveHosts);
     }
   }
 
-  private void removeFromLiveHosts(FakeHost host) {
+  private void removeFromLiveHosts(LeaseHost host) {
     liveHosts.remove(host.id());
     visibleLiveHosts = Set.copyOf(liveHosts);
   }
--- a/core/src/test/java/org/persimmonwalk/testing/FakeHost.java
+++ b/core/src/test/java/org/persimmonwalk/testing/LeaseHost.java
@@ -32,11 +32,11 @@
 import org.persimmonwalk.port.RandomSource;
 
 /**
- * An entry host of a {@link FakeFleet}: the control loop with the share and allowance controllers,
+ * An entry host of a {@link LeaseFleet}: the control loop with the share and allowance controllers,
  * the admission policy and a count of open connections. It does no I/O, and its clock has a random
  * offset from the clocks of the other hosts.
  */
-public final class FakeHost {
+public final class LeaseHost {
   private static final Duration ROUND_INTERVAL = Duration.ofMillis(100);
   private static final Duration WAKE_UP_DELAY = Duration.ofNanos(100_000);
 
@@ -54,7 +54,7 @@
   private boolean stopping;
   private boolean roundScheduled;
 
-  private FakeHost(
+  private LeaseHost(
       EntryHostId id,
       LeaseSettings settings,
       SimulatedTime time,
@@ -87,7 +87,7 @@
    * @param live the hosts that this host considers live, read in each round
    * @param demand the demand of each host, read in each round
    */
-  public static FakeHost start(
+  public static LeaseHost start(
       EntryHostId id,
       LeaseSettings settings,
       SimulatedTime time,
@@ -96,7 +96,7 @@
       Supplier<Set<EntryHostId>> live,
       Supplier<Map<EntryHostId, Map<WorkspaceId, Double>>> demand,
       RandomSource random) {
-    return new FakeHost(id, settings, time, store, network, live, demand, random);
+    return new LeaseHost(id, settings, time, store, network, live, demand, random);
   }
 
   /** Returns the identifier of the host. */
--- a/core/src/test/java/org/persimmonwalk/testing/RateWitness.java
+++ b/core/src/test/java/org/persimmonwalk/testing/RateExcessMeter.java
@@ -5,7 +5,7 @@
  * window is the number of admitted statements less the rate times the length of the window. A
  * single token bucket would allow an excess of at most the burst.
  */
-public final class RateWitness {
+public final class RateExcessMeter {
   private final double rate;
   private double excess;
   private double largestExcess;
@@ -13,12 +13,12 @@
   private long admitted;
 
   /** Creates a meter for a rate in statements per second. */
-  public RateWitness(double rate) {
+  public RateExcessMeter(double rate) {
     this.rate = rate;
   }
 
   /** Records a statement that was admitted at the given time. */
-  public void admitted(long nanoseconds) {
+  public void recordAdmission(long nanoseconds) {
     excess = Math.max(0, excess - rate * (nanoseconds - lastAt) / 1e9) + 1;
     lastAt = nanoseconds;
     largestExcess = Math.max(largestExcess, excess);
@@ -26,7 +26,7 @@
   }
 
   /** Returns the largest excess of all time windows so far. */
-  public double highest() {
+  public double largestExcess() {
     return largestExcess;
   }
 
