--- a/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/FailoverBenchmark.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.stream.LongStream;
-import org.persimmonwalk.acknowledgement.AcknowledgeAtOnce;
+import org.persimmonwalk.acknowledgement.ImmediateAcknowledgement;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.internal.control.configuration.ConfigurationController;
@@ -74,7 +74,7 @@
                 HOSTS,
                 seed,
                 FailoverBenchmark::naiveControllers,
-                host -> AcknowledgeAtOnce.create(),
+                host -> ImmediateAcknowledgement.create(),
                 Duration.ofMillis(20))
             : FailoverFleet.standard(HOSTS, seed);
     RandomSource random = RandomSource.seeded(seed);
@@ -90,8 +90,10 @@
         outage,
         fleet.database().promotions(),
         fleet.acknowledged().size(),
-        fleet.database().primary().isPresent() ? fleet.lost().size() : 0,
-        fleet.acknowledged().stream().filter(FailoverFleet.Acknowledged::byReplaced).count());
+        fleet.database().primary().isPresent() ? fleet.lostWrites().size() : 0,
+        fleet.acknowledged().stream()
+            .filter(FailoverFleet.AcknowledgedWrite::committedByReplacedPrimary)
+            .count());
   }
 
   private static OptionalLong outage(FailoverFleet fleet, MonotonicTime faultAt) {
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
@@ -26,10 +26,10 @@
 import org.persimmonwalk.observation.PeerMessageReceived;
 import org.persimmonwalk.observation.TableRowRead;
 import org.persimmonwalk.port.RandomSource;
+import org.persimmonwalk.testing.ConfigurationFleet;
 import org.persimmonwalk.testing.Configurations;
 import org.persimmonwalk.testing.FakeClock;
 import org.persimmonwalk.testing.RecordingCommandExecutor;
-import org.persimmonwalk.testing.SpreadFleet;
 
 class ConfigurationControllerTest {
   private static final EntryHostId PEER = EntryHostId.of("peer");
@@ -68,13 +68,13 @@
     loop.post(rowRead(4, clock.now()));
     loop.post(rowRead(6, clock.now()));
     loop.runRound();
-    assertThat(loop.snapshot().get(Entries.FRESHNESS)).contains(loadedAt);
+    assertThat(loop.snapshot().get(Entries.CONFIGURATION_CURRENT_AT)).contains(loadedAt);
 
     MonotonicTime readAt = clock.now();
     clock.advance(Duration.ofSeconds(1));
     loop.post(rowRead(5, readAt));
     loop.runRound();
-    assertThat(loop.snapshot().get(Entries.FRESHNESS)).contains(readAt);
+    assertThat(loop.snapshot().get(Entries.CONFIGURATION_CURRENT_AT)).contains(readAt);
   }
 
   /** Guards against freshness that is counted from the arrival of a delayed message. */
@@ -92,7 +92,7 @@
     loop.post(new PeerMessageReceived(PEER, heartbeat(5, age, Optional.of(askedAt))));
     loop.runRound();
 
-    assertThat(loop.snapshot().get(Entries.FRESHNESS))
+    assertThat(loop.snapshot().get(Entries.CONFIGURATION_CURRENT_AT))
         .contains(askedAt.minus(Duration.ofSeconds(2)));
   }
 
@@ -157,7 +157,7 @@
   private static Heartbeat heartbeat(
       long revision, Optional<Duration> age, Optional<MonotonicTime> answers) {
     return new Heartbeat(
-        SpreadFleet.entry("peer", "zone-a"),
+        ConfigurationFleet.entry("peer", "zone-a"),
         Revision.of(revision),
         age,
         MonotonicTime.of(77),
--- a/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FailoverFleet.java
@@ -10,10 +10,10 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import org.persimmonwalk.acknowledgement.AcknowledgementGate;
 import org.persimmonwalk.acknowledgement.AcknowledgementOutcome;
+import org.persimmonwalk.acknowledgement.AcknowledgementPolicy;
 import org.persimmonwalk.acknowledgement.PendingWrite;
-import org.persimmonwalk.acknowledgement.WriteAcknowledgement;
+import org.persimmonwalk.acknowledgement.ReplicatedAcknowledgement;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Entries;
 import org.persimmonwalk.id.EntryHostId;
@@ -53,10 +53,11 @@
    * @param host the host that acknowledged the write
    * @param term the term of the primary that committed the write
    * @param at when the write was acknowledged
-   * @param byReplaced whether a higher term already had a primary when the write was committed
+   * @param committedByReplacedPrimary whether a higher term already had a primary when the write
+   *     was committed
    */
-  public record Acknowledged(
-      long write, String host, Term term, MonotonicTime at, boolean byReplaced) {}
+  public record AcknowledgedWrite(
+      long write, String host, Term term, MonotonicTime at, boolean committedByReplacedPrimary) {}
 
   private record CommittedWrite(GroupPosition position, boolean byReplacedPrimary) {}
 
@@ -69,7 +70,7 @@
   /** Creates the policy by which a host acknowledges writes. */
   public interface AcknowledgementFactory {
     /** Returns the policy that decides when the host acknowledges a write. */
-    WriteAcknowledgement create(FailoverHost host);
+    AcknowledgementPolicy create(FailoverHost host);
   }
 
   private final SimulatedTime time = new SimulatedTime();
@@ -78,7 +79,7 @@
   private final FakeDatabaseGroup database = FakeDatabaseGroup.of(3, links, clock);
   private final FakeTableStore tables;
   private final List<FailoverHost> hosts = new ArrayList<>();
-  private final List<Acknowledged> acknowledged = new ArrayList<>();
+  private final List<AcknowledgedWrite> acknowledged = new ArrayList<>();
   private long nextWrite;
 
   private FailoverFleet(RandomSource random) {
@@ -108,7 +109,7 @@
       all.addAll(controllers.create(id));
       FailoverHost host =
           FailoverHost.of(id, fleet, all, RandomSource.seeded(seed * 31 + random.nextInt(1000)));
-      WriteAcknowledgement acknowledgement = acknowledgements.create(host);
+      AcknowledgementPolicy acknowledgement = acknowledgements.create(host);
       host.loop().post(new ConfigurationLoaded(fleet.configuration(), fleet.now()));
       fleet.hosts.add(host);
       fleet.time.after(
@@ -122,11 +123,16 @@
   }
 
   /**
-   * Returns a fleet with the production controllers and acknowledgement gate; each host writes
+   * Returns a fleet with the production controllers and acknowledgement policy; each host writes
    * every 20 ms.
    */
   public static FailoverFleet standard(int size, long seed) {
-    return of(size, seed, FailoverFleet::controllers, FailoverFleet::gate, Duration.ofMillis(20));
+    return of(
+        size,
+        seed,
+        FailoverFleet::controllers,
+        FailoverFleet::replicatedAcknowledgement,
+        Duration.ofMillis(20));
   }
 
   /** Returns the production controllers that take part in a failover. */
@@ -140,11 +146,12 @@
         FollowController.of(host, settings));
   }
 
-  /** Returns the production acknowledgement gate, connected to the host's control loop. */
-  public static WriteAcknowledgement gate(FailoverHost host) {
-    AcknowledgementGate gate = AcknowledgementGate.of(1000, host.loop()::post);
-    host.loop().addListener(gate);
-    return gate;
+  /** Returns the production acknowledgement policy, connected to the host's control loop. */
+  public static AcknowledgementPolicy replicatedAcknowledgement(FailoverHost host) {
+    ReplicatedAcknowledgement acknowledgement =
+        ReplicatedAcknowledgement.of(1000, host.loop()::post);
+    host.loop().addListener(acknowledgement);
+    return acknowledgement;
   }
 
   /** Returns the simulated time; advancing it runs the fleet. */
@@ -178,12 +185,12 @@
   }
 
   /** Returns the acknowledged writes in the order in which they were acknowledged. */
-  public List<Acknowledged> acknowledged() {
+  public List<AcknowledgedWrite> acknowledged() {
     return acknowledged;
   }
 
   /** Returns the acknowledged writes that the current primary does not hold. */
-  public List<Acknowledged> lost() {
+  public List<AcknowledgedWrite> lostWrites() {
     Set<Long> kept = database.writes(database.primary().orElseThrow());
     return acknowledged.stream().filter(entry -> !kept.contains(entry.write())).toList();
   }
@@ -223,7 +230,7 @@
    * Sends a write only if the primary was confirmed in the last second, as traffic threads do.
    * Otherwise the write is skipped.
    */
-  private void write(FailoverHost host, WriteAcknowledgement acknowledgement) {
+  private void write(FailoverHost host, AcknowledgementPolicy acknowledgement) {
     GroupView group = host.loop().snapshot().get(Entries.GROUPS).get(database.configuration().id());
     boolean confirmed =
         host.isRunning()
@@ -253,7 +260,7 @@
 
   private void register(
       FailoverHost host,
-      WriteAcknowledgement acknowledgement,
+      AcknowledgementPolicy acknowledgement,
       long write,
       CommittedWrite committed) {
     Term term = committed.position().term();
@@ -265,7 +272,7 @@
             outcome -> {
               if (outcome == AcknowledgementOutcome.CONFIRMED) {
                 acknowledged.add(
-                    new Acknowledged(
+                    new AcknowledgedWrite(
                         write, host.id().value(), term, now(), committed.byReplacedPrimary()));
               }
             }),
