--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -18,8 +18,8 @@
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.OrderPromotion;
-import org.persimmonwalk.engine.control.ServerSilent;
 import org.persimmonwalk.engine.control.ServerStatusRead;
+import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
 import org.persimmonwalk.id.BackendServerId;
@@ -112,7 +112,7 @@
         sendOperations(step);
         fixture.run(STEP);
       }
-      checkFences();
+      checkFencingTokens();
       assertThat(violations).as("violated invariants with seed %d", seed).isEmpty();
     }
 
@@ -144,10 +144,10 @@
         case 6 -> fixture.storeIsUp = false;
         case 7, 8 -> fixture.storeIsUp = true;
         case 9 -> fixture.peersAreReachable = !fixture.peersAreReachable;
-        case 10 -> fixture.answersToLose += 3;
+        case 10 -> fixture.transactionsToLose += 3;
         case 14, 15 -> fixture.effectsToDelay += 2;
         case 16 -> restart(host);
-        case 11 -> fixture.stepTimeOfDay(Duration.ofSeconds(random.nextInt(-3, 9)));
+        case 11 -> fixture.stepWallClock(Duration.ofSeconds(random.nextInt(-3, 9)));
         case 12, 13 -> reportUnreachable();
         default -> {}
       }
@@ -159,7 +159,7 @@
      */
     private void restart(Engine host) {
       int index = fixture.hosts.indexOf(host);
-      sessions.get(index).ended();
+      sessions.get(index).callerDisconnected();
       Engine started = fixture.restart(host);
       started
           .sessions()
@@ -172,7 +172,7 @@
 
     private void reportUnreachable() {
       ServerEntry primary = fixture.entries.get(currentPrimary());
-      fixture.hosts.forEach(host -> host.loop().post(new ServerSilent(primary)));
+      fixture.hosts.forEach(host -> host.loop().post(new ServerUnreachable(primary)));
     }
 
     private BackendServerId currentPrimary() {
@@ -183,7 +183,7 @@
     }
 
     private void checkStatement(BackendServerId server, RequestId id) {
-      if (id.equals(RequestId.OWN)) {
+      if (id.equals(RequestId.INTERNAL)) {
         return;
       }
       MonotonicTime now = fixture.clock.now();
@@ -201,12 +201,13 @@
     }
 
     /** Checks that each fencing token belongs to one holder and that they never fall. */
-    private void checkFences() {
+    private void checkFencingTokens() {
       for (int i = 1; i < fixture.promotions.size(); i++) {
         OrderPromotion earlier = fixture.promotions.get(i - 1);
         OrderPromotion later = fixture.promotions.get(i);
-        boolean same = earlier.fence() == later.fence();
-        if (later.fence() < earlier.fence() || (same && !earlier.holder().equals(later.holder()))) {
+        boolean same = earlier.fencingToken() == later.fencingToken();
+        if (later.fencingToken() < earlier.fencingToken()
+            || (same && !earlier.holder().equals(later.holder()))) {
           violations.add("fence: " + later + " after " + earlier);
         }
       }
