--- a/engine/src/main/java/org/persimmonwalk/engine/RoutingConfiguration.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/RoutingConfiguration.java
@@ -11,7 +11,7 @@
  *
  * @param version increases with each change, not always by one
  * @param keys the workspace that each key belongs to, by the hash of the key
- * @param transactionIdle how long a transaction may be idle before it may be aborted
+ * @param transactionIdleTimeout how long a transaction may be idle before it may be aborted
  */
 public record RoutingConfiguration(
     long version,
@@ -19,7 +19,7 @@
     Map<DatabaseGroupId, GroupSettings> groups,
     Map<KeyHash, WorkspaceId> keys,
     Map<WorkspaceId, RateLimit> limits,
-    Duration transactionIdle) {
+    Duration transactionIdleTimeout) {
 
   /** Placeholder for a host that has not read a configuration yet. */
   public static final RoutingConfiguration NONE =
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -62,7 +62,7 @@
   public static final EntryKey<TokenRequests> TOKEN_REQUESTS =
       EntryKey.of("token requests", TokenRequests.NONE);
 
-  /** The tokens lent in this round, by the exchange of the request. */
+  /** The tokens lent in this round, by the exchange id of the request. */
   public static final EntryKey<Map<Long, List<TokenLoan>>> TOKEN_LOANS =
       EntryKey.of("token loans", Map.of());
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoreReading.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoreReading.java
@@ -19,7 +19,7 @@
   }
 
   /** Returns the reading bounded by local times: when the relay was asked and when it answered. */
-  public StoreTime at(MonotonicTime askedAt, MonotonicTime answeredAt) {
-    return new StoreTime(millis, askedAt.minus(sentAge), answeredAt.minus(receivedAge));
+  public StoreTime at(MonotonicTime requestSentAt, MonotonicTime replyReceivedAt) {
+    return new StoreTime(millis, requestSentAt.minus(sentAge), replyReceivedAt.minus(receivedAge));
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenLoan.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenLoan.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.id.WorkspaceId;
 
 /**
- * The answer to a {@link TokenAsk}.
+ * The answer to a {@link TokenRequest}.
  *
  * @param tokens the tokens lent in addition to those held
  * @param scarce whether the demand of the workspace exceeds its limit
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenAsk.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenRequest.java
@@ -9,7 +9,7 @@
  * @param demand the operations per second at that host
  * @param target the tokens that the host wants to hold
  */
-public record TokenAsk(WorkspaceId workspace, long held, double demand, long target) {
+public record TokenRequest(WorkspaceId workspace, long held, double demand, long target) {
 
   /** Returns how many tokens the host lacks. */
   public long wanted() {
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenRequests.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenRequests.java
@@ -7,7 +7,7 @@
  *
  * @param urgent whether operations wait for them
  */
-public record TokenRequests(List<TokenAsk> requests, boolean urgent) {
+public record TokenRequests(List<TokenRequest> requests, boolean urgent) {
 
   /** No tokens are needed. */
   public static final TokenRequests NONE = new TokenRequests(List.of(), false);
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
@@ -10,20 +10,20 @@
  * The relay's reply to a {@link ZoneRequest}. It holds ages instead of times, as the clocks of two
  * hosts can't be compared.
  *
- * @param serves false if the answering host is not the relay or is about to stop
+ * @param isRelay false if the answering host is not the relay or is about to stop
  * @param verifiedAge the time since the call that verified the rows was sent
- * @param configurationRow the version of the configuration row that was verified
- * @param reading the newest reading of the store's clock
+ * @param configurationRowVersion the version of the configuration row that was verified
+ * @param storeReading the newest reading of the store's clock
  * @param rows the rows that are newer at the relay than at the requesting host
  * @param configuration the configuration, if it is newer at the relay
  * @param loans the tokens lent in answer to the request
  * @param activeHosts the number of entry hosts of all zones that take tokens
  */
 public record ZoneReply(
-    boolean serves,
+    boolean isRelay,
     Optional<Duration> verifiedAge,
-    long configurationRow,
-    Optional<StoreReading> reading,
+    long configurationRowVersion,
+    Optional<StoreReading> storeReading,
     Map<RowKey, StoredRow> rows,
     Optional<RoutingConfiguration> configuration,
     Optional<ServerList> servers,
@@ -37,7 +37,7 @@
   }
 
   /** Returns the reply of a host that isn't the relay. */
-  public static ZoneReply notServing() {
+  public static ZoneReply notRelay() {
     return new ZoneReply(
         false,
         Optional.empty(),
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
@@ -8,21 +8,21 @@
  * A regular request of an entry host to the relay of its zone, answered by {@link ZoneReply}.
  *
  * @param from the requesting host
- * @param known the versions of the rows that the requesting host has
- * @param serversRevision the revision of the relay's server list that it has; 0 if none
+ * @param knownVersions the versions of the rows that the requesting host has
+ * @param serverListRevision the revision of the relay's server list that it has; 0 if none
  * @param urgent whether it waits for a change, such as a new primary
- * @param asks the tokens that it requests
+ * @param tokenRequests the tokens that it requests
  */
 public record ZoneRequest(
     EntryHostId from,
-    Map<RowKey, Long> known,
-    long serversRevision,
+    Map<RowKey, Long> knownVersions,
+    long serverListRevision,
     boolean urgent,
-    List<TokenAsk> asks) {
+    List<TokenRequest> tokenRequests) {
 
   /** Makes the collections immutable. */
   public ZoneRequest {
-    known = Map.copyOf(known);
-    asks = List.copyOf(asks);
+    knownVersions = Map.copyOf(knownVersions);
+    tokenRequests = List.copyOf(tokenRequests);
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayAnswered.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequestEnded.java
@@ -9,6 +9,6 @@
  *
  * @param reply empty if the request failed or timed out
  */
-public record RelayAnswered(
-    AskRelay question, Optional<ZoneReply> reply, MonotonicTime askedAt, MonotonicTime answeredAt)
+public record ZoneRequestEnded(
+    SendZoneRequest command, Optional<ZoneReply> reply, MonotonicTime sentAt, MonotonicTime endedAt)
     implements Observation {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -13,16 +13,16 @@
 import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
-import org.persimmonwalk.engine.control.HostAsked;
-import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowDemand;
-import org.persimmonwalk.engine.control.TokenAsk;
 import org.persimmonwalk.engine.control.TokenGrant;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.TokenRequests;
 import org.persimmonwalk.engine.control.WorkspaceDemand;
 import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequestEnded;
+import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -61,7 +61,7 @@
                 workspaces
                     .computeIfAbsent(reported.workspace(), unused -> new WorkspaceTokens(now))
                     .recordDemand(reported, now));
-    blackboard.observations(RelayAnswered.class).forEach(this::applyLoans);
+    blackboard.observations(ZoneRequestEnded.class).forEach(this::applyLoans);
     pools.handleAnswers(blackboard, now);
     pools.dropExpired(now, resumedAt);
     workspaces.values().forEach(tokens -> tokens.dropExpired(now, resumedAt));
@@ -78,20 +78,20 @@
     }
   }
 
-  private void applyLoans(RelayAnswered answer) {
-    answer.question().request().asks().stream()
-        .map(TokenAsk::workspace)
+  private void applyLoans(ZoneRequestEnded ended) {
+    ended.command().request().tokenRequests().stream()
+        .map(TokenRequest::workspace)
         .filter(workspaces::containsKey)
-        .forEach(workspace -> workspaces.get(workspace).recordAsked(answer.askedAt()));
-    answer
+        .forEach(workspace -> workspaces.get(workspace).recordRequest(ended.sentAt()));
+    ended
         .reply()
-        .filter(ZoneReply::serves)
+        .filter(ZoneReply::isRelay)
         .ifPresent(
             reply -> {
               activeHostsAtRelay = reply.activeHosts();
               reply.loans().stream()
                   .filter(loan -> workspaces.containsKey(loan.workspace()))
-                  .forEach(loan -> workspaces.get(loan.workspace()).grant(loan, answer.askedAt()));
+                  .forEach(loan -> workspaces.get(loan.workspace()).grant(loan, ended.sentAt()));
             });
   }
 
@@ -99,14 +99,14 @@
     Map<Long, List<TokenLoan>> lent = new HashMap<>();
     if (blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY) {
       blackboard
-          .observations(HostAsked.class)
+          .observations(ZoneRequestReceived.class)
           .forEach(
               received -> {
                 List<TokenLoan> loans = new ArrayList<>();
-                for (TokenAsk ask : received.request().asks()) {
-                  loans.add(pools.lend(received.request().from(), ask, now, resumedAt));
+                for (TokenRequest request : received.request().tokenRequests()) {
+                  loans.add(pools.lend(received.request().from(), request, now, resumedAt));
                 }
-                lent.put(received.exchange(), loans);
+                lent.put(received.exchangeId(), loans);
               });
     }
     if (!lent.equals(blackboard.get(EngineEntries.TOKEN_LOANS))) {
@@ -123,8 +123,8 @@
     workspaces.forEach(
         (workspace, tokens) -> {
           if (tokens.needsTokens(now) && canLend.test(workspace)) {
-            TokenAsk ask = tokens.ask(workspace, now);
-            tokens.grant(pools.lend(settings.host(), ask, now, resumedAt), now);
+            TokenRequest request = tokens.request(workspace, now);
+            tokens.grant(pools.lend(settings.host(), request, now, resumedAt), now);
           }
         });
   }
@@ -135,14 +135,14 @@
    */
   private void publishRequests(Blackboard blackboard, MonotonicTime now) {
     boolean urgent = workspaces.values().stream().anyMatch(tokens -> tokens.isUrgent(now));
-    List<TokenAsk> asks = new ArrayList<>();
+    List<TokenRequest> requests = new ArrayList<>();
     workspaces.forEach(
         (workspace, tokens) -> {
           if (tokens.needsTokens(now)) {
-            asks.add(tokens.ask(workspace, now));
+            requests.add(tokens.request(workspace, now));
           }
         });
-    TokenRequests needed = new TokenRequests(asks, urgent);
+    TokenRequests needed = new TokenRequests(requests, urgent);
     if (!needed.equals(blackboard.get(EngineEntries.TOKEN_REQUESTS))) {
       blackboard.put(EngineEntries.TOKEN_REQUESTS, needed);
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -9,7 +9,6 @@
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
-import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowKey;
@@ -17,6 +16,7 @@
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionTag;
 import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequestEnded;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -100,7 +100,7 @@
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
-    blackboard.observations(RelayAnswered.class).forEach(this::recordReply);
+    blackboard.observations(ZoneRequestEnded.class).forEach(this::recordReply);
     blackboard
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.transaction().tag().purpose().equals(PURPOSE))
@@ -118,11 +118,11 @@
   }
 
   /** Records whether the current relay answers and whether its verification is recent. */
-  private void recordReply(RelayAnswered answer) {
-    if (currentRelay.filter(answer.question().relay()::equals).isEmpty()) {
+  private void recordReply(ZoneRequestEnded ended) {
+    if (currentRelay.filter(ended.command().relay()::equals).isEmpty()) {
       return;
     }
-    Optional<ZoneReply> reply = answer.reply().filter(ZoneReply::serves);
+    Optional<ZoneReply> reply = ended.reply().filter(ZoneReply::isRelay);
     boolean fails = reply.isEmpty();
     boolean lags =
         reply
@@ -137,7 +137,7 @@
           "relay",
           currentRelay.get().host(),
           "answered",
-          answer.reply().isPresent(),
+          ended.reply().isPresent(),
           "serves",
           !fails,
           "verifiedAgeMs",
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
@@ -11,20 +11,20 @@
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.EngineEntries;
-import org.persimmonwalk.engine.control.HostAsked;
 import org.persimmonwalk.engine.control.ReadServerList;
-import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.ServerListRead;
 import org.persimmonwalk.engine.control.ServerListVersion;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequestEnded;
+import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
  * Keeps the list of backend servers up to date, from the store or from the relay of the zone.
- * Writes the servers entry and the server listing entry.
+ * Writes the servers entry and the server list version entry.
  */
 public final class ServerListController implements Controller {
   /**
@@ -94,16 +94,16 @@
               read.entries().ifPresent(entries -> applyStoreList(blackboard, entries, now));
             });
     blackboard
-        .observations(RelayAnswered.class)
+        .observations(ZoneRequestEnded.class)
         .forEach(
-            answer ->
-                answer
+            ended ->
+                ended
                     .reply()
-                    .filter(ZoneReply::serves)
+                    .filter(ZoneReply::isRelay)
                     .flatMap(ZoneReply::servers)
                     .ifPresent(
                         list ->
-                            applyRelayList(blackboard, list, answer.askedAt().minus(list.age()))));
+                            applyRelayList(blackboard, list, ended.sentAt().minus(list.age()))));
     if (blackboard.get(EngineEntries.RELAY_ROLE).isClient()) {
       MonotonicTime fallbackAt = lastListAt.plus(RELAY_FALLBACK_AGE);
       nextCallAt = fallbackAt.isAfter(nextCallAt) ? fallbackAt : nextCallAt;
@@ -124,7 +124,9 @@
 
   private static boolean isUrgent(Blackboard blackboard, MonotonicTime now) {
     return blackboard.observations(ServerUnreachable.class).findAny().isPresent()
-        || blackboard.observations(HostAsked.class).anyMatch(asked -> asked.request().urgent())
+        || blackboard
+            .observations(ZoneRequestReceived.class)
+            .anyMatch(received -> received.request().urgent())
         || blackboard.get(EngineEntries.PRIMARIES).values().stream()
             .anyMatch(view -> view.at(now).isEmpty());
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
-import org.persimmonwalk.engine.control.TokenAsk;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -67,22 +67,22 @@
    */
   TokenLoan lend(
       EntryHostId host,
-      TokenAsk ask,
+      TokenRequest request,
       Duration maximumDuration,
       MonotonicTime now,
       MonotonicTime resumedAt) {
     Loan loan = loans.computeIfAbsent(host, unused -> new Loan());
-    loan.update(ask, now);
+    loan.update(request, now);
     boolean valid = now.isBefore(validUntil) && !takenAt.isBefore(resumedAt);
-    long wanted = ask.wanted();
+    long wanted = request.wanted();
     long fair = available >= wanted * 2 ? wanted : Math.min(wanted, (available + 1) / 2);
     long lent = valid ? fair : 0;
     available -= lent;
     loan.add(lent);
-    hasUnmetRequest |= lent == 0 && ask.held() == 0 && wanted > 0;
+    hasUnmetRequest |= lent == 0 && request.held() == 0 && wanted > 0;
     Duration validity = valid ? validUntil.since(now) : Duration.ZERO;
     return new TokenLoan(
-        ask.workspace(),
+        request.workspace(),
         lent,
         scarce && lent < wanted,
         valid && loan.isRecorded(),
@@ -214,10 +214,10 @@
     private MonotonicTime lastAskedAt;
 
     /** Updates to what the host says it holds; the row doesn't record tokens from other pools. */
-    private void update(TokenAsk ask, MonotonicTime now) {
-      tokens = ask.held();
+    private void update(TokenRequest request, MonotonicTime now) {
+      tokens = request.held();
       recorded = Math.min(recorded, tokens);
-      demand = ask.demand();
+      demand = request.demand();
       lastAskedAt = now;
     }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -18,8 +18,8 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreTime;
-import org.persimmonwalk.engine.control.TokenAsk;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
 import org.persimmonwalk.engine.control.TransactionTag;
@@ -72,13 +72,14 @@
     this.log = log;
   }
 
-  TokenLoan lend(EntryHostId host, TokenAsk ask, MonotonicTime now, MonotonicTime resumedAt) {
+  TokenLoan lend(
+      EntryHostId host, TokenRequest request, MonotonicTime now, MonotonicTime resumedAt) {
     boolean own = host.equals(settings.host());
     Duration maximumDuration =
         own ? Duration.ofMillis(RateRow.HOLDING_VALID_MILLIS) : TokenPool.MAX_LOAN_DURATION;
     return pools
-        .computeIfAbsent(ask.workspace(), unused -> new TokenPool(now))
-        .lend(host, ask, maximumDuration, now, resumedAt);
+        .computeIfAbsent(request.workspace(), unused -> new TokenPool(now))
+        .lend(host, request, maximumDuration, now, resumedAt);
   }
 
   boolean hasTokens(WorkspaceId workspace) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -11,7 +11,6 @@
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
-import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
@@ -21,6 +20,7 @@
 import org.persimmonwalk.engine.control.TransactionResult;
 import org.persimmonwalk.engine.control.TransactionTag;
 import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequestEnded;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -89,8 +89,8 @@
         .observations(TransactionAnswered.class)
         .forEach(answer -> apply(blackboard, answer, context.now()));
     blackboard
-        .observations(RelayAnswered.class)
-        .forEach(answer -> answer.reply().ifPresent(reply -> apply(blackboard, answer, reply)));
+        .observations(ZoneRequestEnded.class)
+        .forEach(ended -> ended.reply().ifPresent(reply -> apply(blackboard, ended, reply)));
     RowDemand demand = blackboard.get(EngineEntries.ROW_DEMAND);
     boolean due =
         blackboard.get(EngineEntries.RELAY_ROLE).isClient()
@@ -130,22 +130,21 @@
   }
 
   /** Applies what the relay has verified; its age counts from the relay's own call to the store. */
-  private void apply(Blackboard blackboard, RelayAnswered answer, ZoneReply reply) {
-    if (!reply.serves()) {
+  private void apply(Blackboard blackboard, ZoneRequestEnded ended, ZoneReply reply) {
+    if (!reply.isRelay()) {
       return;
     }
     merge(blackboard, reply.rows(), reply.configuration());
     reply
-        .reading()
-        .map(reading -> reading.at(answer.askedAt(), answer.answeredAt()))
+        .storeReading()
+        .map(reading -> reading.at(ended.sentAt(), ended.endedAt()))
         .ifPresent(time -> updateStoreTime(blackboard, time));
     boolean isConfigurationCurrent =
         blackboard.get(EngineEntries.CONFIGURATION).isPresent()
-            && reply.configurationRow() >= KnownRows.version(blackboard, RowKey.CONFIGURATION);
+            && reply.configurationRowVersion()
+                >= KnownRows.version(blackboard, RowKey.CONFIGURATION);
     if (isConfigurationCurrent) {
-      reply
-          .verifiedAge()
-          .ifPresent(age -> updateVerifiedAt(blackboard, answer.askedAt().minus(age)));
+      reply.verifiedAge().ifPresent(age -> updateVerifiedAt(blackboard, ended.sentAt().minus(age)));
     }
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -1,9 +1,9 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
-import org.persimmonwalk.engine.control.TokenAsk;
 import org.persimmonwalk.engine.control.TokenGrant;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.WorkspaceDemand;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -60,7 +60,7 @@
   private MonotonicTime seenAt;
   private MonotonicTime takenAt;
   private MonotonicTime validUntil;
-  private MonotonicTime lastAskedAt;
+  private MonotonicTime lastRequestAt;
   private MonotonicTime waitingUntil;
   private boolean scarce;
 
@@ -70,7 +70,7 @@
     this.seenAt = now;
     this.takenAt = now;
     this.validUntil = now;
-    this.lastAskedAt = now.minus(SCARCE_PAUSE);
+    this.lastRequestAt = now.minus(SCARCE_PAUSE);
     this.waitingUntil = now;
   }
 
@@ -132,7 +132,7 @@
   boolean isUrgent(MonotonicTime now) {
     Duration pause = scarce ? SCARCE_PAUSE : MIN_PAUSE;
     boolean isExhausted = remaining() == 0 && demand(now) > IDLE_DEMAND;
-    return (isWaiting(now) || isExhausted) && now.since(lastAskedAt).compareTo(pause) >= 0;
+    return (isWaiting(now) || isExhausted) && now.since(lastRequestAt).compareTo(pause) >= 0;
   }
 
   boolean isActive(MonotonicTime now) {
@@ -147,32 +147,32 @@
   }
 
   /** Records the time of a request that has been answered or has timed out. */
-  void recordAsked(MonotonicTime askedAt) {
-    lastAskedAt = askedAt;
+  void recordRequest(MonotonicTime sentAt) {
+    lastRequestAt = sentAt;
   }
 
   /** Returns the request that this host sends now. */
-  TokenAsk ask(WorkspaceId workspace, MonotonicTime now) {
-    return new TokenAsk(workspace, remaining(), demand(now), target(now));
+  TokenRequest request(WorkspaceId workspace, MonotonicTime now) {
+    return new TokenRequest(workspace, remaining(), demand(now), target(now));
   }
 
   /**
    * Adds the tokens of a loan. Tokens held before become valid as long as the new ones only if the
    * loan renews them, because otherwise the lender doesn't know of them.
    */
-  void grant(TokenLoan loan, MonotonicTime askedAt) {
-    MonotonicTime until = askedAt.plus(loan.validFor());
+  void grant(TokenLoan loan, MonotonicTime requestedAt) {
+    MonotonicTime until = requestedAt.plus(loan.validFor());
     boolean holdsNoOthers = remaining() == 0 && loan.tokens() > 0;
     if (loan.renews() || holdsNoOthers) {
       validUntil = until;
-      takenAt = askedAt;
+      takenAt = requestedAt;
     } else if (loan.tokens() > 0 && until.isBefore(validUntil)) {
       validUntil = until;
     }
     granted += loan.tokens();
     scarce = loan.scarce();
     if (loan.tokens() > 0) {
-      waitingUntil = askedAt;
+      waitingUntil = requestedAt;
     }
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -10,15 +10,13 @@
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.SuspensionDetector;
-import org.persimmonwalk.engine.control.AnswerHost;
-import org.persimmonwalk.engine.control.AskRelay;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
-import org.persimmonwalk.engine.control.HostAsked;
-import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.SendZoneReply;
+import org.persimmonwalk.engine.control.SendZoneRequest;
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.ServerListVersion;
 import org.persimmonwalk.engine.control.StoreReading;
@@ -26,6 +24,8 @@
 import org.persimmonwalk.engine.control.TokenRequests;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
+import org.persimmonwalk.engine.control.ZoneRequestEnded;
+import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -55,7 +55,7 @@
   private final EngineSettings settings;
   private final SuspensionDetector suspension;
   private boolean inFlight;
-  private MonotonicTime askedAt = MonotonicTime.of(Long.MIN_VALUE / 2);
+  private MonotonicTime requestSentAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private Optional<RelayHost> lastRelay = Optional.empty();
 
   private ZoneExchangeController(EngineSettings settings, SuspensionDetector suspension) {
@@ -72,19 +72,20 @@
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
-    if (blackboard.observations(RelayAnswered.class).findAny().isPresent()) {
+    if (blackboard.observations(ZoneRequestEnded.class).findAny().isPresent()) {
       inFlight = false;
     }
     blackboard
-        .observations(HostAsked.class)
+        .observations(ZoneRequestReceived.class)
         .forEach(
-            asked ->
-                blackboard.submit(new AnswerHost(asked.exchange(), reply(blackboard, asked, now))));
-    relayToAsk(blackboard).ifPresent(relay -> ask(blackboard, relay, now));
+            received ->
+                blackboard.submit(
+                    new SendZoneReply(received.exchangeId(), reply(blackboard, received, now))));
+    targetRelay(blackboard).ifPresent(relay -> sendIfDue(blackboard, relay, now));
   }
 
   /** Returns the relay named in the store even while it fails, so that its recovery is noticed. */
-  private Optional<RelayHost> relayToAsk(Blackboard blackboard) {
+  private Optional<RelayHost> targetRelay(Blackboard blackboard) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
     if (role.kind() == RelayRole.Kind.RELAY) {
       return Optional.empty();
@@ -97,34 +98,35 @@
                     .filter(relay -> !relay.host().equals(settings.host())));
   }
 
-  private void ask(Blackboard blackboard, RelayHost relay, MonotonicTime now) {
+  private void sendIfDue(Blackboard blackboard, RelayHost relay, MonotonicTime now) {
     boolean isNewRelay = lastRelay.filter(relay::equals).isEmpty();
-    boolean overdue = now.since(askedAt).compareTo(LOST_ANSWER_TIMEOUT) > 0;
+    boolean overdue = now.since(requestSentAt).compareTo(LOST_ANSWER_TIMEOUT) > 0;
     boolean waitsForPrimary = waitsForPrimary(blackboard, now);
     TokenRequests tokens = blackboard.get(EngineEntries.TOKEN_REQUESTS);
     Duration pause = waitsForPrimary ? URGENT_INTERVAL : INTERVAL;
     if (tokens.urgent()) {
       pause = MIN_PAUSE;
     }
-    boolean due = isNewRelay || now.since(askedAt).compareTo(pause) >= 0;
+    boolean due = isNewRelay || now.since(requestSentAt).compareTo(pause) >= 0;
     if (!due || (inFlight && !overdue && !isNewRelay)) {
       return;
     }
     inFlight = true;
-    askedAt = now;
+    requestSentAt = now;
     lastRelay = Optional.of(relay);
-    Map<RowKey, Long> known = new HashMap<>(KnownRows.versionsToVerify(blackboard));
+    Map<RowKey, Long> knownVersions = new HashMap<>(KnownRows.versionsToVerify(blackboard));
     RowKey row = RelayController.row(settings.zone());
-    known.put(row, KnownRows.version(blackboard, row));
+    knownVersions.put(row, KnownRows.version(blackboard, row));
     long revision =
         blackboard
             .get(EngineEntries.SERVER_LIST_VERSION)
             .map(ServerListVersion::revision)
             .orElse(0L);
     blackboard.submit(
-        new AskRelay(
+        new SendZoneRequest(
             relay,
-            new ZoneRequest(settings.host(), known, revision, waitsForPrimary, tokens.requests())));
+            new ZoneRequest(
+                settings.host(), knownVersions, revision, waitsForPrimary, tokens.requests())));
   }
 
   private static boolean waitsForPrimary(Blackboard blackboard, MonotonicTime now) {
@@ -132,9 +134,9 @@
         .anyMatch(view -> view.at(now).isEmpty());
   }
 
-  private ZoneReply reply(Blackboard blackboard, HostAsked asked, MonotonicTime now) {
+  private ZoneReply reply(Blackboard blackboard, ZoneRequestReceived received, MonotonicTime now) {
     if (blackboard.get(EngineEntries.RELAY_ROLE).kind() != RelayRole.Kind.RELAY) {
-      return ZoneReply.notServing();
+      return ZoneReply.notRelay();
     }
     MonotonicTime resumedAt = suspension.lastResumedAt();
     Optional<Duration> verifiedAge =
@@ -142,20 +144,20 @@
             .get(EngineEntries.VERIFIED_AT)
             .filter(at -> !at.isBefore(resumedAt))
             .map(now::since);
-    ZoneRequest request = asked.request();
-    long configurationRow = KnownRows.version(blackboard, RowKey.CONFIGURATION);
+    ZoneRequest request = received.request();
+    long configurationRowVersion = KnownRows.version(blackboard, RowKey.CONFIGURATION);
     RoutingConfiguration configuration = blackboard.get(EngineEntries.CONFIGURATION);
     boolean hasNewerConfiguration =
-        configurationRow > request.known().getOrDefault(RowKey.CONFIGURATION, 0L);
+        configurationRowVersion > request.knownVersions().getOrDefault(RowKey.CONFIGURATION, 0L);
     return new ZoneReply(
         true,
         verifiedAge,
-        configurationRow,
+        configurationRowVersion,
         blackboard.get(EngineEntries.STORE_TIME).map(time -> StoreReading.of(time, now)),
         newerRows(blackboard, request),
         hasNewerConfiguration ? Optional.of(configuration) : Optional.empty(),
         servers(blackboard, request, now),
-        blackboard.get(EngineEntries.TOKEN_LOANS).getOrDefault(asked.exchange(), List.of()),
+        blackboard.get(EngineEntries.TOKEN_LOANS).getOrDefault(received.exchangeId(), List.of()),
         blackboard.get(EngineEntries.ACTIVE_HOSTS));
   }
 
@@ -166,7 +168,7 @@
     versions.put(relay, KnownRows.version(blackboard, relay));
     versions.forEach(
         (row, version) -> {
-          if (version > request.known().getOrDefault(row, 0L)) {
+          if (version > request.knownVersions().getOrDefault(row, 0L)) {
             newer.put(row, KnownRows.row(blackboard, row));
           }
         });
@@ -182,7 +184,7 @@
                 new ServerList(
                     listing.revision(),
                     now.since(listing.readAt()),
-                    listing.revision() == request.serversRevision()
+                    listing.revision() == request.serverListRevision()
                         ? List.of()
                         : List.copyOf(blackboard.get(EngineEntries.SERVERS).values())));
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -197,7 +197,7 @@
     if (context.entry(EngineEntries.STOPPING)) {
       stop(now);
     }
-    Duration idleLimit = context.entry(EngineEntries.CONFIGURATION).transactionIdle();
+    Duration idleLimit = context.entry(EngineEntries.CONFIGURATION).transactionIdleTimeout();
     sessions.forEach(session -> session.expireTransaction(idleLimit));
     boolean verified = context.keysAreVerified();
     if (keysWereVerified != verified) {
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -22,17 +22,15 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.SuspensionDetector;
-import org.persimmonwalk.engine.control.AnswerHost;
-import org.persimmonwalk.engine.control.AskRelay;
 import org.persimmonwalk.engine.control.EngineSettings;
-import org.persimmonwalk.engine.control.HostAsked;
 import org.persimmonwalk.engine.control.OrderPromotion;
 import org.persimmonwalk.engine.control.PromotionOrderAnswered;
 import org.persimmonwalk.engine.control.ReadServerList;
 import org.persimmonwalk.engine.control.ReadServerStatus;
-import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
+import org.persimmonwalk.engine.control.SendZoneReply;
+import org.persimmonwalk.engine.control.SendZoneRequest;
 import org.persimmonwalk.engine.control.ServerListRead;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.StoreTime;
@@ -40,6 +38,8 @@
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
 import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequestEnded;
+import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -87,8 +87,8 @@
   private final Map<SocketEndpoint, Engine> hostsByEndpoint = new HashMap<>();
   private final Map<Engine, Boolean> frozen = new HashMap<>();
   private final Map<Engine, String> names = new HashMap<>();
-  private final Map<Long, Question> questions = new HashMap<>();
-  private long nextExchange;
+  private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
+  private long nextExchangeId;
   private long seed;
   private long wallClockOffset = 1_000_000;
   private long nextVersion = 1;
@@ -220,12 +220,12 @@
   private void execute(Engine host, Command command) {
     boolean reachable = storeIsUp && !cutOff.getOrDefault(host, false);
     Observation result;
-    if (command instanceof AskRelay question) {
-      ask(host, question);
+    if (command instanceof SendZoneRequest request) {
+      sendZoneRequest(host, request);
       return;
     }
-    if (command instanceof AnswerHost answer) {
-      answer(answer);
+    if (command instanceof SendZoneReply reply) {
+      sendZoneReply(reply);
       return;
     }
     storeCalls++;
@@ -273,31 +273,31 @@
     host.loop().post(result);
   }
 
-  private void ask(Engine host, AskRelay question) {
-    long exchange = ++nextExchange;
-    questions.put(exchange, new Question(host, question, clock.now()));
-    Engine relay = hostsByEndpoint.get(question.relay().endpoint());
+  private void sendZoneRequest(Engine host, SendZoneRequest command) {
+    long exchangeId = ++nextExchangeId;
+    pendingRequests.put(exchangeId, new PendingRequest(host, command, clock.now()));
+    Engine relay = hostsByEndpoint.get(command.relay().endpoint());
     if (peersAreReachable && relay != null && !frozen.getOrDefault(relay, false)) {
-      relay.loop().post(new HostAsked(exchange, question.request()));
+      relay.loop().post(new ZoneRequestReceived(exchangeId, command.request()));
     }
-    scheduler.schedule(PEER_TIMEOUT, () -> end(exchange, Optional.empty()));
+    scheduler.schedule(PEER_TIMEOUT, () -> end(exchangeId, Optional.empty()));
   }
 
-  private void answer(AnswerHost answer) {
-    end(answer.exchange(), Optional.of(answer.reply()));
+  private void sendZoneReply(SendZoneReply command) {
+    end(command.exchangeId(), Optional.of(command.reply()));
   }
 
-  private void end(long exchange, Optional<ZoneReply> reply) {
-    Question ended = questions.remove(exchange);
+  private void end(long exchangeId, Optional<ZoneReply> reply) {
+    PendingRequest ended = pendingRequests.remove(exchangeId);
     if (ended != null) {
       ended
           .host()
           .loop()
-          .post(new RelayAnswered(ended.question(), reply, ended.askedAt(), clock.now()));
+          .post(new ZoneRequestEnded(ended.command(), reply, ended.sentAt(), clock.now()));
     }
   }
 
-  private record Question(Engine host, AskRelay question, MonotonicTime askedAt) {}
+  private record PendingRequest(Engine host, SendZoneRequest command, MonotonicTime sentAt) {}
 
   /** Updates the server entries at once, so that only the given server claims to be the primary. */
   private void reportRoles(BackendServerId primary) {
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
@@ -27,7 +27,7 @@
     RoutingConfigurationMessage.Builder message =
         RoutingConfigurationMessage.newBuilder()
             .setVersion(configuration.version())
-            .setTransactionIdleMilliseconds(configuration.transactionIdle().toMillis());
+            .setTransactionIdleMilliseconds(configuration.transactionIdleTimeout().toMillis());
     configuration.routes().values().forEach(route -> message.addRoutes(encode(route)));
     configuration
         .groups()
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneRehearsal.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
@@ -10,8 +10,8 @@
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoredRow;
-import org.persimmonwalk.engine.control.TokenAsk;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.id.EntryHostId;
@@ -23,11 +23,11 @@
  * Loads the classes that encode and decode zone messages. The build calls it to record these
  * classes, so that a restarted process need not parse them.
  */
-public final class ZoneRehearsal {
+public final class ZoneClassPreloader {
   private static final RowKey ROW = RowKey.of("rehearsal", "row");
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("rehearsal");
 
-  private ZoneRehearsal() {}
+  private ZoneClassPreloader() {}
 
   /** Encodes and decodes a request and a reply. */
   public static void run() {
@@ -37,7 +37,7 @@
             Map.of(ROW, 1L),
             1,
             false,
-            List.of(new TokenAsk(WORKSPACE, 0, 0, 1)));
+            List.of(new TokenRequest(WORKSPACE, 0, 0, 1)));
     ZoneReply reply =
         new ZoneReply(
             true,
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClient.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClient.java
@@ -19,9 +19,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.persimmonwalk.engine.control.AskRelay;
-import org.persimmonwalk.engine.control.RelayAnswered;
+import org.persimmonwalk.engine.control.SendZoneRequest;
 import org.persimmonwalk.engine.control.ZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequestEnded;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.peer.generated.zone.ZoneReplyMessage;
@@ -29,7 +29,7 @@
 import org.tinylog.Logger;
 
 /**
- * Sends requests to the relay of the zone over one connection. Any thread may call {@link #ask};
+ * Sends requests to the relay of the zone over one connection. Any thread may call {@link #send};
  * the rest, including the listener, runs on one event loop.
  */
 public final class ZoneClient {
@@ -42,13 +42,14 @@
 
   private final EventLoopGroup group;
   private final MonotonicClock clock;
-  private final Consumer<RelayAnswered> listener;
+  private final Consumer<ZoneRequestEnded> listener;
   private final Map<Long, Pending> pending = new HashMap<>();
   private Optional<SocketEndpoint> connectedTo = Optional.empty();
   private Channel channel;
-  private long lastExchange;
+  private long lastExchangeId;
 
-  private ZoneClient(EventLoopGroup group, MonotonicClock clock, Consumer<RelayAnswered> listener) {
+  private ZoneClient(
+      EventLoopGroup group, MonotonicClock clock, Consumer<ZoneRequestEnded> listener) {
     this.group = group;
     this.clock = clock;
     this.listener = listener;
@@ -61,31 +62,31 @@
    * @param listener called once for each request, when its reply arrives or it fails
    */
   public static ZoneClient create(
-      EventLoopGroup group, MonotonicClock clock, Consumer<RelayAnswered> listener) {
+      EventLoopGroup group, MonotonicClock clock, Consumer<ZoneRequestEnded> listener) {
     return new ZoneClient(group, clock, listener);
   }
 
   /** Sends a request, over a new connection if there is none to that relay. */
-  public void ask(AskRelay command) {
-    group.next().execute(() -> send(command));
+  public void send(SendZoneRequest command) {
+    group.next().execute(() -> startRequest(command));
   }
 
-  private void send(AskRelay command) {
-    long exchange = ++lastExchange;
+  private void startRequest(SendZoneRequest command) {
+    long exchangeId = ++lastExchangeId;
     Future<?> timer =
-        group.next().schedule(() -> timeOut(exchange), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-    pending.put(exchange, new Pending(command, clock.now(), timer));
+        group.next().schedule(() -> timeOut(exchangeId), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    pending.put(exchangeId, new Pending(command, clock.now(), timer));
     SocketEndpoint endpoint = command.relay().endpoint();
     boolean connectedToRelay =
         channel != null && channel.isActive() && connectedTo.filter(endpoint::equals).isPresent();
     if (connectedToRelay) {
-      ZoneFrames.write(channel, ZoneCodec.encode(exchange, command.request()));
+      ZoneFrames.write(channel, ZoneCodec.encode(exchangeId, command.request()));
     } else {
-      connect(endpoint, exchange);
+      connect(endpoint, exchangeId);
     }
   }
 
-  private void connect(SocketEndpoint endpoint, long exchange) {
+  private void connect(SocketEndpoint endpoint, long exchangeId) {
     disconnect();
     connectedTo = Optional.of(endpoint);
     new Bootstrap()
@@ -102,18 +103,18 @@
               }
             })
         .connect(endpoint.address(), endpoint.port())
-        .addListener((ChannelFuture future) -> connected(future, exchange));
+        .addListener((ChannelFuture future) -> connected(future, exchangeId));
   }
 
-  private void connected(ChannelFuture future, long exchange) {
-    Pending waiting = pending.get(exchange);
+  private void connected(ChannelFuture future, long exchangeId) {
+    Pending waiting = pending.get(exchangeId);
     if (!future.isSuccess()) {
-      complete(exchange, Optional.empty());
+      complete(exchangeId, Optional.empty());
     } else if (waiting == null) {
       future.channel().close();
     } else {
       channel = future.channel();
-      ZoneFrames.write(channel, ZoneCodec.encode(exchange, waiting.command().request()));
+      ZoneFrames.write(channel, ZoneCodec.encode(exchangeId, waiting.command().request()));
     }
   }
 
@@ -121,10 +122,10 @@
    * Fails a request and closes the connection, because a broken connection may stay open without a
    * reset.
    */
-  private void timeOut(long exchange) {
-    if (pending.containsKey(exchange)) {
+  private void timeOut(long exchangeId) {
+    if (pending.containsKey(exchangeId)) {
       disconnect();
-      complete(exchange, Optional.empty());
+      complete(exchangeId, Optional.empty());
     }
   }
 
@@ -136,16 +137,16 @@
     connectedTo = Optional.empty();
   }
 
-  private void complete(long exchange, Optional<ZoneReply> reply) {
-    Pending completed = pending.remove(exchange);
+  private void complete(long exchangeId, Optional<ZoneReply> reply) {
+    Pending completed = pending.remove(exchangeId);
     if (completed != null) {
       completed.timer().cancel(false);
       listener.accept(
-          new RelayAnswered(completed.command(), reply, completed.askedAt(), clock.now()));
+          new ZoneRequestEnded(completed.command(), reply, completed.sentAt(), clock.now()));
     }
   }
 
-  private record Pending(AskRelay command, MonotonicTime askedAt, Future<?> timer) {}
+  private record Pending(SendZoneRequest command, MonotonicTime sentAt, Future<?> timer) {}
 
   private final class ReplyHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
@@ -159,7 +160,7 @@
     public void channelInactive(ChannelHandlerContext context) {
       if (context.channel() == channel) {
         channel = null;
-        List.copyOf(pending.keySet()).forEach(exchange -> complete(exchange, Optional.empty()));
+        List.copyOf(pending.keySet()).forEach(exchangeId -> complete(exchangeId, Optional.empty()));
       }
     }
 
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -11,8 +11,8 @@
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoredRow;
-import org.persimmonwalk.engine.control.TokenAsk;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.id.AvailabilityZone;
@@ -37,15 +37,15 @@
 
   private ZoneCodec() {}
 
-  static ZoneRequestMessage encode(long exchange, ZoneRequest request) {
+  static ZoneRequestMessage encode(long exchangeId, ZoneRequest request) {
     ZoneRequestMessage.Builder message =
         ZoneRequestMessage.newBuilder()
-            .setExchange(exchange)
+            .setExchange(exchangeId)
             .setFrom(request.from().value())
-            .setServersRevision(request.serversRevision())
+            .setServersRevision(request.serverListRevision())
             .setUrgent(request.urgent());
     request
-        .known()
+        .knownVersions()
         .forEach(
             (row, version) ->
                 message.addKnown(
@@ -54,53 +54,54 @@
                         .setKey(row.key())
                         .setVersion(version)));
     request
-        .asks()
+        .tokenRequests()
         .forEach(
-            ask ->
+            tokenRequest ->
                 message.addAsks(
                     TokenAskMessage.newBuilder()
-                        .setWorkspace(ask.workspace().value())
-                        .setHeld(ask.held())
-                        .setDemand(ask.demand())
-                        .setTarget(ask.target())));
+                        .setWorkspace(tokenRequest.workspace().value())
+                        .setHeld(tokenRequest.held())
+                        .setDemand(tokenRequest.demand())
+                        .setTarget(tokenRequest.target())));
     return message.build();
   }
 
   /** Decodes a request; throws an IllegalArgumentException if an identifier is invalid. */
   static ZoneRequest decode(ZoneRequestMessage message) {
-    Map<RowKey, Long> known = new HashMap<>();
+    Map<RowKey, Long> knownVersions = new HashMap<>();
     message
         .getKnownList()
-        .forEach(row -> known.put(RowKey.of(row.getTable(), row.getKey()), row.getVersion()));
-    List<TokenAsk> asks = new ArrayList<>();
+        .forEach(
+            row -> knownVersions.put(RowKey.of(row.getTable(), row.getKey()), row.getVersion()));
+    List<TokenRequest> tokenRequests = new ArrayList<>();
     message
         .getAsksList()
         .forEach(
-            ask ->
-                asks.add(
-                    new TokenAsk(
-                        WorkspaceId.of(ask.getWorkspace()),
-                        ask.getHeld(),
-                        ask.getDemand(),
-                        ask.getTarget())));
+            tokenRequest ->
+                tokenRequests.add(
+                    new TokenRequest(
+                        WorkspaceId.of(tokenRequest.getWorkspace()),
+                        tokenRequest.getHeld(),
+                        tokenRequest.getDemand(),
+                        tokenRequest.getTarget())));
     return new ZoneRequest(
         EntryHostId.of(message.getFrom()),
-        known,
+        knownVersions,
         message.getServersRevision(),
         message.getUrgent(),
-        asks);
+        tokenRequests);
   }
 
-  static ZoneReplyMessage encode(long exchange, ZoneReply reply) {
+  static ZoneReplyMessage encode(long exchangeId, ZoneReply reply) {
     ZoneReplyMessage.Builder message =
         ZoneReplyMessage.newBuilder()
-            .setExchange(exchange)
-            .setServes(reply.serves())
-            .setConfigurationRowVersion(reply.configurationRow())
+            .setExchange(exchangeId)
+            .setServes(reply.isRelay())
+            .setConfigurationRowVersion(reply.configurationRowVersion())
             .setActiveHosts(reply.activeHosts());
     reply.verifiedAge().ifPresent(age -> message.setVerifiedAgeMicroseconds(microsRoundedUp(age)));
     reply
-        .reading()
+        .storeReading()
         .ifPresent(
             reading ->
                 message.setReading(
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
@@ -14,15 +14,15 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.persimmonwalk.engine.control.AnswerHost;
-import org.persimmonwalk.engine.control.HostAsked;
+import org.persimmonwalk.engine.control.SendZoneReply;
+import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
 import org.tinylog.Logger;
 
 /**
  * Receives the requests of the other hosts of the zone and sends the replies. Any thread may call
- * {@link #answer}; the rest, including the listener, runs on one event loop.
+ * {@link #reply}; the rest, including the listener, runs on one event loop.
  */
 public final class ZoneServer {
   /**
@@ -32,11 +32,11 @@
   private static final int MAXIMUM_UNANSWERED = 1024;
 
   private final EventLoopGroup group;
-  private final Consumer<HostAsked> listener;
+  private final Consumer<ZoneRequestReceived> listener;
   private final Map<Long, Origin> unanswered = new LinkedHashMap<>();
-  private long lastExchange;
+  private long lastExchangeId;
 
-  private ZoneServer(EventLoopGroup group, Consumer<HostAsked> listener) {
+  private ZoneServer(EventLoopGroup group, Consumer<ZoneRequestReceived> listener) {
     this.group = group;
     this.listener = listener;
   }
@@ -49,7 +49,7 @@
    * @param listener receives the requests, on the thread of the group
    */
   public static ZoneServer start(
-      EventLoopGroup group, SocketEndpoint endpoint, Consumer<HostAsked> listener) {
+      EventLoopGroup group, SocketEndpoint endpoint, Consumer<ZoneRequestReceived> listener) {
     ZoneServer server = new ZoneServer(group, listener);
     new ServerBootstrap()
         .group(group)
@@ -75,15 +75,15 @@
   }
 
   /** Sends a reply; it is dropped if the connection of the request is closed. */
-  public void answer(AnswerHost command) {
+  public void reply(SendZoneReply command) {
     group
         .next()
         .execute(
             () -> {
-              Origin origin = unanswered.remove(command.exchange());
+              Origin origin = unanswered.remove(command.exchangeId());
               if (origin != null && origin.channel().isActive()) {
                 ZoneFrames.write(
-                    origin.channel(), ZoneCodec.encode(origin.exchange(), command.reply()));
+                    origin.channel(), ZoneCodec.encode(origin.exchangeId(), command.reply()));
               }
             });
   }
@@ -92,13 +92,13 @@
     if (unanswered.size() >= MAXIMUM_UNANSWERED) {
       unanswered.remove(unanswered.keySet().iterator().next());
     }
-    lastExchange++;
-    unanswered.put(lastExchange, new Origin(channel, message.getExchange()));
-    listener.accept(new HostAsked(lastExchange, ZoneCodec.decode(message)));
+    lastExchangeId++;
+    unanswered.put(lastExchangeId, new Origin(channel, message.getExchange()));
+    listener.accept(new ZoneRequestReceived(lastExchangeId, ZoneCodec.decode(message)));
   }
 
   /** The connection that a request came from, and the number that its sender gave it. */
-  private record Origin(Channel channel, long exchange) {}
+  private record Origin(Channel channel, long exchangeId) {}
 
   private final class RequestHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -22,19 +22,19 @@
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.ServerEntry;
-import org.persimmonwalk.engine.control.AnswerHost;
-import org.persimmonwalk.engine.control.AskRelay;
-import org.persimmonwalk.engine.control.HostAsked;
-import org.persimmonwalk.engine.control.RelayAnswered;
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.SendZoneReply;
+import org.persimmonwalk.engine.control.SendZoneRequest;
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoredRow;
-import org.persimmonwalk.engine.control.TokenAsk;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
+import org.persimmonwalk.engine.control.ZoneRequestEnded;
+import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -52,10 +52,10 @@
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final BlockingQueue<HostAsked> asked = new ArrayBlockingQueue<>(10);
-  private final BlockingQueue<RelayAnswered> answered = new ArrayBlockingQueue<>(10);
+  private final BlockingQueue<ZoneRequestReceived> receivedRequests = new ArrayBlockingQueue<>(10);
+  private final BlockingQueue<ZoneRequestEnded> endedRequests = new ArrayBlockingQueue<>(10);
   private final ZoneClient client =
-      ZoneClient.create(group, MonotonicClock.system(), answered::add);
+      ZoneClient.create(group, MonotonicClock.system(), endedRequests::add);
 
   @AfterEach
   void stopEventLoop() {
@@ -68,15 +68,15 @@
     }
   }
 
-  private static AskRelay command(SocketEndpoint endpoint) {
-    return new AskRelay(
+  private static SendZoneRequest command(SocketEndpoint endpoint) {
+    return new SendZoneRequest(
         new RelayHost(EntryHostId.of("relay"), endpoint),
         new ZoneRequest(
             EntryHostId.of("host"),
             Map.of(RowKey.CONFIGURATION, 7L, RowKey.of("leadership", "tanks"), 3L),
             9,
             true,
-            List.of(new TokenAsk(WORKSPACE, 2, 3.5, 4))));
+            List.of(new TokenRequest(WORKSPACE, 2, 3.5, 4))));
   }
 
   private static ZoneReply fullReply() {
@@ -124,51 +124,51 @@
   @Test
   void shouldDeliverRequestsAndRepliesUnchanged() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
-    ZoneServer server = ZoneServer.start(group, endpoint, asked::add);
-    AskRelay command = command(endpoint);
-    client.ask(command);
-    HostAsked received = asked.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    server.answer(new AnswerHost(received.exchange(), fullReply()));
-    RelayAnswered answer = answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add);
+    SendZoneRequest command = command(endpoint);
+    client.send(command);
+    ZoneRequestReceived received = receivedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    server.reply(new SendZoneReply(received.exchangeId(), fullReply()));
+    ZoneRequestEnded ended = endedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
 
     assertThat(received.request()).isEqualTo(command.request());
-    assertThat(answer.question()).isEqualTo(command);
-    assertThat(answer.reply()).contains(fullReply());
-    assertThat(answer.answeredAt().isBefore(answer.askedAt())).isFalse();
+    assertThat(ended.command()).isEqualTo(command);
+    assertThat(ended.reply()).contains(fullReply());
+    assertThat(ended.endedAt().isBefore(ended.sentAt())).isFalse();
   }
 
   /** Guards against a request that never completes when no process listens at the address. */
   @Test
   void shouldReportThatTheRelayIsUnreachable() throws Exception {
-    client.ask(command(freeEndpoint()));
+    client.send(command(freeEndpoint()));
 
-    assertThat(answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+    assertThat(endedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
   }
 
   /** Guards against a request that never completes because the relay accepts and never replies. */
   @Test
   void shouldTimeOutWhenTheRelayDoesNotReply() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
-    ZoneServer.start(group, endpoint, asked::add);
-    client.ask(command(endpoint));
+    ZoneServer.start(group, endpoint, receivedRequests::add);
+    client.send(command(endpoint));
 
-    assertThat(answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+    assertThat(endedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
   }
 
   /** Guards against a late reply to a timed-out request being taken for that to a later one. */
   @Test
   void shouldIgnoreALateReply() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
-    ZoneServer server = ZoneServer.start(group, endpoint, asked::add);
-    client.ask(command(endpoint));
-    HostAsked first = asked.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    assertThat(answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
-    client.ask(command(endpoint));
-    HostAsked second = asked.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    server.answer(new AnswerHost(first.exchange(), fullReply()));
-    server.answer(new AnswerHost(second.exchange(), ZoneReply.notServing()));
-
-    assertThat(answered.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply())
-        .contains(ZoneReply.notServing());
+    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add);
+    client.send(command(endpoint));
+    ZoneRequestReceived first = receivedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertThat(endedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply()).isEmpty();
+    client.send(command(endpoint));
+    ZoneRequestReceived second = receivedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    server.reply(new SendZoneReply(first.exchangeId(), fullReply()));
+    server.reply(new SendZoneReply(second.exchangeId(), ZoneReply.notRelay()));
+
+    assertThat(endedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS).reply())
+        .contains(ZoneReply.notRelay());
   }
 }
