Rename the parts of heartbeats and the row of grants

HostNews and Heartbeat.heard did not say that the states are passed on for other hosts, and answers, in Heartbeat and ConfigurationReply, is a time and not an answer. They are now RelayedHostState, relayedHosts (with RELAYED_HOST_LIMIT) and echoedSentAt. GrantTable holds a single row and is GrantRow, with GrantRowCodec; methods and variables follow. Protobuf names, table names and the string "answers" in two null checks stay.

--- a/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/allowance/AllowanceController.java
@@ -19,7 +19,7 @@
 import org.persimmonwalk.internal.control.lease.RowObservations;
 import org.persimmonwalk.model.BackendServer;
 import org.persimmonwalk.model.DatabaseGroup;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.TableRow;
 import org.persimmonwalk.observation.ConnectionsCounted;
@@ -30,7 +30,7 @@
  */
 public final class AllowanceController implements Controller {
   /** The table with one row per backend server. */
-  public static final String TABLE = GrantTable.SERVER_TABLE;
+  public static final String TABLE = GrantRow.SERVER_TABLE;
 
   /**
    * How often allowances without new observations are run. Running all of them in each round took
--- a/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
@@ -83,7 +83,7 @@
     } else if (received.message() instanceof ConfigurationRequest request) {
       answer(blackboard, received.from(), request, context);
     } else if (received.message() instanceof ConfigurationReply reply) {
-      Optional<MonotonicTime> currentAt = reply.freshnessAge().map(reply.answers()::minus);
+      Optional<MonotonicTime> currentAt = reply.freshnessAge().map(reply.echoedSentAt()::minus);
       accept(blackboard, reply.configuration(), currentAt, context);
     }
   }
@@ -99,8 +99,8 @@
         requestStartedAt = Optional.of(context.now());
         blackboard.submit(new SendPeerMessage(from, new ConfigurationRequest(own, context.now())));
       }
-    } else if (heartbeat.revision().equals(own) && heartbeat.answers().isPresent()) {
-      MonotonicTime askedAt = heartbeat.answers().get();
+    } else if (heartbeat.revision().equals(own) && heartbeat.echoedSentAt().isPresent()) {
+      MonotonicTime askedAt = heartbeat.echoedSentAt().get();
       heartbeat.freshnessAge().ifPresent(age -> refresh(blackboard, askedAt.minus(age), context));
     }
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/GrantManager.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/GrantManager.java
@@ -12,7 +12,7 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.GrantId;
 import org.persimmonwalk.model.Grant;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.RowVersion;
 import org.persimmonwalk.model.TableRow;
@@ -61,8 +61,8 @@
   }
 
   /** Returns the row as last read. */
-  GrantTable table() {
-    return observed.table();
+  GrantRow grantRow() {
+    return observed.grantRow();
   }
 
   /** Applies a read; the time must not be earlier than the arrival of the answer. */
@@ -143,7 +143,7 @@
     }
     grants.remove(fleet.self());
     long current = heldUnits.own().map(OwnGrant::amount).orElse(0L);
-    long others = GrantTable.of(resource.total(), grants).granted();
+    long others = GrantRow.of(resource.total(), grants).granted();
     long amount = nextAmount(fleet, resource, current, Math.max(0, resource.total() - others), now);
     boolean fits = others + amount <= resource.total();
     if (!isWriteDue(fleet, amount, current, fits && isTotalOutdated(resource), now)) {
@@ -158,8 +158,8 @@
       grants.put(fleet.self(), next.get());
     }
     attempts.add(new Attempt(next, now, observed.version()));
-    long total = fits ? resource.total() : Math.max(resource.total(), table().total());
-    GrantTable written = GrantTable.of(total, grants);
+    long total = fits ? resource.total() : Math.max(resource.total(), grantRow().total());
+    GrantRow written = GrantRow.of(total, grants);
     return Optional.of(new CompareAndSetTableRow(row, observed.version(), written));
   }
 
@@ -188,7 +188,7 @@
   }
 
   private boolean isTotalOutdated(LeasedResource resource) {
-    return table().total() != resource.total();
+    return grantRow().total() != resource.total();
   }
 
   private void scheduleNext(
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/ObservedRow.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/ObservedRow.java
@@ -7,7 +7,7 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.GrantId;
 import org.persimmonwalk.model.Grant;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.RowVersion;
 import org.persimmonwalk.observation.TableRowRead;
@@ -15,7 +15,7 @@
 /** A row as last read, and the time at which each of its grants was first seen. */
 final class ObservedRow {
   private final Map<EntryHostId, FirstSeen> firstSeen = new HashMap<>();
-  private GrantTable table = GrantTable.of(0, Map.of());
+  private GrantRow grantRow = GrantRow.of(0, Map.of());
   private RowVersion version = RowVersion.ABSENT;
 
   private ObservedRow() {}
@@ -24,8 +24,8 @@
     return new ObservedRow();
   }
 
-  GrantTable table() {
-    return table;
+  GrantRow grantRow() {
+    return grantRow;
   }
 
   RowVersion version() {
@@ -33,7 +33,7 @@
   }
 
   Optional<Grant> grant(EntryHostId host) {
-    return Optional.ofNullable(table.grants().get(host));
+    return Optional.ofNullable(grantRow.grants().get(host));
   }
 
   /**
@@ -46,15 +46,15 @@
       return false;
     }
     version = read.version();
-    table = read.value().map(GrantTable.class::cast).orElse(GrantTable.of(0, Map.of()));
-    firstSeen.keySet().retainAll(table.grants().keySet());
-    table.grants().forEach((host, grant) -> updateFirstSeen(host, grant, now));
+    grantRow = read.value().map(GrantRow.class::cast).orElse(GrantRow.of(0, Map.of()));
+    firstSeen.keySet().retainAll(grantRow.grants().keySet());
+    grantRow.grants().forEach((host, grant) -> updateFirstSeen(host, grant, now));
     return true;
   }
 
   /** Returns the grants that their holders may still use. */
   Map<EntryHostId, Grant> unexpired(MonotonicTime now) {
-    Map<EntryHostId, Grant> grants = new HashMap<>(table.grants());
+    Map<EntryHostId, Grant> grants = new HashMap<>(grantRow.grants());
     grants.entrySet().removeIf(entry -> hasExpired(entry.getKey(), entry.getValue(), now));
     return grants;
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/RowAllocation.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/RowAllocation.java
@@ -49,7 +49,7 @@
     grantManager.step(fleet, resource, context).ifPresent(blackboard::submit);
     transferSender.step(resource, now).forEach(blackboard::submit);
     transferRequester
-        .step(fleet, resource, grantManager.table(), context)
+        .step(fleet, resource, grantManager.grantRow(), context)
         .forEach(blackboard::submit);
   }
 
@@ -70,7 +70,7 @@
 
   /** Returns the total in the row when it was last read; 0 before the first read. */
   public long rowTotal() {
-    return grantManager.table().total();
+    return grantManager.grantRow().total();
   }
 
   private void apply(
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferRequester.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferRequester.java
@@ -15,7 +15,7 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.TransferId;
 import org.persimmonwalk.model.Grant;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.ShareRequest;
 import org.persimmonwalk.model.ShareTransfer;
@@ -95,7 +95,8 @@
   }
 
   /** Returns the requests to send now, both new ones and retries. */
-  List<Command> step(Fleet fleet, LeasedResource resource, GrantTable table, RoundContext context) {
+  List<Command> step(
+      Fleet fleet, LeasedResource resource, GrantRow grantRow, RoundContext context) {
     MonotonicTime now = context.now();
     List<Command> commands = new ArrayList<>(retry(now));
     long held = heldUnits.available(now);
@@ -107,18 +108,22 @@
     boolean unitsDue = unitsBackoff.isDue(now) && resource.needsUnits(held);
     if (tokens > 0 || unitsDue) {
       (unitsDue ? unitsBackoff : tokensBackoff).requestSent(now);
-      commands.addAll(request(fleet, resource, table, tokens, context));
+      commands.addAll(request(fleet, resource, grantRow, tokens, context));
     }
     return commands;
   }
 
   private List<Command> request(
-      Fleet fleet, LeasedResource resource, GrantTable table, double tokens, RoundContext context) {
+      Fleet fleet,
+      LeasedResource resource,
+      GrantRow grantRow,
+      double tokens,
+      RoundContext context) {
     MonotonicTime now = context.now();
     long held = heldUnits.available(now);
     List<Command> commands = new ArrayList<>();
     skippedUntil.values().removeIf(until -> !now.isBefore(until));
-    for (EntryHostId peer : choosePeers(fleet, resource, table, context)) {
+    for (EntryHostId peer : choosePeers(fleet, resource, grantRow, context)) {
       ShareRequest request =
           new ShareRequest(nextId(fleet, now), row, held, resource.demand(), tokens);
       pending.put(request.id(), new PendingRequest(peer, request, now, 0));
@@ -146,7 +151,7 @@
    * those with the most granted units for their demand.
    */
   private List<EntryHostId> choosePeers(
-      Fleet fleet, LeasedResource resource, GrantTable table, RoundContext context) {
+      Fleet fleet, LeasedResource resource, GrantRow grantRow, RoundContext context) {
     List<EntryHostId> peers = fleet.peers();
     peers.removeIf(peer -> skippedUntil.containsKey(peer) || hasPendingRequest(peer));
     List<EntryHostId> sample = new ArrayList<>();
@@ -159,13 +164,13 @@
     }
     sample.sort(
         Comparator.comparing((EntryHostId peer) -> !recentGivers.contains(peer))
-            .thenComparingDouble(peer -> -surplus(peer, resource, table)));
+            .thenComparingDouble(peer -> -surplus(peer, resource, grantRow)));
     int allowed = MAX_REQUESTS_IN_FLIGHT - countInFlight(context.now());
     return sample.subList(0, Math.min(allowed, sample.size()));
   }
 
-  private static double surplus(EntryHostId peer, LeasedResource resource, GrantTable table) {
-    Grant grant = table.grants().get(peer);
+  private static double surplus(EntryHostId peer, LeasedResource resource, GrantRow grantRow) {
+    Grant grant = grantRow.grants().get(peer);
     return (grant == null ? 0 : grant.amount()) / (1 + resource.peerDemand(peer));
   }
 
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/MembershipController.java
@@ -16,9 +16,9 @@
 import org.persimmonwalk.internal.control.Jitter;
 import org.persimmonwalk.model.Heartbeat;
 import org.persimmonwalk.model.HostEntry;
-import org.persimmonwalk.model.HostNews;
 import org.persimmonwalk.model.HostPhase;
 import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.RelayedHostState;
 import org.persimmonwalk.observation.HostsListed;
 import org.persimmonwalk.observation.PeerMessageReceived;
 
@@ -76,7 +76,7 @@
   private void applyHeartbeat(Heartbeat heartbeat, MonotonicTime now) {
     table.applyReport(heartbeat.sender(), now);
     demand.apply(heartbeat, now);
-    for (HostNews relayed : heartbeat.heard()) {
+    for (RelayedHostState relayed : heartbeat.relayedHosts()) {
       if (!relayed.host().id().equals(self.id())) {
         table.applyReport(relayed.host(), now.minus(relayed.age()));
       }
@@ -101,7 +101,7 @@
       Blackboard blackboard, List<PeerMessageReceived> heartbeats, RoundContext context) {
     for (PeerMessageReceived received : heartbeats) {
       Heartbeat heartbeat = (Heartbeat) received.message();
-      if (heartbeat.answers().isEmpty()) {
+      if (heartbeat.echoedSentAt().isEmpty()) {
         blackboard.submit(
             new SendPeerMessage(
                 received.from(), heartbeat(blackboard, Optional.of(heartbeat.sentAt()), context)));
@@ -124,14 +124,14 @@
   }
 
   private Heartbeat heartbeat(
-      Blackboard blackboard, Optional<MonotonicTime> answers, RoundContext context) {
+      Blackboard blackboard, Optional<MonotonicTime> echoedSentAt, RoundContext context) {
     MonotonicTime now = context.now();
     return new Heartbeat(
         ownEntry(blackboard),
         blackboard.get(Entries.CONFIGURATION).revision(),
         blackboard.get(Entries.FRESHNESS).map(now::since),
         now,
-        answers,
+        echoedSentAt,
         PeerSelection.chooseRelayed(table.relayable(now), now, context.random()),
         PeerDemand.highest(blackboard.get(Entries.DEMAND)));
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/PeerSelection.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/PeerSelection.java
@@ -5,8 +5,8 @@
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.model.Heartbeat;
 import org.persimmonwalk.model.HostEntry;
-import org.persimmonwalk.model.HostNews;
 import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.RelayedHostState;
 import org.persimmonwalk.port.RandomSource;
 
 /** Chooses at random the peers to which heartbeats are sent, and the hosts that they list. */
@@ -39,17 +39,19 @@
    * Chooses the hosts that a heartbeat lists. Up to half of them are hosts that contradict the host
    * list, because peers learn of their state only from heartbeats.
    */
-  static List<HostNews> chooseRelayed(
+  static List<RelayedHostState> chooseRelayed(
       List<KnownHost> candidates, MonotonicTime now, RandomSource random) {
     List<KnownHost> contradicting = new ArrayList<>();
     List<KnownHost> others = new ArrayList<>();
     for (KnownHost known : candidates) {
       (known.contradictsListing() ? contradicting : others).add(known);
     }
-    List<KnownHost> chosen = sample(contradicting, Heartbeat.HEARD_LIMIT / 2, random);
-    chosen.addAll(sample(others, Heartbeat.HEARD_LIMIT - chosen.size(), random));
+    List<KnownHost> chosen = sample(contradicting, Heartbeat.RELAYED_HOST_LIMIT / 2, random);
+    chosen.addAll(sample(others, Heartbeat.RELAYED_HOST_LIMIT - chosen.size(), random));
     return chosen.stream()
-        .map(known -> HostNews.of(known.entry(), now.since(known.lastReportAt().orElseThrow())))
+        .map(
+            known ->
+                RelayedHostState.of(known.entry(), now.since(known.lastReportAt().orElseThrow())))
         .toList();
   }
 
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/ShareController.java
@@ -12,7 +12,7 @@
 import org.persimmonwalk.internal.control.lease.Fleet;
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
 import org.persimmonwalk.internal.control.lease.RowObservations;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.ShareLease;
 import org.persimmonwalk.model.Workspace;
 import org.persimmonwalk.observation.DemandMeasured;
@@ -24,7 +24,7 @@
  */
 public final class ShareController implements Controller {
   /** The table with one row per workspace. */
-  public static final String TABLE = GrantTable.WORKSPACE_TABLE;
+  public static final String TABLE = GrantRow.WORKSPACE_TABLE;
 
   private final EntryHostId self;
   private final LeaseSettings settings;
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/WorkspaceShare.java
@@ -13,7 +13,7 @@
 import org.persimmonwalk.internal.control.lease.LeasedResource;
 import org.persimmonwalk.internal.control.lease.RowAllocation;
 import org.persimmonwalk.internal.control.lease.RowObservations;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.ShareLease;
 import org.persimmonwalk.model.ShareRequest;
@@ -104,7 +104,7 @@
 
   @Override
   public long total() {
-    return GrantTable.SHARE_TOTAL;
+    return GrantRow.SHARE_TOTAL;
   }
 
   @Override
--- a/core/src/main/java/org/persimmonwalk/model/ConfigurationReply.java
+++ b/core/src/main/java/org/persimmonwalk/model/ConfigurationReply.java
@@ -10,16 +10,16 @@
  * @param configuration the sender's configuration
  * @param freshnessAge the time since the configuration was last known to be the newest, if it ever
  *     was
- * @param answers the request's {@code sentAt}, on the receiver's clock
+ * @param echoedSentAt the request's {@code sentAt}, on the receiver's clock
  */
 public record ConfigurationReply(
-    Configuration configuration, Optional<Duration> freshnessAge, MonotonicTime answers)
+    Configuration configuration, Optional<Duration> freshnessAge, MonotonicTime echoedSentAt)
     implements PeerMessage {
 
   /** Checks that all parts are present. */
   public ConfigurationReply {
     Objects.requireNonNull(configuration, "configuration");
     DurationLimits.check(freshnessAge);
-    Objects.requireNonNull(answers, "answers");
+    Objects.requireNonNull(echoedSentAt, "answers");
   }
 }
--- a/core/src/main/java/org/persimmonwalk/model/GrantTable.java
+++ b/core/src/main/java/org/persimmonwalk/model/GrantRow.java
@@ -14,7 +14,7 @@
  * @param total the number of units that the row may grant
  * @param grants the lease of each host
  */
-public record GrantTable(long total, Map<EntryHostId, Grant> grants) implements RowValue {
+public record GrantRow(long total, Map<EntryHostId, Grant> grants) implements RowValue {
 
   /** The table with a row for each workspace. */
   public static final String WORKSPACE_TABLE = "workspace-shares";
@@ -26,13 +26,13 @@
   public static final long SHARE_TOTAL = 1_000_000;
 
   /** Copies the grants. */
-  public GrantTable {
+  public GrantRow {
     grants = Map.copyOf(grants);
   }
 
   /** Returns a row with the given grants. */
-  public static GrantTable of(long total, Map<EntryHostId, Grant> grants) {
-    return new GrantTable(total, grants);
+  public static GrantRow of(long total, Map<EntryHostId, Grant> grants) {
+    return new GrantRow(total, grants);
   }
 
   /** Returns the sum of the amounts of all grants. */
--- a/core/src/main/java/org/persimmonwalk/model/Heartbeat.java
+++ b/core/src/main/java/org/persimmonwalk/model/Heartbeat.java
@@ -21,9 +21,9 @@
  * @param freshnessAge the time since the revision was last known to be the newest, if it ever was
  * @param sentAt when the heartbeat was sent, on the sender's clock; only the sender may interpret
  *     it
- * @param answers the {@code sentAt} of the heartbeat that this one answers, on the receiver's
+ * @param echoedSentAt the {@code sentAt} of the heartbeat that this one answers, on the receiver's
  *     clock; empty in a heartbeat that is no answer
- * @param heard other hosts known to the sender, at most {@link #HEARD_LIMIT}
+ * @param relayedHosts other hosts known to the sender, at most {@link #RELAYED_HOST_LIMIT}
  * @param demand statements per second at the sender by workspace, at most {@link #DEMAND_LIMIT}
  *     entries
  */
@@ -32,13 +32,13 @@
     Revision revision,
     Optional<Duration> freshnessAge,
     MonotonicTime sentAt,
-    Optional<MonotonicTime> answers,
-    List<HostNews> heard,
+    Optional<MonotonicTime> echoedSentAt,
+    List<RelayedHostState> relayedHosts,
     Map<WorkspaceId, Double> demand)
     implements PeerMessage {
 
   /** Limits the hosts listed, so that a heartbeat does not grow with the number of hosts. */
-  public static final int HEARD_LIMIT = 6;
+  public static final int RELAYED_HOST_LIMIT = 6;
 
   /** Limits the demands listed, so that a heartbeat does not grow with the number of workspaces. */
   public static final int DEMAND_LIMIT = 8;
@@ -49,17 +49,17 @@
     Objects.requireNonNull(revision, "revision");
     DurationLimits.check(freshnessAge);
     Objects.requireNonNull(sentAt, "sentAt");
-    Objects.requireNonNull(answers, "answers");
-    heard = List.copyOf(heard);
+    Objects.requireNonNull(echoedSentAt, "answers");
+    relayedHosts = List.copyOf(relayedHosts);
     demand = Map.copyOf(demand);
-    if (heard.size() > HEARD_LIMIT || demand.size() > DEMAND_LIMIT) {
+    if (relayedHosts.size() > RELAYED_HOST_LIMIT || demand.size() > DEMAND_LIMIT) {
       throw new IllegalArgumentException(
           "a heartbeat lists at most "
-              + HEARD_LIMIT
+              + RELAYED_HOST_LIMIT
               + " hosts and "
               + DEMAND_LIMIT
               + " demands, not "
-              + heard.size()
+              + relayedHosts.size()
               + " and "
               + demand.size());
     }
--- a/core/src/main/java/org/persimmonwalk/model/HostNews.java
+++ b/core/src/main/java/org/persimmonwalk/model/RelayedHostState.java
@@ -9,16 +9,16 @@
  * @param host the entry that the host last sent about itself
  * @param age the time since the host sent it
  */
-public record HostNews(HostEntry host, Duration age) {
+public record RelayedHostState(HostEntry host, Duration age) {
 
   /** Checks that the age is within limits. */
-  public HostNews {
+  public RelayedHostState {
     Objects.requireNonNull(host, "host");
     DurationLimits.check(age);
   }
 
   /** Returns the state of a host, sent the given time ago. */
-  public static HostNews of(HostEntry host, Duration age) {
-    return new HostNews(host, age);
+  public static RelayedHostState of(HostEntry host, Duration age) {
+    return new RelayedHostState(host, age);
   }
 }
--- a/core/src/main/java/org/persimmonwalk/model/ShareRequest.java
+++ b/core/src/main/java/org/persimmonwalk/model/ShareRequest.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.id.TransferId;
 
 /**
- * Asks a peer to transfer some of the units that it holds of a {@link GrantTable} row.
+ * Asks a peer to transfer some of the units that it holds of a {@link GrantRow}.
  *
  * @param id the transfer that is to answer the request; a retry has the same id
  * @param row the row of the workspace or the backend server
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
@@ -150,18 +150,18 @@
   }
 
   private static ConfigurationReply reply(
-      long revision, Optional<Duration> age, MonotonicTime answers) {
-    return new ConfigurationReply(Configurations.of(revision, 1, 1), age, answers);
+      long revision, Optional<Duration> age, MonotonicTime echoedSentAt) {
+    return new ConfigurationReply(Configurations.of(revision, 1, 1), age, echoedSentAt);
   }
 
   private static Heartbeat heartbeat(
-      long revision, Optional<Duration> age, Optional<MonotonicTime> answers) {
+      long revision, Optional<Duration> age, Optional<MonotonicTime> echoedSentAt) {
     return new Heartbeat(
         SpreadFleet.entry("peer", "zone-a"),
         Revision.of(revision),
         age,
         MonotonicTime.of(77),
-        answers,
+        echoedSentAt,
         List.of(),
         Map.of());
   }
--- a/core/src/test/java/org/persimmonwalk/internal/control/membership/MembershipControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/membership/MembershipControllerTest.java
@@ -17,8 +17,8 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.Heartbeat;
 import org.persimmonwalk.model.HostEntry;
-import org.persimmonwalk.model.HostNews;
 import org.persimmonwalk.model.MonotonicTime;
+import org.persimmonwalk.model.RelayedHostState;
 import org.persimmonwalk.observation.HostsListed;
 import org.persimmonwalk.observation.PeerMessageReceived;
 import org.persimmonwalk.port.RandomSource;
@@ -46,7 +46,7 @@
     postHostList(PEER.withLeaving(true), THIRD.withLeaving(true));
     assertThat(live()).doesNotContain(PEER.id(), THIRD.id());
 
-    postHeartbeat(PEER, HostNews.of(THIRD, Duration.ofSeconds(2)));
+    postHeartbeat(PEER, RelayedHostState.of(THIRD, Duration.ofSeconds(2)));
     assertThat(live()).contains(PEER.id(), THIRD.id());
 
     clock.advance(Duration.ofMillis(3100));
@@ -61,7 +61,8 @@
     assertThat(live()).contains(PEER.id(), THIRD.id());
 
     postHeartbeat(
-        PEER.withLeaving(true), HostNews.of(THIRD.withLeaving(true), Duration.ofSeconds(1)));
+        PEER.withLeaving(true),
+        RelayedHostState.of(THIRD.withLeaving(true), Duration.ofSeconds(1)));
     clock.advance(Duration.ofSeconds(10));
     postHostList(PEER, THIRD);
 
@@ -71,11 +72,11 @@
   /** Guards against old reports that peers relay to each other and that keep a dead host live. */
   @Test
   void shouldNotCountRelayedOldReportAsNew() {
-    postHeartbeat(PEER, HostNews.of(THIRD, Duration.ofSeconds(1)));
+    postHeartbeat(PEER, RelayedHostState.of(THIRD, Duration.ofSeconds(1)));
     clock.advance(Duration.ofSeconds(3));
-    postHeartbeat(PEER, HostNews.of(THIRD, Duration.ofSeconds(4)));
+    postHeartbeat(PEER, RelayedHostState.of(THIRD, Duration.ofSeconds(4)));
     clock.advance(Duration.ofMillis(1500));
-    postHeartbeat(PEER, HostNews.of(THIRD, Duration.ofMillis(5500)));
+    postHeartbeat(PEER, RelayedHostState.of(THIRD, Duration.ofMillis(5500)));
 
     assertThat(live()).doesNotContain(THIRD.id());
   }
@@ -113,8 +114,8 @@
         sent++;
         HostEntry target = loop.snapshot().get(Entries.HOSTS).get(message.to());
         inZone += target.zone().equals(SELF.zone()) ? 1 : 0;
-        assertThat(((Heartbeat) message.message()).heard())
-            .hasSizeLessThanOrEqualTo(Heartbeat.HEARD_LIMIT);
+        assertThat(((Heartbeat) message.message()).relayedHosts())
+            .hasSizeLessThanOrEqualTo(Heartbeat.RELAYED_HOST_LIMIT);
       }
     }
 
@@ -129,12 +130,13 @@
     executor.take(SendPeerMessage.class);
     postHeartbeat(PEER);
     assertThat(executor.take(SendPeerMessage.class))
-        .filteredOn(sent -> ((Heartbeat) sent.message()).answers().isPresent())
+        .filteredOn(sent -> ((Heartbeat) sent.message()).echoedSentAt().isPresent())
         .singleElement()
         .satisfies(
             sent -> {
               assertThat(sent.to()).isEqualTo(PEER.id());
-              assertThat(((Heartbeat) sent.message()).answers()).contains(MonotonicTime.of(77));
+              assertThat(((Heartbeat) sent.message()).echoedSentAt())
+                  .contains(MonotonicTime.of(77));
             });
 
     loop.post(
@@ -174,20 +176,26 @@
     loop.runRound();
   }
 
-  private void postHeartbeat(HostEntry sender, HostNews... news) {
+  private void postHeartbeat(HostEntry sender, RelayedHostState... relayedHosts) {
     loop.post(
         new PeerMessageReceived(
-            sender.id(), heartbeat(sender, Map.of(), Optional.empty(), List.of(news))));
+            sender.id(), heartbeat(sender, Map.of(), Optional.empty(), List.of(relayedHosts))));
     loop.runRound();
   }
 
   private static Heartbeat heartbeat(
       HostEntry sender,
       Map<WorkspaceId, Double> demand,
-      Optional<MonotonicTime> answers,
-      List<HostNews> news) {
+      Optional<MonotonicTime> echoedSentAt,
+      List<RelayedHostState> relayedHosts) {
     return new Heartbeat(
-        sender, Revision.of(1), Optional.empty(), MonotonicTime.of(77), answers, news, demand);
+        sender,
+        Revision.of(1),
+        Optional.empty(),
+        MonotonicTime.of(77),
+        echoedSentAt,
+        relayedHosts,
+        demand);
   }
 
   private Iterable<EntryHostId> live() {
--- a/core/src/test/java/org/persimmonwalk/internal/control/share/ShareControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/share/ShareControllerTest.java
@@ -25,7 +25,7 @@
 import org.persimmonwalk.internal.control.lease.LeaseSettings;
 import org.persimmonwalk.model.Configuration;
 import org.persimmonwalk.model.Grant;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.RowVersion;
 import org.persimmonwalk.model.ShareLease;
 import org.persimmonwalk.model.ShareRequest;
@@ -82,7 +82,7 @@
     clock.advance(Duration.ofSeconds(3));
     round(Command.class, written(WriteOutcome.UNKNOWN, 0));
     assertThat(lease().rate()).isZero();
-    round(Command.class, read(1, Optional.of((GrantTable) write.value())));
+    round(Command.class, read(1, Optional.of((GrantRow) write.value())));
 
     assertThat(lease().rate()).isEqualTo(50);
     assertThat(lease().end()).isEqualTo(clock.now().plus(Duration.ofSeconds(87)));
@@ -93,7 +93,7 @@
   void shouldNotUseGrantMissingFromRow() {
     round(Command.class, written(WriteOutcome.WRITTEN, 1));
     assertThat(lease().rate()).isZero();
-    round(Command.class, read(2, Optional.of(GrantTable.of(1_000_000, Map.of()))));
+    round(Command.class, read(2, Optional.of(GrantRow.of(1_000_000, Map.of()))));
     assertThat(lease().rate()).isZero();
   }
 
@@ -104,7 +104,7 @@
   @Test
   void shouldCountLeaseOfPeerFromAnswerOfRead() {
     Grant grant = Grant.of(GrantId.of("peer:1"), 1_000_000, LEASE);
-    Optional<GrantTable> full = Optional.of(GrantTable.of(1_000_000, Map.of(PEER, grant)));
+    Optional<GrantRow> full = Optional.of(GrantRow.of(1_000_000, Map.of(PEER, grant)));
     TableRowRead started = read(1, full);
     clock.advance(Duration.ofSeconds(9));
     assertThat(round(CompareAndSetTableRow.class, started)).isEmpty();
@@ -120,7 +120,7 @@
   void shouldNotTakeRenewedGrant() {
     for (int renewal = 1; renewal < 5; renewal++) {
       Grant grant = Grant.of(GrantId.of("peer:" + renewal), 1_000_000, LEASE);
-      GrantTable full = GrantTable.of(1_000_000, Map.of(PEER, grant));
+      GrantRow full = GrantRow.of(1_000_000, Map.of(PEER, grant));
       assertThat(round(CompareAndSetTableRow.class, read(renewal, Optional.of(full)))).isEmpty();
       clock.advance(Duration.ofSeconds(60));
     }
@@ -175,9 +175,9 @@
     double lowered = lease().rate();
     clock.advance(Duration.ofSeconds(50));
     round(Command.class, new TokenOrderDone(WORKSPACE, lease().order().number(), 0));
-    GrantTable table = (GrantTable) write.value();
-    write = round(CompareAndSetTableRow.class, read(1, Optional.of(table))).get(0);
-    round(Command.class, read(2, Optional.of((GrantTable) write.value())));
+    GrantRow grantRow = (GrantRow) write.value();
+    write = round(CompareAndSetTableRow.class, read(1, Optional.of(grantRow))).get(0);
+    round(Command.class, read(2, Optional.of((GrantRow) write.value())));
 
     assertThat(lease().end()).isEqualTo(clock.now().plus(Duration.ofSeconds(90)));
     assertThat(lease().rate()).isEqualTo(lowered);
@@ -227,8 +227,8 @@
     obtainGrant();
     live = Set.of(SELF, PEER, EntryHostId.of("third"), EntryHostId.of("fourth"));
     clock.advance(Duration.ofSeconds(40));
-    GrantTable table = (GrantTable) write.value();
-    assertThat(round(CompareAndSetTableRow.class, read(1, Optional.of(table)))).hasSize(1);
+    GrantRow grantRow = (GrantRow) write.value();
+    assertThat(round(CompareAndSetTableRow.class, read(1, Optional.of(grantRow)))).hasSize(1);
     assertThat(lease().rate()).isEqualTo(25);
 
     round(Command.class, written(WriteOutcome.UNKNOWN, 0));
@@ -237,7 +237,7 @@
 
   private void obtainGrant() {
     round(Command.class, written(WriteOutcome.WRITTEN, 1));
-    round(Command.class, read(1, Optional.of((GrantTable) write.value())));
+    round(Command.class, read(1, Optional.of((GrantRow) write.value())));
     assertThat(lease().rate()).isEqualTo(50);
   }
 
@@ -251,8 +251,8 @@
     return new PeerMessageReceived(PEER, new ShareTransfer(id, ROW, amount, 0, remaining));
   }
 
-  private TableRowRead read(long version, Optional<GrantTable> table) {
-    return new TableRowRead(ROW, RowVersion.of(version), table.map(t -> t), clock.now());
+  private TableRowRead read(long version, Optional<GrantRow> grantRow) {
+    return new TableRowRead(ROW, RowVersion.of(version), grantRow.map(t -> t), clock.now());
   }
 
   private TableRowWritten written(WriteOutcome outcome, long version) {
--- a/core/src/test/java/org/persimmonwalk/testing/EncodedSize.java
+++ b/core/src/test/java/org/persimmonwalk/testing/EncodedSize.java
@@ -11,9 +11,9 @@
 import org.persimmonwalk.model.DatabaseGroup;
 import org.persimmonwalk.model.Heartbeat;
 import org.persimmonwalk.model.HostEntry;
-import org.persimmonwalk.model.HostNews;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.PeerMessage;
+import org.persimmonwalk.model.RelayedHostState;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.model.Workspace;
 
@@ -52,7 +52,7 @@
     if (message instanceof ConfigurationReply reply) {
       return nested(configuration(reply.configuration()))
           + reply.freshnessAge().map(age -> 1 + varint(age.toMillis())).orElse(0L)
-          + time(reply.answers());
+          + time(reply.echoedSentAt());
     }
     throw new IllegalArgumentException(
         "the size of this type of peer message is not implemented: " + message);
@@ -63,15 +63,15 @@
         + number(heartbeat.revision().number())
         + heartbeat.freshnessAge().map(age -> 1 + varint(age.toMillis())).orElse(0L)
         + time(heartbeat.sentAt())
-        + (heartbeat.answers().isPresent() ? FIXED64_FIELD : 0)
-        + repeated(heartbeat.heard(), EncodedSize::news)
+        + (heartbeat.echoedSentAt().isPresent() ? FIXED64_FIELD : 0)
+        + repeated(heartbeat.relayedHosts(), EncodedSize::relayedHost)
         + repeated(
             heartbeat.demand().entrySet(),
             entry -> text(entry.getKey().value()) + decimal(entry.getValue()));
   }
 
-  private static long news(HostNews news) {
-    return nested(host(news.host())) + number(news.age().toMillis());
+  private static long relayedHost(RelayedHostState relayed) {
+    return nested(host(relayed.host())) + number(relayed.age().toMillis());
   }
 
   private static long host(HostEntry host) {
--- a/peer/src/main/java/org/persimmonwalk/peer/PeerCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/PeerCodec.java
@@ -16,9 +16,9 @@
 import org.persimmonwalk.model.ConfigurationRequest;
 import org.persimmonwalk.model.Heartbeat;
 import org.persimmonwalk.model.HostEntry;
-import org.persimmonwalk.model.HostNews;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.PeerMessage;
+import org.persimmonwalk.model.RelayedHostState;
 import org.persimmonwalk.model.ShareRequest;
 import org.persimmonwalk.model.ShareTransfer;
 import org.persimmonwalk.model.SocketEndpoint;
@@ -114,12 +114,12 @@
     heartbeat
         .freshnessAge()
         .ifPresent(age -> builder.setFreshnessAgeMilliseconds(millisecondsRoundedUp(age)));
-    heartbeat.answers().ifPresent(time -> builder.setAnswers(time.nanoseconds()));
-    for (HostNews news : heartbeat.heard()) {
+    heartbeat.echoedSentAt().ifPresent(time -> builder.setAnswers(time.nanoseconds()));
+    for (RelayedHostState relayed : heartbeat.relayedHosts()) {
       builder.addHeard(
           HostNewsMessage.newBuilder()
-              .setHost(encode(news.host()))
-              .setAgeMilliseconds(Math.toIntExact(millisecondsRoundedUp(news.age()))));
+              .setHost(encode(relayed.host()))
+              .setAgeMilliseconds(Math.toIntExact(millisecondsRoundedUp(relayed.age()))));
     }
     heartbeat
         .demand()
@@ -131,13 +131,13 @@
   }
 
   private static Heartbeat decode(HeartbeatMessage message) {
-    List<HostNews> heard =
+    List<RelayedHostState> relayedHosts =
         message.getHeardList().stream()
             .map(
-                news ->
-                    HostNews.of(
-                        decode(news.getHost()),
-                        Duration.ofMillis(Integer.toUnsignedLong(news.getAgeMilliseconds()))))
+                relayed ->
+                    RelayedHostState.of(
+                        decode(relayed.getHost()),
+                        Duration.ofMillis(Integer.toUnsignedLong(relayed.getAgeMilliseconds()))))
             .toList();
     Map<WorkspaceId, Double> demand = new HashMap<>();
     message
@@ -153,7 +153,7 @@
         message.hasAnswers()
             ? Optional.of(MonotonicTime.of(message.getAnswers()))
             : Optional.empty(),
-        heard,
+        relayedHosts,
         demand);
   }
 
@@ -179,7 +179,7 @@
     ConfigurationReplyMessage.Builder builder =
         ConfigurationReplyMessage.newBuilder()
             .setConfiguration(ConfigurationCodec.encode(reply.configuration()))
-            .setAnswers(reply.answers().nanoseconds());
+            .setAnswers(reply.echoedSentAt().nanoseconds());
     reply
         .freshnessAge()
         .ifPresent(age -> builder.setFreshnessAgeMilliseconds(millisecondsRoundedUp(age)));
--- a/peer/src/test/java/org/persimmonwalk/peer/PeerMessages.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/PeerMessages.java
@@ -13,12 +13,12 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.ConfigurationReply;
 import org.persimmonwalk.model.ConfigurationRequest;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.Heartbeat;
 import org.persimmonwalk.model.HostEntry;
-import org.persimmonwalk.model.HostNews;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.PeerMessage;
+import org.persimmonwalk.model.RelayedHostState;
 import org.persimmonwalk.model.ShareRequest;
 import org.persimmonwalk.model.ShareTransfer;
 import org.persimmonwalk.model.SocketEndpoint;
@@ -28,7 +28,7 @@
 /** Sample messages for tests. */
 public final class PeerMessages {
 
-  private static final TableRow ROW = TableRow.of(GrantTable.WORKSPACE_TABLE, "oil");
+  private static final TableRow ROW = TableRow.of(GrantRow.WORKSPACE_TABLE, "oil");
 
   private PeerMessages() {}
 
@@ -64,9 +64,10 @@
 
   /** Returns a heartbeat of the largest size: lists up to their limits, and long names. */
   public static Heartbeat fullHeartbeat() {
-    List<HostNews> heard =
-        IntStream.range(0, Heartbeat.HEARD_LIMIT)
-            .mapToObj(index -> HostNews.of(host(index, true), Duration.ofMillis(index * 999)))
+    List<RelayedHostState> relayedHosts =
+        IntStream.range(0, Heartbeat.RELAYED_HOST_LIMIT)
+            .mapToObj(
+                index -> RelayedHostState.of(host(index, true), Duration.ofMillis(index * 999)))
             .toList();
     Map<WorkspaceId, Double> demand = new HashMap<>();
     for (int index = 0; index < Heartbeat.DEMAND_LIMIT; index++) {
@@ -78,7 +79,7 @@
         Optional.of(Duration.ZERO),
         time(Long.MAX_VALUE),
         Optional.of(time(Long.MIN_VALUE)),
-        heard,
+        relayedHosts,
         demand);
   }
 
--- a/store/src/main/java/org/persimmonwalk/internal/store/GrantTableCodec.java
+++ b/store/src/main/java/org/persimmonwalk/internal/store/GrantRowCodec.java
@@ -9,26 +9,26 @@
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.GrantId;
 import org.persimmonwalk.model.Grant;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.store.RowCodec;
 
 /** Converts the row that divides a rate or connections among entry hosts to JSON and back. */
-public final class GrantTableCodec implements RowCodec<GrantTable> {
+public final class GrantRowCodec implements RowCodec<GrantRow> {
 
-  private GrantTableCodec() {}
+  private GrantRowCodec() {}
 
   /** Returns the codec. */
-  public static GrantTableCodec create() {
-    return new GrantTableCodec();
+  public static GrantRowCodec create() {
+    return new GrantRowCodec();
   }
 
   @Override
-  public Class<GrantTable> type() {
-    return GrantTable.class;
+  public Class<GrantRow> type() {
+    return GrantRow.class;
   }
 
   @Override
-  public JsonNode encode(GrantTable value) {
+  public JsonNode encode(GrantRow value) {
     ObjectNode tree = JsonNodeFactory.instance.objectNode().put("total", value.total());
     ObjectNode grants = tree.putObject("grants");
     value.grants().forEach((host, grant) -> encode(grants.putObject(host.value()), grant));
@@ -36,13 +36,13 @@
   }
 
   @Override
-  public GrantTable decode(JsonNode tree) {
+  public GrantRow decode(JsonNode tree) {
     Map<EntryHostId, Grant> grants = new HashMap<>();
     tree.required("grants")
         .properties()
         .forEach(
             field -> grants.put(EntryHostId.of(field.getKey()), decodeGrant(field.getValue())));
-    return GrantTable.of(tree.required("total").longValue(), grants);
+    return GrantRow.of(tree.required("total").longValue(), grants);
   }
 
   private static void encode(ObjectNode tree, Grant grant) {
--- a/store/src/main/java/org/persimmonwalk/store/RowCodecs.java
+++ b/store/src/main/java/org/persimmonwalk/store/RowCodecs.java
@@ -2,10 +2,10 @@
 
 import java.util.Map;
 import org.persimmonwalk.internal.store.ConfigurationRowCodec;
-import org.persimmonwalk.internal.store.GrantTableCodec;
+import org.persimmonwalk.internal.store.GrantRowCodec;
 import org.persimmonwalk.internal.store.PromotionClaimCodec;
 import org.persimmonwalk.model.ConfigurationRow;
-import org.persimmonwalk.model.GrantTable;
+import org.persimmonwalk.model.GrantRow;
 import org.persimmonwalk.model.PromotionClaim;
 
 /** The codecs of the tables that persimmonwalk uses in the platform's table service. */
@@ -18,10 +18,10 @@
     return Map.of(
         ConfigurationRow.ROW.table(),
         ConfigurationRowCodec.create(),
-        GrantTable.WORKSPACE_TABLE,
-        GrantTableCodec.create(),
-        GrantTable.SERVER_TABLE,
-        GrantTableCodec.create(),
+        GrantRow.WORKSPACE_TABLE,
+        GrantRowCodec.create(),
+        GrantRow.SERVER_TABLE,
+        GrantRowCodec.create(),
         PromotionClaim.TABLE,
         PromotionClaimCodec.create());
   }
