Reword texts of the result codes and failure codes

Some texts were figurative or ambiguous: "this entry host has no room for another connection", "the key does not open the workspace", "the server lacks a commit that must be seen", "the statement is not understood in this state". The advice "correct the place named" did not say where.

They now use the terms of the field: "this entry host has reached its connection limit", "the server has not reached the required log position". ABORTED says "none of its changes are kept" and not "rolled back", because it is also reported for an unanswered COMMIT of a transaction that wrote nothing, and for a single read. Names, numbers, SQLSTATEs, states and flags are as before, and so is what each text promises.

ResultCodeTest.shouldBeDocumentedRowByRow fails on the changed texts until the table of result codes in the documentation has the same texts. No other test or resource compares a changed text.

--- a/core/src/main/java/org/persimmonwalk/result/ResultCode.java
+++ b/core/src/main/java/org/persimmonwalk/result/ResultCode.java
@@ -11,7 +11,7 @@
       1001,
       "28P01",
       StatementState.NOT_RUN,
-      "the key does not open the workspace",
+      "the key does not grant access to the workspace",
       "check the workspace name and the key"),
   UNKNOWN_WORKSPACE(
       1002,
@@ -29,7 +29,7 @@
       1004,
       "3D000",
       StatementState.NOT_RUN,
-      "the workspace may not reach this database",
+      "the workspace has no access to this database",
       "check the database name"),
   KEYS_UNVERIFIED(
       1005,
@@ -53,8 +53,8 @@
       2001,
       "53400",
       StatementState.NOT_RUN,
-      "the workspace has used up its rate",
-      "retry later or ask for a higher rate"),
+      "the workspace has exceeded its rate limit",
+      "retry later or ask for a higher rate limit"),
   QUEUE_FULL(
       2002,
       "53300",
@@ -71,7 +71,7 @@
       2004,
       "53300",
       StatementState.NOT_RUN,
-      "this entry host has no room for another connection",
+      "this entry host has reached its connection limit",
       "connect to another entry host"),
   NO_CONNECTION(
       2005,
@@ -87,7 +87,7 @@
       3003,
       "55000",
       StatementState.NOT_RUN,
-      "the position of the session could not be found out in time",
+      "the position of the session could not be determined in time",
       "retry or state the position"),
   NO_SERVER_WITHIN_AGE(
       3004,
@@ -118,14 +118,14 @@
       4004,
       "08006",
       StatementState.NOT_RUN,
-      "the answer ended early; the statement only read",
+      "the answer ended early; the statement was read-only",
       "retry"),
   CANCELLED(
       4005,
       "57014",
       StatementState.NOT_RUN,
       "the statement was cancelled before it ran",
-      "nothing is to be done"),
+      "no action is needed"),
   STOPPING(4006, "57P01", StatementState.NOT_RUN, "this entry host is stopping", "connect again"),
   UNSUPPORTED(
       5001,
@@ -162,7 +162,7 @@
       "22023",
       StatementState.NOT_APPLICABLE,
       "the release note cannot be read",
-      "correct the place named"),
+      "correct the faults named in the message"),
   NOTE_CONFLICT(
       6002,
       "40001",
@@ -174,7 +174,7 @@
       "22023",
       StatementState.NOT_APPLICABLE,
       "the release note leads to an invalid configuration",
-      "correct the places named"),
+      "correct the faults named in the message"),
   NOTE_OUTCOME_UNKNOWN(
       6004,
       "40003",
@@ -194,12 +194,16 @@
       "the object named does not exist",
       "check the name"),
   COMMAND_LINE_INVALID(
-      6007, "22023", StatementState.NOT_APPLICABLE, "the command line is invalid", "see the help"),
+      6007,
+      "22023",
+      StatementState.NOT_APPLICABLE,
+      "the command line is invalid",
+      "run the command with --help"),
   HOST_UNAVAILABLE(
       6008,
       "58030",
       StatementState.NOT_APPLICABLE,
-      "an entry host does not answer operators",
+      "the administration interface of an entry host does not answer",
       "check the hosts named"),
   REVISION_NOT_EVERYWHERE(
       6009,
@@ -245,7 +249,7 @@
       9001,
       "XX000",
       StatementState.UNKNOWN,
-      "an internal error happened",
+      "an internal error occurred",
       "report it with the log");
 
   private final int number;
--- a/engine/src/main/java/org/persimmonwalk/engine/FailureCode.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/FailureCode.java
@@ -6,31 +6,33 @@
 /** Why a statement failed, as reported to callers and by backend servers. */
 public enum FailureCode {
   /** The rate limit is used up or too many statements are queued; nothing ran. */
-  OVERLOADED(7101, true, "the rate is used up or too much is waiting; nothing ran"),
-  /** The transaction was aborted and is rolled back. */
-  ABORTED(7102, true, "the transaction was ended; nothing of it is kept"),
+  OVERLOADED(
+      7101, true, "the rate limit is used up or too many statements are queued; nothing ran"),
+  /** The transaction was aborted; none of its changes are kept. */
+  ABORTED(7102, true, "the transaction was aborted; none of its changes are kept"),
   /** The server has not reached the required log position; nothing ran. */
-  BEHIND(7103, true, "the server lacks a commit that must be seen; nothing ran"),
-  /** The server is not a primary; nothing was committed. */
-  NOT_PRIMARY(7104, true, "the server is no primary; nothing is kept"),
+  BEHIND(7103, true, "the server has not reached the required log position; nothing ran"),
+  /** The server is not a primary; no changes are kept. */
+  NOT_PRIMARY(7104, true, "the server is not a primary; no changes are kept"),
   /** The server is not the expected one; nothing ran. */
-  WRONG_SERVER(7105, true, "the server is another one than expected; nothing ran"),
+  WRONG_SERVER(7105, true, "the server is not the expected one; nothing ran"),
   /** The server has no connection left; nothing ran. */
   NO_CONNECTION_LEFT(7106, true, "the server has no connection left; nothing ran"),
   /** The outcome of a write or COMMIT is unknown: it may or may not have been committed. */
   OUTCOME_UNKNOWN(7107, false, "the commit or write may or may not be kept"),
   /** The statement timed out; it may have run. */
-  TIMED_OUT(7108, false, "the time allowed ran out; the statement may have run"),
+  TIMED_OUT(7108, false, "the statement timed out; it may have run"),
   /** The server ran the statement and it failed. */
   FAILED(7109, false, "the server ran the statement and it failed"),
   /** No statement is prepared under the name; nothing ran. */
-  UNKNOWN_NAME(7110, false, "the prepared name is unknown; nothing ran"),
+  UNKNOWN_NAME(7110, false, "no statement is prepared under the name; nothing ran"),
   /** The key belongs to no workspace; nothing ran. */
-  KEY_REJECTED(7111, false, "the key opens no workspace; nothing ran"),
+  KEY_REJECTED(7111, false, "the key belongs to no workspace; nothing ran"),
   /** No route has the database name; nothing ran. */
   UNKNOWN_DATABASE(7112, false, "no route has the database name; nothing ran"),
   /** The statement is malformed or not allowed in the current state; nothing ran. */
-  MALFORMED(7113, false, "the statement is not understood in this state; nothing ran");
+  MALFORMED(
+      7113, false, "the statement is malformed or not allowed in the current state; nothing ran");
 
   private final int number;
   private final boolean guaranteesNoEffect;
