Correct comments and names of the engine that misled a reader

Some comments still spoke of hosts that "ask" the relay where the types speak of requests, and a few didn't match the code. TokenPool used lastRequestAt for its own store calls and lastAskedAt for the requests of other hosts; they are now lastStoreCallAt and lastRequestAt. MAX_WAIT in WorkspaceTokens was described as the maximum wait of an operation, but SessionAdmission sets that; it is how long a report of a waiting operation counts, and is called WAITING_VALIDITY. Leadership.parse promised an empty result for unreadable rows; it gives one only for a wrong number of parts. The takeover delay was said to exist in case the announcing host died; it lets that host go first. SILENCE_TIMEOUT is RESPONSE_TIMEOUT, and the locals fails, lags, claims, asked and shown have plainer names.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -55,7 +55,7 @@
   /** The number of hosts that have recently taken tokens, this one included. */
   public static final EntryKey<Integer> ACTIVE_HOSTS = EntryKey.of("active hosts", 1);
 
-  /** Whether this host calls the store for itself, is the relay, or asks the relay. */
+  /** Whether this host calls the store for itself, is the relay, or uses the relay. */
   public static final EntryKey<RelayRole> RELAY_ROLE = EntryKey.of("relay role", RelayRole.DIRECT);
 
   /** The tokens to request from the relay of the zone. */
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayRole.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RelayRole.java
@@ -5,7 +5,7 @@
 /**
  * From where this host gets the rows of the store: by its own calls or from the relay of its zone.
  *
- * @param relay the host to ask; present for the kind CLIENT only
+ * @param relay the host that receives the requests; present for the kind CLIENT only
  */
 public record RelayRole(Kind kind, Optional<RelayHost> relay) {
 
@@ -15,12 +15,12 @@
   /** This host is the relay: it calls the store for its availability zone. */
   public static final RelayRole RELAY = new RelayRole(Kind.RELAY, Optional.empty());
 
-  /** Returns the role of a host that asks the given relay. */
+  /** Returns the role of a host that uses the given relay. */
   public static RelayRole clientOf(RelayHost relay) {
     return new RelayRole(Kind.CLIENT, Optional.of(relay));
   }
 
-  /** Returns whether this host asks the relay, and calls the store only if that fails. */
+  /** Returns whether this host uses the relay, and calls the store only if that fails. */
   public boolean isClient() {
     return kind == Kind.CLIENT;
   }
@@ -29,7 +29,7 @@
   public enum Kind {
     /** Calls the store for itself only. */
     DIRECT,
-    /** Asks the relay of its zone. */
+    /** Sends requests to the relay of its zone. */
     CLIENT,
     /** Calls the store for all hosts of its zone. */
     RELAY
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoreReading.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoreReading.java
@@ -18,7 +18,12 @@
     return new StoreReading(time.millis(), now.since(time.sentAt()), now.since(time.receivedAt()));
   }
 
-  /** Returns the reading bounded by local times: when the relay was asked and when it answered. */
+  /**
+   * Returns the reading bounded by local times.
+   *
+   * @param requestSentAt when the request to the relay was sent
+   * @param replyReceivedAt when the relay's reply arrived
+   */
   public StoreTime at(MonotonicTime requestSentAt, MonotonicTime replyReceivedAt) {
     return new StoreTime(millis, requestSentAt.minus(sentAge), replyReceivedAt.minus(receivedAge));
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
@@ -33,7 +33,7 @@
     return RowKey.of(TABLE, group.value());
   }
 
-  /** Reads the row; empty if it does not exist or cannot be read. */
+  /** Parses the row; empty if it does not exist or does not have all four parts. */
   static Optional<Leadership> parse(String text) {
     String[] parts = text.split(SEPARATOR);
     if (parts.length != PARTS) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -35,7 +35,9 @@
   /** Jitter before an announcement, so that in most cases only one host writes the row. */
   static final int ANNOUNCEMENT_JITTER_MILLIS = 300;
 
-  /** Other hosts start the promotion only after this delay, in case the announcing host died. */
+  /**
+   * The announcing host runs the promotion; other hosts take over after this delay in case it died.
+   */
   static final Duration TAKEOVER_DELAY = Duration.ofMillis(800);
 
   static final int TAKEOVER_JITTER_MILLIS = 1000;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionTrigger.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionTrigger.java
@@ -12,7 +12,10 @@
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.model.MonotonicTime;
 
-/** Decides whether the primary of a group must be replaced, and whether it serves until then. */
+/**
+ * Decides whether the primary of a group must be replaced, and whether the old primary serves until
+ * the switch.
+ */
 final class PromotionTrigger {
   /**
    * How long an entry must be missing. A single list may lack an entry that another writer is just
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -26,8 +26,8 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Replaces the primary of one group, step by step: take the promotion lease, ask the servers for
- * their status, order the promotion, wait until the new primary confirms its role, record it in the
+ * Replaces the primary of one group, step by step: take the promotion lease, poll the status of the
+ * servers, order the promotion, wait until the new primary confirms its role, record it in the
  * leadership row.
  */
 final class PromotionWorkflow {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -123,23 +123,23 @@
       return;
     }
     Optional<ZoneReply> reply = ended.reply().filter(ZoneReply::isRelay);
-    boolean fails = reply.isEmpty();
-    boolean lags =
+    boolean isFailing = reply.isEmpty();
+    boolean isStale =
         reply
             .flatMap(ZoneReply::verifiedAge)
             .filter(age -> age.compareTo(STALE_AFTER) < 0)
             .isEmpty();
-    if (fails != failing || lags != stale) {
-      failing = fails;
-      stale = lags;
+    if (isFailing != failing || isStale != stale) {
+      failing = isFailing;
+      stale = isStale;
       log.write(
-          lags ? "relay-lost" : "relay-regained",
+          isStale ? "relay-lost" : "relay-regained",
           "relay",
           currentRelay.get().host(),
           "answered",
           ended.reply().isPresent(),
           "serves",
-          !fails,
+          !isFailing,
           "verifiedAgeMs",
           reply.flatMap(ZoneReply::verifiedAge).map(Duration::toMillis).orElse(-1L));
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -10,8 +10,8 @@
 
 /**
  * The tokens of one workspace that this host has taken from the store, for itself and, as the relay
- * of its zone, for the hosts that ask it. The rate row of the workspace records all of them, those
- * in the pool and those lent.
+ * of its zone, for the hosts that request tokens from it. The rate row of the workspace records all
+ * of them, those in the pool and those lent.
  */
 final class TokenPool {
   /**
@@ -23,7 +23,7 @@
   /** Tokens are taken from the store when less than this part of the target is left. */
   private static final double REFILL_THRESHOLD = 0.8;
 
-  /** A host that hasn't asked for this long has no sessions of the workspace any more. */
+  /** A host without a request for this long has no sessions of the workspace any more. */
   private static final Duration PRESENCE_TIMEOUT = Duration.ofMillis(3000);
 
   /** The minimum pause between two store calls while a host waits for a token. */
@@ -33,9 +33,9 @@
   static final Duration SCARCE_PAUSE = Duration.ofMillis(600);
 
   /**
-   * How long other hosts may spend a loan after they asked for it. They ask every 250 ms, so four
-   * requests may be lost. A restarted relay must wait as long before it takes back the tokens of
-   * its previous process.
+   * How long other hosts may spend a loan, counted from their request. They send one every 250 ms,
+   * so four may be lost. A restarted relay must wait as long before it takes back the tokens of its
+   * previous process.
    */
   static final Duration MAX_LOAN_DURATION = Duration.ofMillis(1200);
 
@@ -51,12 +51,12 @@
   private boolean hasUnmetRequest;
   private MonotonicTime takenAt;
   private MonotonicTime validUntil;
-  private MonotonicTime lastRequestAt;
+  private MonotonicTime lastStoreCallAt;
 
   TokenPool(MonotonicTime now) {
     this.takenAt = now;
     this.validUntil = now;
-    this.lastRequestAt = now.minus(SCARCE_PAUSE);
+    this.lastStoreCallAt = now.minus(SCARCE_PAUSE);
   }
 
   /**
@@ -90,8 +90,8 @@
   }
 
   /**
-   * Drops expired tokens and the loans of hosts that haven't asked for long. After a suspension of
-   * the machine drops everything, because others may have taken over all its tokens meanwhile.
+   * Drops expired tokens and the loans of hosts without a recent request. After a suspension of the
+   * machine drops everything, because others may have taken over all its tokens meanwhile.
    */
   void dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
     if (!now.isBefore(validUntil) || takenAt.isBefore(resumedAt)) {
@@ -122,14 +122,14 @@
     return hasUnmetRequest
         && available == 0
         && isActive(now)
-        && now.since(lastRequestAt).compareTo(pause) >= 0;
+        && now.since(lastStoreCallAt).compareTo(pause) >= 0;
   }
 
   boolean isActive(MonotonicTime now) {
     return hosts(now) > 0;
   }
 
-  /** Returns the number of hosts that have recently asked for tokens. */
+  /** Returns the number of hosts that have recently requested tokens. */
   int hosts(MonotonicTime now) {
     return (int) loans.values().stream().filter(loan -> loan.isActive(now)).count();
   }
@@ -177,13 +177,13 @@
     return Math.max(0, Math.max(missing, forWaiting));
   }
 
-  MonotonicTime lastRequestAt() {
-    return lastRequestAt;
+  MonotonicTime lastStoreCallAt() {
+    return lastStoreCallAt;
   }
 
   /** Called before the row is written; the write records all tokens that are held now. */
   void startRecording(MonotonicTime now) {
-    lastRequestAt = now;
+    lastStoreCallAt = now;
     loans.values().forEach(Loan::startRecording);
   }
 
@@ -211,14 +211,14 @@
     private long recorded;
     private long recording;
     private double demand;
-    private MonotonicTime lastAskedAt;
+    private MonotonicTime lastRequestAt;
 
     /** Updates to what the host says it holds; the row doesn't record tokens from other pools. */
     private void update(TokenRequest request, MonotonicTime now) {
       tokens = request.held();
       recorded = Math.min(recorded, tokens);
       demand = request.demand();
-      lastAskedAt = now;
+      lastRequestAt = now;
     }
 
     private void add(long lent) {
@@ -240,11 +240,11 @@
     }
 
     private boolean isActive(MonotonicTime now) {
-      return now.since(lastAskedAt).compareTo(PRESENCE_TIMEOUT) < 0;
+      return now.since(lastRequestAt).compareTo(PRESENCE_TIMEOUT) < 0;
     }
 
     private boolean hasExpired(MonotonicTime now) {
-      return now.since(lastAskedAt).toMillis() > RateRow.HOLDING_VALID_MILLIS;
+      return now.since(lastRequestAt).toMillis() > RateRow.HOLDING_VALID_MILLIS;
     }
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -136,7 +136,7 @@
   private Set<WorkspaceId> activeWorkspaces(MonotonicTime now) {
     return pools.entrySet().stream()
         .filter(entry -> entry.getValue().isActive(now))
-        .sorted(Map.Entry.comparingByValue(Comparator.comparing(TokenPool::lastRequestAt)))
+        .sorted(Map.Entry.comparingByValue(Comparator.comparing(TokenPool::lastStoreCallAt)))
         .limit(MAX_ROWS)
         .map(Map.Entry::getKey)
         .collect(Collectors.toSet());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -16,7 +16,7 @@
    */
   private static final double SECONDS_HELD = 0.8;
 
-  /** The host asks for tokens when it has less than this part of the target. */
+  /** The host requests tokens when it has less than this part of the target. */
   private static final double REFILL_THRESHOLD = 0.5;
 
   /** The half-life of past operations in the demand average. */
@@ -34,8 +34,8 @@
   /** The minimum pause between two requests while the workspace is over its limit. */
   static final Duration SCARCE_PAUSE = Duration.ofMillis(200);
 
-  /** The maximum time for which operations wait for a token. */
-  static final Duration MAX_WAIT = Duration.ofMillis(300);
+  /** How long operations count as waiting for a token after a report that one waits. */
+  static final Duration WAITING_VALIDITY = Duration.ofMillis(300);
 
   /** Tokens are renewed this long before they expire, which allows two requests to be lost. */
   private static final Duration RENEW_BEFORE = Duration.ofMillis(700);
@@ -86,7 +86,7 @@
       spent = Math.max(spent, reported.spent());
     }
     if (reported.waiting()) {
-      waitingUntil = now.plus(MAX_WAIT);
+      waitingUntil = now.plus(WAITING_VALIDITY);
     }
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -113,7 +113,9 @@
     pool.released(this);
   }
 
-  /** Closes the connection without telling listeners; the server rolls back an open transaction. */
+  /**
+   * Closes the connection without notifying listeners; the server rolls back an open transaction.
+   */
   void discard() {
     if (ended) {
       return;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
@@ -9,7 +9,7 @@
  */
 final class ServerHealth {
   /** A server that leaves requests unanswered for this long is treated as unreachable. */
-  static final Duration SILENCE_TIMEOUT = Duration.ofMillis(700);
+  static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(700);
 
   /**
    * Backoff after a failed connection or read; also how long a server that lacked a position counts
@@ -74,7 +74,7 @@
     failingSince = null;
   }
 
-  /** Clears the silence timeout: no request is outstanding. */
+  /** Stops the response timeout: no request is outstanding. */
   void clearUnanswered() {
     unansweredSince = null;
   }
@@ -111,11 +111,11 @@
 
   boolean isUnreachable(MonotonicTime now) {
     boolean unanswered =
-        unansweredSince != null && now.since(unansweredSince).compareTo(SILENCE_TIMEOUT) >= 0;
+        unansweredSince != null && now.since(unansweredSince).compareTo(RESPONSE_TIMEOUT) >= 0;
     boolean failing =
         failingSince != null
-            && now.since(failingSince).compareTo(SILENCE_TIMEOUT) >= 0
-            && now.since(lastFailure).compareTo(SILENCE_TIMEOUT) < 0;
+            && now.since(failingSince).compareTo(RESPONSE_TIMEOUT) >= 0
+            && now.since(lastFailure).compareTo(RESPONSE_TIMEOUT) < 0;
     return unanswered || failing;
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -180,7 +180,7 @@
 
   void opened(PooledConnection connection, Optional<TermPosition> position) {
     health.recordResponse();
-    position.ifPresent(shown -> listener.positionSeen(server, shown, connection.openedAt()));
+    position.ifPresent(returned -> listener.positionSeen(server, returned, connection.openedAt()));
     idle.add(connection);
     serveQueue();
   }
@@ -234,12 +234,12 @@
         connection.discard();
       }
     }
-    boolean asked =
+    boolean awaitsResponse =
         !queue.isEmpty()
             || connections.stream()
                 .anyMatch(
                     connection -> !connection.isOpen() || connection.unansweredSince().isPresent());
-    if (asked) {
+    if (awaitsResponse) {
       health.recordRequest(now);
     } else {
       health.clearUnanswered();
@@ -247,10 +247,10 @@
     for (PooledConnection connection : List.copyOf(connections)) {
       boolean connecting = !connection.isOpen();
       if (connecting
-          && now.since(connection.openedAt()).compareTo(ServerHealth.SILENCE_TIMEOUT) > 0) {
+          && now.since(connection.openedAt()).compareTo(ServerHealth.RESPONSE_TIMEOUT) > 0) {
         connection.closeAsLost(
             "the server did not accept the connection within "
-                + ServerHealth.SILENCE_TIMEOUT.toMillis()
+                + ServerHealth.RESPONSE_TIMEOUT.toMillis()
                 + " ms");
       }
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -55,10 +55,10 @@
     List<ServerChoice.Candidate> candidates = new ArrayList<>();
     for (ServerEntry entry : context.entry(EngineEntries.SERVERS).values()) {
       boolean isPrimary = primary.filter(entry::sameProcess).isPresent();
-      boolean claims = entry.primary() && !isPrimary;
+      boolean claimsPrimary = entry.primary() && !isPrimary;
       if (!entry.group().equals(group)
           || entry.draining()
-          || claims
+          || claimsPrimary
           || except.contains(entry.id())) {
         continue;
       }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -44,7 +44,7 @@
    */
   private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1000);
 
-  /** A stopping host aborts open transactions after this fraction of the stop grace period. */
+  /** A stopping host aborts open transactions after the stop grace period divided by this. */
   private static final int TRANSACTION_GRACE_DIVISOR = 2;
 
   private final TrafficContext context;
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -323,21 +323,23 @@
                 entry ->
                     rows.getOrDefault(entry.getKey(), StoredRow.ABSENT).version()
                         == entry.getValue());
-    Map<RowKey, StoredRow> shown = new HashMap<>();
+    Map<RowKey, StoredRow> returnedRows = new HashMap<>();
     if (holds) {
       long version = nextVersion++;
-      transaction.writes().forEach((key, text) -> shown.put(key, new StoredRow(version, text)));
-      rows.putAll(shown);
+      transaction
+          .writes()
+          .forEach((key, text) -> returnedRows.put(key, new StoredRow(version, text)));
+      rows.putAll(returnedRows);
     } else {
       transaction
           .expected()
           .keySet()
-          .forEach(key -> shown.put(key, rows.getOrDefault(key, StoredRow.ABSENT)));
+          .forEach(key -> returnedRows.put(key, rows.getOrDefault(key, StoredRow.ABSENT)));
     }
     return new TransactionAnswered(
         transaction,
         holds ? TransactionResult.APPLIED : TransactionResult.CONFLICT,
-        shown,
+        returnedRows,
         holds ? Optional.empty() : Optional.of(configuration),
         Optional.of(time));
   }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -29,8 +29,9 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Runs random schedules of faults and checks the invariants at every statement. The system property
- * {@code persimmonwalk.schedules} sets how many seeds are run in addition to the fixed ones.
+ * Runs random schedules of faults and checks the invariants at every statement and at the end. The
+ * system property {@code persimmonwalk.schedules} sets how many seeds are run in addition to the
+ * fixed ones.
  */
 class EngineScheduleTest {
   private static final int HOSTS = 5;
@@ -208,7 +209,7 @@
         boolean same = earlier.fencingToken() == later.fencingToken();
         if (later.fencingToken() < earlier.fencingToken()
             || (same && !earlier.holder().equals(later.holder()))) {
-          violations.add("fence: " + later + " after " + earlier);
+          violations.add("fencing token: " + later + " after " + earlier);
         }
       }
     }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
@@ -81,7 +81,7 @@
     assertThat(isVerified(fixture.hosts.get(3))).isFalse();
   }
 
-  /** Guards against a host that hears of the replacement from its relay too late or not at all. */
+  /** Guards against a host that learns of the replacement from its relay too late or not at all. */
   @Test
   void shouldStopUsingTheOldPrimaryAtHostsBehindTheRelay() {
     fixture.cutOff(fixture.hosts.get(3), true);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -109,8 +109,8 @@
   }
 
   /**
-   * Guards against disconnected hosts that go on spending tokens after other hosts have taken these
-   * over.
+   * Guards against disconnected hosts that continue to spend tokens after other hosts have taken
+   * these over.
    */
   @Test
   void shouldKeepTheLimitWhileHostsAreCutOff() {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
@@ -108,7 +108,7 @@
     assertThat(hostsIn(RelayRole.Kind.DIRECT)).isEmpty();
   }
 
-  /** Guards against hosts that go on using a relay that has lost the store. */
+  /** Guards against hosts that keep using a relay that has lost the store. */
   @Test
   void shouldReplaceARelayThatHasLostTheStore() {
     Engine disconnectedRelay = relay();
