Name the TLS contexts of peer connections by their side

MutualTls held two suppliers called accepting and connecting, which the entry host calls its server and client contexts. The fields and parameters are now serverContext and clientContext; the methods of PeerSecurity keep their names.

--- a/peer/src/main/java/org/persimmonwalk/peer/MutualTls.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/MutualTls.java
@@ -11,31 +11,32 @@
  * of the peer.
  */
 public final class MutualTls implements PeerSecurity {
-  private final Supplier<SslContext> accepting;
-  private final Supplier<SslContext> connecting;
+  private final Supplier<SslContext> serverContext;
+  private final Supplier<SslContext> clientContext;
 
-  private MutualTls(Supplier<SslContext> accepting, Supplier<SslContext> connecting) {
-    this.accepting = accepting;
-    this.connecting = connecting;
+  private MutualTls(Supplier<SslContext> serverContext, Supplier<SslContext> clientContext) {
+    this.serverContext = serverContext;
+    this.clientContext = clientContext;
   }
 
   /**
    * Returns an instance that gets the current context for each new connection.
    *
-   * @param accepting supplies the context for a connection that a peer opened
-   * @param connecting supplies the context for a connection to a peer
+   * @param serverContext supplies the context for a connection that a peer opened
+   * @param clientContext supplies the context for a connection to a peer
    */
-  public static MutualTls of(Supplier<SslContext> accepting, Supplier<SslContext> connecting) {
-    return new MutualTls(accepting, connecting);
+  public static MutualTls of(
+      Supplier<SslContext> serverContext, Supplier<SslContext> clientContext) {
+    return new MutualTls(serverContext, clientContext);
   }
 
   @Override
   public Optional<SslHandler> accepting(ByteBufAllocator allocator) {
-    return Optional.of(accepting.get().newHandler(allocator));
+    return Optional.of(serverContext.get().newHandler(allocator));
   }
 
   @Override
   public Optional<SslHandler> connecting(ByteBufAllocator allocator) {
-    return Optional.of(connecting.get().newHandler(allocator));
+    return Optional.of(clientContext.get().newHandler(allocator));
   }
 }
