Correct comments in core that named old terms or differed from the code

Some comments and names still used words for renamed things, or two words for one thing: peers were "asked again" or had "named" a revision, a token order was "carried out" or "executed", a fence command was a "request", a lease to a peer a "loan". They now use one term each. The null checks of Heartbeat and ConfigurationReply name the component echoedSentAt instead of its former name.

--- a/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementOutcome.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/AcknowledgementOutcome.java
@@ -2,7 +2,10 @@
 
 /** The outcome that is reported for a write that the primary has committed. */
 public enum AcknowledgementOutcome {
-  /** A replica has received the write, so that it survives a promotion. */
+  /**
+   * The write may be acknowledged. With {@link ReplicatedAcknowledgement}, a replica has received
+   * it, so that it survives a promotion, or the group has only one server.
+   */
   CONFIRMED,
   /**
    * A promotion may lose the write; the caller must assume neither that it ran nor that it did not.
--- a/core/src/main/java/org/persimmonwalk/acknowledgement/ReplicatedAcknowledgement.java
+++ b/core/src/main/java/org/persimmonwalk/acknowledgement/ReplicatedAcknowledgement.java
@@ -20,9 +20,10 @@
 import org.persimmonwalk.observation.SampleRequested;
 
 /**
- * Delays the acknowledgement of each write until a replica of the same term has received it.
- * Traffic threads register writes, and the control thread completes them when it publishes a
- * snapshot. Thread-safe; callbacks run on the calling thread, outside the lock.
+ * Delays the acknowledgement of each write until a replica of the same term has received it. A
+ * write to a group of one server needs no replica. Traffic threads register writes, and the control
+ * thread completes them when it publishes a snapshot. Thread-safe; callbacks run on the calling
+ * thread, outside the lock.
  *
  * <p>Example:
  *
--- a/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
@@ -16,7 +16,7 @@
  *
  * <pre>{@code
  * Configuration configuration = blackboard.get(Entries.CONFIGURATION);
- * blackboard.put(Entries.VALID_KEYS, configuration.keys().keySet());
+ * blackboard.put(Entries.VALID_KEYS, configuration.keys());
  * blackboard.submit(new ListHosts());
  * }</pre>
  */
--- a/core/src/main/java/org/persimmonwalk/blackboard/Command.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Command.java
@@ -1,4 +1,4 @@
 package org.persimmonwalk.blackboard;
 
-/** An action that a controller submits and that is carried out outside the control thread. */
+/** An action that a controller submits and that is executed outside the control thread. */
 public interface Command {}
--- a/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Entries.java
@@ -35,7 +35,7 @@
   public static final EntryKey<Optional<MonotonicTime>> CONFIGURATION_CURRENT_AT =
       EntryKey.of("freshness", Optional.empty());
 
-  /** The configuration revisions that peers have named. */
+  /** The configuration revisions that peers have reported. */
   public static final EntryKey<PeerRevisions> PEER_REVISIONS =
       EntryKey.of("peerRevisions", PeerRevisions.NONE);
 
--- a/core/src/main/java/org/persimmonwalk/command/package-info.java
+++ b/core/src/main/java/org/persimmonwalk/command/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The commands that controllers submit. A {@link org.persimmonwalk.port.CommandExecutor} carries
- * them out after the round and posts their results as observations.
+ * The commands that controllers submit. A {@link org.persimmonwalk.port.CommandExecutor} executes
+ * them after the round and posts their results as observations.
  */
 package org.persimmonwalk.command;
--- a/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/configuration/ConfigurationController.java
@@ -100,8 +100,10 @@
         blackboard.submit(new SendPeerMessage(from, new ConfigurationRequest(own, context.now())));
       }
     } else if (heartbeat.revision().equals(own) && heartbeat.echoedSentAt().isPresent()) {
-      MonotonicTime askedAt = heartbeat.echoedSentAt().get();
-      heartbeat.freshnessAge().ifPresent(age -> refresh(blackboard, askedAt.minus(age), context));
+      MonotonicTime echoedSentAt = heartbeat.echoedSentAt().get();
+      heartbeat
+          .freshnessAge()
+          .ifPresent(age -> refresh(blackboard, echoedSentAt.minus(age), context));
     }
   }
 
--- a/core/src/main/java/org/persimmonwalk/internal/control/drain/DrainController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/drain/DrainController.java
@@ -20,7 +20,7 @@
  */
 public final class DrainController implements Controller {
   /**
-   * How long a host that has its first configuration waits for peers to name their revisions. All
+   * How long a host that has its first configuration waits for peers to report their revisions. All
    * peers may be down.
    */
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(2);
@@ -57,8 +57,8 @@
   }
 
   /**
-   * Returns whether the host has a configuration, and enough peers have named a revision and none a
-   * newer one, or the wait for peers has timed out.
+   * Returns whether the host has a configuration, and enough peers have reported a revision and
+   * none a newer one, or the wait for peers has timed out.
    */
   private boolean isReady(Blackboard blackboard, RoundContext context) {
     Revision own = blackboard.get(Entries.CONFIGURATION).revision();
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/LeaseSettings.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/LeaseSettings.java
@@ -43,7 +43,7 @@
   }
 
   /**
-   * Returns how long after the end of a loan to a peer the owner waits before it reuses the units.
+   * Returns how long after the end of a lease to a peer the owner waits to reuse the lent units.
    */
   Duration lentMargin() {
     return duration.dividedBy(100);
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/RequestBackoff.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/RequestBackoff.java
@@ -4,8 +4,8 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Decides when peers may be asked again. The interval doubles with each request up to a longest one
- * and returns to the shortest one when a request succeeds.
+ * Decides when the next requests to peers may be sent. The interval doubles with each request up to
+ * a longest one and returns to the shortest one when a request succeeds.
  */
 final class RequestBackoff {
   private final Duration shortest;
--- a/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferRequester.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/lease/TransferRequester.java
@@ -38,7 +38,7 @@
   private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(1);
   private static final int MAX_RETRIES = 5;
 
-  /** How long a peer that had nothing to give is not asked again. */
+  /** How long no request is sent to a peer that had nothing to give. */
   private static final Duration EMPTY_PEER_PAUSE = Duration.ofMillis(250);
 
   private final TableRow row;
@@ -147,8 +147,8 @@
   }
 
   /**
-   * Chooses from a random sample of peers, first those that gave something when last asked, then
-   * those with the most granted units for their demand.
+   * Chooses from a random sample of peers, first those that gave something in their last answer,
+   * then those with the most granted units for their demand.
    */
   private List<EntryHostId> choosePeers(
       Fleet fleet, LeasedResource resource, GrantRow grantRow, RoundContext context) {
--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/HostTable.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/HostTable.java
@@ -40,14 +40,14 @@
       return;
     }
     listedAt = Optional.of(listed.startedAt());
-    Set<EntryHostId> named = new HashSet<>();
+    Set<EntryHostId> listedIds = new HashSet<>();
     for (HostEntry entry : listed.hosts()) {
-      if (!entry.id().equals(self) && named.add(entry.id())) {
+      if (!entry.id().equals(self) && listedIds.add(entry.id())) {
         KnownHost known = hosts.get(entry.id());
         put(known == null ? KnownHost.ofListing(entry) : known.withListing(entry));
       }
     }
-    hosts.replaceAll((id, known) -> named.contains(id) ? known : known.withoutListing());
+    hosts.replaceAll((id, known) -> listedIds.contains(id) ? known : known.withoutListing());
   }
 
   /** Applies a report that another host made of itself at the given time. */
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/FencedLogs.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/FencedLogs.java
@@ -29,7 +29,7 @@
 
   /**
    * Returns the server with the most advanced log, which holds every acknowledged write. Among
-   * equals, the former primary is preferred, then the greatest identifier.
+   * equals, the old primary is preferred, then the greatest identifier.
    */
   BackendServerId mostAdvanced() {
     return fenced.entrySet().stream()
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionSettings.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionSettings.java
@@ -9,7 +9,7 @@
  * @param failureTimeout how long a primary must be unreachable for this host and every replica
  *     before it counts as failed
  * @param maxSampleAge the greatest age of a sample that still counts as the state of its server
- * @param rankStep the delay that each rank of a host adds; also the unit of the back-off
+ * @param rankStep the delay that each rank of a host adds; also the unit of the backoff
  * @param storeTimeout how long to wait for the table service before the promotion continues without
  *     it
  * @param retryInterval the time after which an unanswered command is sent again
--- a/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionStateMachine.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/primary/PromotionStateMachine.java
@@ -33,8 +33,8 @@
  * the other servers follow it.
  */
 final class PromotionStateMachine {
-  /** The bound of the random part of the back-off doubles with this many attempts at most. */
-  private static final int MAX_BACK_OFF_DOUBLINGS = 3;
+  /** The bound of the random part of the backoff doubles at most this many times. */
+  private static final int MAX_BACKOFF_DOUBLINGS = 3;
 
   private final EntryHostId host;
   private final PromotionSettings settings;
@@ -318,7 +318,7 @@
     Duration bound =
         settings
             .rankStep()
-            .multipliedBy(1L << Math.min(promotion.backoffs(), MAX_BACK_OFF_DOUBLINGS));
+            .multipliedBy(1L << Math.min(promotion.backoffs(), MAX_BACKOFF_DOUBLINGS));
     return promotion.withBackoff(
         now().plus(settings.rankStep()).plus(HostRank.jitter(bound, context.random())));
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/share/TokenOrderQueue.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/share/TokenOrderQueue.java
@@ -5,7 +5,7 @@
 
 /**
  * Collects deposits into and withdrawals from a workspace's token bucket and publishes them as
- * token orders, one at a time. The admission policy, which owns the bucket, carries them out.
+ * token orders, one at a time. The admission policy, which owns the bucket, executes them.
  */
 final class TokenOrderQueue {
   private TokenOrder order = TokenOrder.NONE;
@@ -50,7 +50,7 @@
 
   /**
    * Returns the order to publish. It is a new one if tokens are pending and the last order was
-   * carried out.
+   * executed.
    */
   TokenOrder order() {
     if (!inFlight && (pendingDeposit > 0 || pendingWithdrawal.isPresent())) {
--- a/core/src/main/java/org/persimmonwalk/model/ConfigurationReply.java
+++ b/core/src/main/java/org/persimmonwalk/model/ConfigurationReply.java
@@ -20,6 +20,6 @@
   public ConfigurationReply {
     Objects.requireNonNull(configuration, "configuration");
     DurationLimits.check(freshnessAge);
-    Objects.requireNonNull(echoedSentAt, "answers");
+    Objects.requireNonNull(echoedSentAt, "echoedSentAt");
   }
 }
--- a/core/src/main/java/org/persimmonwalk/model/FollowOrder.java
+++ b/core/src/main/java/org/persimmonwalk/model/FollowOrder.java
@@ -3,10 +3,10 @@
 import java.util.Objects;
 
 /**
- * A pending instruction to a server that does not follow the current primary of its group.
+ * The next command to a server that does not follow the current primary of its group.
  *
  * @param term the term of the primary that the server is to follow
- * @param dueAt when the instruction is sent, or sent again
+ * @param dueAt when the command is sent, or sent again
  */
 public record FollowOrder(Term term, MonotonicTime dueAt) {
 
--- a/core/src/main/java/org/persimmonwalk/model/Heartbeat.java
+++ b/core/src/main/java/org/persimmonwalk/model/Heartbeat.java
@@ -12,17 +12,17 @@
  * Tells a peer that the sender is alive, which configuration it has, and which other hosts are
  * known to it. Hosts exchange heartbeats periodically and learn of each other through them.
  *
- * <p>A heartbeat that answers another one repeats the {@code sentAt} of that heartbeat. The
- * receiver thus knows an instant on its own clock before which the answer cannot have been written,
- * however long the answer was in transit.
+ * <p>A heartbeat that replies to another one repeats the {@code sentAt} of that heartbeat. The
+ * receiver thus knows an instant on its own clock before which the reply cannot have been written,
+ * however long the reply was in transit.
  *
  * @param sender the identity, zone and endpoint of the sender, and whether it is leaving
  * @param revision the revision that the sender has
  * @param freshnessAge the time since the revision was last known to be the newest, if it ever was
  * @param sentAt when the heartbeat was sent, on the sender's clock; only the sender may interpret
  *     it
- * @param echoedSentAt the {@code sentAt} of the heartbeat that this one answers, on the receiver's
- *     clock; empty in a heartbeat that is no answer
+ * @param echoedSentAt the {@code sentAt} of the heartbeat that this one replies to, on the
+ *     receiver's clock; empty in a heartbeat that is no reply
  * @param relayedHosts other hosts known to the sender, at most {@link #RELAYED_HOST_LIMIT}
  * @param demand statements per second at the sender by workspace, at most {@link #DEMAND_LIMIT}
  *     entries
@@ -49,7 +49,7 @@
     Objects.requireNonNull(revision, "revision");
     DurationLimits.check(freshnessAge);
     Objects.requireNonNull(sentAt, "sentAt");
-    Objects.requireNonNull(echoedSentAt, "answers");
+    Objects.requireNonNull(echoedSentAt, "echoedSentAt");
     relayedHosts = List.copyOf(relayedHosts);
     demand = Map.copyOf(demand);
     if (relayedHosts.size() > RELAYED_HOST_LIMIT || demand.size() > DEMAND_LIMIT) {
--- a/core/src/main/java/org/persimmonwalk/model/PromotionStep.java
+++ b/core/src/main/java/org/persimmonwalk/model/PromotionStep.java
@@ -46,8 +46,8 @@
   /**
    * The servers of the group are being fenced.
    *
-   * @param startedAt when the fence requests were first sent
-   * @param sentAt when the unanswered fence requests were last sent
+   * @param startedAt when the fence commands were first sent
+   * @param sentAt when the unanswered fence commands were last sent
    * @param fenced the servers fenced so far, with the end of the log of each
    */
   record Fencing(
@@ -64,7 +64,7 @@
   /**
    * The chosen server is being promoted. No other server may be promoted in the same term.
    *
-   * @param startedAt when the promotion request was first sent
+   * @param startedAt when the promotion command was first sent
    * @param sentAt when it was last sent
    * @param chosen the server with the most advanced log
    */
--- a/core/src/main/java/org/persimmonwalk/model/ServerProbe.java
+++ b/core/src/main/java/org/persimmonwalk/model/ServerProbe.java
@@ -7,7 +7,7 @@
  *
  * @param startedAt when the probe was submitted
  * @param state whether the probe has ended
- * @param requested whether a newer sample was requested before the regular probe interval has
+ * @param requested whether a newer sample was requested before the routine probe interval has
  *     passed
  */
 public record ServerProbe(MonotonicTime startedAt, State state, boolean requested) {
--- a/core/src/main/java/org/persimmonwalk/model/ShareLease.java
+++ b/core/src/main/java/org/persimmonwalk/model/ShareLease.java
@@ -9,7 +9,7 @@
  * @param rate statements per second that this host may admit
  * @param burst statements that this host may admit at once
  * @param end when the lease expires, on the monotonic clock of this host
- * @param order the newest instruction to add or remove tokens
+ * @param order the newest order to add or remove tokens
  */
 public record ShareLease(double rate, double burst, MonotonicTime end, TokenOrder order) {
 
--- a/core/src/main/java/org/persimmonwalk/model/TokenOrder.java
+++ b/core/src/main/java/org/persimmonwalk/model/TokenOrder.java
@@ -2,9 +2,9 @@
 
 /**
  * Instructs the admission policy to add tokens to, and remove tokens from, the token bucket of a
- * workspace. Each instruction is carried out once.
+ * workspace. Each order is executed once.
  *
- * @param number increases with each order; an order whose number was already carried out is ignored
+ * @param number increases with each order; an order whose number was already executed is ignored
  * @param deposit the number of tokens received from a peer, to be added
  * @param withdrawal the number of tokens to remove for a peer; fewer are removed if the bucket has
  *     fewer to spare
--- a/core/src/main/java/org/persimmonwalk/observation/ConfigurationLoaded.java
+++ b/core/src/main/java/org/persimmonwalk/observation/ConfigurationLoaded.java
@@ -6,7 +6,8 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * A configuration arrived from the platform, a peer or the settings.
+ * A configuration was loaded from the platform. One from a peer arrives as a {@link
+ * org.persimmonwalk.model.ConfigurationReply} instead.
  *
  * @param configuration the configuration
  * @param currentAt a time at which the configuration was known to be the newest
--- a/core/src/main/java/org/persimmonwalk/observation/ConnectionsCounted.java
+++ b/core/src/main/java/org/persimmonwalk/observation/ConnectionsCounted.java
@@ -11,8 +11,8 @@
  * @param server the backend server
  * @param open connections that are open or being opened
  * @param wanted connections that the traffic of the last few seconds needed at its peak
- * @param appliedSnapshotAt when the newest snapshot that the host applies was published; no further
- *     connection is opened beyond that snapshot's allowance
+ * @param appliedSnapshotAt the start of the round of the newest snapshot that the host applies; no
+ *     further connection is opened beyond that snapshot's allowance
  */
 public record ConnectionsCounted(
     BackendServerId server, int open, int wanted, MonotonicTime appliedSnapshotAt)
--- a/core/src/main/java/org/persimmonwalk/observation/TokenOrderCompleted.java
+++ b/core/src/main/java/org/persimmonwalk/observation/TokenOrderCompleted.java
@@ -4,7 +4,7 @@
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.id.WorkspaceId;
 
-/** The admission policy has carried out a token order and withdrawn the given number of tokens. */
+/** The admission policy has executed a token order and withdrawn the given number of tokens. */
 public record TokenOrderCompleted(WorkspaceId workspace, long number, double withdrawn)
     implements Observation {
 
--- a/core/src/main/java/org/persimmonwalk/port/CommandExecutor.java
+++ b/core/src/main/java/org/persimmonwalk/port/CommandExecutor.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.blackboard.Command;
 
-/** Carries out commands without blocking and posts their results as observations. */
+/** Executes commands without blocking and posts their results as observations. */
 public interface CommandExecutor {
 
   /**
--- a/core/src/main/java/org/persimmonwalk/routing/MinimumPosition.java
+++ b/core/src/main/java/org/persimmonwalk/routing/MinimumPosition.java
@@ -19,7 +19,7 @@
 
   /**
    * Returns the minimum position of a session that may have written through another host before the
-   * time.
+   * given time.
    */
   static MinimumPosition unknown(MonotonicTime declaredAt) {
     return new Unknown(declaredAt);
