--- a/core/src/main/java/org/persimmonwalk/id/TransferId.java
+++ b/core/src/main/java/org/persimmonwalk/id/TransferId.java
@@ -2,7 +2,7 @@
 
 import org.persimmonwalk.internal.check.Names;
 
-/** Identifies a transfer of share between entry hosts, so that it is applied once. */
+/** Identifies a transfer of units between entry hosts, so that it is applied once. */
 public record TransferId(String value) implements Comparable<TransferId> {
 
   /** Checks the text of the identifier. */
--- a/core/src/main/java/org/persimmonwalk/observation/PeerMessageReceived.java
+++ b/core/src/main/java/org/persimmonwalk/observation/PeerMessageReceived.java
@@ -7,7 +7,7 @@
 
 /**
  * A message was received from another entry host. It may be dropped: heartbeats are repeated,
- * requests are sent again, and the share in a lost transfer is unused until its lease expires.
+ * requests are sent again, and the units in a lost transfer are unused until their lease expires.
  */
 public record PeerMessageReceived(EntryHostId from, PeerMessage message) implements Observation {
   /** Checks that both parts are present. */
