Correct remaining wording in the tests of core

Some comments were still figurative, such as "a control thread that never rests" and "when a test says so", or said "go on" and "tell"; they now say "is never idle", "when a test calls advance", "continue" and "report". The periodic invariant check of FaultSchedule was called a probe, which in this module is a request to a backend server; it is now checkInvariants, with CHECK_INTERVAL. A local askedAt is now sentAt, like the component it fills, and the Figures of SpreadBenchmark are a Result, as in FailoverBenchmark.

--- a/core/src/test/java/org/persimmonwalk/admission/LeasedAdmissionTest.java
+++ b/core/src/test/java/org/persimmonwalk/admission/LeasedAdmissionTest.java
@@ -91,7 +91,7 @@
   }
 
   /**
-   * Guards against share that is used twice: a traffic thread may still hold the snapshot from
+   * Guards against a share that is used twice: a traffic thread may still hold the snapshot from
    * before the share was transferred to a peer.
    */
   @Test
--- a/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
+++ b/core/src/test/java/org/persimmonwalk/benchmark/SpreadBenchmark.java
@@ -78,7 +78,7 @@
    * @param peakReads the most store reads within one second of the change
    * @param processorMicros processor time in microseconds per host and second
    */
-  private record Figures(
+  private record Result(
       double timeToAll,
       long missing,
       double messages,
@@ -117,11 +117,11 @@
   }
 
   private static void report(Scenario scenario, int changes) {
-    List<Figures> all = new ArrayList<>();
+    List<Result> all = new ArrayList<>();
     for (int seed = 1; seed <= changes; seed++) {
       all.add(measure(scenario, seed));
     }
-    List<Double> times = new ArrayList<>(all.stream().map(Figures::timeToAll).toList());
+    List<Double> times = new ArrayList<>(all.stream().map(Result::timeToAll).toList());
     Collections.sort(times);
     boolean complete = all.stream().allMatch(figures -> figures.missing() == 0);
     System.out.printf(
@@ -131,16 +131,16 @@
         scenario.hosts(),
         complete ? Math.round(times.get(times.size() / 2)) : "never",
         complete ? Math.round(times.get(times.size() - 1)) : "never",
-        all.stream().mapToLong(Figures::missing).max().orElse(0),
-        all.stream().mapToDouble(Figures::messages).average().orElse(0),
-        all.stream().mapToDouble(Figures::bytes).average().orElse(0),
-        all.stream().mapToDouble(Figures::changeBytes).average().orElse(0),
-        all.stream().mapToDouble(Figures::reads).average().orElse(0),
-        all.stream().mapToDouble(Figures::peakReads).max().orElse(0),
-        all.stream().mapToDouble(Figures::processorMicros).average().orElse(0));
+        all.stream().mapToLong(Result::missing).max().orElse(0),
+        all.stream().mapToDouble(Result::messages).average().orElse(0),
+        all.stream().mapToDouble(Result::bytes).average().orElse(0),
+        all.stream().mapToDouble(Result::changeBytes).average().orElse(0),
+        all.stream().mapToDouble(Result::reads).average().orElse(0),
+        all.stream().mapToDouble(Result::peakReads).max().orElse(0),
+        all.stream().mapToDouble(Result::processorMicros).average().orElse(0));
   }
 
-  private static Figures measure(Scenario scenario, int seed) {
+  private static Result measure(Scenario scenario, int seed) {
     SplittableRandom random = new SplittableRandom(seed);
     ConfigurationFleet fleet = ConfigurationFleet.of(STEP, EncodedSize.create());
     fleet.store().install(scenario.first());
@@ -166,7 +166,7 @@
     double readsPerSecond = (fleet.store().reads() - reads) / (double) STEADY_STATE.toSeconds();
 
     Propagation propagation = Propagation.run(fleet, scenario);
-    return new Figures(
+    return new Result(
         propagation.time,
         propagation.missing,
         messagesPerSecond,
--- a/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/FaultSchedule.java
@@ -52,7 +52,7 @@
 final class FaultSchedule {
   private static final List<String> SERVERS = List.of("a", "b", "c");
   private static final Duration WRITE_INTERVAL = Duration.ofMillis(40);
-  private static final Duration PROBE_INTERVAL = Duration.ofMillis(15);
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(15);
   private static final Duration ONE_WAY = Duration.ofMillis(3);
   private static final Duration GRACE_PERIOD = Duration.ofSeconds(5);
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
@@ -82,7 +82,7 @@
     fleet = FailoverFleet.of(3, seed, this::controllers, this::acknowledgement, WRITE_INTERVAL);
     fleet.hosts().forEach(host -> host.onCommand(command -> observe(host, command)));
     publish();
-    fleet.time().after(PROBE_INTERVAL, this::probe);
+    fleet.time().after(CHECK_INTERVAL, this::checkInvariants);
   }
 
   /** Runs the faults, waits until all have ended, and returns the violated invariants. */
@@ -254,7 +254,7 @@
     return Configurations.key("key-" + index, WORKSPACE.value());
   }
 
-  private void probe() {
+  private void checkInvariants() {
     for (FailoverHost host : fleet.hosts()) {
       if (host.isRunning()) {
         readWithPosition(host);
@@ -262,7 +262,7 @@
         checkConfiguration(host);
       }
     }
-    fleet.time().after(PROBE_INTERVAL, this::probe);
+    fleet.time().after(CHECK_INTERVAL, this::checkInvariants);
   }
 
   private void readWithPosition(FailoverHost host) {
--- a/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/allowance/AllowanceControllerTest.java
@@ -88,7 +88,7 @@
   }
 
   /**
-   * Guards against a control thread that never rests. A listener reports connections when the map
+   * Guards against a control thread that is never idle. A listener reports connections when the map
    * is replaced, and the report wakes the control thread, so a new map in each round kept it busy.
    */
   @Test
--- a/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/configuration/ConfigurationControllerTest.java
@@ -57,7 +57,8 @@
   }
 
   /**
-   * Guards against a read of another revision that counts as proof that the own one is the newest.
+   * Guards against a read of another revision that counts as proof that the host's own revision is
+   * the newest.
    */
   @Test
   void shouldNotUpdateFreshnessOnReadOfOtherRevision() {
@@ -83,17 +84,17 @@
     loop.post(new ConfigurationLoaded(Configurations.of(5, 1, 1), clock.now()));
     loop.runRound();
     clock.advance(Duration.ofMinutes(1));
-    MonotonicTime askedAt = clock.now();
+    MonotonicTime sentAt = clock.now();
     clock.advance(Duration.ofMinutes(10));
     Optional<Duration> age = Optional.of(Duration.ofSeconds(2));
 
     loop.post(new PeerMessageReceived(PEER, heartbeat(5, age, Optional.empty())));
     loop.post(new PeerMessageReceived(PEER, heartbeat(4, age, Optional.of(clock.now()))));
-    loop.post(new PeerMessageReceived(PEER, heartbeat(5, age, Optional.of(askedAt))));
+    loop.post(new PeerMessageReceived(PEER, heartbeat(5, age, Optional.of(sentAt))));
     loop.runRound();
 
     assertThat(loop.snapshot().get(Entries.CONFIGURATION_CURRENT_AT))
-        .contains(askedAt.minus(Duration.ofSeconds(2)));
+        .contains(sentAt.minus(Duration.ofSeconds(2)));
   }
 
   /** Guards against many requests for one revision, and against no retry after a lost answer. */
--- a/core/src/test/java/org/persimmonwalk/internal/control/drain/DrainControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/drain/DrainControllerTest.java
@@ -113,9 +113,9 @@
     assertThat(phase()).isEqualTo(HostPhase.STOPPED);
   }
 
-  /** Guards against peers that go on giving a stopping host a share of the workspaces' rates. */
+  /** Guards against peers that keep giving a stopping host a share of the workspaces' rates. */
   @Test
-  void shouldTellPeersOfPlannedStopAtOnce() {
+  void shouldReportPlannedStopToPeersAtOnce() {
     serve();
     loop.post(new HostsListed(List.of(ConfigurationFleet.entry("peer-1", "zone-0")), clock.now()));
     loop.runRound();
--- a/core/src/test/java/org/persimmonwalk/internal/control/position/SamplingControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/position/SamplingControllerTest.java
@@ -136,8 +136,8 @@
   }
 
   /**
-   * A host that cannot reach the new primary learns of its term from a replica and must not go on
-   * using the old primary.
+   * A host that cannot reach the new primary learns of its term from a replica and must not
+   * continue to use the old primary.
    */
   @Test
   void shouldAdoptHigherTermOfReplica() {
--- a/core/src/test/java/org/persimmonwalk/internal/control/primary/PrimaryControllerTest.java
+++ b/core/src/test/java/org/persimmonwalk/internal/control/primary/PrimaryControllerTest.java
@@ -200,8 +200,8 @@
   }
 
   /**
-   * Guards against choosing the server with the highest position: the isolated primary goes on
-   * writing, so that its log is the longest but of a lower term.
+   * Guards against choosing the server with the highest position: the isolated primary continues to
+   * write, so that its log is the longest but of a lower term.
    */
   @Test
   void shouldPreferNewerTermToLongerTailOfOldPrimary() {
--- a/core/src/test/java/org/persimmonwalk/testing/FakeTableStore.java
+++ b/core/src/test/java/org/persimmonwalk/testing/FakeTableStore.java
@@ -46,8 +46,8 @@
   }
 
   /**
-   * Drops the answers to the given percentage of writes; the writer is told that the outcome is
-   * unknown. Half of these writes take effect after a delay of 0 to 7 s.
+   * Drops the answers to the given percentage of writes; the writer gets the outcome {@code
+   * UNKNOWN}. Half of these writes take effect after a delay of 0 to 7 s.
    */
   public void setLostAnswerPercent(int percent) {
     lostAnswerPercent = percent;
--- a/core/src/test/java/org/persimmonwalk/testing/LeaseFleet.java
+++ b/core/src/test/java/org/persimmonwalk/testing/LeaseFleet.java
@@ -16,8 +16,8 @@
 
 /**
  * Simulated entry hosts that lease rate shares and connection allowances from one table store and
- * exchange messages over one peer network. The fleet stands in for membership: it tells each host
- * which hosts are live and what their demand is.
+ * exchange messages over one peer network. The fleet stands in for membership: it gives each host
+ * the set of live hosts and their demand.
  */
 public final class LeaseFleet {
   private final SimulatedTime time = new SimulatedTime();
--- a/core/src/test/java/org/persimmonwalk/testing/SimulatedTime.java
+++ b/core/src/test/java/org/persimmonwalk/testing/SimulatedTime.java
@@ -5,8 +5,8 @@
 import java.util.PriorityQueue;
 
 /**
- * Simulated time that advances only when a test says so. Scheduled actions run in the order of
- * their times, on the thread that advances the time.
+ * Simulated time that advances only when a test calls {@link #advance}. Scheduled actions run in
+ * the order of their times, on the thread that advances the time.
  */
 public final class SimulatedTime {
   private final PriorityQueue<Event> events =
