Correct remaining wording in the stand-ins

Comments said that callers "state" a zone, that a server "was told to follow" or "goes on", and that transactions wait "for ever". They now name the zone header and the follow command and say "keeps", "continues" and "forever". Three test names follow, for example shouldReportTermOfLastRecordWhenFenced.

--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/LogReceiver.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/LogReceiver.java
@@ -7,9 +7,9 @@
  * Copies records from the log of the primary to the servers that follow it, after each server's
  * receive delay.
  *
- * <p>A server that was told to follow the primary of a new term stays fenced until it first reaches
- * that primary and has discarded the records that the primary lacks. Otherwise these records would
- * be reported as received in the new term.
+ * <p>A server that has accepted a follow command for a new term stays fenced until it first reaches
+ * the primary of that term and has discarded the records that the primary lacks. Otherwise these
+ * records would be reported as received in the new term.
  */
 final class LogReceiver implements StateController {
 
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/ServerState.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/ServerState.java
@@ -38,7 +38,7 @@
   /** The highest term promised by a fence or seen in a follow command. */
   Term promisedTerm = Term.of(1);
 
-  /** The entry host to which the term is promised; empty if it is promised to none. */
+  /** The entry host to which {@link #promisedTerm} is promised; empty if to none. */
   String promisedHost = "";
 
   /** The end of the log when this server was last promoted. */
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Statement.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/engine/Statement.java
@@ -50,7 +50,7 @@
    * Reads a table.
    *
    * @param columns the columns, empty for all
-   * @param count whether only the number of rows is asked for
+   * @param count whether only the number of rows is requested
    * @param locking whether the statement ends with {@code FOR UPDATE} or similar
    */
   record Select(
--- a/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformFaults.java
+++ b/standin/src/main/java/org/persimmonwalk/internal/standin/platform/PlatformFaults.java
@@ -36,7 +36,7 @@
     treatmentOfAll = Objects.requireNonNull(treatment, "treatment");
   }
 
-  /** Sets the treatment of the requests that state the given zone. */
+  /** Sets the treatment of the requests whose zone header names the given zone. */
   public void setTreatment(String zone, Treatment treatment) {
     treatmentsByZone.put(zone, treatment);
   }
@@ -53,7 +53,7 @@
     answersToLose.set(count);
   }
 
-  /** Returns the treatment of a request; the zone is empty if the caller does not state one. */
+  /** Returns the treatment of a request; the zone is empty if it has no zone header. */
   Treatment treatment(String zone) {
     Treatment all = treatmentOfAll;
     return all == Treatment.SERVE ? treatmentsByZone.getOrDefault(zone, Treatment.SERVE) : all;
--- a/standin/src/main/java/org/persimmonwalk/standin/StandInGroup.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInGroup.java
@@ -175,7 +175,7 @@
     onEngineThread(() -> engine.setRunning(server, true));
   }
 
-  /** Closes the server's connections with SQLSTATE 57P01; the server goes on accepting new ones. */
+  /** Closes the server's connections with SQLSTATE 57P01; the server still accepts new ones. */
   public void terminateConnections(BackendServerId server) {
     frontEnd(server).terminateConnections();
   }
--- a/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
+++ b/standin/src/main/java/org/persimmonwalk/standin/StandInPlatform.java
@@ -122,7 +122,7 @@
     faults.setTreatment(treatment(outage));
   }
 
-  /** Starts or ends an outage for the callers that state the given zone. */
+  /** Starts or ends an outage for the callers whose zone header names the given zone. */
   public void setOutage(AvailabilityZone zone, PlatformOutage outage) {
     faults.setTreatment(zone.value(), treatment(outage));
   }
--- a/standin/src/test/java/org/persimmonwalk/internal/standin/engine/GroupEngineTest.java
+++ b/standin/src/test/java/org/persimmonwalk/internal/standin/engine/GroupEngineTest.java
@@ -64,7 +64,7 @@
   }
 
   /**
-   * Guards against a fenced server that goes on receiving from the old primary: such writes would
+   * Guards against a fenced server that keeps receiving from the old primary: such writes would
    * count as replicated although the promotion may lose them.
    */
   @Test
@@ -90,12 +90,9 @@
     assertThat(fence(onA, 9, "host-1")).isFalse();
   }
 
-  /**
-   * Guards against promoting a server that was told to follow the new primary but lacks its
-   * records.
-   */
+  /** Guards against promoting a server that follows the new primary but lacks its records. */
   @Test
-  void shouldStateTermOfLastRecordWhenFenced() {
+  void shouldReportTermOfLastRecordWhenFenced() {
     engine.setReceiveDelay(C, Duration.ofHours(1));
     insert(onA, "x");
     promoteB();
@@ -121,7 +118,7 @@
 
   /** Guards against an isolated primary that stops serving the callers that still reach it. */
   @Test
-  void shouldLetTheOldPrimaryAcceptWritesThatNobodyReceives() {
+  void shouldLetTheOldPrimaryAcceptWritesThatNoReplicaReceives() {
     engine.setIsolated(A, true);
     promoteB();
     insert(onA, "unacknowledged");
@@ -169,7 +166,7 @@
 
   /** Guards against a restarted server that has lost its log or its promised term. */
   @Test
-  void shouldKeepPromiseAndLogOverARestart() {
+  void shouldKeepPromisedTermAndLogOverARestart() {
     insert(onA, "x");
     fence(onC, 7, "host-1");
     engine.setRunning(C, false);
--- a/standin/src/test/java/org/persimmonwalk/internal/standin/engine/StatementQueueTest.java
+++ b/standin/src/test/java/org/persimmonwalk/internal/standin/engine/StatementQueueTest.java
@@ -94,7 +94,7 @@
     assertThat(outcomes).containsExactly("BEGIN", "INSERT 0 1", "INSERT 0 1");
   }
 
-  /** Guards against transactions that wait for each other for ever. */
+  /** Guards against transactions that wait for each other forever. */
   @Test
   void shouldDetectADeadlock() {
     submit(first, "BEGIN");
@@ -125,7 +125,7 @@
     queue.submit(StatementTask.of(session, SqlParser.parseOne(sql), List.of(), listener));
   }
 
-  /** Timers that fire when the test says so. */
+  /** Timers whose actions run only when the test calls {@link #runAll}. */
   private static final class ManualTimers implements Timers {
     private final List<Runnable> actions = new ArrayList<>();
 
--- a/standin/src/test/java/org/persimmonwalk/standin/StandInFaultsTest.java
+++ b/standin/src/test/java/org/persimmonwalk/standin/StandInFaultsTest.java
@@ -50,7 +50,7 @@
     }
   }
 
-  /** Guards against a paused server that goes on answering. */
+  /** Guards against a paused server that continues to answer. */
   @Test
   void shouldAnswerNothingDuringAPause() throws SQLException {
     try (Connection connection = connect(A, "host-1")) {
@@ -120,7 +120,8 @@
   }
 
   /**
-   * Expects a read timeout. The server never answers, so the result does not depend on its length.
+   * Expects a read timeout. The server never answers, so the result does not depend on the length
+   * of the timeout.
    */
   private static void assertNoAnswer(Connection connection) throws SQLException {
     connection.setNetworkTimeout(Runnable::run, 300);
--- a/standin/src/test/java/org/persimmonwalk/standin/StandInGroupTest.java
+++ b/standin/src/test/java/org/persimmonwalk/standin/StandInGroupTest.java
@@ -119,7 +119,7 @@
     }
   }
 
-  /** Guards against a connection limit that is not kept. */
+  /** Guards against a connection limit that is not enforced. */
   @Test
   void shouldRefuseConnectionsAboveTheLimit() throws SQLException {
     try (Connection first = connect(A);
