Correct remaining wording in the benchmarks

Two vague names, known for the number of groups already configured and word for the action on the replicas, are now configuredGroups and action. The comments of RawCaller, Heap and SimulatedStore say "requests", "measures" and "simulates" instead of "asked", "returns" and "stands for".

--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/Heap.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/Heap.java
@@ -2,7 +2,7 @@
 
 import java.lang.management.ManagementFactory;
 
-/** Returns the heap in use after garbage collection. */
+/** Measures the heap in use after garbage collection. */
 final class Heap {
   private static final int COLLECTIONS = 3;
 
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/ProbeMeasurement.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/ProbeMeasurement.java
@@ -50,13 +50,13 @@
     try (LocalDeployment deployment = LocalDeployment.start(1, new TrafficListener() {})) {
       measureBytes(deployment);
       Thread.sleep(WARM_UP_MILLISECONDS);
-      int known = 1;
+      int configuredGroups = 1;
       long revision = 1;
       for (int groups : GROUPS) {
-        if (groups > known) {
-          publish(deployment, revision, known, groups);
+        if (groups > configuredGroups) {
+          publish(deployment, revision, configuredGroups, groups);
           revision++;
-          known = groups;
+          configuredGroups = groups;
         }
         awaitSamples(deployment, groups);
         measure(groups);
@@ -100,7 +100,8 @@
     System.err.printf("measured: probes of %d groups%n", groups);
   }
 
-  private static void publish(LocalDeployment deployment, long revision, int known, int groups) {
+  private static void publish(
+      LocalDeployment deployment, long revision, int configuredGroups, int groups) {
     DatabaseGroup original =
         deployment
             .host(0)
@@ -109,7 +110,7 @@
             .groups()
             .get(LocalDeployment.GROUP);
     List<ReleaseItem> items = new ArrayList<>();
-    for (int i = known; i < groups; i++) {
+    for (int i = configuredGroups; i < groups; i++) {
       List<BackendServer> servers = new ArrayList<>();
       for (BackendServer server : original.servers()) {
         AvailabilityZone zone = server.zone();
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/RawCaller.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/RawCaller.java
@@ -24,7 +24,10 @@
     this.channel = channel;
   }
 
-  /** Connects, sends the password in clear text if asked for it, and waits for ReadyForQuery. */
+  /**
+   * Connects, sends the password in clear text if the server requests it, and waits for
+   * ReadyForQuery.
+   */
   static RawCaller connect(int port, String user, String password, String database)
       throws IOException {
     RawCaller caller = new RawCaller(SocketChannel.open(new InetSocketAddress("127.0.0.1", port)));
--- a/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedStore.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/capacity/SimulatedStore.java
@@ -18,7 +18,7 @@
 import org.persimmonwalk.store.RowCodec;
 import org.persimmonwalk.store.RowCodecs;
 
-/** Stands for the platform's table service and object store; keeps rows in memory, as JSON. */
+/** Simulates the platform's table service and object store; keeps rows in memory, as JSON. */
 final class SimulatedStore {
   private static final ObjectMapper JSON = new ObjectMapper();
 
--- a/bench/src/test/java/org/persimmonwalk/bench/SessionTranscript.java
+++ b/bench/src/test/java/org/persimmonwalk/bench/SessionTranscript.java
@@ -81,8 +81,8 @@
     recorder.drain();
   }
 
-  private void controlReplicas(String word) throws InterruptedException {
-    switch (word) {
+  private void controlReplicas(String action) throws InterruptedException {
+    switch (action) {
       case "stop" -> deployment.group().setReplayLag(STOPPED);
       case "resume" -> deployment.group().setReplayLag(Duration.ZERO);
       default -> deployment.awaitReplicas();
