Correct comments of the entry host that did not match the code

"TLS listener" meant a section of the settings although TlsFaultListener is a listener of another kind. asksPosition is now queriesPosition, and two log lines start like the others: "closing the connection of caller".

--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/ControlMetrics.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/ControlMetrics.java
@@ -18,9 +18,10 @@
  *
  * <ul>
  *   <li>{@code control.rounds}: rounds since the host started;
- *   <li>{@code control.roundMicroseconds}: time that the controllers took in the last round;
- *   <li>{@code control.longestRoundMicroseconds}: longest duration of a round since the host
- *       started;
+ *   <li>{@code control.roundMicroseconds}: time from the start of the last round until this
+ *       listener was called: that of the controllers, of the snapshot and of the listeners
+ *       registered before this one;
+ *   <li>{@code control.longestRoundMicroseconds}: longest such time since the host started;
  *   <li>{@code control.droppedObservations}: observations dropped since the host started;
  *   <li>{@code control.snapshotAgeMilliseconds}: time since the start of the last round, -1 before
  *       the first.
--- a/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
+++ b/entryhost/src/main/java/org/persimmonwalk/entryhost/EntryHost.java
@@ -84,6 +84,7 @@
     pools =
         ServerPools.of(
             connector,
+            // One connection of the allowance is for the monitor connection.
             server ->
                 loop.snapshot().get(Entries.CONNECTION_ALLOWANCES).getOrDefault(server.id(), 0) - 1,
             ServerSchedulers.of(server -> createScheduler(loop)),
--- a/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/settings/Settings.java
@@ -54,7 +54,7 @@
    * @param user the user name of the entry host at the backend servers
    * @param password the password of this user
    * @param connectTimeout how long opening a connection may take
-   * @param answerTimeout how long a backend server may send nothing while a response is pending
+   * @param answerTimeout how long a backend server may take for one complete answer
    */
   public record Backend(
       String user, String password, Duration connectTimeout, Duration answerTimeout) {}
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFaultListener.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFaultListener.java
@@ -1,6 +1,6 @@
 package org.persimmonwalk.internal.tls;
 
-/** Receives the faults found in the files of a TLS listener. */
+/** Receives the faults found in the files of {@link TlsFiles}. */
 public interface TlsFaultListener {
 
   /**
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFiles.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsFiles.java
@@ -6,7 +6,7 @@
 import java.util.stream.Stream;
 
 /**
- * The PEM files of one TLS listener.
+ * The PEM files that one section of the settings names, for callers or for peers.
  *
  * @param certificate the certificate of this host, followed by those of its issuers
  * @param key the private key of the certificate, in unencrypted PKCS#8
--- a/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsLoader.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/tls/TlsLoader.java
@@ -24,7 +24,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Loads the PEM files of a TLS listener and reports every fault in them. */
+/** Loads the files of {@link TlsFiles} and reports the faults of each. */
 public final class TlsLoader {
   private static final String CERTIFICATE = "certificate";
   private static final String KEY = "key";
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendConnection.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendConnection.java
@@ -75,7 +75,7 @@
     if (plan.commits()) {
       channel.write(messages.query("COMMIT"));
     }
-    if (plan.asksPosition()) {
+    if (plan.queriesPosition()) {
       channel.write(messages.query(SampleRow.QUERY));
     }
     channel.flush();
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendExchange.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/BackendExchange.java
@@ -47,7 +47,7 @@
     add(parts, Part.GUARDS, plan.guards().size());
     add(parts, Part.STATEMENT, 1);
     add(parts, Part.COMMIT, plan.commits() ? 1 : 0);
-    add(parts, Part.POSITION, plan.asksPosition() ? 1 : 0);
+    add(parts, Part.POSITION, plan.queriesPosition() ? 1 : 0);
     return new BackendExchange(listener, parts);
   }
 
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ConnectionReporter.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ConnectionReporter.java
@@ -22,7 +22,7 @@
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
   private static final Duration PEAK_WINDOW = Duration.ofSeconds(5);
 
-  /** The monitor connection and one for traffic, opened ahead of the first statement. */
+  /** The monitor connection and one for traffic, requested ahead of the first statement. */
   private static final int MINIMUM_WANTED = 2;
 
   private final ServerPools pools;
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ExchangePlan.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/backend/ExchangePlan.java
@@ -13,14 +13,14 @@
  *     caller's do not run
  * @param frames the caller's messages
  * @param commits whether this host opened the transaction by a guard and must commit it
- * @param asksPosition whether to query the primary's position after the caller's statements
+ * @param queriesPosition whether to query the primary's position after the caller's statements
  */
 public record ExchangePlan(
     Optional<SessionSettings> settings,
     List<String> guards,
     List<Frame> frames,
     boolean commits,
-    boolean asksPosition) {
+    boolean queriesPosition) {
 
   /** Copies the lists. */
   public ExchangePlan {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/CallerHandler.java
@@ -185,7 +185,7 @@
   /**
    * Closes a connection that waits for a login or for the rest of a message and has completed no
    * message since the last check. Otherwise callers that stop in the middle of a message would hold
-   * memory for ever.
+   * memory forever.
    */
   private void scheduleProgressCheck(ChannelHandlerContext channelContext, long previousMessages) {
     long delay = context.settings().messageTimeout().toNanos();
@@ -250,7 +250,7 @@
     boolean plainText =
         cause instanceof NotSslRecordException || cause.getCause() instanceof NotSslRecordException;
     Logger.warn(
-        "Closing the connection of {}: {}",
+        "closing the connection of caller {}: {}",
         channelContext.channel().remoteAddress(),
         plainText ? "it sent plain text instead of TLS" : "TLS failed: " + cause.getMessage());
     channelContext.close();
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/HostParameters.java
@@ -51,7 +51,7 @@
     return urgency;
   }
 
-  /** Returns how long a statement may wait before it starts, if the caller has stated it. */
+  /** Returns how long a statement may wait before it starts, if the caller has set it. */
   Optional<Duration> deadline() {
     return deadline;
   }
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TlsNegotiation.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TlsNegotiation.java
@@ -51,7 +51,8 @@
       refuse(channel);
     } else if (decoder.hasPartialMessage()) {
       Logger.warn(
-          "Closing the connection of {}: it sent bytes between the TLS request and the handshake",
+          "closing the connection of caller {}: it sent bytes between the TLS request and the"
+              + " handshake",
           channel.remoteAddress());
       channel.close();
     } else {
--- a/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
+++ b/entryhost/src/main/java/org/persimmonwalk/internal/traffic/caller/TrafficContext.java
@@ -26,7 +26,7 @@
   /**
    * What is needed to reach the backend servers.
    *
-   * @param answerTimeout how long a server may take for one answer
+   * @param answerTimeout how long a server may take for one complete answer
    */
   public record Backends(ServerPools pools, BackendConnector connector, Duration answerTimeout) {}
 
