Say that an internal error occurred

The operators' command line said "an internal error happened" where the result code says "occurred". The limit on the body of a response was called MAXIMUM_ANSWER_BYTES; it is MAXIMUM_RESPONSE_BYTES.

--- a/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HttpHostAdministration.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/fleet/HttpHostAdministration.java
@@ -20,7 +20,7 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
   /** The state of an entry host at the target size of 570 database groups takes about 1 MB. */
-  private static final int MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
+  private static final int MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
 
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
@@ -57,7 +57,7 @@
             .method(method, HttpRequest.BodyPublishers.noBody());
     token.ifPresent(value -> request.header("Authorization", "Bearer " + value));
     return client
-        .sendAsync(request.build(), answer -> BoundedBody.of(MAXIMUM_ANSWER_BYTES))
+        .sendAsync(request.build(), info -> BoundedBody.of(MAXIMUM_RESPONSE_BYTES))
         .orTimeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
         .handle(
             (response, failure) -> {
--- a/operator/src/main/java/org/persimmonwalk/operator/OperatorCommandLine.java
+++ b/operator/src/main/java/org/persimmonwalk/operator/OperatorCommandLine.java
@@ -107,7 +107,7 @@
       return fail(
           output,
           PersimmonwalkException.of(
-              ResultCode.INTERNAL_ERROR, "an internal error happened: " + e + "; report it", e));
+              ResultCode.INTERNAL_ERROR, "an internal error occurred: " + e + "; report it", e));
     }
   }
 
