Use the usual terms in two comments of the store client

The package comment called the operators' command line "the operator command", and a test comment said that the platform "states" something that it reports.

--- a/store/src/main/java/org/persimmonwalk/store/package-info.java
+++ b/store/src/main/java/org/persimmonwalk/store/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Asynchronous client of the platform, by which entry hosts and the operator command use its table
- * service, object store and host list over HTTP.
+ * Asynchronous client of the platform, by which entry hosts and the operators' command line use its
+ * table service, object store and host list over HTTP.
  */
 package org.persimmonwalk.store;
--- a/store/src/test/java/org/persimmonwalk/store/PlatformClientTest.java
+++ b/store/src/test/java/org/persimmonwalk/store/PlatformClientTest.java
@@ -64,7 +64,7 @@
     assertThat(await(tables.read(ROW)).version()).isEqualTo(RowVersion.of(1));
   }
 
-  /** Guards against reporting an unknown outcome when the platform states that it did nothing. */
+  /** Guards against reporting an unknown outcome when the platform reports that it did nothing. */
   @Test
   void shouldReportARefusalAsUnavailable() {
     platform.setOutage(NORTH, PlatformOutage.REFUSED);
