--- a/review/support/review/Manifest.java
+++ b/review/support/review/Manifest.java
@@ -27,6 +27,16 @@
     return this;
   }
 
+  /** Adds a route with the fields that hosts need. */
+  Manifest briefRoute(String database, String service, long staleness) {
+    routes.add(
+        Json.map(
+            "name", "r-" + database, "databaseName", database, "routeKind", "read_own_writes",
+            "timeoutMs", 800, "targetLatencyMs", 250, "priority", 2, "service", service,
+            "maxStalenessMs", staleness, "public", false));
+    return this;
+  }
+
   Manifest service(String name, int maximumConnections, int synchronousReplicas) {
     services.add(
         Json.map(
@@ -41,16 +51,16 @@
     return this;
   }
 
-  /** Writes the next version to the store, which confirms it. */
-  void publish(Platform platform, Trace trace) {
+  /** Writes the next version to the store, which confirms it; returns its size in bytes. */
+  int publish(Platform platform, Trace trace) {
     version += 2;
-    platform.put(
-        "op",
-        "config",
+    String text =
         Json.write(
             Json.map(
                 "version", version, "routes", routes, "services", services, "tenants", tenants,
-                "limits", Json.map("txIdleMs", 3000))));
-    trace.log("operator: manifest %d is confirmed", version);
+                "limits", Json.map("txIdleMs", 3000)));
+    platform.put("op", "config", text);
+    trace.log("operator: manifest %d is confirmed, %d bytes", version, text.length());
+    return text.length();
   }
 }
--- a/review/support/review/Platform.java
+++ b/review/support/review/Platform.java
@@ -48,6 +48,7 @@
   private final HttpServer cloud;
   private long version = 1;
   private volatile PromotionService promotions = promotion -> 409;
+  private volatile String storeAddress;
 
   Platform(Trace trace) throws IOException {
     this.trace = trace;
@@ -62,10 +63,20 @@
     cloud.start();
   }
 
+  /** Returns the address that the next entry host uses for the store. */
   String storeAddress() {
+    return storeAddress == null ? ownStoreAddress() : storeAddress;
+  }
+
+  String ownStoreAddress() {
     return "127.0.0.1:" + store.getAddress().getPort();
   }
 
+  /** Lets the entry hosts that start from now on reach the store through a proxy. */
+  void setStoreAddress(String address) {
+    storeAddress = address;
+  }
+
   String cloudAddress() {
     return "127.0.0.1:" + cloud.getAddress().getPort();
   }
