End busy sessions of a host that stops

Cause: sessions were ended, and transactions aborted, only if a look every 100 ms found them idle. Ruled out: answers that were written and lost at the exit; the servers' answers came after it.

SessionLifetime now decides, and each session asks it after each answer. What arrives after the last operation is refused as not run before the connection closes. The same cause on related paths: a transaction that always has a statement running, and busy sessions of a host that cannot verify keys.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -33,6 +33,7 @@
   private final TrafficContext context;
   private final ServerPools pools;
   private final SessionAdmission admission;
+  private final SessionLifetime lifetime;
   private final CallerConnection caller;
   private final DatabaseName database;
   private final CallerIdentity identity;
@@ -41,6 +42,7 @@
   private final Deque<Queued> queue = new ArrayDeque<>();
   private boolean busy;
   private boolean closed;
+  private boolean refusesOperations;
   private DatabaseGroupId minimumPositionGroup;
   private TermPosition minimumPosition = TermPosition.ZERO;
   private Optional<Transaction> transaction = Optional.empty();
@@ -49,12 +51,14 @@
       TrafficContext context,
       ServerPools pools,
       SessionAdmission admission,
+      SessionLifetime lifetime,
       CallerConnection caller,
       DatabaseName database,
       CallerIdentity identity) {
     this.context = context;
     this.pools = pools;
     this.admission = admission;
+    this.lifetime = lifetime;
     this.caller = caller;
     this.database = database;
     this.identity = identity;
@@ -95,27 +99,50 @@
     return identity.key().isPresent();
   }
 
-  boolean isIdle() {
-    return !busy && queue.isEmpty() && transaction.isEmpty();
-  }
-
   /**
-   * Closes the caller's connection if no statement is queued or running and no transaction is open.
+   * Between two statements, ends the session or aborts its transaction if the host doesn't let them
+   * go on.
    */
-  void closeIfIdle() {
-    if (!closed && isIdle()) {
-      closed = true;
-      caller.close();
+  void endIfDue() {
+    if (closed || busy) {
+      return;
+    }
+    if (transaction.isEmpty()) {
+      lifetime.endReason(identity).ifPresent(this::end);
+    } else {
+      abortTransactionIfDue();
     }
   }
 
-  /** Aborts an open transaction between statements; the caller's next statement fails. */
-  void abortTransaction() {
-    if (!busy) {
+  private void abortTransactionIfDue() {
+    if (!lifetime.allowsTransactions()) {
       transaction.ifPresent(Transaction::abort);
     }
   }
 
+  /** Refuses the statements that are still queued and closes the caller's connection. */
+  private void end(String reason) {
+    String detail = reason + "; connect to another host; not run";
+    while (!queue.isEmpty()) {
+      RequestId id = queue.pollFirst().id();
+      context
+          .log()
+          .write(
+              "operation-refused",
+              "request",
+              id,
+              "workspace",
+              identity.workspace(),
+              "code",
+              FailureCode.OVERLOADED,
+              "detail",
+              detail);
+      caller.answer(Answer.failed(FailureCode.OVERLOADED, detail, SessionState.IDLE));
+    }
+    closed = true;
+    caller.close();
+  }
+
   /** Aborts an open transaction whose caller has been idle for longer than the limit. */
   void expireTransaction(Duration limit) {
     if (!busy && transaction.filter(open -> open.isIdleLongerThan(limit)).isPresent()) {
@@ -127,6 +154,13 @@
     if (busy || closed || queue.isEmpty()) {
       return;
     }
+    if (refusesOperations && transaction.isEmpty()) {
+      Optional<String> reason = lifetime.endReason(identity);
+      if (reason.isPresent()) {
+        end(reason.get());
+        return;
+      }
+    }
     Queued queued = queue.pollFirst();
     busy = true;
     dispatch(queued.id(), queued.statement());
@@ -139,6 +173,10 @@
       return;
     }
     caller.answer(answer);
+    // The connection stays open until the next tick: a statement that is on its way then gets a
+    // refusal, while closing the connection would leave its outcome unknown to the caller.
+    refusesOperations = transaction.isEmpty() && lifetime.endReason(identity).isPresent();
+    abortTransactionIfDue();
     dispatchNext();
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -31,12 +31,6 @@
    */
   private static final Duration ACTIVE_REPORT_INTERVAL = Duration.ofMillis(1000);
 
-  /**
-   * A stopping host serves for this long before it closes sessions: the platform sends new callers
-   * for up to 2 s after a host reports not ready.
-   */
-  private static final Duration DRAIN_DELAY = Duration.ofMillis(2200);
-
   /**
    * How long a new caller waits for the first configuration. A host that has just started reads it
    * within about 0.3 s, and a refusal would cost callers one of their few retries. Callers give up
@@ -44,17 +38,14 @@
    */
   private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1000);
 
-  /** A stopping host aborts open transactions after the stop grace period divided by this. */
-  private static final int TRANSACTION_GRACE_DIVISOR = 2;
-
   private final TrafficContext context;
   private final ServerPools pools;
   private final RateLimiter rateLimiter;
   private final SessionAdmission admission;
+  private final SessionLifetime lifetime;
   private final Set<Session> sessions = new LinkedHashSet<>();
   private final List<PendingOpen> pendingOpens = new ArrayList<>();
   private MonotonicTime activeReportedAt = MonotonicTime.of(Long.MIN_VALUE / 2);
-  private MonotonicTime stoppingSince;
   private Runnable drained = () -> {};
   private boolean keysWereVerified;
 
@@ -63,6 +54,7 @@
     this.pools = new ServerPools(context);
     this.rateLimiter = new RateLimiter(context);
     this.admission = new SessionAdmission(context, rateLimiter);
+    this.lifetime = new SessionLifetime(context);
   }
 
   /** Returns the sessions of a host that has just started: none. */
@@ -119,6 +111,10 @@
       return refuse(
           caller, FailureCode.OVERLOADED, "this host has no configuration yet; connect again");
     }
+    if (!lifetime.acceptsSessions()) {
+      return refuse(
+          caller, FailureCode.OVERLOADED, "this host is stopping; connect to another host");
+    }
     Route route = configuration.routes().get(database);
     if (route == null) {
       return refuse(caller, FailureCode.UNKNOWN_DATABASE, "no route for database " + database);
@@ -131,7 +127,7 @@
         workspace
             .map(owner -> new CallerIdentity(owner, key))
             .orElseGet(() -> new CallerIdentity(CallerIdentity.ANYONE, Optional.empty()));
-    Session session = new Session(context, pools, admission, caller, database, identity);
+    Session session = new Session(context, pools, admission, lifetime, caller, database, identity);
     sessions.add(session);
     context.meter().count("session.opened");
     if (identity.key().isPresent()) {
@@ -193,9 +189,11 @@
           .distinct()
           .forEach(rateLimiter::reportActive);
     }
+    lifetime.checkStopRequest(sessions.size());
+    List.copyOf(sessions).forEach(Session::endIfDue);
     sessions.removeIf(Session::isClosed);
-    if (context.entry(EngineEntries.STOPPING)) {
-      stop(now);
+    if (lifetime.isDraining() && sessions.isEmpty()) {
+      drained.run();
     }
     Duration idleLimit = context.entry(EngineEntries.CONFIGURATION).transactionIdleTimeout();
     sessions.forEach(session -> session.expireTransaction(idleLimit));
@@ -206,31 +204,9 @@
           .write(verified ? "keys-verified" : "keys-unverified", "sessions", sessions.size());
       keysWereVerified = verified;
     }
-    if (!context.shouldKeepCallers()) {
-      List.copyOf(sessions).stream().filter(Session::needsKey).forEach(Session::closeIfIdle);
-    }
     context.scheduler().schedule(TICK_INTERVAL, this::tick);
   }
 
-  private void stop(MonotonicTime now) {
-    if (stoppingSince == null) {
-      stoppingSince = now;
-      context.log().write("stopping", "sessions", sessions.size());
-    }
-    Duration elapsed = now.since(stoppingSince);
-    if (elapsed.compareTo(DRAIN_DELAY) > 0) {
-      List.copyOf(sessions).forEach(Session::closeIfIdle);
-      sessions.removeIf(Session::isClosed);
-      if (sessions.isEmpty()) {
-        drained.run();
-      }
-    }
-    if (elapsed.compareTo(context.settings().stopGrace().dividedBy(TRANSACTION_GRACE_DIVISOR))
-        > 0) {
-      List.copyOf(sessions).forEach(Session::abortTransaction);
-    }
-  }
-
   /** An open request that waits until the host has a configuration. */
   private final class PendingOpen {
     private final CallerConnection caller;
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeCaller.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeCaller.java
@@ -14,6 +14,7 @@
   private final List<Answer> answers = new ArrayList<>();
   private Optional<Failure> refusal = Optional.empty();
   private boolean closed;
+  private Runnable onAnswer = () -> {};
 
   @Override
   public void ready(Optional<TermPosition> position) {}
@@ -27,6 +28,12 @@
   @Override
   public void answer(Answer answer) {
     answers.add(answer);
+    onAnswer.run();
+  }
+
+  /** Sets what the caller does as soon as it has an answer, such as sending its next statement. */
+  public void onAnswer(Runnable action) {
+    onAnswer = action;
   }
 
   @Override
@@ -39,6 +46,11 @@
     return answers.size();
   }
 
+  /** Returns how many statements succeeded. */
+  public long succeeded() {
+    return answers.stream().filter(Answer::succeeded).count();
+  }
+
   /** Returns the newest answer. */
   public Answer last() {
     return answers.get(answers.size() - 1);
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -1,8 +1,10 @@
 package org.persimmonwalk.engine.testing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendConnection;
@@ -21,6 +23,7 @@
   private final List<BackendListener> open = new ArrayList<>();
   private Function<Sent, Optional<Answer>> behaviour = FakeServers::succeed;
   private TermPosition position = TermPosition.of(3, 100);
+  private Consumer<Runnable> delivery = Runnable::run;
 
   /** A statement and where it was sent. */
   public record Sent(BackendServerId server, WorkspaceId workspace, BackendStatement statement) {
@@ -42,6 +45,11 @@
     behaviour = changed;
   }
 
+  /** Makes all servers answer only after a delay. */
+  public void delayAnswers(FakeScheduler scheduler, Duration delay) {
+    delivery = answer -> scheduler.schedule(delay, answer);
+  }
+
   /** Returns the answer that servers give by default. */
   public Optional<Answer> success(Sent statement) {
     return succeed(statement);
@@ -71,13 +79,15 @@
                 .apply(statementSent)
                 .ifPresent(
                     answer ->
-                        listener.answered(
-                            new Answer(
-                                answer.rows(),
-                                answer.proof(),
-                                answer.failure(),
-                                answer.state(),
-                                Optional.of(position))));
+                        delivery.accept(
+                            () ->
+                                listener.answered(
+                                    new Answer(
+                                        answer.rows(),
+                                        answer.proof(),
+                                        answer.failure(),
+                                        answer.state(),
+                                        Optional.of(position)))));
           }
 
           @Override
