Count every replica that may hold acknowledged commits before a promotion

Cause: only servers that were not draining were asked for their position and counted. Ruled out: a wrong position of the promoted replica; it told truthfully that its log ended earlier.

All listed servers are asked now. A draining one that alone has the longest log is promoted, recorded as to be replaced at once, and used by no host, since its drain time may be over. With synchronous replicas a planned replacement now waits for a replica with the whole log while the old primary answers. Without synchronous replicas the choice is as before.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -31,7 +31,8 @@
   static final int ANNOUNCEMENT_JITTER_MILLIS = 300;
 
   /**
-   * The announcing host runs the promotion; other hosts take over after this delay in case it died.
+   * The announcing host, or the one that promoted a server only for its log, runs the promotion;
+   * other hosts take over after this delay in case it died.
    */
   static final Duration TAKEOVER_DELAY = Duration.ofMillis(800);
 
@@ -150,7 +151,8 @@
     Announcement announcement = announcements.get(group);
     if (announcement == null || announcement.version() != stored.version()) {
       int jitter = context.random().nextInt(TAKEOVER_JITTER_MILLIS);
-      boolean own = announcement != null && announcement.version() < 0;
+      boolean isOwnAnnouncement = announcement != null && announcement.version() < 0;
+      boolean own = isOwnAnnouncement || workflow.hasRecorded(row.server());
       announcement =
           new Announcement(
               stored.version(),
@@ -186,7 +188,7 @@
    *
    * @param version the version of the row; -1 until the answer to this host's own announcement
    * @param at when this host first saw the version
-   * @param own whether this host had sent an announcement before it saw the version
+   * @param own whether this host caused the version, by an announcement or by a promotion
    * @param delay how long this host waits beyond the time when the promotion is safe
    */
   private record Announcement(long version, MonotonicTime at, boolean own, Duration delay) {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -66,6 +66,7 @@
   private final DecisionLog log;
   private final SuspensionDetector suspension;
   private final Map<BackendServerId, Optional<ServerStatusRead.Status>> statuses = new HashMap<>();
+  private final LapsedServers lapsedServers = new LapsedServers();
   private Stage stage = Stage.IDLE;
   private DatabaseGroupId group;
   private Leadership leadership;
@@ -77,6 +78,7 @@
   private MonotonicTime stageSince;
   private MonotonicTime nextStepAt;
   private ServerEntry target;
+  private Optional<BackendServerId> lastRecorded = Optional.empty();
   private int requestCount;
   private MonotonicTime statusesRequestedAt;
 
@@ -105,6 +107,11 @@
     return stage == Stage.IDLE;
   }
 
+  /** Returns whether this host promoted the server last. */
+  boolean hasRecorded(BackendServerId server) {
+    return lastRecorded.filter(server::equals).isPresent();
+  }
+
   void begin(DatabaseGroupId newGroup, Leadership newLeadership, long version, MonotonicTime now) {
     group = newGroup;
     leadership = newLeadership;
@@ -116,6 +123,7 @@
   }
 
   void run(Blackboard blackboard, MonotonicTime now) {
+    lapsedServers.update(blackboard.get(EngineEntries.SERVERS), now);
     if (stage == Stage.IDLE) {
       return;
     }
@@ -212,41 +220,42 @@
   }
 
   private void pollStatuses(Blackboard blackboard, MonotonicTime now) {
-    Map<BackendServerId, ServerEntry> servers = members(blackboard);
+    Map<BackendServerId, ServerEntry> listed = members(blackboard);
+    Map<BackendServerId, ServerEntry> lapsed = lapsedReplicas(blackboard);
     if (requestCount == 0) {
-      servers.values().forEach(entry -> blackboard.submit(new ReadServerStatus(entry)));
-      requestCount = servers.size();
+      listed.values().forEach(entry -> blackboard.submit(new ReadServerStatus(entry)));
+      lapsed.values().forEach(entry -> blackboard.submit(new ReadServerStatus(entry)));
+      requestCount = listed.size() + lapsed.size();
       nextStepAt = now.plus(Duration.ofMillis(1));
       statusesRequestedAt = now;
       return;
     }
-    boolean complete = statuses.keySet().containsAll(servers.keySet());
+    boolean complete =
+        statuses.keySet().containsAll(listed.keySet())
+            && statuses.keySet().containsAll(lapsed.keySet());
     if (!complete && now.since(statusesRequestedAt).compareTo(STATUS_TIMEOUT) < 0) {
       nextStepAt = now.plus(Duration.ofMillis(1));
       return;
     }
-    decide(blackboard, servers, now);
+    decide(blackboard, StatusPoll.of(listed, lapsed, statuses, leadership.server()), now);
   }
 
-  private void decide(
-      Blackboard blackboard, Map<BackendServerId, ServerEntry> servers, MonotonicTime now) {
+  private void decide(Blackboard blackboard, StatusPoll poll, MonotonicTime now) {
     boolean planned = leadership.phase() == Leadership.Phase.SWITCHING;
-    int synchronousReplicas =
-        Optional.ofNullable(blackboard.get(EngineEntries.CONFIGURATION).groups().get(group))
-            .map(GroupSettings::synchronousReplicas)
-            .orElse(0);
-    StatusPoll poll = StatusPoll.of(servers, statuses, leadership.server());
+    int synchronousReplicas = synchronousReplicas(blackboard);
     Optional<ServerEntry> currentPrimary = poll.currentPrimary(planned);
     if (currentPrimary.isPresent()) {
       target = currentPrimary.get();
       enter(Stage.RECORD, now);
       return;
     }
-    boolean isWaitingForCatchUp =
-        planned
-            && poll.isOldPrimaryAhead()
-            && now.since(stageSince).compareTo(CATCH_UP_TIMEOUT) < 0;
     Optional<ServerEntry> best = poll.mostAdvanced(synchronousReplicas);
+    // With synchronous replicas the old primary may hold commits of an earlier term that were
+    // acknowledged and that no other server has.
+    boolean mayWaitForCatchUp =
+        synchronousReplicas > 0 || now.since(stageSince).compareTo(CATCH_UP_TIMEOUT) < 0;
+    boolean isWaitingForCatchUp =
+        planned && mayWaitForCatchUp && best.filter(poll::isOldPrimaryAheadOf).isPresent();
     if (isWaitingForCatchUp || best.isEmpty()) {
       statuses.clear();
       requestCount = 0;
@@ -285,26 +294,63 @@
   }
 
   private void record(Blackboard blackboard, MonotonicTime now) {
-    Leadership stable =
-        new Leadership(Leadership.Phase.STABLE, target.id(), target.startedAtMillis(), 0);
-    log.write("primary-recorded", "group", group, "server", target.id(), "fence", fencingToken);
+    Optional<StoreTime> time = blackboard.get(EngineEntries.STORE_TIME);
+    if (target.draining() && time.isEmpty()) {
+      return;
+    }
+    // A draining server was promoted only for its log. It must not be used for longer than it
+    // drains, so it is to be replaced at once, and nothing is sent to it meanwhile.
+    Leadership recorded =
+        target.draining()
+            ? new Leadership(
+                Leadership.Phase.SWITCHING,
+                target.id(),
+                target.startedAtMillis(),
+                time.get().latest(now))
+            : new Leadership(Leadership.Phase.STABLE, target.id(), target.startedAtMillis(), 0);
+    log.write(
+        "primary-recorded",
+        "group",
+        group,
+        "server",
+        target.id(),
+        "fence",
+        fencingToken,
+        "draining",
+        target.draining());
+    lastRecorded = Optional.of(target.id());
     PromotionLease free = new PromotionLease(settings.host(), fencingToken, 0);
     Map<RowKey, String> writes = new HashMap<>();
-    writes.put(Leadership.row(group), stable.text());
+    writes.put(Leadership.row(group), recorded.text());
     if (now.since(leaseTakenAt).compareTo(LEASE_DURATION) < 0) {
       writes.put(PromotionLease.ROW, free.text());
     }
     submit(blackboard, RECORD_PURPOSE, writes);
   }
 
+  private int synchronousReplicas(Blackboard blackboard) {
+    return Optional.ofNullable(blackboard.get(EngineEntries.CONFIGURATION).groups().get(group))
+        .map(GroupSettings::synchronousReplicas)
+        .orElse(0);
+  }
+
+  /** Without synchronous replicas a lapsed server decides nothing and isn't worth waiting for. */
+  private Map<BackendServerId, ServerEntry> lapsedReplicas(Blackboard blackboard) {
+    if (synchronousReplicas(blackboard) == 0) {
+      return Map.of();
+    }
+    Map<BackendServerId, ServerEntry> lapsed = new HashMap<>(lapsedServers.of(group));
+    lapsed.remove(leadership.server());
+    return lapsed;
+  }
+
   private Map<BackendServerId, ServerEntry> members(Blackboard blackboard) {
     Map<BackendServerId, ServerEntry> members = new HashMap<>();
     blackboard
         .get(EngineEntries.SERVERS)
         .forEach(
             (id, entry) -> {
-              if (entry.group().equals(group)
-                  && (!entry.draining() || id.equals(leadership.server()))) {
+              if (entry.group().equals(group)) {
                 members.put(id, entry);
               }
             });
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
@@ -12,19 +12,24 @@
 /**
  * The answers of a group's servers about their role and log, gathered to select a new primary.
  *
+ * @param servers the listed servers, including those that are draining
+ * @param lapsed replicas whose entry expired a short time ago; they count, but cannot be promoted
  * @param statuses the answer of each server; empty if it didn't answer
  * @param oldPrimary the primary that is being replaced
  */
 record StatusPoll(
     Map<BackendServerId, ServerEntry> servers,
+    Map<BackendServerId, ServerEntry> lapsed,
     Map<BackendServerId, Optional<Status>> statuses,
     BackendServerId oldPrimary) {
 
   static StatusPoll of(
       Map<BackendServerId, ServerEntry> servers,
+      Map<BackendServerId, ServerEntry> lapsed,
       Map<BackendServerId, Optional<Status>> statuses,
       BackendServerId oldPrimary) {
-    return new StatusPoll(Map.copyOf(servers), Map.copyOf(statuses), oldPrimary);
+    return new StatusPoll(
+        Map.copyOf(servers), Map.copyOf(lapsed), Map.copyOf(statuses), oldPrimary);
   }
 
   /**
@@ -39,36 +44,60 @@
         .filter(entry -> !planned || !entry.id().equals(oldPrimary));
   }
 
-  /** Returns whether the old primary has log records that no replica has received. */
-  boolean isOldPrimaryAhead() {
-    Optional<TermPosition> end =
-        Optional.ofNullable(servers.get(oldPrimary)).flatMap(this::status).map(Status::received);
-    return end.isPresent()
-        && replicas().noneMatch(entry -> status(entry).orElseThrow().received().covers(end.get()));
+  /** Returns whether the old primary answered and has log records that the server lacks. */
+  boolean isOldPrimaryAheadOf(ServerEntry server) {
+    return oldPrimaryStatus().isPresent() && !hasLogOfOldPrimary(server);
   }
 
   /**
-   * Returns the replica with the longest log; empty if so few replicas answered that an
-   * acknowledged commit might be missing from all of them.
+   * Returns the server to promote: the replica with the longest log. Without synchronous replicas
+   * it is one that isn't draining, as it would have to be replaced again. With them, every replica
+   * that may have acknowledged a commit counts, also one that is draining or has just lapsed; empty
+   * if so few answered that a commit may be missing from all of them and none has the whole log of
+   * the old primary, or if the one with the longest log isn't listed.
    */
   Optional<ServerEntry> mostAdvanced(int synchronousReplicas) {
-    long replicaCount = servers.keySet().stream().filter(id -> !id.equals(oldPrimary)).count();
-    long requiredCount =
-        synchronousReplicas > 0 ? Math.max(1, replicaCount - synchronousReplicas + 1) : 1;
-    if (replicas().count() < requiredCount) {
-      return Optional.empty();
+    if (synchronousReplicas == 0) {
+      return answered(replicas().filter(entry -> !entry.draining())).max(byLog());
     }
-    return replicas()
-        .max(
-            Comparator.<ServerEntry, TermPosition>comparing(
-                    entry -> status(entry).orElseThrow().received())
-                .thenComparing(ServerEntry::id));
+    Optional<ServerEntry> best =
+        answered(holders()).max(byLog()).filter(entry -> servers.containsKey(entry.id()));
+    long requiredCount = Math.max(1, holders().count() - synchronousReplicas + 1);
+    boolean enoughAnswered = answered(holders()).count() >= requiredCount;
+    return best.filter(entry -> enoughAnswered || hasLogOfOldPrimary(entry));
+  }
+
+  private boolean hasLogOfOldPrimary(ServerEntry server) {
+    return oldPrimaryStatus().filter(old -> received(server).covers(old.received())).isPresent();
+  }
+
+  private Optional<Status> oldPrimaryStatus() {
+    return Optional.ofNullable(servers.get(oldPrimary)).flatMap(this::status);
+  }
+
+  /** Orders servers by their log; of equal ones the server that can stay the primary is last. */
+  private Comparator<ServerEntry> byLog() {
+    return Comparator.comparing(this::received)
+        .thenComparing(entry -> servers.containsKey(entry.id()))
+        .thenComparing(entry -> !entry.draining())
+        .thenComparing(ServerEntry::id);
+  }
+
+  /** Returns the replicas that may hold acknowledged commits. */
+  private Stream<ServerEntry> holders() {
+    return Stream.concat(replicas(), lapsed.values().stream());
   }
 
   private Stream<ServerEntry> replicas() {
-    return servers.values().stream()
-        .filter(entry -> !entry.id().equals(oldPrimary))
-        .filter(entry -> status(entry).isPresent());
+    return servers.values().stream().filter(entry -> !entry.id().equals(oldPrimary));
+  }
+
+  private Stream<ServerEntry> answered(Stream<ServerEntry> entries) {
+    return entries.filter(entry -> status(entry).isPresent());
+  }
+
+  private TermPosition received(ServerEntry entry) {
+    return status(entry).orElseThrow().received();
   }
 
   private Optional<Status> status(ServerEntry entry) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Engine;
@@ -15,6 +16,7 @@
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.KeyHash;
 
 class PromotionTest {
   private static final BackendServerId PRIMARY = BackendServerId.of("s1");
@@ -141,10 +143,7 @@
   /** Guards against sending requests to a primary that is about to leave. */
   @Test
   void shouldReplaceADrainingPrimary() {
-    ServerEntry old = fixture.entries.get(PRIMARY);
-    fixture.entries.put(
-        PRIMARY,
-        new ServerEntry(old.id(), old.group(), old.endpoint(), old.zone(), 3, true, true, 1));
+    setDraining(PRIMARY);
     fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 101)));
     fixture.run(Duration.ofMillis(3500));
     assertThat(fixture.hosts).allMatch(host -> PRIMARY.equals(primaryOf(host)));
@@ -154,4 +153,101 @@
     assertThat(fixture.promotions).hasSize(1);
     assertThat(fixture.hosts).allMatch(host -> LONG_LOG_REPLICA.equals(primaryOf(host)));
   }
+
+  /**
+   * Guards against losing acknowledged commits that only a draining replica has received: the other
+   * replica received nothing for a while.
+   */
+  @Test
+  void shouldPromoteADrainingReplicaThatAloneHasTheLog() {
+    useSynchronousReplica();
+    setDraining(LONG_LOG_REPLICA);
+    fixture.run(Duration.ofSeconds(3));
+    reportUnreachable(4);
+    fixture.run(Duration.ofSeconds(7));
+
+    assertThat(fixture.promotions)
+        .extracting(order -> order.server().id())
+        .containsExactly(LONG_LOG_REPLICA);
+    assertThat(fixture.hosts).noneMatch(this::usesAPrimary);
+
+    fixture.statuses.put(
+        SHORT_LOG_REPLICA, new ServerStatusRead.Status(false, 4, TermPosition.of(3, 101)));
+    fixture.run(Duration.ofSeconds(6));
+
+    assertThat(fixture.promotions)
+        .extracting(order -> order.server().id())
+        .containsExactly(LONG_LOG_REPLICA, SHORT_LOG_REPLICA);
+    assertThat(fixture.hosts).allMatch(host -> SHORT_LOG_REPLICA.equals(primaryOf(host)));
+  }
+
+  /** Without synchronous replicas a draining replica would only have to be replaced again. */
+  @Test
+  void shouldNotPromoteADrainingReplicaWithoutSynchronousReplicas() {
+    setDraining(LONG_LOG_REPLICA);
+    fixture.run(Duration.ofSeconds(3));
+    reportUnreachable(4);
+    fixture.run(Duration.ofSeconds(7));
+
+    assertThat(fixture.hosts).allMatch(host -> SHORT_LOG_REPLICA.equals(primaryOf(host)));
+  }
+
+  /**
+   * Guards against losing acknowledged commits of a replica that crashed shortly before the primary
+   * and has no entry until it returns.
+   */
+  @Test
+  void shouldWaitForALapsedReplicaThatMayHaveTheLog() {
+    useSynchronousReplica();
+    ServerEntry lapsed = fixture.entries.remove(LONG_LOG_REPLICA);
+    ServerStatusRead.Status status = fixture.statuses.remove(LONG_LOG_REPLICA);
+    fixture.run(Duration.ofSeconds(3));
+    reportUnreachable(4);
+    fixture.run(Duration.ofSeconds(8));
+    assertThat(fixture.promotions).isEmpty();
+
+    fixture.entries.put(LONG_LOG_REPLICA, lapsed);
+    fixture.statuses.put(LONG_LOG_REPLICA, status);
+    fixture.run(Duration.ofSeconds(6));
+
+    assertThat(fixture.promotions)
+        .extracting(order -> order.server().id())
+        .containsExactly(LONG_LOG_REPLICA);
+  }
+
+  /** Guards against a group without a primary for good after a replica is lost for good. */
+  @Test
+  void shouldNotWaitForeverForALapsedReplica() {
+    useSynchronousReplica();
+    fixture.entries.remove(LONG_LOG_REPLICA);
+    fixture.statuses.remove(LONG_LOG_REPLICA);
+    fixture.run(Duration.ofSeconds(3));
+    reportUnreachable(4);
+    fixture.run(LapsedServers.RETENTION.plusSeconds(7));
+
+    assertThat(fixture.hosts).allMatch(host -> SHORT_LOG_REPLICA.equals(primaryOf(host)));
+  }
+
+  private boolean usesAPrimary(Engine host) {
+    return fixture
+        .entry(host, EngineEntries.PRIMARIES)
+        .get(EngineFixture.GROUP)
+        .at(fixture.clock.now())
+        .isPresent();
+  }
+
+  private void useSynchronousReplica() {
+    fixture.publish(
+        EngineFixture.configuration(
+            2, 100, Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE), 1));
+    fixture.run(Duration.ofSeconds(3));
+  }
+
+  private void setDraining(BackendServerId server) {
+    ServerEntry old = fixture.entries.get(server);
+    fixture.entries.put(
+        server,
+        new ServerEntry(
+            old.id(), old.group(), old.endpoint(), old.zone(), 3, true, old.primary(), 1));
+  }
 }
