Keep the position of a session's commits in each group it wrote to

Cause: a session kept the position of its newest commit for one group, and the write at the second group replaced it. Ruled out: a replica that answered without the position it was asked for; the position in the request was the old one.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -43,8 +43,13 @@
   private boolean busy;
   private boolean closed;
   private boolean refusesOperations;
-  private DatabaseGroupId minimumPositionGroup;
-  private TermPosition minimumPosition = TermPosition.ZERO;
+
+  /**
+   * The position of the session's newest commit in each group that it has written to. A route may
+   * move to another group and return.
+   */
+  private final Map<DatabaseGroupId, TermPosition> committedPositions = new HashMap<>();
+
   private Optional<Transaction> transaction = Optional.empty();
 
   Session(
@@ -327,10 +332,7 @@
     answer
         .position()
         .ifPresent(
-            position -> {
-              minimumPosition = minimumPosition(route).max(position);
-              minimumPositionGroup = route.group();
-            });
+            position -> committedPositions.merge(route.group(), position, TermPosition::max));
     return answer;
   }
 
@@ -343,14 +345,14 @@
         .position()
         .filter(position -> position.term() > minimumPosition(route).term())
         .filter(position -> minimumPosition(route).term() > 0)
-        .ifPresent(position -> minimumPosition = position);
+        .ifPresent(position -> committedPositions.put(route.group(), position));
   }
 
   /** Returns the position of the session's newest commit if reads on the route must include it. */
   TermPosition minimumPosition(Route route) {
-    boolean applies =
-        route.group().equals(minimumPositionGroup) && route.kind() != RouteKind.BOUNDED_STALENESS;
-    return applies ? minimumPosition : TermPosition.ZERO;
+    return route.kind() == RouteKind.BOUNDED_STALENESS
+        ? TermPosition.ZERO
+        : committedPositions.getOrDefault(route.group(), TermPosition.ZERO);
   }
 
   void transactionEnded() {
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -45,6 +45,11 @@
     behaviour = changed;
   }
 
+  /** Sets the log position that all servers report. */
+  public void setPosition(TermPosition changed) {
+    position = changed;
+  }
+
   /** Makes all servers answer only after a delay. */
   public void delayAnswers(FakeScheduler scheduler, Duration delay) {
     delivery = answer -> scheduler.schedule(delay, answer);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,15 +16,21 @@
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.RequestId;
+import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.RoutingConfiguration;
+import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.StatementTemplate;
+import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
 import org.persimmonwalk.engine.testing.FakeServers;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.KeyHash;
 
 class SessionTest {
@@ -31,6 +38,8 @@
   private static final Statement WRITE = new Statement.Data(true, "WRITE x 1");
   private static final Statement COMMIT = new Statement.Commit("COMMIT");
 
+  private static final DatabaseGroupId OTHER_GROUP = DatabaseGroupId.of("trucks");
+
   private final EngineFixture fixture = new EngineFixture(1);
   private final FakeCaller caller = new FakeCaller();
 
@@ -177,6 +186,86 @@
         .allMatch(sent -> sent.statement().position().isPresent());
   }
 
+  /**
+   * Guards against a session that reads an older state than its own commit after its route led to
+   * another group for a while and the session wrote there.
+   */
+  @Test
+  void shouldKeepThePositionOfAGroupWhileTheRouteLeadsToAnother() {
+    ServerEntry listed = fixture.entries.get(BackendServerId.of("s1"));
+    ServerEntry other =
+        new ServerEntry(
+            BackendServerId.of("t1"),
+            OTHER_GROUP,
+            listed.endpoint(),
+            listed.zone(),
+            listed.slots(),
+            false,
+            true,
+            1);
+    fixture.entries.put(other.id(), other);
+    Session session = open(RouteKind.READ_OWN_WRITES);
+    fixture.send(session, "0", WRITE);
+    fixture.servers.setPosition(TermPosition.of(3, 200));
+    fixture.send(session, "1", WRITE);
+
+    routeTo(2, OTHER_GROUP);
+    fixture.servers.setPosition(TermPosition.of(1, 50));
+    fixture.send(session, "2", WRITE);
+    assertThat(caller.last().succeeded()).isTrue();
+
+    routeTo(3, EngineFixture.GROUP);
+    fixture.servers.behave(
+        sent ->
+            sent.server().value().equals("s1")
+                ? Optional.of(Answer.failed(FailureCode.OVERLOADED, "full", SessionState.IDLE))
+                : fixture.servers.success(sent));
+    int before = fixture.servers.sent().size();
+    fixture.send(session, "3", READ);
+
+    assertThat(caller.last().succeeded()).isTrue();
+    assertThat(fixture.servers.sent().subList(before, fixture.servers.sent().size()))
+        .filteredOn(sent -> !sent.server().value().equals("s1"))
+        .isNotEmpty()
+        .allMatch(sent -> sent.statement().position().get().covers(TermPosition.of(3, 200)));
+  }
+
+  private void routeTo(long version, DatabaseGroupId group) {
+    RoutingConfiguration usual =
+        EngineFixture.configuration(
+            version, 100, Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE));
+    Map<DatabaseName, Route> routes = new HashMap<>();
+    usual
+        .routes()
+        .forEach(
+            (name, route) ->
+                routes.put(
+                    name,
+                    new Route(
+                        name,
+                        group,
+                        route.kind(),
+                        route.statementTimeout(),
+                        route.latencyTarget(),
+                        route.priority(),
+                        // The position before the commit stays recent enough for other sessions.
+                        Duration.ofSeconds(20),
+                        route.open())));
+    fixture.publish(
+        new RoutingConfiguration(
+            usual.version(),
+            routes,
+            Map.of(
+                EngineFixture.GROUP,
+                usual.groups().get(EngineFixture.GROUP),
+                OTHER_GROUP,
+                usual.groups().get(EngineFixture.GROUP)),
+            usual.keys(),
+            usual.limits(),
+            usual.transactionIdleTimeout()));
+    fixture.run(Duration.ofMillis(3000));
+  }
+
   /** Guards against a session that sees variables or prepared statements of another one. */
   @Test
   void shouldIsolateVariablesOfSessionsThatShareAConnection() {
