Record a primary only while the promotion lease is this host's

Found by reading, shown under the test clock: a host that ordered a promotion and stood still past its lease recorded its server although the next holder was promoting another one, and freed the next holder's lease with its own older fencing token.

Cause: the record was conditional on the newest version of the lease row that the host had seen, which after the first conflict was the next holder's. Ruled out: two hosts that take the lease at once, and an order after the lease's time. The host now states the version that it wrote; if the row has another one it logs duty-lost and starts again.

PromotionTest.shouldNotRecordAPrimaryAfterAnotherHostTookTheLease failed before (all hosts used the first server) and passes now.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -72,6 +72,10 @@
   private Leadership leadership;
   private long leadershipVersion;
   private long fencingToken;
+
+  /** The version of the lease row that this host wrote. A later one belongs to another holder. */
+  private long leaseVersion;
+
   private long serial;
   private long pendingSerial;
   private MonotonicTime leaseTakenAt;
@@ -136,7 +140,7 @@
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.transaction().tag().serial() == pendingSerial)
         .filter(answer -> isOwn(answer.transaction().tag()))
-        .forEach(answer -> handleTransactionResult(answer.result(), now));
+        .forEach(answer -> handleTransactionAnswer(answer, now));
     blackboard
         .observations(ServerStatusRead.class)
         .forEach(read -> statuses.put(read.server(), read.status()));
@@ -151,15 +155,30 @@
     return tag.purpose().equals(TAKE_LEASE_PURPOSE) || tag.purpose().equals(RECORD_PURPOSE);
   }
 
-  private void handleTransactionResult(TransactionResult result, MonotonicTime now) {
+  private void handleTransactionAnswer(TransactionAnswered answer, MonotonicTime now) {
     pendingSerial = 0;
+    TransactionResult result = answer.result();
+    StoredRow lease = answer.rows().get(PromotionLease.ROW);
     if (result == TransactionResult.APPLIED) {
       if (stage == Stage.TAKE_LEASE) {
+        leaseVersion = lease.version();
         log.write("duty-taken", "group", group, "fence", fencingToken);
         enter(Stage.POLL_STATUSES, now);
       }
     } else if (result != TransactionResult.CONFLICT) {
       nextStepAt = now.plus(STATUS_TIMEOUT);
+    } else if (stage != Stage.TAKE_LEASE && lease.version() != leaseVersion) {
+      log.write(
+          "duty-lost",
+          "group",
+          group,
+          "fence",
+          fencingToken,
+          "rowVersion",
+          lease.version(),
+          "lease",
+          lease.value());
+      enter(Stage.TAKE_LEASE, now);
     }
   }
 
@@ -208,12 +227,13 @@
     leaseTakenAt = now;
     long end = time.get().latest(now) + LEASE_DURATION.toMillis();
     PromotionLease taken = new PromotionLease(settings.host(), fencingToken, end);
+    leaseVersion = lease.version();
     submit(blackboard, TAKE_LEASE_PURPOSE, Map.of(PromotionLease.ROW, taken.text()));
   }
 
   private void submit(Blackboard blackboard, String purpose, Map<RowKey, String> writes) {
     Map<RowKey, Long> expected = KnownRows.versionsToVerify(blackboard);
-    expected.put(PromotionLease.ROW, KnownRows.version(blackboard, PromotionLease.ROW));
+    expected.put(PromotionLease.ROW, leaseVersion);
     serial++;
     pendingSerial = serial;
     blackboard.submit(new RunTransaction(TransactionTag.of(purpose, serial), expected, writes));
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -44,6 +44,7 @@
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.internal.engine.traffic.Session;
@@ -206,6 +207,16 @@
     return engine;
   }
 
+  /** Returns the host with the given id. */
+  public Engine hostNamed(EntryHostId id) {
+    return hosts.stream()
+        .filter(
+            host ->
+                EngineSettingsFixture.of(numbers.get(host), zoneCount, bounds).host().equals(id))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Disconnects a host from the store, or reconnects it. */
   public void cutOff(Engine host, boolean disconnected) {
     cutOff.put(host, disconnected);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
@@ -140,6 +140,45 @@
         .doesNotHaveDuplicates();
   }
 
+  /**
+   * Guards against two hosts that decide at once: a host that promoted a server, stood still until
+   * its lease had expired and woke while the next holder was promoting another server recorded its
+   * own one, which was no longer the primary.
+   */
+  @Test
+  void shouldNotRecordAPrimaryAfterAnotherHostTookTheLease() {
+    reportUnreachable(4);
+    Engine first = runUntilPromotions(1);
+    fixture.freeze(first, true);
+    // The next holder can't reach the server that was promoted and promotes the other one.
+    fixture.statuses.remove(LONG_LOG_REPLICA);
+    Engine second = runUntilPromotions(2);
+    assertThat(second).isNotSameAs(first);
+    assertThat(fixture.promotions.get(1).server().id()).isEqualTo(SHORT_LOG_REPLICA);
+    fixture.statuses.remove(SHORT_LOG_REPLICA);
+    fixture.statuses.put(
+        LONG_LOG_REPLICA, new ServerStatusRead.Status(true, 4, TermPosition.of(3, 101)));
+
+    fixture.freeze(first, false);
+    fixture.run(Duration.ofMillis(500));
+    assertThat(fixture.hosts).noneMatch(this::usesAPrimary);
+    assertThat(fixture.events).anyMatch(event -> event.startsWith("duty-lost"));
+
+    fixture.statuses.put(
+        SHORT_LOG_REPLICA, new ServerStatusRead.Status(true, 5, TermPosition.of(3, 100)));
+    fixture.run(Duration.ofSeconds(4));
+    assertThat(fixture.hosts).allMatch(host -> SHORT_LOG_REPLICA.equals(primaryOf(host)));
+  }
+
+  /** Runs until the number of promotions was ordered and returns the host that ordered the last. */
+  private Engine runUntilPromotions(int count) {
+    for (int i = 0; i < 1000 && fixture.promotions.size() < count; i++) {
+      fixture.run(Duration.ofMillis(10));
+    }
+    assertThat(fixture.promotions).hasSize(count);
+    return fixture.hostNamed(fixture.promotions.get(count - 1).holder());
+  }
+
   /** Guards against sending requests to a primary that is about to leave. */
   @Test
   void shouldReplaceADrainingPrimary() {
