Record a server as the primary only in the newest term

Cause: a primary that cannot reach its successor goes on in its old term. When the successor crashed it was the only one that called itself primary, and was recorded without a promotion, although another server named the newer term. Ruled out: a host that used the old primary against the row.

So a primary now counts only in a term that is not below those answered or recorded, and a promoted one only in a newer one. Promotions wait up to 3 s for servers that don't answer if the others lack the newest term. The lease and the view of the group got classes of their own.

Four tests of PromotionTest failed before.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.DecisionLog;
-import org.persimmonwalk.engine.GroupSettings;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.control.EngineEntries;
@@ -17,6 +16,7 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.ServerStatusRead;
+import org.persimmonwalk.engine.control.ServerStatusRead.Status;
 import org.persimmonwalk.engine.control.StoreTime;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
@@ -32,15 +32,6 @@
  * leadership row.
  */
 final class PromotionWorkflow {
-  /** The promotion lease expires after this time unless it is released before. */
-  static final Duration LEASE_DURATION = Duration.ofMillis(3500);
-
-  /**
-   * The promotion must be ordered within this time after taking the lease. It takes some hundred
-   * milliseconds and must have taken effect before another host can hold the lease.
-   */
-  static final Duration ORDER_DEADLINE = Duration.ofMillis(1500);
-
   /**
    * How long to wait for the status of all servers. Servers in other zones answer within a few
    * milliseconds, but a busy one may queue the request.
@@ -52,6 +43,12 @@
   /** How long a planned replacement waits until a replica has received the whole log. */
   static final Duration CATCH_UP_TIMEOUT = Duration.ofMillis(800);
 
+  /**
+   * How long a promotion waits for the replicas that don't answer if those that do lack the newest
+   * term. A busy replica refuses to tell its status.
+   */
+  static final Duration LOG_WAIT = Duration.ofMillis(3000);
+
   static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(120);
 
   /**
@@ -65,23 +62,24 @@
   private final EngineSettings settings;
   private final DecisionLog log;
   private final SuspensionDetector suspension;
-  private final Map<BackendServerId, Optional<ServerStatusRead.Status>> statuses = new HashMap<>();
+  private final Map<BackendServerId, Optional<Status>> statuses = new HashMap<>();
   private final LapsedServers lapsedServers = new LapsedServers();
   private Stage stage = Stage.IDLE;
-  private DatabaseGroupId group;
+  private PromotedGroup group;
   private Leadership leadership;
   private long leadershipVersion;
-  private long fencingToken;
-
-  /** The version of the lease row that this host wrote. A later one belongs to another holder. */
-  private long leaseVersion;
-
+  private HeldLease lease;
   private long serial;
   private long pendingSerial;
-  private MonotonicTime leaseTakenAt;
+  private MonotonicTime begunAt;
   private MonotonicTime stageSince;
   private MonotonicTime nextStepAt;
   private ServerEntry target;
+  private long targetTerm;
+
+  /** The newest term before the order; the promoted server leads a newer one. */
+  private long newestTerm;
+
   private Optional<BackendServerId> lastRecorded = Optional.empty();
   private int requestCount;
   private MonotonicTime statusesRequestedAt;
@@ -117,13 +115,20 @@
   }
 
   void begin(DatabaseGroupId newGroup, Leadership newLeadership, long version, MonotonicTime now) {
-    group = newGroup;
+    group = new PromotedGroup(newGroup);
     leadership = newLeadership;
     leadershipVersion = version;
     pendingSerial = 0;
+    begunAt = now;
     enter(Stage.TAKE_LEASE, now);
     log.write(
-        "promotion-started", "group", group, "old", leadership.server(), "rowVersion", version);
+        "promotion-started",
+        "group",
+        group.id(),
+        "old",
+        leadership.server(),
+        "rowVersion",
+        version);
   }
 
   void run(Blackboard blackboard, MonotonicTime now) {
@@ -131,8 +136,8 @@
     if (stage == Stage.IDLE) {
       return;
     }
-    if (KnownRows.version(blackboard, Leadership.row(group)) != leadershipVersion) {
-      log.write("promotion-ended", "group", group, "reason", "the leadership row changed");
+    if (KnownRows.version(blackboard, Leadership.row(group.id())) != leadershipVersion) {
+      log.write("promotion-ended", "group", group.id(), "reason", "the leadership row changed");
       stage = Stage.IDLE;
       return;
     }
@@ -158,26 +163,26 @@
   private void handleTransactionAnswer(TransactionAnswered answer, MonotonicTime now) {
     pendingSerial = 0;
     TransactionResult result = answer.result();
-    StoredRow lease = answer.rows().get(PromotionLease.ROW);
+    StoredRow leaseRow = answer.rows().get(PromotionLease.ROW);
     if (result == TransactionResult.APPLIED) {
       if (stage == Stage.TAKE_LEASE) {
-        leaseVersion = lease.version();
-        log.write("duty-taken", "group", group, "fence", fencingToken);
+        lease = lease.written(leaseRow.version());
+        log.write("duty-taken", "group", group.id(), "fence", lease.fencingToken());
         enter(Stage.POLL_STATUSES, now);
       }
     } else if (result != TransactionResult.CONFLICT) {
       nextStepAt = now.plus(STATUS_TIMEOUT);
-    } else if (stage != Stage.TAKE_LEASE && lease.version() != leaseVersion) {
+    } else if (stage != Stage.TAKE_LEASE && leaseRow.version() != lease.rowVersion()) {
       log.write(
           "duty-lost",
           "group",
-          group,
+          group.id(),
           "fence",
-          fencingToken,
+          lease.fencingToken(),
           "rowVersion",
-          lease.version(),
+          leaseRow.version(),
           "lease",
-          lease.value());
+          leaseRow.value());
       enter(Stage.TAKE_LEASE, now);
     }
   }
@@ -205,7 +210,7 @@
       case CONFIRM -> confirm(now, blackboard);
       case RECORD -> record(blackboard, now);
       case ORDERED -> {
-        if (now.since(stageSince).compareTo(LEASE_DURATION) > 0) {
+        if (now.since(stageSince).compareTo(HeldLease.DURATION) > 0) {
           enter(Stage.TAKE_LEASE, now);
         }
       }
@@ -215,32 +220,39 @@
 
   private void takeLease(Blackboard blackboard, MonotonicTime now) {
     Optional<StoreTime> time = blackboard.get(EngineEntries.STORE_TIME);
-    StoredRow lease = KnownRows.row(blackboard, PromotionLease.ROW);
-    if (time.isEmpty() || !PromotionLease.isFree(lease, time.get().earliest(now))) {
+    StoredRow row = KnownRows.row(blackboard, PromotionLease.ROW);
+    if (time.isEmpty() || !PromotionLease.isFree(row, time.get().earliest(now))) {
       nextStepAt = now.plus(RETRY_PAUSE);
       return;
     }
-    fencingToken = PromotionLease.nextFencingToken(lease);
-    if (PromotionLease.isUnreadable(lease)) {
-      log.write("row-unreadable", "row", PromotionLease.ROW, "rowVersion", lease.version());
-    }
-    leaseTakenAt = now;
-    long end = time.get().latest(now) + LEASE_DURATION.toMillis();
-    PromotionLease taken = new PromotionLease(settings.host(), fencingToken, end);
-    leaseVersion = lease.version();
+    logIfUnreadable(PromotionLease.ROW, row, PromotionLease.isUnreadable(row));
+    StoredRow recordRow = KnownRows.row(blackboard, PromotionRecord.row(group.id()));
+    logIfUnreadable(
+        PromotionRecord.row(group.id()), recordRow, PromotionRecord.isUnreadable(recordRow));
+    lease = new HeldLease(PromotionLease.nextFencingToken(row), row.version(), now);
+    long end = time.get().latest(now) + HeldLease.DURATION.toMillis();
+    PromotionLease taken = new PromotionLease(settings.host(), lease.fencingToken(), end);
     submit(blackboard, TAKE_LEASE_PURPOSE, Map.of(PromotionLease.ROW, taken.text()));
   }
 
+  private void logIfUnreadable(RowKey key, StoredRow row, boolean isUnreadable) {
+    if (isUnreadable) {
+      log.write("row-unreadable", "row", key, "rowVersion", row.version());
+    }
+  }
+
   private void submit(Blackboard blackboard, String purpose, Map<RowKey, String> writes) {
     Map<RowKey, Long> expected = KnownRows.versionsToVerify(blackboard);
-    expected.put(PromotionLease.ROW, leaseVersion);
+    expected.put(PromotionLease.ROW, lease.rowVersion());
+    RowKey recordRow = PromotionRecord.row(group.id());
+    expected.put(recordRow, KnownRows.version(blackboard, recordRow));
     serial++;
     pendingSerial = serial;
     blackboard.submit(new RunTransaction(TransactionTag.of(purpose, serial), expected, writes));
   }
 
   private void pollStatuses(Blackboard blackboard, MonotonicTime now) {
-    Map<BackendServerId, ServerEntry> listed = members(blackboard);
+    Map<BackendServerId, ServerEntry> listed = group.members(blackboard);
     Map<BackendServerId, ServerEntry> lapsed = lapsedReplicas(blackboard);
     if (requestCount == 0) {
       listed.values().forEach(entry -> blackboard.submit(new ReadServerStatus(entry)));
@@ -257,15 +269,20 @@
       nextStepAt = now.plus(Duration.ofMillis(1));
       return;
     }
-    decide(blackboard, StatusPoll.of(listed, lapsed, statuses, leadership.server()), now);
+    decide(
+        blackboard,
+        StatusPoll.of(
+            listed, lapsed, statuses, leadership.server(), group.record(blackboard).term()),
+        now);
   }
 
   private void decide(Blackboard blackboard, StatusPoll poll, MonotonicTime now) {
     boolean planned = leadership.phase() == Leadership.Phase.SWITCHING;
-    int synchronousReplicas = synchronousReplicas(blackboard);
-    Optional<ServerEntry> currentPrimary = poll.currentPrimary(planned);
+    int synchronousReplicas = group.synchronousReplicas(blackboard);
+    Optional<ServerEntry> currentPrimary = poll.currentPrimary(!planned);
     if (currentPrimary.isPresent()) {
       target = currentPrimary.get();
+      targetTerm = statuses.get(target.id()).orElseThrow().term();
       enter(Stage.RECORD, now);
       return;
     }
@@ -274,34 +291,38 @@
     // acknowledged and that no other server has.
     boolean mayWaitForCatchUp =
         synchronousReplicas > 0 || now.since(stageSince).compareTo(CATCH_UP_TIMEOUT) < 0;
+    boolean isWaitingForLog =
+        now.since(begunAt).compareTo(LOG_WAIT) < 0 && best.filter(poll::mayLackCommits).isPresent();
     boolean isWaitingForCatchUp =
         planned && mayWaitForCatchUp && best.filter(poll::isOldPrimaryAheadOf).isPresent();
-    if (isWaitingForCatchUp || best.isEmpty()) {
+    if (isWaitingForCatchUp || isWaitingForLog || best.isEmpty()) {
       statuses.clear();
       requestCount = 0;
       nextStepAt = now.plus(RETRY_PAUSE);
-      if (now.since(leaseTakenAt).compareTo(ORDER_DEADLINE) > 0) {
+      if (lease.isTooOldToOrder(now)) {
         enter(Stage.TAKE_LEASE, now);
       }
       return;
     }
+    newestTerm = poll.newestTerm();
     order(blackboard, best.get(), now);
   }
 
   private void order(Blackboard blackboard, ServerEntry best, MonotonicTime now) {
-    boolean suspended = leaseTakenAt.isBefore(suspension.lastResumedAt());
-    if (suspended || now.since(leaseTakenAt).compareTo(ORDER_DEADLINE) > 0) {
+    if (!lease.allowsOrder(now, suspension)) {
       enter(Stage.TAKE_LEASE, now);
       return;
     }
     target = best;
     enter(Stage.ORDERED, now);
-    blackboard.submit(new OrderPromotion(target, settings.host(), fencingToken));
+    blackboard.submit(new OrderPromotion(target, settings.host(), lease.fencingToken()));
   }
 
   private void confirm(MonotonicTime now, Blackboard blackboard) {
-    Optional<ServerStatusRead.Status> status = statuses.getOrDefault(target.id(), Optional.empty());
-    if (status.isPresent() && status.get().primary()) {
+    Optional<Status> status = statuses.getOrDefault(target.id(), Optional.empty());
+    // A primary of an older term that is promoted calls itself primary before it is one again.
+    if (status.filter(Status::primary).filter(answer -> answer.term() > newestTerm).isPresent()) {
+      targetTerm = status.get().term();
       enter(Stage.RECORD, now);
       return;
     }
@@ -331,49 +352,31 @@
     log.write(
         "primary-recorded",
         "group",
-        group,
+        group.id(),
         "server",
         target.id(),
         "fence",
-        fencingToken,
+        lease.fencingToken(),
         "draining",
         target.draining());
     lastRecorded = Optional.of(target.id());
-    PromotionLease free = new PromotionLease(settings.host(), fencingToken, 0);
+    PromotionLease free = new PromotionLease(settings.host(), lease.fencingToken(), 0);
     Map<RowKey, String> writes = new HashMap<>();
-    writes.put(Leadership.row(group), recorded.text());
-    if (now.since(leaseTakenAt).compareTo(LEASE_DURATION) < 0) {
+    writes.put(Leadership.row(group.id()), recorded.text());
+    writes.put(PromotionRecord.row(group.id()), new PromotionRecord(targetTerm).text());
+    if (!lease.hasExpired(now)) {
       writes.put(PromotionLease.ROW, free.text());
     }
     submit(blackboard, RECORD_PURPOSE, writes);
   }
 
-  private int synchronousReplicas(Blackboard blackboard) {
-    return Optional.ofNullable(blackboard.get(EngineEntries.CONFIGURATION).groups().get(group))
-        .map(GroupSettings::synchronousReplicas)
-        .orElse(0);
-  }
-
   /** Without synchronous replicas a lapsed server decides nothing and isn't worth waiting for. */
   private Map<BackendServerId, ServerEntry> lapsedReplicas(Blackboard blackboard) {
-    if (synchronousReplicas(blackboard) == 0) {
+    if (group.synchronousReplicas(blackboard) == 0) {
       return Map.of();
     }
-    Map<BackendServerId, ServerEntry> lapsed = new HashMap<>(lapsedServers.of(group));
+    Map<BackendServerId, ServerEntry> lapsed = new HashMap<>(lapsedServers.of(group.id()));
     lapsed.remove(leadership.server());
     return lapsed;
   }
-
-  private Map<BackendServerId, ServerEntry> members(Blackboard blackboard) {
-    Map<BackendServerId, ServerEntry> members = new HashMap<>();
-    blackboard
-        .get(EngineEntries.SERVERS)
-        .forEach(
-            (id, entry) -> {
-              if (entry.group().equals(group)) {
-                members.put(id, entry);
-              }
-            });
-    return members;
-  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
@@ -16,32 +16,59 @@
  * @param lapsed replicas whose entry expired a short time ago; they count, but cannot be promoted
  * @param statuses the answer of each server; empty if it didn't answer
  * @param oldPrimary the primary that is being replaced
+ * @param recordedTerm the term of the primary that was recorded last
  */
 record StatusPoll(
     Map<BackendServerId, ServerEntry> servers,
     Map<BackendServerId, ServerEntry> lapsed,
     Map<BackendServerId, Optional<Status>> statuses,
-    BackendServerId oldPrimary) {
+    BackendServerId oldPrimary,
+    long recordedTerm) {
 
   static StatusPoll of(
       Map<BackendServerId, ServerEntry> servers,
       Map<BackendServerId, ServerEntry> lapsed,
       Map<BackendServerId, Optional<Status>> statuses,
-      BackendServerId oldPrimary) {
+      BackendServerId oldPrimary,
+      long recordedTerm) {
     return new StatusPoll(
-        Map.copyOf(servers), Map.copyOf(lapsed), Map.copyOf(statuses), oldPrimary);
+        Map.copyOf(servers), Map.copyOf(lapsed), Map.copyOf(statuses), oldPrimary, recordedTerm);
   }
 
   /**
    * Returns the server that is primary already, so that no promotion is needed: one that an earlier
-   * command has promoted or, if the replacement wasn't planned, the old primary if it answers
-   * again.
+   * command has promoted or the old primary if it answers again. A server that leads an older term
+   * than another one knows or than was recorded is no longer the primary, even if its successor
+   * doesn't answer.
    */
-  Optional<ServerEntry> currentPrimary(boolean planned) {
+  Optional<ServerEntry> currentPrimary(boolean oldPrimaryMayStay) {
+    long newestTerm = newestTerm();
     return servers.values().stream()
-        .filter(entry -> status(entry).filter(Status::primary).isPresent())
-        .max(Comparator.comparingLong(entry -> status(entry).orElseThrow().term()))
-        .filter(entry -> !planned || !entry.id().equals(oldPrimary));
+        .filter(
+            entry ->
+                status(entry)
+                    .filter(Status::primary)
+                    .filter(status -> status.term() >= newestTerm)
+                    .isPresent())
+        .min(Comparator.comparing(ServerEntry::id))
+        .filter(entry -> oldPrimaryMayStay || !entry.id().equals(oldPrimary));
+  }
+
+  /** Returns the newest term that was recorded or that a server told. */
+  long newestTerm() {
+    return statuses.values().stream()
+        .flatMap(Optional::stream)
+        .mapToLong(Status::term)
+        .reduce(recordedTerm, Math::max);
+  }
+
+  /**
+   * Returns whether the server's log ends in an older term than the newest one while a replica
+   * didn't answer, which may have commits of the newest term.
+   */
+  boolean mayLackCommits(ServerEntry server) {
+    return received(server).term() < newestTerm()
+        && !replicas().allMatch(entry -> status(entry).isPresent());
   }
 
   /** Returns whether the old primary answered and has log records that the server lacks. */
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -33,6 +33,7 @@
 import org.persimmonwalk.engine.control.SendZoneRequest;
 import org.persimmonwalk.engine.control.ServerListRead;
 import org.persimmonwalk.engine.control.ServerStatusRead;
+import org.persimmonwalk.engine.control.ServerStatusRead.Status;
 import org.persimmonwalk.engine.control.ServiceBounds;
 import org.persimmonwalk.engine.control.StoreTime;
 import org.persimmonwalk.engine.control.StoredRow;
@@ -44,7 +45,6 @@
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
-import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.internal.engine.traffic.Session;
@@ -69,7 +69,7 @@
   public final FakeScheduler scheduler = new FakeScheduler(clock);
   public final FakeServers servers = new FakeServers();
   public final Map<BackendServerId, ServerEntry> entries = new HashMap<>();
-  public final Map<BackendServerId, ServerStatusRead.Status> statuses = new HashMap<>();
+  public final Map<BackendServerId, Status> statuses = new HashMap<>();
   public final List<OrderPromotion> promotions = new ArrayList<>();
   public final List<Engine> hosts = new ArrayList<>();
   public final Map<RowKey, StoredRow> rows = new HashMap<>();
@@ -94,6 +94,7 @@
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private final int zoneCount;
   private final ServiceBounds bounds;
+  private long term;
   private long nextExchangeId;
   private long seed;
   private long wallClockOffset = 1_000_000;
@@ -207,16 +208,6 @@
     return engine;
   }
 
-  /** Returns the host with the given id. */
-  public Engine hostNamed(EntryHostId id) {
-    return hosts.stream()
-        .filter(
-            host ->
-                EngineSettingsFixture.of(numbers.get(host), zoneCount, bounds).host().equals(id))
-        .findFirst()
-        .orElseThrow();
-  }
-
   /** Disconnects a host from the store, or reconnects it. */
   public void cutOff(Engine host, boolean disconnected) {
     cutOff.put(host, disconnected);
@@ -287,9 +278,9 @@
               reachable ? Optional.of(List.copyOf(entries.values())) : Optional.empty());
     } else if (command instanceof OrderPromotion order) {
       promotions.add(order);
+      term = statuses.values().stream().mapToLong(Status::term).reduce(term, Math::max) + 1;
       statuses.computeIfPresent(
-          order.server().id(),
-          (id, old) -> new ServerStatusRead.Status(true, old.term() + 1, old.received()));
+          order.server().id(), (id, old) -> new Status(true, term, old.received()));
       reportRoles(order.server().id());
       result = new PromotionOrderAnswered(order.server().id(), true);
     } else if (command instanceof ReadServerStatus read) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Engine;
@@ -15,7 +16,9 @@
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.testing.EngineFixture;
+import org.persimmonwalk.engine.testing.EngineSettingsFixture;
 import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.KeyHash;
 
 class PromotionTest {
@@ -170,13 +173,105 @@
     assertThat(fixture.hosts).allMatch(host -> SHORT_LOG_REPLICA.equals(primaryOf(host)));
   }
 
+  /**
+   * Guards against going back to a primary of an older term: it was replaced while it could not
+   * reach its successor, and still calls itself primary when the successor crashes.
+   */
+  @Test
+  void shouldNotRecordAPrimaryOfAnOlderTerm() {
+    reportUnreachable(4);
+    runUntilPromotions(1);
+    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
+    fixture.run(Duration.ofSeconds(4));
+    assertThat(fixture.hosts).allMatch(host -> LONG_LOG_REPLICA.equals(primaryOf(host)));
+
+    // The successor crashes; only the other replica knows its term.
+    fixture.statuses.remove(LONG_LOG_REPLICA);
+    fixture.statuses.put(
+        SHORT_LOG_REPLICA, new ServerStatusRead.Status(false, 4, TermPosition.of(4, 7)));
+    ServerEntry crashed = fixture.entries.get(LONG_LOG_REPLICA);
+    fixture.hosts.forEach(host -> host.loop().post(new ServerUnreachable(crashed)));
+    fixture.run(Duration.ofSeconds(7));
+
+    assertThat(fixture.promotions)
+        .extracting(order -> order.server().id())
+        .containsExactly(LONG_LOG_REPLICA, SHORT_LOG_REPLICA);
+    assertThat(fixture.hosts).allMatch(host -> SHORT_LOG_REPLICA.equals(primaryOf(host)));
+  }
+
+  /** Guards against the same while the only server that knows the newer term doesn't answer. */
+  @Test
+  void shouldNotRecordAPrimaryOfAnOlderTermThatAnswersAlone() {
+    reportUnreachable(4);
+    runUntilPromotions(1);
+    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
+    fixture.run(Duration.ofSeconds(4));
+    fixture.statuses.remove(LONG_LOG_REPLICA);
+    fixture.statuses.remove(SHORT_LOG_REPLICA);
+    ServerEntry crashed = fixture.entries.get(LONG_LOG_REPLICA);
+    fixture.hosts.forEach(host -> host.loop().post(new ServerUnreachable(crashed)));
+    fixture.run(Duration.ofSeconds(5));
+    assertThat(fixture.promotions).hasSize(1);
+    assertThat(fixture.hosts).noneMatch(this::usesAPrimary);
+
+    fixture.statuses.put(
+        SHORT_LOG_REPLICA, new ServerStatusRead.Status(false, 4, TermPosition.of(4, 7)));
+    fixture.run(Duration.ofSeconds(4));
+
+    assertThat(fixture.hosts).allMatch(host -> SHORT_LOG_REPLICA.equals(primaryOf(host)));
+  }
+
+  /** Guards against a group without a primary for good when the other replicas never answer. */
+  @Test
+  void shouldPromoteAServerOfAnOlderTermWhenNoOtherAnswers() {
+    reportUnreachable(4);
+    runUntilPromotions(1);
+    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
+    fixture.run(Duration.ofSeconds(4));
+    fixture.statuses.remove(LONG_LOG_REPLICA);
+    fixture.statuses.remove(SHORT_LOG_REPLICA);
+    ServerEntry crashed = fixture.entries.get(LONG_LOG_REPLICA);
+    fixture.hosts.forEach(host -> host.loop().post(new ServerUnreachable(crashed)));
+    fixture.run(Duration.ofSeconds(10));
+
+    assertThat(fixture.promotions)
+        .extracting(order -> order.server().id())
+        .containsExactly(LONG_LOG_REPLICA, PRIMARY);
+    assertThat(fixture.hosts).allMatch(host -> PRIMARY.equals(primaryOf(host)));
+  }
+
+  /** Guards against the same in a planned replacement whose present primary doesn't answer. */
+  @Test
+  void shouldNotRecordAPrimaryOfAnOlderTermInAPlannedReplacement() {
+    reportUnreachable(4);
+    runUntilPromotions(1);
+    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
+    fixture.run(Duration.ofSeconds(4));
+    setDraining(LONG_LOG_REPLICA);
+    fixture.statuses.remove(LONG_LOG_REPLICA);
+    fixture.statuses.put(
+        SHORT_LOG_REPLICA, new ServerStatusRead.Status(false, 4, TermPosition.of(4, 7)));
+    fixture.run(Duration.ofSeconds(8));
+
+    assertThat(fixture.hosts).allMatch(host -> SHORT_LOG_REPLICA.equals(primaryOf(host)));
+  }
+
   /** Runs until the number of promotions was ordered and returns the host that ordered the last. */
   private Engine runUntilPromotions(int count) {
     for (int i = 0; i < 1000 && fixture.promotions.size() < count; i++) {
       fixture.run(Duration.ofMillis(10));
     }
     assertThat(fixture.promotions).hasSize(count);
-    return fixture.hostNamed(fixture.promotions.get(count - 1).holder());
+    EntryHostId holder = fixture.promotions.get(count - 1).holder();
+    return IntStream.range(0, fixture.hosts.size())
+        .filter(
+            number ->
+                EngineSettingsFixture.of(number, 1, EngineSettingsFixture.USUAL_BOUNDS)
+                    .host()
+                    .equals(holder))
+        .mapToObj(fixture.hosts::get)
+        .findFirst()
+        .orElseThrow();
   }
 
   /** Guards against sending requests to a primary that is about to leave. */
