Write down a promotion before it is ordered

Cause: an order without an answer counted as not carried out, so the old primary was recorded again, by the host that had ordered or by the next holder of the lease. Ruled out: hosts that acted against the row. The row of the group's promotions now tells for which version of the leadership row which server was ordered. While that version stands the old primary isn't recorded, and the same server is ordered again if it answers.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LapsedServers.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LapsedServers.java
@@ -38,11 +38,11 @@
     lapsed.values().removeIf(server -> now.since(server.at()).compareTo(RETENTION) > 0);
   }
 
-  /** Returns the servers of the group that still count. */
-  Map<BackendServerId, ServerEntry> of(DatabaseGroupId group) {
+  /** Returns the servers of the group that still count, except for its old primary. */
+  Map<BackendServerId, ServerEntry> of(DatabaseGroupId group, BackendServerId oldPrimary) {
     return lapsed.values().stream()
         .map(Lapsed::entry)
-        .filter(entry -> entry.group().equals(group))
+        .filter(entry -> entry.group().equals(group) && !entry.id().equals(oldPrimary))
         .collect(Collectors.toMap(ServerEntry::id, entry -> entry));
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.util.Optional;
+import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.id.BackendServerId;
@@ -35,6 +36,19 @@
     MOVING
   }
 
+  /** Returns the row after the server became the primary. */
+  static Leadership stable(ServerEntry server) {
+    return new Leadership(Phase.STABLE, server.id(), server.startedAtMillis(), 0);
+  }
+
+  /**
+   * Returns the row after a draining server was promoted only for its log. It must not be used for
+   * longer than it drains, so it is to be replaced at once, and nothing is sent to it meanwhile.
+   */
+  static Leadership promotedForItsLog(ServerEntry server, long storeMillis) {
+    return new Leadership(Phase.SWITCHING, server.id(), server.startedAtMillis(), storeMillis);
+  }
+
   static RowKey row(DatabaseGroupId group) {
     return RowKey.of(TABLE, group.value());
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionRecord.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionRecord.java
@@ -1,8 +1,10 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.util.Optional;
+import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
 
 /**
@@ -10,10 +12,27 @@
  * read and written only during promotions.
  *
  * @param term the term of the primary that was recorded last; 0 if none is known
+ * @param orderedFor the version of the leadership row for which a promotion was ordered last; 0 if
+ *     none was ordered since a primary was recorded. The order may still take effect.
+ * @param orderedServer the server of that order
+ * @param startedAtMillis when that server's process started
  */
-record PromotionRecord(long term) {
+record PromotionRecord(
+    long term, long orderedFor, BackendServerId orderedServer, long startedAtMillis) {
 
-  private static final PromotionRecord NONE = new PromotionRecord(0);
+  private static final String SEPARATOR = " ";
+  private static final int PARTS = 4;
+  private static final PromotionRecord NONE = recorded(0);
+
+  /** Returns the record after a primary of the given term was recorded. */
+  static PromotionRecord recorded(long term) {
+    return new PromotionRecord(term, 0, Leadership.NO_SERVER, 0);
+  }
+
+  /** Returns the record of a promotion that is about to be ordered. */
+  PromotionRecord ordered(long leadershipVersion, ServerEntry server) {
+    return new PromotionRecord(term, leadershipVersion, server.id(), server.startedAtMillis());
+  }
 
   static RowKey row(DatabaseGroupId group) {
     return RowKey.of("promotion", group.value());
@@ -30,14 +49,40 @@
   }
 
   private static Optional<PromotionRecord> read(StoredRow row) {
+    String[] parts = row.value().split(SEPARATOR, PARTS + 1);
+    if (parts.length != PARTS) {
+      return Optional.empty();
+    }
     try {
-      return Optional.of(new PromotionRecord(Long.parseLong(row.value())));
-    } catch (NumberFormatException e) {
+      return Optional.of(
+          new PromotionRecord(
+              Long.parseLong(parts[0]),
+              Long.parseLong(parts[1]),
+              BackendServerId.of(parts[2]),
+              Long.parseLong(parts[3])));
+    } catch (IllegalArgumentException e) {
       return Optional.empty();
     }
   }
 
+  /** Returns whether a promotion of the server may still take effect. */
+  boolean isOrdered(long leadershipVersion, ServerEntry server) {
+    return isOrderPending(leadershipVersion)
+        && orderedServer.equals(server.id())
+        && startedAtMillis == server.startedAtMillis();
+  }
+
+  /** Returns whether a promotion for the version of the leadership row may still take effect. */
+  boolean isOrderPending(long leadershipVersion) {
+    return orderedFor == leadershipVersion;
+  }
+
   String text() {
-    return Long.toString(term);
+    return String.join(
+        SEPARATOR,
+        Long.toString(term),
+        Long.toString(orderedFor),
+        orderedServer.value(),
+        Long.toString(startedAtMillis));
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.ServerEntry;
@@ -57,6 +58,7 @@
   static final Duration CONFIRMATION_TIMEOUT = Duration.ofMillis(3000);
 
   private static final String TAKE_LEASE_PURPOSE = "take-duty";
+  private static final String ANNOUNCE_ORDER_PURPOSE = "announce-order";
   private static final String RECORD_PURPOSE = "record-primary";
 
   private final EngineSettings settings;
@@ -88,6 +90,7 @@
     IDLE,
     TAKE_LEASE,
     POLL_STATUSES,
+    ANNOUNCE_ORDER,
     ORDERED,
     CONFIRM,
     RECORD
@@ -157,7 +160,8 @@
   }
 
   private static boolean isOwn(TransactionTag tag) {
-    return tag.purpose().equals(TAKE_LEASE_PURPOSE) || tag.purpose().equals(RECORD_PURPOSE);
+    return Set.of(TAKE_LEASE_PURPOSE, ANNOUNCE_ORDER_PURPOSE, RECORD_PURPOSE)
+        .contains(tag.purpose());
   }
 
   private void handleTransactionAnswer(TransactionAnswered answer, MonotonicTime now) {
@@ -190,6 +194,7 @@
   private void handleOrderAnswer(PromotionOrderAnswered answer, MonotonicTime now) {
     log.write("promotion-ordered", "server", target.id(), "accepted", answer.accepted());
     enter(answer.accepted() ? Stage.CONFIRM : Stage.POLL_STATUSES, now);
+    nextStepAt = answer.accepted() ? now : now.plus(RETRY_PAUSE);
   }
 
   private void enter(Stage next, MonotonicTime now) {
@@ -207,6 +212,7 @@
     switch (stage) {
       case TAKE_LEASE -> takeLease(blackboard, now);
       case POLL_STATUSES -> pollStatuses(blackboard, now);
+      case ANNOUNCE_ORDER -> order(blackboard, now);
       case CONFIRM -> confirm(now, blackboard);
       case RECORD -> record(blackboard, now);
       case ORDERED -> {
@@ -253,7 +259,10 @@
 
   private void pollStatuses(Blackboard blackboard, MonotonicTime now) {
     Map<BackendServerId, ServerEntry> listed = group.members(blackboard);
-    Map<BackendServerId, ServerEntry> lapsed = lapsedReplicas(blackboard);
+    Map<BackendServerId, ServerEntry> lapsed =
+        group.synchronousReplicas(blackboard) > 0
+            ? lapsedServers.of(group.id(), leadership.server())
+            : Map.of();
     if (requestCount == 0) {
       listed.values().forEach(entry -> blackboard.submit(new ReadServerStatus(entry)));
       lapsed.values().forEach(entry -> blackboard.submit(new ReadServerStatus(entry)));
@@ -278,15 +287,23 @@
 
   private void decide(Blackboard blackboard, StatusPoll poll, MonotonicTime now) {
     boolean planned = leadership.phase() == Leadership.Phase.SWITCHING;
+    PromotionRecord record = group.record(blackboard);
     int synchronousReplicas = group.synchronousReplicas(blackboard);
-    Optional<ServerEntry> currentPrimary = poll.currentPrimary(!planned);
+    // A promotion that was ordered may still take effect, so the old primary can't stay.
+    boolean oldPrimaryMayStay = !planned && !record.isOrderPending(leadershipVersion);
+    Optional<ServerEntry> currentPrimary = poll.currentPrimary(oldPrimaryMayStay);
     if (currentPrimary.isPresent()) {
       target = currentPrimary.get();
       targetTerm = statuses.get(target.id()).orElseThrow().term();
       enter(Stage.RECORD, now);
       return;
     }
-    Optional<ServerEntry> best = poll.mostAdvanced(synchronousReplicas);
+    Optional<ServerEntry> best =
+        poll.mostAdvanced(synchronousReplicas)
+            .map(
+                entry ->
+                    poll.orderedBefore(record, leadershipVersion, synchronousReplicas, entry)
+                        .orElse(entry));
     // With synchronous replicas the old primary may hold commits of an earlier term that were
     // acknowledged and that no other server has.
     boolean mayWaitForCatchUp =
@@ -305,17 +322,30 @@
       return;
     }
     newestTerm = poll.newestTerm();
-    order(blackboard, best.get(), now);
+    target = best.get();
+    enter(Stage.ANNOUNCE_ORDER, now);
+    order(blackboard, now);
   }
 
-  private void order(Blackboard blackboard, ServerEntry best, MonotonicTime now) {
+  /**
+   * Orders the promotion. Before that it writes down that it will: an order without an answer may
+   * still take effect, which this host and the next holder of the lease have to know.
+   */
+  private void order(Blackboard blackboard, MonotonicTime now) {
     if (!lease.allowsOrder(now, suspension)) {
       enter(Stage.TAKE_LEASE, now);
       return;
     }
-    target = best;
-    enter(Stage.ORDERED, now);
-    blackboard.submit(new OrderPromotion(target, settings.host(), lease.fencingToken()));
+    PromotionRecord record = group.record(blackboard);
+    if (record.isOrdered(leadershipVersion, target)) {
+      enter(Stage.ORDERED, now);
+      blackboard.submit(new OrderPromotion(target, settings.host(), lease.fencingToken()));
+      return;
+    }
+    submit(
+        blackboard,
+        ANNOUNCE_ORDER_PURPOSE,
+        Map.of(PromotionRecord.row(group.id()), record.ordered(leadershipVersion, target).text()));
   }
 
   private void confirm(MonotonicTime now, Blackboard blackboard) {
@@ -339,16 +369,10 @@
     if (target.draining() && time.isEmpty()) {
       return;
     }
-    // A draining server was promoted only for its log. It must not be used for longer than it
-    // drains, so it is to be replaced at once, and nothing is sent to it meanwhile.
     Leadership recorded =
         target.draining()
-            ? new Leadership(
-                Leadership.Phase.SWITCHING,
-                target.id(),
-                target.startedAtMillis(),
-                time.get().latest(now))
-            : new Leadership(Leadership.Phase.STABLE, target.id(), target.startedAtMillis(), 0);
+            ? Leadership.promotedForItsLog(target, time.get().latest(now))
+            : Leadership.stable(target);
     log.write(
         "primary-recorded",
         "group",
@@ -363,20 +387,10 @@
     PromotionLease free = new PromotionLease(settings.host(), lease.fencingToken(), 0);
     Map<RowKey, String> writes = new HashMap<>();
     writes.put(Leadership.row(group.id()), recorded.text());
-    writes.put(PromotionRecord.row(group.id()), new PromotionRecord(targetTerm).text());
+    writes.put(PromotionRecord.row(group.id()), PromotionRecord.recorded(targetTerm).text());
     if (!lease.hasExpired(now)) {
       writes.put(PromotionLease.ROW, free.text());
     }
     submit(blackboard, RECORD_PURPOSE, writes);
   }
-
-  /** Without synchronous replicas a lapsed server decides nothing and isn't worth waiting for. */
-  private Map<BackendServerId, ServerEntry> lapsedReplicas(Blackboard blackboard) {
-    if (group.synchronousReplicas(blackboard) == 0) {
-      return Map.of();
-    }
-    Map<BackendServerId, ServerEntry> lapsed = new HashMap<>(lapsedServers.of(group.id()));
-    lapsed.remove(leadership.server());
-    return lapsed;
-  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
@@ -94,6 +94,21 @@
     return best.filter(entry -> enoughAnswered || hasLogOfOldPrimary(entry));
   }
 
+  /**
+   * Returns the server whose promotion was ordered before and may still take effect. Ordering it
+   * again is safe, while another one would be promoted in addition.
+   *
+   * @param best the server with the longest log, which replaces the ordered one with synchronous
+   *     replicas if that one lacks a part of it
+   */
+  Optional<ServerEntry> orderedBefore(
+      PromotionRecord record, long leadershipVersion, int synchronousReplicas, ServerEntry best) {
+    return answered(replicas())
+        .filter(entry -> record.isOrdered(leadershipVersion, entry))
+        .filter(entry -> synchronousReplicas == 0 || received(entry).covers(received(best)))
+        .findFirst();
+  }
+
   private boolean hasLogOfOldPrimary(ServerEntry server) {
     return oldPrimaryStatus().filter(old -> received(server).covers(old.received())).isPresent();
   }
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -39,9 +39,6 @@
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
-import org.persimmonwalk.engine.control.ZoneReply;
-import org.persimmonwalk.engine.control.ZoneRequestEnded;
-import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -49,7 +46,6 @@
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.internal.engine.traffic.Session;
 import org.persimmonwalk.internal.engine.traffic.TrafficMeter;
-import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.FakeClock;
@@ -62,7 +58,10 @@
 
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(1300);
   private static final Duration EFFECT_DELAY = Duration.ofMillis(3000);
-  private static final Duration PEER_TIMEOUT = Duration.ofMillis(200);
+
+  /** Longer than the promotion lease, so that the next holder finds the promotion pending. */
+  private static final Duration PROMOTION_DELAY = Duration.ofMillis(4500);
+
   private static final Duration STEP = Duration.ofMillis(10);
 
   public final FakeClock clock = new FakeClock();
@@ -86,16 +85,18 @@
   /** How many of the next store transactions time out but take effect later. */
   public int effectsToDelay;
 
+  /** How many of the next orders of promotions get no answer but take effect later. */
+  public int promotionsToDelay;
+
   public final List<String> events = new ArrayList<>();
   private final Map<Engine, Boolean> cutOff = new HashMap<>();
   private final Map<SocketEndpoint, Engine> hostsByEndpoint = new HashMap<>();
   private final Map<Engine, Boolean> frozen = new HashMap<>();
   private final Map<Engine, Integer> numbers = new HashMap<>();
-  private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
+  private final FakeZoneExchanges exchanges = new FakeZoneExchanges(clock, scheduler);
   private final int zoneCount;
   private final ServiceBounds bounds;
   private long term;
-  private long nextExchangeId;
   private long seed;
   private long wallClockOffset = 1_000_000;
   private long nextVersion = 1;
@@ -239,11 +240,14 @@
     boolean reachable = storeIsUp && !cutOff.getOrDefault(host, false);
     Observation result;
     if (command instanceof SendZoneRequest request) {
-      sendZoneRequest(host, request);
+      Optional<Engine> relay =
+          Optional.ofNullable(hostsByEndpoint.get(request.relay().endpoint()))
+              .filter(engine -> peersAreReachable && !frozen.getOrDefault(engine, false));
+      exchanges.send(host, request, relay);
       return;
     }
     if (command instanceof SendZoneReply reply) {
-      sendZoneReply(reply);
+      exchanges.reply(reply);
       return;
     }
     storeCalls++;
@@ -277,12 +281,8 @@
           new ServerListRead(
               reachable ? Optional.of(List.copyOf(entries.values())) : Optional.empty());
     } else if (command instanceof OrderPromotion order) {
-      promotions.add(order);
-      term = statuses.values().stream().mapToLong(Status::term).reduce(term, Math::max) + 1;
-      statuses.computeIfPresent(
-          order.server().id(), (id, old) -> new Status(true, term, old.received()));
-      reportRoles(order.server().id());
-      result = new PromotionOrderAnswered(order.server().id(), true);
+      order(host, order);
+      return;
     } else if (command instanceof ReadServerStatus read) {
       BackendServerId id = read.server().id();
       result = new ServerStatusRead(id, Optional.ofNullable(statuses.get(id)));
@@ -292,32 +292,32 @@
     host.loop().post(result);
   }
 
-  private void sendZoneRequest(Engine host, SendZoneRequest command) {
-    long exchangeId = ++nextExchangeId;
-    pendingRequests.put(exchangeId, new PendingRequest(host, command, clock.now()));
-    Engine relay = hostsByEndpoint.get(command.relay().endpoint());
-    if (peersAreReachable && relay != null && !frozen.getOrDefault(relay, false)) {
-      relay.loop().post(new ZoneRequestReceived(exchangeId, command.request()));
+  private void order(Engine host, OrderPromotion order) {
+    BackendServerId server = order.server().id();
+    promotions.add(order);
+    boolean isDelayed = promotionsToDelay > 0;
+    if (isDelayed) {
+      promotionsToDelay--;
+      scheduler.schedule(PROMOTION_DELAY, () -> promote(server));
+    } else {
+      promote(server);
     }
-    scheduler.schedule(PEER_TIMEOUT, () -> end(exchangeId, Optional.empty()));
+    scheduler.schedule(
+        isDelayed ? CALL_TIMEOUT : Duration.ZERO,
+        () -> host.loop().post(new PromotionOrderAnswered(server, !isDelayed)));
   }
 
-  private void sendZoneReply(SendZoneReply command) {
-    end(command.exchangeId(), Optional.of(command.reply()));
-  }
-
-  private void end(long exchangeId, Optional<ZoneReply> reply) {
-    PendingRequest ended = pendingRequests.remove(exchangeId);
-    if (ended != null) {
-      ended
-          .host()
-          .loop()
-          .post(new ZoneRequestEnded(ended.command(), reply, ended.sentAt(), clock.now()));
+  private void promote(BackendServerId server) {
+    term = statuses.values().stream().mapToLong(Status::term).reduce(term, Math::max);
+    Status status = statuses.get(server);
+    if (status != null && status.primary() && status.term() == term) {
+      return;
     }
+    term++;
+    statuses.computeIfPresent(server, (id, old) -> new Status(true, term, old.received()));
+    reportRoles(server);
   }
 
-  private record PendingRequest(Engine host, SendZoneRequest command, MonotonicTime sentAt) {}
-
   /** Updates the server entries at once, so that only the given server claims to be the primary. */
   private void reportRoles(BackendServerId primary) {
     entries.replaceAll(
