--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/HeldLease.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/HeldLease.java
@@ -1,7 +1,9 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
-import org.persimmonwalk.engine.SuspensionDetector;
+import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.control.OrderPromotion;
+import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -27,12 +29,12 @@
 
   /** Returns whether the deadline for an order has passed. */
   boolean isTooOldToOrder(MonotonicTime now) {
-    return now.since(takenAt).compareTo(ORDER_DEADLINE) > 0;
+    return now.since(takenAt).compareTo(ORDER_DEADLINE) >= 0;
   }
 
-  /** Returns whether a promotion may be ordered now. */
-  boolean allowsOrder(MonotonicTime now, SuspensionDetector suspension) {
-    return !takenAt.isBefore(suspension.lastResumedAt()) && !isTooOldToOrder(now);
+  /** Returns the order to promote a server under this lease. */
+  OrderPromotion order(ServerEntry server, EntryHostId host) {
+    return new OrderPromotion(server, host, fencingToken, takenAt, takenAt.plus(ORDER_DEADLINE));
   }
 
   boolean hasExpired(MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -332,14 +332,15 @@
    * still take effect, which this host and the next holder of the lease have to know.
    */
   private void order(Blackboard blackboard, MonotonicTime now) {
-    if (!lease.allowsOrder(now, suspension)) {
+    OrderPromotion order = lease.order(target, settings.host());
+    if (!order.maySend(now, suspension.lastResumedAt())) {
       enter(Stage.TAKE_LEASE, now);
       return;
     }
     PromotionRecord record = group.record(blackboard);
     if (record.isOrdered(leadershipVersion, target)) {
       enter(Stage.ORDERED, now);
-      blackboard.submit(new OrderPromotion(target, settings.host(), lease.fencingToken()));
+      blackboard.submit(order);
       return;
     }
     submit(
