Decide about a promotion in a class of its own and log each decision

PromotionDecision takes the decision from the poll and its circumstances, without input or output, and logs it as promotion-decided when it differs from the last one. A row of promotions that can't be read has a test.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -41,15 +41,6 @@
 
   static final Duration RETRY_PAUSE = Duration.ofMillis(80);
 
-  /** How long a planned replacement waits until a replica has received the whole log. */
-  static final Duration CATCH_UP_TIMEOUT = Duration.ofMillis(800);
-
-  /**
-   * How long a promotion waits for the replicas that don't answer if those that do lack the newest
-   * term. A busy replica refuses to tell its status.
-   */
-  static final Duration LOG_WAIT = Duration.ofMillis(3000);
-
   static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(120);
 
   /**
@@ -77,6 +68,7 @@
   private MonotonicTime stageSince;
   private MonotonicTime nextStepAt;
   private ServerEntry target;
+  private PromotionDecision lastDecision;
   private long targetTerm;
 
   /** The newest term before the order; the promoted server leads a newer one. */
@@ -123,6 +115,7 @@
     leadershipVersion = version;
     pendingSerial = 0;
     begunAt = now;
+    lastDecision = null;
     enter(Stage.TAKE_LEASE, now);
     log.write(
         "promotion-started",
@@ -286,45 +279,41 @@
   }
 
   private void decide(Blackboard blackboard, StatusPoll poll, MonotonicTime now) {
-    boolean planned = leadership.phase() == Leadership.Phase.SWITCHING;
-    PromotionRecord record = group.record(blackboard);
-    int synchronousReplicas = group.synchronousReplicas(blackboard);
-    // A promotion that was ordered may still take effect, so the old primary can't stay.
-    boolean oldPrimaryMayStay = !planned && !record.isOrderPending(leadershipVersion);
-    Optional<ServerEntry> currentPrimary = poll.currentPrimary(oldPrimaryMayStay);
-    if (currentPrimary.isPresent()) {
-      target = currentPrimary.get();
-      targetTerm = statuses.get(target.id()).orElseThrow().term();
-      enter(Stage.RECORD, now);
-      return;
+    PromotionDecision decision =
+        PromotionDecision.of(
+            poll,
+            new PromotionDecision.Circumstances(
+                leadership.phase() == Leadership.Phase.SWITCHING,
+                leadershipVersion,
+                group.record(blackboard),
+                group.synchronousReplicas(blackboard),
+                now.since(stageSince),
+                now.since(begunAt)));
+    if (!decision.equals(lastDecision)) {
+      lastDecision = decision;
+      decision.write(log, group.id(), poll);
     }
-    Optional<ServerEntry> best =
-        poll.mostAdvanced(synchronousReplicas)
-            .map(
-                entry ->
-                    poll.orderedBefore(record, leadershipVersion, synchronousReplicas, entry)
-                        .orElse(entry));
-    // With synchronous replicas the old primary may hold commits of an earlier term that were
-    // acknowledged and that no other server has.
-    boolean mayWaitForCatchUp =
-        synchronousReplicas > 0 || now.since(stageSince).compareTo(CATCH_UP_TIMEOUT) < 0;
-    boolean isWaitingForLog =
-        now.since(begunAt).compareTo(LOG_WAIT) < 0 && best.filter(poll::mayLackCommits).isPresent();
-    boolean isWaitingForCatchUp =
-        planned && mayWaitForCatchUp && best.filter(poll::isOldPrimaryAheadOf).isPresent();
-    if (isWaitingForCatchUp || isWaitingForLog || best.isEmpty()) {
-      statuses.clear();
-      requestCount = 0;
-      nextStepAt = now.plus(RETRY_PAUSE);
-      if (lease.isTooOldToOrder(now)) {
-        enter(Stage.TAKE_LEASE, now);
+    switch (decision.action()) {
+      case RECORD -> {
+        target = decision.server().orElseThrow();
+        targetTerm = statuses.get(target.id()).orElseThrow().term();
+        enter(Stage.RECORD, now);
+      }
+      case ORDER -> {
+        target = decision.server().orElseThrow();
+        newestTerm = poll.newestTerm();
+        enter(Stage.ANNOUNCE_ORDER, now);
+        order(blackboard, now);
+      }
+      default -> {
+        statuses.clear();
+        requestCount = 0;
+        nextStepAt = now.plus(RETRY_PAUSE);
+        if (lease.isTooOldToOrder(now)) {
+          enter(Stage.TAKE_LEASE, now);
+        }
       }
-      return;
     }
-    newestTerm = poll.newestTerm();
-    target = best.get();
-    enter(Stage.ANNOUNCE_ORDER, now);
-    order(blackboard, now);
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
@@ -25,6 +25,7 @@
     BackendServerId oldPrimary,
     long recordedTerm) {
 
+  /** Returns a poll. Answers of other servers, such as late ones of another group, are left out. */
   static StatusPoll of(
       Map<BackendServerId, ServerEntry> servers,
       Map<BackendServerId, ServerEntry> lapsed,
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/UnreadableRowTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/UnreadableRowTest.java
@@ -109,6 +109,22 @@
         .isEqualTo(Map.of("host1", 500L, "host5", 600L));
   }
 
+  /** Guards against a group without a primary because nobody can read what was ordered before. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "3", "3 x s3 1", "99999999999999999999 0 none 0", "3 0 none 0 1"})
+  void shouldPromoteWhenTheRecordOfPromotionsIsUnreadable(String text) {
+    EngineFixture fixture = new EngineFixture(3);
+    fixture.statuses.put(REPLICA, new ServerStatusRead.Status(false, 3, TermPosition.of(3, 100)));
+    fixture.write(PromotionRecord.row(EngineFixture.GROUP), text);
+    fixture.write(Leadership.row(EngineFixture.GROUP), "MOVING s1 1 0");
+    fixture.run(Duration.ofSeconds(8));
+
+    assertThat(fixture.promotions).hasSize(1);
+    assertThat(fixture.hosts).allMatch(host -> REPLICA.equals(primaryOf(fixture, host)));
+    assertThat(fixture.events)
+        .anyMatch(event -> event.startsWith("row-unreadable") && event.contains("promotion"));
+  }
+
   /** Guards against an exception in the control thread because of a row of blanks. */
   @ParameterizedTest
   @ValueSource(strings = {"", " ", "   "})
@@ -150,6 +166,7 @@
             "STABLE s1 1700000000000 0".getBytes(StandardCharsets.UTF_8),
             "SWITCHING s1 1700000000000 88000".getBytes(StandardCharsets.UTF_8),
             "host1 12 88000".getBytes(StandardCharsets.UTF_8),
+            "4 120 s3 1700000000000".getBytes(StandardCharsets.UTF_8),
             "host1 10.1.0.9:7560".getBytes(StandardCharsets.UTF_8),
             "s1/1 host1@500 host2@600".getBytes(StandardCharsets.UTF_8),
             "70.25 1000 host1 7 1000 3 2.0 host2 0 900 1 0.5".getBytes(StandardCharsets.UTF_8)));
@@ -168,6 +185,7 @@
           assertThat(Leadership.parse(row)).isPresent();
           assertThat(PromotionLease.nextFencingToken(row)).isPositive();
           PromotionLease.isFree(row, 1000);
+          assertThat(PromotionRecord.parse(row)).isNotNull();
           RelayHost.parse(row.value());
           UnreachableReports.parse(row.value(), server);
           double tokens =
