Leave the answers of other groups' servers out of a poll

A late answer of another group's server, with a higher term, kept a promotion from being confirmed for as long as such answers came. OldPrimaryTest.shouldLeaveOutTheAnswersOfServersOfOtherGroups failed before and passes now.

Refusals at the end of a session go through the same log line and counter as the others.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -32,8 +33,10 @@
       Map<BackendServerId, Optional<Status>> statuses,
       BackendServerId oldPrimary,
       long recordedTerm) {
+    Map<BackendServerId, Optional<Status>> own = new HashMap<>(statuses);
+    own.keySet().removeIf(id -> !servers.containsKey(id) && !lapsed.containsKey(id));
     return new StatusPoll(
-        Map.copyOf(servers), Map.copyOf(lapsed), Map.copyOf(statuses), oldPrimary, recordedTerm);
+        Map.copyOf(servers), Map.copyOf(lapsed), Map.copyOf(own), oldPrimary, recordedTerm);
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -127,22 +127,11 @@
 
   /** Refuses the statements that are still queued and closes the caller's connection. */
   private void end(String reason) {
-    String detail = reason + "; connect to another host; not run";
+    SessionAdmission.Refusal refusal =
+        SessionAdmission.overloaded(reason + "; connect to another host; not run");
     while (!queue.isEmpty()) {
-      RequestId id = queue.pollFirst().id();
-      context
-          .log()
-          .write(
-              "operation-refused",
-              "request",
-              id,
-              "workspace",
-              identity.workspace(),
-              "code",
-              FailureCode.OVERLOADED,
-              "detail",
-              detail);
-      caller.answer(Answer.failed(FailureCode.OVERLOADED, detail, SessionState.IDLE));
+      admission.logRefusal(this, queue.pollFirst().id(), refusal);
+      caller.answer(Answer.failed(refusal.code(), refusal.detail(), SessionState.IDLE));
     }
     closed = true;
     caller.close();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
@@ -64,7 +64,7 @@
         });
   }
 
-  private static Refusal overloaded(String detail) {
+  static Refusal overloaded(String detail) {
     return new Refusal(FailureCode.OVERLOADED, detail);
   }
 
@@ -105,6 +105,12 @@
   }
 
   private void refuse(Session session, RequestId id, Refusal refusal) {
+    logRefusal(session, id, refusal);
+    session.fail(refusal.code(), refusal.detail());
+  }
+
+  /** Logs and counts an operation that is refused as not run. */
+  void logRefusal(Session session, RequestId id, Refusal refusal) {
     context.meter().count("operation.refused." + refusal.code());
     context
         .log()
@@ -120,7 +126,6 @@
             context.entry(EngineEntries.CONFIGURATION).version(),
             "detail",
             refusal.detail());
-    session.fail(refusal.code(), refusal.detail());
   }
 
   record Refusal(FailureCode code, String detail) {}
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/OldPrimaryTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/OldPrimaryTest.java
@@ -6,6 +6,7 @@
 import static org.persimmonwalk.internal.engine.control.PromotionScenario.SHORT_LOG_REPLICA;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.ServerEntry;
@@ -13,6 +14,7 @@
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.testing.EngineFixture;
+import org.persimmonwalk.id.BackendServerId;
 
 /** Guards against using a server as primary after the promotion of another one. */
 class OldPrimaryTest {
@@ -55,10 +57,7 @@
    */
   @Test
   void shouldNotRecordAPrimaryOfAnOlderTerm() {
-    scenario.reportUnreachable(4);
-    scenario.runUntilPromotions(1);
-    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
-    fixture.run(Duration.ofSeconds(4));
+    replaceAPrimaryThatGoesOn();
     assertThat(fixture.hosts).allMatch(host -> LONG_LOG_REPLICA.equals(scenario.primaryOf(host)));
 
     // The successor crashes; only the other replica knows its term.
@@ -78,10 +77,7 @@
   /** Guards against the same while the only server that knows the newer term doesn't answer. */
   @Test
   void shouldNotRecordAPrimaryOfAnOlderTermThatAnswersAlone() {
-    scenario.reportUnreachable(4);
-    scenario.runUntilPromotions(1);
-    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
-    fixture.run(Duration.ofSeconds(4));
+    replaceAPrimaryThatGoesOn();
     fixture.statuses.remove(LONG_LOG_REPLICA);
     fixture.statuses.remove(SHORT_LOG_REPLICA);
     ServerEntry crashed = fixture.entries.get(LONG_LOG_REPLICA);
@@ -100,10 +96,7 @@
   /** Guards against a group without a primary for good when the other replicas never answer. */
   @Test
   void shouldPromoteAServerOfAnOlderTermWhenNoOtherAnswers() {
-    scenario.reportUnreachable(4);
-    scenario.runUntilPromotions(1);
-    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
-    fixture.run(Duration.ofSeconds(4));
+    replaceAPrimaryThatGoesOn();
     fixture.statuses.remove(LONG_LOG_REPLICA);
     fixture.statuses.remove(SHORT_LOG_REPLICA);
     ServerEntry crashed = fixture.entries.get(LONG_LOG_REPLICA);
@@ -119,10 +112,7 @@
   /** Guards against the same in a planned replacement whose present primary doesn't answer. */
   @Test
   void shouldNotRecordAPrimaryOfAnOlderTermInAPlannedReplacement() {
-    scenario.reportUnreachable(4);
-    scenario.runUntilPromotions(1);
-    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
-    fixture.run(Duration.ofSeconds(4));
+    replaceAPrimaryThatGoesOn();
     scenario.setDraining(LONG_LOG_REPLICA);
     fixture.statuses.remove(LONG_LOG_REPLICA);
     fixture.statuses.put(
@@ -165,6 +155,25 @@
         .anyMatch(event -> event.startsWith("primary-recorded") && event.contains("s3"));
   }
 
+  /**
+   * Guards against a term of another group, whose servers answered late, that no server reaches.
+   */
+  @Test
+  void shouldLeaveOutTheAnswersOfServersOfOtherGroups() {
+    ServerStatusRead late =
+        new ServerStatusRead(
+            BackendServerId.of("x1"),
+            Optional.of(new ServerStatusRead.Status(true, 99, TermPosition.of(99, 1))));
+    scenario.reportUnreachable(4);
+    for (int i = 0; i < 300; i++) {
+      fixture.hosts.forEach(host -> host.loop().post(late));
+      fixture.run(Duration.ofMillis(20));
+    }
+
+    assertThat(fixture.promotions).hasSize(1);
+    assertThat(fixture.hosts).allMatch(host -> LONG_LOG_REPLICA.equals(scenario.primaryOf(host)));
+  }
+
   /** Guards against losing the commits of a primary that returns before anything was ordered. */
   @Test
   void shouldKeepAPrimaryThatReturnsBeforeAPromotionIsOrdered() {
@@ -176,4 +185,12 @@
     assertThat(fixture.promotions).isEmpty();
     assertThat(fixture.hosts).allMatch(host -> PRIMARY.equals(scenario.primaryOf(host)));
   }
+
+  /** The replaced primary can't reach its successor and goes on in its old term. */
+  private void replaceAPrimaryThatGoesOn() {
+    scenario.reportUnreachable(4);
+    scenario.runUntilPromotions(1);
+    fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
+    fixture.run(Duration.ofSeconds(4));
+  }
 }
