Leave out positions of requests sent before a server was the primary

What callers would see: reads with bounded staleness that miss commits acknowledged longer ago than the bound allows.

Cause: a position counts as covering every commit acknowledged before its request was sent if its server is the primary when the answer arrives. A lagging replica whose answer is held up while it is promoted, and its promotion becomes known, returned a position without the part of the log it had received but not applied. Other replicas were then asked for no more than that.

Evidence: BoundedReadTest failed before (s3 got a read that required 3.50 while the primary had acknowledged 3.100) and passes now; 155 other tests of the engine pass.

Why the fix works: the host remembers since when it has known the primary, so a position counts only if the server was the primary from the request to the answer.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -21,7 +21,7 @@
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
-  private final Map<DatabaseGroupId, ServerEntry> primaries = new HashMap<>();
+  private final Map<DatabaseGroupId, KnownPrimary> primaries = new HashMap<>();
 
   ServerPools(TrafficContext context) {
     this.context = context;
@@ -78,9 +78,18 @@
     return candidates;
   }
 
+  /**
+   * Records the position only if the server was the primary when the request was sent: a server
+   * that answered before its promotion may have lacked acknowledged commits.
+   */
   @Override
   public void positionSeen(ServerEntry server, TermPosition position, MonotonicTime sentAt) {
-    if (context.isPrimary(server)) {
+    boolean wasPrimary =
+        Optional.ofNullable(primaries.get(server.group()))
+            .filter(known -> known.server().sameProcess(server))
+            .filter(known -> !sentAt.isBefore(known.since()))
+            .isPresent();
+    if (wasPrimary && context.isPrimary(server)) {
       history(server.group()).add(sentAt, position);
     }
   }
@@ -106,16 +115,15 @@
             });
     context
         .entry(EngineEntries.PRIMARIES)
-        .forEach(
-            (group, view) ->
-                view.server()
-                    .ifPresent(
-                        server -> {
-                          ServerEntry old = primaries.put(group, server);
-                          if (old != null && !old.sameProcess(server)) {
-                            history(group).clear();
-                          }
-                        }));
+        .forEach((group, view) -> view.server().ifPresent(server -> setPrimary(group, server)));
+  }
+
+  private void setPrimary(DatabaseGroupId group, ServerEntry server) {
+    KnownPrimary old = primaries.get(group);
+    if (old == null || !old.server().sameProcess(server)) {
+      history(group).clear();
+      primaries.put(group, new KnownPrimary(server, context.now()));
+    }
   }
 
   /** Reports unresponsive servers to the control thread and closes idle connections. */
@@ -133,4 +141,11 @@
         });
     retired.removeIf(ServerPool::isEmpty);
   }
+
+  /**
+   * The last primary of a group that this host has known.
+   *
+   * @param since when the traffic thread heard that the server is the primary
+   */
+  private record KnownPrimary(ServerEntry server, MonotonicTime since) {}
 }
