Use no primary of an added group before its row was verified

What callers would see: after a manifest adds a group whose primary was replaced before, stale reads and lost writes at the old primary, until the row of the group has been read.

Cause: the verification of the other groups, younger than 3 s, also let the host use the added group, whose unread leadership row looked absent, so that the server that calls itself primary was taken. The relay passed the age of that verification on.

Ruled out: groups that were already known; each verification names their rows.

Why the fix works: a verification now names the groups it covers; others have no primary, are not replaced (a second test fails without that check), and make the relay withhold the age.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -26,6 +26,10 @@
   public static final EntryKey<Optional<MonotonicTime>> VERIFIED_AT =
       EntryKey.of("verified at", Optional.empty());
 
+  /** The groups whose leadership rows that verification covered. */
+  public static final EntryKey<Set<DatabaseGroupId>> VERIFIED_GROUPS =
+      EntryKey.of("verified groups", Set.of());
+
   /** The newest content of each row of the store that this host has seen. */
   public static final EntryKey<Map<RowKey, StoredRow>> STORE_ROWS = EntryKey.of("rows", Map.of());
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
@@ -20,7 +20,8 @@
 
 /**
  * Derives the primary of each group from its leadership row, or from the servers' own entries while
- * the row doesn't exist. Writes the primaries entry.
+ * the row doesn't exist. A group whose row hasn't been verified has no primary yet. Writes the
+ * primaries entry.
  */
 public final class PrimaryViewController implements Controller {
   private final DecisionLog log;
@@ -66,6 +67,10 @@
   }
 
   private PrimaryView view(Blackboard blackboard, DatabaseGroupId group, MonotonicTime now) {
+    // The row of a group that a new configuration has added is not known before it is verified.
+    if (!blackboard.get(EngineEntries.VERIFIED_GROUPS).contains(group)) {
+      return PrimaryView.NONE;
+    }
     Optional<Leadership> row = Leadership.parse(KnownRows.row(blackboard, Leadership.row(group)));
     if (row.isEmpty()) {
       return stable(listedOrLastSeen(group, selfDeclaredPrimary(blackboard, group), now));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -76,9 +76,9 @@
     if (!isVerified || blackboard.get(EngineEntries.STOPPING)) {
       return;
     }
-    for (DatabaseGroupId group : blackboard.get(EngineEntries.CONFIGURATION).groups().keySet()) {
-      checkGroup(blackboard, group, context);
-    }
+    blackboard.get(EngineEntries.CONFIGURATION).groups().keySet().stream()
+        .filter(blackboard.get(EngineEntries.VERIFIED_GROUPS)::contains)
+        .forEach(group -> checkGroup(blackboard, group, context));
   }
 
   private void checkGroup(Blackboard blackboard, DatabaseGroupId group, RoundContext context) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -27,8 +27,8 @@
 /**
  * Verifies regularly that the configuration and the leadership rows known here are the newest. Each
  * verification is a transaction that expects the known versions and writes nothing; a conflict
- * returns the current rows. Writes the entries for the rows, the configuration, the store's time
- * and the verification time.
+ * returns the current rows. Writes the entries for the rows, the configuration, the store's time,
+ * the verification time and the groups that it covers.
  */
 public final class VerificationController implements Controller {
   /** The interval while a group has no primary, so that a new primary is seen soon. */
@@ -246,6 +246,9 @@
     Optional<MonotonicTime> verified = blackboard.get(EngineEntries.VERIFIED_AT);
     if (verified.isEmpty() || verified.get().isBefore(sentAt)) {
       blackboard.put(EngineEntries.VERIFIED_AT, Optional.of(sentAt));
+      blackboard.put(
+          EngineEntries.VERIFIED_GROUPS,
+          blackboard.get(EngineEntries.CONFIGURATION).groups().keySet());
     }
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -135,14 +135,16 @@
       return ZoneReply.notRelay();
     }
     MonotonicTime resumedAt = suspension.lastResumedAt();
+    RoutingConfiguration configuration = blackboard.get(EngineEntries.CONFIGURATION);
+    boolean coversAllGroups =
+        blackboard.get(EngineEntries.VERIFIED_GROUPS).containsAll(configuration.groups().keySet());
     Optional<Duration> verifiedAge =
         blackboard
             .get(EngineEntries.VERIFIED_AT)
-            .filter(at -> !at.isBefore(resumedAt))
+            .filter(at -> coversAllGroups && !at.isBefore(resumedAt))
             .map(now::since);
     ZoneRequest request = received.request();
     long configurationRowVersion = KnownRows.version(blackboard, RowKey.CONFIGURATION);
-    RoutingConfiguration configuration = blackboard.get(EngineEntries.CONFIGURATION);
     boolean hasNewerConfiguration =
         configurationRowVersion > request.knownVersions().getOrDefault(RowKey.CONFIGURATION, 0L);
     return new ZoneReply(
