--- a/engine/src/main/java/org/persimmonwalk/engine/Statement.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Statement.java
@@ -29,4 +29,11 @@
 
   /** Text that is not a valid statement. */
   record Unknown(String text) implements Statement {}
+
+  /**
+   * Input that can't be divided into statements, so that the session ends.
+   *
+   * @param detail what the caller is told
+   */
+  record Invalid(String detail) implements Statement {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -183,6 +183,10 @@
   }
 
   private void dispatch(RequestId id, Statement statement) {
+    if (statement instanceof Statement.Invalid invalid) {
+      rejectInput(invalid.detail());
+      return;
+    }
     boolean failed = state() == SessionState.FAILED_TRANSACTION;
     if (failed
         && !(statement instanceof Statement.Rollback || statement instanceof Statement.Commit)) {
@@ -212,6 +216,13 @@
     }
   }
 
+  private void rejectInput(String detail) {
+    context.log().write("session-cut-off", "reason", detail);
+    caller.answer(Answer.failed(FailureCode.MALFORMED, detail, SessionState.IDLE));
+    callerDisconnected();
+    caller.close();
+  }
+
   private void deallocate(Statement.Deallocate deallocate) {
     if (preparedStatements.remove(deallocate.name()) == null) {
       fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + deallocate.name());
