Go on with the periodic work of a traffic thread after a failure

Cause: ServerPools.tick walked over the pools while a timed-out connection failed its waiting read, which turned to a newly listed server and added a pool; Sessions.tick scheduled its next run last.

Ruled out: the control thread, which goes on after a failed round. Not covered: the reload of certificates in entryhost.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -128,17 +128,19 @@
 
   /** Reports unresponsive servers to the control thread and closes idle connections. */
   void tick(MonotonicTime now) {
-    for (ServerPool pool : pools.values()) {
+    // A request whose connection times out here may turn to a server that has no pool yet.
+    for (ServerPool pool : List.copyOf(pools.values())) {
       pool.tick(now);
       if (pool.health().isUnreachable(now)) {
         context.post(new ServerUnreachable(pool.server()));
       }
     }
-    retired.forEach(
-        pool -> {
-          pool.retire();
-          pool.tick(now);
-        });
+    List.copyOf(retired)
+        .forEach(
+            pool -> {
+              pool.retire();
+              pool.tick(now);
+            });
     retired.removeIf(ServerPool::isEmpty);
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -64,7 +64,7 @@
 
   /** Schedules the periodic work on the traffic thread. */
   public void start() {
-    context.scheduler().schedule(TICK_INTERVAL, this::tick);
+    PeriodicWork.start(context, TICK_INTERVAL, this::tick);
   }
 
   /**
@@ -204,7 +204,6 @@
           .write(verified ? "keys-verified" : "keys-unverified", "sessions", sessions.size());
       keysWereVerified = verified;
     }
-    context.scheduler().schedule(TICK_INTERVAL, this::tick);
   }
 
   /** An open request that waits until the host has a configuration. */
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeCaller.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeCaller.java
@@ -14,6 +14,7 @@
   private final List<Answer> answers = new ArrayList<>();
   private Optional<Failure> refusal = Optional.empty();
   private boolean closed;
+  private Optional<RuntimeException> closeFailure = Optional.empty();
   private Runnable onAnswer = () -> {};
 
   @Override
@@ -36,8 +37,17 @@
     onAnswer = action;
   }
 
+  /** Makes each close fail. */
+  public void failOnClose(RuntimeException failure) {
+    closeFailure = Optional.of(failure);
+  }
+
   @Override
   public void close() {
+    closeFailure.ifPresent(
+        failure -> {
+          throw failure;
+        });
     closed = true;
   }
 
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.persimmonwalk.engine.Answer;
@@ -21,6 +23,7 @@
 public final class FakeServers implements BackendConnector {
   private final List<Sent> sent = new ArrayList<>();
   private final List<BackendListener> open = new ArrayList<>();
+  private final Set<BackendServerId> ignoring = new HashSet<>();
   private Function<Sent, Optional<Answer>> behaviour = FakeServers::succeed;
   private TermPosition position = TermPosition.of(3, 100);
   private Consumer<Runnable> delivery = Runnable::run;
@@ -55,6 +58,11 @@
     delivery = answer -> scheduler.schedule(delay, answer);
   }
 
+  /** Makes a server leave new connections unanswered. */
+  public void ignoreConnections(BackendServerId server) {
+    ignoring.add(server);
+  }
+
   /** Returns the answer that servers give by default. */
   public Optional<Answer> success(Sent statement) {
     return succeed(statement);
@@ -101,6 +109,9 @@
           }
         };
     open.add(listener);
+    if (ignoring.contains(server.id())) {
+      return connection;
+    }
     listener.opened(connection, Optional.of(position));
     return connection;
   }
