Give up connections that go silent in a transaction

Cause: ROLLBACK and the setup of a connection in an open transaction had no time limit.

Ruled out: statements, COMMIT and the first statement of a transaction, which have the route's timeout.

Why the fix works: both have the route's statement timeout; closing the connection rolls the transaction back, so the answer ABORTED is true.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -59,20 +59,45 @@
     withConnection(
         id,
         () ->
-            ConnectionSetup.run(
-                connection,
-                Map.copyOf(session.variables()),
+            setUp(
                 template,
-                ready -> {
-                  if (ready) {
-                    wrote |= write;
-                    send(id, action, context.now().plus(route.statementTimeout()));
-                  } else {
-                    failAborted("the session could not be set up on the server connection");
-                  }
+                () -> {
+                  wrote |= write;
+                  send(id, action, context.now().plus(route.statementTimeout()));
                 }));
   }
 
+  /**
+   * Prepares the connection for a statement and then runs the action. Fails the transaction if the
+   * server refuses, or gives no answer within the statement timeout.
+   */
+  private void setUp(Optional<StatementTemplate> template, Runnable action) {
+    Runnable cancelTimeout =
+        context
+            .scheduler()
+            .schedule(
+                route.statementTimeout(),
+                () -> failSetUp("within " + route.statementTimeout().toMillis() + " ms"));
+    ConnectionSetup.run(
+        connection,
+        Map.copyOf(session.variables()),
+        template,
+        ready -> {
+          cancelTimeout.run();
+          if (ready) {
+            action.run();
+          } else {
+            failSetUp("on the server connection");
+          }
+        });
+  }
+
+  private void failSetUp(String detail) {
+    if (!ended) {
+      failAborted("the session could not be set up " + detail);
+    }
+  }
+
   private void withConnection(RequestId id, Runnable action) {
     if (route.kind() == RouteKind.PRIMARY || !readOnly) {
       if (connection != null && !context.isPrimary(connection.server())) {
@@ -207,7 +232,8 @@
 
   /**
    * Rolls back and releases the connection, without an answer to the caller. A connection with an
-   * unanswered statement is discarded instead, which rolls back too.
+   * unanswered statement, or one that leaves the rollback unanswered, is discarded instead, which
+   * rolls back too.
    */
   void abandon() {
     ended = true;
@@ -220,11 +246,21 @@
       used.discard();
       return;
     }
+    Runnable cancelTimeout =
+        context
+            .scheduler()
+            .schedule(
+                route.statementTimeout(),
+                () -> {
+                  context.log().write("rollback-unanswered", "server", used.server().id());
+                  used.discard();
+                });
     used.send(
         BackendStatement.internal(new BackendStatement.Rollback()),
         new PooledConnection.StatementListener() {
           @Override
           public void answered(Answer answer, MonotonicTime sentAt) {
+            cancelTimeout.run();
             if (answer.succeeded() && answer.state() == SessionState.IDLE) {
               used.release();
             } else {
@@ -234,6 +270,7 @@
 
           @Override
           public void lost(String reason) {
+            cancelTimeout.run();
             context.log().write("rollback-lost", "server", used.server().id(), "reason", reason);
           }
         });
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -36,6 +36,12 @@
       return statement.action() instanceof BackendStatement.Text passed
           && passed.text().equals(text);
     }
+
+    /** Returns whether the statement is a write in a caller's own words. */
+    public boolean isWrite() {
+      return statement.action() instanceof BackendStatement.Text passed
+          && passed.text().startsWith("WRITE");
+    }
   }
 
   private static Optional<Answer> succeed(Sent sent) {
@@ -73,6 +79,11 @@
     return sent;
   }
 
+  /** Returns how many connections are open. */
+  public int openConnections() {
+    return open.size();
+  }
+
   /** Closes all connections from the server side. */
   public void cutAll() {
     List.copyOf(open).forEach(listener -> listener.closed("cut by the test"));
