Log what happens to rate tokens at each host

The log told neither whether tokens lapse unused, conflicts delay them, or lenders have none.

A line every 5 s gives tokens taken, lent, granted and lapsed, calls, conflicts and unmet requests; another one the time from the start of a process to its first token. RateTest.shouldLogWhatHappenedToTheTokens. No decision changes.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -34,6 +34,7 @@
 public final class RateController implements Controller {
   private final EngineSettings settings;
   private final SuspensionDetector suspension;
+  private final TokenStatistics statistics;
   private final TokenPools pools;
   private final Map<WorkspaceId, WorkspaceTokens> workspaces = new TreeMap<>();
   private int activeHostsAtRelay = 1;
@@ -41,7 +42,8 @@
   private RateController(EngineSettings settings, DecisionLog log, SuspensionDetector suspension) {
     this.settings = settings;
     this.suspension = suspension;
-    this.pools = new TokenPools(settings, log);
+    this.statistics = new TokenStatistics(log);
+    this.pools = new TokenPools(settings, log, statistics);
   }
 
   /** Returns a controller that holds no tokens. */
@@ -54,6 +56,7 @@
   public void run(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
     MonotonicTime resumedAt = suspension.lastResumedAt();
+    statistics.writeIfDue(now);
     blackboard
         .observations(WorkspaceDemand.class)
         .forEach(
@@ -61,10 +64,14 @@
                 workspaces
                     .computeIfAbsent(reported.workspace(), unused -> new WorkspaceTokens(now))
                     .recordDemand(reported, now));
-    blackboard.observations(ZoneRequestEnded.class).forEach(this::applyLoans);
+    blackboard.observations(ZoneRequestEnded.class).forEach(ended -> applyLoans(ended, now));
     pools.handleAnswers(blackboard, now);
     pools.dropExpired(now, resumedAt);
-    workspaces.values().forEach(tokens -> tokens.dropExpired(now, resumedAt));
+    workspaces
+        .values()
+        .forEach(
+            tokens ->
+                statistics.add(TokenStatistics.Count.LAPSED, tokens.dropExpired(now, resumedAt)));
     lendToOthers(blackboard, now, resumedAt);
     if (blackboard.get(EngineEntries.RELAY_ROLE).isClient()) {
       lendToSelf(now, resumedAt, pools::hasTokens);
@@ -78,7 +85,7 @@
     }
   }
 
-  private void applyLoans(ZoneRequestEnded ended) {
+  private void applyLoans(ZoneRequestEnded ended, MonotonicTime now) {
     ended.command().request().tokenRequests().stream()
         .map(TokenRequest::workspace)
         .filter(workspaces::containsKey)
@@ -91,10 +98,15 @@
               activeHostsAtRelay = reply.activeHosts();
               reply.loans().stream()
                   .filter(loan -> workspaces.containsKey(loan.workspace()))
-                  .forEach(loan -> workspaces.get(loan.workspace()).grant(loan, ended.sentAt()));
+                  .forEach(loan -> grant(loan, ended.sentAt(), now));
             });
   }
 
+  private void grant(TokenLoan loan, MonotonicTime requestedAt, MonotonicTime now) {
+    workspaces.get(loan.workspace()).grant(loan, requestedAt);
+    statistics.addGranted(loan.tokens(), now);
+  }
+
   private void lendToOthers(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
     Map<Long, List<TokenLoan>> lent = new HashMap<>();
     if (blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY) {
@@ -124,7 +136,7 @@
         (workspace, tokens) -> {
           if (tokens.needsTokens(now) && canLend.test(workspace)) {
             TokenRequest request = tokens.request(workspace, now);
-            tokens.grant(pools.lend(settings.host(), request, now, resumedAt), now);
+            grant(pools.lend(settings.host(), request, now, resumedAt), now, now);
           }
         });
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -92,16 +92,20 @@
 
   /**
    * Drops expired tokens and the loans of hosts without a recent request. After a suspension of the
-   * machine drops everything, because others may have taken over all its tokens meanwhile.
+   * machine drops everything, because others may have taken over all its tokens meanwhile. Returns
+   * how many tokens of the pool expired.
    */
-  void dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
+  long dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
+    long dropped = 0;
     if (!now.isBefore(validUntil) || takenAt.isBefore(resumedAt)) {
+      dropped = available;
       available = 0;
     }
     if (takenAt.isBefore(resumedAt)) {
       loans.clear();
     }
     loans.values().removeIf(loan -> loan.hasExpired(now));
+    return dropped;
   }
 
   /** Returns whether tokens can be lent. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -64,23 +64,31 @@
 
   private final EngineSettings settings;
   private final DecisionLog log;
+  private final TokenStatistics statistics;
   private final Map<WorkspaceId, TokenPool> pools = new TreeMap<>();
   private Optional<MonotonicTime> startedAt = Optional.empty();
   private Attempt inFlight;
   private long serial;
 
-  TokenPools(EngineSettings settings, DecisionLog log) {
+  TokenPools(EngineSettings settings, DecisionLog log, TokenStatistics statistics) {
     this.settings = settings;
     this.log = log;
+    this.statistics = statistics;
   }
 
   TokenLoan lend(
       EntryHostId host, TokenRequest request, MonotonicTime now, MonotonicTime resumedAt) {
     boolean own = host.equals(settings.host());
     Duration maximumDuration = own ? EngineTimings.TOKEN_VALIDITY : TokenPool.MAX_LOAN_DURATION;
-    return pools
-        .computeIfAbsent(request.workspace(), unused -> new TokenPool(now))
-        .lend(host, request, maximumDuration, now, resumedAt);
+    TokenLoan loan =
+        pools
+            .computeIfAbsent(request.workspace(), unused -> new TokenPool(now))
+            .lend(host, request, maximumDuration, now, resumedAt);
+    statistics.add(TokenStatistics.Count.LENT, loan.tokens());
+    if (loan.tokens() == 0 && request.held() == 0 && request.wanted() > 0) {
+      statistics.addUnmet(request.workspace());
+    }
+    return loan;
   }
 
   boolean hasTokens(WorkspaceId workspace) {
@@ -88,7 +96,12 @@
   }
 
   void dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
-    pools.values().forEach(pool -> pool.dropExpired(now, resumedAt));
+    pools
+        .values()
+        .forEach(
+            pool ->
+                statistics.add(
+                    TokenStatistics.Count.POOL_LAPSED, pool.dropExpired(now, resumedAt)));
   }
 
   /** Returns the rate rows that the next verification should include. */
@@ -175,6 +188,7 @@
     }
     serial++;
     inFlight = new Attempt(serial, attempt, now, acquisitions);
+    statistics.add(TokenStatistics.Count.CALLS, 1);
     blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, writes));
   }
 
@@ -254,7 +268,12 @@
   private void handleAnswer(Blackboard blackboard, TransactionAnswered answer, MonotonicTime now) {
     Attempt ended = inFlight;
     inFlight = null;
-    if (answer.result() == TransactionResult.CONFLICT && ended.attempt() < MAX_ATTEMPTS) {
+    if (answer.result() == TransactionResult.CONFLICT) {
+      statistics.add(TokenStatistics.Count.CONFLICTS, 1);
+      if (ended.attempt() >= MAX_ATTEMPTS) {
+        statistics.add(TokenStatistics.Count.ABANDONED, 1);
+        return;
+      }
       acquire(blackboard, now, ended.attempt() + 1, ended.acquisitions().keySet());
       return;
     }
@@ -266,6 +285,7 @@
   }
 
   private void grant(WorkspaceId workspace, Acquisition acquisition, MonotonicTime startedAt) {
+    statistics.add(TokenStatistics.Count.TAKEN, acquisition.tokens());
     pools
         .get(workspace)
         .grant(acquisition.tokens(), acquisition.scarce(), startedAt, EngineTimings.TOKEN_VALIDITY);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -92,15 +92,19 @@
 
   /**
    * Starts a new epoch if the tokens have expired. Tokens from before a suspension of the machine
-   * count as expired, because other hosts may have taken them over meanwhile.
+   * count as expired, because other hosts may have taken them over meanwhile. Returns how many
+   * tokens expired unspent.
    */
-  void dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
+  long dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
     boolean isExpired = !now.isBefore(validUntil) || takenAt.isBefore(resumedAt);
-    if (isExpired && granted > 0) {
-      epoch++;
-      granted = 0;
-      spent = 0;
+    if (!isExpired || granted == 0) {
+      return 0;
     }
+    long dropped = remaining();
+    epoch++;
+    granted = 0;
+    spent = 0;
+    return dropped;
   }
 
   long remaining() {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -202,6 +202,22 @@
     assertThat(sendAndCountAdmitted(Duration.ofSeconds(5), 4)).isLessThanOrEqualTo((int) tolerated);
   }
 
+  /** Guards against refusals for want of a token whose cause the log doesn't tell. */
+  @Test
+  void shouldLogWhatHappenedToTheTokens() {
+    publishLimit();
+    sendAndCountAdmitted(Duration.ofSeconds(6), 3);
+
+    assertThat(fixture.events)
+        .anyMatch(event -> event.startsWith("tokens-first-granted[sinceStartMs"))
+        .anyMatch(
+            event ->
+                event.startsWith("tokens-summary[overMs")
+                    && event.contains("taken")
+                    && event.contains("unmet")
+                    && event.contains("mostUnmet, " + EngineFixture.WORKSPACE));
+  }
+
   private Engine relay() {
     return fixture.hosts.stream()
         .filter(host -> fixture.entry(host, EngineEntries.RELAY_ROLE).equals(RelayRole.RELAY))
