--- /dev/null
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenReply.java
@@ -0,0 +1,23 @@
+package org.persimmonwalk.engine.control;
+
+import java.util.List;
+
+/**
+ * A lender's reply to the token requests of a host.
+ *
+ * @param lends false if the replying host can't lend: it is not the relay of its zone, is about to
+ *     stop, or has lost the store and has no tokens left
+ * @param loans the tokens lent, one loan for each request
+ */
+public record TokenReply(boolean lends, List<TokenLoan> loans) {
+
+  /** Makes the list immutable. */
+  public TokenReply {
+    loans = List.copyOf(loans);
+  }
+
+  /** Returns the reply of a host that can't lend. */
+  public static TokenReply notLender() {
+    return new TokenReply(false, List.of());
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenRequestsReceived.java
@@ -0,0 +1,19 @@
+package org.persimmonwalk.engine.control;
+
+import java.util.List;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.id.EntryHostId;
+
+/**
+ * Token requests of another host have arrived; answered by {@link SendTokenReply}.
+ *
+ * @param exchangeId identifies the exchange, so that the transport can match the reply to it
+ */
+public record TokenRequestsReceived(long exchangeId, EntryHostId from, List<TokenRequest> requests)
+    implements Observation {
+
+  /** Makes the list immutable. */
+  public TokenRequestsReceived {
+    requests = List.copyOf(requests);
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenExchangeController.java
@@ -0,0 +1,77 @@
+package org.persimmonwalk.internal.engine.control;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.persimmonwalk.blackboard.Blackboard;
+import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.RoundContext;
+import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.RelayHost;
+import org.persimmonwalk.engine.control.SendTokenReply;
+import org.persimmonwalk.engine.control.SendTokenRequests;
+import org.persimmonwalk.engine.control.TokenRequests;
+import org.persimmonwalk.engine.control.TokenRequestsEnded;
+import org.persimmonwalk.model.MonotonicTime;
+
+/**
+ * Sends the token requests of this host to their lenders, one exchange at a time with each, and the
+ * replies to the requests that this host received as a lender. Runs after the controller that
+ * decides about them. Writes the unanswered lenders entry.
+ */
+public final class TokenExchangeController implements Controller {
+  /**
+   * Each exchange has its own timeout. This one covers an answer that is lost inside this process,
+   * which must not stop the exchanges with a lender for good.
+   */
+  static final Duration LOST_ANSWER_TIMEOUT = Duration.ofMillis(2000);
+
+  private final EngineSettings settings;
+  private final Duration exchangeInterval;
+  private final Map<RelayHost, MonotonicTime> unanswered = new HashMap<>();
+  private final Map<RelayHost, MonotonicTime> lastSentAt = new HashMap<>();
+
+  private TokenExchangeController(EngineSettings settings) {
+    this.settings = settings;
+    this.exchangeInterval = settings.timings().exchangeInterval();
+  }
+
+  /** Returns a controller that has sent nothing. */
+  public static TokenExchangeController create(EngineSettings settings) {
+    return new TokenExchangeController(settings);
+  }
+
+  @Override
+  public void run(Blackboard blackboard, RoundContext context) {
+    MonotonicTime now = context.now();
+    blackboard
+        .observations(TokenRequestsEnded.class)
+        .forEach(ended -> unanswered.remove(ended.command().lender()));
+    unanswered.values().removeIf(sentAt -> now.since(sentAt).compareTo(LOST_ANSWER_TIMEOUT) > 0);
+    reply(blackboard);
+    blackboard
+        .get(EngineEntries.TOKEN_REQUESTS)
+        .forEach((lender, requests) -> sendIfDue(blackboard, lender, requests, now));
+    lastSentAt.values().removeIf(sentAt -> now.since(sentAt).compareTo(exchangeInterval) > 0);
+    if (!unanswered.equals(blackboard.get(EngineEntries.UNANSWERED_LENDERS))) {
+      blackboard.put(EngineEntries.UNANSWERED_LENDERS, Map.copyOf(unanswered));
+    }
+  }
+
+  private void sendIfDue(
+      Blackboard blackboard, RelayHost lender, TokenRequests requests, MonotonicTime now) {
+    boolean due = requests.urgent() || !lastSentAt.containsKey(lender);
+    if (due && !unanswered.containsKey(lender)) {
+      unanswered.put(lender, now);
+      lastSentAt.put(lender, now);
+      blackboard.submit(new SendTokenRequests(lender, settings.host(), requests.requests()));
+    }
+  }
+
+  private static void reply(Blackboard blackboard) {
+    blackboard
+        .get(EngineEntries.TOKEN_REPLIES)
+        .forEach((id, reply) -> blackboard.submit(new SendTokenReply(id, reply)));
+  }
+}
