Lend the tokens of a small workspace from one host

Cause: a shared resource divided among more holders than it has units. The tokens of a workspace of a few operations a second are fewer than the hosts; each host with a session held one, and the relays of five zones wrote the same rate rows. Ruled out: tokens that lapse unused, holdings of dead processes (no process died). A further fault: an operation that waited was counted twice as demand.

Change: the relay of one zone, chosen by rendezvous hashing, lends all tokens of a small workspace to the hosts of all zones, one request for the operations that wait; tokens lent for these count as spent. Large workspaces keep a lender in each zone. Only rows that need tokens are written, at once if operations wait. Relays count their hosts, by which connections are divided.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -8,6 +8,8 @@
 import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.internal.engine.control.FleetSizeController;
+import org.persimmonwalk.internal.engine.control.LenderController;
 import org.persimmonwalk.internal.engine.control.PrimaryViewController;
 import org.persimmonwalk.internal.engine.control.PromotionController;
 import org.persimmonwalk.internal.engine.control.RateController;
@@ -15,6 +17,7 @@
 import org.persimmonwalk.internal.engine.control.ServerListController;
 import org.persimmonwalk.internal.engine.control.StopController;
 import org.persimmonwalk.internal.engine.control.SuspicionController;
+import org.persimmonwalk.internal.engine.control.TokenExchangeController;
 import org.persimmonwalk.internal.engine.control.VerificationController;
 import org.persimmonwalk.internal.engine.control.ZoneExchangeController;
 import org.persimmonwalk.internal.engine.traffic.Sessions;
@@ -59,7 +62,10 @@
             PrimaryViewController.create(settings.timings(), log),
             SuspicionController.create(settings, log),
             PromotionController.create(settings, log, suspension),
+            FleetSizeController.create(settings, log),
+            LenderController.create(settings, log),
             RateController.create(settings, log, suspension),
+            TokenExchangeController.create(settings),
             ZoneExchangeController.create(settings, suspension));
     ControlLoop loop = ControlLoop.of(controllers, executor, clock, sources.random());
     TrafficContext context =
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.engine.control;
 
 import java.time.Duration;
+import java.util.Set;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.SocketEndpoint;
@@ -8,7 +9,8 @@
 /**
  * The settings that the controllers and the traffic thread need.
  *
- * @param peerEndpoint the endpoint at which the other hosts of the zone reach this one
+ * @param zones the zones of the fleet, with the host's own
+ * @param peerEndpoint the endpoint at which the other hosts reach this one
  * @param keyRevocation the time within which a withdrawn key must stop working
  * @param rateWindow the length of the window over which rate limits hold
  * @param rateOverage the fraction of the limit by which a window may exceed it
@@ -19,6 +21,7 @@
 public record EngineSettings(
     EntryHostId host,
     AvailabilityZone zone,
+    Set<AvailabilityZone> zones,
     SocketEndpoint peerEndpoint,
     Duration keyRevocation,
     Duration rateWindow,
@@ -27,6 +30,14 @@
     Duration stopGrace,
     ServiceBounds bounds) {
 
+  /** Makes the set immutable and checks that it has the host's own zone. */
+  public EngineSettings {
+    zones = Set.copyOf(zones);
+    if (!zones.contains(zone)) {
+      throw new IllegalArgumentException("the zone " + zone + " is not one of the zones " + zones);
+    }
+  }
+
   /** Returns the intervals and timeouts that follow from the bounds. */
   public EngineTimings timings() {
     return EngineTimings.of(bounds);
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenGrant.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenGrant.java
@@ -9,7 +9,12 @@
  * @param granted the tokens granted so far in this epoch
  * @param takenAt the start of the call that took or renewed the tokens
  * @param validUntil when the remaining tokens expire
- * @param scarce whether the demand of the workspace exceeds its limit
+ * @param scarceUntil until when operations are refused at once if no token is left, because the
+ *     workspace is over its limit
  */
 public record TokenGrant(
-    long epoch, long granted, MonotonicTime takenAt, MonotonicTime validUntil, boolean scarce) {}
+    long epoch,
+    long granted,
+    MonotonicTime takenAt,
+    MonotonicTime validUntil,
+    MonotonicTime scarceUntil) {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/WorkspaceDemand.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/WorkspaceDemand.java
@@ -9,8 +9,8 @@
  * @param epoch the epoch of the tokens spent
  * @param spent the tokens spent so far in that epoch
  * @param operations the operations since the last report
- * @param waiting whether an operation waits for a token
+ * @param waiting the operations that wait for a token
  */
 public record WorkspaceDemand(
-    WorkspaceId workspace, long epoch, long spent, int operations, boolean waiting)
+    WorkspaceId workspace, long epoch, long spent, int operations, int waiting)
     implements Observation {}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
@@ -11,7 +11,8 @@
  * @param knownVersions the versions of the rows that the requesting host has
  * @param serverListRevision the revision of the relay's server list that it has; 0 if none
  * @param urgent whether it waits for a change, such as a new primary
- * @param tokenRequests the tokens that it requests
+ * @param tokenRequests the tokens that a host of an older build requests; others send {@link
+ *     SendTokenRequests}
  */
 public record ZoneRequest(
     EntryHostId from,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -147,9 +147,9 @@
         .sum();
   }
 
-  /** Returns the number of hosts that spend tokens of the row, or recently did. */
-  int hosts() {
-    return holdings.values().stream().mapToInt(Holding::hosts).sum();
+  /** Returns whether a holder has tokens. */
+  boolean hasTokensHeld() {
+    return holdings.values().stream().anyMatch(holding -> holding.tokens() > 0);
   }
 
   /** Returns how many tokens may exist at once, in the bucket and held by hosts together. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -80,7 +80,7 @@
   private int connectionLimit() {
     GroupSettings group = context.entry(EngineEntries.CONFIGURATION).groups().get(server.group());
     int accepted = group == null ? 1 : group.maximumConnections();
-    int evenShare = accepted / context.entry(EngineEntries.ACTIVE_HOSTS);
+    int evenShare = accepted / Math.max(1, context.entry(EngineEntries.FLEET_SIZE));
     return Math.max(1, Math.min(MAXIMUM_CONNECTIONS, evenShare));
   }
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Engine;
+import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.Statement;
@@ -143,6 +144,29 @@
     assertThat(fixture.storeCalls - before).isLessThanOrEqualTo(HOSTS * 10 * 5);
   }
 
+  /** Guards against a flood of calls during an outage while operations wait for tokens. */
+  @Test
+  void shouldPauseBetweenFailedCallsForTokens() {
+    fixture.publish(
+        EngineFixture.configuration(
+            2, 4, Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE)));
+    fixture.run(Duration.ofSeconds(2));
+    List<Session> sessions =
+        fixture.hosts.stream()
+            .map(host -> fixture.open(host, RouteKind.PRIMARY, new FakeCaller()))
+            .toList();
+    fixture.storeIsUp = false;
+    int before = fixture.storeCalls;
+    for (int i = 0; i < 60; i++) {
+      for (Session session : sessions) {
+        session.receive(RequestId.of("q" + i), new Statement.Data(false, "READ x"));
+      }
+      fixture.run(Duration.ofMillis(100));
+    }
+
+    assertThat(fixture.storeCalls - before).isLessThanOrEqualTo(HOSTS * 6 * 5);
+  }
+
   /** Guards against hosts that lose their verification because they can't reach their peers. */
   @Test
   void shouldCallTheStoreItselfWhenThePeersCannotBeReached() {
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
@@ -6,16 +6,20 @@
 import java.util.Map;
 import java.util.Optional;
 import org.persimmonwalk.engine.RoutingConfiguration;
+import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.SendTokenRequests;
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TokenLoan;
+import org.persimmonwalk.engine.control.TokenReply;
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.peer.generated.zone.ZoneReplyMessage;
 import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
 
@@ -27,17 +31,20 @@
   private static final RowKey ROW = RowKey.of("rehearsal", "row");
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("rehearsal");
 
+  private static final TokenRequest TOKEN_REQUEST = new TokenRequest(WORKSPACE, 0, 0, 1, 1);
+
   private ZoneClassPreloader() {}
 
   /** Encodes and decodes a request and a reply. */
   public static void run() {
     ZoneRequest request =
         new ZoneRequest(
+            EntryHostId.of("rehearsal"), Map.of(ROW, 1L), 1, false, List.of(TOKEN_REQUEST));
+    SendTokenRequests tokenRequests =
+        new SendTokenRequests(
+            new RelayHost(EntryHostId.of("rehearsal"), SocketEndpoint.of("127.0.0.1", 1)),
             EntryHostId.of("rehearsal"),
-            Map.of(ROW, 1L),
-            1,
-            false,
-            List.of(new TokenRequest(WORKSPACE, 0, 0, 1)));
+            List.of(TOKEN_REQUEST));
     ZoneReply reply =
         new ZoneReply(
             true,
@@ -54,6 +61,10 @@
       byte[] replyBytes = ZoneCodec.encode(1, reply).toByteArray();
       ZoneCodec.decode(ZoneRequestMessage.parseFrom(requestBytes));
       ZoneCodec.decode(ZoneReplyMessage.parseFrom(replyBytes));
+      byte[] tokenRequestBytes = ZoneCodec.encode(1, tokenRequests).toByteArray();
+      byte[] tokenReplyBytes = ZoneCodec.encode(1, TokenReply.notLender()).toByteArray();
+      ZoneCodec.decodeTokens(1, ZoneRequestMessage.parseFrom(tokenRequestBytes));
+      ZoneCodec.decodeTokens(ZoneReplyMessage.parseFrom(tokenReplyBytes));
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalStateException("a zone message cannot be decoded after encoding", e);
     }
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.peer.zone;
 
+import com.google.protobuf.MessageLite;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -14,16 +15,18 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.engine.control.SendTokenReply;
 import org.persimmonwalk.engine.control.SendZoneReply;
-import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
 import org.tinylog.Logger;
 
 /**
- * Receives the requests of the other hosts of the zone and sends the replies. Any thread may call
- * {@link #reply}; the rest, including the listener, runs on one event loop.
+ * Receives the requests of other hosts and sends the replies. Any thread may call {@link #reply};
+ * the rest, including the listener, runs on one event loop.
  */
 public final class ZoneServer {
   /**
@@ -33,11 +36,11 @@
   private static final int MAXIMUM_UNANSWERED = 1024;
 
   private final EventLoopGroup group;
-  private final Consumer<ZoneRequestReceived> listener;
+  private final Consumer<Observation> listener;
   private final Map<Long, Origin> unanswered = new LinkedHashMap<>();
   private long lastExchangeId;
 
-  private ZoneServer(EventLoopGroup group, Consumer<ZoneRequestReceived> listener) {
+  private ZoneServer(EventLoopGroup group, Consumer<Observation> listener) {
     this.group = group;
     this.listener = listener;
   }
@@ -50,7 +53,7 @@
    * @param listener receives the requests, on the thread of the group
    */
   public static ZoneServer start(
-      EventLoopGroup group, SocketEndpoint endpoint, Consumer<ZoneRequestReceived> listener) {
+      EventLoopGroup group, SocketEndpoint endpoint, Consumer<Observation> listener) {
     ZoneServer server = new ZoneServer(group, listener);
     new ServerBootstrap()
         .group(group)
@@ -77,26 +80,37 @@
 
   /** Sends a reply; it is dropped if the connection of the request is closed. */
   public void reply(SendZoneReply command) {
+    reply(command.exchangeId(), id -> ZoneCodec.encode(id, command.reply()));
+  }
+
+  /** Sends the reply to token requests; dropped if the connection of the request is closed. */
+  public void reply(SendTokenReply command) {
+    reply(command.exchangeId(), id -> ZoneCodec.encode(id, command.reply()));
+  }
+
+  private void reply(long exchangeId, Function<Long, MessageLite> reply) {
     group
         .next()
         .execute(
             () -> {
-              Origin origin = unanswered.remove(command.exchangeId());
+              Origin origin = unanswered.remove(exchangeId);
               if (origin != null && origin.channel().isActive()) {
-                ZoneFrames.write(
-                    origin.channel(), ZoneCodec.encode(origin.exchangeId(), command.reply()));
+                ZoneFrames.write(origin.channel(), reply.apply(origin.exchangeId()));
               }
             });
   }
 
   private void received(Channel channel, ZoneRequestMessage message) {
-    ZoneRequest request = ZoneCodec.decode(message);
+    long exchangeId = ++lastExchangeId;
+    Observation request =
+        message.getTokensOnly()
+            ? ZoneCodec.decodeTokens(exchangeId, message)
+            : new ZoneRequestReceived(exchangeId, ZoneCodec.decode(message));
     if (unanswered.size() >= MAXIMUM_UNANSWERED) {
       unanswered.remove(unanswered.keySet().iterator().next());
     }
-    lastExchangeId++;
-    unanswered.put(lastExchangeId, new Origin(channel, message.getExchange()));
-    listener.accept(new ZoneRequestReceived(lastExchangeId, request));
+    unanswered.put(exchangeId, new Origin(channel, message.getExchange()));
+    listener.accept(request);
   }
 
   /** The connection that a request came from, and the number that its sender gave it. */
