Keep no idle connection while hosts outnumber connections

A server accepts 66 connections, each of 95 hosts kept an idle one for 30 s, so most were held by hosts that did not need them, and each host was limited to one. Ruled out: slots, which were idle (10,610 requests on 42 servers of 3 slots in 34 s).

Change: with fewer connections than hosts an idle one is closed after 300 ms, and a host in need opens up to as many as the server has slots.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -32,6 +32,12 @@
   /** The last connection stays longer, as opening a new one takes one of the server's slots. */
   static final Duration LAST_CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(30);
 
+  /**
+   * An idle connection stays this long when there are fewer connections than hosts: each one that
+   * is kept shuts out another host, and a session mostly sends its next statement sooner.
+   */
+  static final Duration SCARCE_CONNECTION_IDLE_TIMEOUT = Duration.ofMillis(300);
+
   private final TrafficContext context;
   private final ServerEntry server;
   private final ServerHealth health;
@@ -76,12 +82,23 @@
     return !idle.isEmpty() || connections.size() < connectionLimit();
   }
 
-  /** Returns this host's equal share of the connections that the server accepts. */
+  /**
+   * Returns how many connections this host may have: its equal share of those that the server
+   * accepts. If that is less than one, hosts take turns, and each may use as many at a time as the
+   * server has slots.
+   */
   private int connectionLimit() {
+    int evenShare = acceptedConnections() / fleetSize();
+    return Math.min(MAXIMUM_CONNECTIONS, evenShare > 0 ? evenShare : Math.max(1, server.slots()));
+  }
+
+  private int acceptedConnections() {
     GroupSettings group = context.entry(EngineEntries.CONFIGURATION).groups().get(server.group());
-    int accepted = group == null ? 1 : group.maximumConnections();
-    int evenShare = accepted / Math.max(1, context.entry(EngineEntries.FLEET_SIZE));
-    return Math.max(1, Math.min(MAXIMUM_CONNECTIONS, evenShare));
+    return group == null ? 1 : group.maximumConnections();
+  }
+
+  private int fleetSize() {
+    return Math.max(1, context.entry(EngineEntries.FLEET_SIZE));
   }
 
   /**
@@ -228,9 +245,7 @@
   void tick(MonotonicTime now) {
     for (PooledConnection connection : List.copyOf(idle)) {
       Duration idleTime = now.since(connection.lastUsed());
-      Duration limit =
-          connections.size() > 1 ? EXTRA_CONNECTION_IDLE_TIMEOUT : LAST_CONNECTION_IDLE_TIMEOUT;
-      if (idleTime.compareTo(limit) > 0) {
+      if (idleTime.compareTo(idleTimeout()) > 0) {
         connection.discard();
       }
     }
@@ -256,6 +271,13 @@
     }
   }
 
+  private Duration idleTimeout() {
+    if (acceptedConnections() < fleetSize()) {
+      return SCARCE_CONNECTION_IDLE_TIMEOUT;
+    }
+    return connections.size() > 1 ? EXTRA_CONNECTION_IDLE_TIMEOUT : LAST_CONNECTION_IDLE_TIMEOUT;
+  }
+
   /** Closes all connections; statements in flight fail as lost. */
   void close(String reason) {
     for (PooledConnection connection : List.copyOf(connections)) {
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -13,6 +15,8 @@
 import org.persimmonwalk.engine.BackendConnector;
 import org.persimmonwalk.engine.BackendListener;
 import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.Failure;
+import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.TermPosition;
@@ -22,7 +26,8 @@
 /** Backend servers that answer at once as the test specifies, or do not answer. */
 public final class FakeServers implements BackendConnector {
   private final List<Sent> sent = new ArrayList<>();
-  private final List<BackendListener> open = new ArrayList<>();
+  private final Map<BackendListener, BackendServerId> open = new LinkedHashMap<>();
+  private int maximumConnections = Integer.MAX_VALUE;
   private final Set<BackendServerId> ignoring = new HashSet<>();
   private Function<Sent, Optional<Answer>> behaviour = FakeServers::succeed;
   private TermPosition position = TermPosition.of(3, 100);
@@ -69,6 +74,11 @@
     ignoring.add(server);
   }
 
+  /** Makes each server refuse connections beyond the given number. */
+  public void limitConnections(int maximum) {
+    maximumConnections = maximum;
+  }
+
   /** Returns the answer that servers give by default. */
   public Optional<Answer> success(Sent statement) {
     return succeed(statement);
@@ -86,7 +96,7 @@
 
   /** Closes all connections from the server side. */
   public void cutAll() {
-    List.copyOf(open).forEach(listener -> listener.closed("cut by the test"));
+    List.copyOf(open.keySet()).forEach(listener -> listener.closed("cut by the test"));
     open.clear();
   }
 
@@ -119,7 +129,12 @@
             open.remove(listener);
           }
         };
-    open.add(listener);
+    long connected = open.values().stream().filter(server.id()::equals).count();
+    if (connected >= maximumConnections) {
+      listener.refused(Failure.of(FailureCode.NO_CONNECTION_LEFT, server.id().value()));
+      return connection;
+    }
+    open.put(listener, server.id());
     if (ignoring.contains(server.id())) {
       return connection;
     }
