--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -21,6 +21,7 @@
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.testing.EngineFixture;
+import org.persimmonwalk.engine.testing.EngineSettingsFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.KeyHash;
@@ -35,6 +36,8 @@
  */
 class EngineScheduleTest {
   private static final int HOSTS = 5;
+  private static final int HOSTS_OF_SEVERAL_ZONES = 18;
+  private static final int ZONES = 3;
   private static final double RATE = 12;
   private static final Duration STEP = Duration.ofMillis(100);
   private static final Duration DURATION = Duration.ofSeconds(24);
@@ -68,23 +71,48 @@
     }
   }
 
+  /**
+   * Guards against the same where hosts ask one lender for each operation, and turn to those of
+   * other zones when it fails.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void shouldKeepTheInvariantsWithOneLenderForAllZones(long seed) {
+    runWithSeveralZones(seed);
+  }
+
+  /** Runs the number of further seeds that the system property sets; 1 by default. */
+  @ParameterizedTest
+  @ValueSource(longs = 2000)
+  void shouldKeepTheInvariantsWithOneLenderOfFurtherSeeds(long first) {
+    int count = Integer.getInteger("persimmonwalk.schedules", 1);
+    for (long seed = first; seed < first + count; seed++) {
+      runWithSeveralZones(seed);
+    }
+  }
+
+  private static void runWithSeveralZones(long seed) {
+    new Schedule(seed, HOSTS_OF_SEVERAL_ZONES, ZONES).run();
+  }
+
   private static void run(long seed) {
-    new Schedule(seed).run();
+    new Schedule(seed, HOSTS, 1).run();
   }
 
   /** The schedule of one seed, with its hosts, sessions and the violations found. */
   private static final class Schedule {
     private final long seed;
     private final SplittableRandom random;
-    private final EngineFixture fixture = new EngineFixture(HOSTS);
+    private final EngineFixture fixture;
     private final List<Session> sessions = new ArrayList<>();
     private final List<MonotonicTime> admitted = new ArrayList<>();
     private final List<String> violations = new ArrayList<>();
     private MonotonicTime withdrawnAt;
     private long version = 2;
 
-    private Schedule(long seed) {
+    private Schedule(long seed, int hosts, int zones) {
       this.seed = seed;
+      this.fixture = new EngineFixture(hosts, zones, EngineSettingsFixture.USUAL_BOUNDS);
       this.random = new SplittableRandom(seed);
     }
 
