Parse the rows of relays and primaries once for each version

Each round parsed the leadership row of every group and the relay row of every zone, five times as many since lenders of all zones are known. Replies without new rows no longer copy the map of rows.

Kept because the work grows with groups and zones, 570 and 7 at the target.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
@@ -35,6 +35,8 @@
 
   private final EngineSettings settings;
   private final DecisionLog log;
+  private final ParsedRows<Optional<RelayHost>> relays =
+      ParsedRows.of(row -> RelayHost.parse(row.value()));
   private final Map<RelayHost, MonotonicTime> failedUntil = new HashMap<>();
 
   private LenderController(EngineSettings settings, DecisionLog log) {
@@ -55,7 +57,8 @@
     Map<RelayHost, MonotonicTime> unanswered = blackboard.get(EngineEntries.UNANSWERED_LENDERS);
     Map<AvailabilityZone, RelayHost> lenders = new HashMap<>();
     for (AvailabilityZone zone : settings.zones()) {
-      RelayHost.parse(KnownRows.row(blackboard, RelayController.row(zone)).value())
+      relays
+          .get(blackboard, RelayController.row(zone))
           .filter(relay -> !relay.host().equals(settings.host()))
           .filter(relay -> !failedUntil.containsKey(relay))
           .filter(relay -> !isSlow(unanswered.get(relay), now))
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
@@ -25,6 +25,7 @@
  */
 public final class PrimaryViewController implements Controller {
   private final DecisionLog log;
+  private final ParsedRows<Optional<Leadership>> leaderships = ParsedRows.of(Leadership::parse);
 
   /** Keeps a primary in use until the switch to another one can be announced. */
   private final Duration missingRetention;
@@ -71,7 +72,7 @@
     if (!blackboard.get(EngineEntries.VERIFIED_GROUPS).contains(group)) {
       return PrimaryView.NONE;
     }
-    Optional<Leadership> row = Leadership.parse(KnownRows.row(blackboard, Leadership.row(group)));
+    Optional<Leadership> row = leaderships.get(blackboard, Leadership.row(group));
     if (row.isEmpty()) {
       return stable(listedOrLastSeen(group, selfDeclaredPrimary(blackboard, group), now));
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -41,6 +41,7 @@
   private static final String PURPOSE = "announce";
 
   private final DecisionLog log;
+  private final ParsedRows<Optional<Leadership>> leaderships = ParsedRows.of(Leadership::parse);
   private final PromotionTrigger trigger = PromotionTrigger.create();
   private final Map<DatabaseGroupId, MonotonicTime> announceAt = new HashMap<>();
   private final Map<DatabaseGroupId, Long> inFlight = new HashMap<>();
@@ -84,7 +85,7 @@
   private void checkGroup(Blackboard blackboard, DatabaseGroupId group, RoundContext context) {
     MonotonicTime now = context.now();
     StoredRow stored = KnownRows.row(blackboard, Leadership.row(group));
-    Optional<Leadership> row = Leadership.parse(stored);
+    Optional<Leadership> row = leaderships.get(blackboard, Leadership.row(group));
     if (row.isPresent() && row.get().phase() != Leadership.Phase.STABLE) {
       announceAt.remove(group);
       replaceIfDue(blackboard, group, stored, row.get(), context);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -59,6 +59,8 @@
   private final EngineSettings settings;
   private final EngineTimings timings;
   private final DecisionLog log;
+  private final ParsedRows<Optional<RelayHost>> relays =
+      ParsedRows.of(row -> RelayHost.parse(row.value()));
   private Optional<RelayHost> currentRelay = Optional.empty();
   private boolean failing;
   private boolean stale;
@@ -92,8 +94,7 @@
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.transaction().tag().purpose().equals(PURPOSE))
         .forEach(answer -> claimSentAt = Optional.empty());
-    updateCurrentRelay(
-        RelayHost.parse(KnownRows.row(blackboard, row(settings.zone())).value()), now);
+    updateCurrentRelay(relays.get(blackboard, row(settings.zone())), now);
     RelayRole role = role(blackboard, now);
     publish(blackboard, role, now);
     boolean isClaimNeeded = role.equals(RelayRole.DIRECT) || (role.isClient() && stale);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -182,11 +182,13 @@
       Blackboard blackboard,
       Map<RowKey, StoredRow> newRows,
       Optional<RoutingConfiguration> configuration) {
-    Map<RowKey, StoredRow> rows = new HashMap<>(blackboard.get(EngineEntries.STORE_ROWS));
-    newRows.forEach(
-        (key, row) ->
-            rows.merge(key, row, (old, other) -> other.version() > old.version() ? other : old));
-    blackboard.put(EngineEntries.STORE_ROWS, Map.copyOf(rows));
+    if (!newRows.isEmpty()) {
+      Map<RowKey, StoredRow> rows = new HashMap<>(blackboard.get(EngineEntries.STORE_ROWS));
+      newRows.forEach(
+          (key, row) ->
+              rows.merge(key, row, (old, other) -> other.version() > old.version() ? other : old));
+      blackboard.put(EngineEntries.STORE_ROWS, Map.copyOf(rows));
+    }
     configuration.ifPresent(newest -> accept(blackboard, newest));
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -45,6 +45,8 @@
   private final EngineSettings settings;
   private final Duration exchangeInterval;
   private final SuspensionDetector suspension;
+  private final ParsedRows<Optional<RelayHost>> relays =
+      ParsedRows.of(row -> RelayHost.parse(row.value()));
   private boolean inFlight;
   private MonotonicTime requestSentAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private Optional<RelayHost> lastRelay = Optional.empty();
@@ -85,8 +87,8 @@
     return role.relay()
         .or(
             () ->
-                RelayHost.parse(
-                        KnownRows.row(blackboard, RelayController.row(settings.zone())).value())
+                relays
+                    .get(blackboard, RelayController.row(settings.zone()))
                     .filter(relay -> !relay.host().equals(settings.host())));
   }
 
