Renew the tokens of all workspaces of a relay together

The change of the rates wrote only rows that need tokens, so that tokens of a relay were between 1.8 and 5 s from expiry when the store fell silent, and pools were no longer filled up once a second.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -103,7 +103,8 @@
       publish(blackboard, RowDemand.NONE);
     } else {
       pools.acquireIfNeeded(blackboard, context);
-      publish(blackboard, pools.rowDemand(now));
+      boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+      publish(blackboard, pools.rowDemand(isRelay, now));
     }
     examined.removeIf(workspace -> !workspaces.get(workspace).needsTokens(now));
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.RoundContext;
@@ -15,6 +16,7 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
+import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
@@ -118,9 +120,9 @@
   }
 
   /** Returns the rate rows that the next verification should include. */
-  RowDemand rowDemand(MonotonicTime now) {
+  RowDemand rowDemand(boolean isRelay, MonotonicTime now) {
     return new RowDemand(
-        neededWorkspaces(now).stream().map(RateRow::key).collect(Collectors.toSet()));
+        workspacesToRenew(isRelay, now).stream().map(RateRow::key).collect(Collectors.toSet()));
   }
 
   /**
@@ -135,6 +137,9 @@
     if (inFlight != null && now.since(inFlight.startedAt()).compareTo(LOST_ANSWER_TIMEOUT) > 0) {
       inFlight = null;
     }
+    if (inFlight != null) {
+      return;
+    }
     boolean rowsAreFresh =
         blackboard
             .observations(TransactionAnswered.class)
@@ -142,22 +147,36 @@
                 answer ->
                     answer.transaction().tag().purpose().equals(VerificationController.PURPOSE))
             .anyMatch(answer -> answer.time().isPresent());
-    boolean urgent =
-        !now.isBefore(pausedUntil) && pools.values().stream().anyMatch(pool -> pool.isUrgent(now));
-    if (inFlight == null && (rowsAreFresh || urgent)) {
-      acquire(blackboard, now, 1, neededWorkspaces(now));
+    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+    if (rowsAreFresh && pools.values().stream().anyMatch(pool -> pool.needsTokens(now))) {
+      acquire(blackboard, now, 1, workspacesToRenew(isRelay, now));
+    } else if (!now.isBefore(pausedUntil)
+        && pools.values().stream().anyMatch(pool -> pool.isUrgent(now))) {
+      acquire(blackboard, now, 1, select(pool -> pool.needsTokens(now), now));
     }
   }
 
   /**
-   * Returns the workspaces that need tokens; if there are more than fit into a call, those that
-   * have waited longest since their last call. Rows that need none stay out of the call, because
-   * each of them may conflict with another host's write.
+   * Returns the workspaces whose tokens the next regular call takes. A relay renews those of all
+   * workspaces in use, so that they last as long as possible if the store falls silent. A host that
+   * acts for itself writes no row without need, because many such hosts conflict with each other.
+   */
+  private Set<WorkspaceId> workspacesToRenew(boolean isRelay, MonotonicTime now) {
+    return select(pool -> isRelay ? pool.isActive(now) : pool.needsTokens(now), now);
+  }
+
+  /**
+   * Returns the workspaces whose pools fulfil the condition; if there are more than fit into a
+   * call, first those that need tokens, of which those that have waited longest since their last
+   * call.
    */
-  private Set<WorkspaceId> neededWorkspaces(MonotonicTime now) {
+  private Set<WorkspaceId> select(Predicate<TokenPool> condition, MonotonicTime now) {
     return pools.entrySet().stream()
-        .filter(entry -> entry.getValue().needsTokens(now))
-        .sorted(Map.Entry.comparingByValue(Comparator.comparing(TokenPool::lastStoreCallAt)))
+        .filter(entry -> condition.test(entry.getValue()))
+        .sorted(
+            Map.Entry.comparingByValue(
+                Comparator.comparing((TokenPool pool) -> !pool.needsTokens(now))
+                    .thenComparing(TokenPool::lastStoreCallAt)))
         .limit(MAX_ROWS)
         .map(Map.Entry::getKey)
         .collect(Collectors.toSet());
