Renew no tokens that another lender granted since the request

A host that turns to another lender because the first is slow may get the late reply of the first, which renews what the host held at the time of its request: nothing. The reply renewed the tokens of the other lender as well, beyond the validity under which the rate row records them.

Tokens granted since a request was sent are not renewed by its reply.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -162,7 +162,7 @@
   }
 
   private void grant(TokenLoan loan, MonotonicTime requestedAt, MonotonicTime now) {
-    workspaces.get(loan.workspace()).grant(loan, requestedAt);
+    workspaces.get(loan.workspace()).grant(loan, requestedAt, now);
     examined.add(loan.workspace());
     statistics.addGranted(loan.tokens(), now);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ReceivedTokenRequests.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ReceivedTokenRequests.java
@@ -67,7 +67,7 @@
     return replies;
   }
 
-  private TokenReply reply(List<TokenLoan> loans, boolean canTakeTokens) {
+  private static TokenReply reply(List<TokenLoan> loans, boolean canTakeTokens) {
     boolean lendsAny = loans.stream().anyMatch(loan -> loan.tokens() > 0 || loan.scarce());
     return new TokenReply(canTakeTokens || lendsAny, loans);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -70,6 +70,7 @@
   private MonotonicTime demandAt;
   private MonotonicTime firstSeenAt;
   private MonotonicTime seenAt;
+  private MonotonicTime grantedAt;
   private MonotonicTime takenAt;
   private MonotonicTime validUntil;
   private MonotonicTime lastRequestAt;
@@ -83,6 +84,7 @@
     this.demandAt = now;
     this.firstSeenAt = now;
     this.seenAt = now;
+    this.grantedAt = now;
     this.takenAt = now;
     this.validUntil = now;
     this.lastRequestAt = now.minus(SCARCE_PAUSE);
@@ -196,12 +198,14 @@
 
   /**
    * Adds the tokens of a loan. Tokens held before become valid as long as the new ones only if the
-   * loan renews them, because otherwise the lender doesn't know of them.
+   * loan renews them, because otherwise the lender doesn't know of them. Nor does it know of tokens
+   * that another lender granted while the request was on its way.
    */
-  void grant(TokenLoan loan, MonotonicTime requestedAt) {
+  void grant(TokenLoan loan, MonotonicTime requestedAt, MonotonicTime now) {
     MonotonicTime until = requestedAt.plus(loan.validFor());
     boolean holdsNoOthers = remaining() == 0 && loan.tokens() > 0;
-    if (loan.renews() || holdsNoOthers) {
+    boolean renewsAll = loan.renews() && !grantedAt.isAfter(requestedAt);
+    if (renewsAll || holdsNoOthers) {
       validUntil = until;
       takenAt = requestedAt;
     } else if (loan.tokens() > 0 && until.isBefore(validUntil)) {
@@ -211,6 +215,7 @@
     announcedAt = requestedAt;
     scarceUntil = loan.scarce() ? requestedAt.plus(SCARCE_VALIDITY) : requestedAt;
     if (loan.tokens() > 0) {
+      grantedAt = now;
       lastRequestAt = requestedAt.minus(SCARCE_PAUSE);
     }
   }
