Call a workspace over its limit only if its demand exceeds it

Cause: with one lender a workspace counted as over its limit whenever the bucket had less than the pool wanted, also after a short burst below the rate; its operations were then refused at once for 300 ms. And calls for operations that wait paused for each workspace apart, so a relay made one after the other.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -147,11 +147,6 @@
         .sum();
   }
 
-  /** Returns whether a holder has tokens. */
-  boolean hasTokensHeld() {
-    return holdings.values().stream().anyMatch(holding -> holding.tokens() > 0);
-  }
-
   /** Returns how many tokens may exist at once, in the bucket and held by hosts together. */
   static double capacity(RateLimit limit, EngineSettings settings) {
     double window = limit.perSecond() * settings.rateWindow().toMillis() / MILLIS_PER_SECOND;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -62,6 +62,9 @@
    */
   static final int MAX_ROWS = 40;
 
+  /** The minimum pause between two calls while operations wait for tokens of any workspace. */
+  static final Duration MIN_PAUSE = Duration.ofMillis(50);
+
   private static final String PURPOSE = "take-tokens";
 
   private final EngineSettings settings;
@@ -70,6 +73,7 @@
   private final Map<WorkspaceId, TokenPool> pools = new TreeMap<>();
   private Map<WorkspaceId, RateLimit> limits = Map.of();
   private Optional<MonotonicTime> startedAt = Optional.empty();
+  private MonotonicTime lastCallAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime pausedUntil = MonotonicTime.of(Long.MIN_VALUE / 2);
   private Attempt inFlight;
   private long serial;
@@ -151,6 +155,7 @@
     if (rowsAreFresh && pools.values().stream().anyMatch(pool -> pool.needsTokens(now))) {
       acquire(blackboard, now, 1, workspacesToRenew(isRelay, now));
     } else if (!now.isBefore(pausedUntil)
+        && now.since(lastCallAt).compareTo(MIN_PAUSE) >= 0
         && pools.values().stream().anyMatch(pool -> pool.isUrgent(now))) {
       acquire(blackboard, now, 1, select(pool -> pool.needsTokens(now), now));
     }
@@ -207,6 +212,7 @@
     }
     serial++;
     inFlight = new Attempt(serial, attempt, now, acquisitions);
+    lastCallAt = now;
     statistics.add(TokenStatistics.Count.CALLS, 1);
     blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, writes));
   }
@@ -242,7 +248,7 @@
     double share = allDemand > 0 ? demand / allDemand : 1.0 / activeHolders;
     long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
     long taken = Math.min(wanted, Math.min(available, fair));
-    boolean scarce = available < wanted && (allDemand > limit.perSecond() || !row.hasTokensHeld());
+    boolean scarce = available < wanted && allDemand > limit.perSecond();
     RateRow after =
         row.taken(
             settings.host(),
