Divide the tokens of a workspace among zones if each host can hold one

Cause: on a fleet of 20 hosts a workspace of up to 23 operations a second had one lender, and one of up to 16 was asked for in other zones at each operation, although there were tokens for all hosts.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderChoice.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderChoice.java
@@ -21,16 +21,10 @@
  */
 final class LenderChoice {
   /**
-   * A lender keeps about 0.4 of its part at hand, 10 tokens of this many, which serves the hosts of
-   * a zone for a second.
+   * A workspace is large if it has this many tokens for each host, so that each can hold one. On
+   * fleets of 20 hosts that is nearly every workspace.
    */
-  private static final double MINIMUM_TOKENS_PER_LENDER = 25;
-
-  /**
-   * Hosts hold tokens of a workspace in advance if its tokens suffice for this many for each host:
-   * one that is held and one in the pool of a lender.
-   */
-  private static final double MINIMUM_TOKENS_PER_HOST = 2;
+  private static final double MINIMUM_TOKENS_PER_HOST = 1;
 
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
@@ -44,11 +38,9 @@
    * that lend the workspace's tokens, the own one before the others, then those that stand in.
    */
   static List<AvailabilityZone> order(
-      WorkspaceId workspace, RateLimit limit, EngineSettings settings) {
-    List<AvailabilityZone> ranked = rank(workspace, settings.zones());
-    List<AvailabilityZone> lending = ranked.subList(0, lenderCount(limit, settings));
-    List<AvailabilityZone> order = new ArrayList<>(ranked);
-    if (lending.contains(settings.zone())) {
+      WorkspaceId workspace, RateLimit limit, EngineSettings settings, int fleetSize) {
+    List<AvailabilityZone> order = new ArrayList<>(rank(workspace, settings.zones()));
+    if (isLarge(limit, settings, fleetSize)) {
       order.remove(settings.zone());
       order.add(0, settings.zone());
     }
@@ -56,21 +48,22 @@
   }
 
   /** Returns whether the relay of the own zone lends the workspace's tokens. */
-  static boolean isLender(WorkspaceId workspace, RateLimit limit, EngineSettings settings) {
-    return order(workspace, limit, settings).get(0).equals(settings.zone());
+  static boolean isLender(
+      WorkspaceId workspace, RateLimit limit, EngineSettings settings, int fleetSize) {
+    return order(workspace, limit, settings, fleetSize).get(0).equals(settings.zone());
   }
 
-  /** Returns whether hosts hold tokens of the workspace before operations need them. */
-  static boolean holdsInAdvance(RateLimit limit, EngineSettings settings, int fleetSize) {
+  /**
+   * Returns whether the workspace has enough tokens for all hosts, so that each zone has a lender
+   * and hosts hold tokens before operations need them.
+   *
+   * @param fleetSize the number of hosts; 0 if unknown, and then no workspace counts as large
+   */
+  static boolean isLarge(RateLimit limit, EngineSettings settings, int fleetSize) {
     return fleetSize > 0
         && RateRow.capacity(limit, settings) >= fleetSize * MINIMUM_TOKENS_PER_HOST;
   }
 
-  private static int lenderCount(RateLimit limit, EngineSettings settings) {
-    int count = (int) (RateRow.capacity(limit, settings) / MINIMUM_TOKENS_PER_LENDER);
-    return Math.max(1, Math.min(settings.zones().size(), count));
-  }
-
   private static List<AvailabilityZone> rank(
       WorkspaceId workspace, Collection<AvailabilityZone> zones) {
     return zones.stream()
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -123,15 +123,14 @@
     if (newest != limits || newestSize != fleetSize) {
       limits = newest;
       fleetSize = newestSize;
-      pools.setLimits(newest);
+      pools.setLimits(newest, newestSize);
       workspaces.forEach(this::updateTarget);
     }
   }
 
   private void updateTarget(WorkspaceId workspace, WorkspaceTokens tokens) {
     RateLimit limit = limits.get(workspace);
-    tokens.setHeldInAdvance(
-        limit != null && LenderChoice.holdsInAdvance(limit, settings, fleetSize));
+    tokens.setHeldInAdvance(limit != null && LenderChoice.isLarge(limit, settings, fleetSize));
   }
 
   private void record(WorkspaceDemand reported, MonotonicTime now) {
@@ -228,7 +227,8 @@
 
   private Optional<RelayHost> lender(
       WorkspaceId workspace, RelayRole role, Map<AvailabilityZone, RelayHost> reachable) {
-    for (AvailabilityZone zone : LenderChoice.order(workspace, limits.get(workspace), settings)) {
+    for (AvailabilityZone zone :
+        LenderChoice.order(workspace, limits.get(workspace), settings, fleetSize)) {
       if (zone.equals(settings.zone()) && role.kind() == RelayRole.Kind.RELAY) {
         return Optional.empty();
       }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -72,6 +72,7 @@
   private final TokenStatistics statistics;
   private final Map<WorkspaceId, TokenPool> pools = new TreeMap<>();
   private Map<WorkspaceId, RateLimit> limits = Map.of();
+  private int fleetSize;
   private Optional<MonotonicTime> startedAt = Optional.empty();
   private MonotonicTime lastCallAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime pausedUntil = MonotonicTime.of(Long.MIN_VALUE / 2);
@@ -99,15 +100,16 @@
     return loan;
   }
 
-  /** Sets the limits, which decide of which workspaces this host may be a lender. */
-  void setLimits(Map<WorkspaceId, RateLimit> newLimits) {
+  /** Sets the limits and the number of hosts, by which this host lends tokens of a workspace. */
+  void setLimits(Map<WorkspaceId, RateLimit> newLimits, int newFleetSize) {
     limits = newLimits;
+    fleetSize = newFleetSize;
     pools.forEach(this::updateLender);
   }
 
   private void updateLender(WorkspaceId workspace, TokenPool pool) {
     RateLimit limit = limits.get(workspace);
-    pool.setLender(limit != null && LenderChoice.isLender(workspace, limit, settings));
+    pool.setLender(limit != null && LenderChoice.isLender(workspace, limit, settings, fleetSize));
   }
 
   boolean hasTokens(WorkspaceId workspace) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -36,7 +36,7 @@
  */
 class EngineScheduleTest {
   private static final int HOSTS = 5;
-  private static final int HOSTS_OF_SEVERAL_ZONES = 18;
+  private static final int HOSTS_OF_SEVERAL_ZONES = 36;
   private static final int ZONES = 3;
   private static final double RATE = 12;
   private static final Duration STEP = Duration.ofMillis(100);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/LenderChoiceTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/LenderChoiceTest.java
@@ -16,6 +16,7 @@
 
 class LenderChoiceTest {
   private static final int ZONES = 5;
+  private static final int FLEET = 95;
   private static final int WORKSPACES = 500;
   private static final RateLimit SMALL = new RateLimit(6, 6);
   private static final RateLimit LARGE = new RateLimit(200, 200);
@@ -31,7 +32,7 @@
       Set<AvailabilityZone> lenders = new HashSet<>();
       for (int number = 0; number < ZONES; number++) {
         lenders.add(
-            LenderChoice.order(WorkspaceId.of("w" + workspace), SMALL, host(number)).get(0));
+            LenderChoice.order(WorkspaceId.of("w" + workspace), SMALL, host(number), FLEET).get(0));
       }
 
       assertThat(lenders).hasSize(1);
@@ -44,7 +45,7 @@
     Map<AvailabilityZone, Integer> counts = new HashMap<>();
     for (int workspace = 0; workspace < WORKSPACES; workspace++) {
       counts.merge(
-          LenderChoice.order(WorkspaceId.of("w" + workspace), SMALL, host(0)).get(0),
+          LenderChoice.order(WorkspaceId.of("w" + workspace), SMALL, host(0), FLEET).get(0),
           1,
           Integer::sum);
     }
@@ -59,7 +60,7 @@
   void shouldLendALargeWorkspaceInEachZone() {
     for (int number = 0; number < ZONES; number++) {
       List<AvailabilityZone> order =
-          LenderChoice.order(WorkspaceId.of("large"), LARGE, host(number));
+          LenderChoice.order(WorkspaceId.of("large"), LARGE, host(number), FLEET);
 
       assertThat(order.get(0)).isEqualTo(host(number).zone());
       assertThat(order).hasSize(ZONES).doesNotHaveDuplicates();
@@ -69,8 +70,8 @@
   /** Guards against tokens that idle at hosts without operations, which outnumber them. */
   @Test
   void shouldHoldTokensInAdvanceOnlyIfThereAreEnoughForAllHosts() {
-    assertThat(LenderChoice.holdsInAdvance(LARGE, host(0), 95)).isTrue();
-    assertThat(LenderChoice.holdsInAdvance(SMALL, host(0), 95)).isFalse();
-    assertThat(LenderChoice.holdsInAdvance(SMALL, host(0), 0)).isFalse();
+    assertThat(LenderChoice.isLarge(LARGE, host(0), FLEET)).isTrue();
+    assertThat(LenderChoice.isLarge(SMALL, host(0), FLEET)).isFalse();
+    assertThat(LenderChoice.isLarge(LARGE, host(0), 0)).isFalse();
   }
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/LenderTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/LenderTest.java
@@ -52,7 +52,8 @@
 
   private Engine lender() {
     AvailabilityZone zone =
-        LenderChoice.order(EngineFixture.WORKSPACE, new RateLimit(RATE, RATE), SETTINGS).get(0);
+        LenderChoice.order(EngineFixture.WORKSPACE, new RateLimit(RATE, RATE), SETTINGS, HOSTS)
+            .get(0);
     for (int number = 0; number < HOSTS; number++) {
       Engine host = fixture.hosts.get(number);
       boolean isInZone =
