Give no workspace more lenders than its tokens suffice for

A workspace is large only if it has ten tokens for each zone as well. LenderChoiceTest.shouldHaveOneLenderIfTheZonesOutnumberTheTokens failed before.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderChoice.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderChoice.java
@@ -20,11 +20,14 @@
  * a while only cost calls, as every token is taken from the rate row.
  */
 final class LenderChoice {
+  /** A workspace is large only if it has this many tokens for each host, so that each holds one. */
+  private static final double MINIMUM_TOKENS_PER_HOST = 1;
+
   /**
-   * A workspace is large if it has this many tokens for each host, so that each can hold one. On
-   * fleets of 20 hosts that is nearly every workspace.
+   * A workspace is large only if it has this many tokens for each zone. With 5 tokens a zone, 5
+   * lenders that write the same row ran out of tokens all the time.
    */
-  private static final double MINIMUM_TOKENS_PER_HOST = 1;
+  private static final double MINIMUM_TOKENS_PER_ZONE = 10;
 
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
@@ -60,8 +63,10 @@
    * @param fleetSize the number of hosts; 0 if unknown, and then no workspace counts as large
    */
   static boolean isLarge(RateLimit limit, EngineSettings settings, int fleetSize) {
+    double capacity = RateRow.capacity(limit, settings);
     return fleetSize > 0
-        && RateRow.capacity(limit, settings) >= fleetSize * MINIMUM_TOKENS_PER_HOST;
+        && capacity >= fleetSize * MINIMUM_TOKENS_PER_HOST
+        && capacity >= settings.zones().size() * MINIMUM_TOKENS_PER_ZONE;
   }
 
   private static List<AvailabilityZone> rank(
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/LenderChoiceTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/LenderChoiceTest.java
@@ -74,4 +74,11 @@
     assertThat(LenderChoice.isLarge(SMALL, host(0), FLEET)).isFalse();
     assertThat(LenderChoice.isLarge(LARGE, host(0), 0)).isFalse();
   }
+
+  /** Guards against a few tokens that many lenders divide and whose row they all write. */
+  @Test
+  void shouldHaveOneLenderIfTheZonesOutnumberTheTokens() {
+    assertThat(LenderChoice.isLarge(SMALL, host(0), 18)).isFalse();
+    assertThat(LenderChoice.isLarge(LARGE, host(0), 18)).isTrue();
+  }
 }
