Log what is prepared on each server connection

The log named no connection, no prepared name and no refused setup statement, so that the hypotheses of the incident could not be told apart. statement-prepared, connection-reset, connection-setup-failed and prepared-statement-unknown, each with a counter, name the connection.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -65,11 +66,13 @@
   }
 
   private void send(BackendStatement.Action action) {
+    record(action);
     connection.send(
         BackendStatement.internal(action),
         new PooledConnection.StatementListener() {
           @Override
           public void answered(Answer answer, MonotonicTime sentAt) {
+            answer.failure().ifPresent(failure -> recordFailure(action, failure));
             finishOne(answer.succeeded());
           }
 
@@ -80,6 +83,45 @@
         });
   }
 
+  private void record(BackendStatement.Action action) {
+    TrafficContext context = connection.pool().context();
+    if (action instanceof BackendStatement.Reset) {
+      context.meter().count("connection.reset");
+      context.log().write("connection-reset", "connection", connection.id());
+    } else if (action instanceof BackendStatement.Prepare prepare) {
+      context.meter().count("statement.prepared");
+      context
+          .log()
+          .write(
+              "statement-prepared",
+              "connection",
+              connection.id(),
+              "name",
+              prepare.template().sharedName(),
+              "write",
+              prepare.template().write(),
+              "text",
+              prepare.template().text());
+    }
+  }
+
+  private void recordFailure(BackendStatement.Action action, Failure failure) {
+    TrafficContext context = connection.pool().context();
+    context.meter().count("connection.setup-failed");
+    context
+        .log()
+        .write(
+            "connection-setup-failed",
+            "connection",
+            connection.id(),
+            "action",
+            action.getClass().getSimpleName(),
+            "code",
+            failure.code(),
+            "detail",
+            failure.detail());
+  }
+
   private void finishOne(boolean succeeded) {
     failed |= !succeeded;
     unanswered--;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.engine.BackendListener;
 import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.Failure;
+import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.TermPosition;
@@ -23,6 +24,7 @@
  * which session variables and prepared statements are set on it.
  */
 final class PooledConnection implements BackendListener {
+  private final ConnectionId id;
   private final ServerPool pool;
   private final WorkspaceId workspace;
   private final MonotonicTime openedAt;
@@ -34,13 +36,18 @@
   private boolean ended;
   private MonotonicTime lastUsed;
 
-  PooledConnection(ServerPool pool, WorkspaceId workspace, MonotonicTime now) {
+  PooledConnection(ConnectionId id, ServerPool pool, WorkspaceId workspace, MonotonicTime now) {
+    this.id = id;
     this.pool = pool;
     this.workspace = workspace;
     this.openedAt = now;
     this.lastUsed = now;
   }
 
+  ConnectionId id() {
+    return id;
+  }
+
   ServerPool pool() {
     return pool;
   }
@@ -100,6 +107,16 @@
     backend.send(statement);
   }
 
+  /**
+   * Forgets what is prepared, since the server has reported a name as unknown that this connection
+   * had prepared.
+   */
+  void preparedNameUnknown(RequestId request) {
+    pool.context().meter().count("prepared-statement.unknown");
+    pool.context().log().write("prepared-statement-unknown", "request", request, "connection", id);
+    preparedTemplates.clear();
+  }
+
   /** Returns the connection to the pool; one with an unanswered statement is discarded instead. */
   void release() {
     if (ended) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -50,6 +50,7 @@
               .thenComparing(ConnectionRequest::deadline)
               .thenComparingLong(ConnectionRequest::sequence));
   private long sequence;
+  private long connectionCount;
 
   ServerPool(TrafficContext context, ServerEntry server, PoolListener listener) {
     this.context = context;
@@ -187,7 +188,9 @@
       }
       oldest.get().discard();
     }
-    PooledConnection connection = new PooledConnection(this, request.workspace(), context.now());
+    ConnectionId id = new ConnectionId(server.id(), ++connectionCount);
+    PooledConnection connection =
+        new PooledConnection(id, this, request.workspace(), context.now());
     connections.add(connection);
     health.recordRequest(context.now());
     context.meter().count("connection.opened");
@@ -220,7 +223,16 @@
       health.recordConnectionFailure(context.now());
       refuseQueued(Failure.of(FailureCode.OVERLOADED, "the server cannot be reached: " + reason));
     }
-    context.log().write("connection-lost", "server", server.id(), "reason", reason);
+    context
+        .log()
+        .write(
+            "connection-lost",
+            "server",
+            server.id(),
+            "connection",
+            connection.id(),
+            "reason",
+            reason);
   }
 
   void ended(PooledConnection connection) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -197,7 +197,7 @@
       used.pool().health().recordBehind(now);
     }
     if (code == FailureCode.UNKNOWN_NAME) {
-      used.preparedTemplates().clear();
+      used.preparedNameUnknown(request.id());
     }
     boolean failedRead = code == FailureCode.FAILED && !request.writes();
     if (failedRead) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -201,6 +201,9 @@
       session.answer(answer.withState(SessionState.IN_TRANSACTION));
       return;
     }
+    if (answer.failedWith(FailureCode.UNKNOWN_NAME)) {
+      connection.preparedNameUnknown(pending.id);
+    }
     state = SessionState.FAILED_TRANSACTION;
     session.answer(answer.withState(state));
   }
