Name prepared statements on server connections by number

What callers saw: a prepared statement whose text holds a blank ran as another statement (PINNED), or reached the server as an EXECUTE with other arguments (UNASKED).

Cause: StatementTemplate.sharedName made the name on a connection of the caller's text. The line protocol separates fields by blanks, so a blank in the text ended the name: "PREPARE w.qe WRITE ni WRITE qe WRITE ni" prepares "ni WRITE qe WRITE ni" as "w.qe", the name under which another session had prepared "qe".

Change: PreparedName is a number of the connection, and no value of it holds text of a caller. Names are not given out again after RESET. A session's statement becomes a message only when its connection is known (SessionStatement).

--- a/engine/src/main/java/org/persimmonwalk/engine/BackendStatement.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/BackendStatement.java
@@ -27,11 +27,11 @@
   /** Sets a session variable. */
   public record SetVariable(String name, String value) implements Action {}
 
-  /** Prepares a statement under its {@link StatementTemplate#sharedName shared name}. */
-  public record Prepare(StatementTemplate template) implements Action {}
+  /** Prepares a statement under a name of the connection. */
+  public record Prepare(PreparedName name, StatementTemplate template) implements Action {}
 
-  /** Executes a prepared statement. */
-  public record Execute(StatementTemplate template, String arguments) implements Action {}
+  /** Executes the statement that is prepared on the connection under the name. */
+  public record Execute(PreparedName name, String arguments) implements Action {}
 
   /** Requests the status of the server. */
   public record ReadStatus() implements Action {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -50,7 +50,7 @@
     if (!variables.keySet().containsAll(connection.variables().keySet())) {
       actions.add(new BackendStatement.Reset());
       connection.variables().clear();
-      connection.preparedTemplates().clear();
+      connection.preparedStatements().clear();
     }
     variables.forEach(
         (name, value) -> {
@@ -60,8 +60,12 @@
           }
         });
     template
-        .filter(connection.preparedTemplates()::add)
-        .ifPresent(added -> actions.add(new BackendStatement.Prepare(added)));
+        .filter(needed -> connection.preparedStatements().name(needed).isEmpty())
+        .ifPresent(
+            added ->
+                actions.add(
+                    new BackendStatement.Prepare(
+                        connection.preparedStatements().add(added), added)));
     return actions;
   }
 
@@ -97,7 +101,7 @@
               "connection",
               connection.id(),
               "name",
-              prepare.template().sharedName(),
+              prepare.name(),
               "write",
               prepare.template().write(),
               "text",
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -3,10 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendConnection;
 import org.persimmonwalk.engine.BackendListener;
@@ -14,7 +12,6 @@
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.ServerEntry;
-import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -29,7 +26,7 @@
   private final WorkspaceId workspace;
   private final MonotonicTime openedAt;
   private final Map<String, String> variables = new HashMap<>();
-  private final Set<StatementTemplate> preparedTemplates = new HashSet<>();
+  private final PreparedStatements preparedStatements = new PreparedStatements();
   private final Deque<Pending> pending = new ArrayDeque<>();
   private BackendConnection backend;
   private boolean open;
@@ -85,8 +82,8 @@
     return variables;
   }
 
-  Set<StatementTemplate> preparedTemplates() {
-    return preparedTemplates;
+  PreparedStatements preparedStatements() {
+    return preparedStatements;
   }
 
   /** Returns when the oldest unanswered statement was sent; empty if none is in flight. */
@@ -114,7 +111,7 @@
   void preparedNameUnknown(RequestId request) {
     pool.context().meter().count("prepared-statement.unknown");
     pool.context().log().write("prepared-statement-unknown", "request", request, "connection", id);
-    preparedTemplates.clear();
+    preparedStatements.clear();
   }
 
   /** Returns the connection to the pool; one with an unanswered statement is discarded instead. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -142,7 +142,10 @@
     }
     connection = free;
     ConnectionSetup.run(
-        free, request.variables(), request.template(), ready -> connectionReady(ready, target));
+        free,
+        request.variables(),
+        request.statement().template(),
+        ready -> connectionReady(ready, target));
   }
 
   private void connectionReady(boolean ready, Target target) {
@@ -160,7 +163,7 @@
     sent = true;
     PooledConnection used = connection;
     BackendStatement statement =
-        BackendStatement.of(request.id(), target.position(), request.action());
+        BackendStatement.of(request.id(), target.position(), request.statement().on(used));
     used.send(
         statement,
         new PooledConnection.StatementListener() {
--- /dev/null
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PreparedStatementsTest.java
@@ -0,0 +1,57 @@
+package org.persimmonwalk.internal.engine.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.PreparedName;
+import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.Statement;
+import org.persimmonwalk.engine.StatementTemplate;
+import org.persimmonwalk.engine.testing.EngineFixture;
+import org.persimmonwalk.engine.testing.FakeCaller;
+
+class PreparedStatementsTest {
+  private final EngineFixture fixture = new EngineFixture(1);
+
+  private Session open(RouteKind kind) {
+    return fixture.open(fixture.hosts.get(0), kind, new FakeCaller());
+  }
+
+  @Test
+  void shouldPrepareATemplateOnceForAllSessionsOfAConnection() {
+    Session first = open(RouteKind.PRIMARY);
+    Session second = open(RouteKind.PRIMARY);
+    StatementTemplate template = new StatementTemplate(false, "q1");
+    fixture.send(first, "1", new Statement.Prepare("mine", template));
+    fixture.send(first, "2", new Statement.Execute("mine", "x"));
+    fixture.send(second, "3", new Statement.Prepare("other", template));
+    fixture.send(second, "4", new Statement.Execute("other", "y"));
+
+    assertThat(fixture.servers.sent())
+        .extracting(sent -> (Object) sent.statement().action())
+        .containsExactly(
+            new BackendStatement.Prepare(PreparedName.of(1), template),
+            new BackendStatement.Execute(PreparedName.of(1), "x"),
+            new BackendStatement.Execute(PreparedName.of(1), "y"));
+  }
+
+  /** Guards against a name that refers to another statement after the connection was reset. */
+  @Test
+  void shouldNotReuseTheNameOfAPreparedStatementAfterAReset() {
+    Session first = open(RouteKind.PRIMARY);
+    Session second = open(RouteKind.PRIMARY);
+    fixture.send(first, "1", new Statement.SetVariable("colour", "red"));
+    fixture.send(first, "2", new Statement.Prepare("mine", new StatementTemplate(false, "q1")));
+    fixture.send(first, "3", new Statement.Execute("mine", "x"));
+    fixture.send(second, "4", new Statement.Prepare("mine", new StatementTemplate(false, "q2")));
+    fixture.send(second, "5", new Statement.Execute("mine", "x"));
+
+    assertThat(fixture.servers.sent())
+        .extracting(sent -> (Object) sent.statement().action())
+        .endsWith(
+            new BackendStatement.Reset(),
+            new BackendStatement.Prepare(PreparedName.of(2), new StatementTemplate(false, "q2")),
+            new BackendStatement.Execute(PreparedName.of(2), "x"));
+  }
+}
