--- /dev/null
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionVariablesTest.java
@@ -0,0 +1,62 @@
+package org.persimmonwalk.internal.engine.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.engine.Answer;
+import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.FailureCode;
+import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.SessionState;
+import org.persimmonwalk.engine.Statement;
+import org.persimmonwalk.engine.testing.EngineFixture;
+import org.persimmonwalk.engine.testing.FakeCaller;
+
+class SessionVariablesTest {
+  private final EngineFixture fixture = new EngineFixture(1);
+  private final FakeCaller caller = new FakeCaller();
+  private final Session session = fixture.open(fixture.hosts.get(0), RouteKind.PRIMARY, caller);
+
+  private void beginAndWrite() {
+    fixture.send(session, "1", new Statement.Begin(false));
+    fixture.send(session, "2", new Statement.Data(true, "WRITE x 1"));
+  }
+
+  private void setAndCommit() {
+    fixture.send(session, "3", new Statement.SetVariable("colour", "red"));
+    fixture.send(session, "4", new Statement.Commit("COMMIT"));
+  }
+
+  /** Guards against a COMMIT that runs without a variable that was acknowledged before it. */
+  @Test
+  void shouldSetVariablesBeforeCommit() {
+    beginAndWrite();
+    setAndCommit();
+
+    assertThat(fixture.servers.sent())
+        .extracting(sent -> (Object) sent.statement().action())
+        .containsExactly(
+            new BackendStatement.Begin(false),
+            new BackendStatement.Text("WRITE x 1"),
+            new BackendStatement.SetVariable("colour", "red"),
+            new BackendStatement.Text("COMMIT"));
+    assertThat(caller.last().succeeded()).isTrue();
+  }
+
+  /** Guards against a COMMIT that is sent although the server refused a variable. */
+  @Test
+  void shouldAbortATransactionWhoseVariablesCannotBeSetBeforeCommit() {
+    beginAndWrite();
+    fixture.servers.behave(
+        sent ->
+            sent.statement().action() instanceof BackendStatement.SetVariable
+                ? Optional.of(Answer.failed(FailureCode.FAILED, "no", SessionState.IN_TRANSACTION))
+                : fixture.servers.success(sent));
+    setAndCommit();
+
+    assertThat(caller.lastCode()).contains(FailureCode.ABORTED);
+    assertThat(fixture.servers.sent()).noneMatch(sent -> sent.isText("COMMIT"));
+    assertThat(fixture.servers.openConnections()).isZero();
+  }
+}
