Number the server connections of a host without repetition

After a restart of a server its new pool began again at 1, so the log held statement-prepared connection=s1/1 name=p1 twice for two connections. ConnectionSetupTest failed before; it also guards that a text is prepared once for each kind.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -50,7 +50,6 @@
               .thenComparing(ConnectionRequest::deadline)
               .thenComparingLong(ConnectionRequest::sequence));
   private long sequence;
-  private long connectionCount;
 
   ServerPool(TrafficContext context, ServerEntry server, PoolListener listener) {
     this.context = context;
@@ -188,7 +187,7 @@
       }
       oldest.get().discard();
     }
-    ConnectionId id = new ConnectionId(server.id(), ++connectionCount);
+    ConnectionId id = new ConnectionId(server.id(), listener.nextConnectionNumber());
     PooledConnection connection =
         new PooledConnection(id, this, request.workspace(), context.now());
     connections.add(connection);
@@ -306,10 +305,13 @@
     return connections.isEmpty();
   }
 
-  /** Receives the log positions that servers return. */
+  /** Receives the log positions that servers return, and numbers the connections. */
   interface PoolListener {
 
     /** A server returned its position in the answer to a request sent at the given time. */
     void positionSeen(ServerEntry server, TermPosition position, MonotonicTime sentAt);
+
+    /** Returns a number that no connection of this host has had. */
+    long nextConnectionNumber();
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -22,6 +22,7 @@
   private final List<ServerPool> retired = new ArrayList<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
   private final Map<DatabaseGroupId, KnownPrimary> primaries = new HashMap<>();
+  private long connectionCount;
 
   ServerPools(TrafficContext context) {
     this.context = context;
@@ -94,6 +95,11 @@
     }
   }
 
+  @Override
+  public long nextConnectionNumber() {
+    return ++connectionCount;
+  }
+
   /**
    * Applies changed control state: retires the pools of servers that are gone and clears the
    * position history of groups whose primary changed.
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -27,6 +27,7 @@
 public final class FakeServers implements BackendConnector {
   private final List<Sent> sent = new ArrayList<>();
   private final Map<BackendListener, BackendServerId> open = new LinkedHashMap<>();
+  private int connectionCount;
   private int maximumConnections = Integer.MAX_VALUE;
   private final Set<BackendServerId> ignoring = new HashSet<>();
   private Function<Sent, Optional<Answer>> behaviour = FakeServers::succeed;
@@ -34,7 +35,8 @@
   private Consumer<Runnable> delivery = Runnable::run;
 
   /** A statement and where it was sent. */
-  public record Sent(BackendServerId server, WorkspaceId workspace, BackendStatement statement) {
+  public record Sent(
+      BackendServerId server, WorkspaceId workspace, int connection, BackendStatement statement) {
 
     /** Returns whether the statement runs the given text of a caller. */
     public boolean isText(String text) {
@@ -103,11 +105,12 @@
   @Override
   public BackendConnection open(
       ServerEntry server, WorkspaceId workspace, BackendListener listener) {
+    int number = ++connectionCount;
     BackendConnection connection =
         new BackendConnection() {
           @Override
           public void send(BackendStatement statement) {
-            Sent statementSent = new Sent(server.id(), workspace, statement);
+            Sent statementSent = new Sent(server.id(), workspace, number, statement);
             sent.add(statementSent);
             behaviour
                 .apply(statementSent)
--- /dev/null
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetupTest.java
@@ -0,0 +1,72 @@
+package org.persimmonwalk.internal.engine.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.PreparedName;
+import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.Statement;
+import org.persimmonwalk.engine.StatementTemplate;
+import org.persimmonwalk.engine.testing.EngineFixture;
+import org.persimmonwalk.engine.testing.FakeCaller;
+import org.persimmonwalk.id.BackendServerId;
+
+class ConnectionSetupTest {
+  private static final StatementTemplate READ = new StatementTemplate(false, "q1");
+
+  private final EngineFixture fixture = new EngineFixture(1);
+  private final FakeCaller caller = new FakeCaller();
+
+  private Session open(RouteKind kind) {
+    return fixture.open(fixture.hosts.get(0), kind, caller);
+  }
+
+  /** Guards against a text that is prepared once for a read and a write. */
+  @Test
+  void shouldPrepareATextOnceForEachKind() {
+    Session session = open(RouteKind.PRIMARY);
+    fixture.send(session, "1", new Statement.Prepare("mine", READ));
+    fixture.send(session, "2", new Statement.Execute("mine", "x"));
+    fixture.send(session, "3", new Statement.Deallocate("mine"));
+    fixture.send(session, "4", new Statement.Prepare("mine", new StatementTemplate(true, "q1")));
+    fixture.send(session, "5", new Statement.Execute("mine", "x"));
+
+    assertThat(fixture.servers.sent())
+        .extracting(sent -> (Object) sent.statement().action())
+        .endsWith(
+            new BackendStatement.Prepare(PreparedName.of(2), new StatementTemplate(true, "q1")),
+            new BackendStatement.Execute(PreparedName.of(2), "x"));
+  }
+
+  /** Guards against two connections of one server under one id in the log. */
+  @Test
+  void shouldNumberConnectionsDifferentlyAfterAServerWasListedAgain() {
+    Session session = open(RouteKind.PRIMARY);
+    fixture.send(session, "1", new Statement.Prepare("mine", READ));
+    fixture.send(session, "2", new Statement.Execute("mine", "x"));
+    BackendServerId id = BackendServerId.of("s1");
+    ServerEntry old = fixture.entries.get(id);
+    fixture.entries.put(
+        id,
+        new ServerEntry(
+            id,
+            old.group(),
+            old.endpoint(),
+            old.zone(),
+            old.slots(),
+            old.draining(),
+            true,
+            old.startedAtMillis() + 1));
+    for (int i = 0; i < 40; i++) {
+      fixture.run(Duration.ofSeconds(1));
+      fixture.send(session, "r" + i, new Statement.Execute("mine", "x"));
+    }
+    List<String> prepared =
+        fixture.events.stream().filter(event -> event.startsWith("statement-prepared")).toList();
+    assertThat(prepared).doesNotHaveDuplicates();
+  }
+}
