Recognize COMMIT and SET beside comments and quoted semicolons

What callers saw: after a lost COMMIT that had a comment before it, or the word TO in one after it, the entry host reported that nothing had run, so that a caller may have repeated a write that was kept. A setting with a comment before it or a semicolon in its text was lost on the session's next connection. Found by a review.

Statements with a leading block comment still count as writes unless they end a transaction or set a value.

--- a/entryhost/src/test/java/org/persimmonwalk/internal/traffic/caller/StatementClassifierTest.java
+++ b/entryhost/src/test/java/org/persimmonwalk/internal/traffic/caller/StatementClassifierTest.java
@@ -24,7 +24,20 @@
           BEGIN                                           | BEGIN
           START TRANSACTION READ ONLY                     | BEGIN_READ_ONLY
           commit                                          | END
+          /* app */ COMMIT                                | END
+          /* a /* b */ c */ -- d                          | WRITE
+          COMMIT -- on to                                 | END
+          COMMIT /* back to a */                          | END
+          COMMIT /* open                                  | END
           ROLLBACK TO SAVEPOINT a                         | WRITE
+          rollback work to a                              | WRITE
+          /* app */ ROLLBACK /* b */ TO a                 | WRITE
+          ROLLBACK -- TO a                                | END
+          COMMIT; SELECT 1                                | MULTIPLE
+          /* app */ SET search_path = tank                | SET
+          SET application_name = 'a;b'                    | SET
+          SET application_name = 'a;b'; DELETE FROM t     | MULTIPLE
+          SET application_name = E'a\'; DELETE FROM t --'  | MULTIPLE
           SET search_path = tank                          | SET
           SET LOCAL lock_timeout = 1                      | READ
           set persimmonwalk.session = 'a'                 | SET_HOST_PARAMETER
