Read log lines that hold any character

operator explain left out a line whose request id held the byte 0x85, which Java takes for the end of a line.

--- a/operator/src/main/java/org/persimmonwalk/internal/operator/log/LogLine.java
+++ b/operator/src/main/java/org/persimmonwalk/internal/operator/log/LogLine.java
@@ -18,7 +18,7 @@
 public record LogLine(String source, LocalTime time, String event, Map<String, String> fields) {
   private static final Pattern LINE =
       Pattern.compile(
-          "(?<prefix>.*?)(?<time>\\d\\d:\\d\\d:\\d\\d\\.\\d{3}) [A-Z]+ event=(?<event>\\S+)"
+          "(?s)(?<prefix>.*?)(?<time>\\d\\d:\\d\\d:\\d\\d\\.\\d{3}) [A-Z]+ event=(?<event>\\S+)"
               + "(?<rest>.*)");
   private static final Pattern FIELD = Pattern.compile("(\\w+)=(\"[^\"]*\"|\\[[^\\]]*\\]|\\S*)");
   private static final Pattern NAME_BEFORE_TIME = Pattern.compile("(\\S*[A-Za-z]\\S*)\\s*$");
--- /dev/null
+++ b/operator/src/test/java/org/persimmonwalk/internal/operator/log/package-info.java
@@ -0,0 +1,2 @@
+/** Tests for reading log lines of entry hosts. */
+package org.persimmonwalk.internal.operator.log;
