Set session variables on the connection before COMMIT

What a caller can see: after SET inside a transaction, its COMMIT runs on a connection that lacks the variable or has its old value (PINNED), if no other statement of the transaction follows the SET.

Cause: Transaction.run sets the connection up before each statement, Transaction.commit did not.

Change: COMMIT sets the connection up as other statements do. If the server refuses that, the transaction is aborted and the caller is told so, as for other statements.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -217,15 +217,14 @@
       session.fail(FailureCode.ABORTED, "the transaction had failed and was rolled back");
       return;
     }
-    withConnection(
-        id,
-        () -> {
-          PooledConnection used = connection;
-          PendingCommit pending = new PendingCommit(used);
-          pending.cancel = context.scheduler().schedule(route.statementTimeout(), pending::timeOut);
-          used.send(
-              BackendStatement.of(id, Optional.empty(), new BackendStatement.Text(text)), pending);
-        });
+    withConnection(id, () -> setUp(Optional.empty(), () -> sendCommit(id, text)));
+  }
+
+  private void sendCommit(RequestId id, String text) {
+    PooledConnection used = connection;
+    PendingCommit pending = new PendingCommit(used);
+    pending.cancel = context.scheduler().schedule(route.statementTimeout(), pending::timeOut);
+    used.send(BackendStatement.of(id, Optional.empty(), new BackendStatement.Text(text)), pending);
   }
 
   /**
