--- a/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -52,6 +53,14 @@
     return observations.stream().filter(type::isInstance).map(type::cast);
   }
 
+  /**
+   * Replaces each of this round's observations by the result of the function. For a controller that
+   * runs first and decides in one place which observations still count.
+   */
+  public void replaceObservations(UnaryOperator<Observation> replacement) {
+    observations = observations.stream().map(replacement).toList();
+  }
+
   /** Submits a command, which is executed after the round. */
   public void submit(Command command) {
     commands.add(Objects.requireNonNull(command, "command"));
--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -8,6 +8,7 @@
 import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.internal.engine.control.EraSettlementController;
 import org.persimmonwalk.internal.engine.control.FleetSizeController;
 import org.persimmonwalk.internal.engine.control.LenderController;
 import org.persimmonwalk.internal.engine.control.PrimaryViewController;
@@ -16,6 +17,7 @@
 import org.persimmonwalk.internal.engine.control.RelayController;
 import org.persimmonwalk.internal.engine.control.ServerListController;
 import org.persimmonwalk.internal.engine.control.StopController;
+import org.persimmonwalk.internal.engine.control.StoreEraController;
 import org.persimmonwalk.internal.engine.control.SuspicionController;
 import org.persimmonwalk.internal.engine.control.TokenExchangeController;
 import org.persimmonwalk.internal.engine.control.VerificationController;
@@ -56,8 +58,10 @@
     List<Controller> controllers =
         List.of(
             StopController.create(),
+            StoreEraController.create(log, meter, suspension),
             RelayController.create(settings, log),
             VerificationController.create(settings, log),
+            EraSettlementController.create(settings, log),
             ServerListController.create(settings.timings(), log),
             PrimaryViewController.create(settings.timings(), log),
             SuspicionController.create(settings, log),
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -31,7 +31,14 @@
   public static final EntryKey<Set<DatabaseGroupId>> VERIFIED_GROUPS =
       EntryKey.of("verified groups", Set.of());
 
-  /** The newest content of each row of the store that this host has seen. */
+  /** The newest era of the store that this host has heard of. */
+  public static final EntryKey<StoreEra> STORE_ERA = EntryKey.of("store era", StoreEra.UNKNOWN);
+
+  /** What this host knew of the store's rows before the current era. */
+  public static final EntryKey<RememberedRows> REMEMBERED_ROWS =
+      EntryKey.of("remembered rows", RememberedRows.NONE);
+
+  /** The newest content of each row of the store that this host has seen in the current era. */
   public static final EntryKey<Map<RowKey, StoredRow>> STORE_ROWS = EntryKey.of("rows", Map.of());
 
   /** The newest reading of the store's clock. */
--- /dev/null
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoreVersion.java
@@ -0,0 +1,40 @@
+package org.persimmonwalk.engine.control;
+
+import java.util.Comparator;
+
+/**
+ * The version of a row. The store gives out the same numbers again in a later era, so a number
+ * identifies a content only together with the era in which it was read.
+ *
+ * @param era the era in which the row was read or written
+ * @param number rises with each change within an era; 0 if the row doesn't exist
+ */
+public record StoreVersion(StoreEra era, long number) implements Comparable<StoreVersion> {
+  private static final Comparator<StoreVersion> ORDER =
+      Comparator.comparing(StoreVersion::era).thenComparingLong(StoreVersion::number);
+
+  /** Returns the version with the given era and number. */
+  public static StoreVersion of(StoreEra era, long number) {
+    return new StoreVersion(era, number);
+  }
+
+  /** Returns the version of a row that doesn't exist, or hasn't been read, in the given era. */
+  public static StoreVersion absent(StoreEra era) {
+    return new StoreVersion(era, 0);
+  }
+
+  /** Returns whether a row with this version exists. */
+  public boolean exists() {
+    return number > 0;
+  }
+
+  @Override
+  public int compareTo(StoreVersion other) {
+    return ORDER.compare(this, other);
+  }
+
+  @Override
+  public String toString() {
+    return era.isKnown() ? era + "/" + number : Long.toString(number);
+  }
+}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
@@ -11,6 +11,7 @@
  * hosts can't be compared.
  *
  * @param isRelay false if the answering host is not the relay or is about to stop
+ * @param era the era of the store in which the rows were read
  * @param verifiedAge the time since the call that verified the rows was sent
  * @param configurationRowVersion the version of the configuration row that was verified
  * @param storeReading the newest reading of the store's clock
@@ -21,8 +22,9 @@
  */
 public record ZoneReply(
     boolean isRelay,
+    StoreEra era,
     Optional<Duration> verifiedAge,
-    long configurationRowVersion,
+    StoreVersion configurationRowVersion,
     Optional<StoreReading> storeReading,
     Map<RowKey, StoredRow> rows,
     Optional<RoutingConfiguration> configuration,
@@ -36,12 +38,28 @@
     loans = List.copyOf(loans);
   }
 
+  /** Returns the reply without what was read from the store, which is of an earlier era. */
+  public ZoneReply withoutRows() {
+    return new ZoneReply(
+        isRelay,
+        era,
+        Optional.empty(),
+        StoreVersion.absent(era),
+        Optional.empty(),
+        Map.of(),
+        Optional.empty(),
+        Optional.empty(),
+        loans,
+        fleetSize);
+  }
+
   /** Returns the reply of a host that isn't the relay. */
   public static ZoneReply notRelay() {
     return new ZoneReply(
         false,
+        StoreEra.UNKNOWN,
         Optional.empty(),
-        0,
+        StoreVersion.absent(StoreEra.UNKNOWN),
         Optional.empty(),
         Map.of(),
         Optional.empty(),
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
@@ -8,6 +8,7 @@
  * A regular request of an entry host to the relay of its zone, answered by {@link ZoneReply}.
  *
  * @param from the requesting host
+ * @param era the newest era of the store that the requesting host knows
  * @param knownVersions the versions of the rows that the requesting host has
  * @param serverListRevision the revision of the relay's server list that it has; 0 if none
  * @param urgent whether it waits for a change, such as a new primary
@@ -16,7 +17,8 @@
  */
 public record ZoneRequest(
     EntryHostId from,
-    Map<RowKey, Long> knownVersions,
+    StoreEra era,
+    Map<RowKey, StoreVersion> knownVersions,
     long serverListRevision,
     boolean urgent,
     List<TokenRequest> tokenRequests) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/FleetSizeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/FleetSizeController.java
@@ -15,6 +15,7 @@
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionTag;
 import org.persimmonwalk.engine.control.ZoneReply;
@@ -49,7 +50,7 @@
   private final EngineSettings settings;
   private final DecisionLog log;
   private final Map<EntryHostId, MonotonicTime> lastRequestAt = new HashMap<>();
-  private final Map<RowKey, Long> unreadableVersions = new HashMap<>();
+  private final Map<RowKey, StoreVersion> unreadableVersions = new HashMap<>();
   private Optional<MonotonicTime> relayingSince = Optional.empty();
   private Optional<MonotonicTime> recordedAt = Optional.empty();
   private int sizeAtRelay;
@@ -71,8 +72,8 @@
   }
 
   /** Returns the known versions of the records of the given zones. */
-  static Map<RowKey, Long> versions(Blackboard blackboard, Set<AvailabilityZone> zones) {
-    Map<RowKey, Long> versions = new HashMap<>();
+  static Map<RowKey, StoreVersion> versions(Blackboard blackboard, Set<AvailabilityZone> zones) {
+    Map<RowKey, StoreVersion> versions = new HashMap<>();
     for (AvailabilityZone zone : zones) {
       versions.put(row(zone), KnownRows.version(blackboard, row(zone)));
     }
@@ -128,7 +129,7 @@
 
   /** Returns the recorded number of hosts of a zone; 0 if there is none that can be read. */
   private int recorded(Blackboard blackboard, AvailabilityZone zone) {
-    StoredRow row = KnownRows.row(blackboard, row(zone));
+    StoredRow row = KnownRows.rowOfAnyEra(blackboard, row(zone));
     if (!row.exists()) {
       return 0;
     }
@@ -140,7 +141,7 @@
     }
   }
 
-  private void logUnreadable(RowKey row, long version) {
+  private void logUnreadable(RowKey row, StoreVersion version) {
     if (!Objects.equals(unreadableVersions.put(row, version), version)) {
       log.write("row-unreadable", "row", row, "rowVersion", version);
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/HeldLease.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/HeldLease.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.OrderPromotion;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -13,7 +14,7 @@
  *     while it takes the lease; a later one belongs to another holder
  * @param takenAt when the transaction that took the lease was submitted
  */
-record HeldLease(long fencingToken, long rowVersion, MonotonicTime takenAt) {
+record HeldLease(long fencingToken, StoreVersion rowVersion, MonotonicTime takenAt) {
   /** The promotion lease expires after this time unless it is released before. */
   static final Duration DURATION = Duration.ofMillis(3500);
 
@@ -23,7 +24,7 @@
    */
   static final Duration ORDER_DEADLINE = Duration.ofMillis(1500);
 
-  HeldLease written(long version) {
+  HeldLease written(StoreVersion version) {
     return new HeldLease(fencingToken, version, takenAt);
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
@@ -6,6 +6,7 @@
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -16,12 +17,15 @@
   private KnownRows() {}
 
   /**
-   * Returns the known versions of the configuration row and the leadership rows. A transaction that
-   * expects them verifies these rows.
+   * Returns the known versions of the configuration row, the leadership rows and the row of the
+   * settled era. A transaction that expects them verifies these rows.
    */
-  static Map<RowKey, Long> versionsToVerify(Blackboard blackboard) {
-    Map<RowKey, Long> expected = new HashMap<>();
+  static Map<RowKey, StoreVersion> versionsToVerify(Blackboard blackboard) {
+    Map<RowKey, StoreVersion> expected = new HashMap<>();
     expected.put(RowKey.CONFIGURATION, version(blackboard, RowKey.CONFIGURATION));
+    if (blackboard.get(EngineEntries.STORE_ERA).isKnown()) {
+      expected.put(StoreEraRow.ROW, version(blackboard, StoreEraRow.ROW));
+    }
     for (DatabaseGroupId group : blackboard.get(EngineEntries.CONFIGURATION).groups().keySet()) {
       RowKey row = Leadership.row(group);
       expected.put(row, version(blackboard, row));
@@ -30,8 +34,9 @@
   }
 
   /** Returns the known versions of the rows that name the relays of the given zones. */
-  static Map<RowKey, Long> relayVersions(Blackboard blackboard, Set<AvailabilityZone> zones) {
-    Map<RowKey, Long> versions = new HashMap<>();
+  static Map<RowKey, StoreVersion> relayVersions(
+      Blackboard blackboard, Set<AvailabilityZone> zones) {
+    Map<RowKey, StoreVersion> versions = new HashMap<>();
     for (AvailabilityZone zone : zones) {
       RowKey row = RelayController.row(zone);
       versions.put(row, version(blackboard, row));
@@ -39,13 +44,23 @@
     return versions;
   }
 
-  /** Returns the row as last seen; absent if it has never been seen. */
+  /** Returns the row as last seen in the current era; absent if it has not been seen there. */
   static StoredRow row(Blackboard blackboard, RowKey row) {
-    return blackboard.get(EngineEntries.STORE_ROWS).getOrDefault(row, StoredRow.ABSENT);
+    StoredRow known = blackboard.get(EngineEntries.STORE_ROWS).get(row);
+    return known == null ? StoredRow.absent(blackboard.get(EngineEntries.STORE_ERA)) : known;
+  }
+
+  /**
+   * Returns the row as last seen in any era, for rows that only save calls and on which no rule
+   * rests.
+   */
+  static StoredRow rowOfAnyEra(Blackboard blackboard, RowKey row) {
+    StoredRow known = row(blackboard, row);
+    return known.exists() ? known : blackboard.get(EngineEntries.REMEMBERED_ROWS).row(row);
   }
 
-  /** Returns the last seen version of the row; 0 if the row is absent or has never been seen. */
-  static long version(Blackboard blackboard, RowKey row) {
+  /** Returns the version of the row as last seen in the current era. */
+  static StoreVersion version(Blackboard blackboard, RowKey row) {
     return row(blackboard, row).version();
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
@@ -49,6 +49,13 @@
     return new Leadership(Phase.SWITCHING, server.id(), server.startedAtMillis(), storeMillis);
   }
 
+  /** Returns the row that announces the replacement of whichever server the given row names. */
+  static Leadership moving(StoredRow row) {
+    return parse(row)
+        .map(known -> new Leadership(Phase.MOVING, known.server(), known.startedAtMillis(), 0))
+        .orElse(UNREADABLE);
+  }
+
   static RowKey row(DatabaseGroupId group) {
     return RowKey.of(TABLE, group.value());
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
@@ -58,7 +58,7 @@
     Map<AvailabilityZone, RelayHost> lenders = new HashMap<>();
     for (AvailabilityZone zone : settings.zones()) {
       relays
-          .get(blackboard, RelayController.row(zone))
+          .getOfAnyEra(blackboard, RelayController.row(zone))
           .filter(relay -> !relay.host().equals(settings.host()))
           .filter(relay -> !failedUntil.containsKey(relay))
           .filter(relay -> !isSlow(unanswered.get(relay), now))
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ParsedRows.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ParsedRows.java
@@ -26,7 +26,16 @@
 
   /** Returns the parsed content of the newest version of the row that this host has seen. */
   T get(Blackboard blackboard, RowKey key) {
-    StoredRow row = KnownRows.row(blackboard, key);
+    return parse(key, KnownRows.row(blackboard, key));
+  }
+
+  /** Returns the parsed content of the row as last seen in any era of the store. */
+  T getOfAnyEra(Blackboard blackboard, RowKey key) {
+    return parse(key, KnownRows.rowOfAnyEra(blackboard, key));
+  }
+
+  /** Returns the parsed content of the row. */
+  T parse(RowKey key, StoredRow row) {
     Parsed<T> known = parsed.get(key);
     if (known == null || !known.row().equals(row)) {
       known = new Parsed<>(row, parser.apply(row));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
@@ -14,6 +14,7 @@
 import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.PrimaryView;
 import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -72,7 +73,11 @@
     if (!blackboard.get(EngineEntries.VERIFIED_GROUPS).contains(group)) {
       return PrimaryView.NONE;
     }
-    Optional<Leadership> row = leaderships.get(blackboard, Leadership.row(group));
+    Optional<StoredRow> inForce = LeadershipInForce.of(blackboard, group);
+    if (inForce.isEmpty()) {
+      return PrimaryView.NONE;
+    }
+    Optional<Leadership> row = leaderships.parse(Leadership.row(group), inForce.get());
     if (row.isEmpty()) {
       return stable(listedOrLastSeen(group, selfDeclaredPrimary(blackboard, group), now));
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -15,8 +15,10 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
+import org.persimmonwalk.engine.control.TransactionResult;
 import org.persimmonwalk.engine.control.TransactionTag;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -68,13 +70,21 @@
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.transaction().tag().purpose().equals(PURPOSE))
         .forEach(answer -> inFlight.values().remove(answer.transaction().tag().serial()));
+    blackboard
+        .observations(TransactionAnswered.class)
+        .filter(answer -> answer.result() == TransactionResult.APPLIED)
+        .map(TransactionAnswered::transaction)
+        .filter(settled -> settled.tag().purpose().equals(EraSettlementController.PURPOSE))
+        .forEach(settled -> takeOver(blackboard, settled, now));
     workflow.run(blackboard, now);
     boolean isVerified =
         blackboard
             .get(EngineEntries.VERIFIED_AT)
             .filter(at -> now.since(at).compareTo(EngineTimings.VERIFICATION_VALIDITY) < 0)
             .isPresent();
-    if (!isVerified || blackboard.get(EngineEntries.STOPPING)) {
+    if (!isVerified
+        || !StoreEraRow.isSettled(blackboard)
+        || blackboard.get(EngineEntries.STOPPING)) {
       return;
     }
     blackboard.get(EngineEntries.CONFIGURATION).groups().keySet().stream()
@@ -82,6 +92,13 @@
         .forEach(group -> checkGroup(blackboard, group, context));
   }
 
+  /** Makes this host run the replacements that it announced when it settled an era. */
+  private void takeOver(Blackboard blackboard, RunTransaction settled, MonotonicTime now) {
+    blackboard.get(EngineEntries.CONFIGURATION).groups().keySet().stream()
+        .filter(group -> settled.writes().containsKey(PromotionRecord.row(group)))
+        .forEach(group -> announcements.put(group, Announcement.ownAt(now)));
+  }
+
   private void checkGroup(Blackboard blackboard, DatabaseGroupId group, RoundContext context) {
     MonotonicTime now = context.now();
     StoredRow stored = KnownRows.row(blackboard, Leadership.row(group));
@@ -124,7 +141,7 @@
     RowKey row = Leadership.row(group);
     serial++;
     inFlight.put(group, serial);
-    announcements.put(group, new Announcement(-1, now, true, Duration.ZERO));
+    announcements.put(group, Announcement.ownAt(now));
     log.write(
         "primary-replacement-announced",
         "group",
@@ -150,13 +167,13 @@
       RoundContext context) {
     MonotonicTime now = context.now();
     Announcement announcement = announcements.get(group);
-    if (announcement == null || announcement.version() != stored.version()) {
+    if (announcement == null || !announcement.isOf(stored.version())) {
       int jitter = context.random().nextInt(TAKEOVER_JITTER_MILLIS);
-      boolean isOwnAnnouncement = announcement != null && announcement.version() < 0;
+      boolean isOwnAnnouncement = announcement != null && announcement.version().isEmpty();
       boolean own = isOwnAnnouncement || workflow.hasRecorded(row.server());
       announcement =
           new Announcement(
-              stored.version(),
+              Optional.of(stored.version()),
               now,
               own,
               own ? Duration.ZERO : TAKEOVER_DELAY.plus(Duration.ofMillis(jitter)));
@@ -187,10 +204,21 @@
   /**
    * A replacement that is announced in the leadership row.
    *
-   * @param version the version of the row; -1 until the answer to this host's own announcement
+   * @param version the version of the row; empty until the answer to this host's own announcement
    * @param at when this host first saw the version
    * @param own whether this host caused the version, by an announcement or by a promotion
    * @param delay how long this host waits beyond the time when the promotion is safe
    */
-  private record Announcement(long version, MonotonicTime at, boolean own, Duration delay) {}
+  private record Announcement(
+      Optional<StoreVersion> version, MonotonicTime at, boolean own, Duration delay) {
+
+    /** Returns an announcement of this host whose version isn't known yet. */
+    static Announcement ownAt(MonotonicTime now) {
+      return new Announcement(Optional.empty(), now, true, Duration.ZERO);
+    }
+
+    boolean isOf(StoreVersion other) {
+      return version.filter(other::equals).isPresent();
+    }
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionDecision.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionDecision.java
@@ -56,8 +56,11 @@
     // A promotion that was ordered may still take effect, so the old primary can't stay.
     boolean isOrderPending =
         circumstances.record().isOrderPending(circumstances.leadershipVersion());
-    Optional<ServerEntry> current =
-        poll.currentPrimary(!circumstances.planned() && !isOrderPending);
+    // If it isn't known whether one was ordered, all servers together tell whether one has led
+    // since.
+    boolean mayStay =
+        !isOrderPending || (circumstances.record().isOrderUnknown() && poll.haveAllAnswered());
+    Optional<ServerEntry> current = poll.currentPrimary(!circumstances.planned() && mayStay);
     if (current.isPresent()) {
       return new PromotionDecision(Action.RECORD, current, "it is the primary already");
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionRecord.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionRecord.java
@@ -13,7 +13,8 @@
  *
  * @param term the term of the primary that was recorded last; 0 if none is known
  * @param orderedFor the version of the leadership row for which a promotion was ordered last; 0 if
- *     none was ordered since a primary was recorded. The order may still take effect.
+ *     none was ordered since a primary was recorded; -1 if the store may have lost the record of an
+ *     order. The order may still take effect.
  * @param orderedServer the server of that order
  * @param startedAtMillis when that server's process started
  */
@@ -22,6 +23,10 @@
 
   private static final String SEPARATOR = " ";
   private static final int PARTS = 4;
+
+  /** An order that may have been lost, for whichever version of the leadership row. */
+  private static final long ANY_VERSION = -1;
+
   private static final PromotionRecord NONE = recorded(0);
 
   /** Returns the record after a primary of the given term was recorded. */
@@ -29,6 +34,20 @@
     return new PromotionRecord(term, 0, Leadership.NO_SERVER, 0);
   }
 
+  /**
+   * Returns the record after the store came back from a copy, which may have lost an order.
+   *
+   * @param remembered what this host knew before
+   */
+  PromotionRecord afterReturn(PromotionRecord remembered) {
+    boolean isOrderRemembered = remembered.orderedFor != 0;
+    return new PromotionRecord(
+        Math.max(term, remembered.term),
+        ANY_VERSION,
+        isOrderRemembered ? remembered.orderedServer : orderedServer,
+        isOrderRemembered ? remembered.startedAtMillis : startedAtMillis);
+  }
+
   /** Returns the record of a promotion that is about to be ordered. */
   PromotionRecord ordered(long leadershipVersion, ServerEntry server) {
     return new PromotionRecord(term, leadershipVersion, server.id(), server.startedAtMillis());
@@ -74,7 +93,12 @@
 
   /** Returns whether a promotion for the version of the leadership row may still take effect. */
   boolean isOrderPending(long leadershipVersion) {
-    return orderedFor == leadershipVersion;
+    return orderedFor == leadershipVersion || isOrderUnknown();
+  }
+
+  /** Returns whether the store may have lost the record of an order. */
+  boolean isOrderUnknown() {
+    return orderedFor == ANY_VERSION;
   }
 
   String text() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -19,6 +19,7 @@
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerStatusRead.Status;
 import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
@@ -60,7 +61,7 @@
   private Stage stage = Stage.IDLE;
   private PromotedGroup group;
   private Leadership leadership;
-  private long leadershipVersion;
+  private StoreVersion leadershipVersion;
   private HeldLease lease;
   private long serial;
   private long pendingSerial;
@@ -109,7 +110,8 @@
     return lastRecorded.filter(server::equals).isPresent();
   }
 
-  void begin(DatabaseGroupId newGroup, Leadership newLeadership, long version, MonotonicTime now) {
+  void begin(
+      DatabaseGroupId newGroup, Leadership newLeadership, StoreVersion version, MonotonicTime now) {
     group = new PromotedGroup(newGroup);
     leadership = newLeadership;
     leadershipVersion = version;
@@ -132,7 +134,7 @@
     if (stage == Stage.IDLE) {
       return;
     }
-    if (KnownRows.version(blackboard, Leadership.row(group.id())) != leadershipVersion) {
+    if (!KnownRows.version(blackboard, Leadership.row(group.id())).equals(leadershipVersion)) {
       log.write("promotion-ended", "group", group.id(), "reason", "the leadership row changed");
       stage = Stage.IDLE;
       return;
@@ -169,7 +171,7 @@
       }
     } else if (result != TransactionResult.CONFLICT) {
       nextStepAt = now.plus(STATUS_TIMEOUT);
-    } else if (stage != Stage.TAKE_LEASE && leaseRow.version() != lease.rowVersion()) {
+    } else if (stage != Stage.TAKE_LEASE && !leaseRow.version().equals(lease.rowVersion())) {
       log.write(
           "duty-lost",
           "group",
@@ -241,7 +243,7 @@
   }
 
   private void submit(Blackboard blackboard, String purpose, Map<RowKey, String> writes) {
-    Map<RowKey, Long> expected = KnownRows.versionsToVerify(blackboard);
+    Map<RowKey, StoreVersion> expected = KnownRows.versionsToVerify(blackboard);
     expected.put(PromotionLease.ROW, lease.rowVersion());
     RowKey recordRow = PromotionRecord.row(group.id());
     expected.put(recordRow, KnownRows.version(blackboard, recordRow));
@@ -284,7 +286,7 @@
             poll,
             new PromotionDecision.Circumstances(
                 leadership.phase() == Leadership.Phase.SWITCHING,
-                leadershipVersion,
+                leadershipVersion.number(),
                 group.record(blackboard),
                 group.synchronousReplicas(blackboard),
                 now.since(stageSince),
@@ -327,7 +329,7 @@
       return;
     }
     PromotionRecord record = group.record(blackboard);
-    if (record.isOrdered(leadershipVersion, target)) {
+    if (record.isOrdered(leadershipVersion.number(), target)) {
       enter(Stage.ORDERED, now);
       blackboard.submit(order);
       return;
@@ -335,7 +337,9 @@
     submit(
         blackboard,
         ANNOUNCE_ORDER_PURPOSE,
-        Map.of(PromotionRecord.row(group.id()), record.ordered(leadershipVersion, target).text()));
+        Map.of(
+            PromotionRecord.row(group.id()),
+            record.ordered(leadershipVersion.number(), target).text()));
   }
 
   private void confirm(MonotonicTime now, Blackboard blackboard) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -94,7 +94,7 @@
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.transaction().tag().purpose().equals(PURPOSE))
         .forEach(answer -> claimSentAt = Optional.empty());
-    updateCurrentRelay(relays.get(blackboard, row(settings.zone())), now);
+    updateCurrentRelay(relays.getOfAnyEra(blackboard, row(settings.zone())), now);
     RelayRole role = role(blackboard, now);
     publish(blackboard, role, now);
     boolean isClaimNeeded = role.equals(RelayRole.DIRECT) || (role.isClient() && stale);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
@@ -75,6 +75,12 @@
         && !replicas().allMatch(entry -> status(entry).isPresent());
   }
 
+  /** Returns whether all servers of the group answered, also those that have just lapsed. */
+  boolean haveAllAnswered() {
+    return Stream.concat(servers.values().stream(), lapsed.values().stream())
+        .allMatch(entry -> status(entry).isPresent());
+  }
+
   /** Returns whether the old primary answered and has log records that the server lacks. */
   boolean isOldPrimaryAheadOf(ServerEntry server) {
     return oldPrimaryStatus().isPresent() && !hasLogOfOldPrimary(server);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -21,6 +21,7 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenRequest;
@@ -195,7 +196,7 @@
     if (time.isEmpty()) {
       return;
     }
-    Map<RowKey, Long> expected = KnownRows.versionsToVerify(blackboard);
+    Map<RowKey, StoreVersion> expected = KnownRows.versionsToVerify(blackboard);
     Map<RowKey, String> writes = new HashMap<>();
     Map<WorkspaceId, Acquisition> acquisitions = new HashMap<>();
     workspaces.stream()
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.RoundContext;
@@ -15,7 +16,9 @@
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
@@ -50,6 +53,7 @@
   private final EngineSettings settings;
   private final EngineTimings timings;
   private final DecisionLog log;
+  private StoreEra era = StoreEra.UNKNOWN;
   private long serial;
   private int inFlight;
   private MonotonicTime lastCallAt = MonotonicTime.of(Long.MIN_VALUE / 2);
@@ -69,6 +73,7 @@
 
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
+    forgetRowsOfEarlierEra(blackboard, context.now());
     blackboard
         .observations(TransactionAnswered.class)
         .forEach(answer -> apply(blackboard, answer, context.now()));
@@ -91,7 +96,7 @@
       inFlight++;
       lastCallAt = context.now();
       serial++;
-      Map<RowKey, Long> expected = KnownRows.versionsToVerify(blackboard);
+      Map<RowKey, StoreVersion> expected = KnownRows.versionsToVerify(blackboard);
       demand.rows().forEach(row -> expected.put(row, KnownRows.version(blackboard, row)));
       expected.putAll(KnownRows.relayVersions(blackboard, settings.zones()));
       expected.putAll(FleetSizeController.versions(blackboard, settings.zones()));
@@ -99,6 +104,20 @@
     }
   }
 
+  /** Forgets the rows of an earlier era, so that the next verification reads all of them. */
+  private void forgetRowsOfEarlierEra(Blackboard blackboard, MonotonicTime now) {
+    StoreEra current = blackboard.get(EngineEntries.STORE_ERA);
+    if (current.equals(era)) {
+      return;
+    }
+    era = current;
+    nextCallAt = now;
+    blackboard.put(EngineEntries.STORE_ROWS, Map.of());
+    blackboard.put(EngineEntries.STORE_TIME, Optional.empty());
+    blackboard.put(EngineEntries.VERIFIED_AT, Optional.empty());
+    blackboard.put(EngineEntries.VERIFIED_GROUPS, Set.of());
+  }
+
   private boolean isFallbackDue(Blackboard blackboard, MonotonicTime now) {
     boolean isOld =
         blackboard
@@ -122,18 +141,18 @@
         .ifPresent(time -> updateStoreTime(blackboard, time));
     boolean isConfigurationCurrent =
         blackboard.get(EngineEntries.CONFIGURATION).isPresent()
-            && reply.configurationRowVersion()
-                >= KnownRows.version(blackboard, RowKey.CONFIGURATION);
+            && reply
+                    .configurationRowVersion()
+                    .compareTo(KnownRows.version(blackboard, RowKey.CONFIGURATION))
+                >= 0;
     if (isConfigurationCurrent) {
       reply.verifiedAge().ifPresent(age -> updateVerifiedAt(blackboard, ended.sentAt().minus(age)));
     }
   }
 
   private void apply(Blackboard blackboard, TransactionAnswered answer, MonotonicTime now) {
-    boolean answered =
-        answer.result() == TransactionResult.APPLIED
-            || answer.result() == TransactionResult.CONFLICT;
-    updateConnected(answered, answer.result());
+    boolean answered = answer.isAnswered();
+    updateConnected(answered || answer.time().isPresent(), answer.result());
     boolean verified = false;
     if (answered) {
       merge(blackboard, answer.rows(), answer.configuration());
@@ -186,7 +205,10 @@
       Map<RowKey, StoredRow> rows = new HashMap<>(blackboard.get(EngineEntries.STORE_ROWS));
       newRows.forEach(
           (key, row) ->
-              rows.merge(key, row, (old, other) -> other.version() > old.version() ? other : old));
+              rows.merge(
+                  key,
+                  row,
+                  (old, other) -> other.version().compareTo(old.version()) > 0 ? other : old));
       blackboard.put(EngineEntries.STORE_ROWS, Map.copyOf(rows));
     }
     configuration.ifPresent(newest -> accept(blackboard, newest));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -20,6 +20,7 @@
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.ServerListVersion;
 import org.persimmonwalk.engine.control.StoreReading;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
@@ -88,7 +89,7 @@
         .or(
             () ->
                 relays
-                    .get(blackboard, RelayController.row(settings.zone()))
+                    .getOfAnyEra(blackboard, RelayController.row(settings.zone()))
                     .filter(relay -> !relay.host().equals(settings.host())));
   }
 
@@ -104,7 +105,7 @@
     inFlight = true;
     requestSentAt = now;
     lastRelay = Optional.of(relay);
-    Map<RowKey, Long> knownVersions = KnownRows.versionsToVerify(blackboard);
+    Map<RowKey, StoreVersion> knownVersions = KnownRows.versionsToVerify(blackboard);
     knownVersions.putAll(KnownRows.relayVersions(blackboard, settings.zones()));
     long revision =
         blackboard
@@ -114,7 +115,13 @@
     blackboard.submit(
         new SendZoneRequest(
             relay,
-            new ZoneRequest(settings.host(), knownVersions, revision, waitsForPrimary, List.of())));
+            new ZoneRequest(
+                settings.host(),
+                blackboard.get(EngineEntries.STORE_ERA),
+                knownVersions,
+                revision,
+                waitsForPrimary,
+                List.of())));
   }
 
   private static boolean waitsForPrimary(Blackboard blackboard, MonotonicTime now) {
@@ -136,11 +143,11 @@
             .filter(at -> coversAllGroups && !at.isBefore(resumedAt))
             .map(now::since);
     ZoneRequest request = received.request();
-    long configurationRowVersion = KnownRows.version(blackboard, RowKey.CONFIGURATION);
-    boolean hasNewerConfiguration =
-        configurationRowVersion > request.knownVersions().getOrDefault(RowKey.CONFIGURATION, 0L);
+    StoreVersion configurationRowVersion = KnownRows.version(blackboard, RowKey.CONFIGURATION);
+    boolean hasNewerConfiguration = isNewer(configurationRowVersion, RowKey.CONFIGURATION, request);
     return new ZoneReply(
         true,
+        blackboard.get(EngineEntries.STORE_ERA),
         verifiedAge,
         configurationRowVersion,
         blackboard.get(EngineEntries.STORE_TIME).map(time -> StoreReading.of(time, now)),
@@ -153,17 +160,23 @@
 
   private Map<RowKey, StoredRow> newerRows(Blackboard blackboard, ZoneRequest request) {
     Map<RowKey, StoredRow> newer = new HashMap<>();
-    Map<RowKey, Long> versions = KnownRows.versionsToVerify(blackboard);
+    Map<RowKey, StoreVersion> versions = KnownRows.versionsToVerify(blackboard);
     versions.putAll(KnownRows.relayVersions(blackboard, settings.zones()));
     versions.forEach(
         (row, version) -> {
-          if (version > request.knownVersions().getOrDefault(row, 0L)) {
+          if (isNewer(version, row, request)) {
             newer.put(row, KnownRows.row(blackboard, row));
           }
         });
     return newer;
   }
 
+  private static boolean isNewer(StoreVersion version, RowKey row, ZoneRequest request) {
+    StoreVersion known =
+        request.knownVersions().getOrDefault(row, StoreVersion.absent(request.era()));
+    return version.exists() && version.compareTo(known) > 0;
+  }
+
   private static Optional<ServerList> servers(
       Blackboard blackboard, ZoneRequest request, MonotonicTime now) {
     return blackboard
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -33,7 +33,7 @@
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerStatusRead.Status;
 import org.persimmonwalk.engine.control.ServiceBounds;
-import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
@@ -69,7 +69,7 @@
   public final Map<BackendServerId, Status> statuses = new HashMap<>();
   public final List<OrderPromotion> promotions = new ArrayList<>();
   public final List<Engine> hosts = new ArrayList<>();
-  public final Map<RowKey, StoredRow> rows = new HashMap<>();
+  public final Map<RowKey, StoredRow> rows;
   public boolean storeIsUp = true;
   public boolean peersAreReachable = true;
   public int storeCalls;
@@ -94,11 +94,10 @@
   private final FakeZoneExchanges exchanges = new FakeZoneExchanges(clock, scheduler);
   private final int zoneCount;
   private final ServiceBounds bounds;
+  private final FakeRowStore store;
   private long term;
   private long seed;
   private long wallClockOffset = 1_000_000;
-  private long nextVersion = 1;
-  private RoutingConfiguration configuration;
 
   /** Starts the given number of hosts of one zone and lets them read the configuration. */
   public EngineFixture(int hostCount) {
@@ -107,6 +106,13 @@
 
   /** Starts hosts in the given number of zones and lets them read the configuration. */
   public EngineFixture(int hostCount, int zoneCount, ServiceBounds bounds) {
+    this(hostCount, zoneCount, bounds, StoreEra.UNKNOWN);
+  }
+
+  /** Starts hosts as above before a store that tells the given era. */
+  public EngineFixture(int hostCount, int zoneCount, ServiceBounds bounds, StoreEra era) {
+    this.store = new FakeRowStore(clock, entries, era);
+    this.rows = store.rows;
     this.zoneCount = zoneCount;
     this.bounds = bounds;
     for (int i = 1; i <= 3; i++) {
@@ -167,13 +173,36 @@
 
   /** Writes a configuration to the store. */
   public void publish(RoutingConfiguration changed) {
-    configuration = changed;
-    rows.put(RowKey.CONFIGURATION, new StoredRow(nextVersion++, ""));
+    store.publish(changed);
   }
 
   /** Writes a row to the store, as another writer does. */
   public void write(RowKey key, String text) {
-    rows.put(key, new StoredRow(nextVersion++, text));
+    store.write(key, text);
+  }
+
+  /** Returns the version that the store gives out next. */
+  public long nextRowVersion() {
+    return store.nextVersion();
+  }
+
+  /**
+   * Takes the store away and lets it come back from a copy; later the operator and the servers
+   * write again what it has lost.
+   *
+   * @param age the age of the copy when the store goes away
+   * @param away how long the store is away
+   * @param rewriteDelay the time from its return until the lost rows are written again
+   */
+  public void loseStoreToCopy(Duration age, Duration away, Duration rewriteDelay) {
+    storeIsUp = false;
+    scheduler.schedule(
+        away,
+        () -> {
+          store.comeBackFromCopy(age.plus(away));
+          storeIsUp = true;
+          scheduler.schedule(rewriteDelay, store::writeLostRowsAgain);
+        });
   }
 
   private Engine startHost(int number) {
@@ -253,7 +282,7 @@
     }
     if (command instanceof RunTransaction transaction && effectsToDelay > 0) {
       effectsToDelay--;
-      scheduler.schedule(EFFECT_DELAY, () -> run(transaction));
+      scheduler.schedule(EFFECT_DELAY, () -> store.run(transaction, STEP));
       scheduler.schedule(
           CALL_TIMEOUT,
           () ->
@@ -264,12 +293,13 @@
     if (command instanceof RunTransaction transaction) {
       result =
           reachable
-              ? run(transaction)
+              ? store.run(transaction, STEP)
               : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
     } else if (command instanceof ReadServerList) {
       result =
-          new ServerListRead(
-              reachable ? Optional.of(List.copyOf(entries.values())) : Optional.empty());
+          reachable
+              ? new ServerListRead(Optional.of(store.listedEntries()), store.era())
+              : ServerListRead.unanswered();
     } else if (command instanceof OrderPromotion order) {
       order(host, order);
       return;
@@ -328,36 +358,6 @@
                 entry.startedAtMillis()));
   }
 
-  private TransactionAnswered run(RunTransaction transaction) {
-    StoreTime time =
-        new StoreTime(clock.now().nanoseconds() / 1_000_000, clock.now().minus(STEP), clock.now());
-    boolean holds =
-        transaction.expected().entrySet().stream()
-            .allMatch(
-                entry ->
-                    rows.getOrDefault(entry.getKey(), StoredRow.ABSENT).version()
-                        == entry.getValue());
-    Map<RowKey, StoredRow> returnedRows = new HashMap<>();
-    if (holds) {
-      long version = nextVersion++;
-      transaction
-          .writes()
-          .forEach((key, text) -> returnedRows.put(key, new StoredRow(version, text)));
-      rows.putAll(returnedRows);
-    } else {
-      transaction
-          .expected()
-          .keySet()
-          .forEach(key -> returnedRows.put(key, rows.getOrDefault(key, StoredRow.ABSENT)));
-    }
-    return new TransactionAnswered(
-        transaction,
-        holds ? TransactionResult.APPLIED : TransactionResult.CONFLICT,
-        returnedRows,
-        holds ? Optional.empty() : Optional.of(configuration),
-        Optional.of(time));
-  }
-
   /** Advances time in steps and runs the control rounds of all hosts that are not frozen. */
   public void run(Duration duration) {
     long steps = duration.toMillis() / STEP.toMillis();
@@ -365,6 +365,9 @@
       hosts.stream()
           .filter(host -> !frozen.getOrDefault(host, false))
           .forEach(host -> host.loop().runRound());
+      if (storeIsUp) {
+        store.keepCopy();
+      }
       scheduler.advance(STEP);
     }
   }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/HeldLeaseTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/HeldLeaseTest.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.control.OrderPromotion;
+import org.persimmonwalk.engine.control.StoreEra;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -15,7 +17,7 @@
   private static final MonotonicTime TAKEN_AT = START.plus(Duration.ofSeconds(10));
 
   private final OrderPromotion order =
-      new HeldLease(1, 1, TAKEN_AT)
+      new HeldLease(1, StoreVersion.of(StoreEra.UNKNOWN, 1), TAKEN_AT)
           .order(EngineFixture.server("s2", false), EntryHostId.of("host1"));
 
   @Test
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionScenario.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionScenario.java
@@ -11,6 +11,7 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.EngineSettingsFixture;
 import org.persimmonwalk.id.BackendServerId;
@@ -25,9 +26,15 @@
   static final BackendServerId SHORT_LOG_REPLICA = BackendServerId.of("s2");
   static final BackendServerId LONG_LOG_REPLICA = BackendServerId.of("s3");
 
-  final EngineFixture fixture = new EngineFixture(4);
+  final EngineFixture fixture;
 
   PromotionScenario() {
+    this(StoreEra.UNKNOWN);
+  }
+
+  /** Starts the hosts before a store that tells the given era. */
+  PromotionScenario(StoreEra era) {
+    fixture = new EngineFixture(4, 1, EngineSettingsFixture.USUAL_BOUNDS, era);
     fixture.statuses.put(
         SHORT_LOG_REPLICA, new ServerStatusRead.Status(false, 3, TermPosition.of(3, 100)));
     fixture.statuses.put(
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/UnreadableRowTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/UnreadableRowTest.java
@@ -24,6 +24,8 @@
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.ServerStatusRead;
+import org.persimmonwalk.engine.control.StoreEra;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.EngineSettingsFixture;
@@ -94,7 +96,7 @@
   @ValueSource(
       strings = {"host0 x 0", "host0 99999999999999999999 0", "host0 901 0", "host0 -1 0", ""})
   void shouldContinueTheFencingTokensAboveTheVersionOfAnUnreadableRow(String text) {
-    StoredRow row = new StoredRow(VERSION, text);
+    StoredRow row = StoredRow.of(StoreVersion.of(StoreEra.UNKNOWN, VERSION), text);
 
     assertThat(PromotionLease.nextFencingToken(row)).isEqualTo(VERSION + 1);
     assertThat(PromotionLease.isFree(row, 0)).isTrue();
@@ -152,7 +154,8 @@
         "tokens 1000"
       })
   void shouldTreatAnUnreadableRateRowAsAnEmptyBucket(String text) {
-    RateRow row = RateRow.parse(new StoredRow(VERSION, text), LIMIT, 2000);
+    RateRow row =
+        RateRow.parse(StoredRow.of(StoreVersion.of(StoreEra.UNKNOWN, VERSION), text), LIMIT, 2000);
 
     assertThat(row.tokens()).isZero();
     assertThat(row.holdings()).isEmpty();
@@ -178,7 +181,9 @@
       edgeCases = EdgeCasesMode.NONE,
       shrinking = ShrinkingMode.BOUNDED)
   void shouldReadAnyRowWithinItsLimits(@ForAll("rows") byte[] bytes) {
-    StoredRow row = new StoredRow(VERSION, new String(bytes, StandardCharsets.UTF_8));
+    StoredRow row =
+        StoredRow.of(
+            StoreVersion.of(StoreEra.UNKNOWN, VERSION), new String(bytes, StandardCharsets.UTF_8));
     ServerEntry server = EngineFixture.server("s1", true);
     SmallStack.run(
         () -> {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PeriodicWorkTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PeriodicWorkTest.java
@@ -15,6 +15,7 @@
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.control.ServerListRead;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
 import org.persimmonwalk.id.BackendServerId;
@@ -88,7 +89,7 @@
     for (ServerEntry entry : entries) {
       fixture.entries.put(entry.id(), entry);
     }
-    host.loop().post(new ServerListRead(Optional.of(List.of(entries))));
+    host.loop().post(new ServerListRead(Optional.of(List.of(entries)), StoreEra.UNKNOWN));
     fixture.run(Duration.ofMillis(10));
   }
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionTest.java
@@ -23,6 +23,8 @@
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.StoreEra;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
@@ -143,7 +145,8 @@
         sent -> {
           if (sent.isText("WRITE x 1")) {
             fixture.rows.put(
-                RowKey.of("leadership", "tanks"), new StoredRow(9999, "MOVING s1 1 0"));
+                RowKey.of("leadership", "tanks"),
+                StoredRow.of(StoreVersion.of(StoreEra.UNKNOWN, 9999), "MOVING s1 1 0"));
             fixture.run(Duration.ofMillis(1200));
           }
           return fixture.servers.success(sent);
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
@@ -10,7 +10,9 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.SendTokenRequests;
 import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoreReading;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenReply;
@@ -39,7 +41,12 @@
   public static void run() {
     ZoneRequest request =
         new ZoneRequest(
-            EntryHostId.of("rehearsal"), Map.of(ROW, 1L), 1, false, List.of(TOKEN_REQUEST));
+            EntryHostId.of("rehearsal"),
+            StoreEra.of(1),
+            Map.of(ROW, StoreVersion.of(StoreEra.of(1), 1)),
+            1,
+            false,
+            List.of(TOKEN_REQUEST));
     SendTokenRequests tokenRequests =
         new SendTokenRequests(
             new RelayHost(EntryHostId.of("rehearsal"), SocketEndpoint.of("127.0.0.1", 1)),
@@ -48,10 +55,11 @@
     ZoneReply reply =
         new ZoneReply(
             true,
+            StoreEra.of(1),
             Optional.of(Duration.ZERO),
-            1,
+            StoreVersion.of(StoreEra.of(1), 1),
             Optional.of(new StoreReading(1, Duration.ZERO, Duration.ZERO)),
-            Map.of(ROW, new StoredRow(1, "")),
+            Map.of(ROW, StoredRow.of(StoreVersion.of(StoreEra.of(1), 1), "")),
             Optional.of(RoutingConfiguration.NONE),
             Optional.of(new ServerList(1, Duration.ZERO, List.of())),
             List.of(new TokenLoan(WORKSPACE, 1, false, true, Duration.ZERO)),
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -10,7 +10,9 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.SendTokenRequests;
 import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoreReading;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenReply;
@@ -42,6 +44,12 @@
   /** About 30 years; longer durations would overflow when they are added to times. */
   private static final long MAXIMUM_MICROS = 1_000_000_000_000_000L;
 
+  /**
+   * Stands in the lists of rows for the era of the store, which is sent as its version. Hosts of an
+   * older build don't know the row and skip it.
+   */
+  private static final RowKey ERA_ROW = RowKey.of("", "era");
+
   private ZoneCodec() {}
 
   static ZoneRequestMessage encode(long exchangeId, ZoneRequest request) {
@@ -51,6 +59,13 @@
             .setFrom(request.from().value())
             .setServersRevision(request.serverListRevision())
             .setUrgent(request.urgent());
+    if (request.era().isKnown()) {
+      message.addKnown(
+          RowVersionMessage.newBuilder()
+              .setTable(ERA_ROW.table())
+              .setKey(ERA_ROW.key())
+              .setVersion(request.era().number()));
+    }
     request
         .knownVersions()
         .forEach(
@@ -59,7 +74,7 @@
                     RowVersionMessage.newBuilder()
                         .setTable(row.table())
                         .setKey(row.key())
-                        .setVersion(version)));
+                        .setVersion(version.number())));
     request.tokenRequests().forEach(tokenRequest -> message.addAsks(encode(tokenRequest)));
     return message.build();
   }
@@ -86,13 +101,16 @@
 
   /** Decodes a request; throws an IllegalArgumentException if a field is invalid. */
   static ZoneRequest decode(ZoneRequestMessage message) {
-    Map<RowKey, Long> knownVersions = new HashMap<>();
+    Map<RowKey, Long> numbers = new HashMap<>();
     message
         .getKnownList()
-        .forEach(
-            row -> knownVersions.put(RowKey.of(row.getTable(), row.getKey()), row.getVersion()));
+        .forEach(row -> numbers.put(RowKey.of(row.getTable(), row.getKey()), row.getVersion()));
+    StoreEra era = StoreEra.of(Optional.ofNullable(numbers.remove(ERA_ROW)).orElse(0L));
+    Map<RowKey, StoreVersion> knownVersions = new HashMap<>();
+    numbers.forEach((key, number) -> knownVersions.put(key, StoreVersion.of(era, number)));
     return new ZoneRequest(
         EntryHostId.of(message.getFrom()),
+        era,
         knownVersions,
         message.getServersRevision(),
         message.getUrgent(),
@@ -162,7 +180,7 @@
         ZoneReplyMessage.newBuilder()
             .setExchange(exchangeId)
             .setServes(reply.isRelay())
-            .setConfigurationRowVersion(reply.configurationRowVersion())
+            .setConfigurationRowVersion(reply.configurationRowVersion().number())
             .setActiveHosts(reply.fleetSize());
     reply.verifiedAge().ifPresent(age -> message.setVerifiedAgeMicroseconds(microsRoundedUp(age)));
     reply
@@ -174,6 +192,13 @@
                         .setMilliseconds(reading.millis())
                         .setSentAgeMicroseconds(microsRoundedUp(reading.sentAge()))
                         .setReceivedAgeMicroseconds(microsRoundedDown(reading.receivedAge()))));
+    if (reply.era().isKnown()) {
+      message.addRows(
+          RowMessage.newBuilder()
+              .setTable(ERA_ROW.table())
+              .setKey(ERA_ROW.key())
+              .setVersion(reply.era().number()));
+    }
     reply
         .rows()
         .forEach(
@@ -182,7 +207,7 @@
                     RowMessage.newBuilder()
                         .setTable(key.table())
                         .setKey(key.key())
-                        .setVersion(row.version())
+                        .setVersion(row.version().number())
                         .setValue(row.value())));
     reply
         .configuration()
@@ -216,20 +241,24 @@
 
   /** Decodes a reply; throws an IllegalArgumentException if a field is invalid. */
   static ZoneReply decode(ZoneReplyMessage message) {
-    Map<RowKey, StoredRow> rows = new HashMap<>();
+    Map<RowKey, RowMessage> messages = new HashMap<>();
     message
         .getRowsList()
-        .forEach(
-            row ->
-                rows.put(
-                    RowKey.of(row.getTable(), row.getKey()),
-                    new StoredRow(row.getVersion(), row.getValue())));
+        .forEach(row -> messages.put(RowKey.of(row.getTable(), row.getKey()), row));
+    StoreEra era =
+        StoreEra.of(
+            Optional.ofNullable(messages.remove(ERA_ROW)).map(RowMessage::getVersion).orElse(0L));
+    Map<RowKey, StoredRow> rows = new HashMap<>();
+    messages.forEach(
+        (key, row) ->
+            rows.put(key, StoredRow.of(StoreVersion.of(era, row.getVersion()), row.getValue())));
     return new ZoneReply(
         message.getServes(),
+        era,
         message.hasVerifiedAgeMicroseconds()
             ? Optional.of(micros(message.getVerifiedAgeMicroseconds()))
             : Optional.empty(),
-        message.getConfigurationRowVersion(),
+        StoreVersion.of(era, message.getConfigurationRowVersion()),
         message.hasReading() ? Optional.of(decode(message.getReading())) : Optional.empty(),
         rows,
         message.hasConfiguration()
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -30,7 +30,9 @@
 import org.persimmonwalk.engine.control.SendZoneReply;
 import org.persimmonwalk.engine.control.SendZoneRequest;
 import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoreReading;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenReply;
@@ -53,6 +55,7 @@
 /** Exchanges requests and replies over loopback connections. */
 class ZoneExchangeTest {
   private static final long TIMEOUT_SECONDS = 20;
+  private static final StoreEra ERA = StoreEra.of(5);
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
   private static final DatabaseGroupId GROUP = DatabaseGroupId.of("tanks");
 
@@ -95,7 +98,12 @@
         new RelayHost(EntryHostId.of("relay"), endpoint),
         new ZoneRequest(
             EntryHostId.of("host"),
-            Map.of(RowKey.CONFIGURATION, 7L, RowKey.of("leadership", "tanks"), 3L),
+            ERA,
+            Map.of(
+                RowKey.CONFIGURATION,
+                StoreVersion.of(ERA, 7),
+                RowKey.of("leadership", "tanks"),
+                StoreVersion.of(ERA, 3)),
             9,
             true,
             List.of(new TokenRequest(WORKSPACE, 2, 3.5, 4, 1))));
@@ -132,10 +140,13 @@
             1_700_000_000_000L);
     return new ZoneReply(
         true,
+        ERA,
         Optional.of(Duration.ofMillis(850)),
-        11,
+        StoreVersion.of(ERA, 11),
         Optional.of(new StoreReading(123_456, Duration.ofMillis(850), Duration.ofMillis(840))),
-        Map.of(RowKey.of("leadership", "tanks"), new StoredRow(8, "STABLE s1 1 0")),
+        Map.of(
+            RowKey.of("leadership", "tanks"),
+            StoredRow.of(StoreVersion.of(ERA, 8), "STABLE s1 1 0")),
         Optional.of(configuration),
         Optional.of(new ServerList(77, Duration.ofMillis(1200), List.of(server))),
         List.of(new TokenLoan(WORKSPACE, 3, true, true, Duration.ofMillis(4100))),
