Start rate buckets empty after the store came back from a copy

Change: a rate row states the era in which it was written. One of an earlier era, or one that was lost, is a bucket that was empty when the era was settled, with the holdings that are remembered. Hosts hold no more than the capacity from before, and an empty bucket adds only the rate. No tokens are taken before the settlement.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -7,6 +7,7 @@
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.WorkspaceId;
@@ -41,6 +42,10 @@
   private static final double TENTHS = 10.0;
   private static final String SEPARATOR = " ";
   private static final int HEADER_PARTS = 2;
+
+  /** Starts the third part, the era of the store; a store that doesn't tell its era has none. */
+  private static final String ERA_PREFIX = "@";
+
   private static final int HOLDING_PARTS = 5;
 
   /** No row that a host wrote has more tokens or demand; sums of this many can't overflow. */
@@ -82,6 +87,26 @@
         : new RateRow(limit.burst(), storeMillis, Map.of());
   }
 
+  /**
+   * Returns the bucket after the store came back from a copy, for a row that nobody has written
+   * since. It was empty when the era was settled, because hosts may hold all the tokens that the
+   * row of the copy still has; with an empty bucket they admit no more than the limit even so. The
+   * holdings are those that are known.
+   *
+   * @param known the newest content of the row that is known
+   */
+  static RateRow afterReturn(StoredRow known, long settledAtMillis, long storeMillis) {
+    return new RateRow(
+        0, settledAtMillis, read(known, storeMillis).map(RateRow::holdings).orElse(Map.of()));
+  }
+
+  /** Returns whether the row was written in the era in which it was read. */
+  static boolean isOfItsEra(StoredRow row) {
+    String[] parts = row.value().split(SEPARATOR, HEADER_PARTS + 2);
+    String era = parts.length > HEADER_PARTS ? parts[HEADER_PARTS] : "";
+    return !row.version().era().isKnown() || era.equals(ERA_PREFIX + row.version().era());
+  }
+
   /** Returns whether the row exists and can't be read. */
   static boolean isUnreadable(StoredRow row, long storeMillis) {
     return row.exists() && read(row, storeMillis).isEmpty();
@@ -102,11 +127,15 @@
    */
   private static RateRow parse(String text, long storeMillis) {
     String[] parts = text.split(SEPARATOR);
-    if (parts.length < HEADER_PARTS || (parts.length - HEADER_PARTS) % HOLDING_PARTS != 0) {
+    int header = HEADER_PARTS;
+    if (parts.length > HEADER_PARTS && parts[HEADER_PARTS].startsWith(ERA_PREFIX)) {
+      header++;
+    }
+    if (parts.length < header || (parts.length - header) % HOLDING_PARTS != 0) {
       throw new IllegalArgumentException("a rate row has " + parts.length + " parts");
     }
     Map<EntryHostId, Holding> holdings = new TreeMap<>();
-    for (int i = HEADER_PARTS; i < parts.length; i += HOLDING_PARTS) {
+    for (int i = header; i < parts.length; i += HOLDING_PARTS) {
       holdings.put(
           EntryHostId.of(parts[i]),
           new Holding(
@@ -183,10 +212,14 @@
     return new RateRow(tokens - taken, atMillis, changed);
   }
 
-  String text() {
+  /** Returns the form that is stored in the given era. */
+  String text(StoreEra era) {
     StringBuilder text = new StringBuilder();
     text.append(Math.round(tokens * MILLIS_PER_SECOND) / MILLIS_PER_SECOND);
     text.append(SEPARATOR).append(atMillis);
+    if (era.isKnown()) {
+      text.append(SEPARATOR).append(ERA_PREFIX).append(era);
+    }
     holdings.forEach(
         (host, holding) ->
             text.append(SEPARATOR)
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -193,7 +193,7 @@
   private void acquire(
       Blackboard blackboard, MonotonicTime now, int attempt, Set<WorkspaceId> workspaces) {
     Optional<StoreTime> time = blackboard.get(EngineEntries.STORE_TIME);
-    if (time.isEmpty()) {
+    if (time.isEmpty() || !StoreEraRow.isSettled(blackboard)) {
       return;
     }
     Map<RowKey, StoreVersion> expected = KnownRows.versionsToVerify(blackboard);
@@ -207,7 +207,7 @@
               Acquisition acquisition =
                   planAcquisition(blackboard, workspace, limits.get(workspace), time.get(), now);
               expected.put(key, KnownRows.version(blackboard, key));
-              writes.put(key, acquisition.row().text());
+              writes.put(key, acquisition.row().text(blackboard.get(EngineEntries.STORE_ERA)));
               acquisitions.put(workspace, acquisition);
             });
     if (acquisitions.isEmpty()) {
@@ -222,7 +222,14 @@
 
   private static RateRow row(
       Blackboard blackboard, WorkspaceId workspace, RateLimit limit, long storeMillis) {
-    return RateRow.parse(KnownRows.row(blackboard, RateRow.key(workspace)), limit, storeMillis);
+    RowKey key = RateRow.key(workspace);
+    StoredRow stored = KnownRows.row(blackboard, key);
+    Optional<StoreEraRow> settled = StoreEraRow.of(blackboard).filter(StoreEraRow::isAfterReturn);
+    if (settled.isEmpty() || RateRow.isOfItsEra(stored)) {
+      return RateRow.parse(stored, limit, storeMillis);
+    }
+    StoredRow known = blackboard.get(EngineEntries.REMEMBERED_ROWS).newest(key, stored);
+    return RateRow.afterReturn(known, settled.get().settledAtMillis(), storeMillis);
   }
 
   private Acquisition planAcquisition(
