Keep servers and their draining when the store's list goes back

What callers would see: work sent to a server that had announced that it leaves (DRAIN), and primaries given up because their entries are missing until the servers write them again.

--- a/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
@@ -48,6 +48,11 @@
     }
   }
 
+  /** Returns the entry of the same process while it is draining. */
+  public ServerEntry asDraining() {
+    return new ServerEntry(id, group, endpoint, zone, slots, true, primary, startedAtMillis);
+  }
+
   /** Returns whether both entries describe the same process at the same address. */
   public boolean sameProcess(ServerEntry other) {
     return id.equals(other.id)
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
@@ -17,6 +17,7 @@
 import org.persimmonwalk.engine.control.ServerListRead;
 import org.persimmonwalk.engine.control.ServerListVersion;
 import org.persimmonwalk.engine.control.ServerUnreachable;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequestEnded;
 import org.persimmonwalk.engine.control.ZoneRequestReceived;
@@ -50,6 +51,8 @@
 
   private final EngineTimings timings;
   private final DecisionLog log;
+  private final DrainingServers drainingServers = new DrainingServers();
+  private StoreEra era = StoreEra.UNKNOWN;
   private long localRevision;
   private boolean inFlight;
   private MonotonicTime lastCallAt = MonotonicTime.of(Long.MIN_VALUE / 2);
@@ -73,6 +76,13 @@
     if (localRevision == 0) {
       localRevision = (long) context.random().nextInt(REVISION_RANGE) * REVISION_RANGE;
     }
+    if (!blackboard.get(EngineEntries.STORE_ERA).equals(era)) {
+      // Entries that the store has lost are written again by their servers.
+      era = blackboard.get(EngineEntries.STORE_ERA);
+      if (!blackboard.get(EngineEntries.SERVERS).isEmpty()) {
+        keepExpiredUntil = now.plus(RECOVERY_TIME);
+      }
+    }
     blackboard
         .observations(ServerListRead.class)
         .forEach(
@@ -168,7 +178,8 @@
     if (now.isBefore(keepExpiredUntil)) {
       servers.putAll(old);
     }
-    entries.forEach(entry -> servers.put(entry.id(), entry));
+    drainingServers.record(entries, now);
+    entries.forEach(entry -> servers.put(entry.id(), drainingServers.correct(entry)));
     logChanges(old, servers);
     blackboard.put(EngineEntries.SERVERS, Map.copyOf(servers));
   }
