Rely on keys only once lost configurations were written again

What callers would see: a withdrawn key works (CONFIG, revokeStrict) because the store has lost the configuration that withdrew it, and a host that started since verifies the older one as the newest.

Change: KEYS_VERIFIED_AT is the last verification that vouches for keys. In an era after a return it advances only 2.5 s after the settlement, by the store's clock, or when the operator has written in the era.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -31,6 +31,13 @@
   public static final EntryKey<Set<DatabaseGroupId>> VERIFIED_GROUPS =
       EntryKey.of("verified groups", Set.of());
 
+  /**
+   * The start of the verification that vouches for the keys of the configuration: one after which
+   * the operator can't have a newer configuration that the store has lost.
+   */
+  public static final EntryKey<Optional<MonotonicTime>> KEYS_VERIFIED_AT =
+      EntryKey.of("keys verified at", Optional.empty());
+
   /** The newest era of the store that this host has heard of. */
   public static final EntryKey<StoreEra> STORE_ERA = EntryKey.of("store era", StoreEra.UNKNOWN);
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoreTime.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoreTime.java
@@ -23,6 +23,11 @@
     return millis + Math.max(0, now.since(sentAt).toMillis()) + 1;
   }
 
+  /** Returns the latest local time at which the store's clock showed the given reading. */
+  public MonotonicTime latestLocalTime(long storeMillis) {
+    return receivedAt.plus(Duration.ofMillis(storeMillis - millis));
+  }
+
   /** Returns the earliest local time at which the store's clock may show the given reading. */
   public MonotonicTime earliestLocalTime(long storeMillis) {
     return sentAt.plus(Duration.ofMillis(storeMillis - millis));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -46,6 +46,12 @@
    */
   static final Duration LOST_ANSWER_TIMEOUT = Duration.ofMillis(5000);
 
+  /**
+   * After the store came back from a copy, the operator writes again what it has lost; servers take
+   * about 2 s for that. Until then a verification can't tell whether a key was withdrawn.
+   */
+  static final Duration OPERATOR_REWRITE_TIME = Duration.ofMillis(2500);
+
   private static final int MAX_IN_FLIGHT = 2;
 
   static final String PURPOSE = "verify";
@@ -263,6 +269,35 @@
       blackboard.put(
           EngineEntries.VERIFIED_GROUPS,
           blackboard.get(EngineEntries.CONFIGURATION).groups().keySet());
+      if (vouchesForKeys(blackboard, sentAt)) {
+        blackboard.put(EngineEntries.KEYS_VERIFIED_AT, Optional.of(sentAt));
+      }
+    }
+  }
+
+  /**
+   * Returns whether no newer configuration can have been lost: the store has not come back from a
+   * copy, that was long enough ago, or the operator has written since.
+   */
+  private static boolean vouchesForKeys(Blackboard blackboard, MonotonicTime sentAt) {
+    if (!blackboard.get(EngineEntries.STORE_ERA).isKnown() || StoreEraRow.isFirstUse(blackboard)) {
+      return true;
+    }
+    Optional<StoreEraRow> settled =
+        StoreEraRow.of(blackboard).filter(row -> StoreEraRow.isSettled(blackboard));
+    if (settled.isEmpty()) {
+      return false;
     }
+    boolean isRewritten =
+        KnownRows.version(blackboard, RowKey.CONFIGURATION)
+                .compareTo(KnownRows.version(blackboard, StoreEraRow.ROW))
+            > 0;
+    long writtenAgainAt = settled.get().settledAtMillis() + OPERATOR_REWRITE_TIME.toMillis();
+    return !settled.get().isAfterReturn()
+        || isRewritten
+        || blackboard
+            .get(EngineEntries.STORE_TIME)
+            .filter(time -> !sentAt.isBefore(time.latestLocalTime(writtenAgainAt)))
+            .isPresent();
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -63,7 +63,8 @@
 
   /** Returns whether the configuration was verified recently enough to accept its keys. */
   boolean keysAreVerified() {
-    return verifiedWithin(settings.keyRevocation().minus(REVOCATION_MARGIN));
+    return isWithin(
+        EngineEntries.KEYS_VERIFIED_AT, settings.keyRevocation().minus(REVOCATION_MARGIN));
   }
 
   /**
@@ -94,9 +95,13 @@
   }
 
   private boolean verifiedWithin(Duration age) {
+    return isWithin(EngineEntries.VERIFIED_AT, age);
+  }
+
+  private boolean isWithin(EntryKey<Optional<MonotonicTime>> verifiedAt, Duration age) {
     MonotonicTime resumedAt = suspension.lastResumedAt();
     MonotonicTime now = now();
-    return entry(EngineEntries.VERIFIED_AT)
+    return entry(verifiedAt)
         .filter(at -> !at.isBefore(resumedAt))
         .filter(at -> now.since(at).compareTo(age) < 0)
         .isPresent();
