--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -20,6 +20,7 @@
 import org.persimmonwalk.engine.control.OrderPromotion;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.EngineSettingsFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
@@ -46,6 +47,9 @@
   /** The limit in the window, with the overage and slack of the fixture's settings. */
   private static final double MAX_IN_WINDOW = (RATE * 5 + RATE) * 1.1 + 20;
 
+  /** On average the store comes back from a copy every 6 s. */
+  private static final int STEPS_BETWEEN_RETURNS = 60;
+
   private static final Duration WINDOW = Duration.ofSeconds(5);
 
   /** Callers are idle for 4 s and then send for 4 s, in turn. */
@@ -91,17 +95,46 @@
     }
   }
 
+  /** Guards against the same when the store comes back from a copy at any step. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void shouldKeepTheInvariantsWhenTheStoreComesBackFromACopy(long seed) {
+    runWithReturns(seed);
+  }
+
+  /** Runs the number of further seeds that the system property sets; 1 by default. */
+  @ParameterizedTest
+  @ValueSource(longs = 3000)
+  void shouldKeepTheInvariantsWhenTheStoreComesBackWithFurtherSeeds(long first) {
+    int count = Integer.getInteger("persimmonwalk.schedules", 1);
+    List<Long> violating = new ArrayList<>();
+    for (long seed = first; seed < first + count; seed++) {
+      try {
+        runWithReturns(seed);
+      } catch (AssertionError e) {
+        violating.add(seed);
+        System.out.println(e.getMessage());
+      }
+    }
+    assertThat(violating).as("seeds that violate an invariant, of %d", count).isEmpty();
+  }
+
   private static void runWithSeveralZones(long seed) {
-    new Schedule(seed, HOSTS_OF_SEVERAL_ZONES, ZONES).run();
+    new Schedule(seed, HOSTS_OF_SEVERAL_ZONES, ZONES, StoreEra.UNKNOWN).run();
   }
 
   private static void run(long seed) {
-    new Schedule(seed, HOSTS, 1).run();
+    new Schedule(seed, HOSTS, 1, StoreEra.UNKNOWN).run();
+  }
+
+  private static void runWithReturns(long seed) {
+    new Schedule(seed, HOSTS, 1, StoreEra.of(1)).run();
   }
 
   /** The schedule of one seed, with its hosts, sessions and the violations found. */
   private static final class Schedule {
     private final long seed;
+    private final boolean storeComesBack;
     private final SplittableRandom random;
     private final EngineFixture fixture;
     private final List<Session> sessions = new ArrayList<>();
@@ -110,9 +143,10 @@
     private MonotonicTime withdrawnAt;
     private long version = 2;
 
-    private Schedule(long seed, int hosts, int zones) {
+    private Schedule(long seed, int hosts, int zones, StoreEra era) {
       this.seed = seed;
-      this.fixture = new EngineFixture(hosts, zones, EngineSettingsFixture.USUAL_BOUNDS);
+      this.storeComesBack = era.isKnown();
+      this.fixture = new EngineFixture(hosts, zones, EngineSettingsFixture.USUAL_BOUNDS, era);
       this.random = new SplittableRandom(seed);
     }
 
@@ -138,6 +172,9 @@
           withdrawnAt = fixture.clock.now();
         }
         injectFault();
+        if (storeComesBack && random.nextInt(STEPS_BETWEEN_RETURNS) == 0) {
+          loseStoreToCopy();
+        }
         sendOperations(step);
         fixture.run(STEP);
       }
@@ -182,6 +219,13 @@
       }
     }
 
+    private void loseStoreToCopy() {
+      fixture.loseStoreToCopy(
+          Duration.ofMillis(random.nextInt(100, 6000)),
+          Duration.ofMillis(random.nextInt(0, 3000)),
+          Duration.ofMillis(random.nextInt(0, 2000)));
+    }
+
     /**
      * Restarts a host. The session at the old process ends, and the new process opens one when it
      * has a configuration.
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/StoreReturnTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/StoreReturnTest.java
@@ -93,6 +93,25 @@
     }
   }
 
+  /** Guards against a key that was withdrawn in a configuration that a new process can't know. */
+  @Test
+  void shouldNotAcceptKeysBeforeTheOperatorHasWrittenAgain() {
+    fixture.run(Duration.ofSeconds(3));
+    fixture.publish(EngineFixture.configuration(5, 100, Map.of()));
+    fixture.run(Duration.ofSeconds(2));
+
+    comeBack(Duration.ofMillis(2500));
+    fixture.hosts.forEach(host -> fixture.freeze(host, true));
+    Engine started = fixture.restart(fixture.hosts.get(0));
+    for (int i = 0; i < 60; i++) {
+      fixture.run(Duration.ofMillis(100));
+      boolean isWithdrawn = fixture.entry(started, EngineEntries.CONFIGURATION).version() == 5;
+      assertThat(isWithdrawn || fixture.entry(started, EngineEntries.KEYS_VERIFIED_AT).isEmpty())
+          .isTrue();
+    }
+    assertThat(fixture.entry(started, EngineEntries.KEYS_VERIFIED_AT)).isPresent();
+  }
+
   /** Guards against fencing tokens that fall because the store has lost the newest lease. */
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
@@ -196,4 +215,20 @@
   private boolean usesFirstPrimary(Engine host) {
     return PRIMARY.equals(scenario.primaryOf(host)) && scenario.usesAPrimary(host);
   }
+
+  /** Guards against new work for a server that has announced that it leaves. */
+  @Test
+  void shouldRememberThatAServerIsDraining() {
+    fixture.run(Duration.ofSeconds(3));
+    scenario.setDraining(SHORT_LOG_REPLICA);
+    fixture.run(Duration.ofSeconds(3));
+
+    fixture.loseStoreToCopy(Duration.ofSeconds(4), AWAY, Duration.ofSeconds(4));
+    for (int i = 0; i < 60; i++) {
+      fixture.run(Duration.ofMillis(100));
+      assertThat(fixture.hosts)
+          .allMatch(
+              host -> fixture.entry(host, EngineEntries.SERVERS).get(SHORT_LOG_REPLICA).draining());
+    }
+  }
 }
