Keep a server draining only against a list older than what was seen

Now only the processes that were seen draining before a return stay so. 23 of 23 cases of BoundsTest pass.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
@@ -79,6 +79,7 @@
     if (!blackboard.get(EngineEntries.STORE_ERA).equals(era)) {
       // Entries that the store has lost are written again by their servers.
       era = blackboard.get(EngineEntries.STORE_ERA);
+      drainingServers.storeCameBack();
       if (!blackboard.get(EngineEntries.SERVERS).isEmpty()) {
         keepExpiredUntil = now.plus(RECOVERY_TIME);
       }
