Play restarts, drains, configurations and the recovery beside returns

They check that no process goes back to an older configuration and that all hosts use a primary 12 s after the last fault.

--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +18,9 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.TermPosition;
+import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.OrderPromotion;
+import org.persimmonwalk.engine.control.PrimaryView;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.control.StoreEra;
@@ -50,6 +53,9 @@
   /** On average the store comes back from a copy every 6 s. */
   private static final int STEPS_BETWEEN_RETURNS = 60;
 
+  /** Within this time after the last fault the hosts must serve again. */
+  private static final Duration RECOVERY = Duration.ofSeconds(12);
+
   private static final Duration WINDOW = Duration.ofSeconds(5);
 
   /** Callers are idle for 4 s and then send for 4 s, in turn. */
@@ -141,6 +147,7 @@
     private final List<MonotonicTime> admitted = new ArrayList<>();
     private final List<String> violations = new ArrayList<>();
     private MonotonicTime withdrawnAt;
+    private final Map<Engine, Long> configurationVersions = new HashMap<>();
     private long version = 2;
 
     private Schedule(long seed, int hosts, int zones, StoreEra era) {
@@ -155,6 +162,12 @@
           BackendServerId.of("s2"), new ServerStatusRead.Status(false, 3, TermPosition.of(3, 100)));
       fixture.statuses.put(
           BackendServerId.of("s3"), new ServerStatusRead.Status(false, 3, TermPosition.of(3, 101)));
+      if (storeComesBack && random.nextBoolean()) {
+        // The first primary still takes itself for one after it was replaced.
+        fixture.statuses.put(
+            BackendServerId.of("s1"),
+            new ServerStatusRead.Status(true, 3, TermPosition.of(3, 102)));
+      }
       publish(Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE));
       fixture.run(Duration.ofSeconds(3));
       fixture.servers.behave(
@@ -172,13 +185,17 @@
           withdrawnAt = fixture.clock.now();
         }
         injectFault();
-        if (storeComesBack && random.nextInt(STEPS_BETWEEN_RETURNS) == 0) {
-          loseStoreToCopy();
+        if (storeComesBack) {
+          injectFaultBesideReturns();
         }
         sendOperations(step);
         fixture.run(STEP);
+        checkConfigurations();
       }
       checkFencingTokens();
+      if (storeComesBack) {
+        checkRecovery();
+      }
       assertThat(violations).as("violated invariants with seed %d", seed).isEmpty();
     }
 
@@ -219,6 +236,64 @@
       }
     }
 
+    private void injectFaultBesideReturns() {
+      if (random.nextInt(STEPS_BETWEEN_RETURNS) == 0) {
+        loseStoreToCopy();
+      }
+      switch (random.nextInt(250)) {
+        case 0 -> List.copyOf(fixture.hosts).forEach(this::restart);
+        case 1, 2 -> drainPrimary();
+        case 3, 4 -> {
+          if (withdrawnAt == null) {
+            publish(Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE));
+          }
+        }
+        default -> {}
+      }
+    }
+
+    /** Drains one server at most, because the others may have crashed. */
+    private void drainPrimary() {
+      if (fixture.entries.values().stream().noneMatch(ServerEntry::draining)) {
+        fixture.entries.computeIfPresent(currentPrimary(), (id, entry) -> entry.asDraining());
+      }
+    }
+
+    /** Checks that no process goes back to an older configuration. */
+    private void checkConfigurations() {
+      for (Engine host : fixture.hosts) {
+        long current = fixture.entry(host, EngineEntries.CONFIGURATION).version();
+        Long earlier = configurationVersions.put(host, current);
+        if (earlier != null && current < earlier) {
+          violations.add("configuration: " + current + " after " + earlier);
+        }
+      }
+    }
+
+    /** Checks that all hosts use a primary some time after all faults have ended. */
+    private void checkRecovery() {
+      fixture.storeIsUp = true;
+      fixture.peersAreReachable = true;
+      fixture.transactionsToLose = 0;
+      fixture.effectsToDelay = 0;
+      // The entry of a server that has crashed expires.
+      fixture.entries.keySet().retainAll(fixture.statuses.keySet());
+      fixture.hosts.forEach(host -> fixture.freeze(host, false));
+      fixture.hosts.forEach(host -> fixture.cutOff(host, false));
+      fixture.run(RECOVERY);
+      for (Engine host : fixture.hosts) {
+        boolean hasPrimary =
+            fixture
+                .entry(host, EngineEntries.PRIMARIES)
+                .getOrDefault(EngineFixture.GROUP, PrimaryView.NONE)
+                .at(fixture.clock.now())
+                .isPresent();
+        if (!hasPrimary) {
+          violations.add("recovery: a host has no primary");
+        }
+      }
+    }
+
     private void loseStoreToCopy() {
       fixture.loseStoreToCopy(
           Duration.ofMillis(random.nextInt(100, 6000)),
