--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.RoundContext;
@@ -15,7 +16,9 @@
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
+import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
@@ -43,6 +46,15 @@
    */
   static final Duration LOST_ANSWER_TIMEOUT = Duration.ofMillis(5000);
 
+  /**
+   * After the store came back from a copy, the operator writes again what it has lost; servers take
+   * about 2 s for that. Until then a verification can't tell whether a key was withdrawn.
+   */
+  static final Duration OPERATOR_REWRITE_TIME = Duration.ofMillis(2500);
+
+  /** The hosts behind a relay know less exactly when it sent its verification. */
+  private static final Duration RELAYED_TIME_MARGIN = Duration.ofMillis(100);
+
   private static final int MAX_IN_FLIGHT = 2;
 
   static final String PURPOSE = "verify";
@@ -50,6 +62,7 @@
   private final EngineSettings settings;
   private final EngineTimings timings;
   private final DecisionLog log;
+  private StoreEra era = StoreEra.UNKNOWN;
   private long serial;
   private int inFlight;
   private MonotonicTime lastCallAt = MonotonicTime.of(Long.MIN_VALUE / 2);
@@ -69,6 +82,7 @@
 
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
+    forgetRowsOfEarlierEra(blackboard, context.now());
     blackboard
         .observations(TransactionAnswered.class)
         .forEach(answer -> apply(blackboard, answer, context.now()));
@@ -91,7 +105,7 @@
       inFlight++;
       lastCallAt = context.now();
       serial++;
-      Map<RowKey, Long> expected = KnownRows.versionsToVerify(blackboard);
+      Map<RowKey, StoreVersion> expected = KnownRows.versionsToVerify(blackboard);
       demand.rows().forEach(row -> expected.put(row, KnownRows.version(blackboard, row)));
       expected.putAll(KnownRows.relayVersions(blackboard, settings.zones()));
       expected.putAll(FleetSizeController.versions(blackboard, settings.zones()));
@@ -99,6 +113,20 @@
     }
   }
 
+  /** Forgets the rows of an earlier era, so that the next verification reads all of them. */
+  private void forgetRowsOfEarlierEra(Blackboard blackboard, MonotonicTime now) {
+    StoreEra current = blackboard.get(EngineEntries.STORE_ERA);
+    if (current.equals(era)) {
+      return;
+    }
+    era = current;
+    nextCallAt = now;
+    blackboard.put(EngineEntries.STORE_ROWS, Map.of());
+    blackboard.put(EngineEntries.STORE_TIME, Optional.empty());
+    blackboard.put(EngineEntries.VERIFIED_AT, Optional.empty());
+    blackboard.put(EngineEntries.VERIFIED_GROUPS, Set.of());
+  }
+
   private boolean isFallbackDue(Blackboard blackboard, MonotonicTime now) {
     boolean isOld =
         blackboard
@@ -122,18 +150,18 @@
         .ifPresent(time -> updateStoreTime(blackboard, time));
     boolean isConfigurationCurrent =
         blackboard.get(EngineEntries.CONFIGURATION).isPresent()
-            && reply.configurationRowVersion()
-                >= KnownRows.version(blackboard, RowKey.CONFIGURATION);
+            && reply
+                    .configurationRowVersion()
+                    .compareTo(KnownRows.version(blackboard, RowKey.CONFIGURATION))
+                >= 0;
     if (isConfigurationCurrent) {
       reply.verifiedAge().ifPresent(age -> updateVerifiedAt(blackboard, ended.sentAt().minus(age)));
     }
   }
 
   private void apply(Blackboard blackboard, TransactionAnswered answer, MonotonicTime now) {
-    boolean answered =
-        answer.result() == TransactionResult.APPLIED
-            || answer.result() == TransactionResult.CONFLICT;
-    updateConnected(answered, answer.result());
+    boolean answered = answer.isAnswered();
+    updateConnected(answered || answer.time().isPresent(), answer.result());
     boolean verified = false;
     if (answered) {
       merge(blackboard, answer.rows(), answer.configuration());
@@ -154,11 +182,30 @@
     if (answer.time().isEmpty()) {
       return FAILURE_PAUSE;
     }
+    Duration interval = interval(blackboard, now, answer.time().get().sentAt());
     boolean hasUnverifiedRows =
         !verified && blackboard.get(EngineEntries.CONFIGURATION).isPresent();
     return hasUnverifiedRows
         ? Duration.ZERO
-        : interval(blackboard, now, answer.time().get().sentAt());
+        : untilKeysCanBeVerified(blackboard, now)
+            .filter(wait -> wait.compareTo(interval) < 0)
+            .orElse(interval);
+  }
+
+  /** Returns the time until a verification can vouch for keys, if that is in the future. */
+  private static Optional<Duration> untilKeysCanBeVerified(
+      Blackboard blackboard, MonotonicTime now) {
+    return StoreEraRow.of(blackboard)
+        .filter(StoreEraRow::isAfterReturn)
+        .flatMap(row -> blackboard.get(EngineEntries.STORE_TIME).map(time -> keysFrom(row, time)))
+        .map(at -> at.plus(RELAYED_TIME_MARGIN))
+        .filter(now::isBefore)
+        .map(at -> at.since(now));
+  }
+
+  /** Returns from when on the operator must have written again what the store has lost. */
+  private static MonotonicTime keysFrom(StoreEraRow row, StoreTime time) {
+    return time.latestLocalTime(row.settledAtMillis() + OPERATOR_REWRITE_TIME.toMillis());
   }
 
   /** Returns the pause until the next call so that calls start one interval apart. */
@@ -186,7 +233,10 @@
       Map<RowKey, StoredRow> rows = new HashMap<>(blackboard.get(EngineEntries.STORE_ROWS));
       newRows.forEach(
           (key, row) ->
-              rows.merge(key, row, (old, other) -> other.version() > old.version() ? other : old));
+              rows.merge(
+                  key,
+                  row,
+                  (old, other) -> other.version().compareTo(old.version()) > 0 ? other : old));
       blackboard.put(EngineEntries.STORE_ROWS, Map.copyOf(rows));
     }
     configuration.ifPresent(newest -> accept(blackboard, newest));
@@ -241,6 +291,34 @@
       blackboard.put(
           EngineEntries.VERIFIED_GROUPS,
           blackboard.get(EngineEntries.CONFIGURATION).groups().keySet());
+      if (vouchesForKeys(blackboard, sentAt)) {
+        blackboard.put(EngineEntries.KEYS_VERIFIED_AT, Optional.of(sentAt));
+      }
+    }
+  }
+
+  /**
+   * Returns whether no newer configuration can have been lost: the store has not come back from a
+   * copy, that was long enough ago, or the operator has written since.
+   */
+  private static boolean vouchesForKeys(Blackboard blackboard, MonotonicTime sentAt) {
+    if (!blackboard.get(EngineEntries.STORE_ERA).isKnown() || StoreEraRow.isFirstUse(blackboard)) {
+      return true;
+    }
+    Optional<StoreEraRow> settled =
+        StoreEraRow.of(blackboard).filter(row -> StoreEraRow.isSettled(blackboard));
+    if (settled.isEmpty()) {
+      return false;
     }
+    boolean isRewritten =
+        KnownRows.version(blackboard, RowKey.CONFIGURATION)
+                .compareTo(KnownRows.version(blackboard, StoreEraRow.ROW))
+            > 0;
+    return !settled.get().isAfterReturn()
+        || isRewritten
+        || blackboard
+            .get(EngineEntries.STORE_TIME)
+            .filter(time -> !sentAt.isBefore(keysFrom(settled.get(), time)))
+            .isPresent();
   }
 }
