Tell a store without an era from one whose era is 0

What callers would see: if eras start at 0, hosts that start after the first return took the store for new and trusted rows that it had lost (STALE, ONE): the number 0 stood for a store that doesn't tell its era.

Change: the unknown era is -1.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoreEra.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoreEra.java
@@ -4,11 +4,14 @@
  * How often the store has come back from an older copy of itself. What was written after the copy
  * is then lost, and the versions of rows are given out again.
  *
- * @param number rises by one with each return; 0 if the store doesn't tell
+ * @param number rises by one with each return and may start at 0; -1 if the store doesn't tell it
  */
 public record StoreEra(long number) implements Comparable<StoreEra> {
   /** The era of a store that doesn't tell it, and of a host that has heard from no store. */
-  public static final StoreEra UNKNOWN = new StoreEra(0);
+  public static final StoreEra UNKNOWN = new StoreEra(-1);
+
+  /** The earliest era that a store can tell. */
+  public static final StoreEra FIRST = new StoreEra(0);
 
   /** The highest number: fencing tokens contain it and are sent as numbers of 53 bits. */
   public static final long MAXIMUM_NUMBER = (1L << 20) - 1;
@@ -16,22 +19,22 @@
   /**
    * Checks the number.
    *
-   * @throws IllegalArgumentException if it is negative or above {@link #MAXIMUM_NUMBER}
+   * @throws IllegalArgumentException if it is below -1 or above {@link #MAXIMUM_NUMBER}
    */
   public StoreEra {
-    if (number < 0 || number > MAXIMUM_NUMBER) {
+    if (number < -1 || number > MAXIMUM_NUMBER) {
       throw new IllegalArgumentException("the store era " + number + " is out of range");
     }
   }
 
   /** Returns the era with the given number. */
   public static StoreEra of(long number) {
-    return number == 0 ? UNKNOWN : new StoreEra(number);
+    return new StoreEra(number);
   }
 
   /** Returns whether the store has told the era. */
   public boolean isKnown() {
-    return number > 0;
+    return number >= 0;
   }
 
   /** Returns whether this era comes after the other one. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/EraSettlementController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/EraSettlementController.java
@@ -148,7 +148,7 @@
         : StoreEraRow.of(blackboard)
             .map(StoreEraRow::era)
             .filter(StoreEra::isKnown)
-            .orElse(StoreEra.of(1));
+            .orElse(StoreEra.FIRST);
   }
 
   /** Writes the leadership of a group again, or announces its replacement. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionLease.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionLease.java
@@ -38,7 +38,7 @@
   }
 
   private static long lowestToken(StoreEra era) {
-    return era.number() << COUNTER_BITS;
+    return era.isKnown() ? era.number() << COUNTER_BITS : 0;
   }
 
   /**
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -134,7 +134,7 @@
   }
 
   private static void runWithReturns(long seed) {
-    new Schedule(seed, HOSTS, 1, StoreEra.of(1)).run();
+    new Schedule(seed, HOSTS, 1, StoreEra.FIRST).run();
   }
 
   /** The schedule of one seed, with its hosts, sessions and the violations found. */
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/StoreReturnTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/StoreReturnTest.java
@@ -28,7 +28,7 @@
   private static final Duration AWAY = Duration.ofMillis(500);
   private static final Duration REWRITE_DELAY = Duration.ofMillis(1500);
 
-  private final PromotionScenario scenario = new PromotionScenario(StoreEra.of(1));
+  private final PromotionScenario scenario = new PromotionScenario(StoreEra.FIRST);
   private final EngineFixture fixture = scenario.fixture;
 
   private void comeBack(Duration age) {
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -105,7 +105,8 @@
     message
         .getKnownList()
         .forEach(row -> numbers.put(RowKey.of(row.getTable(), row.getKey()), row.getVersion()));
-    StoreEra era = StoreEra.of(Optional.ofNullable(numbers.remove(ERA_ROW)).orElse(0L));
+    StoreEra era =
+        Optional.ofNullable(numbers.remove(ERA_ROW)).map(StoreEra::of).orElse(StoreEra.UNKNOWN);
     Map<RowKey, StoreVersion> knownVersions = new HashMap<>();
     numbers.forEach((key, number) -> knownVersions.put(key, StoreVersion.of(era, number)));
     return new ZoneRequest(
@@ -246,8 +247,9 @@
         .getRowsList()
         .forEach(row -> messages.put(RowKey.of(row.getTable(), row.getKey()), row));
     StoreEra era =
-        StoreEra.of(
-            Optional.ofNullable(messages.remove(ERA_ROW)).map(RowMessage::getVersion).orElse(0L));
+        Optional.ofNullable(messages.remove(ERA_ROW))
+            .map(row -> StoreEra.of(row.getVersion()))
+            .orElse(StoreEra.UNKNOWN);
     Map<RowKey, StoredRow> rows = new HashMap<>();
     messages.forEach(
         (key, row) ->
