--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/StoreReturnTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/StoreReturnTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -16,9 +17,17 @@
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.OrderPromotion;
+import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.control.StoreEra;
+import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoreVersion;
+import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.engine.control.TransactionAnswered;
+import org.persimmonwalk.engine.control.TransactionResult;
+import org.persimmonwalk.engine.control.TransactionTag;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.KeyHash;
@@ -231,4 +240,71 @@
               host -> fixture.entry(host, EngineEntries.SERVERS).get(SHORT_LOG_REPLICA).draining());
     }
   }
+
+  /** Guards against a return that hides what was remembered before the one that precedes it. */
+  @Test
+  void shouldGoOnWithThePrimaryThroughTwoReturns() {
+    fixture.run(Duration.ofSeconds(3));
+    promote(PRIMARY, 1);
+    fixture.run(Duration.ofSeconds(1));
+
+    comeBack(Duration.ofSeconds(7));
+    fixture.run(Duration.ofMillis(30));
+    fixture.loseStoreToCopy(Duration.ZERO, Duration.ofMillis(20), REWRITE_DELAY);
+    fixture.run(Duration.ofMillis(500));
+    for (int i = 0; i < 50; i++) {
+      fixture.run(Duration.ofMillis(100));
+      assertThat(fixture.hosts).allMatch(host -> LONG_LOG_REPLICA.equals(scenario.primaryOf(host)));
+    }
+  }
+
+  private TransactionAnswered verification(StoreEra era, TransactionResult result, String value) {
+    RowKey row = Leadership.row(EngineFixture.GROUP);
+    RunTransaction transaction =
+        new RunTransaction(
+            TransactionTag.of(VerificationController.PURPOSE, 9999),
+            Map.of(row, StoreVersion.absent(StoreEra.FIRST)),
+            Map.of());
+    return new TransactionAnswered(
+        transaction,
+        result,
+        Map.of(row, StoredRow.of(StoreVersion.of(era, 9999), value)),
+        Optional.empty(),
+        era,
+        Optional.of(
+            new StoreTime(1, fixture.clock.now().plus(AWAY), fixture.clock.now().plus(AWAY))));
+  }
+
+  /** Guards against an answer of the store before its return that arrives after newer ones. */
+  @Test
+  void shouldDropAnAnswerOfAnEarlierEra() {
+    fixture.run(Duration.ofSeconds(3));
+    comeBack(Duration.ofSeconds(1));
+    fixture.run(Duration.ofSeconds(1));
+    Engine host = fixture.hosts.get(0);
+
+    host.loop().post(verification(StoreEra.FIRST, TransactionResult.CONFLICT, "STABLE s2 1 0"));
+    fixture.run(Duration.ofMillis(100));
+
+    assertThat(scenario.primaryOf(host)).isEqualTo(PRIMARY);
+    assertThat(fixture.events).anyMatch(event -> event.startsWith("store-answer-outdated"));
+  }
+
+  /** Guards against a condition that held by accident, on versions that were given out again. */
+  @Test
+  void shouldNotRelyOnATransactionThatWasAppliedInAnotherEra() {
+    fixture.run(Duration.ofSeconds(3));
+    comeBack(Duration.ofSeconds(1));
+    fixture.run(Duration.ofSeconds(1));
+    Engine host = fixture.hosts.get(0);
+    TransactionAnswered answer = verification(StoreEra.of(1), TransactionResult.APPLIED, "");
+
+    host.loop().post(answer);
+    fixture.run(Duration.ofMillis(10));
+
+    assertThat(fixture.entry(host, EngineEntries.VERIFIED_AT))
+        .isPresent()
+        .isNotEqualTo(answer.time().map(StoreTime::sentAt));
+    assertThat(fixture.events).anyMatch(event -> event.startsWith("transaction-crossed-eras"));
+  }
 }
