Keep one odd name from holding a whole manifest out of force

What callers saw: after a manifest with a tenant such as "öljy", which the platform accepts, hosts that started never became ready, and running ones kept the manifest before it, so that withdrawn keys stayed valid.

Cause: ManifestFormat decoded the manifest as one value, and the ids of core accept only the plain names of the product's release notes.

Ids get ofExternal for names of other systems, which the decoders of the platform, of rows and of zone messages use; of, which release notes use, is as strict as before (NamesTest). Names longer than 200 bytes are hashed for row keys.

--- a/core/src/main/java/org/persimmonwalk/id/AvailabilityZone.java
+++ b/core/src/main/java/org/persimmonwalk/id/AvailabilityZone.java
@@ -5,9 +5,9 @@
 /** Names an availability zone. */
 public record AvailabilityZone(String value) implements Comparable<AvailabilityZone> {
 
-  /** Checks the text of the identifier. */
+  /** Checks that the identifier is not empty and is valid Unicode. */
   public AvailabilityZone {
-    Names.check("availability zone", value);
+    Names.checkExternal("availability zone", value);
   }
 
   /**
@@ -16,6 +16,16 @@
    * @throws IllegalArgumentException if the text is not a valid identifier
    */
   public static AvailabilityZone of(String value) {
+    return new AvailabilityZone(Names.check("availability zone", value));
+  }
+
+  /**
+   * Returns the identifier with a name that another system has given, which need not be as short
+   * and plain as those of {@link #of}.
+   *
+   * @throws IllegalArgumentException if the name is empty or is not valid Unicode
+   */
+  public static AvailabilityZone ofExternal(String value) {
     return new AvailabilityZone(value);
   }
 
--- a/core/src/main/java/org/persimmonwalk/id/BackendServerId.java
+++ b/core/src/main/java/org/persimmonwalk/id/BackendServerId.java
@@ -5,9 +5,9 @@
 /** Identifies a backend server. */
 public record BackendServerId(String value) implements Comparable<BackendServerId> {
 
-  /** Checks the text of the identifier. */
+  /** Checks that a line of text can carry the identifier as one field. */
   public BackendServerId {
-    Names.check("backend server", value);
+    Names.checkField("backend server", value);
   }
 
   /**
@@ -16,6 +16,17 @@
    * @throws IllegalArgumentException if the text is not a valid identifier
    */
   public static BackendServerId of(String value) {
+    return new BackendServerId(Names.check("backend server", value));
+  }
+
+  /**
+   * Returns the identifier with a name that another system has given, which need not be as short
+   * and plain as those of {@link #of}.
+   *
+   * @throws IllegalArgumentException if the name is empty, contains a blank, CR, LF or NUL, or is
+   *     not valid Unicode
+   */
+  public static BackendServerId ofExternal(String value) {
     return new BackendServerId(value);
   }
 
--- a/core/src/main/java/org/persimmonwalk/id/DatabaseGroupId.java
+++ b/core/src/main/java/org/persimmonwalk/id/DatabaseGroupId.java
@@ -5,9 +5,9 @@
 /** Identifies a group of backend servers that replicate one database. */
 public record DatabaseGroupId(String value) implements Comparable<DatabaseGroupId> {
 
-  /** Checks the text of the identifier. */
+  /** Checks that a line of text can carry the identifier as one field. */
   public DatabaseGroupId {
-    Names.check("database group", value);
+    Names.checkField("database group", value);
   }
 
   /**
@@ -16,6 +16,17 @@
    * @throws IllegalArgumentException if the text is not a valid identifier
    */
   public static DatabaseGroupId of(String value) {
+    return new DatabaseGroupId(Names.check("database group", value));
+  }
+
+  /**
+   * Returns the identifier with a name that another system has given, which need not be as short
+   * and plain as those of {@link #of}.
+   *
+   * @throws IllegalArgumentException if the name is empty, contains a blank, CR, LF or NUL, or is
+   *     not valid Unicode
+   */
+  public static DatabaseGroupId ofExternal(String value) {
     return new DatabaseGroupId(value);
   }
 
--- a/core/src/main/java/org/persimmonwalk/id/EntryHostId.java
+++ b/core/src/main/java/org/persimmonwalk/id/EntryHostId.java
@@ -5,9 +5,9 @@
 /** Identifies an entry host process; a restarted process has a new identifier. */
 public record EntryHostId(String value) implements Comparable<EntryHostId> {
 
-  /** Checks the text of the identifier. */
+  /** Checks that a line of text can carry the identifier as one field. */
   public EntryHostId {
-    Names.check("entry host", value);
+    Names.checkField("entry host", value);
   }
 
   /**
@@ -16,6 +16,17 @@
    * @throws IllegalArgumentException if the text is not a valid identifier
    */
   public static EntryHostId of(String value) {
+    return new EntryHostId(Names.check("entry host", value));
+  }
+
+  /**
+   * Returns the identifier with a name that another system has given, which need not be as short
+   * and plain as those of {@link #of}.
+   *
+   * @throws IllegalArgumentException if the name is empty, contains a blank, CR, LF or NUL, or is
+   *     not valid Unicode
+   */
+  public static EntryHostId ofExternal(String value) {
     return new EntryHostId(value);
   }
 
--- a/core/src/main/java/org/persimmonwalk/id/WorkspaceId.java
+++ b/core/src/main/java/org/persimmonwalk/id/WorkspaceId.java
@@ -5,9 +5,9 @@
 /** Identifies a workspace, the unit of isolation between tenants. */
 public record WorkspaceId(String value) implements Comparable<WorkspaceId> {
 
-  /** Checks the text of the identifier. */
+  /** Checks that a line of text can carry the identifier as one field. */
   public WorkspaceId {
-    Names.check("workspace", value);
+    Names.checkField("workspace", value);
   }
 
   /**
@@ -16,6 +16,17 @@
    * @throws IllegalArgumentException if the text is not a valid identifier
    */
   public static WorkspaceId of(String value) {
+    return new WorkspaceId(Names.check("workspace", value));
+  }
+
+  /**
+   * Returns the identifier with a name that another system has given, which need not be as short
+   * and plain as those of {@link #of}.
+   *
+   * @throws IllegalArgumentException if the name is empty, contains a blank, CR, LF or NUL, or is
+   *     not valid Unicode
+   */
+  public static WorkspaceId ofExternal(String value) {
     return new WorkspaceId(value);
   }
 
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/internal/check/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the argument checks. */
+package org.persimmonwalk.internal.check;
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayHost.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RelayHost.java
@@ -16,7 +16,8 @@
       return Optional.empty();
     }
     try {
-      return Optional.of(new RelayHost(EntryHostId.of(parts[0]), SocketEndpoint.parse(parts[1])))
+      return Optional.of(
+              new RelayHost(EntryHostId.ofExternal(parts[0]), SocketEndpoint.parse(parts[1])))
           .filter(relay -> relay.endpoint().hasIpAddress());
     } catch (IllegalArgumentException e) {
       return Optional.empty();
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RowKey.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RowKey.java
@@ -1,8 +1,16 @@
 package org.persimmonwalk.engine.control;
 
+import java.nio.charset.StandardCharsets;
+import org.persimmonwalk.id.KeyHash;
+
 /** The table and key of a row in the platform's store. */
 public record RowKey(String table, String key) {
 
+  /** The limit of the store for a key, in bytes of UTF-8. */
+  private static final int MAXIMUM_KEY_BYTES = 200;
+
+  private static final String HASH_PREFIX = "sha256:";
+
   /** The row that holds the configuration; the store adapter knows its actual name. */
   public static final RowKey CONFIGURATION = new RowKey("", "configuration");
 
@@ -10,4 +18,13 @@
   public static RowKey of(String table, String key) {
     return new RowKey(table, key);
   }
+
+  /**
+   * Returns the key of the row about something that has the given name. A name that is too long for
+   * a key is replaced by its SHA-256 hash.
+   */
+  public static RowKey ofName(String table, String name) {
+    boolean fits = name.getBytes(StandardCharsets.UTF_8).length <= MAXIMUM_KEY_BYTES;
+    return new RowKey(table, fits ? name : HASH_PREFIX + KeyHash.ofKey(name).value());
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/FleetSizeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/FleetSizeController.java
@@ -67,7 +67,7 @@
 
   /** Returns the key of the row that records the number of hosts of a zone. */
   static RowKey row(AvailabilityZone zone) {
-    return RowKey.of(TABLE, zone.value());
+    return RowKey.ofName(TABLE, zone.value());
   }
 
   /** Returns the known versions of the records of the given zones. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
@@ -50,7 +50,7 @@
   }
 
   static RowKey row(DatabaseGroupId group) {
-    return RowKey.of(TABLE, group.value());
+    return RowKey.ofName(TABLE, group.value());
   }
 
   /**
@@ -76,7 +76,7 @@
       return Optional.of(
           new Leadership(
               Phase.valueOf(parts[0]),
-              BackendServerId.of(parts[1]),
+              BackendServerId.ofExternal(parts[1]),
               Long.parseLong(parts[2]),
               Long.parseLong(parts[3])));
     } catch (IllegalArgumentException e) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionLease.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionLease.java
@@ -53,7 +53,7 @@
       boolean isPossible = token >= 0 && token <= row.version();
       return isPossible
           ? Optional.of(
-              new PromotionLease(EntryHostId.of(parts[0]), token, Long.parseLong(parts[2])))
+              new PromotionLease(EntryHostId.ofExternal(parts[0]), token, Long.parseLong(parts[2])))
           : Optional.empty();
     } catch (IllegalArgumentException e) {
       return Optional.empty();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionRecord.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionRecord.java
@@ -35,7 +35,7 @@
   }
 
   static RowKey row(DatabaseGroupId group) {
-    return RowKey.of("promotion", group.value());
+    return RowKey.ofName("promotion", group.value());
   }
 
   /** Parses the row. One that is absent or can't be read tells nothing. */
@@ -58,7 +58,7 @@
           new PromotionRecord(
               Long.parseLong(parts[0]),
               Long.parseLong(parts[1]),
-              BackendServerId.of(parts[2]),
+              BackendServerId.ofExternal(parts[2]),
               Long.parseLong(parts[3])));
     } catch (IllegalArgumentException e) {
       return Optional.empty();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -68,7 +68,7 @@
   }
 
   static RowKey key(WorkspaceId workspace) {
-    return RowKey.of("rate", workspace.value());
+    return RowKey.ofName("rate", workspace.value());
   }
 
   /**
@@ -108,7 +108,7 @@
     Map<EntryHostId, Holding> holdings = new TreeMap<>();
     for (int i = HEADER_PARTS; i < parts.length; i += HOLDING_PARTS) {
       holdings.put(
-          EntryHostId.of(parts[i]),
+          EntryHostId.ofExternal(parts[i]),
           new Holding(
               (long) inRange(Long.parseLong(parts[i + 1]), MAX_TOKENS),
               (long) inRange(Long.parseLong(parts[i + 2]), storeMillis + MAX_LEAD_MILLIS),
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -83,7 +83,7 @@
 
   /** Returns the key of the row that names the relay of a zone. */
   static RowKey row(AvailabilityZone zone) {
-    return RowKey.of(TABLE, zone.value());
+    return RowKey.ofName(TABLE, zone.value());
   }
 
   @Override
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/SuspicionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/SuspicionController.java
@@ -132,7 +132,7 @@
   }
 
   private static RowKey row(DatabaseGroupId group) {
-    return RowKey.of("suspicion", group.value());
+    return RowKey.ofName("suspicion", group.value());
   }
 
   private record Attempt(ServerEntry server, UnreachableReports reports) {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/UnreachableReports.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/UnreachableReports.java
@@ -17,9 +17,11 @@
   private static final String SEPARATOR = " ";
   private static final String TIME_SEPARATOR = "@";
 
-  /** A host and the store's time in milliseconds, of which 15 digits last for 30,000 years. */
-  private static final Pattern REPORT =
-      Pattern.compile("([^@]{1,128})" + TIME_SEPARATOR + "(\\d{1,15})");
+  /**
+   * A host, whose name may contain the separator, and the store's time in milliseconds, of which 15
+   * digits last for 30,000 years.
+   */
+  private static final Pattern REPORT = Pattern.compile("([^ ]+)" + TIME_SEPARATOR + "(\\d{1,15})");
 
   /**
    * Parses the row; ignores reports that can't be read, and those on another server or on an
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
@@ -83,20 +83,21 @@
         .forEach(
             group ->
                 groups.put(
-                    DatabaseGroupId.of(group.getGroup()),
+                    DatabaseGroupId.ofExternal(group.getGroup()),
                     new GroupSettings(
                         group.getMaximumConnections(), group.getSynchronousReplicas())));
     Map<KeyHash, WorkspaceId> keys = new HashMap<>();
     message
         .getKeysList()
-        .forEach(key -> keys.put(KeyHash.of(key.getHash()), WorkspaceId.of(key.getWorkspace())));
+        .forEach(
+            key -> keys.put(KeyHash.of(key.getHash()), WorkspaceId.ofExternal(key.getWorkspace())));
     Map<WorkspaceId, RateLimit> limits = new HashMap<>();
     message
         .getLimitsList()
         .forEach(
             limit ->
                 limits.put(
-                    WorkspaceId.of(limit.getWorkspace()),
+                    WorkspaceId.ofExternal(limit.getWorkspace()),
                     new RateLimit(limit.getPerSecond(), limit.getBurst())));
     return new RoutingConfiguration(
         message.getVersion(),
@@ -110,7 +111,7 @@
   private static Route decode(RouteMessage route) {
     return new Route(
         DatabaseName.of(route.getDatabase()),
-        DatabaseGroupId.of(route.getGroup()),
+        DatabaseGroupId.ofExternal(route.getGroup()),
         RouteKind.valueOf(route.getKind()),
         millis(route.getStatementTimeoutMilliseconds()),
         millis(route.getLatencyTargetMilliseconds()),
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -92,7 +92,7 @@
         .forEach(
             row -> knownVersions.put(RowKey.of(row.getTable(), row.getKey()), row.getVersion()));
     return new ZoneRequest(
-        EntryHostId.of(message.getFrom()),
+        EntryHostId.ofExternal(message.getFrom()),
         knownVersions,
         message.getServersRevision(),
         message.getUrgent(),
@@ -102,7 +102,7 @@
   /** Decodes token requests; throws an IllegalArgumentException if a field is invalid. */
   static TokenRequestsReceived decodeTokens(long exchangeId, ZoneRequestMessage message) {
     return new TokenRequestsReceived(
-        exchangeId, EntryHostId.of(message.getFrom()), decodeTokenRequests(message));
+        exchangeId, EntryHostId.ofExternal(message.getFrom()), decodeTokenRequests(message));
   }
 
   private static List<TokenRequest> decodeTokenRequests(ZoneRequestMessage message) {
@@ -115,7 +115,7 @@
       throw new IllegalArgumentException("the token request " + request + " is out of range");
     }
     return new TokenRequest(
-        WorkspaceId.of(request.getWorkspace()),
+        WorkspaceId.ofExternal(request.getWorkspace()),
         request.getHeld(),
         request.getDemand(),
         request.getTarget() - waiting,
@@ -149,7 +149,7 @@
         .map(
             loan ->
                 new TokenLoan(
-                    WorkspaceId.of(loan.getWorkspace()),
+                    WorkspaceId.ofExternal(loan.getWorkspace()),
                     loan.getTokens(),
                     loan.getScarce(),
                     loan.getRenews(),
@@ -262,10 +262,10 @@
 
   private static ServerEntry decode(ServerMessage server) {
     return new ServerEntry(
-        BackendServerId.of(server.getId()),
-        DatabaseGroupId.of(server.getGroup()),
+        BackendServerId.ofExternal(server.getId()),
+        DatabaseGroupId.ofExternal(server.getGroup()),
         SocketEndpoint.of(server.getAddress(), server.getPort()),
-        AvailabilityZone.of(server.getZone()),
+        AvailabilityZone.ofExternal(server.getZone()),
         server.getSlots(),
         server.getDraining(),
         server.getPrimary(),
