--- a/engine/src/main/java/org/persimmonwalk/engine/BackendConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/BackendConnection.java
@@ -9,6 +9,14 @@
   /** Sends a statement. */
   void send(BackendStatement statement);
 
+  /**
+   * Returns whether a message can carry the statement, which may have become longer than the
+   * caller's by its position or by the name of a prepared statement.
+   */
+  default boolean canSend(BackendStatement statement) {
+    return true;
+  }
+
   /** Closes the connection without notifying the listener. */
   void close();
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/BackendStatement.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/BackendStatement.java
@@ -30,8 +30,12 @@
   /** Prepares a statement under a name of the connection. */
   public record Prepare(PreparedName name, StatementTemplate template) implements Action {}
 
-  /** Executes the statement that is prepared on the connection under the name. */
-  public record Execute(PreparedName name, String arguments) implements Action {}
+  /**
+   * Executes the statement that is prepared on the connection under the name.
+   *
+   * @param arguments what follows the name and a blank; empty without the blank
+   */
+  public record Execute(PreparedName name, Optional<String> arguments) implements Action {}
 
   /** Requests the status of the server. */
   public record ReadStatus() implements Action {}
--- a/engine/src/main/java/org/persimmonwalk/engine/Statement.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Statement.java
@@ -1,5 +1,7 @@
 package org.persimmonwalk.engine;
 
+import java.util.Optional;
+
 /** A parsed statement of a caller. Data statements and COMMIT keep their text for the server. */
 public sealed interface Statement {
 
@@ -15,8 +17,12 @@
   /** Reads or writes data; the text is sent to the server unchanged. */
   record Data(boolean write, String text) implements Statement {}
 
-  /** Executes a prepared statement with the arguments that follow its name. */
-  record Execute(String name, String arguments) implements Statement {}
+  /**
+   * Executes a prepared statement.
+   *
+   * @param arguments what follows the name and a blank, unchanged; empty without the blank
+   */
+  record Execute(String name, Optional<String> arguments) implements Statement {}
 
   /** Sets a session variable. */
   record SetVariable(String name, String value) implements Statement {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -8,6 +8,7 @@
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.Failure;
+import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -71,8 +72,14 @@
 
   private void send(BackendStatement.Action action) {
     record(action);
+    BackendStatement statement = BackendStatement.internal(action);
+    if (!connection.canSend(statement)) {
+      recordFailure(action, Failure.of(FailureCode.MALFORMED, "the message would be too long"));
+      finishOne(false);
+      return;
+    }
     connection.send(
-        BackendStatement.internal(action),
+        statement,
         new PooledConnection.StatementListener() {
           @Override
           public void answered(Answer answer, MonotonicTime sentAt) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -104,6 +104,11 @@
     backend.send(statement);
   }
 
+  /** Returns whether a message on this connection can carry the statement. */
+  boolean canSend(BackendStatement statement) {
+    return !isOpen() || backend.canSend(statement);
+  }
+
   /**
    * Forgets what is prepared, since the server has reported a name as unknown that this connection
    * had prepared.
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionStatement.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionStatement.java
@@ -19,7 +19,7 @@
   }
 
   /** Returns the execution of a prepared statement, whose name differs between connections. */
-  static SessionStatement execute(StatementTemplate template, String arguments) {
+  static SessionStatement execute(StatementTemplate template, Optional<String> arguments) {
     return new Prepared(template, arguments);
   }
 
@@ -37,7 +37,8 @@
   }
 
   /** The execution of a prepared statement. */
-  record Prepared(StatementTemplate content, String arguments) implements SessionStatement {
+  record Prepared(StatementTemplate content, Optional<String> arguments)
+      implements SessionStatement {
     @Override
     public Optional<StatementTemplate> template() {
       return Optional.of(content);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -31,6 +31,10 @@
   /** Pause before a request is retried on the primary: a replacement may be ready by then. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(20);
 
+  /** Tells the caller of a statement whose name on the server connection makes it too long. */
+  static final String TOO_LONG =
+      "the statement is too long to be sent under the server's name for it; not run";
+
   private final TrafficContext context;
   private final ServerPools pools;
   private final ExecutionRequest request;
@@ -46,6 +50,7 @@
   private boolean finished;
   private boolean sent;
   private boolean onPrimary;
+  private boolean tooLongWithPosition;
   private Runnable cancelTimeout = () -> {};
 
   private StatementExecution(
@@ -111,7 +116,7 @@
     }
     Optional<TermPosition> sample =
         pools.history(request.group()).oldestWithin(request.staleness(), context.now());
-    if (sample.isPresent()) {
+    if (sample.isPresent() && !tooLongWithPosition) {
       TermPosition minimumPosition = sample.get().max(request.minimumPosition());
       List<ServerChoice.Candidate> candidates =
           pools.candidates(request.group(), request.workspace(), tried);
@@ -160,10 +165,16 @@
               FailureCode.OVERLOADED, "the session could not be set up on the server connection"));
       return;
     }
-    sent = true;
     PooledConnection used = connection;
     BackendStatement statement =
         BackendStatement.of(request.id(), target.position(), request.statement().on(used));
+    if (!used.canSend(statement)) {
+      connection = null;
+      used.release();
+      sendShorter(target);
+      return;
+    }
+    sent = true;
     used.send(
         statement,
         new PooledConnection.StatementListener() {
@@ -179,6 +190,17 @@
         });
   }
 
+  /** Sends a statement that its position makes too long to the primary, which needs none. */
+  private void sendShorter(Target target) {
+    context.meter().count("statement.too-long");
+    if (target.position().isPresent()) {
+      tooLongWithPosition = true;
+      attempt();
+    } else {
+      fail(FailureCode.MALFORMED, TOO_LONG);
+    }
+  }
+
   private void answered(PooledConnection used, Answer answer, MonotonicTime sentAt) {
     MonotonicTime now = context.now();
     if (finished) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -58,8 +58,13 @@
             setUp(
                 statement.template(),
                 () -> {
-                  wrote |= write;
-                  send(id, statement.on(connection), context.now().plus(route.statementTimeout()));
+                  BackendStatement.Action action = statement.on(connection);
+                  if (connection.canSend(BackendStatement.of(id, Optional.empty(), action))) {
+                    wrote |= write;
+                    send(id, action, context.now().plus(route.statementTimeout()));
+                  } else {
+                    session.fail(FailureCode.MALFORMED, StatementExecution.TOO_LONG);
+                  }
                 }));
   }
 
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendConnection;
 import org.persimmonwalk.engine.BackendConnector;
@@ -31,6 +32,7 @@
   private final Set<BackendServerId> ignoring = new HashSet<>();
   private Function<Sent, Optional<Answer>> behaviour = FakeServers::succeed;
   private TermPosition position = TermPosition.of(3, 100);
+  private Predicate<BackendStatement> carried = statement -> true;
   private Consumer<Runnable> delivery = Runnable::run;
 
   /** A statement and where it was sent. */
@@ -79,6 +81,11 @@
     maximumConnections = maximum;
   }
 
+  /** Makes messages carry only the statements that fulfil the condition. */
+  public void carryOnly(Predicate<BackendStatement> condition) {
+    carried = condition;
+  }
+
   /** Returns the answer that servers give by default. */
   public Optional<Answer> success(Sent statement) {
     return succeed(statement);
@@ -124,6 +131,11 @@
                                         Optional.of(position)))));
           }
 
+          @Override
+          public boolean canSend(BackendStatement statement) {
+            return carried.test(statement);
+          }
+
           @Override
           public void close() {
             open.remove(listener);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/BoundedReadTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/BoundedReadTest.java
@@ -70,6 +70,25 @@
         .allMatch(BoundedReadTest::requiresThePrimaryPosition);
   }
 
+  /** Guards against a read that its required position makes too long for a message. */
+  @Test
+  void shouldReadAtThePrimaryIfAMessageCannotCarryThePosition() {
+    Session reader = fixture.open(fixture.hosts.get(0), RouteKind.BOUNDED_STALENESS, caller);
+    fixture.send(reader, "1", READ);
+    onlyServing("s2");
+    fixture.send(reader, "2", READ);
+    assertThat(readsAt("s2", 1)).isNotEmpty();
+    fixture.servers.behave(fixture.servers::success);
+    fixture.servers.carryOnly(statement -> statement.position().isEmpty());
+    int before = fixture.servers.sent().size();
+
+    fixture.send(reader, "3", READ);
+
+    assertThat(caller.last().succeeded()).isTrue();
+    assertThat(readsAt("s1", before)).hasSize(1);
+    assertThat(fixture.servers.sent()).hasSize(before + 1);
+  }
+
   /** Lets only one server run statements; the others refuse them. */
   private void onlyServing(String server) {
     Set<String> refusing = Set.of("s1", "s2", "s3");
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PreparedStatementsTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PreparedStatementsTest.java
@@ -2,10 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.PreparedName;
 import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.testing.EngineFixture;
@@ -24,16 +27,36 @@
     Session second = open(RouteKind.PRIMARY);
     StatementTemplate template = new StatementTemplate(false, "q1");
     fixture.send(first, "1", new Statement.Prepare("mine", template));
-    fixture.send(first, "2", new Statement.Execute("mine", "x"));
+    fixture.send(first, "2", new Statement.Execute("mine", Optional.of("x")));
     fixture.send(second, "3", new Statement.Prepare("other", template));
-    fixture.send(second, "4", new Statement.Execute("other", "y"));
+    fixture.send(second, "4", new Statement.Execute("other", Optional.of("y")));
 
     assertThat(fixture.servers.sent())
         .extracting(sent -> (Object) sent.statement().action())
         .containsExactly(
             new BackendStatement.Prepare(PreparedName.of(1), template),
-            new BackendStatement.Execute(PreparedName.of(1), "x"),
-            new BackendStatement.Execute(PreparedName.of(1), "y"));
+            new BackendStatement.Execute(PreparedName.of(1), Optional.of("x")),
+            new BackendStatement.Execute(PreparedName.of(1), Optional.of("y")));
+  }
+
+  /** Guards against an EXECUTE that the name on the connection makes too long for a message. */
+  @Test
+  void shouldRefuseAnExecutionThatAMessageCannotCarry() {
+    FakeCaller caller = new FakeCaller();
+    Session session = fixture.open(fixture.hosts.get(0), RouteKind.PRIMARY, caller);
+    fixture.send(session, "1", new Statement.Prepare("s", new StatementTemplate(true, "q1")));
+    fixture.servers.carryOnly(
+        statement -> !(statement.action() instanceof BackendStatement.Execute));
+
+    fixture.send(session, "2", new Statement.Execute("s", Optional.of("x")));
+
+    assertThat(caller.last().failedWith(FailureCode.MALFORMED)).isTrue();
+    fixture.send(session, "3", new Statement.Begin(false));
+    fixture.send(session, "4", new Statement.Execute("s", Optional.of("x")));
+    assertThat(caller.last().failedWith(FailureCode.MALFORMED)).isTrue();
+    assertThat(caller.last().state()).isEqualTo(SessionState.IN_TRANSACTION);
+    assertThat(fixture.servers.sent())
+        .noneMatch(sent -> sent.statement().action() instanceof BackendStatement.Execute);
   }
 
   /** Guards against a name that refers to another statement after the connection was reset. */
@@ -43,15 +66,15 @@
     Session second = open(RouteKind.PRIMARY);
     fixture.send(first, "1", new Statement.SetVariable("colour", "red"));
     fixture.send(first, "2", new Statement.Prepare("mine", new StatementTemplate(false, "q1")));
-    fixture.send(first, "3", new Statement.Execute("mine", "x"));
+    fixture.send(first, "3", new Statement.Execute("mine", Optional.of("x")));
     fixture.send(second, "4", new Statement.Prepare("mine", new StatementTemplate(false, "q2")));
-    fixture.send(second, "5", new Statement.Execute("mine", "x"));
+    fixture.send(second, "5", new Statement.Execute("mine", Optional.of("x")));
 
     assertThat(fixture.servers.sent())
         .extracting(sent -> (Object) sent.statement().action())
         .endsWith(
             new BackendStatement.Reset(),
             new BackendStatement.Prepare(PreparedName.of(2), new StatementTemplate(false, "q2")),
-            new BackendStatement.Execute(PreparedName.of(2), "x"));
+            new BackendStatement.Execute(PreparedName.of(2), Optional.of("x")));
   }
 }
