--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionLease.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionLease.java
@@ -77,7 +77,7 @@
               && token >> COUNTER_BITS <= StoreEra.MAXIMUM_NUMBER;
       return isPossible
           ? Optional.of(
-              new PromotionLease(EntryHostId.of(parts[0]), token, Long.parseLong(parts[2])))
+              new PromotionLease(EntryHostId.ofExternal(parts[0]), token, Long.parseLong(parts[2])))
           : Optional.empty();
     } catch (IllegalArgumentException e) {
       return Optional.empty();
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetupTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetupTest.java
@@ -44,7 +44,7 @@
   private static void prepareAndExecute(EngineFixture fixture, Session session) {
     fixture.send(session, "1", new Statement.SetVariable("colour", "red"));
     fixture.send(session, "2", new Statement.Prepare("mine", READ));
-    fixture.send(session, "3", new Statement.Execute("mine", "x"));
+    fixture.send(session, "3", new Statement.Execute("mine", Optional.of("x")));
   }
 
   /** Guards against session values that a connection has lost together with its prepared names. */
@@ -54,14 +54,14 @@
     prepareAndExecute(fixture, session);
     int before = fixture.servers.sent().size();
     forgetPreparedNamesOnce(SessionState.IDLE);
-    fixture.send(session, "4", new Statement.Execute("mine", "y"));
+    fixture.send(session, "4", new Statement.Execute("mine", Optional.of("y")));
 
     assertThat(fixture.servers.sent().subList(before + 1, fixture.servers.sent().size()))
         .extracting(sent -> (Object) sent.statement().action())
         .containsExactly(
             new BackendStatement.SetVariable("colour", "red"),
             new BackendStatement.Prepare(PreparedName.of(1), READ),
-            new BackendStatement.Execute(PreparedName.of(1), "y"));
+            new BackendStatement.Execute(PreparedName.of(1), Optional.of("y")));
   }
 
   /** Guards against telling a caller that a name is unknown whose preparing was acknowledged. */
@@ -71,7 +71,7 @@
     prepareAndExecute(fixture, session);
     fixture.send(session, "4", new Statement.Begin(false));
     forgetPreparedNamesOnce(SessionState.FAILED_TRANSACTION);
-    fixture.send(session, "5", new Statement.Execute("mine", "y"));
+    fixture.send(session, "5", new Statement.Execute("mine", Optional.of("y")));
 
     assertThat(caller.lastCode()).contains(FailureCode.ABORTED);
     assertThat(fixture.servers.openConnections()).isZero();
@@ -82,16 +82,16 @@
   void shouldPrepareATextOnceForEachKind() {
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "1", new Statement.Prepare("mine", READ));
-    fixture.send(session, "2", new Statement.Execute("mine", "x"));
+    fixture.send(session, "2", new Statement.Execute("mine", Optional.of("x")));
     fixture.send(session, "3", new Statement.Deallocate("mine"));
     fixture.send(session, "4", new Statement.Prepare("mine", new StatementTemplate(true, "q1")));
-    fixture.send(session, "5", new Statement.Execute("mine", "x"));
+    fixture.send(session, "5", new Statement.Execute("mine", Optional.of("x")));
 
     assertThat(fixture.servers.sent())
         .extracting(sent -> (Object) sent.statement().action())
         .endsWith(
             new BackendStatement.Prepare(PreparedName.of(2), new StatementTemplate(true, "q1")),
-            new BackendStatement.Execute(PreparedName.of(2), "x"));
+            new BackendStatement.Execute(PreparedName.of(2), Optional.of("x")));
   }
 
   /** Guards against two connections of one server under one id in the log. */
@@ -99,7 +99,7 @@
   void shouldNumberConnectionsDifferentlyAfterAServerWasListedAgain() {
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "1", new Statement.Prepare("mine", READ));
-    fixture.send(session, "2", new Statement.Execute("mine", "x"));
+    fixture.send(session, "2", new Statement.Execute("mine", Optional.of("x")));
     BackendServerId id = BackendServerId.of("s1");
     ServerEntry old = fixture.entries.get(id);
     fixture.entries.put(
@@ -115,7 +115,7 @@
             old.startedAtMillis() + 1));
     for (int i = 0; i < 40; i++) {
       fixture.run(Duration.ofSeconds(1));
-      fixture.send(session, "r" + i, new Statement.Execute("mine", "x"));
+      fixture.send(session, "r" + i, new Statement.Execute("mine", Optional.of("x")));
     }
     List<String> prepared =
         fixture.events.stream().filter(event -> event.startsWith("statement-prepared")).toList();
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ConnectionStateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ConnectionStateTest.java
@@ -134,7 +134,7 @@
       } else if (kind < 13) {
         String key = "s" + random.nextInt(2);
         send(
-            new Statement.Execute(key, "7 " + number),
+            new Statement.Execute(key, Optional.of("7 " + number)),
             "7 " + number,
             Optional.ofNullable(prepared.get(key)));
       } else if (kind == 13) {
@@ -233,7 +233,7 @@
       count("executed");
       StatementTemplate found = side.prepared.get(execute.name());
       if (!Optional.ofNullable(found).equals(wanted.template())
-          || !execute.arguments().equals(wanted.text())) {
+          || !execute.arguments().equals(Optional.of(wanted.text()))) {
         faults.add(sent + " ran " + found + ", not " + wanted.template());
       }
     } else if (!(action instanceof BackendStatement.Text text)
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -110,7 +110,7 @@
     Map<RowKey, StoreVersion> knownVersions = new HashMap<>();
     numbers.forEach((key, number) -> knownVersions.put(key, StoreVersion.of(era, number)));
     return new ZoneRequest(
-        EntryHostId.of(message.getFrom()),
+        EntryHostId.ofExternal(message.getFrom()),
         era,
         knownVersions,
         message.getServersRevision(),
@@ -121,7 +121,7 @@
   /** Decodes token requests; throws an IllegalArgumentException if a field is invalid. */
   static TokenRequestsReceived decodeTokens(long exchangeId, ZoneRequestMessage message) {
     return new TokenRequestsReceived(
-        exchangeId, EntryHostId.of(message.getFrom()), decodeTokenRequests(message));
+        exchangeId, EntryHostId.ofExternal(message.getFrom()), decodeTokenRequests(message));
   }
 
   private static List<TokenRequest> decodeTokenRequests(ZoneRequestMessage message) {
@@ -134,7 +134,7 @@
       throw new IllegalArgumentException("the token request " + request + " is out of range");
     }
     return new TokenRequest(
-        WorkspaceId.of(request.getWorkspace()),
+        WorkspaceId.ofExternal(request.getWorkspace()),
         request.getHeld(),
         request.getDemand(),
         request.getTarget() - waiting,
@@ -168,7 +168,7 @@
         .map(
             loan ->
                 new TokenLoan(
-                    WorkspaceId.of(loan.getWorkspace()),
+                    WorkspaceId.ofExternal(loan.getWorkspace()),
                     loan.getTokens(),
                     loan.getScarce(),
                     loan.getRenews(),
@@ -293,10 +293,10 @@
 
   private static ServerEntry decode(ServerMessage server) {
     return new ServerEntry(
-        BackendServerId.of(server.getId()),
-        DatabaseGroupId.of(server.getGroup()),
+        BackendServerId.ofExternal(server.getId()),
+        DatabaseGroupId.ofExternal(server.getGroup()),
         SocketEndpoint.of(server.getAddress(), server.getPort()),
-        AvailabilityZone.of(server.getZone()),
+        AvailabilityZone.ofExternal(server.getZone()),
         server.getSlots(),
         server.getDraining(),
         server.getPrimary(),
