Limit what sessions and server connections hold

What callers saw: after one session had prepared 46 statements of 900 KB, or set 45 variables of that size, its connection was closed without an answer or a log line: the heap of 48 MB was full.

Cause: sessions kept statements and variables without a limit, and server connections kept whatever any session had prepared on them.

The memory of a process under such a session has not been measured.

Change: SessionLimits derives limits from the heap of the process, for one session, for all sessions of a host and for a connection. Beyond them PREPARE or SET is refused as not kept, with an event and a counter, and nothing that was acknowledged is lost. A connection deallocates the statement that was not used for the longest time before it prepares another beyond its limit; a session that executes that one again has it prepared anew.

--- a/engine/src/main/java/org/persimmonwalk/engine/BackendStatement.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/BackendStatement.java
@@ -37,6 +37,9 @@
    */
   public record Execute(PreparedName name, Optional<String> arguments) implements Action {}
 
+  /** Removes the statement that is prepared on the connection under the name. */
+  public record Deallocate(PreparedName name) implements Action {}
+
   /** Requests the status of the server. */
   public record ReadStatus() implements Action {}
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -17,6 +17,7 @@
  * @param rateSlack the number of operations by which a window may exceed the limit in addition
  * @param stopGrace the time between the request to stop and the forced exit
  * @param bounds the times that are promised for the whole fleet
+ * @param sessionLimits how much the sessions of the host may hold
  */
 public record EngineSettings(
     EntryHostId host,
@@ -28,7 +29,8 @@
     double rateOverage,
     double rateSlack,
     Duration stopGrace,
-    ServiceBounds bounds) {
+    ServiceBounds bounds,
+    SessionLimits sessionLimits) {
 
   /** Makes the set immutable and checks that it has the host's own zone. */
   public EngineSettings {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -63,10 +63,14 @@
     template
         .filter(needed -> connection.preparedStatements().name(needed).isEmpty())
         .ifPresent(
-            added ->
-                actions.add(
-                    new BackendStatement.Prepare(
-                        connection.preparedStatements().add(added), added)));
+            added -> {
+              connection
+                  .preparedStatements()
+                  .makeRoom(added)
+                  .forEach(name -> actions.add(new BackendStatement.Deallocate(name)));
+              actions.add(
+                  new BackendStatement.Prepare(connection.preparedStatements().add(added), added));
+            });
     return actions;
   }
 
@@ -99,6 +103,11 @@
     if (action instanceof BackendStatement.Reset) {
       context.meter().count("connection.reset");
       context.log().write("connection-reset", "connection", connection.id());
+    } else if (action instanceof BackendStatement.Deallocate deallocate) {
+      context.meter().count("statement.deallocated");
+      context
+          .log()
+          .write("statement-deallocated", "connection", connection.id(), "name", deallocate.name());
     } else if (action instanceof BackendStatement.Prepare prepare) {
       context.meter().count("statement.prepared");
       context
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -26,7 +26,7 @@
   private final WorkspaceId workspace;
   private final MonotonicTime openedAt;
   private final Map<String, String> variables = new HashMap<>();
-  private final PreparedStatements preparedStatements = new PreparedStatements();
+  private final PreparedStatements preparedStatements;
   private final Deque<Pending> pending = new ArrayDeque<>();
   private BackendConnection backend;
   private boolean open;
@@ -39,6 +39,8 @@
     this.workspace = workspace;
     this.openedAt = now;
     this.lastUsed = now;
+    this.preparedStatements =
+        new PreparedStatements(pool.context().settings().sessionLimits().bytesPerConnection());
   }
 
   ConnectionId id() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -37,8 +37,7 @@
   private final CallerConnection caller;
   private final DatabaseName database;
   private final CallerIdentity identity;
-  private final Map<String, String> variables = new HashMap<>();
-  private final Map<String, StatementTemplate> preparedStatements = new HashMap<>();
+  private final SessionContents contents;
   private final Deque<Queued> queue = new ArrayDeque<>();
   private boolean busy;
   private boolean closed;
@@ -57,6 +56,7 @@
       ServerPools pools,
       SessionAdmission admission,
       SessionLifetime lifetime,
+      SessionStorage storage,
       CallerConnection caller,
       DatabaseName database,
       CallerIdentity identity) {
@@ -64,6 +64,7 @@
     this.pools = pools;
     this.admission = admission;
     this.lifetime = lifetime;
+    this.contents = new SessionContents(storage);
     this.caller = caller;
     this.database = database;
     this.identity = identity;
@@ -91,6 +92,7 @@
    */
   public void callerDisconnected() {
     closed = true;
+    contents.clear();
     queue.clear();
     transaction.ifPresent(Transaction::abandon);
     transaction = Optional.empty();
@@ -134,6 +136,7 @@
       caller.answer(Answer.failed(refusal.code(), refusal.detail(), SessionState.IDLE));
     }
     closed = true;
+    contents.clear();
     caller.close();
   }
 
@@ -194,11 +197,9 @@
       return;
     }
     if (statement instanceof Statement.SetVariable set) {
-      variables.put(set.name(), set.value());
-      answer(Answer.done(state()));
+      answerChange(id, contents.setVariable(set.name(), set.value()));
     } else if (statement instanceof Statement.Prepare prepare) {
-      preparedStatements.put(prepare.name(), prepare.template());
-      answer(Answer.done(state()));
+      answerChange(id, contents.prepare(prepare.name(), prepare.template()));
     } else if (statement instanceof Statement.Deallocate deallocate) {
       deallocate(deallocate);
     } else if (statement instanceof Statement.Begin begin) {
@@ -216,6 +217,26 @@
     }
   }
 
+  /** Answers a change of what the session holds, which is refused beyond the limits. */
+  private void answerChange(RequestId id, Optional<String> refusal) {
+    if (refusal.isEmpty()) {
+      answer(Answer.done(state()));
+      return;
+    }
+    context.meter().count("session.limit-reached");
+    context
+        .log()
+        .write(
+            "session-limit-reached",
+            "request",
+            id,
+            "workspace",
+            workspace(),
+            "reason",
+            refusal.get());
+    fail(FailureCode.OVERLOADED, refusal.get() + "; not kept");
+  }
+
   private void rejectInput(String detail) {
     context.log().write("session-cut-off", "reason", detail);
     caller.answer(Answer.failed(FailureCode.MALFORMED, detail, SessionState.IDLE));
@@ -224,7 +245,7 @@
   }
 
   private void deallocate(Statement.Deallocate deallocate) {
-    if (preparedStatements.remove(deallocate.name()) == null) {
+    if (!contents.deallocate(deallocate.name())) {
       fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + deallocate.name());
     } else {
       answer(Answer.done(state()));
@@ -232,11 +253,12 @@
   }
 
   private void execute(RequestId id, Statement.Execute execute) {
-    StatementTemplate template = preparedStatements.get(execute.name());
-    if (template == null) {
+    Optional<StatementTemplate> prepared = contents.statement(execute.name());
+    if (prepared.isEmpty()) {
       fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + execute.name());
       return;
     }
+    StatementTemplate template = prepared.get();
     run(id, template.write(), SessionStatement.execute(template, execute.arguments()));
   }
 
@@ -291,7 +313,7 @@
                   needsPrimary,
                   write,
                   minimumPosition(route),
-                  Map.copyOf(variables));
+                  Map.copyOf(contents.variables()));
           StatementExecution.start(
               context, pools, request, outcome -> finished(route, write, outcome));
         });
@@ -351,7 +373,7 @@
   }
 
   Map<String, String> variables() {
-    return variables;
+    return contents.variables();
   }
 
   WorkspaceId workspace() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -43,6 +43,7 @@
   private final RateLimiter rateLimiter;
   private final SessionAdmission admission;
   private final SessionLifetime lifetime;
+  private final SessionStorage storage;
   private final Set<Session> sessions = new LinkedHashSet<>();
   private final List<PendingOpen> pendingOpens = new ArrayList<>();
   private MonotonicTime activeReportedAt = MonotonicTime.of(Long.MIN_VALUE / 2);
@@ -55,6 +56,7 @@
     this.rateLimiter = new RateLimiter(context);
     this.admission = new SessionAdmission(context, rateLimiter);
     this.lifetime = new SessionLifetime(context);
+    this.storage = new SessionStorage(context.settings().sessionLimits());
   }
 
   /** Returns the sessions of a host that has just started: none. */
@@ -127,7 +129,8 @@
         workspace
             .map(owner -> new CallerIdentity(owner, key))
             .orElseGet(() -> new CallerIdentity(CallerIdentity.ANYONE, Optional.empty()));
-    Session session = new Session(context, pools, admission, lifetime, caller, database, identity);
+    Session session =
+        new Session(context, pools, admission, lifetime, storage, caller, database, identity);
     sessions.add(session);
     context.meter().count("session.opened");
     if (identity.key().isPresent()) {
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
@@ -5,6 +5,7 @@
 import java.util.stream.IntStream;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.ServiceBounds;
+import org.persimmonwalk.engine.control.SessionLimits;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.model.SocketEndpoint;
@@ -29,6 +30,8 @@
     return "host" + number;
   }
 
+  private static final long HEAP_BYTES = 48L * 1024 * 1024;
+
   private static AvailabilityZone zone(int number) {
     return AvailabilityZone.of(String.valueOf((char) ('a' + number)));
   }
@@ -49,6 +52,7 @@
         0.1,
         20,
         Duration.ofSeconds(6),
-        bounds);
+        bounds,
+        SessionLimits.of(HEAP_BYTES));
   }
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PreparedStatementsTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/PreparedStatementsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.BackendStatement;
@@ -39,6 +40,38 @@
             new BackendStatement.Execute(PreparedName.of(1), Optional.of("y")));
   }
 
+  /** Guards against connections that keep the statements of all sessions that ever used them. */
+  @Test
+  void shouldDeallocateTheStatementThatWasNotUsedForTheLongestTime() {
+    FakeCaller caller = new FakeCaller();
+    Session session = fixture.open(fixture.hosts.get(0), RouteKind.PRIMARY, caller);
+    for (int i = 0; i <= PreparedStatements.MAXIMUM_COUNT; i++) {
+      fixture.send(
+          session, "p", new Statement.Prepare("s" + i, new StatementTemplate(false, "q" + i)));
+      fixture.run(Duration.ofMillis(100));
+      fixture.send(session, "e", new Statement.Execute("s" + i, Optional.of("x")));
+      assertThat(caller.last().succeeded()).isTrue();
+      if (i == 1) {
+        fixture.send(session, "e", new Statement.Execute("s0", Optional.of("x")));
+      }
+    }
+
+    fixture.send(session, "last", new Statement.Execute("s1", Optional.of("x")));
+
+    int added = PreparedStatements.MAXIMUM_COUNT + 1;
+    assertThat(caller.last().succeeded()).isTrue();
+    assertThat(fixture.servers.sent())
+        .extracting(sent -> (Object) sent.statement().action())
+        .containsSubsequence(
+            new BackendStatement.Deallocate(PreparedName.of(2)),
+            new BackendStatement.Prepare(
+                PreparedName.of(added), new StatementTemplate(false, "q" + (added - 1))),
+            new BackendStatement.Deallocate(PreparedName.of(1)),
+            new BackendStatement.Prepare(
+                PreparedName.of(added + 1), new StatementTemplate(false, "q1")),
+            new BackendStatement.Execute(PreparedName.of(added + 1), Optional.of("x")));
+  }
+
   /** Guards against an EXECUTE that the name on the connection makes too long for a message. */
   @Test
   void shouldRefuseAnExecutionThatAMessageCannotCarry() {
