Keep a session's variables while a statement of it may still run

Ending a session now only returns its bytes to the host's limit.

Found by reading; there is no test that fails before. SessionLimitTest, PreparedStatementsTest, SessionTest and StopTest pass (34 tests).

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -92,7 +92,7 @@
    */
   public void callerDisconnected() {
     closed = true;
-    contents.clear();
+    contents.sessionEnded();
     queue.clear();
     transaction.ifPresent(Transaction::abandon);
     transaction = Optional.empty();
@@ -136,7 +136,7 @@
       caller.answer(Answer.failed(refusal.code(), refusal.detail(), SessionState.IDLE));
     }
     closed = true;
-    contents.clear();
+    contents.sessionEnded();
     caller.close();
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionContents.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionContents.java
@@ -77,10 +77,11 @@
     return variables;
   }
 
-  /** Forgets everything; called when the session ends. */
-  void clear() {
-    variables.clear();
-    statements.clear();
+  /**
+   * Makes room for other sessions; called when the session ends. A statement that still waits to be
+   * admitted then must not run without the variables, so they are kept as long as the session is.
+   */
+  void sessionEnded() {
     release(bytes);
   }
 
