--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionVariablesTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionVariablesTest.java
@@ -2,18 +2,26 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.FailureCode;
+import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
+import org.persimmonwalk.engine.testing.FakeServers;
 
 class SessionVariablesTest {
+  /** More than the tokens that a host holds, so that some statements wait to be admitted. */
+  private static final int WAITING_SESSIONS = 60;
+
   private final EngineFixture fixture = new EngineFixture(1);
   private final FakeCaller caller = new FakeCaller();
   private final Session session = fixture.open(fixture.hosts.get(0), RouteKind.PRIMARY, caller);
@@ -59,4 +67,33 @@
     assertThat(fixture.servers.sent()).noneMatch(sent -> sent.isText("COMMIT"));
     assertThat(fixture.servers.openConnections()).isZero();
   }
+
+  /** Guards against a statement that runs without the variables of its session, which has ended. */
+  @Test
+  void shouldSetVariablesForAStatementThatStillWaitsWhenItsCallerLeaves() {
+    Statement read = new Statement.Data(false, "READ x");
+    for (int i = 0; i < WAITING_SESSIONS; i++) {
+      Session waiting = fixture.open(fixture.hosts.get(0), RouteKind.PRIMARY, new FakeCaller());
+      waiting.receive(RequestId.of("set" + i), new Statement.SetVariable("colour", "red" + i));
+      waiting.receive(RequestId.of("read" + i), read);
+      waiting.callerDisconnected();
+    }
+    fixture.run(Duration.ofMillis(1000));
+
+    Map<String, String> variables = new HashMap<>();
+    int reads = 0;
+    for (FakeServers.Sent sent : fixture.servers.sent()) {
+      BackendStatement.Action action = sent.statement().action();
+      if (action instanceof BackendStatement.SetVariable set) {
+        variables.put(sent.connection() + set.name(), set.value());
+      } else if (action instanceof BackendStatement.Reset) {
+        variables.remove(sent.connection() + "colour");
+      } else if (sent.isText("READ x")) {
+        String number = sent.statement().id().value().substring("read".length());
+        assertThat(variables).containsEntry(sent.connection() + "colour", "red" + number);
+        reads++;
+      }
+    }
+    assertThat(reads).isPositive();
+  }
 }
