--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RateTest.java
@@ -224,4 +224,19 @@
         .findFirst()
         .orElseThrow();
   }
+
+  /** Guards against refusing the operations of a workspace for which no limit is configured. */
+  @Test
+  void shouldAdmitOperationsOfAWorkspaceWithoutALimit() {
+    fixture.publish(
+        EngineFixture.configuration(
+            2,
+            Double.MAX_VALUE,
+            Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE)));
+    fixture.run(Duration.ofMillis(1500));
+    sendAndCountAdmitted(Duration.ofSeconds(1), 1);
+
+    assertThat(sendAndCountAdmitted(Duration.ofSeconds(3), 1))
+        .isGreaterThanOrEqualTo(HOSTS * 30 * 99 / 100);
+  }
 }
