Set up no streams in rounds without observations

A calm round set up about 25 streams that found nothing, and copied an unchanged blackboard. One round each, beside other work: idle 50 to 48 ms/s, control thread 24 to 22 ms/s.

--- a/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import org.persimmonwalk.model.MonotonicTime;
@@ -27,6 +28,9 @@
   private List<Observation> observations = List.of();
   private long round;
 
+  /** The entries as last published; absent once one of them has been put since. */
+  private Optional<Map<EntryKey<?>, Object>> published = Optional.empty();
+
   private Blackboard() {}
 
   /** Returns a blackboard whose entries have their initial values. */
@@ -43,14 +47,29 @@
 
   /** Replaces the value of an entry. */
   public <T> void put(EntryKey<T> key, T value) {
-    values.put(key, Objects.requireNonNull(value, "value"));
+    Object old = values.put(key, Objects.requireNonNull(value, "value"));
+    if (old != value) {
+      published = Optional.empty();
+    }
+  }
+
+  /** Returns whether this round has observations of any type. */
+  public boolean hasObservations() {
+    return !observations.isEmpty();
   }
 
   /**
    * Returns this round's observations of the given type, in the order in which they were queued.
    */
   public <T extends Observation> Stream<T> observations(Class<T> type) {
-    return observations.stream().filter(type::isInstance).map(type::cast);
+    // Most rounds have no observation of a given type. Setting up a stream for each took most of the
+    // time of such rounds.
+    for (Observation observation : observations) {
+      if (type.isInstance(observation)) {
+        return observations.stream().filter(type::isInstance).map(type::cast);
+      }
+    }
+    return Stream.empty();
   }
 
   /**
@@ -58,7 +77,9 @@
    * runs first and decides in one place which observations still count.
    */
   public void replaceObservations(UnaryOperator<Observation> replacement) {
-    observations = observations.stream().map(replacement).toList();
+    if (!observations.isEmpty()) {
+      observations = observations.stream().map(replacement).toList();
+    }
   }
 
   /** Submits a command, which is executed after the round. */
@@ -72,12 +93,18 @@
   }
 
   List<Command> drainCommands() {
+    if (commands.isEmpty()) {
+      return List.of();
+    }
     List<Command> drained = List.copyOf(commands);
     commands.clear();
     return drained;
   }
 
   Snapshot snapshot(MonotonicTime now) {
-    return Snapshot.of(round, now, values);
+    if (published.isEmpty()) {
+      published = Optional.of(Map.copyOf(values));
+    }
+    return Snapshot.of(round, now, published.get());
   }
 }
--- a/core/src/main/java/org/persimmonwalk/blackboard/Snapshot.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Snapshot.java
@@ -23,8 +23,9 @@
     this.values = values;
   }
 
+  /** Returns a snapshot of the values, which must be immutable. */
   static Snapshot of(long round, MonotonicTime roundStartedAt, Map<EntryKey<?>, Object> values) {
-    return new Snapshot(round, roundStartedAt, Map.copyOf(values));
+    return new Snapshot(round, roundStartedAt, values);
   }
 
   /** Returns the value of an entry. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StoreEraController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StoreEraController.java
@@ -48,6 +48,9 @@
 
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
+    if (!blackboard.hasObservations()) {
+      return;
+    }
     StoreEra current = blackboard.get(EngineEntries.STORE_ERA);
     StoreEra newest = toldEras(blackboard).reduce(current, (a, b) -> b.isAfter(a) ? b : a);
     if (newest.isAfter(current)) {
