Use late replies of relays and tell slow relays from lost ones

Cause: a reply after 200 ms was dropped, its lender left out for a second and its connection closed. Hosts with an eighth of a core are often slower, so whole zones took tokens from the store themselves, conflicted and replaced relays that were running.

A relay whose verification is old but advances is slow, not lost, and its zone does not call the store as well.

--- a/engine/src/main/java/org/persimmonwalk/engine/Route.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Route.java
@@ -20,4 +20,20 @@
     Duration latencyTarget,
     int priority,
     Duration maximumStaleness,
-    boolean open) {}
+    boolean open) {
+
+  /**
+   * The shortest time an operation may wait for a token. Two calls to the store, one of them a
+   * conflict, mostly take less.
+   */
+  public static final Duration SHORTEST_TOKEN_WAIT = Duration.ofMillis(80);
+
+  /** An operation may wait for a token for the latency target divided by this. */
+  private static final int TOKEN_WAIT_DIVISOR = 2;
+
+  /** Returns how long an operation may wait for a token. */
+  public Duration tokenWait() {
+    Duration wait = latencyTarget.dividedBy(TOKEN_WAIT_DIVISOR);
+    return wait.compareTo(SHORTEST_TOKEN_WAIT) < 0 ? SHORTEST_TOKEN_WAIT : wait;
+  }
+}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.engine.control;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -77,6 +78,22 @@
   /** Whether this host calls the store for itself, is the relay, or uses the relay. */
   public static final EntryKey<RelayRole> RELAY_ROLE = EntryKey.of("relay role", RelayRole.DIRECT);
 
+  /**
+   * The lenders that have not replied for longer than usual. Operations that wait for tokens ask
+   * the next lender in addition.
+   */
+  public static final EntryKey<Set<RelayHost>> SLOW_LENDERS = EntryKey.of("slow lenders", Set.of());
+
+  /** How long lenders take to reply lately, in steps of 100 ms; zero while they reply at once. */
+  public static final EntryKey<Duration> LENDER_REPLY_TIME =
+      EntryKey.of("lender reply time", Duration.ZERO);
+
+  /**
+   * Whether the relay of the zone has verified anew lately, so that an old verification means that
+   * it or the store is slow and not that it is lost.
+   */
+  public static final EntryKey<Boolean> RELAY_ADVANCES = EntryKey.of("relay advances", false);
+
   /** The relays that can lend tokens to this host, by zone; without this host itself. */
   public static final EntryKey<Map<AvailabilityZone, RelayHost>> LENDERS =
       EntryKey.of("lenders", Map.of());
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenRequestsEnded.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenRequestsEnded.java
@@ -10,5 +10,14 @@
  * @param reply empty if the exchange failed or timed out
  */
 public record TokenRequestsEnded(
-    SendTokenRequests command, Optional<TokenReply> reply, MonotonicTime sentAt)
-    implements Observation {}
+    SendTokenRequests command,
+    Optional<TokenReply> reply,
+    MonotonicTime sentAt,
+    MonotonicTime endedAt)
+    implements Observation {
+
+  /** Returns whether the request failed before its time was over: the connection was refused. */
+  public boolean isRefused() {
+    return reply.isEmpty() && endedAt.since(sentAt).compareTo(EngineTimings.REPLY_TIMEOUT) < 0;
+  }
+}
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequestEnded.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequestEnded.java
@@ -11,4 +11,10 @@
  */
 public record ZoneRequestEnded(
     SendZoneRequest command, Optional<ZoneReply> reply, MonotonicTime sentAt, MonotonicTime endedAt)
-    implements Observation {}
+    implements Observation {
+
+  /** Returns whether the request failed before its time was over: the connection was refused. */
+  public boolean isRefused() {
+    return reply.isEmpty() && endedAt.since(sentAt).compareTo(EngineTimings.REPLY_TIMEOUT) < 0;
+  }
+}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -128,10 +128,14 @@
   }
 
   private boolean isFallbackDue(Blackboard blackboard, MonotonicTime now) {
+    Duration fallbackAge =
+        blackboard.get(EngineEntries.RELAY_ADVANCES)
+            ? timings.slowRelayFallbackAge()
+            : timings.relayFallbackAge();
     boolean isOld =
         blackboard
             .get(EngineEntries.VERIFIED_AT)
-            .filter(at -> now.since(at).compareTo(timings.relayFallbackAge()) < 0)
+            .filter(at -> now.since(at).compareTo(fallbackAge) < 0)
             .isEmpty();
     return isOld
         && now.since(lastCallAt).compareTo(timings.verificationInterval()) >= 0
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneConnection.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneConnection.java
@@ -38,6 +38,7 @@
   private Channel channel;
   private long attempt;
   private boolean connecting;
+  private long repliesReceived;
 
   ZoneConnection(EventLoopGroup group, SocketEndpoint endpoint, Duration timeout) {
     this.group = group;
@@ -53,7 +54,7 @@
   void send(long exchangeId, MessageLite request, Consumer<Optional<ZoneReplyMessage>> onEnd) {
     Future<?> timer =
         group.next().schedule(() -> timeOut(exchangeId), timeout.toMillis(), TimeUnit.MILLISECONDS);
-    pending.put(exchangeId, new Pending(onEnd, timer));
+    pending.put(exchangeId, new Pending(onEnd, timer, repliesReceived));
     if (channel != null && channel.isActive()) {
       ZoneFrames.write(channel, request);
       return;
@@ -100,12 +101,16 @@
   }
 
   /**
-   * Fails a request and closes the connection, because a broken connection may stay open without a
-   * reset. The other requests keep their own time limits.
+   * Fails a request. Closes the connection if nothing has arrived over it since the request was
+   * sent, because a broken connection may stay open without a reset. The other requests keep their
+   * own time limits.
    */
   private void timeOut(long exchangeId) {
-    if (pending.containsKey(exchangeId)) {
-      close();
+    Pending late = pending.get(exchangeId);
+    if (late != null) {
+      if (late.repliesBefore() == repliesReceived) {
+        close();
+      }
       complete(exchangeId, Optional.empty());
     }
   }
@@ -135,13 +140,20 @@
     }
   }
 
-  private record Pending(Consumer<Optional<ZoneReplyMessage>> onEnd, Future<?> timer) {}
+  /**
+   * A request without a reply.
+   *
+   * @param repliesBefore how many replies had arrived when it was sent
+   */
+  private record Pending(
+      Consumer<Optional<ZoneReplyMessage>> onEnd, Future<?> timer, long repliesBefore) {}
 
   private final class ReplyHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
       ZoneReplyMessage message = ZoneReplyMessage.parseFrom(frame.nioBuffer());
+      repliesReceived++;
       complete(message.getExchange(), Optional.of(message));
     }
 
