Write out the equality of the ids and records that serve as keys

The JVM links equals and hashCode of a record at their first use from method handles, which no class data sharing archive holds, and runs them in many small frames while they are not compiled.

--- a/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
@@ -62,7 +62,8 @@
    * Returns this round's observations of the given type, in the order in which they were queued.
    */
   public <T extends Observation> Stream<T> observations(Class<T> type) {
-    // Most rounds have no observation of a given type. Setting up a stream for each took most of the
+    // Most rounds have no observation of a given type. Setting up a stream for each took most of
+    // the
     // time of such rounds.
     for (Observation observation : observations) {
       if (type.isInstance(observation)) {
--- a/core/src/main/java/org/persimmonwalk/id/AvailabilityZone.java
+++ b/core/src/main/java/org/persimmonwalk/id/AvailabilityZone.java
@@ -38,4 +38,15 @@
   public String toString() {
     return value;
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other || (other instanceof AvailabilityZone that && value.equals(that.value));
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/core/src/main/java/org/persimmonwalk/id/EntryHostId.java
+++ b/core/src/main/java/org/persimmonwalk/id/EntryHostId.java
@@ -39,4 +39,15 @@
   public String toString() {
     return value;
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other || (other instanceof EntryHostId that && value.equals(that.value));
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/core/src/main/java/org/persimmonwalk/id/KeyHash.java
+++ b/core/src/main/java/org/persimmonwalk/id/KeyHash.java
@@ -4,20 +4,29 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
-import java.util.regex.Pattern;
 
 /** The SHA-256 hash of a caller key, in lower-case hexadecimal; the key itself is never kept. */
 public record KeyHash(String value) {
-  private static final Pattern HEXADECIMAL = Pattern.compile("[0-9a-f]{64}");
+  private static final int DIGITS = 64;
 
   /** Checks the length and the digits of the hash. */
   public KeyHash {
-    if (value == null || !HEXADECIMAL.matcher(value).matches()) {
+    if (value == null || !isHexadecimal(value)) {
       throw new IllegalArgumentException(
           "a key hash has 64 lower-case hexadecimal digits; hash the key with SHA-256");
     }
   }
 
+  private static boolean isHexadecimal(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      char digit = text.charAt(i);
+      if ((digit < '0' || digit > '9') && (digit < 'a' || digit > 'f')) {
+        return false;
+      }
+    }
+    return text.length() == DIGITS;
+  }
+
   /**
    * Returns the hash with the given hexadecimal digits.
    *
@@ -42,4 +51,15 @@
   public String toString() {
     return value.substring(0, 8);
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other || (other instanceof KeyHash that && value.equals(that.value));
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/core/src/main/java/org/persimmonwalk/model/MonotonicTime.java
+++ b/core/src/main/java/org/persimmonwalk/model/MonotonicTime.java
@@ -42,4 +42,16 @@
   public int compareTo(MonotonicTime other) {
     return Long.compare(nanoseconds - other.nanoseconds, 0);
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof MonotonicTime that && nanoseconds == that.nanoseconds);
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(nanoseconds);
+  }
 }
--- a/core/src/main/java/org/persimmonwalk/model/SocketEndpoint.java
+++ b/core/src/main/java/org/persimmonwalk/model/SocketEndpoint.java
@@ -56,4 +56,18 @@
   public String toString() {
     return address + ":" + port;
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof SocketEndpoint that
+            && address.equals(that.address)
+            && port == that.port);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * address.hashCode() + port;
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/RequestId.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/RequestId.java
@@ -22,4 +22,15 @@
   public String toString() {
     return value;
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other || (other instanceof RequestId that && value.equals(that.value));
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
@@ -59,4 +59,32 @@
         && endpoint.equals(other.endpoint)
         && startedAtMillis == other.startedAtMillis;
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof ServerEntry that
+            && id.equals(that.id)
+            && group.equals(that.group)
+            && endpoint.equals(that.endpoint)
+            && zone.equals(that.zone)
+            && slots == that.slots
+            && draining == that.draining
+            && primary == that.primary
+            && startedAtMillis == that.startedAtMillis);
+  }
+
+  @Override
+  public int hashCode() {
+    int hash = id.hashCode();
+    hash = 31 * hash + group.hashCode();
+    hash = 31 * hash + endpoint.hashCode();
+    hash = 31 * hash + zone.hashCode();
+    hash = 31 * hash + slots;
+    hash = 31 * hash + Boolean.hashCode(draining);
+    hash = 31 * hash + Boolean.hashCode(primary);
+    hash = 31 * hash + Long.hashCode(startedAtMillis);
+    return hash;
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/TermPosition.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/TermPosition.java
@@ -40,4 +40,16 @@
   public String toString() {
     return term + "." + number;
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof TermPosition that && term == that.term && number == that.number);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * Long.hashCode(term) + Long.hashCode(number);
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/PrimaryView.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/PrimaryView.java
@@ -19,4 +19,18 @@
   public Optional<ServerEntry> at(MonotonicTime now) {
     return endsAt.isPresent() && !now.isBefore(endsAt.get()) ? Optional.empty() : server;
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof PrimaryView that
+            && server.equals(that.server)
+            && endsAt.equals(that.endsAt));
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * server.hashCode() + endsAt.hashCode();
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayHost.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RelayHost.java
@@ -28,4 +28,18 @@
   public String text() {
     return host.value() + SEPARATOR + endpoint;
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof RelayHost that
+            && host.equals(that.host)
+            && endpoint.equals(that.endpoint));
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + endpoint.hashCode();
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayRole.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RelayRole.java
@@ -34,4 +34,16 @@
     /** Calls the store for all hosts of its zone. */
     RELAY
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof RelayRole that && kind.equals(that.kind) && relay.equals(that.relay));
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * kind.hashCode() + relay.hashCode();
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RowDemand.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RowDemand.java
@@ -12,4 +12,15 @@
   public RowDemand {
     rows = Set.copyOf(rows);
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other || (other instanceof RowDemand that && rows.equals(that.rows));
+  }
+
+  @Override
+  public int hashCode() {
+    return rows.hashCode();
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RowKey.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RowKey.java
@@ -27,4 +27,16 @@
     boolean fits = name.getBytes(StandardCharsets.UTF_8).length <= MAXIMUM_KEY_BYTES;
     return new RowKey(table, fits ? name : HASH_PREFIX + KeyHash.ofKey(name).value());
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof RowKey that && table.equals(that.table) && key.equals(that.key));
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * table.hashCode() + key.hashCode();
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoreEra.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoreEra.java
@@ -51,4 +51,15 @@
   public String toString() {
     return Long.toString(number);
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other || (other instanceof StoreEra that && number == that.number);
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(number);
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoreVersion.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoreVersion.java
@@ -1,7 +1,5 @@
 package org.persimmonwalk.engine.control;
 
-import java.util.Comparator;
-
 /**
  * The version of a row. The store gives out the same numbers again in a later era, so a number
  * identifies a content only together with the era in which it was read.
@@ -10,9 +8,6 @@
  * @param number rises with each change within an era; 0 if the row doesn't exist
  */
 public record StoreVersion(StoreEra era, long number) implements Comparable<StoreVersion> {
-  private static final Comparator<StoreVersion> ORDER =
-      Comparator.comparing(StoreVersion::era).thenComparingLong(StoreVersion::number);
-
   /** Returns the version with the given era and number. */
   public static StoreVersion of(StoreEra era, long number) {
     return new StoreVersion(era, number);
@@ -30,11 +25,24 @@
 
   @Override
   public int compareTo(StoreVersion other) {
-    return ORDER.compare(this, other);
+    int byEra = era.compareTo(other.era);
+    return byEra != 0 ? byEra : Long.compare(number, other.number);
   }
 
   @Override
   public String toString() {
     return era.isKnown() ? era + "/" + number : Long.toString(number);
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof StoreVersion that && era.equals(that.era) && number == that.number);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * era.hashCode() + Long.hashCode(number);
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoredRow.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoredRow.java
@@ -25,4 +25,18 @@
   public StoredRow inEra(StoreEra era) {
     return new StoredRow(StoreVersion.of(era, version.number()), value);
   }
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof StoredRow that
+            && version.equals(that.version)
+            && value.equals(that.value));
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * version.hashCode() + value.hashCode();
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenGrant.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenGrant.java
@@ -17,4 +17,27 @@
     long granted,
     MonotonicTime takenAt,
     MonotonicTime validUntil,
-    MonotonicTime scarceUntil) {}
+    MonotonicTime scarceUntil) {
+
+  // Written out: a record's own methods are linked at run time (docs/design/processor-time.md).
+  @Override
+  public boolean equals(Object other) {
+    return this == other
+        || (other instanceof TokenGrant that
+            && epoch == that.epoch
+            && granted == that.granted
+            && takenAt.equals(that.takenAt)
+            && validUntil.equals(that.validUntil)
+            && scarceUntil.equals(that.scarceUntil));
+  }
+
+  @Override
+  public int hashCode() {
+    int hash = Long.hashCode(epoch);
+    hash = 31 * hash + Long.hashCode(granted);
+    hash = 31 * hash + takenAt.hashCode();
+    hash = 31 * hash + validUntil.hashCode();
+    hash = 31 * hash + scarceUntil.hashCode();
+    return hash;
+  }
+}
