Avoid needless work in calm rounds of the control thread

Each round encoded the name of every row key, built a stream for each primary and a set for the suspicions, and ranked the lenders anew.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/RowKey.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RowKey.java
@@ -9,6 +9,9 @@
   /** The limit of the store for a key, in bytes of UTF-8. */
   private static final int MAXIMUM_KEY_BYTES = 200;
 
+  /** UTF-8 takes at most 3 bytes for a character of Java; a pair of surrogates takes 4. */
+  private static final int MAXIMUM_BYTES_PER_CHARACTER = 3;
+
   private static final String HASH_PREFIX = "sha256:";
 
   /** The row that holds the configuration; the store adapter knows its actual name. */
@@ -24,7 +27,10 @@
    * a key is replaced by its SHA-256 hash.
    */
   public static RowKey ofName(String table, String name) {
-    boolean fits = name.getBytes(StandardCharsets.UTF_8).length <= MAXIMUM_KEY_BYTES;
+    // Keys are made in each round, so short names are not encoded to count their bytes.
+    boolean fits =
+        name.length() <= MAXIMUM_KEY_BYTES / MAXIMUM_BYTES_PER_CHARACTER
+            || name.getBytes(StandardCharsets.UTF_8).length <= MAXIMUM_KEY_BYTES;
     return new RowKey(table, fits ? name : HASH_PREFIX + KeyHash.ofKey(name).value());
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
@@ -39,6 +40,9 @@
       ParsedRows.of(row -> RelayHost.parse(row.value()));
   private final Map<RelayHost, MonotonicTime> failedUntil = new HashMap<>();
 
+  /** The entries for which all named lenders were published; empty if some were left out. */
+  private List<Object> decidedFor = List.of();
+
   private LenderController(EngineSettings settings, DecisionLog log) {
     this.settings = settings;
     this.log = log;
@@ -55,6 +59,16 @@
     blackboard.observations(TokenRequestsEnded.class).forEach(ended -> record(ended, now));
     failedUntil.values().removeIf(until -> !now.isBefore(until));
     Map<RelayHost, MonotonicTime> unanswered = blackboard.get(EngineEntries.UNANSWERED_LENDERS);
+    boolean leavesOutNone = failedUntil.isEmpty() && unanswered.isEmpty();
+    List<Object> named =
+        List.of(
+            blackboard.get(EngineEntries.STORE_ERA),
+            blackboard.get(EngineEntries.STORE_ROWS),
+            blackboard.get(EngineEntries.REMEMBERED_ROWS));
+    if (leavesOutNone && isSame(named, decidedFor)) {
+      return;
+    }
+    decidedFor = leavesOutNone ? named : List.of();
     Map<AvailabilityZone, RelayHost> lenders = new HashMap<>();
     for (AvailabilityZone zone : settings.zones()) {
       relays
@@ -69,6 +83,15 @@
     }
   }
 
+  /** Returns whether both lists have the same objects, without a look at their content. */
+  private static boolean isSame(List<Object> entries, List<Object> others) {
+    boolean same = entries.size() == others.size();
+    for (int i = 0; same && i < entries.size(); i++) {
+      same = entries.get(i) == others.get(i);
+    }
+    return same;
+  }
+
   private static boolean isSlow(MonotonicTime sentAt, MonotonicTime now) {
     return sentAt != null && now.since(sentAt).compareTo(SLOW_REPLY) >= 0;
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
@@ -1,7 +1,6 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -109,9 +108,14 @@
 
   private static Optional<ServerEntry> selfDeclaredPrimary(
       Blackboard blackboard, DatabaseGroupId group) {
-    return blackboard.get(EngineEntries.SERVERS).values().stream()
-        .filter(entry -> entry.group().equals(group) && entry.primary())
-        .min(Comparator.comparing(ServerEntry::id));
+    ServerEntry first = null;
+    for (ServerEntry entry : blackboard.get(EngineEntries.SERVERS).values()) {
+      boolean declared = entry.group().equals(group) && entry.primary();
+      if (declared && (first == null || entry.id().compareTo(first.id()) < 0)) {
+        first = entry;
+      }
+    }
+    return Optional.ofNullable(first);
   }
 
   private Optional<ServerEntry> listedOrLastSeen(
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/SuspicionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/SuspicionController.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -74,9 +73,8 @@
         .map(ServerUnreachable::server)
         .forEach(server -> reportIfDue(blackboard, server, now));
     unreachableSince.values().removeIf(since -> now.since(since).toMillis() > REPORT_VALID_MILLIS);
-    Set<BackendServerId> servers = new HashSet<>(unreachableSince.keySet());
-    if (!servers.equals(blackboard.get(EngineEntries.UNREACHABLE_PRIMARIES))) {
-      blackboard.put(EngineEntries.UNREACHABLE_PRIMARIES, Set.copyOf(servers));
+    if (!unreachableSince.keySet().equals(blackboard.get(EngineEntries.UNREACHABLE_PRIMARIES))) {
+      blackboard.put(EngineEntries.UNREACHABLE_PRIMARIES, Set.copyOf(unreachableSince.keySet()));
     }
   }
 
