Let stronger hosts become the relay of their zone first

Cause: the relay was the host whose random delay ended first. Where machines are uneven it was mostly a weak one, whose replies are slow for the whole zone.

Weaker hosts claim the role up to 600 ms later. The relay row names the relay's strength, and a host that is much stronger takes the role over after 5 s, or later if it lost the role before. Without the settings nothing changes.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.engine.control;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
@@ -18,6 +19,7 @@
  * @param stopGrace the time between the request to stop and the forced exit
  * @param bounds the times that are promised for the whole fleet
  * @param sessionLimits how much the sessions of the host may hold
+ * @param strength how well the host is suited to be the relay; empty if that is not known
  */
 public record EngineSettings(
     EntryHostId host,
@@ -30,7 +32,8 @@
     double rateSlack,
     Duration stopGrace,
     ServiceBounds bounds,
-    SessionLimits sessionLimits) {
+    SessionLimits sessionLimits,
+    Optional<HostStrength> strength) {
 
   /** Makes the set immutable and checks that it has the host's own zone. */
   public EngineSettings {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
@@ -16,6 +16,7 @@
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.RelayClaim;
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.TokenReply;
 import org.persimmonwalk.engine.control.TokenRequestsEnded;
@@ -57,7 +58,7 @@
   private final EngineSettings settings;
   private final DecisionLog log;
   private final ParsedRows<Optional<RelayHost>> relays =
-      ParsedRows.of(row -> RelayHost.parse(row.value()));
+      ParsedRows.of(row -> RelayClaim.parse(row.value()).map(RelayClaim::relay));
   private final Map<RelayHost, Record> records = new HashMap<>();
   private RoutingConfiguration configuration = RoutingConfiguration.NONE;
   private Duration shortestWait = Route.SHORTEST_TOKEN_WAIT;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -10,6 +10,8 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
+import org.persimmonwalk.engine.control.HostStrength;
+import org.persimmonwalk.engine.control.RelayClaim;
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowKey;
@@ -38,6 +40,16 @@
    */
   static final Duration CLAIM_JITTER = Duration.ofMillis(400);
 
+  /**
+   * How much later the weakest hosts claim the role than the strongest. Stronger hosts of the zone
+   * come first, and weak ones still do it where there is no other, soon enough that no verification
+   * expires.
+   */
+  static final Duration WEAKEST_DELAY = Duration.ofMillis(600);
+
+  /** A relay keeps the role for this long at least before a much stronger host takes it over. */
+  static final Duration TAKEOVER_DELAY = Duration.ofSeconds(5);
+
   /**
    * A relay that is silent for less than this, beyond the interval of the exchange, counts as slow.
    * Relays with an eighth of a core were often silent for 200 ms, and their zones replaced them.
@@ -71,9 +83,10 @@
   private final EngineSettings settings;
   private final EngineTimings timings;
   private final DecisionLog log;
-  private final ParsedRows<Optional<RelayHost>> relays =
-      ParsedRows.of(row -> RelayHost.parse(row.value()));
+  private final ParsedRows<Optional<RelayClaim>> claims =
+      ParsedRows.of(row -> RelayClaim.parse(row.value()));
   private Optional<RelayHost> currentRelay = Optional.empty();
+  private MonotonicTime currentSince = MonotonicTime.of(0);
   private final ReplyTimes replyTimes = new ReplyTimes();
   private boolean failing;
   private boolean stale;
@@ -112,10 +125,12 @@
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.transaction().tag().purpose().equals(PURPOSE))
         .forEach(answer -> claimSentAt = Optional.empty());
-    updateCurrentRelay(relays.getOfAnyEra(blackboard, row(settings.zone())), now);
+    Optional<RelayClaim> claim = claims.getOfAnyEra(blackboard, row(settings.zone()));
+    updateCurrentRelay(claim.map(RelayClaim::relay), now);
     RelayRole role = role(blackboard, now);
     publish(blackboard, role, now);
-    boolean isClaimNeeded = role.equals(RelayRole.DIRECT) || (role.isClient() && stale);
+    boolean isClaimNeeded =
+        role.equals(RelayRole.DIRECT) || (role.isClient() && (stale || isMuchStronger(claim, now)));
     if (isClaimNeeded && !blackboard.get(EngineEntries.STOPPING)) {
       claimIfDue(blackboard, context);
     } else {
@@ -200,6 +215,7 @@
         "previous",
         currentRelay.map(RelayHost::host).map(Object::toString).orElse("none"));
     currentRelay = relay;
+    currentSince = now;
     failing = false;
     stale = false;
     silence = Duration.ZERO;
@@ -226,6 +242,28 @@
         .isPresent();
   }
 
+  /**
+   * Returns whether to replace a relay that works, because it is much weaker than this host. It
+   * keeps the role for a while, which is longer each time that this host soon lost the role itself,
+   * so that the role doesn't change often. A host is never replaced by a weaker one.
+   */
+  private boolean isMuchStronger(Optional<RelayClaim> claim, MonotonicTime now) {
+    Optional<HostStrength> relayStrength = claim.flatMap(RelayClaim::strength);
+    return settings.strength().isPresent()
+        && relayStrength.isPresent()
+        && settings.strength().get().isMuchMoreThan(relayStrength.get())
+        && now.since(currentSince).compareTo(takeoverDelay()) >= 0;
+  }
+
+  private Duration takeoverDelay() {
+    return TAKEOVER_DELAY.multipliedBy(claimDelay.dividedBy(CLAIM_DELAY));
+  }
+
+  private Duration weaknessDelay() {
+    double missing = settings.strength().map(HostStrength::missingPart).orElse(0.0);
+    return Duration.ofMillis(Math.round(WEAKEST_DELAY.toMillis() * missing));
+  }
+
   private RelayHost self() {
     return new RelayHost(settings.host(), settings.peerEndpoint());
   }
@@ -253,7 +291,9 @@
   private void claimIfDue(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
     if (claimDueAt.isEmpty()) {
-      Duration jitter = Duration.ofMillis(context.random().nextInt((int) CLAIM_JITTER.toMillis()));
+      Duration jitter =
+          Duration.ofMillis(context.random().nextInt((int) CLAIM_JITTER.toMillis()))
+              .plus(weaknessDelay());
       claimDueAt =
           Optional.of(now.plus(currentRelay.isPresent() ? claimDelay.plus(jitter) : jitter));
     }
@@ -269,7 +309,7 @@
           new RunTransaction(
               TransactionTag.of(PURPOSE, serial),
               Map.of(row, KnownRows.version(blackboard, row)),
-              Map.of(row, self().text())));
+              Map.of(row, new RelayClaim(self(), settings.strength()).text())));
     }
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.RelayClaim;
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowKey;
@@ -47,7 +48,7 @@
   private final Duration exchangeInterval;
   private final SuspensionDetector suspension;
   private final ParsedRows<Optional<RelayHost>> relays =
-      ParsedRows.of(row -> RelayHost.parse(row.value()));
+      ParsedRows.of(row -> RelayClaim.parse(row.value()).map(RelayClaim::relay));
   private boolean inFlight;
   private MonotonicTime requestSentAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private Optional<RelayHost> lastRelay = Optional.empty();
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntFunction;
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.blackboard.EntryKey;
 import org.persimmonwalk.blackboard.Observation;
@@ -23,6 +24,7 @@
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.HostStrength;
 import org.persimmonwalk.engine.control.OrderPromotion;
 import org.persimmonwalk.engine.control.PromotionOrderAnswered;
 import org.persimmonwalk.engine.control.ReadServerList;
@@ -43,7 +45,6 @@
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.internal.engine.traffic.Session;
-import org.persimmonwalk.internal.engine.traffic.TrafficMeter;
 import org.persimmonwalk.model.SocketEndpoint;
 import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.FakeClock;
@@ -95,6 +96,7 @@
   private final int zoneCount;
   private final ServiceBounds bounds;
   private final FakeRowStore store;
+  private final IntFunction<Optional<HostStrength>> strengths;
   private long term;
   private long seed;
   private long wallClockOffset = 1_000_000;
@@ -111,6 +113,17 @@
 
   /** Starts hosts as above before a store that tells the given era. */
   public EngineFixture(int hostCount, int zoneCount, ServiceBounds bounds, StoreEra era) {
+    this(hostCount, zoneCount, bounds, era, number -> Optional.empty());
+  }
+
+  /** Starts hosts as above, each with the strength of its number. */
+  public EngineFixture(
+      int hostCount,
+      int zoneCount,
+      ServiceBounds bounds,
+      StoreEra era,
+      IntFunction<Optional<HostStrength>> strengths) {
+    this.strengths = strengths;
     this.store = new FakeRowStore(clock, entries, era);
     this.rows = store.rows;
     this.zoneCount = zoneCount;
@@ -207,7 +220,8 @@
 
   private Engine startHost(int number) {
     List<Engine> self = new ArrayList<>();
-    EngineSettings settings = EngineSettingsFixture.of(number, zoneCount, bounds);
+    EngineSettings settings =
+        EngineSettingsFixture.of(number, zoneCount, bounds, strengths.apply(number));
     Engine engine =
         Engine.create(
             settings,
@@ -222,13 +236,7 @@
             servers,
             command -> scheduler.schedule(STEP, () -> execute(self.get(0), command)),
             (event, fields) -> events.add(event + Arrays.toString(fields)),
-            new TrafficMeter() {
-              @Override
-              public void count(String event) {}
-
-              @Override
-              public void time(String event, Duration duration) {}
-            });
+            new IgnoringMeter());
     self.add(engine);
     hostsByEndpoint.put(settings.peerEndpoint(), engine);
     numbers.put(engine, number);
@@ -273,21 +281,13 @@
     transactionCalls += command instanceof RunTransaction ? 1 : 0;
     if (command instanceof RunTransaction transaction && transactionsToLose > 0) {
       transactionsToLose--;
-      scheduler.schedule(
-          CALL_TIMEOUT,
-          () ->
-              host.loop()
-                  .post(TransactionAnswered.without(transaction, TransactionResult.UNKNOWN)));
+      timeOut(host, transaction);
       return;
     }
     if (command instanceof RunTransaction transaction && effectsToDelay > 0) {
       effectsToDelay--;
       scheduler.schedule(EFFECT_DELAY, () -> store.run(transaction, STEP));
-      scheduler.schedule(
-          CALL_TIMEOUT,
-          () ->
-              host.loop()
-                  .post(TransactionAnswered.without(transaction, TransactionResult.UNKNOWN)));
+      timeOut(host, transaction);
       return;
     }
     if (command instanceof RunTransaction transaction) {
@@ -312,6 +312,12 @@
     host.loop().post(result);
   }
 
+  private void timeOut(Engine host, RunTransaction transaction) {
+    TransactionAnswered unknown =
+        TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
+    scheduler.schedule(CALL_TIMEOUT, () -> host.loop().post(unknown));
+  }
+
   private Optional<Engine> reachablePeer(SocketEndpoint endpoint) {
     return Optional.ofNullable(hostsByEndpoint.get(endpoint))
         .filter(engine -> peersAreReachable && !frozen.getOrDefault(engine, false));
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
@@ -1,9 +1,11 @@
 package org.persimmonwalk.engine.testing;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.HostStrength;
 import org.persimmonwalk.engine.control.ServiceBounds;
 import org.persimmonwalk.engine.control.SessionLimits;
 import org.persimmonwalk.id.AvailabilityZone;
@@ -38,6 +40,12 @@
 
   /** Returns the settings of the host with the given number, in one of the given zones. */
   public static EngineSettings of(int number, int zoneCount, ServiceBounds bounds) {
+    return of(number, zoneCount, bounds, Optional.empty());
+  }
+
+  /** Returns settings as above of a host with the given strength. */
+  public static EngineSettings of(
+      int number, int zoneCount, ServiceBounds bounds, Optional<HostStrength> strength) {
     String address =
         "10.1." + number / ADDRESSES_PER_NETWORK + "." + number % ADDRESSES_PER_NETWORK;
     return new EngineSettings(
@@ -53,6 +61,7 @@
         20,
         Duration.ofSeconds(6),
         bounds,
-        SessionLimits.of(HEAP_BYTES));
+        SessionLimits.of(HEAP_BYTES),
+        strength);
   }
 }
