Read the bound of zone evacuations from the settings

Cause: operators of one deployment evacuate zones and promise a time for it. Change: bounds.evacuateMs becomes ServiceBounds.evacuation; absent means off. A bound under 2.9 s is reported at the start, since a zone whose relay has failed needs 2.4 s to hear of a row, and statements 0.5 s in transit.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineTimings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineTimings.java
@@ -45,6 +45,12 @@
   /** Allowance for the rounding of clocks and for a host that is slow between check and use. */
   public static final Duration CLOCK_MARGIN = Duration.ofMillis(300);
 
+  /**
+   * Subtracted from the bound of evacuations, which a statement must not arrive after, to allow for
+   * statements in transit to a server.
+   */
+  public static final Duration TRANSIT_MARGIN = Duration.ofMillis(500);
+
   /** How long a host may spend tokens after taking them. */
   public static final Duration TOKEN_VALIDITY = Duration.ofMillis(5000);
 
@@ -148,6 +154,16 @@
         bounds.contact(),
         RELAY_REPLACEMENT,
         "the other hosts of a zone need this time to replace a failed relay");
+    bounds
+        .evacuation()
+        .ifPresent(
+            evacuation ->
+                check(
+                    unkept,
+                    "evacuation",
+                    evacuation,
+                    RELAY_REPLACEMENT.plus(TRANSIT_MARGIN),
+                    "a zone whose relay has failed hears of an evacuation from the next relay"));
     check(
         unkept,
         "key revocation",
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.engine.testing;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.persimmonwalk.engine.control.EngineSettings;
@@ -19,7 +20,18 @@
           Duration.ofMillis(3000),
           Duration.ofMillis(4000),
           Duration.ofMillis(1200),
-          Duration.ofMillis(300));
+          Duration.ofMillis(300),
+          Optional.empty());
+
+  /** The same in a deployment whose operators evacuate zones. */
+  public static final ServiceBounds BOUNDS_WITH_EVACUATION =
+      new ServiceBounds(
+          USUAL_BOUNDS.drain(),
+          USUAL_BOUNDS.configurationApply(),
+          Duration.ofMillis(5000),
+          USUAL_BOUNDS.heartbeat(),
+          USUAL_BOUNDS.resumeSlack(),
+          Optional.of(Duration.ofMillis(5000)));
 
   private static final int ADDRESSES_PER_NETWORK = 256;
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/BoundsTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/BoundsTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -45,7 +46,8 @@
         scaled(usual.configurationApply(), percent),
         scaled(usual.contact(), percent),
         scaled(usual.heartbeat(), percent),
-        scaled(usual.resumeSlack(), percent));
+        scaled(usual.resumeSlack(), percent),
+        usual.evacuation());
   }
 
   private static Duration scaled(Duration duration, int percent) {
@@ -246,6 +248,30 @@
   }
 
   /** Guards against a bound that is accepted although it will be broken. */
+  /** Guards against a bound for evacuations that is accepted and cannot be kept. */
+  @Test
+  void shouldReportAnEvacuationBoundThatIsTooShort() {
+    assertThat(unkeptWithEvacuation(Duration.ofMillis(5000))).isEmpty();
+    assertThat(unkeptWithEvacuation(Duration.ofMillis(2899)))
+        .singleElement()
+        .asString()
+        .contains("evacuation")
+        .contains("2900 ms");
+  }
+
+  private static List<String> unkeptWithEvacuation(Duration evacuation) {
+    ServiceBounds usual = EngineSettingsFixture.USUAL_BOUNDS;
+    ServiceBounds bounds =
+        new ServiceBounds(
+            usual.drain(),
+            usual.configurationApply(),
+            usual.contact(),
+            usual.heartbeat(),
+            usual.resumeSlack(),
+            Optional.of(evacuation));
+    return EngineTimings.unkeptBounds(EngineSettingsFixture.of(0, 1, bounds));
+  }
+
   @Test
   void shouldNameEachBoundThatIsTooShort() {
     assertThat(unkeptBounds(100)).isEmpty();
