Tell removed rows from rows that were not read

Cause: a host must order 'the row is absent' against 'the row is present' to follow a row that an operator writes and removes.

--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -209,7 +209,8 @@
                         .setTable(key.table())
                         .setKey(key.key())
                         .setVersion(row.version().number())
-                        .setValue(row.value())));
+                        .setValue(row.value())
+                        .setRemoved(row.removed())));
     reply
         .configuration()
         .ifPresent(newer -> message.setConfiguration(RoutingConfigurationCodec.encode(newer)));
@@ -251,9 +252,7 @@
             .map(row -> StoreEra.of(row.getVersion()))
             .orElse(StoreEra.UNKNOWN);
     Map<RowKey, StoredRow> rows = new HashMap<>();
-    messages.forEach(
-        (key, row) ->
-            rows.put(key, StoredRow.of(StoreVersion.of(era, row.getVersion()), row.getValue())));
+    messages.forEach((key, row) -> rows.put(key, decode(row, era)));
     return new ZoneReply(
         message.getServes(),
         era,
@@ -271,6 +270,13 @@
         message.getActiveHosts());
   }
 
+  private static StoredRow decode(RowMessage row, StoreEra era) {
+    StoreVersion version = StoreVersion.of(era, row.getVersion());
+    return row.getRemoved()
+        ? StoredRow.removedAsOf(version)
+        : StoredRow.of(version, row.getValue());
+  }
+
   private static StoreReading decode(StoreReadingMessage message) {
     return new StoreReading(
         message.getMilliseconds(),
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -146,7 +146,9 @@
         Optional.of(new StoreReading(123_456, Duration.ofMillis(850), Duration.ofMillis(840))),
         Map.of(
             RowKey.of("leadership", "tanks"),
-            StoredRow.of(StoreVersion.of(ERA, 8), "STABLE s1 1 0")),
+            StoredRow.of(StoreVersion.of(ERA, 8), "STABLE s1 1 0"),
+            RowKey.of("evacuation", "a"),
+            StoredRow.removedAsOf(StoreVersion.of(ERA, 9))),
         Optional.of(configuration),
         Optional.of(new ServerList(77, Duration.ofMillis(1200), List.of(server))),
         List.of(new TokenLoan(WORKSPACE, 3, true, true, Duration.ofMillis(4100))),
