Watch the evacuation rows through the verification and the relay

Cause: hosts must learn within seconds that an operator evacuates a zone, or takes it back, without further calls to the store. Change: each verification also expects the evacuation rows of the zones of the settings and of listed servers, the relay passes on what it knows of each, a missing row included, and EvacuationController publishes the evacuated zones with the time until which their servers may be used. A reply of a relay that does not cover the rows verifies nothing. Test: EvacuationDecisionTest, EvacuationTest.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -9,6 +9,7 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.internal.engine.control.EraSettlementController;
+import org.persimmonwalk.internal.engine.control.EvacuationController;
 import org.persimmonwalk.internal.engine.control.FleetSizeController;
 import org.persimmonwalk.internal.engine.control.LenderController;
 import org.persimmonwalk.internal.engine.control.PrimaryViewController;
@@ -63,6 +64,7 @@
             VerificationController.create(settings, log),
             EraSettlementController.create(settings, log),
             ServerListController.create(settings.timings(), log),
+            EvacuationController.create(settings, log, suspension),
             PrimaryViewController.create(settings.timings(), log),
             SuspicionController.create(settings, log),
             PromotionController.create(settings, log, suspension),
@@ -116,6 +118,7 @@
           List.of(
               snapshot.get(EngineEntries.TOKENS),
               snapshot.get(EngineEntries.SERVERS),
+              snapshot.get(EngineEntries.EVACUATIONS),
               snapshot.get(EngineEntries.PRIMARIES));
       boolean changed = last.size() != current.size();
       for (int i = 0; !changed && i < current.size(); i++) {
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -56,6 +56,17 @@
   public static final EntryKey<Map<BackendServerId, ServerEntry>> SERVERS =
       EntryKey.of("servers", Map.of());
 
+  /**
+   * The zones whose evacuation rows each verification covers; none in a deployment that evacuates
+   * no zones.
+   */
+  public static final EntryKey<Set<AvailabilityZone>> WATCHED_ZONES =
+      EntryKey.of("watched zones", Set.of());
+
+  /** The zones that an operator has evacuated. */
+  public static final EntryKey<Evacuations> EVACUATIONS =
+      EntryKey.of("evacuations", Evacuations.NONE);
+
   /** The primary of each group. */
   public static final EntryKey<Map<DatabaseGroupId, PrimaryView>> PRIMARIES =
       EntryKey.of("primaries", Map.of());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.RowKey;
@@ -17,8 +18,8 @@
   private KnownRows() {}
 
   /**
-   * Returns the known versions of the configuration row, the leadership rows and the row of the
-   * settled era. A transaction that expects them verifies these rows.
+   * Returns the known versions of the configuration row, the leadership rows, the row of the
+   * settled era and the evacuation rows. A transaction that expects them verifies these rows.
    */
   static Map<RowKey, StoreVersion> versionsToVerify(Blackboard blackboard) {
     Map<RowKey, StoreVersion> expected = new HashMap<>();
@@ -30,9 +31,17 @@
       RowKey row = Leadership.row(group);
       expected.put(row, version(blackboard, row));
     }
+    evacuationRows(blackboard).forEach(row -> expected.put(row, version(blackboard, row)));
     return expected;
   }
 
+  /** Returns the rows whose presence evacuates one of the watched zones. */
+  static Set<RowKey> evacuationRows(Blackboard blackboard) {
+    return blackboard.get(EngineEntries.WATCHED_ZONES).stream()
+        .flatMap(zone -> RowKey.ofEvacuation(zone).stream())
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the known versions of the rows that name the relays of the given zones. */
   static Map<RowKey, StoreVersion> relayVersions(
       Blackboard blackboard, Set<AvailabilityZone> zones) {
@@ -61,6 +70,6 @@
 
   /** Returns the version of the row as last seen in the current era. */
   static StoreVersion version(Blackboard blackboard, RowKey row) {
-    return row(blackboard, row).version();
+    return row(blackboard, row).expectedVersion();
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -154,7 +154,10 @@
                     .configurationRowVersion()
                     .compareTo(KnownRows.version(blackboard, RowKey.CONFIGURATION))
                 >= 0;
-    if (isConfigurationCurrent) {
+    // A relay with other settings, or with another server list, may watch fewer zones.
+    boolean coversEvacuations =
+        reply.rows().keySet().containsAll(KnownRows.evacuationRows(blackboard));
+    if (isConfigurationCurrent && coversEvacuations) {
       reply.verifiedAge().ifPresent(age -> updateVerifiedAt(blackboard, ended.sentAt().minus(age)));
     }
   }
@@ -232,11 +235,7 @@
     if (!newRows.isEmpty()) {
       Map<RowKey, StoredRow> rows = new HashMap<>(blackboard.get(EngineEntries.STORE_ROWS));
       newRows.forEach(
-          (key, row) ->
-              rows.merge(
-                  key,
-                  row,
-                  (old, other) -> other.version().compareTo(old.version()) > 0 ? other : old));
+          (key, row) -> rows.merge(key, row, (old, other) -> other.isNewerThan(old) ? other : old));
       blackboard.put(EngineEntries.STORE_ROWS, Map.copyOf(rows));
     }
     configuration.ifPresent(newest -> accept(blackboard, newest));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -164,8 +164,14 @@
     versions.putAll(KnownRows.relayVersions(blackboard, settings.zones()));
     versions.forEach(
         (row, version) -> {
-          if (isNewer(version, row, request)) {
-            newer.put(row, KnownRows.row(blackboard, row));
+          StoredRow known = KnownRows.row(blackboard, row);
+          // A missing evacuation row is sent too, since the receiver may know it from before.
+          boolean isSent =
+              row.isEvacuation()
+                  ? known.exists() || known.removed()
+                  : isNewer(version, row, request);
+          if (isSent) {
+            newer.put(row, known);
           }
         });
     return newer;
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -181,6 +181,32 @@
     store.write(key, text);
   }
 
+  /** Writes the row that evacuates a zone, as an operator does. */
+  public void evacuate(String zone) {
+    store.evacuate(RowKey.ofEvacuation(AvailabilityZone.of(zone)).orElseThrow());
+  }
+
+  /** Removes the row that evacuates a zone. */
+  public void takeBack(String zone) {
+    store.takeBack(RowKey.ofEvacuation(AvailabilityZone.of(zone)).orElseThrow());
+  }
+
+  /** Moves a server's entry to a zone. */
+  public void place(String id, String zone) {
+    entries.computeIfPresent(
+        BackendServerId.of(id),
+        (server, entry) ->
+            new ServerEntry(
+                server,
+                entry.group(),
+                entry.endpoint(),
+                AvailabilityZone.of(zone),
+                entry.slots(),
+                entry.draining(),
+                entry.primary(),
+                entry.startedAtMillis()));
+  }
+
   /** Returns the version that the store gives out next. */
   public long nextRowVersion() {
     return store.nextVersion();
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeRowStore.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeRowStore.java
@@ -39,6 +39,7 @@
   private long nextVersion = 1;
   private RoutingConfiguration configuration;
   private RoutingConfiguration published;
+  private final Map<RowKey, String> evacuations = new HashMap<>();
 
   /**
    * Creates an empty store.
@@ -67,6 +68,19 @@
     write(RowKey.CONFIGURATION, "");
   }
 
+  /** Writes the row that evacuates a zone, as the operator does. */
+  void evacuate(RowKey key) {
+    evacuations.put(key, "{}");
+    write(key, "{}");
+  }
+
+  /** Removes the row that evacuates a zone. */
+  void takeBack(RowKey key) {
+    evacuations.remove(key);
+    rows.remove(key);
+    nextVersion++;
+  }
+
   void write(RowKey key, String text) {
     rows.put(key, StoredRow.of(StoreVersion.of(era, nextVersion++), text));
   }
@@ -121,6 +135,12 @@
     if (configuration.version() != published.version()) {
       publish(published);
     }
+    evacuations.forEach(
+        (key, text) -> {
+          if (!rows.containsKey(key)) {
+            write(key, text);
+          }
+        });
   }
 
   TransactionAnswered run(RunTransaction transaction, Duration travelTime) {
@@ -136,12 +156,17 @@
           .writes()
           .forEach((key, text) -> returnedRows.put(key, StoredRow.of(version, text)));
       rows.putAll(returnedRows);
+      transaction.expected().keySet().stream()
+          .filter(key -> key.isEvacuation() && !rows.containsKey(key))
+          .forEach(key -> returnedRows.put(key, StoredRow.removedAsOf(version)));
     } else {
       transaction
           .expected()
           .keySet()
           .forEach(
-              key -> returnedRows.put(key, rows.getOrDefault(key, StoredRow.ABSENT).inEra(era)));
+              key ->
+                  returnedRows.put(
+                      key, rows.getOrDefault(key, missing(key, nextVersion - 1)).inEra(era)));
     }
     return new TransactionAnswered(
         transaction,
@@ -152,6 +177,12 @@
         Optional.of(time));
   }
 
+  private static StoredRow missing(RowKey key, long newestVersion) {
+    return key.isEvacuation()
+        ? StoredRow.removedAsOf(StoreVersion.of(StoreEra.UNKNOWN, newestVersion))
+        : StoredRow.ABSENT;
+  }
+
   private long number(RowKey key) {
     return rows.getOrDefault(key, StoredRow.ABSENT).version().number();
   }
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -103,6 +103,11 @@
     return open.size();
   }
 
+  /** Returns how many connections to the server are open. */
+  public long openConnections(BackendServerId server) {
+    return open.values().stream().filter(server::equals).count();
+  }
+
   /** Closes all connections from the server side. */
   public void cutAll() {
     List.copyOf(open.keySet()).forEach(listener -> listener.closed("cut by the test"));
