Replace primaries in evacuated zones by the planned promotion

Cause: the servers of an evacuated zone must get no statement after the bound, primaries included. Change: a primary in an evacuated zone is replaced as a draining one is if a server outside can take over; its servers count as draining candidates. While all servers of a group are in evacuated zones nothing is promoted, and a promotion that is under way ends, as it would hold the lease.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -179,7 +179,9 @@
               own ? Duration.ZERO : TAKEOVER_DELAY.plus(Duration.ofMillis(jitter)));
       announcements.put(group, announcement);
     }
-    if (isDue(blackboard, row, announcement, now) && workflow.isIdle()) {
+    // A promotion that finds no candidate would hold up those of other groups.
+    boolean hasCandidate = !new PromotedGroup(group).isWhollyEvacuated(blackboard);
+    if (hasCandidate && isDue(blackboard, row, announcement, now) && workflow.isIdle()) {
       workflow.begin(group, row, stored.version(), now);
     }
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionDecision.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionDecision.java
@@ -87,6 +87,16 @@
     if (circumstances.planned() && mayWaitForCatchUp && poll.isOldPrimaryAheadOf(chosen)) {
       return waiting("no replica has the whole log of the old primary");
     }
+    // The old primary serves no more, so a replica that can stay soon has the whole log as well.
+    boolean mayOneThatStaysCatchUp =
+        circumstances.planned()
+            && chosen.draining()
+            && ordered.isEmpty()
+            && poll.hasLastingReplica()
+            && circumstances.polling().compareTo(CATCH_UP_TIMEOUT) < 0;
+    if (mayOneThatStaysCatchUp) {
+      return waiting("the longest log is on a server that can't stay the primary");
+    }
     return new PromotionDecision(
         Action.ORDER,
         Optional.of(chosen),
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionTrigger.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionTrigger.java
@@ -44,6 +44,13 @@
    */
   Optional<Leadership> check(
       Blackboard blackboard, DatabaseGroupId group, Optional<Leadership> row, MonotonicTime now) {
+    PromotedGroup promoted = new PromotedGroup(group);
+    if (promoted.isWhollyEvacuated(blackboard)) {
+      // No server that was promoted could be used.
+      missingSince.remove(group);
+      demotedSince.remove(group);
+      return Optional.empty();
+    }
     PrimaryView view =
         blackboard.get(EngineEntries.PRIMARIES).getOrDefault(group, PrimaryView.NONE);
     Optional<ServerEntry> primary = view.at(now);
@@ -58,6 +65,9 @@
     if (blackboard.get(EngineEntries.UNREACHABLE_PRIMARIES).contains(server.id())) {
       return Optional.of(change(Leadership.Phase.MOVING, server));
     }
+    if (promoted.mustLeave(blackboard, server)) {
+      return Optional.of(change(Leadership.Phase.SWITCHING, server));
+    }
     ServerEntry listed = blackboard.get(EngineEntries.SERVERS).get(server.id());
     if (hasLasted(missingSince, group, listed == null, now, MISSING_DELAY)) {
       return Optional.of(change(Leadership.Phase.SWITCHING, server));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -135,8 +135,11 @@
       return;
     }
     if (!KnownRows.version(blackboard, Leadership.row(group.id())).equals(leadershipVersion)) {
-      log.write("promotion-ended", "group", group.id(), "reason", "the leadership row changed");
-      stage = Stage.IDLE;
+      end("the leadership row changed");
+      return;
+    }
+    if (stage == Stage.POLL_STATUSES && group.isWhollyEvacuated(blackboard)) {
+      end("all servers are in evacuated zones");
       return;
     }
     blackboard
@@ -154,6 +157,11 @@
     step(blackboard, now);
   }
 
+  private void end(String reason) {
+    log.write("promotion-ended", "group", group.id(), "reason", reason);
+    stage = Stage.IDLE;
+  }
+
   private static boolean isOwn(TransactionTag tag) {
     return Set.of(TAKE_LEASE_PURPOSE, ANNOUNCE_ORDER_PURPOSE, RECORD_PURPOSE)
         .contains(tag.purpose());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
@@ -104,6 +104,11 @@
     return best.filter(entry -> enoughAnswered || hasLogOfOldPrimary(entry));
   }
 
+  /** Returns whether a replica answered that can stay the primary. */
+  boolean hasLastingReplica() {
+    return answered(replicas()).anyMatch(entry -> !entry.draining());
+  }
+
   /**
    * Returns the server whose promotion was ordered before and may still take effect. Ordering it
    * again is safe, while another one would be promoted in addition.
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionScenario.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionScenario.java
@@ -11,6 +11,7 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
+import org.persimmonwalk.engine.control.ServiceBounds;
 import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.EngineSettingsFixture;
@@ -34,7 +35,12 @@
 
   /** Starts the hosts before a store that tells the given era. */
   PromotionScenario(StoreEra era) {
-    fixture = new EngineFixture(4, 1, EngineSettingsFixture.USUAL_BOUNDS, era);
+    this(era, EngineSettingsFixture.USUAL_BOUNDS);
+  }
+
+  /** Starts the hosts with the given bounds. */
+  PromotionScenario(StoreEra era, ServiceBounds bounds) {
+    fixture = new EngineFixture(4, 1, bounds, era);
     fixture.statuses.put(
         SHORT_LOG_REPLICA, new ServerStatusRead.Status(false, 3, TermPosition.of(3, 100)));
     fixture.statuses.put(
