Send nothing to the servers of an evacuated zone

Cause: reads must leave an evacuated zone at once, and writes and open transactions at the evacuation deadline. Change: its servers are no candidates for reads; a primary there runs only what it alone can run, until the deadline. Idle connections are closed, waiting requests are moved or refused as not run, open transactions are aborted at the deadline and their callers told ABORTED once. A connection sends nothing after the deadline, whatever asks for it. The event evacuation-drained tells that no connection to the zone is left; counters tell refused statements and aborted transactions. The rollback of a released connection moves to a class of its own.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -102,6 +102,11 @@
       listener.lost("the connection was already closed");
       return;
     }
+    if (pool.context().isPastEvacuationDeadline(server())) {
+      discard();
+      listener.lost("the zone of the server is evacuated");
+      return;
+    }
     pending.addLast(new Pending(listener, pool.context().now()));
     backend.send(statement);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -38,6 +38,10 @@
    */
   static final Duration SCARCE_CONNECTION_IDLE_TIMEOUT = Duration.ofMillis(300);
 
+  /** Refuses what waits for a server that is left because of an evacuation. */
+  static final Failure EVACUATED =
+      Failure.of(FailureCode.OVERLOADED, "the zone of the server is evacuated");
+
   private final TrafficContext context;
   private final ServerEntry server;
   private final ServerHealth health;
@@ -111,6 +115,10 @@
       ConnectionRequest.Listener waiter) {
     ConnectionRequest request =
         new ConnectionRequest(workspace, priority, deadline, sequence++, context.now(), waiter);
+    if (isLeft()) {
+      request.refuse(EVACUATED);
+      return request;
+    }
     if (expectedWait().compareTo(deadline.since(context.now())) > 0 && !hasIdle(workspace)) {
       request.refuse(
           Failure.of(
@@ -240,10 +248,35 @@
   }
 
   void released(PooledConnection connection) {
+    if (isLeft()) {
+      connection.discard();
+      return;
+    }
     idle.add(connection);
     serveQueue();
   }
 
+  /**
+   * Returns whether this host keeps no idle connection to the server because its zone is evacuated.
+   * A primary keeps them while it serves, until its planned switch or the evacuation deadline.
+   */
+  private boolean isLeft() {
+    return context.isEvacuated(server)
+        && (!context.isPrimary(server) || context.isPastEvacuationDeadline(server));
+  }
+
+  /** Closes the connections that run nothing if the server is left because of an evacuation. */
+  void leaveIfEvacuated() {
+    if (!isLeft()) {
+      return;
+    }
+    refuseQueued(EVACUATED);
+    retire();
+    List.copyOf(connections).stream()
+        .filter(connection -> !connection.isOpen())
+        .forEach(PooledConnection::discard);
+  }
+
   private void refuseQueued(Failure failure) {
     List<ConnectionRequest> refused = new ArrayList<>(queue);
     queue.clear();
@@ -254,6 +287,7 @@
 
   /** Closes idle connections, and those that the server did not accept in time. */
   void tick(MonotonicTime now) {
+    leaveIfEvacuated();
     for (PooledConnection connection : List.copyOf(idle)) {
       Duration idleTime = now.since(connection.lastUsed());
       if (idleTime.compareTo(idleTimeout()) > 0) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.ServerUnreachable;
+import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
@@ -22,6 +24,7 @@
   private final List<ServerPool> retired = new ArrayList<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
   private final Map<DatabaseGroupId, KnownPrimary> primaries = new HashMap<>();
+  private final DrainedZones drainedZones = new DrainedZones();
   private long connectionCount;
 
   ServerPools(TrafficContext context) {
@@ -47,7 +50,8 @@
 
   /**
    * Returns the servers that could serve a read of the group, except those given. Left out are
-   * draining servers and those that report to be the primary but are not the verified one.
+   * draining servers, those of evacuated zones and those that report to be the primary but are not
+   * the verified one.
    */
   List<ServerChoice.Candidate> candidates(
       DatabaseGroupId group, WorkspaceId workspace, Set<BackendServerId> except) {
@@ -60,6 +64,7 @@
       if (!entry.group().equals(group)
           || entry.draining()
           || claimsPrimary
+          || context.isEvacuated(entry)
           || except.contains(entry.id())) {
         continue;
       }
@@ -122,6 +127,8 @@
     context
         .entry(EngineEntries.PRIMARIES)
         .forEach((group, view) -> view.server().ifPresent(server -> setPrimary(group, server)));
+    // A request that is refused here may turn to a server that has no pool yet.
+    List.copyOf(pools.values()).forEach(ServerPool::leaveIfEvacuated);
   }
 
   private void setPrimary(DatabaseGroupId group, ServerEntry server) {
@@ -132,6 +139,12 @@
     }
   }
 
+  /** Returns whether this host has a connection to a server of the zone. */
+  private boolean hasConnections(AvailabilityZone zone) {
+    return Stream.concat(pools.values().stream(), retired.stream())
+        .anyMatch(pool -> pool.server().zone().equals(zone) && !pool.isEmpty());
+  }
+
   /** Reports unresponsive servers to the control thread and closes idle connections. */
   void tick(MonotonicTime now) {
     // A request whose connection times out here may turn to a server that has no pool yet.
@@ -148,6 +161,7 @@
               pool.tick(now);
             });
     retired.removeIf(ServerPool::isEmpty);
+    drainedZones.update(context, this::hasConnections);
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -125,6 +125,7 @@
     if (!lifetime.allowsTransactions()) {
       transaction.ifPresent(Transaction::abort);
     }
+    transaction.ifPresent(Transaction::abortIfEvacuated);
   }
 
   /** Refuses the statements that are still queued and closes the caller's connection. */
@@ -193,7 +194,7 @@
     boolean failed = state() == SessionState.FAILED_TRANSACTION;
     if (failed
         && !(statement instanceof Statement.Rollback || statement instanceof Statement.Commit)) {
-      fail(FailureCode.MALFORMED, "the transaction failed; end it with ROLLBACK");
+      transaction.get().refuse();
       return;
     }
     if (statement instanceof Statement.SetVariable set) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -112,7 +112,7 @@
   private Optional<Target> choose() {
     Optional<ServerEntry> primary = context.primary(request.group());
     if (request.needsPrimary()) {
-      return primary.map(entry -> new Target(pools.pool(entry), true, Optional.empty()));
+      return primary.flatMap(entry -> target(entry, true));
     }
     Optional<TermPosition> sample =
         pools.history(request.group()).oldestWithin(request.staleness(), context.now());
@@ -127,12 +127,34 @@
             new Target(
                 best.get().pool(),
                 isPrimary,
-                isPrimary ? Optional.empty() : Optional.of(minimumPosition)));
+                isPrimary ? Optional.empty() : Optional.of(minimumPosition),
+                false));
       }
     }
+    // Without a sample no other server can tell whether its data is recent enough.
+    boolean onlyThere = sample.isEmpty() || tooLongWithPosition;
     return primary
         .filter(entry -> !tried.contains(entry.id()))
-        .map(entry -> new Target(pools.pool(entry), true, Optional.empty()));
+        .flatMap(entry -> target(entry, onlyThere));
+  }
+
+  private Optional<Target> target(ServerEntry primary, boolean onlyThere) {
+    Target target = new Target(pools.pool(primary), true, Optional.empty(), onlyThere);
+    if (mayUse(target)) {
+      return Optional.of(target);
+    }
+    if (attempts == 0) {
+      lastFailure = ServerPool.EVACUATED;
+    }
+    return Optional.empty();
+  }
+
+  /** In an evacuated zone, what only a primary can run is sent to it until the deadline. */
+  private boolean mayUse(Target target) {
+    ServerEntry server = target.pool().server();
+    return target.onlyThere()
+        ? !context.isPastEvacuationDeadline(server)
+        : !context.isEvacuated(server);
   }
 
   private void use(PooledConnection free, Target target) {
@@ -145,6 +167,11 @@
       retry(free.server(), Failure.of(FailureCode.OVERLOADED, "the primary is being replaced"));
       return;
     }
+    if (!mayUse(target)) {
+      free.release();
+      retry(free.server(), ServerPool.EVACUATED);
+      return;
+    }
     connection = free;
     ConnectionSetup.run(
         free,
@@ -166,6 +193,11 @@
       return;
     }
     PooledConnection used = connection;
+    if (!mayUse(target)) {
+      used.release();
+      retry(used.server(), ServerPool.EVACUATED);
+      return;
+    }
     BackendStatement statement =
         BackendStatement.of(request.id(), target.position(), request.statement().on(used));
     if (!used.canSend(statement)) {
@@ -278,6 +310,9 @@
   }
 
   private void giveUp() {
+    if (lastFailure == ServerPool.EVACUATED) {
+      context.meter().count("evacuation.statement-refused");
+    }
     boolean reportable =
         lastFailure.code().guaranteesNoEffect() || lastFailure.code() == FailureCode.FAILED;
     FailureCode code = reportable ? lastFailure.code() : FailureCode.OVERLOADED;
@@ -350,5 +385,11 @@
     done.accept(outcome);
   }
 
-  private record Target(ServerPool pool, boolean primary, Optional<TermPosition> position) {}
+  /**
+   * The server to send the request to.
+   *
+   * @param onlyThere whether no other server can run the request
+   */
+  private record Target(
+      ServerPool pool, boolean primary, Optional<TermPosition> position, boolean onlyThere) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -94,6 +94,16 @@
     return primary(server.group()).filter(server::sameProcess).isPresent();
   }
 
+  /** Returns whether the zone of the server is evacuated, so that reads go elsewhere. */
+  boolean isEvacuated(ServerEntry server) {
+    return entry(EngineEntries.EVACUATIONS).isEvacuated(server);
+  }
+
+  /** Returns whether nothing may be sent to the server any more because of an evacuation. */
+  boolean isPastEvacuationDeadline(ServerEntry server) {
+    return entry(EngineEntries.EVACUATIONS).isPastDeadline(server, now());
+  }
+
   private boolean verifiedWithin(Duration age) {
     return isWithin(EngineEntries.VERIFIED_AT, age);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -31,6 +31,7 @@
   private SessionState state = SessionState.IN_TRANSACTION;
   private boolean wrote;
   private boolean ended;
+  private boolean mustTellEvacuation;
   private MonotonicTime lastUsed;
 
   Transaction(
@@ -85,10 +86,12 @@
         template,
         ready -> {
           cancelTimeout.run();
-          if (ready) {
+          if (!ready) {
+            failSetUp("on the server connection");
+          } else if (!abortIfEvacuated()) {
             action.run();
           } else {
-            failSetUp("on the server connection");
+            refuse();
           }
         });
   }
@@ -106,6 +109,10 @@
         return;
       }
     }
+    if (abortIfEvacuated()) {
+      refuse();
+      return;
+    }
     if (session.needsKey() && !isKeyStillValid()) {
       failAborted("the key was withdrawn or can no longer be verified");
       return;
@@ -250,34 +257,42 @@
       used.discard();
       return;
     }
-    Runnable cancelTimeout =
-        context
-            .scheduler()
-            .schedule(
-                route.statementTimeout(),
-                () -> {
-                  context.log().write("rollback-unanswered", "server", used.server().id());
-                  used.discard();
-                });
-    used.send(
-        BackendStatement.internal(new BackendStatement.Rollback()),
-        new PooledConnection.StatementListener() {
-          @Override
-          public void answered(Answer answer, MonotonicTime sentAt) {
-            cancelTimeout.run();
-            if (answer.succeeded() && answer.state() == SessionState.IDLE) {
-              used.release();
-            } else {
-              used.discard();
-            }
-          }
+    Rollback.run(context, used, route.statementTimeout());
+  }
 
-          @Override
-          public void lost(String reason) {
-            cancelTimeout.run();
-            context.log().write("rollback-lost", "server", used.server().id(), "reason", reason);
-          }
-        });
+  /**
+   * Aborts the transaction if nothing may be sent to its server any more because of an evacuation;
+   * returns whether it did.
+   */
+  boolean abortIfEvacuated() {
+    if (connection == null || !context.isPastEvacuationDeadline(connection.server())) {
+      return false;
+    }
+    context.meter().count("evacuation.transaction-aborted");
+    context
+        .log()
+        .write(
+            "transaction-failed",
+            "group",
+            route.group(),
+            "code",
+            FailureCode.ABORTED,
+            "detail",
+            ServerPool.EVACUATED.detail());
+    abort();
+    mustTellEvacuation = true;
+    return true;
+  }
+
+  /** Refuses a statement of the failed transaction; tells once if an evacuation aborted it. */
+  void refuse() {
+    if (mustTellEvacuation) {
+      mustTellEvacuation = false;
+      session.fail(
+          FailureCode.ABORTED, ServerPool.EVACUATED.detail() + "; the transaction is rolled back");
+    } else {
+      session.fail(FailureCode.MALFORMED, "the transaction failed; end it with ROLLBACK");
+    }
   }
 
   /**
