Move the operator's actions of tests to a class of their own

Change: FakeOperator evacuates zones, takes them back and places servers. Test: the tests of evacuations, unchanged otherwise.

--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -70,6 +70,7 @@
   public final List<OrderPromotion> promotions = new ArrayList<>();
   public final List<Engine> hosts = new ArrayList<>();
   public final Map<RowKey, StoredRow> rows;
+  public final FakeOperator operator;
   public boolean storeIsUp = true;
   public boolean peersAreReachable = true;
   public int storeCalls;
@@ -113,6 +114,7 @@
   public EngineFixture(int hostCount, int zoneCount, ServiceBounds bounds, StoreEra era) {
     this.store = new FakeRowStore(clock, entries, era);
     this.rows = store.rows;
+    this.operator = new FakeOperator(store, entries);
     this.zoneCount = zoneCount;
     this.bounds = bounds;
     for (int i = 1; i <= 3; i++) {
@@ -181,32 +183,6 @@
     store.write(key, text);
   }
 
-  /** Writes the row that evacuates a zone, as an operator does. */
-  public void evacuate(String zone) {
-    store.evacuate(RowKey.ofEvacuation(AvailabilityZone.of(zone)).orElseThrow());
-  }
-
-  /** Removes the row that evacuates a zone. */
-  public void takeBack(String zone) {
-    store.takeBack(RowKey.ofEvacuation(AvailabilityZone.of(zone)).orElseThrow());
-  }
-
-  /** Moves a server's entry to a zone. */
-  public void place(String id, String zone) {
-    entries.computeIfPresent(
-        BackendServerId.of(id),
-        (server, entry) ->
-            new ServerEntry(
-                server,
-                entry.group(),
-                entry.endpoint(),
-                AvailabilityZone.of(zone),
-                entry.slots(),
-                entry.draining(),
-                entry.primary(),
-                entry.startedAtMillis()));
-  }
-
   /** Returns the version that the store gives out next. */
   public long nextRowVersion() {
     return store.nextVersion();
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EvacuatedPrimaryTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EvacuatedPrimaryTest.java
@@ -28,8 +28,8 @@
 
   private void start(String zoneOfShortLog, String zoneOfLongLog) {
     fixture.statuses.put(PRIMARY, new ServerStatusRead.Status(true, 3, TermPosition.of(3, 101)));
-    fixture.place(SHORT_LOG_REPLICA.value(), zoneOfShortLog);
-    fixture.place(LONG_LOG_REPLICA.value(), zoneOfLongLog);
+    fixture.operator.place(SHORT_LOG_REPLICA.value(), zoneOfShortLog);
+    fixture.operator.place(LONG_LOG_REPLICA.value(), zoneOfLongLog);
     fixture.run(Duration.ofSeconds(4));
   }
 
@@ -41,7 +41,7 @@
   @Test
   void shouldMoveThePrimaryToTheLongestLogOutsideTheZone() {
     start("b", "c");
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(MOVED);
 
     assertThat(fixture.promotions).hasSize(1);
@@ -58,7 +58,7 @@
     start("b", "a");
     fixture.statuses.put(
         SHORT_LOG_REPLICA, new ServerStatusRead.Status(false, 3, TermPosition.of(3, 101)));
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(MOVED);
 
     assertThat(fixture.promotions).hasSize(1);
@@ -70,7 +70,7 @@
   void shouldTakeTheLogOverFromASynchronousReplicaOfTheZone() {
     scenario.useSynchronousReplica();
     start("b", "a");
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofMillis(5500));
     assertThat(fixture.promotions).allMatch(order -> order.server().id().equals(LONG_LOG_REPLICA));
 
@@ -84,8 +84,8 @@
   @Test
   void shouldMoveThePrimaryWhenTwoZonesAreEvacuatedAtOnce() {
     start("b", "c");
-    fixture.evacuate("a");
-    fixture.evacuate("c");
+    fixture.operator.evacuate("a");
+    fixture.operator.evacuate("c");
     fixture.run(MOVED.plusMillis(1000));
 
     assertThat(fixture.promotions).allMatch(order -> order.server().id().equals(SHORT_LOG_REPLICA));
@@ -96,9 +96,9 @@
   @Test
   void shouldLeaveThePrimaryWhereItIsWhenTheZoneIsTakenBack() {
     start("b", "c");
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(MOVED);
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.run(Duration.ofSeconds(15));
 
     assertThat(fixture.promotions).hasSize(1);
@@ -109,13 +109,13 @@
   @Test
   void shouldPromoteNothingWhenTheWholeGroupIsEvacuated() {
     start("a", "a");
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofSeconds(15));
     assertThat(fixture.promotions).isEmpty();
     assertThat(fixture.events)
         .noneMatch(event -> event.startsWith("primary-replacement-announced"));
 
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.run(Duration.ofSeconds(2));
 
     assertPrimary(PRIMARY);
@@ -129,11 +129,11 @@
     scenario.reportUnreachable(4);
     fixture.run(Duration.ofSeconds(1));
     fixture.statuses.remove(PRIMARY);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofSeconds(12));
     assertThat(fixture.promotions).isEmpty();
 
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.run(Duration.ofSeconds(8));
 
     assertPrimary(LONG_LOG_REPLICA);
@@ -143,7 +143,7 @@
   @Test
   void shouldNotPromoteIntoAnEvacuatedZoneAfterACrash() {
     start("b", "c");
-    fixture.evacuate("c");
+    fixture.operator.evacuate("c");
     fixture.run(Duration.ofSeconds(2));
     fixture.statuses.remove(PRIMARY);
     ServerEntry crashed = fixture.entries.get(PRIMARY);
@@ -160,7 +160,7 @@
   void shouldMoveThePrimaryBesideADrain() {
     start("b", "c");
     scenario.setDraining(LONG_LOG_REPLICA);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(MOVED.plusMillis(1000));
 
     assertPrimary(SHORT_LOG_REPLICA);
@@ -172,7 +172,7 @@
     start("b", "a");
     scenario.setDraining(SHORT_LOG_REPLICA);
     fixture.run(Duration.ofSeconds(3));
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(MOVED);
 
     assertThat(fixture.promotions).isEmpty();
@@ -183,7 +183,7 @@
   @Test
   void shouldMoveThePrimaryWhenTheRelayDiesHalfway() {
     start("b", "c");
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofMillis(2500));
     Engine relay =
         fixture.hosts.stream()
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EvacuationTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EvacuationTest.java
@@ -35,8 +35,8 @@
       new EngineFixture(6, 2, EngineSettingsFixture.BOUNDS_WITH_EVACUATION, StoreEra.FIRST);
 
   private void start() {
-    fixture.place("s2", "b");
-    fixture.place("s3", "c");
+    fixture.operator.place("s2", "b");
+    fixture.operator.place("s3", "c");
     fixture.run(Duration.ofSeconds(6));
   }
 
@@ -56,7 +56,7 @@
   @Test
   void shouldWatchNoRowsWithoutTheBound() {
     EngineFixture without = new EngineFixture(2);
-    without.evacuate("a");
+    without.operator.evacuate("a");
     without.run(Duration.ofSeconds(3));
 
     assertThat(without.hosts)
@@ -85,20 +85,20 @@
   @Test
   void shouldFollowTheRowsOfTwoZones() {
     start();
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(LEARNED);
     assertEvacuated(ZONE_A);
     assertThat(count("evacuation-started")).isEqualTo(6);
 
-    fixture.evacuate("c");
+    fixture.operator.evacuate("c");
     fixture.run(LEARNED);
     assertEvacuated(ZONE_A, ZONE_C);
 
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.run(LEARNED);
     assertEvacuated(ZONE_C);
 
-    fixture.takeBack("c");
+    fixture.operator.takeBack("c");
     fixture.run(LEARNED);
     assertEvacuated();
     assertThat(count("evacuation-ended")).isEqualTo(12);
@@ -109,7 +109,7 @@
   void shouldSetTheDeadlineWithinTheBound() {
     start();
     for (int i = 0; i < 10; i++) {
-      fixture.evacuate("a");
+      fixture.operator.evacuate("a");
       Duration bound = Duration.ofMillis(4500);
       var confirmedAt = fixture.clock.now();
       fixture.run(LEARNED);
@@ -121,7 +121,7 @@
                 assertThat(deadline.since(confirmedAt)).isLessThanOrEqualTo(bound);
                 assertThat(deadline.since(confirmedAt)).isGreaterThan(bound.minus(LEARNED));
               });
-      fixture.takeBack("a");
+      fixture.operator.takeBack("a");
       fixture.run(LEARNED.plusMillis(130L * i));
     }
   }
@@ -129,15 +129,15 @@
   /** Guards against effects of a row whose zone has no servers. */
   @Test
   void shouldOnlyLogAZoneThatNoServerNames() {
-    fixture.place("s2", "c");
+    fixture.operator.place("s2", "c");
     fixture.run(Duration.ofSeconds(6));
-    fixture.evacuate("b");
+    fixture.operator.evacuate("b");
     fixture.run(Duration.ofSeconds(10));
     assertEvacuated();
     assertThat(count("evacuation-without-servers")).isEqualTo(6);
     assertThat(fixture.events).noneMatch(event -> event.startsWith("evacuation-started"));
 
-    fixture.takeBack("b");
+    fixture.operator.takeBack("b");
     fixture.run(LEARNED);
 
     assertThat(fixture.events)
@@ -148,11 +148,11 @@
   /** Guards against a server that joins an evacuated zone and is used until the next call. */
   @Test
   void shouldEvacuateAZoneWhenItsFirstServerIsListed() {
-    fixture.place("s2", "c");
+    fixture.operator.place("s2", "c");
     fixture.run(Duration.ofSeconds(6));
-    fixture.evacuate("b");
+    fixture.operator.evacuate("b");
     fixture.run(LEARNED);
-    fixture.place("s3", "b");
+    fixture.operator.place("s3", "b");
     for (int i = 0; i < 300; i++) {
       fixture.run(Duration.ofMillis(10));
       assertThat(fixture.hosts)
@@ -169,7 +169,7 @@
   @Test
   void shouldFollowTheRowsWhenTheRelaysDieHalfway() {
     start();
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofMillis(30));
     fixture.hosts.stream()
         .filter(host -> fixture.entry(host, EngineEntries.RELAY_ROLE).kind().name().equals("RELAY"))
@@ -178,7 +178,7 @@
     assertThat(fixture.hosts.stream().filter(host -> evacuated(host).contains(ZONE_A)).count())
         .isGreaterThanOrEqualTo(4);
 
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.run(Duration.ofMillis(3000));
     assertThat(fixture.hosts.stream().filter(host -> evacuated(host).isEmpty()).count())
         .isGreaterThanOrEqualTo(4);
@@ -193,13 +193,13 @@
   @Test
   void shouldKeepTheEvacuationsWhileTheStoreIsDown() {
     start();
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(LEARNED);
     fixture.storeIsUp = false;
     fixture.run(Duration.ofSeconds(20));
     assertEvacuated(ZONE_A);
 
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.storeIsUp = true;
     fixture.run(Duration.ofSeconds(4));
 
@@ -210,7 +210,7 @@
   @Test
   void shouldLearnOfARequestAfterTheStoreWasDown() {
     start();
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.storeIsUp = false;
     fixture.run(Duration.ofSeconds(3));
     assertEvacuated();
@@ -225,7 +225,7 @@
   @Test
   void shouldKeepAnEvacuationThatTheStoreHasLost() {
     start();
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(LEARNED);
     fixture.loseStoreToCopy(Duration.ofSeconds(3), Duration.ofMillis(500), Duration.ofMillis(1500));
     for (int i = 0; i < 100; i++) {
@@ -233,7 +233,7 @@
       assertEvacuated(ZONE_A);
     }
 
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.run(LEARNED);
 
     assertEvacuated();
@@ -243,7 +243,7 @@
   @Test
   void shouldLearnOfARequestThatIsWrittenAgain() {
     start();
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.loseStoreToCopy(Duration.ofSeconds(3), Duration.ofMillis(500), Duration.ofMillis(1500));
     fixture.run(Duration.ofMillis(500 + 1500).plus(LEARNED).plus(LEARNED));
 
@@ -254,7 +254,7 @@
   @Test
   void shouldEndAnEvacuationThatTheOperatorDoesNotWriteAgain() {
     start();
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(LEARNED);
     fixture.loseStoreToCopy(Duration.ofSeconds(3), Duration.ofMillis(500), Duration.ofSeconds(60));
     fixture.run(Duration.ofSeconds(10));
@@ -266,10 +266,10 @@
   @Test
   void shouldIgnoreAnOldAnswer() {
     start();
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     StoredRow old = fixture.rows.get(row("a"));
     fixture.run(LEARNED);
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.run(LEARNED);
     assertEvacuated();
 
@@ -277,7 +277,7 @@
     fixture.run(Duration.ofMillis(200));
     assertEvacuated();
 
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     StoreVersion missing = StoreVersion.of(StoreEra.FIRST, fixture.nextRowVersion() - 2);
     fixture.run(LEARNED);
     fixture.hosts.forEach(host -> host.loop().post(answer(StoredRow.removedAsOf(missing))));
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/EvacuatedZoneTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/EvacuatedZoneTest.java
@@ -40,9 +40,9 @@
   private final FakeCaller caller = new FakeCaller();
 
   private void start(String zoneOfPrimary, String zoneOfSecond, String zoneOfThird) {
-    fixture.place("s1", zoneOfPrimary);
-    fixture.place("s2", zoneOfSecond);
-    fixture.place("s3", zoneOfThird);
+    fixture.operator.place("s1", zoneOfPrimary);
+    fixture.operator.place("s2", zoneOfSecond);
+    fixture.operator.place("s3", zoneOfThird);
     answerStatus("s1", true);
     answerStatus("s2", false);
     answerStatus("s3", false);
@@ -85,7 +85,7 @@
     start("a", "b", "c");
     Session session = open(RouteKind.BOUNDED_STALENESS);
     readAndWrite(session, 10);
-    fixture.evacuate("b");
+    fixture.operator.evacuate("b");
     fixture.run(LEARNED);
     int before = sentTo("s2").size();
     long succeeded = caller.succeeded();
@@ -104,7 +104,7 @@
     start("a", "b", "b");
     Session session = open(RouteKind.BOUNDED_STALENESS);
     readAndWrite(session, 10);
-    fixture.evacuate("b");
+    fixture.operator.evacuate("b");
     fixture.run(LEARNED);
     int before = sentTo("s2").size() + sentTo("s3").size();
     long succeeded = caller.succeeded();
@@ -121,7 +121,7 @@
     start("a", "a", "a");
     Session session = open(RouteKind.BOUNDED_STALENESS);
     readAndWrite(session, 5);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofMillis(1000));
     fixture.send(session, "w", WRITE);
     assertThat(caller.last().succeeded()).isTrue();
@@ -141,7 +141,7 @@
     start("a", "b", "c");
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "first", WRITE);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     MonotonicTime confirmedAt = fixture.clock.now();
     int refused = 0;
     for (int i = 0; i < 80; i++) {
@@ -174,7 +174,7 @@
     fixture.statuses.remove(BackendServerId.of("s3"));
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "first", WRITE);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(BOUND);
     int before = sentTo("s1").size();
 
@@ -204,7 +204,7 @@
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "1", BEGIN);
     fixture.send(session, "2", WRITE);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     for (int i = 0; i < 10; i++) {
       fixture.run(Duration.ofMillis(200));
       fixture.send(session, "t" + i, WRITE);
@@ -231,7 +231,7 @@
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "1", BEGIN);
     fixture.send(session, "2", WRITE);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofMillis(2500));
     fixture.send(session, "3", WRITE);
     fixture.run(Duration.ofMillis(2300));
@@ -250,7 +250,7 @@
     fixture.send(session, "1", BEGIN);
     fixture.servers.behave(sent -> Optional.empty());
     session.receive(RequestId.of("2"), WRITE);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(BOUND);
     int before = fixture.servers.sent().size();
 
@@ -267,7 +267,7 @@
     start("a", "a", "a");
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "1", WRITE);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofMillis(1500));
     MonotonicTime deadline =
         fixture.entry(host, EngineEntries.EVACUATIONS).deadlines().get(AvailabilityZone.of("a"));
@@ -289,11 +289,11 @@
     start("a", "a", "a");
     Session session = open(RouteKind.BOUNDED_STALENESS);
     readAndWrite(session, 5);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(Duration.ofSeconds(8));
     fixture.send(session, "refused", WRITE);
     assertThat(caller.lastCode()).contains(FailureCode.OVERLOADED);
-    fixture.takeBack("a");
+    fixture.operator.takeBack("a");
     fixture.run(LEARNED);
     long succeeded = caller.succeeded();
 
@@ -314,7 +314,7 @@
             sent.server().value().equals("s2")
                 ? Optional.of(Answer.failed(FailureCode.OVERLOADED, "busy", SessionState.IDLE))
                 : fixture.servers.success(sent));
-    fixture.evacuate("b");
+    fixture.operator.evacuate("b");
     for (int i = 0; i < 30; i++) {
       fixture.send(session, "w" + i, WRITE);
       fixture.send(session, "r" + i, READ);
@@ -329,7 +329,7 @@
     start("a", "b", "c");
     Session session = open(RouteKind.BOUNDED_STALENESS);
     readAndWrite(session, 5);
-    fixture.evacuate("b");
+    fixture.operator.evacuate("b");
     fixture.run(LEARNED);
     int before = sentTo("s2").size();
     fixture.storeIsUp = false;
@@ -346,7 +346,7 @@
     Session session = open(RouteKind.PRIMARY);
     fixture.send(session, "1", new Statement.SetVariable("role", "clerk"));
     fixture.send(session, "2", WRITE);
-    fixture.evacuate("a");
+    fixture.operator.evacuate("a");
     fixture.run(BOUND);
     int before = fixture.servers.sent().size();
     for (int i = 0; i < 10; i++) {
