--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -71,6 +71,7 @@
   public final List<OrderPromotion> promotions = new ArrayList<>();
   public final List<Engine> hosts = new ArrayList<>();
   public final Map<RowKey, StoredRow> rows;
+  public final FakeOperator operator;
   public boolean storeIsUp = true;
   public boolean peersAreReachable = true;
   public int storeCalls;
@@ -126,6 +127,7 @@
     this.strengths = strengths;
     this.store = new FakeRowStore(clock, entries, era);
     this.rows = store.rows;
+    this.operator = new FakeOperator(store, entries);
     this.zoneCount = zoneCount;
     this.bounds = bounds;
     for (int i = 1; i <= 3; i++) {
