Read the cold time of servers and the limits for requests to them

Cause: servers are slow after their start, and hosts know neither which servers are cold nor how many requests they can take.

Change: server entries have the time for which they stay cold, groups the length of the cold start and the rate that a cold server can run, and the settings the bounds of that rate. Both fields go through the zone protocol. All are optional; nothing uses them yet.

Test: FormatsTest, ZoneExchangeTest, ColdBoundsTest.

--- a/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.engine;
 
+import java.time.Duration;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -13,6 +14,7 @@
  * @param primary whether it claims to be the primary of its group
  * @param startedAtMillis the Unix time of its start; a different value means that it restarted and
  *     lost its state
+ * @param coldLeft how much longer the server stays slow after its start; zero if it is warm
  */
 public record ServerEntry(
     BackendServerId id,
@@ -22,11 +24,15 @@
     int slots,
     boolean draining,
     boolean primary,
-    long startedAtMillis) {
+    long startedAtMillis,
+    Duration coldLeft) {
 
   /** The highest number of slots that is taken for true. */
   public static final int MAXIMUM_SLOTS = 1_000_000;
 
+  /** The longest time for which a server is taken to be cold. */
+  public static final Duration LONGEST_COLD_TIME = Duration.ofDays(1);
+
   /**
    * Checks that the server can be connected to. A host name is rejected because resolving it would
    * block the traffic thread.
@@ -46,11 +52,39 @@
     if (startedAtMillis < 0) {
       throw new IllegalArgumentException("the server's start time is negative");
     }
+    if (coldLeft.isNegative() || coldLeft.compareTo(LONGEST_COLD_TIME) > 0) {
+      throw new IllegalArgumentException("the server's cold time is out of range");
+    }
+  }
+
+  /** Creates the entry of a warm server. */
+  public ServerEntry(
+      BackendServerId id,
+      DatabaseGroupId group,
+      SocketEndpoint endpoint,
+      AvailabilityZone zone,
+      int slots,
+      boolean draining,
+      boolean primary,
+      long startedAtMillis) {
+    this(id, group, endpoint, zone, slots, draining, primary, startedAtMillis, Duration.ZERO);
   }
 
   /** Returns the entry of the same process while it is draining. */
   public ServerEntry asDraining() {
-    return new ServerEntry(id, group, endpoint, zone, slots, true, primary, startedAtMillis);
+    return new ServerEntry(
+        id, group, endpoint, zone, slots, true, primary, startedAtMillis, coldLeft);
+  }
+
+  /** Returns the entry of the same process with another cold time. */
+  public ServerEntry withColdLeft(Duration left) {
+    return new ServerEntry(
+        id, group, endpoint, zone, slots, draining, primary, startedAtMillis, left);
+  }
+
+  /** Returns whether the server describes itself as cold. */
+  public boolean reportsCold() {
+    return !coldLeft.isZero();
   }
 
   /** Returns whether both entries describe the same process at the same address. */
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.engine.control;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.EntryHostId;
@@ -18,6 +19,7 @@
  * @param stopGrace the time between the request to stop and the forced exit
  * @param bounds the times that are promised for the whole fleet
  * @param sessionLimits how much the sessions of the host may hold
+ * @param coldBounds how many requests a cold server may get; empty if they are not limited
  */
 public record EngineSettings(
     EntryHostId host,
@@ -30,7 +32,8 @@
     double rateSlack,
     Duration stopGrace,
     ServiceBounds bounds,
-    SessionLimits sessionLimits) {
+    SessionLimits sessionLimits,
+    Optional<ColdBounds> coldBounds) {
 
   /** Makes the set immutable and checks that it has the host's own zone. */
   public EngineSettings {
@@ -40,6 +43,51 @@
     }
   }
 
+  /** Creates settings that don't limit the requests to cold servers. */
+  public EngineSettings(
+      EntryHostId host,
+      AvailabilityZone zone,
+      Set<AvailabilityZone> zones,
+      SocketEndpoint peerEndpoint,
+      Duration keyRevocation,
+      Duration rateWindow,
+      double rateOverage,
+      double rateSlack,
+      Duration stopGrace,
+      ServiceBounds bounds,
+      SessionLimits sessionLimits) {
+    this(
+        host,
+        zone,
+        zones,
+        peerEndpoint,
+        keyRevocation,
+        rateWindow,
+        rateOverage,
+        rateSlack,
+        stopGrace,
+        bounds,
+        sessionLimits,
+        Optional.empty());
+  }
+
+  /** Returns these settings with a limit for the requests to cold servers. */
+  public EngineSettings withColdBounds(ColdBounds cold) {
+    return new EngineSettings(
+        host,
+        zone,
+        zones,
+        peerEndpoint,
+        keyRevocation,
+        rateWindow,
+        rateOverage,
+        rateSlack,
+        stopGrace,
+        bounds,
+        sessionLimits,
+        Optional.of(cold));
+  }
+
   /** Returns the intervals and timeouts that follow from the bounds. */
   public EngineTimings timings() {
     return EngineTimings.of(bounds);
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
@@ -39,7 +39,9 @@
                     GroupMessage.newBuilder()
                         .setGroup(group.value())
                         .setMaximumConnections(settings.maximumConnections())
-                        .setSynchronousReplicas(settings.synchronousReplicas())));
+                        .setSynchronousReplicas(settings.synchronousReplicas())
+                        .setColdRequestsPerSecond(settings.coldRequestsPerSecond())
+                        .setColdStartMilliseconds(settings.coldStart().toMillis())));
     configuration
         .keys()
         .forEach(
@@ -85,7 +87,10 @@
                 groups.put(
                     DatabaseGroupId.ofExternal(group.getGroup()),
                     new GroupSettings(
-                        group.getMaximumConnections(), group.getSynchronousReplicas())));
+                        group.getMaximumConnections(),
+                        group.getSynchronousReplicas(),
+                        requestsPerSecond(group.getColdRequestsPerSecond()),
+                        millis(group.getColdStartMilliseconds()))));
     Map<KeyHash, WorkspaceId> keys = new HashMap<>();
     message
         .getKeysList()
@@ -120,6 +125,13 @@
         route.getOpen());
   }
 
+  private static double requestsPerSecond(double rate) {
+    if (!(rate >= 0 && rate < Double.POSITIVE_INFINITY)) {
+      throw new IllegalArgumentException("a rate of " + rate + " per second is out of range");
+    }
+    return rate;
+  }
+
   private static Duration millis(long milliseconds) {
     if (milliseconds < 0 || milliseconds > MAXIMUM_MILLIS) {
       throw new IllegalArgumentException("a duration of " + milliseconds + " ms is out of range");
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -236,7 +236,8 @@
                         .setSlots(entry.slots())
                         .setDraining(entry.draining())
                         .setPrimary(entry.primary())
-                        .setStartedAtMilliseconds(entry.startedAtMillis())));
+                        .setStartedAtMilliseconds(entry.startedAtMillis())
+                        .setColdLeftMilliseconds(entry.coldLeft().toMillis())));
     return message.build();
   }
 
@@ -300,7 +301,16 @@
         server.getSlots(),
         server.getDraining(),
         server.getPrimary(),
-        server.getStartedAtMilliseconds());
+        server.getStartedAtMilliseconds(),
+        coldLeft(server.getColdLeftMilliseconds()));
+  }
+
+  private static Duration coldLeft(long milliseconds) {
+    // Checked first, as the conversion of a number that is too large would overflow.
+    if (milliseconds < 0 || milliseconds > ServerEntry.LONGEST_COLD_TIME.toMillis()) {
+      throw new IllegalArgumentException("a cold time of " + milliseconds + " ms is out of range");
+    }
+    return Duration.ofMillis(milliseconds);
   }
 
   /** Rounds an age up; an overstated age only makes what depends on it expire earlier. */
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -124,7 +124,7 @@
         new RoutingConfiguration(
             5,
             Map.of(route.database(), route),
-            Map.of(GROUP, new GroupSettings(54, 1)),
+            Map.of(GROUP, new GroupSettings(54, 1, 12.5, Duration.ofMillis(20_000))),
             Map.of(KeyHash.ofKey("secret"), WORKSPACE),
             Map.of(WORKSPACE, new RateLimit(34.5, 12)),
             Duration.ofSeconds(3));
@@ -137,7 +137,8 @@
             3,
             true,
             true,
-            1_700_000_000_000L);
+            1_700_000_000_000L,
+            Duration.ofMillis(4200));
     return new ZoneReply(
         true,
         ERA,
