Track which servers are cold and how long a host has been the relay

Cause: a server that has just started is slow, and hosts learn of a restart from a lost connection before the list shows it.

Change: a controller writes which servers count as cold, by the countdown of their entry or after a lost connection, and since when this host has been the relay. A list that differs only in a countdown keeps its revision, so the relay does not send it anew. Nothing is written unless the settings have the bounds.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -8,6 +8,7 @@
 import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.internal.engine.control.ColdServerController;
 import org.persimmonwalk.internal.engine.control.EraSettlementController;
 import org.persimmonwalk.internal.engine.control.FleetSizeController;
 import org.persimmonwalk.internal.engine.control.LenderController;
@@ -63,6 +64,7 @@
             VerificationController.create(settings, log),
             EraSettlementController.create(settings, log),
             ServerListController.create(settings.timings(), log),
+            ColdServerController.create(settings, log),
             PrimaryViewController.create(settings.timings(), log),
             SuspicionController.create(settings, log),
             PromotionController.create(settings, log, suspension),
--- a/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
@@ -87,6 +87,11 @@
     return !coldLeft.isZero();
   }
 
+  /** Returns whether the entries differ at most in how far the cold time has counted down. */
+  public boolean isSameUpToCountdown(ServerEntry other) {
+    return reportsCold() == other.reportsCold() && equals(other.withColdLeft(coldLeft));
+  }
+
   /** Returns whether both entries describe the same process at the same address. */
   public boolean sameProcess(ServerEntry other) {
     return id.equals(other.id)
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -101,6 +101,17 @@
   public static final EntryKey<Optional<ServerListVersion>> SERVER_LIST_VERSION =
       EntryKey.of("server list version", Optional.empty());
 
+  /** The servers that count as cold; none if the settings don't limit the requests to them. */
+  public static final EntryKey<Map<BackendServerId, ColdServer>> COLD_SERVERS =
+      EntryKey.of("cold servers", Map.of());
+
+  /**
+   * Since when this host has been the relay of its zone in the current era of the store; empty if
+   * it isn't, or if the settings don't limit the requests to cold servers.
+   */
+  public static final EntryKey<Optional<MonotonicTime>> RELAYING_SINCE =
+      EntryKey.of("relaying since", Optional.empty());
+
   /** Whether this host has been asked to stop. */
   public static final EntryKey<Boolean> STOPPING = EntryKey.of("stopping", false);
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineTimings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineTimings.java
@@ -77,6 +77,9 @@
   /** The time that the call for a list may take. */
   private static final Duration LIST_CALL_TIME = Duration.ofMillis(400);
 
+  /** The timeout of calls to the store. */
+  private static final Duration LONGEST_LIST_CALL = Duration.ofMillis(1300);
+
   /** From a verification until a host has it: one exchange with the relay and late timers. */
   private static final Duration RELAYED_AGE = Duration.ofMillis(600);
 
@@ -163,6 +166,14 @@
     return List.copyOf(unkept);
   }
 
+  /**
+   * Returns how long after a restart a server list must be read to show it: the server renews its
+   * entry with the next heartbeat, and a list counts as read when its answer arrives.
+   */
+  public static Duration restartVisibleAfter(ServiceBounds bounds) {
+    return bounds.heartbeat().plus(LONGEST_LIST_CALL);
+  }
+
   private static void check(
       List<String> unkept, String bound, Duration set, Duration shortest, String reason) {
     if (set.compareTo(shortest) < 0) {
--- /dev/null
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ServerConnectionLost.java
@@ -0,0 +1,12 @@
+package org.persimmonwalk.engine.control;
+
+import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.model.MonotonicTime;
+
+/**
+ * A connection to a server ended or could not be opened, so the server may have restarted.
+ *
+ * @param at when this host noticed
+ */
+public record ServerConnectionLost(ServerEntry server, MonotonicTime at) implements Observation {}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
@@ -134,13 +134,24 @@
   private void applyStoreList(Blackboard blackboard, List<ServerEntry> entries, MonotonicTime now) {
     Map<BackendServerId, ServerEntry> old = blackboard.get(EngineEntries.SERVERS);
     replace(blackboard, entries, now);
-    if (!old.equals(blackboard.get(EngineEntries.SERVERS))
+    if (!isSameUpToCountdown(old, blackboard.get(EngineEntries.SERVERS))
         || publishedRevision(blackboard) != localRevision) {
       localRevision++;
     }
     publishVersion(blackboard, localRevision);
   }
 
+  /**
+   * Returns whether the lists differ at most in the countdown of cold times, which each host makes
+   * for itself.
+   */
+  private static boolean isSameUpToCountdown(
+      Map<BackendServerId, ServerEntry> old, Map<BackendServerId, ServerEntry> current) {
+    return old.keySet().equals(current.keySet())
+        && old.values().stream()
+            .allMatch(entry -> entry.isSameUpToCountdown(current.get(entry.id())));
+  }
+
   private static long publishedRevision(Blackboard blackboard) {
     return blackboard
         .get(EngineEntries.SERVER_LIST_VERSION)
@@ -189,7 +200,7 @@
       Map<BackendServerId, ServerEntry> old, Map<BackendServerId, ServerEntry> servers) {
     servers.forEach(
         (id, entry) -> {
-          if (!entry.equals(old.get(id))) {
+          if (!old.containsKey(id) || !entry.isSameUpToCountdown(old.get(id))) {
             log.write(
                 "server-entry",
                 "server",
