Limit the requests to cold servers, and replace a cold primary

Cause: a cold server is slow, and hosts send it as much as any other.

Change: every statement to a cold server and every status request passes ColdServerGate, which admits those of the zone's relay up to the zone's part in any second, less two that stay for status requests. Reads go to warm servers if one can be used. What only a cold primary can run is refused at once as not run, except at relays. A primary that reports to be cold is replaced like a draining one if a replica is warm; of two replicas with equal logs the warm one is promoted. Only a host that may ask the servers of the group runs a promotion, since the old primary's log must count. A host that has lost all connections to a primary and may open none reports it as unreachable, as it did when its attempts failed.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -24,6 +24,7 @@
 import org.persimmonwalk.internal.engine.control.VerificationController;
 import org.persimmonwalk.internal.engine.control.ZoneExchangeController;
 import org.persimmonwalk.internal.engine.traffic.Sessions;
+import org.persimmonwalk.internal.engine.traffic.StatusRequestGate;
 import org.persimmonwalk.internal.engine.traffic.TrafficContext;
 import org.persimmonwalk.internal.engine.traffic.TrafficMeter;
 import org.persimmonwalk.port.CommandExecutor;
@@ -73,7 +74,13 @@
             RateController.create(settings, log, suspension),
             TokenExchangeController.create(settings),
             ZoneExchangeController.create(settings, suspension));
-    ControlLoop loop = ControlLoop.of(controllers, executor, clock, sources.random());
+    StatusRequestGate gate = new StatusRequestGate(executor, scheduler);
+    ControlLoop loop =
+        ControlLoop.of(
+            controllers,
+            settings.coldBounds().isPresent() ? gate : executor,
+            clock,
+            sources.random());
     TrafficContext context =
         new TrafficContext(
             settings,
@@ -87,6 +94,7 @@
             meter,
             suspension);
     Sessions sessions = Sessions.create(context);
+    gate.connect(sessions, loop);
     loop.addListener(new TrafficNotifier(scheduler, sessions));
     return new Engine(loop, sessions);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServers.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServers.java
@@ -4,6 +4,8 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.ColdServer;
 import org.persimmonwalk.engine.control.ColdServer.Reason;
@@ -34,7 +36,12 @@
     this.recheckDelay = recheckDelay;
   }
 
-  /** Applies a list; may be repeated with a later time if a later list had the same entries. */
+  /**
+   * Applies a list. The loss of a server that is no longer listed counts for as long as a promotion
+   * may ask that server.
+   *
+   * <p>May be repeated with a later time if a later list had the same entries.
+   */
   void applyList(Collection<ServerEntry> entries, MonotonicTime readAt) {
     for (ServerEntry entry : entries) {
       Reported known = reported.get(entry.id());
@@ -49,6 +56,12 @@
         lost.remove(entry.id());
       }
     }
+    Set<BackendServerId> listed = entries.stream().map(ServerEntry::id).collect(Collectors.toSet());
+    lost.values()
+        .removeIf(
+            loss ->
+                !listed.contains(loss.server().id())
+                    && readAt.since(loss.at()).compareTo(LapsedServers.RETENTION) > 0);
   }
 
   private void applyReport(ServerEntry entry, Reported known, MonotonicTime readAt) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotedGroup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotedGroup.java
@@ -1,17 +1,26 @@
 package org.persimmonwalk.internal.engine.control;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.GroupSettings;
 import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.control.ColdBudget;
+import org.persimmonwalk.engine.control.ColdServer;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.model.MonotonicTime;
 
 /** What the blackboard tells about a group whose primary is replaced. */
 record PromotedGroup(DatabaseGroupId id) {
+  /** {@link ColdBudget} keeps two requests a second for the status of a cold server. */
+  private static final Duration COLD_STATUS_PAUSE = Duration.ofMillis(510);
 
   /** Returns the listed servers of the group, including those that are draining. */
   Map<BackendServerId, ServerEntry> members(Blackboard blackboard) {
@@ -26,6 +35,52 @@
         .orElse(0);
   }
 
+  /** Returns the servers of the group that are, or may be, slow because they have just started. */
+  Set<BackendServerId> coldServers(Blackboard blackboard) {
+    return blackboard.get(EngineEntries.COLD_SERVERS).values().stream()
+        .map(ColdServer::server)
+        .filter(server -> server.group().equals(id))
+        .map(ServerEntry::id)
+        .collect(Collectors.toSet());
+  }
+
+  /**
+   * Returns whether this host may ask all servers of the group for their status, which no promotion
+   * should go without: the old primary may have commits that no replica has. Only a relay may ask a
+   * cold server; any host may promote if the bound leaves no relay a single request.
+   */
+  boolean mayAskServers(
+      Blackboard blackboard, EngineSettings settings, MonotonicTime resumedAt, MonotonicTime now) {
+    if (coldServers(blackboard).isEmpty() || settings.coldBounds().isEmpty()) {
+      return true;
+    }
+    ColdBudget.Role role =
+        new ColdBudget.Role(
+            blackboard.get(EngineEntries.RELAYING_SINCE),
+            blackboard.get(EngineEntries.VERIFIED_AT),
+            resumedAt);
+    GroupSettings group = blackboard.get(EngineEntries.CONFIGURATION).groups().get(id);
+    boolean hasPart =
+        group != null && settings.coldBounds().get().zonePart(group, settings.zones().size()) > 0;
+    return role.maySend(now) || !hasPart;
+  }
+
+  /** Returns the pause between two status requests to a server. */
+  Duration statusPause(Blackboard blackboard, Duration usual) {
+    return coldServers(blackboard).isEmpty() ? usual : COLD_STATUS_PAUSE;
+  }
+
+  /** Returns the poll that has these answers. */
+  StatusPoll poll(
+      Blackboard blackboard,
+      Map<BackendServerId, ServerEntry> listed,
+      Map<BackendServerId, ServerEntry> lapsed,
+      Map<BackendServerId, Optional<ServerStatusRead.Status>> statuses,
+      BackendServerId oldPrimary) {
+    return StatusPoll.of(
+        listed, lapsed, statuses, oldPrimary, record(blackboard).term(), coldServers(blackboard));
+  }
+
   PromotionRecord record(Blackboard blackboard) {
     return PromotionRecord.parse(KnownRows.row(blackboard, PromotionRecord.row(id)));
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -179,7 +179,9 @@
               own ? Duration.ZERO : TAKEOVER_DELAY.plus(Duration.ofMillis(jitter)));
       announcements.put(group, announcement);
     }
-    if (isDue(blackboard, row, announcement, now) && workflow.isIdle()) {
+    if (isDue(blackboard, row, announcement, now)
+        && workflow.isIdle()
+        && workflow.mayAskServers(blackboard, new PromotedGroup(group), now)) {
       workflow.begin(group, row, stored.version(), now);
     }
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionTrigger.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionTrigger.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.control.ColdServer;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.PrimaryView;
 import org.persimmonwalk.id.BackendServerId;
@@ -62,7 +63,7 @@
     if (hasLasted(missingSince, group, listed == null, now, MISSING_DELAY)) {
       return Optional.of(change(Leadership.Phase.SWITCHING, server));
     }
-    if (listed != null && listed.draining()) {
+    if (listed != null && (listed.draining() || isColdBesideWarmReplica(blackboard, listed))) {
       return Optional.of(change(Leadership.Phase.SWITCHING, server));
     }
     boolean demoted =
@@ -72,6 +73,22 @@
         : Optional.empty();
   }
 
+  /**
+   * Returns whether the primary reports to be cold and a replica could serve in its place. A lost
+   * connection alone is no reason to replace it.
+   */
+  private static boolean isColdBesideWarmReplica(Blackboard blackboard, ServerEntry primary) {
+    Map<BackendServerId, ColdServer> cold = blackboard.get(EngineEntries.COLD_SERVERS);
+    boolean isCold = cold.containsKey(primary.id()) && cold.get(primary.id()).isReported();
+    return isCold
+        && blackboard.get(EngineEntries.SERVERS).values().stream()
+            .anyMatch(
+                entry ->
+                    entry.group().equals(primary.group())
+                        && !entry.draining()
+                        && !cold.containsKey(entry.id()));
+  }
+
   private static Leadership change(Leadership.Phase phase, ServerEntry server) {
     return new Leadership(phase, server.id(), server.startedAtMillis(), 0);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -134,8 +134,11 @@
     if (stage == Stage.IDLE) {
       return;
     }
-    if (!KnownRows.version(blackboard, Leadership.row(group.id())).equals(leadershipVersion)) {
-      log.write("promotion-ended", "group", group.id(), "reason", "the leadership row changed");
+    boolean isChanged =
+        !KnownRows.version(blackboard, Leadership.row(group.id())).equals(leadershipVersion);
+    if (isChanged || (stage == Stage.POLL_STATUSES && !mayAskServers(blackboard, group, now))) {
+      String reason = isChanged ? "the leadership row changed" : "only relays ask cold servers";
+      log.write("promotion-ended", "group", group.id(), "reason", reason);
       stage = Stage.IDLE;
       return;
     }
@@ -154,6 +157,10 @@
     step(blackboard, now);
   }
 
+  boolean mayAskServers(Blackboard blackboard, PromotedGroup asked, MonotonicTime now) {
+    return asked.mayAskServers(blackboard, settings, suspension.lastResumedAt(), now);
+  }
+
   private static boolean isOwn(TransactionTag tag) {
     return Set.of(TAKE_LEASE_PURPOSE, ANNOUNCE_ORDER_PURPOSE, RECORD_PURPOSE)
         .contains(tag.purpose());
@@ -273,11 +280,7 @@
       nextStepAt = now.plus(Duration.ofMillis(1));
       return;
     }
-    decide(
-        blackboard,
-        StatusPoll.of(
-            listed, lapsed, statuses, leadership.server(), group.record(blackboard).term()),
-        now);
+    decide(blackboard, group.poll(blackboard, listed, lapsed, statuses, leadership.server()), now);
   }
 
   private void decide(Blackboard blackboard, StatusPoll poll, MonotonicTime now) {
@@ -310,7 +313,7 @@
       default -> {
         statuses.clear();
         requestCount = 0;
-        nextStepAt = now.plus(RETRY_PAUSE);
+        nextStepAt = now.plus(group.statusPause(blackboard, RETRY_PAUSE));
         if (lease.isTooOldToOrder(now)) {
           enter(Stage.TAKE_LEASE, now);
         }
@@ -355,7 +358,7 @@
       return;
     }
     blackboard.submit(new ReadServerStatus(target));
-    nextStepAt = now.plus(CONFIRMATION_INTERVAL);
+    nextStepAt = now.plus(group.statusPause(blackboard, CONFIRMATION_INTERVAL));
   }
 
   private void record(Blackboard blackboard, MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StatusPoll.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
@@ -18,13 +19,15 @@
  * @param statuses the answer of each server; empty if it didn't answer
  * @param oldPrimary the primary that is being replaced
  * @param recordedTerm the term of the primary that was recorded last
+ * @param cold the servers that are slow because they have just started
  */
 record StatusPoll(
     Map<BackendServerId, ServerEntry> servers,
     Map<BackendServerId, ServerEntry> lapsed,
     Map<BackendServerId, Optional<Status>> statuses,
     BackendServerId oldPrimary,
-    long recordedTerm) {
+    long recordedTerm,
+    Set<BackendServerId> cold) {
 
   /** Returns a poll. Answers of other servers, such as late ones of another group, are left out. */
   static StatusPoll of(
@@ -32,11 +35,17 @@
       Map<BackendServerId, ServerEntry> lapsed,
       Map<BackendServerId, Optional<Status>> statuses,
       BackendServerId oldPrimary,
-      long recordedTerm) {
+      long recordedTerm,
+      Set<BackendServerId> cold) {
     Map<BackendServerId, Optional<Status>> own = new HashMap<>(statuses);
     own.keySet().removeIf(id -> !servers.containsKey(id) && !lapsed.containsKey(id));
     return new StatusPoll(
-        Map.copyOf(servers), Map.copyOf(lapsed), Map.copyOf(own), oldPrimary, recordedTerm);
+        Map.copyOf(servers),
+        Map.copyOf(lapsed),
+        Map.copyOf(own),
+        oldPrimary,
+        recordedTerm,
+        Set.copyOf(cold));
   }
 
   /**
@@ -132,6 +141,7 @@
     return Comparator.comparing(this::received)
         .thenComparing(entry -> servers.containsKey(entry.id()))
         .thenComparing(entry -> !entry.draining())
+        .thenComparing(entry -> !cold.contains(entry.id()))
         .thenComparing(ServerEntry::id);
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -31,6 +32,7 @@
   private BackendConnection backend;
   private boolean open;
   private boolean ended;
+  private SessionState state = SessionState.IDLE;
   private MonotonicTime lastUsed;
 
   PooledConnection(ConnectionId id, ServerPool pool, WorkspaceId workspace, MonotonicTime now) {
@@ -95,17 +97,36 @@
 
   /**
    * Sends a statement; exactly one method of the listener is called, or none if the connection is
-   * discarded first.
+   * discarded first. A statement that a cold server must not get is answered here as not run.
    */
   void send(BackendStatement statement, StatementListener listener) {
     if (!isOpen()) {
       listener.lost("the connection was already closed");
       return;
     }
+    if (!pool.coldServers().admitStatement(server())) {
+      Failure failure = ColdServerGate.NOT_ADMITTED;
+      listener.answered(
+          Answer.failed(failure.code(), failure.detail(), state), pool.context().now());
+      return;
+    }
     pending.addLast(new Pending(listener, pool.context().now()));
     backend.send(statement);
   }
 
+  /** Returns whether statements may be sent, now or within a second. */
+  boolean mayContinue() {
+    return pool.coldServers().hasPart(server());
+  }
+
+  /**
+   * Runs the first action once a statement may be sent, or the other one if that will not be so
+   * before the deadline.
+   */
+  void whenAdmitted(MonotonicTime deadline, Runnable admitted, Runnable refused) {
+    pool.coldServers().whenAdmitted(server(), deadline, admitted, refused);
+  }
+
   /** Returns whether a message on this connection can carry the statement. */
   boolean canSend(BackendStatement statement) {
     return !isOpen() || backend.canSend(statement);
@@ -189,6 +210,7 @@
   public void answered(Answer answer) {
     Pending oldest = pending.pollFirst();
     pool.answerReceived();
+    state = answer.state();
     if (oldest != null) {
       oldest.listener().answered(answer, oldest.sentAt());
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -42,6 +42,7 @@
   private final ServerEntry server;
   private final ServerHealth health;
   private final PoolListener listener;
+  private final ColdServerGate coldServers;
   private final List<PooledConnection> connections = new ArrayList<>();
   private final List<PooledConnection> idle = new ArrayList<>();
   private final PriorityQueue<ConnectionRequest> queue =
@@ -51,10 +52,15 @@
               .thenComparingLong(ConnectionRequest::sequence));
   private long sequence;
 
-  ServerPool(TrafficContext context, ServerEntry server, PoolListener listener) {
+  ServerPool(
+      TrafficContext context,
+      ServerEntry server,
+      PoolListener listener,
+      ColdServerGate coldServers) {
     this.context = context;
     this.server = server;
     this.listener = listener;
+    this.coldServers = coldServers;
     this.health = new ServerHealth(context.now());
   }
 
@@ -70,6 +76,14 @@
     return health;
   }
 
+  ColdServerGate coldServers() {
+    return coldServers;
+  }
+
+  boolean hasOpenConnection() {
+    return connections.stream().anyMatch(PooledConnection::isOpen);
+  }
+
   int outstanding() {
     return connections.size() - idle.size() + queue.size();
   }
@@ -111,6 +125,11 @@
       ConnectionRequest.Listener waiter) {
     ConnectionRequest request =
         new ConnectionRequest(workspace, priority, deadline, sequence++, context.now(), waiter);
+    if (!coldServers.maySend(server)) {
+      coldServers.recordKept(server);
+      request.refuse(ColdServerGate.NOT_ADMITTED);
+      return request;
+    }
     if (expectedWait().compareTo(deadline.since(context.now())) > 0 && !hasIdle(workspace)) {
       request.refuse(
           Failure.of(
@@ -176,7 +195,7 @@
   }
 
   private boolean openConnectionFor(ConnectionRequest request) {
-    if (health.isBackingOff(context.now())) {
+    if (health.isBackingOff(context.now()) || !coldServers.maySend(server)) {
       return false;
     }
     if (connections.size() >= connectionLimit()) {
@@ -218,6 +237,8 @@
   void lost(PooledConnection connection, String reason) {
     connections.remove(connection);
     idle.remove(connection);
+    coldServers.connectionLost(server);
+    refuseQueuedIfKept();
     if (!connection.wasEverOpen()) {
       health.recordConnectionFailure(context.now());
       refuseQueued(Failure.of(FailureCode.OVERLOADED, "the server cannot be reached: " + reason));
@@ -244,6 +265,14 @@
     serveQueue();
   }
 
+  /** Refuses the waiting requests of a host that may send nothing to the server. */
+  private void refuseQueuedIfKept() {
+    if (!queue.isEmpty() && !coldServers.hasPart(server)) {
+      coldServers.recordKept(server);
+      refuseQueued(ColdServerGate.NOT_ADMITTED);
+    }
+  }
+
   private void refuseQueued(Failure failure) {
     List<ConnectionRequest> refused = new ArrayList<>(queue);
     queue.clear();
@@ -254,6 +283,7 @@
 
   /** Closes idle connections, and those that the server did not accept in time. */
   void tick(MonotonicTime now) {
+    refuseQueuedIfKept();
     for (PooledConnection connection : List.copyOf(idle)) {
       Duration idleTime = now.since(connection.lastUsed());
       if (idleTime.compareTo(idleTimeout()) > 0) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -18,6 +18,7 @@
 /** The connection pools of all backend servers, and the position history of each database group. */
 final class ServerPools implements ServerPool.PoolListener {
   private final TrafficContext context;
+  private final ColdServerGate coldServers;
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
@@ -26,6 +27,11 @@
 
   ServerPools(TrafficContext context) {
     this.context = context;
+    this.coldServers = new ColdServerGate(context);
+  }
+
+  ColdServerGate coldServers() {
+    return coldServers;
   }
 
   PositionHistory history(DatabaseGroupId group) {
@@ -40,20 +46,22 @@
     if (pool != null) {
       pool.close("the server was restarted");
     }
-    ServerPool created = new ServerPool(context, entry, this);
+    ServerPool created = new ServerPool(context, entry, this, coldServers);
     pools.put(entry.id(), created);
     return created;
   }
 
   /**
    * Returns the servers that could serve a read of the group, except those given. Left out are
-   * draining servers and those that report to be the primary but are not the verified one.
+   * draining servers and those that report to be the primary but are not the verified one. Cold
+   * servers are left out too, unless no other one can be used and this host may send to them.
    */
   List<ServerChoice.Candidate> candidates(
       DatabaseGroupId group, WorkspaceId workspace, Set<BackendServerId> except) {
     MonotonicTime now = context.now();
     Optional<ServerEntry> primary = context.primary(group);
     List<ServerChoice.Candidate> candidates = new ArrayList<>();
+    List<ServerChoice.Candidate> coldCandidates = new ArrayList<>();
     for (ServerEntry entry : context.entry(EngineEntries.SERVERS).values()) {
       boolean isPrimary = primary.filter(entry::sameProcess).isPresent();
       boolean claimsPrimary = entry.primary() && !isPrimary;
@@ -63,20 +71,27 @@
           || except.contains(entry.id())) {
         continue;
       }
+      boolean isCold = coldServers.isCold(entry);
+      if (isCold && !coldServers.maySend(entry)) {
+        coldServers.recordKept(entry);
+        continue;
+      }
       ServerPool pool = pool(entry);
       ServerHealth health = pool.health();
-      candidates.add(
-          new ServerChoice.Candidate(
-              pool,
-              !health.isUnreachable(now) && !health.isBackingOff(now),
-              isPrimary,
-              entry.zone().equals(context.settings().zone()),
-              pool.hasIdle(workspace),
-              health.isBehind(now),
-              health.latencyMillis(now),
-              pool.outstanding()));
+      (isCold ? coldCandidates : candidates)
+          .add(
+              new ServerChoice.Candidate(
+                  pool,
+                  !health.isUnreachable(now) && !health.isBackingOff(now),
+                  isPrimary,
+                  entry.zone().equals(context.settings().zone()),
+                  pool.hasIdle(workspace),
+                  health.isBehind(now),
+                  health.latencyMillis(now),
+                  pool.outstanding()));
     }
-    return candidates;
+    boolean isAnyWarm = candidates.stream().anyMatch(ServerChoice.Candidate::usable);
+    return isAnyWarm || coldCandidates.isEmpty() ? candidates : coldCandidates;
   }
 
   /**
@@ -137,7 +152,8 @@
     // A request whose connection times out here may turn to a server that has no pool yet.
     for (ServerPool pool : List.copyOf(pools.values())) {
       pool.tick(now);
-      if (pool.health().isUnreachable(now)) {
+      boolean isCutOff = coldServers.isCutOff(pool.server(), now) && !pool.hasOpenConnection();
+      if (pool.health().isUnreachable(now) || isCutOff) {
         context.post(new ServerUnreachable(pool.server()));
       }
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -13,6 +13,7 @@
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.RoutingConfiguration;
+import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.WorkspaceId;
@@ -179,6 +180,11 @@
     rateLimiter.retry();
   }
 
+  /** Counts a status request to a server; returns whether it may be sent. */
+  boolean admitStatusRequest(ServerEntry server) {
+    return pools.coldServers().admitStatusRequest(server);
+  }
+
   private void tick() {
     MonotonicTime now = context.now();
     openPending();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -110,7 +110,7 @@
   }
 
   private Optional<Target> choose() {
-    Optional<ServerEntry> primary = context.primary(request.group());
+    Optional<ServerEntry> primary = context.primary(request.group()).filter(this::isAdmittedIfCold);
     if (request.needsPrimary()) {
       return primary.map(entry -> new Target(pools.pool(entry), true, Optional.empty()));
     }
@@ -135,6 +135,16 @@
         .map(entry -> new Target(pools.pool(entry), true, Optional.empty()));
   }
 
+  /** Returns whether this host may send to the server; a cold one gets requests of relays only. */
+  private boolean isAdmittedIfCold(ServerEntry server) {
+    boolean admitted = pools.coldServers().hasPart(server);
+    if (!admitted && request.needsPrimary()) {
+      pools.coldServers().recordKept(server);
+      lastFailure = ColdServerGate.NOT_ADMITTED;
+    }
+    return admitted;
+  }
+
   private void use(PooledConnection free, Target target) {
     if (finished) {
       free.release();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.TrafficScheduler;
+import org.persimmonwalk.engine.control.ColdBudget;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
@@ -94,6 +95,14 @@
     return primary(server.group()).filter(server::sameProcess).isPresent();
   }
 
+  /** Returns what decides whether this host may send to cold servers. */
+  ColdBudget.Role coldRole() {
+    return new ColdBudget.Role(
+        entry(EngineEntries.RELAYING_SINCE),
+        entry(EngineEntries.VERIFIED_AT),
+        suspension.lastResumedAt());
+  }
+
   private boolean verifiedWithin(Duration age) {
     return isWithin(EngineEntries.VERIFIED_AT, age);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -188,6 +188,7 @@
     lastUsed = context.now();
     if (answer.failedWith(FailureCode.OVERLOADED)
         && answer.state() == SessionState.IN_TRANSACTION
+        && connection.mayContinue()
         && lastUsed.plus(RETRY_PAUSE).isBefore(pending.deadline)) {
       context.meter().count("statement.retried");
       context.scheduler().schedule(RETRY_PAUSE, () -> resend(pending));
@@ -224,10 +225,23 @@
       session.fail(FailureCode.ABORTED, "the transaction had failed and was rolled back");
       return;
     }
-    withConnection(id, () -> setUp(Optional.empty(), () -> sendCommit(id, text)));
+    withConnection(
+        id,
+        () ->
+            setUp(
+                Optional.empty(),
+                () ->
+                    connection.whenAdmitted(
+                        context.now().plus(route.statementTimeout()),
+                        () -> sendCommit(id, text),
+                        () -> failSetUp("for COMMIT on a cold server"))));
   }
 
   private void sendCommit(RequestId id, String text) {
+    if (connection == null) {
+      failSetUp("before its connection ended");
+      return;
+    }
     PendingCommit pending = new PendingCommit(connection);
     pending.cancel = context.scheduler().schedule(route.statementTimeout(), pending::timeOut);
     connection.send(
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.blackboard.EntryKey;
 import org.persimmonwalk.blackboard.Observation;
@@ -86,6 +88,9 @@
   /** How many of the next orders of promotions get no answer but take effect later. */
   public int promotionsToDelay;
 
+  /** Called for each status request that is sent to a server. */
+  public Consumer<BackendServerId> statusRequested = server -> {};
+
   public final List<String> events = new ArrayList<>();
   private final Map<Engine, Boolean> cutOff = new HashMap<>();
   private final Map<SocketEndpoint, Engine> hostsByEndpoint = new HashMap<>();
@@ -95,6 +100,7 @@
   private final int zoneCount;
   private final ServiceBounds bounds;
   private final FakeRowStore store;
+  private final UnaryOperator<EngineSettings> changes;
   private long term;
   private long seed;
   private long wallClockOffset = 1_000_000;
@@ -111,6 +117,17 @@
 
   /** Starts hosts as above before a store that tells the given era. */
   public EngineFixture(int hostCount, int zoneCount, ServiceBounds bounds, StoreEra era) {
+    this(hostCount, zoneCount, bounds, era, settings -> settings);
+  }
+
+  /** Starts hosts as above with changed settings. */
+  public EngineFixture(
+      int hostCount,
+      int zoneCount,
+      ServiceBounds bounds,
+      StoreEra era,
+      UnaryOperator<EngineSettings> changes) {
+    this.changes = changes;
     this.store = new FakeRowStore(clock, entries, era);
     this.rows = store.rows;
     this.zoneCount = zoneCount;
@@ -207,7 +224,7 @@
 
   private Engine startHost(int number) {
     List<Engine> self = new ArrayList<>();
-    EngineSettings settings = EngineSettingsFixture.of(number, zoneCount, bounds);
+    EngineSettings settings = changes.apply(EngineSettingsFixture.of(number, zoneCount, bounds));
     Engine engine =
         Engine.create(
             settings,
@@ -305,6 +322,7 @@
       return;
     } else if (command instanceof ReadServerStatus read) {
       BackendServerId id = read.server().id();
+      statusRequested.accept(id);
       result = new ServerStatusRead(id, Optional.ofNullable(statuses.get(id)));
     } else {
       throw new IllegalStateException("unexpected command " + command);
@@ -345,17 +363,7 @@
 
   /** Updates the server entries at once, so that only the given server claims to be the primary. */
   private void reportRoles(BackendServerId primary) {
-    entries.replaceAll(
-        (id, entry) ->
-            new ServerEntry(
-                id,
-                entry.group(),
-                entry.endpoint(),
-                entry.zone(),
-                entry.slots(),
-                entry.draining(),
-                id.equals(primary),
-                entry.startedAtMillis()));
+    entries.replaceAll((id, entry) -> ServerEntries.withRole(entry, id.equals(primary)));
   }
 
   /** Advances time in steps and runs the control rounds of all hosts that are not frozen. */
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -109,6 +109,20 @@
     open.clear();
   }
 
+  /** Closes all connections to a server, as its crash does. */
+  public void cut(BackendServerId server) {
+    List<BackendListener> closed =
+        open.entrySet().stream()
+            .filter(entry -> entry.getValue().equals(server))
+            .map(Map.Entry::getKey)
+            .toList();
+    closed.forEach(
+        listener -> {
+          open.remove(listener);
+          listener.closed("the server crashed");
+        });
+  }
+
   @Override
   public BackendConnection open(
       ServerEntry server, WorkspaceId workspace, BackendListener listener) {
