Drop a constructor with more parameters than the linter allows

Cause: checkstyle fails for EngineSettings with 11 parameters of its second constructor.

Change: the constructor is gone; the test settings pass no bounds for cold servers.

Test: checkstyle passes.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -43,34 +43,6 @@
     }
   }
 
-  /** Creates settings that don't limit the requests to cold servers. */
-  public EngineSettings(
-      EntryHostId host,
-      AvailabilityZone zone,
-      Set<AvailabilityZone> zones,
-      SocketEndpoint peerEndpoint,
-      Duration keyRevocation,
-      Duration rateWindow,
-      double rateOverage,
-      double rateSlack,
-      Duration stopGrace,
-      ServiceBounds bounds,
-      SessionLimits sessionLimits) {
-    this(
-        host,
-        zone,
-        zones,
-        peerEndpoint,
-        keyRevocation,
-        rateWindow,
-        rateOverage,
-        rateSlack,
-        stopGrace,
-        bounds,
-        sessionLimits,
-        Optional.empty());
-  }
-
   /** Returns these settings with a limit for the requests to cold servers. */
   public EngineSettings withColdBounds(ColdBounds cold) {
     return new EngineSettings(
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.engine.testing;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.persimmonwalk.engine.control.EngineSettings;
@@ -53,6 +54,7 @@
         20,
         Duration.ofSeconds(6),
         bounds,
-        SessionLimits.of(HEAP_BYTES));
+        SessionLimits.of(HEAP_BYTES),
+        Optional.empty());
   }
 }
