Read the server list sooner after a lost connection

Cause: after a lost connection a server gets no statements of the host until a list shows whether it has restarted; lists come every 2 s.

Change: while a lost connection is open to question, the list is read every 0.7 s, by the relay also for a host that asks it.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServers.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServers.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.ColdServer;
 import org.persimmonwalk.engine.control.ColdServer.Reason;
+import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.ServerConnectionLost;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -90,6 +92,12 @@
         loss.server().id(), loss, (old, other) -> other.at().isBefore(old.at()) ? old : other);
   }
 
+  /** Returns whether the next server list may show that a server has not restarted, or has. */
+  static boolean awaitsList(Blackboard blackboard) {
+    return blackboard.get(EngineEntries.COLD_SERVERS).values().stream()
+        .anyMatch(server -> !server.isReported());
+  }
+
   /** Returns the servers that count as cold. */
   Map<BackendServerId, ColdServer> at(MonotonicTime now) {
     Map<BackendServerId, ColdServer> cold = new HashMap<>();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
@@ -124,6 +124,7 @@
 
   private static boolean isUrgent(Blackboard blackboard, MonotonicTime now) {
     return blackboard.observations(ServerUnreachable.class).findAny().isPresent()
+        || ColdServers.awaitsList(blackboard)
         || blackboard
             .observations(ZoneRequestReceived.class)
             .anyMatch(received -> received.request().urgent())
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -120,7 +120,7 @@
                 blackboard.get(EngineEntries.STORE_ERA),
                 knownVersions,
                 revision,
-                waitsForPrimary,
+                waitsForPrimary || ColdServers.awaitsList(blackboard),
                 List.of())));
   }
 
