--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -31,6 +31,7 @@
   private int connectionCount;
   private int maximumConnections = Integer.MAX_VALUE;
   private final Set<BackendServerId> ignoring = new HashSet<>();
+  private final Set<BackendServerId> crashed = new HashSet<>();
   private Function<Sent, Optional<Answer>> behaviour = FakeServers::succeed;
   private TermPosition position = TermPosition.of(3, 100);
   private Predicate<BackendStatement> carried = statement -> true;
@@ -109,8 +110,14 @@
     open.clear();
   }
 
-  /** Closes all connections to a server, as its crash does. */
-  public void cut(BackendServerId server) {
+  /** Lets a server that crashed accept connections again. */
+  public void start(BackendServerId server) {
+    crashed.remove(server);
+  }
+
+  /** Closes all connections to a server and refuses new ones, as its crash does. */
+  public void crash(BackendServerId server) {
+    crashed.add(server);
     List<BackendListener> closed =
         open.entrySet().stream()
             .filter(entry -> entry.getValue().equals(server))
@@ -163,6 +170,10 @@
       listener.refused(Failure.of(FailureCode.NO_CONNECTION_LEFT, server.id().value()));
       return connection;
     }
+    if (crashed.contains(server.id())) {
+      listener.closed("connection refused");
+      return connection;
+    }
     open.put(listener, server.id());
     if (ignoring.contains(server.id())) {
       return connection;
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayTest.java
@@ -70,6 +70,34 @@
             assertThat(fixture.entry(host, EngineEntries.CONFIGURATION).version()).isEqualTo(2));
   }
 
+  /** Guards against a list that the relay sends to all hosts again each time it reads it. */
+  @Test
+  void shouldNotSendTheListAgainWhileAColdTimeCountsDown() {
+    BackendServerId cold = BackendServerId.of("s2");
+    ServerEntry warm = fixture.entries.get(cold);
+    fixture.entries.put(cold, warm.withColdLeft(Duration.ofSeconds(20)));
+    fixture.run(Duration.ofSeconds(3));
+    long revision = revision(relay());
+    for (int left = 17; left > 0; left -= 2) {
+      fixture.entries.put(cold, warm.withColdLeft(Duration.ofSeconds(left)));
+      fixture.run(Duration.ofSeconds(2));
+    }
+    fixture.hosts.forEach(host -> assertThat(revision(host)).isEqualTo(revision));
+
+    fixture.entries.put(cold, warm);
+    fixture.run(Duration.ofSeconds(3));
+
+    assertThat(revision(relay())).isNotEqualTo(revision);
+    fixture.hosts.forEach(
+        host ->
+            assertThat(fixture.entry(host, EngineEntries.SERVERS).get(cold).reportsCold())
+                .isFalse());
+  }
+
+  private long revision(Engine host) {
+    return fixture.entry(host, EngineEntries.SERVER_LIST_VERSION).orElseThrow().revision();
+  }
+
   /** Guards against requests to a draining server later than 7 s after it announced draining. */
   @Test
   void shouldTellAllHostsThatAServerDrains() {
