Ask warm servers as often as before during a promotion

Cause: after a crash the dead primary counts as possibly cold, which spread the status requests to all servers of the group over half a second, and kept the server list urgent after its entry had expired.

Change: the pause holds only if a cold server is among those that are asked, and the list is urgent only for listed servers.

Test: ColdPrimaryTest, PromotionTest.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServers.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServers.java
@@ -92,10 +92,12 @@
         loss.server().id(), loss, (old, other) -> other.at().isBefore(old.at()) ? old : other);
   }
 
-  /** Returns whether the next server list may show that a server has not restarted, or has. */
+  /** Returns whether the next server list may show if a listed server has restarted. */
   static boolean awaitsList(Blackboard blackboard) {
+    Map<BackendServerId, ServerEntry> listed = blackboard.get(EngineEntries.SERVERS);
     return blackboard.get(EngineEntries.COLD_SERVERS).values().stream()
-        .anyMatch(server -> !server.isReported());
+        .filter(cold -> listed.containsKey(cold.server().id()))
+        .anyMatch(cold -> !cold.isReported());
   }
 
   /** Returns the servers that count as cold. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotedGroup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotedGroup.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -65,9 +66,9 @@
     return role.maySend(now) || !hasPart;
   }
 
-  /** Returns the pause between two status requests to a server. */
-  Duration statusPause(Blackboard blackboard, Duration usual) {
-    return coldServers(blackboard).isEmpty() ? usual : COLD_STATUS_PAUSE;
+  /** Returns the pause between two status requests to the same servers. */
+  Duration statusPause(Blackboard blackboard, Set<BackendServerId> asked, Duration usual) {
+    return Collections.disjoint(coldServers(blackboard), asked) ? usual : COLD_STATUS_PAUSE;
   }
 
   /** Returns the poll that has these answers. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -313,7 +313,7 @@
       default -> {
         statuses.clear();
         requestCount = 0;
-        nextStepAt = now.plus(group.statusPause(blackboard, RETRY_PAUSE));
+        nextStepAt = now.plus(group.statusPause(blackboard, poll.servers().keySet(), RETRY_PAUSE));
         if (lease.isTooOldToOrder(now)) {
           enter(Stage.TAKE_LEASE, now);
         }
@@ -358,7 +358,8 @@
       return;
     }
     blackboard.submit(new ReadServerStatus(target));
-    nextStepAt = now.plus(group.statusPause(blackboard, CONFIRMATION_INTERVAL));
+    nextStepAt =
+        now.plus(group.statusPause(blackboard, Set.of(target.id()), CONFIRMATION_INTERVAL));
   }
 
   private void record(Blackboard blackboard, MonotonicTime now) {
