--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ColdServerTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ColdServerTest.java
@@ -160,14 +160,40 @@
     transaction.then(WRITE);
     for (int i = 0; i < BOUND; i++) {
       others.send();
+      scenario.fixture.run(Duration.ofMillis(20));
     }
+    assertThat(others.caller.lastCode()).contains(FailureCode.OVERLOADED);
     transaction.then(new Statement.Commit("COMMIT"));
-    scenario.fixture.run(Duration.ofMillis(1200));
+    scenario.fixture.run(Duration.ofMillis(100));
+    assertThat(transaction.caller.answered()).as("answers before COMMIT").isEqualTo(2);
+    scenario.fixture.run(Duration.ofMillis(700));
 
     assertThat(transaction.caller.answered()).isEqualTo(3);
     assertThat(transaction.caller.lastCode()).isEmpty();
   }
 
+  /** Guards against statements, ROLLBACK among them, of transactions that began before. */
+  @Test
+  void shouldSendNothingMoreOfATransactionAtAHostWithoutAPart() {
+    ColdScenario scenario = ColdScenario.limited(4, 1);
+    Engine host = scenario.anyClient();
+    Load transaction = scenario.load(host, RouteKind.PRIMARY, new Statement.Begin(false));
+    transaction.send();
+    transaction.then(WRITE);
+    scenario.fixture.run(Duration.ofMillis(300));
+    assertThat(transaction.caller.succeeded()).isEqualTo(2);
+    scenario.reportColdLeft(PRIMARY, Duration.ofSeconds(20));
+    scenario.fixture.run(Duration.ofMillis(2500));
+    int before = scenario.requests(PRIMARY);
+
+    transaction.then(WRITE);
+    assertThat(transaction.caller.lastCode()).contains(FailureCode.OVERLOADED);
+    transaction.then(new Statement.Commit("COMMIT"));
+
+    assertThat(transaction.caller.lastCode()).contains(FailureCode.ABORTED);
+    assertThat(scenario.requests(PRIMARY)).isEqualTo(before);
+  }
+
   /** Guards against a change for deployments whose settings have no bounds. */
   @Test
   void shouldTreatColdServersLikeOthersWithoutBounds() {
