--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -8,6 +8,7 @@
 import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.internal.engine.control.ColdServerController;
 import org.persimmonwalk.internal.engine.control.EraSettlementController;
 import org.persimmonwalk.internal.engine.control.EvacuationController;
 import org.persimmonwalk.internal.engine.control.FleetSizeController;
@@ -24,6 +25,7 @@
 import org.persimmonwalk.internal.engine.control.VerificationController;
 import org.persimmonwalk.internal.engine.control.ZoneExchangeController;
 import org.persimmonwalk.internal.engine.traffic.Sessions;
+import org.persimmonwalk.internal.engine.traffic.StatusRequestGate;
 import org.persimmonwalk.internal.engine.traffic.TrafficContext;
 import org.persimmonwalk.internal.engine.traffic.TrafficMeter;
 import org.persimmonwalk.port.CommandExecutor;
@@ -65,6 +67,7 @@
             EraSettlementController.create(settings, log),
             ServerListController.create(settings.timings(), log),
             EvacuationController.create(settings, log, suspension),
+            ColdServerController.create(settings, log),
             PrimaryViewController.create(settings.timings(), log),
             SuspicionController.create(settings, log),
             PromotionController.create(settings, log, suspension),
@@ -73,7 +76,13 @@
             RateController.create(settings, log, suspension),
             TokenExchangeController.create(settings),
             ZoneExchangeController.create(settings, suspension));
-    ControlLoop loop = ControlLoop.of(controllers, executor, clock, sources.random());
+    StatusRequestGate gate = new StatusRequestGate(executor, scheduler);
+    ControlLoop loop =
+        ControlLoop.of(
+            controllers,
+            settings.coldBounds().isPresent() ? gate : executor,
+            clock,
+            sources.random());
     TrafficContext context =
         new TrafficContext(
             settings,
@@ -87,6 +96,7 @@
             meter,
             suspension);
     Sessions sessions = Sessions.create(context);
+    gate.connect(sessions, loop);
     loop.addListener(new TrafficNotifier(scheduler, sessions));
     return new Engine(loop, sessions);
   }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineSettings.java
@@ -20,6 +20,7 @@
  * @param bounds the times that are promised for the whole fleet
  * @param sessionLimits how much the sessions of the host may hold
  * @param strength how well the host is suited to be the relay; empty if that is not known
+ * @param coldBounds how many requests a cold server may get; empty if they are not limited
  */
 public record EngineSettings(
     EntryHostId host,
@@ -33,7 +34,8 @@
     Duration stopGrace,
     ServiceBounds bounds,
     SessionLimits sessionLimits,
-    Optional<HostStrength> strength) {
+    Optional<HostStrength> strength,
+    Optional<ColdBounds> coldBounds) {
 
   /** Makes the set immutable and checks that it has the host's own zone. */
   public EngineSettings {
@@ -43,6 +45,24 @@
     }
   }
 
+  /** Returns these settings with a limit for the requests to cold servers. */
+  public EngineSettings withColdBounds(ColdBounds cold) {
+    return new EngineSettings(
+        host,
+        zone,
+        zones,
+        peerEndpoint,
+        keyRevocation,
+        rateWindow,
+        rateOverage,
+        rateSlack,
+        stopGrace,
+        bounds,
+        sessionLimits,
+        strength,
+        Optional.of(cold));
+  }
+
   /** Returns the intervals and timeouts that follow from the bounds. */
   public EngineTimings timings() {
     return EngineTimings.of(bounds);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -180,8 +180,11 @@
       announcements.put(group, announcement);
     }
     // A promotion that finds no candidate would hold up those of other groups.
-    boolean hasCandidate = !new PromotedGroup(group).isWhollyEvacuated(blackboard);
-    if (hasCandidate && isDue(blackboard, row, announcement, now) && workflow.isIdle()) {
+    PromotedGroup replaced = new PromotedGroup(group);
+    boolean mayBegin =
+        !replaced.isWhollyEvacuated(blackboard)
+            && workflow.mayAskServers(blackboard, replaced, now);
+    if (mayBegin && isDue(blackboard, row, announcement, now) && workflow.isIdle()) {
       workflow.begin(group, row, stored.version(), now);
     }
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -142,6 +142,10 @@
       end("all servers are in evacuated zones");
       return;
     }
+    if (stage == Stage.POLL_STATUSES && !mayAskServers(blackboard, group, now)) {
+      end("only relays ask cold servers");
+      return;
+    }
     blackboard
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.transaction().tag().serial() == pendingSerial)
@@ -162,6 +166,10 @@
     stage = Stage.IDLE;
   }
 
+  boolean mayAskServers(Blackboard blackboard, PromotedGroup asked, MonotonicTime now) {
+    return asked.mayAskServers(blackboard, settings, suspension.lastResumedAt(), now);
+  }
+
   private static boolean isOwn(TransactionTag tag) {
     return Set.of(TAKE_LEASE_PURPOSE, ANNOUNCE_ORDER_PURPOSE, RECORD_PURPOSE)
         .contains(tag.purpose());
@@ -281,11 +289,7 @@
       nextStepAt = now.plus(Duration.ofMillis(1));
       return;
     }
-    decide(
-        blackboard,
-        StatusPoll.of(
-            listed, lapsed, statuses, leadership.server(), group.record(blackboard).term()),
-        now);
+    decide(blackboard, group.poll(blackboard, listed, lapsed, statuses, leadership.server()), now);
   }
 
   private void decide(Blackboard blackboard, StatusPoll poll, MonotonicTime now) {
@@ -318,7 +322,7 @@
       default -> {
         statuses.clear();
         requestCount = 0;
-        nextStepAt = now.plus(RETRY_PAUSE);
+        nextStepAt = now.plus(group.statusPause(blackboard, poll.servers().keySet(), RETRY_PAUSE));
         if (lease.isTooOldToOrder(now)) {
           enter(Stage.TAKE_LEASE, now);
         }
@@ -363,7 +367,8 @@
       return;
     }
     blackboard.submit(new ReadServerStatus(target));
-    nextStepAt = now.plus(CONFIRMATION_INTERVAL);
+    nextStepAt =
+        now.plus(group.statusPause(blackboard, Set.of(target.id()), CONFIRMATION_INTERVAL));
   }
 
   private void record(Blackboard blackboard, MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -110,7 +110,7 @@
   }
 
   private Optional<Target> choose() {
-    Optional<ServerEntry> primary = context.primary(request.group());
+    Optional<ServerEntry> primary = context.primary(request.group()).filter(this::isAdmittedIfCold);
     if (request.needsPrimary()) {
       return primary.flatMap(entry -> target(entry, true));
     }
@@ -157,6 +157,16 @@
         : !context.isEvacuated(server);
   }
 
+  /** Returns whether this host may send to the server; a cold one gets requests of relays only. */
+  private boolean isAdmittedIfCold(ServerEntry server) {
+    boolean admitted = pools.coldServers().hasPart(server);
+    if (!admitted && request.needsPrimary()) {
+      pools.coldServers().recordKept(server);
+      lastFailure = ColdServerGate.NOT_ADMITTED;
+    }
+    return admitted;
+  }
+
   private void use(PooledConnection free, Target target) {
     if (finished) {
       free.release();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.TrafficScheduler;
+import org.persimmonwalk.engine.control.ColdBudget;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
@@ -104,6 +105,14 @@
     return entry(EngineEntries.EVACUATIONS).isPastDeadline(server, now());
   }
 
+  /** Returns what decides whether this host may send to cold servers. */
+  ColdBudget.Role coldRole() {
+    return new ColdBudget.Role(
+        entry(EngineEntries.RELAYING_SINCE),
+        entry(EngineEntries.VERIFIED_AT),
+        suspension.lastResumedAt());
+  }
+
   private boolean verifiedWithin(Duration age) {
     return isWithin(EngineEntries.VERIFIED_AT, age);
   }
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineSettingsFixture.java
@@ -73,6 +73,7 @@
         Duration.ofSeconds(6),
         bounds,
         SessionLimits.of(HEAP_BYTES),
-        strength);
+        strength,
+        Optional.empty());
   }
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayStrengthTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/RelayStrengthTest.java
@@ -25,7 +25,7 @@
   private static final HostStrength WEAK = HostStrength.of(0.25, 10);
 
   private static EngineFixture fixture(int firstStrong, int lastStrong) {
-    return new EngineFixture(
+    return EngineFixture.ofStrengths(
         HOSTS,
         ZONES,
         EngineSettingsFixture.USUAL_BOUNDS,
