Admit operations inside a limit that was just lowered

Cause: lenders kept the tokens of the higher limit, so those of some zones held more than the new capacity and the bucket stayed empty for the others. Their demand average of the seconds before then exceeded the new limit, and operations were refused as over the rate.

Change: a lender returns what it holds beyond 1.25 times its need to the bucket with its next write. A workspace counts as over its limit only if the other lenders hold less than a second of it.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -199,8 +199,18 @@
 
   /** Limits the bucket so that it fits into the capacity together with all tokens held by hosts. */
   RateRow capped(double capacity, long own) {
-    long held = holdings.values().stream().mapToLong(Holding::tokens).sum() + own;
-    return new RateRow(Math.max(0, Math.min(tokens, capacity - held)), atMillis, holdings);
+    return new RateRow(
+        Math.max(0, Math.min(tokens, capacity - heldByAll() - own)), atMillis, holdings);
+  }
+
+  /** Returns the sum of the tokens that holders have recorded. */
+  long heldByAll() {
+    return holdings.values().stream().mapToLong(Holding::tokens).sum();
+  }
+
+  /** Returns the row with tokens that a holder gives back. */
+  RateRow withReturned(long returned) {
+    return new RateRow(tokens + returned, atMillis, holdings);
   }
 
   /** Returns the row after a holder has taken further tokens. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -27,6 +27,9 @@
   /** Tokens are taken from the store when less than this part of the target is left. */
   private static final double REFILL_THRESHOLD = 0.8;
 
+  /** A pool returns what it holds beyond this multiple of what it needs; demand varies. */
+  private static final double EXCESS = 1.25;
+
   /** A host without a request for this long has no sessions of the workspace any more. */
   private static final Duration PRESENCE_TIMEOUT = Duration.ofMillis(3000);
 
@@ -57,6 +60,7 @@
 
   private final Map<EntryHostId, Loan> loans = new TreeMap<>();
   private long available;
+  private long returned;
   private long minimumHeld;
   private long inherited;
   private boolean hasTaken;
@@ -119,6 +123,7 @@
     if (!now.isBefore(validUntil) || takenAt.isBefore(resumedAt)) {
       dropped = available;
       available = 0;
+      returned = 0;
     }
     if (takenAt.isBefore(resumedAt)) {
       loans.clear();
@@ -208,13 +213,35 @@
         (long) Math.ceil(demand * SECONDS_BETWEEN_CALLS) + hostTargets);
   }
 
+  /** Sets how many tokens to hold in total even without demand. */
+  void setMinimumHeld(long tokens) {
+    minimumHeld = tokens;
+  }
+
   /**
-   * Returns how many tokens to take from the store.
-   *
-   * @param newMinimumHeld how many tokens to hold in total even without demand
+   * Takes tokens out of the pool that are more than it needs, to be added to the bucket by the next
+   * write. After a limit was lowered, the pools of some zones held more than the new capacity, and
+   * others got none for seconds.
    */
-  long wanted(long newMinimumHeld, MonotonicTime now) {
-    minimumHeld = newMinimumHeld;
+  void returnExcess(MonotonicTime now) {
+    long needed = (long) Math.ceil(Math.max(target(now), minimumHeld) * EXCESS);
+    long excess = Math.max(0, Math.min(available, held() - needed));
+    available -= excess;
+    returned += excess;
+  }
+
+  /** Returns the tokens taken out of the pool that the row still records as held. */
+  long returned() {
+    return returned;
+  }
+
+  /** Called when a write may have returned them, or has. */
+  void forgetReturned() {
+    returned = 0;
+  }
+
+  /** Returns how many tokens to take from the store. */
+  long wanted(MonotonicTime now) {
     long missing = Math.max(target(now), minimumHeld) - held();
     long forWaiting =
         hasUnmetRequest && available == 0 ? 1 + hosts(now) + Math.round(demand(now)) : 0;
@@ -237,6 +264,7 @@
    */
   void grant(long tokens, boolean tokensAreScarce, MonotonicTime startedAt, Duration validity) {
     available += tokens;
+    returned = 0;
     hasTaken = true;
     scarce = tokensAreScarce;
     hasUnmetRequest = false;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -142,6 +142,7 @@
       startedAt = Optional.of(now);
     }
     if (inFlight != null && now.since(inFlight.startedAt()).compareTo(LOST_ANSWER_TIMEOUT) > 0) {
+      inFlight.acquisitions().keySet().forEach(workspace -> pools.get(workspace).forgetReturned());
       inFlight = null;
     }
     if (inFlight != null) {
@@ -247,18 +248,23 @@
       logIfUnreadable(blackboard, workspace, storeMillis);
     }
     updateInherited(pool, stored, now);
+    RateRow refilled = stored.refilled(limit, settings, settings.host(), storeMillis);
+    int activeHolders = 1 + refilled.activeHolders();
+    pool.setMinimumHeld((long) (capacity * RESERVED_PART / activeHolders));
+    pool.returnExcess(now);
     long held = pool.held() + pool.inherited();
-    RateRow row =
-        stored.refilled(limit, settings, settings.host(), storeMillis).capped(capacity, held);
+    RateRow row = refilled.withReturned(pool.returned()).capped(capacity, held);
     long available = (long) Math.floor(row.tokens());
-    int activeHolders = 1 + row.activeHolders();
-    long wanted = pool.wanted((long) (capacity * RESERVED_PART / activeHolders), now);
+    long wanted = pool.wanted(now);
     double demand = pool.demand(now);
     double allDemand = row.demand(storeMillis) + demand;
     double share = allDemand > 0 ? demand / allDemand : 1.0 / activeHolders;
     long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
     long taken = Math.min(wanted, Math.min(available, fair));
-    boolean scarce = available < wanted && allDemand > limit.perSecond();
+    // Tokens that other holders have in stock show that the demand is not over the limit: the
+    // average demand is that of several seconds, and the limit may have just been lowered.
+    boolean scarce =
+        available < wanted && allDemand > limit.perSecond() && row.heldByAll() <= limit.perSecond();
     RateRow after =
         row.taken(
             settings.host(),
@@ -313,6 +319,7 @@
       return;
     }
     if (answer.result() != TransactionResult.APPLIED) {
+      ended.acquisitions().keySet().forEach(workspace -> pools.get(workspace).forgetReturned());
       pausedUntil = now.plus(VerificationController.FAILURE_PAUSE);
     } else {
       ended
