Choose shared servers by two weighted draws and eject those that fail again

Cause: ServerChoice took the least expected time of the host's own samples, so hosts chose alike. In SharedServersTest (12 hosts, 9 slots) all 1,200 reads went to the primary, because a workspace that had read there once, for a position, had a connection to it and to no replica. A server that failed was tried again every 250 ms for as long as it failed.

Change: where the fleet has more hosts than the group's servers have slots, two servers are drawn by slots and measured speed, and the second is taken if it starts the statement sooner. A server with an idle connection of the workspace is kept unless another one is expected to answer sooner although a connection has to be opened, or in one choice of 100; a connection to the primary alone keeps no reads there. ServerEjection leaves a server out for 250 ms to 8 s and lets it return by slow start, at most half of the usable servers of a group at once. A read that failed is evidence against a server only if another server could run it. Elsewhere LeastExpectedTime chooses as before.

ServerChoiceTest is renamed to LeastExpectedTimeTest, with the same assertions. Tests: WeightedTwoChoicesTest, ServerEjectionTest, SharedServersTest; all engine tests passed.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -77,6 +77,7 @@
             settings,
             settings.timings(),
             clock,
+            sources.random(),
             scheduler,
             connector,
             loop::snapshot,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
@@ -109,6 +109,11 @@
     return now.isBefore(backoffUntil);
   }
 
+  /** Returns how long the server is still in backoff; zero if it is not. */
+  Duration backoffLeft(MonotonicTime now) {
+    return isBackingOff(now) ? backoffUntil.since(now) : Duration.ZERO;
+  }
+
   boolean isUnreachable(MonotonicTime now) {
     boolean unanswered =
         unansweredSince != null && now.since(unansweredSince).compareTo(RESPONSE_TIMEOUT) >= 0;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -41,6 +42,7 @@
   private final TrafficContext context;
   private final ServerEntry server;
   private final ServerHealth health;
+  private final ServerEjection ejection;
   private final PoolListener listener;
   private final List<PooledConnection> connections = new ArrayList<>();
   private final List<PooledConnection> idle = new ArrayList<>();
@@ -51,11 +53,13 @@
               .thenComparingLong(ConnectionRequest::sequence));
   private long sequence;
 
-  ServerPool(TrafficContext context, ServerEntry server, PoolListener listener) {
+  ServerPool(
+      TrafficContext context, ServerEntry server, ServerEjection ejection, PoolListener listener) {
     this.context = context;
     this.server = server;
     this.listener = listener;
     this.health = new ServerHealth(context.now());
+    this.ejection = ejection;
   }
 
   TrafficContext context() {
@@ -70,12 +74,26 @@
     return health;
   }
 
+  ServerEjection ejection() {
+    return ejection;
+  }
+
   int outstanding() {
     return connections.size() - idle.size() + queue.size();
   }
 
   boolean hasIdle(WorkspaceId workspace) {
-    return idle.stream().anyMatch(connection -> connection.workspace().equals(workspace));
+    for (PooledConnection connection : idle) {
+      if (connection.workspace().equals(workspace)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns whether a connection can be opened without closing an idle one. */
+  boolean hasSpareConnection() {
+    return connections.size() < connectionLimit();
   }
 
   boolean hasRoom() {
@@ -211,6 +229,28 @@
     refuseQueued(failure);
   }
 
+  /** Records a statement that the server answered with success. */
+  void recordSuccess(MonotonicTime sentAt, MonotonicTime now) {
+    health.recordLatency(now.since(sentAt), now);
+    ejection.recordSuccess(sentAt, now);
+  }
+
+  /** Records a statement that the server failed although another server could run it. */
+  void recordFailure(MonotonicTime sentAt) {
+    eject(sentAt, "a read failed that another server answered");
+  }
+
+  /** Records a statement whose answer never came. */
+  void recordLoss(String reason) {
+    eject(context.now(), reason);
+  }
+
+  private void eject(MonotonicTime sentAt, String reason) {
+    if (listener.isShared(server.group())) {
+      ejection.recordFailure(sentAt, context.now(), reason);
+    }
+  }
+
   void answerReceived() {
     health.recordResponse();
   }
@@ -220,6 +260,7 @@
     idle.remove(connection);
     if (!connection.wasEverOpen()) {
       health.recordConnectionFailure(context.now());
+      eject(connection.openedAt(), "no connection: " + reason);
       refuseQueued(Failure.of(FailureCode.OVERLOADED, "the server cannot be reached: " + reason));
     }
     context
@@ -305,7 +346,7 @@
     return connections.isEmpty();
   }
 
-  /** Receives the log positions that servers return, and numbers the connections. */
+  /** What a pool needs of the other pools of the host. */
   interface PoolListener {
 
     /** A server returned its position in the answer to a request sent at the given time. */
@@ -313,5 +354,8 @@
 
     /** Returns a number that no connection of this host has had. */
     long nextConnectionNumber();
+
+    /** Returns whether several hosts share each slot of the group's servers. */
+    boolean isShared(DatabaseGroupId group);
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.internal.engine.traffic;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,12 +21,39 @@
   private final TrafficContext context;
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
+  private final Map<BackendServerId, ServerEjection> ejections = new HashMap<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
   private final Map<DatabaseGroupId, KnownPrimary> primaries = new HashMap<>();
+  private final ServerChoice leastExpectedTime = new LeastExpectedTime();
+  private final ServerChoice twoChoices;
   private long connectionCount;
 
   ServerPools(TrafficContext context) {
     this.context = context;
+    this.twoChoices = WeightedTwoChoices.create(context.random());
+  }
+
+  /** Chooses the server for a read, except those given; empty if none can be used. */
+  Optional<ServerChoice.Candidate> choose(
+      DatabaseGroupId group, WorkspaceId workspace, Set<BackendServerId> except) {
+    ServerChoice choice = isShared(group) ? twoChoices : leastExpectedTime;
+    return choice.choose(candidates(group, workspace, except));
+  }
+
+  /**
+   * Returns whether several hosts share each slot of the group's servers: the fleet is known to
+   * have more hosts than these have slots together.
+   */
+  @Override
+  public boolean isShared(DatabaseGroupId group) {
+    int fleetSize = context.entry(EngineEntries.FLEET_SIZE);
+    long slots = 0;
+    for (ServerEntry entry : context.entry(EngineEntries.SERVERS).values()) {
+      if (entry.group().equals(group)) {
+        slots += entry.slots();
+      }
+    }
+    return fleetSize > slots;
   }
 
   PositionHistory history(DatabaseGroupId group) {
@@ -40,7 +68,10 @@
     if (pool != null) {
       pool.close("the server was restarted");
     }
-    ServerPool created = new ServerPool(context, entry, this);
+    // Survives a restart of the server, so that one that goes down and up stays out for longer.
+    ServerEjection ejection =
+        ejections.computeIfAbsent(entry.id(), id -> new ServerEjection(id, context.log()));
+    ServerPool created = new ServerPool(context, entry, ejection, this);
     pools.put(entry.id(), created);
     return created;
   }
@@ -53,6 +84,7 @@
       DatabaseGroupId group, WorkspaceId workspace, Set<BackendServerId> except) {
     MonotonicTime now = context.now();
     Optional<ServerEntry> primary = context.primary(group);
+    boolean isShared = isShared(group);
     List<ServerChoice.Candidate> candidates = new ArrayList<>();
     for (ServerEntry entry : context.entry(EngineEntries.SERVERS).values()) {
       boolean isPrimary = primary.filter(entry::sameProcess).isPresent();
@@ -63,22 +95,53 @@
           || except.contains(entry.id())) {
         continue;
       }
-      ServerPool pool = pool(entry);
-      ServerHealth health = pool.health();
-      candidates.add(
-          new ServerChoice.Candidate(
-              pool,
-              !health.isUnreachable(now) && !health.isBackingOff(now),
-              isPrimary,
-              entry.zone().equals(context.settings().zone()),
-              pool.hasIdle(workspace),
-              health.isBehind(now),
-              health.latencyMillis(now),
-              pool.outstanding()));
+      candidates.add(candidate(entry, isPrimary, isShared, workspace, now));
     }
     return candidates;
   }
 
+  private ServerChoice.Candidate candidate(
+      ServerEntry entry,
+      boolean isPrimary,
+      boolean isShared,
+      WorkspaceId workspace,
+      MonotonicTime now) {
+    ServerPool pool = pool(entry);
+    ServerHealth health = pool.health();
+    ServerEjection ejection = pool.ejection();
+    boolean connected = pool.hasIdle(workspace);
+    int outstanding = pool.outstanding();
+    Duration backoffLeft = health.backoffLeft(now);
+    boolean usable = !health.isUnreachable(now) && backoffLeft.isZero();
+    Duration ejectedFor = Duration.ZERO;
+    if (isShared) {
+      // In backoff no connection is opened, but those that are there can be used.
+      usable =
+          !health.isUnreachable(now)
+              && (connected || backoffLeft.isZero())
+              && ejection.admits(outstanding);
+      ejectedFor = ejection.left(now);
+      if (ejectedFor.compareTo(backoffLeft) < 0) {
+        ejectedFor = backoffLeft;
+      }
+    }
+    return new ServerChoice.Candidate(
+        pool,
+        usable,
+        isPrimary,
+        entry.zone().equals(context.settings().zone()),
+        connected,
+        pool.hasSpareConnection(),
+        health.isBehind(now),
+        entry.slots(),
+        health.latencyMillis(now),
+        outstanding,
+        0,
+        0,
+        isShared ? ejection.share() : 1,
+        ejectedFor);
+  }
+
   /**
    * Records the position only if the server was the primary when the request was sent: a server
    * that answered before its promotion may have lacked acknowledged commits.
@@ -106,6 +169,10 @@
    */
   void onSnapshotChanged() {
     Map<BackendServerId, ServerEntry> listed = context.entry(EngineEntries.SERVERS);
+    MonotonicTime now = context.now();
+    ejections
+        .entrySet()
+        .removeIf(known -> !listed.containsKey(known.getKey()) && known.getValue().isOver(now));
     pools
         .values()
         .removeIf(
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -43,6 +42,7 @@
   private final MonotonicTime waitUntil;
   private final MonotonicTime deadline;
   private final Set<BackendServerId> tried = new HashSet<>();
+  private final FailedReads failedReads = new FailedReads();
   private Failure lastFailure =
       Failure.of(FailureCode.OVERLOADED, "no server of the database can be used at present");
   private PooledConnection connection;
@@ -118,9 +118,8 @@
         pools.history(request.group()).oldestWithin(request.staleness(), context.now());
     if (sample.isPresent() && !tooLongWithPosition) {
       TermPosition minimumPosition = sample.get().max(request.minimumPosition());
-      List<ServerChoice.Candidate> candidates =
-          pools.candidates(request.group(), request.workspace(), tried);
-      Optional<ServerChoice.Candidate> best = ServerChoice.best(candidates);
+      Optional<ServerChoice.Candidate> best =
+          pools.choose(request.group(), request.workspace(), tried);
       if (best.isPresent()) {
         boolean isPrimary = best.get().primary();
         return Optional.of(
@@ -208,7 +207,8 @@
       return;
     }
     if (answer.succeeded()) {
-      used.pool().health().recordLatency(now.since(sentAt), now);
+      used.pool().recordSuccess(sentAt, now);
+      failedReads.succeededElsewhere();
       if (onPrimary) {
         answer
             .position()
@@ -224,6 +224,7 @@
     boolean failedRead = code == FailureCode.FAILED && !request.writes();
     if (failedRead) {
       used.pool().health().recordReadFailure(now);
+      failedReads.add(used.pool(), sentAt);
     }
     boolean repeatable =
         code.guaranteesNoEffect() || code == FailureCode.UNKNOWN_NAME || failedRead;
@@ -246,6 +247,7 @@
     if (finished) {
       return;
     }
+    used.pool().recordLoss(reason);
     if (request.writes()) {
       fail(FailureCode.OUTCOME_UNKNOWN, "the connection to the primary ended: " + reason);
     } else {
@@ -292,6 +294,9 @@
     if (connection != null) {
       PooledConnection abandoned = connection;
       connection = null;
+      if (running && !request.writes()) {
+        abandoned.pool().recordLoss("a read got no answer in time");
+      }
       finishTimeOut(running);
       abandoned.discard();
       return;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -19,6 +19,7 @@
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.port.MonotonicClock;
+import org.persimmonwalk.port.RandomSource;
 
 /**
  * Dependencies that the classes of the traffic thread share, and the checks on how recently the
@@ -28,6 +29,7 @@
     EngineSettings settings,
     EngineTimings timings,
     MonotonicClock clock,
+    RandomSource random,
     TrafficScheduler scheduler,
     BackendConnector connector,
     Supplier<Snapshot> snapshot,
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ServerChoiceTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/LeastExpectedTimeTest.java
@@ -2,15 +2,30 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class ServerChoiceTest {
+class LeastExpectedTimeTest {
+  private final ServerChoice choice = new LeastExpectedTime();
 
   private static ServerChoice.Candidate candidate(
       boolean usable, boolean primary, boolean connected, double latency, int outstanding) {
     return new ServerChoice.Candidate(
-        null, usable, primary, true, connected, false, latency, outstanding);
+        null,
+        usable,
+        primary,
+        true,
+        connected,
+        true,
+        false,
+        3,
+        latency,
+        outstanding,
+        0,
+        0,
+        1,
+        Duration.ZERO);
   }
 
   @Test
@@ -19,7 +34,7 @@
     ServerChoice.Candidate busy = candidate(true, false, true, 20, 3);
     ServerChoice.Candidate free = candidate(true, false, true, 20, 0);
 
-    assertThat(ServerChoice.best(List.of(slow, busy, free))).contains(free);
+    assertThat(choice.choose(List.of(slow, busy, free))).contains(free);
   }
 
   /** Guards against opening a connection for each statement of a workspace. */
@@ -28,7 +43,7 @@
     ServerChoice.Candidate connected = candidate(true, false, true, 40, 0);
     ServerChoice.Candidate fresh = candidate(true, false, false, 15, 0);
 
-    assertThat(ServerChoice.best(List.of(connected, fresh))).contains(connected);
+    assertThat(choice.choose(List.of(connected, fresh))).contains(connected);
   }
 
   /** Guards against reads that load the primary while a replica is about as fast. */
@@ -37,11 +52,11 @@
     ServerChoice.Candidate primary = candidate(true, true, true, 18, 0);
     ServerChoice.Candidate replica = candidate(true, false, true, 20, 0);
 
-    assertThat(ServerChoice.best(List.of(primary, replica))).contains(replica);
+    assertThat(choice.choose(List.of(primary, replica))).contains(replica);
   }
 
   @Test
   void shouldNotChooseAnUnusableServer() {
-    assertThat(ServerChoice.best(List.of(candidate(false, false, true, 1, 0)))).isEmpty();
+    assertThat(choice.choose(List.of(candidate(false, false, true, 1, 0)))).isEmpty();
   }
 }
