Sum the loads of servers over a zone and use them in the choice of server

Cause: a host of a large fleet sends a server about one read in three seconds, so its own samples tell neither a slow server nor one that others overload.

Change: the traffic thread reports the shared servers that it used, the regular request to the relay carries the report once, ServerLoadController sums the last second and the reply carries the sums with their age. The choice blends the zone's mean latency with its own, counts work of other hosts beyond the slots, and draws a server that gets less than its part more often. Sums older than 1.5 s are not used, so without a relay only the host's own samples count. Metric server.load.busiest-to-mean.

Tests: ServerLoadSumsTest, ServerLoadExchangeTest, ZoneExchangeTest and ZoneCodecFuzzTest with loads.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -16,6 +16,7 @@
 import org.persimmonwalk.internal.engine.control.RateController;
 import org.persimmonwalk.internal.engine.control.RelayController;
 import org.persimmonwalk.internal.engine.control.ServerListController;
+import org.persimmonwalk.internal.engine.control.ServerLoadController;
 import org.persimmonwalk.internal.engine.control.StopController;
 import org.persimmonwalk.internal.engine.control.StoreEraController;
 import org.persimmonwalk.internal.engine.control.SuspicionController;
@@ -70,6 +71,7 @@
             LenderController.create(settings, log),
             RateController.create(settings, log, suspension),
             TokenExchangeController.create(settings),
+            ServerLoadController.create(settings),
             ZoneExchangeController.create(settings, suspension));
     ControlLoop loop = ControlLoop.of(controllers, executor, clock, sources.random());
     TrafficContext context =
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -101,6 +101,13 @@
   public static final EntryKey<Optional<ServerListVersion>> SERVER_LIST_VERSION =
       EntryKey.of("server list version", Optional.empty());
 
+  /** What this host has seen of the servers that it used lately; sent to the relay once. */
+  public static final EntryKey<ServerLoads> OWN_LOADS = EntryKey.of("own loads", ServerLoads.NONE);
+
+  /** What the hosts of the zone together have seen of the servers lately. */
+  public static final EntryKey<ServerLoads> ZONE_LOADS =
+      EntryKey.of("zone loads", ServerLoads.NONE);
+
   /** Whether this host has been asked to stop. */
   public static final EntryKey<Boolean> STOPPING = EntryKey.of("stopping", false);
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
@@ -19,6 +19,7 @@
  * @param configuration the configuration, if it is newer at the relay
  * @param loans the tokens lent to a host of an older build, which asks for them here
  * @param fleetSize the number of running entry hosts of all zones; 0 while it is unknown
+ * @param loads what the hosts of the zone together have seen of the servers lately
  */
 public record ZoneReply(
     boolean isRelay,
@@ -30,7 +31,8 @@
     Optional<RoutingConfiguration> configuration,
     Optional<ServerList> servers,
     List<TokenLoan> loans,
-    int fleetSize) {
+    int fleetSize,
+    ServerLoadReport loads) {
 
   /** Makes the collections immutable. */
   public ZoneReply {
@@ -50,7 +52,8 @@
         Optional.empty(),
         Optional.empty(),
         loans,
-        fleetSize);
+        fleetSize,
+        loads);
   }
 
   /** Returns the reply of a host that isn't the relay. */
@@ -65,6 +68,7 @@
         Optional.empty(),
         Optional.empty(),
         List.of(),
-        0);
+        0,
+        ServerLoadReport.NONE);
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
@@ -14,6 +14,7 @@
  * @param urgent whether it waits for a change, such as a new primary
  * @param tokenRequests the tokens that a host of an older build requests; others send {@link
  *     SendTokenRequests}
+ * @param loads what the requesting host has seen of the servers that it used lately
  */
 public record ZoneRequest(
     EntryHostId from,
@@ -21,7 +22,8 @@
     Map<RowKey, StoreVersion> knownVersions,
     long serverListRevision,
     boolean urgent,
-    List<TokenRequest> tokenRequests) {
+    List<TokenRequest> tokenRequests,
+    ServerLoadReport loads) {
 
   /** Makes the collections immutable. */
   public ZoneRequest {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -19,6 +19,8 @@
 import org.persimmonwalk.engine.control.SendZoneRequest;
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.ServerListVersion;
+import org.persimmonwalk.engine.control.ServerLoadReport;
+import org.persimmonwalk.engine.control.ServerLoads;
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
@@ -51,6 +53,7 @@
   private boolean inFlight;
   private MonotonicTime requestSentAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private Optional<RelayHost> lastRelay = Optional.empty();
+  private MonotonicTime sentLoadsEndedAt = ServerLoads.NONE.endedAt();
 
   private ZoneExchangeController(EngineSettings settings, SuspensionDetector suspension) {
     this.settings = settings;
@@ -121,7 +124,24 @@
                 knownVersions,
                 revision,
                 waitsForPrimary,
-                List.of())));
+                List.of(),
+                unsentLoads(blackboard, now))));
+  }
+
+  /** Returns the newest loads of this host, once: the relay would count them twice. */
+  private ServerLoadReport unsentLoads(Blackboard blackboard, MonotonicTime now) {
+    ServerLoads loads = blackboard.get(EngineEntries.OWN_LOADS);
+    if (!loads.endedAt().isAfter(sentLoadsEndedAt)) {
+      return ServerLoadReport.NONE;
+    }
+    sentLoadsEndedAt = loads.endedAt();
+    return report(loads, now);
+  }
+
+  private static ServerLoadReport report(ServerLoads loads, MonotonicTime now) {
+    return loads.loads().isEmpty()
+        ? ServerLoadReport.NONE
+        : ServerLoadReport.of(now.since(loads.endedAt()), loads.loads().values());
   }
 
   private static boolean waitsForPrimary(Blackboard blackboard, MonotonicTime now) {
@@ -155,7 +175,8 @@
         hasNewerConfiguration ? Optional.of(configuration) : Optional.empty(),
         servers(blackboard, request, now),
         blackboard.get(EngineEntries.TOKEN_LOANS).getOrDefault(received.exchangeId(), List.of()),
-        blackboard.get(EngineEntries.FLEET_SIZE));
+        blackboard.get(EngineEntries.FLEET_SIZE),
+        report(blackboard.get(EngineEntries.ZONE_LOADS), now));
   }
 
   private Map<RowKey, StoredRow> newerRows(Blackboard blackboard, ZoneRequest request) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -43,6 +43,7 @@
   private final ServerEntry server;
   private final ServerHealth health;
   private final ServerEjection ejection;
+  private final LoadCounter load = new LoadCounter();
   private final PoolListener listener;
   private final List<PooledConnection> connections = new ArrayList<>();
   private final List<PooledConnection> idle = new ArrayList<>();
@@ -74,6 +75,15 @@
     return health;
   }
 
+  /** Returns whether several hosts share each slot of the group's servers. */
+  boolean isShared() {
+    return listener.isShared(server.group());
+  }
+
+  LoadCounter load() {
+    return load;
+  }
+
   ServerEjection ejection() {
     return ejection;
   }
@@ -231,7 +241,9 @@
 
   /** Records a statement that the server answered with success. */
   void recordSuccess(MonotonicTime sentAt, MonotonicTime now) {
-    health.recordLatency(now.since(sentAt), now);
+    Duration latency = now.since(sentAt);
+    health.recordLatency(latency, now);
+    load.recordAnswer(latency);
     ejection.recordSuccess(sentAt, now);
   }
 
@@ -246,7 +258,8 @@
   }
 
   private void eject(MonotonicTime sentAt, String reason) {
-    if (listener.isShared(server.group())) {
+    load.recordFailure();
+    if (isShared()) {
       ejection.recordFailure(sentAt, context.now(), reason);
     }
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -10,6 +10,7 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.ServerLoad;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
@@ -18,6 +19,9 @@
 
 /** The connection pools of all backend servers, and the position history of each database group. */
 final class ServerPools implements ServerPool.PoolListener {
+  /** A server that fails all requests of the zone still gets a few, which tell when it recovers. */
+  private static final double SMALLEST_SHARE = 0.1;
+
   private final TrafficContext context;
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
@@ -26,11 +30,13 @@
   private final Map<DatabaseGroupId, KnownPrimary> primaries = new HashMap<>();
   private final ServerChoice leastExpectedTime = new LeastExpectedTime();
   private final ServerChoice twoChoices;
+  private final LoadReporter loadReporter;
   private long connectionCount;
 
   ServerPools(TrafficContext context) {
     this.context = context;
     this.twoChoices = WeightedTwoChoices.create(context.random());
+    this.loadReporter = new LoadReporter(context);
   }
 
   /** Chooses the server for a read, except those given; empty if none can be used. */
@@ -108,18 +114,26 @@
       MonotonicTime now) {
     ServerPool pool = pool(entry);
     ServerHealth health = pool.health();
-    ServerEjection ejection = pool.ejection();
     boolean connected = pool.hasIdle(workspace);
-    int outstanding = pool.outstanding();
     Duration backoffLeft = health.backoffLeft(now);
     boolean usable = !health.isUnreachable(now) && backoffLeft.isZero();
+    double latencyMillis = health.latencyMillis(now);
+    double outstandingElsewhere = 0;
+    double reportedAnswers = 0;
+    double share = 1;
     Duration ejectedFor = Duration.ZERO;
     if (isShared) {
+      ServerEjection ejection = pool.ejection();
+      ServerLoad load = context.entry(EngineEntries.ZONE_LOADS).usableAt(now).of(entry.id());
       // In backoff no connection is opened, but those that are there can be used.
       usable =
           !health.isUnreachable(now)
               && (connected || backoffLeft.isZero())
-              && ejection.admits(outstanding);
+              && ejection.admits(pool.outstanding());
+      latencyMillis = ZoneLatency.blend(latencyMillis, load.meanLatencyMillis(), load.answers());
+      outstandingElsewhere = outstandingElsewhere(load, pool);
+      reportedAnswers = load.answers();
+      share = ejection.share() * Math.max(SMALLEST_SHARE, load.successRate());
       ejectedFor = ejection.left(now);
       if (ejectedFor.compareTo(backoffLeft) < 0) {
         ejectedFor = backoffLeft;
@@ -134,14 +148,20 @@
         pool.hasSpareConnection(),
         health.isBehind(now),
         entry.slots(),
-        health.latencyMillis(now),
-        outstanding,
-        0,
-        0,
-        isShared ? ejection.share() : 1,
+        latencyMillis,
+        pool.outstanding(),
+        outstandingElsewhere,
+        reportedAnswers,
+        share,
         ejectedFor);
   }
 
+  /** Estimates the work of all other hosts: the other zones are taken to be like the own one. */
+  private double outstandingElsewhere(ServerLoad load, ServerPool pool) {
+    int zones = context.settings().zones().size();
+    return Math.max(0, (double) load.outstanding() * zones - pool.outstanding());
+  }
+
   /**
    * Records the position only if the server was the primary when the request was sent: a server
    * that answered before its promotion may have lacked acknowledged commits.
@@ -215,6 +235,7 @@
               pool.tick(now);
             });
     retired.removeIf(ServerPool::isEmpty);
+    loadReporter.tick(pools.values(), now);
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficMeter.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficMeter.java
@@ -12,4 +12,7 @@
 
   /** Records a duration, for example {@code statement.latency}. */
   void time(String event, Duration duration);
+
+  /** Sets the present value of a measure, for example {@code server.load.busiest-to-mean}. */
+  default void gauge(String measure, double value) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -194,6 +194,7 @@
       return;
     }
     if (answer.succeeded()) {
+      connection.pool().load().recordAnswer(lastUsed.since(pending.startedAt));
       answer
           .position()
           .ifPresent(
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/WeightedTwoChoices.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/WeightedTwoChoices.java
@@ -19,6 +19,9 @@
   /** How finely a draw resolves the weights. */
   private static final int DRAW_STEPS = 1 << 20;
 
+  /** Shorter latencies differ by the network and the clock rather than by the server. */
+  private static final double SHORTEST_SERVICE_MILLIS = 5;
+
   /**
    * The part of the weight that a server keeps if a new connection to it would close the idle one
    * of another workspace, which that workspace would have to open again.
@@ -105,7 +108,7 @@
   }
 
   private static double serviceMillis(Candidate candidate) {
-    double millis = candidate.latencyMillis();
+    double millis = Math.max(SHORTEST_SERVICE_MILLIS, candidate.latencyMillis());
     if (candidate.primary()) {
       millis *= PRIMARY_FACTOR;
     }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/WeightedTwoChoicesTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/WeightedTwoChoicesTest.java
@@ -35,6 +35,15 @@
     assertThat(shares(fast, medium, slow).values()).allMatch(share -> share > 0.30 && share < 0.37);
   }
 
+  /** Guards against weights without bound, by which one server gets everything. */
+  @Test
+  void shouldSpreadOverServersThatAnswerAtOnce() {
+    Candidate first = candidate().latencyMillis(0).build();
+    Candidate second = candidate().latencyMillis(0.1).build();
+
+    assertThat(shares(first, second).get(first)).isBetween(0.47, 0.53);
+  }
+
   /** Guards against a slow server that gets nothing, or as much as the others. */
   @Test
   void shouldGiveAQuarterToAServerFourTimesSlower() {
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
@@ -10,6 +10,8 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.SendTokenRequests;
 import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.ServerLoad;
+import org.persimmonwalk.engine.control.ServerLoadReport;
 import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoreVersion;
@@ -19,6 +21,7 @@
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
+import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.EntryHostId;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.SocketEndpoint;
@@ -35,6 +38,12 @@
 
   private static final TokenRequest TOKEN_REQUEST = new TokenRequest(WORKSPACE, 0, 0, 1, 1);
 
+  private static final ServerLoadReport LOADS =
+      ServerLoadReport.of(
+          Duration.ZERO,
+          List.of(
+              new ServerLoad(BackendServerId.of("rehearsal"), 1, 1, Duration.ofMillis(1), 1, 1)));
+
   private ZoneClassPreloader() {}
 
   /** Encodes and decodes a request and a reply. */
@@ -46,7 +55,8 @@
             Map.of(ROW, StoreVersion.of(StoreEra.of(1), 1)),
             1,
             false,
-            List.of(TOKEN_REQUEST));
+            List.of(TOKEN_REQUEST),
+            LOADS);
     SendTokenRequests tokenRequests =
         new SendTokenRequests(
             new RelayHost(EntryHostId.of("rehearsal"), SocketEndpoint.of("127.0.0.1", 1)),
@@ -63,7 +73,8 @@
             Optional.of(RoutingConfiguration.NONE),
             Optional.of(new ServerList(1, Duration.ZERO, List.of())),
             List.of(new TokenLoan(WORKSPACE, 1, false, true, Duration.ZERO)),
-            1);
+            1,
+            LOADS);
     try {
       byte[] requestBytes = ZoneCodec.encode(1, request).toByteArray();
       byte[] replyBytes = ZoneCodec.encode(1, reply).toByteArray();
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -76,6 +76,7 @@
                         .setKey(row.key())
                         .setVersion(version.number())));
     request.tokenRequests().forEach(tokenRequest -> message.addAsks(encode(tokenRequest)));
+    message.addAllLoads(ServerLoadCodec.encode(request.loads()));
     return message.build();
   }
 
@@ -115,7 +116,8 @@
         knownVersions,
         message.getServersRevision(),
         message.getUrgent(),
-        decodeTokenRequests(message));
+        decodeTokenRequests(message),
+        ServerLoadCodec.decode(message.getLoadsList()));
   }
 
   /** Decodes token requests; throws an IllegalArgumentException if a field is invalid. */
@@ -214,6 +216,7 @@
         .configuration()
         .ifPresent(newer -> message.setConfiguration(RoutingConfigurationCodec.encode(newer)));
     reply.servers().ifPresent(list -> message.setServers(encode(list)));
+    message.addAllLoads(ServerLoadCodec.encode(reply.loads()));
     reply.loans().forEach(loan -> message.addLoans(encode(loan)));
     return message.build();
   }
@@ -268,7 +271,8 @@
             : Optional.empty(),
         message.hasServers() ? Optional.of(decode(message.getServers())) : Optional.empty(),
         decodeLoans(message),
-        message.getActiveHosts());
+        message.getActiveHosts(),
+        ServerLoadCodec.decode(message.getLoadsList()));
   }
 
   private static StoreReading decode(StoreReadingMessage message) {
@@ -304,7 +308,7 @@
   }
 
   /** Rounds an age up; an overstated age only makes what depends on it expire earlier. */
-  private static long microsRoundedUp(Duration duration) {
+  static long microsRoundedUp(Duration duration) {
     return (duration.toNanos() + NANOS_PER_MICRO - 1) / NANOS_PER_MICRO;
   }
 
@@ -318,7 +322,7 @@
    *
    * @throws IllegalArgumentException if it is negative or too long for nanoseconds
    */
-  private static Duration micros(long microseconds) {
+  static Duration micros(long microseconds) {
     if (microseconds < 0 || microseconds > MAXIMUM_MICROS) {
       throw new IllegalArgumentException("a duration of " + microseconds + " us is out of range");
     }
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneCodecFuzzTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneCodecFuzzTest.java
@@ -94,6 +94,17 @@
         .isInstanceOf(IllegalArgumentException.class);
   }
 
+  /** Guards against a number above 2^31 that is read as a negative load. */
+  @Test
+  void shouldRejectANegativeLoad() {
+    ZoneReplyMessage.Builder message =
+        ZoneCodec.encode(3, ZoneExchangeTest.fullReply()).toBuilder();
+    message.getLoadsBuilder(0).setAnswers(-1);
+
+    assertThatThrownBy(() -> ZoneCodec.decode(message.build()))
+        .isInstanceOf(IllegalArgumentException.class);
+  }
+
   /** Guards against losing a whole list for an entry that a relay of an older version accepted. */
   @Test
   void shouldSkipAnInvalidServerInARelayedList() {
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -30,6 +30,8 @@
 import org.persimmonwalk.engine.control.SendZoneReply;
 import org.persimmonwalk.engine.control.SendZoneRequest;
 import org.persimmonwalk.engine.control.ServerList;
+import org.persimmonwalk.engine.control.ServerLoad;
+import org.persimmonwalk.engine.control.ServerLoadReport;
 import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoreVersion;
@@ -106,7 +108,8 @@
                 StoreVersion.of(ERA, 3)),
             9,
             true,
-            List.of(new TokenRequest(WORKSPACE, 2, 3.5, 4, 1))));
+            List.of(new TokenRequest(WORKSPACE, 2, 3.5, 4, 1)),
+            loads(Duration.ofMillis(130), 1)));
   }
 
   static ZoneReply fullReply() {
@@ -150,7 +153,16 @@
         Optional.of(configuration),
         Optional.of(new ServerList(77, Duration.ofMillis(1200), List.of(server))),
         List.of(new TokenLoan(WORKSPACE, 3, true, true, Duration.ofMillis(4100))),
-        21);
+        21,
+        loads(Duration.ofMillis(70), 30));
+  }
+
+  private static ServerLoadReport loads(Duration age, int hosts) {
+    return ServerLoadReport.of(
+        age,
+        List.of(
+            new ServerLoad(BackendServerId.of("s1"), 2, 13, Duration.ofMillis(260), 4, hosts),
+            new ServerLoad(BackendServerId.of("s2"), 0, 1, Duration.ofMillis(20), 0, hosts)));
   }
 
   /** Guards against fields that are lost or swapped by the encoding, in either direction. */
