Bound retries by a budget and eject servers that refuse their reads

Cause: a read was sent to up to four servers while these were overloaded. A server that refused all reads at once had the shortest latency.

Change: where servers are shared, a retry of a request that was sent takes a tenth-per-request budget, of which ten retries can be saved; when it is spent, the caller is told the last failure. Retries after BEHIND and after an unknown name are free, since the server has done no work. A refused read counts as a failure of the server.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -252,6 +252,11 @@
     eject(sentAt, "a read failed that another server answered");
   }
 
+  /** Records a read that the server refused. */
+  void recordRefusal(MonotonicTime sentAt) {
+    eject(sentAt, "the server refused a read as overloaded");
+  }
+
   /** Records a statement whose answer never came. */
   void recordLoss(String reason) {
     eject(context.now(), reason);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -28,6 +28,7 @@
   private final Map<BackendServerId, ServerEjection> ejections = new HashMap<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
   private final Map<DatabaseGroupId, KnownPrimary> primaries = new HashMap<>();
+  private final RetryBudget retryBudget = new RetryBudget();
   private final ServerChoice leastExpectedTime = new LeastExpectedTime();
   private final ServerChoice twoChoices;
   private final LoadReporter loadReporter;
@@ -39,6 +40,10 @@
     this.loadReporter = new LoadReporter(context);
   }
 
+  RetryBudget retryBudget() {
+    return retryBudget;
+  }
+
   /** Chooses the server for a read, except those given; empty if none can be used. */
   Optional<ServerChoice.Candidate> choose(
       DatabaseGroupId group, WorkspaceId workspace, Set<BackendServerId> except) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -73,6 +73,7 @@
       ServerPools pools,
       ExecutionRequest request,
       Consumer<ExecutionOutcome> done) {
+    pools.retryBudget().recordRequest();
     StatementExecution execution = new StatementExecution(context, pools, request, done);
     execution.cancelTimeout = context.scheduler().schedule(request.timeout(), execution::timeOut);
     execution.attempt();
@@ -221,6 +222,9 @@
     if (code == FailureCode.BEHIND) {
       used.pool().health().recordBehind(now);
     }
+    if (code == FailureCode.OVERLOADED && !request.writes()) {
+      used.pool().recordRefusal(sentAt);
+    }
     boolean failedRead = code == FailureCode.FAILED && !request.writes();
     if (failedRead) {
       used.pool().health().recordReadFailure(now);
@@ -264,9 +268,15 @@
     if (finished) {
       return;
     }
+    boolean isWithinBudget = !sent || isFreeRetry(failure) || takeRetry();
     lastFailure = failure;
     tried.add(server.id());
     connection = null;
+    if (!isWithinBudget) {
+      context.meter().count("statement.retry-budget-spent");
+      giveUp();
+      return;
+    }
     context.meter().count("statement.retried");
     if (request.needsPrimary()) {
       if (context.now().plus(RETRY_PAUSE).isBefore(waitUntil)) {
@@ -279,6 +289,18 @@
     attempt();
   }
 
+  /**
+   * Returns whether a retry takes nothing from the budget: a replica that lacks a position, or a
+   * connection that lost its names, has done no work, and the read goes elsewhere once.
+   */
+  private static boolean isFreeRetry(Failure failure) {
+    return failure.code() == FailureCode.BEHIND || failure.code() == FailureCode.UNKNOWN_NAME;
+  }
+
+  private boolean takeRetry() {
+    return !pools.isShared(request.group()) || pools.retryBudget().spend();
+  }
+
   private void giveUp() {
     boolean reportable =
         lastFailure.code().guaranteesNoEffect() || lastFailure.code() == FailureCode.FAILED;
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SharedServersTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SharedServersTest.java
@@ -166,6 +166,43 @@
     assertThat(totalReads()).isLessThanOrEqualTo(READS * 110 / 100 + HOSTS * SAVED_RETRIES);
   }
 
+  /** Guards against retries that multiply the load while all servers are overloaded. */
+  @Test
+  void shouldRetryLittleWhileAllServersAreOverloaded() {
+    fixture.servers.behave(
+        sent ->
+            sent.isText("READ x")
+                ? Optional.of(Answer.failed(FailureCode.OVERLOADED, "busy", SessionState.IDLE))
+                : fixture.servers.success(sent));
+    for (int i = 0; i < READS; i++) {
+      Session session = sessions.get(i % HOSTS);
+      // Keeps a position known, without which a read has the primary only.
+      session.receive(RequestId.of("p" + i), new Statement.Data(false, "READ y"));
+      session.receive(RequestId.of("o" + i), READ);
+      fixture.run(BETWEEN_READS);
+    }
+
+    // Both reads are requests from which the budget grows.
+    assertThat(totalReads()).isLessThanOrEqualTo(READS * 120 / 100 + HOSTS * SAVED_RETRIES);
+    assertThat(caller.lastCode()).contains(FailureCode.OVERLOADED);
+  }
+
+  /** Guards against a server that refuses all its reads, fast, and so seems to be the best. */
+  @Test
+  void shouldLeaveOutAServerThatRefusesItsReads() {
+    fixture.servers.behave(
+        sent ->
+            sent.isText("READ x") && sent.server().value().equals("s2")
+                ? Optional.of(Answer.failed(FailureCode.OVERLOADED, "busy", SessionState.IDLE))
+                : fixture.servers.success(sent));
+    long before = caller.succeeded();
+
+    read(READS);
+
+    assertThat(caller.succeeded() - before).isGreaterThan(READS * 99L / 100);
+    assertThat(readsByServer().get("s2")).isLessThan(READS / 10);
+  }
+
   /** Guards against a caller's faulty statement that ejects servers. */
   @Test
   void shouldNotEjectServersForAStatementThatFailsEverywhere() {
