Keep idle connections at a part of the hosts when connections are scarce

Cause: with fewer connections than hosts every idle connection was closed after 300 ms, so that nearly every operation of a host opened one.

The new assertion failed before.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -34,8 +34,9 @@
   static final Duration LAST_CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(30);
 
   /**
-   * An idle connection stays this long when there are fewer connections than hosts: each one that
-   * is kept shuts out another host, and a session mostly sends its next statement sooner.
+   * An idle connection stays this long when there are fewer connections than hosts, except for the
+   * hosts that {@link KeptConnections} chooses: each one that is kept shuts out another host, and a
+   * session mostly sends its next statement sooner.
    */
   static final Duration SCARCE_CONNECTION_IDLE_TIMEOUT = Duration.ofMillis(300);
 
@@ -342,12 +343,18 @@
   }
 
   private Duration idleTimeout() {
-    if (acceptedConnections() < fleetSize()) {
+    boolean isScarce = acceptedConnections() < fleetSize();
+    if (isScarce && (connections.size() > 1 || !mayKeepConnection())) {
       return SCARCE_CONNECTION_IDLE_TIMEOUT;
     }
     return connections.size() > 1 ? EXTRA_CONNECTION_IDLE_TIMEOUT : LAST_CONNECTION_IDLE_TIMEOUT;
   }
 
+  private boolean mayKeepConnection() {
+    return KeptConnections.mayKeep(
+        context.settings().host(), server.id(), acceptedConnections(), fleetSize());
+  }
+
   /** Closes all connections; statements in flight fail as lost. */
   void close(String reason) {
     for (PooledConnection connection : List.copyOf(connections)) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/FewConnectionsTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/FewConnectionsTest.java
@@ -14,6 +14,7 @@
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.EngineSettingsFixture;
 import org.persimmonwalk.engine.testing.FakeCaller;
+import org.persimmonwalk.engine.testing.FakeServers;
 
 /** Tests a server that accepts fewer connections than there are hosts. */
 class FewConnectionsTest {
@@ -32,7 +33,8 @@
 
   /**
    * Guards against idle connections of some hosts that take up all that a server accepts, so that
-   * the other hosts are refused although the server is idle.
+   * the other hosts are refused although the server is idle; and against hosts that all open a
+   * connection for each operation, as none keeps one.
    */
   @Test
   void shouldServeAllHostsWhenTheyOutnumberTheConnections() {
@@ -52,5 +54,8 @@
     }
 
     assertThat(fixture.servers.sent()).hasSize(OPERATIONS);
+    long opened =
+        fixture.servers.sent().stream().map(FakeServers.Sent::connection).distinct().count();
+    assertThat(opened).as("connections used by " + OPERATIONS).isLessThan(OPERATIONS * 85 / 100);
   }
 }
