--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -18,6 +18,7 @@
 import org.persimmonwalk.internal.engine.control.RateController;
 import org.persimmonwalk.internal.engine.control.RelayController;
 import org.persimmonwalk.internal.engine.control.ServerListController;
+import org.persimmonwalk.internal.engine.control.ServerLoadController;
 import org.persimmonwalk.internal.engine.control.StopController;
 import org.persimmonwalk.internal.engine.control.StoreEraController;
 import org.persimmonwalk.internal.engine.control.SuspicionController;
@@ -75,6 +76,7 @@
             LenderController.create(settings, log),
             RateController.create(settings, log, suspension),
             TokenExchangeController.create(settings),
+            ServerLoadController.create(settings),
             ZoneExchangeController.create(settings, suspension));
     StatusRequestGate gate = new StatusRequestGate(executor, scheduler);
     ControlLoop loop =
@@ -88,6 +90,7 @@
             settings,
             settings.timings(),
             clock,
+            sources.random(),
             scheduler,
             connector,
             loop::snapshot,
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -140,6 +140,13 @@
   public static final EntryKey<Optional<MonotonicTime>> RELAYING_SINCE =
       EntryKey.of("relaying since", Optional.empty());
 
+  /** What this host has seen of the servers that it used lately; sent to the relay once. */
+  public static final EntryKey<ServerLoads> OWN_LOADS = EntryKey.of("own loads", ServerLoads.NONE);
+
+  /** What the hosts of the zone together have seen of the servers lately. */
+  public static final EntryKey<ServerLoads> ZONE_LOADS =
+      EntryKey.of("zone loads", ServerLoads.NONE);
+
   /** Whether this host has been asked to stop. */
   public static final EntryKey<Boolean> STOPPING = EntryKey.of("stopping", false);
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -33,8 +34,9 @@
   static final Duration LAST_CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(30);
 
   /**
-   * An idle connection stays this long when there are fewer connections than hosts: each one that
-   * is kept shuts out another host, and a session mostly sends its next statement sooner.
+   * An idle connection stays this long when there are fewer connections than hosts, except for the
+   * hosts that {@link KeptConnections} chooses: each one that is kept shuts out another host, and a
+   * session mostly sends its next statement sooner.
    */
   static final Duration SCARCE_CONNECTION_IDLE_TIMEOUT = Duration.ofMillis(300);
 
@@ -45,6 +47,8 @@
   private final TrafficContext context;
   private final ServerEntry server;
   private final ServerHealth health;
+  private final ServerEjection ejection;
+  private final LoadCounter load = new LoadCounter();
   private final PoolListener listener;
   private final ColdServerGate coldServers;
   private final List<PooledConnection> connections = new ArrayList<>();
@@ -59,6 +63,7 @@
   ServerPool(
       TrafficContext context,
       ServerEntry server,
+      ServerEjection ejection,
       PoolListener listener,
       ColdServerGate coldServers) {
     this.context = context;
@@ -66,6 +71,7 @@
     this.listener = listener;
     this.coldServers = coldServers;
     this.health = new ServerHealth(context.now());
+    this.ejection = ejection;
   }
 
   TrafficContext context() {
@@ -88,12 +94,35 @@
     return connections.stream().anyMatch(PooledConnection::isOpen);
   }
 
+  /** Returns whether several hosts share each slot of the group's servers. */
+  boolean isShared() {
+    return listener.isShared(server.group());
+  }
+
+  LoadCounter load() {
+    return load;
+  }
+
+  ServerEjection ejection() {
+    return ejection;
+  }
+
   int outstanding() {
     return connections.size() - idle.size() + queue.size();
   }
 
   boolean hasIdle(WorkspaceId workspace) {
-    return idle.stream().anyMatch(connection -> connection.workspace().equals(workspace));
+    for (PooledConnection connection : idle) {
+      if (connection.workspace().equals(workspace)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns whether a connection can be opened without closing an idle one. */
+  boolean hasSpareConnection() {
+    return connections.size() < connectionLimit();
   }
 
   boolean hasRoom() {
@@ -238,6 +267,36 @@
     refuseQueued(failure);
   }
 
+  /** Records a statement that the server answered with success. */
+  void recordSuccess(MonotonicTime sentAt, MonotonicTime now) {
+    Duration latency = now.since(sentAt);
+    health.recordLatency(latency, now);
+    load.recordAnswer(latency);
+    ejection.recordSuccess(sentAt, now);
+  }
+
+  /** Records a statement that the server failed although another server could run it. */
+  void recordFailure(MonotonicTime sentAt) {
+    eject(sentAt, "a read failed that another server answered");
+  }
+
+  /** Records a read that the server refused. */
+  void recordRefusal(MonotonicTime sentAt) {
+    eject(sentAt, "the server refused a read as overloaded");
+  }
+
+  /** Records a statement whose answer never came. */
+  void recordLoss(String reason) {
+    eject(context.now(), reason);
+  }
+
+  private void eject(MonotonicTime sentAt, String reason) {
+    load.recordFailure();
+    if (isShared()) {
+      ejection.recordFailure(sentAt, context.now(), reason);
+    }
+  }
+
   void answerReceived() {
     health.recordResponse();
   }
@@ -249,6 +308,7 @@
     refuseQueuedIfKept();
     if (!connection.wasEverOpen()) {
       health.recordConnectionFailure(context.now());
+      eject(connection.openedAt(), "no connection: " + reason);
       refuseQueued(Failure.of(FailureCode.OVERLOADED, "the server cannot be reached: " + reason));
     }
     context
@@ -347,12 +407,18 @@
   }
 
   private Duration idleTimeout() {
-    if (acceptedConnections() < fleetSize()) {
+    boolean isScarce = acceptedConnections() < fleetSize();
+    if (isScarce && (connections.size() > 1 || !mayKeepConnection())) {
       return SCARCE_CONNECTION_IDLE_TIMEOUT;
     }
     return connections.size() > 1 ? EXTRA_CONNECTION_IDLE_TIMEOUT : LAST_CONNECTION_IDLE_TIMEOUT;
   }
 
+  private boolean mayKeepConnection() {
+    return KeptConnections.mayKeep(
+        context.settings().host(), server.id(), acceptedConnections(), fleetSize());
+  }
+
   /** Closes all connections; statements in flight fail as lost. */
   void close(String reason) {
     for (PooledConnection connection : List.copyOf(connections)) {
@@ -369,7 +435,7 @@
     return connections.isEmpty();
   }
 
-  /** Receives the log positions that servers return, and numbers the connections. */
+  /** What a pool needs of the other pools of the host. */
   interface PoolListener {
 
     /** A server returned its position in the answer to a request sent at the given time. */
@@ -377,5 +443,8 @@
 
     /** Returns a number that no connection of this host has had. */
     long nextConnectionNumber();
+
+    /** Returns whether several hosts share each slot of the group's servers. */
+    boolean isShared(DatabaseGroupId group);
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.internal.engine.traffic;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +11,7 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.ServerLoad;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
@@ -19,24 +21,61 @@
 
 /** The connection pools of all backend servers, and the position history of each database group. */
 final class ServerPools implements ServerPool.PoolListener {
+  /** A server that fails all requests of the zone still gets a few, which tell when it recovers. */
+  private static final double SMALLEST_SHARE = 0.1;
+
   private final TrafficContext context;
   private final ColdServerGate coldServers;
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
+  private final Map<BackendServerId, ServerEjection> ejections = new HashMap<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
   private final Map<DatabaseGroupId, KnownPrimary> primaries = new HashMap<>();
   private final DrainedZones drainedZones = new DrainedZones();
+  private final RetryBudget retryBudget = new RetryBudget();
+  private final ServerChoice leastExpectedTime = new LeastExpectedTime();
+  private final ServerChoice twoChoices;
+  private final LoadReporter loadReporter;
   private long connectionCount;
 
   ServerPools(TrafficContext context) {
     this.context = context;
     this.coldServers = new ColdServerGate(context);
+    this.twoChoices = WeightedTwoChoices.create(context.random());
+    this.loadReporter = new LoadReporter(context);
   }
 
   ColdServerGate coldServers() {
     return coldServers;
   }
 
+  RetryBudget retryBudget() {
+    return retryBudget;
+  }
+
+  /** Chooses the server for a read, except those given; empty if none can be used. */
+  Optional<ServerChoice.Candidate> choose(
+      DatabaseGroupId group, WorkspaceId workspace, Set<BackendServerId> except) {
+    ServerChoice choice = isShared(group) ? twoChoices : leastExpectedTime;
+    return choice.choose(candidates(group, workspace, except));
+  }
+
+  /**
+   * Returns whether several hosts share each slot of the group's servers: the fleet is known to
+   * have more hosts than these have slots together.
+   */
+  @Override
+  public boolean isShared(DatabaseGroupId group) {
+    int fleetSize = context.entry(EngineEntries.FLEET_SIZE);
+    long slots = 0;
+    for (ServerEntry entry : context.entry(EngineEntries.SERVERS).values()) {
+      if (entry.group().equals(group)) {
+        slots += entry.slots();
+      }
+    }
+    return fleetSize > slots;
+  }
+
   PositionHistory history(DatabaseGroupId group) {
     return histories.computeIfAbsent(group, unused -> new PositionHistory());
   }
@@ -49,7 +88,10 @@
     if (pool != null) {
       pool.close("the server was restarted");
     }
-    ServerPool created = new ServerPool(context, entry, this, coldServers);
+    // Survives a restart of the server, so that one that goes down and up stays out for longer.
+    ServerEjection ejection =
+        ejections.computeIfAbsent(entry.id(), id -> new ServerEjection(id, context.log()));
+    ServerPool created = new ServerPool(context, entry, ejection, this, coldServers);
     pools.put(entry.id(), created);
     return created;
   }
@@ -64,6 +106,7 @@
       DatabaseGroupId group, WorkspaceId workspace, Set<BackendServerId> except) {
     MonotonicTime now = context.now();
     Optional<ServerEntry> primary = context.primary(group);
+    boolean isShared = isShared(group);
     List<ServerChoice.Candidate> candidates = new ArrayList<>();
     List<ServerChoice.Candidate> coldCandidates = new ArrayList<>();
     for (ServerEntry entry : context.entry(EngineEntries.SERVERS).values()) {
@@ -81,24 +124,69 @@
         coldServers.recordKept(entry);
         continue;
       }
-      ServerPool pool = pool(entry);
-      ServerHealth health = pool.health();
       (isCold ? coldCandidates : candidates)
-          .add(
-              new ServerChoice.Candidate(
-                  pool,
-                  !health.isUnreachable(now) && !health.isBackingOff(now),
-                  isPrimary,
-                  entry.zone().equals(context.settings().zone()),
-                  pool.hasIdle(workspace),
-                  health.isBehind(now),
-                  health.latencyMillis(now),
-                  pool.outstanding()));
+          .add(candidate(entry, isPrimary, isShared, workspace, now));
     }
     boolean isAnyWarm = candidates.stream().anyMatch(ServerChoice.Candidate::usable);
     return isAnyWarm || coldCandidates.isEmpty() ? candidates : coldCandidates;
   }
 
+  private ServerChoice.Candidate candidate(
+      ServerEntry entry,
+      boolean isPrimary,
+      boolean isShared,
+      WorkspaceId workspace,
+      MonotonicTime now) {
+    ServerPool pool = pool(entry);
+    ServerHealth health = pool.health();
+    boolean connected = pool.hasIdle(workspace);
+    Duration backoffLeft = health.backoffLeft(now);
+    boolean usable = !health.isUnreachable(now) && backoffLeft.isZero();
+    double latencyMillis = health.latencyMillis(now);
+    double outstandingElsewhere = 0;
+    double reportedAnswers = 0;
+    double share = 1;
+    Duration ejectedFor = Duration.ZERO;
+    if (isShared) {
+      ServerEjection ejection = pool.ejection();
+      ServerLoad load = context.entry(EngineEntries.ZONE_LOADS).usableAt(now).of(entry.id());
+      // In backoff no connection is opened, but those that are there can be used.
+      usable =
+          !health.isUnreachable(now)
+              && (connected || backoffLeft.isZero())
+              && ejection.admits(pool.outstanding());
+      latencyMillis = ZoneLatency.blend(latencyMillis, load.meanLatencyMillis(), load.answers());
+      outstandingElsewhere = outstandingElsewhere(load, pool);
+      reportedAnswers = load.answers();
+      share = ejection.share() * Math.max(SMALLEST_SHARE, load.successRate());
+      ejectedFor = ejection.left(now);
+      if (ejectedFor.compareTo(backoffLeft) < 0) {
+        ejectedFor = backoffLeft;
+      }
+    }
+    return new ServerChoice.Candidate(
+        pool,
+        usable,
+        isPrimary,
+        entry.zone().equals(context.settings().zone()),
+        connected,
+        pool.hasSpareConnection(),
+        health.isBehind(now),
+        entry.slots(),
+        latencyMillis,
+        pool.outstanding(),
+        outstandingElsewhere,
+        reportedAnswers,
+        share,
+        ejectedFor);
+  }
+
+  /** Estimates the work of all other hosts: the other zones are taken to be like the own one. */
+  private double outstandingElsewhere(ServerLoad load, ServerPool pool) {
+    int zones = context.settings().zones().size();
+    return Math.max(0, (double) load.outstanding() * zones - pool.outstanding());
+  }
+
   /**
    * Records the position only if the server was the primary when the request was sent: a server
    * that answered before its promotion may have lacked acknowledged commits.
@@ -126,6 +214,10 @@
    */
   void onSnapshotChanged() {
     Map<BackendServerId, ServerEntry> listed = context.entry(EngineEntries.SERVERS);
+    MonotonicTime now = context.now();
+    ejections
+        .entrySet()
+        .removeIf(known -> !listed.containsKey(known.getKey()) && known.getValue().isOver(now));
     pools
         .values()
         .removeIf(
@@ -178,6 +270,7 @@
             });
     retired.removeIf(ServerPool::isEmpty);
     drainedZones.update(context, this::hasConnections);
+    loadReporter.tick(pools.values(), now);
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -43,6 +42,7 @@
   private final MonotonicTime waitUntil;
   private final MonotonicTime deadline;
   private final Set<BackendServerId> tried = new HashSet<>();
+  private final FailedReads failedReads = new FailedReads();
   private Failure lastFailure =
       Failure.of(FailureCode.OVERLOADED, "no server of the database can be used at present");
   private PooledConnection connection;
@@ -73,6 +73,7 @@
       ServerPools pools,
       ExecutionRequest request,
       Consumer<ExecutionOutcome> done) {
+    pools.retryBudget().recordRequest();
     StatementExecution execution = new StatementExecution(context, pools, request, done);
     execution.cancelTimeout = context.scheduler().schedule(request.timeout(), execution::timeOut);
     execution.attempt();
@@ -118,9 +119,8 @@
         pools.history(request.group()).oldestWithin(request.staleness(), context.now());
     if (sample.isPresent() && !tooLongWithPosition) {
       TermPosition minimumPosition = sample.get().max(request.minimumPosition());
-      List<ServerChoice.Candidate> candidates =
-          pools.candidates(request.group(), request.workspace(), tried);
-      Optional<ServerChoice.Candidate> best = ServerChoice.best(candidates);
+      Optional<ServerChoice.Candidate> best =
+          pools.choose(request.group(), request.workspace(), tried);
       if (best.isPresent()) {
         boolean isPrimary = best.get().primary();
         return Optional.of(
@@ -250,7 +250,8 @@
       return;
     }
     if (answer.succeeded()) {
-      used.pool().health().recordLatency(now.since(sentAt), now);
+      used.pool().recordSuccess(sentAt, now);
+      failedReads.succeededElsewhere();
       if (onPrimary) {
         answer
             .position()
@@ -263,9 +264,13 @@
     if (code == FailureCode.BEHIND) {
       used.pool().health().recordBehind(now);
     }
+    if (code == FailureCode.OVERLOADED && !request.writes()) {
+      used.pool().recordRefusal(sentAt);
+    }
     boolean failedRead = code == FailureCode.FAILED && !request.writes();
     if (failedRead) {
       used.pool().health().recordReadFailure(now);
+      failedReads.add(used.pool(), sentAt);
     }
     boolean repeatable =
         code.guaranteesNoEffect() || code == FailureCode.UNKNOWN_NAME || failedRead;
@@ -288,6 +293,7 @@
     if (finished) {
       return;
     }
+    used.pool().recordLoss(reason);
     if (request.writes()) {
       fail(FailureCode.OUTCOME_UNKNOWN, "the connection to the primary ended: " + reason);
     } else {
@@ -304,9 +310,15 @@
     if (finished) {
       return;
     }
+    boolean isWithinBudget = !sent || isFreeRetry(failure) || takeRetry();
     lastFailure = failure;
     tried.add(server.id());
     connection = null;
+    if (!isWithinBudget) {
+      context.meter().count("statement.retry-budget-spent");
+      giveUp();
+      return;
+    }
     context.meter().count("statement.retried");
     if (request.needsPrimary()) {
       if (context.now().plus(RETRY_PAUSE).isBefore(waitUntil)) {
@@ -319,6 +331,18 @@
     attempt();
   }
 
+  /**
+   * Returns whether a retry takes nothing from the budget: a replica that lacks a position, or a
+   * connection that lost its names, has done no work, and the read goes elsewhere once.
+   */
+  private static boolean isFreeRetry(Failure failure) {
+    return failure.code() == FailureCode.BEHIND || failure.code() == FailureCode.UNKNOWN_NAME;
+  }
+
+  private boolean takeRetry() {
+    return !pools.isShared(request.group()) || pools.retryBudget().spend();
+  }
+
   private void giveUp() {
     if (lastFailure == ServerPool.EVACUATED) {
       context.meter().count("evacuation.statement-refused");
@@ -337,6 +361,9 @@
     if (connection != null) {
       PooledConnection abandoned = connection;
       connection = null;
+      if (running && !request.writes()) {
+        abandoned.pool().recordLoss("a read got no answer in time");
+      }
       finishTimeOut(running);
       abandoned.discard();
       return;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TrafficContext.java
@@ -20,6 +20,7 @@
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.port.MonotonicClock;
+import org.persimmonwalk.port.RandomSource;
 
 /**
  * Dependencies that the classes of the traffic thread share, and the checks on how recently the
@@ -29,6 +30,7 @@
     EngineSettings settings,
     EngineTimings timings,
     MonotonicClock clock,
+    RandomSource random,
     TrafficScheduler scheduler,
     BackendConnector connector,
     Supplier<Snapshot> snapshot,
