Bound what callers, servers and other hosts take of a host

A caller is not read while several of its statements have no answer, and its next statement starts only when it reads its answers.

--- a/engine/src/main/java/org/persimmonwalk/engine/CallerConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/CallerConnection.java
@@ -14,6 +14,12 @@
   /** Answers the oldest statement that has no answer yet. */
   void answer(Answer answer);
 
+  /**
+   * Returns whether a further statement may run: the caller reads its answers. The front end calls
+   * {@code Session.resume} when that becomes true.
+   */
+  boolean isWritable();
+
   /** Closes the connection after pending data is written. */
   void close();
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -87,6 +87,11 @@
     dispatchNext();
   }
 
+  /** Runs the next statement if none runs, after the caller has read its answers. */
+  public void resume() {
+    dispatchNext();
+  }
+
   /**
    * Ends the session and rolls back its transaction; called when the caller's connection closes.
    */
@@ -148,7 +153,7 @@
   }
 
   private void dispatchNext() {
-    if (busy || closed || queue.isEmpty()) {
+    if (busy || closed || queue.isEmpty() || !caller.isWritable()) {
       return;
     }
     if (refusesOperations && transaction.isEmpty()) {
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeCaller.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeCaller.java
@@ -14,6 +14,7 @@
   private final List<Answer> answers = new ArrayList<>();
   private Optional<Failure> refusal = Optional.empty();
   private boolean closed;
+  private boolean writable = true;
   private Optional<RuntimeException> closeFailure = Optional.empty();
   private Runnable onAnswer = () -> {};
 
@@ -37,6 +38,16 @@
     onAnswer = action;
   }
 
+  /** Sets whether the caller reads its answers. */
+  public void setWritable(boolean value) {
+    writable = value;
+  }
+
+  @Override
+  public boolean isWritable() {
+    return writable;
+  }
+
   /** Makes each close fail. */
   public void failOnClose(RuntimeException failure) {
     closeFailure = Optional.of(failure);
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
@@ -51,9 +51,13 @@
    *
    * @param group a group with one thread; the caller closes it
    * @param listener receives the requests, on the thread of the group
+   * @param admission limits the connections
    */
   public static ZoneServer start(
-      EventLoopGroup group, SocketEndpoint endpoint, Consumer<Observation> listener) {
+      EventLoopGroup group,
+      SocketEndpoint endpoint,
+      Consumer<Observation> listener,
+      ZoneAdmission admission) {
     ZoneServer server = new ZoneServer(group, listener);
     new ServerBootstrap()
         .group(group)
@@ -64,7 +68,7 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                ZoneFrames.addDecoder(channel.pipeline());
+                ZoneFrames.addDecoder(channel.pipeline(), admission.add(channel));
                 channel.pipeline().addLast(server.new RequestHandler());
               }
             })
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.blackboard.Observation;
+import org.persimmonwalk.engine.ByteBudget;
 import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.GroupSettings;
 import org.persimmonwalk.engine.RateLimit;
@@ -55,6 +57,7 @@
 /** Exchanges requests and replies over loopback connections. */
 class ZoneExchangeTest {
   private static final long TIMEOUT_SECONDS = 20;
+  private static final long BUDGET_BYTES = 64L << 20;
   private static final StoreEra ERA = StoreEra.of(5);
   private static final WorkspaceId WORKSPACE = WorkspaceId.of("oil");
   private static final DatabaseGroupId GROUP = DatabaseGroupId.of("tanks");
@@ -87,6 +90,10 @@
     return (ZoneRequestEnded) endedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
+  private ByteBudget.Account admit(Channel channel) {
+    return ByteBudget.of(BUDGET_BYTES).open(bytes -> channel.close());
+  }
+
   private static SocketEndpoint freeEndpoint() throws Exception {
     try (ServerSocket socket = new ServerSocket(0)) {
       return SocketEndpoint.of("127.0.0.1", socket.getLocalPort());
@@ -157,7 +164,7 @@
   @Test
   void shouldDeliverRequestsAndRepliesUnchanged() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
-    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add);
+    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add, this::admit);
     SendZoneRequest command = command(endpoint);
     client.send(command);
     ZoneRequestReceived received = received();
@@ -186,7 +193,7 @@
   @Test
   void shouldDeliverTokenRequestsAndLoansUnchanged() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
-    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add);
+    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add, this::admit);
     SendTokenRequests command = tokenCommand(endpoint);
     client.send(command);
     TokenRequestsReceived received =
@@ -205,7 +212,7 @@
   @Test
   void shouldTakeTheLoansOfAReplyOfAnOlderBuild() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
-    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add);
+    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add, this::admit);
     client.send(tokenCommand(endpoint));
     TokenRequestsReceived received =
         (TokenRequestsReceived) receivedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -231,9 +238,9 @@
   void shouldExchangeWithSeveralRelaysAtOnce() throws Exception {
     SocketEndpoint first = freeEndpoint();
     SocketEndpoint second = freeEndpoint();
-    ZoneServer firstServer = ZoneServer.start(group, first, receivedRequests::add);
+    ZoneServer firstServer = ZoneServer.start(group, first, receivedRequests::add, this::admit);
     BlockingQueue<Observation> receivedBySecond = new ArrayBlockingQueue<>(10);
-    ZoneServer secondServer = ZoneServer.start(group, second, receivedBySecond::add);
+    ZoneServer secondServer = ZoneServer.start(group, second, receivedBySecond::add, this::admit);
     client.send(command(first));
     client.send(tokenCommand(second));
     ZoneRequestReceived request = received();
@@ -259,7 +266,7 @@
   @Test
   void shouldTimeOutWhenTheRelayDoesNotReply() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
-    ZoneServer.start(group, endpoint, receivedRequests::add);
+    ZoneServer.start(group, endpoint, receivedRequests::add, this::admit);
     clientWithUsualTimeout.send(command(endpoint));
 
     assertThat(ended().reply()).isEmpty();
@@ -269,7 +276,7 @@
   @Test
   void shouldIgnoreALateReply() throws Exception {
     SocketEndpoint endpoint = freeEndpoint();
-    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add);
+    ZoneServer server = ZoneServer.start(group, endpoint, receivedRequests::add, this::admit);
     clientWithUsualTimeout.send(command(endpoint));
     ZoneRequestReceived first = received();
     assertThat(ended().reply()).isEmpty();
