--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/FleetBalanceTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/FleetBalanceTest.java
@@ -64,6 +64,23 @@
     assertThat(received.get(0) / others).isBetween(0.1, 0.4);
   }
 
+  /** Guards against degraded servers that get too much, or that leave all work to the last one. */
+  @Test
+  void shouldLeaveMostToTheHealthyServerWhileTwoOfThreeAreSlow() {
+    SimulatedFleet fleet = fleet(1500);
+    fleet.startReports();
+    fleet.servers.get(0).slowness = 6;
+    fleet.servers.get(1).slowness = 6;
+    fleet.run(WARM_UP);
+
+    List<Integer> received = fleet.run(WINDOW.multipliedBy(3));
+
+    int group = received.get(0) + received.get(1) + received.get(2);
+    assertThat((double) received.get(2) / group).isBetween(0.6, 0.95);
+    assertThat(received.get(0)).isGreaterThan(group / 50);
+    assertThat(received.get(1)).isGreaterThan(group / 50);
+  }
+
   /** Guards against choices that open a connection, which is priced, for the sake of evenness. */
   @Test
   void shouldOpenFewConnections() {
