Draw servers less often if a connection to them would not be kept

Cause: a host that may keep no idle connection to a server opens one for each read that it sends there.

Change: such a server has a fifth of its weight when a connection would have to be opened, as one at its limit has. By the hash each server is kept by about as many hosts, so the load stays even. SharedServersTest, FleetBalanceTest, FewConnectionsTest, KeptConnectionsTest and ServerEjectionTest passed.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerChoice.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerChoice.java
@@ -31,7 +31,7 @@
    * @param usable whether it answers this host and is not in backoff
    * @param connected whether the workspace has an idle connection to it
    * @param hasSpareConnection whether a connection to it can be opened without closing one of
-   *     another workspace
+   *     another workspace, and then be kept
    * @param behind whether it recently lacked a required position
    * @param outstanding connections in use and requests queued for them
    * @param outstandingElsewhere the estimated number of requests of other hosts that it has
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -102,9 +102,9 @@
     return false;
   }
 
-  /** Returns whether a connection can be opened without closing an idle one. */
+  /** Returns whether a connection can be opened without closing an idle one, and then be kept. */
   boolean hasSpareConnection() {
-    return connections.size() < connectionLimit();
+    return connections.size() < connectionLimit() && (!isScarce() || mayKeepConnection());
   }
 
   boolean hasRoom() {
@@ -343,13 +343,17 @@
   }
 
   private Duration idleTimeout() {
-    boolean isScarce = acceptedConnections() < fleetSize();
-    if (isScarce && (connections.size() > 1 || !mayKeepConnection())) {
+    if (isScarce() && (connections.size() > 1 || !mayKeepConnection())) {
       return SCARCE_CONNECTION_IDLE_TIMEOUT;
     }
     return connections.size() > 1 ? EXTRA_CONNECTION_IDLE_TIMEOUT : LAST_CONNECTION_IDLE_TIMEOUT;
   }
 
+  /** Returns whether there are fewer connections to the server than hosts. */
+  private boolean isScarce() {
+    return acceptedConnections() < fleetSize();
+  }
+
   private boolean mayKeepConnection() {
     return KeptConnections.mayKeep(
         context.settings().host(), server.id(), acceptedConnections(), fleetSize());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/WeightedTwoChoices.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/WeightedTwoChoices.java
@@ -24,7 +24,8 @@
 
   /**
    * The part of the weight that a server keeps if a new connection to it would close the idle one
-   * of another workspace, which that workspace would have to open again.
+   * of another workspace, which that workspace would have to open again, or would itself be closed
+   * soon, because other hosts keep theirs.
    */
   private static final double REPLACING_WEIGHT = 0.2;
 
