--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotedGroup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotedGroup.java
@@ -75,12 +75,27 @@
         .collect(Collectors.toSet());
   }
 
+  /**
+   * Returns why this host can't promote a server of the group now; empty if it can.
+   *
+   * @param resumedAt when the host last resumed after a suspension
+   */
+  Optional<String> obstacle(
+      Blackboard blackboard, EngineSettings settings, MonotonicTime resumedAt, MonotonicTime now) {
+    if (isWhollyEvacuated(blackboard)) {
+      return Optional.of("all servers are in evacuated zones");
+    }
+    return mayAskColdServers(blackboard, settings, resumedAt, now)
+        ? Optional.empty()
+        : Optional.of("only relays ask cold servers");
+  }
+
   /**
    * Returns whether this host may ask all servers of the group for their status, which no promotion
    * should go without: the old primary may have commits that no replica has. Only a relay may ask a
    * cold server; any host may promote if the bound leaves no relay a single request.
    */
-  boolean mayAskServers(
+  private boolean mayAskColdServers(
       Blackboard blackboard, EngineSettings settings, MonotonicTime resumedAt, MonotonicTime now) {
     if (coldServers(blackboard).isEmpty() || settings.coldBounds().isEmpty()) {
       return true;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -180,10 +180,7 @@
       announcements.put(group, announcement);
     }
     // A promotion that finds no candidate would hold up those of other groups.
-    PromotedGroup replaced = new PromotedGroup(group);
-    boolean mayBegin =
-        !replaced.isWhollyEvacuated(blackboard)
-            && workflow.mayAskServers(blackboard, replaced, now);
+    boolean mayBegin = workflow.obstacle(blackboard, new PromotedGroup(group), now).isEmpty();
     if (mayBegin && isDue(blackboard, row, announcement, now) && workflow.isIdle()) {
       workflow.begin(group, row, stored.version(), now);
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -138,12 +138,9 @@
       end("the leadership row changed");
       return;
     }
-    if (stage == Stage.POLL_STATUSES && group.isWhollyEvacuated(blackboard)) {
-      end("all servers are in evacuated zones");
-      return;
-    }
-    if (stage == Stage.POLL_STATUSES && !mayAskServers(blackboard, group, now)) {
-      end("only relays ask cold servers");
+    Optional<String> obstacle = obstacle(blackboard, group, now);
+    if (stage == Stage.POLL_STATUSES && obstacle.isPresent()) {
+      end(obstacle.get());
       return;
     }
     blackboard
@@ -166,8 +163,8 @@
     stage = Stage.IDLE;
   }
 
-  boolean mayAskServers(Blackboard blackboard, PromotedGroup asked, MonotonicTime now) {
-    return asked.mayAskServers(blackboard, settings, suspension.lastResumedAt(), now);
+  Optional<String> obstacle(Blackboard blackboard, PromotedGroup asked, MonotonicTime now) {
+    return asked.obstacle(blackboard, settings, suspension.lastResumedAt(), now);
   }
 
   private static boolean isOwn(TransactionTag tag) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -8,10 +8,8 @@
 import java.util.PriorityQueue;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
-import org.persimmonwalk.engine.GroupSettings;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
-import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -22,30 +20,13 @@
  * was sent, so waiting statements may be reported as "not run".
  */
 final class ServerPool {
-  /** More connections than this would only move the queue from this host to the server. */
-  static final int MAXIMUM_CONNECTIONS = 6;
-
-  /**
-   * Idle connections beyond the last one are closed after this time, to make room for other hosts.
-   */
-  static final Duration EXTRA_CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(12);
-
-  /** The last connection stays longer, as opening a new one takes one of the server's slots. */
-  static final Duration LAST_CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(30);
-
-  /**
-   * An idle connection stays this long when there are fewer connections than hosts, except for the
-   * hosts that {@link KeptConnections} chooses: each one that is kept shuts out another host, and a
-   * session mostly sends its next statement sooner.
-   */
-  static final Duration SCARCE_CONNECTION_IDLE_TIMEOUT = Duration.ofMillis(300);
-
   /** Refuses what waits for a server that is left because of an evacuation. */
   static final Failure EVACUATED =
       Failure.of(FailureCode.OVERLOADED, "the zone of the server is evacuated");
 
   private final TrafficContext context;
   private final ServerEntry server;
+  private final ConnectionShare share;
   private final ServerHealth health;
   private final ServerEjection ejection;
   private final LoadCounter load = new LoadCounter();
@@ -70,6 +51,7 @@
     this.server = server;
     this.listener = listener;
     this.coldServers = coldServers;
+    this.share = new ConnectionShare(context, server);
     this.health = new ServerHealth(context.now());
     this.ejection = ejection;
   }
@@ -122,30 +104,11 @@
 
   /** Returns whether a connection can be opened without closing an idle one, and then be kept. */
   boolean hasSpareConnection() {
-    return connections.size() < connectionLimit() && (!isScarce() || mayKeepConnection());
+    return connections.size() < share.limit() && share.mayKeepOne();
   }
 
   boolean hasRoom() {
-    return !idle.isEmpty() || connections.size() < connectionLimit();
-  }
-
-  /**
-   * Returns how many connections this host may have: its equal share of those that the server
-   * accepts. If that is less than one, hosts take turns, and each may use as many at a time as the
-   * server has slots.
-   */
-  private int connectionLimit() {
-    int evenShare = acceptedConnections() / fleetSize();
-    return Math.min(MAXIMUM_CONNECTIONS, evenShare > 0 ? evenShare : Math.max(1, server.slots()));
-  }
-
-  private int acceptedConnections() {
-    GroupSettings group = context.entry(EngineEntries.CONFIGURATION).groups().get(server.group());
-    return group == null ? 1 : group.maximumConnections();
-  }
-
-  private int fleetSize() {
-    return Math.max(1, context.entry(EngineEntries.FLEET_SIZE));
+    return !idle.isEmpty() || connections.size() < share.limit();
   }
 
   /**
@@ -185,7 +148,7 @@
 
   /** Estimates how long the queued requests will keep the connections busy. */
   private Duration expectedWait() {
-    double each = health.latencyMillis(context.now()) / connectionLimit();
+    double each = health.latencyMillis(context.now()) / share.limit();
     return Duration.ofMillis(Math.round(each * queue.size()));
   }
 
@@ -235,7 +198,7 @@
     if (health.isBackingOff(context.now()) || !coldServers.maySend(server)) {
       return false;
     }
-    if (connections.size() >= connectionLimit()) {
+    if (connections.size() >= share.limit()) {
       Optional<PooledConnection> oldest =
           idle.stream().min(Comparator.comparing(PooledConnection::lastUsed));
       if (oldest.isEmpty()) {
@@ -380,7 +343,7 @@
     refuseQueuedIfKept();
     for (PooledConnection connection : List.copyOf(idle)) {
       Duration idleTime = now.since(connection.lastUsed());
-      if (idleTime.compareTo(idleTimeout()) > 0) {
+      if (idleTime.compareTo(share.idleTimeout(connections.size())) > 0) {
         connection.discard();
       }
     }
@@ -406,23 +369,6 @@
     }
   }
 
-  private Duration idleTimeout() {
-    if (isScarce() && (connections.size() > 1 || !mayKeepConnection())) {
-      return SCARCE_CONNECTION_IDLE_TIMEOUT;
-    }
-    return connections.size() > 1 ? EXTRA_CONNECTION_IDLE_TIMEOUT : LAST_CONNECTION_IDLE_TIMEOUT;
-  }
-
-  /** Returns whether there are fewer connections to the server than hosts. */
-  private boolean isScarce() {
-    return acceptedConnections() < fleetSize();
-  }
-
-  private boolean mayKeepConnection() {
-    return KeptConnections.mayKeep(
-        context.settings().host(), server.id(), acceptedConnections(), fleetSize());
-  }
-
   /** Closes all connections; statements in flight fail as lost. */
   void close(String reason) {
     for (PooledConnection connection : List.copyOf(connections)) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
@@ -74,13 +74,7 @@
     if (route.open() && identity.key().isEmpty()) {
       return Optional.empty();
     }
-    boolean valid =
-        identity
-            .key()
-            .map(configuration.keys()::get)
-            .filter(identity.workspace()::equals)
-            .isPresent();
-    if (!valid) {
+    if (!identity.hasValidKey(configuration)) {
       return Optional.of(
           new Refusal(
               FailureCode.KEY_REJECTED,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -40,7 +40,6 @@
   private final Consumer<ExecutionOutcome> done;
   private final MonotonicTime startedAt;
   private final MonotonicTime waitUntil;
-  private final MonotonicTime deadline;
   private final Set<BackendServerId> tried = new HashSet<>();
   private final FailedReads failedReads = new FailedReads();
   private Failure lastFailure =
@@ -64,7 +63,6 @@
     this.done = done;
     this.startedAt = context.now();
     this.waitUntil = startedAt.plus(request.latencyTarget().dividedBy(WAIT_DIVISOR));
-    this.deadline = startedAt.plus(request.timeout());
   }
 
   /** Starts the request; the callback receives the outcome exactly once. */
@@ -83,7 +81,7 @@
     if (finished) {
       return;
     }
-    Optional<Target> target = attempts >= MAXIMUM_ATTEMPTS ? Optional.empty() : choose();
+    Optional<ExecutionTarget> target = attempts >= MAXIMUM_ATTEMPTS ? Optional.empty() : choose();
     if (target.isEmpty()) {
       giveUp();
       return;
@@ -110,7 +108,7 @@
         });
   }
 
-  private Optional<Target> choose() {
+  private Optional<ExecutionTarget> choose() {
     Optional<ServerEntry> primary = context.primary(request.group()).filter(this::isAdmittedIfCold);
     if (request.needsPrimary()) {
       return primary.flatMap(entry -> target(entry, true));
@@ -124,7 +122,7 @@
       if (best.isPresent()) {
         boolean isPrimary = best.get().primary();
         return Optional.of(
-            new Target(
+            new ExecutionTarget(
                 best.get().pool(),
                 isPrimary,
                 isPrimary ? Optional.empty() : Optional.of(minimumPosition),
@@ -138,9 +136,10 @@
         .flatMap(entry -> target(entry, onlyThere));
   }
 
-  private Optional<Target> target(ServerEntry primary, boolean onlyThere) {
-    Target target = new Target(pools.pool(primary), true, Optional.empty(), onlyThere);
-    if (mayUse(target)) {
+  private Optional<ExecutionTarget> target(ServerEntry primary, boolean onlyThere) {
+    ExecutionTarget target =
+        new ExecutionTarget(pools.pool(primary), true, Optional.empty(), onlyThere);
+    if (target.mayBeUsed(context)) {
       return Optional.of(target);
     }
     if (attempts == 0) {
@@ -149,14 +148,6 @@
     return Optional.empty();
   }
 
-  /** In an evacuated zone, what only a primary can run is sent to it until the deadline. */
-  private boolean mayUse(Target target) {
-    ServerEntry server = target.pool().server();
-    return target.onlyThere()
-        ? !context.isPastEvacuationDeadline(server)
-        : !context.isEvacuated(server);
-  }
-
   /** Returns whether this host may send to the server; a cold one gets requests of relays only. */
   private boolean isAdmittedIfCold(ServerEntry server) {
     boolean admitted = pools.coldServers().hasPart(server);
@@ -167,7 +158,7 @@
     return admitted;
   }
 
-  private void use(PooledConnection free, Target target) {
+  private void use(PooledConnection free, ExecutionTarget target) {
     if (finished) {
       free.release();
       return;
@@ -177,7 +168,7 @@
       retry(free.server(), Failure.of(FailureCode.OVERLOADED, "the primary is being replaced"));
       return;
     }
-    if (!mayUse(target)) {
+    if (!target.mayBeUsed(context)) {
       free.release();
       retry(free.server(), ServerPool.EVACUATED);
       return;
@@ -190,7 +181,7 @@
         ready -> connectionReady(ready, target));
   }
 
-  private void connectionReady(boolean ready, Target target) {
+  private void connectionReady(boolean ready, ExecutionTarget target) {
     if (finished) {
       return;
     }
@@ -203,7 +194,7 @@
       return;
     }
     PooledConnection used = connection;
-    if (!mayUse(target)) {
+    if (!target.mayBeUsed(context)) {
       used.release();
       retry(used.server(), ServerPool.EVACUATED);
       return;
@@ -233,7 +224,7 @@
   }
 
   /** Sends a statement that its position makes too long to the primary, which needs none. */
-  private void sendShorter(Target target) {
+  private void sendShorter(ExecutionTarget target) {
     context.meter().count("statement.too-long");
     if (target.position().isPresent()) {
       tooLongWithPosition = true;
@@ -357,18 +348,16 @@
     if (finished) {
       return;
     }
-    boolean running = sent && connection != null;
-    if (connection != null) {
-      PooledConnection abandoned = connection;
-      connection = null;
-      if (running && !request.writes()) {
-        abandoned.pool().recordLoss("a read got no answer in time");
-      }
-      finishTimeOut(running);
-      abandoned.discard();
-      return;
+    PooledConnection abandoned = connection;
+    connection = null;
+    boolean running = sent && abandoned != null;
+    if (running && !request.writes()) {
+      abandoned.pool().recordLoss("a read got no answer in time");
     }
     finishTimeOut(running);
+    if (abandoned != null) {
+      abandoned.discard();
+    }
   }
 
   private void finishTimeOut(boolean running) {
@@ -398,35 +387,14 @@
     cancelTimeout.run();
     context.meter().time("statement.latency", context.now().since(startedAt));
     if (!outcome.answer().succeeded()) {
-      Failure failure = outcome.answer().failure().orElseThrow();
-      context.meter().count("statement.failed." + failure.code());
-      context
-          .log()
-          .write(
-              "statement-failed",
-              "request",
-              request.id(),
-              "group",
-              request.group(),
-              "code",
-              failure.code(),
-              "attempts",
-              attempts,
-              "servers",
-              tried,
-              "ageMs",
-              context.now().since(startedAt).toMillis(),
-              "detail",
-              failure.detail());
+      writeFailure(outcome.answer().failure().orElseThrow());
     }
     done.accept(outcome);
   }
 
-  /**
-   * The server to send the request to.
-   *
-   * @param onlyThere whether no other server can run the request
-   */
-  private record Target(
-      ServerPool pool, boolean primary, Optional<TermPosition> position, boolean onlyThere) {}
+  private void writeFailure(Failure failure) {
+    context.meter().count("statement.failed." + failure.code());
+    Duration age = context.now().since(startedAt);
+    new FailedStatement(request, failure, attempts, tried, age).write(context.log());
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -11,7 +11,6 @@
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.StatementTemplate;
-import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -22,6 +21,8 @@
   /** Pause before a statement that an overloaded server did not run is sent again. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(15);
 
+  private static final String ROLLED_BACK = "; the transaction is rolled back";
+
   private final TrafficContext context;
   private final ServerPools pools;
   private final Session session;
@@ -113,7 +114,8 @@
       refuse();
       return;
     }
-    if (session.needsKey() && !isKeyStillValid()) {
+    // Checked for each statement: a withdrawn key must stop open transactions too.
+    if (session.needsKey() && !session.identity().isVerified(context)) {
       failAborted("the key was withdrawn or can no longer be verified");
       return;
     }
@@ -128,17 +130,6 @@
     StatementExecution.start(context, pools, beginRequest(id), outcome -> begun(outcome, action));
   }
 
-  /** Checked for each statement: a withdrawn key must stop open transactions too. */
-  private boolean isKeyStillValid() {
-    return context.keysAreVerified()
-        && session
-            .identity()
-            .key()
-            .map(context.entry(EngineEntries.CONFIGURATION).keys()::get)
-            .filter(session.workspace()::equals)
-            .isPresent();
-  }
-
   private ExecutionRequest beginRequest(RequestId id) {
     return new ExecutionRequest(
         RequestId.INTERNAL,
@@ -165,15 +156,19 @@
   }
 
   private void failAborted(String detail) {
-    fail(FailureCode.ABORTED, detail + "; the transaction is rolled back");
+    fail(FailureCode.ABORTED, detail + ROLLED_BACK);
   }
 
   private void fail(FailureCode code, String detail) {
     abort();
+    writeFailure(code, detail);
+    session.fail(code.guaranteesNoEffect() ? code : FailureCode.ABORTED, detail);
+  }
+
+  private void writeFailure(FailureCode code, String detail) {
     context
         .log()
         .write("transaction-failed", "group", route.group(), "code", code, "detail", detail);
-    session.fail(code.guaranteesNoEffect() ? code : FailureCode.ABORTED, detail);
   }
 
   private void send(RequestId id, BackendStatement.Action action, MonotonicTime deadline) {
@@ -284,16 +279,7 @@
       return false;
     }
     context.meter().count("evacuation.transaction-aborted");
-    context
-        .log()
-        .write(
-            "transaction-failed",
-            "group",
-            route.group(),
-            "code",
-            FailureCode.ABORTED,
-            "detail",
-            ServerPool.EVACUATED.detail());
+    writeFailure(FailureCode.ABORTED, ServerPool.EVACUATED.detail());
     abort();
     mustTellEvacuation = true;
     return true;
@@ -302,12 +288,11 @@
   /** Refuses a statement of the failed transaction; tells once if an evacuation aborted it. */
   void refuse() {
     if (mustTellEvacuation) {
-      mustTellEvacuation = false;
-      session.fail(
-          FailureCode.ABORTED, ServerPool.EVACUATED.detail() + "; the transaction is rolled back");
+      session.fail(FailureCode.ABORTED, ServerPool.EVACUATED.detail() + ROLLED_BACK);
     } else {
       session.fail(FailureCode.MALFORMED, "the transaction failed; end it with ROLLBACK");
     }
+    mustTellEvacuation = false;
   }
 
   /**
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -41,7 +41,6 @@
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.TransactionResult;
-import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.KeyHash;
@@ -99,11 +98,8 @@
   private final Map<Engine, Boolean> frozen = new HashMap<>();
   private final Map<Engine, Integer> numbers = new HashMap<>();
   public final FakeZoneExchanges exchanges = new FakeZoneExchanges(clock, scheduler);
-  private final int zoneCount;
-  private final ServiceBounds bounds;
   private final FakeRowStore store;
-  private final IntFunction<Optional<HostStrength>> strengths;
-  private final UnaryOperator<EngineSettings> changes;
+  private final IntFunction<EngineSettings> settings;
   private long term;
   private long seed;
   private long wallClockOffset = 1_000_000;
@@ -130,7 +126,10 @@
       ServiceBounds bounds,
       StoreEra era,
       UnaryOperator<EngineSettings> changes) {
-    this(hostCount, zoneCount, bounds, era, number -> Optional.empty(), changes);
+    this(
+        number -> changes.apply(EngineSettingsFixture.of(number, zoneCount, bounds)),
+        hostCount,
+        era);
   }
 
   /** Starts hosts as above, each with the strength of its number. */
@@ -140,23 +139,17 @@
       ServiceBounds bounds,
       StoreEra era,
       IntFunction<Optional<HostStrength>> strengths) {
-    return new EngineFixture(hostCount, zoneCount, bounds, era, strengths, settings -> settings);
+    return new EngineFixture(
+        number -> EngineSettingsFixture.of(number, zoneCount, bounds, strengths.apply(number)),
+        hostCount,
+        era);
   }
 
-  private EngineFixture(
-      int hostCount,
-      int zoneCount,
-      ServiceBounds bounds,
-      StoreEra era,
-      IntFunction<Optional<HostStrength>> strengths,
-      UnaryOperator<EngineSettings> changes) {
-    this.strengths = strengths;
-    this.changes = changes;
+  private EngineFixture(IntFunction<EngineSettings> settings, int hostCount, StoreEra era) {
+    this.settings = settings;
     this.store = new FakeRowStore(clock, entries, era);
     this.rows = store.rows;
     this.operator = new FakeOperator(store, entries);
-    this.zoneCount = zoneCount;
-    this.bounds = bounds;
     for (int i = 1; i <= 3; i++) {
       ServerEntry entry = server("s" + i, i == 1);
       entries.put(entry.id(), entry);
@@ -170,15 +163,7 @@
 
   /** Returns the entry of a server of the group. */
   public static ServerEntry server(String id, boolean primary) {
-    return new ServerEntry(
-        BackendServerId.of(id),
-        GROUP,
-        SocketEndpoint.of("10.0.0.1", 1000),
-        AvailabilityZone.of("a"),
-        3,
-        false,
-        primary,
-        1);
+    return ServerEntries.of(id, GROUP, primary);
   }
 
   /** Returns a configuration with a route of each kind, whose database name is the kind. */
@@ -249,25 +234,24 @@
 
   private Engine startHost(int number) {
     List<Engine> self = new ArrayList<>();
-    EngineSettings settings =
-        changes.apply(EngineSettingsFixture.of(number, zoneCount, bounds, strengths.apply(number)));
+    EngineSettings own = settings.apply(number);
     Engine engine =
         Engine.create(
-            settings,
+            own,
             new EngineSources(
                 clock,
                 RandomSource.seeded(seed++),
                 SuspensionDetector.of(
                     clock,
                     () -> wallClockOffset + clock.now().nanoseconds() / 1_000_000,
-                    settings.timings().suspensionTolerance())),
+                    own.timings().suspensionTolerance())),
             scheduler,
             servers,
             command -> scheduler.schedule(STEP, () -> execute(self.get(0), command)),
             (event, fields) -> events.add(event + Arrays.toString(fields)),
             new IgnoringMeter());
     self.add(engine);
-    hostsByEndpoint.put(settings.peerEndpoint(), engine);
+    hostsByEndpoint.put(own.peerEndpoint(), engine);
     numbers.put(engine, number);
     engine.sessions().start();
     return engine;
@@ -376,12 +360,8 @@
     }
     term++;
     statuses.computeIfPresent(server, (id, old) -> new Status(true, term, old.received()));
-    reportRoles(server);
-  }
-
-  /** Updates the server entries at once, so that only the given server claims to be the primary. */
-  private void reportRoles(BackendServerId primary) {
-    entries.replaceAll((id, entry) -> ServerEntries.withRole(entry, id.equals(primary)));
+    // The entries change at once, so that only this server claims to be the primary.
+    entries.replaceAll((id, entry) -> ServerEntries.withRole(entry, id.equals(server)));
   }
 
   /** Advances time in steps and runs the control rounds of all hosts that are not frozen. */
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/ServerEntries.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/ServerEntries.java
@@ -2,12 +2,29 @@
 
 import java.time.Duration;
 import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.BackendServerId;
+import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.model.SocketEndpoint;
 
-/** Changes of server entries, as the servers themselves make them. */
+/** Server entries and their changes, as the servers themselves make them. */
 public final class ServerEntries {
 
   private ServerEntries() {}
 
+  /** Returns the entry of a server with three slots in the zone "a". */
+  static ServerEntry of(String id, DatabaseGroupId group, boolean primary) {
+    return new ServerEntry(
+        BackendServerId.of(id),
+        group,
+        SocketEndpoint.of("10.0.0.1", 1000),
+        AvailabilityZone.of("a"),
+        3,
+        false,
+        primary,
+        1);
+  }
+
   /** Returns the entry of the same process in the given role. */
   public static ServerEntry withRole(ServerEntry entry, boolean primary) {
     return new ServerEntry(
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SimulatedFleet.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SimulatedFleet.java
@@ -33,7 +33,7 @@
   int openedConnections;
 
   /** How long an idle connection stays open. */
-  Duration idleTimeout = ServerPool.EXTRA_CONNECTION_IDLE_TIMEOUT;
+  Duration idleTimeout = ConnectionShare.EXTRA_CONNECTION_IDLE_TIMEOUT;
 
   private final FakeClock clock = new FakeClock();
   private final FakeScheduler scheduler = new FakeScheduler(clock);
