--- a/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/ServerEntry.java
@@ -111,7 +111,8 @@
             && slots == that.slots
             && draining == that.draining
             && primary == that.primary
-            && startedAtMillis == that.startedAtMillis);
+            && startedAtMillis == that.startedAtMillis
+            && coldLeft.equals(that.coldLeft));
   }
 
   @Override
@@ -124,6 +125,7 @@
     hash = 31 * hash + Boolean.hashCode(draining);
     hash = 31 * hash + Boolean.hashCode(primary);
     hash = 31 * hash + Long.hashCode(startedAtMillis);
+    hash = 31 * hash + coldLeft.hashCode();
     return hash;
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/StoredRow.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/StoredRow.java
@@ -57,11 +57,12 @@
     return this == other
         || (other instanceof StoredRow that
             && version.equals(that.version)
-            && value.equals(that.value));
+            && value.equals(that.value)
+            && removed == that.removed);
   }
 
   @Override
   public int hashCode() {
-    return 31 * version.hashCode() + value.hashCode();
+    return 31 * (31 * version.hashCode() + value.hashCode()) + (removed ? 1 : 0);
   }
 }
--- a/engine/src/test/java/org/persimmonwalk/engine/WrittenEqualityTest.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/WrittenEqualityTest.java
@@ -4,6 +4,7 @@
 
 import java.lang.reflect.Constructor;
 import java.lang.reflect.RecordComponent;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.Set;
@@ -101,6 +102,8 @@
       return number == OTHER;
     } else if (type == String.class) {
       return "10.0.0." + number;
+    } else if (type == Duration.class) {
+      return Duration.ofMillis(number);
     } else if (type == Optional.class) {
       return Optional.of(Integer.toString(number));
     } else if (type == Set.class) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/SlowStoreTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/SlowStoreTest.java
@@ -16,6 +16,7 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.SendZoneRequest;
+import org.persimmonwalk.engine.control.ServerLoadReport;
 import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.StoreTime;
 import org.persimmonwalk.engine.control.StoreVersion;
@@ -91,7 +92,14 @@
 
   private void reply(Duration verifiedAge) {
     ZoneRequest request =
-        new ZoneRequest(SETTINGS.host(), StoreEra.UNKNOWN, Map.of(), 0, false, List.of());
+        new ZoneRequest(
+            SETTINGS.host(),
+            StoreEra.UNKNOWN,
+            Map.of(),
+            0,
+            false,
+            List.of(),
+            ServerLoadReport.NONE);
     ZoneReply reply =
         new ZoneReply(
             true,
@@ -103,7 +111,8 @@
             Optional.empty(),
             Optional.empty(),
             List.of(),
-            1);
+            1,
+            ServerLoadReport.NONE);
     loop.post(
         new ZoneRequestEnded(
             new SendZoneRequest(RELAY, request), Optional.of(reply), clock.now(), clock.now()));
