--- a/engine/src/main/java/org/persimmonwalk/engine/Route.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Route.java
@@ -28,12 +28,12 @@
    */
   public static final Duration SHORTEST_TOKEN_WAIT = Duration.ofMillis(80);
 
-  /** An operation may wait for a token for the latency target divided by this. */
-  private static final int TOKEN_WAIT_DIVISOR = 2;
-
-  /** Returns how long an operation may wait for a token. */
+  /**
+   * Returns how long an operation may wait for a token: as long as the whole operation should take.
+   * A workspace over its limit is refused at once, so what waits is mostly within the limit, and an
+   * answer that is a little late is worth more to a caller than a refusal.
+   */
   public Duration tokenWait() {
-    Duration wait = latencyTarget.dividedBy(TOKEN_WAIT_DIVISOR);
-    return wait.compareTo(SHORTEST_TOKEN_WAIT) < 0 ? SHORTEST_TOKEN_WAIT : wait;
+    return latencyTarget.compareTo(SHORTEST_TOKEN_WAIT) < 0 ? SHORTEST_TOKEN_WAIT : latencyTarget;
   }
 }
