--- a/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
+++ b/bench/src/main/java/org/persimmonwalk/bench/LocalDeployment.java
@@ -122,7 +122,9 @@
         boolean timedOut = MonotonicClock.system().now().since(start).compareTo(TIMEOUT) > 0;
         if (timedOut || !ResultCode.RATE_EXCEEDED.sqlState().equals(e.getSQLState())) {
           throw new IllegalStateException(
-              "entry host number " + hostNumber + " refused a caller connection", e);
+              "entry host number %d refused a caller connection with SQLSTATE %s: %s"
+                  .formatted(hostNumber, e.getSQLState(), e.getMessage()),
+              e);
         }
       }
     }
