--- a/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
@@ -31,6 +31,8 @@
   /** The entries as last published; absent once one of them has been put since. */
   private Optional<Map<EntryKey<?>, Object>> published = Optional.empty();
 
+  private ChangeListener changeListener = (entry, old, value) -> {};
+
   private Blackboard() {}
 
   /** Returns a blackboard whose entries have their initial values. */
@@ -50,6 +52,7 @@
     Object old = values.put(key, Objects.requireNonNull(value, "value"));
     if (old != value) {
       published = Optional.empty();
+      changeListener.changed(key, old == null ? key.initialValue() : old, value);
     }
   }
 
@@ -88,6 +91,21 @@
     commands.add(Objects.requireNonNull(command, "command"));
   }
 
+  /** Sets the listener that is called when another value of an entry is put. */
+  void whenChanged(ChangeListener listener) {
+    changeListener = listener;
+  }
+
+  /** Returns the commands submitted so far in this round. */
+  List<Command> commands() {
+    return commands;
+  }
+
+  /** Returns whether the newest snapshot has the present values of all entries. */
+  boolean isPublished() {
+    return published.isPresent();
+  }
+
   void beginRound(List<Observation> batch) {
     round++;
     observations = List.copyOf(batch);
@@ -108,4 +126,9 @@
     }
     return Snapshot.of(round, now, published.get());
   }
+
+  /** Called on the control thread when another value of an entry is put. */
+  interface ChangeListener {
+    void changed(EntryKey<?> entry, Object old, Object value);
+  }
 }
--- a/core/src/main/java/org/persimmonwalk/blackboard/ControlThread.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/ControlThread.java
@@ -20,18 +20,18 @@
    * Starts the thread.
    *
    * @param loop the loop to run
-   * @param maximumWait the longest wait for an observation before a round runs without one; the
-   *     timers of the controllers are late by up to this time
+   * @param roundInterval the wait for an observation before a round that a controller needs without
+   *     a time of its own; its timers are late by up to this time
    * @param name the name of the thread
    * @param failureHandler receives the exception of each round that failed; the rounds continue
    */
   public static ControlThread start(
       ControlLoop loop,
-      Duration maximumWait,
+      Duration roundInterval,
       String name,
       Consumer<RuntimeException> failureHandler) {
     ExecutorService executor = Executors.newSingleThreadExecutor(task -> new Thread(task, name));
-    executor.execute(() -> run(loop, maximumWait, failureHandler));
+    executor.execute(() -> run(loop, roundInterval, failureHandler));
     return new ControlThread(executor);
   }
 
@@ -51,10 +51,10 @@
   }
 
   private static void run(
-      ControlLoop loop, Duration maximumWait, Consumer<RuntimeException> failureHandler) {
+      ControlLoop loop, Duration roundInterval, Consumer<RuntimeException> failureHandler) {
     while (!Thread.currentThread().isInterrupted()) {
       try {
-        loop.awaitAndRunRound(maximumWait);
+        loop.awaitAndRunRound(roundInterval);
       } catch (InterruptedException e) {
         return;
       } catch (RuntimeException e) {
--- /dev/null
+++ b/core/src/test/java/org/persimmonwalk/blackboard/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the control loop. */
+package org.persimmonwalk.blackboard;
