Declare what the engine's controllers read and when they run next

Each controller of the engine has exact times for its calm state and asks for each round while anything unusual goes on. PrimaryViewController counts the retention of a missing server from the run that first misses it, as the last run before may be long ago. RelayController counts the silence of the relay every 90 ms.

Every other host of the test fleets also runs the controllers that would be skipped and fails if one has an effect. On the way this found two faults of the declarations: the time at which a silent relay counts as lost, and the comparison of the clocks.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -8,6 +8,7 @@
 import org.persimmonwalk.blackboard.SnapshotListener;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.HostResumed;
 import org.persimmonwalk.internal.engine.control.ColdServerController;
 import org.persimmonwalk.internal.engine.control.EraSettlementController;
 import org.persimmonwalk.internal.engine.control.EvacuationController;
@@ -21,6 +22,7 @@
 import org.persimmonwalk.internal.engine.control.ServerLoadController;
 import org.persimmonwalk.internal.engine.control.StopController;
 import org.persimmonwalk.internal.engine.control.StoreEraController;
+import org.persimmonwalk.internal.engine.control.SuspensionController;
 import org.persimmonwalk.internal.engine.control.SuspicionController;
 import org.persimmonwalk.internal.engine.control.TokenExchangeController;
 import org.persimmonwalk.internal.engine.control.VerificationController;
@@ -62,6 +64,7 @@
     List<Controller> controllers =
         List.of(
             StopController.create(),
+            SuspensionController.create(suspension),
             StoreEraController.create(log, meter, suspension),
             RelayController.create(settings, log),
             VerificationController.create(settings, log),
@@ -85,6 +88,7 @@
             settings.coldBounds().isPresent() ? gate : executor,
             clock,
             sources.random());
+    suspension.whenResumed(() -> loop.post(new HostResumed()));
     TrafficContext context =
         new TrafficContext(
             settings,
--- a/engine/src/main/java/org/persimmonwalk/engine/SuspensionDetector.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/SuspensionDetector.java
@@ -18,6 +18,7 @@
   private final long toleranceMillis;
   private long offsetMillis;
   private MonotonicTime resumedAt;
+  private Runnable listener = () -> {};
 
   private SuspensionDetector(
       MonotonicClock clock, LongSupplier wallClockMillis, Duration tolerance) {
@@ -38,6 +39,11 @@
     return new SuspensionDetector(clock, wallClockMillis, tolerance);
   }
 
+  /** Sets what is called on the thread that notices a suspension; it must return at once. */
+  public synchronized void whenResumed(Runnable action) {
+    listener = action;
+  }
+
   /**
    * Returns when the host last resumed, as far as the clocks show; the creation of this detector if
    * it never did.
@@ -47,6 +53,7 @@
     long offset = offset(now);
     if (offset - offsetMillis > toleranceMillis) {
       resumedAt = now;
+      listener.run();
     }
     offsetMillis = offset;
     return resumedAt;
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -147,6 +147,13 @@
   public static final EntryKey<ServerLoads> ZONE_LOADS =
       EntryKey.of("zone loads", ServerLoads.NONE);
 
+  /**
+   * When the host last resumed after a suspension, as the clocks show. For controllers that must
+   * run then; those that act compare the clocks themselves.
+   */
+  public static final EntryKey<Optional<MonotonicTime>> RESUMED_AT =
+      EntryKey.of("resumed at", Optional.empty());
+
   /** Whether this host has been asked to stop. */
   public static final EntryKey<Boolean> STOPPING = EntryKey.of("stopping", false);
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServerController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServerController.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.GroupSettings;
@@ -60,6 +62,25 @@
     publish(blackboard, context.now());
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(ServerConnectionLost.class)
+            .andEntries(
+                EngineEntries.STORE_ERA,
+                EngineEntries.RELAY_ROLE,
+                EngineEntries.SERVER_LIST_VERSION,
+                EngineEntries.SERVERS,
+                EngineEntries.CONFIGURATION));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    return blackboard.get(EngineEntries.COLD_SERVERS).isEmpty()
+        ? NextRun.onInput()
+        : NextRun.inNextRound(now);
+  }
+
   /**
    * The wait starts anew in each era of the store: a copy may name this host as the relay although
    * another one took the role after the copy was made, and acts on a verification of that era.
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/EraSettlementController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/EraSettlementController.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.control.EngineEntries;
@@ -97,6 +99,23 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(TransactionAnswered.class)
+            .andEntries(
+                EngineEntries.VERIFIED_AT,
+                EngineEntries.STORE_ERA,
+                EngineEntries.STORE_ROWS,
+                EngineEntries.REMEMBERED_ROWS,
+                EngineEntries.STOPPING));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    return dueAt.isPresent() ? NextRun.inNextRound(now) : NextRun.onInput();
+  }
+
   private void handleAnswer(TransactionAnswered answer, MonotonicTime now) {
     sentAt = Optional.empty();
     if (answer.result() == TransactionResult.APPLIED) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/EvacuationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/EvacuationController.java
@@ -9,6 +9,8 @@
 import java.util.stream.Collectors;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.ServerEntry;
@@ -72,6 +74,25 @@
         });
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofEntries(
+            EngineEntries.RESUMED_AT,
+            EngineEntries.VERIFIED_AT,
+            EngineEntries.KEYS_VERIFIED_AT,
+            EngineEntries.WATCHED_ZONES,
+            EngineEntries.STORE_ROWS,
+            EngineEntries.STORE_ERA,
+            EngineEntries.SERVERS,
+            EngineEntries.EVACUATIONS));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    return NextRun.onInput();
+  }
+
   /** The watched zones are those that the newest verification has covered. */
   private void recordRows(Blackboard blackboard, EvacuationDecision watching, MonotonicTime now) {
     Optional<MonotonicTime> verifiedAt = blackboard.get(EngineEntries.VERIFIED_AT);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/FleetSizeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/FleetSizeController.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.control.EngineEntries;
@@ -112,6 +114,32 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(ZoneRequestReceived.class, ZoneRequestEnded.class)
+            .andEntries(
+                EngineEntries.RELAY_ROLE,
+                EngineEntries.STORE_ROWS,
+                EngineEntries.STORE_ERA,
+                EngineEntries.REMEMBERED_ROWS));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    if (relayingSince.isEmpty()) {
+      return NextRun.onInput();
+    }
+    NextRun next = NextRun.onInput().orAfter(relayingSince.get(), WARM_UP, now);
+    if (recordedAt.isPresent()) {
+      next = next.orAfter(recordedAt.get(), MIN_PAUSE, now);
+    }
+    for (MonotonicTime at : lastRequestAt.values()) {
+      next = next.orAt(at.plus(PRESENCE_TIMEOUT));
+    }
+    return next;
+  }
+
   private int ownCount() {
     return lastRequestAt.size() + 1;
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.Route;
@@ -105,6 +107,31 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(TokenRequestsEnded.class)
+            .andEntries(
+                EngineEntries.CONFIGURATION,
+                EngineEntries.UNANSWERED_LENDERS,
+                EngineEntries.STORE_ROWS,
+                EngineEntries.STORE_ERA,
+                EngineEntries.REMEMBERED_ROWS));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    if (!blackboard.get(EngineEntries.UNANSWERED_LENDERS).isEmpty()) {
+      return NextRun.inNextRound(now);
+    }
+    NextRun next = NextRun.onInput();
+    for (Record record : records.values()) {
+      next = next.orAt(record.endedAt.plus(RETENTION));
+      next = now.isBefore(record.leftOutUntil) ? next.orAt(record.leftOutUntil) : next;
+    }
+    return next;
+  }
+
   /** Returns the longest of the lenders' reply times, rounded down so that it seldom changes. */
   private Duration replyTime(Collection<RelayHost> lenders) {
     long longest =
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PrimaryViewController.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.ServerEntry;
@@ -31,6 +33,10 @@
   private final Duration missingRetention;
 
   private final Map<DatabaseGroupId, LastSeen> lastSeen = new HashMap<>();
+  private MonotonicTime lastRunAt = MonotonicTime.of(Long.MIN_VALUE / 2);
+
+  /** Whether the view of a group depends on the store's time, which changes all the time. */
+  private boolean hasPlannedSwitch;
 
   private PrimaryViewController(EngineTimings timings, DecisionLog log) {
     this.missingRetention = timings.missingRetention();
@@ -46,6 +52,7 @@
   public void run(Blackboard blackboard, RoundContext context) {
     Map<DatabaseGroupId, PrimaryView> old = blackboard.get(EngineEntries.PRIMARIES);
     Map<DatabaseGroupId, PrimaryView> views = new HashMap<>();
+    hasPlannedSwitch = false;
     for (DatabaseGroupId group : blackboard.get(EngineEntries.CONFIGURATION).groups().keySet()) {
       PrimaryView view = view(blackboard, group, context.now());
       views.put(group, view);
@@ -65,6 +72,31 @@
     if (!views.equals(old)) {
       blackboard.put(EngineEntries.PRIMARIES, Map.copyOf(views));
     }
+    lastRunAt = context.now();
+  }
+
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofEntries(
+            EngineEntries.CONFIGURATION,
+            EngineEntries.VERIFIED_GROUPS,
+            EngineEntries.SERVERS,
+            EngineEntries.STORE_ROWS,
+            EngineEntries.REMEMBERED_ROWS,
+            EngineEntries.STORE_ERA));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    if (hasPlannedSwitch) {
+      return NextRun.inNextRound(now);
+    }
+    NextRun next = NextRun.onInput();
+    for (LastSeen seen : lastSeen.values()) {
+      next = seen.isListed() ? next : next.orAfter(seen.at(), missingRetention, now);
+    }
+    return next;
   }
 
   private PrimaryView view(Blackboard blackboard, DatabaseGroupId group, MonotonicTime now) {
@@ -97,6 +129,7 @@
     if (leadership.phase() == Leadership.Phase.STABLE) {
       return stable(server);
     }
+    hasPlannedSwitch = true;
     Optional<StoreTime> time = blackboard.get(EngineEntries.STORE_TIME);
     return new PrimaryView(
         server, time.map(reading -> reading.earliestLocalTime(leadership.switchAtMillis())));
@@ -121,13 +154,21 @@
   private Optional<ServerEntry> listedOrLastSeen(
       DatabaseGroupId group, Optional<ServerEntry> listed, MonotonicTime now) {
     if (listed.isPresent()) {
-      lastSeen.put(group, new LastSeen(listed.get(), now));
+      lastSeen.put(group, new LastSeen(listed.get(), now, true));
       return listed;
     }
+    // A server that was listed in the last run was so until now: a change would have caused a run.
+    lastSeen.computeIfPresent(
+        group,
+        (id, seen) ->
+            new LastSeen(
+                seen.entry(),
+                seen.isListed() && seen.at().equals(lastRunAt) ? now : seen.at(),
+                false));
     return Optional.ofNullable(lastSeen.get(group))
         .filter(seen -> now.since(seen.at()).compareTo(missingRetention) < 0)
         .map(LastSeen::entry);
   }
 
-  private record LastSeen(ServerEntry entry, MonotonicTime at) {}
+  private record LastSeen(ServerEntry entry, MonotonicTime at, boolean isListed) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -6,14 +6,18 @@
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
+import org.persimmonwalk.engine.control.PromotionOrderAnswered;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
+import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.StoreTime;
 import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
@@ -92,6 +96,44 @@
         .forEach(group -> checkGroup(blackboard, group, context));
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(
+                TransactionAnswered.class, ServerStatusRead.class, PromotionOrderAnswered.class)
+            .andEntries(
+                EngineEntries.VERIFIED_GROUPS,
+                EngineEntries.STORE_ERA,
+                EngineEntries.STORE_ROWS,
+                EngineEntries.REMEMBERED_ROWS,
+                EngineEntries.STOPPING,
+                EngineEntries.CONFIGURATION,
+                EngineEntries.SERVERS,
+                EngineEntries.PRIMARIES,
+                EngineEntries.EVACUATIONS,
+                EngineEntries.COLD_SERVERS,
+                EngineEntries.UNREACHABLE_PRIMARIES));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    Optional<MonotonicTime> lapsesAt =
+        blackboard
+            .get(EngineEntries.VERIFIED_AT)
+            .map(at -> at.plus(EngineTimings.VERIFICATION_VALIDITY))
+            .filter(now::isBefore);
+    boolean isCalm =
+        lapsesAt.isPresent()
+            && workflow.isIdle()
+            && announceAt.isEmpty()
+            && announcements.isEmpty()
+            && trigger.isCalm()
+            && blackboard.get(EngineEntries.PRIMARIES).values().stream()
+                .allMatch(view -> view.endsAt().isEmpty());
+    // Until then a new verification changes nothing.
+    return isCalm ? NextRun.at(lapsesAt.get()) : NextRun.inNextRound(now);
+  }
+
   /** Makes this host run the replacements that it announced when it settled an era. */
   private void takeOver(Blackboard blackboard, RunTransaction settled, MonotonicTime now) {
     blackboard.get(EngineEntries.CONFIGURATION).groups().keySet().stream()
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionTrigger.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionTrigger.java
@@ -83,6 +83,11 @@
         : Optional.empty();
   }
 
+  /** Returns whether no condition is waited for that leads to a replacement if it lasts. */
+  boolean isCalm() {
+    return missingSince.isEmpty() && demotedSince.isEmpty();
+  }
+
   /**
    * Returns whether the primary reports to be cold and a replica could serve in its place. A lost
    * connection alone is no reason to replace it.
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -13,6 +13,8 @@
 import java.util.function.Predicate;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.RateLimit;
@@ -30,6 +32,7 @@
 import org.persimmonwalk.engine.control.TokenRequests;
 import org.persimmonwalk.engine.control.TokenRequestsEnded;
 import org.persimmonwalk.engine.control.TokenRequestsReceived;
+import org.persimmonwalk.engine.control.TransactionAnswered;
 import org.persimmonwalk.engine.control.WorkspaceDemand;
 import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.engine.control.ZoneRequestReceived;
@@ -113,6 +116,44 @@
     examined.removeIf(workspace -> !workspaces.get(workspace).needsTokens(now));
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(
+                WorkspaceDemand.class,
+                TokenRequestsEnded.class,
+                TokenRequestsReceived.class,
+                ZoneRequestReceived.class,
+                TransactionAnswered.class)
+            .andEntries(
+                EngineEntries.RESUMED_AT,
+                EngineEntries.CONFIGURATION,
+                EngineEntries.FLEET_SIZE,
+                EngineEntries.RELAY_ROLE,
+                EngineEntries.LENDERS,
+                EngineEntries.SLOW_LENDERS,
+                EngineEntries.LENDER_REPLY_TIME,
+                EngineEntries.STORE_ERA));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    // Replies and loans are those of one round, so the next one withdraws them.
+    boolean isBusy =
+        !examined.isEmpty()
+            || received.isWaiting()
+            || pools.isAnyActive(now)
+            || !blackboard.get(EngineEntries.TOKEN_REPLIES).isEmpty()
+            || !blackboard.get(EngineEntries.TOKEN_LOANS).isEmpty();
+    if (isBusy) {
+      return NextRun.inNextRound(now);
+    }
+    NextRun next = NextRun.at(statistics.nextLineAt());
+    return workspaces.isEmpty() && pools.isEmpty()
+        ? next
+        : next.orAt(scannedAt.plus(SCAN_INTERVAL));
+  }
+
   private boolean hasLender(
       WorkspaceId workspace, Map<WorkspaceId, RelayHost> lenders, MonotonicTime now) {
     return lenders.containsKey(workspace) || !workspaces.get(workspace).needsTokens(now);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ReceivedTokenRequests.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ReceivedTokenRequests.java
@@ -35,6 +35,11 @@
     pending.put(received.exchangeId(), new Pending(received, now));
   }
 
+  /** Returns whether a request waits for tokens. */
+  boolean isWaiting() {
+    return !pending.isEmpty();
+  }
+
   /** Returns the reply of a host that can't lend to each request, by exchange id. */
   Map<Long, TokenReply> rejectAll() {
     Map<Long, TokenReply> replies = new HashMap<>();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.control.EngineEntries;
@@ -62,6 +64,9 @@
   /** Rounds start at least this often while a host gets processor time. */
   private static final Duration LONGEST_ROUND = Duration.ofMillis(100);
 
+  /** A client's wait for its next round, so that one that starts a little late counts in full. */
+  private static final Duration SILENCE_STEP = LONGEST_ROUND.minus(Duration.ofMillis(10));
+
   /**
    * A host that loses the role sooner than this may be cut off from its peers; it doubles its claim
    * delay.
@@ -138,6 +143,32 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(ZoneRequestEnded.class, TransactionAnswered.class)
+            .andEntries(
+                EngineEntries.STORE_ROWS,
+                EngineEntries.STORE_ERA,
+                EngineEntries.REMEMBERED_ROWS,
+                EngineEntries.STOPPING));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
+    if (role.kind() == RelayRole.Kind.RELAY) {
+      return NextRun.onInput();
+    }
+    if (!role.isClient() || stale || claimDueAt.isPresent()) {
+      return NextRun.inNextRound(now);
+    }
+    return NextRun.at(now.plus(SILENCE_STEP))
+        .orAfter(now, longestSilence().minus(silence), now)
+        .orAfter(currentSince, takeoverDelay(), now)
+        .orAfter(progress.learntAt(), timings.relayAdvanceAge(), now);
+  }
+
   /** Records whether the current relay answers and whether its verification is recent. */
   private void recordReply(ZoneRequestEnded ended, MonotonicTime now) {
     if (currentRelay.filter(ended.command().relay()::equals).isEmpty()) {
@@ -178,14 +209,16 @@
 
   /** Counts a relay that is silent for much longer than its replies usually take as failed. */
   private void detectSilence() {
-    Duration longest =
-        timings.exchangeInterval().plus(replyTimes.expected(SHORTEST_SILENCE, LONGEST_SILENCE));
     boolean isClient = currentRelay.filter(relay -> !relay.equals(self())).isPresent();
-    if (isClient && silence.compareTo(longest) >= 0) {
+    if (isClient && silence.compareTo(longestSilence()) >= 0) {
       update(true, true, false, Optional.empty());
     }
   }
 
+  private Duration longestSilence() {
+    return timings.exchangeInterval().plus(replyTimes.expected(SHORTEST_SILENCE, LONGEST_SILENCE));
+  }
+
   private void update(
       boolean isFailing, boolean isStale, boolean isAnswered, Optional<Duration> verifiedAge) {
     if (isFailing != failing || isStale != stale) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.ServerEntry;
@@ -122,6 +124,32 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(
+                ServerListRead.class,
+                ZoneRequestEnded.class,
+                ServerUnreachable.class,
+                ZoneRequestReceived.class)
+            .andEntries(
+                EngineEntries.STORE_ERA,
+                EngineEntries.RELAY_ROLE,
+                EngineEntries.COLD_SERVERS,
+                EngineEntries.PRIMARIES));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    boolean waitsForPrimary =
+        blackboard.get(EngineEntries.PRIMARIES).values().stream()
+            .anyMatch(view -> view.server().isEmpty() || view.endsAt().isPresent());
+    if (waitsForPrimary || ColdServers.awaitsList(blackboard)) {
+      return NextRun.inNextRound(now);
+    }
+    return NextRun.at(inFlight ? lastCallAt.plus(LOST_ANSWER_TIMEOUT) : nextCallAt);
+  }
+
   private static boolean isUrgent(Blackboard blackboard, MonotonicTime now) {
     return blackboard.observations(ServerUnreachable.class).findAny().isPresent()
         || ColdServers.awaitsList(blackboard)
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerLoadController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerLoadController.java
@@ -3,8 +3,11 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
@@ -68,6 +71,21 @@
     wasRelay = isRelay;
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(
+                ServerLoadsObserved.class, ZoneRequestEnded.class, ZoneRequestReceived.class)
+            .andEntries(EngineEntries.RELAY_ROLE));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    boolean hasLoads =
+        !sums.isEmpty() || !blackboard.get(EngineEntries.ZONE_LOADS).loads().isEmpty();
+    return wasRelay && hasLoads ? NextRun.at(summedAt.plus(SUM_INTERVAL)) : NextRun.onInput();
+  }
+
   private void addUp(Blackboard blackboard, MonotonicTime now) {
     blackboard
         .observations(ZoneRequestReceived.class)
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerLoadSums.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerLoadSums.java
@@ -43,6 +43,10 @@
     }
   }
 
+  boolean isEmpty() {
+    return received.isEmpty() && newest.isEmpty();
+  }
+
   void clear() {
     received.clear();
     newest.clear();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StoreEraController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StoreEraController.java
@@ -5,6 +5,8 @@
 import java.util.stream.Stream;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
@@ -62,6 +64,21 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(
+            TransactionAnswered.class,
+            ServerListRead.class,
+            ZoneRequestEnded.class,
+            ZoneRequestReceived.class));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    return NextRun.onInput();
+  }
+
   private static Stream<StoreEra> toldEras(Blackboard blackboard) {
     return Stream.of(
             blackboard.observations(TransactionAnswered.class).map(TransactionAnswered::era),
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/SuspicionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/SuspicionController.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.ServerEntry;
@@ -78,6 +80,16 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(Inputs.ofObservations(TransactionAnswered.class, ServerUnreachable.class));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    return unreachableSince.isEmpty() ? NextRun.onInput() : NextRun.inNextRound(now);
+  }
+
   private void reportIfDue(Blackboard blackboard, ServerEntry server, MonotonicTime now) {
     boolean isPrimary =
         blackboard
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenExchangeController.java
@@ -3,8 +3,11 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
@@ -59,6 +62,27 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(TokenRequestsEnded.class)
+            .andEntries(EngineEntries.TOKEN_REQUESTS, EngineEntries.TOKEN_REPLIES));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    boolean isBusy =
+        !unanswered.isEmpty() || !blackboard.get(EngineEntries.TOKEN_REQUESTS).isEmpty();
+    if (isBusy) {
+      return NextRun.inNextRound(now);
+    }
+    NextRun next = NextRun.onInput();
+    for (MonotonicTime sentAt : lastSentAt.values()) {
+      next = next.orAt(sentAt.plus(exchangeInterval));
+    }
+    return next;
+  }
+
   private void sendIfDue(
       Blackboard blackboard, RelayHost lender, TokenRequests requests, MonotonicTime now) {
     boolean due = requests.urgent() || !lastSentAt.containsKey(lender);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -117,6 +117,20 @@
     return pools.containsKey(workspace) && pools.get(workspace).hasTokens();
   }
 
+  boolean isEmpty() {
+    return pools.isEmpty();
+  }
+
+  /** Returns whether tokens of a workspace may be needed. */
+  boolean isAnyActive(MonotonicTime now) {
+    for (TokenPool pool : pools.values()) {
+      if (pool.isActive(now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   void dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
     pools
         .values()
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenStatistics.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenStatistics.java
@@ -81,6 +81,11 @@
     }
   }
 
+  /** Returns when the next line is due. */
+  MonotonicTime nextLineAt() {
+    return writtenAt.plus(INTERVAL);
+  }
+
   /** Writes the sums since the last line; nothing if they are all 0. */
   void writeIfDue(MonotonicTime now) {
     if (startedAt.isEmpty()) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.RoutingConfiguration;
@@ -113,6 +115,34 @@
     }
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(TransactionAnswered.class, ZoneRequestEnded.class)
+            .andEntries(
+                EngineEntries.STORE_ERA,
+                EngineEntries.RELAY_ROLE,
+                EngineEntries.RELAY_ADVANCES));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    if (inFlight > 0) {
+      NextRun lost = NextRun.at(lastCallAt.plus(LOST_ANSWER_TIMEOUT));
+      return inFlight < MAX_IN_FLIGHT
+          ? lost.orAt(lastCallAt.plus(timings.verificationHedgeDelay()))
+          : lost;
+    }
+    if (!blackboard.get(EngineEntries.RELAY_ROLE).isClient()) {
+      return NextRun.at(nextCallAt);
+    }
+    Optional<MonotonicTime> verifiedAt = blackboard.get(EngineEntries.VERIFIED_AT);
+    return NextRun.at(
+        verifiedAt.isPresent()
+            ? verifiedAt.get().plus(fallbackAge(blackboard))
+            : lastCallAt.plus(timings.verificationInterval()));
+  }
+
   /** Forgets the rows of an earlier era, so that the next verification reads all of them. */
   private void forgetRowsOfEarlierEra(Blackboard blackboard, MonotonicTime now) {
     StoreEra current = blackboard.get(EngineEntries.STORE_ERA);
@@ -128,10 +158,7 @@
   }
 
   private boolean isFallbackDue(Blackboard blackboard, MonotonicTime now) {
-    Duration fallbackAge =
-        blackboard.get(EngineEntries.RELAY_ADVANCES)
-            ? timings.slowRelayFallbackAge()
-            : timings.relayFallbackAge();
+    Duration fallbackAge = fallbackAge(blackboard);
     boolean isOld =
         blackboard
             .get(EngineEntries.VERIFIED_AT)
@@ -142,6 +169,12 @@
         && !now.isBefore(nextCallAt);
   }
 
+  private Duration fallbackAge(Blackboard blackboard) {
+    return blackboard.get(EngineEntries.RELAY_ADVANCES)
+        ? timings.slowRelayFallbackAge()
+        : timings.relayFallbackAge();
+  }
+
   /** Applies what the relay has verified; its age counts from the relay's own call to the store. */
   private void apply(Blackboard blackboard, ZoneRequestEnded ended, ZoneReply reply) {
     if (!reply.isRelay()) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
+import org.persimmonwalk.blackboard.Inputs;
+import org.persimmonwalk.blackboard.NextRun;
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.SuspensionDetector;
@@ -83,6 +85,33 @@
     targetRelay(blackboard).ifPresent(relay -> sendIfDue(blackboard, relay, now));
   }
 
+  @Override
+  public Optional<Inputs> inputs() {
+    return Optional.of(
+        Inputs.ofObservations(ZoneRequestEnded.class, ZoneRequestReceived.class)
+            .andEntries(
+                EngineEntries.RELAY_ROLE,
+                EngineEntries.STORE_ROWS,
+                EngineEntries.STORE_ERA,
+                EngineEntries.REMEMBERED_ROWS,
+                EngineEntries.PRIMARIES));
+  }
+
+  @Override
+  public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
+    if (targetRelay(blackboard).isEmpty()) {
+      return NextRun.onInput();
+    }
+    boolean hasPlannedSwitch =
+        blackboard.get(EngineEntries.PRIMARIES).values().stream()
+            .anyMatch(view -> view.endsAt().isPresent());
+    if (hasPlannedSwitch) {
+      return NextRun.inNextRound(now);
+    }
+    Duration pause = waitsForPrimary(blackboard, now) ? URGENT_INTERVAL : exchangeInterval;
+    return NextRun.at(requestSentAt.plus(inFlight ? LOST_ANSWER_TIMEOUT : pause));
+  }
+
   /** Returns the relay named in the store even while it fails, so that its recovery is noticed. */
   private Optional<RelayHost> targetRelay(Blackboard blackboard) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -251,6 +251,7 @@
             (event, fields) -> events.add(event + Arrays.toString(fields)),
             new IgnoringMeter());
     self.add(engine);
+    SkipChecks.enable(engine.loop(), number);
     hostsByEndpoint.put(own.peerEndpoint(), engine);
     numbers.put(engine, number);
     engine.sessions().start();
