--- a/core/src/main/java/org/persimmonwalk/blackboard/ControlLoop.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/ControlLoop.java
@@ -174,8 +174,8 @@
     blackboard.beginRound(batch);
     rounds.incrementAndGet();
     RoundContext context = RoundContext.of(clock.now(), random);
-    for (ScheduledController controller : controllers) {
-      controller.receive(batch);
+    if (!batch.isEmpty()) {
+      controllers.forEach(controller -> controller.receive(batch));
     }
     for (ScheduledController controller : controllers) {
       if (controller.mustRun(context.now())) {
