Take a connection for a statement without streams, timers and decimals

Each statement divided its latency target with Duration.dividedBy, which computes with BigDecimal; queued its request for a connection, although an idle connection was there; and looked for that with streams. A statement in a transaction set and cancelled a timer for a set-up that had nothing to send.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -33,16 +33,25 @@
       Map<String, String> variables,
       Optional<StatementTemplate> template,
       Consumer<Boolean> done) {
-    List<BackendStatement.Action> actions = missing(connection, variables, template);
-    if (actions.isEmpty()) {
+    if (isReady(connection, variables, template)) {
       done.accept(true);
       return;
     }
+    List<BackendStatement.Action> actions = missing(connection, variables, template);
     ConnectionSetup setup = new ConnectionSetup(connection, done);
     setup.unanswered = actions.size();
     actions.forEach(setup::send);
   }
 
+  /** Returns whether nothing has to be sent, as before most statements. */
+  static boolean isReady(
+      PooledConnection connection,
+      Map<String, String> variables,
+      Optional<StatementTemplate> template) {
+    return connection.variables().equals(variables)
+        && (template.isEmpty() || connection.preparedStatements().name(template.get()).isPresent());
+  }
+
   private static List<BackendStatement.Action> missing(
       PooledConnection connection,
       Map<String, String> variables,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
@@ -27,13 +27,17 @@
     boolean writes,
     TermPosition minimumPosition,
     Map<String, String> variables) {
+  /** A request may wait for a connection for the latency target divided by this. */
+  private static final int WAIT_DIVISOR = 2;
 
   DatabaseGroupId group() {
     return route.group();
   }
 
-  Duration latencyTarget() {
-    return route.latencyTarget();
+  /** Returns how long the request may wait for a connection. */
+  Duration connectionWait() {
+    // Duration.dividedBy computes with decimal numbers, which takes long for each statement.
+    return Duration.ofNanos(route.latencyTarget().toNanos() / WAIT_DIVISOR);
   }
 
   Duration timeout() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -90,9 +90,9 @@
     return preparedStatements;
   }
 
-  /** Returns when the oldest unanswered statement was sent; empty if none is in flight. */
-  Optional<MonotonicTime> unansweredSince() {
-    return Optional.ofNullable(pending.peekFirst()).map(Pending::sentAt);
+  /** Returns whether the server has to accept the connection or to answer a statement. */
+  boolean awaitsResponse() {
+    return !isOpen() || !pending.isEmpty();
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -33,7 +33,7 @@
   private final PoolListener listener;
   private final ColdServerGate coldServers;
   private final List<PooledConnection> connections = new ArrayList<>();
-  private final List<PooledConnection> idle = new ArrayList<>();
+  private final IdleConnections idle = new IdleConnections();
   private final PriorityQueue<ConnectionRequest> queue =
       new PriorityQueue<>(
           Comparator.comparingInt(ConnectionRequest::priority)
@@ -94,12 +94,7 @@
   }
 
   boolean hasIdle(WorkspaceId workspace) {
-    for (PooledConnection connection : idle) {
-      if (connection.workspace().equals(workspace)) {
-        return true;
-      }
-    }
-    return false;
+    return idle.has(workspace);
   }
 
   /** Returns whether a connection can be opened without closing an idle one, and then be kept. */
@@ -137,6 +132,11 @@
               "the expected wait for a connection is longer than the time left"));
       return request;
     }
+    PooledConnection free = queue.isEmpty() ? idle.takeLatest(workspace) : null;
+    if (free != null) {
+      request.grant(free);
+      return request;
+    }
     queue.add(request);
     serveQueue();
     if (request.isWaiting()) {
@@ -160,6 +160,9 @@
   }
 
   private void serveQueue() {
+    if (queue.isEmpty()) {
+      return;
+    }
     List<ConnectionRequest> unserved = new ArrayList<>();
     int connecting = (int) connections.stream().filter(connection -> !connection.isOpen()).count();
     while (!queue.isEmpty()) {
@@ -167,13 +170,9 @@
       if (!request.isWaiting()) {
         continue;
       }
-      Optional<PooledConnection> own =
-          idle.stream()
-              .filter(connection -> connection.workspace().equals(request.workspace()))
-              .max(Comparator.comparing(PooledConnection::lastUsed));
-      if (own.isPresent()) {
-        idle.remove(own.get());
-        request.grant(own.get());
+      PooledConnection own = idle.takeLatest(request.workspace());
+      if (own != null) {
+        request.grant(own);
       } else {
         unserved.add(request);
       }
@@ -199,12 +198,11 @@
       return false;
     }
     if (connections.size() >= share.limit()) {
-      Optional<PooledConnection> oldest =
-          idle.stream().min(Comparator.comparing(PooledConnection::lastUsed));
-      if (oldest.isEmpty()) {
+      PooledConnection oldest = idle.oldest();
+      if (oldest == null) {
         return false;
       }
-      oldest.get().discard();
+      oldest.discard();
     }
     ConnectionId id = new ConnectionId(server.id(), listener.nextConnectionNumber());
     PooledConnection connection =
@@ -339,20 +337,19 @@
 
   /** Closes idle connections, and those that the server did not accept in time. */
   void tick(MonotonicTime now) {
+    if (connections.isEmpty() && queue.isEmpty()) {
+      health.clearUnanswered();
+      return;
+    }
     leaveIfEvacuated();
     refuseQueuedIfKept();
-    for (PooledConnection connection : List.copyOf(idle)) {
+    for (PooledConnection connection : idle.toList()) {
       Duration idleTime = now.since(connection.lastUsed());
       if (idleTime.compareTo(share.idleTimeout(connections.size())) > 0) {
         connection.discard();
       }
     }
-    boolean awaitsResponse =
-        !queue.isEmpty()
-            || connections.stream()
-                .anyMatch(
-                    connection -> !connection.isOpen() || connection.unansweredSince().isPresent());
-    if (awaitsResponse) {
+    if (!queue.isEmpty() || connections.stream().anyMatch(PooledConnection::awaitsResponse)) {
       health.recordRequest(now);
     } else {
       health.clearUnanswered();
@@ -378,7 +375,7 @@
 
   /** Closes idle connections and lets statements in flight finish. */
   void retire() {
-    List.copyOf(idle).forEach(PooledConnection::discard);
+    idle.toList().forEach(PooledConnection::discard);
   }
 
   boolean isEmpty() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -24,9 +24,6 @@
   /** More attempts would only add load when every server is overloaded. */
   private static final int MAXIMUM_ATTEMPTS = 4;
 
-  /** A request may wait for a connection for the latency target divided by this. */
-  private static final int WAIT_DIVISOR = 2;
-
   /** Pause before a request is retried on the primary: a replacement may be ready by then. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(20);
 
@@ -62,7 +59,7 @@
     this.request = request;
     this.done = done;
     this.startedAt = context.now();
-    this.waitUntil = startedAt.plus(request.latencyTarget().dividedBy(WAIT_DIVISOR));
+    this.waitUntil = startedAt.plus(request.connectionWait());
   }
 
   /** Starts the request; the callback receives the outcome exactly once. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -76,11 +76,13 @@
    */
   private void setUp(Optional<StatementTemplate> template, Runnable action) {
     Runnable cancelTimeout =
-        context
-            .scheduler()
-            .schedule(
-                route.statementTimeout(),
-                () -> failSetUp("within " + route.statementTimeout().toMillis() + " ms"));
+        ConnectionSetup.isReady(connection, session.variables(), template)
+            ? () -> {}
+            : context
+                .scheduler()
+                .schedule(
+                    route.statementTimeout(),
+                    () -> failSetUp("within " + route.statementTimeout().toMillis() + " ms"));
     ConnectionSetup.run(
         connection,
         Map.copyOf(session.variables()),
@@ -263,7 +265,7 @@
     }
     PooledConnection used = connection;
     connection = null;
-    if (used.unansweredSince().isPresent() || !used.isOpen()) {
+    if (used.awaitsResponse()) {
       used.discard();
       return;
     }
