Look at sessions and empty pools in a tick only when something may be due

Ten times a second the traffic thread asked each session whether it has to end: two comparisons of verification times, and a division of the grace period with decimal numbers. All sessions are skipped while the host is not stopping, no zone is evacuated and its keys are verified, which is asked once; pools without connections and requests, and gates without lost connections, are skipped too.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ColdServerGate.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ColdServerGate.java
@@ -157,6 +157,9 @@
    * callers need one. It cannot tell such a server from one that has crashed.
    */
   boolean isCutOff(ServerEntry server, MonotonicTime now) {
+    if (lostAt.isEmpty()) {
+      return false;
+    }
     ColdServer cold = context.entry(EngineEntries.COLD_SERVERS).get(server.id());
     MonotonicTime lost = lostAt.get(server.id());
     MonotonicTime kept = keptAt.get(server.id());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/DrainedZones.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/DrainedZones.java
@@ -12,6 +12,10 @@
 
   void update(TrafficContext context, Predicate<AvailabilityZone> hasConnections) {
     Set<AvailabilityZone> evacuated = context.entry(EngineEntries.EVACUATIONS).deadlines().keySet();
+    if (evacuated.isEmpty()) {
+      drained.clear();
+      return;
+    }
     drained.retainAll(evacuated);
     evacuated.stream()
         .filter(zone -> !drained.contains(zone) && !hasConnections.test(zone))
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -262,6 +262,15 @@
         context.post(new ServerUnreachable(pool.server()));
       }
     }
+    tickRetired(now);
+    drainedZones.update(context, this::hasConnections);
+    loadReporter.tick(pools.values(), now);
+  }
+
+  private void tickRetired(MonotonicTime now) {
+    if (retired.isEmpty()) {
+      return;
+    }
     List.copyOf(retired)
         .forEach(
             pool -> {
@@ -269,8 +278,6 @@
               pool.tick(now);
             });
     retired.removeIf(ServerPool::isEmpty);
-    drainedZones.update(context, this::hasConnections);
-    loadReporter.tick(pools.values(), now);
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -148,7 +148,7 @@
 
   /** Aborts an open transaction whose caller has been idle for longer than the limit. */
   void expireTransaction(Duration limit) {
-    if (!busy && transaction.filter(open -> open.isIdleLongerThan(limit)).isPresent()) {
+    if (!busy && transaction.isPresent() && transaction.get().isIdleLongerThan(limit)) {
       transaction.get().abort();
     }
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionLifetime.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionLifetime.java
@@ -21,10 +21,12 @@
   private static final int TRANSACTION_GRACE_DIVISOR = 2;
 
   private final TrafficContext context;
+  private final Duration transactionGrace;
   private Optional<MonotonicTime> stoppingSince = Optional.empty();
 
   SessionLifetime(TrafficContext context) {
     this.context = context;
+    this.transactionGrace = context.settings().stopGrace().dividedBy(TRANSACTION_GRACE_DIVISOR);
   }
 
   /** Starts the phases of the stop if the host has been asked to stop. */
@@ -45,8 +47,7 @@
 
   /** Returns whether open transactions may go on. */
   boolean allowsTransactions() {
-    return !isStoppingLongerThan(
-        context.settings().stopGrace().dividedBy(TRANSACTION_GRACE_DIVISOR));
+    return !isStoppingLongerThan(transactionGrace);
   }
 
   /** Returns whether the host is stopping and ends its sessions. */
@@ -65,7 +66,15 @@
     return Optional.empty();
   }
 
+  /** Returns whether no session may have to end, whatever its key and its transaction. */
+  boolean letsAllGoOn() {
+    return stoppingSince.isEmpty()
+        && context.entry(EngineEntries.EVACUATIONS).deadlines().isEmpty()
+        && context.shouldKeepCallers();
+  }
+
   private boolean isStoppingLongerThan(Duration time) {
-    return stoppingSince.filter(at -> context.now().since(at).compareTo(time) > 0).isPresent();
+    return stoppingSince.isPresent()
+        && context.now().since(stoppingSince.get()).compareTo(time) > 0;
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -199,7 +199,9 @@
           .forEach(rateLimiter::reportActive);
     }
     lifetime.checkStopRequest(sessions.size());
-    List.copyOf(sessions).forEach(Session::endIfDue);
+    if (!lifetime.letsAllGoOn()) {
+      List.copyOf(sessions).forEach(Session::endIfDue);
+    }
     sessions.removeIf(Session::isClosed);
     if (lifetime.isDraining() && sessions.isEmpty()) {
       drained.run();
