--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.blackboard.EntryKey;
@@ -80,6 +81,15 @@
   /** The store calls that are transactions, which count as writes even if they write nothing. */
   public int transactionCalls;
 
+  /** The transactions by the purpose that their tag names. */
+  public final Map<String, Integer> transactionsByPurpose = new HashMap<>();
+
+  /** Those of them that conflicted. */
+  public final Map<String, Integer> conflictsByPurpose = new HashMap<>();
+
+  /** How long the answer of each store transaction takes to reach the host. */
+  public Supplier<Duration> storeAnswerDelay = () -> Duration.ZERO;
+
   /** How many of the next store transactions are lost without effect and time out. */
   public int transactionsToLose;
 
@@ -286,7 +296,7 @@
 
   private void execute(Engine host, Command command) {
     boolean reachable = storeIsUp && !cutOff.getOrDefault(host, false);
-    Observation result;
+    final Observation result;
     if (exchanges.execute(host, command, this::reachablePeer)) {
       return;
     }
@@ -308,6 +318,12 @@
           reachable
               ? store.run(transaction, STEP)
               : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
+      count(transaction, (TransactionAnswered) result);
+      Duration delay = storeAnswerDelay.get();
+      if (!delay.isZero()) {
+        scheduler.schedule(delay, () -> host.loop().post(result));
+        return;
+      }
     } else if (command instanceof ReadServerList) {
       result =
           reachable
@@ -326,6 +342,14 @@
     host.loop().post(result);
   }
 
+  private void count(RunTransaction transaction, TransactionAnswered answer) {
+    String purpose = transaction.tag().purpose();
+    transactionsByPurpose.merge(purpose, 1, Integer::sum);
+    if (answer.result() == TransactionResult.CONFLICT) {
+      conflictsByPurpose.merge(purpose, 1, Integer::sum);
+    }
+  }
+
   private void timeOut(Engine host, RunTransaction transaction) {
     TransactionAnswered unknown =
         TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeZoneExchanges.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeZoneExchanges.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.control.EngineTimings;
@@ -28,7 +29,7 @@
   private final FakeScheduler scheduler;
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private final Map<Long, PendingTokenRequests> pendingTokenRequests = new HashMap<>();
-  private final Map<SocketEndpoint, Duration> replyDelays = new HashMap<>();
+  private final Map<SocketEndpoint, Supplier<Duration>> replyDelays = new HashMap<>();
   private int lateReplies;
   private long nextExchangeId;
 
@@ -39,7 +40,12 @@
 
   /** Delays all replies of the host at the endpoint, as a host that is short of processor time. */
   public void delayReplies(SocketEndpoint endpoint, Duration delay) {
-    replyDelays.put(endpoint, delay);
+    replyDelays.put(endpoint, () -> delay);
+  }
+
+  /** Delays each reply of the host at the endpoint by what the source returns for it. */
+  public void delayReplies(SocketEndpoint endpoint, Supplier<Duration> delays) {
+    replyDelays.put(endpoint, delays);
   }
 
   /** Returns how many replies arrived after the requesting host had given up. */
@@ -130,7 +136,7 @@
   }
 
   private Duration delay(SocketEndpoint endpoint) {
-    return replyDelays.getOrDefault(endpoint, Duration.ZERO);
+    return replyDelays.getOrDefault(endpoint, () -> Duration.ZERO).get();
   }
 
   private record PendingTokenRequests(
