Borrow tokens of large workspaces from one lender

Cause: relays of three zones wrote the rows of the same workspaces, a stand-in that was asked once kept tokens and the row from then on, tokens for waiting operations had expired on arrival after 300 ms, and a new bucket held fewer tokens than there are hosts. Change: the relay of a workspace's owner zone takes its tokens; the others borrow from it in advance and fall back to the row. Stand-ins take no stock for 1 s. Tokens for waiting operations count as held until they arrive or for 1 s. Hosts hold a token of small workspaces in use. Calls that cannot bring a token are left out. A workspace counts as over its limit only if little is held in stock.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderChoice.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderChoice.java
@@ -50,6 +50,14 @@
     return order;
   }
 
+  /**
+   * Returns the zone whose relay takes the tokens of the workspace from the store for all zones in
+   * calm operation.
+   */
+  static AvailabilityZone owner(WorkspaceId workspace, EngineSettings settings) {
+    return rank(workspace, settings.zones()).get(0);
+  }
+
   /** Returns whether the relay of the own zone lends the workspace's tokens. */
   static boolean isLender(
       WorkspaceId workspace, RateLimit limit, EngineSettings settings, int fleetSize) {
@@ -64,11 +72,21 @@
    */
   static boolean isLarge(RateLimit limit, EngineSettings settings, int fleetSize) {
     double capacity = RateRow.capacity(limit, settings);
-    return fleetSize > 0
-        && capacity >= fleetSize * MINIMUM_TOKENS_PER_HOST
+    return sufficesForAllHosts(limit, settings, fleetSize)
         && capacity >= settings.zones().size() * MINIMUM_TOKENS_PER_ZONE;
   }
 
+  /**
+   * Returns whether each host can hold a token of the workspace, so that those in use hold one
+   * before the next operation comes.
+   *
+   * @param fleetSize the number of hosts; 0 if unknown
+   */
+  static boolean sufficesForAllHosts(RateLimit limit, EngineSettings settings, int fleetSize) {
+    return fleetSize > 0
+        && RateRow.capacity(limit, settings) >= fleetSize * MINIMUM_TOKENS_PER_HOST;
+  }
+
   private static List<AvailabilityZone> rank(
       WorkspaceId workspace, Collection<AvailabilityZone> zones) {
     return zones.stream()
--- /dev/null
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
@@ -0,0 +1,113 @@
+package org.persimmonwalk.internal.engine.control;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.persimmonwalk.blackboard.Blackboard;
+import org.persimmonwalk.engine.RateLimit;
+import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.RelayHost;
+import org.persimmonwalk.engine.control.RelayRole;
+import org.persimmonwalk.engine.control.TokenRequestsEnded;
+import org.persimmonwalk.id.AvailabilityZone;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.MonotonicTime;
+
+/**
+ * Decides for which large workspaces the relay of this zone borrows its tokens, and from whom: from
+ * the relay of the workspace's owner zone, which alone writes the rate row in calm operation. If
+ * that one does not lend, this host takes tokens from the row itself.
+ */
+final class PoolLenders {
+  /**
+   * A loan is valid for 1.8 s from its request, and the hosts need two replies of that: with
+   * replies of 600 ms, a fifth of the operations found only expired tokens at their host.
+   */
+  private static final Duration LONGEST_REPLY_TIME = Duration.ofMillis(450);
+
+  private final EngineSettings settings;
+  private Map<AvailabilityZone, RelayHost> reachable = Map.of();
+  private final Map<RelayHost, ReplyTimes> replyTimes = new HashMap<>();
+  private Set<RelayHost> slow = Set.of();
+  private Set<RelayHost> busy = Set.of();
+  private Map<WorkspaceId, RateLimit> limits = Map.of();
+  private int fleetSize;
+  private boolean mayBorrow;
+  private MonotonicTime startedAt;
+
+  PoolLenders(EngineSettings settings) {
+    this.settings = settings;
+  }
+
+  void setLimits(Map<WorkspaceId, RateLimit> newLimits, int newFleetSize) {
+    limits = newLimits;
+    fleetSize = newFleetSize;
+  }
+
+  /** Reads who can lend now. */
+  void update(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
+    startedAt = startedAt == null ? now : startedAt;
+    mayBorrow =
+        blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY
+            && knowsItsLoans(now, resumedAt);
+    reachable = blackboard.get(EngineEntries.LENDERS);
+    blackboard
+        .observations(TokenRequestsEnded.class)
+        .filter(ended -> ended.reply().isPresent())
+        .forEach(ended -> record(ended.command().lender(), ended.endedAt().since(ended.sentAt())));
+    replyTimes.keySet().removeIf(lender -> !reachable.containsValue(lender));
+    slow = blackboard.get(EngineEntries.SLOW_LENDERS);
+    Set<RelayHost> unanswered =
+        new HashSet<>(blackboard.get(EngineEntries.UNANSWERED_LENDERS).keySet());
+    blackboard
+        .observations(TokenRequestsEnded.class)
+        .forEach(ended -> unanswered.remove(ended.command().lender()));
+    busy = unanswered;
+  }
+
+  private void record(RelayHost lender, Duration replyTime) {
+    replyTimes.computeIfAbsent(lender, unused -> new ReplyTimes()).record(replyTime);
+  }
+
+  private boolean isSuitable(RelayHost lender, boolean isUrgent) {
+    ReplyTimes times = replyTimes.get(lender);
+    boolean isQuick = times == null || times.average().compareTo(LONGEST_REPLY_TIME) < 0;
+    return isQuick && !(isUrgent && slow.contains(lender));
+  }
+
+  /**
+   * Returns whether this process knows of all tokens that other hosts still hold from it. Its
+   * previous process, or it before a suspension, may have lent tokens that it does not know of; if
+   * it told the owner that it held none, the owner would take them back too early.
+   */
+  boolean knowsItsLoans(MonotonicTime now, MonotonicTime resumedAt) {
+    MonotonicTime since = resumedAt.isAfter(startedAt) ? resumedAt : startedAt;
+    return now.since(since).compareTo(TokenPool.MAX_LOAN_DURATION) > 0;
+  }
+
+  /**
+   * Returns the relay from which the tokens of the workspace are borrowed; none if this host takes
+   * them from the row.
+   *
+   * @param isUrgent whether a host waits for a token, so that a slow lender is avoided
+   */
+  Optional<RelayHost> lender(WorkspaceId workspace, boolean isUrgent) {
+    RateLimit limit = limits.get(workspace);
+    if (!mayBorrow || limit == null || !LenderChoice.isLarge(limit, settings, fleetSize)) {
+      return Optional.empty();
+    }
+    AvailabilityZone owner = LenderChoice.owner(workspace, settings);
+    return owner.equals(settings.zone())
+        ? Optional.empty()
+        : Optional.ofNullable(reachable.get(owner)).filter(host -> isSuitable(host, isUrgent));
+  }
+
+  /** Returns whether a request to the lender is under way; another one must wait for its reply. */
+  boolean isBusy(RelayHost lender) {
+    return busy.contains(lender);
+  }
+}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.RoundContext;
@@ -54,6 +55,7 @@
   private final EngineTimings timings;
   private final SuspensionDetector suspension;
   private final TokenStatistics statistics;
+  private final PoolLenders poolLenders;
   private final TokenPools pools;
   private final ReceivedTokenRequests received;
   private final Map<WorkspaceId, WorkspaceTokens> workspaces = new TreeMap<>();
@@ -68,7 +70,8 @@
     this.timings = settings.timings();
     this.suspension = suspension;
     this.statistics = new TokenStatistics(log);
-    this.pools = new TokenPools(settings, log, statistics);
+    this.poolLenders = new PoolLenders(settings);
+    this.pools = new TokenPools(settings, log, statistics, poolLenders);
     this.received = new ReceivedTokenRequests(statistics);
   }
 
@@ -84,6 +87,7 @@
     MonotonicTime resumedAt = suspension.lastResumedAt();
     statistics.writeIfDue(now);
     updateLimits(blackboard);
+    poolLenders.update(blackboard, now, resumedAt);
     blackboard.observations(WorkspaceDemand.class).forEach(reported -> record(reported, now));
     blackboard.observations(TokenRequestsEnded.class).forEach(ended -> applyLoans(ended, now));
     pools.handleAnswers(blackboard, now);
@@ -97,10 +101,10 @@
                 TokenStatistics.Count.LAPSED,
                 workspaces.get(workspace).dropExpired(now, resumedAt)));
     lendToOthers(blackboard, now, resumedAt);
-    Map<WorkspaceId, RelayHost> lenders = lenders(blackboard, now);
+    Map<WorkspaceId, RelayHost> lenders = lenders(blackboard, now, resumedAt);
     lendToSelf(
         now, resumedAt, workspace -> !lenders.containsKey(workspace) || pools.hasTokens(workspace));
-    publishRequests(blackboard, lenders, now);
+    publishRequests(blackboard, lenders, pools.requests(replyTime, now), now);
     boolean hasLenders =
         examined.stream().allMatch(workspace -> hasLender(workspace, lenders, now));
     if (blackboard.get(EngineEntries.RELAY_ROLE).isClient() && hasLenders) {
@@ -133,13 +137,16 @@
       limits = newest;
       fleetSize = newestSize;
       pools.setLimits(newest, newestSize);
+      poolLenders.setLimits(newest, newestSize);
       workspaces.forEach(this::updateTarget);
     }
   }
 
   private void updateTarget(WorkspaceId workspace, WorkspaceTokens tokens) {
     RateLimit limit = limits.get(workspace);
-    tokens.setHeldInAdvance(limit != null && LenderChoice.isLarge(limit, settings, fleetSize));
+    tokens.setHeldInAdvance(
+        limit != null && LenderChoice.isLarge(limit, settings, fleetSize),
+        limit != null && LenderChoice.sufficesForAllHosts(limit, settings, fleetSize));
   }
 
   private void record(WorkspaceDemand reported, MonotonicTime now) {
@@ -156,7 +163,13 @@
   }
 
   private void applyLoans(TokenRequestsEnded ended, MonotonicTime now) {
+    Set<WorkspaceId> forPools =
+        ended.command().requests().stream()
+            .filter(TokenRequest::forPool)
+            .map(TokenRequest::workspace)
+            .collect(Collectors.toSet());
     ended.command().requests().stream()
+        .filter(request -> !request.forPool())
         .map(TokenRequest::workspace)
         .filter(workspaces::containsKey)
         .forEach(workspace -> workspaces.get(workspace).recordRequest(ended.sentAt()));
@@ -164,9 +177,16 @@
         .reply()
         .ifPresent(
             reply ->
-                reply.loans().stream()
-                    .filter(loan -> workspaces.containsKey(loan.workspace()))
-                    .forEach(loan -> grant(loan, ended.sentAt(), now)));
+                reply
+                    .loans()
+                    .forEach(
+                        loan -> {
+                          if (forPools.contains(loan.workspace())) {
+                            pools.applyLoan(loan, ended.sentAt(), now);
+                          } else if (workspaces.containsKey(loan.workspace())) {
+                            grant(loan, ended.sentAt(), now);
+                          }
+                        }));
   }
 
   private void grant(TokenLoan loan, MonotonicTime requestedAt, MonotonicTime now) {
@@ -221,7 +241,8 @@
    * Returns the lender of each workspace that needs tokens; none for those whose tokens this host
    * takes from the store itself.
    */
-  private Map<WorkspaceId, RelayHost> lenders(Blackboard blackboard, MonotonicTime now) {
+  private Map<WorkspaceId, RelayHost> lenders(
+      Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
     Map<AvailabilityZone, RelayHost> reachable = blackboard.get(EngineEntries.LENDERS);
     Set<RelayHost> slow = blackboard.get(EngineEntries.SLOW_LENDERS);
@@ -231,13 +252,31 @@
           WorkspaceTokens tokens = workspaces.get(workspace);
           if (tokens.needsTokens(now) && limits.containsKey(workspace)) {
             Set<RelayHost> avoided = tokens.isUrgent(now) ? slow : Set.of();
-            lender(workspace, role, reachable, avoided)
+            lender(workspace, role, mayAsk(workspace, reachable, now, resumedAt), avoided)
                 .ifPresent(host -> lenders.put(workspace, host));
           }
         });
     return lenders;
   }
 
+  /**
+   * Returns the lenders that this host may ask for tokens of the workspace. While it may not know
+   * of all tokens lent by itself, it asks for those of a large workspace in its own zone only: a
+   * lender in the owner zone may still count them as held by this host.
+   */
+  private Map<AvailabilityZone, RelayHost> mayAsk(
+      WorkspaceId workspace,
+      Map<AvailabilityZone, RelayHost> reachable,
+      MonotonicTime now,
+      MonotonicTime resumedAt) {
+    boolean isLarge = LenderChoice.isLarge(limits.get(workspace), settings, fleetSize);
+    if (!isLarge || poolLenders.knowsItsLoans(now, resumedAt)) {
+      return reachable;
+    }
+    RelayHost own = reachable.get(settings.zone());
+    return own == null ? Map.of() : Map.of(settings.zone(), own);
+  }
+
   /**
    * Returns the first lender that is reachable and not avoided; if all are avoided the first that
    * is reachable, whose reply is still under way. None if all have failed or are silent.
@@ -279,16 +318,28 @@
   }
 
   private void publishRequests(
-      Blackboard blackboard, Map<WorkspaceId, RelayHost> lenders, MonotonicTime now) {
-    Map<RelayHost, List<TokenRequest>> requests = new HashMap<>();
+      Blackboard blackboard,
+      Map<WorkspaceId, RelayHost> lenders,
+      Map<RelayHost, List<TokenRequest>> forPools,
+      MonotonicTime now) {
+    Map<RelayHost, List<TokenRequest>> requests = new HashMap<>(forPools);
     Set<RelayHost> urgent = new HashSet<>();
+    forPools.forEach(
+        (lender, list) -> {
+          if (list.stream().anyMatch(request -> request.waiting() > 0 || request.held() == 0)) {
+            urgent.add(lender);
+          }
+        });
     lenders.forEach(
         (workspace, lender) -> {
           WorkspaceTokens tokens = workspaces.get(workspace);
           if (tokens.needsTokens(now)) {
             requests
                 .computeIfAbsent(lender, unused -> new ArrayList<>())
-                .add(tokens.request(workspace, now));
+                .add(
+                    tokens
+                        .request(workspace, now)
+                        .withFurther(pools.lentToOthers(workspace, now)));
             if (tokens.isUrgent(now)) {
               urgent.add(lender);
             }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -87,6 +87,15 @@
         : new RateRow(limit.burst(), storeMillis, Map.of());
   }
 
+  /**
+   * Returns the bucket of a workspace whose row nobody has written yet, so that no host holds
+   * tokens of it. It is full: with the burst alone, small workspaces had fewer tokens than hosts in
+   * the first seconds.
+   */
+  static RateRow unused(RateLimit limit, EngineSettings settings, long storeMillis) {
+    return new RateRow(capacity(limit, settings), storeMillis, Map.of());
+  }
+
   /**
    * Returns the bucket after the store came back from a copy, for a row that nobody has written
    * since. It was empty when the era was settled, because hosts may hold all the tokens that the
@@ -208,6 +217,11 @@
     return holdings.values().stream().mapToLong(Holding::tokens).sum();
   }
 
+  /** Returns the sum of the tokens that holders other than the given one have recorded. */
+  long heldByOthers(EntryHostId self) {
+    return heldByAll() - tokensHeldBy(self);
+  }
+
   /** Returns the row with tokens that a holder gives back. */
   RateRow withReturned(long returned) {
     return new RateRow(tokens + returned, atMillis, holdings);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -24,6 +26,12 @@
   /** Tokens are taken about this often, after each verification. */
   private static final double SECONDS_BETWEEN_CALLS = 1;
 
+  /**
+   * Borrowed tokens are renewed about this often. With the time for calls to the store, relays held
+   * all tokens of a workspace of 20 a second, most of which had been spent.
+   */
+  private static final double SECONDS_BETWEEN_LOANS = 0.5;
+
   /** Tokens are taken from the store when less than this part of the target is left. */
   private static final double REFILL_THRESHOLD = 0.8;
 
@@ -46,8 +54,11 @@
    */
   static final Duration MAX_LOAN_DURATION = Duration.ofMillis(1800);
 
-  /** How long tokens that were lent for waiting operations may be spent. */
-  static final Duration SPENT_AT_ONCE_VALIDITY = Duration.ofMillis(300);
+  /**
+   * How long tokens that were lent for waiting operations may be spent, counted from the request.
+   * With 300 ms they had expired on arrival where replies took as long.
+   */
+  static final Duration SPENT_AT_ONCE_VALIDITY = Duration.ofMillis(1000);
 
   /**
    * The lender of a workspace keeps tokens this long after the last request, so that an operation
@@ -55,34 +66,62 @@
    */
   private static final Duration LENDER_RETENTION = Duration.ofSeconds(30);
 
+  /** A host whose lender is lost asks the one that stands in at least this often. */
+  private static final Duration STAND_IN_GAP = Duration.ofMillis(1000);
+
+  /** After requests for this long, a lender that stands in takes tokens in advance. */
+  private static final Duration STAND_IN_DELAY = Duration.ofMillis(1000);
+
   /** Tokens are renewed this long before they expire. */
   private static final Duration RENEW_BEFORE = Duration.ofMillis(1800);
 
+  /**
+   * A pool that borrows asks for more below this part of its target. A request between relays costs
+   * far less than a call to the store.
+   */
+  private static final double LOAN_REFILL_THRESHOLD = 0.9;
+
+  /**
+   * Borrowed tokens are renewed this long before they expire, so that the hosts, which renew theirs
+   * 0.7 s before, need not ask in each exchange.
+   */
+  private static final Duration RENEW_LOAN_BEFORE = Duration.ofMillis(1300);
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final Map<EntryHostId, Loan> loans = new TreeMap<>();
   private long available;
   private long returned;
   private long minimumHeld;
+  private double bucket = Double.MAX_VALUE;
+  private double bucketPerSecond;
+  private double room = Double.MAX_VALUE;
   private long inherited;
   private boolean hasTaken;
   private boolean isLender;
   private boolean scarce;
   private boolean hasUnmetRequest;
   private MonotonicTime takenAt;
+  private MonotonicTime loanRequestedAt;
   private MonotonicTime validUntil;
   private MonotonicTime lastStoreCallAt;
   private MonotonicTime lastRequestAt;
+  private MonotonicTime requestedSince;
 
   TokenPool(MonotonicTime now) {
     this.lastRequestAt = now;
+    this.requestedSince = now;
     this.takenAt = now;
+    this.loanRequestedAt = now.minus(SCARCE_PAUSE);
     this.validUntil = now;
     this.lastStoreCallAt = now.minus(SCARCE_PAUSE);
   }
 
   /**
    * Lends tokens to a host: as many as it wants if the pool has at least twice as many, otherwise
-   * at most half of the pool, rounded up. Tokens for operations that wait count as spent at once:
-   * the lender may not hear of the host again, and they would count as held until they expire.
+   * at most half of the pool, rounded up. Tokens for operations that wait are valid for a short
+   * time only, and count as held until then or until the next request: the lender may not hear of
+   * the host again.
    *
    * @param maximumDuration the maximum time for which they may be spent
    */
@@ -100,9 +139,13 @@
     long lent = valid ? fair : 0;
     long spentAtOnce = request.held() == 0 ? Math.min(lent, request.waiting()) : 0;
     available -= lent;
-    loan.add(lent - spentAtOnce);
+    loan.add(lent - spentAtOnce, spentAtOnce, now.plus(SPENT_AT_ONCE_VALIDITY));
+    if (now.since(lastRequestAt).compareTo(STAND_IN_GAP) > 0) {
+      requestedSince = now;
+    }
     lastRequestAt = now;
-    hasUnmetRequest |= lent == 0 && request.held() == 0 && wanted > 0;
+    boolean isShort = request.held() == 0 || request.waiting() > 0;
+    hasUnmetRequest |= lent == 0 && isShort && wanted > 0;
     Duration longest = lent > 0 && lent == spentAtOnce ? SPENT_AT_ONCE_VALIDITY : maximumDuration;
     Duration validity = valid ? validUntil.since(now) : Duration.ZERO;
     return new TokenLoan(
@@ -128,6 +171,7 @@
     if (takenAt.isBefore(resumedAt)) {
       loans.clear();
     }
+    loans.values().forEach(loan -> loan.dropInTransit(now));
     loans.values().removeIf(loan -> loan.hasExpired(now));
     return dropped;
   }
@@ -138,22 +182,99 @@
   }
 
   boolean needsTokens(MonotonicTime now) {
+    boolean isLow = held() < Math.max(target(now), minimumHeld) * REFILL_THRESHOLD;
+    boolean isExpiring = validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
+    return isActive(now) && (isExhausted() || (isStocked(now) && (isLow || isExpiring)));
+  }
+
+  /** Returns whether tokens of another lender are needed, which are valid for 1.8 s at most. */
+  boolean needsLoan(Duration replyTime, MonotonicTime now) {
     boolean isLow =
-        held() < Math.max(target(now), minimumHeld) * REFILL_THRESHOLD
+        held() < loanTarget(now) * LOAN_REFILL_THRESHOLD
             || (hasUnmetRequest && available == 0);
-    boolean isExpiring = validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
+    boolean isExpiring =
+        validUntil.since(now).compareTo(RENEW_LOAN_BEFORE.plus(replyTime)) < 0;
     return isActive(now) && (isLow || isExpiring);
   }
 
+  /** Returns how many borrowed tokens to hold in total. */
+  private long loanTarget(MonotonicTime now) {
+    long hostTargets =
+        loans.values().stream()
+            .filter(loan -> loan.isActive(now))
+            .mapToLong(loan -> loan.target)
+            .sum();
+    long target = (long) Math.ceil(demand(now) * SECONDS_BETWEEN_LOANS) + hostTargets;
+    return Math.max(target, minimumHeld);
+  }
+
+  /** Returns whether a host has asked for a token and the pool has none. */
+  boolean isExhausted() {
+    return hasUnmetRequest && available == 0;
+  }
+
+  /**
+   * Returns the request to another lender for the tokens that this host lends on. Tokens for hosts
+   * that wait count towards the target, as the lender must not count them as spent at once: they
+   * are on their way for longer.
+   */
+  TokenRequest request(WorkspaceId workspace, MonotonicTime now) {
+    loanRequestedAt = now;
+    loans.values().forEach(Loan::startRecording);
+    long held = held();
+    long waiting = isExhausted() ? 1 : 0;
+    long wanted = Math.max(loanTarget(now), held + (isExhausted() ? hosts(now) : 0)) - (held > 0 ? waiting : 0);
+    return new TokenRequest(
+        workspace, held, demand(now), wanted, held > 0 ? waiting : 0, true);
+  }
+
+  /** Returns the tokens lent to other hosts that they may still spend. */
+  long lentToOthers(EntryHostId self, MonotonicTime now) {
+    return spendableLoans(
+        loans.entrySet().stream()
+            .filter(entry -> !entry.getKey().equals(self))
+            .map(Map.Entry::getValue),
+        now);
+  }
+
+  /**
+   * Returns whether the pool takes tokens in advance: that of the lender, and that of a host that
+   * has stood in for it for a while. Hosts ask another lender also when theirs replies late once;
+   * if that one kept tokens too, both would write the row from then on.
+   */
+  private boolean isStocked(MonotonicTime now) {
+    return isLender || lastRequestAt.since(requestedSince).compareTo(STAND_IN_DELAY) >= 0;
+  }
+
   /** Returns whether a host waits for a token and the pause between store calls is over. */
   boolean isUrgent(MonotonicTime now) {
     Duration pause = scarce ? SCARCE_PAUSE : MIN_PAUSE;
-    return hasUnmetRequest
-        && available == 0
+    return isExhausted()
         && isActive(now)
+        && hasRowTokens(now)
         && now.since(lastStoreCallAt).compareTo(pause) >= 0;
   }
 
+  /**
+   * Returns whether a call to the store would bring a token, as far as is known: the bucket has been
+   * refilled since, and the tokens held leave room for another one.
+   */
+  private boolean hasRowTokens(MonotonicTime now) {
+    double elapsed = now.since(lastStoreCallAt).toNanos() / NANOS_PER_SECOND;
+    return Math.min(bucket + bucketPerSecond * elapsed, room - held()) >= 1;
+  }
+
+  /**
+   * Sets what the last write has left in the bucket.
+   *
+   * @param newRoom how many tokens this host may hold in total
+   */
+  void setBucket(double left, double perSecond, double newRoom) {
+    bucket = left;
+    bucketPerSecond = perSecond;
+    room = newRoom;
+  }
+
   /** Sets whether this host is a lender of the workspace and not only stands in for one. */
   void setLender(boolean lender) {
     isLender = lender;
@@ -176,7 +297,19 @@
   }
 
   long held() {
-    return available + loans.values().stream().mapToLong(loan -> loan.tokens).sum();
+    return available + loans.values().stream().mapToLong(Loan::held).sum();
+  }
+
+  /** Returns the tokens in the pool and those lent that hosts may still spend. */
+  long spendable(MonotonicTime now) {
+    return available + spendableLoans(loans.values().stream(), now);
+  }
+
+  private static long spendableLoans(Stream<Loan> loans, MonotonicTime now) {
+    return loans
+        .filter(loan -> now.since(loan.lastRequestAt).compareTo(MAX_LOAN_DURATION) <= 0)
+        .mapToLong(Loan::held)
+        .sum();
   }
 
   /** Returns the tokens lent by the previous process of this host that may still be spent. */
@@ -215,7 +348,7 @@
 
   /** Sets how many tokens to hold in total even without demand. */
   void setMinimumHeld(long tokens) {
-    minimumHeld = tokens;
+    minimumHeld = isLender ? tokens : 0;
   }
 
   /**
@@ -242,7 +375,7 @@
 
   /** Returns how many tokens to take from the store. */
   long wanted(MonotonicTime now) {
-    long missing = Math.max(target(now), minimumHeld) - held();
+    long missing = isStocked(now) ? Math.max(target(now), minimumHeld) - held() : 0;
     long forWaiting =
         hasUnmetRequest && available == 0 ? 1 + hosts(now) + Math.round(demand(now)) : 0;
     return Math.max(0, Math.max(missing, forWaiting));
@@ -273,6 +406,40 @@
     loans.values().forEach(Loan::confirmRecorded);
   }
 
+  /**
+   * Adds tokens that another lender has lent to this host. The validity of those held before is
+   * extended only if the lender knew of all of them. A loan is dropped if the row was written, or
+   * another request made, since its request: what is recorded of the tokens held would be mixed up.
+   */
+  void grantLoan(TokenLoan loan, MonotonicTime requestedAt, MonotonicTime now) {
+    if (requestedAt.isBefore(loanRequestedAt) || !loanRequestedAt.isAfter(lastStoreCallAt)) {
+      return;
+    }
+    MonotonicTime until = requestedAt.plus(loan.validFor());
+    long usable = now.isBefore(until) ? loan.tokens() : 0;
+    boolean holdsNoOthers = held() == 0 && usable > 0;
+    if (loan.renews() || holdsNoOthers) {
+      validUntil = until;
+      takenAt = requestedAt;
+    } else if (usable > 0 && until.isBefore(validUntil)) {
+      validUntil = until;
+    }
+    if (loan.renews()) {
+      loans.values().forEach(Loan::confirmRecorded);
+    }
+    scarce = loan.scarce();
+    if (usable > 0) {
+      available += usable;
+      hasUnmetRequest = false;
+    }
+  }
+
+  /** Drops what exceeds the need by far; the lender takes the place of the dropped tokens. */
+  void dropExcess(MonotonicTime now) {
+    long needed = (long) Math.ceil(loanTarget(now) * EXCESS);
+    available -= Math.max(0, Math.min(available, held() - needed));
+  }
+
   /**
    * The tokens of one host as last known here; it may have spent some of them since. {@code
    * recorded} counts those that the row records, {@code recording} those that a write in flight
@@ -282,6 +449,8 @@
     private long tokens;
     private long recorded;
     private long recording;
+    private long inTransit;
+    private MonotonicTime inTransitUntil;
     private double demand;
     private long target;
     private MonotonicTime lastRequestAt;
@@ -289,15 +458,34 @@
     /** Updates to what the host says it holds; the row doesn't record tokens from other pools. */
     private void update(TokenRequest request, MonotonicTime now) {
       tokens = request.held();
+      inTransit = 0;
       recorded = Math.min(recorded, tokens);
       demand = request.demand();
       target = request.target();
       lastRequestAt = now;
     }
 
-    private void add(long lent) {
+    /**
+     * Adds tokens lent. A host has at most one request under way, so its next one tells that those
+     * for waiting operations have arrived and counts what is left of them.
+     */
+    private void add(long lent, long spentAtOnce, MonotonicTime spentBy) {
       tokens += lent;
       recorded += lent;
+      if (spentAtOnce > 0) {
+        inTransit += spentAtOnce;
+        inTransitUntil = spentBy;
+      }
+    }
+
+    private long held() {
+      return tokens + inTransit;
+    }
+
+    private void dropInTransit(MonotonicTime now) {
+      if (inTransit > 0 && !now.isBefore(inTransitUntil)) {
+        inTransit = 0;
+      }
     }
 
     private boolean isRecorded() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -1,8 +1,10 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -16,6 +18,7 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
+import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
@@ -73,6 +76,7 @@
   private final TokenStatistics statistics;
   private final Map<WorkspaceId, TokenPool> pools = new TreeMap<>();
   private Map<WorkspaceId, RateLimit> limits = Map.of();
+  private final PoolLenders lenders;
   private int fleetSize;
   private Optional<MonotonicTime> startedAt = Optional.empty();
   private MonotonicTime lastCallAt = MonotonicTime.of(Long.MIN_VALUE / 2);
@@ -80,10 +84,12 @@
   private Attempt inFlight;
   private long serial;
 
-  TokenPools(EngineSettings settings, DecisionLog log, TokenStatistics statistics) {
+  TokenPools(
+      EngineSettings settings, DecisionLog log, TokenStatistics statistics, PoolLenders lenders) {
     this.settings = settings;
     this.log = log;
     this.statistics = statistics;
+    this.lenders = lenders;
   }
 
   TokenLoan lend(
@@ -117,6 +123,52 @@
     return pools.containsKey(workspace) && pools.get(workspace).hasTokens();
   }
 
+  /** Returns the tokens of the workspace that other hosts may still spend. */
+  long lentToOthers(WorkspaceId workspace, MonotonicTime now) {
+    TokenPool pool = pools.get(workspace);
+    return pool == null ? 0 : pool.lentToOthers(settings.host(), now);
+  }
+
+  /** Returns the requests to the lenders of those pools that borrow, and need tokens. */
+  Map<RelayHost, List<TokenRequest>> requests(Duration replyTime, MonotonicTime now) {
+    Map<RelayHost, List<TokenRequest>> requests = new HashMap<>();
+    pools.forEach(
+        (workspace, pool) ->
+            lenders
+                .lender(workspace, pool.isExhausted())
+                .filter(lender -> !lenders.isBusy(lender) && !isInFlight(workspace))
+                .ifPresent(
+                    lender -> {
+                      pool.setMinimumHeld(minimumBorrowed(workspace));
+                      pool.dropExcess(now);
+                      if (pool.needsLoan(replyTime, now)) {
+                        requests
+                            .computeIfAbsent(lender, unused -> new ArrayList<>())
+                            .add(pool.request(workspace, now));
+                      }
+                    }));
+    return requests;
+  }
+
+  /** Returns the tokens that a relay borrows in advance: an even part for each zone. */
+  private long minimumBorrowed(WorkspaceId workspace) {
+    double capacity = RateRow.capacity(limits.get(workspace), settings);
+    return (long) (capacity * RESERVED_PART / (settings.zones().size() + 1));
+  }
+
+  private boolean isInFlight(WorkspaceId workspace) {
+    return inFlight != null && inFlight.acquisitions().containsKey(workspace);
+  }
+
+  /** Adds the tokens of a loan to the pool that has requested it. */
+  void applyLoan(TokenLoan loan, MonotonicTime requestedAt, MonotonicTime now) {
+    TokenPool pool = pools.get(loan.workspace());
+    if (pool != null && !isInFlight(loan.workspace())) {
+      pool.grantLoan(loan, requestedAt, now);
+      statistics.add(TokenStatistics.Count.BORROWED, loan.tokens());
+    }
+  }
+
   void dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
     pools
         .values()
@@ -156,11 +208,11 @@
                     answer.transaction().tag().purpose().equals(VerificationController.PURPOSE))
             .anyMatch(answer -> answer.time().isPresent());
     boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
-    if (rowsAreFresh && pools.values().stream().anyMatch(pool -> pool.needsTokens(now))) {
+    if (rowsAreFresh && !select(pool -> pool.needsTokens(now), now).isEmpty()) {
       acquire(blackboard, now, 1, workspacesToRenew(isRelay, now));
     } else if (!now.isBefore(pausedUntil)
         && now.since(lastCallAt).compareTo(MIN_PAUSE) >= 0
-        && pools.values().stream().anyMatch(pool -> pool.isUrgent(now))) {
+        && !select(pool -> pool.isUrgent(now), now).isEmpty()) {
       acquire(blackboard, now, 1, select(pool -> pool.needsTokens(now), now));
     }
   }
@@ -175,13 +227,14 @@
   }
 
   /**
-   * Returns the workspaces whose pools fulfil the condition; if there are more than fit into a
+   * Returns the workspaces whose pools fulfil the condition and do not borrow; if there are more than fit into a
    * call, first those that need tokens, of which those that have waited longest since their last
    * call.
    */
   private Set<WorkspaceId> select(Predicate<TokenPool> condition, MonotonicTime now) {
     return pools.entrySet().stream()
         .filter(entry -> condition.test(entry.getValue()))
+        .filter(entry -> isTakenFromRow(entry.getKey(), entry.getValue()))
         .sorted(
             Map.Entry.comparingByValue(
                 Comparator.comparing((TokenPool pool) -> !pool.needsTokens(now))
@@ -191,6 +244,10 @@
         .collect(Collectors.toSet());
   }
 
+  private boolean isTakenFromRow(WorkspaceId workspace, TokenPool pool) {
+    return lenders.lender(workspace, pool.isExhausted()).isEmpty();
+  }
+
   private void acquire(
       Blackboard blackboard, MonotonicTime now, int attempt, Set<WorkspaceId> workspaces) {
     Optional<StoreTime> time = blackboard.get(EngineEntries.STORE_TIME);
@@ -221,13 +278,16 @@
     blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, writes));
   }
 
-  private static RateRow row(
+  private RateRow row(
       Blackboard blackboard, WorkspaceId workspace, RateLimit limit, long storeMillis) {
     RowKey key = RateRow.key(workspace);
     StoredRow stored = KnownRows.row(blackboard, key);
     Optional<StoreEraRow> settled = StoreEraRow.of(blackboard).filter(StoreEraRow::isAfterReturn);
     if (settled.isEmpty() || RateRow.isOfItsEra(stored)) {
-      return RateRow.parse(stored, limit, storeMillis);
+      // A store that doesn't tell its era may have come back without the row.
+      return !stored.exists() && blackboard.get(EngineEntries.STORE_ERA).isKnown()
+          ? RateRow.unused(limit, settings, storeMillis)
+          : RateRow.parse(stored, limit, storeMillis);
     }
     StoredRow known = blackboard.get(EngineEntries.REMEMBERED_ROWS).newest(key, stored);
     return RateRow.afterReturn(known, settled.get().settledAtMillis(), storeMillis);
@@ -261,10 +321,12 @@
     double share = allDemand > 0 ? demand / allDemand : 1.0 / activeHolders;
     long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
     long taken = Math.min(wanted, Math.min(available, fair));
-    // Tokens that other holders have in stock show that the demand is not over the limit: the
+    // Tokens in stock, here or at other holders, show that the demand is not over the limit: the
     // average demand is that of several seconds, and the limit may have just been lowered.
     boolean scarce =
-        available < wanted && allDemand > limit.perSecond() && row.heldByAll() <= limit.perSecond();
+        available < wanted
+            && allDemand > limit.perSecond()
+            && row.heldByAll() + pool.spendable(now) + taken <= limit.perSecond();
     RateRow after =
         row.taken(
             settings.host(),
@@ -333,6 +395,12 @@
     pools
         .get(workspace)
         .grant(acquisition.tokens(), acquisition.scarce(), startedAt, EngineTimings.TOKEN_VALIDITY);
+    RateLimit limit = limits.get(workspace);
+    if (limit != null) {
+      double room =
+          RateRow.capacity(limit, settings) - acquisition.row().heldByOthers(settings.host());
+      pools.get(workspace).setBucket(acquisition.row().tokens(), limit.perSecond(), room);
+    }
     if (acquisition.scarce()) {
       log.write(
           "tokens-scarce",
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenStatistics.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenStatistics.java
@@ -42,6 +42,8 @@
     ABANDONED("abandoned"),
     /** Taken from the store. */
     TAKEN("taken"),
+    /** Borrowed by the pools of this host from the relay of another zone. */
+    BORROWED("borrowed"),
     /** Lent to hosts, this one included. */
     LENT("lent"),
     /** Requests of hosts without a token that got none. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -32,6 +32,13 @@
   /** Operations per second below which a workspace counts as idle at this host. */
   private static final double IDLE_DEMAND = 0.05;
 
+  /**
+   * Operations per second from which a host holds a token before the next operation. A token lapses
+   * once its operations end, so a single operation must not count: with tokens held after each, the
+   * small workspaces lost as many tokens as they spent.
+   */
+  private static final double IN_USE_DEMAND = 0.3;
+
   /**
    * The minimum pause between two requests while operations wait; a round trip in the zone takes
    * about 2 ms.
@@ -89,6 +96,7 @@
   private MonotonicTime scarceUntil;
   private long waiting;
   private boolean heldInAdvance;
+  private boolean heldInUse;
   private Duration replyTime = Duration.ZERO;
 
   WorkspaceTokens(MonotonicTime now) {
@@ -105,11 +113,15 @@
   }
 
   /**
-   * Sets whether to hold at least one token before an operation needs it. Without, the host asks
-   * for each operation unless its own demand is high.
+   * Sets when to hold at least one token before an operation needs it. Without, the host asks for
+   * each operation unless its own demand is high.
+   *
+   * @param always whether to hold it as long as there are sessions
+   * @param inUse whether to hold it as long as operations have come lately
    */
-  void setHeldInAdvance(boolean inAdvance) {
-    heldInAdvance = inAdvance;
+  void setHeldInAdvance(boolean always, boolean inUse) {
+    heldInAdvance = always;
+    heldInUse = inUse;
   }
 
   /** Sets how long the lenders take to reply; tokens for that time are held in addition. */
@@ -159,11 +171,19 @@
     double perReply = demand(now) * replySeconds;
     double spentMeanwhile =
         demand(now) * SECONDS_HELD + perReply + REPLY_DEVIATIONS * Math.sqrt(perReply);
-    return heldInAdvance
+    return heldInAdvance || (heldInUse && isInUse())
         ? Math.max(1, (long) Math.ceil(spentMeanwhile))
         : (long) Math.floor(spentMeanwhile);
   }
 
+  /**
+   * Returns whether operations come often enough to hold a token. One that is held already is kept
+   * for longer, as it would lapse.
+   */
+  private boolean isInUse() {
+    return demand > (remaining() > 0 ? IDLE_DEMAND : IN_USE_DEMAND);
+  }
+
   /** Returns operations per second, corrected for demand too recent to be fully in the average. */
   private double demand(MonotonicTime now) {
     decay(now);
