Let calls for tokens replace verifications of a relay

Cause: a relay verified once a second and took tokens in a further call. Since one host writes each row in calm, calls for tokens seldom conflict, so one call can do both. Change: a relay's calls for tokens expect all rows of a verification and are made shortly before one is due; a verification is sent as before if there is no such call or no answer in time. The parts of TokenPool and TokenPools that decide alone are classes of their own.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenRequest.java
@@ -12,16 +12,10 @@
  * @param forPool whether the requesting host lends the tokens on; known to that host only
  */
 public record TokenRequest(
-    WorkspaceId workspace,
-    long held,
-    double demand,
-    long target,
-    long waiting,
-    boolean forPool) {
+    WorkspaceId workspace, long held, double demand, long target, long waiting, boolean forPool) {
 
   /** Creates a request for tokens that the requesting host spends itself, as far as is known. */
-  public TokenRequest(
-      WorkspaceId workspace, long held, double demand, long target, long waiting) {
+  public TokenRequest(WorkspaceId workspace, long held, double demand, long target, long waiting) {
     this(workspace, held, demand, target, waiting, false);
   }
 
--- /dev/null
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
@@ -0,0 +1,123 @@
+package org.persimmonwalk.internal.engine.control;
+
+import java.util.Optional;
+import org.persimmonwalk.blackboard.Blackboard;
+import org.persimmonwalk.engine.DecisionLog;
+import org.persimmonwalk.engine.RateLimit;
+import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineSettings;
+import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.MonotonicTime;
+
+/** Plans how many tokens a call takes from the rate row of a workspace, and the row after it. */
+final class AcquisitionPlanner {
+  /**
+   * The part of the capacity that the holders of a workspace's tokens share equally even without
+   * demand, so that first operations are admitted at once, even while the store is down. The rest
+   * serves holders with more demand than others.
+   */
+  static final double RESERVED_PART = 0.4;
+
+  private final EngineSettings settings;
+  private final DecisionLog log;
+  private Optional<MonotonicTime> startedAt = Optional.empty();
+
+  AcquisitionPlanner(EngineSettings settings, DecisionLog log) {
+    this.settings = settings;
+    this.log = log;
+  }
+
+  /** Records the start of the process when called for the first time. */
+  void start(MonotonicTime now) {
+    if (startedAt.isEmpty()) {
+      startedAt = Optional.of(now);
+    }
+  }
+
+  private RateRow row(
+      Blackboard blackboard, WorkspaceId workspace, RateLimit limit, long storeMillis) {
+    RowKey key = RateRow.key(workspace);
+    StoredRow stored = KnownRows.row(blackboard, key);
+    Optional<StoreEraRow> settled = StoreEraRow.of(blackboard).filter(StoreEraRow::isAfterReturn);
+    if (settled.isEmpty() || RateRow.isOfItsEra(stored)) {
+      // A store that doesn't tell its era may have come back without the row.
+      return !stored.exists() && blackboard.get(EngineEntries.STORE_ERA).isKnown()
+          ? RateRow.unused(limit, settings, storeMillis)
+          : RateRow.parse(stored, limit, storeMillis);
+    }
+    StoredRow known = blackboard.get(EngineEntries.REMEMBERED_ROWS).newest(key, stored);
+    return RateRow.afterReturn(known, settled.get().settledAtMillis(), storeMillis);
+  }
+
+  /** Plans to take what the pool lacks, and records what it holds. */
+  Acquisition plan(
+      Blackboard blackboard,
+      WorkspaceId workspace,
+      TokenPool pool,
+      RateLimit limit,
+      StoreTime time,
+      MonotonicTime now) {
+    pool.startRecording(now);
+    long storeMillis = time.earliest(now);
+    double capacity = RateRow.capacity(limit, settings);
+    RateRow stored = row(blackboard, workspace, limit, storeMillis);
+    if (stored.holdings().isEmpty()) {
+      logIfUnreadable(blackboard, workspace, storeMillis);
+    }
+    updateInherited(pool, stored, now);
+    RateRow refilled = stored.refilled(limit, settings, settings.host(), storeMillis);
+    int activeHolders = 1 + refilled.activeHolders();
+    pool.setMinimumHeld((long) (capacity * RESERVED_PART / activeHolders));
+    pool.returnExcess(now);
+    long held = pool.held() + pool.inherited();
+    RateRow row = refilled.withReturned(pool.returned()).capped(capacity, held);
+    long available = (long) Math.floor(row.tokens());
+    long wanted = pool.wanted(now);
+    double demand = pool.demand(now);
+    double allDemand = row.demand(storeMillis) + demand;
+    double share = allDemand > 0 ? demand / allDemand : 1.0 / activeHolders;
+    long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
+    long taken = Math.min(wanted, Math.min(available, fair));
+    // Tokens in stock, here or at other holders, show that the demand is not over the limit: the
+    // average demand is that of several seconds, and the limit may have just been lowered.
+    boolean scarce =
+        available < wanted
+            && allDemand > limit.perSecond()
+            && row.heldByAll() + pool.spendable(now) + taken <= limit.perSecond();
+    RateRow after =
+        row.taken(
+            settings.host(),
+            taken,
+            new RateRow.Holding(held + taken, time.latest(now), pool.hosts(now), demand));
+    return new Acquisition(taken, scarce, after);
+  }
+
+  private void logIfUnreadable(Blackboard blackboard, WorkspaceId workspace, long storeMillis) {
+    StoredRow row = KnownRows.row(blackboard, RateRow.key(workspace));
+    if (RateRow.isUnreadable(row, storeMillis)) {
+      log.write("row-unreadable", "row", RateRow.key(workspace), "rowVersion", row.version());
+    }
+  }
+
+  /**
+   * Counts the tokens lent by the previous process of this host until its loans have expired, as
+   * other hosts may still spend them.
+   */
+  private void updateInherited(TokenPool pool, RateRow stored, MonotonicTime now) {
+    boolean hasStartedRecently =
+        startedAt
+            .filter(at -> now.since(at).compareTo(TokenPool.MAX_LOAN_DURATION) < 0)
+            .isPresent();
+    if (!hasStartedRecently) {
+      pool.setInherited(0);
+    } else if (pool.isNew()) {
+      pool.setInherited(stored.tokensHeldBy(settings.host()));
+    }
+  }
+
+  /** The tokens to take and the row after the call. */
+  record Acquisition(long tokens, boolean scarce, RateRow row) {}
+}
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
@@ -35,6 +35,18 @@
     return expected;
   }
 
+  /**
+   * Returns the known versions of all rows that a verification reads: those above, and those that
+   * name the relays and tell the size of the fleet.
+   */
+  static Map<RowKey, StoreVersion> versionsOfVerification(
+      Blackboard blackboard, Set<AvailabilityZone> zones) {
+    Map<RowKey, StoreVersion> expected = versionsToVerify(blackboard);
+    expected.putAll(relayVersions(blackboard, zones));
+    expected.putAll(FleetSizeController.versions(blackboard, zones));
+    return expected;
+  }
+
   /** Returns the rows whose presence evacuates one of the watched zones. */
   static Set<RowKey> evacuationRows(Blackboard blackboard) {
     return blackboard.get(EngineEntries.WATCHED_ZONES).stream()
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -337,9 +337,7 @@
             requests
                 .computeIfAbsent(lender, unused -> new ArrayList<>())
                 .add(
-                    tokens
-                        .request(workspace, now)
-                        .withFurther(pools.lentToOthers(workspace, now)));
+                    tokens.request(workspace, now).withFurther(pools.lentToOthers(workspace, now)));
             if (tokens.isUrgent(now)) {
               urgent.add(lender);
             }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
-import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.id.EntryHostId;
@@ -38,9 +37,6 @@
   /** A pool returns what it holds beyond this multiple of what it needs; demand varies. */
   private static final double EXCESS = 1.25;
 
-  /** A host without a request for this long has no sessions of the workspace any more. */
-  private static final Duration PRESENCE_TIMEOUT = Duration.ofMillis(3000);
-
   /** The minimum pause between two store calls while a host waits for a token. */
   static final Duration MIN_PAUSE = Duration.ofMillis(60);
 
@@ -60,18 +56,6 @@
    */
   static final Duration SPENT_AT_ONCE_VALIDITY = Duration.ofMillis(1000);
 
-  /**
-   * The lender of a workspace keeps tokens this long after the last request, so that an operation
-   * now and then doesn't wait for the store.
-   */
-  private static final Duration LENDER_RETENTION = Duration.ofSeconds(30);
-
-  /** A host whose lender is lost asks the one that stands in at least this often. */
-  private static final Duration STAND_IN_GAP = Duration.ofMillis(1000);
-
-  /** After requests for this long, a lender that stands in takes tokens in advance. */
-  private static final Duration STAND_IN_DELAY = Duration.ofMillis(1000);
-
   /** Tokens are renewed this long before they expire. */
   private static final Duration RENEW_BEFORE = Duration.ofMillis(1800);
 
@@ -87,30 +71,23 @@
    */
   private static final Duration RENEW_LOAN_BEFORE = Duration.ofMillis(1300);
 
-  private static final double NANOS_PER_SECOND = 1e9;
-
-  private final Map<EntryHostId, Loan> loans = new TreeMap<>();
+  private final StockRule stock;
+  private final Map<EntryHostId, HostLoan> loans = new TreeMap<>();
   private long available;
   private long returned;
   private long minimumHeld;
-  private double bucket = Double.MAX_VALUE;
-  private double bucketPerSecond;
-  private double room = Double.MAX_VALUE;
+  private BucketForecast bucket = BucketForecast.UNKNOWN;
   private long inherited;
   private boolean hasTaken;
-  private boolean isLender;
   private boolean scarce;
   private boolean hasUnmetRequest;
   private MonotonicTime takenAt;
   private MonotonicTime loanRequestedAt;
   private MonotonicTime validUntil;
   private MonotonicTime lastStoreCallAt;
-  private MonotonicTime lastRequestAt;
-  private MonotonicTime requestedSince;
 
   TokenPool(MonotonicTime now) {
-    this.lastRequestAt = now;
-    this.requestedSince = now;
+    this.stock = new StockRule(now);
     this.takenAt = now;
     this.loanRequestedAt = now.minus(SCARCE_PAUSE);
     this.validUntil = now;
@@ -131,7 +108,7 @@
       Duration maximumDuration,
       MonotonicTime now,
       MonotonicTime resumedAt) {
-    Loan loan = loans.computeIfAbsent(host, unused -> new Loan());
+    HostLoan loan = loans.computeIfAbsent(host, unused -> new HostLoan());
     loan.update(request, now);
     boolean valid = now.isBefore(validUntil) && !takenAt.isBefore(resumedAt);
     long wanted = request.wanted();
@@ -140,10 +117,7 @@
     long spentAtOnce = request.held() == 0 ? Math.min(lent, request.waiting()) : 0;
     available -= lent;
     loan.add(lent - spentAtOnce, spentAtOnce, now.plus(SPENT_AT_ONCE_VALIDITY));
-    if (now.since(lastRequestAt).compareTo(STAND_IN_GAP) > 0) {
-      requestedSince = now;
-    }
-    lastRequestAt = now;
+    stock.recordRequest(now);
     boolean isShort = request.held() == 0 || request.waiting() > 0;
     hasUnmetRequest |= lent == 0 && isShort && wanted > 0;
     Duration longest = lent > 0 && lent == spentAtOnce ? SPENT_AT_ONCE_VALIDITY : maximumDuration;
@@ -184,16 +158,14 @@
   boolean needsTokens(MonotonicTime now) {
     boolean isLow = held() < Math.max(target(now), minimumHeld) * REFILL_THRESHOLD;
     boolean isExpiring = validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
-    return isActive(now) && (isExhausted() || (isStocked(now) && (isLow || isExpiring)));
+    return isActive(now) && (isExhausted() || (stock.isKept() && (isLow || isExpiring)));
   }
 
   /** Returns whether tokens of another lender are needed, which are valid for 1.8 s at most. */
   boolean needsLoan(Duration replyTime, MonotonicTime now) {
     boolean isLow =
-        held() < loanTarget(now) * LOAN_REFILL_THRESHOLD
-            || (hasUnmetRequest && available == 0);
-    boolean isExpiring =
-        validUntil.since(now).compareTo(RENEW_LOAN_BEFORE.plus(replyTime)) < 0;
+        held() < loanTarget(now) * LOAN_REFILL_THRESHOLD || (hasUnmetRequest && available == 0);
+    boolean isExpiring = validUntil.since(now).compareTo(RENEW_LOAN_BEFORE.plus(replyTime)) < 0;
     return isActive(now) && (isLow || isExpiring);
   }
 
@@ -202,7 +174,7 @@
     long hostTargets =
         loans.values().stream()
             .filter(loan -> loan.isActive(now))
-            .mapToLong(loan -> loan.target)
+            .mapToLong(HostLoan::target)
             .sum();
     long target = (long) Math.ceil(demand(now) * SECONDS_BETWEEN_LOANS) + hostTargets;
     return Math.max(target, minimumHeld);
@@ -220,12 +192,13 @@
    */
   TokenRequest request(WorkspaceId workspace, MonotonicTime now) {
     loanRequestedAt = now;
-    loans.values().forEach(Loan::startRecording);
+    loans.values().forEach(HostLoan::startRecording);
     long held = held();
     long waiting = isExhausted() ? 1 : 0;
-    long wanted = Math.max(loanTarget(now), held + (isExhausted() ? hosts(now) : 0)) - (held > 0 ? waiting : 0);
-    return new TokenRequest(
-        workspace, held, demand(now), wanted, held > 0 ? waiting : 0, true);
+    long wanted =
+        Math.max(loanTarget(now), held + (isExhausted() ? hosts(now) : 0))
+            - (held > 0 ? waiting : 0);
+    return new TokenRequest(workspace, held, demand(now), wanted, held > 0 ? waiting : 0, true);
   }
 
   /** Returns the tokens lent to other hosts that they may still spend. */
@@ -237,51 +210,27 @@
         now);
   }
 
-  /**
-   * Returns whether the pool takes tokens in advance: that of the lender, and that of a host that
-   * has stood in for it for a while. Hosts ask another lender also when theirs replies late once;
-   * if that one kept tokens too, both would write the row from then on.
-   */
-  private boolean isStocked(MonotonicTime now) {
-    return isLender || lastRequestAt.since(requestedSince).compareTo(STAND_IN_DELAY) >= 0;
-  }
-
   /** Returns whether a host waits for a token and the pause between store calls is over. */
   boolean isUrgent(MonotonicTime now) {
     Duration pause = scarce ? SCARCE_PAUSE : MIN_PAUSE;
     return isExhausted()
         && isActive(now)
-        && hasRowTokens(now)
+        && bucket.hasTokens(held(), now.since(lastStoreCallAt))
         && now.since(lastStoreCallAt).compareTo(pause) >= 0;
   }
 
-  /**
-   * Returns whether a call to the store would bring a token, as far as is known: the bucket has been
-   * refilled since, and the tokens held leave room for another one.
-   */
-  private boolean hasRowTokens(MonotonicTime now) {
-    double elapsed = now.since(lastStoreCallAt).toNanos() / NANOS_PER_SECOND;
-    return Math.min(bucket + bucketPerSecond * elapsed, room - held()) >= 1;
-  }
-
-  /**
-   * Sets what the last write has left in the bucket.
-   *
-   * @param newRoom how many tokens this host may hold in total
-   */
-  void setBucket(double left, double perSecond, double newRoom) {
-    bucket = left;
-    bucketPerSecond = perSecond;
-    room = newRoom;
+  /** Sets what the last write has left in the bucket. */
+  void setBucket(BucketForecast forecast) {
+    bucket = forecast;
   }
 
   /** Sets whether this host is a lender of the workspace and not only stands in for one. */
   void setLender(boolean lender) {
-    isLender = lender;
+    stock.setLender(lender);
   }
 
   boolean isActive(MonotonicTime now) {
-    return hosts(now) > 0 || (isLender && now.since(lastRequestAt).compareTo(LENDER_RETENTION) < 0);
+    return hosts(now) > 0 || stock.isRetained(now);
   }
 
   /** Returns the number of hosts that have recently requested tokens. */
@@ -292,12 +241,12 @@
   double demand(MonotonicTime now) {
     return loans.values().stream()
         .filter(loan -> loan.isActive(now))
-        .mapToDouble(loan -> loan.demand)
+        .mapToDouble(HostLoan::demand)
         .sum();
   }
 
   long held() {
-    return available + loans.values().stream().mapToLong(Loan::held).sum();
+    return available + loans.values().stream().mapToLong(HostLoan::held).sum();
   }
 
   /** Returns the tokens in the pool and those lent that hosts may still spend. */
@@ -305,10 +254,10 @@
     return available + spendableLoans(loans.values().stream(), now);
   }
 
-  private static long spendableLoans(Stream<Loan> loans, MonotonicTime now) {
+  private static long spendableLoans(Stream<HostLoan> loans, MonotonicTime now) {
     return loans
-        .filter(loan -> now.since(loan.lastRequestAt).compareTo(MAX_LOAN_DURATION) <= 0)
-        .mapToLong(Loan::held)
+        .filter(loan -> now.since(loan.lastRequestAt()).compareTo(MAX_LOAN_DURATION) <= 0)
+        .mapToLong(HostLoan::held)
         .sum();
   }
 
@@ -334,10 +283,10 @@
   private long target(MonotonicTime now) {
     long holdingHosts = 0;
     long hostTargets = 0;
-    for (Loan loan : loans.values()) {
+    for (HostLoan loan : loans.values()) {
       if (loan.isActive(now)) {
-        holdingHosts += loan.target > 0 ? 1 : 0;
-        hostTargets += loan.target;
+        holdingHosts += loan.target() > 0 ? 1 : 0;
+        hostTargets += loan.target();
       }
     }
     double demand = demand(now);
@@ -348,7 +297,7 @@
 
   /** Sets how many tokens to hold in total even without demand. */
   void setMinimumHeld(long tokens) {
-    minimumHeld = isLender ? tokens : 0;
+    minimumHeld = stock.isLender() ? tokens : 0;
   }
 
   /**
@@ -375,9 +324,9 @@
 
   /** Returns how many tokens to take from the store. */
   long wanted(MonotonicTime now) {
-    long missing = isStocked(now) ? Math.max(target(now), minimumHeld) - held() : 0;
-    long forWaiting =
-        hasUnmetRequest && available == 0 ? 1 + hosts(now) + Math.round(demand(now)) : 0;
+    long missing = stock.isKept() ? Math.max(target(now), minimumHeld) - held() : 0;
+    long soon = Math.round(demand(now)) + (stock.isKept() ? hosts(now) : 0);
+    long forWaiting = isExhausted() ? 1 + soon : 0;
     return Math.max(0, Math.max(missing, forWaiting));
   }
 
@@ -388,7 +337,7 @@
   /** Called before the row is written; the write records all tokens that are held now. */
   void startRecording(MonotonicTime now) {
     lastStoreCallAt = now;
-    loans.values().forEach(Loan::startRecording);
+    loans.values().forEach(HostLoan::startRecording);
   }
 
   /**
@@ -403,7 +352,7 @@
     hasUnmetRequest = false;
     takenAt = startedAt;
     validUntil = startedAt.plus(validity);
-    loans.values().forEach(Loan::confirmRecorded);
+    loans.values().forEach(HostLoan::confirmRecorded);
   }
 
   /**
@@ -425,7 +374,7 @@
       validUntil = until;
     }
     if (loan.renews()) {
-      loans.values().forEach(Loan::confirmRecorded);
+      loans.values().forEach(HostLoan::confirmRecorded);
     }
     scarce = loan.scarce();
     if (usable > 0) {
@@ -439,74 +388,4 @@
     long needed = (long) Math.ceil(loanTarget(now) * EXCESS);
     available -= Math.max(0, Math.min(available, held() - needed));
   }
-
-  /**
-   * The tokens of one host as last known here; it may have spent some of them since. {@code
-   * recorded} counts those that the row records, {@code recording} those that a write in flight
-   * adds.
-   */
-  private static final class Loan {
-    private long tokens;
-    private long recorded;
-    private long recording;
-    private long inTransit;
-    private MonotonicTime inTransitUntil;
-    private double demand;
-    private long target;
-    private MonotonicTime lastRequestAt;
-
-    /** Updates to what the host says it holds; the row doesn't record tokens from other pools. */
-    private void update(TokenRequest request, MonotonicTime now) {
-      tokens = request.held();
-      inTransit = 0;
-      recorded = Math.min(recorded, tokens);
-      demand = request.demand();
-      target = request.target();
-      lastRequestAt = now;
-    }
-
-    /**
-     * Adds tokens lent. A host has at most one request under way, so its next one tells that those
-     * for waiting operations have arrived and counts what is left of them.
-     */
-    private void add(long lent, long spentAtOnce, MonotonicTime spentBy) {
-      tokens += lent;
-      recorded += lent;
-      if (spentAtOnce > 0) {
-        inTransit += spentAtOnce;
-        inTransitUntil = spentBy;
-      }
-    }
-
-    private long held() {
-      return tokens + inTransit;
-    }
-
-    private void dropInTransit(MonotonicTime now) {
-      if (inTransit > 0 && !now.isBefore(inTransitUntil)) {
-        inTransit = 0;
-      }
-    }
-
-    private boolean isRecorded() {
-      return recorded == tokens;
-    }
-
-    private void startRecording() {
-      recording = tokens - recorded;
-    }
-
-    private void confirmRecorded() {
-      recorded = Math.min(tokens, recorded + recording);
-      recording = 0;
-    }
-
-    private boolean isActive(MonotonicTime now) {
-      return now.since(lastRequestAt).compareTo(PRESENCE_TIMEOUT) < 0;
-    }
-
-    private boolean hasExpired(MonotonicTime now) {
-      return now.since(lastRequestAt).toMillis() > EngineTimings.TOKEN_VALIDITY.toMillis();
-    }
-  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -25,7 +25,6 @@
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreTime;
 import org.persimmonwalk.engine.control.StoreVersion;
-import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.TransactionAnswered;
@@ -46,13 +45,6 @@
    */
   static final int MAX_ATTEMPTS = 8;
 
-  /**
-   * The part of the capacity that the holders of a workspace's tokens share equally even without
-   * demand, so that first operations are admitted at once, even while the store is down. The rest
-   * serves holders with more demand than others.
-   */
-  private static final double RESERVED_PART = 0.4;
-
   /**
    * Each call has its own timeout. This one covers an answer that is lost inside this process,
    * which must not stop the taking of tokens for good.
@@ -62,9 +54,15 @@
   /**
    * The maximum number of rate rows in a call. The store accepts 100 entries per call; each rate
    * row needs two of them, its expected version and its write, and the configuration and leadership
-   * rows need one each.
+   * rows need one each, and the evacuation, relay and fleet rows one for each zone.
+   */
+  static final int MAX_ROWS = 34;
+
+  /**
+   * A relay takes tokens this long before its verification is due. An answer that takes longer
+   * comes too late to replace the verification, which then costs a call as before.
    */
-  static final int MAX_ROWS = 40;
+  private static final Duration VERIFICATION_LEAD = Duration.ofMillis(120);
 
   /** The minimum pause between two calls while operations wait for tokens of any workspace. */
   static final Duration MIN_PAUSE = Duration.ofMillis(50);
@@ -77,8 +75,8 @@
   private final Map<WorkspaceId, TokenPool> pools = new TreeMap<>();
   private Map<WorkspaceId, RateLimit> limits = Map.of();
   private final PoolLenders lenders;
+  private final AcquisitionPlanner planner;
   private int fleetSize;
-  private Optional<MonotonicTime> startedAt = Optional.empty();
   private MonotonicTime lastCallAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime pausedUntil = MonotonicTime.of(Long.MIN_VALUE / 2);
   private Attempt inFlight;
@@ -90,6 +88,7 @@
     this.log = log;
     this.statistics = statistics;
     this.lenders = lenders;
+    this.planner = new AcquisitionPlanner(settings, log);
   }
 
   TokenLoan lend(
@@ -153,7 +152,7 @@
   /** Returns the tokens that a relay borrows in advance: an even part for each zone. */
   private long minimumBorrowed(WorkspaceId workspace) {
     double capacity = RateRow.capacity(limits.get(workspace), settings);
-    return (long) (capacity * RESERVED_PART / (settings.zones().size() + 1));
+    return (long) (capacity * AcquisitionPlanner.RESERVED_PART / (settings.zones().size() + 1));
   }
 
   private boolean isInFlight(WorkspaceId workspace) {
@@ -186,13 +185,12 @@
 
   /**
    * Takes tokens if they are needed: at once if operations wait for them, otherwise when a
-   * verification has just returned the rows, so that fewer calls conflict.
+   * verification has just returned the rows, so that fewer calls conflict, or, at a relay, in place
+   * of the next verification.
    */
   void acquireIfNeeded(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
-    if (startedAt.isEmpty()) {
-      startedAt = Optional.of(now);
-    }
+    planner.start(now);
     if (inFlight != null && now.since(inFlight.startedAt()).compareTo(LOST_ANSWER_TIMEOUT) > 0) {
       inFlight.acquisitions().keySet().forEach(workspace -> pools.get(workspace).forgetReturned());
       inFlight = null;
@@ -207,8 +205,9 @@
                 answer ->
                     answer.transaction().tag().purpose().equals(VerificationController.PURPOSE))
             .anyMatch(answer -> answer.time().isPresent());
-    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
-    if (rowsAreFresh && !select(pool -> pool.needsTokens(now), now).isEmpty()) {
+    boolean isRelay = isRelay(blackboard);
+    boolean isDue = rowsAreFresh || (isRelay && isVerificationNear(blackboard, now));
+    if (isDue && !select(pool -> pool.needsTokens(now), now).isEmpty()) {
       acquire(blackboard, now, 1, workspacesToRenew(isRelay, now));
     } else if (!now.isBefore(pausedUntil)
         && now.since(lastCallAt).compareTo(MIN_PAUSE) >= 0
@@ -217,6 +216,23 @@
     }
   }
 
+  private static boolean isRelay(Blackboard blackboard) {
+    return blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+  }
+
+  /**
+   * Returns whether the next verification is due so soon that a call that takes tokens replaces it:
+   * a relay's calls expect all rows that a verification does.
+   */
+  private boolean isVerificationNear(Blackboard blackboard, MonotonicTime now) {
+    Duration age = settings.timings().verificationInterval().minus(VERIFICATION_LEAD);
+    return now.since(lastCallAt).compareTo(age) >= 0
+        && blackboard
+            .get(EngineEntries.VERIFIED_AT)
+            .filter(at -> now.since(at).compareTo(age) >= 0)
+            .isPresent();
+  }
+
   /**
    * Returns the workspaces whose tokens the next regular call takes. A relay renews those of all
    * workspaces in use, so that they last as long as possible if the store falls silent. A host that
@@ -227,9 +243,9 @@
   }
 
   /**
-   * Returns the workspaces whose pools fulfil the condition and do not borrow; if there are more than fit into a
-   * call, first those that need tokens, of which those that have waited longest since their last
-   * call.
+   * Returns the workspaces whose pools fulfil the condition and do not borrow; if there are more
+   * than fit into a call, first those that need tokens, of which those that have waited longest
+   * since their last call.
    */
   private Set<WorkspaceId> select(Predicate<TokenPool> condition, MonotonicTime now) {
     return pools.entrySet().stream()
@@ -254,16 +270,25 @@
     if (time.isEmpty() || !StoreEraRow.isSettled(blackboard)) {
       return;
     }
-    Map<RowKey, StoreVersion> expected = KnownRows.versionsToVerify(blackboard);
+    Map<RowKey, StoreVersion> expected =
+        isRelay(blackboard)
+            ? KnownRows.versionsOfVerification(blackboard, settings.zones())
+            : KnownRows.versionsToVerify(blackboard);
     Map<RowKey, String> writes = new HashMap<>();
-    Map<WorkspaceId, Acquisition> acquisitions = new HashMap<>();
+    Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new HashMap<>();
     workspaces.stream()
         .filter(limits::containsKey)
         .forEach(
             workspace -> {
               RowKey key = RateRow.key(workspace);
-              Acquisition acquisition =
-                  planAcquisition(blackboard, workspace, limits.get(workspace), time.get(), now);
+              AcquisitionPlanner.Acquisition acquisition =
+                  planner.plan(
+                      blackboard,
+                      workspace,
+                      pools.get(workspace),
+                      limits.get(workspace),
+                      time.get(),
+                      now);
               expected.put(key, KnownRows.version(blackboard, key));
               writes.put(key, acquisition.row().text(blackboard.get(EngineEntries.STORE_ERA)));
               acquisitions.put(workspace, acquisition);
@@ -278,86 +303,6 @@
     blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, writes));
   }
 
-  private RateRow row(
-      Blackboard blackboard, WorkspaceId workspace, RateLimit limit, long storeMillis) {
-    RowKey key = RateRow.key(workspace);
-    StoredRow stored = KnownRows.row(blackboard, key);
-    Optional<StoreEraRow> settled = StoreEraRow.of(blackboard).filter(StoreEraRow::isAfterReturn);
-    if (settled.isEmpty() || RateRow.isOfItsEra(stored)) {
-      // A store that doesn't tell its era may have come back without the row.
-      return !stored.exists() && blackboard.get(EngineEntries.STORE_ERA).isKnown()
-          ? RateRow.unused(limit, settings, storeMillis)
-          : RateRow.parse(stored, limit, storeMillis);
-    }
-    StoredRow known = blackboard.get(EngineEntries.REMEMBERED_ROWS).newest(key, stored);
-    return RateRow.afterReturn(known, settled.get().settledAtMillis(), storeMillis);
-  }
-
-  private Acquisition planAcquisition(
-      Blackboard blackboard,
-      WorkspaceId workspace,
-      RateLimit limit,
-      StoreTime time,
-      MonotonicTime now) {
-    TokenPool pool = pools.get(workspace);
-    pool.startRecording(now);
-    long storeMillis = time.earliest(now);
-    double capacity = RateRow.capacity(limit, settings);
-    RateRow stored = row(blackboard, workspace, limit, storeMillis);
-    if (stored.holdings().isEmpty()) {
-      logIfUnreadable(blackboard, workspace, storeMillis);
-    }
-    updateInherited(pool, stored, now);
-    RateRow refilled = stored.refilled(limit, settings, settings.host(), storeMillis);
-    int activeHolders = 1 + refilled.activeHolders();
-    pool.setMinimumHeld((long) (capacity * RESERVED_PART / activeHolders));
-    pool.returnExcess(now);
-    long held = pool.held() + pool.inherited();
-    RateRow row = refilled.withReturned(pool.returned()).capped(capacity, held);
-    long available = (long) Math.floor(row.tokens());
-    long wanted = pool.wanted(now);
-    double demand = pool.demand(now);
-    double allDemand = row.demand(storeMillis) + demand;
-    double share = allDemand > 0 ? demand / allDemand : 1.0 / activeHolders;
-    long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
-    long taken = Math.min(wanted, Math.min(available, fair));
-    // Tokens in stock, here or at other holders, show that the demand is not over the limit: the
-    // average demand is that of several seconds, and the limit may have just been lowered.
-    boolean scarce =
-        available < wanted
-            && allDemand > limit.perSecond()
-            && row.heldByAll() + pool.spendable(now) + taken <= limit.perSecond();
-    RateRow after =
-        row.taken(
-            settings.host(),
-            taken,
-            new RateRow.Holding(held + taken, time.latest(now), pool.hosts(now), demand));
-    return new Acquisition(taken, scarce, after);
-  }
-
-  private void logIfUnreadable(Blackboard blackboard, WorkspaceId workspace, long storeMillis) {
-    StoredRow row = KnownRows.row(blackboard, RateRow.key(workspace));
-    if (RateRow.isUnreadable(row, storeMillis)) {
-      log.write("row-unreadable", "row", RateRow.key(workspace), "rowVersion", row.version());
-    }
-  }
-
-  /**
-   * Counts the tokens lent by the previous process of this host until its loans have expired, as
-   * other hosts may still spend them.
-   */
-  private void updateInherited(TokenPool pool, RateRow stored, MonotonicTime now) {
-    boolean hasStartedRecently =
-        startedAt
-            .filter(at -> now.since(at).compareTo(TokenPool.MAX_LOAN_DURATION) < 0)
-            .isPresent();
-    if (!hasStartedRecently) {
-      pool.setInherited(0);
-    } else if (pool.isNew()) {
-      pool.setInherited(stored.tokensHeldBy(settings.host()));
-    }
-  }
-
   /** Adds the tokens taken to the pools, or retries after a conflict. */
   void handleAnswers(Blackboard blackboard, MonotonicTime now) {
     blackboard
@@ -390,16 +335,20 @@
     }
   }
 
-  private void grant(WorkspaceId workspace, Acquisition acquisition, MonotonicTime startedAt) {
+  private void grant(
+      WorkspaceId workspace, AcquisitionPlanner.Acquisition acquisition, MonotonicTime startedAt) {
     statistics.add(TokenStatistics.Count.TAKEN, acquisition.tokens());
     pools
         .get(workspace)
         .grant(acquisition.tokens(), acquisition.scarce(), startedAt, EngineTimings.TOKEN_VALIDITY);
     RateLimit limit = limits.get(workspace);
     if (limit != null) {
-      double room =
-          RateRow.capacity(limit, settings) - acquisition.row().heldByOthers(settings.host());
-      pools.get(workspace).setBucket(acquisition.row().tokens(), limit.perSecond(), room);
+      // What others hold may expire before this host reads the row again.
+      boolean isOnlyHolder = acquisition.row().heldByOthers(settings.host()) == 0;
+      double room = isOnlyHolder ? RateRow.capacity(limit, settings) : Double.MAX_VALUE;
+      pools
+          .get(workspace)
+          .setBucket(new BucketForecast(acquisition.row().tokens(), limit.perSecond(), room));
     }
     if (acquisition.scarce()) {
       log.write(
@@ -413,11 +362,9 @@
     }
   }
 
-  private record Acquisition(long tokens, boolean scarce, RateRow row) {}
-
   private record Attempt(
       long serial,
       int attempt,
       MonotonicTime startedAt,
-      Map<WorkspaceId, Acquisition> acquisitions) {}
+      Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -105,10 +105,9 @@
       inFlight++;
       lastCallAt = context.now();
       serial++;
-      Map<RowKey, StoreVersion> expected = KnownRows.versionsToVerify(blackboard);
+      Map<RowKey, StoreVersion> expected =
+          KnownRows.versionsOfVerification(blackboard, settings.zones());
       demand.rows().forEach(row -> expected.put(row, KnownRows.version(blackboard, row)));
-      expected.putAll(KnownRows.relayVersions(blackboard, settings.zones()));
-      expected.putAll(FleetSizeController.versions(blackboard, settings.zones()));
       blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, Map.of()));
     }
   }
@@ -177,9 +176,20 @@
     if (answer.transaction().tag().purpose().equals(PURPOSE)) {
       inFlight = Math.max(0, inFlight - 1);
       nextCallAt = now.plus(pause(blackboard, answer, verified, now));
+    } else if (verified && readsAllRows(blackboard, answer)) {
+      nextCallAt = now.plus(pause(blackboard, answer, true, now));
     }
   }
 
+  /** Returns whether another call has read all that a verification reads, and replaces it. */
+  private boolean readsAllRows(Blackboard blackboard, TransactionAnswered answer) {
+    return answer
+        .transaction()
+        .expected()
+        .keySet()
+        .containsAll(KnownRows.versionsOfVerification(blackboard, settings.zones()).keySet());
+  }
+
   /**
    * Returns the pause after an answer; none if a configuration names new groups, so that it is
    * verified at once together with their rows.
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplay.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplay.java
@@ -23,8 +23,8 @@
 import org.persimmonwalk.engine.testing.FakeCaller;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.WorkspaceId;
-import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.internal.engine.traffic.Session;
+import org.persimmonwalk.model.MonotonicTime;
 
 /**
  * Replays a calm load of many workspaces, a few of them large, on hosts of several zones that are
@@ -69,7 +69,8 @@
     this.hosts = hosts;
     this.perSecond = perSecond;
     this.random = new SplittableRandom(seed);
-    this.fixture = new EngineFixture(hosts, zones, EngineSettingsFixture.USUAL_BOUNDS, StoreEra.of(1));
+    this.fixture =
+        new EngineFixture(hosts, zones, EngineSettingsFixture.USUAL_BOUNDS, StoreEra.of(1));
     this.cumulated = new double[workspaceCount];
     double sum = 0;
     for (int i = 0; i < workspaceCount; i++) {
@@ -84,8 +85,7 @@
       fixture.exchanges.delayReplies(
           EngineSettingsFixture.of(number, zones, EngineSettingsFixture.USUAL_BOUNDS)
               .peerEndpoint(),
-          () ->
-              Duration.ofMillis(delays.nextInt(SHORTEST_REPLY_MILLIS, LONGEST_REPLY_MILLIS + 1)));
+          () -> Duration.ofMillis(delays.nextInt(SHORTEST_REPLY_MILLIS, LONGEST_REPLY_MILLIS + 1)));
     }
     fixture.storeAnswerDelay =
         () -> Duration.ofMillis(delays.nextInt(SHORTEST_ANSWER_MILLIS, LONGEST_ANSWER_MILLIS + 1));
@@ -97,8 +97,7 @@
     Map<WorkspaceId, RateLimit> limits = new HashMap<>();
     for (int i = 0; i < workspaces.size(); i++) {
       byKey.put(keys.get(i), workspaces.get(i));
-      double limit =
-          Math.max(LOWEST_LIMIT, Math.ceil(perSecond / sum / (i + 1) * HEADROOM));
+      double limit = Math.max(LOWEST_LIMIT, Math.ceil(perSecond / sum / (i + 1) * HEADROOM));
       limits.put(workspaces.get(i), new RateLimit(limit, limit));
     }
     Map<DatabaseName, Route> routes = new HashMap<>();
@@ -206,9 +205,6 @@
         .count();
   }
 
-  int tokenCalls() {
-    return fixture.transactionsByPurpose.getOrDefault("take-tokens", 0);
-  }
 
   int tokenConflicts() {
     return fixture.conflictsByPurpose.getOrDefault("take-tokens", 0);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplayTest.java
@@ -5,7 +5,9 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
-/** Replays the calm day of 16 weak hosts in 3 zones with 72 workspaces, from the first seconds on. */
+/**
+ * Replays the calm day of 16 weak hosts in 3 zones with 72 workspaces, from the first seconds on.
+ */
 class TokenReplayTest {
   private static final int HOSTS = 16;
   private static final int ZONES = 3;
@@ -15,8 +17,9 @@
 
   /**
    * Guards against refusing operations inside the rate while lenders reply late, and against calls
-   * for tokens that conflict: before, 30 % of the operations were refused, 12 calls for tokens a
-   * second were made and half of them conflicted. At most half of the calls may be made.
+   * for tokens that conflict. Before, 30 % of the operations were refused, and the relays made 12.7
+   * transactions a second, half of which conflicted. Plays of one seed differ by a few refusals, as
+   * the order of hash maps does.
    */
   @Test
   void shouldAdmitACalmLoadWithFewCallsForTokens() {
@@ -25,15 +28,15 @@
     replay.openSessions();
     replay.fixture.run(Duration.ofMillis(500));
     replay.send(Duration.ofSeconds(5));
-    int calls = replay.tokenCalls();
+    int calls = replay.fixture.transactionCalls;
     int conflicts = replay.tokenConflicts();
     replay.send(DURATION);
 
     assertThat(replay.refused("over its rate")).as(replay.summary()).isZero();
     assertThat(replay.refused("")).as(replay.summary()).isLessThanOrEqualTo(replay.sent() / 100);
     assertThat(replay.tokenConflicts() - conflicts).as(replay.summary()).isLessThanOrEqualTo(25);
-    assertThat(replay.tokenCalls() - calls)
+    assertThat(replay.fixture.transactionCalls - calls)
         .as(replay.summary())
-        .isLessThanOrEqualTo((int) (DURATION.toSeconds() * 9));
+        .isLessThanOrEqualTo((int) (DURATION.toSeconds() * 8));
   }
 }
