--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -3,10 +3,11 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
-import org.persimmonwalk.engine.control.EngineTimings;
+import java.util.stream.Stream;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -24,15 +25,18 @@
   /** Tokens are taken about this often, after each verification. */
   private static final double SECONDS_BETWEEN_CALLS = 1;
 
+  /**
+   * Borrowed tokens are renewed about this often. With the time for calls to the store, relays held
+   * all tokens of a workspace of 20 a second, most of which had been spent.
+   */
+  private static final double SECONDS_BETWEEN_LOANS = 0.5;
+
   /** Tokens are taken from the store when less than this part of the target is left. */
   private static final double REFILL_THRESHOLD = 0.8;
 
   /** A pool returns what it holds beyond this multiple of what it needs; demand varies. */
   private static final double EXCESS = 1.25;
 
-  /** A host without a request for this long has no sessions of the workspace any more. */
-  private static final Duration PRESENCE_TIMEOUT = Duration.ofMillis(3000);
-
   /** The minimum pause between two store calls while a host waits for a token. */
   static final Duration MIN_PAUSE = Duration.ofMillis(60);
 
@@ -46,43 +50,55 @@
    */
   static final Duration MAX_LOAN_DURATION = Duration.ofMillis(1800);
 
-  /** How long tokens that were lent for waiting operations may be spent. */
-  static final Duration SPENT_AT_ONCE_VALIDITY = Duration.ofMillis(300);
-
   /**
-   * The lender of a workspace keeps tokens this long after the last request, so that an operation
-   * now and then doesn't wait for the store.
+   * How long tokens that were lent for waiting operations may be spent, counted from the request.
+   * With 300 ms they had expired on arrival where replies took as long.
    */
-  private static final Duration LENDER_RETENTION = Duration.ofSeconds(30);
+  static final Duration SPENT_AT_ONCE_VALIDITY = Duration.ofMillis(1000);
 
   /** Tokens are renewed this long before they expire. */
   private static final Duration RENEW_BEFORE = Duration.ofMillis(1800);
 
-  private final Map<EntryHostId, Loan> loans = new TreeMap<>();
+  /**
+   * A pool that borrows asks for more below this part of its target. A request between relays costs
+   * far less than a call to the store.
+   */
+  private static final double LOAN_REFILL_THRESHOLD = 0.9;
+
+  /**
+   * Borrowed tokens are renewed this long before they expire, so that the hosts, which renew theirs
+   * 0.7 s before, need not ask in each exchange.
+   */
+  private static final Duration RENEW_LOAN_BEFORE = Duration.ofMillis(1300);
+
+  private final StockRule stock;
+  private final Map<EntryHostId, HostLoan> loans = new TreeMap<>();
   private long available;
   private long returned;
   private long minimumHeld;
+  private BucketForecast bucket = BucketForecast.UNKNOWN;
   private long inherited;
   private boolean hasTaken;
-  private boolean isLender;
   private boolean scarce;
   private boolean hasUnmetRequest;
   private MonotonicTime takenAt;
+  private MonotonicTime loanRequestedAt;
   private MonotonicTime validUntil;
   private MonotonicTime lastStoreCallAt;
-  private MonotonicTime lastRequestAt;
 
   TokenPool(MonotonicTime now) {
-    this.lastRequestAt = now;
+    this.stock = new StockRule(now);
     this.takenAt = now;
+    this.loanRequestedAt = now.minus(SCARCE_PAUSE);
     this.validUntil = now;
     this.lastStoreCallAt = now.minus(SCARCE_PAUSE);
   }
 
   /**
    * Lends tokens to a host: as many as it wants if the pool has at least twice as many, otherwise
-   * at most half of the pool, rounded up. Tokens for operations that wait count as spent at once:
-   * the lender may not hear of the host again, and they would count as held until they expire.
+   * at most half of the pool, rounded up. Tokens for operations that wait are valid for a short
+   * time only, and count as held until then or until the next request: the lender may not hear of
+   * the host again.
    *
    * @param maximumDuration the maximum time for which they may be spent
    */
@@ -92,7 +108,7 @@
       Duration maximumDuration,
       MonotonicTime now,
       MonotonicTime resumedAt) {
-    Loan loan = loans.computeIfAbsent(host, unused -> new Loan());
+    HostLoan loan = loans.computeIfAbsent(host, unused -> new HostLoan());
     loan.update(request, now);
     boolean valid = now.isBefore(validUntil) && !takenAt.isBefore(resumedAt);
     long wanted = request.wanted();
@@ -100,9 +116,10 @@
     long lent = valid ? fair : 0;
     long spentAtOnce = request.held() == 0 ? Math.min(lent, request.waiting()) : 0;
     available -= lent;
-    loan.add(lent - spentAtOnce);
-    lastRequestAt = now;
-    hasUnmetRequest |= lent == 0 && request.held() == 0 && wanted > 0;
+    loan.add(lent - spentAtOnce, spentAtOnce, now.plus(SPENT_AT_ONCE_VALIDITY));
+    stock.recordRequest(now);
+    boolean isShort = request.held() == 0 || request.waiting() > 0;
+    hasUnmetRequest |= lent == 0 && isShort && wanted > 0;
     Duration longest = lent > 0 && lent == spentAtOnce ? SPENT_AT_ONCE_VALIDITY : maximumDuration;
     Duration validity = valid ? validUntil.since(now) : Duration.ZERO;
     return new TokenLoan(
@@ -128,6 +145,7 @@
     if (takenAt.isBefore(resumedAt)) {
       loans.clear();
     }
+    loans.values().forEach(loan -> loan.dropInTransit(now));
     loans.values().removeIf(loan -> loan.hasExpired(now));
     return dropped;
   }
@@ -138,29 +156,81 @@
   }
 
   boolean needsTokens(MonotonicTime now) {
-    boolean isLow =
-        held() < Math.max(target(now), minimumHeld) * REFILL_THRESHOLD
-            || (hasUnmetRequest && available == 0);
+    boolean isLow = held() < Math.max(target(now), minimumHeld) * REFILL_THRESHOLD;
     boolean isExpiring = validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
+    return isActive(now) && (isExhausted() || (stock.isKept() && (isLow || isExpiring)));
+  }
+
+  /** Returns whether tokens of another lender are needed, which are valid for 1.8 s at most. */
+  boolean needsLoan(Duration replyTime, MonotonicTime now) {
+    boolean isLow =
+        held() < loanTarget(now) * LOAN_REFILL_THRESHOLD || (hasUnmetRequest && available == 0);
+    boolean isExpiring = validUntil.since(now).compareTo(RENEW_LOAN_BEFORE.plus(replyTime)) < 0;
     return isActive(now) && (isLow || isExpiring);
   }
 
+  /** Returns how many borrowed tokens to hold in total. */
+  private long loanTarget(MonotonicTime now) {
+    long hostTargets =
+        loans.values().stream()
+            .filter(loan -> loan.isActive(now))
+            .mapToLong(HostLoan::target)
+            .sum();
+    long target = (long) Math.ceil(demand(now) * SECONDS_BETWEEN_LOANS) + hostTargets;
+    return Math.max(target, minimumHeld);
+  }
+
+  /** Returns whether a host has asked for a token and the pool has none. */
+  boolean isExhausted() {
+    return hasUnmetRequest && available == 0;
+  }
+
+  /**
+   * Returns the request to another lender for the tokens that this host lends on. Tokens for hosts
+   * that wait count towards the target, as the lender must not count them as spent at once: they
+   * are on their way for longer.
+   */
+  TokenRequest request(WorkspaceId workspace, MonotonicTime now) {
+    loanRequestedAt = now;
+    loans.values().forEach(HostLoan::startRecording);
+    long held = held();
+    long waiting = isExhausted() ? 1 : 0;
+    long wanted =
+        Math.max(loanTarget(now), held + (isExhausted() ? hosts(now) : 0))
+            - (held > 0 ? waiting : 0);
+    return new TokenRequest(workspace, held, demand(now), wanted, held > 0 ? waiting : 0, true);
+  }
+
+  /** Returns the tokens lent to other hosts that they may still spend. */
+  long lentToOthers(EntryHostId self, MonotonicTime now) {
+    return spendableLoans(
+        loans.entrySet().stream()
+            .filter(entry -> !entry.getKey().equals(self))
+            .map(Map.Entry::getValue),
+        now);
+  }
+
   /** Returns whether a host waits for a token and the pause between store calls is over. */
   boolean isUrgent(MonotonicTime now) {
     Duration pause = scarce ? SCARCE_PAUSE : MIN_PAUSE;
-    return hasUnmetRequest
-        && available == 0
+    return isExhausted()
         && isActive(now)
+        && bucket.hasTokens(held(), now.since(lastStoreCallAt))
         && now.since(lastStoreCallAt).compareTo(pause) >= 0;
   }
 
+  /** Sets what the last write has left in the bucket. */
+  void setBucket(BucketForecast forecast) {
+    bucket = forecast;
+  }
+
   /** Sets whether this host is a lender of the workspace and not only stands in for one. */
   void setLender(boolean lender) {
-    isLender = lender;
+    stock.setLender(lender);
   }
 
   boolean isActive(MonotonicTime now) {
-    return hosts(now) > 0 || (isLender && now.since(lastRequestAt).compareTo(LENDER_RETENTION) < 0);
+    return hosts(now) > 0 || stock.isRetained(now);
   }
 
   /** Returns the number of hosts that have recently requested tokens. */
@@ -171,12 +241,24 @@
   double demand(MonotonicTime now) {
     return loans.values().stream()
         .filter(loan -> loan.isActive(now))
-        .mapToDouble(loan -> loan.demand)
+        .mapToDouble(HostLoan::demand)
         .sum();
   }
 
   long held() {
-    return available + loans.values().stream().mapToLong(loan -> loan.tokens).sum();
+    return available + loans.values().stream().mapToLong(HostLoan::held).sum();
+  }
+
+  /** Returns the tokens in the pool and those lent that hosts may still spend. */
+  long spendable(MonotonicTime now) {
+    return available + spendableLoans(loans.values().stream(), now);
+  }
+
+  private static long spendableLoans(Stream<HostLoan> loans, MonotonicTime now) {
+    return loans
+        .filter(loan -> now.since(loan.lastRequestAt()).compareTo(MAX_LOAN_DURATION) <= 0)
+        .mapToLong(HostLoan::held)
+        .sum();
   }
 
   /** Returns the tokens lent by the previous process of this host that may still be spent. */
@@ -201,10 +283,10 @@
   private long target(MonotonicTime now) {
     long holdingHosts = 0;
     long hostTargets = 0;
-    for (Loan loan : loans.values()) {
+    for (HostLoan loan : loans.values()) {
       if (loan.isActive(now)) {
-        holdingHosts += loan.target > 0 ? 1 : 0;
-        hostTargets += loan.target;
+        holdingHosts += loan.target() > 0 ? 1 : 0;
+        hostTargets += loan.target();
       }
     }
     double demand = demand(now);
@@ -215,7 +297,7 @@
 
   /** Sets how many tokens to hold in total even without demand. */
   void setMinimumHeld(long tokens) {
-    minimumHeld = tokens;
+    minimumHeld = stock.isLender() ? tokens : 0;
   }
 
   /**
@@ -242,9 +324,9 @@
 
   /** Returns how many tokens to take from the store. */
   long wanted(MonotonicTime now) {
-    long missing = Math.max(target(now), minimumHeld) - held();
-    long forWaiting =
-        hasUnmetRequest && available == 0 ? 1 + hosts(now) + Math.round(demand(now)) : 0;
+    long missing = stock.isKept() ? Math.max(target(now), minimumHeld) - held() : 0;
+    long soon = Math.round(demand(now)) + (stock.isKept() ? hosts(now) : 0);
+    long forWaiting = isExhausted() ? 1 + soon : 0;
     return Math.max(0, Math.max(missing, forWaiting));
   }
 
@@ -255,7 +337,7 @@
   /** Called before the row is written; the write records all tokens that are held now. */
   void startRecording(MonotonicTime now) {
     lastStoreCallAt = now;
-    loans.values().forEach(Loan::startRecording);
+    loans.values().forEach(HostLoan::startRecording);
   }
 
   /**
@@ -270,55 +352,40 @@
     hasUnmetRequest = false;
     takenAt = startedAt;
     validUntil = startedAt.plus(validity);
-    loans.values().forEach(Loan::confirmRecorded);
+    loans.values().forEach(HostLoan::confirmRecorded);
   }
 
   /**
-   * The tokens of one host as last known here; it may have spent some of them since. {@code
-   * recorded} counts those that the row records, {@code recording} those that a write in flight
-   * adds.
+   * Adds tokens that another lender has lent to this host. The validity of those held before is
+   * extended only if the lender knew of all of them. A loan is dropped if the row was written, or
+   * another request made, since its request: what is recorded of the tokens held would be mixed up.
    */
-  private static final class Loan {
-    private long tokens;
-    private long recorded;
-    private long recording;
-    private double demand;
-    private long target;
-    private MonotonicTime lastRequestAt;
-
-    /** Updates to what the host says it holds; the row doesn't record tokens from other pools. */
-    private void update(TokenRequest request, MonotonicTime now) {
-      tokens = request.held();
-      recorded = Math.min(recorded, tokens);
-      demand = request.demand();
-      target = request.target();
-      lastRequestAt = now;
-    }
-
-    private void add(long lent) {
-      tokens += lent;
-      recorded += lent;
-    }
-
-    private boolean isRecorded() {
-      return recorded == tokens;
+  void grantLoan(TokenLoan loan, MonotonicTime requestedAt, MonotonicTime now) {
+    if (requestedAt.isBefore(loanRequestedAt) || !loanRequestedAt.isAfter(lastStoreCallAt)) {
+      return;
     }
-
-    private void startRecording() {
-      recording = tokens - recorded;
+    MonotonicTime until = requestedAt.plus(loan.validFor());
+    long usable = now.isBefore(until) ? loan.tokens() : 0;
+    boolean holdsNoOthers = held() == 0 && usable > 0;
+    if (loan.renews() || holdsNoOthers) {
+      validUntil = until;
+      takenAt = requestedAt;
+    } else if (usable > 0 && until.isBefore(validUntil)) {
+      validUntil = until;
     }
-
-    private void confirmRecorded() {
-      recorded = Math.min(tokens, recorded + recording);
-      recording = 0;
+    if (loan.renews()) {
+      loans.values().forEach(HostLoan::confirmRecorded);
     }
-
-    private boolean isActive(MonotonicTime now) {
-      return now.since(lastRequestAt).compareTo(PRESENCE_TIMEOUT) < 0;
+    scarce = loan.scarce();
+    if (usable > 0) {
+      available += usable;
+      hasUnmetRequest = false;
     }
+  }
 
-    private boolean hasExpired(MonotonicTime now) {
-      return now.since(lastRequestAt).toMillis() > EngineTimings.TOKEN_VALIDITY.toMillis();
-    }
+  /** Drops what exceeds the need by far; the lender takes the place of the dropped tokens. */
+  void dropExcess(MonotonicTime now) {
+    long needed = (long) Math.ceil(loanTarget(now) * EXCESS);
+    available -= Math.max(0, Math.min(available, held() - needed));
   }
 }
