--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
@@ -106,6 +106,21 @@
         : Optional.ofNullable(reachable.get(owner)).filter(host -> isSuitable(host, isUrgent));
   }
 
+  /**
+   * Returns the lenders that this host may ask for tokens of the workspace. While it may not know
+   * of all tokens lent by itself, it asks for those of a large workspace in its own zone only: a
+   * lender in the owner zone may still count them as held by this host.
+   */
+  Map<AvailabilityZone, RelayHost> mayAsk(
+      WorkspaceId workspace, MonotonicTime now, MonotonicTime resumedAt) {
+    boolean isLarge = LenderChoice.isLarge(limits.get(workspace), settings, fleetSize);
+    if (!isLarge || knowsItsLoans(now, resumedAt)) {
+      return reachable;
+    }
+    RelayHost own = reachable.get(settings.zone());
+    return own == null ? Map.of() : Map.of(settings.zone(), own);
+  }
+
   /** Returns whether a request to the lender is under way; another one must wait for its reply. */
   boolean isBusy(RelayHost lender) {
     return busy.contains(lender);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -285,7 +285,6 @@
   private Map<WorkspaceId, RelayHost> lenders(
       Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
-    Map<AvailabilityZone, RelayHost> reachable = blackboard.get(EngineEntries.LENDERS);
     Set<RelayHost> slow = blackboard.get(EngineEntries.SLOW_LENDERS);
     Map<WorkspaceId, RelayHost> lenders = new HashMap<>();
     examined.forEach(
@@ -293,31 +292,13 @@
           WorkspaceTokens tokens = workspaces.get(workspace);
           if (tokens.needsTokens(now) && limits.containsKey(workspace)) {
             Set<RelayHost> avoided = tokens.isUrgent(now) ? slow : Set.of();
-            lender(workspace, role, mayAsk(workspace, reachable, now, resumedAt), avoided)
+            lender(workspace, role, poolLenders.mayAsk(workspace, now, resumedAt), avoided)
                 .ifPresent(host -> lenders.put(workspace, host));
           }
         });
     return lenders;
   }
 
-  /**
-   * Returns the lenders that this host may ask for tokens of the workspace. While it may not know
-   * of all tokens lent by itself, it asks for those of a large workspace in its own zone only: a
-   * lender in the owner zone may still count them as held by this host.
-   */
-  private Map<AvailabilityZone, RelayHost> mayAsk(
-      WorkspaceId workspace,
-      Map<AvailabilityZone, RelayHost> reachable,
-      MonotonicTime now,
-      MonotonicTime resumedAt) {
-    boolean isLarge = LenderChoice.isLarge(limits.get(workspace), settings, fleetSize);
-    if (!isLarge || poolLenders.knowsItsLoans(now, resumedAt)) {
-      return reachable;
-    }
-    RelayHost own = reachable.get(settings.zone());
-    return own == null ? Map.of() : Map.of(settings.zone(), own);
-  }
-
   /**
    * Returns the first lender that is reachable and not avoided; if all are avoided the first that
    * is reachable, whose reply is still under way. None if all have failed or are silent.
