--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneConnection.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneConnection.java
@@ -22,7 +22,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.persimmonwalk.model.SocketEndpoint;
-import org.persimmonwalk.peer.HeapBuffers;
 import org.persimmonwalk.peer.generated.zone.ZoneReplyMessage;
 import org.tinylog.Logger;
 
@@ -73,7 +72,6 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
         .handler(
             new ChannelInitializer<SocketChannel>() {
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
@@ -21,7 +21,6 @@
 import org.persimmonwalk.engine.control.SendZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequestReceived;
 import org.persimmonwalk.model.SocketEndpoint;
-import org.persimmonwalk.peer.HeapBuffers;
 import org.persimmonwalk.peer.generated.zone.ZoneRequestMessage;
 import org.tinylog.Logger;
 
@@ -65,7 +64,6 @@
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
               @Override
