Hold bulk statements while a server's queue endangers urgent routes

Cause: urgent statements wait at a server behind the bulk work of all hosts, and a host gives up after half of the latency target, 75 ms.

UrgencyGate sends a less urgent statement only while the wait leaves the more urgent routes of the group their latency target; else it goes to another server, is held for up to 0.5 s, or is refused as not run. A caller's BEGIN is held before the transaction has begun, its statements never. Urgent statements wait for a connection for up to 0.5 s, and less urgent ones in the host's own queue no longer count in the estimate of that wait. The choice of the server, the queue for connections and the positions of a session move to classes of their own.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.RouteKind;
@@ -13,6 +14,8 @@
  * A statement, or the start of a transaction, that is to run on a backend server.
  *
  * @param needsPrimary whether only the primary may run it
+ * @param begins whether it starts a transaction that the caller has begun, so that it is not held
+ * @param isStillAdmitted whether the caller's key still admits it, for a request that has waited
  * @param writes whether it changes data and commits at once
  * @param minimumPosition the position of the session's newest commit, which the server must have;
  *     {@link TermPosition#ZERO} for any position
@@ -24,6 +27,8 @@
     Route route,
     SessionStatement statement,
     boolean needsPrimary,
+    boolean begins,
+    BooleanSupplier isStillAdmitted,
     boolean writes,
     TermPosition minimumPosition,
     Map<String, String> variables) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -5,7 +5,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.ServerEntry;
@@ -34,11 +33,7 @@
   private final ColdServerGate coldServers;
   private final List<PooledConnection> connections = new ArrayList<>();
   private final List<PooledConnection> idle = new ArrayList<>();
-  private final PriorityQueue<ConnectionRequest> queue =
-      new PriorityQueue<>(
-          Comparator.comparingInt(ConnectionRequest::priority)
-              .thenComparing(ConnectionRequest::deadline)
-              .thenComparingLong(ConnectionRequest::sequence));
+  private final ConnectionQueue queue = new ConnectionQueue();
   private long sequence;
 
   ServerPool(
@@ -130,7 +125,7 @@
       request.refuse(ColdServerGate.NOT_ADMITTED);
       return request;
     }
-    if (expectedWait().compareTo(deadline.since(context.now())) > 0 && !hasIdle(workspace)) {
+    if (expectedWait(request).compareTo(deadline.since(context.now())) > 0 && !hasIdle(workspace)) {
       request.refuse(
           Failure.of(
               FailureCode.OVERLOADED,
@@ -146,10 +141,11 @@
     return request;
   }
 
-  /** Estimates how long the queued requests will keep the connections busy. */
-  private Duration expectedWait() {
+  /** Estimates how long the requests that are served earlier will keep the connections busy. */
+  private Duration expectedWait(ConnectionRequest request) {
     double each = health.latencyMillis(context.now()) / share.limit();
-    return Duration.ofMillis(Math.round(each * queue.size()));
+    int ahead = isShared() ? queue.ahead(request) : queue.size();
+    return Duration.ofMillis(Math.round(each * ahead));
   }
 
   private void expire(ConnectionRequest request) {
@@ -218,6 +214,7 @@
 
   void opened(PooledConnection connection, Optional<TermPosition> position) {
     health.recordResponse();
+    listener.connectionOpened(server, context.now().since(connection.openedAt()));
     position.ifPresent(returned -> listener.positionSeen(server, returned, connection.openedAt()));
     idle.add(connection);
     serveQueue();
@@ -330,9 +327,7 @@
   }
 
   private void refuseQueued(Failure failure) {
-    List<ConnectionRequest> refused = new ArrayList<>(queue);
-    queue.clear();
-    refused.stream()
+    queue.takeAll().stream()
         .filter(ConnectionRequest::isWaiting)
         .forEach(request -> request.refuse(failure));
   }
@@ -391,6 +386,9 @@
     /** A server returned its position in the answer to a request sent at the given time. */
     void positionSeen(ServerEntry server, TermPosition position, MonotonicTime sentAt);
 
+    /** A server accepted a connection after the given time. */
+    void connectionOpened(ServerEntry server, Duration latency);
+
     /** Returns a number that no connection of this host has had. */
     long nextConnectionNumber();
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -26,6 +26,7 @@
 
   private final TrafficContext context;
   private final ColdServerGate coldServers;
+  private final UrgencyGate urgency;
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
   private final Map<BackendServerId, ServerEjection> ejections = new HashMap<>();
@@ -41,6 +42,7 @@
   ServerPools(TrafficContext context) {
     this.context = context;
     this.coldServers = new ColdServerGate(context);
+    this.urgency = new UrgencyGate(context, this::isShared);
     this.twoChoices = WeightedTwoChoices.create(context.random());
     this.loadReporter = new LoadReporter(context);
   }
@@ -49,6 +51,10 @@
     return coldServers;
   }
 
+  UrgencyGate urgency() {
+    return urgency;
+  }
+
   RetryBudget retryBudget() {
     return retryBudget;
   }
@@ -203,6 +209,11 @@
     }
   }
 
+  @Override
+  public void connectionOpened(ServerEntry server, Duration latency) {
+    urgency.recordOpening(server, latency);
+  }
+
   @Override
   public long nextConnectionNumber() {
     return ++connectionCount;
@@ -215,6 +226,7 @@
   void onSnapshotChanged() {
     Map<BackendServerId, ServerEntry> listed = context.entry(EngineEntries.SERVERS);
     MonotonicTime now = context.now();
+    urgency.onSnapshotChanged();
     ejections
         .entrySet()
         .removeIf(known -> !listed.containsKey(known.getKey()) && known.getValue().isOver(now));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.persimmonwalk.engine.Answer;
@@ -18,7 +17,6 @@
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.StatementTemplate;
 import org.persimmonwalk.engine.TermPosition;
-import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.WorkspaceId;
 
 /**
@@ -47,7 +45,7 @@
    * The position of the session's newest commit in each group that it has written to. A route may
    * move to another group and return.
    */
-  private final Map<DatabaseGroupId, TermPosition> committedPositions = new HashMap<>();
+  private final CommittedPositions committedPositions = new CommittedPositions();
 
   private Optional<Transaction> transaction = Optional.empty();
 
@@ -276,10 +274,20 @@
     admission.admit(
         this,
         id,
-        route -> {
-          transaction = Optional.of(new Transaction(context, pools, this, route, begin.readOnly()));
-          answer(Answer.done(SessionState.IN_TRANSACTION));
-        });
+        route ->
+            pools
+                .urgency()
+                .whenAdmitted(
+                    route,
+                    workspace(),
+                    !begin.readOnly() || route.kind() == RouteKind.PRIMARY,
+                    () -> open(route, begin.readOnly()),
+                    refusal -> fail(refusal.code(), refusal.detail())));
+  }
+
+  private void open(Route route, boolean readOnly) {
+    transaction = Optional.of(new Transaction(context, pools, this, route, readOnly));
+    answer(Answer.done(SessionState.IN_TRANSACTION));
   }
 
   private void commit(RequestId id, Statement.Commit commit) {
@@ -317,6 +325,8 @@
                   route,
                   statement,
                   needsPrimary,
+                  false,
+                  () -> !needsKey() || identity.isVerified(context),
                   write,
                   minimumPosition(route),
                   Map.copyOf(contents.variables()));
@@ -331,7 +341,7 @@
     if (answer.succeeded() && write) {
       answer = acknowledge(route, answer, outcome.connection().orElseThrow());
     } else if (answer.succeeded() && outcome.onPrimary()) {
-      refreshMinimumPosition(route, answer);
+      answer.position().ifPresent(position -> committedPositions.refresh(route, position));
     }
     answer(answer.withState(SessionState.IDLE));
   }
@@ -348,30 +358,13 @@
           "the primary was replaced before the commit was acknowledged",
           SessionState.IDLE);
     }
-    answer
-        .position()
-        .ifPresent(
-            position -> committedPositions.merge(route.group(), position, TermPosition::max));
+    answer.position().ifPresent(position -> committedPositions.add(route, position));
     return answer;
   }
 
-  /**
-   * Replaces a minimum position of an earlier term by one that the current primary returned: no
-   * server may hold the old position any more.
-   */
-  private void refreshMinimumPosition(Route route, Answer answer) {
-    answer
-        .position()
-        .filter(position -> position.term() > minimumPosition(route).term())
-        .filter(position -> minimumPosition(route).term() > 0)
-        .ifPresent(position -> committedPositions.put(route.group(), position));
-  }
-
   /** Returns the position of the session's newest commit if reads on the route must include it. */
   TermPosition minimumPosition(Route route) {
-    return route.kind() == RouteKind.BOUNDED_STALENESS
-        ? TermPosition.ZERO
-        : committedPositions.getOrDefault(route.group(), TermPosition.ZERO);
+    return committedPositions.minimum(route);
   }
 
   void transactionEnded() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -11,7 +11,6 @@
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.SessionState;
-import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -39,11 +38,13 @@
   private final ExecutionRequest request;
   private final Consumer<ExecutionOutcome> done;
   private final MonotonicTime startedAt;
-  private final MonotonicTime waitUntil;
+  private final MonotonicTime usualWaitUntil;
   private final Set<BackendServerId> tried = new HashSet<>();
+  private final TargetChoice choice;
   private final FailedReads failedReads = new FailedReads();
   private Failure lastFailure =
       Failure.of(FailureCode.OVERLOADED, "no server of the database can be used at present");
+  private MonotonicTime waitUntil;
   private PooledConnection connection;
   private int attempts;
   private boolean finished;
@@ -51,6 +52,7 @@
   private boolean onPrimary;
   private boolean tooLongWithPosition;
   private Runnable cancelTimeout = () -> {};
+  private Runnable inFlightEnded = () -> {};
 
   private StatementExecution(
       TrafficContext context,
@@ -61,8 +63,10 @@
     this.pools = pools;
     this.request = request;
     this.done = done;
+    this.choice = new TargetChoice(context, pools, request);
     this.startedAt = context.now();
-    this.waitUntil = startedAt.plus(request.latencyTarget().dividedBy(WAIT_DIVISOR));
+    this.usualWaitUntil = startedAt.plus(request.latencyTarget().dividedBy(WAIT_DIVISOR));
+    this.waitUntil = usualWaitUntil;
   }
 
   /** Starts the request; the callback receives the outcome exactly once. */
@@ -81,16 +85,32 @@
     if (finished) {
       return;
     }
-    Optional<ExecutionTarget> target = attempts >= MAXIMUM_ATTEMPTS ? Optional.empty() : choose();
-    if (target.isEmpty()) {
+    if (attempts >= MAXIMUM_ATTEMPTS) {
       giveUp();
       return;
     }
+    TargetChoice.Result chosen = choice.choose(tried, tooLongWithPosition);
+    Optional<ExecutionTarget> target = chosen.target();
+    if (target.isEmpty()) {
+      if (attempts == 0 || chosen.isDecisive()) {
+        lastFailure = chosen.reason().orElse(lastFailure);
+      }
+      if (chosen.isHeld()) {
+        hold();
+      } else {
+        giveUp();
+      }
+      return;
+    }
     attempts++;
     sent = false;
+    endInFlight();
+    inFlightEnded =
+        pools.urgency().start(target.get().pool().server(), request.route(), request.workspace());
     ServerPool pool = target.get().pool();
     onPrimary = target.get().primary();
-    MonotonicTime waitDeadline = waitUntil.isBefore(context.now()) ? context.now() : waitUntil;
+    MonotonicTime longest = pools.urgency().waitDeadline(request.route(), startedAt, waitUntil);
+    MonotonicTime waitDeadline = longest.isBefore(context.now()) ? context.now() : longest;
     pool.acquire(
         request.workspace(),
         request.priority(),
@@ -108,54 +128,28 @@
         });
   }
 
-  private Optional<ExecutionTarget> choose() {
-    Optional<ServerEntry> primary = context.primary(request.group()).filter(this::isAdmittedIfCold);
-    if (request.needsPrimary()) {
-      return primary.flatMap(entry -> target(entry, true));
-    }
-    Optional<TermPosition> sample =
-        pools.history(request.group()).oldestWithin(request.staleness(), context.now());
-    if (sample.isPresent() && !tooLongWithPosition) {
-      TermPosition minimumPosition = sample.get().max(request.minimumPosition());
-      Optional<ServerChoice.Candidate> best =
-          pools.choose(request.group(), request.workspace(), tried);
-      if (best.isPresent()) {
-        boolean isPrimary = best.get().primary();
-        return Optional.of(
-            new ExecutionTarget(
-                best.get().pool(),
-                isPrimary,
-                isPrimary ? Optional.empty() : Optional.of(minimumPosition),
-                false));
-      }
-    }
-    // Without a sample no other server can tell whether its data is recent enough.
-    boolean onlyThere = sample.isEmpty() || tooLongWithPosition;
-    return primary
-        .filter(entry -> !tried.contains(entry.id()))
-        .flatMap(entry -> target(entry, onlyThere));
+  /** Waits in this host: the servers that may run the request are kept for more urgent work. */
+  private void hold() {
+    pools
+        .urgency()
+        .hold(
+            request.route(),
+            request.workspace(),
+            request.needsPrimary(),
+            startedAt,
+            this::resume,
+            this::refuse);
   }
 
-  private Optional<ExecutionTarget> target(ServerEntry primary, boolean onlyThere) {
-    ExecutionTarget target =
-        new ExecutionTarget(pools.pool(primary), true, Optional.empty(), onlyThere);
-    if (target.mayBeUsed(context)) {
-      return Optional.of(target);
-    }
-    if (attempts == 0) {
-      lastFailure = ServerPool.EVACUATED;
-    }
-    return Optional.empty();
+  private void resume() {
+    waitUntil = context.now().plus(request.latencyTarget().dividedBy(WAIT_DIVISOR));
+    attempt();
   }
 
-  /** Returns whether this host may send to the server; a cold one gets requests of relays only. */
-  private boolean isAdmittedIfCold(ServerEntry server) {
-    boolean admitted = pools.coldServers().hasPart(server);
-    if (!admitted && request.needsPrimary()) {
-      pools.coldServers().recordKept(server);
-      lastFailure = ColdServerGate.NOT_ADMITTED;
-    }
-    return admitted;
+  private void refuse(Failure failure) {
+    if (!finished) {
+      fail(failure.code(), failure.detail());
+    }
   }
 
   private void use(PooledConnection free, ExecutionTarget target) {
@@ -173,6 +167,11 @@
       retry(free.server(), ServerPool.EVACUATED);
       return;
     }
+    if (context.now().isAfter(usualWaitUntil) && !request.isStillAdmitted().getAsBoolean()) {
+      free.release();
+      fail(FailureCode.OVERLOADED, "the key can no longer be verified; not run");
+      return;
+    }
     connection = free;
     ConnectionSetup.run(
         free,
@@ -242,6 +241,7 @@
     }
     if (answer.succeeded()) {
       used.pool().recordSuccess(sentAt, now);
+      pools.urgency().recordAnswer(used.server(), request.route(), now.since(sentAt));
       failedReads.succeededElsewhere();
       if (onPrimary) {
         answer
@@ -255,6 +255,9 @@
     if (code == FailureCode.BEHIND) {
       used.pool().health().recordBehind(now);
     }
+    if (code == FailureCode.OVERLOADED && !pools.coldServers().isCold(used.server())) {
+      pools.urgency().recordFullQueue(used.server());
+    }
     if (code == FailureCode.OVERLOADED && !request.writes()) {
       used.pool().recordRefusal(sentAt);
     }
@@ -305,6 +308,7 @@
     lastFailure = failure;
     tried.add(server.id());
     connection = null;
+    endInFlight();
     if (!isWithinBudget) {
       context.meter().count("statement.retry-budget-spent");
       giveUp();
@@ -354,28 +358,13 @@
     if (running && !request.writes()) {
       abandoned.pool().recordLoss("a read got no answer in time");
     }
-    finishTimeOut(running);
+    Failure failure = TimedOutStatement.failure(request, running);
+    fail(failure.code(), failure.detail());
     if (abandoned != null) {
       abandoned.discard();
     }
   }
 
-  private void finishTimeOut(boolean running) {
-    if (!running) {
-      fail(
-          FailureCode.OVERLOADED,
-          "the statement did not start within " + request.timeout().toMillis() + " ms; try again");
-    } else if (request.writes()) {
-      fail(
-          FailureCode.OUTCOME_UNKNOWN,
-          "the statement got no answer within " + request.timeout().toMillis() + " ms");
-    } else {
-      fail(
-          FailureCode.TIMED_OUT,
-          "the statement got no answer within " + request.timeout().toMillis() + " ms");
-    }
-  }
-
   private void fail(FailureCode code, String detail) {
     finish(
         new ExecutionOutcome(
@@ -389,7 +378,18 @@
     if (!outcome.answer().succeeded()) {
       writeFailure(outcome.answer().failure().orElseThrow());
     }
-    done.accept(outcome);
+    try {
+      done.accept(outcome);
+    } finally {
+      // The connection is free now for what this lets through.
+      endInFlight();
+    }
+  }
+
+  private void endInFlight() {
+    Runnable ended = inFlightEnded;
+    inFlightEnded = () -> {};
+    ended.run();
   }
 
   private void writeFailure(Failure failure) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -137,6 +137,8 @@
         route,
         SessionStatement.of(new BackendStatement.Begin(readOnly)),
         !readOnly || route.kind() == RouteKind.PRIMARY,
+        true,
+        () -> !session.needsKey() || session.identity().isVerified(context),
         false,
         session.minimumPosition(route),
         Map.copyOf(session.variables()));
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/QueueingServers.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/QueueingServers.java
@@ -179,8 +179,7 @@
   }
 
   private static boolean isCommit(BackendStatement statement) {
-    return statement.action() instanceof BackendStatement.Text text
-        && text.text().equals("COMMIT");
+    return statement.action() instanceof BackendStatement.Text text && text.text().equals("COMMIT");
   }
 
   private static double millis(BackendStatement statement) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ReplayedOperation.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ReplayedOperation.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.Route;
@@ -49,7 +50,14 @@
 
   void start(boolean transaction, boolean write) {
     if (transaction) {
-      execute(new BackendStatement.Begin(false), true, false, this::runTransaction);
+      pools
+          .urgency()
+          .whenAdmitted(
+              route,
+              workspace,
+              true,
+              () -> execute(new BackendStatement.Begin(false), true, false, this::runTransaction),
+              this::failed);
     } else {
       execute(statement, write || route.kind() == RouteKind.PRIMARY, write, this::succeeded);
     }
@@ -67,6 +75,8 @@
             route,
             SessionStatement.of(action),
             needsPrimary,
+            action instanceof BackendStatement.Begin,
+            () -> true,
             writes,
             TermPosition.ZERO,
             Map.of());
@@ -78,7 +88,7 @@
           if (outcome.answer().succeeded()) {
             next.accept(outcome.connection().orElseThrow());
           } else {
-            failed(outcome.answer().failure().orElseThrow().code());
+            failed(outcome.answer().failure().orElseThrow());
           }
         });
   }
@@ -104,13 +114,13 @@
               context.scheduler().schedule(RETRY_PAUSE, () -> send(connection, actions, next));
             } else {
               connection.discard();
-              failed(FailureCode.ABORTED);
+              failed(Failure.of(FailureCode.ABORTED, "the transaction was aborted"));
             }
           }
 
           @Override
           public void lost(String reason) {
-            failed(FailureCode.ABORTED);
+            failed(Failure.of(FailureCode.ABORTED, "the transaction was aborted"));
           }
         });
   }
@@ -129,9 +139,10 @@
     }
   }
 
-  private void failed(FailureCode code) {
+  private void failed(Failure failure) {
     end();
-    if (code.guaranteesNoEffect()) {
+    tally.reasons.merge(failure.detail(), 1, Integer::sum);
+    if (failure.code().guaranteesNoEffect()) {
       tally.refused++;
     } else {
       tally.unknown++;
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ReplayedZones.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ReplayedZones.java
@@ -7,21 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
 import org.persimmonwalk.blackboard.Observation;
-import org.persimmonwalk.blackboard.Snapshot;
-import org.persimmonwalk.engine.BackendConnector;
-import org.persimmonwalk.engine.SuspensionDetector;
-import org.persimmonwalk.engine.TrafficScheduler;
-import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.ServerLoad;
 import org.persimmonwalk.engine.control.ServerLoads;
 import org.persimmonwalk.engine.control.ServerLoadsObserved;
-import org.persimmonwalk.engine.testing.EngineSettingsFixture;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.model.MonotonicTime;
-import org.persimmonwalk.port.MonotonicClock;
-import org.persimmonwalk.port.RandomSource;
 import org.persimmonwalk.testing.FakeClock;
 
 /** The load reports of the hosts of each zone over the last second, as relays sum them. */
@@ -53,7 +44,7 @@
     return published.get(zone);
   }
 
-  private void receive(int zone, Observation observation) {
+  void receive(int zone, Observation observation) {
     if (observation instanceof ServerLoadsObserved observed) {
       received.get(zone).addLast(observed.loads());
     }
@@ -79,8 +70,7 @@
     listeners.forEach(Runnable::run);
   }
 
-  private static void add(
-      Map<BackendServerId, ServerLoad> sums, ServerLoad added, boolean newest) {
+  private static void add(Map<BackendServerId, ServerLoad> sums, ServerLoad added, boolean newest) {
     sums.merge(
         added.server(),
         added,
@@ -93,33 +83,4 @@
                 sum.failures() + load.failures(),
                 sum.hosts() + 1));
   }
-
-  /** Returns what the traffic thread of a host needs. */
-  static TrafficContext context(
-      int number,
-      int zoneCount,
-      MonotonicClock clock,
-      RandomSource random,
-      TrafficScheduler scheduler,
-      BackendConnector connector,
-      Supplier<Snapshot> snapshot,
-      ReplayedZones zones,
-      List<String> events,
-      TrafficMeter meter) {
-    EngineSettings settings =
-        EngineSettingsFixture.of(number, zoneCount, EngineSettingsFixture.USUAL_BOUNDS);
-    return new TrafficContext(
-        settings,
-        settings.timings(),
-        clock,
-        random,
-        scheduler,
-        connector,
-        snapshot,
-        observation -> zones.receive(number % zoneCount, observation),
-        (event, fields) -> events.add(event + List.of(fields)),
-        meter,
-        SuspensionDetector.of(
-            clock, () -> clock.now().nanoseconds() / 1_000_000, Duration.ofMillis(250)));
-  }
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UrgencyReplay.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UrgencyReplay.java
@@ -15,8 +15,11 @@
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.ServerEntry;
+import org.persimmonwalk.engine.SuspensionDetector;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.PrimaryView;
+import org.persimmonwalk.engine.testing.EngineSettingsFixture;
 import org.persimmonwalk.engine.testing.FakeScheduler;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
@@ -28,8 +31,8 @@
 
 /**
  * Replays the operations of a deployment on the pools of all its hosts, in front of six groups of
- * three servers. Each group has all routes, and a twelfth of the workspaces' hosts run its large
- * workspace.
+ * three servers. Each group has all routes and twelve workspaces, one of them in the first group a
+ * large one.
  */
 final class UrgencyReplay {
   private static final int GROUPS = 6;
@@ -42,6 +45,8 @@
 
   private static final int ZONES = 3;
   private static final Duration TICK = Duration.ofMillis(100);
+  private static final Duration SUSPENSION_TOLERANCE = Duration.ofMillis(250);
+  private static final long NANOS_PER_MILLI = 1_000_000;
   private static final Duration VERIFICATION = Duration.ofSeconds(1);
 
   /** A route with its load, as docs/load-across-hosts.md states it. */
@@ -54,7 +59,21 @@
       int targetMillis,
       int deadlineMillis,
       double writes,
-      double transactions) {}
+      double transactions) {
+
+    Load withPriority(int changed) {
+      return new Load(
+          name,
+          kind,
+          changed,
+          perSecond,
+          workMillis,
+          targetMillis,
+          deadlineMillis,
+          writes,
+          transactions);
+    }
+  }
 
   /** What happened to the operations of a route. */
   static final class Tally {
@@ -64,6 +83,9 @@
     int refused;
     int unknown;
 
+    /** How often each reason was given. */
+    final Map<String, Integer> reasons = new TreeMap<>();
+
     @Override
     public String toString() {
       return "started "
@@ -226,7 +248,8 @@
               List.of(
                   (blackboard, round) -> {
                     blackboard.put(EngineEntries.FLEET_SIZE, hostCount);
-                    blackboard.put(EngineEntries.SERVERS, Map.copyOf(entries));
+                    // Not copied: the order of Map.copyOf differs between runs.
+                    blackboard.put(EngineEntries.SERVERS, entries);
                     blackboard.put(EngineEntries.CONFIGURATION, configuration());
                     blackboard.put(EngineEntries.VERIFIED_AT, Optional.of(clock.now()));
                     blackboard.put(EngineEntries.PRIMARIES, primaries());
@@ -236,9 +259,22 @@
               clock,
               own);
       loop.runRound();
+      EngineSettings settings =
+          EngineSettingsFixture.of(number, ZONES, EngineSettingsFixture.USUAL_BOUNDS);
       context =
-          ReplayedZones.context(
-              number, ZONES, clock, own, scheduler, servers, loop::snapshot, zones, events, this);
+          new TrafficContext(
+              settings,
+              settings.timings(),
+              clock,
+              own,
+              scheduler,
+              servers,
+              loop::snapshot,
+              observation -> zones.receive(number % ZONES, observation),
+              (event, fields) -> events.add(event + List.of(fields)),
+              this,
+              SuspensionDetector.of(
+                  clock, () -> clock.now().nanoseconds() / NANOS_PER_MILLI, SUSPENSION_TOLERANCE));
       pools = new ServerPools(context);
       pools.onSnapshotChanged();
       scheduler.schedule(TICK.multipliedBy(number).dividedBy(hostCount), this::tick);
