Refuse a held statement at once if the limit opens after its deadline

The estimate counted what is ahead of a statement, but not the pause until the limit admits the next one, so that statements were held for half a second and then refused.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/UrgencyGate.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/UrgencyGate.java
@@ -199,7 +199,8 @@
     MonotonicTime now = context.now();
     HeldStatements others = held(route.group());
     int ahead = others.ahead(statement, now, expected(statement, 0));
-    if (!statement.meetsDeadline(now, expected(statement, ahead))) {
+    MonotonicTime opensAt = opensAt(statement, now);
+    if (isTooLate(statement, ahead, opensAt, now)) {
       refuse(statement);
       return;
     }
@@ -208,7 +209,7 @@
       traffic(server.id()).limit(route.priority()).recordHeld(now);
     }
     others.add(statement);
-    schedule(route.group(), opensAt(statement, now));
+    schedule(route.group(), opensAt);
   }
 
   private void refuse(HeldStatement statement) {
@@ -245,7 +246,7 @@
     for (HeldStatement statement : statements.inOrder(now, expected(any, 0))) {
       MonotonicTime opensAt = opensAt(statement, now);
       boolean opens = !opensAt.isAfter(now);
-      boolean isLate = !opens && !statement.meetsDeadline(now, expected(statement, ahead));
+      boolean isLate = !opens && isTooLate(statement, ahead, opensAt, now);
       if ((opens || isLate) && statements.remove(statement)) {
         if (opens) {
           statement.resume().run();
@@ -260,6 +261,13 @@
     return next;
   }
 
+  /** Returns whether a statement can't meet its deadline behind the given number of others. */
+  private boolean isTooLate(
+      HeldStatement statement, int ahead, MonotonicTime opensAt, MonotonicTime now) {
+    return !statement.meetsDeadline(now, expected(statement, ahead))
+        || !statement.meetsDeadline(opensAt, expected(statement, 0));
+  }
+
   private void schedule(DatabaseGroupId group, MonotonicTime at) {
     Duration delay = at.since(context.now());
     Duration pause = delay.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : delay;
