--- a/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
@@ -56,6 +56,11 @@
     }
   }
 
+  /** Returns all observations of this round, in the order in which they were queued. */
+  public List<Observation> observations() {
+    return observations;
+  }
+
   /** Returns whether this round has observations of any type. */
   public boolean hasObservations() {
     return !observations.isEmpty();
@@ -65,15 +70,16 @@
    * Returns this round's observations of the given type, in the order in which they were queued.
    */
   public <T extends Observation> Stream<T> observations(Class<T> type) {
-    // Most rounds have no observation of a given type. Setting up a stream for each took most of
-    // the
-    // time of such rounds.
+    // Most rounds have no observation of a given type. Setting up a stream for each took most of the
+    // time of such rounds. The others copy the few that match, so that the stream needs no stages.
+    List<T> matching = List.of();
     for (Observation observation : observations) {
       if (type.isInstance(observation)) {
-        return observations.stream().filter(type::isInstance).map(type::cast);
+        matching = matching.isEmpty() ? new ArrayList<>() : matching;
+        matching.add(type.cast(observation));
       }
     }
-    return Stream.empty();
+    return matching.stream();
   }
 
   /**
@@ -81,9 +87,11 @@
    * runs first and decides in one place which observations still count.
    */
   public void replaceObservations(UnaryOperator<Observation> replacement) {
-    if (!observations.isEmpty()) {
-      observations = observations.stream().map(replacement).toList();
+    List<Observation> replaced = new ArrayList<>(observations.size());
+    for (Observation observation : observations) {
+      replaced.add(replacement.apply(observation));
     }
+    observations = List.copyOf(replaced);
   }
 
   /** Submits a command, which is executed after the round. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/StoreEraController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/StoreEraController.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Inputs;
@@ -54,7 +53,7 @@
       return;
     }
     StoreEra current = blackboard.get(EngineEntries.STORE_ERA);
-    StoreEra newest = toldEras(blackboard).reduce(current, (a, b) -> b.isAfter(a) ? b : a);
+    StoreEra newest = newestEra(blackboard, current);
     if (newest.isAfter(current)) {
       remember(blackboard, current, newest, context.now());
       blackboard.put(EngineEntries.STORE_ERA, newest);
@@ -79,17 +78,28 @@
     return NextRun.onInput();
   }
 
-  private static Stream<StoreEra> toldEras(Blackboard blackboard) {
-    return Stream.of(
-            blackboard.observations(TransactionAnswered.class).map(TransactionAnswered::era),
-            blackboard.observations(ServerListRead.class).map(ServerListRead::era),
-            blackboard
-                .observations(ZoneRequestEnded.class)
-                .flatMap(ended -> ended.reply().map(ZoneReply::era).stream()),
-            blackboard
-                .observations(ZoneRequestReceived.class)
-                .map(received -> received.request().era()))
-        .flatMap(eras -> eras);
+  private static StoreEra newestEra(Blackboard blackboard, StoreEra current) {
+    StoreEra newest = current;
+    for (Observation observation : blackboard.observations()) {
+      StoreEra told = toldEra(observation);
+      newest = told.isAfter(newest) ? told : newest;
+    }
+    return newest;
+  }
+
+  private static StoreEra toldEra(Observation observation) {
+    if (observation instanceof TransactionAnswered answer) {
+      return answer.era();
+    }
+    if (observation instanceof ServerListRead read) {
+      return read.era();
+    }
+    if (observation instanceof ZoneRequestEnded ended) {
+      return ended.reply().map(ZoneReply::era).orElse(StoreEra.UNKNOWN);
+    }
+    return observation instanceof ZoneRequestReceived received
+        ? received.request().era()
+        : StoreEra.UNKNOWN;
   }
 
   private void remember(
