Reproduce a large configuration that a small link never brings

A host gives up each call to the store after 1.3 s. An answer with a manifest of 290 KB, 387 KB as base64 text, takes 1.55 s over 2 Mbit/s, so no host ever has it, and without a verification nothing is served any more.

--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -98,6 +98,7 @@
   private final Map<Engine, Boolean> frozen = new HashMap<>();
   private final Map<Engine, Integer> numbers = new HashMap<>();
   public final FakeZoneExchanges exchanges = new FakeZoneExchanges(clock, scheduler);
+  public final FakeStoreLink link = new FakeStoreLink(scheduler, CALL_TIMEOUT);
   private final FakeRowStore store;
   private final IntFunction<EngineSettings> settings;
   private long term;
@@ -296,18 +297,19 @@
       transactionsToLose--;
       timeOut(host, transaction);
       return;
-    }
-    if (command instanceof RunTransaction transaction && effectsToDelay > 0) {
+    } else if (command instanceof RunTransaction transaction && effectsToDelay > 0) {
       effectsToDelay--;
       scheduler.schedule(EFFECT_DELAY, () -> store.run(transaction, STEP));
       timeOut(host, transaction);
       return;
     }
     if (command instanceof RunTransaction transaction) {
-      result =
+      link.deliver(
+          host,
           reachable
               ? store.run(transaction, STEP)
-              : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
+              : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN));
+      return;
     } else if (command instanceof ReadServerList) {
       result =
           reachable
@@ -327,8 +329,7 @@
   }
 
   private void timeOut(Engine host, RunTransaction transaction) {
-    TransactionAnswered unknown =
-        TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
+    var unknown = TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
     scheduler.schedule(CALL_TIMEOUT, () -> host.loop().post(unknown));
   }
 
