Bring a large configuration over a small link

Cause: a host gave up each call after 1.3 s, a transfer of the configuration over 2 Mbit/s takes longer, and every verification, its second call after 500 ms and every call for tokens carried it again.

Until it is complete the verifications and the calls for tokens leave the configuration out. They then vouch for primaries until configApplyMs after the last verification that covered it, and never for keys. The relay sends the configuration compressed, once for each version; the zone protocol has three new fields, which older builds skip. A host behind a relay reads the configuration itself when the relay's verification of it is 2.9 s old.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -22,13 +22,27 @@
       EntryKey.of("routing configuration", RoutingConfiguration.NONE);
 
   /**
-   * When the configuration and the leadership rows were last verified to be the newest: the start
-   * of the call that verified it.
+   * When the leadership rows were last verified to be the newest: the start of the call that
+   * verified them.
    */
   public static final EntryKey<Optional<MonotonicTime>> VERIFIED_AT =
       EntryKey.of("verified at", Optional.empty());
 
-  /** The groups whose leadership rows that verification covered. */
+  /**
+   * The start of the newest verification that covered the configuration too. It is older than the
+   * one above only while a large configuration is arriving.
+   */
+  public static final EntryKey<Optional<MonotonicTime>> CONFIGURATION_VERIFIED_AT =
+      EntryKey.of("configuration verified at", Optional.empty());
+
+  /**
+   * Whether calls for tokens leave the configuration row out, because their answers would bring a
+   * large configuration again or wait for it.
+   */
+  public static final EntryKey<Boolean> CONFIGURATION_LEFT_OUT =
+      EntryKey.of("configuration left out", false);
+
+  /** The groups whose leadership rows the newest verification covered. */
   public static final EntryKey<Set<DatabaseGroupId>> VERIFIED_GROUPS =
       EntryKey.of("verified groups", Set.of());
 
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineTimings.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineTimings.java
@@ -147,6 +147,23 @@
     return percent(verificationInterval, 180);
   }
 
+  /**
+   * Returns the time after its verification for which a configuration is used at primaries: the
+   * bound for new configurations, and not less than any verification is valid for.
+   */
+  public static Duration configurationValidity(ServiceBounds bounds) {
+    return between(VERIFICATION_VALIDITY, bounds.configurationApply(), bounds.configurationApply());
+  }
+
+  /**
+   * Returns the age of the relay's verification of the configuration from which a host reads the
+   * configuration itself: the relay may have the smallest link of the zone. At 2 Mbit/s a relay has
+   * 290 KB, and has passed them on, 2.9 intervals after the verification before.
+   */
+  public Duration configurationFallbackAge() {
+    return percent(verificationInterval, 290);
+  }
+
   /** Returns the time since its last new verification for which a relay counts as advancing. */
   public Duration relayAdvanceAge() {
     return percent(verificationInterval, 160);
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
@@ -13,6 +13,7 @@
  * @param isRelay false if the answering host is not the relay or is about to stop
  * @param era the era of the store in which the rows were read
  * @param verifiedAge the time since the call that verified the rows was sent
+ * @param configurationAge the time since the call that verified the configuration too was sent
  * @param configurationRowVersion the version of the configuration row that was verified
  * @param storeReading the newest reading of the store's clock
  * @param rows the rows that are newer at the relay than at the requesting host
@@ -25,6 +26,7 @@
     boolean isRelay,
     StoreEra era,
     Optional<Duration> verifiedAge,
+    Optional<Duration> configurationAge,
     StoreVersion configurationRowVersion,
     Optional<StoreReading> storeReading,
     Map<RowKey, StoredRow> rows,
@@ -46,6 +48,7 @@
         isRelay,
         era,
         Optional.empty(),
+        Optional.empty(),
         StoreVersion.absent(era),
         Optional.empty(),
         Map.of(),
@@ -62,6 +65,7 @@
         false,
         StoreEra.UNKNOWN,
         Optional.empty(),
+        Optional.empty(),
         StoreVersion.absent(StoreEra.UNKNOWN),
         Optional.empty(),
         Map.of(),
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
@@ -1,16 +1,20 @@
 package org.persimmonwalk.internal.engine.control;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.ServiceBounds;
 import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.DatabaseGroupId;
+import org.persimmonwalk.model.MonotonicTime;
 
 /** Reads from the blackboard the store rows that this host knows, and their versions. */
 final class KnownRows {
@@ -35,6 +39,23 @@
     return expected;
   }
 
+  /** Returns the same without the configuration row, which may be large. */
+  static Map<RowKey, StoreVersion> versionsBesideConfiguration(Blackboard blackboard) {
+    Map<RowKey, StoreVersion> expected = versionsToVerify(blackboard);
+    expected.remove(RowKey.CONFIGURATION);
+    return expected;
+  }
+
+  /** Returns whether the bound within which a newer configuration must be in force is not over. */
+  static boolean isConfigurationValid(
+      Blackboard blackboard, ServiceBounds bounds, MonotonicTime now) {
+    Duration validity = EngineTimings.configurationValidity(bounds);
+    return blackboard
+        .get(EngineEntries.CONFIGURATION_VERIFIED_AT)
+        .filter(at -> now.since(at).compareTo(validity) < 0)
+        .isPresent();
+  }
+
   /** Returns the rows whose presence evacuates one of the watched zones. */
   static Set<RowKey> evacuationRows(Blackboard blackboard) {
     return blackboard.get(EngineEntries.WATCHED_ZONES).stream()
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/SlowStoreTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/SlowStoreTest.java
@@ -105,6 +105,7 @@
             true,
             StoreEra.UNKNOWN,
             Optional.of(verifiedAge),
+            Optional.of(verifiedAge),
             VERSION,
             Optional.empty(),
             Map.of(),
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/RoutingConfigurationCodec.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.peer.zone;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import org.persimmonwalk.engine.DatabaseName;
@@ -30,7 +31,10 @@
         RoutingConfigurationMessage.newBuilder()
             .setVersion(configuration.version())
             .setTransactionIdleMilliseconds(configuration.transactionIdleTimeout().toMillis());
-    configuration.routes().values().forEach(route -> message.addRoutes(encode(route)));
+    // Names that are alike compress better side by side.
+    configuration.routes().values().stream()
+        .sorted(Comparator.comparing(route -> route.database().value()))
+        .forEach(route -> message.addRoutes(encode(route)));
     configuration
         .groups()
         .forEach(
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
@@ -67,6 +67,7 @@
             true,
             StoreEra.of(1),
             Optional.of(Duration.ZERO),
+            Optional.of(Duration.ZERO),
             StoreVersion.of(StoreEra.of(1), 1),
             Optional.of(new StoreReading(1, Duration.ZERO, Duration.ZERO)),
             Map.of(ROW, StoredRow.of(StoreVersion.of(StoreEra.of(1), 1), "")),
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -1,11 +1,14 @@
 package org.persimmonwalk.peer.zone;
 
+import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.SendTokenRequests;
@@ -58,7 +61,8 @@
             .setExchange(exchangeId)
             .setFrom(request.from().value())
             .setServersRevision(request.serverListRevision())
-            .setUrgent(request.urgent());
+            .setUrgent(request.urgent())
+            .setReadsCompressed(true);
     if (request.era().isKnown()) {
       message.addKnown(
           RowVersionMessage.newBuilder()
@@ -178,14 +182,40 @@
         .toList();
   }
 
+  /** Encodes a reply whose configuration has been compressed, if there is one. */
+  static ZoneReplyMessage encode(
+      long exchangeId, ZoneReply reply, Function<RoutingConfiguration, ByteString> compressor) {
+    ZoneReplyMessage.Builder message = builder(exchangeId, reply);
+    reply
+        .configuration()
+        .ifPresent(newer -> message.setCompressedConfiguration(compressor.apply(newer)));
+    return message.build();
+  }
+
+  /** Encodes a reply to a host of an older build, which can't read a compressed configuration. */
   static ZoneReplyMessage encode(long exchangeId, ZoneReply reply) {
+    ZoneReplyMessage.Builder message = builder(exchangeId, reply);
+    reply
+        .configuration()
+        .ifPresent(newer -> message.setConfiguration(RoutingConfigurationCodec.encode(newer)));
+    return message.build();
+  }
+
+  private static ZoneReplyMessage.Builder builder(long exchangeId, ZoneReply reply) {
     ZoneReplyMessage.Builder message =
         ZoneReplyMessage.newBuilder()
             .setExchange(exchangeId)
             .setServes(reply.isRelay())
             .setConfigurationRowVersion(reply.configurationRowVersion().number())
             .setActiveHosts(reply.fleetSize());
-    reply.verifiedAge().ifPresent(age -> message.setVerifiedAgeMicroseconds(microsRoundedUp(age)));
+    // Hosts of an older build know one age only, which then is that of the configuration.
+    reply
+        .configurationAge()
+        .ifPresent(age -> message.setVerifiedAgeMicroseconds(microsRoundedUp(age)));
+    reply
+        .verifiedAge()
+        .filter(age -> !reply.configurationAge().equals(reply.verifiedAge()))
+        .ifPresent(age -> message.setRowsVerifiedAgeMicroseconds(microsRoundedUp(age)));
     reply
         .storeReading()
         .ifPresent(
@@ -213,13 +243,10 @@
                         .setVersion(row.version().number())
                         .setValue(row.value())
                         .setRemoved(row.removed())));
-    reply
-        .configuration()
-        .ifPresent(newer -> message.setConfiguration(RoutingConfigurationCodec.encode(newer)));
     reply.servers().ifPresent(list -> message.setServers(encode(list)));
     message.addAllLoads(ServerLoadCodec.encode(reply.loads()));
     reply.loans().forEach(loan -> message.addLoans(encode(loan)));
-    return message.build();
+    return message;
   }
 
   private static ServerListMessage encode(ServerList list) {
@@ -257,24 +284,36 @@
             .orElse(StoreEra.UNKNOWN);
     Map<RowKey, StoredRow> rows = new HashMap<>();
     messages.forEach((key, row) -> rows.put(key, decode(row, era)));
+    Optional<Duration> configurationAge =
+        message.hasVerifiedAgeMicroseconds()
+            ? Optional.of(micros(message.getVerifiedAgeMicroseconds()))
+            : Optional.empty();
     return new ZoneReply(
         message.getServes(),
         era,
-        message.hasVerifiedAgeMicroseconds()
-            ? Optional.of(micros(message.getVerifiedAgeMicroseconds()))
-            : Optional.empty(),
+        message.hasRowsVerifiedAgeMicroseconds()
+            ? Optional.of(micros(message.getRowsVerifiedAgeMicroseconds()))
+            : configurationAge,
+        configurationAge,
         StoreVersion.of(era, message.getConfigurationRowVersion()),
         message.hasReading() ? Optional.of(decode(message.getReading())) : Optional.empty(),
         rows,
-        message.hasConfiguration()
-            ? Optional.of(RoutingConfigurationCodec.decode(message.getConfiguration()))
-            : Optional.empty(),
+        decodeConfiguration(message),
         message.hasServers() ? Optional.of(decode(message.getServers())) : Optional.empty(),
         decodeLoans(message),
         message.getActiveHosts(),
         ServerLoadCodec.decode(message.getLoadsList()));
   }
 
+  private static Optional<RoutingConfiguration> decodeConfiguration(ZoneReplyMessage message) {
+    if (!message.getCompressedConfiguration().isEmpty()) {
+      return Optional.of(CompressedConfiguration.decompress(message.getCompressedConfiguration()));
+    }
+    return message.hasConfiguration()
+        ? Optional.of(RoutingConfigurationCodec.decode(message.getConfiguration()))
+        : Optional.empty();
+  }
+
   private static StoredRow decode(RowMessage row, StoreEra era) {
     StoreVersion version = StoreVersion.of(era, row.getVersion());
     return row.getRemoved()
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneServer.java
@@ -38,6 +38,7 @@
   private final EventLoopGroup group;
   private final Consumer<Observation> listener;
   private final Map<Long, Origin> unanswered = new LinkedHashMap<>();
+  private final CompressedConfiguration compressedConfiguration = new CompressedConfiguration();
   private long lastExchangeId;
 
   private ZoneServer(EventLoopGroup group, Consumer<Observation> listener) {
@@ -84,22 +85,28 @@
 
   /** Sends a reply; it is dropped if the connection of the request is closed. */
   public void reply(SendZoneReply command) {
-    reply(command.exchangeId(), id -> ZoneCodec.encode(id, command.reply()));
+    reply(
+        command.exchangeId(),
+        origin ->
+            origin.readsCompressed()
+                ? ZoneCodec.encode(
+                    origin.exchangeId(), command.reply(), compressedConfiguration::compress)
+                : ZoneCodec.encode(origin.exchangeId(), command.reply()));
   }
 
   /** Sends the reply to token requests; dropped if the connection of the request is closed. */
   public void reply(SendTokenReply command) {
-    reply(command.exchangeId(), id -> ZoneCodec.encode(id, command.reply()));
+    reply(command.exchangeId(), origin -> ZoneCodec.encode(origin.exchangeId(), command.reply()));
   }
 
-  private void reply(long exchangeId, Function<Long, MessageLite> reply) {
+  private void reply(long exchangeId, Function<Origin, MessageLite> reply) {
     group
         .next()
         .execute(
             () -> {
               Origin origin = unanswered.remove(exchangeId);
               if (origin != null && origin.channel().isActive()) {
-                ZoneFrames.write(origin.channel(), reply.apply(origin.exchangeId()));
+                ZoneFrames.write(origin.channel(), reply.apply(origin));
               }
             });
   }
@@ -113,12 +120,18 @@
     if (unanswered.size() >= MAXIMUM_UNANSWERED) {
       unanswered.remove(unanswered.keySet().iterator().next());
     }
-    unanswered.put(exchangeId, new Origin(channel, message.getExchange()));
+    unanswered.put(
+        exchangeId, new Origin(channel, message.getExchange(), message.getReadsCompressed()));
     listener.accept(request);
   }
 
-  /** The connection that a request came from, and the number that its sender gave it. */
-  private record Origin(Channel channel, long exchangeId) {}
+  /**
+   * Where a request came from.
+   *
+   * @param exchangeId the number that its sender gave it
+   * @param readsCompressed whether the sender can read a compressed configuration
+   */
+  private record Origin(Channel channel, long exchangeId, boolean readsCompressed) {}
 
   private final class RequestHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -153,6 +153,7 @@
         true,
         ERA,
         Optional.of(Duration.ofMillis(850)),
+        Optional.of(Duration.ofMillis(850)),
         StoreVersion.of(ERA, 11),
         Optional.of(new StoreReading(123_456, Duration.ofMillis(850), Duration.ofMillis(840))),
         Map.of(
