--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -23,6 +23,7 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
+import org.persimmonwalk.engine.control.LargeAnswerStarted;
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowDemand;
@@ -128,7 +129,8 @@
                 TokenRequestsEnded.class,
                 TokenRequestsReceived.class,
                 ZoneRequestReceived.class,
-                TransactionAnswered.class)
+                TransactionAnswered.class,
+                LargeAnswerStarted.class)
             .andEntries(
                 EngineEntries.RESUMED_AT,
                 EngineEntries.CONFIGURATION,
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -108,6 +108,7 @@
   private final Map<Engine, Boolean> frozen = new HashMap<>();
   private final Map<Engine, Integer> numbers = new HashMap<>();
   public final FakeZoneExchanges exchanges = new FakeZoneExchanges(clock, scheduler);
+  public final FakeStoreLink link = new FakeStoreLink(scheduler, CALL_TIMEOUT);
   private final FakeRowStore store;
   private final IntFunction<EngineSettings> settings;
   private long term;
@@ -307,24 +308,25 @@
       transactionsToLose--;
       timeOut(host, transaction);
       return;
-    }
-    if (command instanceof RunTransaction transaction && effectsToDelay > 0) {
+    } else if (command instanceof RunTransaction transaction && effectsToDelay > 0) {
       effectsToDelay--;
       scheduler.schedule(EFFECT_DELAY, () -> store.run(transaction, STEP));
       timeOut(host, transaction);
       return;
     }
     if (command instanceof RunTransaction transaction) {
-      result =
+      TransactionAnswered answer =
           reachable
               ? store.run(transaction, STEP)
               : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
-      count(transaction, (TransactionAnswered) result);
+      count(transaction, answer);
       Duration delay = storeAnswerDelay.get();
-      if (!delay.isZero()) {
-        scheduler.schedule(delay, () -> host.loop().post(result));
-        return;
+      if (delay.isZero()) {
+        link.deliver(host, answer);
+      } else {
+        scheduler.schedule(delay, () -> link.deliver(host, answer));
       }
+      return;
     } else if (command instanceof ReadServerList) {
       result =
           reachable
@@ -352,8 +354,7 @@
   }
 
   private void timeOut(Engine host, RunTransaction transaction) {
-    TransactionAnswered unknown =
-        TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
+    var unknown = TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
     scheduler.schedule(CALL_TIMEOUT, () -> host.loop().post(unknown));
   }
 
