--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/KnownRows.java
@@ -51,13 +51,27 @@
     return expected;
   }
 
-  /** Returns the same without the configuration row, which may be large. */
+  /** Returns the versions to verify without the configuration row, which may be large. */
   static Map<RowKey, StoreVersion> versionsBesideConfiguration(Blackboard blackboard) {
     Map<RowKey, StoreVersion> expected = versionsToVerify(blackboard);
     expected.remove(RowKey.CONFIGURATION);
     return expected;
   }
 
+  /**
+   * Returns the known versions of the rows that a call for tokens expects beside the rate rows. A
+   * relay's call reads all that a verification reads, and so replaces one.
+   */
+  static Map<RowKey, StoreVersion> versionsOfTokenCall(
+      Blackboard blackboard, Set<AvailabilityZone> zones, boolean isRelay) {
+    Map<RowKey, StoreVersion> expected =
+        isRelay ? versionsOfVerification(blackboard, zones) : versionsToVerify(blackboard);
+    if (blackboard.get(EngineEntries.CONFIGURATION_LEFT_OUT)) {
+      expected.remove(RowKey.CONFIGURATION);
+    }
+    return expected;
+  }
+
   /** Returns whether the bound within which a newer configuration must be in force is not over. */
   static boolean isConfigurationValid(
       Blackboard blackboard, ServiceBounds bounds, MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -288,12 +288,7 @@
       return;
     }
     Map<RowKey, StoreVersion> expected =
-        isRelay(blackboard)
-            ? KnownRows.versionsOfVerification(blackboard, settings.zones())
-            : KnownRows.versionsToVerify(blackboard);
-    if (blackboard.get(EngineEntries.CONFIGURATION_LEFT_OUT)) {
-      expected.remove(RowKey.CONFIGURATION);
-    }
+        KnownRows.versionsOfTokenCall(blackboard, settings.zones(), isRelay(blackboard));
     Map<RowKey, String> writes = new HashMap<>();
     Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new HashMap<>();
     workspaces.stream()
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -55,9 +55,6 @@
    */
   static final Duration OPERATOR_REWRITE_TIME = Duration.ofMillis(2500);
 
-  /** The hosts behind a relay know less exactly when it sent its verification. */
-  private static final Duration RELAYED_TIME_MARGIN = Duration.ofMillis(100);
-
   /** A link of 30 Mbit/s carries a large configuration in this, so that no other call is needed. */
   static final Duration SHORT_TRANSFER = Duration.ofMillis(100);
 
@@ -242,7 +239,7 @@
     reply
         .storeReading()
         .map(reading -> reading.at(ended.sentAt(), ended.endedAt()))
-        .ifPresent(time -> updateStoreTime(blackboard, time));
+        .ifPresent(time -> VerificationTimes.updateStoreTime(blackboard, time));
     boolean isConfigurationCurrent =
         blackboard.get(EngineEntries.CONFIGURATION).isPresent()
             && reply
@@ -255,8 +252,14 @@
     if (isConfigurationCurrent && coversEvacuations) {
       reply
           .configurationAge()
-          .ifPresent(age -> updateConfigurationVerifiedAt(blackboard, ended.sentAt().minus(age)));
-      reply.verifiedAge().ifPresent(age -> updateVerifiedAt(blackboard, ended.sentAt().minus(age)));
+          .ifPresent(
+              age ->
+                  VerificationTimes.updateConfigurationVerifiedAt(
+                      blackboard, ended.sentAt().minus(age)));
+      reply
+          .verifiedAge()
+          .ifPresent(
+              age -> VerificationTimes.updateVerifiedAt(blackboard, ended.sentAt().minus(age)));
     }
   }
 
@@ -302,27 +305,11 @@
             && blackboard.get(EngineEntries.CONFIGURATION).isPresent();
     return hasUnverifiedRows
         ? Duration.ZERO
-        : untilKeysCanBeVerified(blackboard, now)
+        : VerificationTimes.untilKeysCanBeVerified(blackboard, now)
             .filter(wait -> wait.compareTo(interval) < 0)
             .orElse(interval);
   }
 
-  /** Returns the time until a verification can vouch for keys, if that is in the future. */
-  private static Optional<Duration> untilKeysCanBeVerified(
-      Blackboard blackboard, MonotonicTime now) {
-    return StoreEraRow.of(blackboard)
-        .filter(StoreEraRow::isAfterReturn)
-        .flatMap(row -> blackboard.get(EngineEntries.STORE_TIME).map(time -> keysFrom(row, time)))
-        .map(at -> at.plus(RELAYED_TIME_MARGIN))
-        .filter(now::isBefore)
-        .map(at -> at.since(now));
-  }
-
-  /** Returns from when on the operator must have written again what the store has lost. */
-  private static MonotonicTime keysFrom(StoreEraRow row, StoreTime time) {
-    return time.latestLocalTime(row.settledAtMillis() + OPERATOR_REWRITE_TIME.toMillis());
-  }
-
   /** Returns the pause until the next call so that calls start one interval apart. */
   private Duration interval(Blackboard blackboard, MonotonicTime now, MonotonicTime sentAt) {
     boolean urgent =
@@ -374,7 +361,7 @@
    * verification times; returns whether it covered them, the configuration perhaps excepted.
    */
   private static boolean verify(Blackboard blackboard, TransactionAnswered answer, StoreTime time) {
-    updateStoreTime(blackboard, time);
+    VerificationTimes.updateStoreTime(blackboard, time);
     Set<RowKey> covered = answer.transaction().expected().keySet();
     boolean coversConfiguration = covered.contains(RowKey.CONFIGURATION);
     boolean complete =
@@ -384,66 +371,13 @@
       return false;
     }
     if (coversConfiguration) {
-      updateConfigurationVerifiedAt(blackboard, time.sentAt());
+      VerificationTimes.updateConfigurationVerifiedAt(blackboard, time.sentAt());
     }
     // Nothing counts as verified until the configuration was read in the present era.
     if (blackboard.get(EngineEntries.CONFIGURATION_VERIFIED_AT).isEmpty()) {
       return false;
     }
-    updateVerifiedAt(blackboard, time.sentAt());
+    VerificationTimes.updateVerifiedAt(blackboard, time.sentAt());
     return true;
   }
-
-  private static void updateStoreTime(Blackboard blackboard, StoreTime time) {
-    Optional<StoreTime> newest = blackboard.get(EngineEntries.STORE_TIME);
-    if (newest.isEmpty() || newest.get().sentAt().isBefore(time.sentAt())) {
-      blackboard.put(EngineEntries.STORE_TIME, Optional.of(time));
-    }
-  }
-
-  private static void updateVerifiedAt(Blackboard blackboard, MonotonicTime sentAt) {
-    Optional<MonotonicTime> verified = blackboard.get(EngineEntries.VERIFIED_AT);
-    if (verified.isEmpty() || verified.get().isBefore(sentAt)) {
-      blackboard.put(EngineEntries.VERIFIED_AT, Optional.of(sentAt));
-      blackboard.put(
-          EngineEntries.VERIFIED_GROUPS,
-          blackboard.get(EngineEntries.CONFIGURATION).groups().keySet());
-    }
-  }
-
-  /** A verification without the configuration vouches for no key: it may have been withdrawn. */
-  private static void updateConfigurationVerifiedAt(Blackboard blackboard, MonotonicTime sentAt) {
-    Optional<MonotonicTime> verified = blackboard.get(EngineEntries.CONFIGURATION_VERIFIED_AT);
-    if (verified.isEmpty() || verified.get().isBefore(sentAt)) {
-      blackboard.put(EngineEntries.CONFIGURATION_VERIFIED_AT, Optional.of(sentAt));
-      if (vouchesForKeys(blackboard, sentAt)) {
-        blackboard.put(EngineEntries.KEYS_VERIFIED_AT, Optional.of(sentAt));
-      }
-    }
-  }
-
-  /**
-   * Returns whether no newer configuration can have been lost: the store has not come back from a
-   * copy, that was long enough ago, or the operator has written since.
-   */
-  private static boolean vouchesForKeys(Blackboard blackboard, MonotonicTime sentAt) {
-    if (!blackboard.get(EngineEntries.STORE_ERA).isKnown() || StoreEraRow.isFirstUse(blackboard)) {
-      return true;
-    }
-    Optional<StoreEraRow> settled =
-        StoreEraRow.of(blackboard).filter(row -> StoreEraRow.isSettled(blackboard));
-    if (settled.isEmpty()) {
-      return false;
-    }
-    boolean isRewritten =
-        KnownRows.version(blackboard, RowKey.CONFIGURATION)
-                .compareTo(KnownRows.version(blackboard, StoreEraRow.ROW))
-            > 0;
-    return !settled.get().isAfterReturn()
-        || isRewritten
-        || blackboard
-            .get(EngineEntries.STORE_TIME)
-            .filter(time -> !sentAt.isBefore(keysFrom(settled.get(), time)))
-            .isPresent();
-  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -106,11 +106,10 @@
   }
 
   private void withConnection(RequestId id, Runnable action) {
-    if (route.kind() == RouteKind.PRIMARY || !readOnly) {
-      if (connection != null && !context.isPrimary(connection.server())) {
-        failAborted("the primary is being replaced");
-        return;
-      }
+    boolean needsPrimary = route.kind() == RouteKind.PRIMARY || !readOnly;
+    if (needsPrimary && connection != null && !context.isPrimary(connection.server())) {
+      failAborted("the primary is being replaced");
+      return;
     }
     if (abortIfEvacuated()) {
       refuse();
@@ -121,15 +120,13 @@
       failAborted("the key was withdrawn or can no longer be verified");
       return;
     }
-    if (connection != null) {
-      if (connection.isOpen()) {
-        action.run();
-      } else {
-        failAborted("the connection to the server has ended");
-      }
-      return;
+    if (connection == null) {
+      StatementExecution.start(context, pools, beginRequest(id), outcome -> begun(outcome, action));
+    } else if (connection.isOpen()) {
+      action.run();
+    } else {
+      failAborted("the connection to the server has ended");
     }
-    StatementExecution.start(context, pools, beginRequest(id), outcome -> begun(outcome, action));
   }
 
   private ExecutionRequest beginRequest(RequestId id) {
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
-import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.blackboard.EntryKey;
@@ -81,14 +80,7 @@
   /** The store calls that are transactions, which count as writes even if they write nothing. */
   public int transactionCalls;
 
-  /** The transactions by the purpose that their tag names. */
-  public final Map<String, Integer> transactionsByPurpose = new HashMap<>();
-
-  /** Those of them that conflicted. */
-  public final Map<String, Integer> conflictsByPurpose = new HashMap<>();
-
-  /** How long the answer of each store transaction takes to reach the host. */
-  public Supplier<Duration> storeAnswerDelay = () -> Duration.ZERO;
+  public final TransactionCounts transactions = new TransactionCounts();
 
   /** How many of the next store transactions are lost without effect and time out. */
   public int transactionsToLose;
@@ -303,29 +295,8 @@
       return;
     }
     storeCalls++;
-    transactionCalls += command instanceof RunTransaction ? 1 : 0;
-    if (command instanceof RunTransaction transaction && transactionsToLose > 0) {
-      transactionsToLose--;
-      timeOut(host, transaction);
-      return;
-    } else if (command instanceof RunTransaction transaction && effectsToDelay > 0) {
-      effectsToDelay--;
-      scheduler.schedule(EFFECT_DELAY, () -> store.run(transaction, STEP));
-      timeOut(host, transaction);
-      return;
-    }
     if (command instanceof RunTransaction transaction) {
-      TransactionAnswered answer =
-          reachable
-              ? store.run(transaction, STEP)
-              : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
-      count(transaction, answer);
-      Duration delay = storeAnswerDelay.get();
-      if (delay.isZero()) {
-        link.deliver(host, answer);
-      } else {
-        scheduler.schedule(delay, () -> link.deliver(host, answer));
-      }
+      run(host, transaction, reachable);
       return;
     } else if (command instanceof ReadServerList) {
       result =
@@ -345,11 +316,22 @@
     host.loop().post(result);
   }
 
-  private void count(RunTransaction transaction, TransactionAnswered answer) {
-    String purpose = transaction.tag().purpose();
-    transactionsByPurpose.merge(purpose, 1, Integer::sum);
-    if (answer.result() == TransactionResult.CONFLICT) {
-      conflictsByPurpose.merge(purpose, 1, Integer::sum);
+  private void run(Engine host, RunTransaction transaction, boolean reachable) {
+    transactionCalls++;
+    if (transactionsToLose > 0) {
+      transactionsToLose--;
+      timeOut(host, transaction);
+    } else if (effectsToDelay > 0) {
+      effectsToDelay--;
+      scheduler.schedule(EFFECT_DELAY, () -> store.run(transaction, STEP));
+      timeOut(host, transaction);
+    } else {
+      TransactionAnswered answer =
+          reachable
+              ? store.run(transaction, STEP)
+              : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
+      transactions.record(answer);
+      link.deliver(host, answer);
     }
   }
 
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeStoreLink.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeStoreLink.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.control.LargeAnswerStarted;
@@ -20,6 +21,9 @@
 public final class FakeStoreLink {
   private static final Duration STEP = Duration.ofMillis(10);
 
+  /** How long each answer takes to reach the host, in addition to what follows. */
+  public Supplier<Duration> answerDelay = () -> Duration.ZERO;
+
   /** How long an answer with the configuration takes; zero for a link of any size. */
   public Duration configurationTransfer = Duration.ZERO;
 
@@ -45,6 +49,15 @@
 
   /** Delivers an answer of the store to a host, now or when the link has carried it. */
   void deliver(Engine host, TransactionAnswered answer) {
+    Duration delay = answerDelay.get();
+    if (delay.isZero()) {
+      begin(host, answer);
+    } else {
+      scheduler.schedule(delay, () -> begin(host, answer));
+    }
+  }
+
+  private void begin(Engine host, TransactionAnswered answer) {
     Consumer<Observation> post = host.loop()::post;
     if (!carriesConfiguration(answer) || configurationTransfer.isZero()) {
       post.accept(answer);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/BorrowedTokensTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/BorrowedTokensTest.java
@@ -120,11 +120,12 @@
   @Test
   void shouldTakeTheTokensOfAllZonesAtOneHost() {
     send(Duration.ofSeconds(3), 25);
-    int conflicts = fixture.conflictsByPurpose.getOrDefault("take-tokens", 0);
+    int conflicts = fixture.transactions.conflictsByPurpose.getOrDefault("take-tokens", 0);
     int before = fixture.servers.sent().size();
     send(Duration.ofSeconds(10), 25);
 
-    assertThat(fixture.conflictsByPurpose.getOrDefault("take-tokens", 0)).isEqualTo(conflicts);
+    assertThat(fixture.transactions.conflictsByPurpose.getOrDefault("take-tokens", 0))
+        .isEqualTo(conflicts);
     assertThat(fixture.events).noneMatch(event -> event.startsWith("operation-refused"));
     assertThat(fixture.servers.sent().size() - before).isGreaterThan(200);
   }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplay.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplay.java
@@ -87,7 +87,7 @@
               .peerEndpoint(),
           () -> Duration.ofMillis(delays.nextInt(SHORTEST_REPLY_MILLIS, LONGEST_REPLY_MILLIS + 1)));
     }
-    fixture.storeAnswerDelay =
+    fixture.link.answerDelay =
         () -> Duration.ofMillis(delays.nextInt(SHORTEST_ANSWER_MILLIS, LONGEST_ANSWER_MILLIS + 1));
   }
 
@@ -206,7 +206,7 @@
   }
 
   int tokenConflicts() {
-    return fixture.conflictsByPurpose.getOrDefault("take-tokens", 0);
+    return fixture.transactions.conflictsByPurpose.getOrDefault("take-tokens", 0);
   }
 
   /** Returns the counts in one line. */
@@ -224,8 +224,8 @@
         + ", refused "
         + refused("")
         + ", transactions "
-        + fixture.transactionsByPurpose
+        + fixture.transactions.byPurpose
         + ", conflicts "
-        + fixture.conflictsByPurpose;
+        + fixture.transactions.conflictsByPurpose;
   }
 }
