--- a/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
+++ b/core/src/main/java/org/persimmonwalk/blackboard/Blackboard.java
@@ -70,7 +70,8 @@
    * Returns this round's observations of the given type, in the order in which they were queued.
    */
   public <T extends Observation> Stream<T> observations(Class<T> type) {
-    // Most rounds have no observation of a given type. Setting up a stream for each took most of the
+    // Most rounds have no observation of a given type. Setting up a stream for each took most of
+    // the
     // time of such rounds. The others copy the few that match, so that the stream needs no stages.
     List<T> matching = List.of();
     for (Observation observation : observations) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/VerificationController.java
@@ -120,9 +120,7 @@
     return Optional.of(
         Inputs.ofObservations(TransactionAnswered.class, ZoneRequestEnded.class)
             .andEntries(
-                EngineEntries.STORE_ERA,
-                EngineEntries.RELAY_ROLE,
-                EngineEntries.RELAY_ADVANCES));
+                EngineEntries.STORE_ERA, EngineEntries.RELAY_ROLE, EngineEntries.RELAY_ADVANCES));
   }
 
   @Override
