--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -12,7 +12,6 @@
 import java.util.function.UnaryOperator;
 import org.persimmonwalk.blackboard.Command;
 import org.persimmonwalk.blackboard.EntryKey;
-import org.persimmonwalk.blackboard.Observation;
 import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.EngineSources;
@@ -77,9 +76,6 @@
   public boolean peersAreReachable = true;
   public int storeCalls;
 
-  /** The store calls that are transactions, which count as writes even if they write nothing. */
-  public int transactionCalls;
-
   public final TransactionCounts transactions = new TransactionCounts();
 
   /** How many of the next store transactions are lost without effect and time out. */
@@ -290,34 +286,31 @@
 
   private void execute(Engine host, Command command) {
     boolean reachable = storeIsUp && !cutOff.getOrDefault(host, false);
-    final Observation result;
     if (exchanges.execute(host, command, this::reachablePeer)) {
       return;
     }
     storeCalls++;
     if (command instanceof RunTransaction transaction) {
       run(host, transaction, reachable);
-      return;
     } else if (command instanceof ReadServerList) {
-      result =
-          reachable
-              ? new ServerListRead(Optional.of(store.listedEntries()), store.era())
-              : ServerListRead.unanswered();
+      host.loop()
+          .post(
+              reachable
+                  ? new ServerListRead(Optional.of(store.listedEntries()), store.era())
+                  : ServerListRead.unanswered());
     } else if (command instanceof OrderPromotion order) {
       order(host, order);
-      return;
     } else if (command instanceof ReadServerStatus read) {
       BackendServerId id = read.server().id();
       statusRequested.accept(id);
-      result = new ServerStatusRead(id, Optional.ofNullable(statuses.get(id)));
+      host.loop().post(new ServerStatusRead(id, Optional.ofNullable(statuses.get(id))));
     } else {
       throw new IllegalStateException("unexpected command " + command);
     }
-    host.loop().post(result);
   }
 
   private void run(Engine host, RunTransaction transaction, boolean reachable) {
-    transactionCalls++;
+    transactions.calls++;
     if (transactionsToLose > 0) {
       transactionsToLose--;
       timeOut(host, transaction);
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/TransactionCounts.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/TransactionCounts.java
@@ -7,10 +7,13 @@
 
 /** Counts the store transactions of all hosts by the purpose that their tag names. */
 public final class TransactionCounts {
-  /** All of them. */
+  /** The calls, which count as writes even if they write nothing; also those that are lost. */
+  public int calls;
+
+  /** The calls that reached the store. */
   public final Map<String, Integer> byPurpose = new HashMap<>();
 
-  /** Those that conflicted. */
+  /** Those of them that conflicted. */
   public final Map<String, Integer> conflictsByPurpose = new HashMap<>();
 
   void record(TransactionAnswered answer) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/AddedGroupTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/AddedGroupTest.java
@@ -73,8 +73,8 @@
   void shouldNotReplaceThePrimaryBeforeTheRowWasRead() {
     publishWithAddedGroup();
     // The first call returns the configuration; the one that reads the row of the group fails.
-    int calls = fixture.transactionCalls;
-    while (fixture.transactionCalls == calls) {
+    int calls = fixture.transactions.calls;
+    while (fixture.transactions.calls == calls) {
       fixture.run(Duration.ofMillis(10));
     }
     fixture.storeIsUp = false;
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/BoundsTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/BoundsTest.java
@@ -215,7 +215,7 @@
     }
 
     private void record() {
-      transactions.add(fixture.transactionCalls);
+      transactions.add(fixture.transactions.calls);
       all.add(fixture.storeCalls);
     }
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EvacuationTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EvacuationTest.java
@@ -71,10 +71,10 @@
   @Test
   void shouldWatchTheRowsWithoutFurtherCalls() {
     start();
-    int before = fixture.transactionCalls;
+    int before = fixture.transactions.calls;
     fixture.run(Duration.ofSeconds(10));
 
-    assertThat(fixture.transactionCalls - before).isLessThanOrEqualTo(22);
+    assertThat(fixture.transactions.calls - before).isLessThanOrEqualTo(22);
     assertThat(fixture.hosts)
         .allSatisfy(
             host ->
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/LargeConfigurationTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/LargeConfigurationTest.java
@@ -105,14 +105,14 @@
   @Test
   void shouldReadTheConfigurationOnceForEachZone() {
     settle();
-    int calls = fixture.transactionCalls;
+    int calls = fixture.transactions.calls;
     fixture.run(Duration.ofSeconds(5));
-    int callsBefore = fixture.transactionCalls - calls;
+    int callsBefore = fixture.transactions.calls - calls;
     fixture.publish(configuration(5));
     fixture.run(Duration.ofSeconds(5));
-    int callsDuring = fixture.transactionCalls - calls - callsBefore;
+    int callsDuring = fixture.transactions.calls - calls - callsBefore;
     fixture.run(Duration.ofSeconds(5));
-    int callsAfter = fixture.transactionCalls - calls - callsBefore - callsDuring;
+    int callsAfter = fixture.transactions.calls - calls - callsBefore - callsDuring;
 
     assertThat(transfers()).isEqualTo(ZONES);
     assertThat(callsDuring - callsBefore).isLessThanOrEqualTo(2 * ZONES);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplayTest.java
@@ -28,14 +28,14 @@
     replay.openSessions();
     replay.fixture.run(Duration.ofMillis(500));
     replay.send(Duration.ofSeconds(5));
-    int calls = replay.fixture.transactionCalls;
+    int calls = replay.fixture.transactions.calls;
     int conflicts = replay.tokenConflicts();
     replay.send(DURATION);
 
     assertThat(replay.refused("over its rate")).as(replay.summary()).isZero();
     assertThat(replay.refused("")).as(replay.summary()).isLessThanOrEqualTo(replay.sent() / 100);
     assertThat(replay.tokenConflicts() - conflicts).as(replay.summary()).isLessThanOrEqualTo(25);
-    assertThat(replay.fixture.transactionCalls - calls)
+    assertThat(replay.fixture.transactions.calls - calls)
         .as(replay.summary())
         .isLessThanOrEqualTo((int) (DURATION.toSeconds() * 8));
   }
