Run the queued statements of a session in a loop

A statement that is answered at once, such as one refused while no server can be used, started the next one inside its own answer, up to 256 deep. In a run of MisbehavingClientsTest with unread answers, NullPointerExceptions in Netty's timer queue ended the traffic thread 0.1 s after statements had been refused like that: an Error thrown inside the queue leaves an empty place in it. A stack overflow is the likely Error (stack of 256 KB); it was not logged.

The statements now run in a loop. The new test of UnreadAnswersTest checks that 256 answers have the same depth of the stack.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -38,8 +38,9 @@
   private final DatabaseName database;
   private final CallerIdentity identity;
   private final SessionContents contents;
-  private final Deque<Queued> queue = new ArrayDeque<>();
+  private final Deque<QueuedStatement> queue = new ArrayDeque<>();
   private boolean busy;
+  private boolean dispatching;
   private boolean closed;
   private boolean refusesOperations;
 
@@ -76,14 +77,13 @@
       return;
     }
     if (queue.size() >= MAXIMUM_QUEUED) {
-      context
-          .log()
-          .write("session-cut-off", "reason", "more than " + MAXIMUM_QUEUED + " statements queued");
+      String reason = "more than " + MAXIMUM_QUEUED + " statements queued";
+      context.log().write("session-cut-off", "reason", reason);
       caller.close();
       callerDisconnected();
       return;
     }
-    queue.addLast(new Queued(id, statement));
+    queue.addLast(new QueuedStatement(id, statement));
     dispatchNext();
   }
 
@@ -153,10 +153,22 @@
     }
   }
 
+  /** Runs statements in a loop: a call for each one answered at once overflowed the stack. */
   private void dispatchNext() {
-    if (busy || closed || queue.isEmpty() || !caller.isWritable()) {
+    if (dispatching) {
       return;
     }
+    dispatching = true;
+    try {
+      while (!busy && !closed && !queue.isEmpty() && caller.isWritable()) {
+        dispatchOrEnd();
+      }
+    } finally {
+      dispatching = false;
+    }
+  }
+
+  private void dispatchOrEnd() {
     if (refusesOperations && transaction.isEmpty()) {
       Optional<String> reason = lifetime.endReason(identity);
       if (reason.isPresent()) {
@@ -164,7 +176,7 @@
         return;
       }
     }
-    Queued queued = queue.pollFirst();
+    QueuedStatement queued = queue.pollFirst();
     busy = true;
     dispatch(queued.id(), queued.statement());
   }
@@ -230,16 +242,10 @@
       return;
     }
     context.meter().count("session.limit-reached");
+    String reason = refusal.get();
     context
         .log()
-        .write(
-            "session-limit-reached",
-            "request",
-            id,
-            "workspace",
-            workspace(),
-            "reason",
-            refusal.get());
+        .write("session-limit-reached", "request", id, "workspace", workspace(), "reason", reason);
     fail(FailureCode.OVERLOADED, refusal.get() + "; not kept");
   }
 
@@ -251,11 +257,11 @@
   }
 
   private void deallocate(Statement.Deallocate deallocate) {
-    if (!contents.deallocate(deallocate.name())) {
-      fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + deallocate.name());
-    } else {
+    if (contents.deallocate(deallocate.name())) {
       answer(Answer.done(state()));
+      return;
     }
+    fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + deallocate.name());
   }
 
   private void execute(RequestId id, Statement.Execute execute) {
@@ -309,14 +315,13 @@
         this,
         id,
         route -> {
-          boolean needsPrimary = write || route.kind() == RouteKind.PRIMARY;
           ExecutionRequest request =
               new ExecutionRequest(
                   id,
                   identity.workspace(),
                   route,
                   statement,
-                  needsPrimary,
+                  write || route.kind() == RouteKind.PRIMARY,
                   write,
                   minimumPosition(route),
                   Map.copyOf(contents.variables()));
@@ -350,8 +355,7 @@
     }
     answer
         .position()
-        .ifPresent(
-            position -> committedPositions.merge(route.group(), position, TermPosition::max));
+        .ifPresent(at -> committedPositions.merge(route.group(), at, TermPosition::max));
     return answer;
   }
 
@@ -393,6 +397,4 @@
   DatabaseName database() {
     return database;
   }
-
-  private record Queued(RequestId id, Statement statement) {}
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UnreadAnswersTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UnreadAnswersTest.java
@@ -2,7 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.testing.EngineFixture;
@@ -38,4 +42,25 @@
     session.resume();
     assertThat(caller.answered()).isZero();
   }
+
+  /**
+   * Guards against a stack that grows with each statement: its overflow left the timers of the
+   * event loop in disorder, which ended the traffic thread.
+   */
+  @Test
+  void shouldAnswerManyStatementsAtTheSameDepthOfTheStack() {
+    Session session = fixture.open(fixture.hosts.get(0), RouteKind.PRIMARY, caller);
+    List<Integer> depths = new ArrayList<>();
+    caller.onAnswer(() -> depths.add(Thread.currentThread().getStackTrace().length));
+    caller.setWritable(false);
+    for (int i = 0; i < 256; i++) {
+      session.receive(RequestId.of("s" + i), new Statement.SetVariable("v", "1"));
+    }
+
+    caller.setWritable(true);
+    session.resume();
+
+    assertThat(depths).hasSize(256);
+    assertThat(Set.copyOf(depths)).hasSize(1);
+  }
 }
