--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -36,8 +36,9 @@
   private final DatabaseName database;
   private final CallerIdentity identity;
   private final SessionContents contents;
-  private final Deque<Queued> queue = new ArrayDeque<>();
+  private final Deque<QueuedStatement> queue = new ArrayDeque<>();
   private boolean busy;
+  private boolean dispatching;
   private boolean closed;
   private boolean refusesOperations;
 
@@ -74,14 +75,13 @@
       return;
     }
     if (queue.size() >= MAXIMUM_QUEUED) {
-      context
-          .log()
-          .write("session-cut-off", "reason", "more than " + MAXIMUM_QUEUED + " statements queued");
+      String reason = "more than " + MAXIMUM_QUEUED + " statements queued";
+      context.log().write("session-cut-off", "reason", reason);
       caller.close();
       callerDisconnected();
       return;
     }
-    queue.addLast(new Queued(id, statement));
+    queue.addLast(new QueuedStatement(id, statement));
     dispatchNext();
   }
 
@@ -151,10 +151,22 @@
     }
   }
 
+  /** Runs statements in a loop: a call for each one answered at once overflowed the stack. */
   private void dispatchNext() {
-    if (busy || closed || queue.isEmpty() || !caller.isWritable()) {
+    if (dispatching) {
       return;
     }
+    dispatching = true;
+    try {
+      while (!busy && !closed && !queue.isEmpty() && caller.isWritable()) {
+        dispatchOrEnd();
+      }
+    } finally {
+      dispatching = false;
+    }
+  }
+
+  private void dispatchOrEnd() {
     if (refusesOperations && transaction.isEmpty()) {
       Optional<String> reason = lifetime.endReason(identity);
       if (reason.isPresent()) {
@@ -162,7 +174,7 @@
         return;
       }
     }
-    Queued queued = queue.pollFirst();
+    QueuedStatement queued = queue.pollFirst();
     busy = true;
     dispatch(queued.id(), queued.statement());
   }
@@ -228,16 +240,10 @@
       return;
     }
     context.meter().count("session.limit-reached");
+    String reason = refusal.get();
     context
         .log()
-        .write(
-            "session-limit-reached",
-            "request",
-            id,
-            "workspace",
-            workspace(),
-            "reason",
-            refusal.get());
+        .write("session-limit-reached", "request", id, "workspace", workspace(), "reason", reason);
     fail(FailureCode.OVERLOADED, refusal.get() + "; not kept");
   }
 
@@ -249,11 +255,11 @@
   }
 
   private void deallocate(Statement.Deallocate deallocate) {
-    if (!contents.deallocate(deallocate.name())) {
-      fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + deallocate.name());
-    } else {
+    if (contents.deallocate(deallocate.name())) {
       answer(Answer.done(state()));
+      return;
     }
+    fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + deallocate.name());
   }
 
   private void execute(RequestId id, Statement.Execute execute) {
@@ -317,7 +323,6 @@
         this,
         id,
         route -> {
-          boolean needsPrimary = write || route.kind() == RouteKind.PRIMARY;
           ExecutionRequest request =
               new ExecutionRequest(
                   id,
@@ -386,6 +391,4 @@
   DatabaseName database() {
     return database;
   }
-
-  private record Queued(RequestId id, Statement statement) {}
 }
