--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -329,7 +329,7 @@
                   identity.workspace(),
                   route,
                   statement,
-                  needsPrimary,
+                  write || route.kind() == RouteKind.PRIMARY,
                   false,
                   () -> !needsKey() || identity.isVerified(context),
                   write,
