--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UrgencyReplay.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UrgencyReplay.java
@@ -252,6 +252,8 @@
                     blackboard.put(EngineEntries.SERVERS, entries);
                     blackboard.put(EngineEntries.CONFIGURATION, configuration());
                     blackboard.put(EngineEntries.VERIFIED_AT, Optional.of(clock.now()));
+                    blackboard.put(
+                        EngineEntries.CONFIGURATION_VERIFIED_AT, Optional.of(clock.now()));
                     blackboard.put(EngineEntries.PRIMARIES, primaries());
                     blackboard.put(EngineEntries.ZONE_LOADS, zones.loads(number % ZONES));
                   }),
