--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplay.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplay.java
@@ -205,7 +205,6 @@
         .count();
   }
 
-
   int tokenConflicts() {
     return fixture.conflictsByPurpose.getOrDefault("take-tokens", 0);
   }
