--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -20,7 +20,6 @@
 import org.persimmonwalk.engine.GroupSettings;
 import org.persimmonwalk.engine.RateLimit;
 import org.persimmonwalk.engine.RequestId;
-import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.ServerEntry;
@@ -81,11 +80,9 @@
   /** The store calls that are transactions, which count as writes even if they write nothing. */
   public int transactionCalls;
 
-  /** The transactions by the purpose that their tag names. */
-  public final Map<String, Integer> transactionsByPurpose = new HashMap<>();
-
-  /** Those of them that conflicted. */
-  public final Map<String, Integer> conflictsByPurpose = new HashMap<>();
+  private final TransactionCounts transactions = new TransactionCounts();
+  public final Map<String, Integer> transactionsByPurpose = transactions.all;
+  public final Map<String, Integer> conflictsByPurpose = transactions.conflicts;
 
   /** How long the answer of each store transaction takes to reach the host. */
   public Supplier<Duration> storeAnswerDelay = () -> Duration.ZERO;
@@ -185,23 +182,9 @@
   /** Returns a configuration whose group has synchronous replicas. */
   public static RoutingConfiguration configuration(
       long version, double rate, Map<KeyHash, WorkspaceId> keys, int synchronousReplicas) {
-    Map<DatabaseName, Route> routes = new HashMap<>();
-    for (RouteKind kind : RouteKind.values()) {
-      Route route =
-          new Route(
-              DatabaseName.of(kind.name()),
-              GROUP,
-              kind,
-              Duration.ofMillis(800),
-              Duration.ofMillis(200),
-              1,
-              Duration.ofMillis(1500),
-              false);
-      routes.put(route.database(), route);
-    }
     return new RoutingConfiguration(
         version,
-        routes,
+        RouteFixture.routes(GROUP),
         Map.of(GROUP, new GroupSettings(54, synchronousReplicas)),
         keys,
         Map.of(WORKSPACE, new RateLimit(rate, rate)),
@@ -318,7 +301,7 @@
           reachable
               ? store.run(transaction, STEP)
               : TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
-      count(transaction, (TransactionAnswered) result);
+      transactions.count((TransactionAnswered) result);
       Duration delay = storeAnswerDelay.get();
       if (!delay.isZero()) {
         scheduler.schedule(delay, () -> host.loop().post(result));
@@ -342,14 +325,6 @@
     host.loop().post(result);
   }
 
-  private void count(RunTransaction transaction, TransactionAnswered answer) {
-    String purpose = transaction.tag().purpose();
-    transactionsByPurpose.merge(purpose, 1, Integer::sum);
-    if (answer.result() == TransactionResult.CONFLICT) {
-      conflictsByPurpose.merge(purpose, 1, Integer::sum);
-    }
-  }
-
   private void timeOut(Engine host, RunTransaction transaction) {
     TransactionAnswered unknown =
         TransactionAnswered.without(transaction, TransactionResult.UNKNOWN);
