--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -32,6 +32,7 @@
   private final Map<BackendServerId, ServerEjection> ejections = new HashMap<>();
   private final Map<DatabaseGroupId, PositionHistory> histories = new HashMap<>();
   private final Map<DatabaseGroupId, KnownPrimary> primaries = new HashMap<>();
+  private final GroupServers groupServers;
   private final DrainedZones drainedZones = new DrainedZones();
   private final RetryBudget retryBudget = new RetryBudget();
   private final ServerChoice leastExpectedTime = new LeastExpectedTime();
@@ -42,7 +43,8 @@
   ServerPools(TrafficContext context) {
     this.context = context;
     this.coldServers = new ColdServerGate(context);
-    this.urgency = new UrgencyGate(context, this::isShared);
+    this.groupServers = new GroupServers(context);
+    this.urgency = new UrgencyGate(context, groupServers);
     this.twoChoices = WeightedTwoChoices.create(context.random());
     this.loadReporter = new LoadReporter(context);
   }
@@ -72,14 +74,7 @@
    */
   @Override
   public boolean isShared(DatabaseGroupId group) {
-    int fleetSize = context.entry(EngineEntries.FLEET_SIZE);
-    long slots = 0;
-    for (ServerEntry entry : context.entry(EngineEntries.SERVERS).values()) {
-      if (entry.group().equals(group)) {
-        slots += entry.slots();
-      }
-    }
-    return fleetSize > slots;
+    return groupServers.areShared(group);
   }
 
   PositionHistory history(DatabaseGroupId group) {
@@ -115,11 +110,10 @@
     boolean isShared = isShared(group);
     List<ServerChoice.Candidate> candidates = new ArrayList<>();
     List<ServerChoice.Candidate> coldCandidates = new ArrayList<>();
-    for (ServerEntry entry : context.entry(EngineEntries.SERVERS).values()) {
+    for (ServerEntry entry : groupServers.of(group)) {
       boolean isPrimary = primary.filter(entry::sameProcess).isPresent();
       boolean claimsPrimary = entry.primary() && !isPrimary;
-      if (!entry.group().equals(group)
-          || entry.draining()
+      if (entry.draining()
           || claimsPrimary
           || context.isEvacuated(entry)
           || except.contains(entry.id())) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/UrgencyGate.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/UrgencyGate.java
@@ -9,7 +9,6 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.persimmonwalk.engine.DatabaseName;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
@@ -48,7 +47,7 @@
   private static final double MILLIS_PER_SECOND = 1000;
 
   private final TrafficContext context;
-  private final Predicate<DatabaseGroupId> isShared;
+  private final GroupServers groupServers;
   private final Headroom headroom = new Headroom();
   private final Map<BackendServerId, BulkTraffic> servers = new HashMap<>();
   private final Map<DatabaseName, RouteWork> works = new HashMap<>();
@@ -58,9 +57,9 @@
   private final Set<DatabaseGroupId> releasing = new HashSet<>();
   private long sequence;
 
-  UrgencyGate(TrafficContext context, Predicate<DatabaseGroupId> isShared) {
+  UrgencyGate(TrafficContext context, GroupServers groupServers) {
     this.context = context;
-    this.isShared = isShared;
+    this.groupServers = groupServers;
   }
 
   /** Returns whether a statement of the route may be sent to the server now. */
@@ -95,7 +94,7 @@
   MonotonicTime waitDeadline(Route route, MonotonicTime startedAt, MonotonicTime usual) {
     if (!headroom.hasLessUrgent(
             context.entry(EngineEntries.CONFIGURATION), route.group(), route.priority())
-        || !isShared.test(route.group())) {
+        || !groupServers.areShared(route.group())) {
       return usual;
     }
     Duration left = route.statementTimeout().minus(route.latencyTarget());
@@ -343,7 +342,9 @@
     OptionalDouble millis =
         headroom.millis(
             context.entry(EngineEntries.CONFIGURATION), route.group(), route.priority());
-    return millis.isPresent() && isShared.test(route.group()) ? millis : OptionalDouble.empty();
+    return millis.isPresent() && groupServers.areShared(route.group())
+        ? millis
+        : OptionalDouble.empty();
   }
 
   private List<ServerEntry> allowed(HeldStatement statement) {
@@ -356,8 +357,8 @@
 
   private List<ServerEntry> serversOf(DatabaseGroupId group) {
     List<ServerEntry> found = new ArrayList<>();
-    for (ServerEntry server : context.entry(EngineEntries.SERVERS).values()) {
-      if (server.group().equals(group) && !server.draining() && !context.isEvacuated(server)) {
+    for (ServerEntry server : groupServers.of(group)) {
+      if (!server.draining() && !context.isEvacuated(server)) {
         found.add(server);
       }
     }
