--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/GroupServers.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/GroupServers.java
@@ -10,8 +10,8 @@
 import org.persimmonwalk.id.DatabaseGroupId;
 
 /**
- * The listed servers by database group, sorted once for each server list. Looking through all
- * servers several times for each statement took about a millisecond of processor time.
+ * The listed servers by database group, sorted once for each server list, since several decisions
+ * for each statement look at the servers of one group.
  */
 final class GroupServers {
   private final TrafficContext context;
