Repeat a read on the primary once if no other server can run it

A bounded read for which no position is known can only run on the primary. When it failed there once, it failed for good: no other server could run it, and the primary counted as tried. Reads of a host that has not heard from the primary within the staleness were lost at the primary's failure rate. The read is now sent there once more, within the retry budget.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/FailedReads.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/FailedReads.java
@@ -6,7 +6,7 @@
 
 /**
  * The servers that ran one read without success. Whether the server or the statement is at fault
- * shows only when another server has run it: a caller's faulty statement fails everywhere and must
+ * shows only when a repetition has succeeded: a caller's faulty statement fails each time and must
  * not eject servers.
  */
 final class FailedReads {
@@ -19,8 +19,8 @@
     reads.add(new FailedRead(pool, sentAt));
   }
 
-  /** Another server has run the read: those that failed it are at fault. */
-  void succeededElsewhere() {
+  /** A repetition of the read has succeeded: the servers that failed it are at fault. */
+  void repetitionSucceeded() {
     for (FailedRead read : reads) {
       read.pool().recordFailure(read.sentAt());
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -234,7 +234,7 @@
 
   /** Records a statement that the server failed although another server could run it. */
   void recordFailure(MonotonicTime sentAt) {
-    eject(sentAt, "a read failed that another server answered");
+    eject(sentAt, "a read failed that succeeded when it was repeated");
   }
 
   /** Records a read that the server refused. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -17,7 +17,8 @@
 /**
  * Executes one request (a single statement, or the start of a transaction): chooses a server, sets
  * up a connection for the session and sends the request. Reads, and requests that certainly did not
- * run, are retried while time is left, reads on another server.
+ * run, are retried while time is left: reads on another server, or once more on the primary if no
+ * other server can run them.
  */
 final class StatementExecution {
   /** More attempts would only add load when every server is overloaded. */
@@ -38,6 +39,7 @@
   private final MonotonicTime usualWaitUntil;
   private final Set<BackendServerId> tried = new HashSet<>();
   private final TargetChoice choice;
+  private final RetryPolicy retryPolicy;
   private final FailedReads failedReads = new FailedReads();
   private Failure lastFailure =
       Failure.of(FailureCode.OVERLOADED, "no server of the database can be used at present");
@@ -47,6 +49,7 @@
   private boolean finished;
   private boolean sent;
   private boolean onPrimary;
+  private boolean onlyThere;
   private boolean tooLongWithPosition;
   private Runnable cancelTimeout = () -> {};
   private Runnable inFlightEnded = () -> {};
@@ -61,6 +64,7 @@
     this.request = request;
     this.done = done;
     this.choice = new TargetChoice(context, pools, request);
+    this.retryPolicy = new RetryPolicy(pools, request);
     this.startedAt = context.now();
     this.usualWaitUntil = startedAt.plus(request.connectionWait());
     this.waitUntil = usualWaitUntil;
@@ -106,6 +110,7 @@
         pools.urgency().start(target.get().pool().server(), request.route(), request.workspace());
     ServerPool pool = target.get().pool();
     onPrimary = target.get().primary();
+    onlyThere = target.get().onlyThere();
     MonotonicTime longest = pools.urgency().waitDeadline(request.route(), startedAt, waitUntil);
     MonotonicTime waitDeadline = longest.isBefore(context.now()) ? context.now() : longest;
     pool.acquire(
@@ -239,7 +244,7 @@
     if (answer.succeeded()) {
       used.pool().recordSuccess(sentAt, now);
       pools.urgency().recordAnswer(used.server(), request.route(), now.since(sentAt));
-      failedReads.succeededElsewhere();
+      failedReads.repetitionSucceeded();
       if (onPrimary) {
         answer
             .position()
@@ -301,9 +306,12 @@
     if (finished) {
       return;
     }
-    boolean isWithinBudget = !sent || isFreeRetry(failure) || takeRetry();
+    boolean isWithinBudget = !sent || retryPolicy.permits(failure);
+    boolean isRepeatedThere = sent && onlyThere && retryPolicy.repeatsOnSameServer(failure);
     lastFailure = failure;
-    tried.add(server.id());
+    if (!isRepeatedThere) {
+      tried.add(server.id());
+    }
     connection = null;
     endInFlight();
     if (!isWithinBudget) {
@@ -312,7 +320,7 @@
       return;
     }
     context.meter().count("statement.retried");
-    if (request.needsPrimary()) {
+    if (request.needsPrimary() || isRepeatedThere) {
       if (context.now().plus(RETRY_PAUSE).isBefore(waitUntil)) {
         context.scheduler().schedule(RETRY_PAUSE, this::attempt);
       } else {
@@ -323,18 +331,6 @@
     attempt();
   }
 
-  /**
-   * Returns whether a retry takes nothing from the budget: a replica that lacks a position, or a
-   * connection that lost its names, has done no work, and the read goes elsewhere once.
-   */
-  private static boolean isFreeRetry(Failure failure) {
-    return failure.code() == FailureCode.BEHIND || failure.code() == FailureCode.UNKNOWN_NAME;
-  }
-
-  private boolean takeRetry() {
-    return !pools.isShared(request.group()) || pools.retryBudget().spend();
-  }
-
   private void giveUp() {
     if (lastFailure == ServerPool.EVACUATED) {
       context.meter().count("evacuation.statement-refused");
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/BoundedReadTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/BoundedReadTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.FailureCode;
@@ -22,6 +23,10 @@
 /** Tests which log positions reads with bounded staleness require of replicas. */
 class BoundedReadTest {
   private static final Statement READ = new Statement.Data(false, "READ x");
+
+  /** Longer than the staleness of the fixture's routes. */
+  private static final Duration POSITIONS_EXPIRE = Duration.ofSeconds(2);
+
   private static final RowKey LEADERSHIP = RowKey.of("leadership", "tanks");
   private static final TermPosition REPLICA_POSITION = TermPosition.of(3, 50);
   private static final TermPosition PRIMARY_POSITION = TermPosition.of(3, 100);
@@ -89,6 +94,54 @@
     assertThat(fixture.servers.sent()).hasSize(before + 1);
   }
 
+  /**
+   * Guards against a read that fails for good because the primary, which alone can run it while no
+   * position is known, failed it once.
+   */
+  @Test
+  void shouldRepeatAReadOnThePrimaryThatNoOtherServerCanRun() {
+    Session reader = readerWithoutPosition();
+    failReads(1);
+    int before = fixture.servers.sent().size();
+
+    fixture.send(reader, "2", READ);
+
+    assertThat(caller.last().succeeded()).isTrue();
+    assertThat(readsAt("s1", before)).hasSize(2);
+  }
+
+  /** Guards against a faulty statement that is repeated until the attempts are used up. */
+  @Test
+  void shouldRepeatAReadOnThePrimaryOnceOnly() {
+    Session reader = readerWithoutPosition();
+    failReads(Integer.MAX_VALUE);
+    int before = fixture.servers.sent().size();
+
+    fixture.send(reader, "2", READ);
+
+    assertThat(caller.lastCode()).contains(FailureCode.FAILED);
+    assertThat(readsAt("s1", before)).hasSize(2);
+    assertThat(fixture.servers.sent()).hasSize(before + 2);
+  }
+
+  /** Opens a session with a connection to the primary and lets the known positions expire. */
+  private Session readerWithoutPosition() {
+    Session reader = fixture.open(fixture.hosts.get(0), RouteKind.BOUNDED_STALENESS, caller);
+    fixture.send(reader, "1", READ);
+    fixture.run(POSITIONS_EXPIRE);
+    return reader;
+  }
+
+  /** Lets the next reads fail on every server. */
+  private void failReads(int count) {
+    AtomicInteger left = new AtomicInteger(count);
+    fixture.servers.behave(
+        sent ->
+            sent.isText("READ x") && left.getAndDecrement() > 0
+                ? Optional.of(Answer.failed(FailureCode.FAILED, "failed", SessionState.IDLE))
+                : fixture.servers.success(sent));
+  }
+
   /** Lets only one server run statements; the others refuse them. */
   private void onlyServing(String server) {
     Set<String> refusing = Set.of("s1", "s2", "s3");
