--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PositionHistory.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PositionHistory.java
@@ -13,7 +13,7 @@
  * in an answer covers every commit acknowledged before the request was sent, so it bounds the
  * staleness of reads.
  */
-final class PositionHistory {
+public final class PositionHistory {
   /**
    * How long samples are kept. More than any staleness that routes are likely to allow would only
    * cost memory.
@@ -23,11 +23,16 @@
   /** Samples closer together would not let reads choose noticeably older positions. */
   private static final Duration MINIMUM_SPACING = Duration.ofMillis(50);
 
-  /** Allowance for the time that a read takes to reach its server after the choice. */
-  private static final Duration TRANSIT_MARGIN = Duration.ofMillis(150);
+  /**
+   * Allowance for the time that a read takes to reach its server after the choice. With a staleness
+   * that is not longer no position is ever recent enough.
+   */
+  public static final Duration TRANSIT_MARGIN = Duration.ofMillis(150);
 
   private final Deque<Sample> samples = new ArrayDeque<>();
 
+  PositionHistory() {}
+
   void add(MonotonicTime sentAt, TermPosition position) {
     Sample last = samples.peekLast();
     if (last != null && sentAt.since(last.sentAt()).compareTo(MINIMUM_SPACING) < 0) {
