Count variables and prepared statements in the byte budget

Sessions keep variables and prepared statements within SessionLimits, which count characters only and are independent of the budget. 150 sessions with 1,000 variables of a few bytes ended the process (heap of 24 MB).

SessionContents now charges the account of its caller's connection, through the new interface KeptBytes, with the characters and 128 bytes for the objects of each entry. When the budget is spent, the session that holds most is closed, as its connection is. The limits for sessions stay.

SessionLimitTest shows that the session that holds most is closed and that everything is released at the end.

--- a/engine/src/main/java/org/persimmonwalk/engine/CallerConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/CallerConnection.java
@@ -2,8 +2,11 @@
 
 import java.util.Optional;
 
-/** The connection of a caller; implemented by the front end and called on the traffic thread. */
-public interface CallerConnection {
+/**
+ * The connection of a caller; implemented by the front end and called on the traffic thread. It
+ * counts what its session keeps together with what waits in the connection.
+ */
+public interface CallerConnection extends KeptBytes {
 
   /** Tells the caller that the session is open. */
   void ready(Optional<TermPosition> position);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -63,7 +63,7 @@
     this.pools = pools;
     this.admission = admission;
     this.lifetime = lifetime;
-    this.contents = new SessionContents(storage);
+    this.contents = new SessionContents(storage, caller);
     this.caller = caller;
     this.database = database;
     this.identity = identity;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionContents.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionContents.java
@@ -3,17 +3,24 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.persimmonwalk.engine.KeptBytes;
 import org.persimmonwalk.engine.StatementTemplate;
 
-/** The variables and prepared statements of one session, within the limits for sessions. */
+/**
+ * The variables and prepared statements of one session, within the limits for sessions and counted
+ * with the connection of its caller.
+ */
 final class SessionContents {
   private final SessionStorage storage;
   private final Map<String, String> variables = new HashMap<>();
   private final Map<String, StatementTemplate> statements = new HashMap<>();
+  private final KeptBytes kept;
   private long bytes;
+  private boolean ended;
 
-  SessionContents(SessionStorage storage) {
+  SessionContents(SessionStorage storage, KeptBytes kept) {
     this.storage = storage;
+    this.kept = kept;
   }
 
   /** Sets a variable; returns why it may not be set, and then nothing has changed. */
@@ -54,6 +61,10 @@
     if (!storage.reserve(added)) {
       return Optional.of("the sessions of this host hold as much as they may");
     }
+    if (!kept.keep(added + (newEntry ? KeptBytes.ENTRY_BYTES : 0))) {
+      storage.release(added);
+      return Optional.of("the host has no memory for it");
+    }
     bytes += added;
     return Optional.empty();
   }
@@ -64,7 +75,9 @@
     if (removed == null) {
       return false;
     }
-    release((long) name.length() + removed.text().length());
+    long length = (long) name.length() + removed.text().length();
+    release(length);
+    kept.release(length + KeptBytes.ENTRY_BYTES);
     return true;
   }
 
@@ -82,7 +95,12 @@
    * admitted then must not run without the variables, so they are kept as long as the session is.
    */
   void sessionEnded() {
-    release(bytes);
+    if (!ended) {
+      ended = true;
+      int entries = variables.size() + statements.size();
+      kept.release(bytes + entries * KeptBytes.ENTRY_BYTES);
+      release(bytes);
+    }
   }
 
   private void release(long removed) {
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeCaller.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeCaller.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.persimmonwalk.engine.Answer;
+import org.persimmonwalk.engine.ByteBudget;
 import org.persimmonwalk.engine.CallerConnection;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
@@ -17,6 +18,7 @@
   private boolean writable = true;
   private Optional<RuntimeException> closeFailure = Optional.empty();
   private Runnable onAnswer = () -> {};
+  private ByteBudget.Account account = ByteBudget.of(Long.MAX_VALUE / 100).open(bytes -> {});
 
   @Override
   public void ready(Optional<TermPosition> position) {}
@@ -38,6 +40,21 @@
     onAnswer = action;
   }
 
+  /** Counts what the session keeps in the budget, which closes the connection if it is spent. */
+  public void countIn(ByteBudget budget) {
+    account = budget.open(bytes -> closed = true);
+  }
+
+  @Override
+  public boolean keep(long bytes) {
+    return account.add(bytes);
+  }
+
+  @Override
+  public void release(long bytes) {
+    account.remove(bytes);
+  }
+
   /** Sets whether the caller reads its answers. */
   public void setWritable(boolean value) {
     writable = value;
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionLimitTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionLimitTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.persimmonwalk.engine.ByteBudget;
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.Statement;
@@ -72,6 +73,41 @@
     assertThat(fill(session, late, TEXTS_PER_SESSION + 1)).isEqualTo(TEXTS_PER_SESSION);
   }
 
+  /** Guards against variables and statements that fill the heap beside the messages of callers. */
+  @Test
+  void shouldCloseTheSessionThatHoldsMostWhenTheBudgetIsSpent() {
+    ByteBudget budget = ByteBudget.of(4_000_000);
+    caller.countIn(budget);
+    FakeCaller other = new FakeCaller();
+    other.countIn(budget);
+    Session largest = open(caller);
+    fill(largest, caller, 2);
+    Session small = open(other);
+    assertThat(fill(small, other, 1)).isEqualTo(1);
+    assertThat(caller.isClosed()).isFalse();
+
+    budget.open(bytes -> {}).add(500_000);
+    assertThat(caller.isClosed()).isTrue();
+    assertThat(other.isClosed()).isFalse();
+    fixture.send(small, "d", new Statement.Deallocate("s0"));
+    assertThat(budget.used()).isEqualTo(500_000);
+  }
+
+  /** Guards against entries whose objects take more of the heap than their characters. */
+  @Test
+  void shouldCountTheObjectsOfShortEntriesUntilTheSessionEnds() {
+    ByteBudget budget = ByteBudget.of(4_000_000);
+    caller.countIn(budget);
+    Session session = open(caller);
+    for (int i = 0; i < 1000; i++) {
+      fixture.send(session, "v", new Statement.SetVariable("v" + i, "1"));
+    }
+    assertThat(budget.used()).isBetween(128_000L, 140_000L);
+    session.callerDisconnected();
+    session.callerDisconnected();
+    assertThat(budget.used()).isZero();
+  }
+
   @Test
   void shouldLimitTheNumberOfStatementsAndVariables() {
     Session session = open(caller);
