Count what a server connection keeps in the byte budget

A server connection keeps the variables and prepared statements that were set on it, also when the session has ended or replaced them. Each one may have a statement of 1 MiB and the variables of a session, and nothing counted them together: 30 sessions in turn exhausted a heap of 24 MB.

A pooled connection now charges them, with 128 bytes for each entry, to the account of its connection after each change. A connection that is closed for the budget is reported through the new BackendListener.shed instead of closed. It does not count as lost, since nothing shows that the server has failed or restarted; its unanswered statements fail as before. New log line and counter: connection-shed, connection.shed.

--- a/engine/src/main/java/org/persimmonwalk/engine/BackendConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/BackendConnection.java
@@ -4,7 +4,7 @@
  * A connection to a backend server, implemented by the front end and used on the traffic thread.
  * Statements may be pipelined; the server answers them in order.
  */
-public interface BackendConnection {
+public interface BackendConnection extends KeptBytes {
 
   /** Sends a statement. */
   void send(BackendStatement statement);
@@ -17,6 +17,14 @@
     return true;
   }
 
+  @Override
+  default boolean keep(long bytes) {
+    return true;
+  }
+
+  @Override
+  default void release(long bytes) {}
+
   /** Closes the connection without notifying the listener. */
   void close();
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/BackendListener.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/BackendListener.java
@@ -20,4 +20,9 @@
 
   /** The connection was closed or could not be established. */
   void closed(String reason);
+
+  /** The host closed the connection because its memory is spent; the server is not at fault. */
+  default void shed(String reason) {
+    closed(reason);
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -38,6 +38,7 @@
       return;
     }
     List<BackendStatement.Action> actions = missing(connection, variables, template);
+    connection.countKept();
     ConnectionSetup setup = new ConnectionSetup(connection, done);
     setup.unanswered = actions.size();
     actions.forEach(setup::send);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -10,6 +10,7 @@
 import org.persimmonwalk.engine.BackendListener;
 import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.Failure;
+import org.persimmonwalk.engine.KeptBytes;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.SessionState;
@@ -34,6 +35,7 @@
   private boolean ended;
   private SessionState state = SessionState.IDLE;
   private MonotonicTime lastUsed;
+  private long keptBytes;
 
   PooledConnection(ConnectionId id, ServerPool pool, WorkspaceId workspace, MonotonicTime now) {
     this.id = id;
@@ -90,6 +92,18 @@
     return preparedStatements;
   }
 
+  /**
+   * Counts the variables and prepared statements after a change. They outlive those of the session
+   * that set them. If the budget is spent, the connection may be closed for it, which its listener
+   * is told later.
+   */
+  void countKept() {
+    long before = keptBytes;
+    keptBytes = preparedStatements.keptBytes() + variables.size() * KeptBytes.ENTRY_BYTES;
+    variables.forEach((name, value) -> keptBytes += name.length() + value.length());
+    backend.keep(keptBytes - before);
+  }
+
   /** Returns whether the server has to accept the connection or to answer a statement. */
   boolean awaitsResponse() {
     return !isOpen() || !pending.isEmpty();
@@ -232,6 +246,20 @@
     unanswered.forEach(waiting -> waiting.listener().lost(reason));
   }
 
+  @Override
+  public void shed(String reason) {
+    if (ended) {
+      return;
+    }
+    Deque<Pending> unanswered = new ArrayDeque<>(pending);
+    end();
+    pool.context().meter().count("connection.shed");
+    pool.context().log().write("connection-shed", "connection", id, "bytes", keptBytes);
+    // Not lost: nothing shows that the server has failed or restarted.
+    pool.ended(this);
+    unanswered.forEach(waiting -> waiting.listener().lost(reason));
+  }
+
   /** Receives the result of one statement. */
   interface StatementListener {
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PreparedStatements.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PreparedStatements.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.persimmonwalk.engine.KeptBytes;
 import org.persimmonwalk.engine.PreparedName;
 import org.persimmonwalk.engine.StatementTemplate;
 
@@ -69,6 +70,11 @@
     return name;
   }
 
+  /** Returns what the statements take of the heap. */
+  long keptBytes() {
+    return bytes + names.size() * KeptBytes.ENTRY_BYTES;
+  }
+
   /** Forgets all statements. */
   void clear() {
     names.clear();
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeServers.java
@@ -16,6 +16,7 @@
 import org.persimmonwalk.engine.BackendConnector;
 import org.persimmonwalk.engine.BackendListener;
 import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.ByteBudget;
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.ServerEntry;
@@ -36,6 +37,8 @@
   private TermPosition position = TermPosition.of(3, 100);
   private Predicate<BackendStatement> carried = statement -> true;
   private Consumer<Runnable> delivery = Runnable::run;
+  private ByteBudget budget = ByteBudget.of(Long.MAX_VALUE / 100);
+  private final List<Runnable> shed = new ArrayList<>();
 
   /** A statement and where it was sent. */
   public record Sent(
@@ -120,6 +123,22 @@
     crashed.remove(server);
   }
 
+  /** Counts what the connections opened later keep, and sheds them if the budget is spent. */
+  public void countIn(ByteBudget counted) {
+    budget = counted;
+  }
+
+  private void shed(BackendListener listener) {
+    open.remove(listener);
+    shed.add(() -> listener.shed("the host has no memory for the connection"));
+  }
+
+  /** Tells the listeners of connections that were shed, as an event loop does after its work. */
+  public void notifyShed() {
+    shed.forEach(Runnable::run);
+    shed.clear();
+  }
+
   /** Closes all connections to a server and refuses new ones, as its crash does. */
   public void crash(BackendServerId server) {
     crashed.add(server);
@@ -139,8 +158,14 @@
   public BackendConnection open(
       ServerEntry server, WorkspaceId workspace, BackendListener listener) {
     int number = ++connectionCount;
+    ByteBudget.Account account = budget.open(bytes -> shed(listener));
     BackendConnection connection =
         new BackendConnection() {
+          @Override
+          public boolean keep(long bytes) {
+            return account.add(bytes);
+          }
+
           @Override
           public void send(BackendStatement statement) {
             Sent statementSent = new Sent(server.id(), workspace, number, statement);
@@ -167,6 +192,7 @@
 
           @Override
           public void close() {
+            account.close();
             open.remove(listener);
           }
         };
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetupTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetupTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
+import org.persimmonwalk.engine.ByteBudget;
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.PreparedName;
 import org.persimmonwalk.engine.RouteKind;
@@ -121,4 +122,36 @@
         fixture.events.stream().filter(event -> event.startsWith("statement-prepared")).toList();
     assertThat(prepared).doesNotHaveDuplicates();
   }
+
+  /**
+   * Guards against connections that keep the texts of ended sessions uncounted until the heap is
+   * spent, and against taking the end of such a connection for a failure of its server.
+   */
+  @Test
+  void shouldCountWhatAConnectionKeepsAndReplaceAConnectionClosedForIt() {
+    ByteBudget budget = ByteBudget.of(4_000_000);
+    fixture.servers.countIn(budget);
+    Session session = open(RouteKind.PRIMARY);
+    fixture.send(session, "1", new Statement.SetVariable("v", "x".repeat(900_000)));
+    prepareAndExecute(fixture, session);
+    fixture.send(session, "5", new Statement.SetVariable("v", "y"));
+    assertThat(budget.used()).isBetween(900_000L, 901_000L);
+
+    ByteBudget.Account running = budget.open(bytes -> {});
+    running.add(2_000_000);
+    running.pin(2_000_000);
+    running.add(500_000);
+    fixture.servers.notifyShed();
+    assertThat(budget.used()).isEqualTo(2_500_000);
+    fixture.send(session, "6", new Statement.Execute("mine", Optional.of("y")));
+
+    assertThat(caller.last().succeeded()).isTrue();
+    assertThat(fixture.servers.sent())
+        .extracting(sent -> (Object) sent.statement().action())
+        .contains(new BackendStatement.SetVariable("v", "y"));
+    assertThat(budget.used()).isBetween(2_500_200L, 2_501_000L);
+    assertThat(fixture.events)
+        .anyMatch(event -> event.startsWith("connection-shed"))
+        .noneMatch(event -> event.startsWith("connection-lost"));
+  }
 }
