Count answers of the store in the byte budget

An answer of the store may have 8 MiB, and is copied, read as JSON and decoded from base64 and JSON again. In a heap of 24 MB a list of servers of 7 MB exhausted the heap; so did a manifest of 1.2 MB with 400,000 empty objects, after which the host could not verify keys any more.

Accounts for control work close callers' connections when the budget is spent and are not closed for callers. A quarter of the budget is theirs even while running statements hold the rest. A charge that does not fit even so closes nobody.

--- a/engine/src/main/java/org/persimmonwalk/engine/ByteBudget.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/ByteBudget.java
@@ -4,9 +4,9 @@
 import java.util.Set;
 
 /**
- * Bounds the bytes of messages that wait in a host: incomplete lines, statements that have no
- * answer yet, and answers that are not written yet. When it is spent, the connection whose end
- * frees most is closed. Used on the traffic thread.
+ * Bounds the bytes that a host keeps for others: incomplete lines, statements that have no answer
+ * yet, answers that are not written yet, variables, prepared statements, and answers of the store.
+ * When it is spent, the connection whose end frees most is closed. Used on the traffic thread.
  */
 public final class ByteBudget {
   /**
@@ -17,11 +17,18 @@
   /** A quarter is kept for connections that hold little. */
   private static final long LARGE_PERCENT = 75;
 
+  /**
+   * The part that control work may take when nothing can be closed for it, because statements run:
+   * a host whose calls fail as long as callers send would stop serving all of them.
+   */
+  private static final long CONTROL_PERCENT = 25;
+
   private static final long PERCENT = 100;
 
   private final long limit;
   private final Set<Account> accounts = new LinkedHashSet<>();
   private long used;
+  private long controlBytes;
 
   private ByteBudget(long limit) {
     this.limit = limit;
@@ -46,6 +53,18 @@
     return account;
   }
 
+  /**
+   * Opens the account of a call of the control work, which must be closed with the call.
+   * Connections are closed for it, and it is never closed for them.
+   */
+  public ControlAccount openForControl() {
+    return new ControlAccount();
+  }
+
+  public long limit() {
+    return limit;
+  }
+
   /** Returns the bytes in use, those of closed connections included. */
   public long used() {
     return used;
@@ -54,15 +73,68 @@
   private void shedFor(Account account) {
     long allowed = account.bytes > SMALL_BYTES ? limit * LARGE_PERCENT / PERCENT : limit;
     while (used > allowed && !account.closed) {
-      Account largest = account;
-      for (Account other : accounts) {
-        if (other.releasable() > largest.releasable()) {
-          largest = other;
-        }
+      shedLargest(account);
+    }
+  }
+
+  /** Closes the connection that frees most, the given one if no other frees more. */
+  private void shedLargest(Account first) {
+    Account largest = first;
+    for (Account other : accounts) {
+      if (other.releasable() > largest.releasable()) {
+        largest = other;
+      }
+    }
+    long freed = largest.releasable();
+    largest.close();
+    largest.owner.shed(freed);
+  }
+
+  private long releasable() {
+    return accounts.stream().mapToLong(Account::releasable).sum();
+  }
+
+  /** The bytes of one call of the control work. */
+  public final class ControlAccount {
+    private long bytes;
+    private boolean closed;
+
+    private ControlAccount() {}
+
+    /**
+     * Adds bytes, for which connections are closed if the budget is spent.
+     *
+     * @return false if there is no room even then; no connection is closed and nothing is added
+     */
+    public boolean add(long added) {
+      boolean reserved = controlBytes + added <= limit * CONTROL_PERCENT / PERCENT;
+      if (used + added > limit && !reserved && used + added - releasable() > limit) {
+        return false;
+      }
+      bytes += added;
+      used += added;
+      controlBytes += added;
+      while (used > limit && releasable() > 0) {
+        shedLargest(accounts.iterator().next());
       }
-      long freed = largest.releasable();
-      largest.close();
-      largest.owner.shed(freed);
+      return true;
+    }
+
+    /** Removes bytes that were added. */
+    public void remove(long removed) {
+      bytes -= removed;
+      used -= removed;
+      controlBytes -= removed;
+    }
+
+    /** Removes all bytes; none may be added later. */
+    public void close() {
+      remove(bytes);
+      closed = true;
+    }
+
+    public boolean isClosed() {
+      return closed;
     }
   }
 
--- a/engine/src/test/java/org/persimmonwalk/engine/ByteBudgetTest.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/ByteBudgetTest.java
@@ -83,6 +83,49 @@
     assertThat(budget.used()).isZero();
   }
 
+  /** Guards against callers that keep a host from its control work. */
+  @Test
+  void shouldCloseConnectionsForControlWork() {
+    ByteBudget.Account small = open("small");
+    small.add(100 * KILOBYTE);
+    ByteBudget.Account large = open("large");
+    large.add(600 * KILOBYTE);
+    ByteBudget.ControlAccount control = budget.openForControl();
+
+    assertThat(control.add(400 * KILOBYTE)).isTrue();
+    assertThat(shed).containsExactly("large 600");
+    assertThat(open("next").add(400 * KILOBYTE)).isFalse();
+    assertThat(shed).containsExactly("large 600", "next 400");
+
+    control.remove(100 * KILOBYTE);
+    control.close();
+    assertThat(budget.used()).isEqualTo(100 * KILOBYTE);
+  }
+
+  /** Guards against closing connections for an answer that does not fit even then. */
+  @Test
+  void shouldCloseNoConnectionForControlWorkWithoutRoom() {
+    open("caller").add(300 * KILOBYTE);
+    ByteBudget.ControlAccount control = budget.openForControl();
+
+    assertThat(control.add(1001 * KILOBYTE)).isFalse();
+    assertThat(shed).isEmpty();
+    assertThat(budget.used()).isEqualTo(300 * KILOBYTE);
+  }
+
+  /** Guards against running statements, which cannot be closed, that stop the control work. */
+  @Test
+  void shouldReserveAPartForControlWork() {
+    ByteBudget.Account running = open("running");
+    running.add(700 * KILOBYTE);
+    running.pin(700 * KILOBYTE);
+    ByteBudget.ControlAccount control = budget.openForControl();
+
+    assertThat(control.add(250 * KILOBYTE)).isTrue();
+    assertThat(control.add(51 * KILOBYTE)).isFalse();
+    assertThat(shed).isEmpty();
+  }
+
   /** Guards against a budget that leaks what was removed or closed. */
   @Test
   void shouldReturnToZero() {
