--- a/engine/src/main/java/org/persimmonwalk/engine/HostLimits.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/HostLimits.java
@@ -3,7 +3,7 @@
 /**
  * What clients, servers and other hosts may take of the machine of an entry host.
  *
- * @param trafficBytes the bytes of messages that may wait in the host
+ * @param trafficBytes the bytes that the host may keep for callers, servers and calls
  * @param callerConnections the connections at the port for callers
  * @param peerConnections the connections at the port for other hosts
  * @param statusConnections the connections at each of the ports for readiness and metrics
