Carry notices of possible restarts in the messages between hosts

A host without a connection to a server learns of its restart only from the server list, up to 3.5 s later. The regular requests and replies of a zone, and the token requests and replies between relays, get a repeated field for notices: server, start of the process, and age of the loss in ms, as hosts have no common clock. The field numbers are new, so that hosts of older builds ignore them. A notice older than 3.5 s is skipped, one with a negative age or start makes the message invalid like other fields out of range. Nothing sends notices yet.

The generated classes of the other protocol are unchanged: their committed comments differ from peer.proto already.

--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenReply.java
@@ -8,12 +8,24 @@
  * @param lends false if the replying host can't lend: it is not the relay of its zone, is about to
  *     stop, or has lost the store and has no tokens left
  * @param loans the tokens lent, one loan for each request
+ * @param restartNotices the servers that may have restarted lately
  */
-public record TokenReply(boolean lends, List<TokenLoan> loans) {
+public record TokenReply(boolean lends, List<TokenLoan> loans, List<RestartNotice> restartNotices) {
 
-  /** Makes the list immutable. */
+  /** Makes the lists immutable. */
   public TokenReply {
     loans = List.copyOf(loans);
+    restartNotices = List.copyOf(restartNotices);
+  }
+
+  /** Creates a reply without notices. */
+  public TokenReply(boolean lends, List<TokenLoan> loans) {
+    this(lends, loans, List.of());
+  }
+
+  /** Returns the reply with the given notices. */
+  public TokenReply withRestartNotices(List<RestartNotice> notices) {
+    return new TokenReply(lends, loans, notices);
   }
 
   /** Returns the reply of a host that can't lend. */
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneReply.java
@@ -21,6 +21,7 @@
  * @param loans the tokens lent to a host of an older build, which asks for them here
  * @param fleetSize the number of running entry hosts of all zones; 0 while it is unknown
  * @param loads what the hosts of the zone together have seen of the servers lately
+ * @param restartNotices the servers that may have restarted lately
  */
 public record ZoneReply(
     boolean isRelay,
@@ -34,12 +35,14 @@
     Optional<ServerList> servers,
     List<TokenLoan> loans,
     int fleetSize,
-    ServerLoadReport loads) {
+    ServerLoadReport loads,
+    List<RestartNotice> restartNotices) {
 
   /** Makes the collections immutable. */
   public ZoneReply {
     rows = Map.copyOf(rows);
     loans = List.copyOf(loans);
+    restartNotices = List.copyOf(restartNotices);
   }
 
   /** Returns the reply without what was read from the store, which is of an earlier era. */
@@ -56,7 +59,8 @@
         Optional.empty(),
         loans,
         fleetSize,
-        loads);
+        loads,
+        restartNotices);
   }
 
   /** Returns the reply of a host that isn't the relay. */
@@ -73,6 +77,7 @@
         Optional.empty(),
         List.of(),
         0,
-        ServerLoadReport.NONE);
+        ServerLoadReport.NONE,
+        List.of());
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/ZoneRequest.java
@@ -15,6 +15,7 @@
  * @param tokenRequests the tokens that a host of an older build requests; others send {@link
  *     SendTokenRequests}
  * @param loads what the requesting host has seen of the servers that it used lately
+ * @param restartNotices the servers of which the requesting host lost all connections lately
  */
 public record ZoneRequest(
     EntryHostId from,
@@ -23,11 +24,13 @@
     long serverListRevision,
     boolean urgent,
     List<TokenRequest> tokenRequests,
-    ServerLoadReport loads) {
+    ServerLoadReport loads,
+    List<RestartNotice> restartNotices) {
 
   /** Makes the collections immutable. */
   public ZoneRequest {
     knownVersions = Map.copyOf(knownVersions);
     tokenRequests = List.copyOf(tokenRequests);
+    restartNotices = List.copyOf(restartNotices);
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenExchangeController.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
@@ -89,7 +90,8 @@
     if (due && !unanswered.containsKey(lender)) {
       unanswered.put(lender, now);
       lastSentAt.put(lender, now);
-      blackboard.submit(new SendTokenRequests(lender, settings.host(), requests.requests()));
+      blackboard.submit(
+          new SendTokenRequests(lender, settings.host(), requests.requests(), List.of()));
     }
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -159,7 +159,8 @@
                 revision,
                 waitsForPrimary || ColdServers.awaitsList(blackboard),
                 List.of(),
-                unsentLoads(blackboard, now))));
+                unsentLoads(blackboard, now),
+                List.of())));
   }
 
   /** Returns the newest loads of this host, once: the relay would count them twice. */
@@ -218,7 +219,8 @@
         servers(blackboard, request, now),
         blackboard.get(EngineEntries.TOKEN_LOANS).getOrDefault(received.exchangeId(), List.of()),
         blackboard.get(EngineEntries.FLEET_SIZE),
-        report(blackboard.get(EngineEntries.ZONE_LOADS), now));
+        report(blackboard.get(EngineEntries.ZONE_LOADS), now),
+        List.of());
   }
 
   private Map<RowKey, StoredRow> newerRows(Blackboard blackboard, ZoneRequest request) {
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/FakeZoneExchanges.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/FakeZoneExchanges.java
@@ -109,7 +109,9 @@
         engine ->
             engine
                 .loop()
-                .post(new TokenRequestsReceived(exchangeId, command.from(), command.requests())));
+                .post(
+                    new TokenRequestsReceived(
+                        exchangeId, command.from(), command.requests(), command.restartNotices())));
     scheduler.schedule(EngineTimings.REPLY_TIMEOUT, () -> endTokens(exchangeId, Optional.empty()));
   }
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/SlowStoreTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/SlowStoreTest.java
@@ -99,7 +99,8 @@
             0,
             false,
             List.of(),
-            ServerLoadReport.NONE);
+            ServerLoadReport.NONE,
+            List.of());
     ZoneReply reply =
         new ZoneReply(
             true,
@@ -113,7 +114,8 @@
             Optional.empty(),
             List.of(),
             1,
-            ServerLoadReport.NONE);
+            ServerLoadReport.NONE,
+            List.of());
     loop.post(
         new ZoneRequestEnded(
             new SendZoneRequest(RELAY, request), Optional.of(reply), clock.now(), clock.now()));
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
@@ -56,12 +56,14 @@
             1,
             false,
             List.of(TOKEN_REQUEST),
-            LOADS);
+            LOADS,
+            List.of());
     SendTokenRequests tokenRequests =
         new SendTokenRequests(
             new RelayHost(EntryHostId.of("rehearsal"), SocketEndpoint.of("127.0.0.1", 1)),
             EntryHostId.of("rehearsal"),
-            List.of(TOKEN_REQUEST));
+            List.of(TOKEN_REQUEST),
+            List.of());
     ZoneReply reply =
         new ZoneReply(
             true,
@@ -75,7 +77,8 @@
             Optional.of(new ServerList(1, Duration.ZERO, List.of())),
             List.of(new TokenLoan(WORKSPACE, 1, false, true, Duration.ZERO)),
             1,
-            LOADS);
+            LOADS,
+            List.of());
     try {
       byte[] requestBytes = ZoneCodec.encode(1, request).toByteArray();
       byte[] replyBytes = ZoneCodec.encode(1, reply).toByteArray();
--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneCodec.java
@@ -81,6 +81,7 @@
                         .setVersion(version.number())));
     request.tokenRequests().forEach(tokenRequest -> message.addAsks(encode(tokenRequest)));
     message.addAllLoads(ServerLoadCodec.encode(request.loads()));
+    message.addAllRestartNotices(RestartNoticeCodec.encode(request.restartNotices()));
     return message.build();
   }
 
@@ -91,6 +92,7 @@
             .setFrom(command.from().value())
             .setTokensOnly(true);
     command.requests().forEach(tokenRequest -> message.addAsks(encode(tokenRequest)));
+    message.addAllRestartNotices(RestartNoticeCodec.encode(command.restartNotices()));
     return message.build();
   }
 
@@ -121,13 +123,17 @@
         message.getServersRevision(),
         message.getUrgent(),
         decodeTokenRequests(message),
-        ServerLoadCodec.decode(message.getLoadsList()));
+        ServerLoadCodec.decode(message.getLoadsList()),
+        RestartNoticeCodec.decode(message.getRestartNoticesList()));
   }
 
   /** Decodes token requests; throws an IllegalArgumentException if a field is invalid. */
   static TokenRequestsReceived decodeTokens(long exchangeId, ZoneRequestMessage message) {
     return new TokenRequestsReceived(
-        exchangeId, EntryHostId.ofExternal(message.getFrom()), decodeTokenRequests(message));
+        exchangeId,
+        EntryHostId.ofExternal(message.getFrom()),
+        decodeTokenRequests(message),
+        RestartNoticeCodec.decode(message.getRestartNoticesList()));
   }
 
   private static List<TokenRequest> decodeTokenRequests(ZoneRequestMessage message) {
@@ -151,12 +157,16 @@
     ZoneReplyMessage.Builder message =
         ZoneReplyMessage.newBuilder().setExchange(exchangeId).setServes(reply.lends());
     reply.loans().forEach(loan -> message.addLoans(encode(loan)));
+    message.addAllRestartNotices(RestartNoticeCodec.encode(reply.restartNotices()));
     return message.build();
   }
 
   /** Decodes a lender's reply; throws an IllegalArgumentException if a field is invalid. */
   static TokenReply decodeTokens(ZoneReplyMessage message) {
-    return new TokenReply(message.getServes(), decodeLoans(message));
+    return new TokenReply(
+        message.getServes(),
+        decodeLoans(message),
+        RestartNoticeCodec.decode(message.getRestartNoticesList()));
   }
 
   private static TokenLoanMessage encode(TokenLoan loan) {
@@ -245,6 +255,7 @@
                         .setRemoved(row.removed())));
     reply.servers().ifPresent(list -> message.setServers(encode(list)));
     message.addAllLoads(ServerLoadCodec.encode(reply.loads()));
+    message.addAllRestartNotices(RestartNoticeCodec.encode(reply.restartNotices()));
     reply.loans().forEach(loan -> message.addLoans(encode(loan)));
     return message;
   }
@@ -302,7 +313,8 @@
         message.hasServers() ? Optional.of(decode(message.getServers())) : Optional.empty(),
         decodeLoans(message),
         message.getActiveHosts(),
-        ServerLoadCodec.decode(message.getLoadsList()));
+        ServerLoadCodec.decode(message.getLoadsList()),
+        RestartNoticeCodec.decode(message.getRestartNoticesList()));
   }
 
   private static Optional<RoutingConfiguration> decodeConfiguration(ZoneReplyMessage message) {
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/CompressedConfigurationTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/CompressedConfigurationTest.java
@@ -76,7 +76,8 @@
         Optional.empty(),
         List.of(),
         1,
-        ServerLoadReport.NONE);
+        ServerLoadReport.NONE,
+        List.of());
   }
 
   /** Guards against fields that are lost by the compression, and against hardly any compression. */
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneCodecFuzzTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneCodecFuzzTest.java
@@ -121,4 +121,25 @@
         .extracting(entry -> entry.id().value())
         .containsExactly("s1");
   }
+
+  /** Guards against a loss in the future, which would keep a server cold for as long as it says. */
+  @Test
+  void shouldRejectARestartNoticeWithANegativeAge() {
+    ZoneReplyMessage.Builder message =
+        ZoneCodec.encode(3, ZoneExchangeTest.fullReply()).toBuilder();
+    message.getRestartNoticesBuilder(0).setAgeMilliseconds(-1);
+
+    assertThatThrownBy(() -> ZoneCodec.decode(message.build()))
+        .isInstanceOf(IllegalArgumentException.class);
+  }
+
+  /** Guards against a reply that is lost for a notice that nobody needs any more. */
+  @Test
+  void shouldSkipARestartNoticeThatIsTooOld() {
+    ZoneReplyMessage.Builder message =
+        ZoneCodec.encode(3, ZoneExchangeTest.fullReply()).toBuilder();
+    message.getRestartNoticesBuilder(0).setAgeMilliseconds(Long.MAX_VALUE);
+
+    assertThat(ZoneCodec.decode(message.build()).restartNotices()).isEmpty();
+  }
 }
--- a/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
+++ b/peer/src/test/java/org/persimmonwalk/peer/zone/ZoneExchangeTest.java
@@ -26,6 +26,7 @@
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.RelayHost;
+import org.persimmonwalk.engine.control.RestartNotice;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.SendTokenReply;
 import org.persimmonwalk.engine.control.SendTokenRequests;
@@ -116,7 +117,8 @@
             9,
             true,
             List.of(new TokenRequest(WORKSPACE, 2, 3.5, 4, 1)),
-            loads(Duration.ofMillis(130), 1)));
+            loads(Duration.ofMillis(130), 1),
+            List.of(new RestartNotice(BackendServerId.of("s1"), 41, Duration.ofMillis(17)))));
   }
 
   static ZoneReply fullReply() {
@@ -165,7 +167,8 @@
         Optional.of(new ServerList(77, Duration.ofMillis(1200), List.of(server))),
         List.of(new TokenLoan(WORKSPACE, 3, true, true, Duration.ofMillis(4100))),
         21,
-        loads(Duration.ofMillis(70), 30));
+        loads(Duration.ofMillis(70), 30),
+        List.of(new RestartNotice(BackendServerId.of("s2"), 43, Duration.ofMillis(19))));
   }
 
   private static ServerLoadReport loads(Duration age, int hosts) {
@@ -197,12 +200,15 @@
     return new SendTokenRequests(
         new RelayHost(EntryHostId.of("lender"), endpoint),
         EntryHostId.of("host"),
-        List.of(new TokenRequest(WORKSPACE, 0, 3.5, 2, 1)));
+        List.of(new TokenRequest(WORKSPACE, 0, 3.5, 2, 1)),
+        List.of(new RestartNotice(BackendServerId.of("s3"), 47, Duration.ofMillis(23))));
   }
 
   static TokenReply tokenReply() {
     return new TokenReply(
-        true, List.of(new TokenLoan(WORKSPACE, 3, true, false, Duration.ofMillis(290))));
+        true,
+        List.of(new TokenLoan(WORKSPACE, 3, true, false, Duration.ofMillis(290))),
+        List.of(new RestartNotice(BackendServerId.of("s4"), 53, Duration.ofMillis(29))));
   }
 
   /** Guards against fields of token requests and loans that are lost or swapped. */
@@ -220,6 +226,7 @@
 
     assertThat(received.from()).isEqualTo(command.from());
     assertThat(received.requests()).isEqualTo(command.requests());
+    assertThat(received.restartNotices()).isEqualTo(command.restartNotices());
     assertThat(ended.command()).isEqualTo(command);
     assertThat(ended.reply()).contains(tokenReply());
   }
@@ -236,7 +243,8 @@
     TokenRequestsEnded ended =
         (TokenRequestsEnded) endedRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
 
-    assertThat(ended.reply()).contains(new TokenReply(true, fullReply().loans()));
+    assertThat(ended.reply())
+        .contains(new TokenReply(true, fullReply().loans(), fullReply().restartNotices()));
   }
 
   /** Guards against a host of an older build, which knows no waiting operations. */
