Decide which lost connections suggest the restart of a server

Any lost connection makes the host itself treat a server as possibly cold. Other hosts must not be told of each: servers close idle connections, reset single ones, and hosts close connections themselves. Connections that the host closed or gave up opening don't count.

The observation of the loss carries the decision; nothing reads it yet.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ColdServerGate.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ColdServerGate.java
@@ -35,6 +35,7 @@
   private final TrafficContext context;
   private final Optional<ColdBounds> bounds;
   private final Duration restartVisibleAfter;
+  private final RestartSigns signs = new RestartSigns();
   private final Map<BackendServerId, SendWindow> windows = new HashMap<>();
   private final Map<BackendServerId, MonotonicTime> lostAt = new HashMap<>();
   private final Map<BackendServerId, MonotonicTime> keptAt = new HashMap<>();
@@ -142,14 +143,32 @@
     context.meter().count("cold-server.statement-kept");
   }
 
-  /** Records that a connection to the server was lost, so that it may have restarted. */
-  void connectionLost(ServerEntry server) {
+  /**
+   * Records that a connection was lost, or could not be opened, so that the server may have
+   * restarted.
+   *
+   * @param wasIdle whether no session used the connection
+   * @param oldestOpen when the oldest of the connections that are left was opened; empty if none is
+   */
+  void connectionLost(
+      PooledConnection connection, boolean wasIdle, Optional<MonotonicTime> oldestOpen) {
+    ServerEntry server = connection.server();
     ServerEntry listed = context.entry(EngineEntries.SERVERS).get(server.id());
     boolean isReplaced = listed != null && listed.startedAtMillis() > server.startedAtMillis();
-    if (zonePart(server.group()).isPresent() && !isReplaced) {
-      lostAt.put(server.id(), context.now());
-      context.post(new ServerConnectionLost(server, context.now()));
+    if (zonePart(server.group()).isEmpty() || isReplaced) {
+      return;
+    }
+    MonotonicTime now = context.now();
+    boolean suggestsRestart = false;
+    if (!connection.wasClosedHere()) {
+      MonotonicTime lastUsed = wasIdle ? connection.lastUsed() : now;
+      suggestsRestart =
+          connection.wasEverOpen()
+              ? signs.connectionLost(server.id(), lastUsed, oldestOpen, now)
+              : signs.connectionRefused(server.id(), now);
     }
+    lostAt.put(server.id(), now);
+    context.post(new ServerConnectionLost(server, now, suggestsRestart));
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/IdleConnections.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/IdleConnections.java
@@ -12,8 +12,9 @@
     connections.add(connection);
   }
 
-  void remove(PooledConnection connection) {
-    connections.remove(connection);
+  /** Removes a connection; returns whether it was idle. */
+  boolean remove(PooledConnection connection) {
+    return connections.remove(connection);
   }
 
   int size() {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/PooledConnection.java
@@ -32,6 +32,7 @@
   private BackendConnection backend;
   private boolean open;
   private boolean ended;
+  private boolean closedHere;
   private SessionState state = SessionState.IDLE;
   private MonotonicTime lastUsed;
 
@@ -180,12 +181,18 @@
       return;
     }
     BackendConnection closing = backend;
+    closedHere = true;
     closed(reason);
     if (closing != null) {
       closing.close();
     }
   }
 
+  /** Returns whether this host closed the connection, or gave up opening it. */
+  boolean wasClosedHere() {
+    return closedHere;
+  }
+
   /** Returns whether the server ever accepted the connection. */
   boolean wasEverOpen() {
     return open;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPool.java
@@ -66,8 +66,12 @@
     return coldServers;
   }
 
-  boolean hasOpenConnection() {
-    return connections.stream().anyMatch(PooledConnection::isOpen);
+  /** Returns when the oldest open connection was opened; they are kept in this order. */
+  Optional<MonotonicTime> oldestOpen() {
+    return connections.stream()
+        .filter(PooledConnection::isOpen)
+        .map(PooledConnection::openedAt)
+        .findFirst();
   }
 
   /** Returns whether several hosts share each slot of the group's servers. */
@@ -260,8 +264,8 @@
 
   void lost(PooledConnection connection, String reason) {
     connections.remove(connection);
-    idle.remove(connection);
-    coldServers.connectionLost(server);
+    boolean wasIdle = idle.remove(connection);
+    coldServers.connectionLost(connection, wasIdle, oldestOpen());
     refuseQueuedIfKept();
     if (!connection.wasEverOpen()) {
       health.recordConnectionFailure(context.now());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -263,7 +263,7 @@
     // A request whose connection times out here may turn to a server that has no pool yet.
     for (ServerPool pool : List.copyOf(pools.values())) {
       pool.tick(now);
-      boolean isCutOff = coldServers.isCutOff(pool.server(), now) && !pool.hasOpenConnection();
+      boolean isCutOff = coldServers.isCutOff(pool.server(), now) && pool.oldestOpen().isEmpty();
       if (pool.health().isUnreachable(now) || isCutOff) {
         context.post(new ServerUnreachable(pool.server()));
       }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/ColdServersTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/ColdServersTest.java
@@ -47,7 +47,7 @@
   }
 
   private void lose(ServerEntry server, long atMillis) {
-    servers.connectionLost(new ServerConnectionLost(server, at(atMillis)));
+    servers.connectionLost(new ServerConnectionLost(server, at(atMillis), false));
   }
 
   /** Guards against full load while the entry, a heartbeat old, says that the time is over. */
