Tell the other hosts of servers that may have restarted

Hosts report the loss of their connections with their regular requests to the relay of their zone. The relay suspects a restart once two hosts report the same server within a second, since one host that loses all its connections may have a failing link. It tells its zone in its replies, and the relays of other zones with the requests and replies for tokens. A host that is told treats the server like after a loss of its own.

A process ends once: after a restart of a process was suspected, further losses of it are ignored for a minute, so that failing connections cannot take a server from a zone. Ages go on counting when a notice is passed on, and none is passed on once it is 3.5 s old.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -18,6 +18,7 @@
 import org.persimmonwalk.internal.engine.control.PromotionController;
 import org.persimmonwalk.internal.engine.control.RateController;
 import org.persimmonwalk.internal.engine.control.RelayController;
+import org.persimmonwalk.internal.engine.control.RestartNoticeController;
 import org.persimmonwalk.internal.engine.control.ServerListController;
 import org.persimmonwalk.internal.engine.control.ServerLoadController;
 import org.persimmonwalk.internal.engine.control.StopController;
@@ -71,6 +72,7 @@
             EraSettlementController.create(settings, log),
             ServerListController.create(settings.timings(), log),
             EvacuationController.create(settings, log, suspension),
+            RestartNoticeController.create(settings, log, meter),
             ColdServerController.create(settings, log),
             PrimaryViewController.create(settings.timings(), log),
             SuspicionController.create(settings, log),
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -147,6 +147,17 @@
   public static final EntryKey<Map<BackendServerId, ColdServer>> COLD_SERVERS =
       EntryKey.of("cold servers", Map.of());
 
+  /** The servers of which this host lost all connections lately; told to the relay. */
+  public static final EntryKey<Map<BackendServerId, SuspectedRestart>> OWN_LOSSES =
+      EntryKey.of("own losses", Map.of());
+
+  /**
+   * The servers that may have restarted lately according to several hosts; the relay tells the
+   * hosts of its zone and the relays of other zones.
+   */
+  public static final EntryKey<Map<BackendServerId, SuspectedRestart>> SUSPECTED_RESTARTS =
+      EntryKey.of("suspected restarts", Map.of());
+
   /**
    * Since when this host has been the relay of its zone in the current era of the store; empty if
    * it isn't, or if the settings don't limit the requests to cold servers.
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServerController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServerController.java
@@ -59,6 +59,11 @@
       servers.applyList(blackboard.get(EngineEntries.SERVERS).values(), list.get().readAt());
       lastList = list;
     }
+    blackboard
+        .get(EngineEntries.SUSPECTED_RESTARTS)
+        .values()
+        .forEach(
+            restart -> servers.restartSuspected(restart, blackboard.get(EngineEntries.SERVERS)));
     publish(blackboard, context.now());
   }
 
@@ -71,6 +76,7 @@
                 EngineEntries.RELAY_ROLE,
                 EngineEntries.SERVER_LIST_VERSION,
                 EngineEntries.SERVERS,
+                EngineEntries.SUSPECTED_RESTARTS,
                 EngineEntries.CONFIGURATION));
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServers.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServers.java
@@ -12,6 +12,7 @@
 import org.persimmonwalk.engine.control.ColdServer.Reason;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.ServerConnectionLost;
+import org.persimmonwalk.engine.control.SuspectedRestart;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -25,6 +26,7 @@
   private final Duration recheckDelay;
   private final Map<BackendServerId, Reported> reported = new HashMap<>();
   private final Map<BackendServerId, ServerConnectionLost> lost = new HashMap<>();
+  private MonotonicTime lastReadAt = MonotonicTime.of(Long.MIN_VALUE / 2);
 
   /**
    * Creates a decision that knows no cold server.
@@ -45,6 +47,7 @@
    * <p>May be repeated with a later time if a later list had the same entries.
    */
   void applyList(Collection<ServerEntry> entries, MonotonicTime readAt) {
+    lastReadAt = readAt;
     for (ServerEntry entry : entries) {
       Reported known = reported.get(entry.id());
       // A store that came back from a copy may list the process before the one that was seen.
@@ -92,6 +95,21 @@
         loss.server().id(), loss, (old, other) -> other.at().isBefore(old.at()) ? old : other);
   }
 
+  /**
+   * Treats a loss that other hosts reported like one of this host, unless the last list that was
+   * applied settles it already: a notice is repeated for longer than that may take.
+   */
+  void restartSuspected(SuspectedRestart restart, Map<BackendServerId, ServerEntry> listed) {
+    ServerEntry entry = listed.get(restart.server());
+    if (entry == null || entry.startedAtMillis() > restart.startedAtMillis()) {
+      return;
+    }
+    ServerConnectionLost loss = new ServerConnectionLost(entry, restart.lostAt(), false);
+    if (!settles(entry, loss, lastReadAt)) {
+      connectionLost(loss);
+    }
+  }
+
   /** Returns whether the next server list may show if a listed server has restarted. */
   static boolean awaitsList(Blackboard blackboard) {
     Map<BackendServerId, ServerEntry> listed = blackboard.get(EngineEntries.SERVERS);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenExchangeController.java
@@ -13,8 +13,11 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.RelayHost;
+import org.persimmonwalk.engine.control.RelayRole;
+import org.persimmonwalk.engine.control.RestartNotice;
 import org.persimmonwalk.engine.control.SendTokenReply;
 import org.persimmonwalk.engine.control.SendTokenRequests;
+import org.persimmonwalk.engine.control.SuspectedRestart;
 import org.persimmonwalk.engine.control.TokenRequests;
 import org.persimmonwalk.engine.control.TokenRequestsEnded;
 import org.persimmonwalk.model.MonotonicTime;
@@ -53,10 +56,11 @@
         .observations(TokenRequestsEnded.class)
         .forEach(ended -> unanswered.remove(ended.command().lender()));
     unanswered.values().removeIf(sentAt -> now.since(sentAt).compareTo(LOST_ANSWER_TIMEOUT) > 0);
-    reply(blackboard);
+    List<RestartNotice> notices = restartNotices(blackboard, now);
+    reply(blackboard, notices);
     blackboard
         .get(EngineEntries.TOKEN_REQUESTS)
-        .forEach((lender, requests) -> sendIfDue(blackboard, lender, requests, now));
+        .forEach((lender, requests) -> sendIfDue(blackboard, lender, requests, notices, now));
     lastSentAt.values().removeIf(sentAt -> now.since(sentAt).compareTo(exchangeInterval) > 0);
     if (!unanswered.equals(blackboard.get(EngineEntries.UNANSWERED_LENDERS))) {
       blackboard.put(EngineEntries.UNANSWERED_LENDERS, Map.copyOf(unanswered));
@@ -85,19 +89,32 @@
   }
 
   private void sendIfDue(
-      Blackboard blackboard, RelayHost lender, TokenRequests requests, MonotonicTime now) {
+      Blackboard blackboard,
+      RelayHost lender,
+      TokenRequests requests,
+      List<RestartNotice> notices,
+      MonotonicTime now) {
     boolean due = requests.urgent() || !lastSentAt.containsKey(lender);
     if (due && !unanswered.containsKey(lender)) {
       unanswered.put(lender, now);
       lastSentAt.put(lender, now);
       blackboard.submit(
-          new SendTokenRequests(lender, settings.host(), requests.requests(), List.of()));
+          new SendTokenRequests(lender, settings.host(), requests.requests(), notices));
     }
   }
 
-  private static void reply(Blackboard blackboard) {
+  /** Returns what a relay tells the relays of other zones. */
+  private static List<RestartNotice> restartNotices(Blackboard blackboard, MonotonicTime now) {
+    return blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY
+        ? SuspectedRestart.notices(blackboard.get(EngineEntries.SUSPECTED_RESTARTS), now)
+        : List.of();
+  }
+
+  private static void reply(Blackboard blackboard, List<RestartNotice> notices) {
     blackboard
         .get(EngineEntries.TOKEN_REPLIES)
-        .forEach((id, reply) -> blackboard.submit(new SendTokenReply(id, reply)));
+        .forEach(
+            (id, reply) ->
+                blackboard.submit(new SendTokenReply(id, reply.withRestartNotices(notices))));
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -28,6 +28,7 @@
 import org.persimmonwalk.engine.control.StoreReading;
 import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.engine.control.SuspectedRestart;
 import org.persimmonwalk.engine.control.ZoneReply;
 import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.engine.control.ZoneRequestEnded;
@@ -160,7 +161,7 @@
                 waitsForPrimary || ColdServers.awaitsList(blackboard),
                 List.of(),
                 unsentLoads(blackboard, now),
-                List.of())));
+                SuspectedRestart.notices(blackboard.get(EngineEntries.OWN_LOSSES), now))));
   }
 
   /** Returns the newest loads of this host, once: the relay would count them twice. */
@@ -220,7 +221,7 @@
         blackboard.get(EngineEntries.TOKEN_LOANS).getOrDefault(received.exchangeId(), List.of()),
         blackboard.get(EngineEntries.FLEET_SIZE),
         report(blackboard.get(EngineEntries.ZONE_LOADS), now),
-        List.of());
+        SuspectedRestart.notices(blackboard.get(EngineEntries.SUSPECTED_RESTARTS), now));
   }
 
   private Map<RowKey, StoredRow> newerRows(Blackboard blackboard, ZoneRequest request) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/ColdServersTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/ColdServersTest.java
@@ -4,10 +4,12 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.ColdServer;
 import org.persimmonwalk.engine.control.ServerConnectionLost;
+import org.persimmonwalk.engine.control.SuspectedRestart;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.BackendServerId;
@@ -116,4 +118,39 @@
 
     assertThat(isCold(1000)).isTrue();
   }
+
+  private void suspect(ServerEntry listed, long process, long lostMillis) {
+    servers.restartSuspected(new SuspectedRestart(ID, process, at(lostMillis)), Map.of(ID, listed));
+  }
+
+  /** Guards against a host without connections that sends before a list shows the restart. */
+  @Test
+  void shouldTreatASuspectedRestartLikeAnOwnLoss() {
+    suspect(process(1, 0), 1, 1000);
+    list(3499, process(1, 0));
+    assertThat(isCold(3499)).isTrue();
+
+    list(3500, process(1, 0));
+    assertThat(isCold(3500)).isFalse();
+  }
+
+  /** Guards against a notice that arrives again after the lists have shown what happened. */
+  @Test
+  void shouldIgnoreASuspectedRestartThatAListHasSettled() {
+    list(3500, process(1, 0));
+    suspect(process(1, 0), 1, 1000);
+    suspect(process(2, 0), 1, 3000);
+
+    assertThat(isCold(3500)).isFalse();
+  }
+
+  /** Guards against a process that no list shows, as in a notice of a host with a wrong entry. */
+  @Test
+  void shouldEndTheSuspicionOfAProcessThatIsNeverListed() {
+    suspect(process(1, 0), 9, 1000);
+    assertThat(isCold(1000)).isTrue();
+    list(3500, process(1, 0));
+
+    assertThat(isCold(3500)).isFalse();
+  }
 }
