Report a lost server at once, and ask the relay more often for half a second

Between two requests to the relay pass 250 ms, and the relay needs the reports of two hosts. A host that lost all connections to a server now sends its next request at once and further ones every 100 ms, like one that waits for a primary, until the loss is 0.5 s old. Hosts without a loss still ask every 250 ms.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,12 @@
   /** The interval while a group has no primary, or a large configuration is arriving. */
   static final Duration URGENT_INTERVAL = Duration.ofMillis(100);
 
+  /**
+   * How long after it lost its connections to a server a host asks more often: the reports of the
+   * other hosts, which tell of further servers, reach the relay meanwhile.
+   */
+  private static final Duration LOSS_URGENCY = Duration.ofMillis(500);
+
   /**
    * Each request has its own timeout. This one covers an answer that is lost inside this process,
    * which must not stop the exchange for good.
@@ -97,7 +104,8 @@
                 EngineEntries.STORE_ERA,
                 EngineEntries.REMEMBERED_ROWS,
                 EngineEntries.VERIFIED_AT,
-                EngineEntries.PRIMARIES));
+                EngineEntries.PRIMARIES,
+                EngineEntries.OWN_LOSSES));
   }
 
   @Override
@@ -111,9 +119,20 @@
     if (hasPlannedSwitch) {
       return NextRun.inNextRound(now);
     }
-    boolean isUrgent = waitsForPrimary(blackboard, now) || awaitsConfiguration(blackboard);
-    Duration pause = isUrgent ? URGENT_INTERVAL : exchangeInterval;
-    return NextRun.at(requestSentAt.plus(inFlight ? LOST_ANSWER_TIMEOUT : pause));
+    return NextRun.at(requestSentAt.plus(inFlight ? LOST_ANSWER_TIMEOUT : pause(blackboard, now)));
+  }
+
+  /** Returns the time from the last request to the next one. */
+  private Duration pause(Blackboard blackboard, MonotonicTime now) {
+    Collection<SuspectedRestart> losses = blackboard.get(EngineEntries.OWN_LOSSES).values();
+    if (losses.stream().anyMatch(loss -> loss.lostAt().isAfter(requestSentAt))) {
+      return Duration.ZERO;
+    }
+    boolean hasRecentLoss =
+        losses.stream().anyMatch(loss -> now.since(loss.lostAt()).compareTo(LOSS_URGENCY) < 0);
+    boolean isUrgent =
+        hasRecentLoss || waitsForPrimary(blackboard, now) || awaitsConfiguration(blackboard);
+    return isUrgent ? URGENT_INTERVAL : exchangeInterval;
   }
 
   /** Returns the relay named in the store even while it fails, so that its recovery is noticed. */
@@ -134,9 +153,7 @@
     boolean isNewRelay = lastRelay.filter(relay::equals).isEmpty();
     boolean overdue = now.since(requestSentAt).compareTo(LOST_ANSWER_TIMEOUT) > 0;
     boolean waitsForPrimary = waitsForPrimary(blackboard, now);
-    Duration pause =
-        waitsForPrimary || awaitsConfiguration(blackboard) ? URGENT_INTERVAL : exchangeInterval;
-    boolean due = isNewRelay || now.since(requestSentAt).compareTo(pause) >= 0;
+    boolean due = isNewRelay || now.since(requestSentAt).compareTo(pause(blackboard, now)) >= 0;
     if (!due || (inFlight && !overdue && !isNewRelay)) {
       return;
     }
