Send nothing to a server while the notice of its restart spreads

Until a notice reaches them, hosts without a connection to a restarted server send as to a warm one. The relays sent their parts in the same second. They now begin 1.4 s after the loss: the notice has reached the other hosts by then, and what these sent has left the window. Transactions of a relay wait as for their part of a second.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ColdServerGate.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ColdServerGate.java
@@ -14,6 +14,7 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.ServerConnectionLost;
+import org.persimmonwalk.engine.control.SuspectedRestart;
 import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.model.MonotonicTime;
@@ -32,6 +33,13 @@
   /** Pause before a statement that has to wait for its part of a second is tried again. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(15);
 
+  /**
+   * How long after the loss of its connections a server gets nothing: until its notice has reached
+   * all hosts (an exchange of the reporting host after 0.1 s and one of each other host after 0.25
+   * s, each with a reply), and what they sent before has left the window.
+   */
+  private static final Duration QUIET_TIME = Duration.ofMillis(400).plus(ColdBudget.WINDOW);
+
   private final TrafficContext context;
   private final Optional<ColdBounds> bounds;
   private final Duration restartVisibleAfter;
@@ -81,12 +89,31 @@
         : Optional.of(bounds.get().zonePart(settings, context.settings().zones().size()));
   }
 
+  /**
+   * Returns whether hosts that do not know of a suspected restart yet may have sent requests within
+   * the window. Theirs and those of this host together would exceed the bound.
+   */
+  private boolean isNoticeSpreading(BackendServerId server) {
+    MonotonicTime now = context.now();
+    SuspectedRestart suspected = context.entry(EngineEntries.SUSPECTED_RESTARTS).get(server);
+    return (suspected != null && now.since(suspected.lostAt()).compareTo(QUIET_TIME) < 0)
+        || signs
+            .lastReportedAt(server)
+            .filter(at -> now.since(at).compareTo(QUIET_TIME) < 0)
+            .isPresent();
+  }
+
+  /** Returns how many requests this host may send to the cold server in the present second. */
+  private int limitNow(ServerEntry server) {
+    return isNoticeSpreading(server.id()) ? 0 : limit(server.group());
+  }
+
   /** Returns how many requests this host may send to a cold server of the group in a second. */
   private int limit(DatabaseGroupId group) {
     return context.coldRole().maySend(context.now()) ? zonePart(group).orElse(0) : 0;
   }
 
-  /** Returns whether this host may send statements to the server, now or within a second. */
+  /** Returns whether this host may send statements to the server, now or soon. */
   boolean hasPart(ServerEntry server) {
     return !isCold(server) || limit(server.group()) > 0;
   }
@@ -94,7 +121,7 @@
   /** Returns whether this host may send a statement to the server now. */
   boolean maySend(ServerEntry server) {
     return !isCold(server)
-        || window(server).hasRoom(ColdBudget.forStatements(limit(server.group())), context.now());
+        || window(server).hasRoom(ColdBudget.forStatements(limitNow(server)), context.now());
   }
 
   /**
@@ -116,12 +143,12 @@
 
   /** Counts a statement and returns true, or returns false if it must not be sent. */
   boolean admitStatement(ServerEntry server) {
-    return admit(server, ColdBudget.forStatements(limit(server.group())));
+    return admit(server, ColdBudget.forStatements(limitNow(server)));
   }
 
   /** Counts a status request and returns true, or returns false if it must not be sent. */
   boolean admitStatusRequest(ServerEntry server) {
-    return admit(server, limit(server.group()));
+    return admit(server, limitNow(server));
   }
 
   private boolean admit(ServerEntry server, int limit) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RestartSigns.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RestartSigns.java
@@ -57,6 +57,11 @@
     return followsLoss && mayReport(server, now);
   }
 
+  /** Returns when the last loss that suggested a restart of the server was recorded. */
+  Optional<MonotonicTime> lastReportedAt(BackendServerId server) {
+    return Optional.ofNullable(reportedAt.get(server));
+  }
+
   private boolean mayReport(BackendServerId server, MonotonicTime now) {
     MonotonicTime last = reportedAt.get(server);
     if (last != null && now.since(last).compareTo(PAUSE) < 0) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/RestartNoticeTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/RestartNoticeTest.java
@@ -1,21 +1,30 @@
 package org.persimmonwalk.internal.engine.traffic;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.persimmonwalk.internal.engine.traffic.ColdScenario.BOUND;
+import static org.persimmonwalk.internal.engine.traffic.ColdScenario.OTHER_REPLICA;
+import static org.persimmonwalk.internal.engine.traffic.ColdScenario.PRIMARY;
 import static org.persimmonwalk.internal.engine.traffic.ColdScenario.REPLICA;
 
 import java.time.Duration;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.ServerConnectionLost;
+import org.persimmonwalk.id.BackendServerId;
 import org.persimmonwalk.internal.engine.traffic.ColdScenario.Load;
+import org.persimmonwalk.model.MonotonicTime;
 
 /** Tests that hosts tell each other of servers that may have restarted. */
 class RestartNoticeTest {
   private static final Statement READ = new Statement.Data(false, "READ x");
+  private static final Statement WRITE = new Statement.Data(true, "WRITE x 1");
 
   /** Two exchanges: of the hosts that lost their connections, and of the others. */
   private static final Duration NOTICE_TIME = Duration.ofMillis(400);
@@ -43,6 +52,60 @@
         .count();
   }
 
+  private static int busiestSecondAfterRestarts(ColdScenario scenario, Runnable disturbance) {
+    List<Load> loads = scenario.loadOnAllHosts(RouteKind.BOUNDED_STALENESS, READ);
+    scenario.run(loads, Duration.ofSeconds(1));
+    disturbance.run();
+    MonotonicTime restartedAt = scenario.fixture.clock.now();
+    List<BackendServerId> servers = List.of(PRIMARY, REPLICA, OTHER_REPLICA);
+    servers.forEach(scenario::restartUnseen);
+    scenario.run(loads, Duration.ofSeconds(8));
+    return servers.stream()
+        .mapToInt(server -> scenario.busiestSecond(server, restartedAt))
+        .max()
+        .orElseThrow();
+  }
+
+  /** Guards against a burst of the hosts that had no connection to a server that restarted. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 60, 130, 190, 240})
+  void shouldKeepTheBoundWhenServersRestartWithoutDowntime(int phaseMillis) {
+    ColdScenario scenario = ColdScenario.limited(30, 3);
+    int busiest =
+        busiestSecondAfterRestarts(
+            scenario, () -> scenario.fixture.run(Duration.ofMillis(phaseMillis)));
+
+    assertThat(busiest).isLessThanOrEqualTo(BOUND);
+  }
+
+  /**
+   * Guards against a burst of the hosts of a zone whose relay is frozen. They learn of the restart
+   * from the relays of other zones, with their requests for tokens.
+   */
+  @Test
+  @Tag("known-red")
+  void shouldKeepTheBoundWhileARelayIsFrozen() {
+    ColdScenario scenario = ColdScenario.limited(30, 3);
+    Engine relay = scenario.relays().get(0);
+    int busiest = busiestSecondAfterRestarts(scenario, () -> scenario.fixture.freeze(relay, true));
+
+    assertThat(busiest).isLessThanOrEqualTo(BOUND);
+  }
+
+  /** Guards against a burst of hosts that begin to use a server just after it has restarted. */
+  @Test
+  @Tag("known-red")
+  void shouldKeepTheBoundForHostsThatHadNoConnection() {
+    ColdScenario scenario = ColdScenario.limited(30, 3);
+    List<Load> loads = scenario.loadOnAllHosts(RouteKind.PRIMARY, WRITE);
+    scenario.run(loads.subList(0, 8), Duration.ofSeconds(2));
+    MonotonicTime restartedAt = scenario.fixture.clock.now();
+    scenario.restartUnseen(PRIMARY);
+    scenario.run(loads, Duration.ofSeconds(5));
+
+    assertThat(scenario.busiestSecond(PRIMARY, restartedAt)).isLessThanOrEqualTo(BOUND);
+  }
+
   /** Guards against a server that hosts avoid, or that they use, longer than after an own loss. */
   @Test
   void shouldAvoidAServerUntilAListShowsTheSameProcess() {
