Load the classes of restart notices at the start of the process

The first notice would otherwise load and link them while a server has just restarted. The rehearsal of the zone messages now contains a notice. Not measured.

--- a/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
+++ b/peer/src/main/java/org/persimmonwalk/peer/zone/ZoneClassPreloader.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.control.RelayHost;
+import org.persimmonwalk.engine.control.RestartNotice;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.SendTokenRequests;
 import org.persimmonwalk.engine.control.ServerList;
@@ -44,6 +45,9 @@
           List.of(
               new ServerLoad(BackendServerId.of("rehearsal"), 1, 1, Duration.ofMillis(1), 1, 1)));
 
+  private static final RestartNotice NOTICE =
+      new RestartNotice(BackendServerId.of("rehearsal"), 1, Duration.ZERO);
+
   private ZoneClassPreloader() {}
 
   /** Encodes and decodes a request and a reply. */
@@ -57,7 +61,7 @@
             false,
             List.of(TOKEN_REQUEST),
             LOADS,
-            List.of());
+            List.of(NOTICE));
     SendTokenRequests tokenRequests =
         new SendTokenRequests(
             new RelayHost(EntryHostId.of("rehearsal"), SocketEndpoint.of("127.0.0.1", 1)),
@@ -78,7 +82,7 @@
             List.of(new TokenLoan(WORKSPACE, 1, false, true, Duration.ZERO)),
             1,
             LOADS,
-            List.of());
+            List.of(NOTICE));
     try {
       byte[] requestBytes = ZoneCodec.encode(1, request).toByteArray();
       byte[] replyBytes = ZoneCodec.encode(1, reply).toByteArray();
