--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenReply.java
@@ -5,9 +5,10 @@
 /**
  * A lender's reply to the token requests of a host.
  *
- * @param lends false if the replying host can't lend: it is not the relay of its zone, is about to
- *     stop, or has lost the store and has no tokens left
- * @param loans the tokens lent, one loan for each request
+ * @param lends false if the replying host can't take tokens from the store: it has lost the store,
+ *     is not the relay of its zone, or is about to stop
+ * @param loans the tokens lent, one loan for each request; none if it is not the relay or is about
+ *     to stop
  */
 public record TokenReply(boolean lends, List<TokenLoan> loans) {
 
@@ -16,6 +17,11 @@
     loans = List.copyOf(loans);
   }
 
+  /** Returns whether the reply is that of a lender, which may still have tokens of its own. */
+  public boolean isOfLender() {
+    return lends || !loans.isEmpty();
+  }
+
   /** Returns the reply of a host that can't lend. */
   public static TokenReply notLender() {
     return new TokenReply(false, List.of());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
@@ -21,6 +21,15 @@
    */
   static final double RESERVED_PART = 0.4;
 
+  /**
+   * The largest part of the rate with which the holders refill their pools themselves. The rest
+   * goes to the bucket, so that another lender finds tokens at once when one is lost.
+   */
+  static final double LARGEST_REFILL = 0.7;
+
+  /** Covers demand that rises, and tokens that hosts have spent but not yet reported. */
+  private static final double REFILL_OF_DEMAND = 1.25;
+
   private final EngineSettings settings;
   private final DecisionLog log;
   private Optional<MonotonicTime> startedAt = Optional.empty();
@@ -58,6 +67,7 @@
       WorkspaceId workspace,
       TokenPool pool,
       RateLimit limit,
+      boolean isRelay,
       StoreTime time,
       MonotonicTime now) {
     pool.startRecording(now);
@@ -87,12 +97,37 @@
         available < wanted
             && allDemand > limit.perSecond()
             && row.heldByAll() + pool.spendable(now) + taken <= limit.perSecond();
+    boolean mayRefill =
+        isRelay
+            && blackboard.get(EngineEntries.STORE_ERA).isKnown()
+            && stored.atMillis() <= time.latest(now);
+    double refill = mayRefill ? refill(demand, share, limit, row.refillPerSecond(storeMillis)) : 0;
+    pool.startRecordingRefill(refill);
     RateRow after =
         row.taken(
             settings.host(),
             taken,
-            new RateRow.Holding(held + taken, time.latest(now), pool.hosts(now), demand));
-    return new Acquisition(taken, scarce, after);
+            new RateRow.Holding(held + taken, time.latest(now), pool.hosts(now), demand, refill));
+    return new Acquisition(taken, scarce, refill, pool.held() + taken, after);
+  }
+
+  /**
+   * Returns the part of their refill that holders keep when the limit changes. All holders lower
+   * theirs alike, so that together they stay within their part of the new rate.
+   */
+  static double refillKept(RateLimit before, RateLimit after) {
+    if (before == null || after == null) {
+      return 0;
+    }
+    return Math.min(1, after.perSecond() / before.perSecond());
+  }
+
+  /** Returns the part of the rate that the pool adds itself, in the precision of the row. */
+  private static double refill(double demand, double share, RateLimit limit, double byOthers) {
+    double largest = limit.perSecond() * LARGEST_REFILL;
+    double refill =
+        Math.min(demand * REFILL_OF_DEMAND, Math.min(largest * share, largest - byOthers));
+    return RateRow.roundedDown(Math.max(0, refill));
   }
 
   private void logIfUnreadable(Blackboard blackboard, WorkspaceId workspace, long storeMillis) {
@@ -118,6 +153,12 @@
     }
   }
 
-  /** The tokens to take and the row after the call. */
-  record Acquisition(long tokens, boolean scarce, RateRow row) {}
+  /**
+   * The tokens to take and the row after the call.
+   *
+   * @param refillPerSecond the tokens per second that the pool adds itself
+   * @param heldAfter the tokens that the row records for this process
+   */
+  record Acquisition(
+      long tokens, boolean scarce, double refillPerSecond, long heldAfter, RateRow row) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
@@ -206,7 +206,7 @@
     RelayHost lender = ended.command().lender();
     Record record = records.computeIfAbsent(lender, unused -> new Record(now));
     Optional<TokenReply> reply = ended.reply();
-    if (reply.filter(TokenReply::lends).isPresent()) {
+    if (reply.filter(TokenReply::isOfLender).isPresent()) {
       record.endedAt = now;
       record.failures = 0;
       record.leftOutUntil = now;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
@@ -30,6 +30,7 @@
   private static final Duration LONGEST_REPLY_TIME = Duration.ofMillis(450);
 
   private final EngineSettings settings;
+  private final UnableLenders unable = new UnableLenders();
   private Map<AvailabilityZone, RelayHost> reachable = Map.of();
   private final Map<RelayHost, ReplyTimes> replyTimes = new HashMap<>();
   private Set<RelayHost> slow = Set.of();
@@ -38,6 +39,7 @@
   private int fleetSize;
   private boolean mayBorrow;
   private MonotonicTime startedAt;
+  private MonotonicTime now;
 
   PoolLenders(EngineSettings settings) {
     this.settings = settings;
@@ -49,16 +51,18 @@
   }
 
   /** Reads who can lend now. */
-  void update(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
+  void update(Blackboard blackboard, MonotonicTime time, MonotonicTime resumedAt) {
+    now = time;
     startedAt = startedAt == null ? now : startedAt;
     mayBorrow =
         blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY
-            && knowsItsLoans(now, resumedAt);
+            && knowsItsLoans(resumedAt);
     reachable = blackboard.get(EngineEntries.LENDERS);
     blackboard
         .observations(TokenRequestsEnded.class)
         .filter(ended -> ended.reply().isPresent())
         .forEach(ended -> record(ended.command().lender(), ended.endedAt().since(ended.sentAt())));
+    blackboard.observations(TokenRequestsEnded.class).forEach(ended -> unable.record(ended, now));
     replyTimes.keySet().removeIf(lender -> !reachable.containsValue(lender));
     slow = blackboard.get(EngineEntries.SLOW_LENDERS);
     Set<RelayHost> unanswered =
@@ -84,7 +88,7 @@
    * previous process, or it before a suspension, may have lent tokens that it does not know of; if
    * it told the owner that it held none, the owner would take them back too early.
    */
-  boolean knowsItsLoans(MonotonicTime now, MonotonicTime resumedAt) {
+  private boolean knowsItsLoans(MonotonicTime resumedAt) {
     MonotonicTime since = resumedAt.isAfter(startedAt) ? resumedAt : startedAt;
     return now.since(since).compareTo(TokenPool.MAX_LOAN_DURATION) > 0;
   }
@@ -103,7 +107,9 @@
     AvailabilityZone owner = LenderChoice.owner(workspace, settings);
     return owner.equals(settings.zone())
         ? Optional.empty()
-        : Optional.ofNullable(reachable.get(owner)).filter(host -> isSuitable(host, isUrgent));
+        : Optional.ofNullable(reachable.get(owner))
+            .filter(host -> isSuitable(host, isUrgent))
+            .filter(host -> !unable.contains(workspace, host, now));
   }
 
   /**
@@ -111,14 +117,17 @@
    * of all tokens lent by itself, it asks for those of a large workspace in its own zone only: a
    * lender in the owner zone may still count them as held by this host.
    */
-  Map<AvailabilityZone, RelayHost> mayAsk(
-      WorkspaceId workspace, MonotonicTime now, MonotonicTime resumedAt) {
+  Map<AvailabilityZone, RelayHost> mayAsk(WorkspaceId workspace, MonotonicTime resumedAt) {
     boolean isLarge = LenderChoice.isLarge(limits.get(workspace), settings, fleetSize);
-    if (!isLarge || knowsItsLoans(now, resumedAt)) {
-      return reachable;
-    }
-    RelayHost own = reachable.get(settings.zone());
-    return own == null ? Map.of() : Map.of(settings.zone(), own);
+    boolean isOwnZoneOnly = isLarge && !knowsItsLoans(resumedAt);
+    Map<AvailabilityZone, RelayHost> lenders = new HashMap<>(reachable);
+    lenders
+        .entrySet()
+        .removeIf(
+            entry ->
+                (isOwnZoneOnly && !entry.getKey().equals(settings.zone()))
+                    || unable.contains(workspace, entry.getValue(), now));
+    return lenders;
   }
 
   /** Returns whether a request to the lender is under way; another one must wait for its reply. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -294,7 +294,7 @@
           WorkspaceTokens tokens = workspaces.get(workspace);
           if (tokens.needsTokens(now) && limits.containsKey(workspace)) {
             Set<RelayHost> avoided = tokens.isUrgent(now) ? slow : Set.of();
-            lender(workspace, role, poolLenders.mayAsk(workspace, now, resumedAt), avoided)
+            lender(workspace, role, poolLenders.mayAsk(workspace, resumedAt), avoided)
                 .ifPresent(host -> lenders.put(workspace, host));
           }
         });
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateRow.java
@@ -39,6 +39,13 @@
   private static final double TOLERANCE_USED = 0.8;
 
   private static final double MILLIS_PER_SECOND = 1000.0;
+
+  /** All tokens that holders of whom no row tells may add to their pools, in time of the rate. */
+  private static final long UNKNOWN_REFILL_MILLIS =
+      (long)
+          (AcquisitionPlanner.LARGEST_REFILL
+              * (PoolRefill.VALIDITY.toMillis() + EXPIRY_SLACK_MILLIS));
+
   private static final double TENTHS = 10.0;
   private static final String SEPARATOR = " ";
   private static final int HEADER_PARTS = 2;
@@ -48,6 +55,11 @@
 
   private static final int HOLDING_PARTS = 5;
 
+  /**
+   * Separates the demand of a holder from its refill; a holder without refill has no second part.
+   */
+  private static final String REFILL_SEPARATOR = "/";
+
   /** No row that a host wrote has more tokens or demand; sums of this many can't overflow. */
   private static final double MAX_TOKENS = 1e12;
 
@@ -64,8 +76,21 @@
    *
    * @param hosts the number of hosts that share them, the holder included
    * @param demand the operations per second that these hosts see
+   * @param refillPerSecond the tokens per second that the holder adds itself, up to the tokens
+   *     recorded here; the bucket is not refilled with them
    */
-  record Holding(long tokens, long takenAtMillis, int hosts, double demand) {
+  record Holding(
+      long tokens, long takenAtMillis, int hosts, double demand, double refillPerSecond) {
+    /** Returns until when the holder may refill its pool, in milliseconds of the store's clock. */
+    private long refillEndMillis() {
+      return takenAtMillis + PoolRefill.VALIDITY.toMillis() + EXPIRY_SLACK_MILLIS;
+    }
+
+    private double refilledBetween(long fromMillis, long toMillis) {
+      long elapsed = Math.max(0, Math.min(toMillis, refillEndMillis()) - fromMillis);
+      return refillPerSecond * elapsed / MILLIS_PER_SECOND;
+    }
+
     boolean hasExpired(long storeMillis) {
       return takenAtMillis + EngineTimings.TOKEN_VALIDITY.toMillis() + EXPIRY_SLACK_MILLIS
           < storeMillis;
@@ -79,12 +104,17 @@
   /**
    * Parses the row. A row that doesn't exist is a bucket that holds the burst. One that can't be
    * read is an empty bucket: hosts may still hold up to the capacity, and with an empty bucket they
-   * admit no more than the limit even so.
+   * admit no more than the limit even so. They may also refill their pools for a while, so the
+   * bucket is not refilled for as long as that takes.
    */
   static RateRow parse(StoredRow row, RateLimit limit, long storeMillis) {
-    return row.exists()
-        ? read(row, storeMillis).orElse(new RateRow(0, storeMillis, Map.of()))
-        : new RateRow(limit.burst(), storeMillis, Map.of());
+    if (!row.exists()) {
+      return new RateRow(limit.burst(), storeMillis, Map.of());
+    }
+    // Without an era no host refills its pool.
+    long unknownRefill = row.version().era().isKnown() ? UNKNOWN_REFILL_MILLIS : 0;
+    return read(row, storeMillis)
+        .orElseGet(() -> new RateRow(0, storeMillis + unknownRefill, Map.of()));
   }
 
   /**
@@ -99,14 +129,17 @@
   /**
    * Returns the bucket after the store came back from a copy, for a row that nobody has written
    * since. It was empty when the era was settled, because hosts may hold all the tokens that the
-   * row of the copy still has; with an empty bucket they admit no more than the limit even so. The
-   * holdings are those that are known.
+   * row of the copy still has; with an empty bucket they admit no more than the limit even so. They
+   * may also refill their pools for a while, so the bucket is not refilled for as long as that
+   * takes. The holdings are those that are known.
    *
    * @param known the newest content of the row that is known
    */
   static RateRow afterReturn(StoredRow known, long settledAtMillis, long storeMillis) {
     return new RateRow(
-        0, settledAtMillis, read(known, storeMillis).map(RateRow::holdings).orElse(Map.of()));
+        0,
+        settledAtMillis + UNKNOWN_REFILL_MILLIS,
+        read(known, storeMillis).map(RateRow::holdings).orElse(Map.of()));
   }
 
   /** Returns whether the row was written in the era in which it was read. */
@@ -145,13 +178,15 @@
     }
     Map<EntryHostId, Holding> holdings = new TreeMap<>();
     for (int i = header; i < parts.length; i += HOLDING_PARTS) {
+      String[] rates = parts[i + 4].split(REFILL_SEPARATOR, 2);
       holdings.put(
           EntryHostId.ofExternal(parts[i]),
           new Holding(
               (long) inRange(Long.parseLong(parts[i + 1]), MAX_TOKENS),
               (long) inRange(Long.parseLong(parts[i + 2]), storeMillis + MAX_LEAD_MILLIS),
               (int) inRange(Integer.parseInt(parts[i + 3]), MAX_HOSTS),
-              inRange(Double.parseDouble(parts[i + 4]), MAX_TOKENS)));
+              inRange(Double.parseDouble(rates[0]), MAX_TOKENS),
+              rates.length > 1 ? inRange(Double.parseDouble(rates[1]), MAX_TOKENS) : 0));
     }
     return new RateRow(
         inRange(Double.parseDouble(parts[0]), Double.MAX_VALUE),
@@ -185,6 +220,25 @@
         .sum();
   }
 
+  /** Returns the tokens per second that holders add to their pools themselves. */
+  double refillPerSecond(long storeMillis) {
+    return holdings.values().stream()
+        .filter(holding -> storeMillis < holding.refillEndMillis())
+        .mapToDouble(Holding::refillPerSecond)
+        .sum();
+  }
+
+  /** Returns what a holder that has just written the row can expect of the bucket. */
+  BucketForecast forecast(RateLimit limit, double room) {
+    double byHolders = holdings.values().stream().mapToDouble(Holding::refillPerSecond).sum();
+    return new BucketForecast(tokens, Math.max(0, limit.perSecond() - byHolders), room);
+  }
+
+  /** Returns the value in the precision in which rows keep rates. */
+  static double roundedDown(double perSecond) {
+    return Math.floor(perSecond * TENTHS) / TENTHS;
+  }
+
   /** Returns how many tokens may exist at once, in the bucket and held by hosts together. */
   static double capacity(RateLimit limit, EngineSettings settings) {
     double window = limit.perSecond() * settings.rateWindow().toMillis() / MILLIS_PER_SECOND;
@@ -201,7 +255,12 @@
     valid.remove(self);
     valid.values().removeIf(holding -> holding.hasExpired(storeMillis));
     long elapsed = Math.max(0, storeMillis - atMillis);
-    double filled = tokens + limit.perSecond() * elapsed / MILLIS_PER_SECOND;
+    double byHolders =
+        holdings.values().stream()
+            .mapToDouble(holding -> holding.refilledBetween(atMillis, storeMillis))
+            .sum();
+    double refilled = limit.perSecond() * elapsed / MILLIS_PER_SECOND - byHolders;
+    double filled = tokens + Math.max(0, refilled);
     return new RateRow(filled, Math.max(atMillis, storeMillis), valid)
         .capped(capacity(limit, settings), 0);
   }
@@ -255,7 +314,9 @@
                 .append(SEPARATOR)
                 .append(holding.hosts())
                 .append(SEPARATOR)
-                .append(Math.round(holding.demand() * TENTHS) / TENTHS));
+                .append(Math.round(holding.demand() * TENTHS) / TENTHS)
+                .append(holding.refillPerSecond() > 0 ? REFILL_SEPARATOR : "")
+                .append(holding.refillPerSecond() > 0 ? holding.refillPerSecond() : ""));
     return text.toString();
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ReceivedTokenRequests.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ReceivedTokenRequests.java
@@ -66,17 +66,12 @@
       request.lend(lender, mayWait);
       if (request.unmet.isEmpty()) {
         i.remove();
-        replies.put(entry.getKey(), reply(request.loans, canTakeTokens));
+        replies.put(entry.getKey(), new TokenReply(canTakeTokens, request.loans));
       }
     }
     return replies;
   }
 
-  private static TokenReply reply(List<TokenLoan> loans, boolean canTakeTokens) {
-    boolean lendsAny = loans.stream().anyMatch(loan -> loan.tokens() > 0 || loan.scarce());
-    return new TokenReply(canTakeTokens || lendsAny, loans);
-  }
-
   /** The requests of one exchange. */
   private final class Pending {
     private final EntryHostId from;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -1,9 +1,6 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
-import java.util.Map;
-import java.util.TreeMap;
-import java.util.stream.Stream;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.id.EntryHostId;
@@ -72,7 +69,8 @@
   private static final Duration RENEW_LOAN_BEFORE = Duration.ofMillis(1300);
 
   private final StockRule stock;
-  private final Map<EntryHostId, HostLoan> loans = new TreeMap<>();
+  private final HostLoans loans = new HostLoans();
+  private final PoolRefill refill;
   private long available;
   private long returned;
   private long minimumHeld;
@@ -88,6 +86,7 @@
 
   TokenPool(MonotonicTime now) {
     this.stock = new StockRule(now);
+    this.refill = new PoolRefill(now);
     this.takenAt = now;
     this.loanRequestedAt = now.minus(SCARCE_PAUSE);
     this.validUntil = now;
@@ -108,8 +107,7 @@
       Duration maximumDuration,
       MonotonicTime now,
       MonotonicTime resumedAt) {
-    HostLoan loan = loans.computeIfAbsent(host, unused -> new HostLoan());
-    loan.update(request, now);
+    HostLoan loan = loans.update(host, request, now);
     boolean valid = now.isBefore(validUntil) && !takenAt.isBefore(resumedAt);
     long wanted = request.wanted();
     long fair = available >= wanted * 2 ? wanted : Math.min(wanted, (available + 1) / 2);
@@ -141,12 +139,13 @@
       dropped = available;
       available = 0;
       returned = 0;
+      refill.stop();
     }
     if (takenAt.isBefore(resumedAt)) {
       loans.clear();
     }
-    loans.values().forEach(loan -> loan.dropInTransit(now));
-    loans.values().removeIf(loan -> loan.hasExpired(now));
+    loans.dropExpired(now);
+    available += refill.credit(held(), now);
     return dropped;
   }
 
@@ -157,7 +156,7 @@
 
   boolean needsTokens(MonotonicTime now) {
     boolean isLow = held() < Math.max(target(now), minimumHeld) * REFILL_THRESHOLD;
-    boolean isExpiring = validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
+    boolean isExpiring = refill.isAgeing(now) || validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
     return isActive(now) && (isExhausted() || (stock.isKept() && (isLow || isExpiring)));
   }
 
@@ -171,12 +170,7 @@
 
   /** Returns how many borrowed tokens to hold in total. */
   private long loanTarget(MonotonicTime now) {
-    long hostTargets =
-        loans.values().stream()
-            .filter(loan -> loan.isActive(now))
-            .mapToLong(HostLoan::target)
-            .sum();
-    long target = (long) Math.ceil(demand(now) * SECONDS_BETWEEN_LOANS) + hostTargets;
+    long target = (long) Math.ceil(demand(now) * SECONDS_BETWEEN_LOANS) + loans.targets(now);
     return Math.max(target, minimumHeld);
   }
 
@@ -192,7 +186,7 @@
    */
   TokenRequest request(WorkspaceId workspace, MonotonicTime now) {
     loanRequestedAt = now;
-    loans.values().forEach(HostLoan::startRecording);
+    loans.startRecording();
     long held = held();
     long waiting = isExhausted() ? 1 : 0;
     long wanted =
@@ -203,11 +197,7 @@
 
   /** Returns the tokens lent to other hosts that they may still spend. */
   long lentToOthers(EntryHostId self, MonotonicTime now) {
-    return spendableLoans(
-        loans.entrySet().stream()
-            .filter(entry -> !entry.getKey().equals(self))
-            .map(Map.Entry::getValue),
-        now);
+    return loans.spendableByOthers(self, now);
   }
 
   /** Returns whether a host waits for a token and the pause between store calls is over. */
@@ -224,6 +214,11 @@
     bucket = forecast;
   }
 
+  /** Lowers the refill to the given part because the limit has changed. */
+  void lowerRefill(double part) {
+    refill.lower(part);
+  }
+
   /** Sets whether this host is a lender of the workspace and not only stands in for one. */
   void setLender(boolean lender) {
     stock.setLender(lender);
@@ -235,30 +230,20 @@
 
   /** Returns the number of hosts that have recently requested tokens. */
   int hosts(MonotonicTime now) {
-    return (int) loans.values().stream().filter(loan -> loan.isActive(now)).count();
+    return loans.active(now);
   }
 
   double demand(MonotonicTime now) {
-    return loans.values().stream()
-        .filter(loan -> loan.isActive(now))
-        .mapToDouble(HostLoan::demand)
-        .sum();
+    return loans.demand(now);
   }
 
   long held() {
-    return available + loans.values().stream().mapToLong(HostLoan::held).sum();
+    return available + loans.held();
   }
 
   /** Returns the tokens in the pool and those lent that hosts may still spend. */
   long spendable(MonotonicTime now) {
-    return available + spendableLoans(loans.values().stream(), now);
-  }
-
-  private static long spendableLoans(Stream<HostLoan> loans, MonotonicTime now) {
-    return loans
-        .filter(loan -> now.since(loan.lastRequestAt()).compareTo(MAX_LOAN_DURATION) <= 0)
-        .mapToLong(HostLoan::held)
-        .sum();
+    return available + loans.spendable(now);
   }
 
   /** Returns the tokens lent by the previous process of this host that may still be spent. */
@@ -281,18 +266,10 @@
    * replies slowly, and for the demand until the next call.
    */
   private long target(MonotonicTime now) {
-    long holdingHosts = 0;
-    long hostTargets = 0;
-    for (HostLoan loan : loans.values()) {
-      if (loan.isActive(now)) {
-        holdingHosts += loan.target() > 0 ? 1 : 0;
-        hostTargets += loan.target();
-      }
-    }
     double demand = demand(now);
     return Math.max(
-        (long) Math.ceil(demand * SECONDS_HELD) + holdingHosts,
-        (long) Math.ceil(demand * SECONDS_BETWEEN_CALLS) + hostTargets);
+        (long) Math.ceil(demand * SECONDS_HELD) + loans.holdingInAdvance(now),
+        (long) Math.ceil(demand * SECONDS_BETWEEN_CALLS) + loans.targets(now));
   }
 
   /** Sets how many tokens to hold in total even without demand. */
@@ -337,22 +314,28 @@
   /** Called before the row is written; the write records all tokens that are held now. */
   void startRecording(MonotonicTime now) {
     lastStoreCallAt = now;
-    loans.values().forEach(HostLoan::startRecording);
+    loans.startRecording();
+  }
+
+  /** Called when it is known what the write records as the refill of this pool. */
+  void startRecordingRefill(double perSecond) {
+    refill.startRecording(perSecond, held());
   }
 
   /**
    * Called after the row was written. Adds the tokens taken; the row now records these and all that
    * were held at the time of the write.
    */
-  void grant(long tokens, boolean tokensAreScarce, MonotonicTime startedAt, Duration validity) {
-    available += tokens;
+  void grant(AcquisitionPlanner.Acquisition acquired, MonotonicTime startedAt, Duration validity) {
+    available += acquired.tokens();
+    refill.begin(acquired.refillPerSecond(), acquired.heldAfter(), startedAt);
     returned = 0;
     hasTaken = true;
-    scarce = tokensAreScarce;
+    scarce = acquired.scarce();
     hasUnmetRequest = false;
     takenAt = startedAt;
     validUntil = startedAt.plus(validity);
-    loans.values().forEach(HostLoan::confirmRecorded);
+    loans.confirmRecorded();
   }
 
   /**
@@ -374,8 +357,9 @@
       validUntil = until;
     }
     if (loan.renews()) {
-      loans.values().forEach(HostLoan::confirmRecorded);
+      loans.confirmRecorded();
     }
+    refill.stop();
     scarce = loan.scarce();
     if (usable > 0) {
       available += usable;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -109,6 +109,10 @@
 
   /** Sets the limits and the number of hosts, by which this host lends tokens of a workspace. */
   void setLimits(Map<WorkspaceId, RateLimit> newLimits, int newFleetSize) {
+    pools.forEach(
+        (workspace, pool) ->
+            pool.lowerRefill(
+                AcquisitionPlanner.refillKept(limits.get(workspace), newLimits.get(workspace))));
     limits = newLimits;
     fleetSize = newFleetSize;
     pools.forEach(this::updateLender);
@@ -302,6 +306,7 @@
                       workspace,
                       pools.get(workspace),
                       limits.get(workspace),
+                      isRelay(blackboard),
                       time.get(),
                       now);
               expected.put(key, KnownRows.version(blackboard, key));
@@ -367,17 +372,13 @@
   private void grant(
       WorkspaceId workspace, AcquisitionPlanner.Acquisition acquisition, MonotonicTime startedAt) {
     statistics.add(TokenStatistics.Count.TAKEN, acquisition.tokens());
-    pools
-        .get(workspace)
-        .grant(acquisition.tokens(), acquisition.scarce(), startedAt, EngineTimings.TOKEN_VALIDITY);
+    pools.get(workspace).grant(acquisition, startedAt, EngineTimings.TOKEN_VALIDITY);
     RateLimit limit = limits.get(workspace);
     if (limit != null) {
       // What others hold may expire before this host reads the row again.
       boolean isOnlyHolder = acquisition.row().heldByOthers(settings.host()) == 0;
       double room = isOnlyHolder ? RateRow.capacity(limit, settings) : Double.MAX_VALUE;
-      pools
-          .get(workspace)
-          .setBucket(new BucketForecast(acquisition.row().tokens(), limit.perSecond(), room));
+      pools.get(workspace).setBucket(acquisition.row().forecast(limit, room));
     }
     if (acquisition.scarce()) {
       log.write(
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/UnreadableRowTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/UnreadableRowTest.java
@@ -162,6 +162,22 @@
     assertThat(row.refilled(LIMIT, SETTINGS, SETTINGS.host(), 2500).tokens()).isEqualTo(50);
   }
 
+  /**
+   * Guards against admitting more than the limit while lenders that the row no longer names refill
+   * their pools.
+   */
+  @Test
+  void shouldNotRefillTheBucketOfAnUnreadableRowWhileLendersMayRefillTheirPools() {
+    RateRow row =
+        RateRow.parse(
+            StoredRow.of(StoreVersion.of(StoreEra.of(1), VERSION), "tokens 1000"), LIMIT, 2000);
+    long longest =
+        (long) (PoolRefill.VALIDITY.toMillis() * AcquisitionPlanner.LARGEST_REFILL) + 2000;
+
+    assertThat(row.refilled(LIMIT, SETTINGS, SETTINGS.host(), longest).tokens()).isZero();
+    assertThat(row.refilled(LIMIT, SETTINGS, SETTINGS.host(), 6000).tokens()).isPositive();
+  }
+
   @Provide
   Arbitrary<byte[]> rows() {
     return MutatedInput.of(
