--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
@@ -27,8 +27,11 @@
    */
   static final double LARGEST_REFILL = 0.7;
 
-  /** Covers demand that rises, and tokens that hosts have spent but not yet reported. */
-  private static final double REFILL_OF_DEMAND = 1.25;
+  /**
+   * A pool that holds tokens for this many seconds of demand lasts as long as a refill would, with
+   * the second between two calls. It is not refilled, as what a full pool can't take is lost.
+   */
+  private static final double SECONDS_COVERED = 4;
 
   private final EngineSettings settings;
   private final DecisionLog log;
@@ -91,18 +94,20 @@
     double share = allDemand > 0 ? demand / allDemand : 1.0 / activeHolders;
     long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
     long taken = Math.min(wanted, Math.min(available, fair));
-    // Tokens in stock, here or at other holders, show that the demand is not over the limit: the
-    // average demand is that of several seconds, and the limit may have just been lowered.
-    boolean scarce =
-        available < wanted
-            && allDemand > limit.perSecond()
-            && row.heldByAll() + pool.spendable(now) + taken <= limit.perSecond();
     boolean mayRefill =
         isRelay
+            && held + taken < demand * SECONDS_COVERED
             && blackboard.get(EngineEntries.STORE_ERA).isKnown()
             && stored.atMillis() <= time.latest(now);
-    double refill = mayRefill ? refill(demand, share, limit, row.refillPerSecond(storeMillis)) : 0;
+    double byOthers = row.refillPerSecond(storeMillis);
+    double refill = mayRefill ? refill(demand, share, limit, byOthers) : 0;
     pool.startRecordingRefill(refill);
+    // Tokens in stock or added within a second, here or at other holders, show that the demand is
+    // not over the limit: the average demand is that of several seconds, and the limit may have
+    // just been lowered.
+    double soonHeld = row.heldByAll() + pool.spendable(now) + taken + refill + byOthers;
+    boolean scarce =
+        available < wanted && allDemand > limit.perSecond() && soonHeld <= limit.perSecond();
     RateRow after =
         row.taken(
             settings.host(),
@@ -125,8 +130,7 @@
   /** Returns the part of the rate that the pool adds itself, in the precision of the row. */
   private static double refill(double demand, double share, RateLimit limit, double byOthers) {
     double largest = limit.perSecond() * LARGEST_REFILL;
-    double refill =
-        Math.min(demand * REFILL_OF_DEMAND, Math.min(largest * share, largest - byOthers));
+    double refill = Math.min(demand, Math.min(largest * share, largest - byOthers));
     return RateRow.roundedDown(Math.max(0, refill));
   }
 
