Let a pool refill itself up to its target

A pool that could refill itself only up to what it held at the call did not recover once its hosts held all tokens: in 3 of 16 plays of a calm replay 15 to 18 of 1,592 operations found no token.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
@@ -101,7 +101,12 @@
             && stored.atMillis() <= time.latest(now);
     double byOthers = row.refillPerSecond(storeMillis);
     double refill = mayRefill ? refill(demand, share, limit, byOthers) : 0;
-    pool.startRecordingRefill(refill);
+    long mostHeld = pool.held() + taken;
+    if (refill > 0) {
+      double room = capacity - row.heldByAll() - (row.tokens() - taken) - pool.inherited();
+      mostHeld = Math.max(mostHeld, Math.min(pool.stockTarget(now), (long) room));
+    }
+    pool.startRecordingRefill(refill, mostHeld - taken);
     // Tokens in stock or added within a second, here or at other holders, show that the demand is
     // not over the limit: the average demand is that of several seconds, and the limit may have
     // just been lowered.
@@ -112,8 +117,9 @@
         row.taken(
             settings.host(),
             taken,
-            new RateRow.Holding(held + taken, time.latest(now), pool.hosts(now), demand, refill));
-    return new Acquisition(taken, scarce, refill, pool.held() + taken, after);
+            new RateRow.Holding(
+                mostHeld + pool.inherited(), time.latest(now), pool.hosts(now), demand, refill));
+    return new Acquisition(taken, scarce, refill, mostHeld, after);
   }
 
   /**
@@ -161,8 +167,8 @@
    * The tokens to take and the row after the call.
    *
    * @param refillPerSecond the tokens per second that the pool adds itself
-   * @param heldAfter the tokens that the row records for this process
+   * @param mostHeld the tokens that the row records for this process, up to which it may refill
    */
   record Acquisition(
-      long tokens, boolean scarce, double refillPerSecond, long heldAfter, RateRow row) {}
+      long tokens, boolean scarce, double refillPerSecond, long mostHeld, RateRow row) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolRefill.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolRefill.java
@@ -36,8 +36,8 @@
   }
 
   /**
-   * Returns the tokens to add to the pool. What a full pool can't take is lost, because the row
-   * records no more than what was held at the call.
+   * Returns the tokens to add to the pool. What a full pool can't take is lost: it may hold no more
+   * than the row records.
    *
    * @param held the tokens in the pool and those lent
    */
@@ -58,10 +58,12 @@
   /**
    * Called before a write that records another refill. Until its outcome is known, only what both
    * the row before and the row after allow may be added.
+   *
+   * @param newMostHeld the tokens that the row then records, without those that the write takes
    */
-  void startRecording(double newPerSecond, long held) {
+  void startRecording(double newPerSecond, long newMostHeld) {
     perSecond = Math.min(perSecond, newPerSecond);
-    mostHeld = Math.min(mostHeld, held);
+    mostHeld = Math.min(mostHeld, newMostHeld);
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -155,7 +155,7 @@
   }
 
   boolean needsTokens(MonotonicTime now) {
-    boolean isLow = held() < Math.max(target(now), minimumHeld) * REFILL_THRESHOLD;
+    boolean isLow = held() < stockTarget(now) * REFILL_THRESHOLD;
     boolean isExpiring = refill.isAgeing(now) || validUntil.since(now).compareTo(RENEW_BEFORE) < 0;
     return isActive(now) && (isExhausted() || (stock.isKept() && (isLow || isExpiring)));
   }
@@ -272,6 +272,11 @@
         (long) Math.ceil(demand * SECONDS_BETWEEN_CALLS) + loans.targets(now));
   }
 
+  /** Returns how many tokens to hold in total, also without demand. */
+  long stockTarget(MonotonicTime now) {
+    return Math.max(target(now), minimumHeld);
+  }
+
   /** Sets how many tokens to hold in total even without demand. */
   void setMinimumHeld(long tokens) {
     minimumHeld = stock.isLender() ? tokens : 0;
@@ -283,7 +288,7 @@
    * others got none for seconds.
    */
   void returnExcess(MonotonicTime now) {
-    long needed = (long) Math.ceil(Math.max(target(now), minimumHeld) * EXCESS);
+    long needed = (long) Math.ceil(stockTarget(now) * EXCESS);
     long excess = Math.max(0, Math.min(available, held() - needed));
     available -= excess;
     returned += excess;
@@ -301,7 +306,7 @@
 
   /** Returns how many tokens to take from the store. */
   long wanted(MonotonicTime now) {
-    long missing = stock.isKept() ? Math.max(target(now), minimumHeld) - held() : 0;
+    long missing = stock.isKept() ? stockTarget(now) - held() : 0;
     long soon = Math.round(demand(now)) + (stock.isKept() ? hosts(now) : 0);
     long forWaiting = isExhausted() ? 1 + soon : 0;
     return Math.max(0, Math.max(missing, forWaiting));
@@ -318,8 +323,8 @@
   }
 
   /** Called when it is known what the write records as the refill of this pool. */
-  void startRecordingRefill(double perSecond) {
-    refill.startRecording(perSecond, held());
+  void startRecordingRefill(double perSecond, long mostHeld) {
+    refill.startRecording(perSecond, mostHeld);
   }
 
   /**
@@ -328,7 +333,7 @@
    */
   void grant(AcquisitionPlanner.Acquisition acquired, MonotonicTime startedAt, Duration validity) {
     available += acquired.tokens();
-    refill.begin(acquired.refillPerSecond(), acquired.heldAfter(), startedAt);
+    refill.begin(acquired.refillPerSecond(), acquired.mostHeld(), startedAt);
     returned = 0;
     hasTaken = true;
     scarce = acquired.scarce();
