--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
@@ -21,6 +21,18 @@
    */
   static final double RESERVED_PART = 0.4;
 
+  /**
+   * The largest part of the rate with which the holders refill their pools themselves. The rest
+   * goes to the bucket, so that another lender finds tokens at once when one is lost.
+   */
+  static final double LARGEST_REFILL = 0.7;
+
+  /**
+   * A pool that holds tokens for this many seconds of demand lasts as long as a refill would, with
+   * the second between two calls. It is not refilled, as what a full pool can't take is lost.
+   */
+  private static final double SECONDS_COVERED = 4;
+
   private final EngineSettings settings;
   private final DecisionLog log;
   private Optional<MonotonicTime> startedAt = Optional.empty();
@@ -58,6 +70,7 @@
       WorkspaceId workspace,
       TokenPool pool,
       RateLimit limit,
+      boolean isRelay,
       StoreTime time,
       MonotonicTime now) {
     pool.startRecording(now);
@@ -81,18 +94,50 @@
     double share = allDemand > 0 ? demand / allDemand : 1.0 / activeHolders;
     long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
     long taken = Math.min(wanted, Math.min(available, fair));
-    // Tokens in stock, here or at other holders, show that the demand is not over the limit: the
-    // average demand is that of several seconds, and the limit may have just been lowered.
+    boolean mayRefill =
+        isRelay
+            && held + taken < demand * SECONDS_COVERED
+            && blackboard.get(EngineEntries.STORE_ERA).isKnown()
+            && stored.atMillis() <= time.latest(now);
+    double byOthers = row.refillPerSecond(storeMillis);
+    double refill = mayRefill ? refill(demand, share, limit, byOthers) : 0;
+    long mostHeld = pool.held() + taken;
+    if (refill > 0) {
+      double room = capacity - row.heldByAll() - (row.tokens() - taken) - pool.inherited();
+      mostHeld = Math.max(mostHeld, Math.min(pool.stockTarget(now), (long) room));
+    }
+    pool.startRecordingRefill(refill, mostHeld - taken);
+    // Tokens in stock or added within a second, here or at other holders, show that the demand is
+    // not over the limit: the average demand is that of several seconds, and the limit may have
+    // just been lowered.
+    double soonHeld = row.heldByAll() + pool.spendable(now) + taken + refill + byOthers;
     boolean scarce =
-        available < wanted
-            && allDemand > limit.perSecond()
-            && row.heldByAll() + pool.spendable(now) + taken <= limit.perSecond();
+        available < wanted && allDemand > limit.perSecond() && soonHeld <= limit.perSecond();
     RateRow after =
         row.taken(
             settings.host(),
             taken,
-            new RateRow.Holding(held + taken, time.latest(now), pool.hosts(now), demand));
-    return new Acquisition(taken, scarce, after);
+            new RateRow.Holding(
+                mostHeld + pool.inherited(), time.latest(now), pool.hosts(now), demand, refill));
+    return new Acquisition(taken, scarce, refill, mostHeld, after);
+  }
+
+  /**
+   * Returns the part of their refill that holders keep when the limit changes. All holders lower
+   * theirs alike, so that together they stay within their part of the new rate.
+   */
+  static double refillKept(RateLimit before, RateLimit after) {
+    if (before == null || after == null) {
+      return 0;
+    }
+    return Math.min(1, after.perSecond() / before.perSecond());
+  }
+
+  /** Returns the part of the rate that the pool adds itself, in the precision of the row. */
+  private static double refill(double demand, double share, RateLimit limit, double byOthers) {
+    double largest = limit.perSecond() * LARGEST_REFILL;
+    double refill = Math.min(demand, Math.min(largest * share, largest - byOthers));
+    return RateRow.roundedDown(Math.max(0, refill));
   }
 
   private void logIfUnreadable(Blackboard blackboard, WorkspaceId workspace, long storeMillis) {
@@ -118,6 +163,12 @@
     }
   }
 
-  /** The tokens to take and the row after the call. */
-  record Acquisition(long tokens, boolean scarce, RateRow row) {}
+  /**
+   * The tokens to take and the row after the call.
+   *
+   * @param refillPerSecond the tokens per second that the pool adds itself
+   * @param mostHeld the tokens that the row records for this process, up to which it may refill
+   */
+  record Acquisition(
+      long tokens, boolean scarce, double refillPerSecond, long mostHeld, RateRow row) {}
 }
