--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -40,7 +40,7 @@
   private final Set<BackendServerId> tried = new HashSet<>();
   private final TargetChoice choice;
   private final RetryPolicy retryPolicy;
-  private final FailedReads failedReads = new FailedReads();
+  private final AnswerRecorder answers;
   private Failure lastFailure =
       Failure.of(FailureCode.OVERLOADED, "no server of the database can be used at present");
   private MonotonicTime waitUntil;
@@ -65,6 +65,7 @@
     this.done = done;
     this.choice = new TargetChoice(context, pools, request);
     this.retryPolicy = new RetryPolicy(pools, request);
+    this.answers = new AnswerRecorder(pools, request);
     this.startedAt = context.now();
     this.usualWaitUntil = startedAt.plus(request.connectionWait());
     this.waitUntil = usualWaitUntil;
@@ -242,34 +243,14 @@
       return;
     }
     if (answer.succeeded()) {
-      used.pool().recordSuccess(sentAt, now);
-      pools.urgency().recordAnswer(used.server(), request.route(), now.since(sentAt));
-      failedReads.repetitionSucceeded();
-      if (onPrimary) {
-        answer
-            .position()
-            .ifPresent(position -> pools.positionSeen(used.server(), position, sentAt));
-      }
+      answers.recordSuccess(used, onPrimary, answer, sentAt, now);
       finish(new ExecutionOutcome(answer, Optional.of(used), onPrimary));
       return;
     }
     FailureCode code = answer.failure().orElseThrow().code();
-    if (code == FailureCode.BEHIND) {
-      used.pool().health().recordBehind(now);
-    }
-    if (code == FailureCode.OVERLOADED && !pools.coldServers().isCold(used.server())) {
-      pools.urgency().recordFullQueue(used.server());
-    }
-    if (code == FailureCode.OVERLOADED && !request.writes()) {
-      used.pool().recordRefusal(sentAt);
-    }
-    boolean failedRead = code == FailureCode.FAILED && !request.writes();
-    if (failedRead) {
-      used.pool().health().recordReadFailure(now);
-      failedReads.add(used.pool(), sentAt);
-    }
+    answers.recordFailure(used, code, sentAt, now);
     boolean repeatable =
-        code.guaranteesNoEffect() || code == FailureCode.UNKNOWN_NAME || failedRead;
+        code.guaranteesNoEffect() || code == FailureCode.UNKNOWN_NAME || answers.isFailedRead(code);
     if (code == FailureCode.UNKNOWN_NAME) {
       used.discardAsReset(request.id());
     } else if (answer.state() == SessionState.IDLE) {
