Add up for how long the host has been suspended

The monotonic clock stands still during a suspension, so an age taken from it is too low by that time. SuspensionDetector adds up the steps that it counts as suspensions; deadlines of operations need the sum.

--- a/engine/src/main/java/org/persimmonwalk/engine/SuspensionDetector.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/SuspensionDetector.java
@@ -17,6 +17,7 @@
   private final LongSupplier wallClockMillis;
   private final long toleranceMillis;
   private long offsetMillis;
+  private long suspendedMillis;
   private MonotonicTime resumedAt;
   private Runnable listener = () -> {};
 
@@ -53,12 +54,22 @@
     long offset = offset(now);
     if (offset - offsetMillis > toleranceMillis) {
       resumedAt = now;
+      suspendedMillis += offset - offsetMillis;
       listener.run();
     }
     offsetMillis = offset;
     return resumedAt;
   }
 
+  /**
+   * Returns for how long the host has been suspended in all since the creation of this detector:
+   * the time that the monotonic clock has missed.
+   */
+  public synchronized Duration suspendedTime() {
+    lastResumedAt();
+    return Duration.ofMillis(suspendedMillis);
+  }
+
   private long offset(MonotonicTime now) {
     return wallClockMillis.getAsLong() - now.nanoseconds() / NANOS_PER_MILLI;
   }
--- a/engine/src/test/java/org/persimmonwalk/engine/SuspensionDetectorTest.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/SuspensionDetectorTest.java
@@ -43,4 +43,15 @@
 
     assertThat(detector.lastResumedAt()).isEqualTo(clock.now());
   }
+
+  /** Guards against deadlines that leave out the time for which the host was suspended. */
+  @Test
+  void shouldAddUpTheTimeOfAllSuspensions() {
+    pass(1_000, 6_000);
+    assertThat(detector.suspendedTime()).isEqualTo(Duration.ofMillis(5_000));
+    pass(1_000, 1_200);
+    pass(1_000, 1_700);
+
+    assertThat(detector.suspendedTime()).isEqualTo(Duration.ofMillis(5_900));
+  }
 }
