Give the waits and the statement of an operation one deadline

An operation could wait for a token for half of its deadline and then had the whole statement timeout for its statement; a transaction's first statement had one timeout to begin on the server, one for the set-up and one to run. Callers give up at the deadline, so much of this ran for nobody.

The deadline now counts from the arrival of an operation at the host. The wait in its session, for a token, in a hold and for a connection, the set-up and the statement share it. What was never sent by then is refused as not run; writes that were sent stay OUTCOME_UNKNOWN. DeadlineTimers sets the timers anew after a suspension, since the monotonic clock stands still meanwhile.

--- a/engine/src/main/java/org/persimmonwalk/engine/Route.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Route.java
@@ -6,7 +6,8 @@
 /**
  * The database group that statements for a database name go to, with their consistency and limits.
  *
- * @param statementTimeout the maximum time for one statement
+ * @param statementTimeout the deadline of an operation: the maximum time from its arrival to its
+ *     answer, with its waits for a token, in a hold and for a connection
  * @param latencyTarget the time within which a whole operation should be answered
  * @param priority the priority of waiting for a connection; 0 is the highest
  * @param maximumStaleness reads may miss commits younger than this; zero on primary routes
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ExecutionRequest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import org.persimmonwalk.engine.BackendStatement;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.RouteKind;
@@ -13,6 +14,7 @@
 /**
  * A statement, or the start of a transaction, that is to run on a backend server.
  *
+ * @param deadline when it must be answered, counted from the arrival of its operation
  * @param needsPrimary whether only the primary may run it
  * @param begins whether it starts a transaction that the caller has begun, so that it is not held
  * @param isStillAdmitted whether the caller's key still admits it, for a request that has waited
@@ -25,6 +27,7 @@
     RequestId id,
     WorkspaceId workspace,
     Route route,
+    OperationDeadline deadline,
     SessionStatement statement,
     boolean needsPrimary,
     boolean begins,
@@ -35,6 +38,23 @@
   /** A request may wait for a connection for the latency target divided by this. */
   private static final int WAIT_DIVISOR = 2;
 
+  /** Returns the request that begins the transaction of a session on a server. */
+  static ExecutionRequest ofBegin(
+      Session session, Route route, boolean readOnly, OperationDeadline deadline) {
+    return new ExecutionRequest(
+        RequestId.INTERNAL,
+        session.workspace(),
+        route,
+        deadline,
+        SessionStatement.of(new BackendStatement.Begin(readOnly)),
+        !readOnly || route.kind() == RouteKind.PRIMARY,
+        true,
+        session::isStillAdmitted,
+        false,
+        session.minimumPosition(route),
+        Map.copyOf(session.variables()));
+  }
+
   DatabaseGroupId group() {
     return route.group();
   }
@@ -45,10 +65,6 @@
     return Duration.ofNanos(route.latencyTarget().toNanos() / WAIT_DIVISOR);
   }
 
-  Duration timeout() {
-    return route.statementTimeout();
-  }
-
   Duration staleness() {
     return route.kind() == RouteKind.PRIMARY ? Duration.ZERO : route.maximumStaleness();
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/FailedStatement.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/FailedStatement.java
@@ -10,7 +10,7 @@
  * A statement that was answered with a failure, for the log.
  *
  * @param servers the servers that were tried
- * @param age the time since the statement arrived
+ * @param age the time since the arrival of the operation
  */
 record FailedStatement(
     ExecutionRequest request,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
@@ -18,12 +18,14 @@
  */
 final class RateLimiter {
   private final TrafficContext context;
+  private final DeadlineTimers deadlines;
   private final Map<WorkspaceId, Spent> spent = new HashMap<>();
   private final Map<WorkspaceId, Integer> unreported = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
 
-  RateLimiter(TrafficContext context) {
+  RateLimiter(TrafficContext context, DeadlineTimers deadlines) {
     this.context = context;
+    this.deadlines = deadlines;
   }
 
   /**
@@ -42,10 +44,11 @@
       onDecision.accept(Admission.OVER_LIMIT);
       return;
     }
-    Waiter waiter = new Waiter(workspace, onDecision);
+    OperationDeadline waitUntil = Arrival.now(context).deadline(longestWait);
+    Waiter waiter = new Waiter(workspace, waitUntil, onDecision);
     waiters.add(waiter);
     report(workspace);
-    context.scheduler().schedule(longestWait, () -> timeOut(waiter));
+    deadlines.schedule(waitUntil, () -> timeOut(waiter));
   }
 
   private boolean isOverLimit(WorkspaceId workspace, MonotonicTime now) {
@@ -63,7 +66,9 @@
     }
     MonotonicTime now = context.now();
     for (Waiter waiter : List.copyOf(waiters)) {
-      if (trySpend(waiter.workspace(), now)) {
+      if (waiter.waitUntil().hasPassed(context)) {
+        timeOut(waiter);
+      } else if (trySpend(waiter.workspace(), now)) {
         waiters.remove(waiter);
         reportIfExhausted(waiter.workspace());
         waiter.onDecision().accept(Admission.ADMITTED);
@@ -147,5 +152,6 @@
     private static final Spent NOTHING = new Spent(0, 0);
   }
 
-  private record Waiter(WorkspaceId workspace, Consumer<Admission> onDecision) {}
+  private record Waiter(
+      WorkspaceId workspace, OperationDeadline waitUntil, Consumer<Admission> onDecision) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -27,6 +27,7 @@
   private final TrafficContext context;
   private final ColdServerGate coldServers;
   private final UrgencyGate urgency;
+  private final DeadlineTimers deadlines;
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
   private final Map<BackendServerId, ServerEjection> ejections = new HashMap<>();
@@ -43,6 +44,7 @@
   ServerPools(TrafficContext context) {
     this.context = context;
     this.coldServers = new ColdServerGate(context);
+    this.deadlines = new DeadlineTimers(context);
     this.groupServers = new GroupServers(context);
     this.urgency = new UrgencyGate(context, groupServers);
     this.twoChoices = WeightedTwoChoices.create(context.random());
@@ -57,6 +59,10 @@
     return urgency;
   }
 
+  DeadlineTimers deadlines() {
+    return deadlines;
+  }
+
   RetryBudget retryBudget() {
     return retryBudget;
   }
@@ -258,8 +264,12 @@
         .anyMatch(pool -> pool.server().zone().equals(zone) && !pool.isEmpty());
   }
 
-  /** Reports unresponsive servers to the control thread and closes idle connections. */
+  /**
+   * Ends operations whose deadline passed during a suspension, reports unresponsive servers to the
+   * control thread and closes idle connections.
+   */
   void tick(MonotonicTime now) {
+    deadlines.checkSuspension();
     // A request whose connection times out here may turn to a server that has no pool yet.
     for (ServerPool pool : List.copyOf(pools.values())) {
       pool.tick(now);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Session.java
@@ -12,7 +12,6 @@
 import org.persimmonwalk.engine.FailureCode;
 import org.persimmonwalk.engine.RequestId;
 import org.persimmonwalk.engine.Route;
-import org.persimmonwalk.engine.RouteKind;
 import org.persimmonwalk.engine.SessionState;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.StatementTemplate;
@@ -30,7 +29,7 @@
 
   private final TrafficContext context;
   private final ServerPools pools;
-  private final SessionAdmission admission;
+  private final SessionOperations operations;
   private final SessionLifetime lifetime;
   private final CallerConnection caller;
   private final DatabaseName database;
@@ -53,7 +52,7 @@
   Session(
       TrafficContext context,
       ServerPools pools,
-      SessionAdmission admission,
+      SessionOperations operations,
       SessionLifetime lifetime,
       SessionStorage storage,
       CallerConnection caller,
@@ -61,7 +60,7 @@
       CallerIdentity identity) {
     this.context = context;
     this.pools = pools;
-    this.admission = admission;
+    this.operations = operations;
     this.lifetime = lifetime;
     this.contents = new SessionContents(storage);
     this.caller = caller;
@@ -81,7 +80,7 @@
       callerDisconnected();
       return;
     }
-    queue.addLast(new QueuedStatement(id, statement));
+    queue.addLast(new QueuedStatement(id, statement, Arrival.now(context)));
     dispatchNext();
   }
 
@@ -109,6 +108,11 @@
     return identity.key().isPresent();
   }
 
+  /** Returns whether the key of the caller still admits what has waited. */
+  boolean isStillAdmitted() {
+    return !needsKey() || identity.isVerified(context);
+  }
+
   /**
    * Between two statements, ends the session or aborts its transaction if the host doesn't let them
    * go on.
@@ -136,7 +140,7 @@
     SessionAdmission.Refusal refusal =
         SessionAdmission.overloaded(reason + "; connect to another host; not run");
     while (!queue.isEmpty()) {
-      admission.logRefusal(this, queue.pollFirst().id(), refusal);
+      operations.logRefusal(this, queue.pollFirst().id(), refusal);
       caller.answer(Answer.failed(refusal.code(), refusal.detail(), SessionState.IDLE));
     }
     closed = true;
@@ -176,7 +180,7 @@
     }
     QueuedStatement queued = queue.pollFirst();
     busy = true;
-    dispatch(queued.id(), queued.statement());
+    dispatch(queued);
   }
 
   /** Answers the running statement and starts the next one. */
@@ -201,7 +205,9 @@
     answer(Answer.failed(code, detail, state()));
   }
 
-  private void dispatch(RequestId id, Statement statement) {
+  private void dispatch(QueuedStatement queued) {
+    RequestId id = queued.id();
+    Statement statement = queued.statement();
     if (statement instanceof Statement.Invalid invalid) {
       rejectInput(invalid.detail());
       return;
@@ -219,15 +225,15 @@
     } else if (statement instanceof Statement.Deallocate deallocate) {
       deallocate(deallocate);
     } else if (statement instanceof Statement.Begin begin) {
-      begin(id, begin);
+      begin(queued, begin);
     } else if (statement instanceof Statement.Commit commit) {
-      commit(id, commit);
+      commit(queued, commit);
     } else if (statement instanceof Statement.Rollback) {
       rollback();
     } else if (statement instanceof Statement.Data data) {
-      run(id, data.write(), SessionStatement.of(new BackendStatement.Text(data.text())));
+      run(queued, data.write(), SessionStatement.of(new BackendStatement.Text(data.text())));
     } else if (statement instanceof Statement.Execute execute) {
-      execute(id, execute);
+      execute(queued, execute);
     } else {
       fail(FailureCode.MALFORMED, "unknown or malformed statement");
     }
@@ -262,33 +268,22 @@
     fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + deallocate.name());
   }
 
-  private void execute(RequestId id, Statement.Execute execute) {
+  private void execute(QueuedStatement queued, Statement.Execute execute) {
     Optional<StatementTemplate> prepared = contents.statement(execute.name());
     if (prepared.isEmpty()) {
       fail(FailureCode.UNKNOWN_NAME, "no statement is prepared as " + execute.name());
       return;
     }
     StatementTemplate template = prepared.get();
-    run(id, template.write(), SessionStatement.execute(template, execute.arguments()));
+    run(queued, template.write(), SessionStatement.execute(template, execute.arguments()));
   }
 
-  private void begin(RequestId id, Statement.Begin begin) {
+  private void begin(QueuedStatement queued, Statement.Begin begin) {
     if (transaction.isPresent()) {
       fail(FailureCode.MALFORMED, "a transaction is already open");
       return;
     }
-    admission.admit(
-        this,
-        id,
-        route ->
-            pools
-                .urgency()
-                .whenAdmitted(
-                    route,
-                    workspace(),
-                    !begin.readOnly() || route.kind() == RouteKind.PRIMARY,
-                    () -> open(route, begin.readOnly()),
-                    refusal -> fail(refusal.code(), refusal.detail())));
+    operations.begin(this, queued, begin.readOnly(), route -> open(route, begin.readOnly()));
   }
 
   private void open(Route route, boolean readOnly) {
@@ -296,12 +291,12 @@
     answer(Answer.done(SessionState.IN_TRANSACTION));
   }
 
-  private void commit(RequestId id, Statement.Commit commit) {
+  private void commit(QueuedStatement queued, Statement.Commit commit) {
     if (transaction.isEmpty()) {
       fail(FailureCode.MALFORMED, "no transaction is open");
       return;
     }
-    transaction.get().commit(id, commit.text());
+    transaction.get().commit(queued.id(), queued.arrival(), commit.text());
   }
 
   private void rollback() {
@@ -314,30 +309,13 @@
     answer(Answer.done(SessionState.IDLE));
   }
 
-  private void run(RequestId id, boolean write, SessionStatement statement) {
+  private void run(QueuedStatement queued, boolean write, SessionStatement statement) {
     if (transaction.isPresent()) {
-      transaction.get().run(id, write, statement);
+      transaction.get().run(queued.id(), queued.arrival(), write, statement);
       return;
     }
-    admission.admit(
-        this,
-        id,
-        route -> {
-          ExecutionRequest request =
-              new ExecutionRequest(
-                  id,
-                  identity.workspace(),
-                  route,
-                  statement,
-                  write || route.kind() == RouteKind.PRIMARY,
-                  false,
-                  () -> !needsKey() || identity.isVerified(context),
-                  write,
-                  minimumPosition(route),
-                  Map.copyOf(contents.variables()));
-          StatementExecution.start(
-              context, pools, request, outcome -> finished(route, write, outcome));
-        });
+    operations.run(
+        this, queued, write, statement, (route, outcome) -> finished(route, write, outcome));
   }
 
   private void finished(Route route, boolean write, ExecutionOutcome outcome) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
@@ -1,5 +1,6 @@
 package org.persimmonwalk.internal.engine.traffic;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.persimmonwalk.engine.FailureCode;
@@ -13,6 +14,10 @@
  * valid and was verified recently, and that the workspace is within its rate limit.
  */
 final class SessionAdmission {
+  /** Refuses an operation that cannot be answered before its deadline any more. */
+  static final Refusal TOO_LATE =
+      overloaded("too little time is left until the deadline of the operation; not run");
+
   private final TrafficContext context;
   private final RateLimiter rateLimiter;
 
@@ -25,20 +30,27 @@
    * Runs the action with the current route once the operation is admitted, or answers the statement
    * with the refusal.
    */
-  void admit(Session session, RequestId id, Consumer<Route> admitted) {
+  void admit(Session session, RequestId id, Arrival arrival, Consumer<Route> admitted) {
     Optional<Refusal> refusal = check(session);
     if (refusal.isPresent()) {
       refuse(session, id, refusal.get());
       return;
     }
     Route route = context.entry(EngineEntries.CONFIGURATION).routes().get(session.database());
+    OperationDeadline deadline = arrival.deadline(route.statementTimeout());
+    Duration left = deadline.left(context);
+    if (left.isZero()) {
+      refuse(session, id, TOO_LATE);
+      return;
+    }
     if (route.open() && session.identity().key().isEmpty()) {
       admitted.accept(route);
       return;
     }
+    Duration tokenWait = route.tokenWait();
     rateLimiter.admit(
         session.workspace(),
-        route.tokenWait(),
+        left.compareTo(tokenWait) < 0 ? left : tokenWait,
         decision -> {
           switch (decision) {
             case ADMITTED -> admitted.accept(route);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -43,6 +43,7 @@
   private final ServerPools pools;
   private final RateLimiter rateLimiter;
   private final SessionAdmission admission;
+  private final SessionOperations operations;
   private final SessionLifetime lifetime;
   private final SessionStorage storage;
   private final Set<Session> sessions = new LinkedHashSet<>();
@@ -54,8 +55,9 @@
   private Sessions(TrafficContext context) {
     this.context = context;
     this.pools = new ServerPools(context);
-    this.rateLimiter = new RateLimiter(context);
+    this.rateLimiter = new RateLimiter(context, pools.deadlines());
     this.admission = new SessionAdmission(context, rateLimiter);
+    this.operations = new SessionOperations(context, pools, admission);
     this.lifetime = new SessionLifetime(context);
     this.storage = new SessionStorage(context.settings().sessionLimits());
   }
@@ -131,7 +133,7 @@
             .map(owner -> new CallerIdentity(owner, key))
             .orElseGet(() -> new CallerIdentity(CallerIdentity.ANYONE, Optional.empty()));
     Session session =
-        new Session(context, pools, admission, lifetime, storage, caller, database, identity);
+        new Session(context, pools, operations, lifetime, storage, caller, database, identity);
     sessions.add(session);
     context.meter().count("session.opened");
     if (identity.key().isPresent()) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -79,7 +79,7 @@
       Consumer<ExecutionOutcome> done) {
     pools.retryBudget().recordRequest();
     StatementExecution execution = new StatementExecution(context, pools, request, done);
-    execution.cancelTimeout = context.scheduler().schedule(request.timeout(), execution::timeOut);
+    execution.cancelTimeout = pools.deadlines().schedule(request.deadline(), execution::timeOut);
     execution.attempt();
   }
 
@@ -87,6 +87,10 @@
     if (finished) {
       return;
     }
+    if (request.deadline().hasPassed(context)) {
+      timeOut();
+      return;
+    }
     if (attempts >= MAXIMUM_ATTEMPTS) {
       giveUp();
       return;
@@ -139,6 +143,7 @@
             request.route(),
             request.workspace(),
             request.needsPrimary(),
+            request.deadline(),
             startedAt,
             this::resume,
             this::refuse);
@@ -195,6 +200,10 @@
               FailureCode.OVERLOADED, "the session could not be set up on the server connection"));
       return;
     }
+    if (request.deadline().hasPassed(context)) {
+      timeOut();
+      return;
+    }
     PooledConnection used = connection;
     if (!target.mayBeUsed(context)) {
       used.release();
@@ -368,7 +377,7 @@
 
   private void writeFailure(Failure failure) {
     context.meter().count("statement.failed." + failure.code());
-    Duration age = context.now().since(startedAt);
+    Duration age = request.deadline().age(context);
     new FailedStatement(request, failure, attempts, tried, age).write(context.log());
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TimedOutStatement.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/TimedOutStatement.java
@@ -3,7 +3,7 @@
 import org.persimmonwalk.engine.Failure;
 import org.persimmonwalk.engine.FailureCode;
 
-/** Tells what is known of a statement that got no answer within its timeout. */
+/** Tells what is known of a statement that got no answer by its deadline. */
 final class TimedOutStatement {
   private TimedOutStatement() {}
 
@@ -13,7 +13,7 @@
    * @param running whether it was sent to a server, which may have run it
    */
   static Failure failure(ExecutionRequest request, boolean running) {
-    long millis = request.timeout().toMillis();
+    long millis = request.deadline().timeout().toMillis();
     if (!running) {
       return Failure.of(
           FailureCode.OVERLOADED,
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -53,36 +53,48 @@
     return context.now().since(lastUsed).compareTo(limit) > 0;
   }
 
-  void run(RequestId id, boolean write, SessionStatement statement) {
+  /** Runs a statement; the first one begins the transaction on the server by the same deadline. */
+  void run(RequestId id, Arrival arrival, boolean write, SessionStatement statement) {
+    OperationDeadline deadline = deadline(arrival);
     withConnection(
-        id,
+        deadline,
         () ->
             setUp(
+                deadline,
                 statement.template(),
                 () -> {
                   BackendStatement.Action action = statement.on(connection);
                   if (connection.canSend(BackendStatement.of(id, Optional.empty(), action))) {
                     wrote |= write;
-                    send(id, action, context.now().plus(route.statementTimeout()));
+                    send(id, action, deadline);
                   } else {
                     session.fail(FailureCode.MALFORMED, StatementExecution.TOO_LONG);
                   }
                 }));
   }
 
+  /**
+   * Returns the deadline of a statement. The one that begins the transaction on a server counts
+   * from its arrival; later ones from now, as a caller may send several statements at once.
+   */
+  private OperationDeadline deadline(Arrival arrival) {
+    Arrival counted = connection == null ? arrival : Arrival.now(context);
+    return counted.deadline(route.statementTimeout());
+  }
+
   /**
    * Prepares the connection for a statement and then runs the action. Fails the transaction if the
-   * server refuses, or gives no answer within the statement timeout.
+   * server refuses, or gives no answer by the deadline.
    */
-  private void setUp(Optional<StatementTemplate> template, Runnable action) {
+  private void setUp(
+      OperationDeadline deadline, Optional<StatementTemplate> template, Runnable action) {
     Runnable cancelTimeout =
         ConnectionSetup.isReady(connection, session.variables(), template)
             ? () -> {}
-            : context
-                .scheduler()
+            : pools
+                .deadlines()
                 .schedule(
-                    route.statementTimeout(),
-                    () -> failSetUp("within " + route.statementTimeout().toMillis() + " ms"));
+                    deadline, () -> failSetUp("within " + deadline.timeout().toMillis() + " ms"));
     ConnectionSetup.run(
         connection,
         Map.copyOf(session.variables()),
@@ -105,7 +117,7 @@
     }
   }
 
-  private void withConnection(RequestId id, Runnable action) {
+  private void withConnection(OperationDeadline deadline, Runnable action) {
     boolean needsPrimary = route.kind() == RouteKind.PRIMARY || !readOnly;
     if (needsPrimary && connection != null && !context.isPrimary(connection.server())) {
       failAborted("the primary is being replaced");
@@ -116,12 +128,13 @@
       return;
     }
     // Checked for each statement: a withdrawn key must stop open transactions too.
-    if (session.needsKey() && !session.identity().isVerified(context)) {
+    if (!session.isStillAdmitted()) {
       failAborted("the key was withdrawn or can no longer be verified");
       return;
     }
     if (connection == null) {
-      StatementExecution.start(context, pools, beginRequest(id), outcome -> begun(outcome, action));
+      ExecutionRequest begin = ExecutionRequest.ofBegin(session, route, readOnly, deadline);
+      StatementExecution.start(context, pools, begin, outcome -> begun(outcome, action));
     } else if (connection.isOpen()) {
       action.run();
     } else {
@@ -129,20 +142,6 @@
     }
   }
 
-  private ExecutionRequest beginRequest(RequestId id) {
-    return new ExecutionRequest(
-        RequestId.INTERNAL,
-        session.workspace(),
-        route,
-        SessionStatement.of(new BackendStatement.Begin(readOnly)),
-        !readOnly || route.kind() == RouteKind.PRIMARY,
-        true,
-        () -> !session.needsKey() || session.identity().isVerified(context),
-        false,
-        session.minimumPosition(route),
-        Map.copyOf(session.variables()));
-  }
-
   private void begun(ExecutionOutcome outcome, Runnable action) {
     if (ended) {
       outcome.connection().ifPresent(PooledConnection::discard);
@@ -172,10 +171,9 @@
         .write("transaction-failed", "group", route.group(), "code", code, "detail", detail);
   }
 
-  private void send(RequestId id, BackendStatement.Action action, MonotonicTime deadline) {
+  private void send(RequestId id, BackendStatement.Action action, OperationDeadline deadline) {
     PendingStatement pending = new PendingStatement(id, action, deadline);
-    pending.cancel =
-        context.scheduler().schedule(deadline.since(context.now()), () -> timeOut(pending));
+    pending.cancel = pools.deadlines().schedule(deadline, () -> timeOut(pending));
     connection.send(BackendStatement.of(id, Optional.empty(), action), pending);
   }
 
@@ -192,7 +190,7 @@
     if (answer.failedWith(FailureCode.OVERLOADED)
         && answer.state() == SessionState.IN_TRANSACTION
         && connection.mayContinue()
-        && lastUsed.plus(RETRY_PAUSE).isBefore(pending.deadline)) {
+        && lastUsed.plus(RETRY_PAUSE).isBefore(pending.deadline.at(context))) {
       context.meter().count("statement.retried");
       context.scheduler().schedule(RETRY_PAUSE, () -> resend(pending));
       return;
@@ -222,32 +220,34 @@
   }
 
   /** Commits the transaction, or rolls back a failed one and answers that it was aborted. */
-  void commit(RequestId id, String text) {
+  void commit(RequestId id, Arrival arrival, String text) {
     if (state == SessionState.FAILED_TRANSACTION) {
       abandon();
       session.transactionEnded();
       session.fail(FailureCode.ABORTED, "the transaction had failed and was rolled back");
       return;
     }
+    OperationDeadline deadline = deadline(arrival);
     withConnection(
-        id,
+        deadline,
         () ->
             setUp(
+                deadline,
                 Optional.empty(),
                 () ->
                     connection.whenAdmitted(
-                        context.now().plus(route.statementTimeout()),
-                        () -> sendCommit(id, text),
+                        deadline.at(context),
+                        () -> sendCommit(id, text, deadline),
                         () -> failSetUp("for COMMIT on a cold server"))));
   }
 
-  private void sendCommit(RequestId id, String text) {
+  private void sendCommit(RequestId id, String text, OperationDeadline deadline) {
     if (connection == null) {
       failSetUp("before its connection ended");
       return;
     }
     PendingCommit pending = new PendingCommit(connection);
-    pending.cancel = context.scheduler().schedule(route.statementTimeout(), pending::timeOut);
+    pending.cancel = pools.deadlines().schedule(deadline, pending::timeOut);
     connection.send(
         BackendStatement.of(id, Optional.empty(), new BackendStatement.Text(text)), pending);
   }
@@ -311,12 +311,13 @@
   private final class PendingStatement implements PooledConnection.StatementListener {
     private final RequestId id;
     private final BackendStatement.Action action;
-    private final MonotonicTime deadline;
+    private final OperationDeadline deadline;
     private final MonotonicTime startedAt = context.now();
     private Runnable cancel = () -> {};
     private boolean done;
 
-    private PendingStatement(RequestId id, BackendStatement.Action action, MonotonicTime deadline) {
+    private PendingStatement(
+        RequestId id, BackendStatement.Action action, OperationDeadline deadline) {
       this.id = id;
       this.action = action;
       this.deadline = deadline;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/UrgencyGate.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/UrgencyGate.java
@@ -163,13 +163,14 @@
       Route route,
       WorkspaceId workspace,
       boolean needsPrimary,
+      OperationDeadline deadline,
       Runnable admitted,
       Consumer<Failure> refused) {
     MonotonicTime now = context.now();
     if (headroom(route).isEmpty() || admitsAny(route, needsPrimary, now)) {
       admitted.run();
     } else {
-      hold(route, workspace, needsPrimary, now, admitted, refused);
+      hold(route, workspace, needsPrimary, deadline, now, admitted, refused);
     }
   }
 
@@ -178,20 +179,17 @@
       Route route,
       WorkspaceId workspace,
       boolean needsPrimary,
+      OperationDeadline deadline,
       MonotonicTime admittedAt,
       Runnable resume,
       Consumer<Failure> refuse) {
-    Duration longest =
-        route.statementTimeout().compareTo(LONGEST_HOLD) < 0
-            ? route.statementTimeout()
-            : LONGEST_HOLD;
     HeldStatement statement =
         new HeldStatement(
             route,
             workspace,
             needsPrimary,
             admittedAt.plus(route.latencyTarget()),
-            admittedAt.plus(longest),
+            deadline.limit(admittedAt.plus(LONGEST_HOLD), context),
             sequence++,
             resume,
             refuse);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ReplayedOperation.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/ReplayedOperation.java
@@ -28,6 +28,7 @@
   private final RequestId id;
   private final UrgencyReplay.Tally tally;
   private final MonotonicTime startedAt;
+  private final OperationDeadline deadline;
   private boolean ended;
 
   ReplayedOperation(
@@ -46,6 +47,7 @@
     this.id = RequestId.of(id);
     this.tally = tally;
     this.startedAt = context.now();
+    this.deadline = Arrival.now(context).deadline(route.statementTimeout());
   }
 
   void start(boolean transaction, boolean write) {
@@ -56,6 +58,7 @@
               route,
               workspace,
               true,
+              deadline,
               () -> execute(new BackendStatement.Begin(false), true, false, this::runTransaction),
               this::failed);
     } else {
@@ -73,6 +76,7 @@
             id,
             workspace,
             route,
+            deadline,
             SessionStatement.of(action),
             needsPrimary,
             action instanceof BackendStatement.Begin,
