Move the choice of a host's lender to PoolLenders

No behaviour changes. LenderTest, RateTest, BorrowedTokensTest, SmallWorkspaceTest and TokenReplayTest passed.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
@@ -18,9 +18,10 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Decides for which large workspaces the relay of this zone borrows its tokens, and from whom: from
- * the relay of the workspace's owner zone, which alone writes the rate row in calm operation. If
- * that one does not lend, this host takes tokens from the row itself.
+ * Decides whom this host asks for tokens. Its sessions ask the lender of their workspace or one
+ * that stands in for it. The relay of a zone borrows the tokens of large workspaces from the relay
+ * of the workspace's owner zone, which alone writes the rate row in calm operation; if that one
+ * does not lend, it takes tokens from the row itself.
  */
 final class PoolLenders {
   /**
@@ -106,12 +107,40 @@
         : Optional.ofNullable(reachable.get(owner)).filter(host -> isSuitable(host, isUrgent));
   }
 
+  /**
+   * Returns the lender that this host asks for the tokens of its own sessions: the first one that
+   * is reachable and, if operations wait, not slow; if all are slow the first that is reachable,
+   * whose reply is still under way. None if all have failed or are silent, or if this host takes
+   * the tokens from its own pool.
+   */
+  Optional<RelayHost> lenderOfHost(
+      WorkspaceId workspace,
+      RelayRole role,
+      boolean isUrgent,
+      MonotonicTime now,
+      MonotonicTime resumedAt) {
+    Map<AvailabilityZone, RelayHost> mayAsk = mayAsk(workspace, now, resumedAt);
+    Optional<RelayHost> first = Optional.empty();
+    for (AvailabilityZone zone :
+        LenderChoice.order(workspace, limits.get(workspace), settings, fleetSize)) {
+      if (zone.equals(settings.zone()) && role.kind() == RelayRole.Kind.RELAY) {
+        return Optional.empty();
+      }
+      RelayHost lender = mayAsk.get(zone);
+      if (lender != null && !(isUrgent && slow.contains(lender))) {
+        return Optional.of(lender);
+      }
+      first = first.isPresent() ? first : Optional.ofNullable(lender);
+    }
+    return first;
+  }
+
   /**
    * Returns the lenders that this host may ask for tokens of the workspace. While it may not know
    * of all tokens lent by itself, it asks for those of a large workspace in its own zone only: a
    * lender in the owner zone may still count them as held by this host.
    */
-  Map<AvailabilityZone, RelayHost> mayAsk(
+  private Map<AvailabilityZone, RelayHost> mayAsk(
       WorkspaceId workspace, MonotonicTime now, MonotonicTime resumedAt) {
     boolean isLarge = LenderChoice.isLarge(limits.get(workspace), settings, fleetSize);
     if (!isLarge || knowsItsLoans(now, resumedAt)) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -38,7 +38,6 @@
 import org.persimmonwalk.engine.control.WorkspaceDemand;
 import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.engine.control.ZoneRequestReceived;
-import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -287,44 +286,19 @@
   private Map<WorkspaceId, RelayHost> lenders(
       Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
-    Set<RelayHost> slow = blackboard.get(EngineEntries.SLOW_LENDERS);
     Map<WorkspaceId, RelayHost> lenders = new HashMap<>();
     examined.forEach(
         workspace -> {
           WorkspaceTokens tokens = workspaces.get(workspace);
           if (tokens.needsTokens(now) && limits.containsKey(workspace)) {
-            Set<RelayHost> avoided = tokens.isUrgent(now) ? slow : Set.of();
-            lender(workspace, role, poolLenders.mayAsk(workspace, now, resumedAt), avoided)
+            poolLenders
+                .lenderOfHost(workspace, role, tokens.isUrgent(now), now, resumedAt)
                 .ifPresent(host -> lenders.put(workspace, host));
           }
         });
     return lenders;
   }
 
-  /**
-   * Returns the first lender that is reachable and not avoided; if all are avoided the first that
-   * is reachable, whose reply is still under way. None if all have failed or are silent.
-   */
-  private Optional<RelayHost> lender(
-      WorkspaceId workspace,
-      RelayRole role,
-      Map<AvailabilityZone, RelayHost> reachable,
-      Set<RelayHost> avoided) {
-    Optional<RelayHost> first = Optional.empty();
-    for (AvailabilityZone zone :
-        LenderChoice.order(workspace, limits.get(workspace), settings, fleetSize)) {
-      if (zone.equals(settings.zone()) && role.kind() == RelayRole.Kind.RELAY) {
-        return Optional.empty();
-      }
-      RelayHost lender = reachable.get(zone);
-      if (lender != null && !avoided.contains(lender)) {
-        return Optional.of(lender);
-      }
-      first = first.isPresent() ? first : Optional.ofNullable(lender);
-    }
-    return first;
-  }
-
   /**
    * Grants this host tokens from its own pools. A host that has just found a relay may still have
    * tokens that it took from the store itself.
