Refuse operations at once whose token cannot come

An operation waited for a token for half of its deadline also while nothing could bring one. The host now tells its traffic thread for which waiting operations it knows that none comes: no lender is left that has not failed since its last reply, and two calls to the store in a row had no answer (one, if the control state was not verified lately either), or the last write of the rate row forecasts the next token for later. TokenOutlook decides; the refusal keeps its text and log line.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -134,6 +134,7 @@
       List<Object> current =
           List.of(
               snapshot.get(EngineEntries.TOKENS),
+              snapshot.get(EngineEntries.NO_TOKEN_BEFORE),
               snapshot.get(EngineEntries.SERVERS),
               snapshot.get(EngineEntries.EVACUATIONS),
               snapshot.get(EngineEntries.PRIMARIES));
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -94,6 +94,13 @@
   public static final EntryKey<Map<WorkspaceId, TokenGrant>> TOKENS =
       EntryKey.of("tokens", Map.of());
 
+  /**
+   * The time before which no token comes, for those workspaces with operations that wait for one
+   * here for which this host knows it.
+   */
+  public static final EntryKey<Map<WorkspaceId, MonotonicTime>> NO_TOKEN_BEFORE =
+      EntryKey.of("no token before", Map.of());
+
   /** The rate rows that a verification also reads, so that tokens can be taken from them. */
   public static final EntryKey<RowDemand> ROW_DEMAND = EntryKey.of("row demand", RowDemand.NONE);
 
@@ -109,6 +116,13 @@
    */
   public static final EntryKey<Set<RelayHost>> SLOW_LENDERS = EntryKey.of("slow lenders", Set.of());
 
+  /**
+   * The lenders that did not lend when they were asked last, and may be asked again. Until one has
+   * replied it is not known to lend.
+   */
+  public static final EntryKey<Set<RelayHost>> FAILED_LENDERS =
+      EntryKey.of("failed lenders", Set.of());
+
   /** How long lenders take to reply lately, in steps of 100 ms; zero while they reply at once. */
   public static final EntryKey<Duration> LENDER_REPLY_TIME =
       EntryKey.of("lender reply time", Duration.ZERO);
--- a/engine/src/main/java/org/persimmonwalk/engine/control/RelayRole.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/RelayRole.java
@@ -25,6 +25,11 @@
     return kind == Kind.CLIENT;
   }
 
+  /** Returns whether this host is the relay of its zone. */
+  public boolean isRelay() {
+    return kind == Kind.RELAY;
+  }
+
   /** The three roles. */
   public enum Kind {
     /** Calls the store for itself only. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
@@ -95,6 +95,14 @@
     return new Acquisition(taken, scarce, after);
   }
 
+  /** Returns what the bucket holds after the row was written. */
+  BucketForecast forecast(RateRow written, RateLimit limit) {
+    // What others hold may expire before this host reads the row again.
+    boolean isOnlyHolder = written.heldByOthers(settings.host()) == 0;
+    double room = isOnlyHolder ? RateRow.capacity(limit, settings) : Double.MAX_VALUE;
+    return new BucketForecast(written.tokens(), limit.perSecond(), room);
+  }
+
   private void logIfUnreadable(Blackboard blackboard, WorkspaceId workspace, long storeMillis) {
     StoredRow row = KnownRows.row(blackboard, RateRow.key(workspace));
     if (RateRow.isUnreadable(row, storeMillis)) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/BucketForecast.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/BucketForecast.java
@@ -17,6 +17,9 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** Longer than any deadline; a rate of zero never adds a token. */
+  private static final double LONGEST_SECONDS = 3600;
+
   /**
    * Returns whether a call would bring a token.
    *
@@ -27,4 +30,20 @@
     double filled = left + perSecond * elapsed.toNanos() / NANOS_PER_SECOND;
     return Math.min(filled, room - held) >= 1;
   }
+
+  /**
+   * Returns for how long after the last write the bucket holds no token; zero if it holds one, or
+   * if it is full of tokens that hosts still hold and may return at any time.
+   */
+  Duration emptyFor(long held) {
+    if (left >= 1 || room - held < 1) {
+      return Duration.ZERO;
+    }
+    double seconds = (1 - left) / perSecond;
+    return seconds < LONGEST_SECONDS ? nanos(seconds) : nanos(LONGEST_SECONDS);
+  }
+
+  private static Duration nanos(double seconds) {
+    return Duration.ofNanos((long) (seconds * NANOS_PER_SECOND));
+  }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServerController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ColdServerController.java
@@ -14,7 +14,6 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
-import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.ServerConnectionLost;
 import org.persimmonwalk.engine.control.ServerListVersion;
 import org.persimmonwalk.engine.control.StoreEra;
@@ -89,7 +88,7 @@
     StoreEra current = blackboard.get(EngineEntries.STORE_ERA);
     boolean isNewEra = !current.equals(era);
     era = current;
-    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
     Optional<MonotonicTime> since = blackboard.get(EngineEntries.RELAYING_SINCE);
     if (!isRelay && since.isPresent()) {
       blackboard.put(EngineEntries.RELAYING_SINCE, Optional.empty());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/FleetSizeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/FleetSizeController.java
@@ -14,7 +14,6 @@
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
-import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreVersion;
@@ -97,7 +96,7 @@
                     .reply()
                     .filter(ZoneReply::isRelay)
                     .ifPresent(reply -> sizeAtRelay = reply.fleetSize()));
-    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
     if (!isRelay) {
       relayingSince = Optional.empty();
     } else if (relayingSince.isEmpty()) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/LenderController.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.blackboard.Controller;
 import org.persimmonwalk.blackboard.Inputs;
@@ -28,7 +29,7 @@
 /**
  * Finds out which relays can lend tokens to this host: those that the store names, except the ones
  * that failed. Tells slow ones apart, which are asked in addition to others and not left out.
- * Writes the entries for lenders and slow lenders.
+ * Writes the entries for lenders, slow lenders and failed lenders.
  */
 public final class LenderController implements Controller {
   /**
@@ -107,6 +108,11 @@
     if (!slow.equals(blackboard.get(EngineEntries.SLOW_LENDERS))) {
       blackboard.put(EngineEntries.SLOW_LENDERS, Set.copyOf(slow));
     }
+    Set<RelayHost> failed =
+        lenders.values().stream().filter(this::hasFailed).collect(Collectors.toSet());
+    if (!failed.equals(blackboard.get(EngineEntries.FAILED_LENDERS))) {
+      blackboard.put(EngineEntries.FAILED_LENDERS, Set.copyOf(failed));
+    }
     Duration replyTime = replyTime(lenders.values());
     if (!replyTime.equals(blackboard.get(EngineEntries.LENDER_REPLY_TIME))) {
       blackboard.put(EngineEntries.LENDER_REPLY_TIME, replyTime);
@@ -173,6 +179,11 @@
     return record != null && now.isBefore(record.leftOutUntil);
   }
 
+  private boolean hasFailed(RelayHost relay) {
+    Record record = records.get(relay);
+    return record != null && record.hasFailed;
+  }
+
   private static boolean isUnanswered(MonotonicTime sentAt, Duration age, MonotonicTime now) {
     return sentAt != null && now.since(sentAt).compareTo(age) >= 0;
   }
@@ -209,6 +220,7 @@
     if (reply.filter(TokenReply::lends).isPresent()) {
       record.endedAt = now;
       record.failures = 0;
+      record.hasFailed = false;
       record.leftOutUntil = now;
       record.replyTimes.record(ended.endedAt().since(ended.sentAt()));
       return;
@@ -216,6 +228,7 @@
     record.endedAt = now;
     record.failures++;
     if (reply.isPresent() || ended.isRefused() || record.failures >= MAX_FAILURES) {
+      record.hasFailed = true;
       record.leftOutUntil = now.plus(FAILURE_PAUSE);
       log.write("lender-failed", "lender", lender.host(), "answered", reply.isPresent());
     }
@@ -225,6 +238,7 @@
   private static final class Record {
     private final ReplyTimes replyTimes = new ReplyTimes();
     private int failures;
+    private boolean hasFailed;
     private MonotonicTime leftOutUntil;
     private MonotonicTime endedAt;
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
@@ -34,6 +34,7 @@
   private Map<AvailabilityZone, RelayHost> reachable = Map.of();
   private final Map<RelayHost, ReplyTimes> replyTimes = new HashMap<>();
   private Set<RelayHost> slow = Set.of();
+  private Set<RelayHost> failed = Set.of();
   private Set<RelayHost> busy = Set.of();
   private Map<WorkspaceId, RateLimit> limits = Map.of();
   private int fleetSize;
@@ -52,9 +53,7 @@
   /** Reads who can lend now. */
   void update(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
     startedAt = startedAt == null ? now : startedAt;
-    mayBorrow =
-        blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY
-            && knowsItsLoans(now, resumedAt);
+    mayBorrow = blackboard.get(EngineEntries.RELAY_ROLE).isRelay() && knowsItsLoans(now, resumedAt);
     reachable = blackboard.get(EngineEntries.LENDERS);
     blackboard
         .observations(TokenRequestsEnded.class)
@@ -62,6 +61,7 @@
         .forEach(ended -> record(ended.command().lender(), ended.endedAt().since(ended.sentAt())));
     replyTimes.keySet().removeIf(lender -> !reachable.containsValue(lender));
     slow = blackboard.get(EngineEntries.SLOW_LENDERS);
+    failed = blackboard.get(EngineEntries.FAILED_LENDERS);
     Set<RelayHost> unanswered =
         new HashSet<>(blackboard.get(EngineEntries.UNANSWERED_LENDERS).keySet());
     blackboard
@@ -123,7 +123,7 @@
     Optional<RelayHost> first = Optional.empty();
     for (AvailabilityZone zone :
         LenderChoice.order(workspace, limits.get(workspace), settings, fleetSize)) {
-      if (zone.equals(settings.zone()) && role.kind() == RelayRole.Kind.RELAY) {
+      if (zone.equals(settings.zone()) && role.isRelay()) {
         return Optional.empty();
       }
       RelayHost lender = mayAsk.get(zone);
@@ -150,6 +150,29 @@
     return own == null ? Map.of() : Map.of(settings.zone(), own);
   }
 
+  /**
+   * Returns whether a lender that works may be asked for tokens of the workspace: by this host, or
+   * by its pool if that borrows. One that has failed counts again from its next reply on.
+   */
+  boolean hasWorkingLender(
+      WorkspaceId workspace, RelayRole role, MonotonicTime now, MonotonicTime resumedAt) {
+    if (lender(workspace, false).filter(host -> !failed.contains(host)).isPresent()) {
+      return true;
+    }
+    Map<AvailabilityZone, RelayHost> mayAsk = mayAsk(workspace, now, resumedAt);
+    for (AvailabilityZone zone :
+        LenderChoice.order(workspace, limits.get(workspace), settings, fleetSize)) {
+      RelayHost lender = mayAsk.get(zone);
+      if (zone.equals(settings.zone()) && role.isRelay()) {
+        return false;
+      }
+      if (lender != null && !failed.contains(lender)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns whether a request to the lender is under way; another one must wait for its reply. */
   boolean isBusy(RelayHost lender) {
     return busy.contains(lender);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -44,7 +44,8 @@
 /**
  * Obtains rate-limit tokens for the sessions of this host, from the store or from lenders, and
  * lends tokens to other hosts while this host is the relay of its zone. Writes the entries for
- * tokens, token requests, token loans, token replies and row demand.
+ * tokens, token requests, token loans, token replies and row demand, and for the times before which
+ * no token comes.
  */
 public final class RateController implements Controller {
   /**
@@ -61,6 +62,7 @@
   private final PoolLenders poolLenders;
   private final TokenPools pools;
   private final ReceivedTokenRequests received;
+  private final StoreOutage outage = new StoreOutage();
   private final Map<WorkspaceId, WorkspaceTokens> workspaces = new TreeMap<>();
   private final Set<WorkspaceId> examined = new TreeSet<>();
   private final Map<WorkspaceId, TokenGrant> grants = new HashMap<>();
@@ -93,6 +95,7 @@
     poolLenders.update(blackboard, now, resumedAt);
     blackboard.observations(WorkspaceDemand.class).forEach(reported -> record(reported, now));
     blackboard.observations(TokenRequestsEnded.class).forEach(ended -> applyLoans(ended, now));
+    outage.update(blackboard);
     pools.handleAnswers(blackboard, now);
     pools.dropExpired(now, resumedAt);
     selectExamined(now);
@@ -114,9 +117,10 @@
       publish(blackboard, RowDemand.NONE);
     } else {
       pools.acquireIfNeeded(blackboard, context);
-      boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+      boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
       publish(blackboard, pools.rowDemand(isRelay, now));
     }
+    publishOutlook(blackboard, now, resumedAt);
     examined.removeIf(workspace -> !workspaces.get(workspace).needsTokens(now));
   }
 
@@ -137,6 +141,7 @@
                 EngineEntries.RELAY_ROLE,
                 EngineEntries.LENDERS,
                 EngineEntries.SLOW_LENDERS,
+                EngineEntries.FAILED_LENDERS,
                 EngineEntries.LENDER_REPLY_TIME,
                 EngineEntries.STORE_ERA));
   }
@@ -238,7 +243,7 @@
   }
 
   private void lendToOthers(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
-    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
     blackboard
         .observations(TokenRequestsReceived.class)
         .forEach(request -> received.add(request, now));
@@ -349,6 +354,28 @@
     }
   }
 
+  /** Tells for which operations that wait here no token will come in time. */
+  private void publishOutlook(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
+    RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
+    boolean isStoreDown = outage.isDown(reachesStore(blackboard, now));
+    Map<WorkspaceId, MonotonicTime> noTokenBefore = new HashMap<>();
+    for (WorkspaceId workspace : examined) {
+      if (workspaces.get(workspace).isWaiting(now)
+          && limits.containsKey(workspace)
+          && !pools.hasTokens(workspace)) {
+        new TokenOutlook(
+                poolLenders.hasWorkingLender(workspace, role, now, resumedAt),
+                isStoreDown,
+                pools.emptyUntil(workspace))
+            .noTokenBefore(now)
+            .ifPresent(time -> noTokenBefore.put(workspace, time));
+      }
+    }
+    if (!noTokenBefore.equals(blackboard.get(EngineEntries.NO_TOKEN_BEFORE))) {
+      blackboard.put(EngineEntries.NO_TOKEN_BEFORE, Map.copyOf(noTokenBefore));
+    }
+  }
+
   private void publish(Blackboard blackboard, RowDemand demand) {
     boolean changed = false;
     for (WorkspaceId workspace : examined) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RelayController.java
@@ -157,7 +157,7 @@
   @Override
   public NextRun nextRun(Blackboard blackboard, MonotonicTime now) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
-    if (role.kind() == RelayRole.Kind.RELAY) {
+    if (role.isRelay()) {
       return NextRun.onInput();
     }
     if (!role.isClient() || stale || claimDueAt.isPresent()) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerLoadController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerLoadController.java
@@ -11,7 +11,6 @@
 import org.persimmonwalk.blackboard.RoundContext;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
-import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.ServerLoad;
 import org.persimmonwalk.engine.control.ServerLoadReport;
 import org.persimmonwalk.engine.control.ServerLoads;
@@ -48,7 +47,7 @@
   @Override
   public void run(Blackboard blackboard, RoundContext context) {
     MonotonicTime now = context.now();
-    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
     blackboard
         .observations(ServerLoadsObserved.class)
         .forEach(
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -224,6 +224,11 @@
     bucket = forecast;
   }
 
+  /** Returns until when a call to the store brings no token. */
+  MonotonicTime emptyUntil() {
+    return lastStoreCallAt.plus(bucket.emptyFor(held()));
+  }
+
   /** Sets whether this host is a lender of the workspace and not only stands in for one. */
   void setLender(boolean lender) {
     stock.setLender(lender);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -20,7 +20,6 @@
 import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.LargeAnswerStarted;
 import org.persimmonwalk.engine.control.RelayHost;
-import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
@@ -123,6 +122,16 @@
     return pools.containsKey(workspace) && pools.get(workspace).hasTokens();
   }
 
+  /**
+   * Returns until when calls of this host bring no token of the workspace; empty if that is not
+   * known.
+   */
+  Optional<MonotonicTime> emptyUntil(WorkspaceId workspace) {
+    return isInFlight(workspace)
+        ? Optional.empty()
+        : Optional.ofNullable(pools.get(workspace)).map(TokenPool::emptyUntil);
+  }
+
   boolean isEmpty() {
     return pools.isEmpty();
   }
@@ -220,7 +229,7 @@
                 answer ->
                     answer.transaction().tag().purpose().equals(VerificationController.PURPOSE))
             .anyMatch(answer -> answer.time().isPresent());
-    boolean isRelay = isRelay(blackboard);
+    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
     boolean isDue = rowsAreFresh || (isRelay && isVerificationNear(blackboard, now));
     if (isDue && !select(pool -> pool.needsTokens(now), now).isEmpty()) {
       acquire(blackboard, now, 1, workspacesToRenew(isRelay, now));
@@ -231,10 +240,6 @@
     }
   }
 
-  private static boolean isRelay(Blackboard blackboard) {
-    return blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
-  }
-
   /**
    * Returns whether the next verification is due so soon that a call that takes tokens replaces it:
    * a relay's calls expect all rows that a verification does.
@@ -288,7 +293,8 @@
       return;
     }
     Map<RowKey, StoreVersion> expected =
-        KnownRows.versionsOfTokenCall(blackboard, settings.zones(), isRelay(blackboard));
+        KnownRows.versionsOfTokenCall(
+            blackboard, settings.zones(), blackboard.get(EngineEntries.RELAY_ROLE).isRelay());
     Map<RowKey, String> writes = new HashMap<>();
     Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new HashMap<>();
     workspaces.stream()
@@ -372,12 +378,7 @@
         .grant(acquisition.tokens(), acquisition.scarce(), startedAt, EngineTimings.TOKEN_VALIDITY);
     RateLimit limit = limits.get(workspace);
     if (limit != null) {
-      // What others hold may expire before this host reads the row again.
-      boolean isOnlyHolder = acquisition.row().heldByOthers(settings.host()) == 0;
-      double room = isOnlyHolder ? RateRow.capacity(limit, settings) : Double.MAX_VALUE;
-      pools
-          .get(workspace)
-          .setBucket(new BucketForecast(acquisition.row().tokens(), limit.perSecond(), room));
+      pools.get(workspace).setBucket(planner.forecast(acquisition.row(), limit));
     }
     if (acquisition.scarce()) {
       log.write(
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/WorkspaceTokens.java
@@ -219,7 +219,7 @@
   }
 
   /** Returns whether operations wait for which no token has been granted yet. */
-  private boolean isWaiting(MonotonicTime now) {
+  boolean isWaiting(MonotonicTime now) {
     return now.isBefore(waitingUntil) && waiting > remaining();
   }
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ZoneExchangeController.java
@@ -118,7 +118,7 @@
   /** Returns the relay named in the store even while it fails, so that its recovery is noticed. */
   private Optional<RelayHost> targetRelay(Blackboard blackboard) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
-    if (role.kind() == RelayRole.Kind.RELAY) {
+    if (role.isRelay()) {
       return Optional.empty();
     }
     return role.relay()
@@ -191,7 +191,7 @@
   }
 
   private ZoneReply reply(Blackboard blackboard, ZoneRequestReceived received, MonotonicTime now) {
-    if (blackboard.get(EngineEntries.RELAY_ROLE).kind() != RelayRole.Kind.RELAY) {
+    if (!blackboard.get(EngineEntries.RELAY_ROLE).isRelay()) {
       return ZoneReply.notRelay();
     }
     MonotonicTime resumedAt = suspension.lastResumedAt();
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
@@ -30,7 +30,8 @@
 
   /**
    * Admits an operation now or within the given time, or refuses it. If the grant says that tokens
-   * are scarce, the workspace is over its limit and the operation is refused at once.
+   * are scarce, the workspace is over its limit and the operation is refused at once. It is also
+   * refused as soon as the control state tells that no token comes within the time.
    */
   void admit(WorkspaceId workspace, Duration longestWait, Consumer<Admission> onDecision) {
     MonotonicTime now = context.now();
@@ -46,11 +47,21 @@
     }
     OperationDeadline waitUntil = Arrival.now(context).deadline(longestWait);
     Waiter waiter = new Waiter(workspace, waitUntil, onDecision);
+    if (comesTooLate(waiter)) {
+      onDecision.accept(Admission.NO_TOKEN);
+      return;
+    }
     waiters.add(waiter);
     report(workspace);
     deadlines.schedule(waitUntil, () -> timeOut(waiter));
   }
 
+  private boolean comesTooLate(Waiter waiter) {
+    MonotonicTime noTokenBefore =
+        context.entry(EngineEntries.NO_TOKEN_BEFORE).get(waiter.workspace());
+    return noTokenBefore != null && !noTokenBefore.isBefore(waiter.waitUntil().at(context));
+  }
+
   private boolean isOverLimit(WorkspaceId workspace, MonotonicTime now) {
     TokenGrant grant = context.entry(EngineEntries.TOKENS).get(workspace);
     return grant != null && now.isBefore(grant.scarceUntil());
@@ -58,7 +69,7 @@
 
   /**
    * Retries waiting operations, and refuses those of workspaces that turned out to be over their
-   * limit; called when the control state has changed.
+   * limit or for which no token comes in time; called when the control state has changed.
    */
   void retry() {
     if (waiters.isEmpty()) {
@@ -75,6 +86,8 @@
       } else if (isOverLimit(waiter.workspace(), now)) {
         waiters.remove(waiter);
         waiter.onDecision().accept(Admission.OVER_LIMIT);
+      } else if (comesTooLate(waiter)) {
+        timeOut(waiter);
       }
     }
   }
