Test the refusal of what the bucket has no token for

One of two hosts takes tokens of a workspace of 1 a second from the row while the other one is frozen.

--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/HopelessTokenWaitTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/HopelessTokenWaitTest.java
@@ -11,6 +11,7 @@
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.RateLimit;
 import org.persimmonwalk.engine.RouteKind;
+import org.persimmonwalk.engine.RoutingConfiguration;
 import org.persimmonwalk.engine.Statement;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
@@ -44,9 +45,12 @@
   }
 
   private void publish(long version, double rate) {
-    fixture.publish(
-        EngineFixture.configuration(
-            version, rate, Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE)));
+    fixture.publish(configuration(version, rate));
+  }
+
+  private static RoutingConfiguration configuration(long version, double rate) {
+    return EngineFixture.configuration(
+        version, rate, Map.of(KeyHash.ofKey(EngineFixture.KEY), EngineFixture.WORKSPACE));
   }
 
   private static EngineSettings settings(int number) {
@@ -140,6 +144,23 @@
     assertThat(operations.ended("done")).as(operations.summary()).isPositive();
   }
 
+  /** Guards against operations that wait although the bucket has no token in time for them. */
+  @Test
+  void shouldRefuseAtOnceWhatTheBucketHasNoTokenFor() {
+    EngineFixture two = new EngineFixture(2, 2, EngineSettingsFixture.USUAL_BOUNDS);
+    two.publish(configuration(2, 1));
+    two.run(Duration.ofSeconds(5));
+    two.freeze(two.hosts.get(1), true);
+    TimedOperations operations = new TimedOperations(two);
+    for (int i = 0; i < 20; i++) {
+      operations.send(two.hosts.get(0), RouteKind.PRIMARY, READ);
+      two.run(INTERVAL);
+    }
+
+    assertThat(operations.ended("no rate tokens")).as(operations.summary()).isPositive();
+    assertThat(operations.laterThan(INTERVAL)).as(operations.summary()).isZero();
+  }
+
   /** Guards against refusals after the end of an outage that the host has not noticed yet. */
   @Test
   void shouldServeAgainWhenStoreAndLendersAreBack() {
