Refuse late statements that usually take longer than is left

An operation that had waited was sent with whatever was left of its deadline, so its answer mostly came too late: a write then had an unknown outcome, and the server had worked for nobody. A statement is now sent only if the time left is at least what servers have lately taken for statements of the route; RemainingTime decides. The average forgets within seconds when nothing is answered, so that refusals cannot keep it up. The wait for a token ends while the statement is still possible; with the whole deadline left it is as long as before, unless the usual work takes more than the rest.

LateStatementTest, deadline 800 ms, answers after 600 ms, two writes sent at once in each of 6 sessions: with the check switched off the second ones ended OUTCOME_UNKNOWN (6 of 12 operations); now 6 are refused as not run and 6 writes are sent.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -122,10 +122,7 @@
     return pools.containsKey(workspace) && pools.get(workspace).hasTokens();
   }
 
-  /**
-   * Returns until when calls of this host bring no token of the workspace; empty if that is not
-   * known.
-   */
+  /** Returns until when calls of this host bring no token; empty if that is not known. */
   Optional<MonotonicTime> emptyUntil(WorkspaceId workspace) {
     return isInFlight(workspace)
         ? Optional.empty()
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/AnswerRecorder.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/AnswerRecorder.java
@@ -25,6 +25,9 @@
     Duration latency = now.since(sentAt);
     used.pool().recordSuccess(sentAt, now);
     pools.urgency().recordAnswer(used.server(), request.route(), latency);
+    if (!request.begins()) {
+      pools.recordLatency(request.route(), latency);
+    }
     failedReads.repetitionSucceeded();
     if (onPrimary) {
       answer.position().ifPresent(position -> pools.positionSeen(used.server(), position, sentAt));
@@ -48,8 +51,12 @@
     }
   }
 
-  /** Returns whether a read failed that another server may run. */
-  boolean isFailedRead(FailureCode code) {
+  /** Returns whether the request may be sent again: it did not run, or only reads. */
+  boolean isRepeatable(FailureCode code) {
+    return code.guaranteesNoEffect() || code == FailureCode.UNKNOWN_NAME || isFailedRead(code);
+  }
+
+  private boolean isFailedRead(FailureCode code) {
     return code == FailureCode.FAILED && !request.writes();
   }
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerHealth.java
@@ -23,21 +23,9 @@
   /** Connection failures further apart than this do not belong to the same outage. */
   static final Duration OUTAGE_GAP = Duration.ofMillis(1500);
 
-  /** The weight of a new sample in the moving average of the latency. */
-  private static final double NEW_SAMPLE_WEIGHT = 0.15;
-
-  /**
-   * Half-life of the difference from the initial latency, so that a server that has recovered is
-   * tried again.
-   */
-  private static final double HALF_LIFE_SECONDS = 1.5;
-
   private static final double INITIAL_LATENCY_MILLIS = 15;
-  private static final double NANOS_PER_MILLI = 1e6;
-  private static final double NANOS_PER_SECOND = 1e9;
 
-  private double latencyMillis = INITIAL_LATENCY_MILLIS;
-  private MonotonicTime measuredAt;
+  private final LatencyAverage latency;
   private MonotonicTime backoffUntil;
   private MonotonicTime behindUntil;
   private MonotonicTime unansweredSince;
@@ -45,22 +33,18 @@
   private MonotonicTime lastFailure;
 
   ServerHealth(MonotonicTime now) {
-    this.measuredAt = now;
+    this.latency = new LatencyAverage(INITIAL_LATENCY_MILLIS, now);
     this.backoffUntil = now;
     this.behindUntil = now;
   }
 
-  void recordLatency(Duration latency, MonotonicTime now) {
-    double current = latencyMillis(now);
-    latencyMillis = current + NEW_SAMPLE_WEIGHT * (latency.toNanos() / NANOS_PER_MILLI - current);
-    measuredAt = now;
+  void recordLatency(Duration measured, MonotonicTime now) {
+    latency.add(measured, now);
     recordResponse();
   }
 
   double latencyMillis(MonotonicTime now) {
-    double seconds = now.since(measuredAt).toNanos() / NANOS_PER_SECOND;
-    double kept = Math.pow(0.5, seconds / HALF_LIFE_SECONDS);
-    return INITIAL_LATENCY_MILLIS + (latencyMillis - INITIAL_LATENCY_MILLIS) * kept;
+    return latency.millis(now);
   }
 
   void recordRequest(MonotonicTime now) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ServerPools.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.persimmonwalk.engine.Route;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
@@ -28,6 +29,7 @@
   private final ColdServerGate coldServers;
   private final UrgencyGate urgency;
   private final DeadlineTimers deadlines;
+  private final RouteLatencies routeLatencies = new RouteLatencies();
   private final Map<BackendServerId, ServerPool> pools = new HashMap<>();
   private final List<ServerPool> retired = new ArrayList<>();
   private final Map<BackendServerId, ServerEjection> ejections = new HashMap<>();
@@ -63,6 +65,22 @@
     return deadlines;
   }
 
+  /** Records how long a server took to answer a statement of the route with success. */
+  void recordLatency(Route route, Duration latency) {
+    routeLatencies.record(route, latency, context.now());
+  }
+
+  /** Records such an answer to a statement of a transaction. */
+  void recordAnswer(PooledConnection used, Route route, Duration latency) {
+    used.pool().load().recordAnswer(latency);
+    recordLatency(route, latency);
+  }
+
+  /** Returns the time that an operation of the route has left. */
+  RemainingTime remainingTime(Route route, OperationDeadline deadline) {
+    return new RemainingTime(deadline.left(context), routeLatencies.usual(route, context.now()));
+  }
+
   RetryBudget retryBudget() {
     return retryBudget;
   }
@@ -227,6 +245,7 @@
     Map<BackendServerId, ServerEntry> listed = context.entry(EngineEntries.SERVERS);
     MonotonicTime now = context.now();
     urgency.onSnapshotChanged();
+    routeLatencies.retain(context.entry(EngineEntries.CONFIGURATION).routes().keySet());
     ejections
         .entrySet()
         .removeIf(known -> !listed.containsKey(known.getKey()) && known.getValue().isOver(now));
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
@@ -1,6 +1,5 @@
 package org.persimmonwalk.internal.engine.traffic;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.persimmonwalk.engine.FailureCode;
@@ -14,15 +13,13 @@
  * valid and was verified recently, and that the workspace is within its rate limit.
  */
 final class SessionAdmission {
-  /** Refuses an operation that cannot be answered before its deadline any more. */
-  static final Refusal TOO_LATE =
-      overloaded("too little time is left until the deadline of the operation; not run");
-
   private final TrafficContext context;
+  private final ServerPools pools;
   private final RateLimiter rateLimiter;
 
-  SessionAdmission(TrafficContext context, RateLimiter rateLimiter) {
+  SessionAdmission(TrafficContext context, ServerPools pools, RateLimiter rateLimiter) {
     this.context = context;
+    this.pools = pools;
     this.rateLimiter = rateLimiter;
   }
 
@@ -37,20 +34,20 @@
       return;
     }
     Route route = context.entry(EngineEntries.CONFIGURATION).routes().get(session.database());
-    OperationDeadline deadline = arrival.deadline(route.statementTimeout());
-    Duration left = deadline.left(context);
-    if (left.isZero()) {
-      refuse(session, id, TOO_LATE);
+    RemainingTime remaining =
+        pools.remainingTime(route, arrival.deadline(route.statementTimeout()));
+    if (!remaining.sufficesForStatement()) {
+      context.meter().count("operation.too-late");
+      refuse(session, id, overloaded(RemainingTime.TOO_LATE.detail()));
       return;
     }
     if (route.open() && session.identity().key().isEmpty()) {
       admitted.accept(route);
       return;
     }
-    Duration tokenWait = route.tokenWait();
     rateLimiter.admit(
         session.workspace(),
-        left.compareTo(tokenWait) < 0 ? left : tokenWait,
+        remaining.tokenWait(route),
         decision -> {
           switch (decision) {
             case ADMITTED -> admitted.accept(route);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Sessions.java
@@ -56,7 +56,7 @@
     this.context = context;
     this.pools = new ServerPools(context);
     this.rateLimiter = new RateLimiter(context, pools.deadlines());
-    this.admission = new SessionAdmission(context, rateLimiter);
+    this.admission = new SessionAdmission(context, pools, rateLimiter);
     this.operations = new SessionOperations(context, pools, admission);
     this.lifetime = new SessionLifetime(context);
     this.storage = new SessionStorage(context.settings().sessionLimits());
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -48,6 +48,7 @@
   private int attempts;
   private boolean finished;
   private boolean sent;
+  private boolean everSent;
   private boolean onPrimary;
   private boolean onlyThere;
   private boolean tooLongWithPosition;
@@ -87,8 +88,8 @@
     if (finished) {
       return;
     }
-    if (request.deadline().hasPassed(context)) {
-      timeOut();
+    if (isTooLate()) {
+      refuseAsTooLate();
       return;
     }
     if (attempts >= MAXIMUM_ATTEMPTS) {
@@ -146,7 +147,7 @@
             request.deadline(),
             startedAt,
             this::resume,
-            this::refuse);
+            this::failWith);
   }
 
   private void resume() {
@@ -154,7 +155,7 @@
     attempt();
   }
 
-  private void refuse(Failure failure) {
+  private void failWith(Failure failure) {
     if (!finished) {
       fail(failure.code(), failure.detail());
     }
@@ -200,11 +201,13 @@
               FailureCode.OVERLOADED, "the session could not be set up on the server connection"));
       return;
     }
-    if (request.deadline().hasPassed(context)) {
-      timeOut();
+    PooledConnection used = connection;
+    if (isTooLate()) {
+      connection = null;
+      used.release();
+      refuseAsTooLate();
       return;
     }
-    PooledConnection used = connection;
     if (!target.mayBeUsed(context)) {
       used.release();
       retry(used.server(), ServerPool.EVACUATED);
@@ -219,6 +222,7 @@
       return;
     }
     sent = true;
+    everSent = true;
     used.send(
         statement,
         new PooledConnection.StatementListener() {
@@ -258,8 +262,6 @@
     }
     FailureCode code = answer.failure().orElseThrow().code();
     answers.recordFailure(used, code, sentAt, now);
-    boolean repeatable =
-        code.guaranteesNoEffect() || code == FailureCode.UNKNOWN_NAME || answers.isFailedRead(code);
     if (code == FailureCode.UNKNOWN_NAME) {
       used.discardAsReset(request.id());
     } else if (answer.state() == SessionState.IDLE) {
@@ -267,7 +269,7 @@
     } else {
       used.discard();
     }
-    if (repeatable) {
+    if (answers.isRepeatable(code)) {
       retry(used.server(), answer.failure().orElseThrow());
     } else {
       finish(
@@ -321,6 +323,20 @@
     attempt();
   }
 
+  private boolean isTooLate() {
+    return !pools.remainingTime(request.route(), request.deadline()).sufficesForStatement();
+  }
+
+  /** Refuses the request; one that a server has failed before keeps that failure. */
+  private void refuseAsTooLate() {
+    context.meter().count("operation.too-late");
+    if (everSent) {
+      giveUp();
+    } else {
+      failWith(RemainingTime.TOO_LATE);
+    }
+  }
+
   private void giveUp() {
     if (lastFailure == ServerPool.EVACUATED) {
       context.meter().count("evacuation.statement-refused");
@@ -341,8 +357,7 @@
     if (running && !request.writes()) {
       abandoned.pool().recordLoss("a read got no answer in time");
     }
-    Failure failure = TimedOutStatement.failure(request, running);
-    fail(failure.code(), failure.detail());
+    failWith(TimedOutStatement.failure(request, running));
     if (abandoned != null) {
       abandoned.discard();
     }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/Transaction.java
@@ -53,7 +53,6 @@
     return context.now().since(lastUsed).compareTo(limit) > 0;
   }
 
-  /** Runs a statement; the first one begins the transaction on the server by the same deadline. */
   void run(RequestId id, Arrival arrival, boolean write, SessionStatement statement) {
     OperationDeadline deadline = deadline(arrival);
     withConnection(
@@ -74,8 +73,8 @@
   }
 
   /**
-   * Returns the deadline of a statement. The one that begins the transaction on a server counts
-   * from its arrival; later ones from now, as a caller may send several statements at once.
+   * Returns the deadline of a statement: from its arrival if it begins the transaction on a server,
+   * else from now, as a caller may send several at once.
    */
   private OperationDeadline deadline(Arrival arrival) {
     Arrival counted = connection == null ? arrival : Arrival.now(context);
@@ -196,7 +195,7 @@
       return;
     }
     if (answer.succeeded()) {
-      connection.pool().load().recordAnswer(lastUsed.since(pending.startedAt));
+      pools.recordAnswer(connection, route, lastUsed.since(pending.startedAt));
       answer
           .position()
           .ifPresent(
