--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
@@ -17,6 +17,8 @@
  * one token for each operation, and reports the demand to the control thread.
  */
 final class RateLimiter {
+  private static final String NOT_IN_SIGHT = "operation.no-token-in-sight";
+
   private final TrafficContext context;
   private final DeadlineTimers deadlines;
   private final Map<WorkspaceId, Spent> spent = new HashMap<>();
@@ -48,6 +50,7 @@
     OperationDeadline waitUntil = Arrival.now(context).deadline(longestWait);
     Waiter waiter = new Waiter(workspace, waitUntil, onDecision);
     if (comesTooLate(waiter)) {
+      context.meter().count(NOT_IN_SIGHT);
       onDecision.accept(Admission.NO_TOKEN);
       return;
     }
@@ -87,6 +90,7 @@
         waiters.remove(waiter);
         waiter.onDecision().accept(Admission.OVER_LIMIT);
       } else if (comesTooLate(waiter)) {
+        context.meter().count(NOT_IN_SIGHT);
         timeOut(waiter);
       }
     }
