Refuse a held BEGIN whose deadline passed during a suspension

The gate released a held BEGIN after a suspension before the timers were set anew, and the transaction began after its deadline.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionOperations.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionOperations.java
@@ -95,7 +95,7 @@
               session.workspace(),
               needsPrimary,
               deadline,
-              () -> end(() -> opened.accept(route)),
+              () -> end(this::open),
               refusal -> end(() -> fail(refusal)));
       if (!ended) {
         cancelTimeout =
@@ -103,6 +103,15 @@
       }
     }
 
+    /** Opens the transaction, unless the host was suspended in the hold beyond the deadline. */
+    private void open() {
+      if (deadline.hasPassed(context)) {
+        fail(RemainingTime.TOO_LATE);
+      } else {
+        opened.accept(route);
+      }
+    }
+
     private void end(Runnable action) {
       if (!ended) {
         ended = true;
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UrgentSessionsTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UrgentSessionsTest.java
@@ -184,4 +184,22 @@
 
     assertThat(bulkCaller.succeeded() - before).isGreaterThan(5);
   }
+
+  /** Guards against a transaction that begins after a suspension in which its deadline passed. */
+  @Test
+  void shouldRefuseAHeldBeginWhoseDeadlineHasPassed() {
+    lengthenQueues();
+    FakeCaller held = new FakeCaller();
+    Session session = fixture.open(host, RouteKind.READ_OWN_WRITES, held);
+    send(bulk, WRITE);
+    send(session, new Statement.Begin(false));
+    fixture.run(Duration.ofMillis(20));
+    assertThat(held.answered()).isZero();
+
+    fixture.stepWallClock(Duration.ofSeconds(2));
+    fixture.run(Duration.ofMillis(110));
+
+    assertThat(held.answered()).isEqualTo(1);
+    assertThat(held.lastCode()).isEqualTo(overloaded());
+  }
 }
