--- a/engine/src/main/java/org/persimmonwalk/engine/control/TokenReply.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/TokenReply.java
@@ -5,8 +5,8 @@
 /**
  * A lender's reply to the token requests of a host.
  *
- * @param lends false if the replying host can't take tokens from the store: it has lost the store,
- *     is not the relay of its zone, or is about to stop
+ * @param lends false if the replying host can't get tokens of any workspace of the requests: it has
+ *     lost the store and refills no pool of them, is not the relay of its zone, or is about to stop
  * @param loans the tokens lent, one loan for each request; none if it is not the relay or is about
  *     to stop
  * @param restartNotices the servers that may have restarted lately
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
@@ -70,7 +70,6 @@
       WorkspaceId workspace,
       TokenPool pool,
       RateLimit limit,
-      boolean isRelay,
       StoreTime time,
       MonotonicTime now) {
     pool.startRecording(now);
@@ -95,7 +94,7 @@
     long fair = available > wanted * 2 ? available : Math.max(1, (long) (available * share));
     long taken = Math.min(wanted, Math.min(available, fair));
     boolean mayRefill =
-        isRelay
+        blackboard.get(EngineEntries.RELAY_ROLE).isRelay()
             && held + taken < demand * SECONDS_COVERED
             && blackboard.get(EngineEntries.STORE_ERA).isKnown()
             && stored.atMillis() <= time.latest(now);
@@ -140,6 +139,14 @@
     return RateRow.roundedDown(Math.max(0, refill));
   }
 
+  /** Returns what the bucket holds after the row was written. */
+  BucketForecast forecast(RateRow written, RateLimit limit) {
+    // What others hold may expire before this host reads the row again.
+    boolean isOnlyHolder = written.heldByOthers(settings.host()) == 0;
+    double room = isOnlyHolder ? RateRow.capacity(limit, settings) : Double.MAX_VALUE;
+    return written.forecast(limit, room);
+  }
+
   private void logIfUnreadable(Blackboard blackboard, WorkspaceId workspace, long storeMillis) {
     StoredRow row = KnownRows.row(blackboard, RateRow.key(workspace));
     if (RateRow.isUnreadable(row, storeMillis)) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolLenders.java
@@ -18,9 +18,10 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * Decides for which large workspaces the relay of this zone borrows its tokens, and from whom: from
- * the relay of the workspace's owner zone, which alone writes the rate row in calm operation. If
- * that one does not lend, this host takes tokens from the row itself.
+ * Decides whom this host asks for tokens. Its sessions ask the lender of their workspace or one
+ * that stands in for it. The relay of a zone borrows the tokens of large workspaces from the relay
+ * of the workspace's owner zone, which alone writes the rate row in calm operation; if that one
+ * does not lend, it takes tokens from the row itself.
  */
 final class PoolLenders {
   /**
@@ -34,6 +35,7 @@
   private Map<AvailabilityZone, RelayHost> reachable = Map.of();
   private final Map<RelayHost, ReplyTimes> replyTimes = new HashMap<>();
   private Set<RelayHost> slow = Set.of();
+  private Set<RelayHost> failed = Set.of();
   private Set<RelayHost> busy = Set.of();
   private Map<WorkspaceId, RateLimit> limits = Map.of();
   private int fleetSize;
@@ -54,9 +56,7 @@
   void update(Blackboard blackboard, MonotonicTime time, MonotonicTime resumedAt) {
     now = time;
     startedAt = startedAt == null ? now : startedAt;
-    mayBorrow =
-        blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY
-            && knowsItsLoans(resumedAt);
+    mayBorrow = blackboard.get(EngineEntries.RELAY_ROLE).isRelay() && knowsItsLoans(resumedAt);
     reachable = blackboard.get(EngineEntries.LENDERS);
     blackboard
         .observations(TokenRequestsEnded.class)
@@ -65,6 +65,7 @@
     blackboard.observations(TokenRequestsEnded.class).forEach(ended -> unable.record(ended, now));
     replyTimes.keySet().removeIf(lender -> !reachable.containsValue(lender));
     slow = blackboard.get(EngineEntries.SLOW_LENDERS);
+    failed = blackboard.get(EngineEntries.FAILED_LENDERS);
     Set<RelayHost> unanswered =
         new HashSet<>(blackboard.get(EngineEntries.UNANSWERED_LENDERS).keySet());
     blackboard
@@ -112,12 +113,36 @@
             .filter(host -> !unable.contains(workspace, host, now));
   }
 
+  /**
+   * Returns the lender that this host asks for the tokens of its own sessions: the first one that
+   * is reachable and, if operations wait, not slow; if all are slow the first that is reachable,
+   * whose reply is still under way. None if all have failed or are silent, or if this host takes
+   * the tokens from its own pool.
+   */
+  Optional<RelayHost> lenderOfHost(
+      WorkspaceId workspace, RelayRole role, boolean isUrgent, MonotonicTime resumedAt) {
+    Map<AvailabilityZone, RelayHost> mayAsk = mayAsk(workspace, resumedAt);
+    Optional<RelayHost> first = Optional.empty();
+    for (AvailabilityZone zone :
+        LenderChoice.order(workspace, limits.get(workspace), settings, fleetSize)) {
+      if (zone.equals(settings.zone()) && role.isRelay()) {
+        return Optional.empty();
+      }
+      RelayHost lender = mayAsk.get(zone);
+      if (lender != null && !(isUrgent && slow.contains(lender))) {
+        return Optional.of(lender);
+      }
+      first = first.isPresent() ? first : Optional.ofNullable(lender);
+    }
+    return first;
+  }
+
   /**
    * Returns the lenders that this host may ask for tokens of the workspace. While it may not know
    * of all tokens lent by itself, it asks for those of a large workspace in its own zone only: a
    * lender in the owner zone may still count them as held by this host.
    */
-  Map<AvailabilityZone, RelayHost> mayAsk(WorkspaceId workspace, MonotonicTime resumedAt) {
+  private Map<AvailabilityZone, RelayHost> mayAsk(WorkspaceId workspace, MonotonicTime resumedAt) {
     boolean isLarge = LenderChoice.isLarge(limits.get(workspace), settings, fleetSize);
     boolean isOwnZoneOnly = isLarge && !knowsItsLoans(resumedAt);
     Map<AvailabilityZone, RelayHost> lenders = new HashMap<>(reachable);
@@ -130,6 +155,29 @@
     return lenders;
   }
 
+  /**
+   * Returns whether a lender that works may be asked for tokens of the workspace: by this host, or
+   * by its pool if that borrows. One that has failed counts again from its next reply on, one that
+   * had no token and can get none after a while.
+   */
+  boolean hasWorkingLender(WorkspaceId workspace, RelayRole role, MonotonicTime resumedAt) {
+    if (lender(workspace, false).filter(host -> !failed.contains(host)).isPresent()) {
+      return true;
+    }
+    Map<AvailabilityZone, RelayHost> lenders = mayAsk(workspace, resumedAt);
+    for (AvailabilityZone zone :
+        LenderChoice.order(workspace, limits.get(workspace), settings, fleetSize)) {
+      RelayHost lender = lenders.get(zone);
+      if (zone.equals(settings.zone()) && role.isRelay()) {
+        return false;
+      }
+      if (lender != null && !failed.contains(lender)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns whether a request to the lender is under way; another one must wait for its reply. */
   boolean isBusy(RelayHost lender) {
     return busy.contains(lender);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolRefill.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolRefill.java
@@ -91,6 +91,10 @@
     fraction = 0;
   }
 
+  boolean isActive(MonotonicTime now) {
+    return perSecond > 0 && now.isBefore(beganAt.plus(VALIDITY));
+  }
+
   /** Returns whether the row should record the refill anew with the next call. */
   boolean isAgeing(MonotonicTime now) {
     return perSecond > 0 && now.since(beganAt).compareTo(RENEWAL_AGE) >= 0;
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -38,14 +38,14 @@
 import org.persimmonwalk.engine.control.WorkspaceDemand;
 import org.persimmonwalk.engine.control.ZoneRequest;
 import org.persimmonwalk.engine.control.ZoneRequestReceived;
-import org.persimmonwalk.id.AvailabilityZone;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
  * Obtains rate-limit tokens for the sessions of this host, from the store or from lenders, and
  * lends tokens to other hosts while this host is the relay of its zone. Writes the entries for
- * tokens, token requests, token loans, token replies and row demand.
+ * tokens, token requests, token loans, token replies and row demand, and for the times before which
+ * no token comes.
  */
 public final class RateController implements Controller {
   /**
@@ -62,6 +62,7 @@
   private final PoolLenders poolLenders;
   private final TokenPools pools;
   private final ReceivedTokenRequests received;
+  private final StoreOutage outage = new StoreOutage();
   private final Map<WorkspaceId, WorkspaceTokens> workspaces = new TreeMap<>();
   private final Set<WorkspaceId> examined = new TreeSet<>();
   private final Map<WorkspaceId, TokenGrant> grants = new HashMap<>();
@@ -94,6 +95,7 @@
     poolLenders.update(blackboard, now, resumedAt);
     blackboard.observations(WorkspaceDemand.class).forEach(reported -> record(reported, now));
     blackboard.observations(TokenRequestsEnded.class).forEach(ended -> applyLoans(ended, now));
+    outage.update(blackboard);
     pools.handleAnswers(blackboard, now);
     pools.dropExpired(now, resumedAt);
     selectExamined(now);
@@ -115,9 +117,10 @@
       publish(blackboard, RowDemand.NONE);
     } else {
       pools.acquireIfNeeded(blackboard, context);
-      boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+      boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
       publish(blackboard, pools.rowDemand(isRelay, now));
     }
+    publishOutlook(blackboard, now, resumedAt);
     examined.removeIf(workspace -> !workspaces.get(workspace).needsTokens(now));
   }
 
@@ -138,6 +141,7 @@
                 EngineEntries.RELAY_ROLE,
                 EngineEntries.LENDERS,
                 EngineEntries.SLOW_LENDERS,
+                EngineEntries.FAILED_LENDERS,
                 EngineEntries.LENDER_REPLY_TIME,
                 EngineEntries.STORE_ERA));
   }
@@ -239,15 +243,16 @@
   }
 
   private void lendToOthers(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
-    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
+    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
     blackboard
         .observations(TokenRequestsReceived.class)
         .forEach(request -> received.add(request, now));
+    boolean reachesStore = reachesStore(blackboard, now);
     Map<Long, TokenReply> replies =
         isRelay
             ? received.answer(
                 (host, request) -> pools.lend(host, request, now, resumedAt),
-                reachesStore(blackboard, now),
+                workspace -> reachesStore || pools.isRefilled(workspace, now),
                 now)
             : received.rejectAll();
     if (!replies.equals(blackboard.get(EngineEntries.TOKEN_REPLIES))) {
@@ -287,44 +292,19 @@
   private Map<WorkspaceId, RelayHost> lenders(
       Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
     RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
-    Set<RelayHost> slow = blackboard.get(EngineEntries.SLOW_LENDERS);
     Map<WorkspaceId, RelayHost> lenders = new HashMap<>();
     examined.forEach(
         workspace -> {
           WorkspaceTokens tokens = workspaces.get(workspace);
           if (tokens.needsTokens(now) && limits.containsKey(workspace)) {
-            Set<RelayHost> avoided = tokens.isUrgent(now) ? slow : Set.of();
-            lender(workspace, role, poolLenders.mayAsk(workspace, resumedAt), avoided)
+            poolLenders
+                .lenderOfHost(workspace, role, tokens.isUrgent(now), resumedAt)
                 .ifPresent(host -> lenders.put(workspace, host));
           }
         });
     return lenders;
   }
 
-  /**
-   * Returns the first lender that is reachable and not avoided; if all are avoided the first that
-   * is reachable, whose reply is still under way. None if all have failed or are silent.
-   */
-  private Optional<RelayHost> lender(
-      WorkspaceId workspace,
-      RelayRole role,
-      Map<AvailabilityZone, RelayHost> reachable,
-      Set<RelayHost> avoided) {
-    Optional<RelayHost> first = Optional.empty();
-    for (AvailabilityZone zone :
-        LenderChoice.order(workspace, limits.get(workspace), settings, fleetSize)) {
-      if (zone.equals(settings.zone()) && role.kind() == RelayRole.Kind.RELAY) {
-        return Optional.empty();
-      }
-      RelayHost lender = reachable.get(zone);
-      if (lender != null && !avoided.contains(lender)) {
-        return Optional.of(lender);
-      }
-      first = first.isPresent() ? first : Optional.ofNullable(lender);
-    }
-    return first;
-  }
-
   /**
    * Grants this host tokens from its own pools. A host that has just found a relay may still have
    * tokens that it took from the store itself.
@@ -375,6 +355,29 @@
     }
   }
 
+  /** Tells for which operations that wait here no token will come in time. */
+  private void publishOutlook(Blackboard blackboard, MonotonicTime now, MonotonicTime resumedAt) {
+    RelayRole role = blackboard.get(EngineEntries.RELAY_ROLE);
+    boolean isStoreDown = outage.isDown(reachesStore(blackboard, now));
+    Map<WorkspaceId, MonotonicTime> noTokenBefore = new HashMap<>();
+    for (WorkspaceId workspace : examined) {
+      if (workspaces.get(workspace).isWaiting(now)
+          && limits.containsKey(workspace)
+          && !pools.hasTokens(workspace)) {
+        new TokenOutlook(
+                pools.isRefilled(workspace, now)
+                    || poolLenders.hasWorkingLender(workspace, role, resumedAt),
+                isStoreDown,
+                pools.emptyUntil(workspace))
+            .noTokenBefore(now)
+            .ifPresent(time -> noTokenBefore.put(workspace, time));
+      }
+    }
+    if (!noTokenBefore.equals(blackboard.get(EngineEntries.NO_TOKEN_BEFORE))) {
+      blackboard.put(EngineEntries.NO_TOKEN_BEFORE, Map.copyOf(noTokenBefore));
+    }
+  }
+
   private void publish(Blackboard blackboard, RowDemand demand) {
     boolean changed = false;
     for (WorkspaceId workspace : examined) {
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ReceivedTokenRequests.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ReceivedTokenRequests.java
@@ -8,11 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
+import java.util.function.Predicate;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenReply;
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.TokenRequestsReceived;
 import org.persimmonwalk.id.EntryHostId;
+import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
@@ -52,21 +54,24 @@
    * Lends what the requests ask for and returns the replies that are complete, by exchange id.
    *
    * @param lender lends tokens to a host
-   * @param canTakeTokens whether this host reaches the store, so that waiting may help
+   * @param canGetTokens whether this host can get tokens of a workspace, so that waiting may help
    */
   Map<Long, TokenReply> answer(
       BiFunction<EntryHostId, TokenRequest, TokenLoan> lender,
-      boolean canTakeTokens,
+      Predicate<WorkspaceId> canGetTokens,
       MonotonicTime now) {
     Map<Long, TokenReply> replies = new HashMap<>();
     for (Iterator<Map.Entry<Long, Pending>> i = pending.entrySet().iterator(); i.hasNext(); ) {
       Map.Entry<Long, Pending> entry = i.next();
       Pending request = entry.getValue();
-      boolean mayWait = canTakeTokens && now.since(request.receivedAt).compareTo(LONGEST_WAIT) < 0;
-      request.lend(lender, mayWait);
+      boolean mayWait = now.since(request.receivedAt).compareTo(LONGEST_WAIT) < 0;
+      request.lend(lender, workspace -> mayWait && canGetTokens.test(workspace));
       if (request.unmet.isEmpty()) {
         i.remove();
-        replies.put(entry.getKey(), new TokenReply(canTakeTokens, request.loans));
+        boolean canGetAny =
+            request.loans.isEmpty()
+                || request.loans.stream().map(TokenLoan::workspace).anyMatch(canGetTokens);
+        replies.put(entry.getKey(), new TokenReply(canGetAny, request.loans));
       }
     }
     return replies;
@@ -85,12 +90,13 @@
       this.unmet = received.requests();
     }
 
-    private void lend(BiFunction<EntryHostId, TokenRequest, TokenLoan> lender, boolean mayWait) {
+    private void lend(
+        BiFunction<EntryHostId, TokenRequest, TokenLoan> lender, Predicate<WorkspaceId> mayWait) {
       List<TokenRequest> stillUnmet = new ArrayList<>();
       for (TokenRequest request : unmet) {
         TokenLoan loan = lender.apply(from, request);
         boolean isMet = loan.tokens() > 0 || request.waiting() == 0;
-        if (!isMet && !loan.scarce() && mayWait) {
+        if (!isMet && !loan.scarce() && mayWait.test(request.workspace())) {
           stillUnmet.add(request);
           continue;
         }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -214,11 +214,21 @@
     bucket = forecast;
   }
 
+  /** Returns whether the pool gets tokens without a call to the store. */
+  boolean isRefilled(MonotonicTime now) {
+    return refill.isActive(now);
+  }
+
   /** Lowers the refill to the given part because the limit has changed. */
   void lowerRefill(double part) {
     refill.lower(part);
   }
 
+  /** Returns until when a call to the store brings no token. */
+  MonotonicTime emptyUntil() {
+    return lastStoreCallAt.plus(bucket.emptyFor(held()));
+  }
+
   /** Sets whether this host is a lender of the workspace and not only stands in for one. */
   void setLender(boolean lender) {
     stock.setLender(lender);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -20,7 +20,6 @@
 import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.LargeAnswerStarted;
 import org.persimmonwalk.engine.control.RelayHost;
-import org.persimmonwalk.engine.control.RelayRole;
 import org.persimmonwalk.engine.control.RowDemand;
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
@@ -107,7 +106,7 @@
     return loan;
   }
 
-  /** Sets the limits and the number of hosts, by which this host lends tokens of a workspace. */
+  /** Sets the limits and the number of hosts, by which this host lends tokens. */
   void setLimits(Map<WorkspaceId, RateLimit> newLimits, int newFleetSize) {
     pools.forEach(
         (workspace, pool) ->
@@ -127,6 +126,18 @@
     return pools.containsKey(workspace) && pools.get(workspace).hasTokens();
   }
 
+  /** Returns whether the pool gets tokens without a call to the store. */
+  boolean isRefilled(WorkspaceId workspace, MonotonicTime now) {
+    return pools.containsKey(workspace) && pools.get(workspace).isRefilled(now);
+  }
+
+  /** Returns until when calls of this host bring no token; empty if that is not known. */
+  Optional<MonotonicTime> emptyUntil(WorkspaceId workspace) {
+    return isInFlight(workspace)
+        ? Optional.empty()
+        : Optional.ofNullable(pools.get(workspace)).map(TokenPool::emptyUntil);
+  }
+
   boolean isEmpty() {
     return pools.isEmpty();
   }
@@ -188,12 +199,9 @@
   }
 
   void dropExpired(MonotonicTime now, MonotonicTime resumedAt) {
-    pools
-        .values()
-        .forEach(
-            pool ->
-                statistics.add(
-                    TokenStatistics.Count.POOL_LAPSED, pool.dropExpired(now, resumedAt)));
+    for (TokenPool pool : pools.values()) {
+      statistics.add(TokenStatistics.Count.POOL_LAPSED, pool.dropExpired(now, resumedAt));
+    }
   }
 
   /** Returns the rate rows that the next verification should include. */
@@ -224,7 +232,7 @@
                 answer ->
                     answer.transaction().tag().purpose().equals(VerificationController.PURPOSE))
             .anyMatch(answer -> answer.time().isPresent());
-    boolean isRelay = isRelay(blackboard);
+    boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
     boolean isDue = rowsAreFresh || (isRelay && isVerificationNear(blackboard, now));
     if (isDue && !select(pool -> pool.needsTokens(now), now).isEmpty()) {
       acquire(blackboard, now, 1, workspacesToRenew(isRelay, now));
@@ -235,10 +243,6 @@
     }
   }
 
-  private static boolean isRelay(Blackboard blackboard) {
-    return blackboard.get(EngineEntries.RELAY_ROLE).kind() == RelayRole.Kind.RELAY;
-  }
-
   /**
    * Returns whether the next verification is due so soon that a call that takes tokens replaces it:
    * a relay's calls expect all rows that a verification does.
@@ -292,7 +296,8 @@
       return;
     }
     Map<RowKey, StoreVersion> expected =
-        KnownRows.versionsOfTokenCall(blackboard, settings.zones(), isRelay(blackboard));
+        KnownRows.versionsOfTokenCall(
+            blackboard, settings.zones(), blackboard.get(EngineEntries.RELAY_ROLE).isRelay());
     Map<RowKey, String> writes = new HashMap<>();
     Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new HashMap<>();
     workspaces.stream()
@@ -306,7 +311,6 @@
                       workspace,
                       pools.get(workspace),
                       limits.get(workspace),
-                      isRelay(blackboard),
                       time.get(),
                       now);
               expected.put(key, KnownRows.version(blackboard, key));
@@ -316,8 +320,7 @@
     if (acquisitions.isEmpty()) {
       return;
     }
-    serial++;
-    inFlight = new Attempt(serial, attempt, now, acquisitions);
+    inFlight = new Attempt(++serial, attempt, now, acquisitions);
     lastCallAt = now;
     statistics.add(TokenStatistics.Count.CALLS, 1);
     blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, writes));
@@ -375,10 +378,7 @@
     pools.get(workspace).grant(acquisition, startedAt, EngineTimings.TOKEN_VALIDITY);
     RateLimit limit = limits.get(workspace);
     if (limit != null) {
-      // What others hold may expire before this host reads the row again.
-      boolean isOnlyHolder = acquisition.row().heldByOthers(settings.host()) == 0;
-      double room = isOnlyHolder ? RateRow.capacity(limit, settings) : Double.MAX_VALUE;
-      pools.get(workspace).setBucket(acquisition.row().forecast(limit, room));
+      pools.get(workspace).setBucket(planner.forecast(acquisition.row(), limit));
     }
     if (acquisition.scarce()) {
       log.write(
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/UnableLenders.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/UnableLenders.java
@@ -10,9 +10,8 @@
 import org.persimmonwalk.model.MonotonicTime;
 
 /**
- * The lenders that had no token of a workspace while they could take none from the store. Another
- * lender is asked for this workspace meanwhile; tokens of other workspaces are still borrowed from
- * them.
+ * The lenders that had no token of a workspace while they could get none. Another lender is asked
+ * for this workspace meanwhile; tokens of other workspaces are still borrowed from them.
  *
  * <p>Answers the load of a store that is down: when such a lender was left out for all workspaces,
  * a single one without tokens kept hosts from the tokens of all others.
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/RateLimiter.java
@@ -17,18 +17,23 @@
  * one token for each operation, and reports the demand to the control thread.
  */
 final class RateLimiter {
+  private static final String NOT_IN_SIGHT = "operation.no-token-in-sight";
+
   private final TrafficContext context;
+  private final DeadlineTimers deadlines;
   private final Map<WorkspaceId, Spent> spent = new HashMap<>();
   private final Map<WorkspaceId, Integer> unreported = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
 
-  RateLimiter(TrafficContext context) {
+  RateLimiter(TrafficContext context, DeadlineTimers deadlines) {
     this.context = context;
+    this.deadlines = deadlines;
   }
 
   /**
    * Admits an operation now or within the given time, or refuses it. If the grant says that tokens
-   * are scarce, the workspace is over its limit and the operation is refused at once.
+   * are scarce, the workspace is over its limit and the operation is refused at once. It is also
+   * refused as soon as the control state tells that no token comes within the time.
    */
   void admit(WorkspaceId workspace, Duration longestWait, Consumer<Admission> onDecision) {
     MonotonicTime now = context.now();
@@ -42,10 +47,22 @@
       onDecision.accept(Admission.OVER_LIMIT);
       return;
     }
-    Waiter waiter = new Waiter(workspace, onDecision);
+    OperationDeadline waitUntil = Arrival.now(context).deadline(longestWait);
+    Waiter waiter = new Waiter(workspace, waitUntil, onDecision);
+    if (comesTooLate(waiter)) {
+      context.meter().count(NOT_IN_SIGHT);
+      onDecision.accept(Admission.NO_TOKEN);
+      return;
+    }
     waiters.add(waiter);
     report(workspace);
-    context.scheduler().schedule(longestWait, () -> timeOut(waiter));
+    deadlines.schedule(waitUntil, () -> timeOut(waiter));
+  }
+
+  private boolean comesTooLate(Waiter waiter) {
+    MonotonicTime noTokenBefore =
+        context.entry(EngineEntries.NO_TOKEN_BEFORE).get(waiter.workspace());
+    return noTokenBefore != null && !noTokenBefore.isBefore(waiter.waitUntil().at(context));
   }
 
   private boolean isOverLimit(WorkspaceId workspace, MonotonicTime now) {
@@ -55,7 +72,7 @@
 
   /**
    * Retries waiting operations, and refuses those of workspaces that turned out to be over their
-   * limit; called when the control state has changed.
+   * limit or for which no token comes in time; called when the control state has changed.
    */
   void retry() {
     if (waiters.isEmpty()) {
@@ -63,13 +80,18 @@
     }
     MonotonicTime now = context.now();
     for (Waiter waiter : List.copyOf(waiters)) {
-      if (trySpend(waiter.workspace(), now)) {
+      if (waiter.waitUntil().hasPassed(context)) {
+        timeOut(waiter);
+      } else if (trySpend(waiter.workspace(), now)) {
         waiters.remove(waiter);
         reportIfExhausted(waiter.workspace());
         waiter.onDecision().accept(Admission.ADMITTED);
       } else if (isOverLimit(waiter.workspace(), now)) {
         waiters.remove(waiter);
         waiter.onDecision().accept(Admission.OVER_LIMIT);
+      } else if (comesTooLate(waiter)) {
+        context.meter().count(NOT_IN_SIGHT);
+        timeOut(waiter);
       }
     }
   }
@@ -147,5 +169,6 @@
     private static final Spent NOTHING = new Spent(0, 0);
   }
 
-  private record Waiter(WorkspaceId workspace, Consumer<Admission> onDecision) {}
+  private record Waiter(
+      WorkspaceId workspace, OperationDeadline waitUntil, Consumer<Admission> onDecision) {}
 }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/SessionAdmission.java
@@ -14,10 +14,12 @@
  */
 final class SessionAdmission {
   private final TrafficContext context;
+  private final ServerPools pools;
   private final RateLimiter rateLimiter;
 
-  SessionAdmission(TrafficContext context, RateLimiter rateLimiter) {
+  SessionAdmission(TrafficContext context, ServerPools pools, RateLimiter rateLimiter) {
     this.context = context;
+    this.pools = pools;
     this.rateLimiter = rateLimiter;
   }
 
@@ -25,20 +27,27 @@
    * Runs the action with the current route once the operation is admitted, or answers the statement
    * with the refusal.
    */
-  void admit(Session session, RequestId id, Consumer<Route> admitted) {
+  void admit(Session session, RequestId id, Arrival arrival, Consumer<Route> admitted) {
     Optional<Refusal> refusal = check(session);
     if (refusal.isPresent()) {
       refuse(session, id, refusal.get());
       return;
     }
     Route route = context.entry(EngineEntries.CONFIGURATION).routes().get(session.database());
+    RemainingTime remaining =
+        pools.remainingTime(route, arrival.deadline(route.statementTimeout()));
+    if (!remaining.sufficesForStatement()) {
+      context.meter().count("operation.too-late");
+      refuse(session, id, overloaded(RemainingTime.TOO_LATE.detail()));
+      return;
+    }
     if (route.open() && session.identity().key().isEmpty()) {
       admitted.accept(route);
       return;
     }
     rateLimiter.admit(
         session.workspace(),
-        route.tokenWait(),
+        remaining.tokenWait(route),
         decision -> {
           switch (decision) {
             case ADMITTED -> admitted.accept(route);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/StatementExecution.java
@@ -40,7 +40,7 @@
   private final Set<BackendServerId> tried = new HashSet<>();
   private final TargetChoice choice;
   private final RetryPolicy retryPolicy;
-  private final FailedReads failedReads = new FailedReads();
+  private final AnswerRecorder answers;
   private Failure lastFailure =
       Failure.of(FailureCode.OVERLOADED, "no server of the database can be used at present");
   private MonotonicTime waitUntil;
@@ -48,6 +48,7 @@
   private int attempts;
   private boolean finished;
   private boolean sent;
+  private boolean everSent;
   private boolean onPrimary;
   private boolean onlyThere;
   private boolean tooLongWithPosition;
@@ -65,6 +66,7 @@
     this.done = done;
     this.choice = new TargetChoice(context, pools, request);
     this.retryPolicy = new RetryPolicy(pools, request);
+    this.answers = new AnswerRecorder(pools, request);
     this.startedAt = context.now();
     this.usualWaitUntil = startedAt.plus(request.connectionWait());
     this.waitUntil = usualWaitUntil;
@@ -78,7 +80,7 @@
       Consumer<ExecutionOutcome> done) {
     pools.retryBudget().recordRequest();
     StatementExecution execution = new StatementExecution(context, pools, request, done);
-    execution.cancelTimeout = context.scheduler().schedule(request.timeout(), execution::timeOut);
+    execution.cancelTimeout = pools.deadlines().schedule(request.deadline(), execution::timeOut);
     execution.attempt();
   }
 
@@ -86,6 +88,10 @@
     if (finished) {
       return;
     }
+    if (isTooLate()) {
+      refuseAsTooLate();
+      return;
+    }
     if (attempts >= MAXIMUM_ATTEMPTS) {
       giveUp();
       return;
@@ -138,9 +144,10 @@
             request.route(),
             request.workspace(),
             request.needsPrimary(),
+            request.deadline(),
             startedAt,
             this::resume,
-            this::refuse);
+            this::failWith);
   }
 
   private void resume() {
@@ -148,7 +155,7 @@
     attempt();
   }
 
-  private void refuse(Failure failure) {
+  private void failWith(Failure failure) {
     if (!finished) {
       fail(failure.code(), failure.detail());
     }
@@ -195,6 +202,12 @@
       return;
     }
     PooledConnection used = connection;
+    if (isTooLate()) {
+      connection = null;
+      used.release();
+      refuseAsTooLate();
+      return;
+    }
     if (!target.mayBeUsed(context)) {
       used.release();
       retry(used.server(), ServerPool.EVACUATED);
@@ -209,6 +222,7 @@
       return;
     }
     sent = true;
+    everSent = true;
     used.send(
         statement,
         new PooledConnection.StatementListener() {
@@ -242,34 +256,12 @@
       return;
     }
     if (answer.succeeded()) {
-      used.pool().recordSuccess(sentAt, now);
-      pools.urgency().recordAnswer(used.server(), request.route(), now.since(sentAt));
-      failedReads.repetitionSucceeded();
-      if (onPrimary) {
-        answer
-            .position()
-            .ifPresent(position -> pools.positionSeen(used.server(), position, sentAt));
-      }
+      answers.recordSuccess(used, onPrimary, answer, sentAt, now);
       finish(new ExecutionOutcome(answer, Optional.of(used), onPrimary));
       return;
     }
     FailureCode code = answer.failure().orElseThrow().code();
-    if (code == FailureCode.BEHIND) {
-      used.pool().health().recordBehind(now);
-    }
-    if (code == FailureCode.OVERLOADED && !pools.coldServers().isCold(used.server())) {
-      pools.urgency().recordFullQueue(used.server());
-    }
-    if (code == FailureCode.OVERLOADED && !request.writes()) {
-      used.pool().recordRefusal(sentAt);
-    }
-    boolean failedRead = code == FailureCode.FAILED && !request.writes();
-    if (failedRead) {
-      used.pool().health().recordReadFailure(now);
-      failedReads.add(used.pool(), sentAt);
-    }
-    boolean repeatable =
-        code.guaranteesNoEffect() || code == FailureCode.UNKNOWN_NAME || failedRead;
+    answers.recordFailure(used, code, sentAt, now);
     if (code == FailureCode.UNKNOWN_NAME) {
       used.discardAsReset(request.id());
     } else if (answer.state() == SessionState.IDLE) {
@@ -277,7 +269,7 @@
     } else {
       used.discard();
     }
-    if (repeatable) {
+    if (answers.isRepeatable(code)) {
       retry(used.server(), answer.failure().orElseThrow());
     } else {
       finish(
@@ -331,6 +323,20 @@
     attempt();
   }
 
+  private boolean isTooLate() {
+    return !pools.remainingTime(request.route(), request.deadline()).sufficesForStatement();
+  }
+
+  /** Refuses the request; one that a server has failed before keeps that failure. */
+  private void refuseAsTooLate() {
+    context.meter().count("operation.too-late");
+    if (everSent) {
+      giveUp();
+    } else {
+      failWith(RemainingTime.TOO_LATE);
+    }
+  }
+
   private void giveUp() {
     if (lastFailure == ServerPool.EVACUATED) {
       context.meter().count("evacuation.statement-refused");
@@ -351,8 +357,7 @@
     if (running && !request.writes()) {
       abandoned.pool().recordLoss("a read got no answer in time");
     }
-    Failure failure = TimedOutStatement.failure(request, running);
-    fail(failure.code(), failure.detail());
+    failWith(TimedOutStatement.failure(request, running));
     if (abandoned != null) {
       abandoned.discard();
     }
@@ -387,7 +392,7 @@
 
   private void writeFailure(Failure failure) {
     context.meter().count("statement.failed." + failure.code());
-    Duration age = context.now().since(startedAt);
+    Duration age = request.deadline().age(context);
     new FailedStatement(request, failure, attempts, tried, age).write(context.log());
   }
 }
