Give the list of servers a stated order

A host went through the servers of a group in the order of Map.copyOf, which differs between processes. Of servers that are equally good a decision takes the first, so the server depended on the process.

The list is now published in the order of a hash of host and server, which KeptConnections has used before, and by id where hashes are equal. Plain order by id was not used: all hosts would take the same server after their start, and keep it, as opening another connection counts as 45 ms. The order is made once for each new list, on the control thread.

Before, SharedServersTest gave 4 to 5 different results for each of 5 of its tests in 20 processes.

--- a/engine/src/main/java/org/persimmonwalk/engine/Engine.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/Engine.java
@@ -69,7 +69,7 @@
             RelayController.create(settings, log),
             VerificationController.create(settings, log),
             EraSettlementController.create(settings, log),
-            ServerListController.create(settings.timings(), log),
+            ServerListController.create(settings, log),
             EvacuationController.create(settings, log, suspension),
             ColdServerController.create(settings, log),
             PrimaryViewController.create(settings.timings(), log),
--- a/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/control/EngineEntries.java
@@ -67,7 +67,10 @@
   public static final EntryKey<Optional<StoreTime>> STORE_TIME =
       EntryKey.of("store time", Optional.empty());
 
-  /** The listed backend servers, including those that are draining. */
+  /**
+   * The listed backend servers, including those that are draining, in the order of {@link
+   * ServerOrder}.
+   */
   public static final EntryKey<Map<BackendServerId, ServerEntry>> SERVERS =
       EntryKey.of("servers", Map.of());
 
@@ -123,7 +126,7 @@
   public static final EntryKey<Map<AvailabilityZone, RelayHost>> LENDERS =
       EntryKey.of("lenders", Map.of());
 
-  /** The tokens to request from each lender. */
+  /** The tokens to request from each lender, in the order in which the requests are sent. */
   public static final EntryKey<Map<RelayHost, TokenRequests>> TOKEN_REQUESTS =
       EntryKey.of("token requests", Map.of());
 
@@ -135,7 +138,9 @@
   public static final EntryKey<Map<Long, List<TokenLoan>>> TOKEN_LOANS =
       EntryKey.of("token loans", Map.of());
 
-  /** The replies to token requests that are complete in this round, by exchange id. */
+  /**
+   * The replies to token requests that are complete in this round, in the order of exchange ids.
+   */
   public static final EntryKey<Map<Long, TokenReply>> TOKEN_REPLIES =
       EntryKey.of("token replies", Map.of());
 
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/ServerListController.java
@@ -13,11 +13,13 @@
 import org.persimmonwalk.engine.DecisionLog;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.ReadServerList;
 import org.persimmonwalk.engine.control.ServerList;
 import org.persimmonwalk.engine.control.ServerListRead;
 import org.persimmonwalk.engine.control.ServerListVersion;
+import org.persimmonwalk.engine.control.ServerOrder;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.control.StoreEra;
 import org.persimmonwalk.engine.control.ZoneReply;
@@ -53,6 +55,7 @@
 
   private final EngineTimings timings;
   private final DecisionLog log;
+  private final ServerOrder order;
   private final DrainingServers drainingServers = new DrainingServers();
   private StoreEra era = StoreEra.UNKNOWN;
   private long localRevision;
@@ -62,14 +65,15 @@
   private MonotonicTime lastListAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime keepExpiredUntil = MonotonicTime.of(Long.MIN_VALUE / 2);
 
-  private ServerListController(EngineTimings timings, DecisionLog log) {
-    this.timings = timings;
+  private ServerListController(EngineSettings settings, DecisionLog log) {
+    this.timings = settings.timings();
+    this.order = ServerOrder.of(settings.host());
     this.log = log;
   }
 
   /** Returns a controller that knows no server. */
-  public static ServerListController create(EngineTimings timings, DecisionLog log) {
-    return new ServerListController(timings, log);
+  public static ServerListController create(EngineSettings settings, DecisionLog log) {
+    return new ServerListController(settings, log);
   }
 
   @Override
@@ -222,7 +226,7 @@
     drainingServers.record(entries, now);
     entries.forEach(entry -> servers.put(entry.id(), drainingServers.correct(entry)));
     logChanges(old, servers);
-    blackboard.put(EngineEntries.SERVERS, Map.copyOf(servers));
+    blackboard.put(EngineEntries.SERVERS, order.sort(servers));
   }
 
   private void logChanges(
