Go through groups, variables and equal demands in a stated order

Controllers went through the database groups in the order of Map.copyOf: the first group got the only promotion that a host runs at a time, and random delays were drawn group by group. Variables were set on a connection in the order of a hash map. Of workspaces with the same demand those that a heartbeat lists followed the order of the map.

Groups are sorted by id when a configuration is built, variables by name when a connection has to be set up, which most statements need not, and equal demands by id. Keys, routes and limits keep their maps: nothing goes through them in an order that decides, and there may be many thousands.

--- a/core/src/main/java/org/persimmonwalk/internal/control/membership/PeerDemand.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/membership/PeerDemand.java
@@ -41,10 +41,16 @@
             Collectors.toUnmodifiableMap(Map.Entry::getKey, entry -> entry.getValue().demand()));
   }
 
-  /** Returns the workspaces with the highest demand, as many as a heartbeat may list. */
+  /**
+   * Returns the workspaces with the highest demand, as many as a heartbeat may list; of those with
+   * the same demand the first by id.
+   */
   static Map<WorkspaceId, Double> highest(Map<WorkspaceId, Double> demand) {
     return demand.entrySet().stream()
-        .sorted(Map.Entry.<WorkspaceId, Double>comparingByValue().reversed())
+        .sorted(
+            Map.Entry.<WorkspaceId, Double>comparingByValue()
+                .reversed()
+                .thenComparing(Map.Entry.comparingByKey()))
         .limit(Heartbeat.DEMAND_LIMIT)
         .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
   }
--- a/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
+++ b/core/src/main/java/org/persimmonwalk/internal/control/position/ReplicaPositionController.java
@@ -17,6 +17,7 @@
 import org.persimmonwalk.model.MonotonicTime;
 import org.persimmonwalk.model.ServerProbe;
 import org.persimmonwalk.model.ServerView;
+import org.persimmonwalk.model.SortedCopies;
 import org.persimmonwalk.observation.ServerSampleFailed;
 import org.persimmonwalk.observation.ServerSampled;
 
@@ -63,7 +64,8 @@
     for (DatabaseGroup group : affected) {
       next.put(group.id(), GroupAssessment.of(group, known.get(group.id()), servers).assess());
     }
-    blackboard.put(Entries.GROUPS, Map.copyOf(next));
+    // Sorted: controllers go through the groups and draw random delays for them.
+    blackboard.put(Entries.GROUPS, SortedCopies.of(next));
   }
 
   private void applyConfiguration(Map<DatabaseGroupId, DatabaseGroup> groups) {
--- a/core/src/main/java/org/persimmonwalk/model/Configuration.java
+++ b/core/src/main/java/org/persimmonwalk/model/Configuration.java
@@ -31,13 +31,13 @@
   public static final Configuration EMPTY =
       new Configuration(Revision.NONE, ReleaseNoteId.of("none"), Map.of(), Map.of(), Map.of());
 
-  /** Copies the maps. */
+  /** Copies the maps, and sorts the groups, which controllers go through. */
   public Configuration {
     Objects.requireNonNull(revision, "revision");
     Objects.requireNonNull(note, "note");
     workspaces = Map.copyOf(workspaces);
     keys = Map.copyOf(keys);
-    groups = Map.copyOf(groups);
+    groups = SortedCopies.of(groups);
   }
 
   /** Returns the workspace with the given identifier, if it exists. */
--- a/engine/src/main/java/org/persimmonwalk/engine/RoutingConfiguration.java
+++ b/engine/src/main/java/org/persimmonwalk/engine/RoutingConfiguration.java
@@ -5,6 +5,7 @@
 import org.persimmonwalk.id.DatabaseGroupId;
 import org.persimmonwalk.id.KeyHash;
 import org.persimmonwalk.id.WorkspaceId;
+import org.persimmonwalk.model.SortedCopies;
 
 /**
  * The routes, database groups, keys and rate limits that operators have put in force.
@@ -25,10 +26,10 @@
   public static final RoutingConfiguration NONE =
       new RoutingConfiguration(-1, Map.of(), Map.of(), Map.of(), Map.of(), Duration.ofSeconds(3));
 
-  /** Makes the maps immutable. */
+  /** Makes the maps immutable, and sorts the groups, which controllers go through. */
   public RoutingConfiguration {
     routes = Map.copyOf(routes);
-    groups = Map.copyOf(groups);
+    groups = SortedCopies.of(groups);
     keys = Map.copyOf(keys);
     limits = Map.copyOf(limits);
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/traffic/ConnectionSetup.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendStatement;
@@ -62,13 +63,15 @@
       connection.variables().clear();
       connection.preparedStatements().clear();
     }
-    variables.forEach(
-        (name, value) -> {
-          if (!value.equals(connection.variables().get(name))) {
-            actions.add(new BackendStatement.SetVariable(name, value));
-            connection.variables().put(name, value);
-          }
-        });
+    // By name: a session's variables are kept without an order, and a server must get them in one.
+    new TreeMap<>(variables)
+        .forEach(
+            (name, value) -> {
+              if (!value.equals(connection.variables().get(name))) {
+                actions.add(new BackendStatement.SetVariable(name, value));
+                connection.variables().put(name, value);
+              }
+            });
     template
         .filter(needed -> connection.preparedStatements().name(needed).isEmpty())
         .ifPresent(
