Say which bounds of the replay tests follow from results

The bounds stay as they are:

- For urgency no target is stated in numbers.
"No urgent request is refused while bulk work waits ahead of it" would be 0 refused; docs/design/ urgency-across-hosts.md has 65, 4 and 205.
- For the tokens the targets are under 0.2 % refused and half of the calls before (12.7 a second in this replay).
The code misses both: 7 of 1,592 operations (0.44 %) and 148 calls in 20 s (7.4 a second), the same in 4 processes.

--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/TokenReplayTest.java
@@ -19,6 +19,9 @@
    * Guards against refusing operations inside the rate while lenders reply late, and against calls
    * for tokens that conflict. Before, 30 % of the operations were refused, and the relays made 12.7
    * transactions a second, half of which conflicted.
+   *
+   * <p>The bounds follow from results. The stated targets (docs/load-across-hosts.md, section 3),
+   * under 0.2 % refused and half of those transactions, are not met: 0.44 % and 7.4 a second.
    */
   @Test
   void shouldAdmitACalmLoadWithFewCallsForTokens() {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UrgencyReplayTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/UrgencyReplayTest.java
@@ -112,7 +112,8 @@
     UrgencyReplay a = burst(deploymentA(), 4, 1);
     UrgencyReplay b = burst(deploymentB(), 4, 1);
 
-    // Before: 2,751 in time and 1,240 refused; 5,109 in time and 269 refused.
+    // Before: 2,751 in time and 1,240 refused; 5,109 in time and 269 refused. No target is stated
+    // for the numbers in time and the served parts: these bounds follow from results.
     assertThat(a.tally("redeem").refused).isLessThan(4347 * 2 / 100);
     assertThat(a.tally("redeem").inTime).isGreaterThan(3200);
     assertThat(b.tally("crew-confirm").refused).isLessThan(5468 / 100);
@@ -169,7 +170,7 @@
 
     replay.run(BURST);
 
-    // Before: 1,362 of 3,594 refused.
+    // Before: 1,362 of 3,594 refused. No target is stated: the bound follows from results.
     assertThat(replay.tally("redeem").refused).isLessThan(1362 / 4);
   }
 
