Model the slots and the queue of a test server in one place

QueueingServers (UrgencyReplay) and SimulatedFleet (FleetBalanceTest) each had a server with slots and a queue. Both now use SimulatedServer, whose queue may be limited.

--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/QueueingServers.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/QueueingServers.java
@@ -1,12 +1,10 @@
 package org.persimmonwalk.internal.engine.traffic;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Queue;
 import org.persimmonwalk.engine.Answer;
 import org.persimmonwalk.engine.BackendConnection;
 import org.persimmonwalk.engine.BackendConnector;
@@ -56,37 +54,17 @@
 
   private final class Server {
     private final BackendServerId id;
-    private final Queue<Runnable> waiting = new ArrayDeque<>();
-    private int freeSlots;
+    private final SimulatedServer work;
     private int connections;
 
     private Server(BackendServerId id, int slots) {
       this.id = id;
-      this.freeSlots = slots;
+      this.work = SimulatedServer.ofQueue(scheduler, slots, QUEUE_LIMIT);
     }
 
     /** Runs work, or returns false if the queue is full. */
     private boolean run(double millis, Runnable done) {
-      if (freeSlots == 0) {
-        return waiting.size() < QUEUE_LIMIT && waiting.add(() -> start(millis, done));
-      }
-      start(millis, done);
-      return true;
-    }
-
-    private void start(double millis, Runnable done) {
-      freeSlots--;
-      double work = millis * slowness.getOrDefault(id, 1.0);
-      scheduler.schedule(
-          Duration.ofNanos((long) (work * 1e6)),
-          () -> {
-            freeSlots++;
-            done.run();
-            Runnable next = waiting.poll();
-            if (next != null) {
-              next.run();
-            }
-          });
+      return work.run(millis * slowness.getOrDefault(id, 1.0), done);
     }
   }
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SimulatedFleet.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SimulatedFleet.java
@@ -48,7 +48,7 @@
       Function<RandomSource, ServerChoice> choice) {
     this.requestsPerSecond = requestsPerSecond;
     for (int i = 0; i < groups * SERVERS_PER_GROUP; i++) {
-      servers.add(new SimulatedServer(scheduler, SLOTS));
+      servers.add(SimulatedServer.ofSlots(scheduler, SLOTS));
     }
     for (int i = 0; i < hostCount; i++) {
       hosts.add(new SimulatedHost(i % ZONES, choice.apply(RandomSource.seeded(100 + i))));
