--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -290,8 +289,8 @@
     }
     Map<RowKey, StoreVersion> expected =
         KnownRows.versionsOfTokenCall(blackboard, settings.zones(), isRelay(blackboard));
-    Map<RowKey, String> writes = new HashMap<>();
-    Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new HashMap<>();
+    Map<RowKey, String> writes = new LinkedHashMap<>();
+    Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new LinkedHashMap<>();
     workspaces.stream()
         .filter(limits::containsKey)
         .forEach(
