--- a/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionVariablesTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/traffic/SessionVariablesTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -52,6 +53,20 @@
     assertThat(caller.last().succeeded()).isTrue();
   }
 
+  /** Guards against variables that a server gets in an order that differs between processes. */
+  @Test
+  void shouldSetVariablesInTheOrderOfTheirNames() {
+    List<String> names = List.of("d", "b", "e", "a", "f", "c");
+    names.forEach(name -> fixture.send(session, name, new Statement.SetVariable(name, "1")));
+    fixture.send(session, "read", new Statement.Data(false, "READ x"));
+
+    assertThat(fixture.servers.sent())
+        .extracting(sent -> sent.statement().action())
+        .filteredOn(action -> action instanceof BackendStatement.SetVariable)
+        .extracting(action -> ((BackendStatement.SetVariable) action).name())
+        .containsExactly("a", "b", "c", "d", "e", "f");
+  }
+
   /** Guards against a COMMIT that is sent although the server refused a variable. */
   @Test
   void shouldAbortATransactionWhoseVariablesCannotBeSetBeforeCommit() {
