--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -160,7 +160,7 @@
 
   /** Returns the requests to the lenders of those pools that borrow, and need tokens. */
   Map<RelayHost, List<TokenRequest>> requests(Duration replyTime, MonotonicTime now) {
-    Map<RelayHost, List<TokenRequest>> requests = new HashMap<>();
+    Map<RelayHost, List<TokenRequest>> requests = new LinkedHashMap<>();
     pools.forEach(
         (workspace, pool) ->
             lenders
@@ -298,8 +298,8 @@
     Map<RowKey, StoreVersion> expected =
         KnownRows.versionsOfTokenCall(
             blackboard, settings.zones(), blackboard.get(EngineEntries.RELAY_ROLE).isRelay());
-    Map<RowKey, String> writes = new HashMap<>();
-    Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new HashMap<>();
+    Map<RowKey, String> writes = new LinkedHashMap<>();
+    Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new LinkedHashMap<>();
     workspaces.stream()
         .filter(limits::containsKey)
         .forEach(
