--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/AcquisitionPlanner.java
@@ -1,5 +1,7 @@
 package org.persimmonwalk.internal.engine.control;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.persimmonwalk.blackboard.Blackboard;
 import org.persimmonwalk.engine.DecisionLog;
@@ -7,8 +9,11 @@
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineSettings;
 import org.persimmonwalk.engine.control.RowKey;
+import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreTime;
+import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.StoredRow;
+import org.persimmonwalk.engine.control.TransactionTag;
 import org.persimmonwalk.id.WorkspaceId;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -100,7 +105,7 @@
             ? refill(demand, share, limit, byOthers)
             : 0;
     long mostHeld = refill > 0 ? mostHeld(pool, row, capacity, taken, now) : pool.held() + taken;
-    pool.startRecordingRefill(refill, mostHeld - taken);
+    pool.refill().startRecording(refill, mostHeld - taken);
     // Tokens in stock or added within a second, here or at other holders, show that the demand is
     // not over the limit: the average demand is that of several seconds, and the limit may have
     // just been lowered.
@@ -116,15 +121,20 @@
     return new Acquisition(taken, scarce, refill, mostHeld, after);
   }
 
-  /**
-   * Returns the part of their refill that holders keep when the limit changes. All holders lower
-   * theirs alike, so that together they stay within their part of the new rate.
-   */
-  static double refillKept(RateLimit before, RateLimit after) {
-    if (before == null || after == null) {
-      return 0;
-    }
-    return Math.min(1, after.perSecond() / before.perSecond());
+  /** Returns the call that takes the tokens, on condition that the rows are those planned with. */
+  RunTransaction transaction(
+      Blackboard blackboard, TransactionTag tag, Map<WorkspaceId, Acquisition> acquisitions) {
+    Map<RowKey, StoreVersion> expected =
+        KnownRows.versionsOfTokenCall(
+            blackboard, settings.zones(), blackboard.get(EngineEntries.RELAY_ROLE).isRelay());
+    Map<RowKey, String> writes = new LinkedHashMap<>();
+    acquisitions.forEach(
+        (workspace, acquisition) -> {
+          RowKey key = RateRow.key(workspace);
+          expected.put(key, KnownRows.version(blackboard, key));
+          writes.put(key, acquisition.row().text(blackboard.get(EngineEntries.STORE_ERA)));
+        });
+    return new RunTransaction(tag, expected, writes);
   }
 
   /**
@@ -156,6 +166,12 @@
     return RateRow.roundedDown(Math.max(0, refill));
   }
 
+  /** Returns the tokens that a relay borrows in advance: an even part for each zone. */
+  long minimumBorrowed(RateLimit limit) {
+    return (long)
+        (RateRow.capacity(limit, settings) * RESERVED_PART / (settings.zones().size() + 1));
+  }
+
   /** Returns what the bucket holds after the row was written. */
   BucketForecast forecast(RateRow written, RateLimit limit) {
     // What others hold may expire before this host reads the row again.
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolRefill.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PoolRefill.java
@@ -1,6 +1,7 @@
 package org.persimmonwalk.internal.engine.control;
 
 import java.time.Duration;
+import org.persimmonwalk.engine.RateLimit;
 import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -80,9 +81,16 @@
     creditedAt = creditedAt.isBefore(startedAt) ? startedAt : creditedAt;
   }
 
-  /** Lowers the refill to a part of it, from 0 to 1. */
-  void lower(double part) {
-    perSecond *= part;
+  /**
+   * Lowers the refill in proportion to a limit that is lowered. All holders do so, so that together
+   * they stay within their part of the new rate.
+   *
+   * @param before the limit until now; null if there was none
+   * @param after the limit from now on; null if there is none
+   */
+  void lower(RateLimit before, RateLimit after) {
+    perSecond *=
+        before == null || after == null ? 0 : Math.min(1, after.perSecond() / before.perSecond());
   }
 
   /** Ends the refill: the pool borrows now, or its tokens were dropped. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/RateController.java
@@ -117,6 +117,7 @@
     boolean hasLenders =
         examined.stream().allMatch(workspace -> hasLender(workspace, lenders, now));
     if (blackboard.get(EngineEntries.RELAY_ROLE).isClient() && hasLenders) {
+      pools.returnStock(blackboard, now);
       publish(blackboard, RowDemand.NONE);
     } else {
       pools.acquireIfNeeded(blackboard, context);
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPool.java
@@ -73,6 +73,8 @@
   private final PoolRefill refill;
   private long available;
   private long returned;
+  private boolean returnsStock;
+  private boolean isBorrowed;
   private long minimumHeld;
   private BucketForecast bucket = BucketForecast.UNKNOWN;
   private long inherited;
@@ -138,7 +140,7 @@
     if (!now.isBefore(validUntil) || takenAt.isBefore(resumedAt)) {
       dropped = available;
       available = 0;
-      returned = 0;
+      forgetReturned();
       refill.stop();
     }
     if (takenAt.isBefore(resumedAt)) {
@@ -214,21 +216,16 @@
     bucket = forecast;
   }
 
-  /** Returns whether the pool gets tokens without a call to the store. */
-  boolean isRefilled(MonotonicTime now) {
-    return refill.isActive(now);
-  }
-
-  /** Lowers the refill to the given part because the limit has changed. */
-  void lowerRefill(double part) {
-    refill.lower(part);
-  }
-
   /** Returns until when a call to the store brings no token. */
   MonotonicTime emptyUntil() {
     return lastStoreCallAt.plus(bucket.emptyFor(held()));
   }
 
+  /** Returns what the pool adds itself. */
+  PoolRefill refill() {
+    return refill;
+  }
+
   /** Sets whether this host is a lender of the workspace and not only stands in for one. */
   void setLender(boolean lender) {
     stock.setLender(lender);
@@ -304,6 +301,18 @@
     returned += excess;
   }
 
+  /** Returns whether the pool has tokens that it has taken from the row. */
+  boolean hasStock() {
+    return hasTokens() && !isBorrowed;
+  }
+
+  /** Takes all tokens out of the pool, to be added to the bucket by the next write. */
+  void returnStock() {
+    returned += available;
+    available = 0;
+    returnsStock = true;
+  }
+
   /** Returns the tokens taken out of the pool that the row still records as held. */
   long returned() {
     return returned;
@@ -312,10 +321,14 @@
   /** Called when a write may have returned them, or has. */
   void forgetReturned() {
     returned = 0;
+    returnsStock = false;
   }
 
   /** Returns how many tokens to take from the store. */
   long wanted(MonotonicTime now) {
+    if (returnsStock) {
+      return 0;
+    }
     long missing = stock.isKept() ? stockTarget(now) - held() : 0;
     long soon = Math.round(demand(now)) + (stock.isKept() ? hosts(now) : 0);
     long forWaiting = isExhausted() ? 1 + soon : 0;
@@ -332,19 +345,15 @@
     loans.startRecording();
   }
 
-  /** Called when it is known what the write records as the refill of this pool. */
-  void startRecordingRefill(double perSecond, long mostHeld) {
-    refill.startRecording(perSecond, mostHeld);
-  }
-
   /**
    * Called after the row was written. Adds the tokens taken; the row now records these and all that
    * were held at the time of the write.
    */
   void grant(AcquisitionPlanner.Acquisition acquired, MonotonicTime startedAt, Duration validity) {
     available += acquired.tokens();
+    isBorrowed = false;
     refill.begin(acquired.refillPerSecond(), acquired.mostHeld(), startedAt);
-    returned = 0;
+    forgetReturned();
     hasTaken = true;
     scarce = acquired.scarce();
     hasUnmetRequest = false;
@@ -378,6 +387,7 @@
     scarce = loan.scarce();
     if (usable > 0) {
       available += usable;
+      isBorrowed = true;
       hasUnmetRequest = false;
     }
   }
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/TokenPools.java
@@ -21,10 +21,8 @@
 import org.persimmonwalk.engine.control.LargeAnswerStarted;
 import org.persimmonwalk.engine.control.RelayHost;
 import org.persimmonwalk.engine.control.RowDemand;
-import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.StoreTime;
-import org.persimmonwalk.engine.control.StoreVersion;
 import org.persimmonwalk.engine.control.TokenLoan;
 import org.persimmonwalk.engine.control.TokenRequest;
 import org.persimmonwalk.engine.control.TransactionAnswered;
@@ -80,6 +78,7 @@
   private MonotonicTime lastCallAt = MonotonicTime.of(Long.MIN_VALUE / 2);
   private MonotonicTime pausedUntil = MonotonicTime.of(Long.MIN_VALUE / 2);
   private Attempt inFlight;
+  private boolean hasBeenRelay;
   private long serial;
 
   TokenPools(
@@ -109,9 +108,7 @@
   /** Sets the limits and the number of hosts, by which this host lends tokens. */
   void setLimits(Map<WorkspaceId, RateLimit> newLimits, int newFleetSize) {
     pools.forEach(
-        (workspace, pool) ->
-            pool.lowerRefill(
-                AcquisitionPlanner.refillKept(limits.get(workspace), newLimits.get(workspace))));
+        (workspace, pool) -> pool.refill().lower(limits.get(workspace), newLimits.get(workspace)));
     limits = newLimits;
     fleetSize = newFleetSize;
     pools.forEach(this::updateLender);
@@ -128,7 +125,7 @@
 
   /** Returns whether the pool gets tokens without a call to the store. */
   boolean isRefilled(WorkspaceId workspace, MonotonicTime now) {
-    return pools.containsKey(workspace) && pools.get(workspace).isRefilled(now);
+    return pools.containsKey(workspace) && pools.get(workspace).refill().isActive(now);
   }
 
   /** Returns until when calls of this host bring no token; empty if that is not known. */
@@ -168,7 +165,7 @@
                 .filter(lender -> !lenders.isBusy(lender) && !isInFlight(workspace))
                 .ifPresent(
                     lender -> {
-                      pool.setMinimumHeld(minimumBorrowed(workspace));
+                      pool.setMinimumHeld(planner.minimumBorrowed(limits.get(workspace)));
                       pool.dropExcess(now);
                       if (pool.needsLoan(replyTime, now)) {
                         requests
@@ -179,12 +176,6 @@
     return requests;
   }
 
-  /** Returns the tokens that a relay borrows in advance: an even part for each zone. */
-  private long minimumBorrowed(WorkspaceId workspace) {
-    double capacity = RateRow.capacity(limits.get(workspace), settings);
-    return (long) (capacity * AcquisitionPlanner.RESERVED_PART / (settings.zones().size() + 1));
-  }
-
   private boolean isInFlight(WorkspaceId workspace) {
     return inFlight != null && inFlight.acquisitions().containsKey(workspace);
   }
@@ -233,6 +224,7 @@
                     answer.transaction().tag().purpose().equals(VerificationController.PURPOSE))
             .anyMatch(answer -> answer.time().isPresent());
     boolean isRelay = blackboard.get(EngineEntries.RELAY_ROLE).isRelay();
+    hasBeenRelay |= isRelay;
     boolean isDue = rowsAreFresh || (isRelay && isVerificationNear(blackboard, now));
     if (isDue && !select(pool -> pool.needsTokens(now), now).isEmpty()) {
       acquire(blackboard, now, 1, workspacesToRenew(isRelay, now));
@@ -243,6 +235,21 @@
     }
   }
 
+  /**
+   * Returns to the rows what this host has taken as the relay of its zone, once another host has
+   * the role. Responds to relays that change while many hosts restart: the former relay kept its
+   * stock of all workspaces, and the new one found none left until it expired.
+   */
+  void returnStock(Blackboard blackboard, MonotonicTime now) {
+    if (!hasBeenRelay || inFlight != null) {
+      return;
+    }
+    Set<WorkspaceId> stocked = select(TokenPool::hasStock, now);
+    hasBeenRelay = !stocked.isEmpty();
+    stocked.forEach(workspace -> pools.get(workspace).returnStock());
+    acquire(blackboard, now, 1, stocked);
+  }
+
   /**
    * Returns whether the next verification is due so soon that a call that takes tokens replaces it:
    * a relay's calls expect all rows that a verification does.
@@ -295,35 +302,28 @@
         || !KnownRows.isConfigurationValid(blackboard, settings.bounds(), now)) {
       return;
     }
-    Map<RowKey, StoreVersion> expected =
-        KnownRows.versionsOfTokenCall(
-            blackboard, settings.zones(), blackboard.get(EngineEntries.RELAY_ROLE).isRelay());
-    Map<RowKey, String> writes = new LinkedHashMap<>();
     Map<WorkspaceId, AcquisitionPlanner.Acquisition> acquisitions = new LinkedHashMap<>();
     workspaces.stream()
         .filter(limits::containsKey)
         .forEach(
-            workspace -> {
-              RowKey key = RateRow.key(workspace);
-              AcquisitionPlanner.Acquisition acquisition =
-                  planner.plan(
-                      blackboard,
-                      workspace,
-                      pools.get(workspace),
-                      limits.get(workspace),
-                      time.get(),
-                      now);
-              expected.put(key, KnownRows.version(blackboard, key));
-              writes.put(key, acquisition.row().text(blackboard.get(EngineEntries.STORE_ERA)));
-              acquisitions.put(workspace, acquisition);
-            });
+            workspace ->
+                acquisitions.put(
+                    workspace,
+                    planner.plan(
+                        blackboard,
+                        workspace,
+                        pools.get(workspace),
+                        limits.get(workspace),
+                        time.get(),
+                        now)));
     if (acquisitions.isEmpty()) {
       return;
     }
     inFlight = new Attempt(++serial, attempt, now, acquisitions);
     lastCallAt = now;
     statistics.add(TokenStatistics.Count.CALLS, 1);
-    blackboard.submit(new RunTransaction(TransactionTag.of(PURPOSE, serial), expected, writes));
+    blackboard.submit(
+        planner.transaction(blackboard, TransactionTag.of(PURPOSE, serial), acquisitions));
   }
 
   /** Adds the tokens taken to the pools, or retries after a conflict. */
@@ -362,13 +362,11 @@
     }
     Attempt ended = inFlight;
     inFlight = null;
-    if (answer.result() != TransactionResult.APPLIED) {
+    if (answer.result() == TransactionResult.APPLIED) {
+      ended.acquisitions().forEach((key, taken) -> grant(key, taken, ended.startedAt()));
+    } else {
       ended.acquisitions().keySet().forEach(workspace -> pools.get(workspace).forgetReturned());
       pausedUntil = now.plus(VerificationController.FAILURE_PAUSE);
-    } else {
-      ended
-          .acquisitions()
-          .forEach((workspace, acquisition) -> grant(workspace, acquisition, ended.startedAt()));
     }
   }
 
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PoolRefillTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PoolRefillTest.java
@@ -87,10 +87,16 @@
   @Test
   void shouldKeepThePartOfTheNewRate() {
     refill.begin(28, 100, at(0));
-    refill.lower(AcquisitionPlanner.refillKept(LIMIT, new RateLimit(10, 10)));
+    refill.lower(LIMIT, new RateLimit(10, 10));
 
     assertThat(refill.credit(0, at(1000))).isEqualTo(7);
-    assertThat(AcquisitionPlanner.refillKept(LIMIT, new RateLimit(80, 80))).isEqualTo(1);
-    assertThat(AcquisitionPlanner.refillKept(LIMIT, null)).isZero();
+
+    refill.lower(new RateLimit(10, 10), LIMIT);
+
+    assertThat(refill.credit(0, at(2000))).isEqualTo(7);
+
+    refill.lower(LIMIT, null);
+
+    assertThat(refill.credit(0, at(3000))).isZero();
   }
 }
