--- a/review/support-2/review2/Backend.java
+++ b/review/support-2/review2/Backend.java
@@ -26,6 +26,11 @@
   volatile boolean down;
   volatile boolean draining;
   volatile boolean left;
+
+  /** Until when all slots are taken: what needs a slot gets BUSY. */
+  volatile long busyFrom = Long.MAX_VALUE;
+
+  volatile long busyUntil;
   private final Set<Wire> connections = ConcurrentHashMap.newKeySet();
 
   Backend(Group group, String id, String zone) throws IOException {
@@ -182,7 +187,16 @@
         }
         words = (shape[0] + " " + (words.length > 2 ? words[2] : "")).split(" ", 3);
       }
-      if (words[0].equals("READ") || words[0].equals("WRITE") || words[0].equals("COMMIT")) {
+      boolean needsSlot =
+          words[0].equals("READ")
+              || words[0].equals("WRITE")
+              || words[0].equals("COMMIT")
+              || words[0].equals("STATUS");
+      if (needsSlot && Record.now() >= busyFrom && Record.now() < busyUntil) {
+        group.record.write("%s answers BUSY to %s", id, statement);
+        return end("ERROR BUSY " + id);
+      }
+      if (needsSlot && !words[0].equals("STATUS")) {
         Store.sleep(WORK_MILLIS);
       }
       synchronized (group) {
--- a/review/support-2/review2/Deployment.java
+++ b/review/support-2/review2/Deployment.java
@@ -33,6 +33,7 @@
   private volatile boolean closed;
   private int highestFence = -1;
   private String lastPromoter = "";
+  volatile Slowness slowness = id -> 0;
 
   Deployment(Record record) throws IOException {
     this.record = record;
@@ -117,8 +118,22 @@
     }
   }
 
-  private synchronized int promote(
-      String machine, String service, String id, String holder, String fence) {
+  /** How long the platform takes for a call to promote a backend. */
+  interface Slowness {
+    long millis(String id);
+  }
+
+  private int promote(String machine, String service, String id, String holder, String fence) {
+    receive(machine, id, holder, fence);
+    long taken = slowness.millis(id);
+    if (taken > 0) {
+      Store.sleep(taken);
+      record.write("platform: the call of %s for %s is done after %d ms", machine, id, taken);
+    }
+    return group.promote(id);
+  }
+
+  private synchronized void receive(String machine, String id, String holder, String fence) {
     record.write(
         "platform: %s orders the promotion of %s, holder %s, fence %s",
         machine, id, holder, fence);
@@ -127,7 +142,6 @@
     }
     lastPromoter = machine;
     highestFence = Math.max(highestFence, Integer.parseInt(fence));
-    return group.promote(id);
   }
 
   @Override
--- a/review/support-2/review2/LateAnnouncement.java
+++ b/review/support-2/review2/LateAnnouncement.java
@@ -2,11 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -42,19 +39,7 @@
     if (!first.awaitReady() || !second.awaitReady()) {
       return 2;
     }
-    ConcurrentLinkedQueue<String> acknowledged = new ConcurrentLinkedQueue<>();
-    AtomicBoolean stopped = new AtomicBoolean();
-    List<Thread> clients = new ArrayList<>();
-    for (Host host : List.of(first, second)) {
-      for (int i = 0; i < 3; i++) {
-        int number = i;
-        Thread client =
-            new Thread(() -> write(host, number, record, acknowledged, stopped), "client");
-        client.setDaemon(true);
-        client.start();
-        clients.add(client);
-      }
-    }
+    Writers writers = new Writers(record, List.of(first, second));
     // Longer than contactMs, so that both machines and the store are in touch and stable.
     Store.sleep(5000);
     Backend oldest = deployment.group.leader();
@@ -76,53 +61,17 @@
     Backend old = deployment.group.leader();
     deployment.release(old);
     Store.sleep(12_000);
-    stopped.set(true);
-    for (Thread client : clients) {
-      client.join(5000);
-    }
+    writers.stop();
     record.write(
         "store: %d of %d writing calls got no answer", faults.lost.get(), faults.calls.get());
     if (deployment.group.leader() == old) {
       record.write("the primary was not replaced");
       return 2;
     }
-    int broken = 0;
-    for (String request : acknowledged) {
-      if (deployment.group.commitsOfDeposed.containsKey(request)) {
-        record.write(
-            "ONE: %s was committed at %s after the promotion and acknowledged",
-            request, deployment.group.commitsOfDeposed.get(request));
-        broken++;
-      }
-    }
-    System.out.println(
-        acknowledged.size() + " writes acknowledged, " + broken + " of them by the old primary");
+    int broken = writers.countAcknowledgedByDeposed(deployment.group);
     return broken > 0 ? 1 : 0;
   }
 
-  private static void write(
-      Host host,
-      int number,
-      Record record,
-      ConcurrentLinkedQueue<String> acknowledged,
-      AtomicBoolean stopped) {
-    String name = host.name + "-client-" + number;
-    while (!stopped.get()) {
-      try (Client client = new Client(name, host.front, "book", Deployment.KEY, record)) {
-        for (int i = 0; !stopped.get(); i++) {
-          Client.Answer answer = client.query("WRITE " + number + " data" + i);
-          if (answer.success()) {
-            acknowledged.add(answer.id());
-          }
-          Store.sleep(130 + 20 * number);
-        }
-      } catch (IOException e) {
-        record.write("%s: the connection ended: %s", name, e.getMessage());
-        Store.sleep(200);
-      }
-    }
-  }
-
   /** The store's disturbances. */
   private static final class Faults implements Store.Faults {
     private final Record record;
