Show an order with a lower fence number from a frozen machine

The scripts choose ports outside the range of outgoing connections now: one run of case 7 could not start its hosts while another script ran.

--- a/review/support-2/review2/Deployment.java
+++ b/review/support-2/review2/Deployment.java
@@ -33,6 +33,7 @@
   private volatile boolean closed;
   private int highestFence = -1;
   private String lastPromoter = "";
+  private int lowerFences;
   volatile Slowness slowness = id -> 0;
 
   Deployment(Record record) throws IOException {
@@ -79,7 +80,13 @@
   }
 
   Host start(String name, String zone) throws IOException {
-    Host host = new Host(name, zone, ZONES, store.open(name), BOUNDS, folder);
+    String platform = store.open(name);
+    return start(name, zone, platform, platform);
+  }
+
+  /** Starts a host that reaches the promotion service at an address of its own. */
+  Host start(String name, String zone, String platform, String cloud) throws IOException {
+    Host host = new Host(name, zone, ZONES, platform, cloud, BOUNDS, folder);
     hosts.add(host);
     return host;
   }
@@ -111,6 +118,11 @@
     return lastPromoter;
   }
 
+  /** Returns how many orders came with a lower fence number than one before. */
+  synchronized int lowerFences() {
+    return lowerFences;
+  }
+
   private void beatAll() {
     while (!closed) {
       Store.sleep(1200);
@@ -138,7 +150,10 @@
         "platform: %s orders the promotion of %s, holder %s, fence %s",
         machine, id, holder, fence);
     if (Integer.parseInt(fence) < highestFence) {
-      record.write("platform: the fence number is lower than %d", highestFence);
+      record.write(
+          "ONE: the fence number %s of %s is lower than %d, which the platform has seen",
+          fence, machine, highestFence);
+      lowerFences++;
     }
     lastPromoter = machine;
     highestFence = Math.max(highestFence, Integer.parseInt(fence));
--- a/review/support-2/review2/Host.java
+++ b/review/support-2/review2/Host.java
@@ -1,16 +1,26 @@
 package review2;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.HttpURLConnection;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** An entry host: a process with the command and the settings template of the deploy file. */
 final class Host implements AutoCloseable {
+  private static final int LOWEST_PORT = 15_000;
+  private static final int HIGHEST_PORT = 32_000;
+  private static final Random RANDOM = new Random();
+  private static final Set<Integer> CHOSEN = new HashSet<>();
+
   final String name;
   final int front;
   final int ready;
@@ -19,17 +29,29 @@
   /**
    * Starts a host.
    *
+   * @param platform the address of the store
+   * @param cloud the address for POST /promotion
    * @param bounds the bounds of the settings, as JSON
    * @param zones the zones of the deployment
    */
-  Host(String name, String zone, List<String> zones, String platform, String bounds, Path folder)
+  Host(
+      String name,
+      String zone,
+      List<String> zones,
+      String platform,
+      String cloud,
+      String bounds,
+      Path folder)
       throws IOException {
     this.name = name;
     front = freePort();
     ready = freePort();
     int peer = freePort();
     StringBuilder zoneTable = new StringBuilder();
-    zones.forEach(each -> zoneTable.append(zoneTable.length() > 0 ? "," : "").append("\"").append(each).append("\":\"fi-south\""));
+    for (String each : zones) {
+      zoneTable.append(zoneTable.length() > 0 ? "," : "").append('"').append(each);
+      zoneTable.append("\":\"fi-south\"");
+    }
     String host =
         String.format(
             "{\"nodeName\":\"%s\",\"role\":\"entryhost\",\"machineClass\":\"front\","
@@ -45,7 +67,7 @@
                 + "\"maxRowBytes\":65536,\"across\":true,\"historyS\":20},"
                 + "\"cloudApi\":{\"address\":\"%s\",\"ratePerS\":50.0,"
                 + "\"duties\":[\"promotion\"],\"dutyPerS\":50.0}}",
-            name, zone, zoneTable, front, ready, peer, peer, bounds, platform, platform);
+            name, zone, zoneTable, front, ready, peer, peer, bounds, platform, cloud);
     String template = Files.readString(Path.of("deploy/settings.yaml"));
     Path settings = folder.resolve(name + ".json");
     Files.writeString(
@@ -65,10 +87,19 @@
     Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+  /** Returns a port that is free and that no outgoing connection is given. */
+  static synchronized int freePort() throws IOException {
+    for (int attempt = 0; attempt < 1000; attempt++) {
+      int port = LOWEST_PORT + RANDOM.nextInt(HIGHEST_PORT - LOWEST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        if (CHOSEN.add(socket.getLocalPort())) {
+          return port;
+        }
+      } catch (BindException e) {
+        // Another process has it.
+      }
     }
+    throw new IOException("no free port");
   }
 
   boolean isReady() {
