--- a/review/support-2/review2/Deployment.java
+++ b/review/support-2/review2/Deployment.java
@@ -1,6 +1,7 @@
 package review2;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -31,7 +32,7 @@
   final Group group;
   final List<Host> hosts = new ArrayList<>();
   private volatile boolean closed;
-  private int highestFence = -1;
+  private long highestFence = -1;
   private String lastPromoter = "";
   private int lowerFences;
   volatile Slowness slowness = id -> 0;
@@ -149,14 +150,14 @@
     record.write(
         "platform: %s orders the promotion of %s, holder %s, fence %s",
         machine, id, holder, fence);
-    if (Integer.parseInt(fence) < highestFence) {
+    if (Long.parseLong(fence) < highestFence) {
       record.write(
           "ONE: the fence number %s of %s is lower than %d, which the platform has seen",
           fence, machine, highestFence);
       lowerFences++;
     }
     lastPromoter = machine;
-    highestFence = Math.max(highestFence, Integer.parseInt(fence));
+    highestFence = Math.max(highestFence, Long.parseLong(fence));
   }
 
   @Override
@@ -169,10 +170,18 @@
       System.out.println("kept: " + folder);
       return;
     }
+    for (int attempt = 0; attempt < 3 && !delete(folder); attempt++) {
+      Store.sleep(200);
+    }
+  }
+
+  /** Deletes the folder; returns whether it is gone. */
+  private static boolean delete(Path folder) {
     try (Stream<Path> files = Files.walk(folder)) {
       files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
-    } catch (IOException e) {
-      System.err.println("not deleted: " + folder);
+    } catch (IOException | UncheckedIOException e) {
+      return false;
     }
+    return !Files.exists(folder);
   }
 }
