Log how long an announced replacement was known when it begins

Callers of review/6 lost acknowledged writes at a replaced primary. The logs could not tell whether the promotion came too early, or a host used its last verification for too long: they held neither the times of an announcement nor how long the promoting host had known it.

primary-replacement-announced now has the store's time and the switch time, and replacement-due, a new line, for how long the host has known the row.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -193,7 +193,11 @@
         "phase",
         change.phase(),
         "rowVersion",
-        KnownRows.version(blackboard, row));
+        KnownRows.version(blackboard, row),
+        "storeMillis",
+        time.get().latest(now),
+        "switchAtMillis",
+        switchAt);
     blackboard.submit(
         new RunTransaction(
             TransactionTag.of(PURPOSE, serial),
@@ -224,6 +228,14 @@
     // A promotion that finds no candidate would hold up those of other groups.
     boolean mayBegin = workflow.obstacle(blackboard, new PromotedGroup(group), now).isEmpty();
     if (mayBegin && isDue(blackboard, row, announcement, now) && workflow.isIdle()) {
+      log.write(
+          "replacement-due",
+          "group",
+          group,
+          "rowVersion",
+          stored.version(),
+          "announcedForMs",
+          now.since(announcement.at()).toMillis());
       workflow.begin(group, row, stored.version(), now);
     }
   }
