Wait until no host uses a primary whose replacement was announced late

Cause: the switch time of a SWITCHING row counts from when the call was sent, and the promotion waited for this time alone. A host that does not know the row uses the old primary until its last verification is 3 s old, which can be 3 s after the row came into force.

A host now begins a planned replacement only when it has known the row for 3.3 s, as after a crash. It cannot know the row before it is in force, and each verification without the row was sent before that, so all of these have expired. A server that was promoted only for its log was never in use, so its row has no switch time any more and its replacement waits for nobody.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/Leadership.java
@@ -12,8 +12,9 @@
  *
  * @param server the primary, or the one that is being replaced
  * @param startedAtMillis when that server's process started, which tells restarts apart
- * @param switchAtMillis in the phase SWITCHING, the store's time at which the server stops being
- *     the primary
+ * @param switchAtMillis in the phase SWITCHING, the store's time at which hosts that know the row
+ *     stop using the server. It counts from when the row was sent; the store may have performed the
+ *     call later, so it tells nothing of hosts that do not know the row.
  */
 record Leadership(Phase phase, BackendServerId server, long startedAtMillis, long switchAtMillis) {
 
@@ -24,6 +25,9 @@
   /** The server named in the leadership row of a group whose primary isn't known. */
   static final BackendServerId NO_SERVER = BackendServerId.of("none");
 
+  /** The switch time of a server that was never in use: it is over at all hosts. */
+  private static final long NEVER_IN_USE = 0;
+
   private static final Leadership UNREADABLE = new Leadership(Phase.MOVING, NO_SERVER, 0, 0);
 
   /** The progress of a replacement. */
@@ -45,8 +49,13 @@
    * Returns the row after a draining server was promoted only for its log. It must not be used for
    * longer than it drains, so it is to be replaced at once, and nothing is sent to it meanwhile.
    */
-  static Leadership promotedForItsLog(ServerEntry server, long storeMillis) {
-    return new Leadership(Phase.SWITCHING, server.id(), server.startedAtMillis(), storeMillis);
+  static Leadership promotedForItsLog(ServerEntry server) {
+    return new Leadership(Phase.SWITCHING, server.id(), server.startedAtMillis(), NEVER_IN_USE);
+  }
+
+  /** Returns whether hosts that don't know this row may still use the server, by an earlier row. */
+  boolean mayBeInUse() {
+    return phase != Phase.SWITCHING || switchAtMillis != NEVER_IN_USE;
   }
 
   /** Returns the row that announces the replacement of whichever server the given row names. */
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -44,6 +44,13 @@
 
   static final int TAKEOVER_JITTER_MILLIS = 1000;
 
+  /**
+   * How long a host must have known an announcement before it promotes. A switch time is no
+   * substitute: the store may perform the announcement seconds after it was sent.
+   */
+  private static final Duration NOTICE =
+      EngineTimings.VERIFICATION_VALIDITY.plus(EngineTimings.CLOCK_MARGIN);
+
   private static final String PURPOSE = "announce";
 
   private final DecisionLog log;
@@ -240,21 +247,24 @@
     }
   }
 
+  /**
+   * Returns whether no host uses the old primary any more. Hosts that know the row stop at its
+   * switch time, the others when their last verification expires, which was before the row came
+   * into force.
+   */
   private static boolean isDue(
       Blackboard blackboard, Leadership row, Announcement announcement, MonotonicTime now) {
-    if (row.phase() == Leadership.Phase.MOVING) {
-      return !now.isBefore(
-          announcement
-              .at()
-              .plus(EngineTimings.VERIFICATION_VALIDITY)
-              .plus(EngineTimings.CLOCK_MARGIN)
-              .plus(announcement.delay()));
+    Duration notice = row.mayBeInUse() ? NOTICE : Duration.ZERO;
+    if (now.isBefore(announcement.at().plus(notice).plus(announcement.delay()))) {
+      return false;
     }
-    return blackboard
-        .get(EngineEntries.STORE_TIME)
-        .filter(
-            time -> time.earliest(now) >= row.switchAtMillis() + announcement.delay().toMillis())
-        .isPresent();
+    return row.phase() == Leadership.Phase.MOVING
+        || blackboard
+            .get(EngineEntries.STORE_TIME)
+            .filter(
+                time ->
+                    time.earliest(now) >= row.switchAtMillis() + announcement.delay().toMillis())
+            .isPresent();
   }
 
   /**
--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionWorkflow.java
@@ -369,14 +369,8 @@
   }
 
   private void record(Blackboard blackboard, MonotonicTime now) {
-    Optional<StoreTime> time = blackboard.get(EngineEntries.STORE_TIME);
-    if (target.draining() && time.isEmpty()) {
-      return;
-    }
     Leadership recorded =
-        target.draining()
-            ? Leadership.promotedForItsLog(target, time.get().latest(now))
-            : Leadership.stable(target);
+        target.draining() ? Leadership.promotedForItsLog(target) : Leadership.stable(target);
     log.write(
         "primary-recorded",
         "group",
--- a/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
+++ b/engine/src/test/java/org/persimmonwalk/engine/testing/EngineFixture.java
@@ -56,7 +56,6 @@
   public static final String KEY = "secret";
 
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(1300);
-  private static final Duration EFFECT_DELAY = Duration.ofMillis(3000);
 
   /** Longer than the promotion lease, so that the next holder finds the promotion pending. */
   private static final Duration PROMOTION_DELAY = Duration.ofMillis(4500);
@@ -81,8 +80,7 @@
   /** How many of the next store transactions are lost without effect and time out. */
   public int transactionsToLose;
 
-  /** How many of the next store transactions time out but take effect later. */
-  public int effectsToDelay;
+  public final LateEffects lateEffects = new LateEffects();
 
   /** How many of the next orders of promotions get no answer but take effect later. */
   public int promotionsToDelay;
@@ -314,9 +312,8 @@
     if (transactionsToLose > 0) {
       transactionsToLose--;
       timeOut(host, transaction);
-    } else if (effectsToDelay > 0) {
-      effectsToDelay--;
-      scheduler.schedule(EFFECT_DELAY, () -> store.run(transaction, STEP));
+    } else if (lateEffects.delayNext(transaction)) {
+      scheduler.schedule(lateEffects.delay, () -> store.run(transaction, STEP));
       timeOut(host, transaction);
     } else {
       TransactionAnswered answer =
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/BorrowedTokensTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/BorrowedTokensTest.java
@@ -223,7 +223,7 @@
     send(Duration.ofSeconds(3), 160);
     fixture.transactionsToLose = 5;
     send(Duration.ofSeconds(3), 160);
-    fixture.effectsToDelay = 5;
+    fixture.lateEffects.count = 5;
     send(Duration.ofSeconds(3), 160);
     fixture.storeIsUp = false;
     send(Duration.ofSeconds(6), 160);
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/EngineScheduleTest.java
@@ -237,7 +237,7 @@
         case 7, 8 -> fixture.storeIsUp = true;
         case 9 -> fixture.peersAreReachable = !fixture.peersAreReachable;
         case 10 -> fixture.transactionsToLose += 3;
-        case 14, 15 -> fixture.effectsToDelay += 2;
+        case 14, 15 -> fixture.lateEffects.count += 2;
         case 16 -> restart(host);
         case 11 -> fixture.stepWallClock(Duration.ofSeconds(random.nextInt(-3, 9)));
         case 12, 13 -> reportUnreachable();
@@ -284,7 +284,7 @@
       fixture.storeIsUp = true;
       fixture.peersAreReachable = true;
       fixture.transactionsToLose = 0;
-      fixture.effectsToDelay = 0;
+      fixture.lateEffects.count = 0;
       // The entry of a server that has crashed expires.
       fixture.entries.keySet().retainAll(fixture.statuses.keySet());
       fixture.hosts.forEach(host -> fixture.freeze(host, false));
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionScenario.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionScenario.java
@@ -9,6 +9,7 @@
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
+import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.control.ServiceBounds;
@@ -89,6 +90,15 @@
         .isPresent();
   }
 
+  /** Returns whether the host may use the primary that it knows. */
+  boolean isVerified(Engine host) {
+    return fixture
+        .entry(host, EngineEntries.VERIFIED_AT)
+        .filter(
+            at -> fixture.clock.now().since(at).compareTo(EngineTimings.VERIFICATION_VALIDITY) < 0)
+        .isPresent();
+  }
+
   void useSynchronousReplica() {
     fixture.publish(
         EngineFixture.configuration(
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionTest.java
@@ -10,8 +10,6 @@
 import org.persimmonwalk.engine.Engine;
 import org.persimmonwalk.engine.ServerEntry;
 import org.persimmonwalk.engine.TermPosition;
-import org.persimmonwalk.engine.control.EngineEntries;
-import org.persimmonwalk.engine.control.EngineTimings;
 import org.persimmonwalk.engine.control.OrderPromotion;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
@@ -53,7 +51,7 @@
     }
 
     assertThat(fixture.promotions).isNotEmpty();
-    assertThat(isVerified(fixture.hosts.get(3))).isFalse();
+    assertThat(scenario.isVerified(fixture.hosts.get(3))).isFalse();
   }
 
   /** Guards against a host that learns of the replacement from its relay too late or not at all. */
@@ -69,15 +67,7 @@
 
     assertThat(fixture.promotions).isNotEmpty();
     assertThat(fixture.hosts)
-        .noneMatch(host -> PRIMARY.equals(scenario.primaryOf(host)) && isVerified(host));
-  }
-
-  private boolean isVerified(Engine host) {
-    return fixture
-        .entry(host, EngineEntries.VERIFIED_AT)
-        .filter(
-            at -> fixture.clock.now().since(at).compareTo(EngineTimings.VERIFICATION_VALIDITY) < 0)
-        .isPresent();
+        .noneMatch(host -> PRIMARY.equals(scenario.primaryOf(host)) && scenario.isVerified(host));
   }
 
   /** Guards against a replacement that stays unfinished when the host that announced it dies. */
