Keep the note of an announcement until its answer arrives

Callers saw: writes refused for 0.8 to 1.8 s longer than necessary when a primary was replaced.

Cause: PromotionController noted its own announcement when it sent the call and dropped the note in the next control round, in which it still knew the old row. It then took its own announcement for that of another host and waited for the case that this host had died. Conversely a host whose call was rejected before its next round took the announcement in the row for its own.

The fake store answers in the next round; with answers after 200 ms the tests showed it.

Also corrects a comment: the last verification of a host that does not know the row was sent, not expired, before the row came into force.

--- a/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
+++ b/engine/src/main/java/org/persimmonwalk/internal/engine/control/PromotionController.java
@@ -80,7 +80,7 @@
     blackboard
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.transaction().tag().purpose().equals(PURPOSE))
-        .forEach(answer -> inFlight.values().remove(answer.transaction().tag().serial()));
+        .forEach(this::endCall);
     blackboard
         .observations(TransactionAnswered.class)
         .filter(answer -> answer.result() == TransactionResult.APPLIED)
@@ -148,6 +148,23 @@
         .forEach(group -> announcements.put(group, Announcement.ownAt(now)));
   }
 
+  /** Forgets a call; if it wrote nothing, the row has the announcement of another host. */
+  private void endCall(TransactionAnswered answer) {
+    long ended = answer.transaction().tag().serial();
+    boolean wroteNothing =
+        answer.result() == TransactionResult.CONFLICT
+            || answer.result() == TransactionResult.REFUSED;
+    if (wroteNothing) {
+      inFlight.forEach(
+          (group, call) -> {
+            if (call == ended) {
+              announcements.computeIfPresent(group, (key, known) -> known.ofAnotherHost());
+            }
+          });
+    }
+    inFlight.values().remove(ended);
+  }
+
   private void checkGroup(Blackboard blackboard, DatabaseGroupId group, RoundContext context) {
     MonotonicTime now = context.now();
     StoredRow stored = KnownRows.row(blackboard, Leadership.row(group));
@@ -157,7 +174,10 @@
       replaceIfDue(blackboard, group, stored, row.get(), context);
       return;
     }
-    announcements.remove(group);
+    if (!inFlight.containsKey(group)) {
+      // Until the answer, the row does not show yet that this host has announced the replacement.
+      announcements.remove(group);
+    }
     Optional<Leadership> change = trigger.check(blackboard, group, row, now);
     if (change.isEmpty()) {
       announceAt.remove(group);
@@ -222,14 +242,14 @@
     Announcement announcement = announcements.get(group);
     if (announcement == null || !announcement.isOf(stored.version())) {
       int jitter = context.random().nextInt(TAKEOVER_JITTER_MILLIS);
-      boolean isOwnAnnouncement = announcement != null && announcement.version().isEmpty();
-      boolean own = isOwnAnnouncement || workflow.hasRecorded(row.server());
+      boolean isOwnAnnouncement =
+          announcement != null && announcement.version().isEmpty() && announcement.own();
       announcement =
           new Announcement(
               Optional.of(stored.version()),
               now,
-              own,
-              own ? Duration.ZERO : TAKEOVER_DELAY.plus(Duration.ofMillis(jitter)));
+              isOwnAnnouncement || workflow.hasRecorded(row.server()),
+              TAKEOVER_DELAY.plus(Duration.ofMillis(jitter)));
       announcements.put(group, announcement);
     }
     // A promotion that finds no candidate would hold up those of other groups.
@@ -249,8 +269,8 @@
 
   /**
    * Returns whether no host uses the old primary any more. Hosts that know the row stop at its
-   * switch time, the others when their last verification expires, which was before the row came
-   * into force.
+   * switch time, the others when their last verification expires, which was sent before the row
+   * came into force.
    */
   private static boolean isDue(
       Blackboard blackboard, Leadership row, Announcement announcement, MonotonicTime now) {
@@ -273,14 +293,23 @@
    * @param version the version of the row; empty until the answer to this host's own announcement
    * @param at when this host first saw the version
    * @param own whether this host caused the version, by an announcement or by a promotion
-   * @param delay how long this host waits beyond the time when the promotion is safe
+   * @param takeoverDelay how long this host waits beyond the time when the promotion is safe, if
+   *     another host caused the version
    */
   private record Announcement(
-      Optional<StoreVersion> version, MonotonicTime at, boolean own, Duration delay) {
+      Optional<StoreVersion> version, MonotonicTime at, boolean own, Duration takeoverDelay) {
 
     /** Returns an announcement of this host whose version isn't known yet. */
     static Announcement ownAt(MonotonicTime now) {
-      return new Announcement(Optional.empty(), now, true, Duration.ZERO);
+      return new Announcement(Optional.empty(), now, true, TAKEOVER_DELAY);
+    }
+
+    Announcement ofAnotherHost() {
+      return new Announcement(version, at, false, takeoverDelay);
+    }
+
+    Duration delay() {
+      return own ? Duration.ZERO : takeoverDelay;
     }
 
     boolean isOf(StoreVersion other) {
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/LateAnnouncementTest.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/LateAnnouncementTest.java
@@ -15,7 +15,6 @@
 import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.RunTransaction;
 import org.persimmonwalk.engine.control.ServerStatusRead;
-import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.model.MonotonicTime;
 
@@ -36,7 +35,7 @@
     fixture.lateEffects.delay = Duration.ofMillis(lateMillis);
     fixture.lateEffects.matching = LateAnnouncementTest::writesLeadership;
     scenario.setDraining(PRIMARY);
-    runUntilAnnounced();
+    scenario.runUntilAnnounced(Leadership.Phase.SWITCHING);
     Engine uninformed = fixture.hosts.get(3);
     fixture.cutOff(uninformed, true);
     fixture.peersAreReachable = false;
@@ -53,7 +52,7 @@
   void shouldReplaceThePrimaryAfterALateAnnouncement() {
     fixture.lateEffects.matching = LateAnnouncementTest::writesLeadership;
     scenario.setDraining(PRIMARY);
-    runUntilAnnounced();
+    scenario.runUntilAnnounced(Leadership.Phase.SWITCHING);
     fixture.lateEffects.matching = transaction -> false;
     fixture.run(Duration.ofSeconds(6));
 
@@ -76,7 +75,7 @@
     fixture.run(Duration.ofSeconds(3));
     scenario.reportUnreachable(4);
     Engine promoter = scenario.runUntilPromotions(1);
-    runUntilAnnounced();
+    scenario.runUntilAnnounced(Leadership.Phase.SWITCHING);
     MonotonicTime recordedAt = fixture.clock.now();
     fixture.freeze(promoter, true);
     fixture.statuses.put(
@@ -91,18 +90,4 @@
   private static boolean writesLeadership(RunTransaction transaction) {
     return transaction.writes().containsKey(LEADERSHIP);
   }
-
-  /** Runs until the leadership row in the store announces a planned replacement. */
-  private void runUntilAnnounced() {
-    for (int i = 0; i < 1000 && !isReplacementAnnounced(); i++) {
-      fixture.run(Duration.ofMillis(10));
-    }
-    assertThat(isReplacementAnnounced()).isTrue();
-  }
-
-  private boolean isReplacementAnnounced() {
-    return Leadership.parse(fixture.rows.getOrDefault(LEADERSHIP, StoredRow.ABSENT))
-        .filter(row -> row.phase() == Leadership.Phase.SWITCHING)
-        .isPresent();
-  }
 }
--- a/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionScenario.java
+++ b/engine/src/test/java/org/persimmonwalk/internal/engine/control/PromotionScenario.java
@@ -10,10 +10,12 @@
 import org.persimmonwalk.engine.TermPosition;
 import org.persimmonwalk.engine.control.EngineEntries;
 import org.persimmonwalk.engine.control.EngineTimings;
+import org.persimmonwalk.engine.control.RowKey;
 import org.persimmonwalk.engine.control.ServerStatusRead;
 import org.persimmonwalk.engine.control.ServerUnreachable;
 import org.persimmonwalk.engine.control.ServiceBounds;
 import org.persimmonwalk.engine.control.StoreEra;
+import org.persimmonwalk.engine.control.StoredRow;
 import org.persimmonwalk.engine.testing.EngineFixture;
 import org.persimmonwalk.engine.testing.EngineSettingsFixture;
 import org.persimmonwalk.id.BackendServerId;
@@ -82,6 +84,21 @@
         .orElseThrow();
   }
 
+  /** Runs until the leadership row in the store announces a replacement with the given phase. */
+  void runUntilAnnounced(Leadership.Phase phase) {
+    for (int i = 0; i < 1000 && !isAnnounced(phase); i++) {
+      fixture.run(Duration.ofMillis(10));
+    }
+    assertThat(isAnnounced(phase)).isTrue();
+  }
+
+  private boolean isAnnounced(Leadership.Phase phase) {
+    RowKey leadership = Leadership.row(EngineFixture.GROUP);
+    return Leadership.parse(fixture.rows.getOrDefault(leadership, StoredRow.ABSENT))
+        .filter(row -> row.phase() == phase)
+        .isPresent();
+  }
+
   boolean usesAPrimary(Engine host) {
     return fixture
         .entry(host, EngineEntries.PRIMARIES)
